--- /dev/null
+++ b/src/config/follower.ts
@@ -0,0 +1,68 @@
+import type { Operation } from "effection";
+import { CONFIG_KEY } from "../constants.ts";
+import { messageOf } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import type { MutableObservable } from "../observable.ts";
+import type { Store } from "../platform/store.ts";
+import { runValueFollower } from "../platform/value_follower.ts";
+import { parseJson, parseWithSchema } from "../validation.ts";
+import { type AppliedConfig, appliedConfigSchema } from "./schema.ts";
+
+/** Parses the store's value of the configuration; throws a `ValidationError`. */
+export function parseAppliedConfig(text: string): AppliedConfig {
+  return parseWithSchema(
+    appliedConfigSchema,
+    parseJson(text, CONFIG_KEY),
+    CONFIG_KEY,
+  );
+}
+
+/** Puts a configuration in force if it is newer than the current one; returns whether it is. */
+export function advanceConfig(
+  current: MutableObservable<AppliedConfig | undefined>,
+  candidate: AppliedConfig,
+): boolean {
+  const revision = current.get()?.revision ?? 0;
+  if (candidate.revision <= revision) return false;
+  current.set(candidate);
+  return true;
+}
+
+/** What the follower works with. */
+export interface ConfigFollowerOptions {
+  readonly store: Store;
+  readonly current: MutableObservable<AppliedConfig | undefined>;
+  readonly log: Logger;
+  readonly onContact?: () => void;
+}
+
+/** Task that follows the applied configuration in the store until it is halted. */
+export function runConfigFollower(
+  options: ConfigFollowerOptions,
+): Operation<void> {
+  const { store, current, log, onContact } = options;
+  return runValueFollower({
+    store,
+    key: CONFIG_KEY,
+    log,
+    onContact,
+    onValue(entry) {
+      let candidate: AppliedConfig;
+      try {
+        candidate = parseAppliedConfig(entry.value);
+      } catch (error) {
+        log.error("stored configuration is unreadable", {
+          reason: messageOf(error),
+        });
+        return;
+      }
+      if (advanceConfig(current, candidate)) {
+        log.info(`revision ${candidate.revision} in force`);
+      } else if (candidate.revision < (current.get()?.revision ?? 0)) {
+        log.warn("store shows an older revision; ignored", {
+          revision: candidate.revision,
+        });
+      }
+    },
+  });
+}
--- /dev/null
+++ b/src/constants.ts
@@ -0,0 +1,38 @@
+/** Version of the program. */
+export const VERSION = "0.1.0";
+
+/** Largest value that the platform's store holds, in bytes. */
+export const MAXIMUM_STORE_VALUE_BYTES = 1_000_000;
+
+/** Store key of the applied configuration. */
+export const CONFIG_KEY = "config";
+
+/** Header that tells the three outcomes of a request apart. */
+export const OUTCOME_HEADER = "cowslipferry-outcome";
+
+/** Header with the request's id, sent to the backend server and to the caller. */
+export const REQUEST_ID_HEADER = "cowslipferry-request-id";
+
+/** Header in which a caller gives the time left for its request, in milliseconds. */
+export const DEADLINE_HEADER = "cowslipferry-deadline-ms";
+
+/** Response header by which a backend server says that it takes no new work. */
+export const LEAVING_HEADER = "cowslipferry-leaving";
+
+/** Header that carries an idempotency key issued by an entry. */
+export const IDEMPOTENCY_KEY_HEADER = "idempotency-key";
+
+/** Path prefix of the system's own resources on the callers' port. */
+export const SYSTEM_PATH_PREFIX = "/.cowslipferry/";
+
+/** Time without contact to store, peers and VM list after which an entry refuses new work, in ms. */
+export const ISOLATION_LIMIT_MS = 5_000;
+
+/** Interval of VM list polls, in ms. */
+export const VM_LIST_POLL_INTERVAL_MS = 1_000;
+
+/** Time that a store watch waits for a change before it is renewed, in ms. */
+export const STORE_WATCH_WAIT_MS = 20_000;
+
+/** Time after which a store call counts as failed, in ms. */
+export const STORE_CALL_TIMEOUT_MS = 2_000;
--- /dev/null
+++ b/src/contact_tracker.ts
@@ -0,0 +1,29 @@
+import type { Clock } from "./clock.ts";
+import { ISOLATION_LIMIT_MS } from "./constants.ts";
+
+/** A system whose answers show that this entry isn't cut off. */
+export type ContactSource = "store" | "peer" | "vm_list";
+
+/** Remembers when each source last answered. */
+export interface ContactTracker {
+  touch(source: ContactSource): void;
+  /** Whether no source has answered for the isolation limit. */
+  isolated(): boolean;
+  /** Monotonic time of the last answer of each source, in ms. */
+  lastContactMs(): Readonly<Record<ContactSource, number>>;
+}
+
+/** Creates a tracker that counts each source as reached now. */
+export function createContactTracker(clock: Clock): ContactTracker {
+  const startedAtMs = clock.monotonicMs();
+  const last = { store: startedAtMs, peer: startedAtMs, vm_list: startedAtMs };
+  return {
+    touch(source) {
+      last[source] = clock.monotonicMs();
+    },
+    isolated: () =>
+      clock.monotonicMs() - Math.max(...Object.values(last)) >
+        ISOLATION_LIMIT_MS,
+    lastContactMs: () => ({ ...last }),
+  };
+}
--- /dev/null
+++ b/src/fleet/decision_log.ts
@@ -0,0 +1,33 @@
+import { z } from "zod";
+
+/** One decision about the fleet, as shown by `explain`. */
+export const decisionSchema = z.object({
+  /** Wall-clock time, in ms. */
+  atMs: z.number(),
+  /** Fleet revision that carries the decision. */
+  fleetRevision: z.number().int(),
+  kind: z.string(),
+  vmId: z.string().optional(),
+  pools: z.array(z.string()),
+  teams: z.array(z.string()),
+  summary: z.string(),
+  /** Figures that the decision was taken from. */
+  facts: z.record(z.string(), z.union([z.string(), z.number(), z.boolean()])),
+  rejected: z.array(z.object({ option: z.string(), reason: z.string() })),
+});
+
+/** One decision about the fleet. */
+export type Decision = z.infer<typeof decisionSchema>;
+
+/** The store's value of recent decisions, oldest first. */
+export const decisionLogSchema = z.object({
+  decisions: z.array(decisionSchema),
+});
+
+/** Number of decisions that are kept for each region. */
+export const MAXIMUM_DECISIONS = 500;
+
+/** Store key of a region's recent decisions. */
+export function decisionLogKey(region: string): string {
+  return `fleet-log/${region}`;
+}
--- /dev/null
+++ b/src/fleet/follower.ts
@@ -0,0 +1,58 @@
+import type { Operation } from "effection";
+import { messageOf } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import type { MutableObservable } from "../observable.ts";
+import type { Store } from "../platform/store.ts";
+import { runValueFollower } from "../platform/value_follower.ts";
+import { parseJson, parseWithSchema } from "../validation.ts";
+import { fleetKey, type FleetRecord, fleetRecordSchema } from "./record.ts";
+
+/** Parses a fleet record; throws a `ValidationError`, also for an unknown schema version. */
+export function parseFleetRecord(text: string): FleetRecord {
+  return parseWithSchema(
+    fleetRecordSchema,
+    parseJson(text, "fleet record"),
+    "fleet record",
+  );
+}
+
+/** Replaces the current record by a newer one; returns whether it was newer. */
+export function advanceFleetRecord(
+  current: MutableObservable<FleetRecord | undefined>,
+  candidate: FleetRecord,
+): boolean {
+  if (candidate.revision <= (current.get()?.revision ?? -1)) return false;
+  current.set(candidate);
+  return true;
+}
+
+/** What the follower works with. */
+export interface FleetFollowerOptions {
+  readonly store: Store;
+  readonly region: string;
+  readonly current: MutableObservable<FleetRecord | undefined>;
+  readonly log: Logger;
+  readonly onContact?: () => void;
+}
+
+/** Task that follows a region's fleet record in the store until it is halted. */
+export function runFleetFollower(
+  options: FleetFollowerOptions,
+): Operation<void> {
+  const { store, region, current, log, onContact } = options;
+  return runValueFollower({
+    store,
+    key: fleetKey(region),
+    log,
+    onContact,
+    onValue(entry) {
+      try {
+        advanceFleetRecord(current, parseFleetRecord(entry.value));
+      } catch (error) {
+        log.error("stored fleet record is unreadable", {
+          reason: messageOf(error),
+        });
+      }
+    },
+  });
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,4 @@
+import process from "node:process";
+import { runCli } from "./cli.ts";
+
+void runCli(process.argv);
--- /dev/null
+++ b/src/platform/http_json.ts
@@ -0,0 +1,58 @@
+import { Agent, request } from "undici";
+
+/** A JSON response of a platform service. */
+export interface JsonResponse {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Options of one JSON call. */
+export interface JsonRequestOptions {
+  readonly method?: "GET" | "PUT" | "POST" | "DELETE";
+  readonly body?: unknown;
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal | undefined;
+}
+
+/** Error codes of calls whose request can't have reached the server. */
+const NOT_SENT_CODES = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+const agent = new Agent({ connect: { timeout: 1_000 }, pipelining: 1 });
+
+/** Whether a failed call provably never reached the server. */
+export function isNotSent(error: unknown): boolean {
+  const code = (error as { code?: unknown } | undefined)?.code;
+  return typeof code === "string" && NOT_SENT_CODES.has(code);
+}
+
+/** Sends one JSON request; rejects with the client's error. */
+export async function requestJson(
+  url: string,
+  options: JsonRequestOptions,
+): Promise<JsonResponse> {
+  const timeout = AbortSignal.timeout(options.timeoutMs);
+  const signal = options.signal
+    ? AbortSignal.any([options.signal, timeout])
+    : timeout;
+  const response = await request(url, {
+    dispatcher: agent,
+    method: options.method ?? "GET",
+    signal,
+    headersTimeout: options.timeoutMs,
+    bodyTimeout: options.timeoutMs,
+    ...(options.body === undefined ? {} : {
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(options.body),
+    }),
+  });
+  const text = await response.body.text();
+  return {
+    status: response.statusCode,
+    body: text === "" ? undefined : JSON.parse(text),
+  };
+}
--- /dev/null
+++ b/src/platform/http_store.ts
@@ -0,0 +1,141 @@
+import { z } from "zod";
+import { STORE_CALL_TIMEOUT_MS } from "../constants.ts";
+import { messageOf, StoreError } from "../errors.ts";
+import {
+  isNotSent,
+  type JsonRequestOptions,
+  type JsonResponse,
+  requestJson,
+} from "./http_json.ts";
+import type { LeaseResult, Store, StoreEntry, SwapResult } from "./store.ts";
+
+const entrySchema = z.object({ value: z.string(), version: z.number().int() });
+const versionSchema = z.object({ version: z.number().int() });
+const leaseSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("granted"), fencingToken: z.number().int() }),
+  z.object({ kind: z.literal("held"), holder: z.string() }),
+]);
+
+/** Time beyond a watch's own wait after which it counts as failed, in ms. */
+const WATCH_MARGIN_MS = 2_000;
+
+/** Client of the store's HTTP protocol. */
+export function createHttpStore(baseUrl: string): Store {
+  const valueUrl = (key: string) =>
+    `${baseUrl}/v1/values/${encodeURIComponent(key)}`;
+  const leaseUrl = (name: string) =>
+    `${baseUrl}/v1/leases/${encodeURIComponent(name)}`;
+
+  async function call(
+    url: string,
+    options: JsonRequestOptions & { writes: boolean },
+  ): Promise<JsonResponse> {
+    let response: JsonResponse;
+    try {
+      response = await requestJson(url, options);
+    } catch (error) {
+      const failure = options.writes && !isNotSent(error)
+        ? "unknown_outcome"
+        : "unavailable";
+      throw new StoreError(
+        failure,
+        `The store did not answer: ${messageOf(error)}`,
+      );
+    }
+    if (response.status >= 500) {
+      throw new StoreError(
+        options.writes ? "unknown_outcome" : "unavailable",
+        `The store answered with status ${response.status}`,
+      );
+    }
+    if (
+      response.status === 400 || response.status === 413 ||
+      response.status === 429
+    ) {
+      throw new StoreError(
+        "rejected",
+        `The store refused the call with status ${response.status}`,
+      );
+    }
+    return response;
+  }
+
+  function parse<T extends z.ZodType>(
+    schema: T,
+    response: JsonResponse,
+  ): z.output<T> {
+    const result = schema.safeParse(response.body);
+    if (!result.success) {
+      throw new StoreError(
+        "unknown_outcome",
+        "The store's answer has an unknown form",
+      );
+    }
+    return result.data;
+  }
+
+  return {
+    async get(key, signal): Promise<StoreEntry | undefined> {
+      const response = await call(valueUrl(key), {
+        timeoutMs: STORE_CALL_TIMEOUT_MS,
+        signal,
+        writes: false,
+      });
+      return response.status === 404 ? undefined : parse(entrySchema, response);
+    },
+
+    async compareAndSwap(
+      { key, expectedVersion, value },
+      signal,
+    ): Promise<SwapResult> {
+      const response = await call(valueUrl(key), {
+        method: "PUT",
+        body: { expectedVersion, value },
+        timeoutMs: STORE_CALL_TIMEOUT_MS,
+        signal,
+        writes: true,
+      });
+      const { version } = parse(versionSchema, response);
+      return {
+        kind: response.status === 409 ? "conflict" : "swapped",
+        version,
+      };
+    },
+
+    async watch(
+      key,
+      { afterVersion, waitMs, signal },
+    ): Promise<StoreEntry | undefined> {
+      const query = `?afterVersion=${afterVersion}&waitMs=${waitMs}`;
+      const response = await call(valueUrl(key) + query, {
+        timeoutMs: waitMs + WATCH_MARGIN_MS,
+        signal,
+        writes: false,
+      });
+      return response.status === 204 ? undefined : parse(entrySchema, response);
+    },
+
+    async acquireLease(name, { holder, ttlMs, signal }): Promise<LeaseResult> {
+      const response = await call(leaseUrl(name), {
+        method: "POST",
+        body: { holder, ttlMs },
+        timeoutMs: STORE_CALL_TIMEOUT_MS,
+        signal,
+        writes: true,
+      });
+      const result = parse(leaseSchema, response);
+      return result.kind === "held" ? result : {
+        kind: "granted",
+        lease: { name, holder, ttlMs, fencingToken: result.fencingToken },
+      };
+    },
+
+    async releaseLease(name, holder): Promise<void> {
+      await call(`${leaseUrl(name)}?holder=${encodeURIComponent(holder)}`, {
+        method: "DELETE",
+        timeoutMs: STORE_CALL_TIMEOUT_MS,
+        writes: true,
+      });
+    },
+  };
+}
--- /dev/null
+++ b/src/platform/http_worker_agent.ts
@@ -0,0 +1,82 @@
+import { z } from "zod";
+import { messageOf, PlatformError } from "../errors.ts";
+import { requestJson } from "./http_json.ts";
+import type { WorkerAgent } from "./worker_agent.ts";
+
+const CALL_TIMEOUT_MS = 2_000;
+const reportSchema = z.object({
+  vmId: z.string(),
+  incarnation: z.string(),
+  lastRebootIntentId: z.string().optional(),
+  tasks: z.array(z.object({
+    taskId: z.string(),
+    state: z.enum([
+      "running",
+      "checkpointed",
+      "succeeded",
+      "failed",
+      "stopped",
+    ]),
+    usedCores: z.number(),
+    usedMemoryMb: z.number(),
+  })),
+});
+
+/** Client of the worker agents' HTTP protocol. */
+export function createHttpWorkerAgent(): WorkerAgent {
+  async function call(
+    url: string,
+    options: {
+      method: "GET" | "POST";
+      body?: unknown;
+      signal?: AbortSignal | undefined;
+    },
+  ): Promise<unknown> {
+    let status: number;
+    let body: unknown;
+    try {
+      ({ status, body } = await requestJson(url, {
+        ...options,
+        timeoutMs: CALL_TIMEOUT_MS,
+      }));
+    } catch (error) {
+      throw new PlatformError(
+        "worker_agent",
+        `No answer from ${url}: ${messageOf(error)}`,
+      );
+    }
+    if (status >= 300) {
+      throw new PlatformError("worker_agent", `${url} answered with ${status}`);
+    }
+    return body;
+  }
+  const command = async (address: string, path: string, body: unknown) => {
+    await call(`http://${address}/v1/${path}`, { method: "POST", body });
+  };
+
+  return {
+    async report(address, signal) {
+      const result = reportSchema.safeParse(
+        await call(`http://${address}/v1/report`, { method: "GET", signal }),
+      );
+      if (!result.success) {
+        throw new PlatformError(
+          "worker_agent",
+          `The report of ${address} has an unknown form`,
+        );
+      }
+      return {
+        ...result.data,
+        lastRebootIntentId: result.data.lastRebootIntentId,
+      };
+    },
+    runTask: (address, task) => command(address, "tasks/run", task),
+    checkpointTask: (address, taskId) =>
+      command(address, "tasks/checkpoint", { taskId }),
+    throttleTask: (address, options) =>
+      command(address, "tasks/throttle", options),
+    stopTask: (address, taskId) => command(address, "tasks/stop", { taskId }),
+    drain: (address, intentId) => command(address, "drain", { intentId }),
+    reboot: (address, intentId) => command(address, "reboot", { intentId }),
+  };
+}
--- /dev/null
+++ b/src/settings/schema.ts
@@ -0,0 +1,55 @@
+import { z } from "zod";
+
+const ipAddress = z.ipv4("an IPv4 address");
+const listenSchema = z.strictObject({
+  host: ipAddress.default("127.0.0.1"),
+  /** 0 lets the system choose. */
+  port: z.number().int().min(0).max(65_535).default(0),
+});
+const url = z.url("an http URL with an IP address");
+
+/** Settings of one entry process. */
+export const settingsSchema = z.strictObject({
+  entryId: z.string().regex(
+    /^[A-Za-z0-9-]{1,63}$/,
+    "letters, digits and dashes, at most 63",
+  ),
+  region: z.string().min(1),
+  dataCentre: z.string().min(1),
+  listen: z.strictObject({
+    callers: listenSchema.prefault({}),
+    peers: listenSchema.prefault({}),
+    admin: listenSchema.prefault({}),
+  }).prefault({}),
+  platform: z.strictObject({ storeUrl: url, vmListUrl: url }),
+  /** Parts that this process runs. */
+  roles: z.array(z.enum(["requests", "controller"])).min(1).default([
+    "requests",
+    "controller",
+  ]),
+  limits: z.strictObject({
+    maximumBodyBytes: z.number().int().min(1).max(1_073_741_824).default(
+      8_388_608,
+    ),
+    maximumHeaderBytes: z.number().int().min(1_024).max(1_048_576).default(
+      16_384,
+    ),
+    maximumQueuedRequests: z.number().int().min(0).max(1_000_000).default(
+      2_000,
+    ),
+    /** Time in which a caller must have sent a whole request, in ms. */
+    requestReadTimeoutMs: z.number().int().min(100).max(600_000).default(
+      30_000,
+    ),
+  }).prefault({}),
+  /** Longest time of a graceful shutdown, in ms. */
+  graceMs: z.number().int().min(0).max(600_000).default(30_000),
+  logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default(
+    "info",
+  ),
+});
+
+/** What a settings file holds. */
+export type UserSettings = z.input<typeof settingsSchema>;
+/** Settings with every default filled in. */
+export type ResolvedSettings = z.output<typeof settingsSchema>;
--- /dev/null
+++ b/src/supervisor.ts
@@ -0,0 +1,77 @@
+import { type Operation, scoped, sleep, spawn } from "effection";
+import { messageOf } from "./errors.ts";
+import type { Logger } from "./logger.ts";
+
+/** One part under supervision. */
+export interface Part {
+  readonly name: string;
+  /** Runs until it is halted; returning or throwing counts as a failure. */
+  readonly run: () => Operation<void>;
+}
+
+/** State of a supervised part, as shown in the dump. */
+export interface PartStatus {
+  readonly name: string;
+  readonly restarts: number;
+  readonly lastFailure: string | undefined;
+}
+
+/** Delay before the first restart of a part, in ms. */
+const FIRST_RESTART_DELAY_MS = 100;
+/** Longest delay between restarts of a part, in ms. */
+const MAXIMUM_RESTART_DELAY_MS = 5_000;
+/** A part that ran this long restarts with the first delay again, in ms. */
+const STABLE_RUN_MS = 30_000;
+
+/** Runs parts and restarts each that fails, with exponential backoff. */
+export interface Supervisor {
+  /** Starts a part in the current scope. */
+  start(part: Part): Operation<void>;
+  status(): readonly PartStatus[];
+}
+
+/** Creates a supervisor. */
+export function createSupervisor(log: Logger): Supervisor {
+  const statuses = new Map<string, PartStatus>();
+
+  function* superviseForever(part: Part): Operation<void> {
+    let delayMs = FIRST_RESTART_DELAY_MS;
+    for (let restarts = 0;; restarts++) {
+      const startedAtMs = performance.now();
+      let failure = "the part returned";
+      try {
+        // The scope contains failures of tasks that the part has spawned.
+        yield* scoped(part.run);
+      } catch (error) {
+        failure = messageOf(error);
+      }
+      statuses.set(part.name, {
+        name: part.name,
+        restarts: restarts + 1,
+        lastFailure: failure,
+      });
+      log.error("part failed and will be restarted", {
+        part: part.name,
+        failure,
+        delayMs,
+      });
+      if (performance.now() - startedAtMs > STABLE_RUN_MS) {
+        delayMs = FIRST_RESTART_DELAY_MS;
+      }
+      yield* sleep(delayMs);
+      delayMs = Math.min(delayMs * 2, MAXIMUM_RESTART_DELAY_MS);
+    }
+  }
+
+  return {
+    *start(part) {
+      statuses.set(part.name, {
+        name: part.name,
+        restarts: 0,
+        lastFailure: undefined,
+      });
+      yield* spawn(() => superviseForever(part));
+    },
+    status: () => [...statuses.values()],
+  };
+}
--- /dev/null
+++ b/testing/http_json_server.ts
@@ -0,0 +1,90 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** One request to a stand-in. */
+export interface JsonCall {
+  readonly method: string;
+  readonly url: URL;
+  readonly body: unknown;
+  /** Aborted when the client closes the connection. */
+  readonly signal: AbortSignal;
+}
+
+/** Reply of a stand-in. */
+export interface JsonReply {
+  readonly status: number;
+  readonly body?: unknown;
+}
+
+/** A stand-in that listens on loopback. */
+export interface RunningServer {
+  /** `host:port`. */
+  readonly address: string;
+  readonly server: Server;
+  close(): Promise<void>;
+}
+
+async function readBody(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) chunks.push(chunk as Buffer);
+  return chunks.length === 0
+    ? undefined
+    : JSON.parse(Buffer.concat(chunks).toString("utf8"));
+}
+
+/** Starts a server on loopback; port 0 lets the operating system choose. */
+export async function listenOnLoopback(
+  server: Server,
+  port = 0,
+): Promise<RunningServer> {
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, "127.0.0.1", () => resolve());
+  });
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    server,
+    close: () =>
+      new Promise<void>((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
+
+/** Creates a JSON server; a handler that returns undefined leaves the call without an answer. */
+export function createJsonServer(
+  handle: (
+    call: JsonCall,
+  ) => Promise<JsonReply | undefined> | JsonReply | undefined,
+): Server {
+  async function serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const aborted = new AbortController();
+    response.on("close", () => aborted.abort());
+    const reply = await handle({
+      method: request.method ?? "GET",
+      url: new URL(request.url ?? "/", "http://localhost"),
+      body: await readBody(request),
+      signal: aborted.signal,
+    });
+    if (reply === undefined) {
+      response.destroy();
+      return;
+    }
+    response.writeHead(reply.status, { "content-type": "application/json" });
+    response.end(
+      reply.body === undefined ? undefined : JSON.stringify(reply.body),
+    );
+  }
+  return createServer((request, response) => {
+    serve(request, response).catch(() => response.destroy());
+  });
+}
--- /dev/null
+++ b/testing/store_server.ts
@@ -0,0 +1,161 @@
+import { setTimeout as delay } from "node:timers/promises";
+import {
+  createJsonServer,
+  type JsonCall,
+  type JsonReply,
+  listenOnLoopback,
+  type RunningServer,
+} from "./http_json_server.ts";
+
+/** Faults that a test can switch on. */
+export interface StoreFaults {
+  /** Refuses every call. */
+  down: boolean;
+  /** Delays every call, in ms. */
+  delayMs: number;
+  /** Number of coming writes that take effect but get no answer. */
+  loseAnswers: number;
+}
+
+/** Call counts since the start. */
+export interface StoreCounts {
+  reads: number;
+  writes: number;
+  watches: number;
+}
+
+/** The store's stand-in. */
+export interface StoreServer extends RunningServer {
+  readonly faults: StoreFaults;
+  readonly counts: StoreCounts;
+  readonly values: Map<string, { value: string; version: number }>;
+}
+
+interface HeldLease {
+  holder: string;
+  expiresAtMs: number;
+  fencingToken: number;
+}
+
+const MAXIMUM_VALUE_BYTES = 1_000_000;
+
+/** Starts a store stand-in: compare-and-swap, leases and watches over HTTP. */
+export async function startStoreServer(port = 0): Promise<StoreServer> {
+  const faults: StoreFaults = { down: false, delayMs: 0, loseAnswers: 0 };
+  const counts: StoreCounts = { reads: 0, writes: 0, watches: 0 };
+  const values = new Map<string, { value: string; version: number }>();
+  const leases = new Map<string, HeldLease>();
+  const watchers = new Set<() => void>();
+
+  function read(key: string): JsonReply {
+    const entry = values.get(key);
+    return entry === undefined
+      ? { status: 404, body: {} }
+      : { status: 200, body: entry };
+  }
+
+  async function watch(
+    call: JsonCall,
+    key: string,
+    afterVersion: number,
+  ): Promise<JsonReply> {
+    counts.watches++;
+    const endMs = Date.now() + Number(call.url.searchParams.get("waitMs") ?? 0);
+    while (!call.signal.aborted && Date.now() < endMs) {
+      const entry = values.get(key) ?? { value: "", version: 0 };
+      if (entry.version !== afterVersion) return { status: 200, body: entry };
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(wake, endMs - Date.now());
+        function wake() {
+          clearTimeout(timer);
+          watchers.delete(wake);
+          resolve();
+        }
+        watchers.add(wake);
+        call.signal.addEventListener("abort", wake, { once: true });
+      });
+    }
+    return { status: 204 };
+  }
+
+  function swap(
+    key: string,
+    body: { expectedVersion: number; value: string },
+  ): JsonReply {
+    counts.writes++;
+    if (Buffer.byteLength(body.value) > MAXIMUM_VALUE_BYTES) {
+      return { status: 413, body: {} };
+    }
+    const version = values.get(key)?.version ?? 0;
+    if (version !== body.expectedVersion) {
+      return { status: 409, body: { version } };
+    }
+    values.set(key, { value: body.value, version: version + 1 });
+    for (const wake of [...watchers]) wake();
+    return { status: 200, body: { version: version + 1 } };
+  }
+
+  function lease(
+    name: string,
+    body: { holder: string; ttlMs: number },
+  ): JsonReply {
+    counts.writes++;
+    const held = leases.get(name);
+    const nowMs = Date.now();
+    const free = held === undefined || held.expiresAtMs <= nowMs;
+    if (!free && held.holder !== body.holder) {
+      return { status: 200, body: { kind: "held", holder: held.holder } };
+    }
+    const previousToken = held?.fencingToken ?? 0;
+    const fencingToken = free ? previousToken + 1 : previousToken;
+    leases.set(name, {
+      holder: body.holder,
+      expiresAtMs: nowMs + body.ttlMs,
+      fencingToken,
+    });
+    return { status: 200, body: { kind: "granted", fencingToken } };
+  }
+
+  function release(name: string, holder: string | null): JsonReply {
+    counts.writes++;
+    const held = leases.get(name);
+    if (held?.holder === holder) held.expiresAtMs = 0;
+    return { status: 200, body: {} };
+  }
+
+  function answer(call: JsonCall): Promise<JsonReply> | JsonReply {
+    const [, , resource, encodedKey] = call.url.pathname.split("/");
+    const key = decodeURIComponent(encodedKey ?? "");
+    if (resource === "leases") {
+      return call.method === "DELETE"
+        ? release(key, call.url.searchParams.get("holder"))
+        : lease(key, call.body as { holder: string; ttlMs: number });
+    }
+    if (call.method === "PUT") {
+      return swap(key, call.body as { expectedVersion: number; value: string });
+    }
+    const afterVersion = call.url.searchParams.get("afterVersion");
+    if (afterVersion !== null) return watch(call, key, Number(afterVersion));
+    counts.reads++;
+    return read(key);
+  }
+
+  const server = createJsonServer(async (call) => {
+    if (call.url.pathname === "/faults") {
+      Object.assign(faults, call.body);
+      if (faults.down) running.server.closeIdleConnections();
+      return { status: 200, body: { faults, counts } };
+    }
+    if (faults.down) return undefined;
+    if (faults.delayMs > 0) await delay(faults.delayMs);
+    const reply = await answer(call);
+    if (faults.down) return undefined;
+    if (call.method !== "GET" && faults.loseAnswers > 0) {
+      faults.loseAnswers--;
+      return undefined;
+    }
+    return reply;
+  });
+  const running = await listenOnLoopback(server, port);
+  return { ...running, faults, counts, values };
+}
