feat(fleet): pure planning of assignment, drains, repair, maintenance and lending

The controller only assigned new VMs. planFleet now composes reconciliation with the VM list, removed pools, repair of shortages, drain completion, maintenance waves and lending; the controller swaps the result, carries out reboots idempotently by intent id and keeps a bounded decision log.

The worker agent's drain is sent only together with the reboot: it has no undo, so sending it at the start of a drain would make it impossible to cancel a drain when a budget is raised.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -64,6 +64,8 @@
           store,
           config,
           vmList,
+          entries: parts.resolve(TOKENS.entries),
+          workerAgent: parts.resolve(TOKENS.workerAgent),
           clock,
           log: loggers("controller"),
         }),
--- a/src/fleet/controller.ts
+++ b/src/fleet/controller.ts
@@ -4,16 +4,25 @@
 import { messageOf } from "../errors.ts";
 import type { Logger } from "../logger.ts";
 import type { Observable } from "../observable.ts";
+import type { EntryDigest } from "../peers/messages.ts";
 import type { Store } from "../platform/store.ts";
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
-import { assignNewVms } from "./assignment.ts";
-import { parseFleetRecord } from "./follower.ts";
-import { FLEET_SCHEMA_VERSION, fleetKey, type FleetRecord } from "./record.ts";
+import type { WorkerAgent } from "../platform/worker_agent.ts";
+import { createControllerStore, type ReadRecord } from "./controller_store.ts";
+import { type Decision, MAXIMUM_DECISIONS } from "./decision_log.ts";
+import { type DemandState, observeDemand } from "./demand.ts";
+import { createIntentRunner } from "./intents.ts";
+import { planFleet } from "./plan.ts";
+import { createWorkerMonitor } from "./worker_monitor.ts";
 
 /** Time between planning steps, in ms. */
 const PLANNING_INTERVAL_MS = 1_000;
 /** Time to live of the controller lease, in ms. */
 const LEASE_TTL_MS = 5_000;
+/** Time between two writes of the demand history, in ms. */
+const DEMAND_WRITE_INTERVAL_MS = 300_000;
+/** Age above which a record is read again before its intents are carried out, in ms. */
+const MAXIMUM_RECORD_AGE_MS = 3_000;
 
 /** What the controller works with. */
 export interface ControllerOptions {
@@ -22,65 +31,152 @@
   readonly store: Store;
   readonly config: Observable<AppliedConfig | undefined>;
   readonly vmList: Observable<VmListSnapshot | undefined>;
+  /** Digests of the region's live entries, this one included. */
+  readonly entries: Observable<readonly EntryDigest[]>;
+  readonly workerAgent: WorkerAgent;
   readonly clock: Clock;
   readonly log: Logger;
 }
 
-function emptyRecord(region: string): FleetRecord {
-  return {
-    schemaVersion: FLEET_SCHEMA_VERSION,
-    region,
-    revision: 0,
-    configRevision: 0,
-    vms: {},
-    maintenance: {},
-  };
+/** What one step of a controller did. */
+export type StepResult =
+  | { readonly kind: "not_ready" }
+  | { readonly kind: "standby"; readonly holder: string }
+  | { readonly kind: "outdated_config" }
+  | { readonly kind: "conflict" }
+  | { readonly kind: "unchanged" | "written"; readonly revision: number };
+
+/** A controller whose steps are called one after another. */
+export interface Controller {
+  /** Plans once; rejects with a `StoreError` or a `ValidationError`. */
+  step(): Promise<StepResult>;
 }
 
-async function planOnce(options: ControllerOptions): Promise<void> {
-  const { holder, region, store, config, vmList, clock, log } = options;
-  const applied = config.get();
-  const vms = vmList.get()?.vms;
-  if (applied === undefined || vms === undefined) return;
-  const lease = await store.acquireLease(`controller/${region}`, {
-    holder,
-    ttlMs: LEASE_TTL_MS,
-  });
-  if (lease.kind === "held") return;
+/** Creates a controller; all of its memory can be lost without harm. */
+export function createController(options: ControllerOptions): Controller {
+  const { holder, region, config, clock, log, workerAgent } = options;
+  const values = createControllerStore(options.store, region);
+  const monitor = createWorkerMonitor(workerAgent, clock);
+  const intents = createIntentRunner({ workerAgent, monitor, clock, log });
+  let demand: DemandState | undefined;
+  let demandWrittenAtMs = clock.monotonicMs();
+  let unlogged: Decision[] = [];
+
+  async function observe(listedEntries: number, applied: AppliedConfig) {
+    demand = observeDemand(demand ?? await values.readDemand(), {
+      config: applied.config,
+      region,
+      entries: options.entries.get(),
+      listedEntries,
+      nowMs: clock.wallMs(),
+    });
+    return demand;
+  }
 
-  const entry = await store.get(fleetKey(region));
-  const record = entry === undefined
-    ? emptyRecord(region)
-    : parseFleetRecord(entry.value);
-  const nowMs = clock.wallMs();
-  const added = assignNewVms({ record, config: applied.config, vms, nowMs });
-  if (Object.keys(added).length === 0) return;
-  const next: FleetRecord = {
-    ...record,
-    revision: record.revision + 1,
-    configRevision: applied.revision,
-    vms: { ...record.vms, ...added },
-  };
-  const result = await store.compareAndSwap({
-    key: fleetKey(region),
-    expectedVersion: entry?.version ?? 0,
-    value: JSON.stringify(next),
-  });
-  if (result.kind === "swapped") {
-    log.info(`assigned ${Object.keys(added).length} VM(s)`);
+  /** Logs and history only inform; a failure to write them must not hold up the fleet. */
+  async function writeHistories(): Promise<void> {
+    const nowMs = clock.monotonicMs();
+    try {
+      if (unlogged.length > 0) {
+        await values.appendLog(unlogged);
+        unlogged = [];
+      }
+      if (
+        demand !== undefined &&
+        nowMs - demandWrittenAtMs >= DEMAND_WRITE_INTERVAL_MS
+      ) {
+        demandWrittenAtMs = nowMs;
+        await values.writeDemand(demand);
+      }
+    } catch (error) {
+      log.debug("history not written", { reason: messageOf(error) });
+    }
   }
+
+  async function planAndSwap(
+    applied: AppliedConfig,
+    snapshot: VmListSnapshot,
+  ): Promise<{ result: StepResult; current: ReadRecord["record"] }> {
+    const read = await values.readRecord();
+    const { record } = read;
+    await monitor.refresh(record, snapshot.vms);
+    const listedEntries =
+      snapshot.vms.filter((vm) => vm.role === "entry" && vm.region === region)
+        .length;
+    const plan = planFleet({
+      record,
+      config: applied.config,
+      configRevision: applied.revision,
+      vms: snapshot.vms,
+      entries: options.entries.get(),
+      workers: monitor.views(record),
+      demand: await observe(listedEntries, applied),
+      holdsNewDrains: !monitor.isSettled(),
+      nowMs: clock.wallMs(),
+    });
+    if (plan.kind === "outdated_config") {
+      return { result: plan, current: record };
+    }
+    if (plan.kind === "unchanged") {
+      const { revision } = record;
+      return { result: { kind: "unchanged", revision }, current: record };
+    }
+    if (!await values.swapRecord(read, plan.record)) {
+      return { result: { kind: "conflict" }, current: record };
+    }
+    unlogged = [...unlogged, ...plan.decisions].slice(-MAXIMUM_DECISIONS);
+    for (const { kind, summary } of plan.decisions) log.info(summary, { kind });
+    const { revision } = plan.record;
+    return { result: { kind: "written", revision }, current: plan.record };
+  }
+
+  async function step(): Promise<StepResult> {
+    const applied = config.get();
+    const snapshot = options.vmList.get();
+    if (applied === undefined || snapshot === undefined) {
+      return { kind: "not_ready" };
+    }
+    const lease = await options.store.acquireLease(`controller/${region}`, {
+      holder,
+      ttlMs: LEASE_TTL_MS,
+    });
+    if (lease.kind === "held") {
+      // Another controller observes the demand now; its history is read again on a takeover.
+      demand = undefined;
+      monitor.reset();
+      return { kind: "standby", holder: lease.holder };
+    }
+    const readAtMs = clock.monotonicMs();
+    const { result, current } = await planAndSwap(applied, snapshot);
+    if (result.kind === "written" || result.kind === "unchanged") {
+      const aged = clock.monotonicMs() - readAtMs > MAXIMUM_RECORD_AGE_MS;
+      const record = aged ? (await values.readRecord()).record : current;
+      await intents.run(record, snapshot.vms);
+    }
+    await writeHistories();
+    return result;
+  }
+
+  return { step };
 }
 
 /** Task that plans the region's fleet while it holds the lease, until it is halted. */
 export function* runController(options: ControllerOptions): Operation<void> {
+  const { log } = options;
+  const controller = createController(options);
   let failing = false;
+  let standby: boolean | undefined;
   while (true) {
     try {
-      yield* until(planOnce(options));
+      const result = yield* until(controller.step());
+      if (failing) log.info("planning again");
       failing = false;
+      const waits = result.kind === "standby";
+      if (waits !== standby) log.info(waits ? "standing by" : "planning");
+      standby = waits;
     } catch (error) {
       if (!failing) {
-        options.log.warn("planning step failed", { reason: messageOf(error) });
+        log.warn("planning step failed", { reason: messageOf(error) });
       }
       failing = true;
     }
--- /dev/null
+++ b/src/fleet/controller_store.ts
@@ -0,0 +1,97 @@
+import { StoreError } from "../errors.ts";
+import type { Store, StoreEntry } from "../platform/store.ts";
+import { parseJson, parseWithSchema } from "../validation.ts";
+import {
+  appendDecisions,
+  type Decision,
+  decisionLogKey,
+  decisionLogSchema,
+} from "./decision_log.ts";
+import {
+  createDemandState,
+  demandKey,
+  type DemandState,
+  demandStateSchema,
+} from "./demand.ts";
+import { parseFleetRecord } from "./follower.ts";
+import { createFleetRecord, fleetKey, type FleetRecord } from "./record.ts";
+
+/** A record as read from the store, with the version to swap against. */
+export interface ReadRecord {
+  readonly record: FleetRecord;
+  readonly version: number;
+}
+
+/** The controller's values in the store; each method rejects with a `StoreError` or a `ValidationError`. */
+export interface ControllerStore {
+  readRecord(): Promise<ReadRecord>;
+  /** Writes the next record; returns whether it is in force. A lost response is resolved by reading again. */
+  swapRecord(current: ReadRecord, next: FleetRecord): Promise<boolean>;
+  appendLog(decisions: readonly Decision[]): Promise<void>;
+  readDemand(): Promise<DemandState>;
+  writeDemand(state: DemandState): Promise<void>;
+}
+
+/** Creates the access to one region's values. */
+export function createControllerStore(
+  store: Store,
+  region: string,
+): ControllerStore {
+  async function replace(
+    key: string,
+    build: (entry: StoreEntry | undefined) => unknown,
+  ): Promise<void> {
+    const entry = await store.get(key);
+    const result = await store.compareAndSwap({
+      key,
+      expectedVersion: entry?.version ?? 0,
+      value: JSON.stringify(build(entry)),
+    });
+    if (result.kind === "conflict") {
+      throw new StoreError("rejected", `${key} was written by someone else`);
+    }
+  }
+
+  function parseLog(entry: StoreEntry | undefined): Decision[] {
+    if (entry === undefined) return [];
+    const data = parseJson(entry.value, "decision log");
+    return parseWithSchema(decisionLogSchema, data, "decision log").decisions;
+  }
+
+  return {
+    async readRecord() {
+      const entry = await store.get(fleetKey(region));
+      return entry === undefined
+        ? { record: createFleetRecord(region), version: 0 }
+        : { record: parseFleetRecord(entry.value), version: entry.version };
+    },
+    async swapRecord(current, next) {
+      const value = JSON.stringify(next);
+      try {
+        const result = await store.compareAndSwap({
+          key: fleetKey(region),
+          expectedVersion: current.version,
+          value,
+        });
+        return result.kind === "swapped";
+      } catch (error) {
+        const lost = error instanceof StoreError &&
+          error.failure === "unknown_outcome";
+        if (!lost) throw error;
+        const entry = await store.get(fleetKey(region));
+        return entry?.value === value;
+      }
+    },
+    appendLog: (decisions) =>
+      replace(decisionLogKey(region), (entry) => ({
+        decisions: appendDecisions(parseLog(entry), decisions),
+      })),
+    async readDemand() {
+      const entry = await store.get(demandKey(region));
+      if (entry === undefined) return createDemandState();
+      const data = parseJson(entry.value, "demand history");
+      return parseWithSchema(demandStateSchema, data, "demand history");
+    },
+    writeDemand: (state) => replace(demandKey(region), () => state),
+  };
+}
--- a/src/fleet/decision_log.ts
+++ b/src/fleet/decision_log.ts
@@ -31,3 +31,19 @@
 export function decisionLogKey(region: string): string {
   return `fleet-log/${region}`;
 }
+
+function identify(decision: Decision): string {
+  return `${decision.fleetRevision}/${decision.kind}/${decision.vmId ?? ""}/${
+    decision.pools.join(",")
+  }`;
+}
+
+/** Returns the log with new decisions at its end, the oldest dropped beyond the bound; repeated ones are not added twice. */
+export function appendDecisions(
+  log: readonly Decision[],
+  added: readonly Decision[],
+): Decision[] {
+  const known = new Set(log.map(identify));
+  const fresh = added.filter((decision) => !known.has(identify(decision)));
+  return [...log, ...fresh].slice(-MAXIMUM_DECISIONS);
+}
--- /dev/null
+++ b/src/fleet/demand.ts
@@ -0,0 +1,159 @@
+import { z } from "zod";
+import type { ResolvedConfig } from "../config/schema.ts";
+import type { EntryDigest } from "../peers/messages.ts";
+
+/** Parts into which the demand history divides a day. */
+export const BUCKETS_PER_DAY = 96;
+/** Length of one part of the day, in ms. */
+const BUCKET_MS = 24 * 3_600_000 / BUCKETS_PER_DAY;
+/** Weight of the newest day in the history. */
+const HISTORY_SMOOTHING = 0.3;
+/** Smoothing time with no weight on moves, in ms; longer than the surges that overflow answers. */
+const SHORTEST_SMOOTHING_MS = 60_000;
+/** Smoothing time added in proportion to the weight on moves, in ms. */
+const ADDED_SMOOTHING_MS = 540_000;
+
+const poolDemandSchema = z.object({
+  /** Smoothed demand, in slots. */
+  levelSlots: z.number(),
+  /** Bucket being observed and its highest level so far. */
+  bucket: z.number().int(),
+  bucketPeakSlots: z.number(),
+  /** Usual peak of each part of the day, in slots; null until a day has passed. */
+  history: z.array(z.number().nullable()),
+});
+
+/** Demand of the pools, kept between planning steps and across controllers. */
+export const demandStateSchema = z.object({
+  schemaVersion: z.literal(1),
+  observedAtMs: z.number(),
+  pools: z.record(z.string(), poolDemandSchema),
+  /** Entries that the last observation heard of, over the entries listed. */
+  coverage: z.number(),
+});
+
+/** Demand of the pools, kept between planning steps and across controllers. */
+export type DemandState = z.infer<typeof demandStateSchema>;
+type PoolDemand = z.infer<typeof poolDemandSchema>;
+
+/** Store key of a region's demand history. */
+export function demandKey(region: string): string {
+  return `fleet-demand/${region}`;
+}
+
+/** Creates the state before any observation. */
+export function createDemandState(): DemandState {
+  return { schemaVersion: 1, observedAtMs: 0, pools: {}, coverage: 0 };
+}
+
+/** Share of the weight that lies on moves, from 0 to 1. */
+export function movesWeightShare(config: ResolvedConfig): number {
+  const { bufferCost, moves } = config.weights;
+  const sum = bufferCost + moves;
+  return sum === 0 ? 0.5 : moves / sum;
+}
+
+/** Slots that each pool's own service asks for, over all entries of the region. */
+export function sumDemand(
+  config: ResolvedConfig,
+  region: string,
+  entries: readonly EntryDigest[],
+): Map<string, number> {
+  const byService = new Map<string, number>();
+  for (const entry of entries) {
+    if (entry.region !== region) continue;
+    for (const [service, load] of Object.entries(entry.services)) {
+      const sum = byService.get(service) ?? 0;
+      byService.set(service, sum + load.demandSlots);
+    }
+  }
+  const pools = config.pools.filter((pool) => pool.region === region);
+  const vmsOf = new Map<string, number>();
+  for (const { services: [own = ""], vms } of pools) {
+    vmsOf.set(own, (vmsOf.get(own) ?? 0) + vms);
+  }
+  // Pools with the same own service share its demand by size.
+  return new Map(pools.map(({ name, services: [own = ""], vms }) => [
+    name,
+    (byService.get(own) ?? 0) * vms / Math.max(1, vmsOf.get(own) ?? 1),
+  ]));
+}
+
+function bucketAt(atMs: number): number {
+  return Math.floor(atMs / BUCKET_MS) % BUCKETS_PER_DAY;
+}
+
+function observePool(
+  old: PoolDemand | undefined,
+  slots: number,
+  options: { gain: number; bucket: number },
+): PoolDemand {
+  const { gain, bucket } = options;
+  if (old === undefined) {
+    const history = Array<number | null>(BUCKETS_PER_DAY).fill(null);
+    return { levelSlots: slots, bucket, bucketPeakSlots: slots, history };
+  }
+  const levelSlots = old.levelSlots + gain * (slots - old.levelSlots);
+  if (old.bucket === bucket) {
+    const bucketPeakSlots = Math.max(old.bucketPeakSlots, levelSlots);
+    return { ...old, levelSlots, bucketPeakSlots };
+  }
+  const history = [...old.history];
+  const known = history[old.bucket] ?? old.bucketPeakSlots;
+  history[old.bucket] = known +
+    HISTORY_SMOOTHING * (old.bucketPeakSlots - known);
+  return { levelSlots, bucket, bucketPeakSlots: levelSlots, history };
+}
+
+/** What an observation is made from. */
+export interface DemandObservation {
+  readonly config: ResolvedConfig;
+  readonly region: string;
+  readonly entries: readonly EntryDigest[];
+  /** Entries that the VM list shows in the region. */
+  readonly listedEntries: number;
+  readonly nowMs: number;
+}
+
+/** Returns the state with one more observation of the entries' digests. */
+export function observeDemand(
+  state: DemandState,
+  observation: DemandObservation,
+): DemandState {
+  const { config, region, entries, listedEntries, nowMs } = observation;
+  const heard = entries.filter((entry) => entry.region === region).length;
+  const coverage = heard / Math.max(1, listedEntries, heard);
+  if (heard === 0) return { ...state, coverage };
+  const smoothingMs = SHORTEST_SMOOTHING_MS +
+    ADDED_SMOOTHING_MS * movesWeightShare(config);
+  const passedMs = Math.max(0, nowMs - state.observedAtMs);
+  const options = {
+    gain: 1 - Math.exp(-passedMs / smoothingMs),
+    bucket: bucketAt(nowMs),
+  };
+  const pools: Record<string, PoolDemand> = {};
+  for (const [pool, slots] of sumDemand(config, region, entries)) {
+    // Entries that can't be heard are taken to have the mean demand of the others.
+    pools[pool] = observePool(state.pools[pool], slots / coverage, options);
+  }
+  return { schemaVersion: 1, observedAtMs: nowMs, pools, coverage };
+}
+
+/** Highest usual demand of a pool in the time that follows, in slots; 0 when nothing is known. */
+export function expectedPeakSlots(
+  state: DemandState,
+  pool: string,
+  span: { fromMs: number; forMs: number },
+): number {
+  const history = state.pools[pool]?.history;
+  if (history === undefined) return 0;
+  const buckets = Math.min(BUCKETS_PER_DAY - 1, span.forMs / BUCKET_MS);
+  let peak = 0;
+  for (let step = 0; step <= buckets; step++) {
+    peak = Math.max(
+      peak,
+      history[bucketAt(span.fromMs + step * BUCKET_MS)] ?? 0,
+    );
+  }
+  return peak;
+}
--- /dev/null
+++ b/src/fleet/drain.ts
@@ -0,0 +1,117 @@
+import type { EntryDigest } from "../peers/messages.ts";
+import {
+  type PlanningContext,
+  settle,
+  type VmChange,
+  type Vms,
+} from "./planning_context.ts";
+import type { MaintenanceState, VmRecord } from "./record.ts";
+
+/** Weight of the newest maintenance in the smoothed duration. */
+const DURATION_SMOOTHING = 0.2;
+
+/** Whether a drain is complete, or what it waits for. */
+export type DrainStatus =
+  | { readonly kind: "drained" }
+  | { readonly kind: "waiting"; readonly reason: string };
+
+function waiting(reason: string): DrainStatus {
+  return { kind: "waiting", reason };
+}
+
+function entryBlocks(
+  entryId: string,
+  digest: EntryDigest | undefined,
+  need: { vmId: string; fleetRevision: number },
+): string | undefined {
+  if (digest === undefined) return `entry ${entryId} can't be reached`;
+  if (digest.fleetRevision < need.fleetRevision) {
+    return `entry ${entryId} has not acknowledged revision ${need.fleetRevision}`;
+  }
+  const inFlight = digest.drainingInFlight[need.vmId] ?? 0;
+  return inFlight > 0
+    ? `entry ${entryId} has ${inFlight} request(s) in flight`
+    : undefined;
+}
+
+/** Decides whether a draining VM may be stopped or handed over: every entry acknowledged, nothing in flight, no running task. */
+export function evaluateDrain(
+  vmId: string,
+  vm: VmRecord,
+  context: PlanningContext,
+): DrainStatus {
+  const { transition } = vm;
+  if (transition === undefined) return waiting("no transition is recorded");
+  const { entryIds, digests } = context;
+  if (entryIds.size === 0) return waiting("no entry is known");
+  const need = { vmId, fleetRevision: transition.fleetRevision };
+  for (const entryId of entryIds) {
+    const reason = entryBlocks(entryId, digests.get(entryId), need);
+    if (reason !== undefined) return waiting(reason);
+  }
+  const tasks = context.workers.get(vmId)?.runningTasks;
+  if (tasks === undefined) return waiting("running tasks are not known");
+  if (tasks > 0) return waiting(`${tasks} task(s) are running`);
+  return { kind: "drained" };
+}
+
+function afterDrain(vm: VmRecord, nowMs: number): VmRecord {
+  const { transition } = vm;
+  if (transition?.kind === "maintain" || transition?.kind === "retire") {
+    // The reboot is recorded before it is carried out, so that a successor can resume it.
+    return { ...vm, state: "rebooting", changedAtMs: nowMs };
+  }
+  const pool = transition?.targetPool;
+  return settle(vm, { pool, nowMs });
+}
+
+function isRebooted(
+  vmId: string,
+  vm: VmRecord,
+  context: PlanningContext,
+): boolean {
+  const worker = context.workers.get(vmId);
+  return worker?.answers === true && vm.transition !== undefined &&
+    worker.lastRebootIntentId === vm.transition.intentId;
+}
+
+/** Carries transitions on: drained VMs are handed over or rebooted, rebooted VMs serve again. */
+export function completeTransitions(
+  context: PlanningContext,
+  vms: Vms,
+): VmChange[] {
+  const changes: VmChange[] = [];
+  for (const [vmId, vm] of Object.entries(vms)) {
+    if (vm.state === "draining") {
+      if (evaluateDrain(vmId, vm, context).kind === "drained") {
+        changes.push({ vmId, next: afterDrain(vm, context.nowMs) });
+      }
+    } else if (vm.state === "rebooting" && isRebooted(vmId, vm, context)) {
+      const next = settle(vm, { nowMs: context.nowMs });
+      changes.push({
+        vmId,
+        next: { ...next, maintainedAtMs: context.nowMs },
+      });
+    }
+  }
+  return changes;
+}
+
+/** Updates the smoothed duration of a maintenance from the VMs that finished in this step. */
+export function learnDuration(
+  state: MaintenanceState,
+  finished: readonly VmRecord[],
+  nowMs: number,
+): MaintenanceState {
+  let average = state.averageDurationMs;
+  for (const vm of finished) {
+    if (vm.transition === undefined) continue;
+    const durationMs = nowMs - vm.transition.startedAtMs;
+    average = average === undefined
+      ? durationMs
+      : average + DURATION_SMOOTHING * (durationMs - average);
+  }
+  return average === state.averageDurationMs
+    ? state
+    : { ...state, averageDurationMs: average };
+}
--- /dev/null
+++ b/src/fleet/intents.ts
@@ -0,0 +1,97 @@
+import type { Clock } from "../clock.ts";
+import { messageOf } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import type { Vm } from "../platform/vm_list.ts";
+import type { WorkerAgent } from "../platform/worker_agent.ts";
+import type { FleetRecord, VmRecord } from "./record.ts";
+import type { WorkerMonitor } from "./worker_monitor.ts";
+
+/** Time after which a command without a visible effect is sent again, in ms. */
+const COMMAND_RETRY_MS = 10_000;
+
+/** What recorded intents are carried out with. */
+export interface IntentRunnerOptions {
+  readonly workerAgent: WorkerAgent;
+  readonly monitor: WorkerMonitor;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+/** Carries out the intents of a record; every command is idempotent, so a predecessor's are simply repeated. */
+export interface IntentRunner {
+  run(record: FleetRecord, vms: readonly Vm[]): Promise<void>;
+}
+
+/** Creates a runner that remembers when it sent which command. */
+export function createIntentRunner(options: IntentRunnerOptions): IntentRunner {
+  const { workerAgent, monitor, clock, log } = options;
+  const sentAtMs = new Map<string, number>();
+
+  function mayReboot(vmId: string, vm: VmRecord): boolean {
+    const report = monitor.reportOf(vmId);
+    if (vm.state !== "rebooting" || report === undefined) return false;
+    // A VM that was replaced in the meantime must not be rebooted for its predecessor.
+    return report.incarnation === vm.incarnation &&
+      report.lastRebootIntentId !== vm.transition?.intentId;
+  }
+
+  async function reboot(address: string, intentId: string): Promise<void> {
+    // The drain comes only now because a backend server that announced its stop serves again only after a reboot.
+    await workerAgent.drain(address, intentId);
+    await workerAgent.reboot(address, intentId);
+    log.info("reboot requested", { intentId });
+  }
+
+  async function checkpointTasks(vmId: string, address: string) {
+    for (const task of monitor.reportOf(vmId)?.tasks ?? []) {
+      if (task.state !== "running") continue;
+      await workerAgent.checkpointTask(address, task.taskId);
+    }
+  }
+
+  async function runOne(vmId: string, vm: VmRecord, address: string) {
+    const intentId = vm.transition?.intentId;
+    if (intentId === undefined) return;
+    const drains = vm.state === "draining";
+    if (!drains && !mayReboot(vmId, vm)) return;
+    const command = `${vm.state}/${intentId}`;
+    const nowMs = clock.monotonicMs();
+    if (nowMs - (sentAtMs.get(command) ?? -Infinity) < COMMAND_RETRY_MS) return;
+    sentAtMs.set(command, nowMs);
+    try {
+      if (drains) await checkpointTasks(vmId, address);
+      else await reboot(address, intentId);
+    } catch (error) {
+      log.warn("worker command failed; it will be sent again", {
+        vmId,
+        intentId,
+        reason: messageOf(error),
+      });
+    }
+  }
+
+  function forgetEnded(record: FleetRecord): void {
+    const current = new Set<string>();
+    for (const vm of Object.values(record.vms)) {
+      if (vm.transition !== undefined) {
+        current.add(`${vm.state}/${vm.transition.intentId}`);
+      }
+    }
+    for (const command of sentAtMs.keys()) {
+      if (!current.has(command)) sentAtMs.delete(command);
+    }
+  }
+
+  return {
+    async run(record, vms) {
+      forgetEnded(record);
+      const addresses = new Map(vms.map((vm) => [vm.id, vm.controlAddress]));
+      await Promise.all(
+        Object.entries(record.vms).map(([vmId, vm]) => {
+          const address = addresses.get(vmId);
+          return address === undefined ? undefined : runOne(vmId, vm, address);
+        }),
+      );
+    },
+  };
+}
--- /dev/null
+++ b/src/fleet/lending.ts
@@ -0,0 +1,293 @@
+import { canSpareOne, evaluateAvailability, takeOne } from "./availability.ts";
+import { expectedPeakSlots } from "./demand.ts";
+import { isLendingOpen } from "./lending_window.ts";
+import {
+  collectLoads,
+  type LendingLimits,
+  type PoolLoad,
+  resolveLendingLimits,
+  RETURN_LEAD_MS,
+  utilisation,
+} from "./lending_terms.ts";
+import { isMaintenanceDue, waveEndMs } from "./maintenance.ts";
+import {
+  type DecisionDraft,
+  type PlanningContext,
+  startDrain,
+  type VmChange,
+  type Vms,
+} from "./planning_context.ts";
+import { isLent, type MaintenanceState, type VmRecord } from "./record.ts";
+
+/** Share of a wave's period before its end in which lent VMs are called back for maintenance. */
+const MAINTENANCE_RECALL_SHARE = 0.2;
+/** Part of the listed entries that must be heard before demand decides about loans. */
+const MINIMUM_COVERAGE = 0.5;
+
+interface LendingStep {
+  readonly context: PlanningContext;
+  readonly state: MaintenanceState;
+  readonly loads: ReadonlyMap<string, PoolLoad>;
+  readonly limits: LendingLimits;
+  /** Serving VMs at home, by pool. */
+  readonly homeVms: ReadonlyMap<string, [string, VmRecord][]>;
+  readonly changes: VmChange[];
+}
+
+function figures(loads: readonly PoolLoad[]): DecisionDraft["facts"] {
+  const facts: Record<string, string | number | boolean> = {};
+  for (const load of loads) {
+    const { name } = load.pool;
+    facts[`${name}.levelSlots`] = Math.round(load.levelSlots * 10) / 10;
+    facts[`${name}.capacityVms`] = load.capacityVms;
+  }
+  return facts;
+}
+
+function isMaintenanceUrgent(vm: VmRecord, step: LendingStep): boolean {
+  const pool = step.context.pools.get(vm.homePool);
+  if (pool === undefined || !isMaintenanceDue(vm, step.state)) return false;
+  const endMs = waveEndMs(pool, step.state);
+  const periodMs = endMs - (step.state.waves[pool.name] ?? 0);
+  return endMs - step.context.nowMs < periodMs * MAINTENANCE_RECALL_SHARE;
+}
+
+/** Reason for which a loan ends, or undefined while it goes on. */
+function returnReason(
+  vm: VmRecord,
+  pair: { owner: PoolLoad; borrower: PoolLoad },
+  step: LendingStep,
+): string | undefined {
+  const { owner, borrower } = pair;
+  const { limits, context } = step;
+  // Only the owner's budget, which repair looks after, may leave the borrower short.
+  if (borrower.counts.serving <= borrower.counts.minimumServingVms) {
+    return undefined;
+  }
+  if (owner.counts.lent > owner.pool.lending.maximumLentVms) {
+    return "more VMs are lent than the configuration allows";
+  }
+  if (!owner.lendingOpen) return "the lending window is closed";
+  if (isMaintenanceUrgent(vm, step)) return "maintenance is due";
+  const stayMs = context.nowMs - (vm.lentAtMs ?? 0);
+  if (stayMs < owner.pool.lending.minimumStayMs) return undefined;
+  if (utilisation(owner) > limits.borrowAbove) return "the owner needs it";
+  if (utilisation(owner, { expected: true }) > limits.borrowAbove) {
+    return "the owner's expected surge is near";
+  }
+  const unneeded = utilisation(borrower, { addedVms: -1, expected: true }) <
+    limits.returnBelow;
+  return unneeded ? "the borrower no longer needs it" : undefined;
+}
+
+function planReturns(step: LendingStep, vms: Vms): void {
+  const { context, loads } = step;
+  for (const vmId in vms) {
+    const vm = vms[vmId];
+    if (vm === undefined || !isLent(vm) || vm.state !== "serving") continue;
+    const owner = loads.get(vm.homePool);
+    const borrower = loads.get(vm.pool);
+    if (owner === undefined || borrower === undefined) continue;
+    const reason = returnReason(vm, { owner, borrower }, step);
+    if (reason === undefined) continue;
+    const facts = figures([owner, borrower]);
+    owner.counts.lent--;
+    owner.capacityVms++;
+    borrower.capacityVms--;
+    borrower.counts.serving--;
+    step.changes.push({
+      vmId,
+      next: startDrain(vm, {
+        vmId,
+        kind: "return",
+        reason,
+        targetPool: vm.homePool,
+      }, context),
+      decision: {
+        kind: "return",
+        vmId,
+        pools: [vm.homePool, vm.pool],
+        summary: `${vmId} returns from ${vm.pool}: ${reason}`,
+        facts,
+        rejected: [],
+      },
+    });
+  }
+}
+
+/** Reason for which a pool can't lend now, or undefined if it can. */
+function refusal(
+  lender: PoolLoad,
+  step: LendingStep,
+  need: "demand" | "budget",
+): string | undefined {
+  const { pool, counts } = lender;
+  const { nowMs, demand } = step.context;
+  const { maximumLentVms, minimumStayMs } = pool.lending;
+  if (counts.lent >= maximumLentVms) return "its lending bound is reached";
+  if (!lender.lendingOpen) return "its lending window is closed";
+  const horizonMs = minimumStayMs + RETURN_LEAD_MS;
+  if (!isLendingOpen(pool, nowMs + horizonMs)) {
+    return "its lending window closes within the minimum stay";
+  }
+  if (!canSpareOne(counts)) return "its budget leaves no VM";
+  if (need === "budget") return undefined;
+  const peak = expectedPeakSlots(demand, pool.name, {
+    fromMs: nowMs,
+    forMs: horizonMs,
+  });
+  const slots = (lender.capacityVms - 1) * lender.slotsPerVm;
+  if (Math.max(peak, lender.levelSlots) > slots * step.limits.lendBelow) {
+    return "its own demand, now or expected, needs the VM";
+  }
+  return undefined;
+}
+
+/** Picks the VM that is lent: no maintenance due, from the rack where the lender has most VMs, longest unchanged. */
+function chooseVm(
+  vms: [string, VmRecord][],
+  state: MaintenanceState,
+): [string, VmRecord] | undefined {
+  const perRack = new Map<string, number>();
+  for (const [, vm] of vms) {
+    perRack.set(vm.rack, (perRack.get(vm.rack) ?? 0) + 1);
+  }
+  return vms.toSorted(([idA, a], [idB, b]) =>
+    Number(isMaintenanceDue(a, state)) - Number(isMaintenanceDue(b, state)) ||
+    (perRack.get(b.rack) ?? 0) - (perRack.get(a.rack) ?? 0) ||
+    a.changedAtMs - b.changedAtMs || idA.localeCompare(idB)
+  )[0];
+}
+
+function lendOne(
+  borrower: PoolLoad,
+  step: LendingStep,
+  need: "demand" | "budget",
+): boolean {
+  const rejected: { option: string; reason: string }[] = [];
+  const able: PoolLoad[] = [];
+  for (const lender of step.loads.values()) {
+    if (lender === borrower) continue;
+    const reason = refusal(lender, step, need);
+    if (reason === undefined) able.push(lender);
+    else rejected.push({ option: lender.pool.name, reason });
+  }
+  able.sort((a, b) =>
+    Number(b.pool.spare) - Number(a.pool.spare) ||
+    utilisation(a) - utilisation(b)
+  );
+  for (const lender of able) {
+    const vms = step.homeVms.get(lender.pool.name) ?? [];
+    const chosen = chooseVm(vms, step.state);
+    if (chosen === undefined) continue;
+    const others = able.filter((other) => other !== lender);
+    rejected.push(...others.map((other) => ({
+      option: other.pool.name,
+      reason: "less free capacity, or not the spare pool",
+    })));
+    recordLoan(step, { borrower, lender, chosen, need, rejected });
+    return true;
+  }
+  return false;
+}
+
+interface Loan {
+  readonly borrower: PoolLoad;
+  readonly lender: PoolLoad;
+  readonly chosen: [string, VmRecord];
+  readonly need: "demand" | "budget";
+  readonly rejected: DecisionDraft["rejected"];
+}
+
+function recordLoan(step: LendingStep, loan: Loan): void {
+  const { borrower, lender, chosen, need, rejected } = loan;
+  const [vmId, vm] = chosen;
+  const facts = figures([lender, borrower]);
+  const vms = step.homeVms.get(lender.pool.name);
+  vms?.splice(vms.indexOf(chosen), 1);
+  takeOne(lender.counts, "lent");
+  lender.capacityVms--;
+  borrower.capacityVms++;
+  borrower.counts.incoming++;
+  const reason = need === "budget"
+    ? `${borrower.pool.name} is below its budget`
+    : `demand of ${borrower.pool.name} exceeds its capacity`;
+  step.changes.push({
+    vmId,
+    next: startDrain(vm, {
+      vmId,
+      kind: "move",
+      reason,
+      targetPool: borrower.pool.name,
+    }, step.context),
+    decision: {
+      kind: need === "budget" ? "repair_loan" : "lend",
+      vmId,
+      pools: [lender.pool.name, borrower.pool.name],
+      summary:
+        `${vmId} goes from ${lender.pool.name} to ${borrower.pool.name}: ${reason}`,
+      facts,
+      rejected,
+    },
+  });
+}
+
+/** VMs at home that serve and answer, by pool. */
+function collectHomeVms(context: PlanningContext, vms: Vms) {
+  const homeVms = new Map<string, [string, VmRecord][]>();
+  for (const vmId in vms) {
+    const vm = vms[vmId];
+    if (vm === undefined || vm.state !== "serving" || isLent(vm)) continue;
+    if (context.unreachable.has(vmId)) continue;
+    const list = homeVms.get(vm.homePool);
+    if (list === undefined) homeVms.set(vm.homePool, [[vmId, vm]]);
+    else list.push([vmId, vm]);
+  }
+  return homeVms;
+}
+
+/** Lends to pools below their budget first, then to pools whose demand exceeds their capacity. */
+function planLoans(step: LendingStep, demandIsKnown: boolean): void {
+  const loads = [...step.loads.values()];
+  for (const load of loads) {
+    const { counts } = load;
+    while (
+      counts.serving + counts.incoming < counts.minimumServingVms &&
+      lendOne(load, step, "budget")
+    );
+  }
+  if (!demandIsKnown) return;
+  const needy = loads.filter((load) =>
+    utilisation(load) > step.limits.borrowAbove
+  ).sort((a, b) => utilisation(b) - utilisation(a));
+  for (const load of needy) {
+    while (
+      utilisation(load) > step.limits.borrowAbove &&
+      lendOne(load, step, "demand")
+    );
+  }
+}
+
+/** Decides which loans end and which begin. */
+export function planLending(
+  context: PlanningContext,
+  vms: Vms,
+  state: MaintenanceState,
+): readonly VmChange[] {
+  const availability = evaluateAvailability({
+    vms,
+    pools: context.pools.values(),
+    unreachable: context.unreachable,
+  });
+  const step: LendingStep = {
+    context,
+    state,
+    loads: collectLoads(context, availability),
+    limits: resolveLendingLimits(context),
+    homeVms: collectHomeVms(context, vms),
+    changes: [],
+  };
+  planReturns(step, vms);
+  planLoans(step, context.demand.coverage >= MINIMUM_COVERAGE);
+  return step.changes;
+}
--- /dev/null
+++ b/src/fleet/plan.ts
@@ -0,0 +1,110 @@
+import {
+  assignNewVms,
+  leaveRemovedPools,
+  transferOwnership,
+} from "./assignment.ts";
+import type { Decision } from "./decision_log.ts";
+import { completeTransitions, learnDuration } from "./drain.ts";
+import { planLending } from "./lending.ts";
+import { planMaintenance } from "./maintenance.ts";
+import {
+  createPlanningContext,
+  type DecisionDraft,
+  type PlanInput,
+  type PlanningContext,
+  type VmChange,
+} from "./planning_context.ts";
+import { reconcileVms } from "./reconciliation.ts";
+import type { FleetRecord, VmRecord } from "./record.ts";
+import { repairShortages } from "./repair.ts";
+
+/** Result of a planning step. */
+export type Plan =
+  /** The record was already written under a newer configuration than the one at hand. */
+  | { readonly kind: "outdated_config" }
+  | { readonly kind: "unchanged" }
+  | {
+    readonly kind: "changed";
+    /** The record to write, with the next revision. */
+    readonly record: FleetRecord;
+    readonly decisions: readonly Decision[];
+  };
+
+function teamsOf(context: PlanningContext, pools: readonly string[]): string[] {
+  const teams = new Set<string>();
+  for (const name of pools) {
+    const team = context.pools.get(name)?.team;
+    if (team !== undefined) teams.add(team);
+  }
+  return [...teams];
+}
+
+function finishedMaintenance(
+  before: Readonly<Record<string, VmRecord>>,
+  changes: readonly VmChange[],
+): VmRecord[] {
+  return changes.flatMap(({ vmId, next }) => {
+    const old = before[vmId];
+    return old?.state === "rebooting" && next?.state === "serving" ? [old] : [];
+  });
+}
+
+/** Plans one step for a region: every stage sees the budgets as the stages before it left them. */
+export function planFleet(input: PlanInput): Plan {
+  const { record, configRevision, nowMs } = input;
+  if (configRevision < record.configRevision) {
+    return { kind: "outdated_config" };
+  }
+  const context = createPlanningContext(input);
+  const vms: Record<string, VmRecord> = { ...record.vms };
+  const drafts: DecisionDraft[] = [];
+  let changed = false;
+  const apply = (changes: readonly VmChange[]) => {
+    for (const { vmId, next, decision } of changes) {
+      changed = true;
+      if (next === undefined) delete vms[vmId];
+      else vms[vmId] = next;
+      if (decision !== undefined) drafts.push(decision);
+    }
+  };
+
+  apply(reconcileVms(context, vms));
+  apply(leaveRemovedPools(context, vms));
+  apply(assignNewVms(context, vms));
+  // Drains that a short pool needs back are undone before any drain is completed.
+  apply(repairShortages(context, vms));
+  const before = { ...vms };
+  const completed = completeTransitions(context, vms);
+  apply(completed);
+  // Without knowing which workers are unreachable, no budget may be spent.
+  if (!input.holdsNewDrains) apply(transferOwnership(context, vms));
+  const learned = learnDuration(
+    record.maintenance,
+    finishedMaintenance(before, completed),
+    nowMs,
+  );
+  const waves = planMaintenance(context, vms, learned);
+  apply(waves.changes);
+  drafts.push(...waves.decisions);
+  if (!input.holdsNewDrains) apply(planLending(context, vms, waves.state));
+
+  if (!changed && waves.state === record.maintenance) {
+    return { kind: "unchanged" };
+  }
+  return {
+    kind: "changed",
+    record: {
+      ...record,
+      revision: context.nextRevision,
+      configRevision,
+      vms,
+      maintenance: waves.state,
+    },
+    decisions: drafts.map((draft) => ({
+      ...draft,
+      atMs: nowMs,
+      fleetRevision: context.nextRevision,
+      teams: teamsOf(context, draft.pools),
+    })),
+  };
+}
--- a/src/fleet/record.ts
+++ b/src/fleet/record.ts
@@ -8,6 +8,8 @@
   kind: z.enum(["move", "return", "maintain", "retire"]),
   reason: z.string(),
   startedAtMs: z.number(),
+  /** Revision of the record that began the drain; entries acknowledge this one or a newer one. */
+  fleetRevision: z.number().int(),
   /** Pool that the VM goes to, for moves and returns. */
   targetPool: z.string().optional(),
 });
@@ -36,11 +38,28 @@
   changedAtMs: z.number(),
   /** Wall-clock time of the last maintenance, in ms; 0 when none is known. */
   maintainedAtMs: z.number(),
+  /** Wall-clock time at which the current loan began, in ms. */
+  lentAtMs: z.number().optional(),
 });
 
 /** One VM in the fleet record. */
 export type VmRecord = z.infer<typeof vmRecordSchema>;
 
+const maintenanceStateSchema = z.object({
+  /** Set while correlated failures hold the waves back. */
+  pausedReason: z.string().optional(),
+  pausedAtMs: z.number().optional(),
+  /** Start of each pool's current wave, as wall-clock time in ms. */
+  waves: z.record(z.string(), z.number()).default({}),
+  /** Pools whose wave can't finish in its period, with the reason. */
+  late: z.record(z.string(), z.string()).default({}),
+  /** Smoothed time from the start of a drain to the end of the reboot, in ms. */
+  averageDurationMs: z.number().optional(),
+});
+
+/** State of the maintenance waves of a region. */
+export type MaintenanceState = z.infer<typeof maintenanceStateSchema>;
+
 /** The fleet record of one region. */
 export const fleetRecordSchema = z.object({
   schemaVersion: z.literal(FLEET_SCHEMA_VERSION),
@@ -50,17 +69,37 @@
   /** Configuration revision that the last write was decided under. */
   configRevision: z.number().int().nonnegative(),
   vms: z.record(z.string(), vmRecordSchema),
-  maintenance: z.object({
-    /** Set while correlated failures hold the wave back. */
-    pausedReason: z.string().optional(),
-    pausedAtMs: z.number().optional(),
-  }),
+  maintenance: maintenanceStateSchema,
 });
 
 /** The fleet record of one region. */
-export type FleetRecord = z.infer<typeof fleetRecordSchema>;
+export type FleetRecord = z.output<typeof fleetRecordSchema>;
 
 /** Store key of a region's fleet record. */
 export function fleetKey(region: string): string {
   return `fleet/${region}`;
 }
+
+/** Creates the record of a region that has none yet. */
+export function createFleetRecord(region: string): FleetRecord {
+  return {
+    schemaVersion: FLEET_SCHEMA_VERSION,
+    region,
+    revision: 0,
+    configRevision: 0,
+    vms: {},
+    maintenance: { waves: {}, late: {} },
+  };
+}
+
+/** Whether the VM is in another pool than its own. */
+export function isLent(vm: VmRecord): boolean {
+  return vm.pool !== vm.homePool;
+}
+
+/** Whether the VM has left its own pool or is draining to leave it; VMs on their way back don't count. */
+export function usesLendingBound(vm: VmRecord): boolean {
+  const { transition } = vm;
+  if (isLent(vm)) return transition?.kind !== "return";
+  return transition?.kind === "move" && transition.targetPool !== vm.homePool;
+}
--- /dev/null
+++ b/src/fleet/wave_pause.ts
@@ -0,0 +1,48 @@
+import type { PlanningContext, Vms } from "./planning_context.ts";
+import type { VmRecord } from "./record.ts";
+
+/** Time after maintenance in which a failure is attributed to the wave, in ms. */
+const WAVE_MEMORY_MS = 3_600_000;
+/** Time in which failures count as one event, in ms. */
+const FAILURE_WINDOW_MS = 15 * 60_000;
+/** Failures inside a wave that count as correlated. */
+const CORRELATED_FAILURES = 2;
+/** Shortest pause, in ms; keeps a wave from alternating between pausing and draining. */
+export const RESUME_DELAY_MS = 5 * 60_000;
+
+/** Failures that the waves may have caused or run into. */
+export interface WaveFailures {
+  readonly correlated: boolean;
+  readonly vmIds: readonly string[];
+}
+
+function isInWave(vm: VmRecord, nowMs: number): boolean {
+  return vm.transition?.kind === "maintain" ||
+    nowMs - vm.maintainedAtMs < WAVE_MEMORY_MS;
+}
+
+function hasFailed(vmId: string, vm: VmRecord, context: PlanningContext) {
+  if (vm.state === "failed") {
+    return context.nowMs - vm.changedAtMs < FAILURE_WINDOW_MS;
+  }
+  // A worker that is rebooting does not answer, which is no failure.
+  return vm.state !== "rebooting" && context.unreachable.has(vmId);
+}
+
+/** Finds recent failures of VMs that are in a wave or share a rack with one that is. */
+export function findCorrelatedFailures(
+  context: PlanningContext,
+  vms: Vms,
+): WaveFailures {
+  const { nowMs } = context;
+  const waveRacks = new Set<string>();
+  for (const vmId in vms) {
+    const vm = vms[vmId];
+    if (vm !== undefined && isInWave(vm, nowMs)) waveRacks.add(vm.rack);
+  }
+  if (waveRacks.size === 0) return { correlated: false, vmIds: [] };
+  const vmIds = Object.entries(vms).filter(([vmId, vm]) =>
+    waveRacks.has(vm.rack) && hasFailed(vmId, vm, context)
+  ).map(([vmId]) => vmId);
+  return { correlated: vmIds.length >= CORRELATED_FAILURES, vmIds };
+}
