feat(testing): in-memory fake of the store port

Tests of the fleet and of apply need a store without sockets or wall-clock time. The fake has its own clock and explicit faults (unavailable, lost answers, dropped writes, stale reads, lapsed leases) or faults drawn from a seed.

--- /dev/null
+++ b/testing/fake_store.ts
@@ -0,0 +1,224 @@
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { MAXIMUM_STORE_VALUE_BYTES } from "../src/constants.ts";
+import { StoreError } from "../src/errors.ts";
+import type {
+  LeaseResult,
+  Store,
+  StoreEntry,
+  SwapRequest,
+  SwapResult,
+} from "../src/platform/store.ts";
+
+/** Faults of the fake store; each counter goes down as it is used. */
+export interface FakeStoreFaults {
+  /** Rejects every call with `unavailable`; nothing takes effect. */
+  unavailable: boolean;
+  /** Number of coming writes that take effect and reject with `unknown_outcome`. */
+  loseAnswers: number;
+  /** Number of coming writes without effect that reject with `unknown_outcome`. */
+  dropWrites: number;
+  /** Number of coming reads that show the value before the latest write. */
+  staleReads: number;
+}
+
+/** Chances of faults for each call, in percent; drawn from the seed. */
+export interface RandomFaults {
+  readonly seed: number;
+  readonly unavailablePercent?: number;
+  readonly lostAnswerPercent?: number;
+  readonly droppedWritePercent?: number;
+  readonly staleReadPercent?: number;
+  /** Chance that a held lease lapses right before an attempt to acquire it. */
+  readonly lapsedLeasePercent?: number;
+}
+
+/** One call to the fake store. */
+export interface FakeStoreCall {
+  readonly method: keyof Store;
+  readonly key: string;
+}
+
+/** Options of the fake store. */
+export interface FakeStoreOptions {
+  readonly random?: RandomFaults;
+  /** Awaited before each call takes effect, to pause a caller or to interleave callers. */
+  readonly beforeCall?: (call: FakeStoreCall) => Promise<void> | void;
+}
+
+/** An in-memory store with its own clock and explicit faults. */
+export interface FakeStore extends Store {
+  readonly faults: FakeStoreFaults;
+  readonly calls: FakeStoreCall[];
+  /** Every version of a key, oldest first. */
+  history(key: string): readonly StoreEntry[];
+  /** Moves the store's clock: leases lapse and watches reach their wait time. */
+  advance(ms: number): void;
+  /** Ends a lease at once; its former holder isn't told. */
+  lapseLease(name: string): void;
+  /** Ends pending watches as unavailable, as when the connection to the store breaks. */
+  breakWatches(): void;
+}
+
+interface HeldLease {
+  holder: string;
+  expiresAtMs: number;
+  fencingToken: number;
+}
+
+const ABSENT: StoreEntry = { value: "", version: 0 };
+
+function unavailable(): StoreError {
+  return new StoreError("unavailable", "The store is unavailable");
+}
+
+function createDraw(random: RandomFaults | undefined) {
+  if (random === undefined) return () => false;
+  const generator = xoroshiro128plus(random.seed);
+  return (percent = 0) =>
+    percent > 0 && uniformInt(generator, 1, 100) <= percent;
+}
+
+/** Creates a fake store that holds values and leases in memory. */
+export function createFakeStore(options: FakeStoreOptions = {}): FakeStore {
+  const { random, beforeCall } = options;
+  const faults: FakeStoreFaults = {
+    unavailable: false,
+    loseAnswers: 0,
+    dropWrites: 0,
+    staleReads: 0,
+  };
+  const calls: FakeStoreCall[] = [];
+  const histories = new Map<string, StoreEntry[]>();
+  const leases = new Map<string, HeldLease>();
+  const wakers = new Set<(error?: StoreError) => void>();
+  const draw = createDraw(random);
+  let nowMs = 0;
+
+  const history = (key: string): readonly StoreEntry[] =>
+    histories.get(key) ?? [];
+  const wakeAll = (error?: StoreError) => {
+    for (const wake of [...wakers]) wake(error);
+  };
+  function take(fault: "loseAnswers" | "dropWrites" | "staleReads"): boolean {
+    if (faults[fault] <= 0) return false;
+    faults[fault]--;
+    return true;
+  }
+
+  async function begin(call: FakeStoreCall, signal?: AbortSignal) {
+    calls.push(call);
+    await beforeCall?.(call);
+    if (
+      faults.unavailable || signal?.aborted || draw(random?.unavailablePercent)
+    ) throw unavailable();
+  }
+
+  function write<T>(effect: () => T): T {
+    const dropped = take("dropWrites") || draw(random?.droppedWritePercent);
+    const result = dropped ? undefined : effect();
+    const lost = dropped || take("loseAnswers") ||
+      draw(random?.lostAnswerPercent);
+    if (lost) {
+      throw new StoreError("unknown_outcome", "The store's answer was lost");
+    }
+    return result as T;
+  }
+
+  function read(key: string): StoreEntry {
+    const versions = history(key);
+    const stale = take("staleReads") || draw(random?.staleReadPercent);
+    return versions.at(stale && versions.length > 1 ? -2 : -1) ?? ABSENT;
+  }
+
+  function waitForWake(endMs: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve, reject) => {
+      function wake(error?: StoreError) {
+        wakers.delete(wake);
+        signal?.removeEventListener("abort", abort);
+        error === undefined ? resolve() : reject(error);
+      }
+      const abort = () => wake(unavailable());
+      wakers.add(wake);
+      signal?.addEventListener("abort", abort);
+      if (nowMs >= endMs) wake();
+    });
+  }
+
+  function swap({ key, expectedVersion, value }: SwapRequest): SwapResult {
+    const version = history(key).at(-1)?.version ?? 0;
+    if (version !== expectedVersion) return { kind: "conflict", version };
+    const versions = histories.get(key) ?? [];
+    versions.push({ value, version: version + 1 });
+    histories.set(key, versions);
+    wakeAll();
+    return { kind: "swapped", version: version + 1 };
+  }
+
+  function acquire(name: string, holder: string, ttlMs: number): LeaseResult {
+    const held = leases.get(name);
+    const free = held === undefined || held.expiresAtMs <= nowMs;
+    if (!free && held.holder !== holder) {
+      return { kind: "held", holder: held.holder };
+    }
+    const fencingToken = (held?.fencingToken ?? 0) + (free ? 1 : 0);
+    leases.set(name, { holder, expiresAtMs: nowMs + ttlMs, fencingToken });
+    return { kind: "granted", lease: { name, holder, ttlMs, fencingToken } };
+  }
+
+  function lapseLease(name: string): void {
+    const held = leases.get(name);
+    if (held !== undefined) held.expiresAtMs = nowMs;
+  }
+
+  return {
+    faults,
+    calls,
+    history,
+    lapseLease,
+    advance(ms) {
+      nowMs += ms;
+      wakeAll();
+    },
+    breakWatches: () => wakeAll(unavailable()),
+
+    async get(key, signal) {
+      await begin({ method: "get", key }, signal);
+      const entry = read(key);
+      return entry.version === 0 ? undefined : entry;
+    },
+
+    async compareAndSwap(request, signal) {
+      await begin({ method: "compareAndSwap", key: request.key }, signal);
+      if (Buffer.byteLength(request.value) > MAXIMUM_STORE_VALUE_BYTES) {
+        throw new StoreError("rejected", "The value is too large");
+      }
+      return write(() => swap(request));
+    },
+
+    async watch(key, { afterVersion, waitMs, signal }) {
+      await begin({ method: "watch", key }, signal);
+      const endMs = nowMs + waitMs;
+      while (true) {
+        const entry = read(key);
+        if (entry.version !== afterVersion) return entry;
+        if (nowMs >= endMs) return undefined;
+        await waitForWake(endMs, signal);
+        if (faults.unavailable) throw unavailable();
+      }
+    },
+
+    async acquireLease(name, { holder, ttlMs, signal }) {
+      await begin({ method: "acquireLease", key: name }, signal);
+      if (draw(random?.lapsedLeasePercent)) lapseLease(name);
+      return write(() => acquire(name, holder, ttlMs));
+    },
+
+    async releaseLease(name, holder) {
+      await begin({ method: "releaseLease", key: name });
+      write(() => {
+        if (leases.get(name)?.holder === holder) lapseLease(name);
+      });
+    },
+  };
+}
