--- a/src/fleet/assignment.ts
+++ b/src/fleet/assignment.ts
@@ -138,6 +138,8 @@
       }
       continue;
     }
+    // A reboot under way goes on undisturbed; the VM leaves when it serves again.
+    if (vm.state === "rebooting") continue;
     const keepsOwner = context.pools.has(vm.homePool);
     const home = keepsOwner
       ? vm.homePool
--- /dev/null
+++ b/src/fleet/controller_random_test.ts
@@ -0,0 +1,229 @@
+import process from "node:process";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createFakeStore } from "../../testing/fake_store.ts";
+import {
+  buildConfig,
+  createFleetWorld,
+  type FleetWorld,
+  REGION,
+  type TestPool,
+} from "../../testing/fleet_world.ts";
+import type { AppliedConfig } from "../config/schema.ts";
+import { createObservable } from "../observable.ts";
+import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import { parseFleetRecord } from "./follower.ts";
+import { createFleetRecord, fleetKey } from "./record.ts";
+import { checkRecord, checkStep } from "./record_check.ts";
+
+const STEPS = 5_000;
+const FINAL_STEPS = 1_500;
+const seed = Number(process.env.SEED ?? Math.floor(Math.random() * 2 ** 31));
+
+const POOLS: readonly TestPool[] = [
+  { name: "a", vms: 7, minimumServingVms: 4, maximumLentVms: 2 },
+  {
+    name: "b",
+    vms: 6,
+    minimumServingVms: 3,
+    maximumLentVms: 2,
+    order: "spread",
+    concurrentVms: 2,
+  },
+  { name: "c", vms: 5, minimumServingVms: 2, maximumLentVms: 3, spare: true },
+  { name: "d", vms: 4, minimumServingVms: 2, maximumLentVms: 1 },
+];
+
+type Draw = (limit: number) => number;
+
+function createDraw(): Draw {
+  const generator = xoroshiro128plus(seed);
+  return (limit) => uniformInt(generator, 0, limit - 1);
+}
+
+function pick<T>(draw: Draw, items: readonly T[]): T {
+  return items[draw(items.length)] as T;
+}
+
+/** A configuration with other budgets and bounds, and at times without a pool. */
+function varyConfig(draw: Draw) {
+  const kept = POOLS.filter((pool) => pool.spare || draw(8) > 0);
+  return buildConfig(kept.map((pool) => ({
+    ...pool,
+    minimumServingVms: Math.max(0, pool.minimumServingVms + draw(4) - 2),
+    maximumLentVms: draw(4),
+    concurrentVms: 1 + draw(2),
+  })));
+}
+
+function disturbFleet(world: FleetWorld, draw: Draw, lost: Set<string>): void {
+  const worker = pick(draw, [...world.workers.values()]);
+  const { vm } = worker;
+  switch (draw(9)) {
+    case 0:
+      worker.answers = draw(3) > 0;
+      break;
+    case 1:
+      vm.state = draw(4) === 0 ? "leaving" : "live";
+      break;
+    case 2: // Replaced under the same id.
+      worker.vm = { ...vm, incarnation: String(world.nowMs()), state: "live" };
+      worker.lastRebootIntentId = undefined;
+      break;
+    case 3: // A rack or a data centre is lost, or everything comes back.
+      if (lost.size > 0) lost.clear();
+      else if (draw(3) === 0) lost.add(draw(4) > 0 ? vm.rack : vm.dataCentre);
+      break;
+    case 4: {
+      const entry = pick(draw, [...world.entries.values()]);
+      entry.follows = draw(8) > 0;
+      break;
+    }
+    default:
+      world.demandSlots.set(pick(draw, POOLS).name, draw(40));
+  }
+}
+
+function routeRequests(world: FleetWorld, draw: Draw): void {
+  for (const entry of world.entries.values()) {
+    if (!entry.follows) continue;
+    for (const [vmId, vm] of Object.entries(entry.record.vms)) {
+      if (vm.state === "serving") entry.inFlight.set(vmId, draw(3));
+    }
+  }
+}
+
+/** Compares each pair of successive revisions; returns the number that was checked. */
+function checkHistory(
+  world: FleetWorld,
+  configs: ReadonlyMap<number, AppliedConfig>,
+  checked: number,
+): number {
+  const history = world.store.history(fleetKey(REGION));
+  for (let index = checked; index < history.length; index++) {
+    const after = parseFleetRecord(history[index]?.value ?? "");
+    const before = index === 0
+      ? createFleetRecord(REGION)
+      : parseFleetRecord(history[index - 1]?.value ?? "");
+    const config = configs.get(after.configRevision)?.config;
+    assert.is(after.revision, before.revision + 1);
+    assert.ok(after.configRevision >= before.configRevision);
+    assert.equal(
+      config && checkStep(before, after, config),
+      [],
+      `seed ${seed}`,
+    );
+  }
+  return history.length;
+}
+
+/** Number of transitions of each kind that the run began. */
+function countKinds(world: FleetWorld): Record<string, number> {
+  const intents = new Map<string, string>();
+  for (const { value } of world.store.history(fleetKey(REGION))) {
+    for (const { transition } of Object.values(parseFleetRecord(value).vms)) {
+      if (transition !== undefined) {
+        intents.set(transition.intentId, transition.kind);
+      }
+    }
+  }
+  const counts: Record<string, number> = {};
+  for (const kind of intents.values()) counts[kind] = (counts[kind] ?? 0) + 1;
+  return counts;
+}
+
+async function runControllers(count: number): Promise<void> {
+  console.log(`seed ${seed}`);
+  const draw = createDraw();
+  const store = createFakeStore({
+    random: {
+      seed: seed + count,
+      unavailablePercent: 2,
+      lostAnswerPercent: 4,
+      droppedWritePercent: 2,
+      staleReadPercent: 10,
+      lapsedLeasePercent: 100,
+    },
+    async beforeCall() {
+      for (let turns = draw(6); turns > 0; turns--) await Promise.resolve();
+    },
+  });
+  const world = createFleetWorld({ store, pools: POOLS, entryCount: 3 });
+  const configs = new Map<number, AppliedConfig>();
+  const applyNext = (config = varyConfig(draw)) => {
+    const applied = world.apply(config);
+    configs.set(applied.revision, applied);
+  };
+  applyNext(buildConfig(POOLS));
+  const controllers = Array.from({ length: count }, (_, index) => {
+    const config = createObservable(world.config.get());
+    const vmList = createObservable<VmListSnapshot | undefined>(undefined);
+    const controller = world.addController(`c${index}`, { config, vmList });
+    return { controller, config, vmList };
+  });
+  const lost = new Set<string>();
+  const seen = () => {
+    const snapshot = world.vmList.get();
+    const vms = (snapshot?.vms ?? []).filter((vm) =>
+      vm.role === "entry" || !lost.has(vm.rack) && !lost.has(vm.dataCentre)
+    ).map((vm) => ({ ...vm }));
+    return { vms, readAtMs: world.nowMs() };
+  };
+
+  let checked = 0;
+  for (let step = 0; step < STEPS; step++) {
+    world.tick(pick(draw, [1_000, 5_000, 20_000]));
+    routeRequests(world, draw);
+    if (draw(8) === 0) disturbFleet(world, draw, lost);
+    if (draw(60) === 0) applyNext();
+    if (draw(300) === 0) {
+      // A killed controller's successor starts without any memory.
+      const part = pick(draw, controllers);
+      part.controller = world.addController("successor", part);
+    }
+    // Each controller has its own age of the configuration and of the VM list.
+    for (const part of controllers) {
+      if (draw(4) > 0) part.config.set(world.config.get());
+      if (draw(4) > 0) part.vmList.set(seen());
+    }
+    const active = controllers.filter(() => draw(3) > 0);
+    await Promise.allSettled(active.map((part) => part.controller.step()));
+    checked = checkHistory(world, configs, checked);
+    assert.equal(world.faults, [], `seed ${seed}, step ${step}`);
+  }
+  const kinds = countKinds(world);
+  for (const kind of ["maintain", "move", "return"]) {
+    assert.ok((kinds[kind] ?? 0) > 20, `seed ${seed}: too few of kind ${kind}`);
+  }
+
+  lost.clear();
+  applyNext(buildConfig(POOLS));
+  for (const entry of world.entries.values()) entry.follows = true;
+  for (const worker of world.workers.values()) {
+    worker.answers = true;
+    worker.vm.state = "live";
+  }
+  for (let step = 0; step < FINAL_STEPS; step++) {
+    world.tick(5_000);
+    for (const part of controllers) {
+      part.config.set(world.config.get());
+      part.vmList.set(seen());
+    }
+    await Promise.allSettled(controllers.map((part) => part.controller.step()));
+    checked = checkHistory(world, configs, checked);
+  }
+  const final = checkRecord(world.record(), buildConfig(POOLS));
+  assert.equal(final, [], `seed ${seed}: repaired once faults end`);
+  console.log(`${count} controllers: ${checked} revisions checked`, kinds);
+}
+
+// Guards against budgets, bounds or pools that concurrent, stale or paused controllers break together.
+for (const count of [2, 5]) {
+  test(`${count} controllers that all believe they hold the lease`, async () => {
+    await runControllers(count);
+  });
+}
+
+test.run();
--- a/src/fleet/drain.ts
+++ b/src/fleet/drain.ts
@@ -59,7 +59,12 @@
   const { transition } = vm;
   if (transition?.kind === "maintain" || transition?.kind === "retire") {
     // The reboot is recorded before it is carried out, so that a successor can resume it.
-    return { ...vm, state: "rebooting", changedAtMs: nowMs };
+    return {
+      ...vm,
+      state: "rebooting",
+      changedAtMs: nowMs,
+      transition: { ...transition, rebootStartedAtMs: nowMs },
+    };
   }
   const pool = transition?.targetPool;
   return settle(vm, { pool, nowMs });
--- a/src/fleet/reconciliation.ts
+++ b/src/fleet/reconciliation.ts
@@ -37,8 +37,8 @@
 ): VmChange | undefined {
   if (vm.state !== "failed") {
     const failed: VmRecord = { ...vm, state: "failed", changedAtMs: nowMs };
-    // A reboot that was begun is kept: the command may still take effect, and the VM failed inside a wave.
-    if (vm.state !== "rebooting") delete failed.transition;
+    // Maintenance is kept: a recorded reboot may still take effect, and the VM failed inside a wave.
+    if (vm.transition?.kind !== "maintain") delete failed.transition;
     return change(vmId, failed, "is absent from the VM list");
   }
   if (nowMs - vm.changedAtMs < GONE_RETENTION_MS) return undefined;
@@ -62,14 +62,15 @@
   nowMs: number,
 ): VmChange {
   const { vm, worker } = pair;
-  const intentId = vm.transition?.intentId;
-  if (intentId !== undefined && worker.lastRebootIntentId !== intentId) {
+  const { intentId, rebootStartedAtMs } = vm.transition ?? {};
+  const reboots = rebootStartedAtMs !== undefined;
+  if (reboots && worker.lastRebootIntentId !== intentId) {
     // The command may still be on its way, so the VM must not serve before this reboot has happened.
     const next = { ...vm, state: "rebooting", changedAtMs: nowMs } as const;
     return change(vmId, next, "answers again and resumes its reboot");
   }
   const next = settle(vm, { nowMs });
-  if (intentId !== undefined) next.maintainedAtMs = nowMs;
+  if (reboots) next.maintainedAtMs = nowMs;
   return change(vmId, next, "is listed and answers again");
 }
 
--- a/src/fleet/record.ts
+++ b/src/fleet/record.ts
@@ -10,6 +10,8 @@
   startedAtMs: z.number(),
   /** Revision of the record that began the drain; entries acknowledge this one or a newer one. */
   fleetRevision: z.number().int(),
+  /** Wall-clock time at which the reboot was recorded, in ms; the command may be sent from then on. */
+  rebootStartedAtMs: z.number().optional(),
   /** Pool that the VM goes to, for moves and returns. */
   targetPool: z.string().optional(),
 });
--- /dev/null
+++ b/testing/fleet_world.ts
@@ -0,0 +1,349 @@
+import type { Clock } from "../src/clock.ts";
+import type {
+  AppliedConfig,
+  ResolvedConfig,
+  UserConfig,
+} from "../src/config/schema.ts";
+import { configSchema } from "../src/config/schema.ts";
+import { PlatformError } from "../src/errors.ts";
+import {
+  type Controller,
+  type ControllerOptions,
+  createController,
+} from "../src/fleet/controller.ts";
+import { parseFleetRecord } from "../src/fleet/follower.ts";
+import {
+  createFleetRecord,
+  fleetKey,
+  type FleetRecord,
+} from "../src/fleet/record.ts";
+import { silentLogger } from "../src/logger.ts";
+import { createObservable, type MutableObservable } from "../src/observable.ts";
+import type { EntryDigest } from "../src/peers/messages.ts";
+import type { Vm } from "../src/platform/vm_list.ts";
+import type { VmListSnapshot } from "../src/platform/vm_list_poller.ts";
+import type { WorkerAgent } from "../src/platform/worker_agent.ts";
+import type { FakeStore } from "./fake_store.ts";
+
+/** Region of the simulated fleet. */
+export const REGION = "north";
+/** Time that a simulated reboot takes, in ms. */
+const REBOOT_MS = 60_000;
+
+/** A pool of a test configuration; the service has the pool's name. */
+export interface TestPool {
+  readonly name: string;
+  readonly vms: number;
+  readonly minimumServingVms: number;
+  readonly maximumLentVms?: number;
+  readonly concurrentVms?: number;
+  readonly periodDays?: number;
+  readonly order?: "rack" | "spread";
+  readonly spare?: boolean;
+}
+
+/** Builds a configuration with one team and one service for each pool. */
+export function buildConfig(
+  pools: readonly TestPool[],
+  weights: { bufferCost: number; moves: number } = { bufferCost: 1, moves: 1 },
+): ResolvedConfig {
+  const config: UserConfig = {
+    version: 1,
+    weights,
+    teams: pools.map(({ name }) => ({ name: `${name}-team` })),
+    services: pools.map(({ name }) => ({ name })),
+    pools: pools.map((pool) => ({
+      name: pool.name,
+      region: REGION,
+      team: `${pool.name}-team`,
+      services: [pool.name],
+      vms: pool.vms,
+      availability: { minimumServingVms: pool.minimumServingVms },
+      lending: {
+        maximumLentVms: pool.maximumLentVms ?? 0,
+        minimumStayMs: 60_000,
+      },
+      maintenance: {
+        periodDays: pool.periodDays ?? 0.1,
+        order: pool.order ?? "rack",
+        maximumConcurrentVms: pool.concurrentVms ?? 1,
+      },
+      spare: pool.spare ?? false,
+    })),
+  };
+  return configSchema.parse(config);
+}
+
+/** One simulated worker with its agent. */
+export interface SimulatedWorker {
+  vm: Vm;
+  answers: boolean;
+  lastRebootIntentId: string | undefined;
+  /** Every reboot that was carried out, for checks. */
+  readonly reboots: string[];
+  rebootEndMs: number;
+}
+
+/** One simulated entry. */
+export interface SimulatedEntry {
+  readonly id: string;
+  /** False while it is frozen: it keeps its requests and its old record. */
+  follows: boolean;
+  record: FleetRecord;
+  readonly inFlight: Map<string, number>;
+  digest: EntryDigest;
+}
+
+/** A fleet in memory: workers, entries and controllers over one store. */
+export interface FleetWorld {
+  readonly store: FakeStore;
+  readonly workers: Map<string, SimulatedWorker>;
+  readonly entries: Map<string, SimulatedEntry>;
+  readonly demandSlots: Map<string, number>;
+  readonly config: MutableObservable<AppliedConfig | undefined>;
+  readonly vmList: MutableObservable<VmListSnapshot | undefined>;
+  /** Rules of the platform that a controller broke, such as a reboot with requests in flight. */
+  readonly faults: string[];
+  nowMs(): number;
+  record(): FleetRecord;
+  apply(config: ResolvedConfig): AppliedConfig;
+  addController(
+    holder: string,
+    overrides?: Partial<ControllerOptions>,
+  ): Controller;
+  /** Moves time: reboots end, entries follow the record and finish requests. */
+  tick(ms: number): void;
+  /** Ticks and steps a controller until a condition holds; throws after `limit` steps. */
+  runUntil(
+    controller: Controller,
+    condition: () => boolean,
+    limit?: number,
+  ): Promise<void>;
+}
+
+/** Creates the workers of the pools, four to a rack, and a number of entries. */
+export function createFleetWorld(options: {
+  store: FakeStore;
+  pools: readonly TestPool[];
+  entryCount?: number;
+}): FleetWorld {
+  const { store } = options;
+  let nowMs = 1_700_000_000_000;
+  const clock: Clock = { wallMs: () => nowMs, monotonicMs: () => nowMs };
+  const workers = new Map<string, SimulatedWorker>();
+  const entries = new Map<string, SimulatedEntry>();
+  const demandSlots = new Map<string, number>();
+  const faults: string[] = [];
+  const config = createObservable<AppliedConfig | undefined>(undefined);
+  const vmList = createObservable<VmListSnapshot | undefined>(undefined);
+  const digests = createObservable<readonly EntryDigest[]>([]);
+
+  const workerAgent = createAgent(workers, entries, faults, clock);
+  let index = 0;
+  for (const pool of options.pools) {
+    for (let number = 1; number <= pool.vms; number++) {
+      const vm = createVm(`${pool.name}-${number}`, index++, pool.name);
+      workers.set(vm.id, {
+        vm,
+        answers: true,
+        lastRebootIntentId: undefined,
+        reboots: [],
+        rebootEndMs: 0,
+      });
+    }
+  }
+  for (let number = 1; number <= (options.entryCount ?? 2); number++) {
+    const id = `entry-${number}`;
+    const record = createFleetRecord(REGION);
+    entries.set(id, {
+      id,
+      follows: true,
+      record,
+      inFlight: new Map(),
+      digest: createDigest(id, record, new Map(), demandSlots),
+    });
+  }
+
+  function record(): FleetRecord {
+    const entry = store.history(fleetKey(REGION)).at(-1);
+    return entry === undefined
+      ? createFleetRecord(REGION)
+      : parseFleetRecord(entry.value);
+  }
+
+  function publish(): void {
+    const vms = [...workers.values()].map((worker) => worker.vm);
+    for (const { id } of entries.values()) {
+      vms.push({ ...createVm(id, 0, ""), role: "entry" });
+    }
+    vmList.set({ vms, readAtMs: nowMs });
+    digests.set([...entries.values()].map((entry) => entry.digest));
+  }
+
+  function followRecord(entry: SimulatedEntry, current: FleetRecord): void {
+    entry.record = current;
+    for (const [vmId, count] of entry.inFlight) {
+      const serving = current.vms[vmId]?.state === "serving";
+      entry.inFlight.set(vmId, serving ? count : Math.max(0, count - 1));
+    }
+    entry.digest = createDigest(
+      entry.id,
+      current,
+      new Map(entry.inFlight),
+      demandSlots,
+    );
+  }
+
+  function tick(ms: number): void {
+    nowMs += ms;
+    store.advance(ms);
+    const current = record();
+    for (const entry of entries.values()) {
+      if (entry.follows) followRecord(entry, current);
+    }
+    publish();
+  }
+
+  publish();
+  const world: FleetWorld = {
+    store,
+    workers,
+    entries,
+    demandSlots,
+    config,
+    vmList,
+    faults,
+    nowMs: () => nowMs,
+    record,
+    tick,
+    apply(next) {
+      const applied: AppliedConfig = {
+        revision: (config.get()?.revision ?? 0) + 1,
+        applyId: "test",
+        appliedAtMs: nowMs,
+        digest: "",
+        config: next,
+      };
+      config.set(applied);
+      return applied;
+    },
+    addController: (holder, overrides = {}) =>
+      createController({
+        holder,
+        region: REGION,
+        store,
+        config,
+        vmList,
+        entries: digests,
+        workerAgent,
+        clock,
+        log: silentLogger,
+        ...overrides,
+      }),
+    async runUntil(controller, condition, limit = 500) {
+      for (let step = 0; step < limit; step++) {
+        if (condition()) return;
+        tick(5_000);
+        await controller.step().catch(() => {});
+      }
+      throw new Error(`the condition did not hold within ${limit} steps`);
+    },
+  };
+  return world;
+}
+
+function createVm(id: string, index: number, pool: string): Vm {
+  const dataCentre = `dc-${index % 3}`;
+  return {
+    id,
+    role: "worker",
+    state: "live",
+    incarnation: "1",
+    region: REGION,
+    dataCentre,
+    rack: `${dataCentre}-rack-${Math.floor(index / 12)}`,
+    address: id,
+    controlAddress: id,
+    pool,
+    cores: 16,
+    memoryMb: 65_536,
+    accelerators: 0,
+  };
+}
+
+function createDigest(
+  entryId: string,
+  record: FleetRecord,
+  inFlight: ReadonlyMap<string, number>,
+  demandSlots: ReadonlyMap<string, number>,
+): EntryDigest {
+  const draining = [...inFlight].filter(([vmId]) =>
+    record.vms[vmId]?.state !== "serving"
+  );
+  const services = [...demandSlots].map(([service, slots]) =>
+    [service, { inFlight: 0, waiting: 0, demandSlots: slots }] as const
+  );
+  return {
+    entryId,
+    incarnation: "1",
+    sequence: 1,
+    region: REGION,
+    peerAddress: entryId,
+    callerAddress: entryId,
+    ready: true,
+    stopping: false,
+    configRevision: 0,
+    fleetRevision: record.revision,
+    services: Object.fromEntries(services),
+    drainingInFlight: Object.fromEntries(draining),
+    leavingVms: [],
+  };
+}
+
+function createAgent(
+  workers: ReadonlyMap<string, SimulatedWorker>,
+  entries: ReadonlyMap<string, SimulatedEntry>,
+  faults: string[],
+  clock: Clock,
+): WorkerAgent {
+  const reach = (address: string): SimulatedWorker => {
+    const worker = workers.get(address);
+    const up = worker?.answers && clock.monotonicMs() >= worker.rebootEndMs;
+    if (worker === undefined || !up) {
+      throw new PlatformError("worker_agent", `No answer from ${address}`);
+    }
+    return worker;
+  };
+  const call = <T>(address: string, run: (worker: SimulatedWorker) => T) =>
+    Promise.resolve().then(() => run(reach(address)));
+  const unused = () => Promise.resolve();
+  return {
+    report: (address) =>
+      call(address, ({ vm, lastRebootIntentId }) => ({
+        vmId: vm.id,
+        incarnation: vm.incarnation,
+        lastRebootIntentId,
+        tasks: [],
+      })),
+    runTask: unused,
+    checkpointTask: unused,
+    throttleTask: unused,
+    stopTask: unused,
+    drain: (address) => call(address, () => {}),
+    reboot: (address, intentId) =>
+      call(address, (worker) => {
+        if (worker.reboots.includes(intentId)) return;
+        worker.reboots.push(intentId);
+        worker.lastRebootIntentId = intentId;
+        worker.rebootEndMs = clock.monotonicMs() + REBOOT_MS;
+        for (const entry of entries.values()) {
+          const count = entry.inFlight.get(address) ?? 0;
+          if (count > 0) {
+            faults.push(
+              `${address} rebooted with ${count} request(s) of ${entry.id}`,
+            );
+          }
+        }
+      }),
+  };
+}
