test(fleet): planning rules, each broken once

Adds tables for lending, windows, history, waves, drains and the decision log, and a property over random records.

--- a/src/fleet/controller_random_test.ts
+++ b/src/fleet/controller_random_test.ts
@@ -79,6 +79,7 @@
     case 4: {
       const entry = pick(draw, [...world.entries.values()]);
       entry.follows = draw(8) > 0;
+      entry.heard = draw(8) > 0;
       break;
     }
     default:
@@ -200,7 +201,10 @@
 
   lost.clear();
   applyNext(buildConfig(POOLS));
-  for (const entry of world.entries.values()) entry.follows = true;
+  for (const entry of world.entries.values()) {
+    entry.follows = true;
+    entry.heard = true;
+  }
   for (const worker of world.workers.values()) {
     worker.answers = true;
     worker.vm.state = "live";
--- a/src/fleet/controller_test.ts
+++ b/src/fleet/controller_test.ts
@@ -8,12 +8,13 @@
   REGION,
   type TestPool,
 } from "../../testing/fleet_world.ts";
-import { ValidationError } from "../errors.ts";
+import { PlatformError, ValidationError } from "../errors.ts";
 import { createObservable } from "../observable.ts";
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import { createControllerStore } from "./controller_store.ts";
 import { decisionLogKey } from "./decision_log.ts";
 import { parseFleetRecord } from "./follower.ts";
-import { fleetKey, type VmRecord } from "./record.ts";
+import { createFleetRecord, fleetKey, type VmRecord } from "./record.ts";
 import { checkRecord, checkStep } from "./record_check.ts";
 
 const SPARE: TestPool = {
@@ -85,24 +86,23 @@
 
 // Guards against an intent that is lost with the controller that recorded it.
 test("a successor carries out an intent that was recorded but not executed", async () => {
-  const { world, controller } = await startWave();
-  world.store.faults.loseAnswers = 0;
-  for (const worker of world.workers.values()) worker.answers = true;
-  await world.runUntil(controller, () => {
-    // Commands fail from the moment at which the reboot is recorded.
-    const rebooting = inState(world, "rebooting");
-    return rebooting.length > 0;
-  });
+  const { world } = startWorld([SHOP]);
+  const killed = new PlatformError("worker_agent", "The controller is killed");
+  const workerAgent = {
+    ...world.workerAgent,
+    reboot: () => Promise.reject(killed),
+  };
+  const controller = world.addController("c1", { workerAgent });
+  await world.runUntil(
+    controller,
+    () => inState(world, "rebooting").length > 0,
+  );
   const [vmId = ""] = inState(world, "rebooting");
-  const worker = world.workers.get(vmId);
-  assert.ok(worker);
-  worker.reboots.length = 0;
-  worker.lastRebootIntentId = undefined;
-  worker.rebootEndMs = 0;
+  assert.is(world.workers.get(vmId)?.reboots.length, 0);
   world.store.lapseLease(`controller/${REGION}`);
   const successor = world.addController("c2");
   await world.runUntil(successor, () => maintained(world).includes(vmId));
-  assert.is(worker.reboots.length, 1);
+  assert.is(world.workers.get(vmId)?.reboots.length, 1);
 });
 
 // Guards against a second reboot by a successor that finds the action done but not recorded.
@@ -171,6 +171,12 @@
     await controller.step();
   }
   assert.is(inState(world, "draining").length, 1);
+  entry.heard = false;
+  for (let step = 0; step < 20; step++) {
+    world.tick(5_000);
+    await controller.step();
+  }
+  assert.is(inState(world, "draining").length, 1);
   world.entries.delete("entry-2");
   await world.runUntil(controller, () => maintained(world).length === 4);
 });
@@ -278,4 +284,19 @@
   );
 });
 
+// Guards against intents that are carried out although their record was never written.
+test("a lost response counts as written only if the record is in force", async () => {
+  const { store, world } = startWorld([SHOP]);
+  const values = createControllerStore(store, REGION);
+  const swap = async (revision: number) => {
+    const next = { ...createFleetRecord(REGION), revision };
+    return values.swapRecord(await values.readRecord(), next);
+  };
+  store.faults.loseAnswers = 1;
+  assert.is(await swap(1), true);
+  store.faults.dropWrites = 1;
+  assert.is(await swap(2), false);
+  assert.is(world.record().revision, 1);
+});
+
 test.run();
--- /dev/null
+++ b/src/fleet/plan_test.ts
@@ -0,0 +1,319 @@
+import process from "node:process";
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  buildConfig,
+  createDigest,
+  createVm,
+  REGION,
+  type TestPool,
+} from "../../testing/fleet_world.ts";
+import type { ResolvedConfig } from "../config/schema.ts";
+import { appendDecisions, MAXIMUM_DECISIONS } from "./decision_log.ts";
+import { BUCKETS_PER_DAY, createDemandState, observeDemand } from "./demand.ts";
+import { isLendingOpen } from "./lending_window.ts";
+import { type Plan, planFleet } from "./plan.ts";
+import type { PlanInput, WorkerView } from "./planning_context.ts";
+import { createFleetRecord, type FleetRecord } from "./record.ts";
+import { checkStep } from "./record_check.ts";
+
+const NOW_MS = Date.UTC(2026, 0, 7, 12, 0);
+const MINUTE_MS = 60_000;
+const ANSWERS: WorkerView = {
+  reachable: true,
+  answers: true,
+  lastRebootIntentId: undefined,
+  runningTasks: 0,
+};
+const seed = Number(process.env.SEED ?? Math.floor(Math.random() * 2 ** 31));
+
+const OWNER: TestPool = {
+  name: "owner",
+  vms: 8,
+  minimumServingVms: 2,
+  maximumLentVms: 4,
+  periodDays: 300,
+};
+const TAKER: TestPool = { ...OWNER, name: "taker", maximumLentVms: 0 };
+
+/** An input in which all VMs serve at home and no maintenance is due. */
+function createInput(
+  pools: readonly TestPool[],
+  config: ResolvedConfig = buildConfig(pools),
+): PlanInput {
+  const names = pools.flatMap(({ name, vms }) =>
+    Array.from({ length: vms }, (_, index) => [name, `${name}-${index}`])
+  );
+  const vms = names.map(([pool = "", id = ""], index) =>
+    createVm(id, index, pool)
+  );
+  const waves = Object.fromEntries(pools.map(({ name }) => [name, NOW_MS - 1]));
+  const record: FleetRecord = {
+    ...createFleetRecord(REGION),
+    revision: 1,
+    maintenance: { waves, late: {} },
+    vms: Object.fromEntries(vms.map((vm) => [vm.id, {
+      pool: vm.pool ?? "",
+      homePool: vm.pool ?? "",
+      state: "serving",
+      incarnation: vm.incarnation,
+      dataCentre: vm.dataCentre,
+      rack: vm.rack,
+      changedAtMs: NOW_MS - 1,
+      maintainedAtMs: NOW_MS,
+    }])),
+  };
+  return {
+    record,
+    config,
+    configRevision: 1,
+    vms,
+    entries: [createDigest("entry-1", record, new Map(), new Map())],
+    workers: new Map(vms.map((vm) => [vm.id, ANSWERS])),
+    demand: createDemandState(),
+    holdsNewDrains: false,
+    nowMs: NOW_MS,
+  };
+}
+
+function withDemand(
+  input: PlanInput,
+  levels: Record<string, { slots: number; history?: number }>,
+): PlanInput {
+  const pools = Object.entries(levels).map(([pool, { slots, history }]) => [
+    pool,
+    {
+      levelSlots: slots,
+      bucket: 0,
+      bucketPeakSlots: slots,
+      history: Array<number | null>(BUCKETS_PER_DAY).fill(history ?? null),
+    },
+  ]);
+  const demand = { ...input.demand, coverage: 1 };
+  return { ...input, demand: { ...demand, pools: Object.fromEntries(pools) } };
+}
+
+/** The input a while later, with a VM of the owner lent to the taker. */
+function withLoan(input: PlanInput, stayMs: number): PlanInput {
+  const vm = input.record.vms["owner-0"];
+  const lentAtMs = NOW_MS - stayMs;
+  const lent = { ...vm, pool: "taker", lentAtMs } as FleetRecord["vms"][string];
+  const vms = { ...input.record.vms, "owner-0": lent };
+  return { ...input, record: { ...input.record, vms } };
+}
+
+function started(plan: Plan, kind: string): string[] {
+  if (plan.kind !== "changed") return [];
+  return Object.entries(plan.record.vms).filter(([, vm]) =>
+    vm.state === "draining" && vm.transition?.kind === kind
+  ).map(([vmId]) => vmId);
+}
+
+// Guards against loans without need, without reason, or to a pool that its owner can't spare.
+test("lends to a pool over its limit and names what was rejected", () => {
+  const third = { ...OWNER, name: "third", maximumLentVms: 0 };
+  const input = createInput([OWNER, TAKER, third]);
+  const plan = planFleet(withDemand(input, { taker: { slots: 62 } }));
+  assert.is(started(plan, "move").length, 2);
+  const decision = plan.kind === "changed" ? plan.decisions[0] : undefined;
+  assert.is(decision?.kind, "lend");
+  assert.equal(decision?.teams, ["owner-team", "taker-team"]);
+  assert.is(decision?.rejected[0]?.option, "third");
+  const idle = planFleet(withDemand(input, { taker: { slots: 40 } }));
+  assert.is(idle.kind, "unchanged");
+});
+
+// Guards against spending budgets before it is known which workers are unreachable.
+test("starts no drain while the workers were not watched long enough", () => {
+  const input = withDemand(createInput([OWNER, TAKER]), {
+    taker: { slots: 62 },
+  });
+  const plan = planFleet({ ...input, holdsNewDrains: true });
+  assert.is(plan.kind, "unchanged");
+});
+
+// Guards against unreachable VMs that count as available.
+test("unreachable VMs count as missing from the budget", () => {
+  const input = withDemand(createInput([OWNER, TAKER]), {
+    taker: { slots: 62 },
+  });
+  const down = { ...ANSWERS, reachable: false, answers: false };
+  const workers = new Map(input.workers);
+  for (let index = 0; index < 6; index++) workers.set(`owner-${index}`, down);
+  assert.equal(started(planFleet({ ...input, workers }), "move"), []);
+});
+
+// Guards against oscillation: a loan must last, and must not end while it is needed.
+test("a loan stays for its minimum stay, and longer the more moves weigh", () => {
+  const idle = { owner: { slots: 0 }, taker: { slots: 20 } };
+  const plan = (stayMs: number, weights = { bufferCost: 1, moves: 1 }) => {
+    const config = buildConfig([OWNER, TAKER], weights);
+    const input = createInput([OWNER, TAKER], config);
+    return planFleet(withDemand(withLoan(input, stayMs), idle));
+  };
+  assert.is(plan(MINUTE_MS / 2).kind, "unchanged");
+  assert.equal(started(plan(2 * MINUTE_MS), "return"), ["owner-0"]);
+  const careful = plan(2 * MINUTE_MS, { bufferCost: 0, moves: 1 });
+  assert.is(careful.kind, "unchanged");
+});
+
+// Guards against an owner that meets its daily surge with its VMs still away.
+test("a loan returns before the owner's expected surge, and none begins", () => {
+  const levels = {
+    owner: { slots: 10, history: 62 },
+    taker: { slots: 62 },
+  };
+  const input = createInput([OWNER, TAKER]);
+  const lent = withDemand(withLoan(input, 2 * MINUTE_MS), levels);
+  assert.equal(started(planFleet(lent), "return"), ["owner-0"]);
+  assert.is(planFleet(withDemand(input, levels)).kind, "unchanged");
+});
+
+// Guards against a history that forgets the surges of earlier days.
+test("demand history learns the peak of each part of the day", () => {
+  const config = buildConfig([TAKER]);
+  let state = createDemandState();
+  for (let minute = 0; minute < 3 * 1_440; minute++) {
+    const slots = minute % 1_440 >= 600 && minute % 1_440 < 660 ? 50 : 5;
+    const record = createFleetRecord(REGION);
+    const load = new Map([["taker", slots]]);
+    state = observeDemand(state, {
+      config,
+      region: REGION,
+      entries: [createDigest("entry-1", record, new Map(), load)],
+      listedEntries: 2,
+      nowMs: Date.UTC(2026, 0, 5) + minute * MINUTE_MS,
+    });
+  }
+  const history = state.pools.taker?.history ?? [];
+  // One of two entries is heard, so the demand counts twice.
+  assert.ok((history[42] ?? 0) > 80, "10:30");
+  assert.ok((history[80] ?? 99) < 20, "20:00");
+});
+
+// Guards against windows read in the server's zone, or cut off at midnight.
+test("lending windows follow their time zone and run past midnight", () => {
+  const [pool] = buildConfig([OWNER]).pools;
+  assert.ok(pool);
+  const window = {
+    timeZone: "Asia/Karachi",
+    days: ["mon" as const],
+    from: "22:00",
+    to: "02:00",
+  };
+  const lending = { ...pool.lending, windows: [window] };
+  const open = (atMs: number) => isLendingOpen({ ...pool, lending }, atMs);
+  assert.is(open(Date.UTC(2026, 0, 5, 17, 0)), true, "Monday 22:00");
+  assert.is(open(Date.UTC(2026, 0, 5, 20, 59)), true, "Tuesday 01:59");
+  assert.is(open(Date.UTC(2026, 0, 5, 21, 0)), false, "Tuesday 02:00");
+  assert.is(open(Date.UTC(2026, 0, 6, 17, 30)), false, "Tuesday 22:30");
+});
+
+function dueInput(pool: Partial<TestPool>): PlanInput {
+  const input = createInput([{ ...OWNER, ...pool }]);
+  const due = Object.entries(input.record.vms).map(([vmId, vm]) =>
+    [vmId, { ...vm, maintainedAtMs: 0 }] as const
+  );
+  const record = { ...input.record, vms: Object.fromEntries(due) };
+  return { ...input, record };
+}
+
+// Guards against waves that touch several racks at once, or one rack several times.
+test("waves go rack by rack or spread", () => {
+  const racks = (order: "rack" | "spread") => {
+    const plan = planFleet(dueInput({ order, concurrentVms: 4 }));
+    return started(plan, "maintain").map((vmId) =>
+      plan.kind === "changed" ? plan.record.vms[vmId]?.rack : undefined
+    );
+  };
+  assert.is(racks("rack").length, 3);
+  assert.is(new Set(racks("rack")).size, 1);
+  assert.is(new Set(racks("spread")).size, 3);
+});
+
+// Guards against a wave that is found to be late only when its period is over.
+test("reports a wave that can't finish, once and early", () => {
+  const late = (plan: Plan) =>
+    plan.kind === "changed" ? plan.record.maintenance.late.owner ?? "" : "";
+  assert.is(late(planFleet(dueInput({ periodDays: 1 }))), "");
+  const short = planFleet(dueInput({ periodDays: 0.05 }));
+  assert.match(late(short), "do not fit");
+  const full = planFleet(dueInput({ minimumServingVms: 8 }));
+  assert.match(late(full), "the budget leaves no VM");
+  if (full.kind !== "changed") throw new Error("expected a change");
+  const again = planFleet({
+    ...dueInput({ minimumServingVms: 8 }),
+    record: full.record,
+  });
+  assert.is(again.kind, "unchanged");
+});
+
+// Guards against a stop while a task still runs or its state is unknown.
+test("a drain waits for running tasks", () => {
+  const plan = planFleet(dueInput({}));
+  if (plan.kind !== "changed") throw new Error("expected a change");
+  const { record } = plan;
+  const entries = [createDigest("entry-1", record, new Map(), new Map())];
+  const state = (runningTasks: number | undefined) => {
+    const workers = new Map(
+      Object.keys(record.vms).map((vmId) =>
+        [vmId, { ...ANSWERS, runningTasks }] as const
+      ),
+    );
+    const next = planFleet({ ...dueInput({}), record, entries, workers });
+    const vms = next.kind === "changed" ? next.record.vms : record.vms;
+    return Object.values(vms).filter((vm) => vm.state === "rebooting").length;
+  };
+  assert.equal([state(1), state(undefined), state(0)], [0, 0, 1]);
+});
+
+// Guards against a log that outgrows a store value or repeats entries after a lost response.
+test("the decision log is bounded and takes each decision once", () => {
+  const plan = planFleet(dueInput({}));
+  const [decision] = plan.kind === "changed" ? plan.decisions : [];
+  assert.ok(decision);
+  assert.is(appendDecisions([decision], [decision]).length, 1);
+  const many = Array.from(
+    { length: MAXIMUM_DECISIONS + 5 },
+    (_, index) => ({ ...decision, fleetRevision: index }),
+  );
+  assert.is(appendDecisions([], many).length, MAXIMUM_DECISIONS);
+});
+
+// Guards against decisions that break a budget or bound from any starting point.
+test("no plan breaks a rule by its decisions", () => {
+  const pool = fc.record({
+    vms: fc.integer({ min: 1, max: 8 }),
+    minimumServingVms: fc.integer({ min: 0, max: 8 }),
+    maximumLentVms: fc.integer({ min: 0, max: 3 }),
+    concurrentVms: fc.integer({ min: 1, max: 3 }),
+    order: fc.constantFrom("rack" as const, "spread" as const),
+    slots: fc.integer({ min: 0, max: 80 }),
+  });
+  const scenario = fc.record({
+    pools: fc.array(pool, { minLength: 2, maxLength: 4 }),
+    gone: fc.array(fc.nat(31), { maxLength: 6 }),
+    due: fc.boolean(),
+  });
+  console.log(`seed ${seed}`);
+  fc.assert(
+    fc.property(scenario, ({ pools, gone, due }) => {
+      const named = pools.map((item, index) => ({
+        ...item,
+        name: `p${index}`,
+      }));
+      const input = createInput(named);
+      const levels = Object.fromEntries(named.map((item) => [item.name, item]));
+      const waves = due ? {} : input.record.maintenance.waves;
+      const record = { ...input.record, maintenance: { waves, late: {} } };
+      const vms = input.vms.filter((_, index) => !gone.includes(index));
+      const plan = planFleet(withDemand({ ...input, record, vms }, levels));
+      if (plan.kind !== "changed") return;
+      assert.equal(checkStep(record, plan.record, input.config), []);
+    }),
+    { seed, numRuns: 500 },
+  );
+});
+
+test.run();
--- a/testing/fleet_world.ts
+++ b/testing/fleet_world.ts
@@ -89,6 +89,8 @@
   readonly id: string;
   /** False while it is frozen: it keeps its requests and its old record. */
   follows: boolean;
+  /** False while no digest of it arrives, although the VM list shows it. */
+  heard: boolean;
   record: FleetRecord;
   readonly inFlight: Map<string, number>;
   digest: EntryDigest;
@@ -100,6 +102,7 @@
   readonly workers: Map<string, SimulatedWorker>;
   readonly entries: Map<string, SimulatedEntry>;
   readonly demandSlots: Map<string, number>;
+  readonly workerAgent: WorkerAgent;
   readonly config: MutableObservable<AppliedConfig | undefined>;
   readonly vmList: MutableObservable<VmListSnapshot | undefined>;
   /** Rules of the platform that a controller broke, such as a reboot with requests in flight. */
@@ -158,6 +161,7 @@
     entries.set(id, {
       id,
       follows: true,
+      heard: true,
       record,
       inFlight: new Map(),
       digest: createDigest(id, record, new Map(), demandSlots),
@@ -177,7 +181,10 @@
       vms.push({ ...createVm(id, 0, ""), role: "entry" });
     }
     vmList.set({ vms, readAtMs: nowMs });
-    digests.set([...entries.values()].map((entry) => entry.digest));
+    digests.set(
+      [...entries.values()].filter((entry) => entry.heard)
+        .map((entry) => entry.digest),
+    );
   }
 
   function followRecord(entry: SimulatedEntry, current: FleetRecord): void {
@@ -210,6 +217,7 @@
     workers,
     entries,
     demandSlots,
+    workerAgent,
     config,
     vmList,
     faults,
@@ -252,7 +260,8 @@
   return world;
 }
 
-function createVm(id: string, index: number, pool: string): Vm {
+/** Creates a listed worker; racks hold four VMs and are spread over three data centres. */
+export function createVm(id: string, index: number, pool: string): Vm {
   const dataCentre = `dc-${index % 3}`;
   return {
     id,
@@ -271,7 +280,8 @@
   };
 }
 
-function createDigest(
+/** Creates the digest of an entry that follows a record. */
+export function createDigest(
   entryId: string,
   record: FleetRecord,
   inFlight: ReadonlyMap<string, number>,
