--- a/src/cli.ts
+++ b/src/cli.ts
@@ -1,10 +1,21 @@
-import process from "node:process";
 import { Command, CommanderError } from "commander";
 import { addApplyCommand } from "./commands/apply.ts";
+import { addCheckCommand } from "./commands/check.ts";
+import { setExitCode, UsageError } from "./commands/context.ts";
+import { addDiffCommand } from "./commands/diff.ts";
+import { addDumpCommand } from "./commands/dump.ts";
 import { addEntryCommand } from "./commands/entry.ts";
 import { EXIT_CODES } from "./commands/exit_codes.ts";
+import { addExplainCommand } from "./commands/explain.ts";
+import { addStatusCommand } from "./commands/status.ts";
 import { VERSION } from "./constants.ts";
-import { messageOf, StoreError, ValidationError } from "./errors.ts";
+import {
+  messageOf,
+  PlatformError,
+  StoreError,
+  TaggedError,
+  ValidationError,
+} from "./errors.ts";
 
 function createProgram(): Command {
   const program = new Command("cowslipferry")
@@ -13,24 +24,41 @@
     .exitOverride();
   addEntryCommand(program);
   addApplyCommand(program);
+  addCheckCommand(program);
+  addDiffCommand(program);
+  addStatusCommand(program);
+  addDumpCommand(program);
+  addExplainCommand(program);
   return program;
 }
 
-function report(error: unknown): number {
+function exitCodeOf(error: unknown): number {
   if (error instanceof CommanderError) {
     return error.exitCode === 0 ? EXIT_CODES.done : EXIT_CODES.usage;
   }
+  if (error instanceof UsageError) return EXIT_CODES.usage;
+  const isOutage = error instanceof PlatformError ||
+    (error instanceof StoreError && error.failure !== "rejected");
+  return isOutage ? EXIT_CODES.platformUnreachable : EXIT_CODES.refused;
+}
+
+function printError(error: unknown, asJson: boolean): void {
+  // Commander has printed its own message.
+  if (error instanceof CommanderError) return;
+  if (asJson) {
+    const data = error instanceof TaggedError
+      ? error.toJSON()
+      : { kind: "internal", message: messageOf(error) };
+    console.log(JSON.stringify({ kind: "error", error: data }, undefined, 2));
+    return;
+  }
   console.error(`error: ${messageOf(error)}`);
-  if (error instanceof ValidationError) {
-    for (const issue of error.issues) {
-      console.error(
-        `  ${issue.path}: found ${issue.found}; expected ${issue.expected}`,
-      );
-    }
+  if (!(error instanceof ValidationError)) return;
+  for (const issue of error.issues) {
+    console.error(
+      `  ${issue.path}: found ${issue.found}; allowed: ${issue.expected}`,
+    );
   }
-  return error instanceof StoreError
-    ? EXIT_CODES.platformUnreachable
-    : EXIT_CODES.refused;
 }
 
 /** Runs the command line; sets the process's exit code. */
@@ -38,6 +66,7 @@
   try {
     await createProgram().parseAsync([...argv]);
   } catch (error) {
-    process.exitCode = report(error);
+    printError(error, argv.includes("--json"));
+    setExitCode(exitCodeOf(error));
   }
 }
--- a/src/commands/apply.ts
+++ b/src/commands/apply.ts
@@ -1,26 +1,196 @@
 import type { Command } from "commander";
-import { applyConfig } from "../config/apply.ts";
+import { systemClock } from "../clock.ts";
+import { applyConfig, type ApplyResult } from "../config/apply.ts";
+import { formatChanges } from "../config/diff.ts";
+import { type RollOutResult, waitForRollOut } from "../config/roll_out.ts";
 import { resolveConfig } from "../config/validate.ts";
-import { createHttpStore } from "../platform/http_store.ts";
+import { assertNever } from "../errors.ts";
 import { readTextFile } from "../settings/load.ts";
+import {
+  addPlatformOptions,
+  type OperatorPlatform,
+  parseInteger,
+  type PlatformOptions,
+  printResult,
+  resolvePlatform,
+  setExitCode,
+} from "./context.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
 
+interface Options extends PlatformOptions {
+  readonly expectRevision?: number;
+  readonly wait?: boolean;
+  readonly timeoutMs: number;
+}
+
+interface RollOut {
+  readonly result: RollOutResult;
+  readonly elapsedMs: number;
+}
+
+function exitCodeOf(result: ApplyResult): number {
+  switch (result.kind) {
+    case "accepted":
+    case "unchanged":
+    case "superseded":
+      return EXIT_CODES.done;
+    case "conflict":
+      return EXIT_CODES.refused;
+    case "undetermined":
+      return EXIT_CODES.platformUnreachable;
+    default:
+      return assertNever(result);
+  }
+}
+
+function formatConflict(
+  result: ApplyResult & { kind: "conflict" },
+): string[] {
+  const revision = result.current?.revision ?? 0;
+  return [
+    result.reason === "unexpected_revision"
+      ? `conflict: revision ${revision} is in force, not the expected revision ${result.baseRevision}; nothing was written`
+      : `conflict: another operator applied a file after revision ${result.baseRevision} was read; nothing was written`,
+    `changes that this file would make to revision ${revision}:`,
+    ...formatChanges(result.changes),
+    `review them, then apply again with --expect-revision ${revision}`,
+  ];
+}
+
+function formatResult(result: ApplyResult): string[] {
+  switch (result.kind) {
+    case "accepted":
+      return [
+        `accepted as revision ${result.applied.revision} (apply id ${result.applied.applyId})`,
+      ];
+    case "unchanged":
+      return [`unchanged: revision ${result.applied.revision} is in force`];
+    case "superseded":
+      return [
+        `accepted as revision ${result.applied.revision} (apply id ${result.applied.applyId}), superseded by revision ${result.current.revision}`,
+      ];
+    case "conflict":
+      return formatConflict(result);
+    case "undetermined":
+      return [
+        `undetermined: the file may or may not be applied as revision ${result.revision}: ${result.reason}`,
+        `compare apply id ${result.applyId} with the output of status once the store answers, or apply the file again`,
+      ];
+    default:
+      return assertNever(result);
+  }
+}
+
+function describeResult(result: ApplyResult): object {
+  switch (result.kind) {
+    case "accepted":
+    case "unchanged": {
+      const { revision, applyId, digest } = result.applied;
+      return { kind: result.kind, revision, applyId, digest };
+    }
+    case "superseded": {
+      const { revision, applyId, digest } = result.applied;
+      const currentRevision = result.current.revision;
+      return { kind: result.kind, revision, applyId, digest, currentRevision };
+    }
+    case "conflict": {
+      const { current, ...rest } = result;
+      return { ...rest, currentRevision: current?.revision ?? 0 };
+    }
+    case "undetermined":
+      return result;
+    default:
+      return assertNever(result);
+  }
+}
+
+function formatRollOut({ result, elapsedMs }: RollOut): string[] {
+  if (result.kind === "in_force") {
+    return [
+      `in force at all ${result.entries.length} live entries after ${elapsedMs} ms`,
+    ];
+  }
+  return [
+    `not confirmed in force everywhere after ${elapsedMs} ms`,
+    ...(result.failure === undefined ? [] : [`  ${result.failure}`]),
+    ...result.pending.map((entry) =>
+      `  ${entry.entryId}: ${entry.failure ?? `revision ${entry.revision}`}`
+    ),
+  ];
+}
+
+async function waitFor(
+  result: ApplyResult,
+  context: {
+    platform: OperatorPlatform;
+    timeoutMs: number;
+    startedAtMs: number;
+  },
+): Promise<RollOut | undefined> {
+  if (result.kind === "conflict" || result.kind === "undetermined") {
+    return undefined;
+  }
+  const rollOut = await waitForRollOut({
+    vmList: context.platform.vmList(),
+    readDump: context.platform.readDump,
+    revision: result.applied.revision,
+    timeoutMs: context.timeoutMs,
+    clock: systemClock,
+  });
+  const elapsedMs = Math.round(systemClock.monotonicMs() - context.startedAtMs);
+  return { result: rollOut, elapsedMs };
+}
+
+async function runApply(file: string, options: Options): Promise<void> {
+  const config = resolveConfig(await readTextFile(file), file);
+  const platform = await resolvePlatform(options);
+  const store = platform.store();
+  // Fails before anything is written when the VM list's address is missing.
+  if (options.wait) platform.vmList();
+  const startedAtMs = systemClock.monotonicMs();
+  const result = await applyConfig(
+    store,
+    config,
+    options.expectRevision === undefined
+      ? {}
+      : { expectedRevision: options.expectRevision },
+  );
+  const rollOut = options.wait
+    ? await waitFor(result, {
+      platform,
+      timeoutMs: options.timeoutMs,
+      startedAtMs,
+    })
+    : undefined;
+  printResult(
+    options,
+    { ...describeResult(result), ...(rollOut && { rollOut }) },
+    [...formatResult(result), ...(rollOut ? formatRollOut(rollOut) : [])],
+  );
+  setExitCode(exitCodeOf(result));
+  if (rollOut?.result.kind === "timed_out") {
+    setExitCode(EXIT_CODES.platformUnreachable);
+  }
+}
+
 /** Adds the `apply` command. */
 export function addApplyCommand(program: Command): void {
-  program.command("apply")
-    .description("apply a configuration file as a whole")
-    .argument("<file>", "configuration file")
-    .requiredOption("--store <url>", "URL of the platform's store")
-    .action(async (file: string, options: { store: string }) => {
-      const config = resolveConfig(await readTextFile(file), file);
-      const result = await applyConfig(createHttpStore(options.store), config);
-      if (result.kind === "accepted") {
-        console.log(`accepted as revision ${result.applied.revision}`);
-      } else {
-        console.error(
-          "conflict: another operator applied a file at the same time",
-        );
-        process.exitCode = EXIT_CODES.refused;
-      }
-    });
+  addPlatformOptions(
+    program.command("apply")
+      .description("apply a configuration file as a whole")
+      .argument("<file>", "configuration file"),
+  )
+    .option(
+      "--expect-revision <number>",
+      "refuse unless this revision is in force; 0 when there is none",
+      parseInteger(0),
+    )
+    .option("--wait", "wait until every live entry reports the revision")
+    .option(
+      "--timeout-ms <ms>",
+      "longest time that --wait waits",
+      parseInteger(1),
+      30_000,
+    )
+    .action(runApply);
 }
--- /dev/null
+++ b/src/commands/context.ts
@@ -0,0 +1,149 @@
+import process from "node:process";
+import { type Command, InvalidArgumentError, Option } from "commander";
+import type { ReadDump } from "../config/roll_out.ts";
+import { messageOf, TaggedError } from "../errors.ts";
+import { requestJson } from "../platform/http_json.ts";
+import { createHttpStore } from "../platform/http_store.ts";
+import { createHttpVmList } from "../platform/http_vm_list.ts";
+import type { Store } from "../platform/store.ts";
+import type { VmList } from "../platform/vm_list.ts";
+import { loadOperatorSettings } from "../settings/operator.ts";
+import { platformUrl } from "../settings/platform_url.ts";
+import { EXIT_CODES } from "./exit_codes.ts";
+
+/** A wrong call of a command. */
+export class UsageError extends TaggedError<"usage"> {
+  readonly kind = "usage";
+}
+
+/** Options by which operators' commands find the platform. */
+export interface PlatformOptions {
+  readonly operatorSettings?: string;
+  readonly store?: string;
+  readonly vmList?: string;
+  readonly json?: boolean;
+}
+
+/** The platform as seen from operators' commands; each getter throws a `UsageError` when its address is missing. */
+export interface OperatorPlatform {
+  store(): Store;
+  vmList(): VmList;
+  readonly readDump: ReadDump;
+}
+
+/** Parses an option that is an integer of at least `minimum`. */
+export function parseInteger(minimum: number): (text: string) => number {
+  return (text) => {
+    const value = Number(text);
+    if (/^\d+$/.test(text) && Number.isSafeInteger(value) && value >= minimum) {
+      return value;
+    }
+    throw new InvalidArgumentError(
+      `It must be an integer of at least ${minimum}.`,
+    );
+  };
+}
+
+function parseUrl(text: string): string {
+  const result = platformUrl.safeParse(text);
+  if (result.success) return result.data;
+  throw new InvalidArgumentError(
+    `It must be ${result.error.issues[0]?.message}.`,
+  );
+}
+
+/** Adds `--json`. */
+export function addJsonOption(command: Command): Command {
+  return command.option("--json", "print one JSON value on standard output");
+}
+
+/** Adds the options that tell where the platform is. */
+export function addPlatformOptions(command: Command): Command {
+  return addJsonOption(
+    command
+      .addOption(
+        new Option(
+          "--operator-settings <file>",
+          "operator settings file with the platform's addresses",
+        ).env("COWSLIPFERRY_OPERATOR_SETTINGS"),
+      )
+      .option("--store <url>", "URL of the platform's store", parseUrl)
+      .option("--vm-list <url>", "URL of the platform's VM list", parseUrl),
+  );
+}
+
+function required(url: string | undefined, option: string): string {
+  if (url !== undefined) return url;
+  throw new UsageError(
+    `No address is known; give --operator-settings or ${option}`,
+  );
+}
+
+/** Reads the state dump of an entry; rejects with the client's error. */
+export async function readEntryDump(
+  adminAddress: string,
+  signal: AbortSignal,
+): Promise<unknown> {
+  const response = await requestJson(`http://${adminAddress}/dump`, {
+    timeoutMs: 5_000,
+    signal,
+  });
+  if (response.status !== 200) {
+    throw new Error(`the admin server answered with status ${response.status}`);
+  }
+  return response.body;
+}
+
+/** Resolves the platform's addresses; rejects with a `ValidationError`. */
+export async function resolvePlatform(
+  options: PlatformOptions,
+): Promise<OperatorPlatform> {
+  const settings = options.operatorSettings === undefined
+    ? undefined
+    : await loadOperatorSettings(options.operatorSettings);
+  const storeUrl = options.store ?? settings?.platform.storeUrl;
+  const vmListUrl = options.vmList ?? settings?.platform.vmListUrl;
+  return {
+    store: () => createHttpStore(required(storeUrl, "--store")),
+    vmList: () => createHttpVmList(required(vmListUrl, "--vm-list")),
+    readDump: readEntryDump,
+  };
+}
+
+/** Prints a command's result as JSON or as lines. */
+export function printResult(
+  options: { readonly json?: boolean },
+  data: unknown,
+  lines: readonly string[],
+): void {
+  console.log(
+    options.json ? JSON.stringify(data, undefined, 2) : lines.join("\n"),
+  );
+}
+
+/** Sets the exit code of the process unless a worse one is set already. */
+export function setExitCode(code: number): void {
+  process.exitCode = Math.max(Number(process.exitCode ?? 0), code);
+}
+
+/** A part of a command's output that could not be read. */
+export interface Unreadable {
+  readonly what: string;
+  readonly reason: string;
+}
+
+/** Runs a read; on failure records the reason, sets exit code 3 and returns undefined. */
+export async function readOrNote<T>(
+  what: string,
+  unreadable: Unreadable[],
+  read: () => Promise<T>,
+): Promise<T | undefined> {
+  try {
+    return await read();
+  } catch (error) {
+    if (error instanceof UsageError) throw error;
+    unreadable.push({ what, reason: messageOf(error) });
+    setExitCode(EXIT_CODES.platformUnreachable);
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/commands/dump.ts
@@ -0,0 +1,38 @@
+import type { Command } from "commander";
+import { TaggedError } from "../errors.ts";
+import {
+  addPlatformOptions,
+  type PlatformOptions,
+  resolvePlatform,
+  type Unreadable,
+} from "./context.ts";
+import { readDumps } from "./entry_dumps.ts";
+
+/** An entry that the VM list doesn't show. */
+export class UnknownEntryError extends TaggedError<"unknown_entry"> {
+  readonly kind = "unknown_entry";
+}
+
+async function runDump(
+  entryId: string | undefined,
+  options: PlatformOptions,
+): Promise<void> {
+  const platform = await resolvePlatform(options);
+  const unreadable: Unreadable[] = [];
+  const entries = await readDumps(platform, { entryId, unreadable });
+  if (
+    entryId !== undefined && entries.length === 0 && unreadable.length === 0
+  ) {
+    throw new UnknownEntryError(`The VM list shows no entry ${entryId}`);
+  }
+  console.log(JSON.stringify({ entries, unreadable }, undefined, 2));
+}
+
+/** Adds the `dump` command. */
+export function addDumpCommand(program: Command): void {
+  addPlatformOptions(
+    program.command("dump")
+      .description("print the state of one entry, or of every live entry")
+      .argument("[entry]", "id of an entry"),
+  ).action(runDump);
+}
--- /dev/null
+++ b/src/commands/entry_dumps.ts
@@ -0,0 +1,74 @@
+import { listLiveEntries } from "../config/roll_out.ts";
+import type { OperatorPlatform, Unreadable } from "./context.ts";
+import { readOrNote } from "./context.ts";
+
+/** Time after which an entry's dump counts as missing, in ms. */
+const DUMP_TIMEOUT_MS = 3_000;
+
+/** The state dump of one entry. */
+export interface EntryDump {
+  readonly entryId: string;
+  readonly dump: unknown;
+}
+
+/** Reads the dumps of live entries, or of one entry; what can't be read is added to `unreadable`. */
+export async function readDumps(
+  platform: OperatorPlatform,
+  options: { entryId?: string | undefined; unreadable: Unreadable[] },
+): Promise<EntryDump[]> {
+  const { entryId, unreadable } = options;
+  const vms = await platform.vmList().list();
+  const entries = entryId === undefined
+    ? listLiveEntries(vms)
+    : vms.filter((vm) => vm.role === "entry" && vm.id === entryId);
+  const dumps = await Promise.all(
+    entries.map((vm) =>
+      readOrNote(`dump of ${vm.id}`, unreadable, async () => {
+        if (vm.adminAddress === undefined) {
+          throw new Error("the VM list has no admin address");
+        }
+        const signal = AbortSignal.timeout(DUMP_TIMEOUT_MS);
+        const dump = await platform.readDump(vm.adminAddress, signal);
+        return { entryId: vm.id, dump };
+      })
+    ),
+  );
+  return dumps.filter((dump) => dump !== undefined);
+}
+
+/** One object inside an entry's dump. */
+export interface DumpMatch {
+  readonly entryId: string;
+  readonly path: string;
+  readonly value: unknown;
+}
+
+function matchesIn(
+  value: unknown,
+  path: string,
+  matches: (item: Record<string, unknown>, key: string) => boolean,
+): { path: string; value: unknown }[] {
+  if (typeof value !== "object" || value === null) return [];
+  return Object.entries(value).flatMap(([key, child]) => {
+    const at = Array.isArray(value) ? `${path}[${key}]` : `${path}.${key}`;
+    const isMatch = typeof child === "object" && child !== null &&
+      !Array.isArray(child) && matches(child, key);
+    return isMatch
+      ? [{ path: at, value: child }]
+      : matchesIn(child, at, matches);
+  });
+}
+
+/** Finds the objects of a dump that carry a value in one of the named fields, or that are held under it as key. */
+export function findInDump(
+  { entryId, dump }: EntryDump,
+  fields: readonly string[],
+  wanted: string,
+): DumpMatch[] {
+  return matchesIn(
+    dump,
+    "$",
+    (item, key) =>
+      key === wanted || fields.some((field) => item[field] === wanted),
+  ).map((match) => ({ entryId, ...match }));
+}
--- /dev/null
+++ b/src/commands/status.ts
@@ -0,0 +1,195 @@
+import { setTimeout as delay } from "node:timers/promises";
+import type { Command } from "commander";
+import { z } from "zod";
+import { parseAppliedConfig } from "../config/follower.ts";
+import {
+  type EntryReport,
+  listLiveEntries,
+  readEntryReport,
+} from "../config/roll_out.ts";
+import type { AppliedConfig } from "../config/schema.ts";
+import { CONFIG_KEY } from "../constants.ts";
+import { parseFleetRecord } from "../fleet/follower.ts";
+import { fleetKey, type FleetRecord } from "../fleet/record.ts";
+import type { Store } from "../platform/store.ts";
+import type { Vm } from "../platform/vm_list.ts";
+import {
+  addPlatformOptions,
+  type OperatorPlatform,
+  parseInteger,
+  type PlatformOptions,
+  printResult,
+  readOrNote,
+  resolvePlatform,
+  type Unreadable,
+} from "./context.ts";
+import {
+  listLoans,
+  type Loan,
+  type PoolBudget,
+  type PoolWave,
+  summarizeBudgets,
+  summarizeWaves,
+} from "./fleet_summary.ts";
+import { formatStatus } from "./status_format.ts";
+
+/** State of one region as read from its fleet record. */
+export interface RegionStatus {
+  readonly region: string;
+  /** Revision of the fleet record; undefined when there is none. */
+  readonly fleetRevision: number | undefined;
+  readonly budgets: readonly PoolBudget[];
+  readonly waves: readonly PoolWave[];
+  /** Why maintenance is paused, if it is. */
+  readonly pausedReason?: string;
+  /** Pools whose wave can't finish in its period, with the reason. */
+  readonly lateWaves: Readonly<Record<string, string>>;
+  readonly loans: readonly Loan[];
+}
+
+/** One entry of the VM list with what it reported. */
+export interface EntryStatus extends EntryReport {
+  readonly state: Vm["state"];
+  readonly region: string;
+  readonly dataCentre: string;
+}
+
+/** What `status` prints. */
+export interface Status {
+  readonly configuration:
+    | Pick<AppliedConfig, "revision" | "applyId" | "appliedAtMs" | "digest">
+    | undefined;
+  readonly regions: readonly RegionStatus[];
+  readonly entries: readonly EntryStatus[];
+  /** Parts that could not be read, with the reason. */
+  readonly unreadable: readonly Unreadable[];
+}
+
+const lateWavesSchema = z.object({
+  maintenance: z.object({ late: z.record(z.string(), z.string()).optional() }),
+});
+
+async function readRegion(
+  store: Store,
+  region: string,
+  applied: AppliedConfig,
+): Promise<RegionStatus> {
+  const entry = await store.get(fleetKey(region));
+  if (entry === undefined) {
+    return {
+      region,
+      fleetRevision: undefined,
+      budgets: [],
+      waves: [],
+      lateWaves: {},
+      loans: [],
+    };
+  }
+  const record: FleetRecord = parseFleetRecord(entry.value);
+  const late = lateWavesSchema.safeParse(JSON.parse(entry.value));
+  const { pausedReason } = record.maintenance;
+  return {
+    region,
+    fleetRevision: record.revision,
+    budgets: summarizeBudgets(record, applied.config),
+    waves: summarizeWaves(record, applied.config, Date.now()),
+    ...(pausedReason !== undefined && { pausedReason }),
+    lateWaves: late.data?.maintenance.late ?? {},
+    loans: listLoans(record),
+  };
+}
+
+async function readEntries(platform: OperatorPlatform): Promise<EntryStatus[]> {
+  const vms = await platform.vmList().list();
+  const live = new Set(listLiveEntries(vms));
+  return await Promise.all(
+    vms.filter((vm) => vm.role === "entry").map(async (vm) => ({
+      ...(live.has(vm)
+        ? await readEntryReport(vm, platform.readDump)
+        : { entryId: vm.id, revision: undefined }),
+      state: vm.state,
+      region: vm.region,
+      dataCentre: vm.dataCentre,
+    })),
+  );
+}
+
+/** Returns the regions that a configuration's pools are in. */
+export function listRegions(applied: AppliedConfig | undefined): string[] {
+  return [...new Set(applied?.config.pools.map((pool) => pool.region))].sort();
+}
+
+/** Reads the configuration in force; undefined when none was applied. */
+export async function readApplied(
+  store: Store,
+): Promise<AppliedConfig | undefined> {
+  const entry = await store.get(CONFIG_KEY);
+  return entry && parseAppliedConfig(entry.value);
+}
+
+/** Reads everything that `status` shows; parts that can't be read are listed. */
+export async function readStatus(platform: OperatorPlatform): Promise<Status> {
+  const unreadable: Unreadable[] = [];
+  const store = platform.store();
+  const [applied, entries] = await Promise.all([
+    readOrNote("configuration", unreadable, () => readApplied(store)),
+    readOrNote("VM list", unreadable, () => readEntries(platform)),
+  ]);
+  const regions = applied === undefined ? [] : await Promise.all(
+    listRegions(applied).map((region) =>
+      readOrNote(
+        `fleet record of ${region}`,
+        unreadable,
+        () => readRegion(store, region, applied),
+      )
+    ),
+  );
+  const { revision, applyId, appliedAtMs, digest } = applied ?? {};
+  return {
+    configuration: revision === undefined
+      ? undefined
+      : { revision, applyId, appliedAtMs, digest } as Status["configuration"],
+    regions: regions.filter((region) => region !== undefined),
+    entries: entries ?? [],
+    unreadable,
+  };
+}
+
+interface Options extends PlatformOptions {
+  readonly watch?: boolean;
+  readonly intervalMs: number;
+  readonly count?: number;
+}
+
+async function runStatus(options: Options): Promise<void> {
+  const platform = await resolvePlatform(options);
+  const count = options.watch ? options.count ?? Infinity : 1;
+  for (let shown = 1; shown <= count; shown++) {
+    const status = await readStatus(platform);
+    printResult(options, status, formatStatus(status));
+    if (shown < count) await delay(options.intervalMs);
+  }
+}
+
+/** Adds the `status` command. */
+export function addStatusCommand(program: Command): void {
+  addPlatformOptions(
+    program.command("status")
+      .description(
+        "show the configuration in force, budgets, maintenance, loans and entries",
+      ),
+  )
+    .option("--watch", "print again and again until interrupted")
+    .option(
+      "--interval-ms <ms>",
+      "time between prints of --watch",
+      parseInteger(100),
+      2_000,
+    )
+    .option(
+      "--count <number>",
+      "end --watch after this many prints",
+      parseInteger(1),
+    )
+    .action(runStatus);
+}
--- /dev/null
+++ b/src/commands/status_format.ts
@@ -0,0 +1,81 @@
+import type { EntryStatus, RegionStatus, Status } from "./status.ts";
+
+function formatMissing(missing: Readonly<Record<string, number>>): string {
+  return Object.entries(missing).map(([state, count]) => `, ${count} ${state}`)
+    .join("");
+}
+
+function formatRegion(region: RegionStatus): string[] {
+  if (region.fleetRevision === undefined) {
+    return [`region ${region.region}: no fleet record yet`];
+  }
+  const lines = [
+    `region ${region.region}: fleet revision ${region.fleetRevision}`,
+  ];
+  for (const budget of region.budgets) {
+    const state = budget.marginVms < 0 ? "  BUDGET SHORT" : "";
+    lines.push(
+      `  pool ${budget.pool} (${budget.team}): ${budget.ownServingVms} of ` +
+        `${budget.ownedVms} own VMs serving, minimum ${budget.minimumServingVms}, ` +
+        `${budget.lentVms} lent, ${budget.borrowedVms} borrowed` +
+        formatMissing(budget.missing) + state,
+    );
+  }
+  if (region.pausedReason !== undefined) {
+    lines.push(`  maintenance paused: ${region.pausedReason}`);
+  }
+  for (const wave of region.waves) {
+    const active = wave.inProgress.length === 0
+      ? ""
+      : `; in progress: ${wave.inProgress.join(", ")}`;
+    lines.push(
+      `  maintenance ${wave.pool}: ${wave.maintainedVms} done in the last ` +
+        `${wave.periodDays} days, ${wave.remainingVms} remaining${active}`,
+    );
+  }
+  for (const [pool, reason] of Object.entries(region.lateWaves)) {
+    lines.push(`  maintenance ${pool} can't finish in its period: ${reason}`);
+  }
+  for (const loan of region.loans) {
+    const target = loan.targetPool === undefined
+      ? ""
+      : `, moving to ${loan.targetPool}`;
+    lines.push(
+      `  loan ${loan.vmId}: of ${loan.homePool}, in ${loan.pool}${target} (${loan.state})` +
+        (loan.reason === undefined ? "" : `: ${loan.reason}`),
+    );
+  }
+  return lines;
+}
+
+function formatEntry(entry: EntryStatus): string {
+  const place = `${entry.region}/${entry.dataCentre}`;
+  if (entry.state === "leaving") {
+    return `entry ${entry.entryId} (${place}): leaving`;
+  }
+  return `entry ${entry.entryId} (${place}): ` +
+    (entry.failure ?? `configuration revision ${entry.revision}`);
+}
+
+/** Formats the status as lines. */
+export function formatStatus(status: Status): string[] {
+  const { configuration } = status;
+  const lines = status.unreadable.map((part) =>
+    `unreadable: ${part.what}: ${part.reason}`
+  );
+  if (configuration !== undefined) {
+    lines.push(
+      `configuration: revision ${configuration.revision}, applied ` +
+        `${
+          new Date(configuration.appliedAtMs).toISOString()
+        }, apply id ${configuration.applyId}`,
+    );
+  } else if (!status.unreadable.some((part) => part.what === "configuration")) {
+    lines.push("configuration: none applied yet");
+  }
+  return [
+    ...lines,
+    ...status.regions.flatMap(formatRegion),
+    ...status.entries.map(formatEntry),
+  ];
+}
--- /dev/null
+++ b/src/config/budget_rules.ts
@@ -0,0 +1,98 @@
+import type { ValidationIssue } from "../errors.ts";
+import { createIssue } from "../validation.ts";
+import type { DeepPartial } from "../partial_parse.ts";
+import type { LendingWindow, PartialPool } from "./schema.ts";
+
+const DAY_MS = 86_400_000;
+
+function listAvailabilityIssues(
+  pool: PartialPool,
+  path: string,
+): ValidationIssue[] {
+  const { vms } = pool;
+  const minimum = pool.availability?.minimumServingVms;
+  const lent = pool.lending?.maximumLentVms;
+  if (vms === undefined || minimum === undefined) return [];
+  if (minimum > vms) {
+    return [createIssue(
+      `${path}.availability.minimumServingVms`,
+      minimum,
+      `at most ${vms}, the pool's vms`,
+    )];
+  }
+  return lent === undefined || lent <= vms - minimum ? [] : [createIssue(
+    `${path}.lending.maximumLentVms`,
+    lent,
+    `at most ${
+      vms - minimum
+    }, the pool's vms (${vms}) less its minimumServingVms (${minimum})`,
+  )];
+}
+
+function listMaintenanceIssues(
+  pool: PartialPool,
+  path: string,
+): ValidationIssue[] {
+  const { vms } = pool;
+  const minimum = pool.availability?.minimumServingVms;
+  const { periodDays, maximumConcurrentVms, vmMaintenanceMs } =
+    pool.maintenance ?? {};
+  if (
+    vms === undefined || vms === 0 || minimum === undefined || minimum > vms
+  ) return [];
+  if (minimum === vms) {
+    return [createIssue(
+      `${path}.availability.minimumServingVms`,
+      minimum,
+      `at most ${vms - 1}, so that one VM at a time can be maintained`,
+    )];
+  }
+  if (
+    periodDays === undefined || maximumConcurrentVms === undefined ||
+    vmMaintenanceMs === undefined
+  ) return [];
+  const concurrentVms = Math.min(maximumConcurrentVms, vms - minimum);
+  const neededDays = Math.ceil(vms / concurrentVms) * vmMaintenanceMs / DAY_MS;
+  return neededDays <= periodDays ? [] : [createIssue(
+    `${path}.maintenance.periodDays`,
+    periodDays,
+    `at least ${Math.ceil(neededDays * 100) / 100}: ${vms} VMs, ` +
+      `${concurrentVms} at a time, ${vmMaintenanceMs} ms each`,
+  )];
+}
+
+function listWindowIssues(
+  window: DeepPartial<LendingWindow> | undefined,
+  path: string,
+): ValidationIssue[] {
+  const { from, to, days } = window ?? {};
+  const repeated = (days ?? []).flatMap((day, index) =>
+    day !== undefined && days?.indexOf(day) !== index
+      ? [
+        createIssue(`${path}.days[${index}]`, day, "a day that is listed once"),
+      ]
+      : []
+  );
+  return from === undefined || from !== to ? repeated : [
+    ...repeated,
+    createIssue(
+      `${path}.to`,
+      to,
+      `a time other than ${from}, as the window would have no length; 00:00 to 24:00 is a whole day`,
+    ),
+  ];
+}
+
+/** Returns the rules that one pool's budget, maintenance and lending windows break. */
+export function listBudgetIssues(
+  pool: PartialPool,
+  path: string,
+): ValidationIssue[] {
+  return [
+    ...listAvailabilityIssues(pool, path),
+    ...listMaintenanceIssues(pool, path),
+    ...(pool.lending?.windows ?? []).flatMap((window, index) =>
+      listWindowIssues(window, `${path}.lending.windows[${index}]`)
+    ),
+  ];
+}
--- a/src/config/schema.ts
+++ b/src/config/schema.ts
@@ -1,18 +1,37 @@
 import { z } from "zod";
+import type { DeepPartial } from "../partial_parse.ts";
 
 const name = z.string().regex(
   /^[a-z][a-z0-9-]{0,62}$/,
   "a lower-case name of letters, digits and dashes, at most 63 characters",
 );
 const timeOfDay = z.string().regex(
+  /^([01]\d|2[0-3]):[0-5]\d$/,
+  "a time from 00:00 to 23:59",
+);
+const endOfDay = z.string().regex(
   /^([01]\d|2[0-3]):[0-5]\d$|^24:00$/,
-  "a time such as 17:30",
+  "a time from 00:00 to 24:00",
 );
 const weekday = z.enum(["mon", "tue", "wed", "thu", "fri", "sat", "sun"]);
+const timeZone = z.string().refine(
+  isTimeZone,
+  "a time zone of the IANA database, such as Africa/Windhoek",
+);
+
+/** Whether this process knows a time zone by this name. */
+function isTimeZone(name: string): boolean {
+  try {
+    new Intl.DateTimeFormat("en", { timeZone: name });
+    return true;
+  } catch {
+    return false;
+  }
+}
 
 /** A daily window in which lending is allowed. `to` before `from` means the next day. */
 const lendingWindowSchema = z.strictObject({
-  timeZone: z.string().min(1),
+  timeZone,
   days: z.array(weekday).min(1).default([
     "mon",
     "tue",
@@ -23,7 +42,7 @@
     "sun",
   ]),
   from: timeOfDay,
-  to: timeOfDay,
+  to: endOfDay,
 });
 
 const serviceSchema = z.strictObject({
@@ -70,6 +89,10 @@
   order: z.enum(["rack", "spread"]).default("rack"),
   /** VMs of the pool that may be under maintenance at the same time. */
   maximumConcurrentVms: z.number().int().min(1).default(1),
+  /** Time from the start of a VM's drain until it serves again, in ms. */
+  vmMaintenanceMs: z.number().int().min(1_000).max(86_400_000).default(
+    600_000,
+  ),
 });
 
 const poolSchema = z.strictObject({
@@ -99,6 +122,8 @@
     /** Weight of each move of a VM. */
     moves: z.number().nonnegative().default(1),
   }).prefault({}),
+  /** Regions that pools may name; any region, when absent. */
+  regions: z.array(name).min(1).optional(),
   teams: z.array(teamSchema).min(1),
   services: z.array(serviceSchema).min(1),
   pools: z.array(poolSchema).min(1),
@@ -110,9 +135,16 @@
 export type ResolvedConfig = z.output<typeof configSchema>;
 /** One pool with every default filled in. */
 export type PoolConfig = ResolvedConfig["pools"][number];
+/** A daily window in which VMs may be lent. */
+export type LendingWindow = z.output<typeof lendingWindowSchema>;
 /** One service with every default filled in. */
 export type ServiceConfig = ResolvedConfig["services"][number];
 
+/** A configuration of which invalid parts are missing. */
+export type PartialConfig = DeepPartial<ResolvedConfig>;
+/** A pool of which invalid parts are missing. */
+export type PartialPool = DeepPartial<PoolConfig>;
+
 /** The store's value: a configuration that was accepted. */
 export const appliedConfigSchema = z.object({
   revision: z.number().int().positive(),
@@ -122,6 +154,10 @@
   /** SHA-256 of the configuration's JSON, in hexadecimal. */
   digest: z.string(),
   config: configSchema,
+  /** Earlier applies, newest first, by which a lost answer is resolved after other applies. */
+  previousApplies: z.array(
+    z.object({ revision: z.number().int().positive(), applyId: z.string() }),
+  ).optional(),
 });
 
 /** A configuration that was accepted. */
--- /dev/null
+++ b/src/partial_parse.ts
@@ -0,0 +1,38 @@
+import { z } from "zod";
+import { unwrapSchema } from "./validation.ts";
+
+/** A value of which any part may be missing because it is invalid. */
+export type DeepPartial<T> = T extends readonly (infer Item)[]
+  ? readonly (DeepPartial<Item> | undefined)[]
+  : T extends object
+    ? { readonly [Key in keyof T]?: DeepPartial<T[Key]> | undefined }
+  : T;
+
+function isObject(data: unknown): data is Record<string, unknown> {
+  return typeof data === "object" && data !== null && !Array.isArray(data);
+}
+
+function parseParts(schema: z.core.$ZodType, data: unknown): unknown {
+  const result = z.safeParse(schema, data);
+  if (result.success) return result.data;
+  const inner = unwrapSchema(schema);
+  if (inner instanceof z.ZodObject && isObject(data)) {
+    return Object.fromEntries(
+      Object.entries(inner.shape).map((
+        [key, part],
+      ) => [key, parseParts(part, data[key])]),
+    );
+  }
+  if (inner instanceof z.ZodArray && Array.isArray(data)) {
+    return data.map((item) => parseParts(inner.element, item));
+  }
+  return undefined;
+}
+
+/** Parses every part that fits its schema, so that rules can be checked beside schema errors. */
+export function parseValidParts<T extends z.ZodType>(
+  schema: T,
+  data: unknown,
+): DeepPartial<z.output<T>> | undefined {
+  return parseParts(schema, data) as DeepPartial<z.output<T>> | undefined;
+}
--- a/src/platform/http_store.ts
+++ b/src/platform/http_store.ts
@@ -19,6 +19,13 @@
 /** Time beyond a watch's own wait after which it counts as failed, in ms. */
 const WATCH_MARGIN_MS = 2_000;
 
+interface CallOptions extends JsonRequestOptions {
+  /** Whether the call may change the store, so that a lost answer leaves its outcome unknown. */
+  readonly writes: boolean;
+  /** Statuses from 400 to 499 that are answers of the protocol. */
+  readonly expectedStatuses?: readonly number[];
+}
+
 /** Client of the store's HTTP protocol. */
 export function createHttpStore(baseUrl: string): Store {
   const valueUrl = (key: string) =>
@@ -28,7 +35,7 @@
 
   async function call(
     url: string,
-    options: JsonRequestOptions & { writes: boolean },
+    options: CallOptions,
   ): Promise<JsonResponse> {
     let response: JsonResponse;
     try {
@@ -42,19 +49,17 @@
         `The store did not answer: ${messageOf(error)}`,
       );
     }
-    if (response.status >= 500) {
+    const { status } = response;
+    if (status >= 500) {
       throw new StoreError(
         options.writes ? "unknown_outcome" : "unavailable",
-        `The store answered with status ${response.status}`,
+        `The store answered with status ${status}`,
       );
     }
-    if (
-      response.status === 400 || response.status === 413 ||
-      response.status === 429
-    ) {
+    if (status >= 400 && !options.expectedStatuses?.includes(status)) {
       throw new StoreError(
         "rejected",
-        `The store refused the call with status ${response.status}`,
+        `The store refused the call with status ${status}`,
       );
     }
     return response;
@@ -63,15 +68,14 @@
   function parse<T extends z.ZodType>(
     schema: T,
     response: JsonResponse,
+    options: { writes: boolean },
   ): z.output<T> {
     const result = schema.safeParse(response.body);
-    if (!result.success) {
-      throw new StoreError(
-        "unknown_outcome",
-        "The store's answer has an unknown form",
-      );
-    }
-    return result.data;
+    if (result.success) return result.data;
+    throw new StoreError(
+      options.writes ? "unknown_outcome" : "unavailable",
+      "The store's answer has an unknown form",
+    );
   }
 
   return {
@@ -80,8 +84,11 @@
         timeoutMs: STORE_CALL_TIMEOUT_MS,
         signal,
         writes: false,
+        expectedStatuses: [404],
       });
-      return response.status === 404 ? undefined : parse(entrySchema, response);
+      return response.status === 404
+        ? undefined
+        : parse(entrySchema, response, { writes: false });
     },
 
     async compareAndSwap(
@@ -94,8 +101,9 @@
         timeoutMs: STORE_CALL_TIMEOUT_MS,
         signal,
         writes: true,
+        expectedStatuses: [409],
       });
-      const { version } = parse(versionSchema, response);
+      const { version } = parse(versionSchema, response, { writes: true });
       return {
         kind: response.status === 409 ? "conflict" : "swapped",
         version,
@@ -112,7 +120,9 @@
         signal,
         writes: false,
       });
-      return response.status === 204 ? undefined : parse(entrySchema, response);
+      return response.status === 204
+        ? undefined
+        : parse(entrySchema, response, { writes: false });
     },
 
     async acquireLease(name, { holder, ttlMs, signal }): Promise<LeaseResult> {
@@ -123,7 +133,7 @@
         signal,
         writes: true,
       });
-      const result = parse(leaseSchema, response);
+      const result = parse(leaseSchema, response, { writes: true });
       return result.kind === "held" ? result : {
         kind: "granted",
         lease: { name, holder, ttlMs, fencingToken: result.fencingToken },
--- /dev/null
+++ b/src/platform/store_test.ts
@@ -0,0 +1,187 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { createFakeStore } from "../../testing/fake_store.ts";
+import { startStoreServer } from "../../testing/store_server.ts";
+import { type StoreError, type StoreFailure } from "../errors.ts";
+import { createHttpStore } from "./http_store.ts";
+import type { Store } from "./store.ts";
+
+/** One implementation of the port with the faults that the contract needs. */
+interface Harness {
+  readonly store: Store;
+  readonly faults: {
+    loseAnswers: number;
+    dropWrites: number;
+    staleReads: number;
+  };
+  lapseLease(name: string): void;
+  elapse(ms: number): Promise<void>;
+  takeDown(): Promise<void>;
+  close(): Promise<void>;
+}
+
+async function createHttpHarness(): Promise<Harness> {
+  const server = await startStoreServer();
+  return {
+    store: createHttpStore(`http://${server.address}`),
+    faults: server.faults,
+    lapseLease: server.lapseLease,
+    elapse: (ms) => delay(ms),
+    takeDown: server.close,
+    close: server.close,
+  };
+}
+
+function createFakeHarness(): Promise<Harness> {
+  const store = createFakeStore();
+  return Promise.resolve({
+    store,
+    faults: store.faults,
+    lapseLease: store.lapseLease,
+    elapse: async (ms) => {
+      await delay(1);
+      store.advance(ms);
+    },
+    takeDown() {
+      store.faults.unavailable = true;
+      return Promise.resolve();
+    },
+    close: () => Promise.resolve(),
+  });
+}
+
+async function failureOf(call: Promise<unknown>): Promise<StoreFailure> {
+  try {
+    await call;
+  } catch (error) {
+    return (error as StoreError).failure;
+  }
+  throw new Error("the call did not fail");
+}
+
+const swap = (store: Store, expectedVersion: number, value: string) =>
+  store.compareAndSwap({ key: "a/b", expectedVersion, value });
+const lease = (store: Store, holder: string) =>
+  store.acquireLease("l/1", { holder, ttlMs: 60_000 });
+const granted = (holder: string, fencingToken: number) => ({
+  kind: "granted",
+  lease: { name: "l/1", holder, ttlMs: 60_000, fencingToken },
+});
+
+/** Each case names the failure that it guards against. */
+const CASES: Record<string, (harness: Harness) => Promise<void>> = {
+  async "a swap that writes on a wrong version"({ store }) {
+    assert.is(await store.get("a/b"), undefined);
+    assert.equal(await swap(store, 0, "x"), { kind: "swapped", version: 1 });
+    assert.equal(await swap(store, 0, "y"), { kind: "conflict", version: 1 });
+    assert.equal(await store.get("a/b"), { value: "x", version: 1 });
+  },
+  async "two winners of one version"({ store }) {
+    const results = await Promise.all(
+      Array.from({ length: 8 }, (_, index) => swap(store, 0, `${index}`)),
+    );
+    const winners = results.filter((result) => result.kind === "swapped");
+    assert.is(winners.length, 1);
+  },
+  async "a lost answer taken for a failed write"({ store, faults }) {
+    faults.loseAnswers = 1;
+    assert.is(await failureOf(swap(store, 0, "x")), "unknown_outcome");
+    assert.equal(await store.get("a/b"), { value: "x", version: 1 });
+    assert.equal(await swap(store, 0, "x"), { kind: "conflict", version: 1 });
+  },
+  async "a dropped write taken for a success"({ store, faults }) {
+    faults.dropWrites = 1;
+    assert.is(await failureOf(swap(store, 0, "x")), "unknown_outcome");
+    assert.is(await store.get("a/b"), undefined);
+    assert.equal(await swap(store, 0, "x"), { kind: "swapped", version: 1 });
+  },
+  async "a value above the limit that is stored"({ store }) {
+    const value = "x".repeat(1_000_001);
+    assert.is(await failureOf(swap(store, 0, value)), "rejected");
+    assert.is(await store.get("a/b"), undefined);
+  },
+  async "a watch that misses a change"({ store }) {
+    const pending = store.watch("a/b", { afterVersion: 0, waitMs: 10_000 });
+    await swap(store, 0, "x");
+    assert.equal(await pending, { value: "x", version: 1 });
+    const late = await store.watch("a/b", { afterVersion: 0, waitMs: 10_000 });
+    assert.equal(late, { value: "x", version: 1 });
+  },
+  async "a watch of an absent key that never answers"({ store }) {
+    const entry = await store.watch("a/b", {
+      afterVersion: -1,
+      waitMs: 10_000,
+    });
+    assert.equal(entry, { value: "", version: 0 });
+  },
+  async "a watch that outlasts its wait time"({ store, elapse }) {
+    const pending = store.watch("a/b", { afterVersion: 0, waitMs: 30 });
+    await elapse(30);
+    assert.is(await pending, undefined);
+  },
+  async "a watch that ignores its abort signal"({ store }) {
+    const abort = new AbortController();
+    const pending = failureOf(store.watch("a/b", {
+      afterVersion: 0,
+      waitMs: 10_000,
+      signal: abort.signal,
+    }));
+    await delay(5);
+    abort.abort();
+    assert.is(await pending, "unavailable");
+  },
+  async "a lease with two holders or a repeated token"({ store }) {
+    assert.equal(await lease(store, "p"), granted("p", 1));
+    assert.equal(await lease(store, "p"), granted("p", 1));
+    assert.equal(await lease(store, "q"), { kind: "held", holder: "p" });
+    await store.releaseLease("l/1", "q");
+    assert.equal(await lease(store, "q"), { kind: "held", holder: "p" });
+    await store.releaseLease("l/1", "p");
+    assert.equal(await lease(store, "q"), granted("q", 2));
+  },
+  async "a lapsed lease that its former holder keeps"({ store, lapseLease }) {
+    await lease(store, "p");
+    lapseLease("l/1");
+    assert.equal(await lease(store, "q"), granted("q", 2));
+    assert.equal(await lease(store, "p"), { kind: "held", holder: "q" });
+  },
+  async "a lost answer that costs a lease"({ store, faults }) {
+    faults.loseAnswers = 1;
+    assert.is(await failureOf(lease(store, "p")), "unknown_outcome");
+    assert.equal(await lease(store, "p"), granted("p", 1));
+  },
+  async "a write based on a stale read"({ store, faults }) {
+    await swap(store, 0, "x");
+    await swap(store, 1, "y");
+    faults.staleReads = 1;
+    assert.equal(await store.get("a/b"), { value: "x", version: 1 });
+    assert.equal(await swap(store, 1, "z"), { kind: "conflict", version: 2 });
+  },
+  async "an outage reported as an unknown outcome"({ store, takeDown }) {
+    await takeDown();
+    assert.is(await failureOf(store.get("a/b")), "unavailable");
+    assert.is(await failureOf(swap(store, 0, "x")), "unavailable");
+    assert.is(await failureOf(lease(store, "p")), "unavailable");
+  },
+};
+
+for (
+  const [name, create] of Object.entries({
+    "http store": createHttpHarness,
+    "fake store": createFakeHarness,
+  })
+) {
+  const test = suite(name);
+  for (const [guardsAgainst, run] of Object.entries(CASES)) {
+    test(`${name} guards against ${guardsAgainst}`, async () => {
+      const harness = await create();
+      try {
+        await run(harness);
+      } finally {
+        await harness.close();
+      }
+    });
+  }
+  test.run();
+}
--- /dev/null
+++ b/src/settings/operator.ts
@@ -0,0 +1,28 @@
+import { z } from "zod";
+import { parseJson, parseWithSchema } from "../validation.ts";
+import { readTextFile } from "./load.ts";
+import { platformUrl } from "./platform_url.ts";
+
+/** Settings of the operators' commands. */
+export const operatorSettingsSchema = z.strictObject({
+  platform: z.strictObject({
+    storeUrl: platformUrl.optional(),
+    vmListUrl: platformUrl.optional(),
+  }).prefault({}),
+});
+
+/** What an operator settings file holds. */
+export type UserOperatorSettings = z.input<typeof operatorSettingsSchema>;
+/** Operator settings with every default filled in. */
+export type ResolvedOperatorSettings = z.output<typeof operatorSettingsSchema>;
+
+/** Loads an operator settings file; throws a `ValidationError`. */
+export async function loadOperatorSettings(
+  path: string,
+): Promise<ResolvedOperatorSettings> {
+  return parseWithSchema(
+    operatorSettingsSchema,
+    parseJson(await readTextFile(path), path),
+    path,
+  );
+}
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { platformUrl } from "./platform_url.ts";
 
 const ipAddress = z.ipv4("an IPv4 address");
 const listenSchema = z.strictObject({
@@ -6,7 +7,6 @@
   /** 0 lets the system choose. */
   port: z.number().int().min(0).max(65_535).default(0),
 });
-const url = z.url("an http URL with an IP address");
 
 /** Settings of one entry process. */
 export const settingsSchema = z.strictObject({
@@ -14,16 +14,23 @@
     /^[A-Za-z0-9-]{1,63}$/,
     "letters, digits and dashes, at most 63",
   ),
-  region: z.string().min(1),
-  dataCentre: z.string().min(1),
+  /** Region as named in the configuration. */
+  region: z.string().regex(
+    /^[a-z][a-z0-9-]{0,62}$/,
+    "a lower-case name of letters, digits and dashes, at most 63 characters",
+  ),
+  dataCentre: z.string().min(1).max(63),
   listen: z.strictObject({
     callers: listenSchema.prefault({}),
     peers: listenSchema.prefault({}),
     admin: listenSchema.prefault({}),
   }).prefault({}),
-  platform: z.strictObject({ storeUrl: url, vmListUrl: url }),
+  platform: z.strictObject({ storeUrl: platformUrl, vmListUrl: platformUrl }),
   /** Parts that this process runs. */
-  roles: z.array(z.enum(["requests", "controller"])).min(1).default([
+  roles: z.array(z.enum(["requests", "controller"])).min(1).refine(
+    (roles) => new Set(roles).size === roles.length,
+    "each role at most once",
+  ).default([
     "requests",
     "controller",
   ]),
--- a/src/validation.ts
+++ b/src/validation.ts
@@ -1,21 +1,23 @@
-import type { z } from "zod";
+import { z } from "zod";
 import { ValidationError, type ValidationIssue } from "./errors.ts";
 
 const MAXIMUM_FOUND_CHARACTERS = 120;
 
 /** Formats a path of keys and indexes as a JSON path. */
 export function formatJsonPath(path: readonly PropertyKey[]): string {
-  return path.reduce<string>(
-    (text, key) =>
-      typeof key === "number" ? `${text}[${key}]` : `${text}.${String(key)}`,
-    "$",
-  );
+  return path.reduce<string>((text, key) => {
+    if (typeof key === "number") return `${text}[${key}]`;
+    const name = String(key);
+    return /^[A-Za-z_$][\w$]*$/.test(name)
+      ? `${text}.${name}`
+      : `${text}[${JSON.stringify(name)}]`;
+  }, "$");
 }
 
 function valueAt(data: unknown, path: readonly PropertyKey[]): unknown {
   return path.reduce<unknown>(
     (value, key) =>
-      typeof value === "object" && value !== null
+      typeof value === "object" && value !== null && Object.hasOwn(value, key)
         ? (value as Record<PropertyKey, unknown>)[key]
         : undefined,
     data,
@@ -30,6 +32,102 @@
     : text;
 }
 
+/** Creates an issue for the value found at a JSON path. */
+export function createIssue(
+  path: string,
+  found: unknown,
+  expected: string,
+): ValidationIssue {
+  return { path, found: formatFound(found), expected };
+}
+
+/** Removes the wrappers for defaults and optional values from a schema. */
+export function unwrapSchema(schema: z.core.$ZodType): z.core.$ZodType {
+  let inner = schema;
+  while (
+    inner instanceof z.ZodDefault || inner instanceof z.ZodPrefault ||
+    inner instanceof z.ZodOptional
+  ) inner = inner.unwrap();
+  return inner;
+}
+
+function schemaAt(
+  schema: z.core.$ZodType,
+  path: readonly PropertyKey[],
+): z.core.$ZodType | undefined {
+  let current: z.core.$ZodType | undefined = unwrapSchema(schema);
+  for (const key of path) {
+    if (current instanceof z.ZodObject) current = current.shape[String(key)];
+    else if (current instanceof z.ZodArray) current = current.element;
+    else return undefined;
+    if (current !== undefined) current = unwrapSchema(current);
+  }
+  return current;
+}
+
+function describeUnknownKey(
+  schema: z.core.$ZodType,
+  path: readonly PropertyKey[],
+): string {
+  const parent = schemaAt(schema, path);
+  return parent instanceof z.ZodObject
+    ? `no such field; the fields are ${Object.keys(parent.shape).join(", ")}`
+    : "no such field";
+}
+
+function describeBound(
+  word: "at least" | "at most",
+  limit: number | bigint,
+  origin: string,
+): string {
+  const units: Record<string, string> = {
+    array: " element(s)",
+    string: " character(s)",
+  };
+  return `${word} ${limit}${units[origin] ?? ""}`;
+}
+
+function describeExpected(issue: z.core.$ZodIssue): string {
+  switch (issue.code) {
+    case "invalid_type":
+      return `a value of type ${issue.expected}`;
+    case "too_small":
+      return describeBound("at least", issue.minimum, issue.origin);
+    case "too_big":
+      return describeBound("at most", issue.maximum, issue.origin);
+    case "invalid_value":
+      return issue.values.length === 1
+        ? JSON.stringify(issue.values[0])
+        : `one of ${
+          issue.values.map((value) => JSON.stringify(value)).join(", ")
+        }`;
+    default:
+      return issue.message;
+  }
+}
+
+/** Returns every problem that a schema finds in data; none when the data fits. */
+export function listSchemaIssues(
+  schema: z.ZodType,
+  data: unknown,
+): ValidationIssue[] {
+  const result = schema.safeParse(data);
+  if (result.success) return [];
+  return result.error.issues.flatMap((issue): ValidationIssue[] => {
+    const paths = issue.code === "unrecognized_keys"
+      ? issue.keys.map((key) => [...issue.path, key])
+      : [issue.path];
+    const expected = issue.code === "unrecognized_keys"
+      ? describeUnknownKey(schema, issue.path)
+      : describeExpected(issue);
+    return paths.map((path) => ({
+      path: formatJsonPath(path),
+      found: formatFound(valueAt(data, path)),
+      expected,
+    }));
+  });
+}
+
 /** Checks data against a schema; throws a `ValidationError` that lists every problem. */
 export function parseWithSchema<T extends z.ZodType>(
   schema: T,
@@ -38,12 +136,7 @@
 ): z.output<T> {
   const result = schema.safeParse(data);
   if (result.success) return result.data;
-  const issues: ValidationIssue[] = result.error.issues.map((issue) => ({
-    path: formatJsonPath(issue.path),
-    found: formatFound(valueAt(data, issue.path)),
-    expected: issue.message,
-  }));
-  throw new ValidationError(source, issues);
+  throw new ValidationError(source, listSchemaIssues(schema, data));
 }
 
 /** Parses JSON text; throws a `ValidationError` when it is malformed. */
--- a/testing/store_server.ts
+++ b/testing/store_server.ts
@@ -1,4 +1,5 @@
 import { setTimeout as delay } from "node:timers/promises";
+import type { StoreEntry } from "../src/platform/store.ts";
 import {
   createJsonServer,
   type JsonCall,
@@ -15,6 +16,10 @@
   delayMs: number;
   /** Number of coming writes that take effect but get no answer. */
   loseAnswers: number;
+  /** Number of coming writes that have no effect and get no answer. */
+  dropWrites: number;
+  /** Number of coming reads that show the value before the latest write. */
+  staleReads: number;
 }
 
 /** Call counts since the start. */
@@ -28,7 +33,9 @@
 export interface StoreServer extends RunningServer {
   readonly faults: StoreFaults;
   readonly counts: StoreCounts;
-  readonly values: Map<string, { value: string; version: number }>;
+  readonly values: Map<string, StoreEntry>;
+  /** Ends a lease at once; its former holder isn't told. */
+  lapseLease(name: string): void;
 }
 
 interface HeldLease {
@@ -39,16 +46,46 @@
 
 const MAXIMUM_VALUE_BYTES = 1_000_000;
 
+const BAD_REQUEST: JsonReply = { status: 400, body: {} };
+
+function isSwapBody(
+  body: unknown,
+): body is { expectedVersion: number; value: string } {
+  const { expectedVersion, value } = (body ?? {}) as Record<string, unknown>;
+  return Number.isInteger(expectedVersion) && typeof value === "string";
+}
+
+function isLeaseBody(
+  body: unknown,
+): body is { holder: string; ttlMs: number } {
+  const { holder, ttlMs } = (body ?? {}) as Record<string, unknown>;
+  return typeof holder === "string" && typeof ttlMs === "number" && ttlMs > 0;
+}
+
 /** Starts a store stand-in: compare-and-swap, leases and watches over HTTP. */
 export async function startStoreServer(port = 0): Promise<StoreServer> {
-  const faults: StoreFaults = { down: false, delayMs: 0, loseAnswers: 0 };
+  const faults: StoreFaults = {
+    down: false,
+    delayMs: 0,
+    loseAnswers: 0,
+    dropWrites: 0,
+    staleReads: 0,
+  };
   const counts: StoreCounts = { reads: 0, writes: 0, watches: 0 };
-  const values = new Map<string, { value: string; version: number }>();
+  const values = new Map<string, StoreEntry>();
+  const olderValues = new Map<string, StoreEntry>();
   const leases = new Map<string, HeldLease>();
   const watchers = new Set<() => void>();
 
+  function visible(key: string): StoreEntry | undefined {
+    const older = olderValues.get(key);
+    if (faults.staleReads <= 0 || older === undefined) return values.get(key);
+    faults.staleReads--;
+    return older;
+  }
+
   function read(key: string): JsonReply {
-    const entry = values.get(key);
+    const entry = visible(key);
     return entry === undefined
       ? { status: 404, body: {} }
       : { status: 200, body: entry };
@@ -62,7 +99,7 @@
     counts.watches++;
     const endMs = Date.now() + Number(call.url.searchParams.get("waitMs") ?? 0);
     while (!call.signal.aborted && Date.now() < endMs) {
-      const entry = values.get(key) ?? { value: "", version: 0 };
+      const entry = visible(key) ?? { value: "", version: 0 };
       if (entry.version !== afterVersion) return { status: 200, body: entry };
       await new Promise<void>((resolve) => {
         const timer = setTimeout(wake, endMs - Date.now());
@@ -86,10 +123,12 @@
     if (Buffer.byteLength(body.value) > MAXIMUM_VALUE_BYTES) {
       return { status: 413, body: {} };
     }
-    const version = values.get(key)?.version ?? 0;
+    const latest = values.get(key);
+    const version = latest?.version ?? 0;
     if (version !== body.expectedVersion) {
       return { status: 409, body: { version } };
     }
+    if (latest !== undefined) olderValues.set(key, latest);
     values.set(key, { value: body.value, version: version + 1 });
     for (const wake of [...watchers]) wake();
     return { status: 200, body: { version: version + 1 } };
@@ -116,14 +155,20 @@
     return { status: 200, body: { kind: "granted", fencingToken } };
   }
 
+  function lapseLease(name: string): void {
+    const held = leases.get(name);
+    if (held !== undefined) held.expiresAtMs = 0;
+  }
+
   function release(name: string, holder: string | null): JsonReply {
     counts.writes++;
-    const held = leases.get(name);
-    if (held?.holder === holder) held.expiresAtMs = 0;
+    if (leases.get(name)?.holder === holder) lapseLease(name);
     return { status: 200, body: {} };
   }
 
   function answer(call: JsonCall): Promise<JsonReply> | JsonReply {
+    if (call.method === "PUT" && !isSwapBody(call.body)) return BAD_REQUEST;
+    if (call.method === "POST" && !isLeaseBody(call.body)) return BAD_REQUEST;
     const [, , resource, encodedKey] = call.url.pathname.split("/");
     const key = decodeURIComponent(encodedKey ?? "");
     if (resource === "leases") {
@@ -148,6 +193,10 @@
     }
     if (faults.down) return undefined;
     if (faults.delayMs > 0) await delay(faults.delayMs);
+    if (call.method !== "GET" && faults.dropWrites > 0) {
+      faults.dropWrites--;
+      return undefined;
+    }
     const reply = await answer(call);
     if (faults.down) return undefined;
     if (call.method !== "GET" && faults.loseAnswers > 0) {
@@ -157,5 +206,5 @@
     return reply;
   });
   const running = await listenOnLoopback(server, port);
-  return { ...running, faults, counts, values };
+  return { ...running, faults, counts, values, lapseLease };
 }
