--- a/src/constants.ts
+++ b/src/constants.ts
@@ -36,3 +36,6 @@
 
 /** Time after which a store call counts as failed, in ms. */
 export const STORE_CALL_TIMEOUT_MS = 2_000;
+
+/** Header with the id of the entry that forwarded a keyed request to the key's issuer. */
+export const FORWARDED_BY_HEADER = "cowslipferry-forwarded-by";
--- /dev/null
+++ b/src/requests/admission.ts
@@ -0,0 +1,321 @@
+import type { Clock } from "../clock.ts";
+import type { ServiceConfig } from "../config/schema.ts";
+import type { ServiceLoad } from "../peers/messages.ts";
+import { addArrival, type ArrivalRate, estimateDemandSlots } from "./demand.ts";
+import type { AttemptResult } from "./instance_state.ts";
+import { NotRunError } from "./outcome.ts";
+import type { Router, SlotGrant } from "./router.ts";
+import { ServiceTimes } from "./service_times.ts";
+import { addRetryJitter, decideShedding, estimateWaitMs } from "./shedding.ts";
+
+/** A request that wants a slot. */
+export interface AdmissionRequest {
+  readonly service: ServiceConfig;
+  readonly idempotent: boolean;
+  /** Monotonic time by which the request must be answered, in ms. */
+  readonly deadlineAtMs: number;
+  /** VMs on which an attempt has failed. */
+  readonly excluded: ReadonlySet<string>;
+  /** Whether nobody waits for the outcome any more. */
+  readonly abandoned: () => boolean;
+}
+
+/** Whether a request got a slot. */
+export type Admission =
+  | { readonly kind: "granted"; readonly grant: SlotGrant }
+  | {
+    readonly kind: "refused";
+    readonly error: NotRunError;
+    /** What the decision was made from. */
+    readonly details: Record<string, unknown> | undefined;
+  };
+
+/** What the admission queues work with. */
+export interface AdmissionOptions {
+  readonly router: () => Router;
+  readonly maximumQueued: number;
+  readonly clock: Clock;
+  /** Returns a number in [0, 1). */
+  readonly random: () => number;
+}
+
+interface Waiter {
+  readonly request: AdmissionRequest;
+  readonly resolve: (admission: Admission) => void;
+}
+
+interface ServiceState {
+  readonly name: string;
+  readonly times: ServiceTimes;
+  waiting: Waiter[];
+  inFlight: number;
+  arrivals: ArrivalRate;
+}
+
+/** Time after which a retry is useful when nothing is known, in ms. */
+const UNKNOWN_RETRY_MS = 1_000;
+
+/** Admission queues of all services of one entry. */
+export class AdmissionQueues {
+  #options: AdmissionOptions;
+  #services = new Map<string, ServiceState>();
+  #queued = 0;
+  #pumping = false;
+
+  constructor(options: AdmissionOptions) {
+    this.#options = options;
+  }
+
+  /** Requests that wait for a slot. */
+  get queued(): number {
+    return this.#queued;
+  }
+
+  hasWaiting(service: string): boolean {
+    return (this.#services.get(service)?.waiting.length ?? 0) > 0;
+  }
+
+  /** Counts one more request of a service's callers. */
+  noteArrival(service: string): void {
+    const state = this.#stateOf(service);
+    state.arrivals = addArrival(
+      state.arrivals,
+      this.#options.clock.monotonicMs(),
+    );
+  }
+
+  /** Grants a slot or refuses at once where it can; otherwise resolves when the request leaves the queue. */
+  acquire(request: AdmissionRequest): Admission | Promise<Admission> {
+    const state = this.#stateOf(request.service.name);
+    const nowMs = this.#options.clock.monotonicMs();
+    if (nowMs >= request.deadlineAtMs) return this.#expired();
+    if (state.waiting.length === 0) {
+      const grant = this.#take(state, request);
+      if (grant !== undefined) return { kind: "granted", grant };
+    }
+    const router = this.#options.router();
+    if (!router.hasInstance(state.name, request.excluded)) {
+      return this.#refuse("no_instance", {
+        message: "No instance takes requests of the service",
+        retryAfterMs: UNKNOWN_RETRY_MS,
+      });
+    }
+    const refusal = this.#review(state, request, {
+      ahead: state.waiting.length,
+      queued: this.#queued,
+    });
+    if (refusal !== undefined) return refusal;
+    return new Promise((resolve) => {
+      state.waiting.push({ request, resolve });
+      this.#queued++;
+    });
+  }
+
+  /** Gives a slot back and starts the requests that it makes room for. */
+  release(grant: SlotGrant, result: AttemptResult): void {
+    const state = this.#stateOf(grant.service);
+    state.inFlight--;
+    if (result.kind === "response") state.times.record(result.latencyMs);
+    this.#options.router().release(grant, result);
+    this.pump(grant.pool);
+  }
+
+  /** Starts waiting requests while slots are free; the pool's own service goes first. */
+  pump(firstService?: string): void {
+    if (this.#queued === 0 || this.#pumping) return;
+    this.#pumping = true;
+    try {
+      const first = this.#services.get(firstService ?? "");
+      if (first !== undefined) this.#pumpService(first);
+      for (const state of this.#services.values()) this.#pumpService(state);
+    } finally {
+      this.#pumping = false;
+    }
+  }
+
+  /** Refuses the waiting requests that can't meet their deadline any more. */
+  sweep(): void {
+    if (this.#queued === 0) return;
+    for (const state of this.#services.values()) {
+      const kept: Waiter[] = [];
+      for (const waiter of state.waiting) {
+        const refusal = this.#review(state, waiter.request, {
+          ahead: kept.length,
+          queued: 0,
+        });
+        if (refusal === undefined) kept.push(waiter);
+        else this.#dismiss(waiter, refusal);
+      }
+      state.waiting = kept;
+    }
+    this.pump();
+  }
+
+  load(services: readonly ServiceConfig[]): Record<string, ServiceLoad> {
+    const nowMs = this.#options.clock.monotonicMs();
+    return Object.fromEntries(services.map(({ name }) => {
+      const state = this.#stateOf(name);
+      const { inFlight, waiting, arrivals } = state;
+      const demandSlots = estimateDemandSlots({
+        rate: arrivals,
+        nowMs,
+        meanServiceMs: state.times.figures().meanMs,
+        inFlight,
+        waiting: waiting.length,
+      });
+      return [name, {
+        inFlight,
+        waiting: waiting.length,
+        demandSlots: Math.round(demandSlots * 100) / 100,
+      }];
+    }));
+  }
+
+  describe(): unknown {
+    return Object.fromEntries(
+      [...this.#services.values()].map((state) => {
+        const { meanMs, slowMs } = state.times.figures();
+        return [state.name, {
+          waiting: state.waiting.length,
+          inFlight: state.inFlight,
+          meanServiceMs: meanMs,
+          slowServiceMs: slowMs,
+        }];
+      }),
+    );
+  }
+
+  #stateOf(name: string): ServiceState {
+    let state = this.#services.get(name);
+    if (state === undefined) {
+      state = {
+        name,
+        times: new ServiceTimes(this.#options.clock),
+        waiting: [],
+        inFlight: 0,
+        arrivals: {
+          perMs: 0,
+          updatedAtMs: this.#options.clock.monotonicMs(),
+        },
+      };
+      this.#services.set(name, state);
+    }
+    return state;
+  }
+
+  #take(state: ServiceState, request: AdmissionRequest): SlotGrant | undefined {
+    const grant = this.#options.router().take({
+      service: state.name,
+      idempotent: request.idempotent,
+      excluded: request.excluded,
+    });
+    if (grant !== undefined) state.inFlight++;
+    return grant;
+  }
+
+  #pumpService(state: ServiceState): void {
+    while (state.waiting.length > 0) {
+      const waiter = state.waiting[0]!;
+      const { request } = waiter;
+      if (request.abandoned()) {
+        state.waiting.shift();
+        this.#dismiss(waiter, this.#abandoned());
+        continue;
+      }
+      const remainingMs = request.deadlineAtMs -
+        this.#options.clock.monotonicMs();
+      // A request that starts now but ends too late would only use up a slot.
+      if (remainingMs < state.times.figures().meanMs) {
+        state.waiting.shift();
+        this.#dismiss(waiter, this.#unreachable(state, remainingMs));
+        continue;
+      }
+      const grant = this.#take(state, request);
+      if (grant === undefined) return;
+      state.waiting.shift();
+      this.#dismiss(waiter, { kind: "granted", grant });
+    }
+  }
+
+  #dismiss(waiter: Waiter, admission: Admission): void {
+    this.#queued--;
+    waiter.resolve(admission);
+  }
+
+  #review(
+    state: ServiceState,
+    request: AdmissionRequest,
+    counts: { readonly ahead: number; readonly queued: number },
+  ): Admission | undefined {
+    const { meanMs, slowMs } = state.times.figures();
+    const input = {
+      ...counts,
+      slotsHeld: state.inFlight,
+      meanServiceMs: meanMs,
+      slowServiceMs: slowMs,
+      remainingMs: request.deadlineAtMs - this.#options.clock.monotonicMs(),
+      maximumQueued: this.#options.maximumQueued,
+    };
+    const decision = decideShedding(input);
+    if (decision.kind === "wait") return undefined;
+    return this.#refuse(decision.reason, {
+      message: decision.reason === "queue_full"
+        ? "The queue is full"
+        : "The deadline can't be met",
+      retryAfterMs: decision.retryAfterMs,
+      details: { ...input, waitMs: decision.waitMs },
+    });
+  }
+
+  #unreachable(state: ServiceState, remainingMs: number): Admission {
+    const { meanMs } = state.times.figures();
+    const waitMs = estimateWaitMs({
+      ahead: state.waiting.length,
+      slotsHeld: state.inFlight,
+      meanServiceMs: meanMs,
+    });
+    return this.#refuse("deadline_unreachable", {
+      message: "The deadline can't be met",
+      retryAfterMs: waitMs,
+      details: { remainingMs, meanServiceMs: meanMs, waitMs },
+    });
+  }
+
+  #expired(): Admission {
+    return this.#refuse("deadline_expired", {
+      message: "The deadline has passed",
+      retryAfterMs: 0,
+    });
+  }
+
+  #abandoned(): Admission {
+    return this.#refuse("caller_gone", {
+      message: "The caller closed its connection",
+      retryAfterMs: 0,
+    });
+  }
+
+  #refuse(
+    reason:
+      | "caller_gone"
+      | "no_instance"
+      | "queue_full"
+      | "deadline_unreachable"
+      | "deadline_expired",
+    options: {
+      readonly message: string;
+      readonly retryAfterMs: number;
+      readonly details?: Record<string, unknown>;
+    },
+  ): Admission {
+    const retryAfterMs = addRetryJitter(
+      options.retryAfterMs,
+      this.#options.random(),
+    );
+    return {
+      kind: "refused",
+      error: new NotRunError(reason, options.message, retryAfterMs),
+      details: options.details,
+    };
+  }
+}
--- /dev/null
+++ b/src/requests/caller_connections.ts
@@ -0,0 +1,91 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { createQueue, type Operation, type Queue, type Scope } from "effection";
+import { messageOf } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import type { NotRunError } from "./outcome.ts";
+
+/** One request as it arrived, before its body is read. */
+export interface IncomingCall {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Path and query as the caller sent them. */
+  readonly url: string;
+  /** Monotonic time of the arrival, in ms. */
+  readonly arrivedAtMs: number;
+  readonly connection: CallerConnection;
+}
+
+/** One caller's connection and its task. */
+export interface CallerConnection {
+  readonly queue: Queue<IncomingCall, void>;
+  /** Ends the reading of the current request's body, while it is being read. */
+  failBody: ((error: NotRunError) => void) | undefined;
+  /** The request being served, if any. */
+  current: IncomingCall | undefined;
+  /** Whether the connection ends with the current response. */
+  closing: boolean;
+}
+
+/** Task of one caller's connection: serves its requests one after the other. */
+function* serveConnection(
+  connection: CallerConnection,
+  serve: (call: IncomingCall) => Operation<void>,
+): Operation<void> {
+  while (true) {
+    const next = yield* connection.queue.next();
+    if (next.done) return;
+    connection.current = next.value;
+    yield* serve(next.value);
+    connection.current = undefined;
+  }
+}
+
+/** What the connections' tasks work with. */
+export interface CallerConnectionsOptions {
+  readonly scope: Scope;
+  readonly serve: (call: IncomingCall) => Operation<void>;
+  readonly log: Logger;
+}
+
+/** The open connections of callers, one task each. */
+export class CallerConnections {
+  #options: CallerConnectionsOptions;
+  #connections = new WeakMap<Socket, CallerConnection>();
+  #open = 0;
+
+  constructor(options: CallerConnectionsOptions) {
+    this.#options = options;
+  }
+
+  get open(): number {
+    return this.#open;
+  }
+
+  /** Starts the task of a new connection; it ends after the last request once the socket is closed. */
+  start(socket: Socket): void {
+    const { scope, serve, log } = this.#options;
+    const connection: CallerConnection = {
+      queue: createQueue<IncomingCall, void>(),
+      failBody: undefined,
+      current: undefined,
+      closing: false,
+    };
+    this.#connections.set(socket, connection);
+    this.#open++;
+    socket.once("close", () => {
+      this.#open--;
+      connection.queue.close();
+    });
+    scope.run(() => serveConnection(connection, serve)).catch((error) => {
+      if (!socket.destroyed) {
+        log.error("connection task failed", { reason: messageOf(error) });
+      }
+      socket.destroy();
+    });
+  }
+
+  of(socket: Socket): CallerConnection | undefined {
+    return this.#connections.get(socket);
+  }
+}
--- /dev/null
+++ b/src/requests/decisions_test.ts
@@ -0,0 +1,155 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  decideEjections,
+  decideReinstatements,
+  ejectionBackoffMs,
+  type InstanceHealth,
+} from "./ejection.ts";
+import { orderOverflowPools } from "./overflow.ts";
+import {
+  createRetryBudget,
+  decideRetry,
+  refillRetryBudget,
+} from "./retry_budget.ts";
+import { addRetryJitter, decideShedding } from "./shedding.ts";
+
+const queue = {
+  ahead: 10,
+  slotsHeld: 5,
+  meanServiceMs: 20,
+  slowServiceMs: 40,
+  remainingMs: 1_000,
+  queued: 10,
+  maximumQueued: 100,
+};
+
+test("a request that can't meet its deadline is refused with the time in which the queue drains", () => {
+  assert.equal(decideShedding(queue), { kind: "wait", waitMs: 44 });
+  const refused = decideShedding({ ...queue, ahead: 300 });
+  assert.is(refused.kind, "refuse");
+  // 301 requests at 4 ms each and a slow response, less the time left.
+  assert.is(refused.kind === "refuse" && refused.retryAfterMs, 244);
+  const full = decideShedding({ ...queue, queued: 100 });
+  assert.is(full.kind === "refuse" && full.reason, "queue_full");
+});
+
+test("retries of refused callers are spread", () => {
+  assert.is(addRetryJitter(100, 0), 100);
+  assert.is(addRetryJitter(100, 0.99), 150);
+});
+
+const failedAttempt = {
+  sent: true,
+  idempotent: true,
+  attempts: 1,
+  remainingMs: 100,
+  otherInstance: true,
+  budget: { tokens: 1 },
+};
+
+test("a request that may have run is repeated only if idempotent and within the budget", () => {
+  assert.equal(decideRetry(failedAttempt), {
+    kind: "retry",
+    budget: { tokens: 0 },
+  });
+  const stops = [
+    [{ idempotent: false }, "not_idempotent"],
+    [{ attempts: 3 }, "attempts_used"],
+    [{ remainingMs: 0 }, "deadline"],
+    [{ otherInstance: false }, "no_other_instance"],
+    [{ budget: { tokens: 0.9 } }, "budget_empty"],
+  ] as const;
+  for (const [change, reason] of stops) {
+    assert.equal(decideRetry({ ...failedAttempt, ...change }), {
+      kind: "stop",
+      reason,
+    });
+  }
+  const unsent = { ...failedAttempt, sent: false, idempotent: false };
+  assert.is(decideRetry(unsent).kind, "retry");
+});
+
+test("the retry budget is refilled by successes up to its limit", () => {
+  let budget = createRetryBudget(10);
+  for (let count = 0; count < 10_000; count++) {
+    budget = refillRetryBudget(budget, 10);
+  }
+  assert.is(budget.tokens, 20);
+  assert.is(createRetryBudget(0).tokens, 0);
+});
+
+function healthy(vmId: string, change: Partial<InstanceHealth> = {}) {
+  return {
+    vmId,
+    consecutiveFailures: 0,
+    latencyMs: 10,
+    samples: 100,
+    silentMs: 0,
+    ejectedUntilMs: undefined,
+    ...change,
+  };
+}
+
+test("failing, slow and silent instances are ejected", () => {
+  const ejections = decideEjections({
+    minimumServingVms: 1,
+    instances: [
+      healthy("a", { consecutiveFailures: 3 }),
+      healthy("b", { latencyMs: 80 }),
+      healthy("c", { silentMs: 1_500 }),
+      ...["d", "e", "f"].map((vmId) => healthy(vmId)),
+    ],
+  });
+  assert.equal(
+    ejections.map(({ vmId, reason }) => `${vmId} ${reason}`).sort(),
+    ["a failures", "b latency", "c silent"],
+  );
+});
+
+test("ejections never go below the availability budget", () => {
+  const instances = ["a", "b", "c", "d"].map((vmId) =>
+    healthy(vmId, { consecutiveFailures: 5 })
+  );
+  const count = (minimumServingVms: number) =>
+    decideEjections({ instances, minimumServingVms }).length;
+  assert.equal([0, 3, 4, 9].map(count), [3, 1, 0, 0]);
+  const ejected = [
+    healthy("a", { ejectedUntilMs: 200 }),
+    healthy("b", { ejectedUntilMs: 100 }),
+    healthy("c"),
+  ];
+  assert.equal(
+    decideReinstatements({ instances: ejected, minimumServingVms: 2 }),
+    ["b"],
+  );
+});
+
+test("the time out of routing grows to a limit", () => {
+  assert.equal([1, 2, 3, 20].map(ejectionBackoffMs), [
+    500,
+    1_000,
+    2_000,
+    30_000,
+  ]);
+});
+
+test("overflow prefers spare pools and leaves a pool with its own queue alone", () => {
+  const pool = (name: string, change = {}) => ({
+    pool: name,
+    spare: false,
+    freeSlots: 4,
+    ownQueueWaiting: false,
+    ...change,
+  });
+  const ordered = orderOverflowPools([
+    pool("small", { freeSlots: 1 }),
+    pool("large"),
+    pool("spare", { spare: true, freeSlots: 1 }),
+    pool("busy", { ownQueueWaiting: true }),
+    pool("empty", { freeSlots: 0 }),
+  ]);
+  assert.equal(ordered.map((item) => item.pool), ["spare", "large", "small"]);
+});
+
+test.run();
--- /dev/null
+++ b/src/requests/entry_demands.ts
@@ -0,0 +1,102 @@
+import type { EntryDigest, ServiceLoad } from "../peers/messages.ts";
+import type { Vm } from "../platform/vm_list.ts";
+import type { PoolView } from "./pool_map.ts";
+import type { EntryDemand } from "./slot_shares.ts";
+
+/** What the entries' demand for each pool is computed from. */
+export interface EntryDemandsInput {
+  readonly entryId: string;
+  readonly digests: readonly EntryDigest[];
+  readonly ownLoad: Record<string, ServiceLoad>;
+  readonly views: readonly PoolView[];
+}
+
+type Loads = Record<string, ServiceLoad>;
+
+const NO_LOAD: ServiceLoad = { inFlight: 0, waiting: 0, demandSlots: 0 };
+
+function collectLoads(input: EntryDemandsInput): Map<string, Loads> {
+  const loads = new Map<string, Loads>();
+  for (const digest of input.digests) {
+    // An entry that is stopping keeps the slots of its requests in flight only.
+    const services = digest.stopping && digest.entryId !== input.entryId
+      ? Object.fromEntries(
+        Object.entries(digest.services).map(([name, load]) => [
+          name,
+          { ...load, waiting: 0, demandSlots: load.inFlight },
+        ]),
+      )
+      : digest.services;
+    loads.set(digest.entryId, services);
+  }
+  if (!loads.has(input.entryId)) loads.set(input.entryId, input.ownLoad);
+  return loads;
+}
+
+/** Fraction of each service's demand that its own pools can't carry. */
+function shortFractions(
+  loads: ReadonlyMap<string, Loads>,
+  views: readonly PoolView[],
+): Map<string, number> {
+  const slots = new Map<string, number>();
+  for (const view of views) {
+    const sum = view.instances.reduce((total, item) => total + item.slots, 0);
+    slots.set(view.ownService, (slots.get(view.ownService) ?? 0) + sum);
+  }
+  const demand = new Map<string, number>();
+  for (const services of loads.values()) {
+    for (const [name, load] of Object.entries(services)) {
+      demand.set(name, (demand.get(name) ?? 0) + load.demandSlots);
+    }
+  }
+  return new Map(
+    [...demand].map(([name, total]) => [
+      name,
+      total === 0 ? 0 : Math.max(0, 1 - (slots.get(name) ?? 0) / total),
+    ]),
+  );
+}
+
+/** Returns each entry's demand by pool name. */
+export function resolveEntryDemands(
+  input: EntryDemandsInput,
+): Map<string, EntryDemand[]> {
+  const loads = collectLoads(input);
+  const short = shortFractions(loads, input.views);
+  return new Map(input.views.map((view) => [
+    view.name,
+    [...loads].map(([entryId, services]) => {
+      const own = services[view.ownService] ?? NO_LOAD;
+      let overflowSlots = 0;
+      for (const service of view.services) {
+        if (service === view.ownService) continue;
+        overflowSlots += (services[service]?.demandSlots ?? 0) *
+          (short.get(service) ?? 0);
+      }
+      return {
+        entryId,
+        ownSlots: own.demandSlots,
+        ownActive: own.inFlight + own.waiting > 0,
+        overflowSlots,
+      };
+    }),
+  ]));
+}
+
+/** What the number of entries is counted from. */
+export interface EntryCountInput {
+  readonly entryId: string;
+  readonly region: string;
+  readonly digests: readonly EntryDigest[];
+  readonly vms: readonly Vm[];
+}
+
+/** Returns how many entries may open connections: the live ones and those being replaced. */
+export function countEntries(input: EntryCountInput): number {
+  const known = new Set([input.entryId]);
+  for (const digest of input.digests) known.add(digest.entryId);
+  for (const vm of input.vms) {
+    if (vm.role === "entry" && vm.region === input.region) known.add(vm.id);
+  }
+  return known.size;
+}
--- /dev/null
+++ b/src/requests/exchange.ts
@@ -0,0 +1,257 @@
+import type { Client, Dispatcher } from "undici";
+import { LEAVING_HEADER, REQUEST_ID_HEADER } from "../constants.ts";
+import { messageOf } from "../errors.ts";
+import { findHeader } from "./headers.ts";
+import type {
+  BufferedResponse,
+  ResponseSink,
+  ResponseSource,
+  StreamedResponse,
+  UnknownReason,
+} from "./outcome.ts";
+import {
+  isComplete,
+  matchesRequest,
+  resolveFraming,
+  type ResponseFraming,
+} from "./response_check.ts";
+
+/** Longest response body that is buffered and checked before it is passed on, in bytes. */
+export const MAXIMUM_BUFFERED_BODY_BYTES = 1_048_576;
+
+/** One request to one server. */
+export interface ExchangeRequest {
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: string[];
+  readonly body: Buffer | undefined;
+}
+
+/** How an exchange ended, as far as the start of its response. */
+export type ExchangeResult =
+  | {
+    readonly kind: "complete";
+    readonly response: BufferedResponse;
+    readonly leaving: boolean;
+  }
+  | {
+    readonly kind: "streaming";
+    readonly response: StreamedResponse;
+    readonly leaving: boolean;
+  }
+  | {
+    readonly kind: "failed";
+    /** Whether a byte of the request may have been sent. */
+    readonly sent: boolean;
+    readonly reason: UnknownReason;
+    readonly message: string;
+  };
+
+/** What an exchange runs on. */
+export interface ExchangeOptions {
+  readonly client: Client;
+  /** Whether the server has echoed request ids on this connection before. */
+  readonly echoesIds: boolean;
+  /** Time left, in ms, by the clock that also counts while the process is frozen. */
+  readonly remainingMs: () => number;
+  /** Called after the last byte or the failure, before the promises resolve. */
+  readonly onFinished: (end: ExchangeEnd) => void;
+}
+
+/** State of a connection after an exchange. */
+export interface ExchangeEnd {
+  /** Whether the connection may be used again. */
+  readonly reusable: boolean;
+  /** Whether the response carried the request's id. */
+  readonly echoedId: boolean;
+}
+
+/** Runs one exchange on a connection that has no other one in flight. */
+export class ExchangeRun implements ResponseSource {
+  readonly result: Promise<ExchangeResult>;
+  readonly ended: Promise<boolean>;
+  #resolveResult!: (result: ExchangeResult) => void;
+  #resolveEnded!: (complete: boolean) => void;
+  #request: ExchangeRequest;
+  #options: ExchangeOptions;
+  #controller: Dispatcher.DispatchController | undefined;
+  #sent = false;
+  #settled = false;
+  #status = 0;
+  #headers: string[] = [];
+  #framing: ResponseFraming = { kind: "until_close" };
+  #leaving = false;
+  #echoed = false;
+  #chunks: Buffer[] = [];
+  #receivedBytes = 0;
+  #sink: ResponseSink | undefined;
+  #streaming = false;
+  #timer: NodeJS.Timeout;
+
+  constructor(request: ExchangeRequest, options: ExchangeOptions) {
+    this.#request = request;
+    this.#options = options;
+    this.result = new Promise((resolve) => this.#resolveResult = resolve);
+    this.ended = new Promise((resolve) => this.#resolveEnded = resolve);
+    this.#timer = setTimeout(
+      () => this.#onDeadline(),
+      Math.max(0, options.remainingMs()),
+    );
+    this.#dispatch();
+  }
+
+  connect(sink: ResponseSink): void {
+    this.#sink = sink;
+    for (const chunk of this.#chunks) sink.write(chunk);
+    this.#chunks = [];
+    if (this.#settled) {
+      // The response failed between its start and this call.
+      sink.abort();
+    } else this.#controller?.resume();
+  }
+
+  resume(): void {
+    this.#controller?.resume();
+  }
+
+  cancel(): void {
+    this.#fail("connection_lost", "The caller closed its connection");
+  }
+
+  #dispatch(): void {
+    const { requestId, method, path, headers, body } = this.#request;
+    headers.push(REQUEST_ID_HEADER, requestId);
+    try {
+      this.#options.client.dispatch(
+        {
+          method: method as Dispatcher.HttpMethod,
+          path,
+          headers,
+          body: body ?? null,
+          // Retries are decided by this system, never by the client.
+          idempotent: false,
+        },
+        {
+          onRequestStart: (controller) => this.#onStart(controller),
+          onResponseStart: (_controller, status) => this.#onHead(status),
+          onResponseData: (_controller, chunk) => this.#onData(chunk),
+          onResponseEnd: () => this.#onEnd(),
+          onResponseError: (_controller, error) =>
+            this.#fail("connection_lost", messageOf(error)),
+        },
+      );
+    } catch (error) {
+      this.#fail("internal", messageOf(error));
+    }
+  }
+
+  /** Called right before the first byte is written. */
+  #onStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#settled || this.#options.remainingMs() <= 0) {
+      this.#fail("timeout", "The deadline passed before the request was sent");
+      controller.abort(new Error("not sent"));
+      return;
+    }
+    this.#sent = true;
+  }
+
+  #onHead(status: number): void {
+    if (status < 200 || this.#settled) return;
+    this.#status = status;
+    const raw = this.#controller!.rawHeaders as unknown as Buffer[];
+    this.#headers = raw.map((item) => item.toString("latin1"));
+    const head = { status, headers: this.#headers };
+    const { requestId, method } = this.#request;
+    if (!matchesRequest(requestId, head, this.#options.echoesIds)) {
+      return this.#fail("wrong_response", "The response has another id");
+    }
+    this.#echoed = findHeader(this.#headers, REQUEST_ID_HEADER) !== undefined;
+    this.#leaving = findHeader(this.#headers, LEAVING_HEADER) === "true";
+    this.#framing = resolveFraming(method, head);
+    if (this.#framing.kind === "until_close") {
+      return this.#fail(
+        "unframed_response",
+        "The response has no length, so that it can't be checked",
+      );
+    }
+    if (
+      this.#framing.kind === "length" &&
+      this.#framing.bodyBytes > MAXIMUM_BUFFERED_BODY_BYTES
+    ) this.#startStreaming();
+  }
+
+  #onData(chunk: Buffer): void {
+    if (this.#settled) return;
+    this.#receivedBytes += chunk.length;
+    if (this.#sink !== undefined) {
+      if (!this.#sink.write(chunk)) this.#controller?.pause();
+      return;
+    }
+    this.#chunks.push(chunk);
+    if (
+      !this.#streaming && this.#receivedBytes > MAXIMUM_BUFFERED_BODY_BYTES
+    ) this.#startStreaming();
+    if (this.#streaming) this.#controller?.pause();
+  }
+
+  #startStreaming(): void {
+    this.#streaming = true;
+    this.#resolveResult({
+      kind: "streaming",
+      response: { status: this.#status, headers: this.#headers, source: this },
+      leaving: this.#leaving,
+    });
+  }
+
+  #onEnd(): void {
+    if (this.#settled) return;
+    if (!isComplete(this.#framing, this.#receivedBytes)) {
+      return this.#fail("incomplete_response", "The response is truncated");
+    }
+    this.#finish(true);
+    if (this.#streaming) {
+      this.#sink?.end();
+      return;
+    }
+    const body = this.#chunks.length === 1
+      ? this.#chunks[0]!
+      : Buffer.concat(this.#chunks);
+    this.#resolveResult({
+      kind: "complete",
+      response: { status: this.#status, headers: this.#headers, body },
+      leaving: this.#leaving,
+    });
+  }
+
+  #finish(complete: boolean): void {
+    this.#settled = true;
+    clearTimeout(this.#timer);
+    this.#options.onFinished({ reusable: complete, echoedId: this.#echoed });
+    this.#resolveEnded(complete);
+  }
+
+  #onDeadline(): void {
+    const remainingMs = this.#options.remainingMs();
+    if (remainingMs > 0) {
+      this.#timer = setTimeout(() => this.#onDeadline(), remainingMs);
+      return;
+    }
+    this.#fail("timeout", "The deadline passed");
+  }
+
+  #fail(reason: UnknownReason, message: string): void {
+    if (this.#settled) return;
+    this.#finish(false);
+    const truncated = reason === "connection_lost" && this.#status !== 0;
+    this.#resolveResult({
+      kind: "failed",
+      sent: this.#sent,
+      reason: truncated ? "incomplete_response" : reason,
+      message,
+    });
+    this.#sink?.abort();
+    this.#options.client.destroy().catch(() => {});
+  }
+}
--- a/src/requests/front.ts
+++ b/src/requests/front.ts
@@ -1,84 +1,171 @@
-import { createServer, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+  STATUS_CODES,
+} from "node:http";
+import type { Duplex } from "node:stream";
+import type { Socket } from "node:net";
 import { App, type Request, type Response } from "@tinyhttp/app";
-import { request as sendRequest } from "undici";
-import type { AppliedConfig } from "../config/schema.ts";
-import { OUTCOME_HEADER } from "../constants.ts";
-import { messageOf } from "../errors.ts";
-import type { FleetRecord } from "../fleet/record.ts";
+import type { Scope } from "effection";
+import type { Clock } from "../clock.ts";
+import { OUTCOME_HEADER, SYSTEM_PATH_PREFIX } from "../constants.ts";
 import type { Logger } from "../logger.ts";
-import type { Observable } from "../observable.ts";
-import { isNotSent } from "../platform/http_json.ts";
-import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
-import { type Instance, resolvePoolMap } from "./pool_map.ts";
+import type { ResolvedSettings } from "../settings/schema.ts";
+import { CallerConnections, type IncomingCall } from "./caller_connections.ts";
+import { describeFailure, NotRunError } from "./outcome.ts";
+import type { CallServer } from "./serve_call.ts";
 
 /** What the callers' HTTP server works with. */
 export interface FrontOptions {
-  readonly config: Observable<AppliedConfig | undefined>;
-  readonly fleet: Observable<FleetRecord | undefined>;
-  readonly vmList: Observable<VmListSnapshot | undefined>;
+  readonly limits: ResolvedSettings["limits"];
+  readonly calls: CallServer;
+  readonly scope: Scope;
+  readonly clock: Clock;
   readonly log: Logger;
 }
 
+/** Time that an idle connection stays open; longer than usual load balancers keep theirs, in ms. */
+const KEEP_ALIVE_TIMEOUT_MS = 75_000;
+/** Interval of the checks for slow senders, in ms. */
+const SLOW_SENDER_CHECK_MS = 500;
+/** Time after its own body timeout at which Node's timeout applies, in ms. */
+const BACKSTOP_MS = 2_000;
+
 /** Creates the callers' HTTP server; it isn't listening yet. */
 export function createFront(options: FrontOptions): Server {
-  const { config, fleet, vmList } = options;
-  let nextIndex = 0;
+  const { limits, calls, scope, clock, log } = options;
+  const connections = new CallerConnections({
+    scope,
+    serve: (call) => calls.serve(call),
+    log,
+  });
 
-  function chooseInstance(serviceName: string): Instance | undefined {
-    const applied = config.get();
-    const record = fleet.get();
-    const vms = vmList.get()?.vms;
-    if (applied === undefined || record === undefined || vms === undefined) {
-      return undefined;
-    }
-    const pools = resolvePoolMap({ config: applied.config, record, vms });
-    const candidates = applied.config.pools
-      .filter((pool) => pool.services[0] === serviceName)
-      .flatMap((pool) => pools.get(pool.name) ?? []);
-    return candidates[nextIndex++ % candidates.length];
+  function enqueue(request: Request, response: Response): void {
+    const connection = connections.of(request.socket);
+    const call: IncomingCall = {
+      request,
+      response: response as unknown as ServerResponse,
+      url: request.originalUrl,
+      arrivedAtMs: clock.monotonicMs(),
+      connection: connection!,
+    };
+    calls.began(call);
+    connection!.queue.add(call);
   }
 
-  function refuse(response: Response, reason: string): void {
-    response.writeHead(503, {
-      [OUTCOME_HEADER]: "not_run",
-      "retry-after": "1",
-    });
-    response.end(
-      JSON.stringify({ error: { kind: reason, retryAfterMs: 1_000 } }),
+  const app = new App({
+    noMatchHandler: enqueue,
+    settings: { xPoweredBy: false },
+    // The extensions of requests and responses aren't used and cost more than the routing.
+    applyExtensions: (_request, _response, next) => next?.(),
+  });
+  app.post(`${SYSTEM_PATH_PREFIX}keys`, (_request, response) => {
+    const body = Buffer.from(JSON.stringify(calls.issueKey()));
+    (response as unknown as ServerResponse).writeHead(201, {
+      "content-type": "application/json",
+      "content-length": body.length,
+      [OUTCOME_HEADER]: "answer",
+      ...(calls.draining ? { connection: "close" } : {}),
+    }).end(body);
+  });
+
+  const server = createServer(
+    {
+      maxHeaderSize: limits.maximumHeaderBytes,
+      headersTimeout: limits.requestReadTimeoutMs,
+      requestTimeout: limits.requestReadTimeoutMs + BACKSTOP_MS,
+      connectionsCheckingInterval: SLOW_SENDER_CHECK_MS,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      noDelay: true,
+    },
+    (request, response) =>
+      void app.handler(request as Request, response as unknown as Response),
+  );
+  server.on("connection", (socket) => connections.start(socket));
+  server.on("connect", (_request, socket) => {
+    writeRawError(
+      socket,
+      new NotRunError("method_not_allowed", "CONNECT isn't supported"),
     );
-  }
+  });
+  server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+    onClientError(error, socket as Socket);
+  });
 
-  async function serve(request: Request, response: Response): Promise<void> {
-    const serviceName = (request.originalUrl ?? request.url).split("/")[1] ??
-      "";
-    const instance = chooseInstance(serviceName);
-    if (instance === undefined) return refuse(response, "no_instance");
-    try {
-      const answer = await sendRequest(
-        `http://${instance.address}${request.url}`,
-        {
-          method: request.method ?? "GET",
-          body: request.method === "GET" ? null : request,
-        },
-      );
-      const body = Buffer.from(await answer.body.arrayBuffer());
-      response.writeHead(answer.statusCode, { [OUTCOME_HEADER]: "answer" });
-      response.end(body);
-    } catch (error) {
-      if (isNotSent(error)) return refuse(response, "backend_unreachable");
-      response.writeHead(502, { [OUTCOME_HEADER]: "outcome_unknown" });
-      response.end(
-        JSON.stringify({
-          error: { kind: "outcome_unknown", message: messageOf(error) },
-        }),
-      );
+  function onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+    const connection = connections.of(socket);
+    const refusal = describeParserError(error);
+    if (!socket.writable || refusal === undefined || socket.bytesRead === 0) {
+      socket.destroy();
+      return;
     }
+    if (connection?.current === undefined) {
+      calls.refusedUnparsed(refusal);
+      writeRawError(socket, refusal);
+      return;
+    }
+    // The error concerns the current request's body or bytes after the request.
+    connection.closing = true;
+    connection.failBody?.(refusal);
   }
 
-  const app = new App({
-    noMatchHandler: (request, response) => void serve(request, response),
-  });
-  return createServer((request, response) =>
-    void app.handler(request as Request, response as unknown as Response)
+  return server;
+}
+
+function describeParserError(
+  error: NodeJS.ErrnoException,
+): NotRunError | undefined {
+  if (error.code === "HPE_HEADER_OVERFLOW") {
+    return new NotRunError("headers_too_large", "The headers are too large");
+  }
+  if (error.code === "ERR_HTTP_REQUEST_TIMEOUT") {
+    return new NotRunError("slow_sender", "The request arrives too slowly");
+  }
+  return error.code?.startsWith("HPE_")
+    ? new NotRunError(
+      "malformed_request",
+      `The request isn't valid HTTP (${error.code})`,
+    )
+    : undefined;
+}
+
+/** Answers a request that the HTTP parser rejected. */
+function writeRawError(socket: Duplex, error: NotRunError): void {
+  const { status, headers, body } = describeFailure(error);
+  const lines = [`HTTP/1.1 ${status} ${STATUS_CODES[status]}`];
+  for (let index = 0; index < headers.length; index += 2) {
+    lines.push(`${headers[index]}: ${headers[index + 1]}`);
+  }
+  lines.push(
+    `${OUTCOME_HEADER}: not_run`,
+    `content-length: ${body.length}`,
+    "connection: close",
   );
+  socket.on("error", () => {});
+  socket.end(`${lines.join("\r\n")}\r\n\r\n${body}`);
+  discardInput(socket);
+}
+
+/** Time for which further input is read so that the caller isn't reset before it reads the response, in ms. */
+const LINGER_MS = 1_000;
+
+function discardInput(socket: Duplex): void {
+  socket.on("data", () => {});
+  const timer = setTimeout(() => socket.destroy(), LINGER_MS);
+  socket.once("close", () => clearTimeout(timer));
+}
+
+/** Reads and drops the rest of a body that wasn't wanted; resolves at its end or after a short time. */
+export function discardBody(request: IncomingMessage): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, LINGER_MS);
+    const done = () => {
+      clearTimeout(timer);
+      resolve();
+    };
+    request.once("end", done).once("close", done);
+    request.on("error", () => {}).resume();
+  });
 }
--- /dev/null
+++ b/src/requests/headers.ts
@@ -0,0 +1,85 @@
+import {
+  DEADLINE_HEADER,
+  FORWARDED_BY_HEADER,
+  IDEMPOTENCY_KEY_HEADER,
+  OUTCOME_HEADER,
+  REQUEST_ID_HEADER,
+} from "../constants.ts";
+
+/** Headers that concern one connection only. */
+const HOP_BY_HOP = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Request headers that this system sets itself. */
+const REPLACED_IN_REQUESTS = new Set([
+  "content-length",
+  "expect",
+  REQUEST_ID_HEADER,
+  DEADLINE_HEADER,
+  FORWARDED_BY_HEADER,
+  IDEMPOTENCY_KEY_HEADER,
+]);
+
+/** Response headers that this system sets itself. */
+const REPLACED_IN_RESPONSES = new Set([OUTCOME_HEADER, REQUEST_ID_HEADER]);
+
+function connectionOptions(raw: readonly string[]): Set<string> | undefined {
+  let names: Set<string> | undefined;
+  for (let index = 0; index < raw.length; index += 2) {
+    if (raw[index]!.toLowerCase() !== "connection") continue;
+    for (const name of raw[index + 1]!.split(",")) {
+      (names ??= new Set()).add(name.trim().toLowerCase());
+    }
+  }
+  return names;
+}
+
+function filterHeaders(
+  raw: readonly string[],
+  replaced: ReadonlySet<string>,
+): string[] {
+  const named = connectionOptions(raw);
+  const kept: string[] = [];
+  for (let index = 0; index < raw.length; index += 2) {
+    const name = raw[index]!.toLowerCase();
+    if (HOP_BY_HOP.has(name) || replaced.has(name) || named?.has(name)) {
+      continue;
+    }
+    kept.push(raw[index]!, raw[index + 1]!);
+  }
+  return kept;
+}
+
+/** Returns a caller's headers as they are sent to a backend server. */
+export function filterRequestHeaders(raw: readonly string[]): string[] {
+  return filterHeaders(raw, REPLACED_IN_REQUESTS);
+}
+
+/** Returns a backend server's headers as they are sent to the caller. */
+export function filterResponseHeaders(raw: readonly string[]): string[] {
+  return filterHeaders(raw, REPLACED_IN_RESPONSES);
+}
+
+/** Returns the last value of a header, by its lower-case name. */
+export function findHeader(
+  raw: readonly string[],
+  name: string,
+): string | undefined {
+  let value: string | undefined;
+  for (let index = 0; index < raw.length; index += 2) {
+    const candidate = raw[index]!;
+    if (
+      candidate.length === name.length && candidate.toLowerCase() === name
+    ) value = raw[index + 1];
+  }
+  return value;
+}
--- /dev/null
+++ b/src/requests/keyed_requests.ts
@@ -0,0 +1,281 @@
+import { createHash } from "node:crypto";
+import { type Operation, type Scope, until } from "effection";
+import type { Clock } from "../clock.ts";
+import type { ServiceConfig } from "../config/schema.ts";
+import {
+  DEADLINE_HEADER,
+  FORWARDED_BY_HEADER,
+  IDEMPOTENCY_KEY_HEADER,
+  OUTCOME_HEADER,
+} from "../constants.ts";
+import { messageOf } from "../errors.ts";
+import type { Observable } from "../observable.ts";
+import type { EntryDigest } from "../peers/messages.ts";
+import { BackendConnections } from "./backend_connections.ts";
+import type { CallerRequest } from "./caller_request.ts";
+import type { ExchangeResult } from "./exchange.ts";
+import { filterRequestHeaders, findHeader } from "./headers.ts";
+import {
+  createKeyIssuer,
+  type IssuedKey,
+  type KeyCheck,
+  type KeyIssuer,
+} from "./idempotency_keys.ts";
+import { KeyOutcomes } from "./key_outcomes.ts";
+import { notRun, type Outcome, outcomeUnknown } from "./outcome.ts";
+
+/** What keyed requests work with. */
+export interface KeyedRequestsOptions {
+  readonly entryId: string;
+  readonly incarnation: string;
+  readonly entries: Observable<readonly EntryDigest[]>;
+  readonly clock: Clock;
+  readonly scope: Scope;
+  /** Returns a refusal while this entry takes no new work. */
+  readonly gate: (request: CallerRequest) => Outcome | undefined;
+  readonly run: (
+    request: CallerRequest,
+    service: ServiceConfig,
+  ) => Operation<Outcome>;
+}
+
+const LIMITS = { maximumKeys: 200_000, maximumBodyBytes: 67_108_864 };
+/** Time after which a retry is useful when no key is free, in ms. */
+const KEY_TABLE_RETRY_MS = 5_000;
+/** Connections to one peer for forwarded requests. */
+const PEER_CONNECTIONS = 256;
+/** Part of the time left that the way back from the issuing entry gets. */
+const RETURN_TIME_FRACTION = 0.05;
+/** Longest time for the way back, in ms. */
+const MAXIMUM_RETURN_TIME_MS = 50;
+
+/** Requests with an idempotency key: each key runs at most once. */
+export class KeyedRequests {
+  #options: KeyedRequestsOptions;
+  #issuer: KeyIssuer;
+  #outcomes: KeyOutcomes;
+  #peers = new Map<string, BackendConnections>();
+  #running = 0;
+  #idleListeners: (() => void)[] = [];
+
+  constructor(options: KeyedRequestsOptions) {
+    this.#options = options;
+    this.#issuer = createKeyIssuer(options);
+    this.#outcomes = new KeyOutcomes(
+      LIMITS,
+      outcomeUnknown(
+        "outcome_not_kept",
+        "The request has run, but its response isn't kept any more",
+      ),
+    );
+  }
+
+  /** Runs that go on, also when their caller is gone. */
+  get running(): number {
+    return this.#running;
+  }
+
+  /** Resolves once no run is in progress. */
+  whenIdle(): Promise<void> {
+    if (this.#running === 0) return Promise.resolve();
+    return new Promise((resolve) => this.#idleListeners.push(resolve));
+  }
+
+  issue(): IssuedKey {
+    return this.#issuer.issue();
+  }
+
+  /** Returns the one outcome of the key's run, here or at the issuing entry. */
+  *handle(
+    request: CallerRequest,
+    service: ServiceConfig,
+  ): Operation<Outcome> {
+    const check = this.#issuer.check(request.key ?? "");
+    switch (check.kind) {
+      case "malformed":
+        return notRun("malformed_key", "The idempotency key is malformed");
+      case "forged":
+        return notRun("forged_key", "The idempotency key isn't genuine");
+      case "other_issuer":
+        return yield* this.#forward(request, check);
+      case "own":
+        return yield* until(this.#runOnce(request, service, check));
+    }
+  }
+
+  /** Forgets the outcomes of expired keys. */
+  expire(): void {
+    this.#outcomes.expire(this.#options.clock.monotonicMs());
+    const addresses = new Set(
+      this.#options.entries.get().map((digest) => digest.callerAddress),
+    );
+    for (const [address, connections] of this.#peers) {
+      if (addresses.has(address)) continue;
+      connections.close();
+      this.#peers.delete(address);
+    }
+  }
+
+  describe(): unknown {
+    return this.#outcomes.describe();
+  }
+
+  close(): void {
+    for (const connections of this.#peers.values()) connections.close();
+  }
+
+  #runOnce(
+    request: CallerRequest,
+    service: ServiceConfig,
+    key: Extract<KeyCheck, { kind: "own" }>,
+  ): Promise<Outcome> {
+    const fingerprint = fingerprintOf(request);
+    const record = this.#outcomes.get(key.sequence);
+    if (record !== undefined) {
+      return record.fingerprint === fingerprint
+        ? this.#waitFor(record.outcome, request)
+        : Promise.resolve(
+          notRun("key_reused", "The key was used for another request"),
+        );
+    }
+    const refusal = this.#refuseNew(request, key);
+    if (refusal !== undefined) return Promise.resolve(refusal);
+    this.#running++;
+    // The run goes on when its caller is gone, so that a repeated request gets its outcome.
+    const detached = { ...request, abandoned: () => false };
+    const run: Promise<Outcome> = this.#options.scope
+      .run(() => this.#options.run(detached, service))
+      .catch((error) => outcomeUnknown("internal", messageOf(error)))
+      .finally(() => this.#onRunEnded());
+    const { sequence, expiresAtMs } = key;
+    return this.#outcomes.start({ sequence, expiresAtMs, fingerprint }, run)
+      .outcome;
+  }
+
+  #onRunEnded(): void {
+    if (--this.#running > 0) return;
+    for (const listener of this.#idleListeners.splice(0)) listener();
+  }
+
+  #refuseNew(
+    request: CallerRequest,
+    key: Extract<KeyCheck, { kind: "own" }>,
+  ): Outcome | undefined {
+    if (key.expiresAtMs <= this.#options.clock.monotonicMs()) {
+      return this.#outcomes.wasUsed(key.sequence)
+        ? outcomeUnknown(
+          "key_expired_after_use",
+          "The idempotency key has expired; a request with it has run",
+        )
+        : notRun("expired_key", "The idempotency key has expired");
+    }
+    if (this.#outcomes.full) {
+      return notRun(
+        "key_table_full",
+        "Too many idempotency keys are in use",
+        KEY_TABLE_RETRY_MS,
+      );
+    }
+    return this.#options.gate(request);
+  }
+
+  #waitFor(
+    outcome: Promise<Outcome>,
+    request: CallerRequest,
+  ): Promise<Outcome> {
+    const remainingMs = request.deadlineAtMs -
+      this.#options.clock.monotonicMs();
+    return new Promise((resolve) => {
+      const timer = setTimeout(
+        () =>
+          resolve(outcomeUnknown(
+            "waiting_for_first_run",
+            "The first request with this key is still running",
+          )),
+        Math.max(0, remainingMs),
+      );
+      outcome.then((value) => {
+        clearTimeout(timer);
+        // A streamed response has gone to the first caller.
+        resolve(
+          value.kind === "streamed_answer"
+            ? outcomeUnknown("outcome_not_kept", "The response wasn't kept")
+            : value,
+        );
+      });
+    });
+  }
+
+  *#forward(
+    request: CallerRequest,
+    issuer: Extract<KeyCheck, { kind: "other_issuer" }>,
+  ): Operation<Outcome> {
+    const peer = this.#options.entries.get().find((digest) =>
+      digest.entryId === issuer.entryId &&
+      digest.incarnation === issuer.incarnation
+    );
+    // Only the issuer can prove that no request with the key has run.
+    const unreachable = outcomeUnknown(
+      "key_issuer_unreachable",
+      "The entry that issued the key can't be reached",
+    );
+    if (peer === undefined || request.forwardedBy !== undefined) {
+      return unreachable;
+    }
+    const connections = this.#connectionsTo(peer.callerAddress);
+    if (connections.free <= 0) return unreachable;
+    const { result } = this.#send(request, connections);
+    return outcomeOfForwarded(yield* until(result), unreachable);
+  }
+
+  #send(request: CallerRequest, connections: BackendConnections) {
+    const remainingMs = () =>
+      request.deadlineAtMs - this.#options.clock.monotonicMs();
+    const leftMs = Math.max(1, remainingMs());
+    const returnMs = Math.min(
+      MAXIMUM_RETURN_TIME_MS,
+      leftMs * RETURN_TIME_FRACTION,
+    );
+    const headers = filterRequestHeaders(request.rawHeaders);
+    headers.push(
+      DEADLINE_HEADER,
+      String(Math.max(1, Math.floor(leftMs - returnMs))),
+      FORWARDED_BY_HEADER,
+      this.#options.entryId,
+      IDEMPOTENCY_KEY_HEADER,
+      request.key!,
+    );
+    return connections.send({ ...request, headers }, remainingMs);
+  }
+
+  #connectionsTo(address: string): BackendConnections {
+    let connections = this.#peers.get(address);
+    if (connections === undefined) {
+      connections = new BackendConnections(address, PEER_CONNECTIONS);
+      this.#peers.set(address, connections);
+    }
+    return connections;
+  }
+}
+
+function fingerprintOf(request: CallerRequest): string {
+  return createHash("sha256")
+    .update(`${request.method} ${request.path}\n`)
+    .update(request.body ?? "")
+    .digest("base64");
+}
+
+function outcomeOfForwarded(
+  result: ExchangeResult,
+  unreachable: Outcome,
+): Outcome {
+  if (result.kind === "failed") {
+    return result.reason === "timeout"
+      ? outcomeUnknown("timeout", "The issuing entry didn't answer in time")
+      : unreachable;
+  }
+  const outcome = findHeader(result.response.headers, OUTCOME_HEADER);
+  return outcome === undefined
+    ? unreachable
+    : { kind: "forwarded", outcome, response: result.response };
+}
--- /dev/null
+++ b/src/requests/outcome.ts
@@ -0,0 +1,201 @@
+import { assertNever, TaggedError } from "../errors.ts";
+
+/** Why a request was not run. */
+export type RefusalReason =
+  | "not_configured"
+  | "draining"
+  | "isolated"
+  | "no_instance"
+  | "queue_full"
+  | "deadline_unreachable"
+  | "deadline_expired"
+  | "backend_unreachable"
+  | "caller_gone"
+  | "key_table_full"
+  | "unknown_service"
+  | "unknown_resource"
+  | "method_not_allowed"
+  | "malformed_request"
+  | "invalid_path"
+  | "invalid_deadline"
+  | "body_too_large"
+  | "headers_too_large"
+  | "slow_sender"
+  | "malformed_key"
+  | "forged_key"
+  | "expired_key"
+  | "key_reused";
+
+/** Why it isn't known whether a request ran. */
+export type UnknownReason =
+  | "timeout"
+  | "connection_lost"
+  | "incomplete_response"
+  | "wrong_response"
+  | "unframed_response"
+  | "key_issuer_unreachable"
+  | "key_expired_after_use"
+  | "outcome_not_kept"
+  | "waiting_for_first_run"
+  | "internal";
+
+/** A request that was not run; no byte of it reached a backend server. */
+export class NotRunError extends TaggedError<RefusalReason> {
+  readonly kind: RefusalReason;
+  /** Time after which a retry can help, in ms. */
+  readonly retryAfterMs: number | undefined;
+
+  constructor(kind: RefusalReason, message: string, retryAfterMs?: number) {
+    super(message);
+    this.kind = kind;
+    this.retryAfterMs = retryAfterMs;
+  }
+}
+
+/** A request that may have run and that this system won't run again. */
+export class OutcomeUnknownError extends TaggedError<UnknownReason> {
+  readonly kind: UnknownReason;
+
+  constructor(kind: UnknownReason, message: string) {
+    super(message);
+    this.kind = kind;
+  }
+}
+
+/** A complete response that is held in memory. */
+export interface BufferedResponse {
+  readonly status: number;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+}
+
+/** A response too long to buffer; its start has arrived. */
+export interface StreamedResponse {
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly source: ResponseSource;
+}
+
+/** Receives a streamed response. */
+export interface ResponseSink {
+  /** Returns false to pause until `resume` is called. */
+  write(chunk: Buffer): boolean;
+  end(): void;
+  /** Called instead of `end` when the rest doesn't arrive. */
+  abort(): void;
+}
+
+/** The rest of a response that is still arriving. */
+export interface ResponseSource {
+  /** Passes on what has arrived and what follows. */
+  connect(sink: ResponseSink): void;
+  resume(): void;
+  /** Stops reading and destroys the backend connection. */
+  cancel(): void;
+  /** Resolves once the response has ended; true if it is complete. */
+  readonly ended: Promise<boolean>;
+}
+
+/** The final result of a request. */
+export type Outcome =
+  | { readonly kind: "answer"; readonly response: BufferedResponse }
+  | { readonly kind: "streamed_answer"; readonly response: StreamedResponse }
+  | { readonly kind: "not_run"; readonly error: NotRunError }
+  | { readonly kind: "outcome_unknown"; readonly error: OutcomeUnknownError }
+  /** A response of the issuing entry, which names its outcome. */
+  | {
+    readonly kind: "forwarded";
+    readonly outcome: string;
+    readonly response: BufferedResponse | StreamedResponse;
+  };
+
+/** Returns the outcome for a request that was not run. */
+export function notRun(
+  kind: RefusalReason,
+  message: string,
+  retryAfterMs?: number,
+): Outcome {
+  return {
+    kind: "not_run",
+    error: new NotRunError(kind, message, retryAfterMs),
+  };
+}
+
+/** Returns the outcome for a request that may have run. */
+export function outcomeUnknown(kind: UnknownReason, message: string): Outcome {
+  return {
+    kind: "outcome_unknown",
+    error: new OutcomeUnknownError(kind, message),
+  };
+}
+
+/** Returns the HTTP status of a request that was not run. */
+export function statusOfRefusal(reason: RefusalReason): number {
+  switch (reason) {
+    case "unknown_service":
+    case "unknown_resource":
+      return 404;
+    case "method_not_allowed":
+      return 405;
+    case "slow_sender":
+      return 408;
+    case "expired_key":
+      return 410;
+    case "body_too_large":
+      return 413;
+    case "key_reused":
+      return 422;
+    case "headers_too_large":
+      return 431;
+    case "malformed_request":
+    case "invalid_path":
+    case "invalid_deadline":
+    case "malformed_key":
+      return 400;
+    case "forged_key":
+      return 403;
+    case "not_configured":
+    case "draining":
+    case "isolated":
+    case "no_instance":
+    case "queue_full":
+    case "deadline_unreachable":
+    case "deadline_expired":
+    case "backend_unreachable":
+    case "caller_gone":
+    case "key_table_full":
+      return 503;
+    default:
+      return assertNever(reason);
+  }
+}
+
+/** Returns the HTTP status of a request that may have run. */
+export function statusOfUnknown(reason: UnknownReason): number {
+  return reason === "timeout" || reason === "waiting_for_first_run" ? 504 : 502;
+}
+
+/** Returns the response of a request that has no answer, without the request id. */
+export function describeFailure(
+  error: NotRunError | OutcomeUnknownError,
+): BufferedResponse {
+  const notRunError = error instanceof NotRunError ? error : undefined;
+  const retryAfterMs = notRunError?.retryAfterMs;
+  const headers = ["content-type", "application/json"];
+  if (retryAfterMs !== undefined) {
+    headers.push("retry-after", String(Math.ceil(retryAfterMs / 1_000)));
+  }
+  return {
+    status: notRunError === undefined
+      ? statusOfUnknown((error as OutcomeUnknownError).kind)
+      : statusOfRefusal(notRunError.kind),
+    headers,
+    body: Buffer.from(JSON.stringify({
+      error: {
+        ...error.toJSON(),
+        ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+      },
+    })),
+  };
+}
--- a/src/requests/pool_map.ts
+++ b/src/requests/pool_map.ts
@@ -5,6 +5,7 @@
 /** One backend server that may get requests. */
 export interface Instance {
   readonly vmId: string;
+  readonly incarnation: string;
   readonly pool: string;
   /** `host:port` of the backend server. */
   readonly address: string;
@@ -12,37 +13,72 @@
   readonly connections: number;
 }
 
+/** One pool of the region with the instances that take new work. */
+export interface PoolView {
+  readonly name: string;
+  /** The pool's first service. */
+  readonly ownService: string;
+  readonly services: ReadonlySet<string>;
+  /** Whether other services may use free slots without a move. */
+  readonly lends: boolean;
+  readonly spare: boolean;
+  readonly minimumServingVms: number;
+  /** Owed availability, in slots. */
+  readonly owedSlots: number;
+  readonly instances: readonly Instance[];
+}
+
 /** What the pool map is made from. */
 export interface PoolMapInput {
+  readonly region: string;
   readonly config: ResolvedConfig;
   readonly record: FleetRecord;
   readonly vms: readonly Vm[];
+  /** VMs that were announced as leaving by themselves or by a peer. */
+  readonly leavingVms: ReadonlySet<string>;
+}
+
+function takesNewWork(vm: Vm, input: PoolMapInput): boolean {
+  const entry = input.record.vms[vm.id];
+  return entry !== undefined && entry.state === "serving" &&
+    entry.incarnation === vm.incarnation && vm.state === "live" &&
+    !input.leavingVms.has(vm.id);
 }
 
-/** Returns the serving instances of each pool. */
-export function resolvePoolMap(input: PoolMapInput): Map<string, Instance[]> {
+/** Returns the region's pools with the instances that take new work. */
+export function resolvePoolMap(input: PoolMapInput): PoolView[] {
   const { config, record, vms } = input;
   const services = new Map(
     config.services.map((service) => [service.name, service]),
   );
-  const pools = new Map(config.pools.map((pool) => [pool.name, pool]));
-  const instances = new Map<string, Instance[]>();
-  for (const vm of vms) {
-    const entry = record.vms[vm.id];
-    if (
-      entry === undefined || entry.state !== "serving" || vm.state !== "live"
-    ) continue;
-    const service = services.get(pools.get(entry.pool)?.services[0] ?? "");
-    if (service === undefined) continue;
-    const list = instances.get(entry.pool) ?? [];
-    list.push({
-      vmId: vm.id,
-      pool: entry.pool,
-      address: vm.address,
-      slots: service.slotsPerInstance,
-      connections: service.connectionsPerInstance,
+  const working = vms.filter((vm) => takesNewWork(vm, input));
+  const views: PoolView[] = [];
+  for (const pool of config.pools) {
+    const ownService = pool.services[0];
+    const service = services.get(ownService ?? "");
+    if (pool.region !== input.region || service === undefined) continue;
+    const instances = working
+      .filter((vm) => record.vms[vm.id]?.pool === pool.name)
+      .map((vm) => ({
+        vmId: vm.id,
+        incarnation: vm.incarnation,
+        pool: pool.name,
+        address: vm.address,
+        slots: service.slotsPerInstance,
+        connections: service.connectionsPerInstance,
+      }))
+      .sort((a, b) => a.vmId < b.vmId ? -1 : 1);
+    views.push({
+      name: pool.name,
+      ownService: service.name,
+      services: new Set(pool.services),
+      lends: pool.lending.overflow,
+      spare: pool.spare,
+      minimumServingVms: pool.availability.minimumServingVms,
+      owedSlots: pool.availability.minimumServingVms *
+        service.slotsPerInstance,
+      instances,
     });
-    instances.set(entry.pool, list);
   }
-  return instances;
+  return views;
 }
--- /dev/null
+++ b/src/requests/refusal_log.ts
@@ -0,0 +1,27 @@
+/** One refusal, as shown in the dump. */
+export interface RecentRefusal {
+  readonly atMs: number;
+  readonly requestId: string;
+  readonly service: string;
+  readonly reason: string;
+  /** What the decision was made from. */
+  readonly details: Readonly<Record<string, unknown>> | undefined;
+}
+
+const KEPT_REFUSALS = 50;
+
+/** Keeps the last refusals. */
+export class RefusalLog {
+  #refusals: RecentRefusal[] = [];
+
+  add(refusal: RecentRefusal): void {
+    this.#refusals.push(refusal);
+    if (this.#refusals.length > 2 * KEPT_REFUSALS) {
+      this.#refusals = this.#refusals.slice(-KEPT_REFUSALS);
+    }
+  }
+
+  list(): RecentRefusal[] {
+    return this.#refusals.slice(-KEPT_REFUSALS);
+  }
+}
--- /dev/null
+++ b/src/requests/reply.ts
@@ -0,0 +1,94 @@
+import type { ServerResponse } from "node:http";
+import { OUTCOME_HEADER, REQUEST_ID_HEADER } from "../constants.ts";
+import { assertNever } from "../errors.ts";
+import { filterResponseHeaders, findHeader } from "./headers.ts";
+import {
+  type BufferedResponse,
+  describeFailure,
+  type Outcome,
+  type StreamedResponse,
+} from "./outcome.ts";
+
+/** How an outcome is written to its caller. */
+export interface ReplyOptions {
+  readonly requestId: string;
+  /** Whether the caller's connection ends with this response. */
+  readonly closeConnection: boolean;
+}
+
+/** Returns the value of the outcome header. */
+export function outcomeName(outcome: Outcome): string {
+  switch (outcome.kind) {
+    case "answer":
+    case "streamed_answer":
+      return "answer";
+    case "not_run":
+    case "outcome_unknown":
+      return outcome.kind;
+    case "forwarded":
+      return outcome.outcome;
+    default:
+      return assertNever(outcome);
+  }
+}
+
+/** Writes a request's one final response; resolves with whether all of it could be passed on. */
+export function writeReply(
+  response: ServerResponse,
+  outcome: Outcome,
+  options: ReplyOptions,
+): Promise<boolean> | boolean {
+  const reply = outcome.kind === "not_run" || outcome.kind === "outcome_unknown"
+    ? describeFailure(outcome.error)
+    : outcome.response;
+  const headers = filterResponseHeaders(reply.headers);
+  headers.push(OUTCOME_HEADER, outcomeName(outcome));
+  headers.push(REQUEST_ID_HEADER, options.requestId);
+  if (options.closeConnection) headers.push("connection", "close");
+  if ("source" in reply) return writeStream(response, reply, headers);
+  writeBuffered(response, reply, headers);
+  return true;
+}
+
+function hasNoBody(response: ServerResponse, status: number): boolean {
+  return response.req.method === "HEAD" || status === 204 || status === 304;
+}
+
+function writeBuffered(
+  response: ServerResponse,
+  reply: BufferedResponse,
+  headers: string[],
+): void {
+  const { status, body } = reply;
+  if (hasNoBody(response, status)) {
+    response.writeHead(status, headers);
+    response.end();
+    return;
+  }
+  if (findHeader(headers, "content-length") === undefined) {
+    headers.push("content-length", String(body.length));
+  }
+  response.writeHead(status, headers);
+  response.end(body);
+}
+
+function writeStream(
+  response: ServerResponse,
+  reply: StreamedResponse,
+  headers: string[],
+): Promise<boolean> {
+  const { source } = reply;
+  response.writeHead(reply.status, headers);
+  response.on("drain", () => source.resume());
+  response.on("close", () => {
+    if (!response.writableFinished) source.cancel();
+  });
+  response.on("error", () => source.cancel());
+  source.connect({
+    write: (chunk) => response.write(chunk),
+    end: () => response.end(),
+    // A reset can't be taken for the regular end of a body.
+    abort: () => response.socket?.resetAndDestroy(),
+  });
+  return source.ended;
+}
--- /dev/null
+++ b/src/requests/request_body.ts
@@ -0,0 +1,66 @@
+import type { IncomingMessage } from "node:http";
+import { NotRunError } from "./outcome.ts";
+
+/** Bounds on the reading of a body. */
+export interface BodyLimits {
+  readonly maximumBodyBytes: number;
+  /** Time in which the whole body must have arrived, in ms. */
+  readonly timeoutMs: number;
+}
+
+/** A body that is being read. */
+export interface BodyRead {
+  /** Rejects with a `NotRunError`. */
+  readonly body: Promise<Buffer | undefined>;
+  /** Ends the reading with an error, such as one of the HTTP parser. */
+  fail(error: NotRunError): void;
+}
+
+/** Reads a request's body up to the limit. */
+export function readBody(
+  request: IncomingMessage,
+  limits: BodyLimits,
+): BodyRead {
+  let fail!: (error: NotRunError) => void;
+  const body = new Promise<Buffer | undefined>((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let receivedBytes = 0;
+    const timer = setTimeout(
+      () => fail(new NotRunError("slow_sender", "The body arrives too slowly")),
+      limits.timeoutMs,
+    );
+    const onData = (chunk: Buffer) => {
+      receivedBytes += chunk.length;
+      if (receivedBytes > limits.maximumBodyBytes) {
+        return fail(bodyTooLarge(limits.maximumBodyBytes));
+      }
+      chunks.push(chunk);
+    };
+    const onEnd = () => {
+      stop();
+      resolve(chunks.length === 0 ? undefined : Buffer.concat(chunks));
+    };
+    const onClose = () =>
+      fail(new NotRunError("malformed_request", "The body ended early"));
+    function stop() {
+      clearTimeout(timer);
+      request.off("data", onData).off("end", onEnd).off("close", onClose);
+    }
+    fail = (error) => {
+      stop();
+      reject(error);
+    };
+    request.on("data", onData).on("end", onEnd).on("close", onClose);
+    // Without a listener a connection that is reset would end the process.
+    request.on("error", () => {});
+  });
+  return { body, fail };
+}
+
+/** Returns the error for a body over the limit. */
+export function bodyTooLarge(maximumBodyBytes: number): NotRunError {
+  return new NotRunError(
+    "body_too_large",
+    `The body is larger than ${maximumBodyBytes} bytes`,
+  );
+}
--- a/src/requests/request_path.ts
+++ b/src/requests/request_path.ts
@@ -1,6 +1,7 @@
 import type { Server } from "node:http";
+import { createScope, type Operation, sleep } from "effection";
 import type { Clock } from "../clock.ts";
-import type { AppliedConfig } from "../config/schema.ts";
+import type { AppliedConfig, ServiceConfig } from "../config/schema.ts";
 import type { ContactTracker } from "../contact_tracker.ts";
 import type { FleetRecord } from "../fleet/record.ts";
 import type { Logger } from "../logger.ts";
@@ -8,7 +9,17 @@
 import type { EntryDigest, ServiceLoad } from "../peers/messages.ts";
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
 import type { ResolvedSettings } from "../settings/schema.ts";
+import { AdmissionQueues } from "./admission.ts";
+import type { CallerRequest } from "./caller_request.ts";
 import { createFront } from "./front.ts";
+import { KeyedRequests } from "./keyed_requests.ts";
+import { NotRunError, type Outcome } from "./outcome.ts";
+import { RefusalLog } from "./refusal_log.ts";
+import { type MetricSummary, RequestMetrics } from "./request_metrics.ts";
+import { Router } from "./router.ts";
+import { RequestRunner } from "./run_request.ts";
+import { CallServer } from "./serve_call.ts";
+import { addRetryJitter } from "./shedding.ts";
 
 /** What the request path works with. */
 export interface RequestPathOptions {
@@ -41,19 +52,196 @@
   load(): LoadReport;
   /** State for the dump: queues, shares, ejections, recent refusals with their reasons. */
   dump(): unknown;
+  /** Latency summaries by service and outcome. */
+  metrics(): MetricSummary[];
   /** Refuses new requests from now on; resolves once none is in flight. */
   drain(): Promise<void>;
   /** Requests in flight and queued. */
   inFlight(): number;
 }
 
-/** Creates the request path; its server isn't listening yet. */
+/** Interval of the review of queues, in ms. */
+const SWEEP_INTERVAL_MS = 25;
+/** Interval of the review of ejections and of expired keys, in ms. */
+const REVIEW_INTERVAL_MS = 250;
+/** Time in which changes of peers' digests are put together, in ms. */
+const DIGEST_DELAY_MS = 20;
+/** Time after which another entry has taken over a draining one's callers, in ms. */
+const DRAINING_RETRY_MS = 50;
+/** Time after which an isolated entry may have contact again, in ms. */
+const ISOLATED_RETRY_MS = 1_000;
+
+/** Creates the request path; its server isn't listening yet. Closing the server ends its tasks. */
 export function createRequestPath(options: RequestPathOptions): RequestPath {
+  const { settings, incarnation, clock, log } = options;
+  const [scope, destroyScope] = createScope();
+  const refusals = new RefusalLog();
+  const metrics = new RequestMetrics();
+  let services = new Map<string, ServiceConfig>();
+
+  const admission = new AdmissionQueues({
+    router: () => router,
+    maximumQueued: settings.limits.maximumQueuedRequests,
+    clock,
+    random: Math.random,
+  });
+  const router = new Router({
+    entryId: settings.entryId,
+    region: settings.region,
+    config: options.config,
+    fleet: options.fleet,
+    vmList: options.vmList,
+    entries: options.entries,
+    ownLoad: () => admission.load([...services.values()]),
+    hasWaiting: (service) => admission.hasWaiting(service),
+    clock,
+    log,
+  });
+  const runner = new RequestRunner({
+    router,
+    admission,
+    clock,
+    onRefusal: (request, error, details) =>
+      refusals.add({
+        atMs: clock.wallMs(),
+        requestId: request.requestId,
+        service: request.service,
+        reason: error.kind,
+        details,
+      }),
+  });
+  const keyed = new KeyedRequests({
+    entryId: settings.entryId,
+    incarnation,
+    entries: options.entries,
+    clock,
+    scope,
+    gate: (): Outcome | undefined => {
+      try {
+        checkOpen();
+        return undefined;
+      } catch (error) {
+        if (error instanceof NotRunError) return { kind: "not_run", error };
+        throw error;
+      }
+    },
+    run: (request, service) => runner.run(request, service),
+  });
+  const calls = new CallServer({
+    limits: settings.limits,
+    idPrefix: `${settings.entryId}-${incarnation.slice(0, 8)}`,
+    findService: (name) =>
+      services.get(name) ??
+        (options.config.get() === undefined
+          ? "not_configured"
+          : "unknown_service"),
+    checkOpen,
+    handle: (request: CallerRequest, service: ServiceConfig) =>
+      request.key === undefined
+        ? runner.run(request, service)
+        : keyed.handle(request, service),
+    issueKey: () => keyed.issue(),
+    refusals,
+    metrics,
+    clock,
+    log,
+  });
+  const server = createFront({
+    limits: settings.limits,
+    calls,
+    scope,
+    clock,
+    log,
+  });
+
+  function checkOpen(): void {
+    if (calls.draining) {
+      throw new NotRunError(
+        "draining",
+        "The entry is shutting down",
+        addRetryJitter(DRAINING_RETRY_MS, Math.random()),
+      );
+    }
+    if (options.contacts.isolated()) {
+      throw new NotRunError(
+        "isolated",
+        "The entry is cut off from the platform and its peers",
+        addRetryJitter(ISOLATED_RETRY_MS, Math.random()),
+      );
+    }
+  }
+
+  function update(): void {
+    const config = options.config.get()?.config;
+    services = new Map(
+      config?.services.map((service) => [service.name, service]) ?? [],
+    );
+    router.update();
+    admission.pump();
+  }
+
+  let digestTimer: NodeJS.Timeout | undefined;
+  function updateSoon(): void {
+    digestTimer ??= setTimeout(() => {
+      digestTimer = undefined;
+      update();
+    }, DIGEST_DELAY_MS);
+  }
+
+  function* review(): Operation<void> {
+    let elapsedMs = 0;
+    while (true) {
+      yield* sleep(SWEEP_INTERVAL_MS);
+      admission.sweep();
+      elapsedMs += SWEEP_INTERVAL_MS;
+      if (elapsedMs < REVIEW_INTERVAL_MS) continue;
+      elapsedMs = 0;
+      router.reviewEjections();
+      keyed.expire();
+    }
+  }
+
+  const unsubscribe = [
+    options.config.subscribe(update),
+    options.fleet.subscribe(update),
+    options.vmList.subscribe(update),
+    options.entries.subscribe(updateSoon),
+  ];
+  update();
+  server.once("listening", () => {
+    scope.run(review).catch(() => {});
+  });
+  server.once("close", () => {
+    for (const end of unsubscribe) end();
+    clearTimeout(digestTimer);
+    router.close();
+    keyed.close();
+    destroyScope().catch(() => {});
+  });
+
   return {
-    server: createFront(options),
-    load: () => ({ services: {}, drainingInFlight: {}, leavingVms: [] }),
-    dump: () => ({}),
-    drain: () => Promise.resolve(),
-    inFlight: () => 0,
+    server,
+    load: () => ({
+      services: admission.load([...services.values()]),
+      drainingInFlight: router.drainingInFlight(),
+      leavingVms: router.leavingVms(),
+    }),
+    dump: () => ({
+      active: calls.active,
+      draining: calls.draining,
+      isolated: options.contacts.isolated(),
+      queues: admission.describe(),
+      routing: router.describe(),
+      retryBudgets: runner.describe(),
+      keys: keyed.describe(),
+      recentRefusals: refusals.list(),
+    }),
+    metrics: () => metrics.list(),
+    async drain() {
+      calls.draining = true;
+      await calls.whenIdle();
+      await keyed.whenIdle();
+    },
+    inFlight: () => calls.active + keyed.running,
   };
 }
--- /dev/null
+++ b/src/requests/retry_budget.ts
@@ -0,0 +1,69 @@
+/** Token bucket that limits a service's retries. */
+export interface RetryBudget {
+  readonly tokens: number;
+}
+
+/** Tokens that a bucket holds at most. */
+const MAXIMUM_TOKENS = 20;
+
+/** Returns the bucket of a service that has had no request yet. */
+export function createRetryBudget(percent: number): RetryBudget {
+  return { tokens: percent > 0 ? MAXIMUM_TOKENS / 2 : 0 };
+}
+
+/** Returns the bucket after a successful request. */
+export function refillRetryBudget(
+  budget: RetryBudget,
+  percent: number,
+): RetryBudget {
+  return { tokens: Math.min(MAXIMUM_TOKENS, budget.tokens + percent / 100) };
+}
+
+/** What the decision to retry depends on. */
+export interface RetryInput {
+  /** Whether a byte of any attempt may have reached a backend server. */
+  readonly sent: boolean;
+  readonly idempotent: boolean;
+  readonly attempts: number;
+  readonly remainingMs: number;
+  /** Whether another instance takes the service's requests. */
+  readonly otherInstance: boolean;
+  readonly budget: RetryBudget;
+}
+
+/** Whether a failed attempt is followed by another one. */
+export type RetryDecision =
+  | { readonly kind: "retry"; readonly budget: RetryBudget }
+  | {
+    readonly kind: "stop";
+    readonly reason:
+      | "not_idempotent"
+      | "attempts_used"
+      | "deadline"
+      | "no_other_instance"
+      | "budget_empty";
+  };
+
+/** Attempts for one request. */
+const MAXIMUM_ATTEMPTS = 3;
+
+/**
+ * Decides whether a failed attempt is repeated on another instance. An attempt
+ * of which nothing was sent costs no token, because it put no load on a backend
+ * server.
+ */
+export function decideRetry(input: RetryInput): RetryDecision {
+  if (input.sent && !input.idempotent) {
+    return { kind: "stop", reason: "not_idempotent" };
+  }
+  if (input.attempts >= MAXIMUM_ATTEMPTS) {
+    return { kind: "stop", reason: "attempts_used" };
+  }
+  if (input.remainingMs <= 0) return { kind: "stop", reason: "deadline" };
+  if (!input.otherInstance) {
+    return { kind: "stop", reason: "no_other_instance" };
+  }
+  if (!input.sent) return { kind: "retry", budget: input.budget };
+  if (input.budget.tokens < 1) return { kind: "stop", reason: "budget_empty" };
+  return { kind: "retry", budget: { tokens: input.budget.tokens - 1 } };
+}
--- /dev/null
+++ b/src/requests/run_request.ts
@@ -0,0 +1,179 @@
+import { type Operation, until } from "effection";
+import type { Clock } from "../clock.ts";
+import type { ServiceConfig } from "../config/schema.ts";
+import { DEADLINE_HEADER } from "../constants.ts";
+import type { Admission, AdmissionQueues } from "./admission.ts";
+import type { CallerRequest } from "./caller_request.ts";
+import type { ExchangeResult } from "./exchange.ts";
+import { filterRequestHeaders } from "./headers.ts";
+import type { AttemptResult } from "./instance_state.ts";
+import {
+  notRun,
+  NotRunError,
+  type Outcome,
+  outcomeUnknown,
+} from "./outcome.ts";
+import {
+  createRetryBudget,
+  decideRetry,
+  refillRetryBudget,
+  type RetryBudget,
+} from "./retry_budget.ts";
+import type { Router, SlotGrant } from "./router.ts";
+
+/** What running a request works with. */
+export interface RunnerOptions {
+  readonly router: Router;
+  readonly admission: AdmissionQueues;
+  readonly clock: Clock;
+  /** Called with each refusal and what it was decided from. */
+  readonly onRefusal: (
+    request: CallerRequest,
+    error: NotRunError,
+    details?: Record<string, unknown>,
+  ) => void;
+}
+
+/** Time before which a missed deadline says nothing about an instance, in ms. */
+const TIMEOUT_FAILURE_FLOOR_MS = 250;
+/** Time after which a retry is useful when no instance could be reached, in ms. */
+const UNREACHABLE_RETRY_MS = 500;
+
+/** Runs requests on backend servers: admission, exchange, retries. */
+export class RequestRunner {
+  #options: RunnerOptions;
+  #budgets = new Map<string, RetryBudget>();
+
+  constructor(options: RunnerOptions) {
+    this.#options = options;
+  }
+
+  /** Runs a request until it has its final outcome. */
+  *run(request: CallerRequest, service: ServiceConfig): Operation<Outcome> {
+    const { admission, router, clock } = this.#options;
+    const idempotent = service.idempotentMethods.includes(request.method) &&
+      request.key === undefined;
+    const excluded = new Set<string>();
+    let sent = false;
+    admission.noteArrival(service.name);
+    for (let attempts = 1;; attempts++) {
+      const started = admission.acquire({
+        service,
+        idempotent,
+        deadlineAtMs: request.deadlineAtMs,
+        excluded,
+        abandoned: request.abandoned,
+      });
+      const admitted: Admission = started instanceof Promise
+        ? yield* until(started)
+        : started;
+      if (admitted.kind === "refused") {
+        return sent
+          ? outcomeUnknown("connection_lost", "The last attempt failed")
+          : this.#refuse(request, admitted.error, admitted.details);
+      }
+      const { grant } = admitted;
+      const result = yield* until(this.#attempt(request, grant));
+      if (result.kind !== "failed") {
+        this.#refill(service);
+        if (result.leaving) router.markLeaving(grant);
+        return result.kind === "complete"
+          ? { kind: "answer", response: result.response }
+          : { kind: "streamed_answer", response: result.response };
+      }
+      sent ||= result.sent;
+      excluded.add(grant.state.instance.vmId);
+      const decision = decideRetry({
+        sent,
+        idempotent,
+        attempts,
+        remainingMs: request.deadlineAtMs - clock.monotonicMs(),
+        otherInstance: router.hasInstance(service.name, excluded),
+        budget: this.#budgetOf(service),
+      });
+      if (decision.kind === "stop") {
+        return this.#conclude(request, sent, result);
+      }
+      this.#budgets.set(service.name, decision.budget);
+    }
+  }
+
+  describe(): unknown {
+    return Object.fromEntries(this.#budgets);
+  }
+
+  /** Sends the request on the granted slot; the slot is given back when the exchange ends. */
+  async #attempt(
+    request: CallerRequest,
+    grant: SlotGrant,
+  ): Promise<ExchangeResult> {
+    const { clock, admission } = this.#options;
+    const startedAtMs = clock.monotonicMs();
+    const remainingMs = () => request.deadlineAtMs - clock.monotonicMs();
+    const headers = filterRequestHeaders(request.rawHeaders);
+    headers.push(
+      DEADLINE_HEADER,
+      String(Math.max(0, Math.floor(remainingMs()))),
+    );
+    const exchange = grant.state.connections.send(
+      { ...request, headers },
+      remainingMs,
+    );
+    const result = await exchange.result;
+    const latencyMs = clock.monotonicMs() - startedAtMs;
+    const outcome = attemptResult(result, latencyMs);
+    if (result.kind === "streaming") {
+      exchange.ended.then(() => admission.release(grant, outcome));
+    } else admission.release(grant, outcome);
+    return result;
+  }
+
+  #conclude(
+    request: CallerRequest,
+    sent: boolean,
+    result: Extract<ExchangeResult, { kind: "failed" }>,
+  ): Outcome {
+    if (sent) return outcomeUnknown(result.reason, result.message);
+    return this.#refuse(
+      request,
+      result.reason === "timeout"
+        ? new NotRunError("deadline_expired", result.message, 0)
+        : new NotRunError(
+          "backend_unreachable",
+          result.message,
+          UNREACHABLE_RETRY_MS,
+        ),
+    );
+  }
+
+  #refuse(
+    request: CallerRequest,
+    error: NotRunError,
+    details?: Record<string, unknown>,
+  ): Outcome {
+    this.#options.onRefusal(request, error, details);
+    return notRun(error.kind, error.message, error.retryAfterMs);
+  }
+
+  #budgetOf(service: ServiceConfig): RetryBudget {
+    return this.#budgets.get(service.name) ??
+      createRetryBudget(service.retryBudgetPercent);
+  }
+
+  #refill(service: ServiceConfig): void {
+    this.#budgets.set(
+      service.name,
+      refillRetryBudget(this.#budgetOf(service), service.retryBudgetPercent),
+    );
+  }
+}
+
+function attemptResult(
+  result: ExchangeResult,
+  latencyMs: number,
+): AttemptResult {
+  if (result.kind !== "failed") return { kind: "response", latencyMs };
+  const ownDeadline = result.reason === "timeout" &&
+    latencyMs < TIMEOUT_FAILURE_FLOOR_MS;
+  return ownDeadline ? { kind: "undecided" } : { kind: "failure" };
+}
--- /dev/null
+++ b/src/requests/serve_call.ts
@@ -0,0 +1,220 @@
+import { type Operation, until } from "effection";
+import type { Clock } from "../clock.ts";
+import type { ServiceConfig } from "../config/schema.ts";
+import {
+  FORWARDED_BY_HEADER,
+  IDEMPOTENCY_KEY_HEADER,
+  SYSTEM_PATH_PREFIX,
+} from "../constants.ts";
+import { messageOf } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import type { ResolvedSettings } from "../settings/schema.ts";
+import type { IncomingCall } from "./caller_connections.ts";
+import {
+  announcesBody,
+  type CallerRequest,
+  callerRequestId,
+  parseDeadlineMs,
+  parseServiceName,
+  singleHeader,
+} from "./caller_request.ts";
+import type { IssuedKey } from "./idempotency_keys.ts";
+import { NotRunError, type Outcome, outcomeUnknown } from "./outcome.ts";
+import type { RefusalLog } from "./refusal_log.ts";
+import { outcomeName, writeReply } from "./reply.ts";
+import { bodyTooLarge, readBody } from "./request_body.ts";
+import type { RequestMetrics } from "./request_metrics.ts";
+
+/** What serving a call works with. */
+export interface CallServerOptions {
+  readonly limits: ResolvedSettings["limits"];
+  /** Prefix of generated request ids. */
+  readonly idPrefix: string;
+  readonly findService: (
+    name: string,
+  ) => ServiceConfig | "unknown_service" | "not_configured";
+  /** Refuses new work while this entry takes none; throws a `NotRunError`. */
+  readonly checkOpen: () => void;
+  readonly handle: (
+    request: CallerRequest,
+    service: ServiceConfig,
+  ) => Operation<Outcome>;
+  readonly issueKey: () => IssuedKey;
+  readonly refusals: RefusalLog;
+  readonly metrics: RequestMetrics;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+/** Time after which an entry that starts has its configuration, in ms. */
+const CONFIGURED_RETRY_MS = 1_000;
+
+/** Serves calls from their arrival to their one final response. */
+export class CallServer {
+  #options: CallServerOptions;
+  #active = 0;
+  #nextId = 0;
+  #idleListeners: (() => void)[] = [];
+  draining = false;
+
+  constructor(options: CallServerOptions) {
+    this.#options = options;
+  }
+
+  /** Calls that have arrived and whose response isn't fully written yet. */
+  get active(): number {
+    return this.#active;
+  }
+
+  /** Resolves once no call is in progress. */
+  whenIdle(): Promise<void> {
+    if (this.#active === 0) return Promise.resolve();
+    return new Promise((resolve) => this.#idleListeners.push(resolve));
+  }
+
+  issueKey(): IssuedKey {
+    return this.#options.issueKey();
+  }
+
+  /** Counts a call until its response is written or its connection is closed. */
+  began(call: IncomingCall): void {
+    this.#active++;
+    call.response.once("close", () => {
+      if (--this.#active > 0) return;
+      for (const listener of this.#idleListeners.splice(0)) listener();
+    });
+  }
+
+  /** Notes a request that the HTTP parser rejected. */
+  refusedUnparsed(error: NotRunError): void {
+    this.#noteRefusal("", "", error);
+  }
+
+  /** Serves one call; never throws. */
+  *serve(call: IncomingCall): Operation<void> {
+    const { request, response, connection } = call;
+    const requestId = callerRequestId(request) ?? this.#createId();
+    let service = "";
+    let outcome: Outcome;
+    try {
+      const config = this.#resolveService(call);
+      service = config.name;
+      const callerRequest = yield* this.#receive(call, requestId, config);
+      outcome = yield* this.#options.handle(callerRequest, config);
+    } catch (error) {
+      outcome = this.#outcomeOfError(error, requestId, service);
+    }
+    connection.failBody = undefined;
+    if (response.destroyed) return;
+    const unread = !request.complete;
+    const written = writeReply(response, outcome, {
+      requestId,
+      closeConnection: this.draining || connection.closing || unread,
+    });
+    if (unread) request.on("error", () => {}).resume();
+    const complete = written === true ||
+      (yield* until(written as Promise<boolean>));
+    this.#options.metrics.record(
+      service,
+      complete ? outcomeName(outcome) : "aborted",
+      this.#options.clock.monotonicMs() - call.arrivedAtMs,
+    );
+  }
+
+  #createId(): string {
+    return `${this.#options.idPrefix}-${(this.#nextId++).toString(36)}`;
+  }
+
+  #resolveService(call: IncomingCall): ServiceConfig {
+    const name = parseServiceName(call.url);
+    if (call.url.startsWith(SYSTEM_PATH_PREFIX)) {
+      throw new NotRunError(
+        "unknown_resource",
+        "The system has no such resource or it doesn't allow the method",
+      );
+    }
+    const found = this.#options.findService(name);
+    if (found === "unknown_service") {
+      throw new NotRunError(found, `There is no service named '${name}'`);
+    }
+    if (found === "not_configured") {
+      throw new NotRunError(
+        found,
+        "The entry has no configuration yet",
+        CONFIGURED_RETRY_MS,
+      );
+    }
+    return found;
+  }
+
+  *#receive(
+    call: IncomingCall,
+    requestId: string,
+    service: ServiceConfig,
+  ): Operation<CallerRequest> {
+    const { request } = call;
+    const key = singleHeader(request, IDEMPOTENCY_KEY_HEADER);
+    // Only the entry that issued a key knows whether its request was run.
+    if (key === undefined) this.#options.checkOpen();
+    const deadlineMs = parseDeadlineMs(request) ?? service.defaultDeadlineMs;
+    const body = announcesBody(request)
+      ? yield* this.#readBody(call, deadlineMs)
+      : undefined;
+    return {
+      requestId,
+      service: service.name,
+      method: request.method ?? "GET",
+      path: call.url,
+      rawHeaders: request.rawHeaders,
+      body,
+      deadlineAtMs: call.arrivedAtMs + deadlineMs,
+      key,
+      forwardedBy: singleHeader(request, FORWARDED_BY_HEADER),
+      abandoned: () => call.response.destroyed,
+    };
+  }
+
+  *#readBody(
+    call: IncomingCall,
+    deadlineMs: number,
+  ): Operation<Buffer | undefined> {
+    const { maximumBodyBytes, requestReadTimeoutMs } = this.#options.limits;
+    const announced = Number(call.request.headers["content-length"] ?? 0);
+    if (announced > maximumBodyBytes) throw bodyTooLarge(maximumBodyBytes);
+    const elapsedMs = this.#options.clock.monotonicMs() - call.arrivedAtMs;
+    const read = readBody(call.request, {
+      maximumBodyBytes,
+      timeoutMs: Math.max(
+        0,
+        Math.min(requestReadTimeoutMs, deadlineMs) - elapsedMs,
+      ),
+    });
+    call.connection.failBody = read.fail;
+    const body = yield* until(read.body);
+    call.connection.failBody = undefined;
+    return body;
+  }
+
+  #outcomeOfError(
+    error: unknown,
+    requestId: string,
+    service: string,
+  ): Outcome {
+    if (error instanceof NotRunError) {
+      this.#noteRefusal(requestId, service, error);
+      return { kind: "not_run", error };
+    }
+    this.#options.log.error("request failed", { reason: messageOf(error) });
+    return outcomeUnknown("internal", "The request failed in this system");
+  }
+
+  #noteRefusal(requestId: string, service: string, error: NotRunError): void {
+    this.#options.refusals.add({
+      atMs: this.#options.clock.wallMs(),
+      requestId,
+      service,
+      reason: error.kind,
+      details: undefined,
+    });
+  }
+}
--- /dev/null
+++ b/src/requests/service_times.ts
@@ -0,0 +1,71 @@
+import { build, type Histogram } from "hdr-histogram-js";
+import type { Clock } from "../clock.ts";
+
+/** Time that one histogram collects before it is replaced, in ms. */
+const WINDOW_MS = 5_000;
+/** Age at which computed figures are renewed, in ms. */
+const REFRESH_MS = 100;
+/** Figures of a service that has had no response yet, in ms. */
+const INITIAL_MEAN_MS = 10;
+const INITIAL_SLOW_MS = 50;
+/** Percentile that counts as a slow response. */
+const SLOW_PERCENTILE = 99;
+const MAXIMUM_VALUE_US = 600_000_000;
+
+/** Creates a histogram of durations in microseconds. */
+export function createDurationHistogram(): Histogram {
+  return build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: MAXIMUM_VALUE_US,
+    numberOfSignificantValueDigits: 2,
+  });
+}
+
+/** Records a duration in ms, cut to what a histogram holds. */
+export function recordDuration(histogram: Histogram, durationMs: number): void {
+  histogram.recordValue(
+    Math.min(MAXIMUM_VALUE_US, Math.max(1, Math.round(durationMs * 1_000))),
+  );
+}
+
+/** Service times of one service's recent requests. */
+export class ServiceTimes {
+  #clock: Clock;
+  #current = createDurationHistogram();
+  #previous = createDurationHistogram();
+  #windowStartMs: number;
+  #refreshedAtMs = -Infinity;
+  #figures = { meanMs: INITIAL_MEAN_MS, slowMs: INITIAL_SLOW_MS };
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#windowStartMs = clock.monotonicMs();
+  }
+
+  record(durationMs: number): void {
+    const nowMs = this.#clock.monotonicMs();
+    if (nowMs - this.#windowStartMs > WINDOW_MS) {
+      [this.#previous, this.#current] = [this.#current, this.#previous];
+      this.#current.reset();
+      this.#windowStartMs = nowMs;
+    }
+    recordDuration(this.#current, durationMs);
+  }
+
+  /** Mean and slow service time, in ms; the last known ones when there are no recent requests. */
+  figures(): { readonly meanMs: number; readonly slowMs: number } {
+    const nowMs = this.#clock.monotonicMs();
+    if (nowMs - this.#refreshedAtMs < REFRESH_MS) return this.#figures;
+    this.#refreshedAtMs = nowMs;
+    const merged = createDurationHistogram();
+    merged.add(this.#previous);
+    merged.add(this.#current);
+    if (merged.totalCount > 0) {
+      this.#figures = {
+        meanMs: merged.mean / 1_000,
+        slowMs: merged.getValueAtPercentile(SLOW_PERCENTILE) / 1_000,
+      };
+    }
+    return this.#figures;
+  }
+}
--- /dev/null
+++ b/src/requests/slot_shares.ts
@@ -0,0 +1,162 @@
+import { decideLendableSlots, type LendableSlots } from "./overflow.ts";
+import { rendezvousHash } from "./rendezvous_hash.ts";
+
+/** What one entry asks of a pool. */
+export interface EntryDemand {
+  readonly entryId: string;
+  /** Demand for the pool's own service, in slots. */
+  readonly ownSlots: number;
+  /** Whether requests of the own service are queued or in flight. */
+  readonly ownActive: boolean;
+  /** Demand of other services that this pool serves and that their own pools can't carry, in slots. */
+  readonly overflowSlots: number;
+}
+
+/** What the shares of one pool are computed from. */
+export interface SlotSharesInput {
+  readonly pool: string;
+  readonly instances: readonly {
+    readonly vmId: string;
+    readonly slots: number;
+  }[];
+  readonly lends: boolean;
+  readonly owedSlots: number;
+  readonly entries: readonly EntryDemand[];
+}
+
+/** Shares of one pool's slots. */
+export interface SlotShares {
+  readonly lendable: LendableSlots;
+  /** Slots of each entry over all instances, and how many of them other services may use. */
+  readonly entries: ReadonlyMap<
+    string,
+    { readonly slots: number; readonly overflowLimit: number }
+  >;
+  /** Slots of each instance by entry. */
+  readonly instances: ReadonlyMap<string, ReadonlyMap<string, number>>;
+}
+
+interface Claim {
+  readonly id: string;
+  readonly weight: number;
+  readonly minimum: number;
+}
+
+/** Weight of an entry without demand, in slots, so that its first request finds a slot. */
+const IDLE_WEIGHT_SLOTS = 0.25;
+
+/** Divides a number of slots by weight; remainders go by largest fraction, then by rendezvous hash. */
+export function divideSlots(
+  total: number,
+  claims: readonly Claim[],
+  key: string,
+): Map<string, number> {
+  const shares = new Map(claims.map((claim) => [claim.id, 0]));
+  const byHash = claims.toSorted((a, b) =>
+    rendezvousHash(key, b.id) - rendezvousHash(key, a.id) ||
+    (a.id < b.id ? -1 : 1)
+  );
+  let left = total;
+  for (const claim of byHash) {
+    const granted = Math.min(left, claim.minimum);
+    shares.set(claim.id, granted);
+    left -= granted;
+  }
+  // The quota is computed over all slots, so that minimums don't count on top of it.
+  const weightSum = claims.reduce((sum, claim) => sum + claim.weight, 0);
+  const quota = (claim: Claim) =>
+    weightSum === 0 ? 0 : total * claim.weight / weightSum;
+  while (left > 0 && claims.length > 0) {
+    let best = byHash[0]!;
+    let bestMissing = -Infinity;
+    for (const claim of byHash) {
+      const missing = quota(claim) - (shares.get(claim.id) ?? 0);
+      if (missing > bestMissing + 1e-9) {
+        best = claim;
+        bestMissing = missing;
+      }
+    }
+    const step = Math.max(1, Math.min(left, Math.floor(bestMissing)));
+    shares.set(best.id, (shares.get(best.id) ?? 0) + step);
+    left -= step;
+  }
+  return shares;
+}
+
+/** Spreads each entry's slots evenly over the instances; no instance gives more than it has. */
+function placeSlots(
+  instances: SlotSharesInput["instances"],
+  totals: ReadonlyMap<string, number>,
+): Map<string, Map<string, number>> {
+  const remaining = new Map(totals);
+  let slotsLeft = instances.reduce((sum, item) => sum + item.slots, 0);
+  const placed = new Map<string, Map<string, number>>();
+  for (const { vmId, slots } of instances) {
+    const claims = [...remaining].filter(([, left]) => left > 0)
+      .map(([id, left]) => ({ id, weight: left, minimum: 0 }));
+    const share = divideSlots(
+      Math.min(slots, slotsLeft),
+      claims,
+      vmId,
+    );
+    for (const [id, count] of share) {
+      remaining.set(id, (remaining.get(id) ?? 0) - count);
+    }
+    slotsLeft -= slots;
+    placed.set(vmId, share);
+  }
+  return placed;
+}
+
+/** Computes every entry's share of a pool's slots; all entries with the same digests get the same result. */
+export function decideSlotShares(input: SlotSharesInput): SlotShares {
+  const entries = input.entries.toSorted((a, b) =>
+    a.entryId < b.entryId ? -1 : 1
+  );
+  const total = input.instances.reduce((sum, item) => sum + item.slots, 0);
+  const lendable = decideLendableSlots({
+    lends: input.lends,
+    servingSlots: total,
+    owedSlots: input.owedSlots,
+    ownDemandSlots: entries.reduce((sum, entry) => sum + entry.ownSlots, 0),
+  });
+  const own = divideSlots(
+    total - lendable.slots,
+    entries.map((entry) => ({
+      id: entry.entryId,
+      weight: Math.max(entry.ownSlots, IDLE_WEIGHT_SLOTS),
+      minimum: entry.ownActive ? 1 : 0,
+    })),
+    `${input.pool}/own`,
+  );
+  const overflow = divideSlots(
+    lendable.slots,
+    entries.map((entry) => ({
+      id: entry.entryId,
+      weight: Math.max(entry.overflowSlots, IDLE_WEIGHT_SLOTS),
+      minimum: 0,
+    })),
+    `${input.pool}/overflow`,
+  );
+  const totals = new Map<string, number>();
+  const shares = new Map<string, { slots: number; overflowLimit: number }>();
+  for (const { entryId } of entries) {
+    const overflowLimit = overflow.get(entryId) ?? 0;
+    const slots = (own.get(entryId) ?? 0) + overflowLimit;
+    totals.set(entryId, slots);
+    shares.set(entryId, { slots, overflowLimit });
+  }
+  return {
+    lendable,
+    entries: shares,
+    instances: placeSlots(input.instances, totals),
+  };
+}
+
+/** Returns the connections that one entry may open to one instance. */
+export function decideConnectionLimit(
+  connections: number,
+  entryCount: number,
+): number {
+  return Math.max(1, Math.floor(connections / Math.max(1, entryCount)));
+}
--- /dev/null
+++ b/src/requests/slot_shares_test.ts
@@ -0,0 +1,90 @@
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { decideConnectionLimit, decideSlotShares } from "./slot_shares.ts";
+
+const demands = fc.uniqueArray(
+  fc.record({
+    entryId: fc.string({ minLength: 1, maxLength: 8 }),
+    ownSlots: fc.float({ min: 0, max: 500, noNaN: true }),
+    ownActive: fc.boolean(),
+    overflowSlots: fc.float({ min: 0, max: 500, noNaN: true }),
+  }),
+  { minLength: 1, maxLength: 12, selector: (demand) => demand.entryId },
+);
+
+const pools = fc.record({
+  pool: fc.constant("pool"),
+  instances: fc.nat({ max: 12 }).map((count) =>
+    Array.from({ length: count }, (_, index) => ({
+      vmId: `vm-${index}`,
+      slots: 8,
+    }))
+  ),
+  lends: fc.boolean(),
+  owedSlots: fc.nat({ max: 64 }),
+  entries: demands,
+});
+
+test("every slot of an instance goes to one entry, alike on all entries", () => {
+  fc.assert(fc.property(pools, (input) => {
+    const shares = decideSlotShares(input);
+    for (const { vmId, slots } of input.instances) {
+      const granted = [...shares.instances.get(vmId)!.values()];
+      assert.is(granted.reduce((sum, count) => sum + count, 0), slots);
+      assert.ok(granted.every((count) => count >= 0));
+    }
+    const reversed = decideSlotShares({
+      ...input,
+      entries: input.entries.toReversed(),
+    });
+    assert.equal(reversed, shares);
+  }));
+});
+
+test("an entry with requests isn't left without a slot", () => {
+  fc.assert(fc.property(pools, (input) => {
+    const { entries, lendable } = decideSlotShares(input);
+    const ownSlots = input.instances.length * 8 - lendable.slots;
+    const active = input.entries.filter((entry) => entry.ownActive);
+    if (ownSlots < active.length) return;
+    for (const { entryId } of active) {
+      assert.ok(entries.get(entryId)!.slots >= 1);
+    }
+  }));
+});
+
+test("overflow never takes the availability that the lender owes", () => {
+  fc.assert(fc.property(pools, (input) => {
+    const { entries } = decideSlotShares(input);
+    const lent = [...entries.values()]
+      .reduce((sum, entry) => sum + entry.overflowLimit, 0);
+    const room = input.instances.length * 8 - input.owedSlots;
+    assert.ok(lent <= (input.lends ? Math.max(0, room) : 0));
+  }));
+});
+
+test("slots follow demand", () => {
+  const { entries } = decideSlotShares({
+    pool: "pool",
+    instances: Array.from({ length: 6 }, (_, index) => ({
+      vmId: `vm-${index}`,
+      slots: 8,
+    })),
+    lends: false,
+    owedSlots: 0,
+    entries: [
+      { entryId: "a", ownSlots: 30, ownActive: true, overflowSlots: 0 },
+      { entryId: "b", ownSlots: 10, ownActive: true, overflowSlots: 0 },
+    ],
+  });
+  assert.is(entries.get("a")!.slots, 36);
+  assert.is(entries.get("b")!.slots, 12);
+});
+
+test("the connections of all entries together stay under an instance's limit", () => {
+  assert.is(decideConnectionLimit(64, 9), 7);
+  assert.is(decideConnectionLimit(64, 100), 1);
+});
+
+test.run();
--- /dev/null
+++ b/src/requests/test_entry.ts
@@ -0,0 +1,187 @@
+import { once } from "node:events";
+import { request as sendRequest } from "undici";
+import { createServer, type Socket } from "node:net";
+import { listenOnLoopback } from "../../testing/http_json_server.ts";
+import { type Clock, systemClock } from "../clock.ts";
+import { createContactTracker } from "../contact_tracker.ts";
+import { silentLogger } from "../logger.ts";
+import { createObservable, type MutableObservable } from "../observable.ts";
+import type { EntryDigest } from "../peers/messages.ts";
+import { createRequestPath, type RequestPath } from "./request_path.ts";
+import { createTestSettings, type TestFleet } from "./test_fleet.ts";
+
+/** A request as a raw TCP backend server read it. */
+export interface RawRequest {
+  readonly path: string;
+  readonly requestId: string;
+  readonly head: string;
+  readonly body: string;
+}
+
+/** A backend server whose test writes the bytes of each response. */
+export interface RawBackend {
+  readonly address: string;
+  readonly requests: RawRequest[];
+  connections: number;
+  close(): void;
+}
+
+/** Starts a raw TCP backend server. */
+export async function startRawBackend(
+  respond: (socket: Socket, request: RawRequest) => void,
+): Promise<RawBackend> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    backend.connections++;
+    let input = "";
+    socket.on("error", () => {});
+    socket.on("data", (chunk) => {
+      input += chunk.toString("latin1");
+      const headEnd = input.indexOf("\r\n\r\n");
+      if (headEnd < 0) return;
+      const head = input.slice(0, headEnd);
+      const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
+      if (input.length < headEnd + 4 + length) return;
+      const request = {
+        head,
+        path: head.split(" ")[1] ?? "",
+        requestId: /cowslipferry-request-id: (.*)/.exec(head)?.[1] ?? "",
+        body: input.slice(headEnd + 4, headEnd + 4 + length),
+      };
+      input = input.slice(headEnd + 4 + length);
+      backend.requests.push(request);
+      respond(socket, request);
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as { port: number };
+  const backend: RawBackend = {
+    address: `127.0.0.1:${port}`,
+    requests: [],
+    connections: 0,
+    close() {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    },
+  };
+  return backend;
+}
+
+/** Returns a complete response with a length. */
+export function rawResponse(body: string, headers = ""): string {
+  return `HTTP/1.1 200 OK\r\n${headers}content-length: ${body.length}\r\n\r\n${body}`;
+}
+
+/** A clock that a test moves forward. */
+export function createFakeClock(): Clock & { advance(ms: number): void } {
+  let offsetMs = 0;
+  return {
+    wallMs: () => systemClock.wallMs() + offsetMs,
+    monotonicMs: () => systemClock.monotonicMs() + offsetMs,
+    advance(ms) {
+      offsetMs += ms;
+    },
+  };
+}
+
+/** One request path that listens on loopback. */
+export interface TestEntry {
+  readonly id: string;
+  readonly address: string;
+  readonly path: RequestPath;
+  readonly entries: MutableObservable<readonly EntryDigest[]>;
+  close(): Promise<void>;
+}
+
+/** What a test entry is started from. */
+export interface TestEntryOptions {
+  readonly id?: string;
+  readonly fleet: TestFleet;
+  readonly clock?: Clock;
+  readonly limits?: Record<string, number>;
+  readonly isolated?: () => boolean;
+}
+
+/** Starts a request path on a port that the system chooses. */
+export async function startTestEntry(
+  options: TestEntryOptions,
+): Promise<TestEntry> {
+  const id = options.id ?? "entry-1";
+  const clock = options.clock ?? systemClock;
+  const entries = createObservable<readonly EntryDigest[]>([]);
+  const path = createRequestPath({
+    settings: createTestSettings(id, options.limits),
+    incarnation: `${id}-run`,
+    ...options.fleet,
+    entries,
+    contacts: {
+      ...createContactTracker(clock),
+      isolated: options.isolated ?? (() => false),
+    },
+    clock,
+    log: silentLogger,
+  });
+  const { address, close } = await listenOnLoopback(path.server);
+  return { id, address, path, entries, close };
+}
+
+/** Returns the digest by which an entry is known to its peers. */
+export function digestOf(
+  entry: TestEntry,
+  changes: Partial<EntryDigest> = {},
+): EntryDigest {
+  return {
+    entryId: entry.id,
+    incarnation: `${entry.id}-run`,
+    sequence: 1,
+    region: "north",
+    peerAddress: "127.0.0.1:1",
+    callerAddress: entry.address,
+    ready: true,
+    stopping: false,
+    configRevision: 1,
+    fleetRevision: 1,
+    ...entry.path.load(),
+    ...changes,
+  };
+}
+
+/** A response as a caller sees it. */
+export interface CallerResponse {
+  readonly status: number;
+  readonly outcome: string | undefined;
+  readonly headers: Record<string, string | string[] | undefined>;
+  readonly text: string;
+  /** Kind of the typed error, if there is one. */
+  readonly error: string | undefined;
+}
+
+/** Sends one request; rejects when the response is cut off. */
+export async function call(
+  entry: { readonly address: string },
+  path: string,
+  options: {
+    readonly method?: string;
+    readonly body?: string;
+    readonly headers?: Record<string, string>;
+  } = {},
+): Promise<CallerResponse> {
+  const response = await sendRequest(`http://${entry.address}${path}`, {
+    method: (options.method ?? "GET") as "GET",
+    body: options.body ?? null,
+    headers: options.headers ?? {},
+  });
+  const text = await response.body.text();
+  const outcome = response.headers["cowslipferry-outcome"] as string;
+  return {
+    status: response.statusCode,
+    outcome,
+    headers: response.headers,
+    text,
+    error: outcome === "answer" || text === ""
+      ? undefined
+      : JSON.parse(text).error.kind,
+  };
+}
