test(requests): routing, retries, overflow, drain and isolation

Requests with an unread long body got their refusal on a connection that was closed under the caller; the response is now complete before the rest of the body is dropped. A freed overflow slot woke the queue of a service named like the pool; it now wakes the pool's own service.

--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -117,10 +117,10 @@
     state.inFlight--;
     if (result.kind === "response") state.times.record(result.latencyMs);
     this.#options.router().release(grant, result);
-    this.pump(grant.pool);
+    this.pump(grant.ownService);
   }
 
-  /** Starts waiting requests while slots are free; the pool's own service goes first. */
+  /** Starts waiting requests while slots are free, those of one service first. */
   pump(firstService?: string): void {
     if (this.#queued === 0 || this.#pumping) return;
     this.#pumping = true;
--- a/src/requests/front.ts
+++ b/src/requests/front.ts
@@ -1,6 +1,5 @@
 import {
   createServer,
-  type IncomingMessage,
   type Server,
   type ServerResponse,
   STATUS_CODES,
@@ -15,6 +14,8 @@
 import type { ResolvedSettings } from "../settings/schema.ts";
 import { CallerConnections, type IncomingCall } from "./caller_connections.ts";
 import { describeFailure, NotRunError } from "./outcome.ts";
+import { writeReply } from "./reply.ts";
+import { LINGER_MS } from "./request_body.ts";
 import type { CallServer } from "./serve_call.ts";
 
 /** What the callers' HTTP server works with. */
@@ -61,14 +62,11 @@
     // The extensions of requests and responses aren't used and cost more than the routing.
     applyExtensions: (_request, _response, next) => next?.(),
   });
-  app.post(`${SYSTEM_PATH_PREFIX}keys`, (_request, response) => {
-    const body = Buffer.from(JSON.stringify(calls.issueKey()));
-    (response as unknown as ServerResponse).writeHead(201, {
-      "content-type": "application/json",
-      "content-length": body.length,
-      [OUTCOME_HEADER]: "answer",
-      ...(calls.draining ? { connection: "close" } : {}),
-    }).end(body);
+  app.post(`${SYSTEM_PATH_PREFIX}keys`, (request, response) => {
+    writeReply(response as unknown as ServerResponse, calls.issueKey(), {
+      requestId: calls.requestIdOf(request),
+      closeConnection: calls.draining,
+    });
   });
 
   const server = createServer(
@@ -148,24 +146,8 @@
   discardInput(socket);
 }
 
-/** Time for which further input is read so that the caller isn't reset before it reads the response, in ms. */
-const LINGER_MS = 1_000;
-
 function discardInput(socket: Duplex): void {
   socket.on("data", () => {});
   const timer = setTimeout(() => socket.destroy(), LINGER_MS);
   socket.once("close", () => clearTimeout(timer));
 }
-
-/** Reads and drops the rest of a body that wasn't wanted; resolves at its end or after a short time. */
-export function discardBody(request: IncomingMessage): Promise<void> {
-  return new Promise((resolve) => {
-    const timer = setTimeout(resolve, LINGER_MS);
-    const done = () => {
-      clearTimeout(timer);
-      resolve();
-    };
-    request.once("end", done).once("close", done);
-    request.on("error", () => {}).resume();
-  });
-}
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -2,6 +2,7 @@
   DEADLINE_HEADER,
   FORWARDED_BY_HEADER,
   IDEMPOTENCY_KEY_HEADER,
+  LEAVING_HEADER,
   OUTCOME_HEADER,
   REQUEST_ID_HEADER,
 } from "../constants.ts";
@@ -30,7 +31,11 @@
 ]);
 
 /** Response headers that this system sets itself. */
-const REPLACED_IN_RESPONSES = new Set([OUTCOME_HEADER, REQUEST_ID_HEADER]);
+const REPLACED_IN_RESPONSES = new Set([
+  OUTCOME_HEADER,
+  REQUEST_ID_HEADER,
+  LEAVING_HEADER,
+]);
 
 function connectionOptions(raw: readonly string[]): Set<string> | undefined {
   let names: Set<string> | undefined;
--- a/src/requests/reply.ts
+++ b/src/requests/reply.ts
@@ -14,6 +14,8 @@
   readonly requestId: string;
   /** Whether the caller's connection ends with this response. */
   readonly closeConnection: boolean;
+  /** Delays the end of the connection, but not the response, until this resolves. */
+  readonly beforeClose?: () => Promise<void>;
 }
 
 /** Returns the value of the outcome header. */
@@ -46,7 +48,7 @@
   headers.push(REQUEST_ID_HEADER, options.requestId);
   if (options.closeConnection) headers.push("connection", "close");
   if ("source" in reply) return writeStream(response, reply, headers);
-  writeBuffered(response, reply, headers);
+  writeBuffered(response, reply, { headers, beforeClose: options.beforeClose });
   return true;
 }
 
@@ -57,9 +59,13 @@
 function writeBuffered(
   response: ServerResponse,
   reply: BufferedResponse,
-  headers: string[],
+  options: {
+    readonly headers: string[];
+    readonly beforeClose: (() => Promise<void>) | undefined;
+  },
 ): void {
   const { status, body } = reply;
+  const { headers, beforeClose } = options;
   if (hasNoBody(response, status)) {
     response.writeHead(status, headers);
     response.end();
@@ -69,7 +75,12 @@
     headers.push("content-length", String(body.length));
   }
   response.writeHead(status, headers);
-  response.end(body);
+  if (beforeClose === undefined) {
+    response.end(body);
+    return;
+  }
+  response.write(body);
+  beforeClose().then(() => response.end());
 }
 
 function writeStream(
--- a/src/requests/request_body.ts
+++ b/src/requests/request_body.ts
@@ -64,3 +64,19 @@
     `The body is larger than ${maximumBodyBytes} bytes`,
   );
 }
+
+/** Time for which further input is read so that the caller isn't reset before it reads the response, in ms. */
+export const LINGER_MS = 1_000;
+
+/** Reads and drops the rest of a body that wasn't wanted; resolves at its end or after a short time. */
+export function discardBody(request: IncomingMessage): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, LINGER_MS);
+    const done = () => {
+      clearTimeout(timer);
+      resolve();
+    };
+    request.once("end", done).once("close", done);
+    request.on("error", () => {}).resume();
+  });
+}
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -37,7 +37,10 @@
 export interface SlotGrant {
   readonly state: InstanceState;
   readonly pool: string;
+  /** Service that the request belongs to. */
   readonly service: string;
+  /** Service that comes first when the slot is free again. */
+  readonly ownService: string;
   readonly overflow: boolean;
 }
 
@@ -208,14 +211,14 @@
   }
 
   #grant(pool: PoolState, state: InstanceState, service: string): SlotGrant {
-    const overflow = pool.view.ownService !== service;
-    const name = pool.view.name;
+    const { name, ownService } = pool.view;
+    const overflow = ownService !== service;
     if (overflow) {
       const count = this.#overflowInFlight.get(name) ?? 0;
       this.#overflowInFlight.set(name, count + 1);
     }
     state.begin();
-    return { state, pool: name, service, overflow };
+    return { state, pool: name, service, ownService, overflow };
   }
 
   /** Gives a slot back. */
--- /dev/null
+++ b/src/requests/routing_test.ts
@@ -0,0 +1,353 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { findFreePort } from "../../testing/ports.ts";
+import { waitFor } from "../../testing/wait.ts";
+import { BackendConnections } from "./backend_connections.ts";
+import {
+  call,
+  createFakeClock,
+  digestOf,
+  type RawBackend,
+  rawResponse,
+  startRawBackend,
+  startTestEntry,
+  type TestEntry,
+  type TestEntryOptions,
+} from "./test_entry.ts";
+import { createTestFleet, type TestFleetOptions } from "./test_fleet.ts";
+
+const ORDER = { method: "POST", body: "order" };
+
+interface Setup extends Omit<TestEntryOptions, "fleet"> {
+  readonly fleetOptions?: TestFleetOptions;
+  /** Backend servers of the pool `quoting`, by how they respond. */
+  readonly backends: readonly Parameters<typeof startRawBackend>[0][];
+  /** Addresses at which nothing listens. */
+  readonly closedPorts?: number;
+}
+
+async function withEntry(
+  setup: Setup,
+  check: (context: {
+    readonly entry: TestEntry;
+    readonly backends: readonly RawBackend[];
+    readonly fleet: ReturnType<typeof createTestFleet>;
+  }) => Promise<void>,
+): Promise<void> {
+  const backends = await Promise.all(setup.backends.map(startRawBackend));
+  const addresses = backends.map((backend) => backend.address);
+  for (let count = 0; count < (setup.closedPorts ?? 0); count++) {
+    addresses.unshift(`127.0.0.1:${await findFreePort()}`);
+  }
+  const fleet = createTestFleet(addresses, setup.fleetOptions);
+  const entry = await startTestEntry({ ...setup, fleet });
+  try {
+    await check({ entry, backends, fleet });
+  } finally {
+    await entry.close();
+    for (const backend of backends) backend.close();
+  }
+}
+
+type Respond = Setup["backends"][number];
+const answer: Respond = (socket, { path }) => socket.write(rawResponse(path));
+const breakOff: Respond = (socket) => socket.destroy();
+const answerAfter = (delayMs: number): Respond => (socket, request) => {
+  setTimeout(() => answer(socket, request), delayMs);
+};
+
+test("a request is not_run only if nothing was sent", () =>
+  withEntry({ backends: [], closedPorts: 1 }, async ({ entry }) => {
+    const refused = await call(entry, "/quoting/1", ORDER);
+    assert.is(refused.outcome, "not_run");
+    assert.is(refused.error, "backend_unreachable");
+    assert.ok(Number(refused.headers["retry-after"]) >= 1);
+    assert.ok(JSON.parse(refused.text).error.retryAfterMs > 0);
+  }));
+
+test("a request that isn't idempotent is never sent twice", () =>
+  withEntry({ backends: [breakOff, breakOff] }, async ({ entry, backends }) => {
+    const lost = await call(entry, "/quoting/1", ORDER);
+    assert.is(lost.outcome, "outcome_unknown");
+    const sent = backends.flatMap((backend) => backend.requests);
+    assert.is(sent.length, 1);
+  }));
+
+test("an idempotent request is repeated on another instance, a refused connection costs no request", () =>
+  withEntry(
+    { backends: [breakOff, answer], closedPorts: 1 },
+    async ({ entry, backends }) => {
+      for (let index = 0; index < 6; index++) {
+        assert.is((await call(entry, `/quoting/${index}`)).outcome, "answer");
+      }
+      assert.ok(backends[0]!.requests.length >= 1);
+    },
+  ));
+
+test("retries stop when the budget is empty", () =>
+  withEntry({
+    fleetOptions: {
+      service: { retryBudgetPercent: 1 },
+      minimumServingVms: 2,
+    },
+    backends: [breakOff, breakOff],
+  }, async ({ entry, backends }) => {
+    for (let index = 0; index < 30; index++) {
+      const response = await call(entry, `/quoting/${index}`);
+      assert.is(response.outcome, "outcome_unknown");
+    }
+    const sent = backends.flatMap((backend) => backend.requests).length;
+    assert.is(sent, 30 + 10);
+  }));
+
+test("a process that was paused doesn't send expired requests", async () => {
+  const clock = createFakeClock();
+  const backend = await startRawBackend(answer);
+  const connections = new BackendConnections(backend.address, 1);
+  const deadlineAtMs = clock.monotonicMs() + 5_000;
+  const exchange = connections.send({
+    requestId: "1",
+    method: "POST",
+    path: "/quoting/1",
+    headers: [],
+    body: Buffer.from("order"),
+  }, () => deadlineAtMs - clock.monotonicMs());
+  clock.advance(10_000);
+  const result = await exchange.result;
+  assert.is(result.kind === "failed" && result.sent, false);
+  assert.is(result.kind === "failed" && result.reason, "timeout");
+  assert.is(backend.requests.length, 0);
+  connections.close();
+  backend.close();
+});
+
+test("a queued request whose deadline passed during a pause isn't sent", async () => {
+  const clock = createFakeClock();
+  await withEntry({
+    clock,
+    fleetOptions: { service: { slotsPerInstance: 1 } },
+    backends: [answerAfter(100)],
+  }, async ({ entry, backends }) => {
+    const first = call(entry, "/quoting/first");
+    await waitFor("the first is sent", () => backends[0]!.requests.length > 0);
+    const second = call(entry, "/quoting/second", ORDER);
+    await waitFor(
+      "the second waits",
+      () => entry.path.load().services.quoting!.waiting === 1,
+    );
+    clock.advance(20_000);
+    assert.is((await second).outcome, "not_run");
+    await first;
+    assert.is(backends[0]!.requests.length, 1);
+  });
+});
+
+test("requests over the capacity are refused at once, admitted ones meet their deadline", () =>
+  withEntry({
+    fleetOptions: { service: { slotsPerInstance: 2 } },
+    backends: [answerAfter(20)],
+  }, async ({ entry, backends }) => {
+    for (let index = 0; index < 10; index++) await call(entry, "/quoting/0");
+    const startedAtMs = performance.now();
+    const responses = await Promise.all(
+      Array.from({ length: 100 }, async (_, index) => {
+        const response = await call(entry, `/quoting/${index}`, {
+          headers: { "cowslipferry-deadline-ms": "300" },
+        });
+        return { response, tookMs: performance.now() - startedAtMs };
+      }),
+    );
+    const refused = responses.filter(({ response }) =>
+      response.outcome === "not_run"
+    );
+    assert.ok(refused.length > 40, `${refused.length} refused`);
+    assert.ok(refused.length < 90, `${refused.length} refused`);
+    for (const { response } of refused) {
+      assert.is(response.error, "deadline_unreachable");
+      assert.ok(JSON.parse(response.text).error.retryAfterMs >= 20);
+    }
+    const earlyRefusals = refused.filter(({ tookMs }) => tookMs < 150);
+    assert.ok(earlyRefusals.length > refused.length * 0.8);
+    const unknown = responses.filter(({ response }) =>
+      response.outcome === "outcome_unknown"
+    );
+    assert.is(unknown.length, 0);
+    assert.is(backends[0]!.connections, 2);
+    const dump = entry.path.dump() as { recentRefusals: unknown[] };
+    assert.ok(dump.recentRefusals.length > 0);
+  }));
+
+test("a surge overflows to a lending pool at once and keeps what the lender owes", async () => {
+  const lenders = await Promise.all(
+    [1, 2].map(() => startRawBackend(answerAfter(100))),
+  );
+  await withEntry({
+    fleetOptions: {
+      service: { slotsPerInstance: 2 },
+      lender: lenders.map((backend) => backend.address),
+      minimumServingVms: 1,
+    },
+    backends: [answerAfter(100)],
+  }, async ({ entry }) => {
+    const responses = await Promise.all(
+      Array.from(
+        { length: 20 },
+        (_, index) => call(entry, `/quoting/${index}`),
+      ),
+    );
+    assert.ok(responses.every(({ outcome }) => outcome === "answer"));
+    const lent = lenders.flatMap((backend) => backend.requests).length;
+    // 10 slots in two rounds: 2 own ones and the 8 that the lender doesn't owe.
+    assert.ok(lent >= 8 && lent <= 16, `${lent} lent`);
+    assert.ok(lenders.every((backend) => backend.connections <= 8));
+    const total = lenders.reduce(
+      (sum, { connections }) => sum + connections,
+      0,
+    );
+    assert.is(total, 8);
+  });
+  for (const backend of lenders) backend.close();
+});
+
+test("connections stay within the entry's part of the limit", () =>
+  withEntry({
+    fleetOptions: { service: { connectionsPerInstance: 8 } },
+    backends: [answerAfter(30)],
+  }, async ({ entry, backends }) => {
+    const peers = ["entry-2", "entry-3"].map((entryId) =>
+      digestOf(entry, { entryId, services: {} })
+    );
+    entry.entries.set([digestOf(entry), ...peers]);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    await Promise.all(
+      Array.from({ length: 20 }, () => call(entry, "/quoting/1")),
+    );
+    assert.is(backends[0]!.connections, 2);
+  }));
+
+test("a failing instance is ejected and probed again after the backoff", async () => {
+  const clock = createFakeClock();
+  let broken = true;
+  await withEntry({
+    clock,
+    backends: [
+      (socket, request) => broken ? socket.destroy() : answer(socket, request),
+      answer,
+    ],
+  }, async ({ entry, backends }) => {
+    for (let index = 0; index < 20; index++) await call(entry, "/quoting/1");
+    assert.is(backends[0]!.requests.length, 3);
+    broken = false;
+    clock.advance(600);
+    for (let index = 0; index < 20; index++) await call(entry, "/quoting/1");
+    assert.ok(backends[0]!.requests.length > 8);
+  });
+});
+
+const ANNOUNCEMENTS: Record<
+  string,
+  (context: Parameters<Parameters<typeof withEntry>[1]>[0]) => void
+> = {
+  "the fleet record": ({ fleet }) => {
+    const record = structuredClone(fleet.fleet.get()!);
+    record.vms["vm-1"]!.state = "draining";
+    fleet.fleet.set(record);
+  },
+  "the VM list": ({ fleet }) => {
+    const { vms } = structuredClone(fleet.vmList.get()!);
+    vms[0]!.state = "leaving";
+    fleet.vmList.set({ vms, readAtMs: 0 });
+  },
+  "a peer's digest": ({ entry }) =>
+    entry.entries.set([
+      digestOf(entry),
+      digestOf(entry, { entryId: "entry-2", leavingVms: ["vm-1"] }),
+    ]),
+};
+
+for (const [source, announce] of Object.entries(ANNOUNCEMENTS)) {
+  test(`a VM that is leaving by ${source} gets no new work`, () =>
+    withEntry({ backends: [answer, answer] }, async (context) => {
+      const { entry, backends } = context;
+      announce(context);
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      for (let index = 0; index < 10; index++) {
+        assert.is((await call(entry, "/quoting/1")).outcome, "answer");
+      }
+      assert.is(backends[0]!.requests.length, 0);
+    }));
+}
+
+test("a VM that announces that it is leaving gets no new work and is reported until it has returned", () =>
+  withEntry({
+    backends: [
+      (socket, { path }) =>
+        socket.write(rawResponse(path, "Cowslipferry-Leaving: true\r\n")),
+      answer,
+    ],
+  }, async ({ entry, backends, fleet }) => {
+    for (let index = 0; index < 10; index++) await call(entry, "/quoting/1");
+    assert.is(backends[0]!.requests.length, 1);
+    assert.equal(entry.path.load().leavingVms, ["vm-1"]);
+    assert.equal(entry.path.load().drainingInFlight, { "vm-1": 0 });
+    const record = structuredClone(fleet.fleet.get()!);
+    record.vms["vm-1"]!.changedAtMs = 5;
+    fleet.fleet.set(record);
+    assert.equal(entry.path.load().leavingVms, []);
+  }));
+
+test("requests in flight to a draining VM are reported and finish", () =>
+  withEntry({ backends: [answerAfter(100)] }, async ({ entry, fleet }) => {
+    const pending = call(entry, "/quoting/1", ORDER);
+    await waitFor(
+      "the request is sent",
+      () => entry.path.load().services.quoting!.inFlight === 1,
+    );
+    ANNOUNCEMENTS["the fleet record"]!({ entry, fleet, backends: [] });
+    assert.equal(entry.path.load().drainingInFlight, { "vm-1": 1 });
+    assert.is((await call(entry, "/quoting/2")).error, "no_instance");
+    assert.is((await pending).outcome, "answer");
+    assert.equal(entry.path.load().drainingInFlight, { "vm-1": 0 });
+  }));
+
+test("a drain refuses new requests and waits for those in flight", () =>
+  withEntry({ backends: [answerAfter(100)] }, async ({ entry }) => {
+    const pending = call(entry, "/quoting/1", ORDER);
+    await waitFor(
+      "the request is sent",
+      () => entry.path.load().services.quoting!.inFlight === 1,
+    );
+    let drained = false;
+    const drain = entry.path.drain().then(() => drained = true);
+    const refused = await call(entry, "/quoting/2");
+    assert.is(refused.error, "draining");
+    assert.is(refused.headers.connection, "close");
+    assert.is(drained, false);
+    const response = await pending;
+    assert.is(response.outcome, "answer");
+    assert.is(response.headers.connection, "close");
+    await drain;
+    assert.is(entry.path.inFlight(), 0);
+  }));
+
+test("an isolated entry refuses new work", async () => {
+  let isolated = true;
+  await withEntry(
+    { backends: [answer], isolated: () => isolated },
+    async ({ entry, backends }) => {
+      const refused = await call(entry, "/quoting/1");
+      assert.is(refused.outcome, "not_run");
+      assert.is(refused.error, "isolated");
+      assert.is(backends[0]!.requests.length, 0);
+      isolated = false;
+      assert.is((await call(entry, "/quoting/1")).outcome, "answer");
+      const [answers] = entry.path.metrics().filter(({ labels }) =>
+        labels.outcome === "answer"
+      );
+      assert.is(answers!.count, 1);
+      assert.ok(answers!.quantiles["0.5"]! > 0);
+    },
+  );
+});
+
+test.run();
--- a/src/requests/serve_call.ts
+++ b/src/requests/serve_call.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from "node:http";
 import { type Operation, until } from "effection";
 import type { Clock } from "../clock.ts";
 import type { ServiceConfig } from "../config/schema.ts";
@@ -22,7 +23,7 @@
 import { NotRunError, type Outcome, outcomeUnknown } from "./outcome.ts";
 import type { RefusalLog } from "./refusal_log.ts";
 import { outcomeName, writeReply } from "./reply.ts";
-import { bodyTooLarge, readBody } from "./request_body.ts";
+import { bodyTooLarge, discardBody, readBody } from "./request_body.ts";
 import type { RequestMetrics } from "./request_metrics.ts";
 
 /** What serving a call works with. */
@@ -48,6 +49,8 @@
 
 /** Time after which an entry that starts has its configuration, in ms. */
 const CONFIGURED_RETRY_MS = 1_000;
+/** Announced length above which an unread body isn't waited for, in bytes. */
+const LONG_UNREAD_BYTES = 65_536;
 
 /** Serves calls from their arrival to their one final response. */
 export class CallServer {
@@ -72,8 +75,22 @@
     return new Promise((resolve) => this.#idleListeners.push(resolve));
   }
 
-  issueKey(): IssuedKey {
-    return this.#options.issueKey();
+  /** Returns a new key, or a refusal while this entry takes no new work. */
+  issueKey(): Outcome {
+    try {
+      this.#options.checkOpen();
+      const body = Buffer.from(JSON.stringify(this.#options.issueKey()));
+      const headers = ["content-type", "application/json"];
+      return { kind: "answer", response: { status: 201, headers, body } };
+    } catch (error) {
+      return this.#outcomeOfError(error, "", "");
+    }
+  }
+
+  /** Returns the caller's request id or a new one. */
+  requestIdOf(request: IncomingMessage): string {
+    return callerRequestId(request) ??
+      `${this.#options.idPrefix}-${(this.#nextId++).toString(36)}`;
   }
 
   /** Counts a call until its response is written or its connection is closed. */
@@ -93,7 +110,7 @@
   /** Serves one call; never throws. */
   *serve(call: IncomingCall): Operation<void> {
     const { request, response, connection } = call;
-    const requestId = callerRequestId(request) ?? this.#createId();
+    const requestId = this.requestIdOf(request);
     let service = "";
     let outcome: Outcome;
     try {
@@ -105,15 +122,16 @@
       outcome = this.#outcomeOfError(error, requestId, service);
     }
     connection.failBody = undefined;
-    if (response.destroyed) return;
-    const unread = !request.complete;
+    if (response.destroyed) return cancelStream(outcome);
+    const unread = isLongUnread(request) || connection.closing;
     const written = writeReply(response, outcome, {
       requestId,
-      closeConnection: this.draining || connection.closing || unread,
+      closeConnection: this.draining || unread,
+      ...(unread ? { beforeClose: () => discardBody(request) } : {}),
     });
-    if (unread) request.on("error", () => {}).resume();
-    const complete = written === true ||
-      (yield* until(written as Promise<boolean>));
+    const complete = typeof written === "boolean"
+      ? written
+      : yield* until(written);
     this.#options.metrics.record(
       service,
       complete ? outcomeName(outcome) : "aborted",
@@ -121,10 +139,6 @@
     );
   }
 
-  #createId(): string {
-    return `${this.#options.idPrefix}-${(this.#nextId++).toString(36)}`;
-  }
-
   #resolveService(call: IncomingCall): ServiceConfig {
     const name = parseServiceName(call.url);
     if (call.url.startsWith(SYSTEM_PATH_PREFIX)) {
@@ -190,9 +204,13 @@
       ),
     });
     call.connection.failBody = read.fail;
-    const body = yield* until(read.body);
-    call.connection.failBody = undefined;
-    return body;
+    try {
+      return yield* until(read.body);
+    } catch (error) {
+      // What follows on the connection belongs to the unread body.
+      if (!call.request.complete) call.connection.closing = true;
+      throw error;
+    }
   }
 
   #outcomeOfError(
@@ -218,3 +236,16 @@
     });
   }
 }
+
+/** Whether so much of a body is left that the connection can't wait for its end. */
+function isLongUnread(request: IncomingMessage): boolean {
+  if (request.complete || !announcesBody(request)) return false;
+  const announced = request.headers["content-length"];
+  return announced === undefined || Number(announced) > LONG_UNREAD_BYTES;
+}
+
+function cancelStream(outcome: Outcome): void {
+  if ("response" in outcome && "source" in outcome.response) {
+    outcome.response.source.cancel();
+  }
+}
