test(cli): exit codes, roll-out wait, status, settings checks

Operators' commands and settings had no tests. Listeners on 0.0.0.0 now collide with the same port on any other host.

--- /dev/null
+++ b/src/cli_test.ts
@@ -0,0 +1,325 @@
+import { spawn } from "node:child_process";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  createJsonServer,
+  listenOnLoopback,
+} from "../testing/http_json_server.ts";
+import { startStoreServer } from "../testing/store_server.ts";
+import { startVmListServer } from "../testing/vm_list_server.ts";
+import { decisionLogKey } from "./fleet/decision_log.ts";
+import { fleetKey } from "./fleet/record.ts";
+import type { Vm } from "./platform/vm_list.ts";
+
+const FILE = "examples/khomas.json";
+
+async function runProgram(args: readonly string[], env: object = {}) {
+  const child = spawn(
+    process.execPath,
+    ["--import", "tsx", "src/main.ts", ...args],
+    { stdio: ["ignore", "pipe", "pipe"], env: { ...process.env, ...env } },
+  );
+  let stdout = "";
+  let stderr = "";
+  child.stdout.on("data", (chunk) => stdout += chunk);
+  child.stderr.on("data", (chunk) => stderr += chunk);
+  const code = await new Promise((resolve) => child.on("close", resolve));
+  return { code, stdout, stderr };
+}
+
+/** Admin server of an entry that reports the store's configuration, or a fixed revision. */
+function startAdminServer(revision: () => number) {
+  return listenOnLoopback(createJsonServer(() => ({
+    status: 200,
+    body: {
+      config: { revision: revision() },
+      requests: [{ requestId: "r-1", outcome: "answer" }],
+    },
+  })));
+}
+
+async function startPlatform() {
+  const folder = await mkdtemp(join(tmpdir(), "cowslipferry-cli-"));
+  const store = await startStoreServer();
+  const vmList = await startVmListServer();
+  const inForce = () =>
+    JSON.parse(store.values.get("config")?.value ?? "{}").revision ?? 0;
+  const follower = await startAdminServer(inForce);
+  const frozen = await startAdminServer(() => 0);
+  const settingsFile = join(folder, "operator.json");
+  await writeFile(
+    settingsFile,
+    JSON.stringify({
+      platform: {
+        storeUrl: `http://${store.address}`,
+        vmListUrl: `http://${vmList.address}/`,
+      },
+    }),
+  );
+  function addEntry(id: string, admin: string, state: Vm["state"] = "live") {
+    vmList.vms.set(id, {
+      id,
+      role: "entry",
+      state,
+      incarnation: "1",
+      region: "khomas",
+      dataCentre: "khomas-1",
+      rack: "r",
+      address: "127.0.0.1:1",
+      controlAddress: "127.0.0.1:1",
+      adminAddress: admin,
+      cores: 4,
+      memoryMb: 8_192,
+      accelerators: 0,
+    });
+  }
+  addEntry("entry-1", follower.address);
+  addEntry("entry-2", follower.address);
+  addEntry("entry-gone", frozen.address, "leaving");
+  return {
+    folder,
+    store,
+    frozen,
+    addEntry,
+    run: (...args: string[]) =>
+      runProgram(args, { COWSLIPFERRY_OPERATOR_SETTINGS: settingsFile }),
+    async close() {
+      await Promise.all(
+        [store, vmList, follower, frozen].map((server) => server.close()),
+      );
+      await rm(folder, { recursive: true });
+    },
+  };
+}
+
+type Platform = Awaited<ReturnType<typeof startPlatform>>;
+
+function withPlatform(
+  name: string,
+  run: (platform: Platform) => Promise<void>,
+): void {
+  test(name, async () => {
+    const platform = await startPlatform();
+    try {
+      await run(platform);
+    } finally {
+      await platform.close();
+    }
+  });
+}
+
+test("guards against exit codes that scripts can't rely on", async () => {
+  const cases: [number, string[]][] = [
+    [0, ["--version"]],
+    [0, ["apply", "--help"]],
+    [0, ["check", FILE]],
+    [1, ["check", "package.json"]],
+    [1, ["check", "no-such-file.json"]],
+    [2, ["no-such-command"]],
+    [2, ["check"]],
+    [2, ["apply", FILE]],
+    [2, ["apply", FILE, "--store", "http://localhost:1"]],
+    [2, ["apply", FILE, "--store", "http://127.0.0.1:1", "--wait"]],
+    [2, ["apply", FILE, "--expect-revision", "-1"]],
+    [3, ["apply", FILE, "--store", "http://127.0.0.1:1"]],
+    [3, ["diff", FILE, "--store", "http://127.0.0.1:1"]],
+  ];
+  await Promise.all(cases.map(async ([code, args]) => {
+    const result = await runProgram(args);
+    assert.is(result.code, code, `${args.join(" ")}: ${result.stderr}`);
+  }));
+});
+
+test("guards against --json errors that are not JSON", async () => {
+  const { stdout } = await runProgram(["check", "package.json", "--json"]);
+  const { kind, error } = JSON.parse(stdout);
+  assert.is(kind, "error");
+  assert.is(error.kind, "validation");
+  assert.ok(error.issues.length > 3);
+});
+
+withPlatform(
+  "guards against a roll-out reported before every live entry has it",
+  async ({ run, addEntry, frozen }) => {
+    const done = JSON.parse(
+      (await run("apply", FILE, "--wait", "--json")).stdout,
+    );
+    assert.is(done.kind, "accepted");
+    assert.is(done.rollOut.result.kind, "in_force");
+    assert.is(done.rollOut.result.entries.length, 2);
+    assert.ok(done.rollOut.elapsedMs > 0);
+    addEntry("entry-3", frozen.address);
+    const late = await run("apply", FILE, "--wait", "--timeout-ms", "300");
+    assert.is(late.code, 3);
+    assert.match(late.stdout, "unchanged: revision 1");
+    assert.match(late.stdout, "entry-3: revision 0");
+    assert.not.match(late.stdout, "entry-1");
+  },
+);
+
+withPlatform(
+  "guards against a conflict that doesn't show what changed",
+  async ({ run, folder }) => {
+    assert.is((await run("apply", FILE)).code, 0);
+    const file = join(folder, "changed.json");
+    const config = JSON.parse(await readFile(FILE, "utf8"));
+    config.pools[0].vms = 7;
+    await writeFile(file, JSON.stringify(config));
+    const refused = await run("apply", file, "--expect-revision", "0");
+    assert.is(refused.code, 1);
+    assert.match(refused.stdout, "vms: 6 -> 7");
+    const diff = JSON.parse((await run("diff", file, "--json")).stdout);
+    assert.is(diff.revision, 1);
+    assert.equal(diff.changes, [{
+      kind: "changed",
+      section: "pools",
+      name: "quoting",
+      fields: [{ path: "vms", before: 6, after: 7 }],
+    }]);
+    assert.is((await run("apply", file, "--expect-revision", "1")).code, 0);
+  },
+);
+
+function vm(state: string, pool: string, rest: object = {}) {
+  return {
+    pool,
+    homePool: "quoting",
+    state,
+    incarnation: "1",
+    dataCentre: "khomas-1",
+    rack: "r",
+    changedAtMs: 1,
+    maintainedAtMs: 0,
+    ...rest,
+  };
+}
+
+function putFleet(store: Platform["store"]): void {
+  const transition = {
+    intentId: "i",
+    kind: "maintain",
+    reason: "period",
+    startedAtMs: 1,
+    fleetRevision: 3,
+  };
+  const record = {
+    schemaVersion: 1,
+    region: "khomas",
+    revision: 4,
+    configRevision: 1,
+    maintenance: { waves: {}, late: { survey: "too slow" } },
+    vms: {
+      "q-1": vm("serving", "quoting", { maintainedAtMs: Date.now() }),
+      "q-2": vm("rebooting", "quoting", { transition }),
+      "q-3": vm("serving", "cutshop"),
+    },
+  };
+  const decision = {
+    atMs: 5,
+    fleetRevision: 4,
+    kind: "lend",
+    vmId: "q-3",
+    pools: ["quoting", "cutshop"],
+    teams: ["quoting-team"],
+    summary: "cutshop needs a VM",
+    facts: { demandSlots: 60 },
+    rejected: [{ option: "survey", reason: "budget" }],
+  };
+  store.values.set(fleetKey("khomas"), {
+    value: JSON.stringify(record),
+    version: 1,
+  });
+  store.values.set(decisionLogKey("khomas"), {
+    value: JSON.stringify({ decisions: [decision] }),
+    version: 1,
+  });
+}
+
+withPlatform(
+  "guards against a status that hides a broken budget, a loan or a late wave",
+  async ({ run, store }) => {
+    await run("apply", FILE);
+    putFleet(store);
+    const status = JSON.parse((await run("status", "--json")).stdout);
+    const [region] = status.regions;
+    assert.equal(region.budgets[0], {
+      pool: "quoting",
+      team: "quoting-team",
+      minimumServingVms: 3,
+      ownServingVms: 1,
+      marginVms: -2,
+      ownedVms: 3,
+      lentVms: 1,
+      borrowedVms: 0,
+      missing: { rebooting: 1 },
+    });
+    assert.is(region.budgets[1].borrowedVms, 1);
+    assert.equal(region.waves[0].inProgress, ["q-2"]);
+    assert.is(region.waves[0].maintainedVms, 1);
+    assert.equal(region.lateWaves, { survey: "too slow" });
+    assert.equal(region.loans.map((loan: { vmId: string }) => loan.vmId), [
+      "q-3",
+    ]);
+    assert.is(status.entries.length, 3);
+    const watch = await run(
+      "status",
+      "--watch",
+      "--count",
+      "2",
+      "--interval-ms",
+      "100",
+    );
+    assert.is(watch.stdout.match(/BUDGET SHORT/g)?.length, 10);
+  },
+);
+
+withPlatform(
+  "guards against reading commands that change the store",
+  async ({ run, store }) => {
+    await run("apply", FILE);
+    putFleet(store);
+    const before = JSON.stringify([...store.values]);
+    const { writes } = store.counts;
+    for (
+      const args of [
+        ["diff", FILE],
+        ["status"],
+        ["dump"],
+        ["dump", "entry-1"],
+        ["explain", "vm", "q-3"],
+        ["explain", "pool", "quoting"],
+        ["explain", "team", "quoting-team"],
+        ["explain", "request", "r-1"],
+      ]
+    ) {
+      const result = await run(...args);
+      assert.is(result.code, 0, result.stderr);
+      const expected = args[0] === "explain" && args[1] !== "request"
+        ? "cutshop needs a VM"
+        : args.at(-1) === "r-1"
+        ? 'outcome: "answer"'
+        : "";
+      assert.match(result.stdout, expected);
+    }
+    assert.is(JSON.stringify([...store.values]), before);
+    assert.is(store.counts.writes, writes);
+    assert.is((await run("dump", "entry-9")).code, 1);
+  },
+);
+
+withPlatform(
+  "guards against a status that fails as a whole when the store is down",
+  async ({ run, store }) => {
+    store.faults.down = true;
+    const status = await run("status");
+    assert.is(status.code, 3);
+    assert.match(status.stdout, "unreadable: configuration");
+    assert.match(status.stdout, "entry entry-1");
+  },
+);
+
+test.run();
--- /dev/null
+++ b/src/config/roll_out_test.ts
@@ -0,0 +1,80 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { systemClock } from "../clock.ts";
+import type { Vm } from "../platform/vm_list.ts";
+import { type RollOutResult, waitForRollOut } from "./roll_out.ts";
+
+function entry(
+  id: string,
+  incarnation: string,
+  state: Vm["state"] = "live",
+): Vm {
+  return {
+    id,
+    role: "entry",
+    state,
+    incarnation,
+    region: "khomas",
+    dataCentre: "khomas-1",
+    rack: "r",
+    address: "127.0.0.1:1",
+    controlAddress: "127.0.0.1:1",
+    adminAddress: `${id}/${incarnation}`,
+    cores: 4,
+    memoryMb: 8_192,
+    accelerators: 0,
+  };
+}
+
+function wait(
+  lists: readonly (readonly Vm[])[],
+  revisions: Record<string, number>,
+): Promise<RollOutResult> {
+  let reads = 0;
+  return waitForRollOut({
+    vmList: {
+      list: () =>
+        Promise.resolve(lists[Math.min(reads++, lists.length - 1)] ?? []),
+    },
+    readDump(address) {
+      const revision = revisions[address];
+      return revision === undefined
+        ? Promise.reject(new Error("no answer"))
+        : Promise.resolve({ config: { revision } });
+    },
+    revision: 3,
+    timeoutMs: 200,
+    clock: systemClock,
+  });
+}
+
+test("guards against a replaced entry counted by what its predecessor reported", async () => {
+  const lists = [
+    [entry("a", "1"), entry("b", "1")],
+    [entry("a", "2"), entry("b", "2")],
+  ];
+  const result = await wait(lists, { "a/1": 3, "b/1": 2, "a/2": 1, "b/2": 3 });
+  assert.is(result.kind, "timed_out");
+  assert.equal(result.kind === "timed_out" && result.pending, [
+    { entryId: "a", revision: 1 },
+  ]);
+});
+
+test("guards against an entry that is down or has no configuration counted as done", async () => {
+  const result = await wait([[entry("a", "1"), entry("b", "1")]], { "a/1": 4 });
+  assert.equal(result.kind === "timed_out" && result.pending, [
+    { entryId: "b", revision: undefined, failure: "no answer" },
+  ]);
+});
+
+test("guards against waiting for a leaving entry, and against an empty list counted as done", async () => {
+  const leaving = [entry("a", "1"), entry("b", "1", "leaving")];
+  assert.is((await wait([leaving], { "a/1": 3 })).kind, "in_force");
+  const empty = await wait([[]], {});
+  assert.is(
+    empty.kind === "timed_out" && empty.failure,
+    "the VM list shows no live entry",
+  );
+});
+
+test.run();
--- a/src/settings/listen_rules.ts
+++ b/src/settings/listen_rules.ts
@@ -1,29 +1,37 @@
 import type { ValidationIssue } from "../errors.ts";
-import { createIssue } from "../validation.ts";
 import { parseValidParts } from "../partial_parse.ts";
+import { createIssue } from "../validation.ts";
 import { settingsSchema } from "./schema.ts";
 
-/** Returns an issue for each listener that has the address of an earlier one. */
+const ANY_HOST = "0.0.0.0";
+
+interface Listener {
+  readonly name: string;
+  readonly host: string;
+  readonly port: number;
+}
+
+function collide(a: Listener, b: Listener): boolean {
+  return a.port === b.port &&
+    (a.host === b.host || a.host === ANY_HOST || b.host === ANY_HOST);
+}
+
+/** Returns an issue for each listener whose address an earlier one takes. */
 export function listListenIssues(data: unknown): ValidationIssue[] {
-  const { callers, peers, admin } =
-    parseValidParts(settingsSchema, data)?.listen ?? {};
-  const owners = new Map<string, string>();
-  return Object.entries({ callers, peers, admin }).flatMap(
-    ([name, listener]) => {
-      const { host, port } = listener ?? {};
-      // Port 0 is a different free port for each listener.
-      if (host === undefined || port === undefined || port === 0) return [];
-      const address = `${host}:${port}`;
-      const owner = owners.get(address);
-      if (owner === undefined) {
-        owners.set(address, name);
-        return [];
-      }
-      return [createIssue(
-        `$.listen.${name}.port`,
-        port,
-        `a port other than that of $.listen.${owner} on the same host`,
-      )];
-    },
-  );
+  const listen = parseValidParts(settingsSchema, data)?.listen;
+  const names = ["callers", "peers", "admin"] as const;
+  const listeners = names.flatMap((name): Listener[] => {
+    const { host, port } = listen?.[name] ?? {};
+    // Port 0 is a different free port for each listener.
+    return host === undefined || !port ? [] : [{ name, host, port }];
+  });
+  return listeners.flatMap((listener, index) => {
+    const other = listeners.slice(0, index)
+      .find((earlier) => collide(earlier, listener));
+    return other === undefined ? [] : [createIssue(
+      `$.listen.${listener.name}.port`,
+      listener.port,
+      `a port other than that of $.listen.${other.name}`,
+    )];
+  });
 }
--- /dev/null
+++ b/src/settings/load_test.ts
@@ -0,0 +1,98 @@
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ValidationError } from "../errors.ts";
+import { readTextFile, resolveSettings } from "./load.ts";
+
+const VALID = {
+  entryId: "entry-1",
+  region: "khomas",
+  dataCentre: "khomas-1",
+  platform: {
+    storeUrl: "http://127.0.0.1:4000/",
+    vmListUrl: "http://127.0.0.1:4001",
+  },
+};
+
+function pathsOf(settings: object): string[] {
+  try {
+    resolveSettings({ ...VALID, ...settings }, "test");
+  } catch (error) {
+    assert.instance(error, ValidationError);
+    return (error as ValidationError).issues.map((issue) => issue.path).sort();
+  }
+  return [];
+}
+
+test("guards against a store URL to which paths can't be appended", () => {
+  const settings = resolveSettings(VALID, "test");
+  assert.is(settings.platform.storeUrl, "http://127.0.0.1:4000");
+  for (
+    const storeUrl of [
+      "http://localhost:4000",
+      "https://127.0.0.1",
+      "http://127.0.0.1/?a=1",
+      "http://user@127.0.0.1",
+      "127.0.0.1:4000",
+    ]
+  ) {
+    const platform = { ...VALID.platform, storeUrl };
+    assert.equal(pathsOf({ platform }), ["$.platform.storeUrl"], storeUrl);
+  }
+});
+
+test("guards against settings problems hidden by an earlier one", () => {
+  const paths = pathsOf({
+    entryId: "a b",
+    region: "Khomas",
+    roles: ["requests", "requests"],
+    listen: {
+      callers: { port: 80 },
+      peers: { port: 70_000 },
+      admin: { port: 80 },
+    },
+    limits: { maximumBodyBytes: 0 },
+    graceSeconds: 3,
+  });
+  assert.equal(paths, [
+    "$.entryId",
+    "$.graceSeconds",
+    "$.limits.maximumBodyBytes",
+    "$.listen.admin.port",
+    "$.listen.peers.port",
+    "$.region",
+    "$.roles",
+  ]);
+});
+
+test("guards against two listeners on one address", () => {
+  const listen = {
+    callers: { host: "0.0.0.0", port: 80 },
+    peers: { port: 80 },
+  };
+  assert.equal(pathsOf({ listen }), ["$.listen.peers.port"]);
+  const free = {
+    callers: { host: "127.0.0.2", port: 80 },
+    peers: { port: 80 },
+  };
+  assert.equal(pathsOf({ listen: free }), []);
+});
+
+test("guards against a huge file that fills the memory", async () => {
+  const folder = await mkdtemp(join(tmpdir(), "cowslipferry-settings-"));
+  try {
+    const file = join(folder, "large.json");
+    await writeFile(file, " ".repeat(1_000_000));
+    assert.is((await readTextFile(file)).length, 1_000_000);
+    await writeFile(file, " ".repeat(1_000_001));
+    let failure: unknown;
+    await readTextFile(file).catch((error) => failure = error);
+    assert.instance(failure, ValidationError);
+  } finally {
+    await rm(folder, { recursive: true });
+  }
+});
+
+test.run();
