test(config): random faults with 40 concurrent operators

The results of apply were only tested fault by fault. 60 seeds with lost answers, dropped writes, outages and stale reads now compare what each operator was told with the store's history.

--- a/src/config/apply_test.ts
+++ b/src/config/apply_test.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from "node:fs";
+import { setTimeout as delay } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { createFakeStore } from "../../testing/fake_store.ts";
@@ -143,6 +144,55 @@
   assert.is(result.kind, "undetermined");
 });
 
+test("guards against untrue results under random faults and concurrent operators", async () => {
+  const kinds: Record<string, number> = {};
+  for (let seed = 1; seed <= 60; seed++) {
+    const store = createFakeStore({
+      random: {
+        seed,
+        unavailablePercent: 5,
+        lostAnswerPercent: 15,
+        droppedWritePercent: 15,
+        staleReadPercent: 10,
+      },
+    });
+    const outcomes = await Promise.all(
+      Array.from({ length: 40 }, async (_, index) => {
+        await delay(index % 5);
+        const result = await apply(store, index).catch((error) => {
+          assert.instance(error, StoreError);
+          return { kind: "failed" } as const;
+        });
+        return { cost: index, result };
+      }),
+    );
+    const written = store.history(CONFIG_KEY)
+      .map((entry) => parseAppliedConfig(entry.value));
+    assert.equal(
+      written.map((applied) => applied.revision),
+      written.map((_, index) => index + 1),
+      `seed ${seed}`,
+    );
+    for (const { cost, result } of outcomes) {
+      kinds[result.kind] = (kinds[result.kind] ?? 0) + 1;
+      const took = written.some((applied) =>
+        applied.config.weights.bufferCost === cost
+      );
+      if (result.kind === "undetermined") continue;
+      const claimed = result.kind === "accepted" ||
+        result.kind === "superseded";
+      assert.is(
+        took,
+        claimed,
+        `seed ${seed}, operator ${cost}: ${result.kind}`,
+      );
+    }
+  }
+  for (const kind of ["accepted", "superseded", "conflict", "failed"]) {
+    assert.ok((kinds[kind] ?? 0) > 0, `${kind}: ${JSON.stringify(kinds)}`);
+  }
+});
+
 test("guards against an outage reported as a refusal", async () => {
   const store = createFakeStore();
   store.faults.unavailable = true;
