fix(config): repeated JSON keys and deeply nested files

JSON.parse keeps the last of two equal keys, so that a value was lost without a word; each repeated key is now reported with its path, in configuration and settings files. A file with 400,000 nested lists ended in an untyped RangeError; it is now a validation error.

--- a/src/config/validate_test.ts
+++ b/src/config/validate_test.ts
@@ -194,6 +194,26 @@
   assert.match(issuesOf(text)[0]?.found ?? "", "with all defaults filled in");
 });
 
+test("guards against a repeated key of which one value is lost", () => {
+  const text = readFileSync("examples/khomas.json", "utf8")
+    .replace(
+      '"vms": 8,',
+      '"vms": 8, "a\\"{": [{}, {"b": 1, "b": 2}], "v\\u006ds": 9,',
+    );
+  const issues = issuesOf(text).filter((issue) =>
+    issue.expected === "a key that is used once"
+  );
+  assert.equal(issues.map((issue) => issue.path), [
+    '$.pools[2]["a\\"{"][1].b',
+    "$.pools[2].vms",
+  ]);
+});
+
+test("guards against an untyped error for deeply nested JSON", () => {
+  const text = "[".repeat(400_000) + "]".repeat(400_000);
+  assert.is(issuesOf(text)[0]?.found, "a deeply nested value");
+});
+
 test("guards against malformed JSON without a position", () => {
   assert.match(
     issuesOf('{"version": 1,}')[0]?.expected ?? "",
--- /dev/null
+++ b/src/json_keys.ts
@@ -0,0 +1,57 @@
+import type { ValidationIssue } from "./errors.ts";
+import { createIssue, formatJsonPath } from "./validation.ts";
+
+type Level =
+  | { readonly kind: "object"; readonly keys: Set<string>; key: string }
+  | { readonly kind: "array"; index: number };
+
+/** A string, or a character that opens, closes or separates; other characters don't matter here. */
+const TOKEN = /"(?:[^"\\]|\\.)*"|[{}[\],:]/g;
+
+function pathOf(levels: readonly Level[]): string {
+  return formatJsonPath(
+    levels.map((level) => level.kind === "object" ? level.key : level.index),
+  );
+}
+
+/** Returns an issue for each key that an object of a valid JSON text has more than once; `JSON.parse` would keep the last. */
+export function listRepeatedKeys(text: string): ValidationIssue[] {
+  const issues: ValidationIssue[] = [];
+  const levels: Level[] = [];
+  let expectsKey = false;
+  for (const [token] of text.matchAll(TOKEN)) {
+    const level = levels.at(-1);
+    switch (token) {
+      case "{":
+        levels.push({ kind: "object", keys: new Set(), key: "" });
+        expectsKey = true;
+        break;
+      case "[":
+        levels.push({ kind: "array", index: 0 });
+        expectsKey = false;
+        break;
+      case "}":
+      case "]":
+        levels.pop();
+        expectsKey = false;
+        break;
+      case ",":
+        if (level?.kind === "array") level.index++;
+        expectsKey = level?.kind === "object";
+        break;
+      case ":":
+        expectsKey = false;
+        break;
+      default:
+        if (!expectsKey || level?.kind !== "object") break;
+        level.key = JSON.parse(token);
+        if (level.keys.has(level.key)) {
+          issues.push(
+            createIssue(pathOf(levels), level.key, "a key that is used once"),
+          );
+        }
+        level.keys.add(level.key);
+    }
+  }
+  return issues;
+}
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -1,6 +1,7 @@
 import { open } from "node:fs/promises";
 import { MAXIMUM_STORE_VALUE_BYTES } from "../constants.ts";
 import { messageOf, ValidationError } from "../errors.ts";
+import { listRepeatedKeys } from "../json_keys.ts";
 import { listSchemaIssues, parseJson } from "../validation.ts";
 import { listListenIssues } from "./listen_rules.ts";
 import { type ResolvedSettings, settingsSchema } from "./schema.ts";
@@ -36,12 +37,14 @@
   return buffer.toString("utf8", 0, sizeBytes);
 }
 
-/** Checks settings; throws a `ValidationError` that lists every problem. */
+/** Parses and checks settings; throws a `ValidationError` that lists every problem. */
 export function resolveSettings(
-  data: unknown,
+  text: string,
   source: string,
 ): ResolvedSettings {
+  const data = parseJson(text, source);
   const issues = [
+    ...listRepeatedKeys(text),
     ...listSchemaIssues(settingsSchema, data),
     ...listListenIssues(data),
   ];
@@ -51,5 +54,5 @@
 
 /** Loads the settings of an entry process; throws a `ValidationError`. */
 export async function loadSettings(path: string): Promise<ResolvedSettings> {
-  return resolveSettings(parseJson(await readTextFile(path), path), path);
+  return resolveSettings(await readTextFile(path), path);
 }
--- a/src/settings/load_test.ts
+++ b/src/settings/load_test.ts
@@ -18,7 +18,7 @@
 
 function pathsOf(settings: object): string[] {
   try {
-    resolveSettings({ ...VALID, ...settings }, "test");
+    resolveSettings(JSON.stringify({ ...VALID, ...settings }), "test");
   } catch (error) {
     assert.instance(error, ValidationError);
     return (error as ValidationError).issues.map((issue) => issue.path).sort();
@@ -27,7 +27,7 @@
 }
 
 test("guards against a store URL to which paths can't be appended", () => {
-  const settings = resolveSettings(VALID, "test");
+  const settings = resolveSettings(JSON.stringify(VALID), "test");
   assert.is(settings.platform.storeUrl, "http://127.0.0.1:4000");
   for (
     const storeUrl of [
--- a/src/validation.ts
+++ b/src/validation.ts
@@ -24,9 +24,18 @@
   );
 }
 
+function stringify(value: unknown): string {
+  try {
+    return JSON.stringify(value);
+  } catch {
+    // A value that was parsed from JSON can be nested too deeply to be written again.
+    return "a deeply nested value";
+  }
+}
+
 /** Formats a value for an error message, cut to a readable length. */
 export function formatFound(value: unknown): string {
-  const text = value === undefined ? "nothing" : JSON.stringify(value);
+  const text = value === undefined ? "nothing" : stringify(value);
   return text.length > MAXIMUM_FOUND_CHARACTERS
     ? `${text.slice(0, MAXIMUM_FOUND_CHARACTERS)}...`
     : text;
