fix(config): replace a stored configuration that can't be read

A stored value in a form that this program doesn't know made every apply fail, so that operators could not correct it. Ruled out: replacing it without the option, which would let an older program overwrite a newer format unnoticed.

--- a/src/commands/apply.ts
+++ b/src/commands/apply.ts
@@ -46,7 +46,7 @@
 function formatConflict(
   result: ApplyResult & { kind: "conflict" },
 ): string[] {
-  const revision = result.current?.revision ?? 0;
+  const revision = result.currentRevision;
   return [
     result.reason === "unexpected_revision"
       ? `conflict: revision ${revision} is in force, not the expected revision ${result.baseRevision}; nothing was written`
@@ -67,7 +67,7 @@
       return [`unchanged: revision ${result.applied.revision} is in force`];
     case "superseded":
       return [
-        `accepted as revision ${result.applied.revision} (apply id ${result.applied.applyId}), superseded by revision ${result.current.revision}`,
+        `accepted as revision ${result.applied.revision} (apply id ${result.applied.applyId}), superseded by revision ${result.currentRevision}`,
       ];
     case "conflict":
       return formatConflict(result);
@@ -89,14 +89,11 @@
       return { kind: result.kind, revision, applyId, digest };
     }
     case "superseded": {
-      const { revision, applyId, digest } = result.applied;
-      const currentRevision = result.current.revision;
-      return { kind: result.kind, revision, applyId, digest, currentRevision };
-    }
-    case "conflict": {
-      const { current, ...rest } = result;
-      return { ...rest, currentRevision: current?.revision ?? 0 };
+      const { kind, applied, currentRevision } = result;
+      const { revision, applyId, digest } = applied;
+      return { kind, revision, applyId, digest, currentRevision };
     }
+    case "conflict":
     case "undetermined":
       return result;
     default:
--- a/src/config/apply.ts
+++ b/src/config/apply.ts
@@ -1,11 +1,16 @@
 import { createHash, randomUUID } from "node:crypto";
 import { setTimeout as delay } from "node:timers/promises";
 import { CONFIG_KEY } from "../constants.ts";
-import { StoreError } from "../errors.ts";
+import { StoreError, TaggedError, ValidationError } from "../errors.ts";
 import type { Store, SwapRequest } from "../platform/store.ts";
 import { type ConfigChange, diffConfigs } from "./diff.ts";
 import { parseAppliedConfig } from "./follower.ts";
-import type { AppliedConfig, ResolvedConfig } from "./schema.ts";
+import { parseJson } from "../validation.ts";
+import {
+  type AppliedConfig,
+  appliedConfigSchema,
+  type ResolvedConfig,
+} from "./schema.ts";
 
 /** Why a configuration was not applied. */
 export type ConflictReason = "concurrent_apply" | "unexpected_revision";
@@ -19,7 +24,7 @@
   | {
     readonly kind: "superseded";
     readonly applied: AppliedConfig;
-    readonly current: AppliedConfig;
+    readonly currentRevision: number;
   }
   /** Nothing was written; `changes` lead from the current configuration to the one that was to be applied. */
   | {
@@ -27,7 +32,8 @@
     readonly reason: ConflictReason;
     /** Revision that the apply was based on. */
     readonly baseRevision: number;
-    readonly current: AppliedConfig | undefined;
+    /** Revision in force; 0 when there is none. */
+    readonly currentRevision: number;
     readonly changes: readonly ConfigChange[];
   }
   /** The store's answer was lost and reading again could not tell whether the write took effect. */
@@ -50,21 +56,58 @@
 const MAXIMUM_PREVIOUS_APPLIES = 32;
 const RESOLVE_DELAYS_MS = [100, 250, 500, 1_000, 2_000, 3_000, 3_000];
 
+/** The stored configuration has a form that this version of the program doesn't know. */
+export class UnreadableConfigError extends TaggedError<"unreadable_config"> {
+  readonly kind = "unreadable_config";
+
+  constructor(readonly revision: number, reason: string) {
+    super(
+      `Stored configuration revision ${revision} is unreadable (${reason}); ` +
+        `apply with --expect-revision ${revision} to replace it`,
+    );
+  }
+}
+
+const headSchema = appliedConfigSchema.pick({
+  revision: true,
+  applyId: true,
+  previousApplies: true,
+});
+type Head = Pick<AppliedConfig, "revision" | "applyId" | "previousApplies">;
+
 interface StoredConfig {
   readonly version: number;
-  readonly applied: AppliedConfig | undefined;
+  /** What is read from the value even if its configuration is unreadable. */
+  readonly head: Head | undefined;
+  readonly config: ResolvedConfig | undefined;
+  readonly text: string;
+  readonly unreadableReason?: string;
+}
+
+function parseStored(version: number, text: string): StoredConfig {
+  try {
+    const applied = parseAppliedConfig(text);
+    return { version, head: applied, config: applied.config, text };
+  } catch (error) {
+    const head = error instanceof ValidationError
+      ? headSchema.safeParse(parseJson(text, CONFIG_KEY)).data
+      : undefined;
+    if (head === undefined) throw error;
+    const unreadableReason = (error as ValidationError).message;
+    return { version, head, config: undefined, text, unreadableReason };
+  }
 }
 
 async function readConfig(store: Store): Promise<StoredConfig> {
   const entry = await store.get(CONFIG_KEY);
   return entry === undefined
-    ? { version: 0, applied: undefined }
-    : { version: entry.version, applied: parseAppliedConfig(entry.value) };
+    ? { version: 0, head: undefined, config: undefined, text: "" }
+    : parseStored(entry.version, entry.value);
 }
 
 function createApplied(
   config: ResolvedConfig,
-  previous: AppliedConfig | undefined,
+  previous: Head | undefined,
 ): AppliedConfig {
   return {
     revision: (previous?.revision ?? 0) + 1,
@@ -83,13 +126,18 @@
   reason: ConflictReason,
   options: {
     baseRevision: number;
-    current: AppliedConfig | undefined;
+    stored: StoredConfig;
     config: ResolvedConfig;
   },
 ): ApplyResult {
-  const { baseRevision, current, config } = options;
-  const changes = diffConfigs(current?.config, config);
-  return { kind: "conflict", reason, baseRevision, current, changes };
+  const { baseRevision, stored, config } = options;
+  return {
+    kind: "conflict",
+    reason,
+    baseRevision,
+    currentRevision: stored.head?.revision ?? 0,
+    changes: diffConfigs(stored.config, config),
+  };
 }
 
 interface SentWrite {
@@ -103,7 +151,7 @@
   stored: StoredConfig,
 ): ApplyResult | undefined {
   const { revision, applyId, config } = applied;
-  const current = stored.applied;
+  const current = stored.head;
   if (stored.version <= request.expectedVersion || current === undefined) {
     return undefined;
   }
@@ -111,13 +159,17 @@
   const previous = (current.previousApplies ?? [])
     .find((item) => item.revision === revision);
   if (previous?.applyId === applyId) {
-    return { kind: "superseded", applied, current };
+    return {
+      kind: "superseded",
+      applied,
+      currentRevision: current.revision,
+    };
   }
   // The expected version has passed, so the write can't take effect later either.
   if (current.revision <= revision || previous !== undefined) {
     return createConflict("concurrent_apply", {
       baseRevision: revision - 1,
-      current,
+      stored,
       config,
     });
   }
@@ -172,7 +224,7 @@
   const result = await store.compareAndSwap({
     key: CONFIG_KEY,
     expectedVersion: stored.version,
-    value: JSON.stringify(stored.applied),
+    value: stored.text,
   });
   return result.kind === "swapped";
 }
@@ -195,6 +247,28 @@
   }
 }
 
+function isSameConfig(stored: StoredConfig, config: ResolvedConfig): boolean {
+  return stored.config !== undefined &&
+    JSON.stringify(stored.config) === JSON.stringify(config);
+}
+
+/** Returns a conflict when another revision than the expected one is in force. */
+function checkExpectation(
+  stored: StoredConfig,
+  config: ResolvedConfig,
+  expectedRevision: number | undefined,
+): ApplyResult | undefined {
+  const revision = stored.head?.revision ?? 0;
+  if (expectedRevision === undefined) {
+    if (stored.unreadableReason === undefined) return undefined;
+    throw new UnreadableConfigError(revision, stored.unreadableReason);
+  }
+  return expectedRevision === revision ? undefined : createConflict(
+    "unexpected_revision",
+    { baseRevision: expectedRevision, stored, config },
+  );
+}
+
 /** Applies a configuration as the next revision; rejects with a `StoreError` when nothing was written. */
 export async function applyConfig(
   store: Store,
@@ -203,41 +277,26 @@
 ): Promise<ApplyResult> {
   const { expectedRevision, resolveDelaysMs = RESOLVE_DELAYS_MS } = options;
   const stored = await readConfig(store);
-  const current = stored.applied;
-  const baseRevision = current?.revision ?? 0;
-  const isUnchanged = current !== undefined &&
-    JSON.stringify(current.config) === JSON.stringify(config);
-  if (isUnchanged && await confirmLatest(store, stored)) {
-    return { kind: "unchanged", applied: current };
-  }
-  if (
-    !isUnchanged && expectedRevision !== undefined &&
-    expectedRevision !== baseRevision
-  ) {
-    return createConflict("unexpected_revision", {
-      baseRevision: expectedRevision,
-      current,
-      config,
-    });
-  }
-  if (!isUnchanged) {
-    const applied = createApplied(config, current);
+  if (isSameConfig(stored, config)) {
+    if (await confirmLatest(store, stored)) {
+      return { kind: "unchanged", applied: parseAppliedConfig(stored.text) };
+    }
+  } else {
+    const unexpected = checkExpectation(stored, config, expectedRevision);
+    if (unexpected !== undefined) return unexpected;
+    const applied = createApplied(config, stored.head);
     const request = {
       key: CONFIG_KEY,
       expectedVersion: stored.version,
       value: JSON.stringify(applied),
     };
-    const result = await writeOnce(
-      store,
-      { request, applied },
-      resolveDelaysMs,
-    );
+    const write = { request, applied };
+    const result = await writeOnce(store, write, resolveDelaysMs);
     if (result !== undefined) return result;
   }
-  const latest = await readConfig(store).catch(() => stored);
   return createConflict("concurrent_apply", {
-    baseRevision,
-    current: latest.applied,
+    baseRevision: stored.head?.revision ?? 0,
+    stored: await readConfig(store).catch(() => stored),
     config,
   });
 }
--- a/src/config/apply_test.ts
+++ b/src/config/apply_test.ts
@@ -8,7 +8,11 @@
 import { StoreError } from "../errors.ts";
 import { createHttpStore } from "../platform/http_store.ts";
 import type { Store } from "../platform/store.ts";
-import { applyConfig, type ApplyResult } from "./apply.ts";
+import {
+  applyConfig,
+  type ApplyResult,
+  UnreadableConfigError,
+} from "./apply.ts";
 import { parseAppliedConfig } from "./follower.ts";
 import { resolveConfig } from "./validate.ts";
 
@@ -193,6 +197,25 @@
   }
 });
 
+test("guards against a stored value that no apply can replace", async () => {
+  const store = createFakeStore();
+  await apply(store, 1);
+  const stored = JSON.parse(store.history(CONFIG_KEY)[0]?.value ?? "");
+  stored.config.fieldOfANewerVersion = true;
+  await store.compareAndSwap({
+    key: CONFIG_KEY,
+    expectedVersion: 1,
+    value: JSON.stringify(stored),
+  });
+  let failure: unknown;
+  await apply(store, 2).catch((error) => failure = error);
+  assert.instance(failure, UnreadableConfigError);
+  const result = await applyConfig(store, configWith(2), {
+    expectedRevision: 1,
+  });
+  assert.is(revisionOf(result), 2);
+});
+
 test("guards against an outage reported as a refusal", async () => {
   const store = createFakeStore();
   store.faults.unavailable = true;
--- a/src/config/follower.ts
+++ b/src/config/follower.ts
@@ -8,12 +8,14 @@
 import { parseJson, parseWithSchema } from "../validation.ts";
 import { type AppliedConfig, appliedConfigSchema } from "./schema.ts";
 
+const SOURCE = "stored configuration";
+
 /** Parses the store's value of the configuration; throws a `ValidationError`. */
 export function parseAppliedConfig(text: string): AppliedConfig {
   return parseWithSchema(
     appliedConfigSchema,
-    parseJson(text, CONFIG_KEY),
-    CONFIG_KEY,
+    parseJson(text, SOURCE),
+    SOURCE,
   );
 }
 
