test: shared operator platform stand-in, compact validation table

The validation cases now set values at paths, and each requires exactly the expected issues (before, extra issues were only checked for some cases). Stand-ins move to testing/.

--- a/src/cli_test.ts
+++ b/src/cli_test.ts
@@ -1,109 +1,23 @@
-import { spawn } from "node:child_process";
-import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
-import { tmpdir } from "node:os";
+import { readFile, writeFile } from "node:fs/promises";
 import { join } from "node:path";
-import process from "node:process";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import {
-  createJsonServer,
-  listenOnLoopback,
-} from "../testing/http_json_server.ts";
-import { startStoreServer } from "../testing/store_server.ts";
-import { startVmListServer } from "../testing/vm_list_server.ts";
+  type OperatorPlatform,
+  runProgram,
+  startOperatorPlatform,
+} from "../testing/operator_platform.ts";
 import { decisionLogKey } from "./fleet/decision_log.ts";
 import { fleetKey } from "./fleet/record.ts";
-import type { Vm } from "./platform/vm_list.ts";
 
 const FILE = "examples/khomas.json";
 
-async function runProgram(args: readonly string[], env: object = {}) {
-  const child = spawn(
-    process.execPath,
-    ["--import", "tsx", "src/main.ts", ...args],
-    { stdio: ["ignore", "pipe", "pipe"], env: { ...process.env, ...env } },
-  );
-  let stdout = "";
-  let stderr = "";
-  child.stdout.on("data", (chunk) => stdout += chunk);
-  child.stderr.on("data", (chunk) => stderr += chunk);
-  const code = await new Promise((resolve) => child.on("close", resolve));
-  return { code, stdout, stderr };
-}
-
-/** Admin server of an entry that reports the store's configuration, or a fixed revision. */
-function startAdminServer(revision: () => number) {
-  return listenOnLoopback(createJsonServer(() => ({
-    status: 200,
-    body: {
-      config: { revision: revision() },
-      requests: [{ requestId: "r-1", outcome: "answer" }],
-    },
-  })));
-}
-
-async function startPlatform() {
-  const folder = await mkdtemp(join(tmpdir(), "cowslipferry-cli-"));
-  const store = await startStoreServer();
-  const vmList = await startVmListServer();
-  const inForce = () =>
-    JSON.parse(store.values.get("config")?.value ?? "{}").revision ?? 0;
-  const follower = await startAdminServer(inForce);
-  const frozen = await startAdminServer(() => 0);
-  const settingsFile = join(folder, "operator.json");
-  await writeFile(
-    settingsFile,
-    JSON.stringify({
-      platform: {
-        storeUrl: `http://${store.address}`,
-        vmListUrl: `http://${vmList.address}/`,
-      },
-    }),
-  );
-  function addEntry(id: string, admin: string, state: Vm["state"] = "live") {
-    vmList.vms.set(id, {
-      id,
-      role: "entry",
-      state,
-      incarnation: "1",
-      region: "khomas",
-      dataCentre: "khomas-1",
-      rack: "r",
-      address: "127.0.0.1:1",
-      controlAddress: "127.0.0.1:1",
-      adminAddress: admin,
-      cores: 4,
-      memoryMb: 8_192,
-      accelerators: 0,
-    });
-  }
-  addEntry("entry-1", follower.address);
-  addEntry("entry-2", follower.address);
-  addEntry("entry-gone", frozen.address, "leaving");
-  return {
-    folder,
-    store,
-    frozen,
-    addEntry,
-    run: (...args: string[]) =>
-      runProgram(args, { COWSLIPFERRY_OPERATOR_SETTINGS: settingsFile }),
-    async close() {
-      await Promise.all(
-        [store, vmList, follower, frozen].map((server) => server.close()),
-      );
-      await rm(folder, { recursive: true });
-    },
-  };
-}
-
-type Platform = Awaited<ReturnType<typeof startPlatform>>;
-
 function withPlatform(
   name: string,
-  run: (platform: Platform) => Promise<void>,
+  run: (platform: OperatorPlatform) => Promise<void>,
 ): void {
   test(name, async () => {
-    const platform = await startPlatform();
+    const platform = await startOperatorPlatform();
     try {
       await run(platform);
     } finally {
@@ -189,32 +103,18 @@
 );
 
 function vm(state: string, pool: string, rest: object = {}) {
-  return {
-    pool,
-    homePool: "quoting",
-    state,
-    incarnation: "1",
-    dataCentre: "khomas-1",
-    rack: "r",
-    changedAtMs: 1,
-    maintainedAtMs: 0,
-    ...rest,
-  };
+  const place = { incarnation: "1", dataCentre: "khomas-1", rack: "r" };
+  const times = { changedAtMs: 1, maintainedAtMs: 0 };
+  return { pool, homePool: "quoting", state, ...place, ...times, ...rest };
 }
 
-function putFleet(store: Platform["store"]): void {
-  const transition = {
-    intentId: "i",
-    kind: "maintain",
-    reason: "period",
-    startedAtMs: 1,
-    fleetRevision: 3,
-  };
+function putFleet(store: OperatorPlatform["store"]): void {
+  const intent = { intentId: "i", startedAtMs: 1, fleetRevision: 3 };
+  const transition = { ...intent, kind: "maintain", reason: "period" };
+  const revisions = { schemaVersion: 1, revision: 4, configRevision: 1 };
   const record = {
-    schemaVersion: 1,
+    ...revisions,
     region: "khomas",
-    revision: 4,
-    configRevision: 1,
     maintenance: { waves: {}, late: { survey: "too slow" } },
     vms: {
       "q-1": vm("serving", "quoting", { maintainedAtMs: Date.now() }),
@@ -223,24 +123,17 @@
     },
   };
   const decision = {
-    atMs: 5,
-    fleetRevision: 4,
-    kind: "lend",
-    vmId: "q-3",
+    ...{ atMs: 5, fleetRevision: 4, kind: "lend", vmId: "q-3" },
     pools: ["quoting", "cutshop"],
     teams: ["quoting-team"],
     summary: "cutshop needs a VM",
     facts: { demandSlots: 60 },
     rejected: [{ option: "survey", reason: "budget" }],
   };
-  store.values.set(fleetKey("khomas"), {
-    value: JSON.stringify(record),
-    version: 1,
-  });
-  store.values.set(decisionLogKey("khomas"), {
-    value: JSON.stringify({ decisions: [decision] }),
-    version: 1,
-  });
+  const put = (key: string, value: object) =>
+    store.values.set(key, { value: JSON.stringify(value), version: 1 });
+  put(fleetKey("khomas"), record);
+  put(decisionLogKey("khomas"), { decisions: [decision] });
 }
 
 withPlatform(
--- a/src/config/roll_out_test.ts
+++ b/src/config/roll_out_test.ts
@@ -1,30 +1,12 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { createEntryVm } from "../../testing/operator_platform.ts";
 import { systemClock } from "../clock.ts";
 import type { Vm } from "../platform/vm_list.ts";
 import { type RollOutResult, waitForRollOut } from "./roll_out.ts";
 
-function entry(
-  id: string,
-  incarnation: string,
-  state: Vm["state"] = "live",
-): Vm {
-  return {
-    id,
-    role: "entry",
-    state,
-    incarnation,
-    region: "khomas",
-    dataCentre: "khomas-1",
-    rack: "r",
-    address: "127.0.0.1:1",
-    controlAddress: "127.0.0.1:1",
-    adminAddress: `${id}/${incarnation}`,
-    cores: 4,
-    memoryMb: 8_192,
-    accelerators: 0,
-  };
-}
+const entry = (id: string, incarnation: string, state: Vm["state"] = "live") =>
+  createEntryVm(id, `${id}/${incarnation}`, { incarnation, state });
 
 function wait(
   lists: readonly (readonly Vm[])[],
--- a/src/config/validate_test.ts
+++ b/src/config/validate_test.ts
@@ -4,9 +4,6 @@
 import { ValidationError } from "../errors.ts";
 import { resolveConfig } from "./validate.ts";
 
-// deno-lint-ignore no-explicit-any
-type Editable = any;
-
 function issuesOf(text: string) {
   try {
     resolveConfig(text, "test");
@@ -17,9 +14,14 @@
   return [];
 }
 
-function issuesAfter(edit: (config: Editable) => void) {
+/** Returns the issues of the example after values are set at dotted paths; undefined removes one. */
+function issuesAfter(values: Record<string, unknown>) {
   const config = JSON.parse(readFileSync("examples/khomas.json", "utf8"));
-  edit(config);
+  for (const [path, value] of Object.entries(values)) {
+    const keys = path.split(".");
+    const last = keys.pop() ?? "";
+    keys.reduce((item, key) => item[key], config)[last] = value;
+  }
   return issuesOf(JSON.stringify(config));
 }
 
@@ -29,140 +31,85 @@
   }
 });
 
-const window = (to: string, timeZone = "Asia/Karachi") => ({
-  windows: [{ timeZone, from: "08:00", to }],
-});
+const ZONE = "Asia/Karachi";
+const NEW_SERVICE = { "services.5": { name: "idle" } };
 
-/** Each edit breaks one rule; the path is that of the issue expected. */
-const CASES: [string, string, (config: Editable) => void][] = [
-  ["an unknown field", "$.typo", (c) => c.typo = 1],
-  [
-    "an unknown inner field",
-    "$.pools[1].lending.max",
-    (c) => c.pools[1].lending.max = 1,
-  ],
-  ["a missing field", "$.pools[0].vms", (c) => delete c.pools[0].vms],
-  ["a wrong type", "$.pools[0].vms", (c) => c.pools[0].vms = "6"],
-  [
-    "an unknown value",
-    "$.pools[0].maintenance.order",
-    (c) => c.pools[0].maintenance.order = "any",
-  ],
-  [
-    "a repeated team",
-    "$.teams[5].name",
-    (c) => c.teams.push({ name: "survey-team" }),
-  ],
-  [
-    "a repeated service",
-    "$.services[5].name",
-    (c) => c.services.push({ name: "survey" }),
-  ],
-  ["a repeated pool", "$.pools[1].name", (c) => c.pools[1].name = "quoting"],
-  ["an unknown team", "$.pools[0].team", (c) => c.pools[0].team = "nobody"],
-  [
-    "an unknown service",
-    "$.pools[0].services[1]",
-    (c) => c.pools[0].services[1] = "no",
-  ],
-  [
-    "a service listed twice",
-    "$.pools[0].services[1]",
-    (c) => c.pools[0].services[1] = "quoting",
-  ],
-  [
-    "a service with no pool",
-    "$.services[5].name",
-    (c) => c.services.push({ name: "idle" }),
-  ],
-  ["a service that no pool can serve", "$.pools[0].services[1]", (c) => {
-    c.services.push({ name: "idle" });
-    c.pools[0].services = ["quoting", "idle"];
-    c.pools[0].lending.overflow = false;
+/** Path of the expected issue, the fault, and the values set to cause it. */
+const CASES: [string, string, Record<string, unknown>][] = [
+  ["$.typo", "an unknown field", { typo: 1 }],
+  ["$.weights.cost", "an unknown inner field", { "weights.cost": 1 }],
+  ["$.pools[0].vms", "a missing field", { "pools.0.vms": undefined }],
+  ["$.pools[0].vms", "a wrong type", { "pools.0.vms": "6" }],
+  ["$.pools[0].maintenance.order", "an unknown value", {
+    "pools.0.maintenance.order": "any",
+  }],
+  ["$.teams[5].name", "a repeated team", {
+    "teams.5": { name: "survey-team" },
+  }],
+  ["$.services[5].name", "a repeated service", {
+    "services.5": { name: "survey" },
+  }],
+  ["$.pools[1].name", "a repeated pool", { "pools.1.name": "quoting" }],
+  ["$.pools[0].team", "an unknown team", { "pools.0.team": "nobody" }],
+  ["$.pools[0].services[1]", "an unknown service", {
+    "pools.0.services.1": "no",
+  }],
+  ["$.pools[0].services[1]", "a service listed twice", {
+    "pools.0.services.1": "quoting",
+  }],
+  ["$.services[5].name", "a service with no pool", NEW_SERVICE],
+  ["$.pools[0].services[1]", "a service that no pool can serve", {
+    ...NEW_SERVICE,
+    "pools.0.services.1": "idle",
+    "pools.0.lending.overflow": false,
+  }],
+  ["$.pools[1].services[0]", "a second own pool", {
+    "pools.1.services": ["quoting"],
   }],
-  [
-    "a second own pool",
-    "$.pools[1].services[0]",
-    (c) => c.pools[1].services = ["quoting"],
-  ],
-  ["an undeclared region", "$.pools[0].region", (c) => {
-    c.regions = ["khomas"];
-    c.pools[0].region = "khomsa";
+  ["$.pools[0].region", "an undeclared region", {
+    regions: ["khomas"],
+    "pools.0.region": "khomsa",
+  }],
+  ["$.regions[1]", "a region without a pool", { regions: ["khomas", "x"] }],
+  ["$.pools[0].availability.minimumServingVms", "a minimum above the VMs", {
+    "pools.0.availability.minimumServingVms": 7,
+  }],
+  ["$.pools[0].availability.minimumServingVms", "no VM left to maintain", {
+    "pools.0.availability.minimumServingVms": 6,
+    "pools.0.lending.maximumLentVms": 0,
+  }],
+  ["$.pools[0].lending.maximumLentVms", "lending that breaks the budget", {
+    "pools.0.lending.maximumLentVms": 4,
+  }],
+  ["$.pools[0].maintenance.periodDays", "a wave longer than its period", {
+    "pools.0.maintenance": { periodDays: 5, vmMaintenanceMs: 86_400_000 },
+  }],
+  ["$.pools[0].lending.windows[0].timeZone", "an unknown time zone", {
+    "pools.0.lending.windows.0.timeZone": "Mars/Base",
+  }],
+  ["$.pools[0].lending.windows[0].to", "a window of no length", {
+    "pools.0.lending.windows.0": { timeZone: ZONE, from: "08:00", to: "08:00" },
+  }],
+  ["$.pools[0].lending.windows[0].to", "a time that doesn't exist", {
+    "pools.0.lending.windows.0": { timeZone: ZONE, from: "08:00", to: "24:01" },
   }],
-  [
-    "a region without a pool",
-    "$.regions[1]",
-    (c) => c.regions = ["khomas", "erongo"],
-  ],
-  [
-    "a minimum above the VMs",
-    "$.pools[0].availability.minimumServingVms",
-    (c) => c.pools[0].availability.minimumServingVms = 7,
-  ],
-  [
-    "a minimum that forbids maintenance",
-    "$.pools[0].availability.minimumServingVms",
-    (c) => {
-      c.pools[0].availability.minimumServingVms = 6;
-      c.pools[0].lending.maximumLentVms = 0;
-    },
-  ],
-  [
-    "lending that breaks the budget",
-    "$.pools[0].lending.maximumLentVms",
-    (c) => c.pools[0].lending.maximumLentVms = 4,
-  ],
-  [
-    "maintenance longer than its period",
-    "$.pools[0].maintenance.periodDays",
-    (c) =>
-      c.pools[0].maintenance = { periodDays: 5, vmMaintenanceMs: 86_400_000 },
-  ],
-  [
-    "an unknown time zone",
-    "$.pools[0].lending.windows[0].timeZone",
-    (c) => c.pools[0].lending = window("09:00", "Mars/Base"),
-  ],
-  [
-    "a window of no length",
-    "$.pools[0].lending.windows[0].to",
-    (c) => c.pools[0].lending = window("08:00"),
-  ],
-  [
-    "a time that doesn't exist",
-    "$.pools[0].lending.windows[0].to",
-    (c) => c.pools[0].lending = window("24:01"),
-  ],
 ];
 
-for (const [fault, path, edit] of CASES) {
-  test(`guards against ${fault}`, () => {
-    const issues = issuesAfter(edit);
-    assert.ok(
-      issues.some((issue) => issue.path === path),
-      JSON.stringify(issues),
-    );
-    for (const issue of issues) {
-      assert.ok(issue.found.length > 0 && issue.expected.length > 0);
-    }
+for (const [path, fault, values] of CASES) {
+  test(`guards against ${fault}, and against follow-up problems`, () => {
+    const issues = issuesAfter(values);
+    assert.equal(issues.map((issue) => issue.path), [path]);
+    assert.ok(issues[0]?.found && issues[0].expected);
   });
 }
 
-test("reports exactly the broken rule when one is broken", () => {
-  const single = CASES.filter(([fault]) => !fault.includes("service"));
-  for (const [fault, path, edit] of single) {
-    const others = issuesAfter(edit).filter((issue) => issue.path !== path);
-    assert.equal(others, [], fault);
-  }
-});
-
 test("guards against problems hidden by an earlier one", () => {
-  const issues = issuesAfter((c) => {
-    c.typo = true;
-    c.pools[0].vms = -1;
-    c.pools[1].team = "nobody";
-    c.pools[2].lending.maximumLentVms = 8;
-    c.services.push({ name: "survey", slotsPerInstance: 0 });
+  const issues = issuesAfter({
+    typo: true,
+    "pools.0.vms": -1,
+    "pools.1.team": "nobody",
+    "pools.2.lending.maximumLentVms": 8,
+    "services.5": { name: "survey", slotsPerInstance: 0 },
   });
   assert.equal(issues.map((issue) => issue.path).sort(), [
     "$.pools[0].vms",
@@ -175,7 +122,7 @@
 });
 
 test("guards against false follow-up problems of an invalid part", () => {
-  const issues = issuesAfter((c) => c.teams[0].name = "UPPER");
+  const issues = issuesAfter({ "teams.0.name": "UPPER" });
   assert.equal(issues.map((issue) => issue.path), ["$.teams[0].name"]);
 });
 
--- /dev/null
+++ b/testing/operator_platform.ts
@@ -0,0 +1,105 @@
+import { spawn } from "node:child_process";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import type { Vm } from "../src/platform/vm_list.ts";
+import { createJsonServer, listenOnLoopback } from "./http_json_server.ts";
+import { startStoreServer } from "./store_server.ts";
+import { startVmListServer } from "./vm_list_server.ts";
+
+/** Creates an entry as the VM list shows it. */
+export function createEntryVm(
+  id: string,
+  adminAddress: string,
+  rest: Partial<Vm> = {},
+): Vm {
+  return {
+    id,
+    role: "entry",
+    state: "live",
+    incarnation: "1",
+    region: "khomas",
+    dataCentre: "khomas-1",
+    rack: "khomas-1-entries",
+    address: "127.0.0.1:1",
+    controlAddress: "127.0.0.1:1",
+    adminAddress,
+    cores: 4,
+    memoryMb: 8_192,
+    accelerators: 0,
+    ...rest,
+  };
+}
+
+/** Runs the program from its sources; resolves with its exit code and output. */
+export async function runProgram(args: readonly string[], env: object = {}) {
+  const child = spawn(
+    process.execPath,
+    ["--import", "tsx", "src/main.ts", ...args],
+    { stdio: ["ignore", "pipe", "pipe"], env: { ...process.env, ...env } },
+  );
+  let stdout = "";
+  let stderr = "";
+  child.stdout.on("data", (chunk) => stdout += chunk);
+  child.stderr.on("data", (chunk) => stderr += chunk);
+  const code = await new Promise((resolve) => child.on("close", resolve));
+  return { code, stdout, stderr };
+}
+
+/** Admin server of an entry that reports the store's configuration, or a fixed revision. */
+function startAdminServer(revision: () => number) {
+  return listenOnLoopback(createJsonServer(() => ({
+    status: 200,
+    body: {
+      config: { revision: revision() },
+      requests: [{ requestId: "r-1", outcome: "answer" }],
+    },
+  })));
+}
+
+/** Starts the platform as operators' commands see it: a store, a VM list with two entries that follow the store, and a frozen entry that is leaving. */
+export async function startOperatorPlatform() {
+  const folder = await mkdtemp(join(tmpdir(), "cowslipferry-cli-"));
+  const store = await startStoreServer();
+  const vmList = await startVmListServer();
+  const inForce = () =>
+    JSON.parse(store.values.get("config")?.value ?? "{}").revision ?? 0;
+  const follower = await startAdminServer(inForce);
+  const frozen = await startAdminServer(() => 0);
+  const settingsFile = join(folder, "operator.json");
+  await writeFile(
+    settingsFile,
+    JSON.stringify({
+      platform: {
+        storeUrl: `http://${store.address}`,
+        vmListUrl: `http://${vmList.address}/`,
+      },
+    }),
+  );
+  function addEntry(id: string, admin: string, state: Vm["state"] = "live") {
+    vmList.vms.set(id, createEntryVm(id, admin, { state }));
+  }
+  addEntry("entry-1", follower.address);
+  addEntry("entry-2", follower.address);
+  addEntry("entry-gone", frozen.address, "leaving");
+  return {
+    folder,
+    store,
+    frozen,
+    addEntry,
+    run: (...args: string[]) =>
+      runProgram(args, { COWSLIPFERRY_OPERATOR_SETTINGS: settingsFile }),
+    async close() {
+      await Promise.all(
+        [store, vmList, follower, frozen].map((server) => server.close()),
+      );
+      await rm(folder, { recursive: true });
+    },
+  };
+}
+
+/** The platform as operators' commands see it. */
+export type OperatorPlatform = Awaited<
+  ReturnType<typeof startOperatorPlatform>
+>;
