--- a/testing/operator_platform.ts
+++ b/testing/operator_platform.ts
@@ -32,11 +32,11 @@
   };
 }
 
-/** Runs the program from its sources; resolves with its exit code and output. */
-export async function runProgram(args: readonly string[], env: object = {}) {
+/** Runs a command line, split at spaces, with the program's sources; resolves with its exit code and output. */
+export async function runProgram(line: string, env: object = {}) {
   const child = spawn(
     process.execPath,
-    ["--import", "tsx", "src/main.ts", ...args],
+    ["--import", "tsx", "src/main.ts", ...line.split(" ")],
     { stdio: ["ignore", "pipe", "pipe"], env: { ...process.env, ...env } },
   );
   let stdout = "";
@@ -88,8 +88,9 @@
     store,
     frozen,
     addEntry,
-    run: (...args: string[]) =>
-      runProgram(args, { COWSLIPFERRY_OPERATOR_SETTINGS: settingsFile }),
+    /** Runs a command line, split at spaces, with the platform's addresses in the environment. */
+    run: (line: string) =>
+      runProgram(line, { COWSLIPFERRY_OPERATOR_SETTINGS: settingsFile }),
     async close() {
       await Promise.all(
         [store, vmList, follower, frozen].map((server) => server.close()),
