--- /dev/null
+++ b/src/cli_test.ts
@@ -0,0 +1,209 @@
+import { readFile, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  type OperatorPlatform,
+  runProgram,
+  startOperatorPlatform,
+} from "../testing/operator_platform.ts";
+import { decisionLogKey } from "./fleet/decision_log.ts";
+import { fleetKey } from "./fleet/record.ts";
+
+const FILE = "examples/khomas.json";
+const NOWHERE = "http://127.0.0.1:1";
+
+function withPlatform(
+  name: string,
+  run: (platform: OperatorPlatform) => Promise<void>,
+): void {
+  test(name, async () => {
+    const platform = await startOperatorPlatform();
+    try {
+      await run(platform);
+    } finally {
+      await platform.close();
+    }
+  });
+}
+
+test("guards against exit codes that scripts can't rely on", async () => {
+  const cases: [number, string][] = [
+    [0, "--version"],
+    [0, "apply --help"],
+    [0, "explain vm --help"],
+    [0, `check ${FILE}`],
+    [1, "check package.json"],
+    [1, "check no-such-file.json"],
+    [2, "no-such-command"],
+    [2, "check"],
+    [2, "explain vm"],
+    [2, `apply ${FILE}`],
+    [2, `apply ${FILE} --store http://localhost:1`],
+    [2, `apply ${FILE} --store ${NOWHERE} --wait`],
+    [2, `apply ${FILE} --expect-revision -1`],
+    [2, `status --store ${NOWHERE}`],
+    [2, `explain vm x --store ${NOWHERE}`],
+    [3, `apply ${FILE} --store ${NOWHERE}`],
+    [3, `diff ${FILE} --store ${NOWHERE}`],
+  ];
+  await Promise.all(cases.map(async ([code, line]) => {
+    const result = await runProgram(line);
+    assert.is(result.code, code, `${line}: ${result.stderr}`);
+  }));
+});
+
+test("guards against --json errors that are not JSON", async () => {
+  const { stdout } = await runProgram("check package.json --json");
+  const { kind, error } = JSON.parse(stdout);
+  assert.is(kind, "error");
+  assert.is(error.kind, "validation");
+  assert.ok(error.issues.length > 3);
+});
+
+withPlatform(
+  "guards against a roll-out reported before every live entry has it",
+  async ({ run, addEntry, frozen }) => {
+    const { stdout } = await run(`apply ${FILE} --wait --json`);
+    const done = JSON.parse(stdout);
+    assert.is(done.kind, "accepted");
+    assert.is(done.rollOut.result.kind, "in_force");
+    assert.is(done.rollOut.result.entries.length, 2);
+    assert.ok(done.rollOut.elapsedMs > 0);
+    addEntry("entry-3", frozen.address);
+    const late = await run(`apply ${FILE} --wait --timeout-ms 300`);
+    assert.is(late.code, 3);
+    assert.match(late.stdout, "unchanged: revision 1");
+    assert.match(late.stdout, "entry-3: revision 0");
+    assert.not.match(late.stdout, "entry-1");
+  },
+);
+
+withPlatform(
+  "guards against a conflict that doesn't show what changed",
+  async ({ run, folder }) => {
+    assert.is((await run(`apply ${FILE}`)).code, 0);
+    const file = join(folder, "changed.json");
+    const config = JSON.parse(await readFile(FILE, "utf8"));
+    config.pools[0].vms = 7;
+    await writeFile(file, JSON.stringify(config));
+    const refused = await run(`apply ${file} --expect-revision 0`);
+    assert.is(refused.code, 1);
+    assert.match(refused.stdout, "vms: 6 -> 7");
+    const diff = JSON.parse((await run(`diff ${file} --json`)).stdout);
+    assert.is(diff.revision, 1);
+    assert.equal(diff.changes, [{
+      kind: "changed",
+      section: "pools",
+      name: "quoting",
+      fields: [{ path: "vms", before: 6, after: 7 }],
+    }]);
+    assert.is((await run(`apply ${file} --expect-revision 1`)).code, 0);
+  },
+);
+
+function vm(state: string, pool: string, rest: object = {}) {
+  const place = { incarnation: "1", dataCentre: "khomas-1", rack: "r" };
+  const times = { changedAtMs: 1, maintainedAtMs: 0 };
+  return { pool, homePool: "quoting", state, ...place, ...times, ...rest };
+}
+
+function putFleet(store: OperatorPlatform["store"]): void {
+  const intent = { intentId: "i", startedAtMs: 1, fleetRevision: 3 };
+  const transition = { ...intent, kind: "maintain", reason: "period" };
+  const revisions = { schemaVersion: 1, revision: 4, configRevision: 1 };
+  const record = {
+    ...revisions,
+    region: "khomas",
+    maintenance: { waves: {}, late: { survey: "too slow" } },
+    vms: {
+      "q-1": vm("serving", "quoting", { maintainedAtMs: Date.now() }),
+      "q-2": vm("rebooting", "quoting", { transition }),
+      "q-3": vm("serving", "cutshop"),
+    },
+  };
+  const decision = {
+    ...{ atMs: 5, fleetRevision: 4, kind: "lend", vmId: "q-3" },
+    pools: ["quoting", "cutshop"],
+    teams: ["quoting-team"],
+    summary: "cutshop needs a VM",
+    facts: { demandSlots: 60 },
+    rejected: [{ option: "survey", reason: "budget" }],
+  };
+  const put = (key: string, value: object) =>
+    store.values.set(key, { value: JSON.stringify(value), version: 1 });
+  put(fleetKey("khomas"), record);
+  put(decisionLogKey("khomas"), { decisions: [decision] });
+}
+
+withPlatform(
+  "guards against a status that hides a broken budget, a loan or a late wave",
+  async ({ run, store }) => {
+    await run(`apply ${FILE}`);
+    putFleet(store);
+    const status = JSON.parse((await run("status --json")).stdout);
+    const [region] = status.regions;
+    assert.equal(region.budgets[0], {
+      pool: "quoting",
+      team: "quoting-team",
+      minimumServingVms: 3,
+      ownServingVms: 1,
+      marginVms: -2,
+      ownedVms: 3,
+      lentVms: 1,
+      borrowedVms: 0,
+      missing: { rebooting: 1 },
+    });
+    assert.is(region.budgets[1].borrowedVms, 1);
+    assert.equal(region.waves[0].inProgress, ["q-2"]);
+    assert.is(region.waves[0].maintainedVms, 1);
+    assert.equal(region.lateWaves, { survey: "too slow" });
+    assert.equal(region.loans.map((loan: { vmId: string }) => loan.vmId), [
+      "q-3",
+    ]);
+    assert.is(status.entries.length, 3);
+    const watch = await run("status --watch --count 2 --interval-ms 100");
+    assert.is(watch.stdout.match(/BUDGET SHORT/g)?.length, 10);
+  },
+);
+
+withPlatform(
+  "guards against reading commands that change the store",
+  async ({ run, store }) => {
+    await run(`apply ${FILE}`);
+    putFleet(store);
+    const before = JSON.stringify([...store.values]);
+    const { writes } = store.counts;
+    const lines = {
+      [`diff ${FILE}`]: "no changes from revision 1",
+      status: "configuration: revision 1",
+      dump: "entry-2",
+      "dump entry-1": "entry-1",
+      "explain vm q-3": "cutshop needs a VM",
+      "explain pool quoting": "cutshop needs a VM",
+      "explain team quoting-team": "cutshop needs a VM",
+      "explain request r-1": 'outcome: "answer"',
+    };
+    for (const [line, expected] of Object.entries(lines)) {
+      const result = await run(line);
+      assert.is(result.code, 0, result.stderr);
+      assert.match(result.stdout, expected);
+    }
+    assert.is(JSON.stringify([...store.values]), before);
+    assert.is(store.counts.writes, writes);
+    assert.is((await run("dump entry-9")).code, 1);
+  },
+);
+
+withPlatform(
+  "guards against a status that fails as a whole when the store is down",
+  async ({ run, store }) => {
+    store.faults.down = true;
+    const status = await run("status");
+    assert.is(status.code, 3);
+    assert.match(status.stdout, "unreadable: configuration");
+    assert.match(status.stdout, "entry entry-1");
+  },
+);
+
+test.run();
