--- a/src/requests/test_fleet.ts
+++ b/src/requests/test_fleet.ts
@@ -114,7 +114,7 @@
         createVmRecord(vm.id.startsWith("lent") ? "survey" : "quoting"),
       ]),
     ),
-    maintenance: {},
+    maintenance: { waves: {}, late: {} },
   };
   return {
     config: createObservable<AppliedConfig | undefined>({
