refactor(status): budgets and waves from the fleet's own rules

status counted serving VMs and maintained VMs by rules of its own; it now uses evaluateAvailability, isMaintenanceDue and waveEndMs of src/fleet, so that it can't disagree with the controller.

--- a/src/cli_test.ts
+++ b/src/cli_test.ts
@@ -115,9 +115,9 @@
   const record = {
     ...revisions,
     region: "khomas",
-    maintenance: { waves: {}, late: { survey: "too slow" } },
+    maintenance: { waves: { quoting: 9 }, late: { survey: "too slow" } },
     vms: {
-      "q-1": vm("serving", "quoting", { maintainedAtMs: Date.now() }),
+      "q-1": vm("serving", "quoting", { maintainedAtMs: 10 }),
       "q-2": vm("rebooting", "quoting", { transition }),
       "q-3": vm("serving", "cutshop"),
     },
@@ -155,8 +155,13 @@
       missing: { rebooting: 1 },
     });
     assert.is(region.budgets[1].borrowedVms, 1);
-    assert.equal(region.waves[0].inProgress, ["q-2"]);
-    assert.is(region.waves[0].maintainedVms, 1);
+    assert.equal(region.waves[0], {
+      pool: "quoting",
+      endMs: 9 + 21 * 86_400_000,
+      maintainedVms: 1,
+      remainingVms: 2,
+      inProgress: ["q-2"],
+    });
     assert.equal(region.lateWaves, { survey: "too slow" });
     assert.equal(region.loans.map((loan: { vmId: string }) => loan.vmId), [
       "q-3",
--- a/src/commands/fleet_summary.ts
+++ b/src/commands/fleet_summary.ts
@@ -1,5 +1,7 @@
 import type { PoolConfig, ResolvedConfig } from "../config/schema.ts";
-import type { FleetRecord, VmRecord } from "../fleet/record.ts";
+import { evaluateAvailability } from "../fleet/availability.ts";
+import { isMaintenanceDue, waveEndMs } from "../fleet/maintenance.ts";
+import { type FleetRecord, isLent, type VmRecord } from "../fleet/record.ts";
 
 /** Availability budget of one pool against the fleet record. */
 export interface PoolBudget {
@@ -20,8 +22,9 @@
 /** Progress of one pool's maintenance. */
 export interface PoolWave {
   readonly pool: string;
-  readonly periodDays: number;
-  /** VMs of the pool that were maintained within the last period. */
+  /** End of the current wave, as wall-clock time in ms; undefined before the first wave. */
+  readonly endMs?: number;
+  /** Owned VMs that the current wave has maintained. */
   readonly maintainedVms: number;
   readonly remainingVms: number;
   /** VMs that are being maintained. */
@@ -39,35 +42,7 @@
   readonly reason?: string;
 }
 
-const DAY_MS = 86_400_000;
-
-function summarizeBudget(pool: PoolConfig, vms: readonly VmRecord[]) {
-  const owned = vms.filter((vm) => vm.homePool === pool.name);
-  const atHome = owned.filter((vm) => vm.pool === pool.name);
-  const missing: Record<string, number> = {};
-  for (const vm of atHome) {
-    if (vm.state !== "serving") {
-      missing[vm.state] = (missing[vm.state] ?? 0) + 1;
-    }
-  }
-  const ownServingVms = atHome.filter((vm) => vm.state === "serving").length;
-  const { minimumServingVms } = pool.availability;
-  return {
-    pool: pool.name,
-    team: pool.team,
-    minimumServingVms,
-    ownServingVms,
-    marginVms: ownServingVms - minimumServingVms,
-    ownedVms: owned.length,
-    lentVms: owned.length - atHome.length,
-    borrowedVms:
-      vms.filter((vm) => vm.pool === pool.name && vm.homePool !== pool.name)
-        .length,
-    missing,
-  };
-}
-
-function poolsOf(record: FleetRecord, config: ResolvedConfig) {
+function poolsOf(record: FleetRecord, config: ResolvedConfig): PoolConfig[] {
   return config.pools.filter((pool) => pool.region === record.region);
 }
 
@@ -76,34 +51,59 @@
   record: FleetRecord,
   config: ResolvedConfig,
 ): PoolBudget[] {
+  const pools = poolsOf(record, config);
   const vms = Object.values(record.vms);
-  return poolsOf(record, config).map((pool) => summarizeBudget(pool, vms));
+  // Only the controller knows which agents don't answer, so none counts as unreachable.
+  const availability = evaluateAvailability({
+    vms: record.vms,
+    pools,
+    unreachable: new Set(),
+  });
+  return pools.map((pool) => {
+    const ownServingVms = availability.get(pool.name)?.ownServing ?? 0;
+    const { minimumServingVms } = pool.availability;
+    const owned = vms.filter((vm) => vm.homePool === pool.name);
+    const missing: Record<string, number> = {};
+    for (const vm of owned) {
+      if (isLent(vm) || vm.state === "serving") continue;
+      missing[vm.state] = (missing[vm.state] ?? 0) + 1;
+    }
+    return {
+      pool: pool.name,
+      team: pool.team,
+      minimumServingVms,
+      ownServingVms,
+      marginVms: ownServingVms - minimumServingVms,
+      ownedVms: owned.length,
+      lentVms: owned.filter(isLent).length,
+      borrowedVms: vms.filter((vm) => vm.pool === pool.name && isLent(vm))
+        .length,
+      missing,
+    };
+  });
 }
 
 /** Returns the maintenance progress of each pool that owns VMs. */
 export function summarizeWaves(
   record: FleetRecord,
   config: ResolvedConfig,
-  nowMs: number,
 ): PoolWave[] {
+  const { maintenance } = record;
   const vms = Object.entries(record.vms);
   return poolsOf(record, config).flatMap((pool) => {
     const owned = vms.filter(([, vm]) => vm.homePool === pool.name);
     if (owned.length === 0) return [];
-    const { periodDays } = pool.maintenance;
-    const sinceMs = nowMs - periodDays * DAY_MS;
-    const maintainedVms = owned.filter(([, vm]) =>
-      vm.maintainedAtMs > 0 && vm.maintainedAtMs >= sinceMs
-    ).length;
+    const started = maintenance.waves[pool.name] !== undefined;
+    const maintainedVms = started
+      ? owned.filter(([, vm]) => !isMaintenanceDue(vm, maintenance)).length
+      : 0;
     return [{
       pool: pool.name,
-      periodDays,
+      ...(started && { endMs: waveEndMs(pool, maintenance) }),
       maintainedVms,
       remainingVms: owned.length - maintainedVms,
       inProgress: owned
-        .filter(([, vm]) =>
-          vm.transition?.kind === "maintain"
-        )
+        .filter(([, vm]) => vm.transition?.kind === "maintain")
         .map(([vmId]) => vmId),
     }];
   });
@@ -114,7 +114,7 @@
   return Object.entries(record.vms).flatMap(([vmId, vm]) => {
     const { homePool, pool, state, transition } = vm;
     const moves = transition?.kind === "move" || transition?.kind === "return";
-    if (pool === homePool && !moves) return [];
+    if (!isLent(vm) && !moves) return [];
     const targetPool = moves ? transition.targetPool : undefined;
     return [{
       vmId,
--- a/src/commands/status.ts
+++ b/src/commands/status.ts
@@ -1,6 +1,5 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { Command } from "commander";
-import { z } from "zod";
 import { parseAppliedConfig } from "../config/follower.ts";
 import {
   type EntryReport,
@@ -10,7 +9,7 @@
 import type { AppliedConfig } from "../config/schema.ts";
 import { CONFIG_KEY } from "../constants.ts";
 import { parseFleetRecord } from "../fleet/follower.ts";
-import { fleetKey, type FleetRecord } from "../fleet/record.ts";
+import { fleetKey } from "../fleet/record.ts";
 import type { Store } from "../platform/store.ts";
 import type { Vm } from "../platform/vm_list.ts";
 import {
@@ -66,10 +65,6 @@
   readonly unreadable: readonly Unreadable[];
 }
 
-const lateWavesSchema = z.object({
-  maintenance: z.object({ late: z.record(z.string(), z.string()).optional() }),
-});
-
 async function readRegion(
   store: Store,
   region: string,
@@ -86,16 +81,15 @@
       loans: [],
     };
   }
-  const record: FleetRecord = parseFleetRecord(entry.value);
-  const late = lateWavesSchema.safeParse(JSON.parse(entry.value));
-  const { pausedReason } = record.maintenance;
+  const record = parseFleetRecord(entry.value);
+  const { pausedReason, late } = record.maintenance;
   return {
     region,
     fleetRevision: record.revision,
     budgets: summarizeBudgets(record, applied.config),
-    waves: summarizeWaves(record, applied.config, Date.now()),
+    waves: summarizeWaves(record, applied.config),
     ...(pausedReason !== undefined && { pausedReason }),
-    lateWaves: late.data?.maintenance.late ?? {},
+    lateWaves: late,
     loans: listLoans(record),
   };
 }
--- a/src/commands/status_format.ts
+++ b/src/commands/status_format.ts
@@ -28,9 +28,12 @@
     const active = wave.inProgress.length === 0
       ? ""
       : `; in progress: ${wave.inProgress.join(", ")}`;
+    const end = wave.endMs === undefined
+      ? "no wave yet"
+      : `wave until ${new Date(wave.endMs).toISOString()}`;
     lines.push(
-      `  maintenance ${wave.pool}: ${wave.maintainedVms} done in the last ` +
-        `${wave.periodDays} days, ${wave.remainingVms} remaining${active}`,
+      `  maintenance ${wave.pool}: ${end}, ${wave.maintainedVms} done, ` +
+        `${wave.remainingVms} remaining${active}`,
     );
   }
   for (const [pool, reason] of Object.entries(region.lateWaves)) {
--- a/src/fleet/maintenance.ts
+++ b/src/fleet/maintenance.ts
@@ -17,8 +17,6 @@
 import { findCorrelatedFailures, RESUME_DELAY_MS } from "./wave_pause.ts";
 
 const DAY_MS = 24 * 3_600_000;
-/** Duration of one maintenance that is assumed until one was measured, in ms. */
-const ASSUMED_DURATION_MS = 10 * 60_000;
 /** Share of the remaining time that a wave may plan to use before it is reported as late. */
 const LATE_MARGIN = 0.8;
 
@@ -154,7 +152,8 @@
   if (concurrent <= 0) {
     return `the budget leaves no VM to maintain; ${due.length} VM(s) are due`;
   }
-  const durationMs = state.averageDurationMs ?? ASSUMED_DURATION_MS;
+  const durationMs = state.averageDurationMs ??
+    pool.maintenance.vmMaintenanceMs;
   const neededMs = Math.ceil(due.length / concurrent) * durationMs;
   const leftMs = waveEndMs(pool, state) - nowMs;
   if (neededMs <= leftMs * LATE_MARGIN) return undefined;
