feat(explain): show the VM's record and the pools' budgets

explain listed decisions only, which are bounded and may have been dropped; it now starts with what the fleet record says about the VM, pool or team.

--- a/src/cli_test.ts
+++ b/src/cli_test.ts
@@ -185,8 +185,10 @@
       dump: "entry-2",
       "dump entry-1": "entry-1",
       "explain vm q-3": "cutshop needs a VM",
+      "explain vm q-2": 'state: "rebooting"',
       "explain pool quoting": "cutshop needs a VM",
       "explain team quoting-team": "cutshop needs a VM",
+      "explain team quoting-team --limit 1": "marginVms: -2",
       "explain request r-1": 'outcome: "answer"',
     };
     for (const [line, expected] of Object.entries(lines)) {
--- a/src/commands/explain.ts
+++ b/src/commands/explain.ts
@@ -4,6 +4,9 @@
   decisionLogKey,
   decisionLogSchema,
 } from "../fleet/decision_log.ts";
+import type { AppliedConfig } from "../config/schema.ts";
+import { parseFleetRecord } from "../fleet/follower.ts";
+import { fleetKey } from "../fleet/record.ts";
 import { formatFound, parseJson, parseWithSchema } from "../validation.ts";
 import type { Store } from "../platform/store.ts";
 import {
@@ -18,6 +21,7 @@
   type Unreadable,
 } from "./context.ts";
 import { type DumpMatch, findInDump, readDumps } from "./entry_dumps.ts";
+import { summarizeBudgets } from "./fleet_summary.ts";
 import { listRegions, readApplied } from "./status.ts";
 
 type Subject = "vm" | "pool" | "team" | "request";
@@ -30,6 +34,8 @@
 interface Explanation {
   readonly subject: Subject;
   readonly id: string;
+  /** What the fleet record says now: the VM, or the budgets of the pool or team. */
+  readonly current: readonly object[];
   /** Newest first. */
   readonly decisions: readonly (Decision & { region: string })[];
   /** What the entries hold about the subject. */
@@ -70,29 +76,58 @@
   return log.decisions.map((decision) => ({ ...decision, region }));
 }
 
-async function listDecisions(
+async function readCurrent(
+  store: Store,
+  applied: AppliedConfig,
+  about: { subject: Subject; id: string; region: string },
+): Promise<object[]> {
+  const { subject, id, region } = about;
+  const entry = await store.get(fleetKey(region));
+  if (entry === undefined) return [];
+  const record = parseFleetRecord(entry.value);
+  const vm = record.vms[id];
+  if (subject === "vm") return vm === undefined ? [] : [{ region, ...vm }];
+  return summarizeBudgets(record, applied.config).filter((budget) =>
+    subject === "pool" ? budget.pool === id : budget.team === id
+  );
+}
+
+interface Found {
+  readonly current: readonly object[];
+  readonly decisions: readonly (Decision & { region: string })[];
+}
+
+/** Reads the fleet records and decision logs of the regions. */
+async function readFleets(
   platform: OperatorPlatform,
-  options: Options,
+  about: { subject: Subject; id: string; region?: string | undefined },
   unreadable: Unreadable[],
-) {
+): Promise<Found> {
   const store = platform.store();
-  const regions = options.region !== undefined
-    ? [options.region]
-    : await readOrNote(
-      "configuration",
+  const applied = await readOrNote(
+    "configuration",
+    unreadable,
+    () => readApplied(store),
+  );
+  const regions = about.region === undefined
+    ? listRegions(applied)
+    : [about.region];
+  const found = await Promise.all(regions.map(async (region) => ({
+    current: applied === undefined ? [] : await readOrNote(
+      `fleet record of ${region}`,
       unreadable,
-      async () => listRegions(await readApplied(store)),
-    ) ?? [];
-  const logs = await Promise.all(
-    regions.map((region) =>
-      readOrNote(
-        `decision log of ${region}`,
-        unreadable,
-        () => readDecisions(store, region),
-      )
+      () => readCurrent(store, applied, { ...about, region }),
     ),
-  );
-  return logs.flatMap((log) => log ?? []);
+    decisions: await readOrNote(
+      `decision log of ${region}`,
+      unreadable,
+      () => readDecisions(store, region),
+    ),
+  })));
+  return {
+    current: found.flatMap((item) => item.current ?? []),
+    decisions: found.flatMap((item) => item.decisions ?? []),
+  };
 }
 
 function formatDecision(decision: Decision & { region: string }): string[] {
@@ -109,10 +144,20 @@
   ];
 }
 
+function formatFields(value: object): string[] {
+  return Object.entries(value).map(([name, field]) =>
+    `    ${name}: ${formatFound(field)}`
+  );
+}
+
 function formatExplanation(found: Explanation): string[] {
-  const { subject, id, decisions, entries, unreadable } = found;
+  const { subject, id, current, decisions, entries, unreadable } = found;
   return [
     ...unreadable.map((part) => `unreadable: ${part.what}: ${part.reason}`),
+    ...current.flatMap((item) => [
+      `${subject} ${id} in the fleet record`,
+      ...formatFields(item),
+    ]),
     ...(subject === "request" ? [] : [
       `${decisions.length} recent decision(s) about ${subject} ${id}, newest first`,
     ]),
@@ -120,9 +165,7 @@
     `${entries.length} record(s) about ${subject} ${id} in the entries' dumps`,
     ...entries.flatMap((match) => [
       `  ${match.entryId} ${match.path}`,
-      ...Object.entries(match.value as object).map(([name, value]) =>
-        `    ${name}: ${formatFound(value)}`
-      ),
+      ...formatFields(match.value as object),
     ]),
   ];
 }
@@ -135,9 +178,10 @@
   const platform = await resolvePlatform(options);
   requireBoth(platform);
   const unreadable: Unreadable[] = [];
-  const decisions = subject === "request"
-    ? []
-    : await listDecisions(platform, options, unreadable);
+  const about = { subject, id, region: options.region };
+  const { current, decisions } = subject === "request"
+    ? { current: [], decisions: [] }
+    : await readFleets(platform, about, unreadable);
   const dumps = await readOrNote(
     "VM list",
     unreadable,
@@ -146,6 +190,7 @@
   const explanation: Explanation = {
     subject,
     id,
+    current,
     decisions: decisions
       .filter((decision) => concerns(decision, subject, id))
       .sort((a, b) => b.atMs - a.atMs || b.fleetRevision - a.fleetRevision)
