--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -35,12 +35,14 @@
 
 /** The platform's key-value store. Each method rejects with a `StoreError`. */
 export interface Store {
+  /** Resolves with the value, or with undefined when there is none; may show an older value than the latest. */
   get(key: string, signal?: AbortSignal): Promise<StoreEntry | undefined>;
+  /** Writes if the key has the expected version. After `unknown_outcome`, repeating the same request is safe: at most one of the two takes effect. */
   compareAndSwap(
     request: SwapRequest,
     signal?: AbortSignal,
   ): Promise<SwapResult>;
-  /** Resolves with the entry once its version differs from `afterVersion`, or with undefined after the wait time. */
+  /** Resolves with the entry once its version differs from `afterVersion`, or with undefined after the wait time. An absent key has version 0 and an empty value. */
   watch(
     key: string,
     options: { afterVersion: number; waitMs: number; signal?: AbortSignal },
@@ -50,5 +52,6 @@
     name: string,
     options: { holder: string; ttlMs: number; signal?: AbortSignal },
   ): Promise<LeaseResult>;
+  /** Frees a lease that the holder has; without effect otherwise. */
   releaseLease(name: string, holder: string): Promise<void>;
 }
--- a/src/platform/store_test.ts
+++ b/src/platform/store_test.ts
@@ -21,6 +21,7 @@
     staleReads: number;
   };
   lapseLease(name: string): void;
+  breakWatches(): void;
   elapse(ms: number): Promise<void>;
   takeDown(): Promise<void>;
   close(): Promise<void>;
@@ -32,6 +33,7 @@
     store: createHttpStore(`http://${server.address}`),
     faults: server.faults,
     lapseLease: server.lapseLease,
+    breakWatches: () => server.server.closeAllConnections(),
     elapse: (ms) => delay(ms),
     takeDown: server.close,
     close: server.close,
@@ -44,6 +46,7 @@
     store,
     faults: store.faults,
     lapseLease: store.lapseLease,
+    breakWatches: store.breakWatches,
     elapse: async (ms) => {
       await delay(1);
       store.advance(ms);
@@ -136,6 +139,16 @@
     abort.abort();
     assert.is(await pending, "unavailable");
   },
+  async "a broken watch that looks like an unchanged value"(
+    { store, breakWatches },
+  ) {
+    const pending = failureOf(
+      store.watch("a/b", { afterVersion: 0, waitMs: 10_000 }),
+    );
+    await delay(50);
+    breakWatches();
+    assert.is(await pending, "unavailable");
+  },
   async "a lease with two holders or a repeated token"({ store }) {
     assert.equal(await lease(store, "p"), granted("p", 1));
     assert.equal(await lease(store, "p"), granted("p", 1));
