feat(testing): complete stand-ins for workers, agents, links and callers

The agent stand-in implements report with lag, tasks with leases and fencing, drain, and a reboot that finishes requests in flight and runs once per intent. A TCP relay cuts, holds and heals a link. testing/main.ts runs the stand-ins as processes of their own; the deployment can spread its workers over such processes. The VM list now lags behind direct changes too.

--- /dev/null
+++ b/testing/caller.ts
@@ -0,0 +1,173 @@
+import { performance } from "node:perf_hooks";
+import { Agent, type Dispatcher, request } from "undici";
+import {
+  DEADLINE_HEADER,
+  IDEMPOTENCY_KEY_HEADER,
+  OUTCOME_HEADER,
+} from "../src/constants.ts";
+
+type CallEnd =
+  | { readonly kind: "answer"; readonly status: number; readonly text: string }
+  | {
+    readonly kind: "not_run";
+    readonly status: number;
+    readonly reason: string;
+    readonly retryAfterMs: number | undefined;
+  }
+  | { readonly kind: "outcome_unknown"; readonly status: number }
+  /** A response without a valid outcome header. */
+  | { readonly kind: "unclassified"; readonly status: number }
+  /** The connection ended before a complete response. */
+  | { readonly kind: "no_response"; readonly message: string };
+
+/** How one request of a caller ended. */
+export type CallResult = CallEnd & { readonly elapsedMs: number };
+
+/** Options of one request. */
+export interface CallOptions {
+  readonly method?: "GET" | "PUT" | "POST" | "DELETE";
+  readonly body?: string;
+  readonly deadlineMs?: number;
+  readonly idempotencyKey?: string;
+  readonly dispatcher?: Dispatcher;
+  /** Time after which the caller gives up, in ms. */
+  readonly timeoutMs?: number;
+}
+
+const DEFAULT_TIMEOUT_MS = 60_000;
+
+/** Creates the connections of one group of callers. */
+export function createCallerAgent(connections = 512): Agent {
+  return new Agent({
+    connections,
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
+
+const sharedAgent = createCallerAgent();
+
+function parseError(
+  text: string,
+): { kind?: string; retryAfterMs?: number } {
+  try {
+    return JSON.parse(text).error ?? {};
+  } catch {
+    return {};
+  }
+}
+
+function classify(
+  status: number,
+  outcome: string,
+  text: string,
+): CallEnd {
+  switch (outcome) {
+    case "answer":
+      return { kind: "answer", status, text };
+    case "not_run": {
+      const error = parseError(text);
+      return {
+        kind: "not_run",
+        status,
+        reason: error.kind ?? "",
+        retryAfterMs: error.retryAfterMs,
+      };
+    }
+    case "outcome_unknown":
+      return { kind: "outcome_unknown", status };
+    default:
+      return { kind: "unclassified", status };
+  }
+}
+
+/** Sends one request to an entry; never rejects. */
+export async function callEntry(
+  url: string,
+  options: CallOptions = {},
+): Promise<CallResult> {
+  const startedAtMs = performance.now();
+  const finish = (end: CallEnd): CallResult => ({
+    ...end,
+    elapsedMs: performance.now() - startedAtMs,
+  });
+  try {
+    const response = await request(url, {
+      dispatcher: options.dispatcher ?? sharedAgent,
+      method: options.method ?? "GET",
+      body: options.body ?? null,
+      signal: AbortSignal.timeout(options.timeoutMs ?? DEFAULT_TIMEOUT_MS),
+      headers: {
+        ...(options.deadlineMs === undefined
+          ? {}
+          : { [DEADLINE_HEADER]: String(options.deadlineMs) }),
+        ...(options.idempotencyKey === undefined
+          ? {}
+          : { [IDEMPOTENCY_KEY_HEADER]: options.idempotencyKey }),
+      },
+    });
+    const text = await response.body.text();
+    const outcome = String(response.headers[OUTCOME_HEADER] ?? "");
+    return finish(classify(response.statusCode, outcome, text));
+  } catch (error) {
+    const message = error instanceof Error ? error.message : String(error);
+    return finish({ kind: "no_response", message });
+  }
+}
+
+/** Whether an answer is the complete one of a backend server stand-in to exactly this request. */
+export function isOwnAnswer(
+  result: CallResult,
+  expected: { path: string; body?: string },
+): boolean {
+  if (result.kind !== "answer" || result.status !== 200) return false;
+  try {
+    const answer = JSON.parse(result.text);
+    const url = new URL(expected.path, "http://localhost");
+    const bytes = Number(url.searchParams.get("bytes") ?? 0);
+    const padding = expected.path.repeat(
+      Math.ceil(bytes / expected.path.length),
+    ).slice(0, bytes);
+    return answer.path === expected.path && answer.padding === padding &&
+      answer.body === (expected.body ?? "");
+  } catch {
+    return false;
+  }
+}
+
+/** Obtains an idempotency key from an entry; undefined when it refuses. */
+export async function obtainKey(
+  entryAddress: string,
+): Promise<string | undefined> {
+  try {
+    const response = await request(
+      `http://${entryAddress}/.cowslipferry/keys`,
+      { method: "POST", signal: AbortSignal.timeout(5_000) },
+    );
+    const text = await response.body.text();
+    if (response.statusCode >= 300) return undefined;
+    return (JSON.parse(text) as { key?: string }).key;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Sends a keyed request, repeating it through the next entry until it is answered or the attempts end. */
+export async function callWithRetries(
+  entryAddresses: readonly string[],
+  request: CallOptions & {
+    path: string;
+    idempotencyKey: string;
+    attempts: number;
+  },
+): Promise<CallResult[]> {
+  const results: CallResult[] = [];
+  for (let attempt = 0; attempt < request.attempts; attempt++) {
+    const address = entryAddresses[attempt % entryAddresses.length];
+    const result = await callEntry(`http://${address}${request.path}`, request);
+    results.push(result);
+    if (result.kind === "answer") break;
+  }
+  return results;
+}
--- a/testing/deployment.ts
+++ b/testing/deployment.ts
@@ -1,4 +1,4 @@
-import { type ChildProcess, spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -6,14 +6,21 @@
 import { resolveConfig } from "../src/config/validate.ts";
 import type { ResolvedConfig } from "../src/config/schema.ts";
 import { readTextFile } from "../src/settings/load.ts";
+import type { Vm } from "../src/platform/vm_list.ts";
 import type { UserSettings } from "../src/settings/schema.ts";
-import { type BackendServer, startBackendServer } from "./backend_server.ts";
+import type { BackendServer } from "./backend_server.ts";
+import { endChild, type RunningChild, startChild } from "./child_process.ts";
 import { findFreePort } from "./ports.ts";
 import { startStoreServer, type StoreServer } from "./store_server.ts";
 import { startVmListServer, type VmListServer } from "./vm_list_server.ts";
 import { waitFor } from "./wait.ts";
+import { startWorkerFleet, type WorkerFleet } from "./worker_fleet.ts";
+import type { WorkerHandle } from "./worker_host.ts";
+import type { WorkerOptions } from "./worker.ts";
 
-const VMS_PER_RACK = 4;
+/** Attempts to start an entry, for the case that another process takes one of its ports first. */
+const START_ATTEMPTS = 3;
+const START_TIMEOUT_MS = 30_000;
 
 /** How entry processes are started. */
 export type Program =
@@ -40,19 +47,32 @@
   /** Data centres over which VMs are spread. */
   readonly dataCentres: readonly string[];
   readonly serviceTimeMs?: number;
+  /** Behaviour of every worker at the start. */
+  readonly worker?: Omit<WorkerOptions, "id">;
+  /** Separate processes for the workers; by default they run in this process. */
+  readonly workerProcesses?: number;
   readonly settings?: Partial<UserSettings>;
+  /** Changes the VM list before the entries start, for example to put a relay in front of an address. */
+  readonly adjustVm?: (vm: Vm) => Promise<Vm> | Vm;
 }
 
 /** Stand-ins and entry processes of one region on this machine. */
 export interface Deployment {
   readonly store: StoreServer;
   readonly vmList: VmListServer;
+  /** Backend servers that run in this process. */
   readonly backends: ReadonlyMap<string, BackendServer>;
+  readonly workers: ReadonlyMap<string, WorkerHandle>;
   readonly entries: EntryProcess[];
   readonly storeUrl: string;
   readonly vmListUrl: string;
   /** Starts one more entry process and adds it to the VM list. */
-  startEntry(id: string): Promise<EntryProcess>;
+  startEntry(
+    id: string,
+    settings?: Partial<UserSettings>,
+  ): Promise<EntryProcess>;
+  /** Applies a configuration file through the command line; rejects unless it is accepted. */
+  apply(file: string): Promise<void>;
   /** Runs an operator command; resolves with its exit code and output. */
   runCommand(
     args: readonly string[],
@@ -69,57 +89,45 @@
   }
 }
 
-function spawnProgram(program: Program, args: readonly string[]) {
+function spawnProgram(
+  program: Program,
+  args: readonly string[],
+): RunningChild {
   const [command, prefix] = commandOf(program);
-  const child = spawn(command, [...prefix, ...args], {
-    stdio: ["ignore", "pipe", "pipe"],
-  });
-  let output = "";
-  child.stdout.on("data", (chunk) => output += chunk);
-  child.stderr.on("data", (chunk) => output += chunk);
-  const exited = new Promise<number | null>((resolve) =>
-    child.on("close", resolve)
-  );
-  return { child, output: () => output, exited };
+  return startChild(command, [...prefix, ...args]);
 }
 
-async function startWorkers(
+async function startFleet(
   config: ResolvedConfig,
-  options: DeploymentOptions,
-  vmList: VmListServer,
-): Promise<Map<string, BackendServer>> {
-  const backends = new Map<string, BackendServer>();
-  let index = 0;
-  for (const pool of config.pools) {
-    for (let number = 1; number <= pool.vms; number++) {
-      const id = `${pool.name}-${number}`;
-      const backend = await startBackendServer(id, {
+  options: DeploymentOptions & { folder: string },
+): Promise<WorkerFleet> {
+  return await startWorkerFleet({
+    config,
+    dataCentres: options.dataCentres,
+    worker: {
+      ...options.worker,
+      backend: {
         serviceTimeMs: options.serviceTimeMs ?? 5,
-      });
-      backends.set(id, backend);
-      const dataCentre =
-        options.dataCentres[index % options.dataCentres.length] ?? "dc-1";
-      const rackNumber =
-        Math.floor(index / (VMS_PER_RACK * options.dataCentres.length)) + 1;
-      vmList.vms.set(id, {
-        id,
-        role: "worker",
-        state: "live",
-        incarnation: "1",
-        region: pool.region,
-        dataCentre,
-        rack: `${dataCentre}-rack-${rackNumber}`,
-        address: backend.address,
-        controlAddress: backend.address,
-        pool: pool.name,
-        cores: 16,
-        memoryMb: 65_536,
-        accelerators: 0,
-      });
-      index++;
-    }
-  }
-  return backends;
+        ...options.worker?.backend,
+      },
+    },
+    processes: options.workerProcesses ?? 0,
+    folder: options.folder,
+  });
+}
+
+async function waitUntilListening(
+  id: string,
+  running: RunningChild,
+): Promise<boolean> {
+  let ended = false;
+  void running.exited.then(() => ended = true);
+  await waitFor(
+    `${id} listens`,
+    () => ended || running.output().includes("front: listening on"),
+    { timeoutMs: START_TIMEOUT_MS },
+  );
+  return !ended;
 }
 
 /** Starts the stand-ins and entry processes; `close` ends all of them. */
@@ -136,52 +144,75 @@
     options.configFile,
   );
   const region = config.pools[0]?.region ?? "region";
-  const backends = await startWorkers(config, options, vmList);
+  const fleet = await startFleet(config, { ...options, folder });
+  for (const vm of fleet.vms) {
+    vmList.vms.set(vm.id, await (options.adjustVm ?? ((same) => same))(vm));
+  }
   const entries: EntryProcess[] = [];
+  const children: RunningChild[] = [];
 
-  async function startEntry(id: string): Promise<EntryProcess> {
-    const [callers, peers, admin] = [
-      await findFreePort(),
-      await findFreePort(),
-      await findFreePort(),
-    ];
+  async function startEntry(
+    id: string,
+    extra: Partial<UserSettings> = {},
+  ): Promise<EntryProcess> {
     const dataCentre =
       options.dataCentres[entries.length % options.dataCentres.length] ??
         "dc-1";
-    const settings: UserSettings = {
-      entryId: id,
-      region,
-      dataCentre,
-      listen: {
-        callers: { port: callers },
-        peers: { port: peers },
-        admin: { port: admin },
-      },
-      platform: { storeUrl, vmListUrl },
-      ...options.settings,
-    };
-    const file = join(folder, `${id}.json`);
-    await writeFile(file, JSON.stringify(settings));
-    const { child, output, exited } = spawnProgram(options.program, [
-      "entry",
-      "--settings",
-      file,
-    ]);
-    const entry: EntryProcess = {
-      id,
-      callerAddress: `127.0.0.1:${callers}`,
-      peerAddress: `127.0.0.1:${peers}`,
-      adminAddress: `127.0.0.1:${admin}`,
-      process: child,
-      output,
-      exited,
-    };
-    entries.push(entry);
-    vmList.vms.set(id, {
-      id,
+    for (let attempt = 1;; attempt++) {
+      const [callers, peers, admin] = [
+        await findFreePort(),
+        await findFreePort(),
+        await findFreePort(),
+      ];
+      const settings: UserSettings = {
+        entryId: id,
+        region,
+        dataCentre,
+        listen: {
+          callers: { port: callers },
+          peers: { port: peers },
+          admin: { port: admin },
+        },
+        platform: { storeUrl, vmListUrl },
+        ...options.settings,
+        ...extra,
+      };
+      const file = join(folder, `${id}.json`);
+      await writeFile(file, JSON.stringify(settings));
+      const running = spawnProgram(options.program, [
+        "entry",
+        "--settings",
+        file,
+      ]);
+      children.push(running);
+      const entry: EntryProcess = {
+        id,
+        callerAddress: `127.0.0.1:${callers}`,
+        peerAddress: `127.0.0.1:${peers}`,
+        adminAddress: `127.0.0.1:${admin}`,
+        process: running.child,
+        output: running.output,
+        exited: running.exited,
+      };
+      entries.push(entry);
+      await listEntry(entry, dataCentre);
+      if (await waitUntilListening(id, running)) return entry;
+      entries.splice(entries.indexOf(entry), 1);
+      if (attempt === START_ATTEMPTS) {
+        throw new Error(`${id} ended at its start: ${running.output()}`);
+      }
+    }
+  }
+
+  async function listEntry(
+    entry: EntryProcess,
+    dataCentre: string,
+  ): Promise<void> {
+    const vm: Vm = {
+      id: entry.id,
       role: "entry",
       state: "live",
-      incarnation: String(child.pid),
+      incarnation: String(entry.process.pid),
       region,
       dataCentre,
       rack: `${dataCentre}-entries`,
@@ -191,9 +222,9 @@
       cores: 4,
       memoryMb: 8_192,
       accelerators: 0,
-    });
-    await waitFor(`${id} listens`, () => output().includes("listening on"));
-    return entry;
+    };
+    const adjusted = options.adjustVm ? await options.adjustVm(vm) : vm;
+    vmList.vms.set(entry.id, adjusted);
   }
 
   async function runCommand(args: readonly string[]) {
@@ -201,26 +232,27 @@
     return { code: await exited, output: output() };
   }
 
+  async function apply(file: string): Promise<void> {
+    const result = await runCommand(["apply", file, "--store", storeUrl]);
+    if (result.code !== 0) throw new Error(`apply failed: ${result.output}`);
+  }
+
   async function close(): Promise<void> {
-    for (const entry of entries) {
-      entry.process.kill("SIGCONT");
-      entry.process.kill("SIGKILL");
-    }
-    await Promise.all(entries.map((entry) => entry.exited));
-    await Promise.all(
-      [store, vmList, ...backends.values()].map((server) => server.close()),
-    );
+    await Promise.all(children.map(endChild));
+    await Promise.all([store, vmList, fleet].map((part) => part.close()));
     await rm(folder, { recursive: true, force: true });
   }
 
   const deployment: Deployment = {
     store,
     vmList,
-    backends,
+    backends: fleet.backends,
+    workers: fleet.workers,
     entries,
     storeUrl,
     vmListUrl,
     startEntry,
+    apply,
     runCommand,
     close,
   };
--- /dev/null
+++ b/testing/main.ts
@@ -0,0 +1,56 @@
+import { readFile, writeFile } from "node:fs/promises";
+import process from "node:process";
+import { Command } from "commander";
+import { startStoreServer } from "./store_server.ts";
+import { startVmListServer } from "./vm_list_server.ts";
+import { startWorkerHost } from "./worker_host.ts";
+import type { WorkerOptions } from "./worker.ts";
+
+/** Prints where a stand-in listens, as one line of JSON. */
+function announce(ready: unknown): void {
+  console.log(JSON.stringify(ready));
+}
+
+/** Ends this process when its parent ends, so that no stand-in outlives a test. */
+function endWithParent(): void {
+  process.stdin.on("end", () => process.exit(0));
+  process.stdin.on("error", () => process.exit(0));
+  process.stdin.resume();
+}
+
+const port = (value: string) => Number.parseInt(value, 10);
+const program = new Command("standin")
+  .description("Runs stand-ins of the platform as separate processes");
+
+program.command("store")
+  .option("--port <port>", "TCP port; 0 lets the system choose", port, 0)
+  .action(async (options: { port: number }) => {
+    announce({ address: (await startStoreServer(options.port)).address });
+  });
+
+program.command("vm-list")
+  .option("--port <port>", "TCP port; 0 lets the system choose", port, 0)
+  .option("--file <file>", "VMs as a JSON array")
+  .action(async (options: { port: number; file?: string }) => {
+    const server = await startVmListServer(options.port);
+    const vms = options.file === undefined
+      ? []
+      : JSON.parse(await readFile(options.file, "utf8"));
+    for (const vm of vms) server.vms.set(vm.id, vm);
+    announce({ address: server.address });
+  });
+
+program.command("workers")
+  .description("runs backend servers with their agents")
+  .requiredOption("--file <file>", "worker options as a JSON array")
+  .option("--pid-file <file>", "file to which the process id is written")
+  .action(async (options: { file: string; pidFile?: string }) => {
+    const specs: WorkerOptions[] = JSON.parse(
+      await readFile(options.file, "utf8"),
+    );
+    if (options.pidFile) await writeFile(options.pidFile, String(process.pid));
+    announce(await startWorkerHost(specs));
+  });
+
+endWithParent();
+await program.parseAsync();
--- /dev/null
+++ b/testing/open_loop.ts
@@ -0,0 +1,36 @@
+import { performance } from "node:perf_hooks";
+import { setTimeout as delay } from "node:timers/promises";
+import type { Random } from "./random.ts";
+
+/** Load with arrivals that don't depend on responses. */
+export interface OpenLoopOptions {
+  /** Arrivals per second at a time since the start. */
+  readonly rateAt: (elapsedMs: number) => number;
+  readonly durationMs: number;
+  readonly random: Random;
+  /** Sends one request. `scheduledAtMs` is monotonic; latency counts from it, so that a busy sender hides no wait. */
+  readonly send: (index: number, scheduledAtMs: number) => Promise<void>;
+}
+
+const SLEEP_MS = 1;
+
+/** Sends requests with exponentially distributed gaps; resolves with their number once all have ended. */
+export async function runOpenLoop(options: OpenLoopOptions): Promise<number> {
+  const { rateAt, durationMs, random, send } = options;
+  const startedAtMs = performance.now();
+  const pending = new Set<Promise<void>>();
+  let index = 0;
+  let nextMs = random.exponential(1_000 / rateAt(0));
+  while (nextMs < durationMs) {
+    while (nextMs < durationMs && nextMs <= performance.now() - startedAtMs) {
+      const sent: Promise<void> = send(index++, startedAtMs + nextMs).finally(
+        () => pending.delete(sent),
+      );
+      pending.add(sent);
+      nextMs += random.exponential(1_000 / Math.max(0.001, rateAt(nextMs)));
+    }
+    await delay(SLEEP_MS);
+  }
+  await Promise.all(pending);
+  return index;
+}
--- /dev/null
+++ b/testing/stand_ins_test.ts
@@ -0,0 +1,112 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createHttpVmList } from "../src/platform/http_vm_list.ts";
+import type { BackendFault } from "./backend_faults.ts";
+import { startBackendServer } from "./backend_server.ts";
+import { startTcpRelay } from "./tcp_relay.ts";
+import { startVmListServer } from "./vm_list_server.ts";
+import { waitFor } from "./wait.ts";
+
+// A fault that isn't injected would let the tests of the request path pass without testing anything.
+const FAULTS: { fault: BackendFault; answers: boolean; runs: number }[] = [
+  { fault: { kind: "slow", extraMs: 10 }, answers: true, runs: 1 },
+  { fault: { kind: "reset", at: "before_run" }, answers: false, runs: 0 },
+  { fault: { kind: "reset", at: "after_run" }, answers: false, runs: 1 },
+  { fault: { kind: "reset", at: "half_body" }, answers: false, runs: 1 },
+  { fault: { kind: "truncated_body" }, answers: false, runs: 1 },
+  { fault: { kind: "extra_bytes" }, answers: true, runs: 1 },
+];
+
+for (const { fault, answers, runs } of FAULTS) {
+  test(`backend server fault ${JSON.stringify(fault)} reaches its client`, async () => {
+    const server = await startBackendServer("a", {
+      faults: [{ fault, rate: 1 }],
+    });
+    try {
+      const text = await fetch(`http://${server.address}/a/1?bytes=5000`)
+        .then((response) => response.text()).catch(() => undefined);
+      assert.is(text !== undefined, answers);
+      assert.is(server.journal.length, runs);
+    } finally {
+      await server.close();
+    }
+  });
+}
+
+test("a backend server runs at most as many requests as it has slots", async () => {
+  const server = await startBackendServer("a", {
+    serviceTimeMs: 300,
+    slots: 2,
+  });
+  try {
+    const answers = [1, 2, 3].map((id) =>
+      fetch(`http://${server.address}/a/${id}`)
+    );
+    await waitFor("three requests arrived", () => server.inFlight() === 3);
+    assert.is(server.journal.length, 2);
+    await Promise.all(answers);
+    assert.is(server.journal.length, 3);
+  } finally {
+    await server.close();
+  }
+});
+
+test("a relay cuts, holds and heals a link", async () => {
+  const server = await startBackendServer("a", { serviceTimeMs: 50 });
+  const relay = await startTcpRelay(server.address);
+  const get = () =>
+    fetch(`http://${relay.address}/a/1`, { headers: { connection: "close" } })
+      .then((response) => response.status).catch(() => "failed");
+  try {
+    assert.is(await get(), 200);
+    relay.cut();
+    assert.is(await get(), "failed");
+    relay.heal();
+    assert.is(await get(), 200);
+    let answered = 0;
+    const openBefore = get().finally(() => answered++);
+    await waitFor("the request runs", () => server.journal.length === 3);
+    relay.hold();
+    const openAfter = get().finally(() => answered++);
+    await waitFor("the request has run", () => server.inFlight() === 0);
+    await delay(200);
+    assert.is(answered, 0);
+    relay.heal();
+    assert.equal(await Promise.all([openBefore, openAfter]), [200, 200]);
+  } finally {
+    await relay.close();
+    await server.close();
+  }
+});
+
+test("the VM list lags also behind changes that a test makes directly", async () => {
+  const server = await startVmListServer();
+  const list = createHttpVmList(`http://${server.address}`);
+  try {
+    server.lagMs = 300;
+    server.vms.set("a", {
+      id: "a",
+      role: "worker",
+      state: "live",
+      incarnation: "1",
+      region: "r",
+      dataCentre: "d",
+      rack: "k",
+      address: "127.0.0.1:1",
+      controlAddress: "127.0.0.1:1",
+      cores: 1,
+      memoryMb: 1,
+      accelerators: 0,
+    });
+    assert.is((await list.list()).length, 0);
+    await waitFor(
+      "the list shows the VM",
+      async () => (await list.list()).length === 1,
+    );
+  } finally {
+    await server.close();
+  }
+});
+
+test.run();
--- a/testing/vm_list_server.ts
+++ b/testing/vm_list_server.ts
@@ -13,14 +13,37 @@
   down: boolean;
 }
 
+const KEPT_CHANGES = 10_000;
+
+/** Reports each change, so that changes made directly by a test lag too. */
+class ObservedMap<T> extends Map<string, T> {
+  readonly #onChange: () => void;
+
+  constructor(onChange: () => void) {
+    super();
+    this.#onChange = onChange;
+  }
+
+  override set(key: string, value: T): this {
+    super.set(key, value);
+    this.#onChange();
+    return this;
+  }
+
+  override delete(key: string): boolean {
+    const found = super.delete(key);
+    this.#onChange();
+    return found;
+  }
+}
+
 /** Starts a VM list stand-in. `PUT /v1/vms/<id>` adds or replaces a VM, `DELETE` removes it. */
 export async function startVmListServer(port = 0): Promise<VmListServer> {
-  const vms = new Map<string, Vm>();
   const history: { atMs: number; vms: Vm[] }[] = [{ atMs: 0, vms: [] }];
-  const remember = () => {
+  const vms = new ObservedMap<Vm>(() => {
     history.push({ atMs: Date.now(), vms: [...vms.values()] });
-    if (history.length > 1_000) history.shift();
-  };
+    if (history.length > KEPT_CHANGES) history.shift();
+  });
 
   const server = createJsonServer((call) => {
     const id = decodeURIComponent(call.url.pathname.split("/")[3] ?? "");
@@ -30,12 +53,10 @@
     }
     if (call.method === "PUT") {
       vms.set(id, call.body as Vm);
-      remember();
       return { status: 200, body: {} };
     }
     if (call.method === "DELETE") {
       vms.delete(id);
-      remember();
       return { status: 200, body: {} };
     }
     if (state.down) return undefined;
--- /dev/null
+++ b/testing/worker_agent.ts
@@ -0,0 +1,249 @@
+import { setTimeout as delay } from "node:timers/promises";
+import type {
+  TaskSpec,
+  TaskStatus,
+  WorkerReport,
+} from "../src/platform/worker_agent.ts";
+import type { BackendServer } from "./backend_server.ts";
+import type { JsonCall, JsonReply } from "./http_json_server.ts";
+import { waitFor } from "./wait.ts";
+
+/** How an agent stand-in behaves; a test may change it while it runs. */
+export interface AgentBehaviour {
+  /** Reports show the state of this long ago, in ms. */
+  reportLagMs: number;
+  /** Time that the VM is down during a reboot, in ms. */
+  rebootMs: number;
+  /** Answers no call. */
+  down: boolean;
+  /** Each task fails right after its start. */
+  failTasks: boolean;
+  /** Longest wait for requests in flight before a reboot, in ms. */
+  graceMs: number;
+}
+
+/** What an agent did, for tests. */
+export interface AgentJournal {
+  readonly reboots: string[];
+  readonly drains: string[];
+  readonly taskRuns: { taskId: string; fencingToken: number }[];
+}
+
+/** A worker agent's stand-in. */
+export interface AgentStandIn {
+  readonly behaviour: AgentBehaviour;
+  readonly journal: AgentJournal;
+  /** Handles one call of the agent protocol; undefined leaves it unanswered. */
+  handle(call: JsonCall): Promise<JsonReply | undefined>;
+}
+
+interface RunningTask {
+  spec: TaskSpec;
+  state: TaskStatus["state"];
+  cores: number;
+  leaseEndMs: number;
+  endMs: number;
+  timer?: NodeJS.Timeout;
+}
+
+const DEFAULT_TASK_MS = 60_000;
+const KEPT_REPORTS = 500;
+
+/** Returns the run time of a command such as `run 500` or `fail 20`, in ms. */
+function parseCommand(command: string): { fails: boolean; timeMs: number } {
+  const [verb, time] = command.split(" ");
+  const timeMs = Number(time ?? DEFAULT_TASK_MS);
+  return {
+    fails: verb === "fail",
+    timeMs: Number.isFinite(timeMs) ? timeMs : DEFAULT_TASK_MS,
+  };
+}
+
+/** Creates the tasks of one agent. */
+function createTasks(behaviour: AgentBehaviour, journal: AgentJournal) {
+  const tasks = new Map<string, RunningTask>();
+  let highestToken = 0;
+
+  function end(task: RunningTask, state: TaskStatus["state"]): void {
+    if (task.state !== "running") return;
+    clearTimeout(task.timer);
+    task.state = state;
+  }
+
+  function schedule(task: RunningTask): void {
+    clearTimeout(task.timer);
+    const nextMs = Math.min(task.endMs, task.leaseEndMs) - Date.now();
+    task.timer = setTimeout(() => {
+      const { fails } = parseCommand(task.spec.command);
+      // A task whose lease lapsed first is stopped by the worker.
+      if (task.leaseEndMs < task.endMs) end(task, "stopped");
+      else end(task, fails ? "failed" : "succeeded");
+    }, Math.max(0, nextMs));
+    task.timer.unref();
+  }
+
+  function run(spec: TaskSpec): JsonReply {
+    if (spec.fencingToken < highestToken) {
+      return { status: 409, body: { fencingToken: highestToken } };
+    }
+    highestToken = spec.fencingToken;
+    const known = tasks.get(spec.taskId);
+    if (known?.state === "running") {
+      known.leaseEndMs = Date.now() + spec.leaseMs;
+      schedule(known);
+      return { status: 200, body: {} };
+    }
+    if (known !== undefined && known.state !== "checkpointed") {
+      return { status: 200, body: {} };
+    }
+    const nowMs = Date.now();
+    const { timeMs } = parseCommand(spec.command);
+    const task: RunningTask = {
+      spec,
+      state: "running",
+      cores: spec.cores,
+      leaseEndMs: nowMs + spec.leaseMs,
+      endMs: nowMs + timeMs,
+    };
+    tasks.set(spec.taskId, task);
+    journal.taskRuns.push({
+      taskId: spec.taskId,
+      fencingToken: spec.fencingToken,
+    });
+    if (behaviour.failTasks) end(task, "failed");
+    else schedule(task);
+    return { status: 200, body: {} };
+  }
+
+  return {
+    run,
+    end(taskId: string, state: TaskStatus["state"]): JsonReply {
+      const task = tasks.get(taskId);
+      if (task === undefined) return { status: 404, body: {} };
+      end(task, state);
+      return { status: 200, body: {} };
+    },
+    throttle(taskId: string, cores: number): JsonReply {
+      const task = tasks.get(taskId);
+      if (task === undefined) return { status: 404, body: {} };
+      task.cores = cores;
+      return { status: 200, body: {} };
+    },
+    stopAll(): void {
+      for (const task of tasks.values()) end(task, "stopped");
+    },
+    statuses: (): TaskStatus[] =>
+      [...tasks.values()].map((task) => ({
+        taskId: task.spec.taskId,
+        state: task.state,
+        usedCores: task.state === "running" ? task.cores : 0,
+        usedMemoryMb: task.state === "running" ? task.spec.memoryMb : 0,
+      })),
+  };
+}
+
+/** Creates an agent that drains and reboots the worker's backend server. */
+export function createAgentStandIn(options: {
+  vmId: string;
+  incarnation: string;
+  backend: () => BackendServer;
+  behaviour?: Partial<AgentBehaviour>;
+}): AgentStandIn {
+  const { vmId, incarnation } = options;
+  const behaviour: AgentBehaviour = {
+    reportLagMs: 0,
+    rebootMs: 100,
+    down: false,
+    failTasks: false,
+    graceMs: 30_000,
+    ...options.behaviour,
+  };
+  const journal: AgentJournal = { reboots: [], drains: [], taskRuns: [] };
+  const tasks = createTasks(behaviour, journal);
+  const reports: { atMs: number; report: WorkerReport }[] = [];
+  let lastRebootIntentId: string | undefined;
+  let rebooting = false;
+
+  function report(): WorkerReport {
+    const nowMs = Date.now();
+    const current: WorkerReport = {
+      vmId,
+      incarnation,
+      lastRebootIntentId,
+      tasks: tasks.statuses(),
+    };
+    reports.push({ atMs: nowMs, report: current });
+    if (reports.length > KEPT_REPORTS) reports.shift();
+    const seenAtMs = nowMs - behaviour.reportLagMs;
+    return (reports.findLast((item) => item.atMs <= seenAtMs) ?? reports[0])
+      ?.report ?? current;
+  }
+
+  async function reboot(intentId: string): Promise<void> {
+    const backend = options.backend();
+    rebooting = true;
+    backend.behaviour.leaving = true;
+    try {
+      await waitFor(
+        `${vmId} has no request in flight`,
+        () => backend.inFlight() === 0,
+        { timeoutMs: behaviour.graceMs },
+      ).catch(() => {});
+      await backend.crash();
+      tasks.stopAll();
+      await delay(behaviour.rebootMs);
+      backend.behaviour.leaving = false;
+      lastRebootIntentId = intentId;
+      await backend.restart();
+    } finally {
+      rebooting = false;
+    }
+  }
+
+  function startReboot(intentId: string): JsonReply {
+    if (journal.reboots.includes(intentId)) return { status: 200, body: {} };
+    if (rebooting) return { status: 409, body: {} };
+    journal.reboots.push(intentId);
+    reboot(intentId).catch((error) => console.error(error));
+    return { status: 202, body: {} };
+  }
+
+  function execute(call: JsonCall): JsonReply {
+    const body = (call.body ?? {}) as Record<string, unknown>;
+    const intentId = String(body.intentId ?? "");
+    const taskId = String(body.taskId ?? "");
+    switch (call.url.pathname) {
+      case "/v1/report":
+        return { status: 200, body: report() };
+      case "/v1/drain":
+        if (!journal.drains.includes(intentId)) {
+          journal.drains.push(intentId);
+          options.backend().behaviour.leaving = true;
+        }
+        return { status: 200, body: {} };
+      case "/v1/reboot":
+        return startReboot(intentId);
+      case "/v1/tasks/run":
+        return tasks.run(body as unknown as TaskSpec);
+      case "/v1/tasks/checkpoint":
+        return tasks.end(taskId, "checkpointed");
+      case "/v1/tasks/throttle":
+        return tasks.throttle(taskId, Number(body.cores));
+      case "/v1/tasks/stop":
+        return tasks.end(taskId, "stopped");
+      default:
+        return { status: 404, body: {} };
+    }
+  }
+
+  return {
+    behaviour,
+    journal,
+    handle(call) {
+      // The agent runs on the VM and is down with it.
+      const unreachable = behaviour.down ||
+        (rebooting && !options.backend().server.listening);
+      return Promise.resolve(unreachable ? undefined : execute(call));
+    },
+  };
+}
--- /dev/null
+++ b/testing/worker_fleet.ts
@@ -0,0 +1,129 @@
+import { writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import type { ResolvedConfig } from "../src/config/schema.ts";
+import type { Vm } from "../src/platform/vm_list.ts";
+import type { BackendServer } from "./backend_server.ts";
+import { endChild, type RunningChild, startSource } from "./child_process.ts";
+import { waitFor } from "./wait.ts";
+import {
+  handleOf,
+  remoteHandles,
+  type WorkerHandle,
+  type WorkerHostReady,
+} from "./worker_host.ts";
+import { startWorker, type Worker, type WorkerOptions } from "./worker.ts";
+
+const VMS_PER_RACK = 4;
+
+/** Where the workers of a deployment run. */
+export interface WorkerFleetOptions {
+  readonly config: ResolvedConfig;
+  readonly dataCentres: readonly string[];
+  /** Behaviour of every worker at the start. */
+  readonly worker: Omit<WorkerOptions, "id">;
+  /** Separate processes over which workers are spread; 0 runs them in this process. */
+  readonly processes: number;
+  /** Folder for the workers' option files. */
+  readonly folder: string;
+}
+
+/** The workers of a deployment. */
+export interface WorkerFleet {
+  readonly workers: ReadonlyMap<string, WorkerHandle>;
+  /** Backend servers in this process. */
+  readonly backends: ReadonlyMap<string, BackendServer>;
+  readonly vms: readonly Vm[];
+  close(): Promise<void>;
+}
+
+async function startHost(
+  file: string,
+  specs: readonly WorkerOptions[],
+): Promise<{ child: RunningChild; ready: WorkerHostReady }> {
+  await writeFile(file, JSON.stringify(specs));
+  const child = startSource("testing/main.ts", ["workers", "--file", file]);
+  try {
+    await waitFor("a worker process is ready", () => child.lines().length > 0);
+  } catch (error) {
+    await endChild(child);
+    throw new Error(`Worker process failed: ${child.output()}`, {
+      cause: error,
+    });
+  }
+  return { child, ready: JSON.parse(child.lines()[0] ?? "{}") };
+}
+
+function listVms(
+  options: WorkerFleetOptions,
+  workers: ReadonlyMap<string, WorkerHandle>,
+): Vm[] {
+  const { config, dataCentres } = options;
+  const ids = config.pools.flatMap((pool) =>
+    Array.from({ length: pool.vms }, (_, index) => ({
+      id: `${pool.name}-${index + 1}`,
+      pool,
+    }))
+  );
+  return ids.flatMap(({ id, pool }, index) => {
+    const worker = workers.get(id);
+    if (worker === undefined) return [];
+    const dataCentre = dataCentres[index % dataCentres.length] ?? "dc-1";
+    const rack = Math.floor(index / (VMS_PER_RACK * dataCentres.length)) + 1;
+    return [{
+      id,
+      role: "worker" as const,
+      state: "live" as const,
+      incarnation: "1",
+      region: pool.region,
+      dataCentre,
+      rack: `${dataCentre}-rack-${rack}`,
+      address: worker.address,
+      controlAddress: worker.controlAddress,
+      pool: pool.name,
+      cores: 16,
+      memoryMb: 65_536,
+      accelerators: 0,
+    }];
+  });
+}
+
+/** Starts a worker for each VM of the configuration. */
+export async function startWorkerFleet(
+  options: WorkerFleetOptions,
+): Promise<WorkerFleet> {
+  const { config, processes, folder } = options;
+  const specs: WorkerOptions[] = config.pools.flatMap((pool) =>
+    Array.from(
+      { length: pool.vms },
+      (_, index) => ({ ...options.worker, id: `${pool.name}-${index + 1}` }),
+    )
+  );
+  const workers = new Map<string, WorkerHandle>();
+  const local: Worker[] = [];
+  const hosts: RunningChild[] = [];
+  if (processes === 0) {
+    for (const spec of specs) local.push(await startWorker(spec));
+    for (const worker of local) workers.set(worker.id, handleOf(worker));
+  } else {
+    const started = await Promise.all(
+      Array.from({ length: processes }, (_, part) =>
+        startHost(
+          join(folder, `workers-${part}.json`),
+          specs.filter((_, index) => index % processes === part),
+        )),
+    );
+    for (const { child, ready } of started) {
+      hosts.push(child);
+      for (const handle of remoteHandles(ready)) workers.set(handle.id, handle);
+    }
+  }
+  return {
+    workers,
+    backends: new Map(local.map((worker) => [worker.id, worker.backend])),
+    vms: listVms(options, workers),
+    async close() {
+      await Promise.all(local.map((worker) => worker.close()));
+      await Promise.all(hosts.map(endChild));
+    },
+  };
+}
--- /dev/null
+++ b/testing/worker_host.ts
@@ -0,0 +1,117 @@
+import {
+  createJsonServer,
+  type JsonCall,
+  type JsonReply,
+  listenOnLoopback,
+} from "./http_json_server.ts";
+import {
+  startWorker,
+  type Worker,
+  type WorkerChange,
+  type WorkerOptions,
+} from "./worker.ts";
+import type { Arrival, JournalEntry } from "./backend_server.ts";
+
+/** What a worker's stand-in has seen. */
+export interface WorkerJournal {
+  readonly runs: readonly JournalEntry[];
+  readonly arrivals: readonly Arrival[];
+}
+
+/** A worker stand-in in this process or in another one. */
+export interface WorkerHandle {
+  readonly id: string;
+  readonly address: string;
+  readonly controlAddress: string;
+  journal(): Promise<WorkerJournal>;
+  configure(change: WorkerChange): Promise<void>;
+  /** Ends the backend server at once, without its in-flight requests. */
+  crash(): Promise<void>;
+  restart(): Promise<void>;
+}
+
+/** Returns a handle of a worker in this process. */
+export function handleOf(worker: Worker): WorkerHandle {
+  const { id, address, controlAddress, backend } = worker;
+  return {
+    id,
+    address,
+    controlAddress,
+    journal: () =>
+      Promise.resolve({ runs: backend.journal, arrivals: backend.arrivals }),
+    configure: (change) => Promise.resolve(worker.configure(change)),
+    crash: () => backend.crash(),
+    restart: () => backend.restart(),
+  };
+}
+
+/** What a worker process prints on its first line. */
+export interface WorkerHostReady {
+  readonly controlUrl: string;
+  readonly workers: readonly {
+    readonly id: string;
+    readonly address: string;
+    readonly controlAddress: string;
+  }[];
+}
+
+/** Starts workers of one process and the server through which tests control them. */
+export async function startWorkerHost(
+  specs: readonly WorkerOptions[],
+): Promise<WorkerHostReady> {
+  const workers = new Map<string, Worker>();
+  for (const spec of specs) workers.set(spec.id, await startWorker(spec));
+
+  async function act(call: JsonCall): Promise<JsonReply> {
+    const [, id, action] = call.url.pathname.split("/");
+    const worker = workers.get(decodeURIComponent(id ?? ""));
+    if (worker === undefined) return { status: 404, body: {} };
+    const handle = handleOf(worker);
+    switch (action) {
+      case "journal":
+        return { status: 200, body: await handle.journal() };
+      case "configure":
+        await handle.configure(call.body as WorkerChange);
+        return { status: 200, body: {} };
+      case "crash":
+        await handle.crash();
+        return { status: 200, body: {} };
+      case "restart":
+        await handle.restart();
+        return { status: 200, body: {} };
+      default:
+        return { status: 404, body: {} };
+    }
+  }
+
+  const control = await listenOnLoopback(createJsonServer(act));
+  return {
+    controlUrl: `http://${control.address}`,
+    workers: [...workers.values()].map(({ id, address, controlAddress }) => ({
+      id,
+      address,
+      controlAddress,
+    })),
+  };
+}
+
+/** Returns handles of the workers of another process. */
+export function remoteHandles(ready: WorkerHostReady): WorkerHandle[] {
+  async function call(id: string, action: string, body?: unknown) {
+    const response = await fetch(
+      `${ready.controlUrl}/${encodeURIComponent(id)}/${action}`,
+      { method: "POST", body: body ? JSON.stringify(body) : null },
+    );
+    if (!response.ok) {
+      throw new Error(`${action} of ${id} failed: ${response.status}`);
+    }
+    return await response.json();
+  }
+  return ready.workers.map((worker) => ({
+    ...worker,
+    journal: async () => await call(worker.id, "journal") as WorkerJournal,
+    configure: (change) => call(worker.id, "configure", change).then(() => {}),
+    crash: () => call(worker.id, "crash").then(() => {}),
+    restart: () => call(worker.id, "restart").then(() => {}),
+  }));
+}
