--- /dev/null
+++ b/testing/latency.ts
@@ -0,0 +1,66 @@
+import { build, type Histogram } from "hdr-histogram-js";
+
+const MICROSECONDS_PER_MS = 1_000;
+const HIGHEST_MS = 600_000;
+
+/** Latencies in ms. */
+export interface LatencySummary {
+  readonly count: number;
+  readonly p50Ms: number;
+  readonly p90Ms: number;
+  readonly p99Ms: number;
+  readonly maximumMs: number;
+}
+
+/** Collects latencies with a resolution of microseconds. */
+export interface Latencies {
+  record(valueMs: number): void;
+  summary(): LatencySummary;
+}
+
+/** Creates an empty collection. */
+export function createLatencies(): Latencies {
+  const histogram: Histogram = build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: HIGHEST_MS * MICROSECONDS_PER_MS,
+    numberOfSignificantValueDigits: 3,
+  });
+  const at = (percentile: number) =>
+    histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
+  return {
+    record(valueMs) {
+      const value = Math.round(valueMs * MICROSECONDS_PER_MS);
+      histogram.recordValue(Math.max(1, value));
+    },
+    summary: () => ({
+      count: histogram.totalCount,
+      p50Ms: at(50),
+      p90Ms: at(90),
+      p99Ms: at(99),
+      maximumMs: histogram.maxValue / MICROSECONDS_PER_MS,
+    }),
+  };
+}
+
+/** Formats rows of text in columns; the first column is aligned left. */
+export function formatTable(
+  rows: readonly (readonly (string | number)[])[],
+): string {
+  const text = rows.map((row) =>
+    row.map((cell) => typeof cell === "number" ? formatNumber(cell) : cell)
+  );
+  const widths = (text[0] ?? []).map((_, column) =>
+    Math.max(...text.map((row) => row[column]?.length ?? 0))
+  );
+  return text.map((row) =>
+    row.map((cell, column) =>
+      column === 0
+        ? cell.padEnd(widths[0] ?? 0)
+        : cell.padStart(widths[column] ?? 0)
+    ).join("  ")
+  ).join("\n");
+}
+
+function formatNumber(value: number): string {
+  return Number.isInteger(value) ? String(value) : value.toFixed(2);
+}
