fix(entry): count answers of the VM list and of the fleet watch as contact

Cause: only the configuration watch touched the contact tracker, and it is a long poll of 20 s; an entry with a healthy platform counted as isolated 5 s after its start and refused all requests. Ruled out: a slow VM list (polled each second, answered in a few ms).

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -22,6 +22,7 @@
   const contacts = parts.resolve(TOKENS.contacts);
   const incarnation = randomUUID();
   const { region } = settings;
+  vmList.subscribe(() => contacts.touch("vm_list"));
   const supervisor = createSupervisor(loggers("supervisor"));
 
   yield* supervisor.start({
@@ -52,6 +53,7 @@
         region,
         current: fleet,
         log: loggers("fleet"),
+        onContact: () => contacts.touch("store"),
       }),
   });
   if (settings.roles.includes("controller")) {
