--- a/scripts/quickstart.ts
+++ b/scripts/quickstart.ts
@@ -36,7 +36,8 @@
 interface ServiceRow {
   readonly latencies: Latencies;
   answered: number;
-  other: number;
+  /** Requests that ended in another way, by outcome or reason. */
+  readonly others: Map<string, number>;
 }
 
 function parseEntries(text: string): number {
@@ -76,8 +77,18 @@
 
 function record(row: ServiceRow, result: CallResult, isOwn: boolean): void {
   row.latencies.record(result.elapsedMs);
-  if (isOwn) row.answered++;
-  else row.other++;
+  if (isOwn) {
+    row.answered++;
+    return;
+  }
+  const reason = result.kind === "not_run" ? result.reason : result.kind;
+  row.others.set(reason, (row.others.get(reason) ?? 0) + 1);
+}
+
+function describeOthers(others: ReadonlyMap<string, number>): string {
+  return others.size === 0
+    ? "0"
+    : [...others].map(([reason, count]) => `${count} ${reason}`).join(", ");
 }
 
 async function runRound(
@@ -88,7 +99,7 @@
   const rows = new Map<string, ServiceRow>(
     services.map((name) => [
       name,
-      { latencies: createLatencies(), answered: 0, other: 0 },
+      { latencies: createLatencies(), answered: 0, others: new Map() },
     ]),
   );
   await runOpenLoop({
@@ -108,10 +119,18 @@
     },
   });
   console.log(formatTable([
-    ["service", "answered", "other", "p50 ms", "p90 ms", "p99 ms", "max ms"],
-    ...[...rows].map(([name, { latencies, answered, other }]) => {
+    ["service", "answered", "others", "p50 ms", "p90 ms", "p99 ms", "max ms"],
+    ...[...rows].map(([name, { latencies, answered, others }]) => {
       const { p50Ms, p90Ms, p99Ms, maximumMs } = latencies.summary();
-      return [name, answered, other, p50Ms, p90Ms, p99Ms, maximumMs];
+      return [
+        name,
+        answered,
+        describeOthers(others),
+        p50Ms,
+        p90Ms,
+        p99Ms,
+        maximumMs,
+      ];
     }),
   ]));
 }
