--- a/scripts/quickstart.ts
+++ b/scripts/quickstart.ts
@@ -12,7 +12,7 @@
 } from "../testing/latency.ts";
 import { runOpenLoop } from "../testing/open_loop.ts";
 import { chooseSeed, createRandom } from "../testing/random.ts";
-import { waitFor } from "../testing/wait.ts";
+import { waitUntilServing } from "../testing/serving.ts";
 
 const DATA_CENTRES: Record<string, readonly string[]> = {
   khomas: ["khomas-1", "khomas-2", "khomas-3"],
@@ -48,20 +48,6 @@
   return count;
 }
 
-async function waitUntilServing(
-  deployment: Deployment,
-  services: readonly string[],
-): Promise<void> {
-  for (const entry of deployment.entries) {
-    for (const service of services) {
-      await waitFor(`${entry.id} answers for ${service}`, async () => {
-        const url = `http://${entry.callerAddress}/${service}/ready`;
-        return (await callEntry(url)).kind === "answer";
-      });
-    }
-  }
-}
-
 async function printSamples(
   deployment: Deployment,
   services: readonly string[],
@@ -170,7 +156,7 @@
   const config = resolveConfig(await readTextFile(file), file);
   const services = config.services.map((service) => service.name);
   console.log("waiting until every entry serves every service");
-  await waitUntilServing(deployment, services);
+  await waitUntilServing(deployment.entries, services);
   console.log("sending one request to each service");
   await printSamples(deployment, services);
   const seed = chooseSeed();
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -2,10 +2,7 @@
 # Runs every check: format, lint, types, tests, build, smoke test of the binary.
 set -eu
 cd "$(dirname "$0")/.."
-if [ ! -e node_modules/.package-lock.json ] || [ package-lock.json -nt node_modules/.package-lock.json ]; then
-  echo "installing dependencies"
-  npm ci --no-audit --no-fund
-fi
+. scripts/install.sh
 echo "checking format"
 npx deno fmt --check --quiet
 echo "linting"
