--- /dev/null
+++ b/src/requests/bad_input_test.ts
@@ -0,0 +1,171 @@
+import { once } from "node:events";
+import { connect } from "node:net";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  call,
+  rawResponse,
+  startRawBackend,
+  startTestEntry,
+  type TestEntry,
+} from "./test_entry.ts";
+import { createTestFleet } from "./test_fleet.ts";
+
+const LIMITS = {
+  maximumBodyBytes: 100_000,
+  maximumHeaderBytes: 4_096,
+  requestReadTimeoutMs: 200,
+};
+
+async function withEntry(
+  check: (entry: TestEntry, sent: () => number) => Promise<void>,
+): Promise<void> {
+  const backend = await startRawBackend((socket, { path }) =>
+    socket.write(rawResponse(path))
+  );
+  const entry = await startTestEntry({
+    fleet: createTestFleet([backend.address]),
+    limits: LIMITS,
+  });
+  try {
+    await check(entry, () => backend.requests.length);
+    const after = await call(entry, "/quoting/after");
+    assert.is(after.text, "/quoting/after", "the entry still serves");
+  } finally {
+    await entry.close();
+    backend.close();
+  }
+}
+
+/** Sends bytes and returns all that comes back until the connection ends. */
+async function sendRaw(
+  entry: TestEntry,
+  parts: readonly string[],
+): Promise<string> {
+  const [host, port] = entry.address.split(":");
+  const socket = connect(Number(port), host);
+  let output = "";
+  socket.on("data", (chunk) => output += chunk);
+  socket.on("error", () => {});
+  for (const part of parts) {
+    socket.write(part);
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  await once(socket, "close");
+  return output;
+}
+
+const HEAD = "POST /quoting/1 HTTP/1.1\r\nhost: x\r\n";
+
+const RAW_INPUT: Record<string, [string[], number, string]> = {
+  "oversized headers": [
+    [`${HEAD}x-long: ${"x".repeat(8_000)}\r\n\r\n`],
+    431,
+    "headers_too_large",
+  ],
+  "an oversized announced body": [
+    [`${HEAD}content-length: 200000\r\n\r\n`, "x".repeat(150_000)],
+    413,
+    "body_too_large",
+  ],
+  "an oversized chunked body": [
+    [
+      `${HEAD}transfer-encoding: chunked\r\n\r\n`,
+      `${(150_000).toString(16)}\r\n${"x".repeat(150_000)}\r\n0\r\n\r\n`,
+    ],
+    413,
+    "body_too_large",
+  ],
+  "a body that arrives too slowly": [
+    [`${HEAD}content-length: 10\r\n\r\n`, "x"],
+    408,
+    "slow_sender",
+  ],
+  "headers that arrive too slowly": [
+    ["POST /quoting/1 HTTP/1.1\r\nhost:"],
+    408,
+    "slow_sender",
+  ],
+  "a content length that isn't a number": [
+    [`${HEAD}content-length: ten\r\n\r\n`],
+    400,
+    "malformed_request",
+  ],
+  "two lengths": [
+    [`${HEAD}content-length: 1\r\ntransfer-encoding: chunked\r\n\r\n`],
+    400,
+    "malformed_request",
+  ],
+  "a malformed chunk": [
+    [`${HEAD}transfer-encoding: chunked\r\n\r\n`, "zz\r\n"],
+    400,
+    "malformed_request",
+  ],
+  "bytes that aren't HTTP": [["hello\r\n\r\n"], 400, "malformed_request"],
+  "CONNECT": [
+    ["CONNECT example:80 HTTP/1.1\r\nhost: x\r\n\r\n"],
+    405,
+    "method_not_allowed",
+  ],
+};
+
+for (const [name, [parts, status, kind]] of Object.entries(RAW_INPUT)) {
+  test(`${name} gets a typed error and isn't run`, () =>
+    withEntry(async (entry, sent) => {
+      const output = await sendRaw(entry, parts);
+      assert.match(output, new RegExp(`HTTP/1.1 ${status} `));
+      assert.match(output, /cowslipferry-outcome: not_run/);
+      assert.match(output, new RegExp(`"kind":"${kind}"`));
+      assert.is(output.split("HTTP/1.1").length, 2, "there is one response");
+      assert.is(sent(), 0);
+    }));
+}
+
+test("bytes after a request don't disturb its response", () =>
+  withEntry(async (entry, sent) => {
+    const output = await sendRaw(entry, [
+      `${HEAD}content-length: 2\r\n\r\nabcdef\r\n\r\n`,
+    ]);
+    assert.match(output, /^HTTP\/1.1 200 /);
+    assert.match(output, /\/quoting\/1$/);
+    assert.is(sent(), 1);
+  }));
+
+test("a caller that closes its connection before the body's end causes no request", () =>
+  withEntry(async (entry, sent) => {
+    const [host, port] = entry.address.split(":");
+    const socket = connect(Number(port), host);
+    socket.write(`${HEAD}content-length: 10\r\n\r\nhalf`);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    socket.destroy();
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    assert.is(sent(), 0);
+    assert.is(entry.path.inFlight(), 0);
+  }));
+
+const CALLS: [string, Record<string, string>, number, string][] = [
+  ["/unknown/1", {}, 404, "unknown_service"],
+  ["/", {}, 404, "unknown_service"],
+  ["/.cowslipferry/other", {}, 404, "unknown_resource"],
+  [
+    "/quoting/1",
+    { "cowslipferry-deadline-ms": "soon" },
+    400,
+    "invalid_deadline",
+  ],
+  ["/quoting/1", { "cowslipferry-deadline-ms": "0" }, 400, "invalid_deadline"],
+  ["/quoting/1", { "idempotency-key": "key" }, 400, "malformed_key"],
+];
+
+test("unknown names and wrong header values get typed errors", () =>
+  withEntry(async (entry, sent) => {
+    for (const [path, headers, status, kind] of CALLS) {
+      const response = await call(entry, path, { headers });
+      assert.is(response.outcome, "not_run", path);
+      assert.is(response.status, status, path);
+      assert.is(response.error, kind, path);
+    }
+    assert.is(sent(), 0);
+  }));
+
+test.run();
--- /dev/null
+++ b/src/requests/keyed_requests_test.ts
@@ -0,0 +1,223 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { OUTCOME_HEADER } from "../constants.ts";
+import { KEY_LIFETIME_MS } from "./idempotency_keys.ts";
+import { KeyOutcomes } from "./key_outcomes.ts";
+import { type Outcome, outcomeUnknown } from "./outcome.ts";
+import {
+  call,
+  createFakeClock,
+  digestOf,
+  type RawRequest,
+  rawResponse,
+  startRawBackend,
+  startTestEntry,
+  type TestEntry,
+} from "./test_entry.ts";
+import { createTestFleet } from "./test_fleet.ts";
+
+interface Context {
+  readonly entries: readonly TestEntry[];
+  readonly journal: readonly RawRequest[];
+  readonly clock: ReturnType<typeof createFakeClock>;
+  isolated: boolean;
+}
+
+async function withEntries(
+  check: (context: Context) => Promise<void>,
+): Promise<void> {
+  const clock = createFakeClock();
+  const backend = await startRawBackend((socket, { path, requestId }) => {
+    const response = rawResponse(`${path} ${requestId}`);
+    if (path.endsWith("lost")) socket.destroy();
+    else setTimeout(() => socket.write(response), 30);
+  });
+  const context = {
+    entries: [] as TestEntry[],
+    journal: backend.requests,
+    clock,
+    isolated: false,
+  };
+  for (const id of ["entry-1", "entry-2", "entry-3"]) {
+    context.entries.push(
+      await startTestEntry({
+        id,
+        clock,
+        fleet: createTestFleet([backend.address]),
+        isolated: () => context.isolated,
+      }),
+    );
+  }
+  const digests = context.entries.map((entry) => digestOf(entry));
+  for (const entry of context.entries) entry.entries.set(digests);
+  try {
+    await check(context);
+  } finally {
+    for (const entry of context.entries) await entry.close();
+    backend.close();
+  }
+}
+
+async function issueKey(entry: TestEntry): Promise<string> {
+  const response = await call(entry, "/.cowslipferry/keys", { method: "POST" });
+  assert.is(response.status, 201);
+  return JSON.parse(response.text).key;
+}
+
+function book(
+  entry: TestEntry,
+  key: string,
+  change: { path?: string; body?: string; deadlineMs?: number } = {},
+) {
+  return call(entry, change.path ?? "/quoting/book", {
+    method: "POST",
+    body: change.body ?? "order",
+    headers: {
+      "idempotency-key": key,
+      "cowslipferry-deadline-ms": String(change.deadlineMs ?? 2_000),
+    },
+  });
+}
+
+test("a key runs once, however often and through whichever entry it is sent", () =>
+  withEntries(async ({ entries, journal }) => {
+    for (let round = 0; round < 20; round++) {
+      const key = await issueKey(entries[round % 3]!);
+      const path = `/quoting/${round}`;
+      const together = await Promise.all(
+        [...entries, ...entries].map((entry) => book(entry, key, { path })),
+      );
+      const later = await Promise.all(
+        entries.map((entry) => book(entry, key, { path })),
+      );
+      const texts = new Set([...together, ...later].map(({ text }) => text));
+      assert.is(texts.size, 1);
+      assert.ok(together.every(({ outcome }) => outcome === "answer"));
+      const runs = journal.filter((request) => request.path === path);
+      assert.is(runs.length, 1, `${path} ran ${runs.length} times`);
+    }
+  }));
+
+test("an unknown outcome is kept and the request isn't repeated", () =>
+  withEntries(async ({ entries, journal }) => {
+    const key = await issueKey(entries[0]!);
+    for (const entry of entries) {
+      const response = await book(entry, key, { path: "/quoting/lost" });
+      assert.is(response.outcome, "outcome_unknown");
+    }
+    assert.is(journal.length, 1);
+  }));
+
+test("a run goes on when its caller's deadline is over, and its outcome is kept", () =>
+  withEntries(async ({ entries, journal }) => {
+    const key = await issueKey(entries[0]!);
+    const first = book(entries[0]!, key);
+    await new Promise((resolve) => setTimeout(resolve, 10));
+    const impatient = await book(entries[1]!, key, { deadlineMs: 5 });
+    assert.is(impatient.outcome, "outcome_unknown");
+    assert.is(impatient.status, 504);
+    assert.is((await first).outcome, "answer");
+    assert.is(journal.length, 1);
+  }));
+
+test("a refusal leaves the key free", () =>
+  withEntries(async (context) => {
+    const { entries, journal } = context;
+    const key = await issueKey(entries[0]!);
+    context.isolated = true;
+    for (const entry of entries) {
+      const refused = await book(entry, key);
+      assert.is(refused.outcome, "not_run");
+      assert.is(refused.error, "isolated");
+    }
+    context.isolated = false;
+    assert.is((await book(entries[1]!, key)).outcome, "answer");
+    context.isolated = true;
+    assert.is((await book(entries[2]!, key)).outcome, "answer", "it is stored");
+    assert.is(journal.length, 1);
+  }));
+
+test("a key whose issuer is gone or replaced has an unknown outcome and doesn't run", () =>
+  withEntries(async ({ entries, journal }) => {
+    const key = await issueKey(entries[0]!);
+    const unreachable = await issueKey(entries[1]!);
+    const [first, second, third] = entries as [TestEntry, TestEntry, TestEntry];
+    third.entries.set([
+      digestOf(first, { incarnation: "next-run" }),
+      digestOf(second),
+      digestOf(third),
+    ]);
+    await second.close();
+    for (const used of [key, unreachable]) {
+      const response = await book(third, used);
+      assert.is(response.outcome, "outcome_unknown");
+      assert.is(response.error, "key_issuer_unreachable");
+    }
+    assert.is(journal.length, 0);
+  }));
+
+test("forged keys, expired keys and keys of other requests are refused", () =>
+  withEntries(async ({ entries, journal, clock }) => {
+    const [first, second] = entries as [TestEntry, TestEntry];
+    const used = await issueKey(first);
+    const unused = await issueKey(first);
+    const forged = unused.replace(/\.[^.]*$/, `.${"A".repeat(43)}`);
+    assert.is((await book(second, forged)).error, "forged_key");
+    assert.is((await book(second, used)).outcome, "answer");
+    assert.is((await book(second, used, { body: "x" })).error, "key_reused");
+    clock.advance(KEY_LIFETIME_MS + 1_000);
+    await new Promise((resolve) => setTimeout(resolve, 400));
+    const expired = await book(second, unused);
+    assert.is(expired.status, 410);
+    assert.is(expired.outcome, "not_run");
+    const ran = await book(second, used);
+    assert.is(ran.outcome, "outcome_unknown", "a request with it has run");
+    assert.is(journal.length, 1);
+  }));
+
+test("a drain waits for a keyed run whose caller is gone", () =>
+  withEntries(async ({ entries, journal }) => {
+    const key = await issueKey(entries[0]!);
+    const [host, port] = entries[0]!.address.split(":");
+    const { connect } = await import("node:net");
+    const socket = connect(Number(port), host);
+    socket.write(
+      `POST /quoting/1 HTTP/1.1\r\nhost: x\r\nidempotency-key: ${key}\r\ncontent-length: 0\r\n\r\n`,
+    );
+    await new Promise((resolve) => setTimeout(resolve, 15));
+    socket.destroy();
+    await entries[0]!.path.drain();
+    assert.is(journal.length, 1);
+    assert.is(entries[0]!.path.inFlight(), 0);
+  }));
+
+test("stored bodies are bounded; a dropped one leaves the key used", async () => {
+  const notKept = outcomeUnknown("outcome_not_kept", "dropped");
+  const outcomes = new KeyOutcomes(
+    { maximumKeys: 3, maximumBodyBytes: 100 },
+    notKept,
+  );
+  const answer = (bodyBytes: number): Outcome => ({
+    kind: "answer",
+    response: {
+      status: 200,
+      headers: [OUTCOME_HEADER, "answer"],
+      body: Buffer.alloc(bodyBytes),
+    },
+  });
+  for (const sequence of [1, 2, 3]) {
+    const key = { sequence, expiresAtMs: 1_000, fingerprint: "" };
+    await outcomes.start(key, Promise.resolve(answer(60))).outcome;
+  }
+  await Promise.resolve();
+  assert.is(await outcomes.get(1)!.outcome, notKept);
+  assert.is((await outcomes.get(3)!.outcome).kind, "answer");
+  assert.is(outcomes.full, true);
+  outcomes.expire(1_000);
+  assert.is(outcomes.full, false);
+  assert.equal(outcomes.describe(), { keys: 0, bodyBytes: 0 });
+  assert.is(outcomes.wasUsed(1), true);
+  assert.is(outcomes.wasUsed(4), false);
+});
+
+test.run();
