fix(requests): errors of the HTTP parser after or inside a request

Bytes after a complete request made the parser's 400 overtake the request's own response, because the connection's task hadn't begun to serve it; requests are now counted as pending when they arrive. A caller that closed its connection inside a body held its refusal for the full linger time.

--- a/src/requests/bad_input_test.ts
+++ b/src/requests/bad_input_test.ts
@@ -1,4 +1,3 @@
-import { once } from "node:events";
 import { connect } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -44,14 +43,16 @@
 ): Promise<string> {
   const [host, port] = entry.address.split(":");
   const socket = connect(Number(port), host);
+  // A refused sender may be reset while it is still sending.
+  const closed = new Promise((resolve) => socket.on("close", resolve));
+  socket.on("error", () => {});
   let output = "";
   socket.on("data", (chunk) => output += chunk);
-  socket.on("error", () => {});
   for (const part of parts) {
     socket.write(part);
     await new Promise((resolve) => setTimeout(resolve, 20));
   }
-  await once(socket, "close");
+  await closed;
   return output;
 }
 
--- a/src/requests/caller_connections.ts
+++ b/src/requests/caller_connections.ts
@@ -21,8 +21,10 @@
   readonly queue: Queue<IncomingCall, void>;
   /** Ends the reading of the current request's body, while it is being read. */
   failBody: ((error: NotRunError) => void) | undefined;
-  /** The request being served, if any. */
-  current: IncomingCall | undefined;
+  /** Requests that wait or are being served. */
+  pending: number;
+  /** Error of the HTTP parser, which reads no more of this connection. */
+  parserError: NotRunError | undefined;
   /** Whether the connection ends with the current response. */
   closing: boolean;
 }
@@ -35,9 +37,8 @@
   while (true) {
     const next = yield* connection.queue.next();
     if (next.done) return;
-    connection.current = next.value;
     yield* serve(next.value);
-    connection.current = undefined;
+    connection.pending--;
   }
 }
 
@@ -68,7 +69,8 @@
     const connection: CallerConnection = {
       queue: createQueue<IncomingCall, void>(),
       failBody: undefined,
-      current: undefined,
+      pending: 0,
+      parserError: undefined,
       closing: false,
     };
     this.#connections.set(socket, connection);
--- a/src/requests/front.ts
+++ b/src/requests/front.ts
@@ -53,6 +53,7 @@
       connection: connection!,
     };
     calls.began(call);
+    connection!.pending++;
     connection!.queue.add(call);
   }
 
@@ -99,13 +100,14 @@
       socket.destroy();
       return;
     }
-    if (connection?.current === undefined) {
+    if (connection === undefined || connection.pending === 0) {
       calls.refusedUnparsed(refusal);
       writeRawError(socket, refusal);
       return;
     }
     // The error concerns the current request's body or bytes after the request.
     connection.closing = true;
+    connection.parserError = refusal;
     connection.failBody?.(refusal);
   }
 
--- a/src/requests/request_body.ts
+++ b/src/requests/request_body.ts
@@ -70,6 +70,9 @@
 
 /** Reads and drops the rest of a body that wasn't wanted; resolves at its end or after a short time. */
 export function discardBody(request: IncomingMessage): Promise<void> {
+  if (request.complete || request.socket.readableEnded) {
+    return Promise.resolve();
+  }
   return new Promise((resolve) => {
     const timer = setTimeout(resolve, LINGER_MS);
     const done = () => {
--- a/src/requests/serve_call.ts
+++ b/src/requests/serve_call.ts
@@ -203,7 +203,12 @@
         Math.min(requestReadTimeoutMs, deadlineMs) - elapsedMs,
       ),
     });
-    call.connection.failBody = read.fail;
+    call.connection.failBody = (error) => {
+      // After a complete body the parser's error concerns the bytes that follow.
+      if (!call.request.complete) read.fail(error);
+    };
+    const { parserError } = call.connection;
+    if (parserError !== undefined) call.connection.failBody(parserError);
     try {
       return yield* until(read.body);
     } catch (error) {
