fix(requests): the connection limit counts granted slots

Two requests that left the queue in one turn both saw the connection that neither had taken yet, so that an entry opened twice its limit; free slots are now counted against the limit from the grant on.

--- a/src/requests/backend_connections.ts
+++ b/src/requests/backend_connections.ts
@@ -26,6 +26,10 @@
     this.#closeSurplus();
   }
 
+  get limit(): number {
+    return this.#limit;
+  }
+
   get free(): number {
     return this.#limit - this.#busy;
   }
--- a/src/requests/bad_input_test.ts
+++ b/src/requests/bad_input_test.ts
@@ -122,6 +122,27 @@
     }));
 }
 
+test("a caller that reads only after sending gets the refusal of its oversized body", () =>
+  withEntry(async (entry) => {
+    const [host, port] = entry.address.split(":");
+    const socket = connect(Number(port), host);
+    socket.pause();
+    socket.write(`${HEAD}content-length: 400000\r\n\r\n`);
+    for (let part = 0; part < 4; part++) {
+      await new Promise((resolve) => setTimeout(resolve, 20));
+      socket.write("x".repeat(100_000));
+    }
+    let output = "";
+    socket.on("data", (chunk) => output += chunk);
+    const ended = new Promise((resolve, reject) =>
+      socket.on("end", resolve).on("error", reject)
+    );
+    socket.resume();
+    await ended;
+    assert.match(output, /body_too_large/);
+    socket.destroy();
+  }));
+
 test("bytes after a request don't disturb its response", () =>
   withEntry(async (entry, sent) => {
     const output = await sendRaw(entry, [
--- a/src/requests/instance_state.ts
+++ b/src/requests/instance_state.ts
@@ -57,7 +57,8 @@
   }
 
   freeSlots(): number {
-    return Math.min(this.share - this.inFlight, this.connections.free);
+    // A granted slot counts before its request takes a connection.
+    return Math.min(this.share, this.connections.limit) - this.inFlight;
   }
 
   /** Whether an ejected instance may be tried with one request. */
--- a/src/requests/keyed_requests_test.ts
+++ b/src/requests/keyed_requests_test.ts
@@ -14,9 +14,10 @@
   startTestEntry,
   type TestEntry,
 } from "./test_entry.ts";
-import { createTestFleet } from "./test_fleet.ts";
+import { createTestFleet, type TestFleet } from "./test_fleet.ts";
 
 interface Context {
+  readonly fleet: TestFleet;
   readonly entries: readonly TestEntry[];
   readonly journal: readonly RawRequest[];
   readonly clock: ReturnType<typeof createFakeClock>;
@@ -32,7 +33,9 @@
     if (path.endsWith("lost")) socket.destroy();
     else setTimeout(() => socket.write(response), 30);
   });
+  const fleet = createTestFleet([backend.address]);
   const context = {
+    fleet,
     entries: [] as TestEntry[],
     journal: backend.requests,
     clock,
@@ -43,7 +46,7 @@
       await startTestEntry({
         id,
         clock,
-        fleet: createTestFleet([backend.address]),
+        fleet,
         isolated: () => context.isolated,
       }),
     );
@@ -131,6 +134,14 @@
       assert.is(refused.error, "isolated");
     }
     context.isolated = false;
+    const record = context.fleet.fleet.get()!;
+    context.fleet.fleet.set({ ...record, vms: {} });
+    for (const entry of entries) {
+      const refused = await book(entry, key);
+      assert.is(refused.outcome, "not_run");
+      assert.is(refused.error, "no_instance");
+    }
+    context.fleet.fleet.set(record);
     assert.is((await book(entries[1]!, key)).outcome, "answer");
     context.isolated = true;
     assert.is((await book(entries[2]!, key)).outcome, "answer", "it is stored");
--- a/src/requests/routing_test.ts
+++ b/src/requests/routing_test.ts
@@ -211,7 +211,7 @@
 
 test("connections stay within the entry's part of the limit", () =>
   withEntry({
-    fleetOptions: { service: { connectionsPerInstance: 8 } },
+    fleetOptions: { service: { connectionsPerInstance: 4 } },
     backends: [answerAfter(30)],
   }, async ({ entry, backends }) => {
     const peers = ["entry-2", "entry-3"].map((entryId) =>
@@ -222,7 +222,7 @@
     await Promise.all(
       Array.from({ length: 20 }, () => call(entry, "/quoting/1")),
     );
-    assert.is(backends[0]!.connections, 2);
+    assert.is(backends[0]!.connections, 1);
   }));
 
 test("a failing instance is ejected and probed again after the backoff", async () => {
