--- a/src/requests/decisions_test.ts
+++ b/src/requests/decisions_test.ts
@@ -107,6 +107,13 @@
   );
 });
 
+test("a service that is slow on most instances ejects none", () => {
+  const instances = ["a", "b", "c"].map((vmId, index) =>
+    healthy(vmId, { silentMs: index === 0 ? 0 : 5_000, samples: 0 })
+  );
+  assert.equal(decideEjections({ instances, minimumServingVms: 0 }), []);
+});
+
 test("ejections never go below the availability budget", () => {
   const instances = ["a", "b", "c", "d"].map((vmId) =>
     healthy(vmId, { consecutiveFailures: 5 })
--- a/src/requests/ejection.ts
+++ b/src/requests/ejection.ts
@@ -5,7 +5,7 @@
   /** Smoothed response time, in ms. */
   readonly latencyMs: number;
   readonly samples: number;
-  /** Time since the last response while requests are in flight, in ms; 0 otherwise. */
+  /** Time since the first request that no response has followed, in ms; 0 when there is none. */
   readonly silentMs: number;
   /** Time of the next probe of an ejected instance, in ms; undefined when it isn't ejected. */
   readonly ejectedUntilMs: number | undefined;
@@ -75,9 +75,17 @@
     0,
     serving.length - Math.max(1, input.minimumServingVms),
   );
-  return serving
-    .map((health) => ({ health, reason: reasonFor(health, medianMs) }))
-    .filter((item) => item.reason !== undefined)
+  const judged = serving.map((health) => ({
+    health,
+    reason: reasonFor(health, medianMs),
+  }));
+  // When most instances are silent, the service is slow and no instance is to blame.
+  const silent = judged.filter((item) => item.reason === "silent").length;
+  const ignoreSilence = silent * 2 > serving.length;
+  return judged
+    .filter(({ reason }) =>
+      reason !== undefined && !(reason === "silent" && ignoreSilence)
+    )
     .sort((a, b) =>
       b.health.consecutiveFailures - a.health.consecutiveFailures ||
       b.health.latencyMs - a.health.latencyMs
--- a/src/requests/instance_state.ts
+++ b/src/requests/instance_state.ts
@@ -11,11 +11,13 @@
 export type AttemptResult =
   | { readonly kind: "response"; readonly latencyMs: number }
   | { readonly kind: "failure" }
-  /** Ended by the request's own deadline, which says nothing about the instance. */
-  | { readonly kind: "undecided" };
+  /** Ended by the request's own deadline, which says little about the instance. */
+  | { readonly kind: "timeout" };
 
 /** Weight of the newest response in the smoothed response time. */
 const LATENCY_WEIGHT = 0.1;
+/** Responses after which an instance's earlier ejections don't count any more. */
+const SAMPLES_OF_RECOVERY = 20;
 /** Factor to the backoff after which a request that isn't idempotent may probe. */
 const UNSAFE_PROBE_FACTOR = 4;
 
@@ -38,7 +40,8 @@
   #consecutiveFailures = 0;
   #latencyMs = 0;
   #samples = 0;
-  #waitingSinceMs = 0;
+  /** When the first request was sent that no response has followed. */
+  #unansweredSinceMs: number | undefined;
   #ejection: EjectionState | undefined;
   #ejectionsInRow = 0;
   #probing = false;
@@ -72,23 +75,26 @@
     return this.#clock.monotonicMs() >= ejection.untilMs + extraMs;
   }
 
-  begin(): void {
-    if (this.inFlight++ === 0) this.#waitingSinceMs = this.#clock.monotonicMs();
-    if (this.ejected) this.#probing = true;
+  /** Counts a request in; returns whether it probes an ejected instance. */
+  begin(): boolean {
+    this.inFlight++;
+    this.#unansweredSinceMs ??= this.#clock.monotonicMs();
+    if (!this.ejected) return false;
+    this.#probing = true;
+    return true;
   }
 
-  end(result: AttemptResult): void {
+  /** Counts a request out. Only a probe changes the state of an ejected instance. */
+  end(result: AttemptResult, probe: boolean): void {
     this.inFlight--;
-    this.#waitingSinceMs = this.#clock.monotonicMs();
-    switch (result.kind) {
-      case "response":
-        return this.#onResponse(result.latencyMs);
-      case "failure":
-        this.#consecutiveFailures++;
-        if (this.#ejection !== undefined) this.eject(this.#ejection.reason);
-        return;
-      case "undecided":
-        this.#probing = false;
+    if (result.kind === "response") {
+      this.#onResponse(result.latencyMs);
+      if (probe) this.reinstate();
+      return;
+    }
+    if (result.kind === "failure") this.#consecutiveFailures++;
+    if (probe && this.#ejection !== undefined) {
+      this.eject(this.#ejection.reason);
     }
   }
 
@@ -107,7 +113,7 @@
     this.#probing = false;
     this.#consecutiveFailures = 0;
     this.#samples = 0;
-    this.#waitingSinceMs = this.#clock.monotonicMs();
+    this.#unansweredSinceMs = undefined;
   }
 
   health(): InstanceHealth {
@@ -116,9 +122,9 @@
       consecutiveFailures: this.#consecutiveFailures,
       latencyMs: this.#latencyMs,
       samples: this.#samples,
-      silentMs: this.inFlight === 0
+      silentMs: this.#unansweredSinceMs === undefined
         ? 0
-        : this.#clock.monotonicMs() - this.#waitingSinceMs,
+        : this.#clock.monotonicMs() - this.#unansweredSinceMs,
       ejectedUntilMs: this.#ejection?.untilMs,
     };
   }
@@ -137,12 +143,14 @@
 
   #onResponse(latencyMs: number): void {
     this.#consecutiveFailures = 0;
+    this.#unansweredSinceMs = this.inFlight > 0
+      ? this.#clock.monotonicMs()
+      : undefined;
     this.#latencyMs = this.#samples++ === 0
       ? latencyMs
       : this.#latencyMs + LATENCY_WEIGHT * (latencyMs - this.#latencyMs);
-    if (this.#ejection === undefined) {
-      // Responses of an ejected instance don't end the series of ejections.
-      if (this.#samples > 20) this.#ejectionsInRow = 0;
-    } else if (this.#probing) this.reinstate();
+    if (!this.ejected && this.#samples > SAMPLES_OF_RECOVERY) {
+      this.#ejectionsInRow = 0;
+    }
   }
 }
--- a/src/requests/response_test.ts
+++ b/src/requests/response_test.ts
@@ -1,3 +1,4 @@
+import { request as sendRequest } from "node:http";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { waitFor } from "../../testing/wait.ts";
@@ -146,6 +147,51 @@
     await waitFor("the slots are free", () => entry.path.inFlight() === 0);
   }));
 
+const BODILESS: Record<string, [string, string, number]> = {
+  "HEAD": ["HEAD", "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n", 200],
+  "204": ["DELETE", "HTTP/1.1 204 No Content\r\n\r\n", 204],
+  "304": ["GET", "HTTP/1.1 304 Not Modified\r\netag: x\r\n\r\n", 304],
+  "an early hint": [
+    "GET",
+    "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+    200,
+  ],
+};
+
+for (const [name, [method, bytes, status]] of Object.entries(BODILESS)) {
+  test(`a response without a body is complete: ${name}`, () =>
+    withBackend((socket) => socket.write(bytes), async (entry) => {
+      for (let repeat = 0; repeat < 3; repeat++) {
+        const response = await call(entry, "/quoting/1", { method });
+        assert.is(response.outcome, "answer");
+        assert.is(response.status, status);
+        assert.is(response.text, "");
+      }
+    }));
+}
+
+test("a long request body arrives unchanged, also after 100 Continue", () =>
+  withBackend((socket, { body }) => {
+    socket.write(rawResponse(String(body === LONG)));
+  }, async (entry) => {
+    for (const headers of [{}, { expect: "100-continue" }]) {
+      const response = await new Promise<string>((resolve, reject) => {
+        const [host, port] = entry.address.split(":");
+        const request = sendRequest({
+          host,
+          port,
+          method: "PATCH",
+          path: "/quoting/1",
+          headers: { ...headers, "transfer-encoding": "chunked" },
+        }, (reply) => {
+          reply.on("data", (chunk) => resolve(String(chunk)));
+        }).on("error", reject);
+        request.end(LONG);
+      });
+      assert.is(response, "true");
+    }
+  }));
+
 test("hop-by-hop headers are dropped, repeated headers are kept", () =>
   withBackend((socket) => {
     socket.write(rawResponse(
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -42,6 +42,8 @@
   /** Service that comes first when the slot is free again. */
   readonly ownService: string;
   readonly overflow: boolean;
+  /** Whether the request probes an ejected instance. */
+  readonly probe: boolean;
 }
 
 /** What a slot is wanted for. */
@@ -217,18 +219,18 @@
       const count = this.#overflowInFlight.get(name) ?? 0;
       this.#overflowInFlight.set(name, count + 1);
     }
-    state.begin();
-    return { state, pool: name, service, ownService, overflow };
+    const probe = state.begin();
+    return { state, pool: name, service, ownService, overflow, probe };
   }
 
   /** Gives a slot back. */
   release(grant: SlotGrant, result: AttemptResult): void {
-    const { state, pool, overflow } = grant;
+    const { state, pool, overflow, probe } = grant;
     if (overflow) {
       const count = this.#overflowInFlight.get(pool) ?? 1;
       this.#overflowInFlight.set(pool, count - 1);
     }
-    state.end(result);
+    state.end(result, probe);
     if (result.kind === "failure") this.reviewEjections();
     if (!state.active && state.inFlight === 0) {
       state.connections.close();
--- a/src/requests/routing_test.ts
+++ b/src/requests/routing_test.ts
@@ -244,6 +244,37 @@
   });
 });
 
+test("a frozen instance is ejected and one probe at a time is sent to it", async () => {
+  const clock = createFakeClock();
+  await withEntry({
+    clock,
+    backends: [() => {}, answer, answer],
+  }, async ({ entry, backends }) => {
+    const headers = { "cowslipferry-deadline-ms": "100" };
+    const send = () =>
+      Promise.all(
+        Array.from(
+          { length: 12 },
+          () => call(entry, "/quoting/1", { ...ORDER, headers }),
+        ),
+      );
+    await send();
+    const sent = backends[0]!.requests.length;
+    assert.ok(sent >= 1);
+    clock.advance(1_500);
+    await waitFor(
+      "it is ejected",
+      () =>
+        JSON.stringify(entry.path.dump()).includes('"ejectionReason":"silent"'),
+    );
+    await send();
+    assert.is(backends[0]!.requests.length, sent);
+    clock.advance(10_000);
+    await send();
+    assert.is(backends[0]!.requests.length, sent + 1);
+  });
+});
+
 const ANNOUNCEMENTS: Record<
   string,
   (context: Parameters<Parameters<typeof withEntry>[1]>[0]) => void
--- a/src/requests/run_request.ts
+++ b/src/requests/run_request.ts
@@ -34,8 +34,6 @@
   ) => void;
 }
 
-/** Time before which a missed deadline says nothing about an instance, in ms. */
-const TIMEOUT_FAILURE_FLOOR_MS = 250;
 /** Time after which a retry is useful when no instance could be reached, in ms. */
 const UNREACHABLE_RETRY_MS = 500;
 
@@ -173,7 +171,5 @@
   latencyMs: number,
 ): AttemptResult {
   if (result.kind !== "failed") return { kind: "response", latencyMs };
-  const ownDeadline = result.reason === "timeout" &&
-    latencyMs < TIMEOUT_FAILURE_FLOOR_MS;
-  return ownDeadline ? { kind: "undecided" } : { kind: "failure" };
+  return { kind: result.reason === "timeout" ? "timeout" : "failure" };
 }
