feat(bench): requests experiment with open-loop load and surge profile

Load runs in processes of its own, with seeded exponential arrivals; latency counts from the scheduled arrival, so that a busy sender hides no wait. Added latency alternates direct runs and runs through the entry; the surge profile runs with and without overflow. JSON figures and an HTML report in bench/out/. The deployment now waits for an entry's port by connecting, as the log line that it waited for is absent at log level warn.

--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,66 @@
+import process from "node:process";
+import { Command, Option } from "commander";
+import { chooseSeed } from "../testing/random.ts";
+import { runRequestsBench } from "./requests/main.ts";
+
+const REGIONS: Record<string, readonly string[]> = {
+  khomas: ["khomas-1", "khomas-2", "khomas-3"],
+  "punjab-east": [
+    "punjab-east-1",
+    "punjab-east-2",
+    "punjab-east-3",
+    "punjab-east-4",
+  ],
+};
+const PARTS = ["latency", "throughput", "surge"];
+
+interface RequestsOptions {
+  readonly region: string;
+  readonly part: readonly string[] | undefined;
+  readonly runs: string;
+  readonly entries: string;
+  readonly meanShare: string;
+  readonly binary: string;
+  readonly name: string;
+}
+
+const program = new Command("bench").description(
+  "Load and experiment tool; SEED=<number> repeats a run",
+);
+
+program.command("requests")
+  .description("added latency, requests per second, surge profile")
+  .addOption(
+    new Option("--region <name>", "example configuration")
+      .choices(Object.keys(REGIONS)).default("khomas"),
+  )
+  .addOption(
+    new Option("--part <name...>", "parts to run; all by default")
+      .choices(PARTS),
+  )
+  .option("--runs <count>", "runs of each measurement", "3")
+  .option("--entries <count>", "entries of the surge profile", "3")
+  .option(
+    "--mean-share <share>",
+    "mean load of a service as a share of its own pool's slots",
+    "0.5",
+  )
+  .option("--binary <file>", "binary of the entries", "dist/cowslipferry")
+  .option("--name <name>", "name of the report", "requests")
+  .action(async (options: RequestsOptions) => {
+    await runRequestsBench({
+      seed: chooseSeed(),
+      runs: Number(options.runs),
+      binary: options.binary,
+      configFile: `examples/${options.region}.json`,
+      dataCentres: REGIONS[options.region] ?? [],
+      entries: Number(options.entries),
+      meanShare: Number(options.meanShare),
+      parts: options.part ?? PARTS,
+      name: options.name,
+      command: `npm run bench -- ${process.argv.slice(2).join(" ")}`,
+    });
+  });
+
+await program.parseAsync();
+process.exit();
--- /dev/null
+++ b/bench/requests/added_latency.ts
@@ -0,0 +1,67 @@
+import type { Deployment } from "../../testing/deployment.ts";
+import type { LatencySummary } from "../../testing/latency.ts";
+import type { LoadResult } from "../load_spec.ts";
+import { runLoads } from "../run_load.ts";
+
+/** One direct run and the run through the entry after it. */
+export interface LatencyPair {
+  readonly direct: LatencySummary;
+  readonly through: LatencySummary;
+  readonly addedP50Ms: number;
+  readonly addedP99Ms: number;
+  readonly notAnswered: number;
+}
+
+const WARM_UP_MS = 2_000;
+const DEADLINE_MS = 2_000;
+
+/** Measures the latency that an entry adds, in alternating runs. */
+export async function measureAddedLatency(
+  deployment: Deployment,
+  options: {
+    service: string;
+    ratePerSecond: number;
+    runs: number;
+    runMs: number;
+    seed: number;
+  },
+): Promise<LatencyPair[]> {
+  const { service, ratePerSecond, runs, runMs, seed } = options;
+  const backends = [...deployment.workers.values()]
+    .filter((worker) => worker.id.startsWith(`${service}-`))
+    .map((worker) => worker.address);
+  const entry = deployment.entries[0]?.callerAddress ?? "";
+
+  async function run(
+    addresses: readonly string[],
+    direct: boolean,
+    segmentMs: number,
+  ): Promise<LoadResult> {
+    const [result] = await runLoads([{
+      service,
+      addresses,
+      direct,
+      load: { kind: "open", ratesPerSecond: [ratePerSecond] },
+      segmentMs,
+      deadlineMs: DEADLINE_MS,
+      seed,
+    }]);
+    return result!;
+  }
+
+  await run([entry], false, WARM_UP_MS);
+  const pairs: LatencyPair[] = [];
+  for (let index = 0; index < runs; index++) {
+    const direct = await run(backends, true, runMs);
+    const through = await run([entry], false, runMs);
+    const { sent, answered } = through.segments[0]!;
+    pairs.push({
+      direct: direct.latency,
+      through: through.latency,
+      addedP50Ms: through.latency.p50Ms - direct.latency.p50Ms,
+      addedP99Ms: through.latency.p99Ms - direct.latency.p99Ms,
+      notAnswered: sent - answered,
+    });
+  }
+  return pairs;
+}
--- /dev/null
+++ b/bench/requests/main.ts
@@ -0,0 +1,236 @@
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { type ReportTable, writeReport } from "../report.ts";
+import { type LatencyPair, measureAddedLatency } from "./added_latency.ts";
+import { type BenchDeploymentOptions, withDeployment } from "./deployment.ts";
+import { runSurge, type SurgeResult } from "./surge.ts";
+import { measureThroughput, type ThroughputRun } from "./throughput.ts";
+
+/** Options of the `requests` experiment. */
+export interface RequestsBenchOptions {
+  readonly seed: number;
+  readonly runs: number;
+  /** Binary of the entries; another version's binary gives the figures of that version. */
+  readonly binary: string;
+  readonly configFile: string;
+  readonly dataCentres: readonly string[];
+  readonly entries: number;
+  /** Mean load of a service in the surge profile, as a share of its own pool. */
+  readonly meanShare: number;
+  readonly parts: readonly string[];
+  /** Name of the report's files. */
+  readonly name: string;
+  readonly command: string;
+}
+
+/** Half of the goal of 4,000 requests per second from one entry. */
+const HALF_LOAD_PER_SECOND = 2_000;
+const FULL_LOAD_PER_SECOND = 4_000;
+const LATENCY_RUN_MS = 6_000;
+const THROUGHPUT_RUN_MS = 5_000;
+const THROUGHPUT_CONNECTIONS = 48;
+const SHORT_SERVICE_TIME_MS = 2;
+const SURGE_SERVICE_TIME_MS = 100;
+const SURGE_SEGMENT_MS = 5_000;
+
+interface Spread {
+  readonly minimum: number;
+  readonly median: number;
+  readonly maximum: number;
+}
+
+function spreadOf(values: readonly number[]): Spread {
+  const sorted = values.toSorted((a, b) => a - b);
+  return {
+    minimum: sorted[0] ?? NaN,
+    median: sorted[Math.floor(sorted.length / 2)] ?? NaN,
+    maximum: sorted.at(-1) ?? NaN,
+  };
+}
+
+function spreadRow(name: string, values: readonly number[]) {
+  const { minimum, median, maximum } = spreadOf(values);
+  return [name, minimum, median, maximum];
+}
+
+function latencyTable(ratePerSecond: number, pairs: readonly LatencyPair[]) {
+  return {
+    title:
+      `added latency at ${ratePerSecond} requests/s through one entry, ms, ${pairs.length} alternating runs`,
+    rows: [
+      ["", "min", "median", "max"],
+      spreadRow("direct p50", pairs.map((pair) => pair.direct.p50Ms)),
+      spreadRow("direct p99", pairs.map((pair) => pair.direct.p99Ms)),
+      spreadRow("through p50", pairs.map((pair) => pair.through.p50Ms)),
+      spreadRow("through p99", pairs.map((pair) => pair.through.p99Ms)),
+      spreadRow("added p50", pairs.map((pair) => pair.addedP50Ms)),
+      spreadRow("added p99", pairs.map((pair) => pair.addedP99Ms)),
+      spreadRow("not answered", pairs.map((pair) => pair.notAnswered)),
+    ],
+  };
+}
+
+function throughputTable(runs: readonly ThroughputRun[]): ReportTable {
+  const row = (name: string, key: keyof ThroughputRun) =>
+    spreadRow(name, runs.map((run) => run[key]));
+  return {
+    title: `one entry, ${THROUGHPUT_CONNECTIONS} closed-loop callers`,
+    rows: [
+      ["", "min", "median", "max"],
+      row("requests per second", "requestsPerSecond"),
+      row("not answered", "notAnswered"),
+      row("p50 ms", "p50Ms"),
+      row("p99 ms", "p99Ms"),
+      row("entry, share of a core", "entryCores"),
+      row("requests per second of core time", "requestsPerCoreSecond"),
+      row("entry memory, MB", "entryMemoryMb"),
+      row("load process busy, highest share", "loadBusyShare"),
+    ],
+  };
+}
+
+function surgeTables(results: Readonly<Record<string, SurgeResult>>) {
+  const names = Object.keys(results);
+  const row = (title: string, value: (result: SurgeResult) => number) => [
+    title,
+    ...names.map((name) => value(results[name]!)),
+  ];
+  const reasons = Object.entries(results).flatMap(([name, { loads }]) =>
+    loads.flatMap((load) =>
+      Object.entries(load.reasons).map(([reason, count]) => [
+        `${name}, ${load.service}`,
+        reason,
+        count,
+      ])
+    )
+  );
+  return [
+    {
+      title: "surge profile",
+      rows: [
+        ["", ...names],
+        row("sent", ({ total }) => total.sent),
+        row("answered in time", ({ total }) => total.answered),
+        row("refused", ({ total }) => total.refused),
+        row("late", ({ total }) => total.late),
+        row("lost", ({ total }) => total.lost),
+        row("mismatched", ({ total }) => total.mismatched),
+        row(
+          "carriable by declared slots",
+          ({ carriable }) => Math.round(carriable),
+        ),
+        row(
+          "answered, % of carriable",
+          ({ answeredShareOfCarriable }) => answeredShareOfCarriable * 100,
+        ),
+        row(
+          "p99 of answers, ms",
+          ({ loads }) => Math.max(...loads.map((load) => load.latency.p99Ms)),
+        ),
+        row(
+          "p99 of refusals, ms",
+          ({ loads }) =>
+            Math.max(...loads.map((load) => load.refusalLatency.p99Ms)),
+        ),
+      ],
+    },
+    { title: "not answered", rows: [["", "reason", "count"], ...reasons] },
+  ];
+}
+
+/** Measures added latency, throughput of one entry and the surge profile. */
+export async function runRequestsBench(
+  options: RequestsBenchOptions,
+): Promise<void> {
+  const { seed, runs, configFile, dataCentres, binary, parts } = options;
+  const folder = await mkdtemp(join(tmpdir(), "cowslipferry-bench-"));
+  const common = { configFile, dataCentres, binary, seed, folder };
+  const single: BenchDeploymentOptions = {
+    ...common,
+    entryCount: 1,
+    serviceTimeMs: SHORT_SERVICE_TIME_MS,
+    distribution: "constant",
+    overflow: true,
+  };
+  const tables: ReportTable[] = [];
+  const figures: Record<string, unknown> = { seed, configFile, binary };
+  const surges: Record<string, SurgeResult> = {};
+  try {
+    if (parts.includes("latency")) {
+      for (
+        const ratePerSecond of [HALF_LOAD_PER_SECOND, FULL_LOAD_PER_SECOND]
+      ) {
+        console.log(`measuring added latency at ${ratePerSecond} requests/s`);
+        const pairs = await withDeployment(
+          single,
+          (deployment, config) =>
+            measureAddedLatency(deployment, {
+              service: config.pools[3]?.services[0] ?? "",
+              ratePerSecond,
+              runs,
+              runMs: LATENCY_RUN_MS,
+              seed,
+            }),
+        );
+        figures[`addedLatency${ratePerSecond}`] = pairs;
+        tables.push(latencyTable(ratePerSecond, pairs));
+      }
+    }
+    if (parts.includes("throughput")) {
+      console.log("measuring requests per second of one entry");
+      const measured = await withDeployment(
+        single,
+        (deployment, config) =>
+          measureThroughput(deployment, {
+            service: config.pools[3]?.services[0] ?? "",
+            connections: THROUGHPUT_CONNECTIONS,
+            runs,
+            runMs: THROUGHPUT_RUN_MS,
+            seed,
+          }),
+      );
+      figures.throughput = measured;
+      tables.push(throughputTable(measured));
+    }
+    if (parts.includes("surge")) {
+      for (const overflow of [true, false]) {
+        const name = overflow ? "with overflow" : "without overflow";
+        console.log(`running the surge profile ${name}`);
+        surges[name] = await withDeployment({
+          ...common,
+          entryCount: options.entries,
+          serviceTimeMs: SURGE_SERVICE_TIME_MS,
+          distribution: "exponential",
+          overflow,
+        }, (deployment, config) =>
+          runSurge(deployment, {
+            config,
+            serviceTimeMs: SURGE_SERVICE_TIME_MS,
+            meanShare: options.meanShare,
+            segmentMs: SURGE_SEGMENT_MS,
+            seed,
+          }));
+      }
+      figures.surge = surges;
+      tables.push(...surgeTables(surges));
+    }
+  } finally {
+    await rm(folder, { recursive: true, force: true });
+  }
+  await writeReport({
+    name: options.name,
+    command: options.command,
+    figures,
+    tables,
+    charts: Object.entries(surges).map(([name, { loads }]) => ({
+      title: `answered per segment, ${name}`,
+      series: Object.fromEntries(
+        loads.map((load) => [
+          load.service,
+          load.segments.map((segment) => segment.answered),
+        ]),
+      ),
+    })),
+  });
+}
--- /dev/null
+++ b/bench/requests/surge.ts
@@ -0,0 +1,106 @@
+import type { ResolvedConfig } from "../../src/config/schema.ts";
+import type { Deployment } from "../../testing/deployment.ts";
+import {
+  type LoadResult,
+  type LoadSpec,
+  type SegmentCounts,
+  sumSegments,
+} from "../load_spec.ts";
+import { runLoads } from "../run_load.ts";
+
+/** Factor of a service's mean during its surge. */
+const SURGE_FACTOR = 5;
+/** Factor of a service's mean while another service surges. */
+const LULL_FACTOR = 1 / 20;
+const DEADLINE_MS = 2_000;
+
+/** Result of the surge profile. */
+export interface SurgeResult {
+  readonly total: SegmentCounts;
+  /** Highest load of a service during its surge, as a share of its own pool's slots. */
+  readonly surgeShareOfOwnPool: number;
+  /** Requests that the declared slots could carry, from the offered load and the lenders' limits. */
+  readonly carriable: number;
+  readonly answeredShareOfCarriable: number;
+  readonly loads: readonly LoadResult[];
+}
+
+interface ServiceCapacity {
+  readonly service: string;
+  /** Slots of the service's own pool. */
+  readonly ownSlots: number;
+  /** Own slots and those that other pools may lend without going below the availability they owe. */
+  readonly usableSlots: number;
+}
+
+/** Returns the slots that each service may use while the others are nearly idle. */
+export function serviceCapacities(config: ResolvedConfig): ServiceCapacity[] {
+  const slotsOf = new Map(
+    config.services.map((service) => [service.name, service.slotsPerInstance]),
+  );
+  return config.services.map(({ name }) => {
+    let ownSlots = 0;
+    let lentSlots = 0;
+    for (const pool of config.pools) {
+      const slots = slotsOf.get(pool.services[0] ?? "") ?? 0;
+      const owed = pool.availability.minimumServingVms;
+      if (pool.services[0] === name) ownSlots += pool.vms * slots;
+      else if (pool.services.includes(name) && pool.lending.overflow) {
+        lentSlots += Math.max(0, pool.vms - owed) * slots;
+      }
+    }
+    return { service: name, ownSlots, usableSlots: ownSlots + lentSlots };
+  });
+}
+
+/** Runs the surge profile: each service in turn at 5 times its mean, the others at a twentieth. */
+export async function runSurge(
+  deployment: Deployment,
+  options: {
+    config: ResolvedConfig;
+    serviceTimeMs: number;
+    /** Mean load of a service as a share of its own pool's slots. */
+    meanShare: number;
+    segmentMs: number;
+    seed: number;
+  },
+): Promise<SurgeResult> {
+  const { config, serviceTimeMs, meanShare, segmentMs, seed } = options;
+  const capacities = serviceCapacities(config);
+  const addresses = deployment.entries.map((entry) => entry.callerAddress);
+  const ratePerSlot = 1_000 / serviceTimeMs;
+  let carriable = 0;
+  const specs = capacities.map((capacity, index): LoadSpec => {
+    const meanRate = capacity.ownSlots * meanShare * ratePerSlot;
+    const surgeRate = meanRate * SURGE_FACTOR;
+    const lullRate = meanRate * LULL_FACTOR;
+    carriable += segmentMs / 1_000 *
+      (Math.min(surgeRate, capacity.usableSlots * ratePerSlot) +
+        (capacities.length - 1) * lullRate);
+    return {
+      service: capacity.service,
+      addresses,
+      direct: false,
+      load: {
+        kind: "open",
+        ratesPerSecond: capacities.map((_, segment) =>
+          segment === index ? surgeRate : lullRate
+        ),
+      },
+      segmentMs,
+      deadlineMs: DEADLINE_MS,
+      seed,
+    };
+  });
+  const loads = await runLoads(specs);
+  const total = sumSegments(loads.flatMap((load) => load.segments));
+  // Arrivals are random, so the offered load differs from its mean.
+  const carriableOfSent = Math.min(total.sent, carriable);
+  return {
+    total,
+    surgeShareOfOwnPool: meanShare * SURGE_FACTOR,
+    carriable: carriableOfSent,
+    answeredShareOfCarriable: total.answered / carriableOfSent,
+    loads,
+  };
+}
--- /dev/null
+++ b/bench/requests/throughput.ts
@@ -0,0 +1,67 @@
+import type { Deployment } from "../../testing/deployment.ts";
+import { sumSegments } from "../load_spec.ts";
+import { runLoads } from "../run_load.ts";
+import { cpuTimeMs, residentMb } from "./deployment.ts";
+
+/** Requests that one entry process carried. */
+export interface ThroughputRun {
+  readonly requestsPerSecond: number;
+  readonly notAnswered: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  /** Processor time of the entry, as a share of one core. */
+  readonly entryCores: number;
+  /** Requests for each second of processor time. */
+  readonly requestsPerCoreSecond: number;
+  readonly entryMemoryMb: number;
+  /** Highest share of time in which a load process was busy. */
+  readonly loadBusyShare: number;
+}
+
+const LOAD_PROCESSES = 3;
+
+/** Measures requests per second of one entry with closed-loop callers. */
+export async function measureThroughput(
+  deployment: Deployment,
+  options: {
+    service: string;
+    connections: number;
+    runs: number;
+    runMs: number;
+    seed: number;
+  },
+): Promise<ThroughputRun[]> {
+  const entry = deployment.entries[0]!;
+  const pid = entry.process.pid!;
+  const runs: ThroughputRun[] = [];
+  for (let index = 0; index < options.runs; index++) {
+    const cpuBeforeMs = cpuTimeMs(pid);
+    const results = await runLoads(
+      Array.from({ length: LOAD_PROCESSES }, (_, part) => ({
+        service: options.service,
+        addresses: [entry.callerAddress],
+        direct: false,
+        load: {
+          kind: "closed",
+          connections: Math.ceil(options.connections / LOAD_PROCESSES),
+        },
+        segmentMs: options.runMs,
+        deadlineMs: 2_000,
+        seed: options.seed + part,
+      } as const)),
+    );
+    const cpuMs = cpuTimeMs(pid) - cpuBeforeMs;
+    const total = sumSegments(results.flatMap((result) => result.segments));
+    runs.push({
+      requestsPerSecond: total.answered / options.runMs * 1_000,
+      notAnswered: total.sent - total.answered,
+      p50Ms: Math.max(...results.map((result) => result.latency.p50Ms)),
+      p99Ms: Math.max(...results.map((result) => result.latency.p99Ms)),
+      entryCores: cpuMs / options.runMs,
+      requestsPerCoreSecond: total.answered / cpuMs * 1_000,
+      entryMemoryMb: residentMb(pid),
+      loadBusyShare: Math.max(...results.map((result) => result.busyShare)),
+    });
+  }
+  return runs;
+}
--- a/testing/deployment.ts
+++ b/testing/deployment.ts
@@ -10,7 +10,7 @@
 import type { UserSettings } from "../src/settings/schema.ts";
 import type { BackendServer } from "./backend_server.ts";
 import { endChild, type RunningChild, startChild } from "./child_process.ts";
-import { findFreePort } from "./ports.ts";
+import { acceptsConnections, findFreePort } from "./ports.ts";
 import { startStoreServer, type StoreServer } from "./store_server.ts";
 import { startVmListServer, type VmListServer } from "./vm_list_server.ts";
 import { waitFor } from "./wait.ts";
@@ -116,15 +116,16 @@
   });
 }
 
+/** Resolves with whether the entry listens; false when its process ended first. */
 async function waitUntilListening(
-  id: string,
+  entry: EntryProcess,
   running: RunningChild,
 ): Promise<boolean> {
   let ended = false;
   void running.exited.then(() => ended = true);
   await waitFor(
-    `${id} listens`,
-    () => ended || running.output().includes("front: listening on"),
+    `${entry.id} listens`,
+    async () => ended || await acceptsConnections(entry.callerAddress),
     { timeoutMs: START_TIMEOUT_MS },
   );
   return !ended;
@@ -196,7 +197,7 @@
       };
       entries.push(entry);
       await listEntry(entry, dataCentre);
-      if (await waitUntilListening(id, running)) return entry;
+      if (await waitUntilListening(entry, running)) return entry;
       entries.splice(entries.indexOf(entry), 1);
       if (attempt === START_ATTEMPTS) {
         throw new Error(`${id} ended at its start: ${running.output()}`);
--- a/testing/open_loop.ts
+++ b/testing/open_loop.ts
@@ -12,7 +12,8 @@
   readonly send: (index: number, scheduledAtMs: number) => Promise<void>;
 }
 
-const SLEEP_MS = 1;
+/** Gaps longer than this are slept through; shorter ones are polled, as timers have a resolution of 1 ms. */
+const LONGEST_POLLED_GAP_MS = 2;
 
 /** Sends requests with exponentially distributed gaps; resolves with their number once all have ended. */
 export async function runOpenLoop(options: OpenLoopOptions): Promise<number> {
@@ -29,7 +30,9 @@
       pending.add(sent);
       nextMs += random.exponential(1_000 / Math.max(0.001, rateAt(nextMs)));
     }
-    await delay(SLEEP_MS);
+    const gapMs = nextMs - (performance.now() - startedAtMs);
+    if (gapMs > LONGEST_POLLED_GAP_MS) await delay(gapMs - 1);
+    else await new Promise((resolve) => setImmediate(resolve));
   }
   await Promise.all(pending);
   return index;
--- /dev/null
+++ b/testing/serving.ts
@@ -0,0 +1,20 @@
+import { callEntry } from "./caller.ts";
+import type { EntryProcess } from "./deployment.ts";
+import { waitFor } from "./wait.ts";
+
+/** Waits until each entry answers for each service. */
+export async function waitUntilServing(
+  entries: readonly EntryProcess[],
+  services: readonly string[],
+): Promise<void> {
+  for (const entry of entries) {
+    for (const service of services) {
+      const url = `http://${entry.callerAddress}/${service}/ready`;
+      await waitFor(
+        `${entry.id} answers for ${service}`,
+        async () => (await callEntry(url)).kind === "answer",
+        { timeoutMs: 30_000 },
+      );
+    }
+  }
+}
