--- a/src/config/apply.ts
+++ b/src/config/apply.ts
@@ -1,36 +1,302 @@
 import { createHash, randomUUID } from "node:crypto";
+import { setTimeout as delay } from "node:timers/promises";
 import { CONFIG_KEY } from "../constants.ts";
-import type { Store } from "../platform/store.ts";
+import { StoreError, TaggedError, ValidationError } from "../errors.ts";
+import type { Store, SwapRequest } from "../platform/store.ts";
+import { type ConfigChange, diffConfigs } from "./diff.ts";
 import { parseAppliedConfig } from "./follower.ts";
-import type { AppliedConfig, ResolvedConfig } from "./schema.ts";
+import { parseJson } from "../validation.ts";
+import {
+  type AppliedConfig,
+  appliedConfigSchema,
+  type ResolvedConfig,
+} from "./schema.ts";
+
+/** Why a configuration was not applied. */
+export type ConflictReason = "concurrent_apply" | "unexpected_revision";
 
 /** Result of applying a configuration. */
 export type ApplyResult =
   | { readonly kind: "accepted"; readonly applied: AppliedConfig }
-  | { readonly kind: "conflict"; readonly current: AppliedConfig | undefined };
+  /** The configuration equals the one in force; nothing was written. */
+  | { readonly kind: "unchanged"; readonly applied: AppliedConfig }
+  /** The write took effect, and a later apply has replaced it since. */
+  | {
+    readonly kind: "superseded";
+    readonly applied: AppliedConfig;
+    readonly currentRevision: number;
+  }
+  /** Nothing was written; `changes` lead from the current configuration to the one that was to be applied. */
+  | {
+    readonly kind: "conflict";
+    readonly reason: ConflictReason;
+    /** Revision that the apply was based on. */
+    readonly baseRevision: number;
+    /** Revision in force; 0 when there is none. */
+    readonly currentRevision: number;
+    readonly changes: readonly ConfigChange[];
+  }
+  /** The store's answer was lost and reading again could not tell whether the write took effect. */
+  | {
+    readonly kind: "undetermined";
+    readonly applyId: string;
+    readonly revision: number;
+    readonly reason: string;
+  };
 
-/** Writes a configuration as the next revision; rejects with a `StoreError`. */
-export async function applyConfig(
-  store: Store,
-  config: ResolvedConfig,
-): Promise<ApplyResult> {
+/** Options of an apply. */
+export interface ApplyOptions {
+  /** Revision that must be in force; 0 when none may be. */
+  readonly expectedRevision?: number;
+  /** Delays before each attempt to find out whether a write with a lost answer took effect, in ms. */
+  readonly resolveDelaysMs?: readonly number[];
+}
+
+/** Number of earlier applies that the store's value lists. */
+const MAXIMUM_PREVIOUS_APPLIES = 32;
+const RESOLVE_DELAYS_MS = [100, 250, 500, 1_000, 2_000, 3_000, 3_000];
+
+/** The stored configuration has a form that this version of the program doesn't know. */
+export class UnreadableConfigError extends TaggedError<"unreadable_config"> {
+  readonly kind = "unreadable_config";
+
+  constructor(readonly revision: number, reason: string) {
+    super(
+      `Stored configuration revision ${revision} is unreadable (${reason}); ` +
+        `apply with --expect-revision ${revision} to replace it`,
+    );
+  }
+}
+
+const headSchema = appliedConfigSchema.pick({
+  revision: true,
+  applyId: true,
+  previousApplies: true,
+});
+type Head = Pick<AppliedConfig, "revision" | "applyId" | "previousApplies">;
+
+interface StoredConfig {
+  readonly version: number;
+  /** What is read from the value even if its configuration is unreadable. */
+  readonly head: Head | undefined;
+  readonly config: ResolvedConfig | undefined;
+  readonly text: string;
+  readonly unreadableReason?: string;
+}
+
+function parseStored(version: number, text: string): StoredConfig {
+  try {
+    const applied = parseAppliedConfig(text);
+    return { version, head: applied, config: applied.config, text };
+  } catch (error) {
+    const head = error instanceof ValidationError
+      ? headSchema.safeParse(parseJson(text, CONFIG_KEY)).data
+      : undefined;
+    if (head === undefined) throw error;
+    const unreadableReason = (error as ValidationError).message;
+    return { version, head, config: undefined, text, unreadableReason };
+  }
+}
+
+async function readConfig(store: Store): Promise<StoredConfig> {
   const entry = await store.get(CONFIG_KEY);
-  const current = entry === undefined
-    ? undefined
-    : parseAppliedConfig(entry.value);
-  const applied: AppliedConfig = {
-    revision: (current?.revision ?? 0) + 1,
+  return entry === undefined
+    ? { version: 0, head: undefined, config: undefined, text: "" }
+    : parseStored(entry.version, entry.value);
+}
+
+function createApplied(
+  config: ResolvedConfig,
+  previous: Head | undefined,
+): AppliedConfig {
+  return {
+    revision: (previous?.revision ?? 0) + 1,
     applyId: randomUUID(),
     appliedAtMs: Date.now(),
     digest: createHash("sha256").update(JSON.stringify(config)).digest("hex"),
     config,
+    previousApplies: previous === undefined ? [] : [
+      { revision: previous.revision, applyId: previous.applyId },
+      ...(previous.previousApplies ?? []),
+    ].slice(0, MAXIMUM_PREVIOUS_APPLIES),
   };
+}
+
+function createConflict(
+  reason: ConflictReason,
+  options: {
+    baseRevision: number;
+    stored: StoredConfig;
+    config: ResolvedConfig;
+  },
+): ApplyResult {
+  const { baseRevision, stored, config } = options;
+  return {
+    kind: "conflict",
+    reason,
+    baseRevision,
+    currentRevision: stored.head?.revision ?? 0,
+    changes: diffConfigs(stored.config, config),
+  };
+}
+
+interface SentWrite {
+  readonly request: SwapRequest;
+  readonly applied: AppliedConfig;
+}
+
+/** Judges from a value read later whether a write took effect; undefined while the value may be the one before it. */
+function judgeWrite(
+  { request, applied }: SentWrite,
+  stored: StoredConfig,
+): ApplyResult | undefined {
+  const { revision, applyId, config } = applied;
+  const current = stored.head;
+  if (stored.version <= request.expectedVersion || current === undefined) {
+    return undefined;
+  }
+  if (current.applyId === applyId) return { kind: "accepted", applied };
+  const previous = (current.previousApplies ?? [])
+    .find((item) => item.revision === revision);
+  if (previous?.applyId === applyId) {
+    return {
+      kind: "superseded",
+      applied,
+      currentRevision: current.revision,
+    };
+  }
+  // The expected version has passed, so the write can't take effect later either.
+  if (current.revision <= revision || previous !== undefined) {
+    return createConflict("concurrent_apply", {
+      baseRevision: revision - 1,
+      stored,
+      config,
+    });
+  }
+  return {
+    kind: "undetermined",
+    applyId,
+    revision,
+    reason: `revision ${current.revision} is in force and no longer lists ` +
+      `the apply that wrote revision ${revision}`,
+  };
+}
+
+function isOutage(error: unknown): boolean {
+  return error instanceof StoreError && error.failure !== "rejected";
+}
+
+/**
+ * Finds out whether a write with a lost answer took effect. Repeating the write is safe: it has the
+ * same expected version, so that at most one of the two takes effect.
+ */
+async function resolveLostAnswer(
+  store: Store,
+  write: SentWrite,
+  delaysMs: readonly number[],
+): Promise<ApplyResult> {
+  const { request, applied } = write;
+  let reason = "the store's answer was lost";
+  for (const delayMs of delaysMs) {
+    await delay(delayMs);
+    try {
+      const judged = judgeWrite(write, await readConfig(store));
+      if (judged !== undefined) return judged;
+      const repeated = await store.compareAndSwap(request);
+      if (repeated.kind === "swapped") return { kind: "accepted", applied };
+      reason = "the store shows a value older than its version";
+    } catch (error) {
+      if (!isOutage(error)) throw error;
+      reason = `the store's answer was lost, then: ${
+        (error as StoreError).message
+      }`;
+    }
+  }
+  const { applyId, revision } = applied;
+  return { kind: "undetermined", applyId, revision, reason };
+}
+
+/** Writes the value that was read once more, as the read may have shown an older value; returns whether it was the latest. */
+async function confirmLatest(
+  store: Store,
+  stored: StoredConfig,
+): Promise<boolean> {
   const result = await store.compareAndSwap({
     key: CONFIG_KEY,
-    expectedVersion: entry?.version ?? 0,
-    value: JSON.stringify(applied),
+    expectedVersion: stored.version,
+    value: stored.text,
+  });
+  return result.kind === "swapped";
+}
+
+async function writeOnce(
+  store: Store,
+  write: SentWrite,
+  resolveDelaysMs: readonly number[],
+): Promise<ApplyResult | undefined> {
+  try {
+    const result = await store.compareAndSwap(write.request);
+    return result.kind === "swapped"
+      ? { kind: "accepted", applied: write.applied }
+      : undefined;
+  } catch (error) {
+    if (!(error instanceof StoreError) || error.failure !== "unknown_outcome") {
+      throw error;
+    }
+    return await resolveLostAnswer(store, write, resolveDelaysMs);
+  }
+}
+
+function isSameConfig(stored: StoredConfig, config: ResolvedConfig): boolean {
+  return stored.config !== undefined &&
+    JSON.stringify(stored.config) === JSON.stringify(config);
+}
+
+/** Returns a conflict when another revision than the expected one is in force. */
+function checkExpectation(
+  stored: StoredConfig,
+  config: ResolvedConfig,
+  expectedRevision: number | undefined,
+): ApplyResult | undefined {
+  const revision = stored.head?.revision ?? 0;
+  if (expectedRevision === undefined) {
+    if (stored.unreadableReason === undefined) return undefined;
+    throw new UnreadableConfigError(revision, stored.unreadableReason);
+  }
+  return expectedRevision === revision ? undefined : createConflict(
+    "unexpected_revision",
+    { baseRevision: expectedRevision, stored, config },
+  );
+}
+
+/** Applies a configuration as the next revision; rejects with a `StoreError` when nothing was written. */
+export async function applyConfig(
+  store: Store,
+  config: ResolvedConfig,
+  options: ApplyOptions = {},
+): Promise<ApplyResult> {
+  const { expectedRevision, resolveDelaysMs = RESOLVE_DELAYS_MS } = options;
+  const stored = await readConfig(store);
+  if (isSameConfig(stored, config)) {
+    if (await confirmLatest(store, stored)) {
+      return { kind: "unchanged", applied: parseAppliedConfig(stored.text) };
+    }
+  } else {
+    const unexpected = checkExpectation(stored, config, expectedRevision);
+    if (unexpected !== undefined) return unexpected;
+    const applied = createApplied(config, stored.head);
+    const request = {
+      key: CONFIG_KEY,
+      expectedVersion: stored.version,
+      value: JSON.stringify(applied),
+    };
+    const write = { request, applied };
+    const result = await writeOnce(store, write, resolveDelaysMs);
+    if (result !== undefined) return result;
+  }
+  return createConflict("concurrent_apply", {
+    baseRevision: stored.head?.revision ?? 0,
+    stored: await readConfig(store).catch(() => stored),
+    config,
   });
-  return result.kind === "swapped"
-    ? { kind: "accepted", applied }
-    : { kind: "conflict", current };
 }
