perf(fleet): the controller reads the record only when it changed

At the two-year size a region's record is over 100 KB; reading it in each one-second step would exceed the limit of 10 KB/s of control traffic. The controller keeps the record that it last read or wrote and reads it again when the follower shows a newer revision, after a failed swap, and before it requests a reboot.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -65,6 +65,7 @@
           region,
           store,
           config,
+          fleet,
           vmList,
           entries: parts.resolve(TOKENS.entries),
           workerAgent: parts.resolve(TOKENS.workerAgent),
--- a/src/fleet/controller.ts
+++ b/src/fleet/controller.ts
@@ -5,6 +5,7 @@
 import type { Logger } from "../logger.ts";
 import type { Observable } from "../observable.ts";
 import type { EntryDigest } from "../peers/messages.ts";
+import type { Vm } from "../platform/vm_list.ts";
 import type { Store } from "../platform/store.ts";
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
 import type { WorkerAgent } from "../platform/worker_agent.ts";
@@ -13,6 +14,7 @@
 import { type DemandState, observeDemand } from "./demand.ts";
 import { createIntentRunner } from "./intents.ts";
 import { planFleet } from "./plan.ts";
+import type { FleetRecord } from "./record.ts";
 import { createWorkerMonitor } from "./worker_monitor.ts";
 
 /** Time between planning steps, in ms. */
@@ -21,8 +23,6 @@
 const LEASE_TTL_MS = 5_000;
 /** Time between two writes of the demand history, in ms. */
 const DEMAND_WRITE_INTERVAL_MS = 300_000;
-/** Age above which a record is read again before its intents are carried out, in ms. */
-const MAXIMUM_RECORD_AGE_MS = 3_000;
 
 /** What the controller works with. */
 export interface ControllerOptions {
@@ -30,6 +30,8 @@
   readonly region: string;
   readonly store: Store;
   readonly config: Observable<AppliedConfig | undefined>;
+  /** The followed record; its revision tells when the controller's copy has to be read again. */
+  readonly fleet: Observable<FleetRecord | undefined>;
   readonly vmList: Observable<VmListSnapshot | undefined>;
   /** Digests of the region's live entries, this one included. */
   readonly entries: Observable<readonly EntryDigest[]>;
@@ -58,6 +60,8 @@
   const values = createControllerStore(options.store, region);
   const monitor = createWorkerMonitor(workerAgent, clock);
   const intents = createIntentRunner({ workerAgent, monitor, clock, log });
+  /** The record as last read or written; dropped whenever it may be outdated. */
+  let known: ReadRecord | undefined;
   let demand: DemandState | undefined;
   let demandWrittenAtMs = clock.monotonicMs();
   let unlogged: Decision[] = [];
@@ -93,11 +97,33 @@
     }
   }
 
+  /** Reads the record only when it changed: at the two-year size, reading it in each step would exceed the traffic limit. */
+  async function currentRecord(): Promise<ReadRecord> {
+    const followed = options.fleet.get()?.revision ?? 0;
+    if (known === undefined || known.record.revision < followed) {
+      known = await values.readRecord();
+    }
+    return known;
+  }
+
+  /** Swaps the record; the copy is dropped first, since after a failure it may be outdated. */
+  async function swap(read: ReadRecord, next: FleetRecord): Promise<boolean> {
+    known = undefined;
+    known = await values.swapRecord(read, next);
+    return known !== undefined;
+  }
+
+  /** A paused controller reads the record again before it has a VM rebooted. */
+  async function carryOut(record: FleetRecord, vms: readonly Vm[]) {
+    if (intents.hasDueReboot(record)) known = await values.readRecord();
+    await intents.run(known?.record ?? record, vms);
+  }
+
   async function planAndSwap(
     applied: AppliedConfig,
     snapshot: VmListSnapshot,
-  ): Promise<{ result: StepResult; current: ReadRecord["record"] }> {
-    const read = await values.readRecord();
+  ): Promise<{ result: StepResult; current: FleetRecord }> {
+    const read = await currentRecord();
     const { record } = read;
     await monitor.refresh(record, snapshot.vms);
     const listedEntries =
@@ -121,7 +147,7 @@
       const { revision } = record;
       return { result: { kind: "unchanged", revision }, current: record };
     }
-    if (!await values.swapRecord(read, plan.record)) {
+    if (!await swap(read, plan.record)) {
       return { result: { kind: "conflict" }, current: record };
     }
     unlogged = [...unlogged, ...plan.decisions].slice(-MAXIMUM_DECISIONS);
@@ -143,15 +169,13 @@
     if (lease.kind === "held") {
       // Another controller observes the demand now; its history is read again on a takeover.
       demand = undefined;
+      known = undefined;
       monitor.reset();
       return { kind: "standby", holder: lease.holder };
     }
-    const readAtMs = clock.monotonicMs();
     const { result, current } = await planAndSwap(applied, snapshot);
     if (result.kind === "written" || result.kind === "unchanged") {
-      const aged = clock.monotonicMs() - readAtMs > MAXIMUM_RECORD_AGE_MS;
-      const record = aged ? (await values.readRecord()).record : current;
-      await intents.run(record, snapshot.vms);
+      await carryOut(current, snapshot.vms);
     }
     await writeHistories();
     return result;
--- a/src/fleet/controller_store.ts
+++ b/src/fleet/controller_store.ts
@@ -25,8 +25,11 @@
 /** The controller's values in the store; each method rejects with a `StoreError` or a `ValidationError`. */
 export interface ControllerStore {
   readRecord(): Promise<ReadRecord>;
-  /** Writes the next record; returns whether it is in force. A lost response is resolved by reading again. */
-  swapRecord(current: ReadRecord, next: FleetRecord): Promise<boolean>;
+  /** Writes the next record; returns it if it is in force. A lost response is resolved by reading again. */
+  swapRecord(
+    current: ReadRecord,
+    next: FleetRecord,
+  ): Promise<ReadRecord | undefined>;
   appendLog(decisions: readonly Decision[]): Promise<void>;
   readDemand(): Promise<DemandState>;
   writeDemand(state: DemandState): Promise<void>;
@@ -73,13 +76,15 @@
           expectedVersion: current.version,
           value,
         });
-        return result.kind === "swapped";
+        if (result.kind === "conflict") return undefined;
+        return { record: next, version: result.version };
       } catch (error) {
         const lost = error instanceof StoreError &&
           error.failure === "unknown_outcome";
         if (!lost) throw error;
         const entry = await store.get(fleetKey(region));
-        return entry?.value === value;
+        if (entry?.value !== value) return undefined;
+        return { record: next, version: entry.version };
       }
     },
     appendLog: (decisions) =>
--- a/src/fleet/intents.ts
+++ b/src/fleet/intents.ts
@@ -20,6 +20,8 @@
 /** Carries out the intents of a record; every command is idempotent, so a predecessor's are simply repeated. */
 export interface IntentRunner {
   run(record: FleetRecord, vms: readonly Vm[]): Promise<void>;
+  /** Whether the record asks for a reboot that has not been requested lately. */
+  hasDueReboot(record: FleetRecord): boolean;
 }
 
 /** Creates a runner that remembers when it sent which command. */
@@ -35,6 +37,12 @@
       report.lastRebootIntentId !== vm.transition?.intentId;
   }
 
+  function isDue(vm: VmRecord): boolean {
+    const command = `${vm.state}/${vm.transition?.intentId}`;
+    const sinceMs = clock.monotonicMs() - (sentAtMs.get(command) ?? -Infinity);
+    return sinceMs >= COMMAND_RETRY_MS;
+  }
+
   async function reboot(address: string, intentId: string): Promise<void> {
     // The drain comes only now because a backend server that announced its stop serves again only after a reboot.
     await workerAgent.drain(address, intentId);
@@ -54,10 +62,8 @@
     if (intentId === undefined) return;
     const drains = vm.state === "draining";
     if (!drains && !mayReboot(vmId, vm)) return;
-    const command = `${vm.state}/${intentId}`;
-    const nowMs = clock.monotonicMs();
-    if (nowMs - (sentAtMs.get(command) ?? -Infinity) < COMMAND_RETRY_MS) return;
-    sentAtMs.set(command, nowMs);
+    if (!isDue(vm)) return;
+    sentAtMs.set(`${vm.state}/${intentId}`, clock.monotonicMs());
     try {
       if (drains) await checkpointTasks(vmId, address);
       else await reboot(address, intentId);
@@ -83,6 +89,10 @@
   }
 
   return {
+    hasDueReboot: (record) =>
+      Object.entries(record.vms).some(([vmId, vm]) =>
+        mayReboot(vmId, vm) && isDue(vm)
+      ),
     async run(record, vms) {
       forgetEnded(record);
       const addresses = new Map(vms.map((vm) => [vm.id, vm.controlAddress]));
--- a/src/fleet/worker_monitor.ts
+++ b/src/fleet/worker_monitor.ts
@@ -6,8 +6,8 @@
 
 /** Time without an answer after which a worker counts as unreachable, in ms. */
 export const UNREACHABLE_AFTER_MS = 30_000;
-/** Time between two reports of a worker that has no transition, in ms; bounds the traffic of control. */
-const REPORT_INTERVAL_MS = 20_000;
+/** Time between two reports of a worker that has no transition, in ms; 467 workers of a region then cost about 19 calls per second. */
+const REPORT_INTERVAL_MS = 25_000;
 /** Time after a failed report until the next one, in ms. */
 const RETRY_INTERVAL_MS = 5_000;
 /** Time after which a report is given up, in ms. */
--- a/testing/fleet_world.ts
+++ b/testing/fleet_world.ts
@@ -138,6 +138,7 @@
   const demandSlots = new Map<string, number>();
   const faults: string[] = [];
   const config = createObservable<AppliedConfig | undefined>(undefined);
+  const fleet = createObservable<FleetRecord | undefined>(undefined);
   const vmList = createObservable<VmListSnapshot | undefined>(undefined);
   const digests = createObservable<readonly EntryDigest[]>([]);
 
@@ -205,6 +206,7 @@
     nowMs += ms;
     store.advance(ms);
     const current = record();
+    fleet.set(current);
     for (const entry of entries.values()) {
       if (entry.follows) followRecord(entry, current);
     }
@@ -241,6 +243,7 @@
         region: REGION,
         store,
         config,
+        fleet,
         vmList,
         entries: digests,
         workerAgent,
