perf(requests): review a queue with one pass of arithmetic

With 2,000 waiting requests the review every 25 ms built a decision for each one; the entry was saturated at 3,000/s over a capacity of 2,274/s and answered about 1,500/s.

Ruled out: waking the queue later; the slots' idle time comes from the event loop's load, not from the wake-up.

--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -6,7 +6,12 @@
 import { NotRunError } from "./outcome.ts";
 import type { Router, SlotGrant } from "./router.ts";
 import { ServiceTimes } from "./service_times.ts";
-import { addRetryJitter, decideShedding, estimateWaitMs } from "./shedding.ts";
+import {
+  addRetryJitter,
+  decideShedding,
+  estimateWaitMs,
+  findUnreachable,
+} from "./shedding.ts";
 
 /** A request that wants a slot. */
 export interface AdmissionRequest {
@@ -136,17 +141,29 @@
   /** Refuses the waiting requests that can't meet their deadline any more. */
   sweep(): void {
     if (this.#queued === 0) return;
+    const nowMs = this.#options.clock.monotonicMs();
     for (const state of this.#services.values()) {
-      const kept: Waiter[] = [];
-      for (const waiter of state.waiting) {
-        const refusal = this.#review(state, waiter.request, {
-          ahead: kept.length,
-          queued: 0,
-        });
-        if (refusal === undefined) kept.push(waiter);
-        else this.#dismiss(waiter, refusal);
+      if (state.waiting.length === 0) continue;
+      const { meanMs, slowMs } = state.times.figures();
+      const unreachable = findUnreachable({
+        remainingMs: state.waiting.map(({ request }) =>
+          request.deadlineAtMs - nowMs
+        ),
+        slotsHeld: state.inFlight,
+        meanServiceMs: meanMs,
+        slowServiceMs: slowMs,
+      });
+      if (unreachable.size === 0) continue;
+      const dismissed = state.waiting.filter((_, position) =>
+        unreachable.has(position)
+      );
+      state.waiting = state.waiting.filter((_, position) =>
+        !unreachable.has(position)
+      );
+      for (const waiter of dismissed) {
+        const remainingMs = waiter.request.deadlineAtMs - nowMs;
+        this.#dismiss(waiter, this.#unreachable(state, remainingMs));
       }
-      state.waiting = kept;
     }
     this.pump();
   }
--- a/src/requests/run_request.ts
+++ b/src/requests/run_request.ts
@@ -7,12 +7,7 @@
 import type { ExchangeResult } from "./exchange.ts";
 import { filterRequestHeaders } from "./headers.ts";
 import type { AttemptResult } from "./instance_state.ts";
-import {
-  notRun,
-  NotRunError,
-  type Outcome,
-  outcomeUnknown,
-} from "./outcome.ts";
+import { NotRunError, type Outcome, outcomeUnknown } from "./outcome.ts";
 import {
   createRetryBudget,
   decideRetry,
@@ -150,7 +145,7 @@
     details?: Record<string, unknown>,
   ): Outcome {
     this.#options.onRefusal(request, error, details);
-    return notRun(error.kind, error.message, error.retryAfterMs);
+    return { kind: "not_run", error };
   }
 
   #budgetOf(service: ServiceConfig): RetryBudget {
--- a/src/requests/shedding.ts
+++ b/src/requests/shedding.ts
@@ -40,6 +40,32 @@
   return (input.ahead + 1) * input.meanServiceMs / input.slotsHeld;
 }
 
+/** What a review of a whole queue depends on. */
+export interface QueueReviewInput {
+  /** Time left of each waiting request, first in the queue first, in ms. */
+  readonly remainingMs: Iterable<number>;
+  readonly slotsHeld: number;
+  readonly meanServiceMs: number;
+  readonly slowServiceMs: number;
+}
+
+/** Returns the positions of the waiting requests that can't meet their deadline any more. */
+export function findUnreachable(input: QueueReviewInput): Set<number> {
+  const unreachable = new Set<number>();
+  const { slotsHeld, meanServiceMs, slowServiceMs } = input;
+  const firstMs = estimateWaitMs({ ahead: 0, slotsHeld, meanServiceMs }) +
+    slowServiceMs;
+  const stepMs = meanServiceMs / Math.max(1, slotsHeld);
+  let position = 0;
+  let ahead = 0;
+  for (const remainingMs of input.remainingMs) {
+    if (firstMs + ahead * stepMs > remainingMs) unreachable.add(position);
+    else ahead++;
+    position++;
+  }
+  return unreachable;
+}
+
 /** Decides whether a request may wait for a slot or is refused at once. */
 export function decideShedding(input: SheddingInput): SheddingDecision {
   const waitMs = estimateWaitMs(input);
