fix(requests): keyed refusals without proof, memory of bodies, slow readers

An entry without a configuration, or one that ran into a slow sender, answered not_run to a keyed request although only the issuer knows whether an earlier request with the key ran; it now answers outcome_unknown. Bodies of waiting requests had no common bound (2,000 times 8 MB). A caller that didn't read its response kept a drain waiting for ever. Slots of streamed responses are given back with the whole service time, and a caller that ends a stream doesn't count against the instance.

--- a/src/requests/keyed_requests_test.ts
+++ b/src/requests/keyed_requests_test.ts
@@ -167,6 +167,16 @@
     assert.is(journal.length, 0);
   }));
 
+test("an entry that can't ask the issuer doesn't claim that a keyed request was not run", () =>
+  withEntries(async ({ entries, fleet }) => {
+    const key = await issueKey(entries[0]!);
+    fleet.config.set(undefined);
+    const response = await book(entries[1]!, key);
+    assert.is(response.outcome, "outcome_unknown");
+    assert.is(response.error, "key_not_checked");
+    assert.is((await call(entries[1]!, "/quoting/1")).outcome, "not_run");
+  }));
+
 test("forged keys, expired keys and keys of other requests are refused", () =>
   withEntries(async ({ entries, journal, clock }) => {
     const [first, second] = entries as [TestEntry, TestEntry];
--- a/src/requests/outcome.ts
+++ b/src/requests/outcome.ts
@@ -34,6 +34,7 @@
   | "wrong_response"
   | "unframed_response"
   | "key_issuer_unreachable"
+  | "key_not_checked"
   | "key_expired_after_use"
   | "outcome_not_kept"
   | "waiting_for_first_run"
--- a/src/requests/run_request.ts
+++ b/src/requests/run_request.ts
@@ -68,8 +68,7 @@
       const { grant } = admitted;
       const result = yield* until(this.#attempt(request, grant));
       if (result.kind !== "failed") {
-        this.#refill(service);
-        if (result.leaving) router.markLeaving(grant);
+        if (result.response.status < 500) this.#refill(service);
         return result.kind === "complete"
           ? { kind: "answer", response: result.response }
           : { kind: "streamed_answer", response: result.response };
@@ -100,7 +99,7 @@
     request: CallerRequest,
     grant: SlotGrant,
   ): Promise<ExchangeResult> {
-    const { clock, admission } = this.#options;
+    const { clock, admission, router } = this.#options;
     const startedAtMs = clock.monotonicMs();
     const remainingMs = () => request.deadlineAtMs - clock.monotonicMs();
     const headers = filterRequestHeaders(request.rawHeaders);
@@ -113,11 +112,19 @@
       remainingMs,
     );
     const result = await exchange.result;
-    const latencyMs = clock.monotonicMs() - startedAtMs;
-    const outcome = attemptResult(result, latencyMs);
+    const latencyMs = () => clock.monotonicMs() - startedAtMs;
+    if (result.kind !== "failed" && result.leaving) router.markLeaving(grant);
     if (result.kind === "streaming") {
-      exchange.ended.then(() => admission.release(grant, outcome));
-    } else admission.release(grant, outcome);
+      exchange.ended.then((complete) =>
+        admission.release(
+          grant,
+          complete
+            ? { kind: "response", latencyMs: latencyMs() }
+            // The caller may have ended it.
+            : { kind: "timeout" },
+        )
+      );
+    } else admission.release(grant, attemptResult(result, latencyMs()));
     return result;
   }
 
--- a/src/requests/serve_call.ts
+++ b/src/requests/serve_call.ts
@@ -20,7 +20,12 @@
   singleHeader,
 } from "./caller_request.ts";
 import type { IssuedKey } from "./idempotency_keys.ts";
-import { NotRunError, type Outcome, outcomeUnknown } from "./outcome.ts";
+import {
+  NotRunError,
+  type Outcome,
+  outcomeUnknown,
+  statusOfRefusal,
+} from "./outcome.ts";
 import type { RefusalLog } from "./refusal_log.ts";
 import { outcomeName, writeReply } from "./reply.ts";
 import { bodyTooLarge, discardBody, readBody } from "./request_body.ts";
@@ -51,11 +56,20 @@
 const CONFIGURED_RETRY_MS = 1_000;
 /** Announced length above which an unread body isn't waited for, in bytes. */
 const LONG_UNREAD_BYTES = 65_536;
+/** Time without progress after which a caller that doesn't read its response is cut off, in ms. */
+const SLOW_READER_TIMEOUT_MS = 30_000;
+/** Bodies of requests that are held at the same time, in bytes. */
+const MAXIMUM_HELD_BODY_BYTES = 268_435_456;
+/** Memory that a body without an announced length counts for until it has arrived, in bytes. */
+const UNANNOUNCED_BODY_BYTES = 65_536;
+/** Time after which memory for bodies may be free again, in ms. */
+const HELD_BODIES_RETRY_MS = 500;
 
 /** Serves calls from their arrival to their one final response. */
 export class CallServer {
   #options: CallServerOptions;
   #active = 0;
+  #heldBodyBytes = 0;
   #nextId = 0;
   #idleListeners: (() => void)[] = [];
   draining = false;
@@ -120,6 +134,12 @@
       outcome = yield* this.#options.handle(callerRequest, config);
     } catch (error) {
       outcome = this.#outcomeOfError(error, requestId, service);
+      if (isUncheckedKey(call, outcome)) {
+        outcome = outcomeUnknown(
+          "key_not_checked",
+          "The entry that issued the key wasn't asked whether a request with it has run",
+        );
+      }
     }
     connection.failBody = undefined;
     if (response.destroyed) return cancelStream(outcome);
@@ -129,6 +149,9 @@
       closeConnection: this.draining || unread,
       ...(unread ? { beforeClose: () => discardBody(request) } : {}),
     });
+    if (response.writableNeedDrain) {
+      response.setTimeout(SLOW_READER_TIMEOUT_MS, () => response.destroy());
+    }
     const complete = typeof written === "boolean"
       ? written
       : yield* until(written);
@@ -195,6 +218,8 @@
     const { maximumBodyBytes, requestReadTimeoutMs } = this.#options.limits;
     const announced = Number(call.request.headers["content-length"] ?? 0);
     if (announced > maximumBodyBytes) throw bodyTooLarge(maximumBodyBytes);
+    const heldBytes = announced > 0 ? announced : UNANNOUNCED_BODY_BYTES;
+    this.#holdBody(call, heldBytes);
     const elapsedMs = this.#options.clock.monotonicMs() - call.arrivedAtMs;
     const read = readBody(call.request, {
       maximumBodyBytes,
@@ -210,7 +235,11 @@
     const { parserError } = call.connection;
     if (parserError !== undefined) call.connection.failBody(parserError);
     try {
-      return yield* until(read.body);
+      const body = yield* until(read.body);
+      if (body !== undefined && body.length > heldBytes) {
+        this.#holdBody(call, body.length - heldBytes);
+      }
+      return body;
     } catch (error) {
       // What follows on the connection belongs to the unread body.
       if (!call.request.complete) call.connection.closing = true;
@@ -218,6 +247,19 @@
     }
   }
 
+  /** Reserves memory for a body until the call has ended. */
+  #holdBody(call: IncomingCall, bodyBytes: number): void {
+    if (this.#heldBodyBytes + bodyBytes > MAXIMUM_HELD_BODY_BYTES) {
+      throw new NotRunError(
+        "queue_full",
+        "Too many request bodies are held",
+        HELD_BODIES_RETRY_MS,
+      );
+    }
+    this.#heldBodyBytes += bodyBytes;
+    call.response.once("close", () => this.#heldBodyBytes -= bodyBytes);
+  }
+
   #outcomeOfError(
     error: unknown,
     requestId: string,
@@ -254,3 +296,11 @@
     outcome.response.source.cancel();
   }
 }
+
+/** Whether a keyed request was refused for a state of this entry, though an earlier request with the key may have run. */
+function isUncheckedKey(call: IncomingCall, outcome: Outcome): boolean {
+  if (outcome.kind !== "not_run") return false;
+  const status = statusOfRefusal(outcome.error.kind);
+  return (status === 503 || status === 408) &&
+    singleHeader(call.request, IDEMPOTENCY_KEY_HEADER) !== undefined;
+}
