--- /dev/null
+++ b/src/peers/client.ts
@@ -0,0 +1,146 @@
+import type { Socket } from "node:net";
+import { createTRPCClient, httpLink } from "@trpc/client";
+import { buildConnector, Pool } from "undici";
+import { messageOf, TaggedError } from "../errors.ts";
+import type { ByteMeter } from "./byte_meter.ts";
+import type { PeerRouter } from "./router.ts";
+import {
+  type ExchangeReply,
+  exchangeReplySchema,
+  type ExchangeRequest,
+} from "./wire.ts";
+
+/** Time after which a gossip call counts as failed, in ms. */
+const EXCHANGE_TIMEOUT_MS = 1_000;
+/** Time after which a fetch of a body counts as failed; a body may have 1 MB, in ms. */
+const BODY_TIMEOUT_MS = 3_000;
+/** Time for which an idle connection is kept, in ms; shorter than the server's. */
+const IDLE_CONNECTION_MS = 50_000;
+/** Why a call to a peer failed. */
+export type PeerFailure =
+  | "refused" // No process listens at the address.
+  | "unreachable"; // No answer in time, or an answer that isn't understood.
+
+/** A failed call to a peer. */
+export class PeerError extends TaggedError<"peer"> {
+  readonly kind = "peer";
+
+  constructor(readonly failure: PeerFailure, message: string) {
+    super(message);
+  }
+}
+
+/** Calls to one peer; each method rejects with a `PeerError`. */
+export interface PeerClient {
+  exchange(request: ExchangeRequest): Promise<ExchangeReply>;
+  exchangeConfigRevision(report: {
+    configRevision: number;
+    /** `host:port` from which the peer may fetch the configuration. */
+    peerAddress: string;
+  }): Promise<number>;
+  configBody(aboveRevision: number): Promise<string | undefined>;
+  fleetBody(aboveRevision: number): Promise<string | undefined>;
+  close(): void;
+}
+
+function createPool(address: string, meter: ByteMeter): Pool {
+  const connect = buildConnector({ timeout: EXCHANGE_TIMEOUT_MS });
+  return new Pool(`http://${address}`, {
+    connections: 1,
+    pipelining: 1,
+    keepAliveTimeout: IDLE_CONNECTION_MS,
+    connect: (options, callback) =>
+      connect(options, (...result) => {
+        if (result[0] === null) meter.track(result[1] as Socket);
+        callback(...result);
+      }),
+  });
+}
+
+// The global fetch adds about 150 bytes of headers to each call.
+function createFetch(pool: Pool) {
+  return async (
+    url: unknown,
+    init: { method?: string; body?: unknown; signal?: AbortSignal | null } = {},
+  ) => {
+    const { pathname, search } = new URL(String(url));
+    const response = await pool.request({
+      path: pathname + search,
+      method: init.method === "POST" ? "POST" : "GET",
+      signal: init.signal ?? null,
+      ...(typeof init.body === "string"
+        ? {
+          body: init.body,
+          headers: { "content-type": "application/json" },
+        }
+        : {}),
+    });
+    return {
+      ok: response.statusCode < 300,
+      status: response.statusCode,
+      json: () => response.body.json(),
+    };
+  };
+}
+
+function isRefused(error: unknown): boolean {
+  for (let cause = error; cause instanceof Error; cause = cause.cause) {
+    if ((cause as { code?: unknown }).code === "ECONNREFUSED") return true;
+  }
+  return false;
+}
+
+/** Creates the client of the peer at `host:port`. */
+export function createPeerClient(
+  address: string,
+  meter: ByteMeter,
+): PeerClient {
+  const pool = createPool(address, meter);
+  const client = createTRPCClient<PeerRouter>({
+    links: [
+      httpLink({ url: `http://${address}`, fetch: createFetch(pool) as never }),
+    ],
+  });
+
+  async function call<T>(
+    timeoutMs: number,
+    send: (signal: AbortSignal) => Promise<T>,
+  ): Promise<T> {
+    try {
+      return await send(AbortSignal.timeout(timeoutMs));
+    } catch (error) {
+      throw new PeerError(
+        isRefused(error) ? "refused" : "unreachable",
+        `The peer at ${address} did not answer: ${messageOf(error)}`,
+      );
+    }
+  }
+
+  return {
+    exchange: (request) =>
+      call(EXCHANGE_TIMEOUT_MS, async (signal) =>
+        exchangeReplySchema.parse(
+          await client.exchange.mutate(request, { signal }),
+        )),
+    exchangeConfigRevision: (report) =>
+      call(
+        EXCHANGE_TIMEOUT_MS,
+        async (signal) =>
+          (await client.configRevision.mutate(report, { signal }))
+            .configRevision,
+      ),
+    configBody: (aboveRevision) =>
+      call(
+        BODY_TIMEOUT_MS,
+        async (signal) =>
+          (await client.configBody.query({ aboveRevision }, { signal })).body,
+      ),
+    fleetBody: (aboveRevision) =>
+      call(
+        BODY_TIMEOUT_MS,
+        async (signal) =>
+          (await client.fleetBody.query({ aboveRevision }, { signal })).body,
+      ),
+    close: () => void pool.destroy(),
+  };
+}
--- /dev/null
+++ b/src/peers/digest_change.ts
@@ -0,0 +1,63 @@
+import type { EntryDigest } from "./messages.ts";
+
+/** How much a digest differs from the one sent last. */
+export type DigestChange =
+  | "none"
+  | "load" // Load figures differ a little; the next regular round is soon enough.
+  | "demand" // Slot shares would differ noticeably; sent early if the budget allows.
+  | "state"; // Revisions, flags, drains; always sent at once.
+
+/** Smallest change of a service's demand that is sent early, in slots. */
+const LARGE_DEMAND_CHANGE_SLOTS = 4;
+/** Smallest change of a service's demand that is sent early, relative to the value sent last. */
+const LARGE_DEMAND_CHANGE_RATIO = 0.5;
+
+function hasDrained(previous: EntryDigest, current: EntryDigest): boolean {
+  return Object.entries(previous.drainingInFlight).some(([vmId, count]) =>
+    count > 0 && (current.drainingInFlight[vmId] ?? 0) === 0
+  );
+}
+
+function hasNewLeavingVm(previous: EntryDigest, current: EntryDigest) {
+  return current.leavingVms.some((vmId) => !previous.leavingVms.includes(vmId));
+}
+
+function hasLargeDemandChange(previous: EntryDigest, current: EntryDigest) {
+  const names = new Set([
+    ...Object.keys(previous.services),
+    ...Object.keys(current.services),
+  ]);
+  return [...names].some((name) => {
+    const before = previous.services[name];
+    const after = current.services[name];
+    const sent = before?.demandSlots ?? 0;
+    const difference = Math.abs((after?.demandSlots ?? 0) - sent);
+    const queueStarted = (before?.waiting ?? 0) === 0 &&
+      (after?.waiting ?? 0) > 0;
+    return queueStarted ||
+      difference >=
+        Math.max(LARGE_DEMAND_CHANGE_SLOTS, sent * LARGE_DEMAND_CHANGE_RATIO);
+  });
+}
+
+/** Compares the digest sent last with the current one; sequence numbers don't count. */
+export function classifyChange(
+  previous: EntryDigest,
+  current: EntryDigest,
+): DigestChange {
+  const stateChanged = previous.configRevision !== current.configRevision ||
+    previous.fleetRevision !== current.fleetRevision ||
+    previous.ready !== current.ready ||
+    previous.stopping !== current.stopping ||
+    previous.callerAddress !== current.callerAddress ||
+    hasDrained(previous, current) || hasNewLeavingVm(previous, current);
+  if (stateChanged) return "state";
+  if (hasLargeDemandChange(previous, current)) return "demand";
+  const load = (digest: EntryDigest) =>
+    JSON.stringify([
+      digest.services,
+      digest.drainingInFlight,
+      digest.leavingVms,
+    ]);
+  return load(previous) === load(current) ? "none" : "load";
+}
--- /dev/null
+++ b/src/peers/gossip.ts
@@ -0,0 +1,194 @@
+import { type Operation, spawn, type Task } from "effection";
+import type { Clock } from "../clock.ts";
+import type { Logger } from "../logger.ts";
+import type { Observable } from "../observable.ts";
+import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import type { ByteMeter } from "./byte_meter.ts";
+import { classifyChange } from "./digest_change.ts";
+import type { Membership, MergeResult, SilenceEvidence } from "./membership.ts";
+import type { EntryDigest } from "./messages.ts";
+import { createPeerLink, type PeerLink } from "./peer_link.ts";
+import type { Wake } from "./wake.ts";
+
+/** Interval of regular gossip rounds, in ms. */
+const ROUND_INTERVAL_MS = 400;
+/** Peers called in a regular round. */
+const FAN_OUT = 1;
+/** Peers called at once after a change of state. */
+const STATE_CHANGE_FAN_OUT = 3;
+/**
+ * Average time between an entry's own digests for each entry of the region, in
+ * ms. Each digest reaches each entry once, so this holds the bytes per entry
+ * constant beyond 11 entries.
+ */
+const DIGEST_INTERVAL_PER_ENTRY_MS = 45;
+/** Shortest average time between an entry's own digests, in ms. */
+const MINIMUM_DIGEST_INTERVAL_MS = 500;
+/**
+ * Digests that a regular round leaves unused, so that a change of demand can
+ * be sent early without a higher average.
+ */
+const RESERVED_DIGESTS = 0.5;
+/** Interval at which the entry's own load is compared with the digest sent last, in ms. */
+const LOAD_CHECK_INTERVAL_MS = 100;
+/** A check that is late by this time shows that the process was paused, in ms. */
+const PAUSE_LIMIT_MS = 1_000;
+
+/** What the gossip rounds work with. */
+export interface GossipOptions {
+  readonly self: { readonly entryId: string; readonly region: string };
+  /** `host:port` of this entry's peer server. */
+  readonly peerAddress: string;
+  readonly membership: Membership;
+  readonly vmList: Observable<VmListSnapshot | undefined>;
+  /** The entry's current digest; the sequence number is ignored. */
+  readonly currentDigest: () => EntryDigest;
+  readonly links: Map<string, PeerLink>;
+  readonly clock: Clock;
+  readonly meter: ByteMeter;
+  /** Wakes the rounds when the entry's state may have changed. */
+  readonly wake: Wake;
+  readonly log: Logger;
+  readonly random: () => number;
+  readonly onMerged: (result: MergeResult) => void;
+  /** Called after a change of the membership or of the own digest. */
+  readonly onChange: () => void;
+}
+
+function listedPeers(options: GossipOptions) {
+  const { self, vmList } = options;
+  return (vmList.get()?.vms ?? []).filter((vm) =>
+    vm.role === "entry" && vm.region === self.region && vm.id !== self.entryId
+  );
+}
+
+function peerAddresses(options: GossipOptions): Set<string> {
+  const addresses = new Set([
+    ...listedPeers(options).map((vm) => vm.controlAddress),
+    ...options.membership.digests().map((digest) => digest.peerAddress),
+  ]);
+  addresses.delete(options.peerAddress);
+  return addresses;
+}
+
+function silenceEvidence(
+  options: GossipOptions,
+  entryId: string,
+): SilenceEvidence {
+  const { membership, vmList, links } = options;
+  const address = membership.digests().find((digest) =>
+    digest.entryId === entryId
+  )?.peerAddress;
+  if (links.get(address ?? "")?.lastFailure() === "refused") return "refused";
+  if (vmList.get() === undefined) return "listed";
+  const vm = listedPeers(options).find((listed) => listed.id === entryId);
+  return vm?.state === "live" ? "listed" : "not_listed";
+}
+
+/** Task that runs the gossip rounds and one task for each peer until it is halted. */
+export function* runGossip(options: GossipOptions): Operation<void> {
+  const { membership, links, clock, wake, log, random } = options;
+  const tasks = new Map<string, Task<void>>();
+  let roundAtMs = 0;
+  let digestCredit = 0;
+  let checkedAtMs = clock.monotonicMs();
+  let published = publish(0);
+
+  function publish(previousSequence: number): EntryDigest {
+    const known = membership.own()?.record[1] ?? 0;
+    const digest = {
+      ...options.currentDigest(),
+      sequence: Math.max(previousSequence, known) + 1,
+    };
+    digestCredit -= 1;
+    membership.setOwn(digest, clock.monotonicMs());
+    options.onChange();
+    return digest;
+  }
+
+  function* updateLinks(): Operation<void> {
+    const addresses = peerAddresses(options);
+    for (const address of addresses) {
+      if (links.has(address)) continue;
+      const link = createPeerLink({ ...options, address });
+      links.set(address, link);
+      tasks.set(address, yield* spawn(() => link.run()));
+    }
+    for (const [address, task] of tasks) {
+      if (addresses.has(address)) continue;
+      links.delete(address);
+      tasks.delete(address);
+      yield* task.halt();
+    }
+  }
+
+  // The peers called the longest ago come first, so each cycle reaches each peer once.
+  function startRound(nowMs: number, fanOut: number): void {
+    roundAtMs = nowMs;
+    [...links.values()]
+      .filter((link) => !link.isBackingOff(nowMs))
+      .map((link) => ({ link, tieBreak: random() }))
+      .sort((a, b) =>
+        a.link.triggeredAtMs - b.link.triggeredAtMs || a.tieBreak - b.tieBreak
+      )
+      .slice(0, fanOut)
+      .forEach(({ link }) => link.trigger(nowMs));
+  }
+
+  function addDigestCredit(elapsedMs: number): void {
+    const intervalMs = Math.max(
+      MINIMUM_DIGEST_INTERVAL_MS,
+      membership.digests().length * DIGEST_INTERVAL_PER_ENTRY_MS,
+    );
+    digestCredit = Math.min(
+      Math.max(0, digestCredit) + elapsedMs / intervalMs,
+      1 + RESERVED_DIGESTS,
+    );
+  }
+
+  function excusePause(nowMs: number): void {
+    const lateMs = nowMs - checkedAtMs - LOAD_CHECK_INTERVAL_MS;
+    if (lateMs > PAUSE_LIMIT_MS) {
+      log.warn("process was paused", { pauseMs: Math.round(lateMs) });
+      membership.excusePause(lateMs);
+    }
+    checkedAtMs = nowMs;
+  }
+
+  function dropSilentPeers(nowMs: number): void {
+    const dropped = membership.dropSilent(
+      nowMs,
+      (entryId) => silenceEvidence(options, entryId),
+    );
+    for (const entryId of dropped) log.info(`dropped ${entryId}`, { entryId });
+    if (dropped.length > 0) options.onChange();
+  }
+
+  function runRound(nowMs: number): void {
+    const change = classifyChange(published, options.currentDigest());
+    if (change === "state") {
+      published = publish(published.sequence);
+      startRound(nowMs, STATE_CHANGE_FAN_OUT);
+      return;
+    }
+    const isEarly = change === "demand" && digestCredit >= 1;
+    if (!isEarly && nowMs - roundAtMs < ROUND_INTERVAL_MS) return;
+    if (isEarly || digestCredit >= 1 + RESERVED_DIGESTS) {
+      published = publish(published.sequence);
+    }
+    startRound(nowMs, FAN_OUT);
+  }
+
+  while (true) {
+    const nowMs = clock.monotonicMs();
+    addDigestCredit(nowMs - checkedAtMs);
+    excusePause(nowMs);
+    dropSilentPeers(nowMs);
+    yield* updateLinks();
+    runRound(nowMs);
+    const untilRoundMs = roundAtMs + ROUND_INTERVAL_MS - clock.monotonicMs();
+    yield* wake.wait(
+      Math.max(1, Math.min(LOAD_CHECK_INTERVAL_MS, untilRoundMs)),
+    );
+  }
+}
--- /dev/null
+++ b/src/peers/membership_test.ts
@@ -0,0 +1,136 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  createMembership,
+  type Membership,
+  SILENCE_LIMIT_MS,
+  SILENT_PEER_KEPT_MS,
+} from "./membership.ts";
+import type { EntryDigest } from "./messages.ts";
+import {
+  decodeRecord,
+  decodeVersions,
+  encodeRecord,
+  profileOf,
+  sequenceGap,
+} from "./wire.ts";
+
+const test = suite("membership");
+const NONE = decodeVersions("");
+
+function digest(fields: Partial<EntryDigest>): EntryDigest {
+  return {
+    entryId: "entry-2",
+    incarnation: "1",
+    sequence: 1,
+    region: "khomas",
+    peerAddress: "127.0.0.1:2",
+    callerAddress: "127.0.0.1:3",
+    ready: true,
+    stopping: false,
+    configRevision: 0,
+    fleetRevision: 0,
+    services: { quoting: { inFlight: 3, waiting: 2, demandSlots: 4.5 } },
+    drainingInFlight: { "vm-1": 2 },
+    leavingVms: ["vm-2"],
+    ...fields,
+  };
+}
+
+function createWith(...digests: EntryDigest[]): Membership {
+  const membership = createMembership({
+    entryId: "entry-1",
+    region: "khomas",
+    incarnation: "5",
+  });
+  for (const item of digests) receive(membership, item);
+  return membership;
+}
+
+function receive(membership: Membership, item: EntryDigest, nowMs = 0) {
+  const profile = profileOf(item);
+  const records = [encodeRecord(item, profile)];
+  return membership.merge({ records, profiles: [profile] }, nowMs);
+}
+
+test("a digest survives its encoding", () => {
+  const item = digest({});
+  const profile = profileOf(item);
+  assert.equal(decodeRecord(encodeRecord(item, profile), profile), item);
+});
+
+test("an older or repeated digest doesn't replace a newer one", () => {
+  const membership = createWith(digest({ sequence: 7, configRevision: 7 }));
+  assert.is(receive(membership, digest({ sequence: 6 })).changed, false);
+  assert.is(receive(membership, digest({ sequence: 7 })).changed, false);
+  assert.is(membership.digests()[0]?.configRevision, 7);
+});
+
+test("a replaced incarnation is ignored however high its sequence, also after the drop of its successor", () => {
+  const membership = createWith(digest({ incarnation: "2" }));
+  const old = digest({ incarnation: "1", sequence: 900 });
+  assert.is(receive(membership, old).changed, false);
+  membership.dropSilent(SILENCE_LIMIT_MS, () => "refused");
+  receive(membership, old, SILENCE_LIMIT_MS);
+  assert.equal(membership.digests(), []);
+  receive(membership, digest({ incarnation: "3" }));
+  assert.is(membership.digests()[0]?.incarnation, "3");
+});
+
+test("a digest from another region or with this entry's id isn't taken over", () => {
+  const membership = createWith(digest({ region: "other" }));
+  const result = receive(
+    membership,
+    digest({ entryId: "entry-1", incarnation: "6" }),
+  );
+  assert.is(result.superseded, true);
+  assert.equal(membership.digests(), []);
+});
+
+test("a silent peer is dropped by evidence, and kept while it may be behind a partition", () => {
+  for (const evidence of ["refused", "not_listed"] as const) {
+    const membership = createWith(digest({}));
+    const drop = (nowMs: number) =>
+      membership.dropSilent(nowMs, () => evidence);
+    assert.equal(drop(SILENCE_LIMIT_MS - 1), []);
+    assert.equal(drop(SILENCE_LIMIT_MS), ["entry-2"]);
+    assert.equal(membership.digests(), []);
+  }
+  const membership = createWith(digest({}));
+  assert.equal(
+    membership.dropSilent(SILENT_PEER_KEPT_MS - 1, () => "listed"),
+    [],
+  );
+  assert.equal(membership.dropSilent(SILENT_PEER_KEPT_MS, () => "listed"), [
+    "entry-2",
+  ]);
+});
+
+test("a dropped peer isn't passed on and returns with a newer digest only", () => {
+  const membership = createWith(digest({ sequence: 5 }));
+  membership.dropSilent(SILENCE_LIMIT_MS, () => "refused");
+  assert.equal(membership.missingFrom(NONE).records, []);
+  receive(membership, digest({ sequence: 5 }));
+  assert.is(membership.digests().length, 0);
+  receive(membership, digest({ sequence: 6 }));
+  assert.is(membership.digests().length, 1);
+});
+
+test("a pause of this process doesn't count as silence of its peers", () => {
+  const membership = createWith(digest({}));
+  membership.excusePause(60_000);
+  assert.equal(membership.dropSilent(60_000, () => "not_listed"), []);
+});
+
+test("a peer gets exactly what its version list lacks, also after a wrap-around", () => {
+  const membership = createWith(digest({ sequence: 1_295 }));
+  const held = decodeVersions(membership.versions(0));
+  assert.equal(membership.missingFrom(held).records, []);
+  receive(membership, digest({ sequence: 1_297 }));
+  assert.is(membership.missingFrom(held).records.length, 1);
+  assert.equal(membership.missingFrom(held).profiles, []);
+  assert.is(membership.missingFrom(NONE).profiles.length, 1);
+  assert.is(sequenceGap(1_295, 1), -2);
+});
+
+test.run();
--- /dev/null
+++ b/src/peers/peer_link.ts
@@ -0,0 +1,120 @@
+import { type Operation, until } from "effection";
+import type { Clock } from "../clock.ts";
+import type { ByteMeter } from "./byte_meter.ts";
+import { createPeerClient, PeerError, type PeerFailure } from "./client.ts";
+import type { Membership, MergeResult } from "./membership.ts";
+import { createWake } from "./wake.ts";
+
+/** Longest time between attempts to reach a failing peer, in ms. */
+const MAXIMUM_RETRY_DELAY_MS = 5_000;
+const FIRST_RETRY_DELAY_MS = 500;
+const IDLE_WAIT_MS = 60_000;
+
+/** State of a link, as shown in the dump. */
+export interface PeerLinkStatus {
+  readonly address: string;
+  readonly exchanges: number;
+  readonly failuresInRow: number;
+  readonly lastFailure: string | undefined;
+}
+
+/** Link to one peer of the region. */
+export interface PeerLink {
+  readonly address: string;
+  /** Monotonic time of the last round that chose this peer, in ms. */
+  triggeredAtMs: number;
+  /** Starts an exchange, after the one that is under way. */
+  trigger(nowMs: number): void;
+  /** Whether the last attempt failed only a short time ago. */
+  isBackingOff(nowMs: number): boolean;
+  lastFailure(): PeerFailure | undefined;
+  status(): PeerLinkStatus;
+  /** Runs the exchanges until it is halted. */
+  run(): Operation<void>;
+}
+
+/** What a link works with. */
+export interface PeerLinkOptions {
+  readonly address: string;
+  readonly membership: Membership;
+  readonly clock: Clock;
+  readonly meter: ByteMeter;
+  /** Called after each answer of the peer. */
+  readonly onMerged: (result: MergeResult) => void;
+}
+
+/** Creates the link to the peer at `host:port`. */
+export function createPeerLink(options: PeerLinkOptions): PeerLink {
+  const { address, membership, clock } = options;
+  const wake = createWake();
+  let introducedKey: string | undefined;
+  let exchanges = 0;
+  let failuresInRow = 0;
+  let failedAtMs = 0;
+  let failure: PeerError | undefined;
+
+  const retryDelayMs = () =>
+    Math.min(
+      FIRST_RETRY_DELAY_MS * 2 ** (failuresInRow - 1),
+      MAXIMUM_RETRY_DELAY_MS,
+    );
+
+  function* exchange(
+    client: ReturnType<typeof createPeerClient>,
+  ): Operation<void> {
+    const own = membership.own();
+    if (own === undefined) return;
+    const key = own.record[0];
+    const reply = yield* until(client.exchange({
+      have: membership.versions(clock.monotonicMs()),
+      record: own.record,
+      ...(introducedKey === key ? {} : { profile: own.profile }),
+    }));
+    exchanges++;
+    introducedKey = key;
+    options.onMerged(
+      membership.merge(
+        { records: reply.records, profiles: reply.profiles ?? [] },
+        clock.monotonicMs(),
+      ),
+    );
+  }
+
+  return {
+    address,
+    triggeredAtMs: 0,
+    trigger(nowMs) {
+      this.triggeredAtMs = nowMs;
+      wake.notify();
+    },
+    isBackingOff: (nowMs) =>
+      failuresInRow > 0 && nowMs - failedAtMs < retryDelayMs(),
+    lastFailure: () => failuresInRow > 0 ? failure?.failure : undefined,
+    status: () => ({
+      address,
+      exchanges,
+      failuresInRow,
+      lastFailure: failure?.message,
+    }),
+    *run() {
+      const client = createPeerClient(address, options.meter);
+      try {
+        while (true) {
+          yield* wake.wait(IDLE_WAIT_MS);
+          try {
+            yield* exchange(client);
+            failuresInRow = 0;
+          } catch (error) {
+            if (!(error instanceof PeerError)) throw error;
+            failure = error;
+            introducedKey = undefined;
+            failuresInRow++;
+            failedAtMs = clock.monotonicMs();
+          }
+        }
+      } finally {
+        client.close();
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/peers/peers.ts
@@ -0,0 +1,262 @@
+import { type Operation, spawn, suspend } from "effection";
+import type { Clock } from "../clock.ts";
+import { advanceConfig, parseAppliedConfig } from "../config/follower.ts";
+import type { AppliedConfig } from "../config/schema.ts";
+import type { ContactTracker } from "../contact_tracker.ts";
+import { advanceFleetRecord, parseFleetRecord } from "../fleet/follower.ts";
+import type { FleetRecord } from "../fleet/record.ts";
+import { type ListenOptions, useListeningServer } from "../http_server.ts";
+import type { Logger } from "../logger.ts";
+import type { MutableObservable, Observable } from "../observable.ts";
+import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import type { LoadReport } from "../requests/request_path.ts";
+import { type RevisionReport, runBodySync } from "./body_sync.ts";
+import { createByteMeter } from "./byte_meter.ts";
+import { runGossip } from "./gossip.ts";
+import {
+  createMembership,
+  type MemberStatus,
+  type MergeResult,
+} from "./membership.ts";
+import type { EntryDigest } from "./messages.ts";
+import type { PeerLink, PeerLinkStatus } from "./peer_link.ts";
+import { runRegionExchange } from "./region_exchange.ts";
+import { createPeerServer, type PeerHandlers } from "./router.ts";
+import { createWake } from "./wake.ts";
+import { decodeVersions } from "./wire.ts";
+
+/** What the peer links work with. */
+export interface PeersOptions {
+  readonly self: {
+    readonly entryId: string;
+    readonly region: string;
+    readonly incarnation: string;
+  };
+  readonly listen: ListenOptions;
+  readonly config: MutableObservable<AppliedConfig | undefined>;
+  readonly fleet: MutableObservable<FleetRecord | undefined>;
+  readonly vmList: Observable<VmListSnapshot | undefined>;
+  /** Set to the digests of all live entries of the region, this one and stopping ones included. */
+  readonly entries: MutableObservable<readonly EntryDigest[]>;
+  /** `host:port` of the callers' port. */
+  readonly callerAddress: () => string;
+  readonly load: () => LoadReport;
+  readonly isReady: () => boolean;
+  readonly isStopping: () => boolean;
+  /** Called when peers know a newer incarnation of this entry. */
+  readonly onSuperseded: () => void;
+  readonly contacts: ContactTracker;
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** Random numbers from 0 to 1. */
+  readonly random?: () => number;
+}
+
+/** State of the peer links, as shown in the dump. */
+export interface PeersStatus {
+  readonly peerAddress: string;
+  readonly members: readonly MemberStatus[];
+  readonly links: readonly PeerLinkStatus[];
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+}
+
+/** Membership and links to the other entries. */
+export interface Peers {
+  /** Runs the peer server and links until it is halted; may be run again after a failure. */
+  run(): Operation<void>;
+  /** Makes the rounds look for a change of state at once. */
+  notifyChange(): void;
+  /** `host:port` of the peer server; empty while it isn't listening. */
+  address(): string;
+  status(): PeersStatus;
+}
+
+/** Creates the peer links; they are idle until `run`. */
+export function createPeers(options: PeersOptions): Peers {
+  const { self, config, fleet, contacts, clock, log } = options;
+  const random = options.random ?? Math.random;
+  const membership = createMembership(self);
+  const meter = createByteMeter();
+  const wakes = {
+    gossip: createWake(),
+    config: createWake(),
+    fleet: createWake(),
+    regions: createWake(),
+  };
+  const links = new Map<string, PeerLink>();
+  let peerAddress = "";
+  let regionReport: RevisionReport | undefined;
+
+  const configRevision = () => config.get()?.revision ?? 0;
+  const fleetRevision = () => fleet.get()?.revision ?? 0;
+
+  function publishEntries(): void {
+    options.entries.set(membership.digests());
+    wakes.config.notify();
+    wakes.fleet.notify();
+  }
+
+  function onMerged(result: MergeResult): void {
+    contacts.touch("peer");
+    if (result.superseded) options.onSuperseded();
+    if (result.changed) publishEntries();
+  }
+
+  function onRegionReport(report: RevisionReport): void {
+    contacts.touch("peer");
+    if (report.revision <= configRevision()) return;
+    regionReport = report;
+    wakes.config.notify();
+  }
+
+  function currentDigest(): EntryDigest {
+    return {
+      ...self,
+      sequence: 0,
+      peerAddress,
+      callerAddress: options.callerAddress(),
+      ready: options.isReady(),
+      stopping: options.isStopping(),
+      configRevision: configRevision(),
+      fleetRevision: fleetRevision(),
+      ...options.load(),
+    };
+  }
+
+  const handlers: PeerHandlers = {
+    exchange(request) {
+      const profiles = request.profile === undefined ? [] : [request.profile];
+      onMerged(
+        membership.merge(
+          { records: [request.record], profiles },
+          clock.monotonicMs(),
+        ),
+      );
+      const missing = membership.missingFrom(decodeVersions(request.have));
+      return {
+        records: [...missing.records],
+        ...(missing.profiles.length > 0
+          ? { profiles: [...missing.profiles] }
+          : {}),
+      };
+    },
+    exchangeConfigRevision(report) {
+      onRegionReport(report);
+      return configRevision();
+    },
+    configBody(aboveRevision) {
+      const applied = config.get();
+      return applied !== undefined && applied.revision > aboveRevision
+        ? JSON.stringify(applied)
+        : undefined;
+    },
+    fleetBody(aboveRevision) {
+      const record = fleet.get();
+      return record !== undefined && record.revision > aboveRevision
+        ? JSON.stringify(record)
+        : undefined;
+    },
+  };
+
+  const runConfigSync = () =>
+    runBodySync({
+      name: "configuration",
+      currentRevision: configRevision,
+      reports: () => [
+        ...membership.digests().map((digest) => ({
+          address: digest.peerAddress,
+          revision: digest.configRevision,
+        })),
+        ...(regionReport === undefined ? [] : [regionReport]),
+      ],
+      fetch: (client, aboveRevision) => client.configBody(aboveRevision),
+      advance: (body) => advanceConfig(config, parseAppliedConfig(body)),
+      meter,
+      wake: wakes.config,
+      log,
+      random,
+    });
+
+  const runFleetSync = () =>
+    runBodySync({
+      name: "fleet",
+      currentRevision: fleetRevision,
+      reports: () =>
+        membership.digests().map((digest) => ({
+          address: digest.peerAddress,
+          revision: digest.fleetRevision,
+        })),
+      fetch: (client, aboveRevision) => client.fleetBody(aboveRevision),
+      advance: (body) => advanceFleetRecord(fleet, parseFleetRecord(body)),
+      meter,
+      wake: wakes.fleet,
+      log,
+      random,
+    });
+
+  function* run(): Operation<void> {
+    links.clear();
+    peerAddress = yield* useListeningServer(
+      createPeerServer(handlers, meter),
+      options.listen,
+    );
+    log.info(`peer server listening on ${peerAddress}`);
+    const unsubscribe = [
+      config.subscribe(() => {
+        wakes.gossip.notify();
+        wakes.regions.notify();
+      }),
+      fleet.subscribe(() => wakes.gossip.notify()),
+    ];
+    try {
+      yield* spawn(runConfigSync);
+      yield* spawn(runFleetSync);
+      yield* spawn(() =>
+        runRegionExchange({
+          region: self.region,
+          peerAddress,
+          vmList: options.vmList,
+          currentRevision: configRevision,
+          onReport: onRegionReport,
+          meter,
+          wake: wakes.regions,
+          log,
+          random,
+        })
+      );
+      yield* spawn(() =>
+        runGossip({
+          self,
+          peerAddress,
+          membership,
+          vmList: options.vmList,
+          currentDigest,
+          links,
+          clock,
+          meter,
+          wake: wakes.gossip,
+          log,
+          random,
+          onMerged,
+          onChange: publishEntries,
+        })
+      );
+      yield* suspend();
+    } finally {
+      for (const end of unsubscribe) end();
+    }
+  }
+
+  return {
+    run,
+    notifyChange: () => wakes.gossip.notify(),
+    address: () => peerAddress,
+    status: () => ({
+      peerAddress,
+      members: membership.status(clock.monotonicMs()),
+      links: [...links.values()].map((link) => link.status()),
+      ...meter.totals(),
+    }),
+  };
+}
--- /dev/null
+++ b/src/peers/peers_test.ts
@@ -0,0 +1,184 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  appliedConfig,
+  type PeerNode,
+  startPeerNode,
+  startPeerNodes,
+  vmOf,
+} from "../../testing/peer_nodes.ts";
+import { waitFor } from "../../testing/wait.ts";
+import { advanceConfig } from "../config/follower.ts";
+import { createObservable } from "../observable.ts";
+import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+
+const test = suite("peers");
+
+const ids = (node: PeerNode) => node.entries.get().map((item) => item.entryId);
+
+async function withNodes(
+  count: number,
+  body: (
+    nodes: PeerNode[],
+    vmList: Awaited<ReturnType<typeof startPeerNodes>>["vmList"],
+  ) => Promise<void>,
+): Promise<void> {
+  const { nodes, vmList, stop } = await startPeerNodes(count);
+  try {
+    await waitFor(
+      "each node knows all",
+      () => nodes.every((node) => ids(node).length === count),
+    );
+    await body(nodes, vmList);
+  } finally {
+    await stop();
+  }
+}
+
+test("a configuration that one entry has reaches all without a store; an older one never wins", () =>
+  withNodes(9, async (nodes) => {
+    const startedAtMs = performance.now();
+    nodes[0]?.config.set(appliedConfig(5));
+    const revisions = () =>
+      nodes.map((node) => node.config.get()?.revision ?? 0);
+    await waitFor(
+      "revision 5 is in force",
+      () => revisions().every((revision) => revision === 5),
+    );
+    // 0.3 s is expected.
+    assert.ok(performance.now() - startedAtMs < 3_000);
+    const seen = new Set<number>();
+    for (const node of nodes) {
+      node.config.subscribe((applied) => seen.add(applied?.revision ?? 0));
+    }
+    assert.is(advanceConfig(nodes[1]!.config, appliedConfig(4)), false);
+    nodes[2]?.config.set(appliedConfig(6));
+    await waitFor(
+      "revision 6 is in force and reported",
+      () =>
+        nodes.every((node) =>
+          node.entries.get().every((item) => item.configRevision === 6)
+        ),
+    );
+    assert.equal([...seen], [6]);
+  }));
+
+test("a change of state is sent at once, not in the next round", () =>
+  withNodes(2, async ([first, second]) => {
+    const startedAtMs = performance.now();
+    const changes = 20;
+    for (let index = 0; index < changes; index++) {
+      const stopping = index % 2 === 0;
+      const seen = new Promise<void>((resolve) => {
+        const unsubscribe = second!.entries.subscribe((digests) => {
+          if (digests[0]?.stopping !== stopping) return;
+          unsubscribe();
+          resolve();
+        });
+      });
+      first!.state.stopping = stopping;
+      first!.peers.notifyChange();
+      await seen;
+    }
+    // 5 ms for each change are expected, the time between rounds is 400 ms.
+    assert.ok(performance.now() - startedAtMs < changes * 100);
+  }));
+
+test("a lost peer is dropped by all, a stopping one is reported at once", () =>
+  withNodes(4, async (nodes) => {
+    const [lost, stopping, ...others] = nodes;
+    stopping!.state.stopping = true;
+    stopping!.peers.notifyChange();
+    await waitFor(
+      "all know that it is stopping",
+      () =>
+        others.every((node) =>
+          node.entries.get().some((item) =>
+            item.entryId === stopping?.entryId && item.stopping
+          )
+        ),
+      { timeoutMs: 3_000 },
+    );
+    await lost?.stop();
+    await waitFor(
+      "the lost peer is dropped",
+      () => others.every((node) => !ids(node).includes(lost!.entryId)),
+    );
+    assert.ok(others.every((node) => ids(node).length === 3));
+  }));
+
+test("a peer that resumes with a replaced incarnation is ignored and told", () =>
+  withNodes(3, async ([first, second, old], vmList) => {
+    const replacement = await startPeerNode({
+      entryId: old!.entryId,
+      incarnation: "2",
+      vmList,
+    });
+    try {
+      const incarnationAt = (node: PeerNode | undefined) =>
+        node?.entries.get().find((item) => item.entryId === old!.entryId)
+          ?.incarnation;
+      await waitFor(
+        "the replacement is known",
+        () => incarnationAt(first) === "2" && incarnationAt(second) === "2",
+      );
+      const seen = new Set<string | undefined>();
+      first?.entries.subscribe(() => seen.add(incarnationAt(first)));
+      await waitFor("the old one is told", () => old!.state.superseded);
+      await waitFor("digests go on", () => seen.size > 0);
+      assert.equal([...seen], ["2"]);
+    } finally {
+      await replacement.stop();
+    }
+  }));
+
+test("an entry that isn't in the VM list yet is known through its own calls", () =>
+  withNodes(2, async (nodes) => {
+    const vms = nodes.map((node) => vmOf(node));
+    const newcomer = await startPeerNode({
+      entryId: "entry-9",
+      vmList: createObservable<VmListSnapshot | undefined>({
+        vms,
+        readAtMs: 0,
+      }),
+    });
+    try {
+      await waitFor(
+        "all know the newcomer",
+        () => [...nodes, newcomer].every((node) => ids(node).length === 3),
+      );
+    } finally {
+      await newcomer.stop();
+    }
+  }));
+
+test("between regions the configuration spreads, digests and fleet records don't", () =>
+  withNodes(2, async (nodes, vmList) => {
+    const remote = await startPeerNode({
+      entryId: "remote-1",
+      region: "other",
+      vmList,
+    });
+    try {
+      const vms = [...nodes.map((node) => vmOf(node)), vmOf(remote, "other")];
+      vmList.set({ vms, readAtMs: 1 });
+      nodes[0]?.config.set(appliedConfig(3));
+      nodes[0]?.fleet.set({ revision: 4 } as never);
+      await waitFor(
+        "the other region has it",
+        () => remote.config.get()?.revision === 3,
+      );
+      remote.config.set(appliedConfig(8));
+      await waitFor(
+        "both regions have it",
+        () => nodes.every((node) => node.config.get()?.revision === 8),
+      );
+      assert.is(remote.fleet.get(), undefined);
+      assert.equal(ids(remote), ["remote-1"]);
+      assert.equal(ids(nodes[0]!), ["entry-1", "entry-2"]);
+    } finally {
+      await remote.stop();
+    }
+  }));
+
+test.run();
--- /dev/null
+++ b/src/peers/region_exchange.ts
@@ -0,0 +1,83 @@
+import { type Operation, until } from "effection";
+import { messageOf } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import type { Observable } from "../observable.ts";
+import type { Vm } from "../platform/vm_list.ts";
+import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import type { RevisionReport } from "./body_sync.ts";
+import type { ByteMeter } from "./byte_meter.ts";
+import { createPeerClient } from "./client.ts";
+import type { Wake } from "./wake.ts";
+
+/** Interval of regular exchanges with each other region, in ms. */
+const REGION_INTERVAL_MS = 5_000;
+/** Entries of a region that are tried in one exchange. */
+const MAXIMUM_ATTEMPTS = 3;
+
+/** What the exchange with other regions works with. */
+export interface RegionExchangeOptions {
+  readonly region: string;
+  readonly peerAddress: string;
+  readonly vmList: Observable<VmListSnapshot | undefined>;
+  readonly currentRevision: () => number;
+  readonly onReport: (report: RevisionReport) => void;
+  readonly meter: ByteMeter;
+  /** Wakes the task when the configuration has changed. */
+  readonly wake: Wake;
+  readonly log: Logger;
+  readonly random: () => number;
+}
+
+function entriesByRegion(options: RegionExchangeOptions): Map<string, Vm[]> {
+  const regions = new Map<string, Vm[]>();
+  for (const vm of options.vmList.get()?.vms ?? []) {
+    if (vm.role !== "entry" || vm.region === options.region) continue;
+    regions.set(vm.region, [...regions.get(vm.region) ?? [], vm]);
+  }
+  return regions;
+}
+
+function shuffle<T>(items: readonly T[], random: () => number): T[] {
+  return items.map((item) => ({ item, rank: random() }))
+    .sort((a, b) => a.rank - b.rank)
+    .map(({ item }) => item);
+}
+
+/** Task that exchanges configuration revisions with one entry of each other region until it is halted. */
+export function* runRegionExchange(
+  options: RegionExchangeOptions,
+): Operation<void> {
+  const { currentRevision, onReport, meter, wake, log, random } = options;
+
+  function* exchangeWith(address: string): Operation<boolean> {
+    const client = createPeerClient(address, meter);
+    try {
+      const revision = yield* until(
+        client.exchangeConfigRevision({
+          configRevision: currentRevision(),
+          peerAddress: options.peerAddress,
+        }),
+      );
+      onReport({ address, revision });
+      return true;
+    } catch (error) {
+      log.debug("entry of another region did not answer", {
+        address,
+        reason: messageOf(error),
+      });
+      return false;
+    } finally {
+      client.close();
+    }
+  }
+
+  while (true) {
+    for (const entries of entriesByRegion(options).values()) {
+      const tried = shuffle(entries, random).slice(0, MAXIMUM_ATTEMPTS);
+      for (const vm of tried) {
+        if (yield* exchangeWith(vm.controlAddress)) break;
+      }
+    }
+    yield* wake.wait(REGION_INTERVAL_MS);
+  }
+}
--- /dev/null
+++ b/src/peers/router.ts
@@ -0,0 +1,81 @@
+import { createServer, type Server } from "node:http";
+import { initTRPC } from "@trpc/server";
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import { z } from "zod";
+import type { RevisionReport } from "./body_sync.ts";
+import type { ByteMeter } from "./byte_meter.ts";
+import {
+  type ExchangeReply,
+  type ExchangeRequest,
+  exchangeRequestSchema,
+} from "./wire.ts";
+
+/** Largest request body of a peer, in bytes. */
+const MAXIMUM_REQUEST_BYTES = 262_144;
+/** Time for which an idle connection stays open; longer than a cycle through 27 peers, in ms. */
+const IDLE_CONNECTION_MS = 60_000;
+
+const bodyRequestSchema = z.object({ aboveRevision: z.number().int() });
+const revisionSchema = z.object({
+  configRevision: z.number().int(),
+  /** `host:port` of the caller's peer server. */
+  peerAddress: z.string(),
+});
+
+/** What an entry does with its peers' calls. */
+export interface PeerHandlers {
+  exchange(request: ExchangeRequest): ExchangeReply;
+  /** Takes a revision reported from another region; returns this entry's own. */
+  exchangeConfigRevision(report: RevisionReport): number;
+  /** Returns the configuration as JSON if it is newer than the revision. */
+  configBody(aboveRevision: number): string | undefined;
+  /** Returns the fleet record as JSON if it is newer than the revision. */
+  fleetBody(aboveRevision: number): string | undefined;
+}
+
+const trpc = initTRPC.context<{ handlers: PeerHandlers }>().create();
+
+const peerRouter = trpc.router({
+  exchange: trpc.procedure.input(exchangeRequestSchema).mutation(
+    ({ input, ctx }) => ctx.handlers.exchange(input),
+  ),
+  configRevision: trpc.procedure.input(revisionSchema).mutation(
+    ({ input, ctx }) => ({
+      configRevision: ctx.handlers.exchangeConfigRevision({
+        address: input.peerAddress,
+        revision: input.configRevision,
+      }),
+    }),
+  ),
+  configBody: trpc.procedure.input(bodyRequestSchema).query(
+    ({ input, ctx }) => ({
+      body: ctx.handlers.configBody(input.aboveRevision),
+    }),
+  ),
+  fleetBody: trpc.procedure.input(bodyRequestSchema).query(
+    ({ input, ctx }) => ({ body: ctx.handlers.fleetBody(input.aboveRevision) }),
+  ),
+});
+
+/** Calls that peers make to each other. */
+export type PeerRouter = typeof peerRouter;
+
+/** Creates the server for peers' calls; it isn't listening yet. */
+export function createPeerServer(
+  handlers: PeerHandlers,
+  meter: ByteMeter,
+): Server {
+  const handler = createHTTPHandler({
+    router: peerRouter,
+    createContext: () => ({ handlers }),
+    maxBodySize: MAXIMUM_REQUEST_BYTES,
+    allowBatching: false,
+  });
+  const server = createServer((request, response) => {
+    response.sendDate = false;
+    handler(request, response);
+  });
+  server.keepAliveTimeout = IDLE_CONNECTION_MS;
+  server.on("connection", (socket) => meter.track(socket));
+  return server;
+}
--- /dev/null
+++ b/src/peers/wake.ts
@@ -0,0 +1,33 @@
+import { action, type Operation } from "effection";
+
+/** Lets other code wake a task that waits. */
+export interface Wake {
+  notify(): void;
+  /** Waits for a notification since the last wait, at most for the given time. */
+  wait(timeoutMs: number): Operation<void>;
+}
+
+/** Creates a wake with no notification pending. */
+export function createWake(): Wake {
+  let pending = false;
+  let release: (() => void) | undefined;
+  return {
+    notify() {
+      pending = true;
+      release?.();
+    },
+    *wait(timeoutMs) {
+      if (!pending) {
+        yield* action<void>((resolve) => {
+          const timer = setTimeout(resolve, timeoutMs);
+          release = resolve;
+          return () => {
+            clearTimeout(timer);
+            release = undefined;
+          };
+        });
+      }
+      pending = false;
+    },
+  };
+}
--- /dev/null
+++ b/src/peers/wire.ts
@@ -0,0 +1,188 @@
+import { createHash } from "node:crypto";
+import { z } from "zod";
+import type { EntryDigest } from "./messages.ts";
+
+/** The part of a digest that seldom changes; it is sent once on each link. */
+export const profileSchema = z.object({
+  entryId: z.string(),
+  incarnation: z.string(),
+  region: z.string(),
+  peerAddress: z.string(),
+  callerAddress: z.string(),
+  /** Names of the services, in the order of a record's load figures. */
+  services: z.array(z.string()),
+});
+
+/** The part of a digest that seldom changes. */
+export type Profile = z.infer<typeof profileSchema>;
+
+/**
+ * The changing part of a digest as an array, because field names would double
+ * the size of a message: profile key, sequence, flags, configuration revision,
+ * fleet revision, load figures, draining VMs, leaving VMs.
+ */
+export const recordSchema = z.tuple([
+  z.string(),
+  z.number().int(),
+  z.number().int(),
+  z.number().int(),
+  z.number().int(),
+  z.array(z.number()),
+  z.record(z.string(), z.number()),
+  z.array(z.string()),
+]);
+
+/** The changing part of a digest. */
+export type DigestRecord = z.infer<typeof recordSchema>;
+
+/** Sequence numbers by profile key. */
+export type Versions = ReadonlyMap<string, number>;
+
+const READY_FLAG = 1;
+const STOPPING_FLAG = 2;
+const FIGURES_PER_SERVICE = 3;
+/** 24 bits: with 27 entries, two keys are equal with a probability of 2 in 100,000. */
+const KEY_CHARACTERS = 4;
+/** Sequence numbers in a version list are cut to two digits of base 36. */
+const VERSION_CHARACTERS = 2;
+const VERSION_MODULUS = 36 ** VERSION_CHARACTERS;
+
+/** Short name of a profile; any change of the profile changes it. */
+export function profileKey(profile: Profile): string {
+  const values = [
+    profile.entryId,
+    profile.incarnation,
+    profile.region,
+    profile.peerAddress,
+    profile.callerAddress,
+    ...profile.services,
+  ];
+  return createHash("sha256").update(JSON.stringify(values)).digest("base64url")
+    .slice(0, KEY_CHARACTERS);
+}
+
+/** Returns the part of a digest that seldom changes. */
+export function profileOf(digest: EntryDigest): Profile {
+  return {
+    entryId: digest.entryId,
+    incarnation: digest.incarnation,
+    region: digest.region,
+    peerAddress: digest.peerAddress,
+    callerAddress: digest.callerAddress,
+    services: Object.keys(digest.services).sort(),
+  };
+}
+
+function roundToTenths(value: number): number {
+  return Math.round(value * 10) / 10;
+}
+
+/** Encodes the changing part of a digest. */
+export function encodeRecord(
+  digest: EntryDigest,
+  profile: Profile,
+): DigestRecord {
+  const figures = profile.services.flatMap((name) => {
+    const load = digest.services[name];
+    return [
+      load?.inFlight ?? 0,
+      load?.waiting ?? 0,
+      roundToTenths(load?.demandSlots ?? 0),
+    ];
+  });
+  return [
+    profileKey(profile),
+    digest.sequence,
+    (digest.ready ? READY_FLAG : 0) | (digest.stopping ? STOPPING_FLAG : 0),
+    digest.configRevision,
+    digest.fleetRevision,
+    figures,
+    digest.drainingInFlight,
+    digest.leavingVms,
+  ];
+}
+
+/** Puts a digest together from its two parts. */
+export function decodeRecord(
+  record: DigestRecord,
+  profile: Profile,
+): EntryDigest {
+  const [_key, sequence, flags, configRevision, fleetRevision] = record;
+  const figures = record[5];
+  const services: EntryDigest["services"] = {};
+  for (const [index, name] of profile.services.entries()) {
+    const first = index * FIGURES_PER_SERVICE;
+    services[name] = {
+      inFlight: figures[first] ?? 0,
+      waiting: figures[first + 1] ?? 0,
+      demandSlots: figures[first + 2] ?? 0,
+    };
+  }
+  return {
+    entryId: profile.entryId,
+    incarnation: profile.incarnation,
+    sequence,
+    region: profile.region,
+    peerAddress: profile.peerAddress,
+    callerAddress: profile.callerAddress,
+    ready: (flags & READY_FLAG) !== 0,
+    stopping: (flags & STOPPING_FLAG) !== 0,
+    configRevision,
+    fleetRevision,
+    services,
+    drainingInFlight: record[6],
+    leavingVms: record[7],
+  };
+}
+
+/** Encodes sequence numbers as a profile key and two digits for each entry. */
+export function encodeVersions(versions: Versions): string {
+  return [...versions].map(([key, sequence]) =>
+    key +
+    (sequence % VERSION_MODULUS).toString(36).padStart(VERSION_CHARACTERS, "0")
+  ).join("");
+}
+
+/** Decodes a version list; the sequence numbers are cut to two digits. */
+export function decodeVersions(text: string): Versions {
+  const versions = new Map<string, number>();
+  const itemCharacters = KEY_CHARACTERS + VERSION_CHARACTERS;
+  for (let start = 0; start < text.length; start += itemCharacters) {
+    const item = text.slice(start, start + itemCharacters);
+    const sequence = Number.parseInt(item.slice(KEY_CHARACTERS), 36);
+    versions.set(item.slice(0, KEY_CHARACTERS), sequence);
+  }
+  return versions;
+}
+
+/** Returns by how much a sequence number is ahead of a decoded one; 0 or less when it isn't. */
+export function sequenceGap(sequence: number, decoded: number): number {
+  const gap = (sequence - decoded) % VERSION_MODULUS;
+  return gap > VERSION_MODULUS / 2 ? gap - VERSION_MODULUS : gap;
+}
+
+/** What an entry sends to a peer in a gossip round. */
+export const exchangeRequestSchema = z.object({
+  /** Sequence numbers that the sender holds. */
+  have: z.string(),
+  record: recordSchema,
+  /** Sent in the first request after a change, a start or a failure. */
+  profile: profileSchema.optional(),
+});
+
+/** What an entry sends to a peer in a gossip round. */
+export type ExchangeRequest = z.infer<typeof exchangeRequestSchema>;
+
+/** The answer in a gossip round: what the sender of the request lacks. */
+export const exchangeReplySchema = z.object({
+  records: z.array(recordSchema),
+  profiles: z.array(profileSchema).optional(),
+});
+
+/** The answer in a gossip round. */
+export type ExchangeReply = z.infer<typeof exchangeReplySchema>;
+
+/** Returns a new incarnation. Later starts sort after earlier ones. */
+export function createIncarnation(wallMs: number, random: string): string {
+  return `${wallMs.toString(36).padStart(9, "0")}-${random.slice(0, 8)}`;
+}
--- /dev/null
+++ b/testing/peer_nodes.ts
@@ -0,0 +1,169 @@
+import { run, type Task } from "effection";
+import { type Clock, systemClock } from "../src/clock.ts";
+import type { AppliedConfig, ResolvedConfig } from "../src/config/schema.ts";
+import { createContactTracker } from "../src/contact_tracker.ts";
+import type { FleetRecord } from "../src/fleet/record.ts";
+import { silentLogger } from "../src/logger.ts";
+import { createObservable, type MutableObservable } from "../src/observable.ts";
+import type { EntryDigest } from "../src/peers/messages.ts";
+import { createPeers, type Peers } from "../src/peers/peers.ts";
+import type { Vm } from "../src/platform/vm_list.ts";
+import type { VmListSnapshot } from "../src/platform/vm_list_poller.ts";
+import type { LoadReport } from "../src/requests/request_path.ts";
+import { waitFor } from "./wait.ts";
+
+/** Peer links of one entry, run inside the test's process without a store. */
+export interface PeerNode {
+  readonly entryId: string;
+  readonly peers: Peers;
+  readonly config: MutableObservable<AppliedConfig | undefined>;
+  readonly fleet: MutableObservable<FleetRecord | undefined>;
+  readonly entries: MutableObservable<readonly EntryDigest[]>;
+  /** A test may change it while the node runs. */
+  readonly state: { load: LoadReport; stopping: boolean; superseded: boolean };
+  stop(): Promise<void>;
+}
+
+/** What a node is started from. */
+export interface PeerNodeOptions {
+  readonly entryId: string;
+  readonly region?: string;
+  readonly incarnation?: string;
+  /** Port of the peer server; 0 lets the operating system choose. */
+  readonly port?: number;
+  readonly vmList?: MutableObservable<VmListSnapshot | undefined>;
+  readonly clock?: Clock;
+}
+
+/** Returns a minimal accepted configuration. */
+export function appliedConfig(revision: number): AppliedConfig {
+  const config: ResolvedConfig = {
+    version: 1,
+    weights: { bufferCost: 1, moves: 1 },
+    teams: [{ name: "team", quota: {} }],
+    services: [{
+      name: "quoting",
+      slotsPerInstance: 8,
+      connectionsPerInstance: 64,
+      defaultDeadlineMs: 5_000,
+      idempotentMethods: ["GET"],
+      retryBudgetPercent: 10,
+    }],
+    pools: [{
+      name: "quoting",
+      region: "khomas",
+      team: "team",
+      services: ["quoting"],
+      vms: 6,
+      availability: { minimumServingVms: 4 },
+      lending: {
+        maximumLentVms: 0,
+        windows: [],
+        minimumStayMs: 600_000,
+        overflow: false,
+      },
+      maintenance: { periodDays: 21, order: "rack", maximumConcurrentVms: 1 },
+      spare: false,
+    }],
+  };
+  return { revision, applyId: "", appliedAtMs: 0, digest: "", config };
+}
+
+/** Starts one node; resolves once its peer server listens. */
+export async function startPeerNode(
+  options: PeerNodeOptions,
+): Promise<PeerNode> {
+  const clock = options.clock ?? systemClock;
+  const config = createObservable<AppliedConfig | undefined>(undefined);
+  const fleet = createObservable<FleetRecord | undefined>(undefined);
+  const entries = createObservable<readonly EntryDigest[]>([]);
+  const state: PeerNode["state"] = {
+    load: { services: {}, drainingInFlight: {}, leavingVms: [] },
+    stopping: false,
+    superseded: false,
+  };
+  const peers = createPeers({
+    self: {
+      entryId: options.entryId,
+      region: options.region ?? "khomas",
+      incarnation: options.incarnation ?? "1",
+    },
+    listen: { host: "127.0.0.1", port: options.port ?? 0 },
+    config,
+    fleet,
+    vmList: options.vmList ?? createObservable<VmListSnapshot | undefined>(
+      undefined,
+    ),
+    entries,
+    callerAddress: () => "127.0.0.1:1",
+    load: () => state.load,
+    isReady: () => true,
+    isStopping: () => state.stopping,
+    onSuperseded: () => state.superseded = true,
+    contacts: createContactTracker(clock),
+    clock,
+    log: silentLogger,
+  });
+  const task: Task<void> = run(() => peers.run());
+  let failure: unknown;
+  let stopped = false;
+  // A halted task rejects, too.
+  task.catch((error) => failure = stopped ? undefined : error);
+  await waitFor("the peer server listens", () => peers.address() !== "");
+  return {
+    entryId: options.entryId,
+    peers,
+    config,
+    fleet,
+    entries,
+    state,
+    async stop() {
+      stopped = true;
+      await task.halt();
+      if (failure !== undefined) throw failure;
+    },
+  };
+}
+
+/** Returns the VM list item of a node. */
+export function vmOf(node: PeerNode, region = "khomas"): Vm {
+  return {
+    id: node.entryId,
+    role: "entry",
+    state: "live",
+    incarnation: "1",
+    region,
+    dataCentre: "dc-1",
+    rack: "rack-1",
+    address: "127.0.0.1:1",
+    controlAddress: node.peers.address(),
+    cores: 4,
+    memoryMb: 8_192,
+    accelerators: 0,
+  };
+}
+
+/** Starts nodes that see one VM list with all of them. */
+export async function startPeerNodes(count: number): Promise<
+  {
+    nodes: PeerNode[];
+    vmList: MutableObservable<VmListSnapshot | undefined>;
+    stop(): Promise<void>;
+  }
+> {
+  const vmList = createObservable<VmListSnapshot | undefined>(undefined);
+  const nodes = await Promise.all(
+    Array.from(
+      { length: count },
+      (_, index) => startPeerNode({ entryId: `entry-${index + 1}`, vmList }),
+    ),
+  );
+  vmList.set({ vms: nodes.map((node) => vmOf(node)), readAtMs: 0 });
+  return {
+    nodes,
+    vmList,
+    stop: async () => {
+      await Promise.all(nodes.map((node) => node.stop()));
+    },
+  };
+}
