feat(entry): peer links, admin server, graceful shutdown and contact tracking

Cause: the entry ran without membership, could not be asked for its state, and aborted requests in flight on SIGTERM.

wiring.ts constructs every part; entry.ts starts them under the supervisor. The admin server answers /health, /ready (with the reasons), /dump (?part= reads single parts) and /metrics. On SIGTERM or SIGINT the entry reports stopping and not ready, still serves new requests for 2 s (a third of graceMs if that is less), then drains and ends with 0; a second signal or graceMs ends it with 1 and a log line with the requests cut off by service. Store watches are renewed each 3 s: with 20 s an idle store counted as lost after the isolation limit of 5 s. The supervisor takes a clock, so that a test covers the reset of its delay. Links prefer the VM list's address, so that a relay in front of an entry is not bypassed.

--- a/src/commands/entry.ts
+++ b/src/commands/entry.ts
@@ -1,5 +1,6 @@
+import process from "node:process";
 import type { Command } from "commander";
-import { main } from "effection";
+import { run } from "effection";
 import { runEntry } from "../entry.ts";
 import { loadSettings } from "../settings/load.ts";
 
@@ -10,6 +11,6 @@
     .requiredOption("--settings <file>", "settings file of this process")
     .action(async (options: { settings: string }) => {
       const settings = await loadSettings(options.settings);
-      await main(() => runEntry(settings));
+      process.exit(await run(() => runEntry(settings)));
     });
 }
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -31,8 +31,11 @@
 /** Interval of VM list polls, in ms. */
 export const VM_LIST_POLL_INTERVAL_MS = 1_000;
 
-/** Time that a store watch waits for a change before it is renewed, in ms. */
-export const STORE_WATCH_WAIT_MS = 20_000;
+/**
+ * Time that a store watch waits for a change before it is renewed, in ms. Each
+ * answer counts as contact, so it must be shorter than the isolation limit.
+ */
+export const STORE_WATCH_WAIT_MS = 3_000;
 
 /** Time after which a store call counts as failed, in ms. */
 export const STORE_CALL_TIMEOUT_MS = 2_000;
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -1,96 +1,140 @@
-import { randomUUID } from "node:crypto";
-import { type Operation, suspend } from "effection";
+import { type Operation, sleep, suspend } from "effection";
+import type { DependencyContainer } from "tsyringe";
 import { runConfigFollower } from "./config/follower.ts";
 import { runController } from "./fleet/controller.ts";
 import { runFleetFollower } from "./fleet/follower.ts";
 import { useListeningServer } from "./http_server.ts";
 import { runVmListPoller } from "./platform/vm_list_poller.ts";
-import { createRequestPath } from "./requests/request_path.ts";
 import type { ResolvedSettings } from "./settings/schema.ts";
-import { createSupervisor } from "./supervisor.ts";
+import { stopGracefully } from "./shutdown.ts";
+import { type StopSignals, useProcessSignals } from "./signals.ts";
+import type { Part } from "./supervisor.ts";
 import { createEntryContainer, TOKENS } from "./wiring.ts";
 
-/** Runs one entry process until it is halted. */
-export function* runEntry(settings: ResolvedSettings): Operation<void> {
-  const parts = createEntryContainer(settings);
+/** Parts that follow the platform's state. */
+function createFollowers(parts: DependencyContainer): Part[] {
   const loggers = parts.resolve(TOKENS.loggers);
   const store = parts.resolve(TOKENS.store);
-  const clock = parts.resolve(TOKENS.clock);
-  const config = parts.resolve(TOKENS.config);
-  const fleet = parts.resolve(TOKENS.fleet);
-  const vmList = parts.resolve(TOKENS.vmSnapshot);
   const contacts = parts.resolve(TOKENS.contacts);
-  const incarnation = randomUUID();
-  const { region } = settings;
-  vmList.subscribe(() => contacts.touch("vm_list"));
-  const supervisor = createSupervisor(loggers("supervisor"));
+  const onStoreContact = () => contacts.touch("store");
+  return [
+    {
+      name: "vm-list",
+      run: () =>
+        runVmListPoller({
+          vmList: parts.resolve(TOKENS.vmList),
+          snapshot: parts.resolve(TOKENS.vmSnapshot),
+          clock: parts.resolve(TOKENS.clock),
+          log: loggers("vm-list"),
+          onContact: () => contacts.touch("vm_list"),
+        }),
+    },
+    {
+      name: "config",
+      run: () =>
+        runConfigFollower({
+          store,
+          current: parts.resolve(TOKENS.config),
+          log: loggers("config"),
+          onContact: onStoreContact,
+        }),
+    },
+    {
+      name: "fleet",
+      run: () =>
+        runFleetFollower({
+          store,
+          region: parts.resolve(TOKENS.settings).region,
+          current: parts.resolve(TOKENS.fleet),
+          log: loggers("fleet"),
+          onContact: onStoreContact,
+        }),
+    },
+  ];
+}
 
-  yield* supervisor.start({
-    name: "vm-list",
-    run: () =>
-      runVmListPoller({
-        vmList: parts.resolve(TOKENS.vmList),
-        snapshot: vmList,
-        clock,
-        log: loggers("vm-list"),
-      }),
-  });
-  yield* supervisor.start({
-    name: "config",
+function createControllerPart(parts: DependencyContainer): Part {
+  const { entryId, region } = parts.resolve(TOKENS.settings);
+  return {
+    name: "controller",
     run: () =>
-      runConfigFollower({
-        store,
-        current: config,
-        log: loggers("config"),
-        onContact: () => contacts.touch("store"),
-      }),
-  });
-  yield* supervisor.start({
-    name: "fleet",
-    run: () =>
-      runFleetFollower({
-        store,
+      runController({
+        holder: entryId,
         region,
-        current: fleet,
-        log: loggers("fleet"),
-        onContact: () => contacts.touch("store"),
+        store: parts.resolve(TOKENS.store),
+        config: parts.resolve(TOKENS.config),
+        vmList: parts.resolve(TOKENS.vmSnapshot),
+        entries: parts.resolve(TOKENS.entries),
+        workerAgent: parts.resolve(TOKENS.workerAgent),
+        clock: parts.resolve(TOKENS.clock),
+        log: parts.resolve(TOKENS.loggers)("controller"),
       }),
-  });
-  if (settings.roles.includes("controller")) {
-    yield* supervisor.start({
-      name: "controller",
-      run: () =>
-        runController({
-          holder: settings.entryId,
-          region,
-          store,
-          config,
-          vmList,
-          entries: parts.resolve(TOKENS.entries),
-          workerAgent: parts.resolve(TOKENS.workerAgent),
-          clock,
-          log: loggers("controller"),
-        }),
-    });
-  }
-  if (settings.roles.includes("requests")) {
-    const log = loggers("front");
-    const requestPath = createRequestPath({
-      settings,
-      incarnation,
-      config,
-      fleet,
-      vmList,
-      entries: parts.resolve(TOKENS.entries),
-      contacts,
-      clock,
-      log,
-    });
-    const address = yield* useListeningServer(
+  };
+}
+
+function createAdminPart(parts: DependencyContainer): Part {
+  return {
+    name: "admin",
+    *run() {
+      const address = yield* useListeningServer(
+        parts.resolve(TOKENS.adminServer),
+        parts.resolve(TOKENS.settings).listen.admin,
+      );
+      parts.resolve(TOKENS.loggers)("admin").info(
+        `server started at ${address}`,
+        { address },
+      );
+      yield* suspend();
+    },
+  };
+}
+
+/** Runs one entry process until a stop signal; returns the exit code. */
+export function* runEntry(
+  settings: ResolvedSettings,
+  stopSignals?: StopSignals,
+): Operation<number> {
+  const signals = stopSignals ?? (yield* useProcessSignals());
+  const parts = createEntryContainer(settings);
+  const state = parts.resolve(TOKENS.state);
+  const peers = parts.resolve(TOKENS.peers);
+  const requestPath = parts.resolve(TOKENS.requestPath);
+  const supervisor = parts.resolve(TOKENS.supervisor);
+
+  const supervised = [
+    createAdminPart(parts),
+    { name: "peers", run: () => peers.run() },
+    ...createFollowers(parts),
+    ...(settings.roles.includes("controller")
+      ? [createControllerPart(parts)]
+      : []),
+  ];
+  for (const part of supervised) yield* supervisor.start(part);
+  // The admin and peer ports open first, so that an entry that takes requests can be asked for its state.
+  yield* sleep(0);
+  if (requestPath !== undefined) {
+    state.callerAddress = yield* useListeningServer(
       requestPath.server,
       settings.listen.callers,
     );
-    log.info(`listening on ${address}`, { address });
+    const address = state.callerAddress;
+    parts.resolve(TOKENS.loggers)("front").info(`listening on ${address}`, {
+      address,
+    });
   }
-  yield* suspend();
+
+  state.started = true;
+  peers.notifyChange();
+
+  yield* signals.next();
+  return yield* stopGracefully({
+    requestPath,
+    graceMs: settings.graceMs,
+    signals,
+    onStopping() {
+      state.stopping = true;
+      peers.notifyChange();
+    },
+    log: parts.resolve(TOKENS.loggers)("shutdown"),
+  });
 }
--- /dev/null
+++ b/src/entry_test.ts
@@ -0,0 +1,135 @@
+import { once } from "node:events";
+import { request as startRequest } from "node:http";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { request } from "undici";
+import {
+  type Deployment,
+  type EntryProcess,
+  startDeployment,
+} from "../testing/deployment.ts";
+import { waitFor } from "../testing/wait.ts";
+import type { EntryDump } from "./admin/dump.ts";
+import { DEADLINE_HEADER } from "./constants.ts";
+
+const test = suite("entry");
+const CONFIG_FILE = "examples/khomas.json";
+const SERVICE_TIME_MS = 3_000;
+
+async function get(address: string, path: string) {
+  const response = await request(`http://${address}${path}`, {
+    headers: { [DEADLINE_HEADER]: "20000" },
+  });
+  return { status: response.statusCode, body: await response.body.text() };
+}
+
+async function dumpOf(entry: EntryProcess, query = ""): Promise<EntryDump> {
+  const { body } = await get(entry.adminAddress, `/dump${query}`);
+  return JSON.parse(body);
+}
+
+const isReady = async (entry: EntryProcess) =>
+  (await get(entry.adminAddress, "/ready")).status === 200;
+
+async function withEntries(
+  count: number,
+  body: (deployment: Deployment) => Promise<void>,
+): Promise<void> {
+  const deployment = await startDeployment({
+    configFile: CONFIG_FILE,
+    entryCount: count,
+    program: { kind: "source" },
+    dataCentres: ["khomas-1", "khomas-2", "khomas-3"],
+    serviceTimeMs: SERVICE_TIME_MS,
+  });
+  try {
+    const first = deployment.entries[0]!;
+    const { status, body: text } = await get(first.adminAddress, "/ready");
+    assert.is(status, 503);
+    assert.ok(JSON.parse(text).reasons.includes("no_configuration"));
+    await deployment.apply(CONFIG_FILE);
+    for (const entry of deployment.entries) {
+      await waitFor(`${entry.id} is ready`, () => isReady(entry));
+    }
+    await body(deployment);
+  } finally {
+    await deployment.close();
+  }
+}
+
+test("an entry that stops is reported first, aborts no request and ends with 0", () =>
+  withEntries(2, async ({ entries }) => {
+    const [stopping, other] = entries as [EntryProcess, EntryProcess];
+    const slow = get(stopping.callerAddress, "/quoting/slow");
+    await waitFor("the request is in flight", async () => {
+      const { body } = await get(stopping.adminAddress, "/metrics");
+      return body.includes("cowslipferry_requests_in_flight 1");
+    });
+    stopping.process.kill("SIGTERM");
+    await waitFor("it isn't ready", async () => !(await isReady(stopping)));
+    const late = get(stopping.callerAddress, "/quoting/late");
+    await waitFor(
+      "its peer knows",
+      async () =>
+        (await dumpOf(other)).entries.some((item) =>
+          item.entryId === stopping.id && item.stopping
+        ),
+    );
+    assert.is((await slow).status, 200);
+    assert.is((await late).status, 200);
+    assert.is(await stopping.exited, 0);
+    await waitFor(
+      "its peer drops it",
+      async () => (await dumpOf(other)).entries.length === 1,
+    );
+  }));
+
+test("a second signal ends an entry with 1 and the log names what is cut off", () =>
+  withEntries(1, async ({ entries }) => {
+    const [entry] = entries as [EntryProcess];
+    const [host, port] = entry.callerAddress.split(":");
+    const call = startRequest({ host, port, path: "/quoting/slow" });
+    call.on("error", () => {}).end();
+    await once(call, "socket");
+    await waitFor("the request is in flight", async () => {
+      const { body } = await get(entry.adminAddress, "/metrics");
+      return body.includes("cowslipferry_requests_in_flight 1");
+    });
+    entry.process.kill("SIGTERM");
+    await waitFor("it is stopping", () => entry.output().includes("stopping"));
+    entry.process.kill("SIGINT");
+    assert.is(await entry.exited, 1);
+    assert.match(
+      entry.output(),
+      "second signal: 1 request(s) are cut off",
+    );
+  }));
+
+test("with the store and the VM list down an entry goes on, and a new one starts from its peers", () =>
+  withEntries(2, async (deployment) => {
+    const [first, second] = deployment.entries as [EntryProcess, EntryProcess];
+    deployment.store.faults.down = true;
+    const restarted = await deployment.startEntry("entry-3");
+    await waitFor("it has the configuration and the fleet record", async () => {
+      const dump = await dumpOf(restarted);
+      return dump.config?.revision === 1 && dump.fleet !== undefined &&
+        dump.unreadyReasons.length === 0;
+    });
+    const dump = await dumpOf(first, "?part=entries&part=config");
+    assert.equal(Object.keys(dump).sort(), ["config", "entries"]);
+    await waitFor(
+      "all know each other",
+      async () => (await dumpOf(second)).entries.length === 3,
+    );
+    deployment.vmList.down = true;
+    await waitFor(
+      "no platform service has answered for longer than the limit",
+      async () => {
+        const { sinceMs } = (await dumpOf(first)).contacts;
+        return sinceMs.store > 5_500 && sinceMs.vm_list > 5_500;
+      },
+    );
+    assert.is(await isReady(first), true);
+  }));
+
+test.run();
--- a/src/peers/body_sync.ts
+++ b/src/peers/body_sync.ts
@@ -3,7 +3,7 @@
 import type { Logger } from "../logger.ts";
 import type { ByteMeter } from "./byte_meter.ts";
 import { createPeerClient, type PeerClient } from "./client.ts";
-import type { Wake } from "./wake.ts";
+import type { Wake } from "../wake.ts";
 
 /**
  * Time that the store has to deliver a newer body before it is fetched from a
--- a/src/peers/client.ts
+++ b/src/peers/client.ts
@@ -8,6 +8,7 @@
   type ExchangeReply,
   exchangeReplySchema,
   type ExchangeRequest,
+  type RegionReport,
 } from "./wire.ts";
 
 /** Time after which a gossip call counts as failed, in ms. */
@@ -33,11 +34,7 @@
 /** Calls to one peer; each method rejects with a `PeerError`. */
 export interface PeerClient {
   exchange(request: ExchangeRequest): Promise<ExchangeReply>;
-  exchangeConfigRevision(report: {
-    configRevision: number;
-    /** `host:port` from which the peer may fetch the configuration. */
-    peerAddress: string;
-  }): Promise<number>;
+  exchangeConfigRevision(report: RegionReport): Promise<number>;
   configBody(aboveRevision: number): Promise<string | undefined>;
   fleetBody(aboveRevision: number): Promise<string | undefined>;
   close(): void;
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -7,8 +7,9 @@
 import { classifyChange } from "./digest_change.ts";
 import type { Membership, MergeResult, SilenceEvidence } from "./membership.ts";
 import type { EntryDigest } from "./messages.ts";
+import { findListedPeer } from "./peer_addresses.ts";
 import { createPeerLink, type PeerLink } from "./peer_link.ts";
-import type { Wake } from "./wake.ts";
+import type { Wake } from "../wake.ts";
 
 /** Interval of regular gossip rounds, in ms. */
 const ROUND_INTERVAL_MS = 400;
@@ -36,11 +37,10 @@
 
 /** What the gossip rounds work with. */
 export interface GossipOptions {
-  readonly self: { readonly entryId: string; readonly region: string };
-  /** `host:port` of this entry's peer server. */
-  readonly peerAddress: string;
   readonly membership: Membership;
   readonly vmList: Observable<VmListSnapshot | undefined>;
+  /** `host:port` of the region's other entries by entry id. */
+  readonly peerAddresses: () => ReadonlyMap<string, string>;
   /** The entry's current digest; the sequence number is ignored. */
   readonly currentDigest: () => EntryDigest;
   readonly links: Map<string, PeerLink>;
@@ -51,38 +51,22 @@
   readonly log: Logger;
   readonly random: () => number;
   readonly onMerged: (result: MergeResult) => void;
+  /** Called after each answered call with its duration in ms. */
+  readonly onCallEnd: (durationMs: number) => void;
   /** Called after a change of the membership or of the own digest. */
   readonly onChange: () => void;
 }
 
-function listedPeers(options: GossipOptions) {
-  const { self, vmList } = options;
-  return (vmList.get()?.vms ?? []).filter((vm) =>
-    vm.role === "entry" && vm.region === self.region && vm.id !== self.entryId
-  );
-}
-
-function peerAddresses(options: GossipOptions): Set<string> {
-  const addresses = new Set([
-    ...listedPeers(options).map((vm) => vm.controlAddress),
-    ...options.membership.digests().map((digest) => digest.peerAddress),
-  ]);
-  addresses.delete(options.peerAddress);
-  return addresses;
-}
-
 function silenceEvidence(
   options: GossipOptions,
   entryId: string,
 ): SilenceEvidence {
-  const { membership, vmList, links } = options;
-  const address = membership.digests().find((digest) =>
-    digest.entryId === entryId
-  )?.peerAddress;
-  if (links.get(address ?? "")?.lastFailure() === "refused") return "refused";
-  if (vmList.get() === undefined) return "listed";
-  const vm = listedPeers(options).find((listed) => listed.id === entryId);
-  return vm?.state === "live" ? "listed" : "not_listed";
+  const address = options.peerAddresses().get(entryId) ?? "";
+  if (options.links.get(address)?.lastFailure() === "refused") return "refused";
+  const snapshot = options.vmList.get();
+  if (snapshot === undefined) return "listed";
+  const isLive = findListedPeer(snapshot.vms, entryId)?.state === "live";
+  return isLive ? "listed" : "not_listed";
 }
 
 /** Task that runs the gossip rounds and one task for each peer until it is halted. */
@@ -107,7 +91,7 @@
   }
 
   function* updateLinks(): Operation<void> {
-    const addresses = peerAddresses(options);
+    const addresses = new Set(options.peerAddresses().values());
     for (const address of addresses) {
       if (links.has(address)) continue;
       const link = createPeerLink({ ...options, address });
--- a/src/peers/peer_link.ts
+++ b/src/peers/peer_link.ts
@@ -3,7 +3,7 @@
 import type { ByteMeter } from "./byte_meter.ts";
 import { createPeerClient, PeerError, type PeerFailure } from "./client.ts";
 import type { Membership, MergeResult } from "./membership.ts";
-import { createWake } from "./wake.ts";
+import { createWake } from "../wake.ts";
 
 /** Longest time between attempts to reach a failing peer, in ms. */
 const MAXIMUM_RETRY_DELAY_MS = 5_000;
@@ -41,6 +41,8 @@
   readonly meter: ByteMeter;
   /** Called after each answer of the peer. */
   readonly onMerged: (result: MergeResult) => void;
+  /** Called after each answered call with its duration in ms. */
+  readonly onCallEnd: (durationMs: number) => void;
 }
 
 /** Creates the link to the peer at `host:port`. */
@@ -65,12 +67,14 @@
     const own = membership.own();
     if (own === undefined) return;
     const key = own.record[0];
+    const startedAtMs = clock.monotonicMs();
     const reply = yield* until(client.exchange({
       have: membership.versions(clock.monotonicMs()),
       record: own.record,
       ...(introducedKey === key ? {} : { profile: own.profile }),
     }));
     exchanges++;
+    options.onCallEnd(clock.monotonicMs() - startedAtMs);
     introducedKey = key;
     options.onMerged(
       membership.merge(
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -7,6 +7,7 @@
 import type { FleetRecord } from "../fleet/record.ts";
 import { type ListenOptions, useListeningServer } from "../http_server.ts";
 import type { Logger } from "../logger.ts";
+import { createDurationMetric, type MetricSummary } from "../metrics.ts";
 import type { MutableObservable, Observable } from "../observable.ts";
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
 import type { LoadReport } from "../requests/request_path.ts";
@@ -19,10 +20,11 @@
   type MergeResult,
 } from "./membership.ts";
 import type { EntryDigest } from "./messages.ts";
+import { findListedPeer, resolvePeerAddresses } from "./peer_addresses.ts";
 import type { PeerLink, PeerLinkStatus } from "./peer_link.ts";
 import { runRegionExchange } from "./region_exchange.ts";
 import { createPeerServer, type PeerHandlers } from "./router.ts";
-import { createWake } from "./wake.ts";
+import { createWake } from "../wake.ts";
 import { decodeVersions } from "./wire.ts";
 
 /** What the peer links work with. */
@@ -57,6 +59,8 @@
   readonly peerAddress: string;
   readonly members: readonly MemberStatus[];
   readonly links: readonly PeerLinkStatus[];
+  /** Durations of gossip calls. */
+  readonly calls: MetricSummary;
   readonly sentBytes: number;
   readonly receivedBytes: number;
 }
@@ -78,6 +82,7 @@
   const random = options.random ?? Math.random;
   const membership = createMembership(self);
   const meter = createByteMeter();
+  const calls = createDurationMetric("cowslipferry_peer_call_duration_ms");
   const wakes = {
     gossip: createWake(),
     config: createWake(),
@@ -141,8 +146,12 @@
           : {}),
       };
     },
-    exchangeConfigRevision(report) {
-      onRegionReport(report);
+    exchangeConfigRevision({ entryId, peerAddress, configRevision: revision }) {
+      const listed = findListedPeer(listedVms(), entryId);
+      onRegionReport({
+        address: listed?.controlAddress ?? peerAddress,
+        revision,
+      });
       return configRevision();
     },
     configBody(aboveRevision) {
@@ -159,15 +168,32 @@
     },
   };
 
+  const listedVms = () => options.vmList.get()?.vms ?? [];
+  const peerAddresses = () =>
+    resolvePeerAddresses({
+      self,
+      vms: listedVms(),
+      digests: membership.digests(),
+    });
+
+  function reports(
+    revisionOf: (digest: EntryDigest) => number,
+  ): RevisionReport[] {
+    const addresses = peerAddresses();
+    return membership.digests().flatMap((digest) => {
+      const address = addresses.get(digest.entryId);
+      return address === undefined
+        ? []
+        : [{ address, revision: revisionOf(digest) }];
+    });
+  }
+
   const runConfigSync = () =>
     runBodySync({
       name: "configuration",
       currentRevision: configRevision,
       reports: () => [
-        ...membership.digests().map((digest) => ({
-          address: digest.peerAddress,
-          revision: digest.configRevision,
-        })),
+        ...reports((digest) => digest.configRevision),
         ...(regionReport === undefined ? [] : [regionReport]),
       ],
       fetch: (client, aboveRevision) => client.configBody(aboveRevision),
@@ -182,11 +208,7 @@
     runBodySync({
       name: "fleet",
       currentRevision: fleetRevision,
-      reports: () =>
-        membership.digests().map((digest) => ({
-          address: digest.peerAddress,
-          revision: digest.fleetRevision,
-        })),
+      reports: () => reports((digest) => digest.fleetRevision),
       fetch: (client, aboveRevision) => client.fleetBody(aboveRevision),
       advance: (body) => advanceFleetRecord(fleet, parseFleetRecord(body)),
       meter,
@@ -201,7 +223,7 @@
       createPeerServer(handlers, meter),
       options.listen,
     );
-    log.info(`peer server listening on ${peerAddress}`);
+    log.info(`server started at ${peerAddress}`, { address: peerAddress });
     const unsubscribe = [
       config.subscribe(() => {
         wakes.gossip.notify();
@@ -214,7 +236,7 @@
       yield* spawn(runFleetSync);
       yield* spawn(() =>
         runRegionExchange({
-          region: self.region,
+          self,
           peerAddress,
           vmList: options.vmList,
           currentRevision: configRevision,
@@ -227,10 +249,9 @@
       );
       yield* spawn(() =>
         runGossip({
-          self,
-          peerAddress,
           membership,
           vmList: options.vmList,
+          peerAddresses,
           currentDigest,
           links,
           clock,
@@ -239,6 +260,7 @@
           log,
           random,
           onMerged,
+          onCallEnd: (durationMs) => calls.record(durationMs),
           onChange: publishEntries,
         })
       );
@@ -256,6 +278,7 @@
       peerAddress,
       members: membership.status(clock.monotonicMs()),
       links: [...links.values()].map((link) => link.status()),
+      calls: calls.read(),
       ...meter.totals(),
     }),
   };
--- a/src/peers/region_exchange.ts
+++ b/src/peers/region_exchange.ts
@@ -7,7 +7,7 @@
 import type { RevisionReport } from "./body_sync.ts";
 import type { ByteMeter } from "./byte_meter.ts";
 import { createPeerClient } from "./client.ts";
-import type { Wake } from "./wake.ts";
+import type { Wake } from "../wake.ts";
 
 /** Interval of regular exchanges with each other region, in ms. */
 const REGION_INTERVAL_MS = 5_000;
@@ -16,7 +16,8 @@
 
 /** What the exchange with other regions works with. */
 export interface RegionExchangeOptions {
-  readonly region: string;
+  readonly self: { readonly entryId: string; readonly region: string };
+  /** `host:port` of this entry's peer server. */
   readonly peerAddress: string;
   readonly vmList: Observable<VmListSnapshot | undefined>;
   readonly currentRevision: () => number;
@@ -31,7 +32,7 @@
 function entriesByRegion(options: RegionExchangeOptions): Map<string, Vm[]> {
   const regions = new Map<string, Vm[]>();
   for (const vm of options.vmList.get()?.vms ?? []) {
-    if (vm.role !== "entry" || vm.region === options.region) continue;
+    if (vm.role !== "entry" || vm.region === options.self.region) continue;
     regions.set(vm.region, [...regions.get(vm.region) ?? [], vm]);
   }
   return regions;
@@ -54,6 +55,7 @@
     try {
       const revision = yield* until(
         client.exchangeConfigRevision({
+          entryId: options.self.entryId,
           configRevision: currentRevision(),
           peerAddress: options.peerAddress,
         }),
--- a/src/peers/router.ts
+++ b/src/peers/router.ts
@@ -2,12 +2,13 @@
 import { initTRPC } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { z } from "zod";
-import type { RevisionReport } from "./body_sync.ts";
 import type { ByteMeter } from "./byte_meter.ts";
 import {
   type ExchangeReply,
   type ExchangeRequest,
   exchangeRequestSchema,
+  type RegionReport,
+  regionReportSchema,
 } from "./wire.ts";
 
 /** Largest request body of a peer, in bytes. */
@@ -16,17 +17,12 @@
 const IDLE_CONNECTION_MS = 60_000;
 
 const bodyRequestSchema = z.object({ aboveRevision: z.number().int() });
-const revisionSchema = z.object({
-  configRevision: z.number().int(),
-  /** `host:port` of the caller's peer server. */
-  peerAddress: z.string(),
-});
 
 /** What an entry does with its peers' calls. */
 export interface PeerHandlers {
   exchange(request: ExchangeRequest): ExchangeReply;
   /** Takes a revision reported from another region; returns this entry's own. */
-  exchangeConfigRevision(report: RevisionReport): number;
+  exchangeConfigRevision(report: RegionReport): number;
   /** Returns the configuration as JSON if it is newer than the revision. */
   configBody(aboveRevision: number): string | undefined;
   /** Returns the fleet record as JSON if it is newer than the revision. */
@@ -39,12 +35,9 @@
   exchange: trpc.procedure.input(exchangeRequestSchema).mutation(
     ({ input, ctx }) => ctx.handlers.exchange(input),
   ),
-  configRevision: trpc.procedure.input(revisionSchema).mutation(
+  configRevision: trpc.procedure.input(regionReportSchema).mutation(
     ({ input, ctx }) => ({
-      configRevision: ctx.handlers.exchangeConfigRevision({
-        address: input.peerAddress,
-        revision: input.configRevision,
-      }),
+      configRevision: ctx.handlers.exchangeConfigRevision(input),
     }),
   ),
   configBody: trpc.procedure.input(bodyRequestSchema).query(
--- a/src/peers/wire.ts
+++ b/src/peers/wire.ts
@@ -186,3 +186,14 @@
 export function createIncarnation(wallMs: number, random: string): string {
   return `${wallMs.toString(36).padStart(9, "0")}-${random.slice(0, 8)}`;
 }
+
+/** What an entry tells an entry of another region. */
+export const regionReportSchema = z.object({
+  entryId: z.string(),
+  /** `host:port` of the sender's peer server, for a receiver whose VM list doesn't show it. */
+  peerAddress: z.string(),
+  configRevision: z.number().int(),
+});
+
+/** What an entry tells an entry of another region. */
+export type RegionReport = z.infer<typeof regionReportSchema>;
--- a/src/platform/vm_list_poller.ts
+++ b/src/platform/vm_list_poller.ts
@@ -19,18 +19,21 @@
   readonly snapshot: MutableObservable<VmListSnapshot | undefined>;
   readonly clock: Clock;
   readonly log: Logger;
+  /** Called after each answer of the VM list. */
+  readonly onContact?: () => void;
 }
 
 /** Task that polls the VM list until it is halted. */
 export function* runVmListPoller(
   options: VmListPollerOptions,
 ): Operation<void> {
-  const { vmList, snapshot, clock, log } = options;
+  const { vmList, snapshot, clock, log, onContact } = options;
   const signal = yield* useAbortSignal();
   let reachable = true;
   while (true) {
     try {
       const vms = yield* until(vmList.list(signal));
+      onContact?.();
       snapshot.set({ vms, readAtMs: clock.monotonicMs() });
       if (!reachable) log.info("VM list is reachable again");
       reachable = true;
--- /dev/null
+++ b/src/shutdown_test.ts
@@ -0,0 +1,83 @@
+import { createServer } from "node:http";
+import { run } from "effection";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import type { Logger } from "./logger.ts";
+import { silentLogger } from "./logger.ts";
+import { stopGracefully } from "./shutdown.ts";
+import { createStopSignals } from "./signals.ts";
+
+const test = suite("shutdown");
+
+/** Stops a request path that becomes idle when told, or never. */
+async function stop(
+  options: { graceMs: number; idle: Promise<void>; secondSignal?: boolean },
+) {
+  const events: string[] = [];
+  const errors: unknown[] = [];
+  const signals = createStopSignals();
+  if (options.secondSignal) signals.send();
+  const log: Logger = {
+    ...silentLogger,
+    error: (message, fields) => errors.push({ message, fields }),
+  };
+  const load = { inFlight: 2, waiting: 1, demandSlots: 3 };
+  const code = await run(() =>
+    stopGracefully({
+      requestPath: {
+        server: createServer(),
+        drain() {
+          events.push("drain");
+          return options.idle;
+        },
+        inFlight: () => 3,
+        load: () => ({
+          services: { quoting: load },
+          drainingInFlight: {},
+          leavingVms: [],
+        }),
+      },
+      graceMs: options.graceMs,
+      signals,
+      onStopping: () => events.push("stopping"),
+      log,
+    })
+  );
+  return { code, events, errors };
+}
+
+const never = new Promise<void>(() => {});
+
+test("peers and balancer are told first, then requests are drained", async () => {
+  const result = await stop({ graceMs: 3_000, idle: Promise.resolve() });
+  assert.equal(result, {
+    code: 0,
+    events: ["stopping", "drain"],
+    errors: [],
+  });
+});
+
+test("the time limit or a second signal ends a drain that hangs, and the log names what is cut off", async () => {
+  const cases = [
+    { reason: "grace time over", graceMs: 100, idle: never },
+    {
+      reason: "second signal",
+      graceMs: 600_000,
+      idle: never,
+      secondSignal: true,
+    },
+  ];
+  for (const { reason, ...options } of cases) {
+    const { code, errors } = await stop(options);
+    assert.is(code, 1);
+    assert.equal(errors, [{
+      message: `${reason}: 3 request(s) are cut off`,
+      fields: {
+        requestsInFlight: 3,
+        services: { quoting: { inFlight: 2, waiting: 1 } },
+      },
+    }]);
+  }
+});
+
+test.run();
--- /dev/null
+++ b/src/signals.ts
@@ -0,0 +1,43 @@
+import process from "node:process";
+import { type Operation, resource } from "effection";
+import { createWake } from "./wake.ts";
+
+/** Requests to end the process. */
+export interface StopSignals {
+  /** Waits for the next request. */
+  next(): Operation<void>;
+}
+
+/** Longest wait that a timer takes, in ms. */
+const FOREVER_MS = 2 ** 31 - 1;
+
+/** Stop signals that a test sends itself. */
+export function createStopSignals(): StopSignals & { send(): void } {
+  const wake = createWake();
+  let pending = 0;
+  return {
+    send() {
+      pending++;
+      wake.notify();
+    },
+    *next() {
+      while (pending === 0) yield* wake.wait(FOREVER_MS);
+      pending--;
+    },
+  };
+}
+
+/** Receives SIGTERM and SIGINT for the life of the current scope. */
+export function useProcessSignals(): Operation<StopSignals> {
+  return resource(function* (provide) {
+    const signals = createStopSignals();
+    process.on("SIGTERM", signals.send);
+    process.on("SIGINT", signals.send);
+    try {
+      yield* provide(signals);
+    } finally {
+      process.off("SIGTERM", signals.send);
+      process.off("SIGINT", signals.send);
+    }
+  });
+}
--- a/src/supervisor.ts
+++ b/src/supervisor.ts
@@ -1,4 +1,5 @@
 import { type Operation, scoped, sleep, spawn } from "effection";
+import { type Clock, systemClock } from "./clock.ts";
 import { messageOf } from "./errors.ts";
 import type { Logger } from "./logger.ts";
 
@@ -31,13 +32,16 @@
 }
 
 /** Creates a supervisor. */
-export function createSupervisor(log: Logger): Supervisor {
+export function createSupervisor(
+  log: Logger,
+  clock: Clock = systemClock,
+): Supervisor {
   const statuses = new Map<string, PartStatus>();
 
   function* superviseForever(part: Part): Operation<void> {
     let delayMs = FIRST_RESTART_DELAY_MS;
     for (let restarts = 0;; restarts++) {
-      const startedAtMs = performance.now();
+      const startedAtMs = clock.monotonicMs();
       let failure = "the part returned";
       try {
         // The scope contains failures of tasks that the part has spawned.
@@ -45,6 +49,9 @@
       } catch (error) {
         failure = messageOf(error);
       }
+      if (clock.monotonicMs() - startedAtMs > STABLE_RUN_MS) {
+        delayMs = FIRST_RESTART_DELAY_MS;
+      }
       statuses.set(part.name, {
         name: part.name,
         restarts: restarts + 1,
@@ -55,9 +62,6 @@
         failure,
         delayMs,
       });
-      if (performance.now() - startedAtMs > STABLE_RUN_MS) {
-        delayMs = FIRST_RESTART_DELAY_MS;
-      }
       yield* sleep(delayMs);
       delayMs = Math.min(delayMs * 2, MAXIMUM_RESTART_DELAY_MS);
     }
--- /dev/null
+++ b/src/supervisor_test.ts
@@ -0,0 +1,118 @@
+import { type Operation, run, sleep, spawn, suspend, until } from "effection";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { waitFor } from "../testing/wait.ts";
+import { InternalError } from "./errors.ts";
+import { silentLogger } from "./logger.ts";
+import { createSupervisor, type Part } from "./supervisor.ts";
+
+const test = suite("supervisor");
+
+/** Runs parts until the condition holds. */
+async function supervise(
+  parts: readonly Part[],
+  condition: () => boolean,
+  clock = { wallMs: Date.now, monotonicMs: () => performance.now() },
+) {
+  const supervisor = createSupervisor(silentLogger, clock);
+  await run(function* () {
+    for (const part of parts) yield* supervisor.start(part);
+    yield* until(waitFor("the parts have run", condition));
+  });
+  return supervisor;
+}
+
+/** A part that notes its starts and then fails as given. */
+function failingPart(fail: () => Operation<void>) {
+  const startsMs: number[] = [];
+  return {
+    startsMs,
+    name: "failing",
+    *run() {
+      startsMs.push(performance.now());
+      yield* fail();
+    },
+  };
+}
+
+const failures: Record<string, () => Operation<void>> = {
+  throws() {
+    throw new InternalError("broken");
+  },
+  rejects: () => until(Promise.reject(new InternalError("broken"))),
+  *"fails in a task that it spawned"() {
+    yield* spawn(function* () {
+      yield* sleep(1);
+      throw new InternalError("broken");
+    });
+    yield* suspend();
+  },
+};
+
+for (const [how, fail] of Object.entries(failures)) {
+  test(`a part that ${how} is restarted with growing delays while others go on`, async () => {
+    const failing = failingPart(fail);
+    let beats = 0;
+    let starts = 0;
+    const steady: Part = {
+      name: "steady",
+      *run() {
+        for (starts++;; beats++) yield* sleep(5);
+      },
+    };
+    const supervisor = await supervise(
+      [failing, steady],
+      () => failing.startsMs.length === 4,
+    );
+    const gaps = failing.startsMs.slice(1).map((atMs, index) =>
+      atMs - failing.startsMs[index]!
+    );
+    // Timers may fire a few ms early.
+    for (const [index, expectedMs] of [100, 200, 400].entries()) {
+      assert.ok(gaps[index]! >= expectedMs - 10, `gap ${index}: ${gaps}`);
+    }
+    assert.is(starts, 1);
+    assert.ok(beats > 10);
+    const [failed, other] = supervisor.status();
+    assert.ok(failed!.restarts >= 3);
+    assert.is(failed!.lastFailure, "broken");
+    assert.is(other!.restarts, 0);
+  });
+}
+
+test("a failed part's other tasks have ended before it starts again", async () => {
+  let running = 0;
+  const seen: number[] = [];
+  const failing = failingPart(function* () {
+    seen.push(running);
+    yield* spawn(function* () {
+      running++;
+      try {
+        yield* suspend();
+      } finally {
+        running--;
+      }
+    });
+    yield* sleep(1);
+    throw new InternalError("broken");
+  });
+  await supervise([failing], () => seen.length === 3);
+  assert.equal(seen, [0, 0, 0]);
+});
+
+test("a part that ran for long restarts without the delay of earlier failures", async () => {
+  let nowMs = 0;
+  const failing = failingPart(() => {
+    if (failing.startsMs.length >= 3) nowMs += 60_000;
+    throw new InternalError("broken");
+  });
+  await supervise([failing], () => failing.startsMs.length === 5, {
+    wallMs: () => nowMs,
+    monotonicMs: () => nowMs,
+  });
+  const lastGapMs = failing.startsMs[4]! - failing.startsMs[3]!;
+  // 100 ms are expected, without the reset at least 400 ms.
+  assert.ok(lastGapMs < 350, `${lastGapMs}`);
+});
+
+test.run();
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -1,19 +1,25 @@
 import "reflect-metadata";
+import { randomUUID } from "node:crypto";
+import type { Server } from "node:http";
 import {
   container,
   type DependencyContainer,
   type InjectionToken,
 } from "tsyringe";
+import { createAdminServer } from "./admin/server.ts";
 import { type Clock, systemClock } from "./clock.ts";
 import type { AppliedConfig } from "./config/schema.ts";
 import {
   type ContactTracker,
   createContactTracker,
 } from "./contact_tracker.ts";
+import { createEntryState, type EntryState } from "./entry_state.ts";
 import type { FleetRecord } from "./fleet/record.ts";
 import { createLoggerFactory, type LoggerFactory } from "./logger.ts";
 import { createObservable, type MutableObservable } from "./observable.ts";
 import type { EntryDigest } from "./peers/messages.ts";
+import { createPeers, type Peers } from "./peers/peers.ts";
+import { createIncarnation } from "./peers/wire.ts";
 import { createHttpStore } from "./platform/http_store.ts";
 import { createHttpVmList } from "./platform/http_vm_list.ts";
 import { createHttpWorkerAgent } from "./platform/http_worker_agent.ts";
@@ -21,7 +27,12 @@
 import type { VmList } from "./platform/vm_list.ts";
 import type { VmListSnapshot } from "./platform/vm_list_poller.ts";
 import type { WorkerAgent } from "./platform/worker_agent.ts";
+import {
+  createRequestPath,
+  type RequestPath,
+} from "./requests/request_path.ts";
 import type { ResolvedSettings } from "./settings/schema.ts";
+import { createSupervisor, type Supervisor } from "./supervisor.ts";
 
 function token<T>(name: string): InjectionToken<T> {
   return Symbol(name);
@@ -40,22 +51,22 @@
   /** Digests of all live entries of the region, this one included. */
   entries: token<MutableObservable<readonly EntryDigest[]>>("entries"),
   contacts: token<ContactTracker>("contacts"),
+  /** Identifies this start of the process. */
+  incarnation: token<string>("incarnation"),
+  state: token<EntryState>("state"),
+  supervisor: token<Supervisor>("supervisor"),
+  /** Undefined when the entry serves no callers. */
+  requestPath: token<RequestPath | undefined>("requestPath"),
+  peers: token<Peers>("peers"),
+  adminServer: token<Server>("adminServer"),
   vmSnapshot: token<MutableObservable<VmListSnapshot | undefined>>(
     "vmSnapshot",
   ),
 };
 
-/** Registers the parts of one entry process. */
-export function createEntryContainer(
-  settings: ResolvedSettings,
-): DependencyContainer {
-  const parts = container.createChildContainer();
-  const single = <T>(key: InjectionToken<T>, create: () => T) => {
-    let instance: { value: T } | undefined;
-    parts.register(key, {
-      useFactory: () => (instance ??= { value: create() }).value,
-    });
-  };
+type Register = <T>(key: InjectionToken<T>, create: () => T) => void;
+
+function registerPlatform(single: Register, settings: ResolvedSettings): void {
   single(TOKENS.settings, () => settings);
   single(TOKENS.clock, () => systemClock);
   single(
@@ -65,6 +76,9 @@
   single(TOKENS.store, () => createHttpStore(settings.platform.storeUrl));
   single(TOKENS.vmList, () => createHttpVmList(settings.platform.vmListUrl));
   single(TOKENS.workerAgent, () => createHttpWorkerAgent());
+}
+
+function registerState(single: Register, parts: DependencyContainer): void {
   single(
     TOKENS.config,
     () => createObservable<AppliedConfig | undefined>(undefined),
@@ -78,6 +92,115 @@
     () => createObservable<VmListSnapshot | undefined>(undefined),
   );
   single(TOKENS.entries, () => createObservable<readonly EntryDigest[]>([]));
-  single(TOKENS.contacts, () => createContactTracker(systemClock));
+  single(
+    TOKENS.contacts,
+    () => createContactTracker(parts.resolve(TOKENS.clock)),
+  );
+  single(
+    TOKENS.incarnation,
+    () => createIncarnation(parts.resolve(TOKENS.clock).wallMs(), randomUUID()),
+  );
+  single(TOKENS.state, () =>
+    createEntryState({
+      config: parts.resolve(TOKENS.config),
+      fleet: parts.resolve(TOKENS.fleet),
+      vmList: parts.resolve(TOKENS.vmSnapshot),
+      contacts: parts.resolve(TOKENS.contacts),
+    }));
+}
+
+function createEntryRequestPath(
+  parts: DependencyContainer,
+): RequestPath | undefined {
+  const settings = parts.resolve(TOKENS.settings);
+  if (!settings.roles.includes("requests")) return undefined;
+  return createRequestPath({
+    settings,
+    incarnation: parts.resolve(TOKENS.incarnation),
+    config: parts.resolve(TOKENS.config),
+    fleet: parts.resolve(TOKENS.fleet),
+    vmList: parts.resolve(TOKENS.vmSnapshot),
+    entries: parts.resolve(TOKENS.entries),
+    contacts: parts.resolve(TOKENS.contacts),
+    clock: parts.resolve(TOKENS.clock),
+    log: parts.resolve(TOKENS.loggers)("front"),
+  });
+}
+
+function createEntryPeers(parts: DependencyContainer): Peers {
+  const { entryId, region, listen } = parts.resolve(TOKENS.settings);
+  const state = parts.resolve(TOKENS.state);
+  const requestPath = parts.resolve(TOKENS.requestPath);
+  const log = parts.resolve(TOKENS.loggers)("peers");
+  return createPeers({
+    self: {
+      entryId,
+      region,
+      incarnation: parts.resolve(TOKENS.incarnation),
+    },
+    listen: listen.peers,
+    config: parts.resolve(TOKENS.config),
+    fleet: parts.resolve(TOKENS.fleet),
+    vmList: parts.resolve(TOKENS.vmSnapshot),
+    entries: parts.resolve(TOKENS.entries),
+    callerAddress: () => state.callerAddress,
+    load: () =>
+      requestPath?.load() ??
+        { services: {}, drainingInFlight: {}, leavingVms: [] },
+    isReady: () => state.unreadyReasons().length === 0,
+    isStopping: () => state.stopping,
+    onSuperseded() {
+      if (!state.superseded) {
+        log.error("a newer process with this entry id runs; not ready");
+      }
+      state.superseded = true;
+    },
+    contacts: parts.resolve(TOKENS.contacts),
+    clock: parts.resolve(TOKENS.clock),
+    log,
+  });
+}
+
+function createEntryAdminServer(parts: DependencyContainer): Server {
+  return createAdminServer({
+    settings: parts.resolve(TOKENS.settings),
+    incarnation: parts.resolve(TOKENS.incarnation),
+    state: parts.resolve(TOKENS.state),
+    config: parts.resolve(TOKENS.config),
+    fleet: parts.resolve(TOKENS.fleet),
+    vmList: parts.resolve(TOKENS.vmSnapshot),
+    entries: parts.resolve(TOKENS.entries),
+    peers: parts.resolve(TOKENS.peers),
+    contacts: parts.resolve(TOKENS.contacts),
+    supervisor: parts.resolve(TOKENS.supervisor),
+    requestPath: parts.resolve(TOKENS.requestPath),
+    clock: parts.resolve(TOKENS.clock),
+    log: parts.resolve(TOKENS.loggers)("admin"),
+  });
+}
+
+/** Registers the parts of one entry process; each is created when it is first resolved. */
+export function createEntryContainer(
+  settings: ResolvedSettings,
+): DependencyContainer {
+  const parts = container.createChildContainer();
+  const single: Register = (key, create) => {
+    let instance: { value: ReturnType<typeof create> } | undefined;
+    parts.register(key, {
+      useFactory: () => (instance ??= { value: create() }).value,
+    });
+  };
+  registerPlatform(single, settings);
+  registerState(single, parts);
+  single(
+    TOKENS.supervisor,
+    () => createSupervisor(parts.resolve(TOKENS.loggers)("supervisor")),
+  );
+  single(TOKENS.requestPath, () => createEntryRequestPath(parts));
+  single(TOKENS.peers, () => createEntryPeers(parts));
+  // A restarted part needs a new server.
+  parts.register(TOKENS.adminServer, {
+    useFactory: () => createEntryAdminServer(parts),
+  });
   return parts;
 }
--- a/testing/peer_nodes.ts
+++ b/testing/peer_nodes.ts
@@ -1,6 +1,6 @@
 import { run, type Task } from "effection";
 import { type Clock, systemClock } from "../src/clock.ts";
-import type { AppliedConfig, ResolvedConfig } from "../src/config/schema.ts";
+import { type AppliedConfig, configSchema } from "../src/config/schema.ts";
 import { createContactTracker } from "../src/contact_tracker.ts";
 import type { FleetRecord } from "../src/fleet/record.ts";
 import { silentLogger } from "../src/logger.ts";
@@ -37,18 +37,10 @@
 
 /** Returns a minimal accepted configuration. */
 export function appliedConfig(revision: number): AppliedConfig {
-  const config: ResolvedConfig = {
+  const config = configSchema.parse({
     version: 1,
-    weights: { bufferCost: 1, moves: 1 },
-    teams: [{ name: "team", quota: {} }],
-    services: [{
-      name: "quoting",
-      slotsPerInstance: 8,
-      connectionsPerInstance: 64,
-      defaultDeadlineMs: 5_000,
-      idempotentMethods: ["GET"],
-      retryBudgetPercent: 10,
-    }],
+    teams: [{ name: "team" }],
+    services: [{ name: "quoting" }],
     pools: [{
       name: "quoting",
       region: "khomas",
@@ -56,16 +48,8 @@
       services: ["quoting"],
       vms: 6,
       availability: { minimumServingVms: 4 },
-      lending: {
-        maximumLentVms: 0,
-        windows: [],
-        minimumStayMs: 600_000,
-        overflow: false,
-      },
-      maintenance: { periodDays: 21, order: "rack", maximumConcurrentVms: 1 },
-      spare: false,
     }],
-  };
+  });
   return { revision, applyId: "", appliedAtMs: 0, digest: "", config };
 }
 
