--- /dev/null
+++ b/testing/faults/scenario.ts
@@ -0,0 +1,69 @@
+import { resolveConfig } from "../../src/config/validate.ts";
+import { readTextFile } from "../../src/settings/load.ts";
+import {
+  type Deployment,
+  type DeploymentOptions,
+  startDeployment,
+} from "../deployment.ts";
+import { waitUntilServing } from "../serving.ts";
+
+/** Configuration that the tests with real processes use. */
+export const CONFIG_FILE = "examples/khomas.json";
+
+/** Services of that configuration. */
+export const SERVICES: readonly string[] = resolveConfig(
+  await readTextFile(CONFIG_FILE),
+  CONFIG_FILE,
+).services.map((service) => service.name);
+
+/** Runs a test against entry processes that serve; ends all of them afterwards. */
+export async function withDeployment(
+  options: Partial<DeploymentOptions>,
+  body: (deployment: Deployment) => Promise<void>,
+): Promise<void> {
+  const deployment = await startDeployment({
+    configFile: CONFIG_FILE,
+    entryCount: 3,
+    program: { kind: "source" },
+    dataCentres: ["khomas-1", "khomas-2", "khomas-3"],
+    ...options,
+  });
+  try {
+    await deployment.apply(CONFIG_FILE);
+    await waitUntilServing(deployment.entries, SERVICES);
+    await body(deployment);
+  } catch (error) {
+    for (const entry of deployment.entries) {
+      console.log(`log of ${entry.id}:\n${entry.output().slice(-4_000)}`);
+    }
+    throw error;
+  } finally {
+    await deployment.close();
+  }
+}
+
+/** Runs `count` operations, `concurrency` at a time. */
+export async function runConcurrently(
+  options: { count: number; concurrency: number },
+  run: (index: number) => Promise<void>,
+): Promise<void> {
+  let next = 0;
+  await Promise.all(
+    Array.from({ length: options.concurrency }, async () => {
+      while (next < options.count) await run(next++);
+    }),
+  );
+}
+
+/** Counts by name, for messages. */
+export function countBy<T>(
+  items: readonly T[],
+  nameOf: (item: T) => string,
+): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const item of items) {
+    const name = nameOf(item);
+    counts[name] = (counts[name] ?? 0) + 1;
+  }
+  return counts;
+}
