--- /dev/null
+++ b/testing/faults/final_response_test.ts
@@ -0,0 +1,117 @@
+import { connect } from "node:net";
+import { performance } from "node:perf_hooks";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { chooseSeed, createRandom } from "../random.ts";
+import { createRelays } from "./relays.ts";
+import {
+  countBy,
+  runConcurrently,
+  SERVICES,
+  withDeployment,
+} from "./scenario.ts";
+
+const REQUESTS = 6_000;
+/** More callers than slots, so that queues form. */
+const CONCURRENCY = 900;
+const GRACE_MS = 500;
+const GIVE_UP_MS = 10_000;
+
+interface RawExchange {
+  readonly statusLines: number;
+  readonly complete: boolean;
+  readonly outcome: string;
+  readonly retryAfter: boolean;
+  readonly elapsedMs: number;
+  readonly deadlineMs: number;
+}
+
+/** Sends a request over a connection of its own and reads all bytes until the entry closes it. */
+function exchange(
+  address: string,
+  request: { path: string; deadlineMs: number },
+): Promise<RawExchange> {
+  const [host, port] = address.split(":");
+  const startedAtMs = performance.now();
+  return new Promise((resolve) => {
+    let text = "";
+    const socket = connect({ host, port: Number(port) }, () => {
+      socket.write(
+        `GET ${request.path} HTTP/1.1\r\nhost: ${address}\r\nconnection: close\r\ncowslipferry-deadline-ms: ${request.deadlineMs}\r\n\r\n`,
+      );
+    });
+    const timer = setTimeout(() => socket.destroy(), GIVE_UP_MS);
+    socket.on("data", (chunk) => text += chunk);
+    socket.on("error", () => {});
+    socket.on("close", () => {
+      clearTimeout(timer);
+      const length = /\r\ncontent-length: (\d+)\r\n/i.exec(text)?.[1];
+      const body = text.slice(text.indexOf("\r\n\r\n") + 4);
+      resolve({
+        statusLines: text.match(/HTTP\/1\.1 \d/g)?.length ?? 0,
+        complete: Number(length) === Buffer.byteLength(body),
+        outcome: /\r\ncowslipferry-outcome: (\w+)/i.exec(text)?.[1] ?? "",
+        retryAfter: /\r\nretry-after: \d+/i.test(text),
+        elapsedMs: performance.now() - startedAtMs,
+        deadlineMs: request.deadlineMs,
+      });
+    });
+  });
+}
+
+test("each request gets exactly one final response by its deadline plus 500 ms", async () => {
+  // A held link swallows requests without any error.
+  const relays = createRelays((id) => /-[12]$/.test(id));
+  try {
+    await withDeployment({
+      workerProcesses: 2,
+      adjustVm: relays.adjustVm,
+      worker: {
+        backend: {
+          serviceTimeMs: 60,
+          distribution: "exponential",
+          journal: false,
+          faults: [{ fault: { kind: "slow", extraMs: 3_000 }, rate: 0.01 }],
+        },
+      },
+    }, async ({ entries }) => {
+      const random = createRandom(chooseSeed());
+      const exchanges: RawExchange[] = [];
+      await runConcurrently(
+        { count: REQUESTS, concurrency: CONCURRENCY },
+        async (index) => {
+          if (index === 500) relays.byVm.get("quoting-1")?.hold();
+          if (index === 900) relays.byVm.get("dispatch-1")?.hold();
+          if (index === 1_500) relays.byVm.get("quoting-1")?.cut();
+          if (index === 1_800) relays.byVm.get("dispatch-1")?.heal();
+          if (index === 2_000) relays.byVm.get("quoting-1")?.heal();
+          const service = random.next() < 0.5 ? "quoting" : SERVICES[index % 5];
+          const entry = entries[random.below(entries.length)]!;
+          exchanges.push(
+            await exchange(entry.callerAddress, {
+              path: `/${service}/final/${index}`,
+              deadlineMs: 200 + random.below(1_500),
+            }),
+          );
+        },
+      );
+      console.log(countBy(exchanges, (item) => item.outcome));
+      const wrong = exchanges.filter((item) =>
+        item.statusLines !== 1 || !item.complete || item.outcome === ""
+      );
+      assert.equal(wrong.slice(0, 5), [], "not exactly one complete response");
+      const late = exchanges.filter((item) =>
+        item.elapsedMs > item.deadlineMs + GRACE_MS
+      );
+      assert.equal(late.slice(0, 5), [], "late");
+      const silent = exchanges.filter((item) =>
+        item.outcome === "not_run" && !item.retryAfter
+      );
+      assert.equal(silent.slice(0, 5), [], "not_run without Retry-After");
+    });
+  } finally {
+    await relays.close();
+  }
+});
+
+test.run();
