fix(testing): entries choose their own ports and print them

Cause: two deployments in parallel test files probed free ports, closed them and started entries later; another process could take such a port in between, and entry_test.ts then got a 404 of a foreign server (1 of 2 runs of the whole suite under load). Ruled out: the entry's readiness (it was never asked). Change: settings leave the ports at 0; an entry prints one JSON line with its addresses on standard output once all its servers listen, whatever the log level; the test deployment reads that line.

--- a/src/commands/entry.ts
+++ b/src/commands/entry.ts
@@ -1,7 +1,7 @@
 import process from "node:process";
 import type { Command } from "commander";
 import { run } from "effection";
-import { runEntry } from "../entry.ts";
+import { type EntryAddresses, runEntry } from "../entry.ts";
 import { loadSettings } from "../settings/load.ts";
 
 /** Adds the `entry` command. */
@@ -11,6 +11,9 @@
     .requiredOption("--settings <file>", "settings file of this process")
     .action(async (options: { settings: string }) => {
       const settings = await loadSettings(options.settings);
-      process.exit(await run(() => runEntry(settings)));
+      // With port 0 in the settings, this line tells the ports that were chosen.
+      const onListening = (addresses: EntryAddresses) =>
+        process.stdout.write(`${JSON.stringify({ listening: addresses })}\n`);
+      process.exit(await run(() => runEntry(settings, { onListening })));
     });
 }
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -80,6 +80,7 @@
         parts.resolve(TOKENS.adminServer),
         parts.resolve(TOKENS.settings).listen.admin,
       );
+      parts.resolve(TOKENS.state).adminAddress = address;
       parts.resolve(TOKENS.loggers)("admin").info(
         `server started at ${address}`,
         { address },
@@ -89,12 +90,46 @@
   };
 }
 
+/** Addresses at which an entry listens, each as `host:port`. */
+export interface EntryAddresses {
+  /** Undefined when the entry serves no callers. */
+  readonly callers: string | undefined;
+  readonly peers: string;
+  readonly admin: string;
+}
+
+/** What an entry can be started with besides its settings. */
+export interface RunEntryOptions {
+  readonly signals?: StopSignals;
+  /** Called once every server listens. */
+  readonly onListening?: (addresses: EntryAddresses) => void;
+}
+
+/** Time between two checks whether every server listens, in ms. */
+const LISTENING_CHECK_INTERVAL_MS = 10;
+
+/** Waits until the supervised servers listen; a part that fails at its start is retried by the supervisor. */
+function* waitForAddresses(
+  parts: DependencyContainer,
+): Operation<EntryAddresses> {
+  const state = parts.resolve(TOKENS.state);
+  const peers = parts.resolve(TOKENS.peers);
+  while (peers.address() === "" || state.adminAddress === "") {
+    yield* sleep(LISTENING_CHECK_INTERVAL_MS);
+  }
+  return {
+    callers: state.callerAddress || undefined,
+    peers: peers.address(),
+    admin: state.adminAddress,
+  };
+}
+
 /** Runs one entry process until a stop signal; returns the exit code. */
 export function* runEntry(
   settings: ResolvedSettings,
-  stopSignals?: StopSignals,
+  options: RunEntryOptions = {},
 ): Operation<number> {
-  const signals = stopSignals ?? (yield* useProcessSignals());
+  const signals = options.signals ?? (yield* useProcessSignals());
   const parts = createEntryContainer(settings);
   const state = parts.resolve(TOKENS.state);
   const peers = parts.resolve(TOKENS.peers);
@@ -125,6 +160,7 @@
 
   state.started = true;
   peers.notifyChange();
+  options.onListening?.(yield* waitForAddresses(parts));
 
   yield* signals.next();
   return yield* stopGracefully({
--- a/src/entry_state.ts
+++ b/src/entry_state.ts
@@ -18,6 +18,8 @@
 export interface EntryState {
   /** `host:port` of the callers' port; empty while it isn't open. */
   callerAddress: string;
+  /** `host:port` of the admin server; empty until it listens. */
+  adminAddress: string;
   /** Set once all parts run. */
   started: boolean;
   /** Set once the graceful shutdown has begun. */
@@ -41,6 +43,7 @@
   const { config, fleet, vmList, contacts } = options;
   return {
     callerAddress: "",
+    adminAddress: "",
     started: false,
     stopping: false,
     superseded: false,
--- a/testing/deployment.ts
+++ b/testing/deployment.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
+import type { EntryAddresses } from "../src/entry.ts";
 import { resolveConfig } from "../src/config/validate.ts";
 import type { ResolvedConfig } from "../src/config/schema.ts";
 import { readTextFile } from "../src/settings/load.ts";
@@ -10,7 +11,6 @@
 import type { UserSettings } from "../src/settings/schema.ts";
 import type { BackendServer } from "./backend_server.ts";
 import { endChild, type RunningChild, startChild } from "./child_process.ts";
-import { acceptsConnections, findFreePort } from "./ports.ts";
 import { startStoreServer, type StoreServer } from "./store_server.ts";
 import { startVmListServer, type VmListServer } from "./vm_list_server.ts";
 import { waitFor } from "./wait.ts";
@@ -18,8 +18,6 @@
 import type { WorkerHandle } from "./worker_host.ts";
 import type { WorkerOptions } from "./worker.ts";
 
-/** Attempts to start an entry, for the case that another process takes one of its ports first. */
-const START_ATTEMPTS = 3;
 const START_TIMEOUT_MS = 30_000;
 
 /** How entry processes are started. */
@@ -116,19 +114,25 @@
   });
 }
 
-/** Resolves with whether the entry listens; false when its process ended first. */
-async function waitUntilListening(
-  entry: EntryProcess,
+/** Reads the addresses that an entry prints once it listens. */
+async function waitForAddresses(
+  id: string,
   running: RunningChild,
-): Promise<boolean> {
+): Promise<EntryAddresses> {
   let ended = false;
   void running.exited.then(() => ended = true);
-  await waitFor(
-    `${entry.id} listens`,
-    async () => ended || await acceptsConnections(entry.callerAddress),
-    { timeoutMs: START_TIMEOUT_MS },
-  );
-  return !ended;
+  const findLine = () =>
+    running.output().split("\n").find((line) =>
+      line.startsWith('{"listening":') && line.endsWith("}}")
+    );
+  await waitFor(`${id} listens`, () => ended || findLine() !== undefined, {
+    timeoutMs: START_TIMEOUT_MS,
+  });
+  const line = findLine();
+  if (line === undefined) {
+    throw new Error(`${id} ended at its start: ${running.output()}`);
+  }
+  return JSON.parse(line).listening;
 }
 
 /** Starts the stand-ins and entry processes; `close` ends all of them. */
@@ -159,50 +163,35 @@
     const dataCentre =
       options.dataCentres[entries.length % options.dataCentres.length] ??
         "dc-1";
-    for (let attempt = 1;; attempt++) {
-      const [callers, peers, admin] = [
-        await findFreePort(),
-        await findFreePort(),
-        await findFreePort(),
-      ];
-      const settings: UserSettings = {
-        entryId: id,
-        region,
-        dataCentre,
-        listen: {
-          callers: { port: callers },
-          peers: { port: peers },
-          admin: { port: admin },
-        },
-        platform: { storeUrl, vmListUrl },
-        ...options.settings,
-        ...extra,
-      };
-      const file = join(folder, `${id}.json`);
-      await writeFile(file, JSON.stringify(settings));
-      const running = spawnProgram(options.program, [
-        "entry",
-        "--settings",
-        file,
-      ]);
-      children.push(running);
-      const entry: EntryProcess = {
-        id,
-        callerAddress: `127.0.0.1:${callers}`,
-        peerAddress: `127.0.0.1:${peers}`,
-        adminAddress: `127.0.0.1:${admin}`,
-        process: running.child,
-        output: running.output,
-        exited: running.exited,
-      };
-      entries.push(entry);
-      await listEntry(entry, dataCentre);
-      if (await waitUntilListening(entry, running)) return entry;
-      entries.splice(entries.indexOf(entry), 1);
-      if (attempt === START_ATTEMPTS) {
-        throw new Error(`${id} ended at its start: ${running.output()}`);
-      }
-    }
+    const settings: UserSettings = {
+      entryId: id,
+      region,
+      dataCentre,
+      platform: { storeUrl, vmListUrl },
+      ...options.settings,
+      ...extra,
+    };
+    const file = join(folder, `${id}.json`);
+    await writeFile(file, JSON.stringify(settings));
+    const running = spawnProgram(options.program, [
+      "entry",
+      "--settings",
+      file,
+    ]);
+    children.push(running);
+    const addresses = await waitForAddresses(id, running);
+    const entry: EntryProcess = {
+      id,
+      callerAddress: addresses.callers ?? "",
+      peerAddress: addresses.peers,
+      adminAddress: addresses.admin,
+      process: running.child,
+      output: running.output,
+      exited: running.exited,
+    };
+    entries.push(entry);
+    await listEntry(entry, dataCentre);
+    return entry;
   }
 
   async function listEntry(
--- a/testing/ports.ts
+++ b/testing/ports.ts
@@ -1,4 +1,4 @@
-import { connect, createServer } from "node:net";
+import { createServer } from "node:net";
 
 /** Returns a TCP port that is free at the moment. */
 export function findFreePort(): Promise<number> {
@@ -14,16 +14,3 @@
     });
   });
 }
-
-/** Whether a server listens at `host:port`. */
-export function acceptsConnections(address: string): Promise<boolean> {
-  const [host, port] = address.split(":");
-  return new Promise((resolve) => {
-    const socket = connect({ host, port: Number(port) });
-    socket.once("connect", () => {
-      socket.destroy();
-      resolve(true);
-    });
-    socket.once("error", () => resolve(false));
-  });
-}
