--- a/src/fleet/plan_test.ts
+++ b/src/fleet/plan_test.ts
@@ -1,4 +1,3 @@
-import process from "node:process";
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -9,6 +8,7 @@
   REGION,
   type TestPool,
 } from "../../testing/fleet_world.ts";
+import { chooseSeed } from "../../testing/random.ts";
 import type { ResolvedConfig } from "../config/schema.ts";
 import { appendDecisions, MAXIMUM_DECISIONS } from "./decision_log.ts";
 import { BUCKETS_PER_DAY, createDemandState, observeDemand } from "./demand.ts";
@@ -26,7 +26,7 @@
   lastRebootIntentId: undefined,
   runningTasks: 0,
 };
-const seed = Number(process.env.SEED ?? Math.floor(Math.random() * 2 ** 31));
+const seed = chooseSeed();
 
 const OWNER: TestPool = {
   name: "owner",
@@ -79,15 +79,20 @@
 
 function withDemand(
   input: PlanInput,
-  levels: Record<string, { slots: number; history?: number }>,
+  levels: Record<string, { slots: number; nextUsualSlots?: number }>,
 ): PlanInput {
-  const pools = Object.entries(levels).map(([pool, { slots, history }]) => [
+  const pools = Object.entries(levels).map(([
+    pool,
+    { slots, nextUsualSlots = slots },
+  ]) => [
     pool,
     {
       levelSlots: slots,
       bucket: 0,
       bucketPeakSlots: slots,
-      history: Array<number | null>(BUCKETS_PER_DAY).fill(history ?? null),
+      // Usual demand is today's up to now, and another one in the next part of the day.
+      history: Array<number | null>(BUCKETS_PER_DAY).fill(slots)
+        .fill(nextUsualSlots, 49),
     },
   ]);
   const demand = { ...input.demand, coverage: 1 };
@@ -161,7 +166,7 @@
 // Guards against an owner that meets its daily surge with its VMs still away.
 test("a loan returns before the owner's expected surge, and none begins", () => {
   const levels = {
-    owner: { slots: 10, history: 62 },
+    owner: { slots: 10, nextUsualSlots: 62 },
     taker: { slots: 62 },
   };
   const input = createInput([OWNER, TAKER]);
@@ -296,7 +301,6 @@
     gone: fc.array(fc.nat(31), { maxLength: 6 }),
     due: fc.boolean(),
   });
-  console.log(`seed ${seed}`);
   fc.assert(
     fc.property(scenario, ({ pools, gone, due }) => {
       const named = pools.map((item, index) => ({
