--- a/src/requests/run_request.ts
+++ b/src/requests/run_request.ts
@@ -7,12 +7,7 @@
 import type { ExchangeResult } from "./exchange.ts";
 import { filterRequestHeaders } from "./headers.ts";
 import type { AttemptResult } from "./instance_state.ts";
-import {
-  notRun,
-  NotRunError,
-  type Outcome,
-  outcomeUnknown,
-} from "./outcome.ts";
+import { NotRunError, type Outcome, outcomeUnknown } from "./outcome.ts";
 import {
   createRetryBudget,
   decideRetry,
@@ -73,8 +68,7 @@
       const { grant } = admitted;
       const result = yield* until(this.#attempt(request, grant));
       if (result.kind !== "failed") {
-        this.#refill(service);
-        if (result.leaving) router.markLeaving(grant);
+        if (result.response.status < 500) this.#refill(service);
         return result.kind === "complete"
           ? { kind: "answer", response: result.response }
           : { kind: "streamed_answer", response: result.response };
@@ -105,7 +99,7 @@
     request: CallerRequest,
     grant: SlotGrant,
   ): Promise<ExchangeResult> {
-    const { clock, admission } = this.#options;
+    const { clock, admission, router } = this.#options;
     const startedAtMs = clock.monotonicMs();
     const remainingMs = () => request.deadlineAtMs - clock.monotonicMs();
     const headers = filterRequestHeaders(request.rawHeaders);
@@ -118,11 +112,19 @@
       remainingMs,
     );
     const result = await exchange.result;
-    const latencyMs = clock.monotonicMs() - startedAtMs;
-    const outcome = attemptResult(result, latencyMs);
+    const latencyMs = () => clock.monotonicMs() - startedAtMs;
+    if (result.kind !== "failed" && result.leaving) router.markLeaving(grant);
     if (result.kind === "streaming") {
-      exchange.ended.then(() => admission.release(grant, outcome));
-    } else admission.release(grant, outcome);
+      exchange.ended.then((complete) =>
+        admission.release(
+          grant,
+          complete
+            ? { kind: "response", latencyMs: latencyMs() }
+            // The caller may have ended it.
+            : { kind: "timeout" },
+        )
+      );
+    } else admission.release(grant, attemptResult(result, latencyMs()));
     return result;
   }
 
@@ -150,7 +152,7 @@
     details?: Record<string, unknown>,
   ): Outcome {
     this.#options.onRefusal(request, error, details);
-    return notRun(error.kind, error.message, error.retryAfterMs);
+    return { kind: "not_run", error };
   }
 
   #budgetOf(service: ServiceConfig): RetryBudget {
