feat(fleet): limits of lending tuned on drift without overflow

Letting the expected surge out of the decision was tried and rejected: no better, and the owner's surge would be met late.

--- a/src/fleet/lending_terms.ts
+++ b/src/fleet/lending_terms.ts
@@ -24,13 +24,13 @@
 /** Moves with more weight widen every gap between starting and undoing a loan (hysteresis). */
 export function resolveLendingLimits(context: PlanningContext): LendingLimits {
   const share = movesWeightShare(context.config);
-  const borrowAbove = 0.65 + 0.25 * share;
-  const reclaimAbove = 0.85 + 0.15 * share;
+  const borrowAbove = 0.75 + 0.125 * share;
+  const reclaimAbove = 0.9 + 0.09 * share;
   return {
     borrowAbove,
     reclaimAbove,
     lendBelow: reclaimAbove - 0.08 - 0.25 * share,
-    smallestGain: 0.05 + 0.35 * share,
+    smallestGain: 0.41 * share,
     returnBelow: borrowAbove - 0.1 - 0.5 * share,
   };
 }
