--- a/src/requests/decisions_test.ts
+++ b/src/requests/decisions_test.ts
@@ -28,8 +28,8 @@
   assert.equal(decideShedding(queue), { kind: "wait", waitMs: 44 });
   const refused = decideShedding({ ...queue, ahead: 300 });
   assert.is(refused.kind, "refuse");
-  // 301 requests at 4 ms each and a slow response, less the time left.
-  assert.is(refused.kind === "refuse" && refused.retryAfterMs, 244);
+  // 301 requests at 4 ms each, less half of the time left after a slow response.
+  assert.is(refused.kind === "refuse" && refused.retryAfterMs, 724);
   const full = decideShedding({ ...queue, queued: 100 });
   assert.is(full.kind === "refuse" && full.reason, "queue_full");
 });
--- a/src/requests/shedding.ts
+++ b/src/requests/shedding.ts
@@ -27,6 +27,12 @@
 
 /** Time in which an entry without slots gets a share from the next digests, in ms. */
 const SHARE_WAIT_MS = 500;
+/**
+ * Part of the time left that a request may be expected to wait. Estimates are
+ * uncertain, a request that is refused after a long wait has cost its caller
+ * that time, and a longer queue answers no more requests.
+ */
+const QUEUE_TIME_FRACTION = 0.5;
 /** Shortest time after which a retry is useful, in ms. */
 const MINIMUM_RETRY_MS = 20;
 
@@ -69,7 +75,9 @@
 /** Decides whether a request may wait for a slot or is refused at once. */
 export function decideShedding(input: SheddingInput): SheddingDecision {
   const waitMs = estimateWaitMs(input);
-  const excessMs = waitMs + input.slowServiceMs - input.remainingMs;
+  const roomMs = (input.remainingMs - input.slowServiceMs) *
+    QUEUE_TIME_FRACTION;
+  const excessMs = waitMs - roomMs;
   if (excessMs > 0) {
     return {
       kind: "refuse",
