fix(requests): requests without a host, expectations, transfer codings

Node answered two kinds of requests by itself, without the outcome header, and dropped headers after the 2,000th without a word; a body with a transfer coding besides chunked would have lost that coding on its way.

--- a/src/requests/bad_input_test.ts
+++ b/src/requests/bad_input_test.ts
@@ -97,6 +97,11 @@
     400,
     "malformed_request",
   ],
+  "another transfer coding": [
+    [`${HEAD}transfer-encoding: gzip, chunked\r\n\r\n`, "1\r\nx\r\n0\r\n\r\n"],
+    400,
+    "malformed_request",
+  ],
   "a malformed chunk": [
     [`${HEAD}transfer-encoding: chunked\r\n\r\n`, "zz\r\n"],
     400,
@@ -143,6 +148,14 @@
     socket.destroy();
   }));
 
+test("a request without a host and with an unknown expectation is served", () =>
+  withEntry(async (entry) => {
+    const output = await sendRaw(entry, [
+      "GET /quoting/1 HTTP/1.1\r\nexpect: more\r\nconnection: close\r\n\r\n",
+    ]);
+    assert.match(output, /cowslipferry-outcome: answer/);
+  }));
+
 test("bytes after a request don't disturb its response", () =>
   withEntry(async (entry, sent) => {
     const output = await sendRaw(entry, [
--- a/src/requests/caller_request.ts
+++ b/src/requests/caller_request.ts
@@ -69,8 +69,15 @@
   return deadlineMs;
 }
 
-/** Whether the request announces a body. */
+/** Whether the request announces a body; throws a `NotRunError` for a coding that can't be passed on. */
 export function announcesBody(request: IncomingMessage): boolean {
-  return request.headers["transfer-encoding"] !== undefined ||
+  const coding = request.headers["transfer-encoding"];
+  if (coding !== undefined && coding.toLowerCase() !== "chunked") {
+    throw new NotRunError(
+      "malformed_request",
+      "The only transfer coding that is accepted is chunked",
+    );
+  }
+  return coding !== undefined ||
     Number(request.headers["content-length"] ?? 0) > 0;
 }
--- a/src/requests/front.ts
+++ b/src/requests/front.ts
@@ -1,5 +1,6 @@
 import {
   createServer,
+  type IncomingMessage,
   type Server,
   type ServerResponse,
   STATUS_CODES,
@@ -70,6 +71,8 @@
     });
   });
 
+  const handle = (request: IncomingMessage, response: ServerResponse) =>
+    void app.handler(request as Request, response as unknown as Response);
   const server = createServer(
     {
       maxHeaderSize: limits.maximumHeaderBytes,
@@ -78,10 +81,14 @@
       connectionsCheckingInterval: SLOW_SENDER_CHECK_MS,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       noDelay: true,
+      // Node's own refusal of a request without a host has no outcome header.
+      requireHostHeader: false,
     },
-    (request, response) =>
-      void app.handler(request as Request, response as unknown as Response),
+    handle,
   );
+  // Node would silently drop further headers; their size is bounded.
+  server.maxHeadersCount = 0;
+  server.on("checkExpectation", handle);
   server.on("connection", (socket) => connections.start(socket));
   server.on("connect", (_request, socket) => {
     writeRawError(
--- a/src/requests/response_test.ts
+++ b/src/requests/response_test.ts
@@ -194,10 +194,13 @@
 
 test("hop-by-hop headers are dropped, repeated headers are kept", () =>
   withBackend((socket) => {
-    socket.write(rawResponse(
-      "x",
-      "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\nConnection: keep-alive, x-hop\r\nX-Hop: 1\r\nCowslipferry-Outcome: forged\r\n",
-    ));
+    socket.write(
+      rawResponse(
+        "x",
+        "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\nX-Latin: caf\xe9\r\nConnection: keep-alive, x-hop\r\nX-Hop: 1\r\nCowslipferry-Outcome: forged\r\n",
+      ),
+      "latin1",
+    );
   }, async (entry, backend) => {
     const response = await call(entry, "/quoting/1?q=1", {
       method: "PURGE",
@@ -210,6 +213,7 @@
     assert.is(response.outcome, "answer");
     assert.equal(response.headers["set-cookie"], ["a=1", "b=2"]);
     assert.is(response.headers["x-hop"], undefined);
+    assert.is(response.headers["x-latin"], "caf\xe9");
     assert.is(response.headers["cowslipferry-request-id"], "id-1");
     const { head } = backend.requests[0]!;
     assert.match(head, /^PURGE \/quoting\/1\?q=1 HTTP/);
--- a/src/requests/serve_call.ts
+++ b/src/requests/serve_call.ts
@@ -286,9 +286,11 @@
 
 /** Whether so much of a body is left that the connection can't wait for its end. */
 function isLongUnread(request: IncomingMessage): boolean {
-  if (request.complete || !announcesBody(request)) return false;
+  if (request.complete) return false;
   const announced = request.headers["content-length"];
-  return announced === undefined || Number(announced) > LONG_UNREAD_BYTES;
+  return announced === undefined
+    ? request.headers["transfer-encoding"] !== undefined
+    : Number(announced) > LONG_UNREAD_BYTES;
 }
 
 function cancelStream(outcome: Outcome): void {
