--- a/src/requests/routing_test.ts
+++ b/src/requests/routing_test.ts
@@ -177,6 +177,19 @@
     assert.ok(dump.recentRefusals.length > 0);
   }));
 
+test("the queue has a limit", () =>
+  withEntry({
+    fleetOptions: { service: { slotsPerInstance: 1 } },
+    limits: { maximumQueuedRequests: 1 },
+    backends: [answerAfter(100)],
+  }, async ({ entry }) => {
+    const responses = await Promise.all(
+      Array.from({ length: 3 }, () => call(entry, "/quoting/1")),
+    );
+    const errors = responses.map(({ error }) => error);
+    assert.equal(errors.filter((error) => error !== undefined), ["queue_full"]);
+  }));
+
 test("a surge overflows to a lending pool at once and keeps what the lender owes", async () => {
   const lenders = await Promise.all(
     [1, 2].map(() => startRawBackend(answerAfter(100))),
