--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -1,7 +1,12 @@
 import type { Clock } from "../clock.ts";
 import type { ServiceConfig } from "../config/schema.ts";
 import type { ServiceLoad } from "../peers/messages.ts";
-import { addArrival, type ArrivalRate, estimateDemandSlots } from "./demand.ts";
+import {
+  addArrival,
+  type ArrivalRate,
+  createArrivalRate,
+  estimateDemandSlots,
+} from "./demand.ts";
 import type { AttemptResult } from "./instance_state.ts";
 import { NotRunError } from "./outcome.ts";
 import type { Router, SlotGrant } from "./router.ts";
@@ -210,10 +215,7 @@
         times: new ServiceTimes(this.#options.clock),
         waiting: [],
         inFlight: 0,
-        arrivals: {
-          perMs: 0,
-          updatedAtMs: this.#options.clock.monotonicMs(),
-        },
+        arrivals: createArrivalRate(this.#options.clock.monotonicMs()),
       };
       this.#services.set(name, state);
     }
--- a/src/requests/decisions_test.ts
+++ b/src/requests/decisions_test.ts
@@ -1,5 +1,10 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import {
+  addArrival,
+  createArrivalRate,
+  estimateDemandSlots,
+} from "./demand.ts";
 import {
   decideEjections,
   decideReinstatements,
@@ -39,6 +44,22 @@
   assert.is(addRetryJitter(100, 0.99), 150);
 });
 
+test("demand follows a surge and its end within half a second", () => {
+  let rate = createArrivalRate(0);
+  const demandAt = (nowMs: number) =>
+    estimateDemandSlots({
+      rate,
+      nowMs,
+      meanServiceMs: 100,
+      inFlight: 0,
+      waiting: 0,
+    });
+  for (let nowMs = 0; nowMs < 500; nowMs++) rate = addArrival(rate, nowMs);
+  const surge = demandAt(500);
+  assert.ok(surge > 60 && surge < 110, `${surge} slots`);
+  assert.ok(demandAt(1_000) < 5);
+});
+
 const failedAttempt = {
   sent: true,
   idempotent: true,
