--- /dev/null
+++ b/testing/faults/leaving_test.ts
@@ -0,0 +1,93 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createHttpWorkerAgent } from "../../src/platform/http_worker_agent.ts";
+import { callEntry } from "../caller.ts";
+import type { Deployment } from "../deployment.ts";
+import { waitFor } from "../wait.ts";
+import { withDeployment } from "./scenario.ts";
+
+/** Time from the first announcement after which no new work may arrive, in ms. */
+const LIMIT_MS = 3_000;
+/** Time after the limit in which arrivals are counted, in ms. */
+const WATCHED_MS = 2_000;
+const LEAVING = "quoting-2";
+const agent = createHttpWorkerAgent();
+
+/** Sends requests through the entries until the returned function is called. */
+function startTraffic(deployment: Deployment, entryIndexes: readonly number[]) {
+  let stopped = false;
+  let failed = 0;
+  const loops = entryIndexes.flatMap((index) =>
+    Array.from({ length: 6 }, async () => {
+      const address = deployment.entries[index]?.callerAddress;
+      while (!stopped) {
+        const result = await callEntry(`http://${address}/quoting/leaving/1`);
+        if (result.kind !== "answer") failed++;
+      }
+    })
+  );
+  return {
+    async stop(): Promise<number> {
+      stopped = true;
+      await Promise.all(loops);
+      return failed;
+    },
+  };
+}
+
+async function countArrivals(
+  deployment: Deployment,
+  sinceMs: number,
+): Promise<number> {
+  const { arrivals } = await deployment.workers.get(LEAVING)!.journal();
+  return arrivals.filter(({ atMs }) => atMs >= sinceMs).length;
+}
+
+const HIDDEN = { serviceTimeMs: 10, workerProcesses: 1 };
+
+test("a backend server that only announces itself gets no new work after 3 s, with the store down and the VM list behind", () =>
+  withDeployment(HIDDEN, async (deployment) => {
+    const { store, workers } = deployment;
+    // The VM list goes on showing the VM as live, as one that lags for the whole test.
+    store.faults.down = true;
+    const first = startTraffic(deployment, [0]);
+    let others: ReturnType<typeof startTraffic> | undefined;
+    try {
+      const beforeMs = Date.now();
+      await waitFor(
+        "the backend server gets work",
+        async () => await countArrivals(deployment, beforeMs) > 0,
+      );
+      await agent.drain(workers.get(LEAVING)!.controlAddress, "intent-1");
+      await delay(LIMIT_MS);
+      const limitMs = Date.now();
+      // Entries that never got the announcement themselves have it from peers.
+      others = startTraffic(deployment, [1, 2]);
+      await delay(WATCHED_MS);
+      assert.is(await countArrivals(deployment, limitMs), 0);
+      assert.is(await others.stop(), 0, "requests that weren't answered");
+    } finally {
+      await first.stop();
+      await others?.stop();
+    }
+  }));
+
+test("a backend server that the VM list shows as leaving gets no new work after 3 s, with the store down", () =>
+  withDeployment(HIDDEN, async (deployment) => {
+    const { vmList, store } = deployment;
+    store.faults.down = true;
+    const traffic = startTraffic(deployment, [0, 1, 2]);
+    try {
+      const vm = vmList.vms.get(LEAVING)!;
+      vmList.vms.set(LEAVING, { ...vm, state: "leaving" });
+      await delay(LIMIT_MS);
+      const limitMs = Date.now();
+      await delay(WATCHED_MS);
+      assert.is(await countArrivals(deployment, limitMs), 0);
+    } finally {
+      assert.is(await traffic.stop(), 0, "requests that weren't answered");
+    }
+  }));
+
+test.run();
