--- a/src/entry.ts
+++ b/src/entry.ts
@@ -63,6 +63,7 @@
         region,
         store: parts.resolve(TOKENS.store),
         config: parts.resolve(TOKENS.config),
+        fleet: parts.resolve(TOKENS.fleet),
         vmList: parts.resolve(TOKENS.vmSnapshot),
         entries: parts.resolve(TOKENS.entries),
         workerAgent: parts.resolve(TOKENS.workerAgent),
