--- /dev/null
+++ b/bench/capacity/idle_nodes.ts
@@ -0,0 +1,96 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { request } from "undici";
+import type { Deployment, EntryProcess } from "../../testing/deployment.ts";
+import type { ReportTable } from "../report.ts";
+import {
+  type BenchDeploymentOptions,
+  cpuTimeMs,
+  residentMb,
+  withDeployment,
+} from "../requests/deployment.ts";
+
+/** What the entries of one deployment spend on control, without requests. */
+export interface CapacityRow {
+  readonly entries: number;
+  readonly medianCpuPercent: number;
+  readonly highestCpuPercent: number;
+  readonly highestMemoryMb: number;
+  /** Sent and received, of the entry with most. */
+  readonly highestPeerBytesPerSecond: number;
+  readonly storeReadsPerSecond: number;
+  readonly storeWritesPerSecond: number;
+  readonly storeWatchesPerSecond: number;
+}
+
+const ENTRY_COUNTS = [3, 9, 18, 27];
+const SETTLE_MS = 5_000;
+const MEASURED_MS = 20_000;
+
+async function peerBytes(entry: EntryProcess): Promise<number> {
+  const { body } = await request(`http://${entry.adminAddress}/metrics`);
+  const lines = (await body.text()).split("\n").filter((line) =>
+    line.includes("peer_bytes_total{")
+  );
+  return lines.reduce((sum, line) => sum + Number(line.split(" ").at(-1)), 0);
+}
+
+async function measure(deployment: Deployment): Promise<CapacityRow> {
+  const { entries, store } = deployment;
+  await delay(SETTLE_MS);
+  const pids = entries.map((entry) => entry.process.pid!);
+  const cpuBefore = pids.map(cpuTimeMs);
+  const bytesBefore = await Promise.all(entries.map(peerBytes));
+  const countsBefore = { ...store.counts };
+  await delay(MEASURED_MS);
+  const cpuPercent = pids.map((pid, index) =>
+    (cpuTimeMs(pid) - cpuBefore[index]!) / MEASURED_MS * 100
+  ).toSorted((a, b) => a - b);
+  const bytes = await Promise.all(entries.map(peerBytes));
+  const perSecond = (count: number) => count / MEASURED_MS * 1_000;
+  return {
+    entries: entries.length,
+    medianCpuPercent: cpuPercent[Math.floor(cpuPercent.length / 2)]!,
+    highestCpuPercent: cpuPercent.at(-1)!,
+    highestMemoryMb: Math.max(...pids.map(residentMb)),
+    highestPeerBytesPerSecond: Math.max(
+      ...bytes.map((value, index) => perSecond(value - bytesBefore[index]!)),
+    ),
+    storeReadsPerSecond: perSecond(store.counts.reads - countsBefore.reads),
+    storeWritesPerSecond: perSecond(store.counts.writes - countsBefore.writes),
+    storeWatchesPerSecond: perSecond(
+      store.counts.watches - countsBefore.watches,
+    ),
+  };
+}
+
+/** Measures what control costs per entry without requests, for several numbers of entries. */
+export async function measureIdleNodes(
+  options: Omit<BenchDeploymentOptions, "entryCount">,
+): Promise<CapacityRow[]> {
+  const rows: CapacityRow[] = [];
+  for (const entryCount of ENTRY_COUNTS) {
+    console.log(`measuring control with ${entryCount} entries`);
+    rows.push(await withDeployment({ ...options, entryCount }, measure));
+  }
+  return rows;
+}
+
+/** Formats the rows of idle entries. */
+export function formatIdleNodes(rows: readonly CapacityRow[]): ReportTable {
+  return {
+    title: `control without requests, ${MEASURED_MS / 1_000} s each`,
+    rows: [
+      [
+        "entries",
+        "CPU % median",
+        "CPU % highest",
+        "memory MB",
+        "peer bytes/s",
+        "store reads/s",
+        "writes/s",
+        "watches/s",
+      ],
+      ...rows.map((row) => Object.values(row) as number[]),
+    ],
+  };
+}
--- a/bench/capacity/main.ts
+++ b/bench/capacity/main.ts
@@ -1,15 +1,10 @@
-import { setTimeout as delay } from "node:timers/promises";
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { request } from "undici";
-import type { Deployment, EntryProcess } from "../../testing/deployment.ts";
 import { writeReport } from "../report.ts";
-import {
-  cpuTimeMs,
-  residentMb,
-  withDeployment,
-} from "../requests/deployment.ts";
+import { formatIdleNodes, measureIdleNodes } from "./idle_nodes.ts";
+import { formatRecords, measureRecords } from "./records.ts";
+import { formatRollOuts, measureRollOuts } from "./roll_outs.ts";
 
 /** Options of the `capacity` experiment. */
 export interface CapacityBenchOptions {
@@ -20,105 +15,34 @@
   readonly command: string;
 }
 
-/** What the entries of one deployment spend on control, without requests. */
-interface CapacityRow {
-  readonly entries: number;
-  readonly medianCpuPercent: number;
-  readonly highestCpuPercent: number;
-  readonly highestMemoryMb: number;
-  /** Sent and received, of the entry with most. */
-  readonly highestPeerBytesPerSecond: number;
-  readonly storeReadsPerSecond: number;
-  readonly storeWritesPerSecond: number;
-  readonly storeWatchesPerSecond: number;
-}
-
-const ENTRY_COUNTS = [1, 3, 6, 9];
-const SETTLE_MS = 5_000;
-const MEASURED_MS = 20_000;
-
-async function peerBytes(entry: EntryProcess): Promise<number> {
-  const { body } = await request(`http://${entry.adminAddress}/metrics`);
-  const lines = (await body.text()).split("\n").filter((line) =>
-    line.includes("peer_bytes_total{")
-  );
-  return lines.reduce((sum, line) => sum + Number(line.split(" ").at(-1)), 0);
-}
-
-async function measure(deployment: Deployment): Promise<CapacityRow> {
-  const { entries, store } = deployment;
-  await delay(SETTLE_MS);
-  const pids = entries.map((entry) => entry.process.pid!);
-  const cpuBefore = pids.map(cpuTimeMs);
-  const bytesBefore = await Promise.all(entries.map(peerBytes));
-  const countsBefore = { ...store.counts };
-  await delay(MEASURED_MS);
-  const cpuPercent = pids.map((pid, index) =>
-    (cpuTimeMs(pid) - cpuBefore[index]!) / MEASURED_MS * 100
-  ).toSorted((a, b) => a - b);
-  const bytes = await Promise.all(entries.map(peerBytes));
-  const perSecond = (count: number) => count / MEASURED_MS * 1_000;
-  return {
-    entries: entries.length,
-    medianCpuPercent: cpuPercent[Math.floor(cpuPercent.length / 2)]!,
-    highestCpuPercent: cpuPercent.at(-1)!,
-    highestMemoryMb: Math.max(...pids.map(residentMb)),
-    highestPeerBytesPerSecond: Math.max(
-      ...bytes.map((value, index) => perSecond(value - bytesBefore[index]!)),
-    ),
-    storeReadsPerSecond: perSecond(store.counts.reads - countsBefore.reads),
-    storeWritesPerSecond: perSecond(store.counts.writes - countsBefore.writes),
-    storeWatchesPerSecond: perSecond(
-      store.counts.watches - countsBefore.watches,
-    ),
-  };
-}
-
-/** Measures what control costs per entry for several numbers of entries. */
+/** Measures the slopes of control: number of entries, size of the fleet, size of the configuration. */
 export async function runCapacityBench(
   options: CapacityBenchOptions,
 ): Promise<void> {
   const folder = await mkdtemp(join(tmpdir(), "cowslipferry-capacity-"));
-  const rows: CapacityRow[] = [];
   try {
-    for (const entryCount of ENTRY_COUNTS) {
-      console.log(`measuring control with ${entryCount} entries`);
-      rows.push(
-        await withDeployment({
-          ...options,
-          entryCount,
-          serviceTimeMs: 5,
-          distribution: "constant",
-          overflow: true,
-          folder,
-        }, measure),
-      );
-    }
+    const deployment = {
+      ...options,
+      serviceTimeMs: 5,
+      distribution: "constant" as const,
+      overflow: true,
+      folder,
+    };
+    const records = measureRecords();
+    const rollOuts = await measureRollOuts(deployment);
+    const idleNodes = await measureIdleNodes(deployment);
+    await writeReport({
+      name: "capacity",
+      command: options.command,
+      figures: { seed: options.seed, records, rollOuts, idleNodes },
+      tables: [
+        formatRecords(records),
+        formatRollOuts(rollOuts),
+        formatIdleNodes(idleNodes),
+      ],
+      charts: [],
+    });
   } finally {
     await rm(folder, { recursive: true, force: true });
   }
-  await writeReport({
-    name: "capacity",
-    command: options.command,
-    figures: { seed: options.seed, configFile: options.configFile, rows },
-    tables: [{
-      title: `control without requests, ${options.configFile}, ${
-        MEASURED_MS / 1_000
-      } s each`,
-      rows: [
-        [
-          "entries",
-          "CPU % median",
-          "CPU % highest",
-          "memory MB",
-          "peer bytes/s",
-          "store reads/s",
-          "writes/s",
-          "watches/s",
-        ],
-        ...rows.map((row) => Object.values(row) as number[]),
-      ],
-    }],
-    charts: [],
-  });
 }
--- /dev/null
+++ b/bench/capacity/records.ts
@@ -0,0 +1,101 @@
+import process from "node:process";
+import { parseFleetRecord } from "../../src/fleet/follower.ts";
+import { createFleetRecord, type FleetRecord } from "../../src/fleet/record.ts";
+import { vmSchema } from "../../src/platform/vm_list.ts";
+import { resolvePoolMap } from "../../src/requests/pool_map.ts";
+import { createSingleRegion, type Deployment } from "../fleet/deployments.ts";
+import { measurePlanning } from "../fleet/planning_cost.ts";
+import type { ReportTable } from "../report.ts";
+
+const WORKER_COUNTS = [35, 350, 1_400];
+const WARM_UP_REPEATS = 30;
+const REPEATS = 100;
+
+/** What a fleet of one size costs an entry. */
+export interface RecordRow {
+  readonly workers: number;
+  readonly recordBytes: number;
+  /** Processor time to parse and check the record after a change, in ms. */
+  readonly parseMs: number;
+  /** Processor time to compute the pool map after a change, in ms. */
+  readonly poolMapMs: number;
+  readonly vmListBytes: number;
+  /** Processor time to parse and check one answer of the VM list, in ms. */
+  readonly vmListParseMs: number;
+  /** Processor time of a controller's planning step with reading and writing, in ms. */
+  readonly planningStepMs: number;
+}
+
+function meanCpuMs(work: () => void): number {
+  for (let count = 0; count < WARM_UP_REPEATS; count++) work();
+  const before = process.cpuUsage();
+  for (let count = 0; count < REPEATS; count++) work();
+  const { user, system } = process.cpuUsage(before);
+  return (user + system) / 1_000 / REPEATS;
+}
+
+function createRecord({ region, vms }: Deployment): FleetRecord {
+  const record = createFleetRecord(region);
+  return {
+    ...record,
+    vms: Object.fromEntries(vms.map((vm) => [vm.id, {
+      pool: vm.pool ?? "",
+      homePool: vm.pool ?? "",
+      state: "serving" as const,
+      incarnation: vm.incarnation,
+      dataCentre: vm.dataCentre,
+      rack: vm.rack,
+      changedAtMs: 1_790_000_000_000,
+      maintainedAtMs: 1_790_000_000_000,
+    }])),
+  };
+}
+
+function measureSize(workers: number): RecordRow {
+  const deployment = createSingleRegion(workers);
+  const { config, region, vms } = deployment;
+  const record = createRecord(deployment);
+  const text = JSON.stringify(record);
+  const listText = JSON.stringify({ vms });
+  const leavingVms = new Set<string>();
+  const parseMs = meanCpuMs(() => parseFleetRecord(text));
+  const poolMapMs = meanCpuMs(() =>
+    resolvePoolMap({ region, config, record, vms, leavingVms })
+  );
+  const vmListParseMs = meanCpuMs(() =>
+    vmSchema.array().parse(JSON.parse(listText).vms)
+  );
+  return {
+    workers,
+    recordBytes: Buffer.byteLength(text),
+    parseMs,
+    poolMapMs,
+    vmListBytes: Buffer.byteLength(listText),
+    vmListParseMs,
+    planningStepMs: measurePlanning(deployment).stepCpuMs,
+  };
+}
+
+/** Measures what fleets of several sizes cost. */
+export function measureRecords(): RecordRow[] {
+  return WORKER_COUNTS.map(measureSize);
+}
+
+/** Formats the rows of fleet records. */
+export function formatRecords(rows: readonly RecordRow[]): ReportTable {
+  return {
+    title: "fleet record and VM list by number of workers, one region",
+    rows: [
+      [
+        "workers",
+        "record bytes",
+        "parse ms",
+        "pool map ms",
+        "VM list bytes",
+        "parse ms",
+        "planning step ms",
+      ],
+      ...rows.map((row) => Object.values(row) as number[]),
+    ],
+  };
+}
--- /dev/null
+++ b/bench/capacity/roll_outs.ts
@@ -0,0 +1,153 @@
+import { readFileSync } from "node:fs";
+import { performance } from "node:perf_hooks";
+import { setTimeout as delay } from "node:timers/promises";
+import { request } from "undici";
+import { applyConfig } from "../../src/config/apply.ts";
+import type { ResolvedConfig } from "../../src/config/schema.ts";
+import { resolveConfig } from "../../src/config/validate.ts";
+import { createHttpStore } from "../../src/platform/http_store.ts";
+import type { Deployment, EntryProcess } from "../../testing/deployment.ts";
+import type { ReportTable } from "../report.ts";
+import {
+  type BenchDeploymentOptions,
+  cpuTimeMs,
+  withDeployment,
+} from "../requests/deployment.ts";
+
+const ENTRIES = 9;
+/** Pools without VMs that are added to the example file. */
+const ADDED_POOLS = [0, 20, 100, 500];
+const APPLIES = 40;
+const POLL_INTERVAL_MS = 2;
+const ROLL_OUT_TIMEOUT_MS = 30_000;
+
+/** Roll-out of configurations of one size. */
+export interface RollOutRow {
+  readonly pools: number;
+  readonly configBytes: number;
+  /** Time to parse and check the file, in ms. */
+  readonly checkMs: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  readonly maximumMs: number;
+  /** Processor time of one entry for one apply, in ms; the highest of the entries. */
+  readonly entryCpuMs: number;
+}
+
+function createConfigText(configFile: string, addedPools: number): string {
+  const user = JSON.parse(readFileSync(configFile, "utf8"));
+  const region = user.pools[0].region;
+  for (let index = 0; index < addedPools; index++) {
+    const name = `added-${index}`;
+    user.services.push({ name });
+    user.pools.push({
+      name,
+      region,
+      team: user.teams[0].name,
+      services: [name],
+      vms: 0,
+      availability: { minimumServingVms: 0 },
+    });
+  }
+  return JSON.stringify(user);
+}
+
+async function revisionOf(entry: EntryProcess): Promise<number> {
+  const { body } = await request(
+    `http://${entry.adminAddress}/dump?part=config`,
+  );
+  const dump = await body.json() as { config?: { revision: number } };
+  return dump.config?.revision ?? 0;
+}
+
+async function waitForRevision(
+  entry: EntryProcess,
+  revision: number,
+): Promise<void> {
+  const endMs = performance.now() + ROLL_OUT_TIMEOUT_MS;
+  while (await revisionOf(entry) < revision) {
+    if (performance.now() > endMs) {
+      throw new Error(`${entry.id} has not reached revision ${revision}`);
+    }
+    await delay(POLL_INTERVAL_MS);
+  }
+}
+
+async function rollOut(
+  { storeUrl, entries }: Deployment,
+  config: ResolvedConfig,
+): Promise<number> {
+  const startedAtMs = performance.now();
+  const result = await applyConfig(createHttpStore(storeUrl), config);
+  if (result.kind !== "accepted") throw new Error(`apply: ${result.kind}`);
+  await Promise.all(
+    entries.map((entry) => waitForRevision(entry, result.applied.revision)),
+  );
+  return performance.now() - startedAtMs;
+}
+
+async function measureSize(
+  deployment: Deployment,
+  text: string,
+): Promise<RollOutRow> {
+  const startedAtMs = performance.now();
+  const config = resolveConfig(text, "capacity");
+  const checkMs = performance.now() - startedAtMs;
+  const pids = deployment.entries.map((entry) => entry.process.pid!);
+  const cpuBefore = pids.map(cpuTimeMs);
+  const timesMs: number[] = [];
+  for (let index = 1; index <= APPLIES; index++) {
+    const weights = { bufferCost: index, moves: 1 };
+    timesMs.push(await rollOut(deployment, { ...config, weights }));
+  }
+  timesMs.sort((a, b) => a - b);
+  return {
+    pools: config.pools.length,
+    configBytes: Buffer.byteLength(text),
+    checkMs,
+    p50Ms: timesMs[Math.floor(APPLIES * 0.5)]!,
+    p99Ms: timesMs[Math.floor(APPLIES * 0.99)]!,
+    maximumMs: timesMs.at(-1)!,
+    entryCpuMs: Math.max(
+      ...pids.map((pid, index) => (cpuTimeMs(pid) - cpuBefore[index]!)),
+    ) / APPLIES,
+  };
+}
+
+/** Measures roll-outs to nine entries for configurations of several sizes. */
+export function measureRollOuts(
+  options: Omit<BenchDeploymentOptions, "entryCount">,
+): Promise<RollOutRow[]> {
+  return withDeployment(
+    { ...options, entryCount: ENTRIES },
+    async (deployment) => {
+      const rows: RollOutRow[] = [];
+      for (const added of ADDED_POOLS) {
+        console.log(`measuring roll-outs with ${added} added pools`);
+        const text = createConfigText(options.configFile, added);
+        rows.push(await measureSize(deployment, text));
+      }
+      return rows;
+    },
+  );
+}
+
+/** Formats the rows of roll-outs. */
+export function formatRollOuts(rows: readonly RollOutRow[]): ReportTable {
+  return {
+    title:
+      `roll-out to ${ENTRIES} entries, ${APPLIES} applies in a row; processor time includes the polls`,
+    rows: [
+      [
+        "pools",
+        "config bytes",
+        "check ms",
+        "p50 ms",
+        "p99 ms",
+        "max ms",
+        "entry CPU ms",
+      ],
+      ...rows.map((row) => Object.values(row) as number[]),
+    ],
+  };
+}
--- a/bench/fleet/deployments.ts
+++ b/bench/fleet/deployments.ts
@@ -124,12 +124,27 @@
   ];
 }
 
-/** The two-year size with all workers in one region, an upper bound of a planning step. */
-export function createSingleRegion(): Deployment {
+/** The pools of the two-year size in one region, scaled to a number of workers; the full size is an upper bound of a planning step. */
+export function createSingleRegion(
+  workers: number = TWO_YEAR.workers,
+): Deployment {
   const region = "region-0";
   const base = createTwoYearConfig();
-  const pools = base.pools.map((pool) => ({ ...pool, region }));
+  const scale = workers / TWO_YEAR.workers;
+  let assigned = 0;
+  let exact = 0;
+  const pools = base.pools.map((pool) => {
+    exact += pool.vms * scale;
+    const vms = Math.round(exact) - assigned;
+    assigned += vms;
+    return {
+      ...pool,
+      region,
+      vms,
+      availability: { minimumServingVms: Math.floor(vms / 2) },
+    };
+  });
   const config = { ...base, pools };
   const vms = createWorkers(config, region, 11);
-  return { name: "two-year, one region", region, config, vms };
+  return { name: `one region, ${workers} workers`, region, config, vms };
 }
