--- a/src/platform/http_json.ts
+++ b/src/platform/http_json.ts
@@ -4,12 +4,16 @@
 export interface JsonResponse {
   readonly status: number;
   readonly body: unknown;
+  /** Names this version of the resource; undefined when the server gives none. */
+  readonly etag: string | undefined;
 }
 
 /** Options of one JSON call. */
 export interface JsonRequestOptions {
   readonly method?: "GET" | "PUT" | "POST" | "DELETE";
   readonly body?: unknown;
+  /** Asks for a body only if the resource has another version than this one. */
+  readonly ifNoneMatch?: string | undefined;
   readonly timeoutMs: number;
   readonly signal?: AbortSignal | undefined;
 }
@@ -39,20 +43,25 @@
   const signal = options.signal
     ? AbortSignal.any([options.signal, timeout])
     : timeout;
+  const headers: Record<string, string> = {};
+  if (options.body !== undefined) headers["content-type"] = "application/json";
+  if (options.ifNoneMatch !== undefined) {
+    headers["if-none-match"] = options.ifNoneMatch;
+  }
   const response = await request(url, {
     dispatcher: agent,
     method: options.method ?? "GET",
     signal,
     headersTimeout: options.timeoutMs,
     bodyTimeout: options.timeoutMs,
-    ...(options.body === undefined ? {} : {
-      headers: { "content-type": "application/json" },
-      body: JSON.stringify(options.body),
-    }),
+    headers,
+    body: options.body === undefined ? null : JSON.stringify(options.body),
   });
   const text = await response.body.text();
+  const { etag } = response.headers;
   return {
     status: response.statusCode,
     body: text === "" ? undefined : JSON.parse(text),
+    etag: typeof etag === "string" ? etag : undefined,
   };
 }
--- a/testing/http_json_server.ts
+++ b/testing/http_json_server.ts
@@ -1,3 +1,4 @@
+import { createHash } from "node:crypto";
 import {
   createServer,
   type IncomingMessage,
@@ -79,10 +80,18 @@
       response.destroy();
       return;
     }
-    response.writeHead(reply.status, { "content-type": "application/json" });
-    response.end(
-      reply.body === undefined ? undefined : JSON.stringify(reply.body),
-    );
+    const text = reply.body === undefined ? "" : JSON.stringify(reply.body);
+    const etag = `"${createHash("sha256").update(text).digest("base64url")}"`;
+    if (reply.status === 200 && request.headers["if-none-match"] === etag) {
+      response.writeHead(304, { etag });
+      response.end();
+      return;
+    }
+    response.writeHead(reply.status, {
+      "content-type": "application/json",
+      etag,
+    });
+    response.end(text);
   }
   return createServer((request, response) => {
     serve(request, response).catch(() => response.destroy());
