perf(fleet): planning step skips counts that no decision needs

Owned VMs are counted only when a VM is new or a pool was removed, and the record is copied once. The bench measured the planning step of a finished wave up to now (no step wrote); it now keeps waves and loans under way and reports how many steps wrote.

--- a/bench/fleet/planning_cost.ts
+++ b/bench/fleet/planning_cost.ts
@@ -1,5 +1,6 @@
 import process from "node:process";
 import { performance } from "node:perf_hooks";
+import type { ResolvedConfig } from "../../src/config/schema.ts";
 import { createDemandState, observeDemand } from "../../src/fleet/demand.ts";
 import { parseFleetRecord } from "../../src/fleet/follower.ts";
 import { planFleet } from "../../src/fleet/plan.ts";
@@ -12,7 +13,9 @@
 import { createDigest } from "./run.ts";
 
 const ENTRIES = 9;
-const WARM_UP_STEPS = 100;
+const WARM_UP_STEPS = 20;
+/** Period short enough that a wave is under way in every step. */
+const PERIOD_DAYS = 0.02;
 const STEPS = 500;
 const STEP_MS = 10_000;
 const START_MS = Date.UTC(2026, 0, 5);
@@ -64,9 +67,20 @@
   }));
 }
 
-/** Measures planning steps of a region in which every VM is due for maintenance. */
+/** Waves without end, and no overflow, so that demand leads to loans. */
+function keepBusy(config: ResolvedConfig): ResolvedConfig {
+  const pools = config.pools.map((pool) => ({
+    ...pool,
+    lending: { ...pool.lending, overflow: false },
+    maintenance: { ...pool.maintenance, periodDays: PERIOD_DAYS },
+  }));
+  return { ...config, pools };
+}
+
+/** Measures planning steps of a region with waves and loans under way. */
 export function measurePlanning(deployment: Deployment): PlanningCost {
-  const { config, region, vms } = deployment;
+  const { region, vms } = deployment;
+  const config = keepBusy(deployment.config);
   let text = JSON.stringify(createFleetRecord(region));
   let demand = createDemandState();
   const timesMs: number[] = [];
--- a/bench/fleet/report.ts
+++ b/bench/fleet/report.ts
@@ -77,6 +77,7 @@
       "plan p99 ms",
       "plan max ms",
       "CPU ms with parse and write",
+      "steps that wrote",
       "record bytes",
     ],
     ...rows.map((row) => [
@@ -87,6 +88,7 @@
       row.planP99Ms.toFixed(2),
       row.planMaximumMs.toFixed(2),
       row.stepCpuMs.toFixed(2),
+      String(row.changedSteps),
       String(row.recordBytes),
     ]),
   ];
--- a/src/fleet/assignment.ts
+++ b/src/fleet/assignment.ts
@@ -12,8 +12,9 @@
 /** Owned VMs of each pool; VMs that the list no longer shows don't count. */
 function countOwned(context: PlanningContext, vms: Vms): Map<string, number> {
   const counts = new Map<string, number>();
-  for (const [vmId, vm] of Object.entries(vms)) {
-    if (!context.listed.has(vmId)) continue;
+  for (const vmId in vms) {
+    const vm = vms[vmId];
+    if (vm === undefined || !context.listed.has(vmId)) continue;
     counts.set(vm.homePool, (counts.get(vm.homePool) ?? 0) + 1);
   }
   return counts;
@@ -59,13 +60,15 @@
 
 /** Assigns live workers that no pool has yet: first to the labelled pool, then to pools short of VMs, then to the spare pool. */
 export function assignNewVms(context: PlanningContext, vms: Vms): VmChange[] {
+  const fresh = [...context.listed.values()].filter((vm) =>
+    vm.role === "worker" && vm.state === "live" && vms[vm.id] === undefined
+  );
+  if (fresh.length === 0) return [];
   const pools = [...context.pools.values()];
   const counts = countOwned(context, vms);
   const changes: VmChange[] = [];
-  for (const vm of context.listed.values()) {
-    const isNew = vm.role === "worker" && vm.state === "live" &&
-      vms[vm.id] === undefined;
-    const pool = isNew ? choosePool(vm.pool, pools, counts) : undefined;
+  for (const vm of fresh) {
+    const pool = choosePool(vm.pool, pools, counts);
     if (pool === undefined) continue;
     const lack = lackOf(pool, counts);
     counts.set(pool.name, (counts.get(pool.name) ?? 0) + 1);
@@ -127,9 +130,11 @@
 ): VmChange[] {
   const pools = [...context.pools.values()];
   if (pools.length === 0) return [];
-  const counts = countOwned(context, vms);
+  let counts: Map<string, number> | undefined;
   const changes: VmChange[] = [];
-  for (const [vmId, vm] of Object.entries(vms)) {
+  for (const vmId in vms) {
+    const vm = vms[vmId];
+    if (vm === undefined) continue;
     const target = vm.transition?.targetPool;
     const lostTarget = target !== undefined && !context.pools.has(target);
     if (context.pools.has(vm.homePool) && context.pools.has(vm.pool)) {
@@ -140,6 +145,7 @@
     }
     // A reboot under way goes on undisturbed; the VM leaves when it serves again.
     if (vm.state === "rebooting") continue;
+    counts ??= countOwned(context, vms);
     const keepsOwner = context.pools.has(vm.homePool);
     const home = keepsOwner
       ? vm.homePool
--- a/src/fleet/drain.ts
+++ b/src/fleet/drain.ts
@@ -86,7 +86,9 @@
   vms: Vms,
 ): VmChange[] {
   const changes: VmChange[] = [];
-  for (const [vmId, vm] of Object.entries(vms)) {
+  for (const vmId in vms) {
+    const vm = vms[vmId];
+    if (vm === undefined) continue;
     if (vm.state === "draining") {
       if (evaluateDrain(vmId, vm, context).kind === "drained") {
         changes.push({ vmId, next: afterDrain(vm, context.nowMs) });
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -73,14 +73,14 @@
   apply(assignNewVms(context, vms));
   // Drains that a short pool needs back are undone before any drain is completed.
   apply(repairShortages(context, vms));
-  const before = { ...vms };
   const completed = completeTransitions(context, vms);
+  const finished = finishedMaintenance(vms, completed);
   apply(completed);
   // Without knowing which workers are unreachable, no budget may be spent.
   if (!input.holdsNewDrains) apply(transferOwnership(context, vms));
   const learned = learnDuration(
     record.maintenance,
-    finishedMaintenance(before, completed),
+    finished,
     nowMs,
   );
   const waves = planMaintenance(context, vms, learned);
--- a/src/fleet/reconciliation.ts
+++ b/src/fleet/reconciliation.ts
@@ -120,7 +120,9 @@
   // A list without any worker is more likely a fault of the list than the loss of the whole region.
   if (!hasWorkers) return [];
   const changes: VmChange[] = [];
-  for (const [vmId, vm] of Object.entries(vms)) {
+  for (const vmId in vms) {
+    const vm = vms[vmId];
+    if (vm === undefined) continue;
     const current = listed.get(vmId);
     const found = current === undefined
       ? reconcileGone(vmId, vm, nowMs)
--- a/src/fleet/wave_pause.ts
+++ b/src/fleet/wave_pause.ts
@@ -41,8 +41,10 @@
     if (vm !== undefined && isInWave(vm, nowMs)) waveRacks.add(vm.rack);
   }
   if (waveRacks.size === 0) return { correlated: false, vmIds: [] };
-  const vmIds = Object.entries(vms).filter(([vmId, vm]) =>
-    waveRacks.has(vm.rack) && hasFailed(vmId, vm, context)
-  ).map(([vmId]) => vmId);
+  const vmIds = Object.keys(vms).filter((vmId) => {
+    const vm = vms[vmId];
+    return vm !== undefined && hasFailed(vmId, vm, context) &&
+      waveRacks.has(vm.rack);
+  });
   return { correlated: vmIds.length >= CORRELATED_FAILURES, vmIds };
 }
