fix(bench): carriable load counted per segment

Answers above the slots of one segment no longer make up for refusals in another, and the part of a surge that exceeds own and lent slots isn't owed.

--- a/bench/requests/surge.ts
+++ b/bench/requests/surge.ts
@@ -21,7 +21,7 @@
   readonly total: SegmentCounts;
   /** Highest load of a service during its surge, as a share of its own pool's slots. */
   readonly surgeShareOfOwnPool: number;
-  /** Requests that the declared slots could carry, from the offered load and the lenders' limits. */
+  /** Requests that the declared slots could carry: own slots, and others' up to the lenders' limits. */
   readonly carriable: number;
   readonly answeredShareOfCarriable: number;
   readonly latency: LatencySummary;
@@ -57,6 +57,23 @@
   });
 }
 
+/** Compares each segment with what its slots could carry; answers above that in one segment don't make up for refusals in another. */
+function compareWithSlots(
+  loads: readonly LoadResult[],
+  limitOf: (service: string) => number,
+): { carriable: number; answeredShareOfCarriable: number } {
+  let carriable = 0;
+  let answered = 0;
+  for (const { service, segments } of loads) {
+    for (const segment of segments) {
+      const fitting = Math.min(segment.sent, limitOf(service));
+      carriable += fitting;
+      answered += Math.min(segment.answered, fitting);
+    }
+  }
+  return { carriable, answeredShareOfCarriable: answered / carriable };
+}
+
 /** Runs the surge profile: each service in turn at 5 times its mean, the others at a twentieth. */
 export async function runSurge(
   deployment: Deployment,
@@ -73,14 +90,10 @@
   const capacities = serviceCapacities(config);
   const addresses = deployment.entries.map((entry) => entry.callerAddress);
   const ratePerSlot = 1_000 / serviceTimeMs;
-  let carriable = 0;
   const specs = capacities.map((capacity, index): LoadSpec => {
     const meanRate = capacity.ownSlots * meanShare * ratePerSlot;
     const surgeRate = meanRate * SURGE_FACTOR;
     const lullRate = meanRate * LULL_FACTOR;
-    carriable += segmentMs / 1_000 *
-      (Math.min(surgeRate, capacity.usableSlots * ratePerSlot) +
-        (capacities.length - 1) * lullRate);
     return {
       service: capacity.service,
       addresses,
@@ -98,13 +111,16 @@
   });
   const loads = await runLoads(specs);
   const total = sumSegments(loads.flatMap((load) => load.segments));
-  // Arrivals are random, so the offered load differs from its mean.
-  const carriableOfSent = Math.min(total.sent, carriable);
+  const comparison = compareWithSlots(
+    loads,
+    (service) =>
+      (capacities.find((item) => item.service === service)?.usableSlots ?? 0) *
+      ratePerSlot * segmentMs / 1_000,
+  );
   return {
     total,
     surgeShareOfOwnPool: meanShare * SURGE_FACTOR,
-    carriable: carriableOfSent,
-    answeredShareOfCarriable: total.answered / carriableOfSent,
+    ...comparison,
     latency: summarize(loads.map((load) => load.latency)),
     refusalLatency: summarize(loads.map((load) => load.refusalLatency)),
     loads,
