feat(jobs): shard values and group commit

Submits, cancellations and state changes of a shard are collected and written in one compare-and-swap. A write whose response was lost is repeated and, on a conflict, looked up by its write id in a value at least as new as the conflict; an older value proves nothing. A write that the store didn't take refuses its changes at once, and further changes until the next attempt is due.

Keys are job ids and carry the shard and time of issue but no signature: a forged one only names a job that its sender submits.

Ruled out: keeping submits in memory during an outage (lost with the entry).

--- /dev/null
+++ b/src/jobs/job.ts
@@ -0,0 +1,129 @@
+import { z } from "zod";
+
+const name = z.string().regex(
+  /^[a-z][a-z0-9-]{0,62}$/,
+  "a lower-case name of letters, digits and dashes, at most 63 characters",
+);
+
+/** What a caller submits; sizes and run time are declarations and may be far off. */
+export const jobSpecSchema = z.strictObject({
+  pool: name,
+  team: name,
+  jobClass: name,
+  // Bounded so that about 3,000 jobs fit in one store value.
+  command: z.string().min(1).max(160),
+  cores: z.number().positive().max(4_096),
+  memoryMb: z.number().int().positive().max(16_777_216),
+  accelerators: z.number().int().min(0).max(1_024).default(0),
+  runTimeMs: z.number().int().positive().max(2_592_000_000),
+  priority: z.enum(["normal", "urgent"]).default("normal"),
+  /** Whether the job may run more than once. */
+  idempotent: z.boolean().default(false),
+});
+
+/** What a caller submits. */
+export type JobSpec = z.output<typeof jobSpecSchema>;
+
+const sizeSchema = z.object({
+  cores: z.number(),
+  memoryMb: z.number(),
+  accelerators: z.number(),
+});
+
+/** Processors, memory and accelerators. */
+export type Size = z.infer<typeof sizeSchema>;
+
+const runSchema = z.object({
+  vmId: z.string(),
+  incarnation: z.string(),
+  attempt: z.number().int(),
+  fencingToken: z.number().int(),
+  atMs: z.number(),
+  size: sizeSchema,
+  /** The worker's last reboot at the time of the assignment. */
+  rebootIntentId: z.string().optional(),
+});
+
+/** One run of a job on one worker. */
+export type Run = z.infer<typeof runSchema>;
+
+const outcomeSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("succeeded") }),
+  z.object({
+    kind: z.literal("failed"),
+    reason: z.enum(["task_failed", "task_stopped", "failed_on_three_workers"]),
+  }),
+  /** Stopped on request after a start. */
+  z.object({ kind: z.literal("cancelled") }),
+  /** Never sent to a worker. */
+  z.object({
+    kind: z.literal("not_run"),
+    reason: z.enum(["cancelled", "fits_no_worker", "exceeds_quota"]),
+  }),
+  /** May have run and isn't started again. */
+  z.object({
+    kind: z.literal("outcome_unknown"),
+    reason: z.enum(["worker_gone", "task_lost", "cancelled_during_start"]),
+  }),
+]);
+
+/** The one final result of a job. */
+export type JobOutcome = z.infer<typeof outcomeSchema>;
+
+const stateSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("queued"), sinceMs: z.number() }),
+  /** Recorded before the task is sent; the start may have happened. */
+  z.object({ kind: z.literal("assigned"), run: runSchema }),
+  /** Listed by the worker. */
+  z.object({ kind: z.literal("running"), run: runSchema }),
+  z.object({
+    kind: z.literal("checkpointed"),
+    run: runSchema,
+    sinceMs: z.number(),
+  }),
+  z.object({
+    kind: z.literal("ended"),
+    atMs: z.number(),
+    outcome: outcomeSchema,
+  }),
+]);
+
+/** Where a job stands. */
+export type JobState = z.infer<typeof stateSchema>;
+
+/** One job as it is stored in its shard. */
+export const jobSchema = z.object({
+  id: z.string(),
+  spec: jobSpecSchema,
+  /** Wall-clock time at which the key was issued, in ms. */
+  issuedAtMs: z.number(),
+  submittedAtMs: z.number(),
+  /** Runs that were recorded so far; 0 proves that no worker was told of the job. */
+  attempts: z.number().int(),
+  /** Workers on which a run failed. */
+  failedOn: z.array(z.string()),
+  cancelRequestedAtMs: z.number().optional(),
+  state: stateSchema,
+});
+
+/** One job as it is stored in its shard. */
+export type Job = z.output<typeof jobSchema>;
+
+/** Returns the run that holds or may hold a worker's capacity. */
+export function activeRun(job: Job): Run | undefined {
+  const { state } = job;
+  return state.kind === "assigned" || state.kind === "running"
+    ? state.run
+    : undefined;
+}
+
+/** Returns the job with its final outcome; a job that ended before keeps its first outcome. */
+export function endJob(job: Job, outcome: JobOutcome, atMs: number): Job {
+  if (job.state.kind === "ended") return job;
+  return { ...job, state: { kind: "ended", atMs, outcome } };
+}
+
+/** Name under which runs of similar jobs are learned from. */
+export function classOf(spec: Pick<JobSpec, "team" | "jobClass">): string {
+  return `${spec.team}/${spec.jobClass}`;
+}
--- /dev/null
+++ b/src/jobs/shard_writer.ts
@@ -0,0 +1,304 @@
+import { randomUUID } from "node:crypto";
+import type { Clock } from "../clock.ts";
+import { StoreError } from "../errors.ts";
+import type { Store, SwapRequest, SwapResult } from "../platform/store.ts";
+import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
+import {
+  createShardRecord,
+  formatShard,
+  parseShard,
+  ShardDraft,
+  type ShardRecord,
+} from "./shard.ts";
+
+/** First time after which an unavailable store may answer again, in ms; doubled for each failure in a row. */
+const OUTAGE_RETRY_MS = 500;
+/** Longest time that a refusal names during an outage, in ms. */
+const MAXIMUM_OUTAGE_RETRY_MS = 10_000;
+/** Time after which a replaced owner's successor is known, in ms. */
+const NOT_OWNER_RETRY_MS = 1_000;
+
+/** Options of one change. */
+export interface ChangeOptions {
+  /** Time within which the store must confirm the change, in ms. */
+  readonly deadlineMs: number;
+  /** The change is in force if the shard holds this job after a write whose result isn't known. */
+  readonly jobId?: string;
+  /** Tried during an outage as well, so that its end is noticed. */
+  readonly probes?: boolean;
+}
+
+interface PendingChange {
+  readonly apply: (draft: ShardDraft) => unknown;
+  readonly resolve: (result: unknown) => void;
+  readonly reject: (error: Error) => void;
+  readonly deadlineAtMs: number;
+  readonly jobId: string | undefined;
+  result: unknown;
+  settled: boolean;
+}
+
+interface PendingWrite {
+  readonly request: SwapRequest;
+  readonly next: ShardRecord;
+  readonly batch: readonly PendingChange[];
+}
+
+/** What the writer of one shard works with. */
+export interface ShardWriterOptions {
+  readonly store: Store;
+  readonly key: string;
+  readonly clock: Clock;
+}
+
+/** Collects changes of one shard and writes them in one compare-and-swap. */
+export class ShardWriter {
+  #options: ShardWriterOptions;
+  #record: ShardRecord | undefined;
+  #version = 0;
+  #pending: PendingChange[] = [];
+  #unresolved: PendingWrite | undefined;
+  #flushing: Promise<void> | undefined;
+  #failures = 0;
+  #refusesUntilMs = -Infinity;
+
+  constructor(options: ShardWriterOptions) {
+    this.#options = options;
+  }
+
+  /** The shard as last written or read; undefined after another writer was noticed. */
+  get record(): ShardRecord | undefined {
+    return this.#record;
+  }
+
+  /** Notes that the store answered another call, which ends the refusals of an outage. */
+  storeAnswered(): void {
+    this.#failures = 0;
+    this.#refusesUntilMs = -Infinity;
+  }
+
+  /** Reads the shard anew; rejects with a `StoreError` or a `ValidationError`. */
+  async load(): Promise<void> {
+    await this.#flushing;
+    if (this.#unresolved !== undefined) await this.#resolveWrite();
+    if (this.#unresolved !== undefined) throw unresolvedError();
+    const entry = await this.#call(() =>
+      this.#options.store.get(this.#options.key)
+    );
+    this.#record = entry === undefined
+      ? createShardRecord()
+      : parseShard(entry.value);
+    this.#version = entry?.version ?? 0;
+  }
+
+  /** Gives up the shard: changes that were not sent are refused. */
+  abandon(): void {
+    this.#record = undefined;
+    this.#refuse(this.#pending.splice(0), notOwner());
+  }
+
+  /** Adds a change to the next write. Rejects with a `JobRefusedError` if it has no effect and with a `JobOutcomeUnknownError` if that isn't known by the deadline. */
+  change<T>(
+    apply: (draft: ShardDraft) => T,
+    options: ChangeOptions,
+  ): Promise<T> {
+    if (this.#record === undefined && this.#unresolved === undefined) {
+      return Promise.reject(notOwner());
+    }
+    const nowMs = this.#options.clock.monotonicMs();
+    if (nowMs < this.#refusesUntilMs && options.probes !== true) {
+      return Promise.reject(this.#outage());
+    }
+    return new Promise<T>((resolve, reject) => {
+      this.#pending.push({
+        apply,
+        resolve: resolve as (result: unknown) => void,
+        reject,
+        deadlineAtMs: nowMs + options.deadlineMs,
+        jobId: options.jobId,
+        result: undefined,
+        settled: false,
+      });
+    });
+  }
+
+  /** Writes all pending changes at once; never rejects. */
+  flush(): Promise<void> {
+    this.#flushing ??= this.#flushOnce().finally(() => {
+      this.#flushing = undefined;
+    });
+    return this.#flushing;
+  }
+
+  async #flushOnce(): Promise<void> {
+    if (this.#unresolved !== undefined) {
+      await this.#resolveWrite().catch(() => {});
+      if (this.#unresolved !== undefined) return;
+    }
+    const batch = this.#pending.splice(0);
+    if (batch.length === 0) return;
+    if (this.#record === undefined) return this.#refuse(batch, notOwner());
+    const draft = new ShardDraft(this.#record, this.#options.clock.wallMs());
+    const applied = batch.filter((change) => applyChange(change, draft));
+    draft.dropExpired();
+    if (!draft.changed) return settleAll(applied);
+    const next = draft.build(randomUUID());
+    const request = {
+      key: this.#options.key,
+      expectedVersion: this.#version,
+      value: formatShard(next),
+    };
+    await this.#write({ request, next, batch: applied });
+  }
+
+  async #write(write: PendingWrite): Promise<void> {
+    try {
+      const result = await this.#call(() =>
+        this.#options.store.compareAndSwap(write.request)
+      );
+      this.#conclude(write, result);
+    } catch (error) {
+      if (
+        error instanceof StoreError && error.failure === "unknown_outcome"
+      ) {
+        this.#unresolved = write;
+        await this.#resolveWrite().catch(() => {});
+      } else if (
+        error instanceof StoreError && error.failure === "unavailable"
+      ) {
+        this.#refuse(write.batch, this.#outage());
+      } else {
+        const reason = error instanceof Error ? error.message : String(error);
+        this.#refuse(
+          write.batch,
+          new JobRefusedError("store_unavailable", reason, OUTAGE_RETRY_MS),
+        );
+      }
+    }
+  }
+
+  #conclude(write: PendingWrite, result: SwapResult): void {
+    if (result.kind === "swapped") {
+      this.#record = write.next;
+      this.#version = result.version;
+      return settleAll(write.batch);
+    }
+    this.#record = undefined;
+    this.#refuse(write.batch, notOwner());
+  }
+
+  /** Repeats a write whose response was lost; the store lets at most one of the two take effect. */
+  async #resolveWrite(): Promise<void> {
+    const write = this.#unresolved!;
+    try {
+      const result = await this.#call(() =>
+        this.#options.store.compareAndSwap(write.request)
+      );
+      if (result.kind === "swapped") this.#conclude(write, result);
+      else await this.#inspect(write, result.version);
+      this.#unresolved = undefined;
+    } catch (error) {
+      this.#expire(write);
+      throw error;
+    }
+  }
+
+  /** Finds out from the shard at or after the conflicting version whether the write took effect. */
+  async #inspect(write: PendingWrite, version: number): Promise<void> {
+    const entry = await this.#call(() =>
+      this.#options.store.get(this.#options.key)
+    );
+    // An older value proves nothing about the write.
+    if (entry === undefined || entry.version < version) throw unresolvedError();
+    const record = parseShard(entry.value);
+    if (record.writeId === write.next.writeId) {
+      return this.#conclude(write, { kind: "swapped", version: entry.version });
+    }
+    this.#record = undefined;
+    for (const change of write.batch) {
+      if (change.jobId !== undefined && record.jobs.has(change.jobId)) {
+        settle(change);
+      } else if (change.jobId !== undefined) {
+        this.#refuse([change], notOwner());
+      } else {
+        settle(change, outcomeUnknown());
+      }
+    }
+  }
+
+  #expire(write: PendingWrite): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    for (const change of write.batch) {
+      if (nowMs >= change.deadlineAtMs) settle(change, outcomeUnknown());
+    }
+    const waiting = this.#pending.splice(0);
+    this.#refuse(waiting, this.#outage());
+  }
+
+  #refuse(batch: readonly PendingChange[], error: Error): void {
+    for (const change of batch) settle(change, error);
+  }
+
+  #outage(): JobRefusedError {
+    const waitMs = this.#refusesUntilMs - this.#options.clock.monotonicMs();
+    return new JobRefusedError(
+      "store_unavailable",
+      "The store doesn't answer, so the change can't be made durable",
+      Math.max(waitMs, OUTAGE_RETRY_MS),
+    );
+  }
+
+  async #call<T>(run: () => Promise<T>): Promise<T> {
+    try {
+      const result = await run();
+      this.storeAnswered();
+      return result;
+    } catch (error) {
+      const delayMs = Math.min(
+        OUTAGE_RETRY_MS * 2 ** this.#failures++,
+        MAXIMUM_OUTAGE_RETRY_MS,
+      );
+      this.#refusesUntilMs = this.#options.clock.monotonicMs() + delayMs;
+      throw error;
+    }
+  }
+}
+
+function applyChange(change: PendingChange, draft: ShardDraft): boolean {
+  try {
+    change.result = change.apply(draft);
+    return true;
+  } catch (error) {
+    settle(change, error as Error);
+    return false;
+  }
+}
+
+function settle(change: PendingChange, error?: Error): void {
+  if (change.settled) return;
+  change.settled = true;
+  if (error === undefined) change.resolve(change.result);
+  else change.reject(error);
+}
+
+function settleAll(batch: readonly PendingChange[]): void {
+  for (const change of batch) settle(change);
+}
+
+function notOwner(): JobRefusedError {
+  return new JobRefusedError(
+    "not_owner",
+    "Another entry owns the shard",
+    NOT_OWNER_RETRY_MS,
+  );
+}
+
+function outcomeUnknown(): JobOutcomeUnknownError {
+  return new JobOutcomeUnknownError(
+    "The store didn't confirm the change in time; ask again with the key",
+  );
+}
+
+function unresolvedError(): StoreError {
+  return new StoreError("unavailable", "The last write isn't resolved yet");
+}
