--- /dev/null
+++ b/src/jobs/decisions_test.ts
@@ -0,0 +1,328 @@
+import fc from "fast-check";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { chooseSeed } from "../../testing/random.ts";
+import { blameFailure, type FailureInput } from "./blame.ts";
+import { jobSpecSchema, type Size } from "./job.ts";
+import { type Candidate, placeJobs, type Quota } from "./placement.ts";
+import { planPreemptions } from "./preemption.ts";
+import { relieveWorker } from "./pressure.ts";
+import { Profiles } from "./profiles.ts";
+import { judgeStandings, quarantineWorker } from "./quarantine.ts";
+import { addSize, fits, NO_SIZE } from "./size.ts";
+import { parseTaskId } from "./task_id.ts";
+import type { TaskView, WorkerView } from "./worker_view.ts";
+
+const seed = chooseSeed();
+
+function size(cores: number, memoryMb = 1, accelerators = 0): Size {
+  return { cores, memoryMb, accelerators };
+}
+
+function createTask(
+  id: string,
+  cores: number,
+  extra: Partial<TaskView> & { urgent?: boolean } = {},
+): TaskView {
+  const priority = extra.urgent ? "urgent" : "normal";
+  const taskId = `${id}~1~t~c~${priority}~${cores}~10~0`;
+  return {
+    taskId,
+    identity: parseTaskId(taskId)!,
+    usedCores: cores,
+    usedMemoryMb: 10,
+    ...extra,
+  };
+}
+
+function createWorker(
+  vmId: string,
+  overrides: Partial<WorkerView> = {},
+): WorkerView {
+  return {
+    vmId,
+    incarnation: "1",
+    controlAddress: vmId,
+    pool: "a",
+    rack: `rack-${vmId.at(-1)}`,
+    capacity: size(16, 1_000),
+    serving: true,
+    standing: "normal",
+    rebootIntentId: undefined,
+    tasks: [],
+    held: undefined,
+    ...overrides,
+  };
+}
+
+function createCandidate(
+  jobId: string,
+  needed: Size,
+  overrides: Partial<Candidate> & { team?: string; urgent?: boolean } = {},
+): Candidate {
+  const spec = jobSpecSchema.parse({
+    pool: "a",
+    team: overrides.team ?? "t",
+    jobClass: "c",
+    command: "run 1",
+    cores: 1,
+    memoryMb: 1,
+    runTimeMs: 1,
+    priority: overrides.urgent ? "urgent" : "normal",
+  });
+  return { jobId, spec, size: needed, waitedMs: 0, failedOn: [], ...overrides };
+}
+
+function place(
+  candidates: Candidate[],
+  workers: WorkerView[],
+  quota: Quota = {},
+): Record<string, string> {
+  const quotas = new Map([["t", quota]]);
+  const decisions = placeJobs({ candidates, workers, quotas });
+  return Object.fromEntries(
+    decisions.map((decision) => [
+      decision.jobId,
+      decision.kind === "place" ? decision.vmId : decision.reason,
+    ]),
+  );
+}
+
+// Guards against overcommitted workers, exceeded quotas and tasks on workers that take none.
+test("placements fit workers and quotas", () => {
+  const worker = fc.record({
+    serving: fc.boolean(),
+    standing: fc.constantFrom("normal", "quarantined", "probing", "suspect"),
+    cores: fc.integer({ min: 1, max: 32 }),
+    memoryMb: fc.integer({ min: 1, max: 100 }),
+    accelerators: fc.integer({ min: 0, max: 2 }),
+    used: fc.integer({ min: 0, max: 8 }),
+  });
+  const job = fc.record({
+    team: fc.constantFrom("t", "u"),
+    cores: fc.integer({ min: 1, max: 20 }),
+    memoryMb: fc.integer({ min: 1, max: 60 }),
+    accelerators: fc.integer({ min: 0, max: 1 }),
+    urgent: fc.boolean(),
+    waitedMs: fc.integer({ min: 0, max: 100_000 }),
+  });
+  const property = fc.property(
+    fc.array(worker, { maxLength: 8 }),
+    fc.array(job, { maxLength: 40 }),
+    fc.integer({ min: 1, max: 60 }),
+    (workerDraws, jobDraws, quotaCores) => {
+      const workers = workerDraws.map((draw, index) =>
+        createWorker(`w${index}`, {
+          serving: draw.serving,
+          standing: draw.standing as WorkerView["standing"],
+          capacity: size(draw.cores, draw.memoryMb + 10, draw.accelerators),
+          tasks: draw.used > 0 && draw.used <= draw.cores
+            ? [createTask("x", draw.used)]
+            : [],
+        })
+      );
+      const candidates = jobDraws.map((draw, index) =>
+        createCandidate(
+          `j${index}`,
+          size(draw.cores, draw.memoryMb, draw.accelerators),
+          draw,
+        )
+      );
+      const quotas = new Map([["t", { cores: quotaCores }]]);
+      const decisions = placeJobs({ candidates, workers, quotas });
+      assert.is(decisions.length, candidates.length);
+      const existing = workers.flatMap(({ tasks }) => tasks);
+      const team = existing.reduce(
+        (sum, task) => sum + task.identity.size.cores,
+        0,
+      );
+      let placedCores = 0;
+      for (const view of workers) {
+        const placed = decisions.flatMap((decision) =>
+          decision.kind === "place" && decision.vmId === view.vmId
+            ? [decision]
+            : []
+        );
+        const used = [
+          ...view.tasks.map((task) => task.identity.size),
+          ...placed
+            .map((decision) => decision.size),
+        ].reduce(
+          (sum, one) => addSize(sum, one),
+          NO_SIZE,
+        );
+        assert.ok(fits(used, view.capacity));
+        if (placed.length === 0) continue;
+        assert.ok(view.serving && view.standing !== "quarantined");
+        if (view.standing === "probing") {
+          assert.is(placed.length + view.tasks.length, 1);
+        }
+        for (const { jobId, size: { cores } } of placed) {
+          const { spec } = candidates.find((one) => one.jobId === jobId)!;
+          if (spec.team === "t") placedCores += cores;
+        }
+      }
+      assert.ok(placedCores === 0 || placedCores + team <= quotaCores);
+    },
+  );
+  fc.assert(property, { seed, numRuns: 500 });
+});
+
+// Guards against each placement rule on its own.
+test("placement: spread, order, holds, repeats and limits", () => {
+  const [w0, w1] = [createWorker("w0"), createWorker("w1")];
+  const spread = place(
+    [createCandidate("a", size(1)), createCandidate("b", size(1))],
+    [w0, w1],
+  );
+  assert.is.not(spread.a, spread.b, "spread over racks");
+  const urgentFirst = place([
+    createCandidate("old", size(16), { waitedMs: 9 }),
+    createCandidate("urgent", size(16), { urgent: true }),
+  ], [w0]);
+  assert.equal(urgentFirst, { urgent: "w0", old: "no_capacity" });
+  const quota = place(
+    [createCandidate("a", size(4)), createCandidate("b", size(9))],
+    [w0],
+    { cores: 8 },
+  );
+  assert.equal(quota, { a: "w0", b: "exceeds_quota" });
+  const small = createCandidate("small", size(1));
+  const starved = createCandidate("big", size(16), { waitedMs: 60_000 });
+  const busy = createWorker("w0", { tasks: [createTask("x", 2)] });
+  assert.is(place([starved, small], [busy]).small, "no_capacity");
+  const failed = createCandidate("a", size(1), { failedOn: ["w0"] });
+  assert.is(place([failed], [w0]).a, "w0", "no other worker exists");
+  const fullOther = createWorker("w1", { tasks: [createTask("x", 16)] });
+  assert.is(place([failed], [w0, fullOther]).a, "no_capacity");
+  const held = createWorker("w0", {
+    held: { jobId: "urgent", size: size(16) },
+  });
+  assert.is(place([small], [held]).small, "no_capacity");
+  assert.is(place([createCandidate("urgent", size(16))], [held]).urgent, "w0");
+  assert.is(place([small], []).small, "no_worker", "nothing is known yet");
+  const gpu = createWorker("w1", { capacity: size(16, 1_000, 4) });
+  assert.is(place([small], [gpu, w0]).small, "w0", "accelerators stay free");
+});
+
+// Guards against urgent tasks as victims and against needless checkpoints.
+test("preemption disturbs the fewest normal tasks", () => {
+  const many = createWorker("w0", {
+    tasks: [1, 2, 3, 4].map((id) => createTask(`m${id}`, 4)),
+  });
+  const few = createWorker("w1", {
+    tasks: [createTask("f1", 12), createTask("f2", 4, { urgent: true })],
+  });
+  const need = { jobId: "u", pool: "a", size: size(8) };
+  const [plan] = planPreemptions([need], [many, few]);
+  assert.is(plan?.vmId, "w1");
+  assert.equal(plan?.victims.map((task) => task.identity.jobId), ["f1"]);
+  const urgentOnly = createWorker("w2", {
+    tasks: [createTask("u1", 16, { urgent: true })],
+  });
+  assert.equal(planPreemptions([need], [urgentOnly]), []);
+});
+
+// Guards against blaming the worker for the job's fault and the other way round.
+test("blame", () => {
+  const event = (vmId: string, jobClass: string, succeeded: boolean) => ({
+    vmId,
+    jobClass,
+    succeeded,
+    atMs: 0,
+  });
+  const base: FailureInput = {
+    vmId: "bad",
+    jobClass: "c",
+    failedOn: ["bad"],
+    inTransition: false,
+    lostInRack: 0,
+    events: [event("bad", "d", false), event("ok", "c", true)],
+    isQuarantined: () => false,
+  };
+  const kind = (overrides: Partial<FailureInput>) =>
+    blameFailure({ ...base, ...overrides }).kind;
+  assert.is(kind({}), "worker");
+  assert.is(kind({ inTransition: true }), "neither");
+  assert.is(kind({ lostInRack: 2 }), "neither");
+  assert.is(kind({ lostInRack: 1 }), "worker");
+  assert.is(kind({ events: [event("bad", "d", false)] }), "undecided");
+  const three = ["x", "y", "z"];
+  const healthy = three.map((vmId) => event(vmId, "d", true));
+  const job = { vmId: "z", failedOn: three, events: healthy };
+  assert.is(kind(job), "job");
+  assert.is(kind({ ...job, failedOn: ["x", "y"] }), "undecided");
+  assert.is(kind({ ...job, events: healthy.slice(1) }), "undecided");
+  const isQuarantined = (vmId: string) => vmId === "x";
+  assert.is(kind({ ...job, isQuarantined }), "undecided");
+});
+
+// Guards against quarantines that break a budget, and against probes at a constant rate.
+test("quarantine keeps the budget and backs off", () => {
+  const property = fc.property(
+    fc.array(fc.integer({ min: 1, max: 5 }), { maxLength: 10 }),
+    fc.integer({ min: 0, max: 12 }),
+    (failures, minimumServingVms) => {
+      const blamed = new Map(
+        failures.map((count, index) =>
+          [`w${index}`, { failures: count, probeAtMs: index * 10 }] as const
+        ),
+      );
+      const budget = { servingVms: 12, minimumServingVms };
+      const standings = [...judgeStandings(blamed, budget, 50).values()];
+      const out = standings.filter((standing) => standing !== "suspect").length;
+      assert.is(standings.length, failures.length);
+      assert.ok(12 - out >= minimumServingVms);
+    },
+  );
+  fc.assert(property, { seed });
+  const first = quarantineWorker(undefined, 0);
+  assert.equal(quarantineWorker(first, 10), first, "an older task's failure");
+  const second = quarantineWorker(first, first.probeAtMs);
+  assert.is(second.probeAtMs - first.probeAtMs, 2 * first.probeAtMs);
+});
+
+// Guards against stopping tasks that a milder measure would have relieved.
+test("pressure: throttle, then checkpoint, then stop", () => {
+  const tasks = [createTask("a", 4, { usedCores: 18 }), createTask("b", 4)];
+  const worker = createWorker("w0", { tasks });
+  const measure = (last?: "throttle" | "checkpoint", nowMs = 60_000) => {
+    const relief = last && { measure: last, atMs: 0 };
+    return relieveWorker(worker, relief, nowMs).map((action) =>
+      `${action.measure} ${action.task.identity.jobId}`
+    );
+  };
+  assert.equal(measure(), ["throttle a"]);
+  assert.equal(measure("throttle", 1_000), [], "reports lag");
+  assert.equal(measure("throttle"), ["checkpoint a"]);
+  assert.equal(measure("checkpoint"), ["stop a"]);
+  const full = createTask("a", 4, { usedMemoryMb: 2_000 });
+  const [memory] = relieveWorker(
+    createWorker("w0", { tasks: [full] }),
+    undefined,
+    0,
+  );
+  assert.is(memory?.measure, "checkpoint", "throttling frees no memory");
+  assert.equal(relieveWorker(createWorker("w0"), undefined, 0), []);
+});
+
+// Guards against reservations by wrong declarations, and against jobs refused for a size that they don't use.
+test("profiles replace the declared size after 5 runs", () => {
+  const profiles = new Profiles();
+  const { spec } = createCandidate("a", size(1));
+  const declared = { ...spec, cores: 64, memoryMb: 500 };
+  const largest = [size(16, 1_000)];
+  const use = { cores: 2, memoryMb: 40, runTimeMs: 100 };
+  for (let run = 0; run < 4; run++) profiles.add(spec, use);
+  assert.is(profiles.reservation(declared, largest).cores, 64);
+  for (let run = 0; run < 96; run++) profiles.add(spec, use);
+  profiles.add(spec, { ...use, cores: 16 });
+  const learned = profiles.reservation(declared, largest);
+  assert.ok(Math.abs(learned.cores - 2) < 0.1 && learned.memoryMb < 42);
+  for (let run = 0; run < 100; run++) {
+    profiles.add(spec, { ...use, cores: 16 });
+  }
+  assert.ok(fits(profiles.reservation(declared, largest), largest[0]!));
+});
+
+test.run();
--- /dev/null
+++ b/src/jobs/dispatcher.ts
@@ -0,0 +1,367 @@
+import { type Operation, sleep, spawn, until } from "effection";
+import type { Clock } from "../clock.ts";
+import type { AppliedConfig } from "../config/schema.ts";
+import { messageOf } from "../errors.ts";
+import type { FleetRecord } from "../fleet/record.ts";
+import type { Logger } from "../logger.ts";
+import type { Observable } from "../observable.ts";
+import type { Store } from "../platform/store.ts";
+import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import type { WorkerAgent } from "../platform/worker_agent.ts";
+import { readFencingToken, takeFencingToken } from "./fencing.ts";
+import { classOf, type Job } from "./job.ts";
+import type { JobMemory } from "./job_memory.ts";
+import { type JobsWorld, listWorkers, noteLosses } from "./jobs_world.ts";
+import { type FinishedRun, planShard, type ShardPlan } from "./plan_shard.ts";
+import type { WaitReason } from "./placement.ts";
+import { shardKey } from "./shard.ts";
+import { ShardWriter } from "./shard_writer.ts";
+import { TaskCommands } from "./task_commands.ts";
+import { taskIdOf } from "./task_id.ts";
+import type { WorkerReports } from "./worker_reports.ts";
+
+/** Time to live of a shard's lease, in ms; bounds the time without a dispatcher after its entry was lost. */
+const LEASE_TTL_MS = 3_000;
+/** Time between two renewals of a shard's lease, in ms. */
+const LEASE_RENEW_MS = 1_000;
+/** Part of the lease that is left for a command on its way, in ms. */
+const LEASE_MARGIN_MS = 500;
+/** Time between two reads of the region's fencing token, in ms. */
+const FENCING_READ_INTERVAL_MS = 2_000;
+/** Time between two steps, in ms. */
+const STEP_INTERVAL_MS = 500;
+/** Time in which submits and cancellations are collected for one write, in ms. */
+const COMMIT_INTERVAL_MS = 200;
+/** Time within which the store must confirm a step's changes, in ms. */
+const CHANGE_DEADLINE_MS = 2_000;
+
+/** Time that a step waits for workers, in ms; slower answers count in the next step. */
+const WORKER_WAIT_MS = 300;
+
+/** What the dispatcher of one shard works with. */
+export interface DispatcherOptions {
+  readonly shard: number;
+  readonly region: string;
+  /** Name of this entry in the shard's lease. */
+  readonly holder: string;
+  readonly store: Store;
+  readonly agent: WorkerAgent;
+  readonly config: Observable<AppliedConfig | undefined>;
+  readonly fleet: Observable<FleetRecord | undefined>;
+  readonly vmList: Observable<VmListSnapshot | undefined>;
+  readonly reports: WorkerReports;
+  readonly memory: JobMemory;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+/** What one step did. */
+export type DispatcherStep =
+  | "not_ready"
+  | "standby"
+  | "outage"
+  | "replaced"
+  | "done";
+
+/** Runs the jobs of one shard while this entry holds its lease. */
+export class Dispatcher {
+  readonly writer: ShardWriter;
+  #options: DispatcherOptions;
+  #commands: TaskCommands;
+  #lease: { token: number; renewedAtMs: number } | undefined;
+  #active: { fencingToken: number; sinceMs: number } | undefined;
+  #fencingReadAtMs = -Infinity;
+  #peaks = new Map<string, { cores: number; memoryMb: number }>();
+  #released = false;
+  #waits: ReadonlyMap<string, WaitReason> = new Map();
+
+  constructor(options: DispatcherOptions) {
+    this.#options = options;
+    const { store, region, shard, clock } = options;
+    this.writer = new ShardWriter({
+      store,
+      key: shardKey(region, shard),
+      clock,
+    });
+    this.#commands = new TaskCommands({
+      ...options,
+      mayAct: () =>
+        !this.#released && this.#leaseAgeMs() < LEASE_TTL_MS - LEASE_MARGIN_MS,
+    });
+  }
+
+  /** Why a queued job waits. */
+  waitReason(jobId: string): WaitReason | undefined {
+    return this.#waits.get(jobId);
+  }
+
+  /** Renews the lease, brings the jobs up to date, writes, then commands; never rejects. */
+  async step(): Promise<DispatcherStep> {
+    const world = this.#world();
+    if (world === undefined) return "not_ready";
+    try {
+      if (!await this.#holdLease()) return "standby";
+      if (this.writer.record === undefined || this.#active === undefined) {
+        await this.#takeOver();
+      }
+      await this.#followFencing();
+    } catch (error) {
+      return await this.#surviveOutage(world, error);
+    }
+    return await this.#dispatch(world);
+  }
+
+  /** Frees the lease, as when the entry stops or another one is to own the shard. */
+  async release(): Promise<void> {
+    this.#released = true;
+    this.#loseShard();
+    this.#lease = undefined;
+    const { store, region, shard, holder } = this.#options;
+    await store.releaseLease(shardKey(region, shard), holder).catch(() => {});
+  }
+
+  #world(): JobsWorld | undefined {
+    const { config, fleet, vmList, region, reports, memory, clock } =
+      this.#options;
+    const applied = config.get();
+    const record = fleet.get();
+    const snapshot = vmList.get();
+    if (
+      applied === undefined || record === undefined || snapshot === undefined
+    ) return undefined;
+    return {
+      region,
+      config: applied.config,
+      fleet: record,
+      vmList: snapshot,
+      reports,
+      memory,
+      nowMs: clock.wallMs(),
+    };
+  }
+
+  #leaseAgeMs(): number {
+    return this.#options.clock.monotonicMs() -
+      (this.#lease?.renewedAtMs ?? -Infinity);
+  }
+
+  async #holdLease(): Promise<boolean> {
+    if (this.#released) return false;
+    if (this.#leaseAgeMs() < LEASE_RENEW_MS) return true;
+    const { store, region, shard, holder, clock } = this.#options;
+    const renewedAtMs = clock.monotonicMs();
+    const result = await store.acquireLease(shardKey(region, shard), {
+      holder,
+      ttlMs: LEASE_TTL_MS,
+    });
+    this.writer.storeAnswered();
+    // A step that was under way at the release must not keep the lease.
+    if (this.#released && result.kind === "granted") await this.release();
+    if (this.#released) return false;
+    if (result.kind === "held") {
+      this.#loseShard();
+      this.#lease = undefined;
+      return false;
+    }
+    const token = result.lease.fencingToken;
+    // Between two tokens another dispatcher may have had the shard.
+    if (this.#lease?.token !== token) this.#loseShard();
+    this.#lease = { token, renewedAtMs };
+    return true;
+  }
+
+  #loseShard(): void {
+    this.#active = undefined;
+    this.writer.abandon();
+    this.#commands.reset();
+    this.#options.memory.owned.delete(this.#options.shard);
+  }
+
+  /** Reads the shard and writes a new fencing token to it, by which every write of a predecessor fails. */
+  async #takeOver(): Promise<void> {
+    const { store, region, clock, log, shard } = this.#options;
+    this.#loseShard();
+    await this.writer.load();
+    const fencingToken = await takeFencingToken(store, region);
+    const sinceMs = clock.monotonicMs();
+    await this.#writeFencingToken(fencingToken);
+    this.#active = { fencingToken, sinceMs };
+    log.info("shard taken over", { shard, fencingToken });
+  }
+
+  /** Adopts a token that another shard's dispatcher has taken; the write proves that the shard is still owned. */
+  async #followFencing(): Promise<void> {
+    const { store, region, clock } = this.#options;
+    const nowMs = clock.monotonicMs();
+    if (nowMs - this.#fencingReadAtMs < FENCING_READ_INTERVAL_MS) return;
+    const newest = await readFencingToken(store, region);
+    this.#fencingReadAtMs = nowMs;
+    if (newest <= this.#active!.fencingToken) return;
+    await this.#writeFencingToken(newest);
+    this.#active = { ...this.#active!, fencingToken: newest };
+  }
+
+  async #writeFencingToken(token: number): Promise<void> {
+    const written = this.writer.change(
+      (draft) => draft.setFencingToken(token),
+      { deadlineMs: CHANGE_DEADLINE_MS, probes: true },
+    );
+    await Promise.all([written, this.writer.flush()]);
+  }
+
+  /** Tasks keep their leases while the store is out of reach; nothing new is started. */
+  async #surviveOutage(
+    world: JobsWorld,
+    error: unknown,
+  ): Promise<DispatcherStep> {
+    const { log, shard } = this.#options;
+    log.debug("step failed", { shard, reason: messageOf(error) });
+    const record = this.writer.record;
+    if (record === undefined || this.#active === undefined) return "outage";
+    await this.#refreshReports(world);
+    const { fencingToken } = this.#active;
+    await this.#commands.sendRuns(record.jobs, {
+      world,
+      fencingToken,
+      renewOnly: true,
+    });
+    return "outage";
+  }
+
+  async #refreshReports(world: JobsWorld): Promise<void> {
+    const workers = listWorkers(world.vmList, world.region);
+    await settleWithin(
+      this.#options.reports.refresh([...workers.values()]),
+      WORKER_WAIT_MS,
+    );
+  }
+
+  async #dispatch(world: JobsWorld): Promise<DispatcherStep> {
+    const { shard, memory } = this.#options;
+    const base = this.writer.record;
+    const active = this.#active;
+    if (base === undefined || active === undefined) return "replaced";
+    await this.#refreshReports(world);
+    noteLosses(world);
+    this.#notePeaks(base.jobs);
+    const plan = planShard({
+      shard,
+      jobs: base.jobs,
+      fencingToken: active.fencingToken,
+      reportsSinceMs: active.sinceMs,
+      world,
+    });
+    if (!await this.#commit(base.jobs, plan)) return "replaced";
+    const record = this.writer.record;
+    if (record === undefined) return "replaced";
+    memory.owned.set(shard, record.jobs);
+    this.#waits = plan.waits;
+    this.#learn(plan.finished, record.jobs);
+    const sent = [
+      this.#commands.sendRuns(record.jobs, {
+        world,
+        fencingToken: active.fencingToken,
+        renewOnly: false,
+      }),
+      this.#commands.sendOthers(plan),
+    ];
+    await settleWithin(Promise.all(sent), WORKER_WAIT_MS);
+    return "done";
+  }
+
+  async #commit(
+    base: ReadonlyMap<string, Job>,
+    plan: ShardPlan,
+  ): Promise<boolean> {
+    const written = plan.changes.length === 0
+      ? Promise.resolve()
+      : this.writer.change((draft) => {
+        for (const job of plan.changes) {
+          // A job that a cancellation changed in the meantime is planned again.
+          if (draft.jobs.get(job.id) === base.get(job.id)) draft.replace(job);
+        }
+      }, { deadlineMs: CHANGE_DEADLINE_MS, probes: true });
+    try {
+      await Promise.all([written, this.writer.flush()]);
+      return true;
+    } catch (error) {
+      const { log, shard } = this.#options;
+      log.debug("changes not written", { shard, reason: messageOf(error) });
+      return false;
+    }
+  }
+
+  #notePeaks(jobs: ReadonlyMap<string, Job>): void {
+    const peaks = new Map<string, { cores: number; memoryMb: number }>();
+    for (const job of jobs.values()) {
+      if (job.state.kind !== "running") continue;
+      const { run } = job.state;
+      const taskId = taskIdOf(job, run);
+      const known = this.#peaks.get(taskId);
+      const status = this.#options.reports.taskStatus(run.vmId, taskId);
+      peaks.set(taskId, {
+        cores: Math.max(known?.cores ?? 0, status?.usedCores ?? 0),
+        memoryMb: Math.max(known?.memoryMb ?? 0, status?.usedMemoryMb ?? 0),
+      });
+    }
+    this.#peaks = peaks;
+  }
+
+  /** Learns from runs whose end is recorded. */
+  #learn(
+    finished: readonly FinishedRun[],
+    jobs: ReadonlyMap<string, Job>,
+  ): void {
+    const { memory, clock } = this.#options;
+    const nowMs = clock.wallMs();
+    for (const { job, run, succeeded, blame } of finished) {
+      if (jobs.get(job.id) === job) continue;
+      const { vmId } = run;
+      const jobClass = classOf(job.spec);
+      memory.addEvent({ vmId, jobClass, succeeded, atMs: nowMs });
+      const use = this.#peaks.get(taskIdOf(job, run));
+      if (succeeded && use !== undefined && use.memoryMb > 0) {
+        const runTimeMs = nowMs - run.atMs;
+        memory.profiles.add(job.spec, { ...use, runTimeMs });
+      }
+      const failedProbe = memory.quarantined.has(vmId) &&
+        blame?.kind === "undecided";
+      if (blame?.kind === "worker" || failedProbe) {
+        memory.blameWorker(vmId, nowMs);
+      }
+    }
+  }
+}
+
+/** Resolves once the work has ended or the time is over. */
+async function settleWithin(
+  work: Promise<unknown>,
+  limitMs: number,
+): Promise<void> {
+  let timer: NodeJS.Timeout | undefined;
+  const limit = new Promise<void>((resolve) => {
+    timer = setTimeout(resolve, limitMs);
+  });
+  await Promise.race([work, limit]);
+  clearTimeout(timer);
+}
+
+function* runCommits(writer: ShardWriter): Operation<void> {
+  while (true) {
+    yield* sleep(COMMIT_INTERVAL_MS);
+    yield* until(writer.flush());
+  }
+}
+
+/** Task that runs one shard's jobs until it is halted, then frees the shard's lease. */
+export function* runDispatcher(dispatcher: Dispatcher): Operation<void> {
+  yield* spawn(() => runCommits(dispatcher.writer));
+  try {
+    while (true) {
+      yield* until(dispatcher.step());
+      yield* sleep(STEP_INTERVAL_MS);
+    }
+  } finally {
+    yield* until(dispatcher.release());
+  }
+}
--- /dev/null
+++ b/src/jobs/dispatcher_test.ts
@@ -0,0 +1,367 @@
+import process from "node:process";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createFakeStore, type FakeStore } from "../../testing/fake_store.ts";
+import { REGION } from "../../testing/fleet_world.ts";
+import { chooseSeed, createRandom, type Random } from "../../testing/random.ts";
+import { PlatformError } from "../errors.ts";
+import type { Dispatcher } from "./dispatcher.ts";
+import { JobRefusedError } from "./errors.ts";
+import type { JobSpec } from "./job.ts";
+import { issueJobKey, type JobKey, SHARD_COUNT } from "./job_key.ts";
+import { parseShard, shardKey } from "./shard.ts";
+import { cancelJob, submitJob } from "./submission.ts";
+import {
+  createSpec,
+  FakeJobs,
+  keyOf,
+  outcomeOf,
+  runFor,
+  storedJobs,
+  submit,
+} from "../../testing/fake_jobs.ts";
+
+const seed = chooseSeed();
+const SHARDS = [0, 1];
+const STEPS = Number(process.env.STEPS ?? 1_500);
+
+/** Checks every version of a shard: jobs stay, and an outcome never changes. */
+function checkHistory(store: FakeStore, shard: number): void {
+  const outcomes = new Map<string, string>();
+  const seen = new Set<string>();
+  for (const { value } of store.history(shardKey(REGION, shard))) {
+    const { jobs } = parseShard(value);
+    for (const id of seen) assert.ok(jobs.has(id), `seed ${seed}: ${id} lost`);
+    for (const [id, job] of jobs) {
+      seen.add(id);
+      const outcome = outcomeOf(job);
+      const before = outcomes.get(id);
+      const text = outcome && JSON.stringify(outcome);
+      if (before !== undefined) assert.is(text, before, `seed ${seed}: ${id}`);
+      if (text !== undefined) outcomes.set(id, text);
+    }
+  }
+}
+
+interface Accepted {
+  readonly key: JobKey;
+  readonly spec: JobSpec;
+  notRun: boolean;
+}
+
+function drawSpec(random: Random): JobSpec {
+  const runMs = 1_000 + random.below(40_000);
+  const kind = random.below(20);
+  return createSpec({
+    jobClass: `c${random.below(4)}`,
+    command: `${kind === 0 ? "fail" : "run"} ${runMs} ${1 + random.below(4)}`,
+    cores: kind === 1 ? 64 : 1 + random.below(6),
+    priority: random.below(10) === 0 ? "urgent" : "normal",
+    idempotent: random.below(2) === 0,
+  });
+}
+
+function disturb(jobs: FakeJobs, random: Random): void {
+  const workers = [...jobs.workers.values()];
+  const worker = workers[random.below(workers.length)]!;
+  switch (random.below(4)) {
+    case 0:
+      worker.answers = !worker.answers;
+      break;
+    case 1:
+      if (random.below(4) === 0) jobs.replaceWorker(worker);
+      break;
+    case 2: // The controller drains the worker and checkpoints its tasks.
+      jobs.publish({ [worker.vm.id]: "draining" });
+      for (const task of worker.tasks.values()) {
+        if (task.state === "running") task.state = "checkpointed";
+      }
+      break;
+    default:
+      jobs.publish();
+  }
+}
+
+// Guards against lost jobs, second outcomes and second runs when several dispatchers of a shard are paused, replaced or killed at any point.
+test("each accepted job ends once, non-idempotent ones run at most once", async () => {
+  const random = createRandom(seed);
+  let faulty = true;
+  const pause = async () => {
+    if (!faulty) return;
+    for (let turns = random.below(6); turns > 0; turns--) {
+      await Promise.resolve();
+    }
+  };
+  // Entries wait at these points for whole steps, as if they were frozen.
+  const frozen: (() => void)[] = [];
+  const freeze = async () => {
+    await pause();
+    if (faulty && random.below(150) === 0) {
+      await new Promise<void>((resolve) => frozen.push(resolve));
+    }
+  };
+  const lose = (percent: number) => {
+    if (faulty && random.below(100) < percent) {
+      throw new PlatformError("worker_agent", "The call was lost");
+    }
+  };
+  const store = createFakeStore({
+    random: {
+      seed,
+      unavailablePercent: 2,
+      lostAnswerPercent: 4,
+      droppedWritePercent: 2,
+      staleReadPercent: 10,
+      lapsedLeasePercent: 30,
+    },
+    beforeCall: freeze,
+  });
+  const jobs = new FakeJobs({
+    store,
+    workers: 20,
+    reportLagMs: 2_000,
+    async beforeCall() {
+      await freeze();
+      lose(3);
+    },
+    afterCall: () => lose(3),
+  });
+  for (const id of ["w3", "w11"]) jobs.workers.get(id)!.failsTasks = true;
+  let entryCount = 0;
+  const start = () => jobs.createEntry(`e${entryCount++}`, SHARDS);
+  const entries = [start(), start()];
+  const busy = new Set<Dispatcher>();
+  const accepted = new Map<string, Accepted>();
+  const refused = new Set<string>();
+
+  function step(dispatcher: Dispatcher): void {
+    if (busy.has(dispatcher)) return;
+    busy.add(dispatcher);
+    dispatcher.step().finally(() => busy.delete(dispatcher));
+  }
+  function submitOne(dispatcher: Dispatcher, shard: number): void {
+    const key = keyOf(shard, jobs.nowMs);
+    const spec = drawSpec(random);
+    submit(dispatcher, key, spec).then(
+      () => accepted.set(key.key, { key, spec, notRun: false }),
+      (error) => {
+        if (error instanceof JobRefusedError) refused.add(key.key);
+      },
+    );
+  }
+  function cancelOne(dispatcher: Dispatcher, shard: number): void {
+    const ids = [...accepted.values()].filter(({ key }) => key.shard === shard);
+    const chosen = ids[random.below(ids.length)];
+    if (chosen === undefined) return;
+    dispatcher.writer.change(
+      (draft) => cancelJob(draft, chosen.key.key),
+      { deadlineMs: 2_000 },
+    ).then((result) => {
+      if (result.kind === "not_run") chosen.notRun = true;
+    }, () => {});
+  }
+  const settle = () => new Promise((resolve) => setTimeout(resolve, 0));
+
+  for (let count = 0; count < STEPS; count++) {
+    jobs.tick(random.below(20) === 0 ? 5_000 : 500);
+    if (random.below(15) === 0) disturb(jobs, random);
+    for (const shard of SHARDS) {
+      const dispatcher = entries[random.below(2)]![shard]!;
+      if (random.below(4) === 0) submitOne(dispatcher, shard);
+      if (random.below(40) === 0) cancelOne(dispatcher, shard);
+    }
+    // A killed entry's calls may still arrive; its successor knows nothing.
+    if (random.below(120) === 0) entries[random.below(2)] = start();
+    for (const dispatcher of entries.flat()) {
+      if (random.below(4) > 0) step(dispatcher);
+    }
+    if (random.below(8) === 0) { for (const wake of frozen.splice(0)) wake(); }
+    await settle();
+  }
+  faulty = false;
+  for (const wake of frozen.splice(0)) wake();
+  for (const worker of jobs.workers.values()) worker.answers = true;
+  jobs.publish();
+  const ended = () =>
+    SHARDS.every((shard) =>
+      [...storedJobs(store, shard).values()].every(outcomeOf)
+    );
+  for (let count = 0; count < 4_000 && !ended(); count++) {
+    jobs.tick(1_000);
+    for (const dispatcher of entries.flat()) step(dispatcher);
+    await settle();
+  }
+
+  const counts: Record<string, number> = {};
+  for (const { key, spec, notRun } of accepted.values()) {
+    const job = storedJobs(store, key.shard).get(key.key);
+    const outcome = outcomeOf(job);
+    const label = `seed ${seed}: ${JSON.stringify(job)}`;
+    assert.ok(outcome, label);
+    const starts = jobs.journal.starts.get(key.key) ?? 0;
+    if (!spec.idempotent) {
+      assert.ok(starts <= 1, `${label} ran ${starts} times`);
+    }
+    if (notRun) assert.is(outcome.kind, "not_run", label);
+    if (outcome.kind === "not_run") assert.is(starts, 0, label);
+    if (outcome.kind === "succeeded") {
+      assert.ok(jobs.journal.successes.has(key.key), label);
+    }
+    counts[outcome.kind] = (counts[outcome.kind] ?? 0) + 1;
+  }
+  for (const id of refused) {
+    assert.not(storedJobs(store, Number.parseInt(id[0]!, 16)).has(id), id);
+  }
+  for (const shard of SHARDS) checkHistory(store, shard);
+  console.log(`${accepted.size} accepted, ${refused.size} refused`, counts);
+  assert.ok(accepted.size > STEPS / 10);
+});
+
+async function startOne(store = createFakeStore(), workers = 4) {
+  const jobs = new FakeJobs({ store, workers });
+  const [dispatcher] = jobs.createEntry("e", [0]);
+  await dispatcher!.step();
+  return { store, jobs, dispatcher: dispatcher! };
+}
+
+// Guards against urgent work that waits for running tasks, and against lost progress of the preempted ones.
+test("urgent work starts within 5.4 s through checkpoints", async () => {
+  const { store, jobs, dispatcher } = await startOne();
+  const normal = Array.from({ length: 32 }, () => keyOf(0, jobs.nowMs));
+  for (const key of normal) {
+    const command = "run 60000";
+    await submit(dispatcher, key, createSpec({ idempotent: true, command }));
+  }
+  await runFor(jobs, dispatcher, 6);
+  const urgent = keyOf(0, jobs.nowMs);
+  const spec = createSpec({ priority: "urgent", cores: 5 });
+  await submit(dispatcher, urgent, spec);
+  const acceptedAtMs = jobs.nowMs;
+  await runFor(jobs, dispatcher, 11);
+  const startMs = jobs.journal.firstStartMs.get(urgent.key) ?? Infinity;
+  console.log(`urgent start after ${startMs - acceptedAtMs} ms`);
+  assert.ok(startMs - acceptedAtMs <= 5_400);
+  await runFor(jobs, dispatcher, 200);
+  for (const key of [...normal, urgent]) {
+    assert.is(outcomeOf(storedJobs(store, 0).get(key.key))?.kind, "succeeded");
+  }
+  const starts = [...jobs.journal.starts.values()];
+  assert.is(starts.length, 33);
+  assert.ok(starts.every((count) => count === 1), "continued, not repeated");
+});
+
+// Guards against cancellations that are lost, written one by one, or stop a task twice.
+test("5,000 cancellations over a store outage", async () => {
+  const store = createFakeStore();
+  const jobs = new FakeJobs({ store, workers: 20, reportLagMs: 2_000 });
+  const shards = Array.from({ length: SHARD_COUNT }, (_, shard) => shard);
+  const dispatchers = jobs.createEntry("e", shards);
+  for (const dispatcher of dispatchers) await dispatcher.step();
+  const keys = Array.from({ length: 5_000 }, () => issueJobKey(jobs.nowMs));
+  const spec = createSpec({ command: "run 600000", runTimeMs: 600_000 });
+  const submits = keys.map((key) =>
+    dispatchers[key.shard]!.writer.change(
+      (draft) => submitJob(draft, key, spec),
+      { deadlineMs: 2_000, jobId: key.key },
+    )
+  );
+  for (const { writer } of dispatchers) await writer.flush();
+  await Promise.all(submits);
+  for (let step = 0; step < 4; step++) {
+    jobs.tick(500);
+    for (const dispatcher of dispatchers) await dispatcher.step();
+  }
+  const started = new Set(jobs.journal.starts.keys());
+  assert.is(started.size, 160, "every core is used");
+  store.faults.unavailable = true;
+  const cancel = () =>
+    keys.map((key) =>
+      dispatchers[key.shard]!.writer.change(
+        (draft) => cancelJob(draft, key.key),
+        { deadlineMs: 2_000 },
+      ).then((result) => result.kind, (error: JobRefusedError) => {
+        assert.is(error.kind, "store_unavailable");
+        assert.ok(error.retryAfterMs! > 0);
+        return "refused" as const;
+      })
+    );
+  const refused = cancel();
+  for (let step = 0; step < 60; step++) {
+    jobs.tick(500);
+    for (const dispatcher of dispatchers) await dispatcher.step();
+  }
+  for (const kind of await Promise.all(refused)) assert.is(kind, "refused");
+  store.faults.unavailable = false;
+  for (const dispatcher of dispatchers) await dispatcher.step();
+  const before = store.calls.length;
+  const results = cancel();
+  for (let step = 0; step < 20; step++) {
+    for (const dispatcher of dispatchers) await dispatcher.step();
+    jobs.tick(500);
+  }
+  const kinds = await Promise.all(results);
+  const shardWrites =
+    store.calls.slice(before).filter(({ method, key }) =>
+      method === "compareAndSwap" && key !== `jobs/${REGION}/fencing`
+    ).length;
+  console.log(`5,000 cancellations took ${shardWrites} writes`);
+  assert.ok(shardWrites <= 4 * SHARD_COUNT);
+  keys.forEach((key, index) => {
+    const kind = outcomeOf(storedJobs(store, key.shard).get(key.key))?.kind;
+    assert.is(kind, started.has(key.key) ? "cancelled" : "not_run");
+    assert.is(kinds[index], started.has(key.key) ? "stopping" : "not_run");
+  });
+  for (const id of started) assert.is(jobs.journal.stops.get(id), 1, id);
+  assert.is(jobs.journal.stops.size, started.size);
+});
+
+// Guards against jobs that can never run and stay in the queue, and against a job that wears out the fleet.
+test("jobs that can never run end at once with a reason", async () => {
+  const { store, jobs, dispatcher } = await startOne();
+  const specs = [
+    createSpec({ cores: 64 }),
+    createSpec({ accelerators: 1 }),
+    createSpec({ memoryMb: 1_000_000 }),
+  ];
+  const keys = specs.map(() => keyOf(0, jobs.nowMs));
+  for (const [index, spec] of specs.entries()) {
+    await submit(dispatcher, keys[index]!, spec);
+  }
+  await runFor(jobs, dispatcher, 2);
+  for (const key of keys) {
+    const outcome = outcomeOf(storedJobs(store, 0).get(key.key));
+    assert.equal(outcome, { kind: "not_run", reason: "fits_no_worker" });
+  }
+  // Healthy workers are known by a success of another class.
+  for (let count = 0; count < 8; count++) {
+    const spec = createSpec({ command: "run 900", cores: 8, jobClass: "ok" });
+    await submit(dispatcher, keyOf(0, jobs.nowMs), spec);
+  }
+  await runFor(jobs, dispatcher, 10);
+  const bad = keyOf(0, jobs.nowMs);
+  const spec = createSpec({ command: "fail 100", idempotent: true });
+  await submit(dispatcher, bad, spec);
+  await runFor(jobs, dispatcher, 20);
+  assert.equal(outcomeOf(storedJobs(store, 0).get(bad.key)), {
+    kind: "failed",
+    reason: "failed_on_three_workers",
+  });
+  assert.is(jobs.journal.starts.get(bad.key), 3);
+});
+
+// Guards against running tasks that end with their lease because the store is away.
+test("tasks keep running through an outage of the store", async () => {
+  const { store, jobs, dispatcher } = await startOne();
+  const key = keyOf(0, jobs.nowMs);
+  const command = "run 300000";
+  await submit(dispatcher, key, createSpec({ command }));
+  await runFor(jobs, dispatcher, 4);
+  store.faults.unavailable = true;
+  await runFor(jobs, dispatcher, 560);
+  store.faults.unavailable = false;
+  await runFor(jobs, dispatcher, 40);
+  const outcome = outcomeOf(storedJobs(store, 0).get(key.key));
+  assert.equal(outcome, { kind: "succeeded" });
+});
+
+test.run();
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -42,6 +42,8 @@
   size: sizeSchema,
   /** The worker's last reboot at the time of the assignment. */
   rebootIntentId: z.string().optional(),
+  /** Set once the run was continued from a checkpoint. */
+  resumed: z.boolean().optional(),
 });
 
 /** One run of a job on one worker. */
--- /dev/null
+++ b/src/jobs/jobs_world.ts
@@ -0,0 +1,145 @@
+import type { ResolvedConfig } from "../config/schema.ts";
+import type { FleetRecord, VmRecord } from "../fleet/record.ts";
+import { UNREACHABLE_AFTER_MS } from "../fleet/worker_monitor.ts";
+import type { Vm } from "../platform/vm_list.ts";
+import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import { activeRun, type Job, type Size } from "./job.ts";
+import type { JobMemory } from "./job_memory.ts";
+import type { Quota } from "./placement.ts";
+import { judgeStandings, type Quarantined } from "./quarantine.ts";
+import { parseTaskId, taskIdOf } from "./task_id.ts";
+import type { WorkerReports } from "./worker_reports.ts";
+import type { Standing, TaskView, WorkerView } from "./worker_view.ts";
+
+/** What one planning step of a shard sees. */
+export interface JobsWorld {
+  readonly region: string;
+  readonly config: ResolvedConfig;
+  readonly fleet: FleetRecord;
+  readonly vmList: VmListSnapshot;
+  readonly reports: WorkerReports;
+  readonly memory: JobMemory;
+  /** Wall-clock time, in ms. */
+  readonly nowMs: number;
+}
+
+/** Returns the region's workers in the VM list by id. */
+export function listWorkers(snapshot: VmListSnapshot, region: string) {
+  return new Map(
+    snapshot.vms.filter((vm) => vm.role === "worker" && vm.region === region)
+      .map((vm): [string, Vm] => [vm.id, vm]),
+  );
+}
+
+/** Returns the teams' limits by name. */
+export function listQuotas(config: ResolvedConfig): Map<string, Quota> {
+  return new Map(config.teams.map(({ name, quota }) => [name, quota as Quota]));
+}
+
+/** Returns what a VM offers to tasks. */
+export function capacityOf({ cores, memoryMb, accelerators }: Vm): Size {
+  return { cores, memoryMb, accelerators };
+}
+
+/** Remembers workers that disappeared or fell silent, by which correlated failures are recognised. */
+export function noteLosses(world: JobsWorld): void {
+  const { memory, reports, fleet, nowMs } = world;
+  const workers = listWorkers(world.vmList, world.region);
+  for (const [vmId, { rack }] of Object.entries(fleet.vms)) {
+    const lost = !workers.has(vmId) ||
+      reports.silentMs(vmId) >= UNREACHABLE_AFTER_MS;
+    if (!lost) continue;
+    memory.losses.set(vmId, { rack, atMs: nowMs });
+  }
+}
+
+function listStandings(world: JobsWorld): Map<string, Standing> {
+  const { memory, fleet, nowMs } = world;
+  const standings = new Map<string, Standing>();
+  if (memory.quarantined.size === 0) return standings;
+  for (const pool of world.config.pools) {
+    const members = Object.entries(fleet.vms).filter(([, vm]) =>
+      vm.pool === pool.name && vm.state === "serving"
+    );
+    const blamed = new Map(
+      members.flatMap(([vmId]): [string, Quarantined][] => {
+        const known = memory.quarantined.get(vmId);
+        return known === undefined ? [] : [[vmId, known]];
+      }),
+    );
+    const { minimumServingVms } = pool.availability;
+    const budget = { servingVms: members.length, minimumServingVms };
+    for (const [vmId, standing] of judgeStandings(blamed, budget, nowMs)) {
+      standings.set(vmId, standing);
+    }
+  }
+  return standings;
+}
+
+/** Returns the tasks of each worker: those that it reports, and those that this entry's shards have assigned to it. */
+function listTasks(world: JobsWorld, jobs: Iterable<Job>) {
+  const { reports } = world;
+  const tasks = new Map<string, Map<string, TaskView>>();
+  const of = (vmId: string) => {
+    const known = tasks.get(vmId) ?? new Map<string, TaskView>();
+    tasks.set(vmId, known);
+    return known;
+  };
+  for (const vmId of Object.keys(world.fleet.vms)) {
+    for (const status of reports.runningTasks(vmId)) {
+      const identity = parseTaskId(status.taskId);
+      if (identity === undefined) continue;
+      const { taskId, usedCores, usedMemoryMb } = status;
+      of(vmId).set(taskId, { taskId, identity, usedCores, usedMemoryMb });
+    }
+  }
+  for (const job of jobs) {
+    const run = activeRun(job);
+    if (run === undefined) continue;
+    const taskId = taskIdOf(job, run);
+    if (of(run.vmId).has(taskId)) continue;
+    of(run.vmId).set(taskId, {
+      taskId,
+      identity: parseTaskId(taskId)!,
+      usedCores: undefined,
+      usedMemoryMb: undefined,
+    });
+  }
+  return tasks;
+}
+
+function isServing(record: VmRecord, vm: Vm, reports: WorkerReports): boolean {
+  return record.state === "serving" && record.transition === undefined &&
+    record.incarnation === vm.incarnation && vm.state === "live" &&
+    reports.isFresh(vm.id);
+}
+
+/** Builds the view of each worker that the VM list and the fleet record know. `jobs` are those of all shards of this entry. */
+export function viewWorkers(
+  world: JobsWorld,
+  jobs: Iterable<Job>,
+): WorkerView[] {
+  const { fleet, reports, memory, nowMs } = world;
+  const workers = listWorkers(world.vmList, world.region);
+  const tasks = listTasks(world, jobs);
+  const standings = listStandings(world);
+  return Object.entries(fleet.vms).flatMap(([vmId, record]): WorkerView[] => {
+    const vm = workers.get(vmId);
+    if (vm === undefined) return [];
+    const { incarnation } = vm;
+    const report = reports.reportSince(vmId, { incarnation, sinceMs: 0 });
+    return [{
+      vmId,
+      incarnation,
+      controlAddress: vm.controlAddress,
+      pool: record.pool,
+      rack: vm.rack,
+      capacity: capacityOf(vm),
+      serving: isServing(record, vm, reports) && report !== undefined,
+      standing: standings.get(vmId) ?? "normal",
+      rebootIntentId: report?.lastRebootIntentId,
+      tasks: [...tasks.get(vmId)?.values() ?? []],
+      held: memory.heldOn(vmId, nowMs),
+    }];
+  });
+}
--- /dev/null
+++ b/src/jobs/paused_dispatcher_test.ts
@@ -0,0 +1,202 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createFakeStore } from "../../testing/fake_store.ts";
+import { REGION } from "../../testing/fleet_world.ts";
+import { chooseSeed, createRandom } from "../../testing/random.ts";
+import { issueJobKey } from "./job_key.ts";
+import { createShardRecord, ShardDraft, shardKey } from "./shard.ts";
+import { cancelJob, submitJob } from "./submission.ts";
+import {
+  createSpec,
+  FakeJobs,
+  keyOf,
+  outcomeOf,
+  runFor,
+  storedJobs,
+  submit,
+} from "../../testing/fake_jobs.ts";
+
+const LEASE = shardKey(REGION, 0);
+const turns = () => new Promise((resolve) => setTimeout(resolve, 0));
+
+/** A dispatcher that is frozen at one call, and a second one of another entry. */
+function createPair() {
+  const gates = new Map<string, Promise<void>>();
+  let wake = () => {};
+  const pass = (name: string) => {
+    const gate = gates.get(name);
+    gates.delete(name);
+    return gate;
+  };
+  const store = createFakeStore({
+    beforeCall: ({ method, key }) => key === LEASE ? pass(method) : undefined,
+  });
+  const jobs = new FakeJobs({ store, workers: 2, beforeCall: pass });
+  const [first] = jobs.createEntry("first", [0]);
+  const [second] = jobs.createEntry("second", [0]);
+  return {
+    store,
+    jobs,
+    first: first!,
+    second: second!,
+    /** Holds the next call of this name until `resume`. */
+    freezeAt(name: string) {
+      gates.set(name, new Promise((resolve) => wake = resolve));
+    },
+    async resume() {
+      wake();
+      for (let count = 0; count < 5; count++) await turns();
+    },
+  };
+}
+
+/** Submits a job whose dispatcher freezes between the assignment's write and the command. */
+async function freezeBeforeRun(pair: ReturnType<typeof createPair>) {
+  const { jobs, first, freezeAt } = pair;
+  await first.step();
+  const key = keyOf(0, jobs.nowMs);
+  await submit(first, key, createSpec({ command: "run 5000" }));
+  jobs.tick(1_000);
+  freezeAt("runTask");
+  await first.step();
+  assert.is(jobs.journal.starts.size, 0, "frozen before the command");
+  const kind = storedJobs(pair.store, 0).get(key.key)?.state.kind;
+  assert.is(kind, "assigned", "written before the command");
+  jobs.tick(4_000);
+  return key;
+}
+
+// Guards against a second run by a paused dispatcher's command that arrives after the run has ended.
+test("a paused dispatcher's command is fenced off", async () => {
+  const pair = createPair();
+  const { jobs, second, store } = pair;
+  const key = await freezeBeforeRun(pair);
+  await runFor(jobs, second, 30);
+  const outcome = outcomeOf(storedJobs(store, 0).get(key.key));
+  assert.equal(outcome, { kind: "succeeded" });
+  // The worker doesn't remember tasks that ended long ago.
+  for (const worker of jobs.workers.values()) worker.tasks.clear();
+  await pair.resume();
+  assert.is(jobs.journal.starts.get(key.key), 1);
+});
+
+// Guards against a run on a worker's successor after the outcome was given.
+test("a paused dispatcher's command doesn't start on a replaced worker", async () => {
+  const pair = createPair();
+  const { jobs, second, store } = pair;
+  const key = await freezeBeforeRun(pair);
+  for (const worker of jobs.workers.values()) jobs.replaceWorker(worker);
+  await runFor(jobs, second, 10);
+  const outcome = outcomeOf(storedJobs(store, 0).get(key.key));
+  assert.equal(outcome, { kind: "outcome_unknown", reason: "worker_gone" });
+  await pair.resume();
+  assert.is(jobs.journal.starts.size, 0);
+});
+
+// Guards against a start by a dispatcher whose shard was taken over before its write.
+test("a replaced dispatcher starts nothing", async () => {
+  const pair = createPair();
+  const { jobs, first, second, store } = pair;
+  await first.step();
+  const key = keyOf(0, jobs.nowMs);
+  await submit(first, key, createSpec());
+  jobs.tick(1_000);
+  pair.freezeAt("compareAndSwap");
+  const frozen = first.step();
+  await turns();
+  store.lapseLease(LEASE);
+  // Without a report the second dispatcher assigns nothing before the cancellation.
+  for (const worker of jobs.workers.values()) worker.answers = false;
+  await second.step();
+  for (const worker of jobs.workers.values()) worker.answers = true;
+  const cancelled = second.writer.change(
+    (draft) => cancelJob(draft, key.key),
+    { deadlineMs: 1_000 },
+  );
+  await second.writer.flush();
+  assert.equal(await cancelled, { kind: "not_run" });
+  await pair.resume();
+  await frozen;
+  assert.is(jobs.journal.starts.get(key.key) ?? 0, 0);
+});
+
+// Guards against a cancellation that answers not_run while the same write assigns the job.
+test("a cancellation wins over an assignment of the same write", async () => {
+  const pair = createPair();
+  const { jobs, first, store } = pair;
+  await first.step();
+  const key = keyOf(0, jobs.nowMs);
+  await submit(first, key, createSpec());
+  jobs.tick(1_000);
+  pair.freezeAt("report");
+  const step = first.step();
+  await turns();
+  const cancelled = first.writer.change(
+    (draft) => cancelJob(draft, key.key),
+    { deadlineMs: 1_000 },
+  );
+  await pair.resume();
+  await step;
+  assert.equal(await cancelled, { kind: "not_run" });
+  await runFor(jobs, first, 4);
+  assert.is(jobs.journal.starts.size, 0);
+  const outcome = outcomeOf(storedJobs(store, 0).get(key.key));
+  assert.equal(outcome, { kind: "not_run", reason: "cancelled" });
+});
+
+// Guards against `not_run` for a job that waits for its second attempt.
+test("a job that was sent once isn't cancelled as not_run", () => {
+  const draft = new ShardDraft(createShardRecord(), 0);
+  const key = issueJobKey(0);
+  const job = submitJob(draft, key, createSpec());
+  draft.replace({ ...job, attempts: 1 });
+  assert.is(cancelJob(draft, key.key).kind, "ended");
+  assert.equal(outcomeOf(draft.jobs.get(key.key)), { kind: "cancelled" });
+});
+
+// Guards against a dispatcher that goes on with its old state after its lease had lapsed.
+test("a dispatcher reads its shard again after its lease had lapsed", async () => {
+  const { jobs, first, second, store } = createPair();
+  await first.step();
+  store.lapseLease(LEASE);
+  await second.step();
+  const key = keyOf(0, jobs.nowMs);
+  await submit(second, key, createSpec());
+  store.lapseLease(LEASE);
+  jobs.tick(1_000);
+  await first.step();
+  assert.ok(first.writer.record?.jobs.has(key.key));
+});
+
+// Guards against workers that fail every task and wear out jobs, and against jobs that end for a worker's fault.
+test("a tenth of the workers fails every task", async () => {
+  const random = createRandom(chooseSeed());
+  const store = createFakeStore();
+  const jobs = new FakeJobs({ store, workers: 20 });
+  const bad = ["w3", "w11"].map((id) => jobs.workers.get(id)!);
+  for (const worker of bad) worker.failsTasks = true;
+  const [dispatcher] = jobs.createEntry("e", [0]);
+  await dispatcher!.step();
+  const keys = Array.from({ length: 600 }, () => keyOf(0, jobs.nowMs));
+  for (const key of keys) {
+    const spec = createSpec({
+      command: `run ${1_000 + random.below(10_000)}`,
+      jobClass: `c${random.below(4)}`,
+      idempotent: true,
+    });
+    await submit(dispatcher!, key, spec);
+  }
+  const ended = () => [...storedJobs(store, 0).values()].every(outcomeOf);
+  for (let step = 0; step < 100 && !ended(); step++) {
+    await runFor(jobs, dispatcher!, 4);
+  }
+  for (const job of storedJobs(store, 0).values()) {
+    assert.is(outcomeOf(job)?.kind, "succeeded", JSON.stringify(job));
+  }
+  const runs = [...jobs.journal.starts.values()].reduce((a, b) => a + b, 0);
+  console.log(`${runs - keys.length} of ${runs} runs failed`);
+  // Without quarantine about 370 runs fail; 64 fail before the first success shows that the classes work elsewhere.
+  assert.ok(runs - keys.length < 120);
+});
+
+test.run();
--- /dev/null
+++ b/src/jobs/placement.ts
@@ -0,0 +1,240 @@
+import { rendezvousHash } from "../requests/rendezvous_hash.ts";
+import { classOf, type JobSpec, type Size } from "./job.ts";
+import { addSize, fits, NO_SIZE } from "./size.ts";
+import { freeSize, type WorkerView } from "./worker_view.ts";
+
+/** Time after which a waiting job holds a worker for itself, in ms, so that smaller jobs can't overtake it forever. */
+const HOLD_AFTER_MS = 60_000;
+
+/** A queued job with what it reserves. */
+export interface Candidate {
+  readonly jobId: string;
+  readonly spec: JobSpec;
+  readonly size: Size;
+  readonly waitedMs: number;
+  readonly failedOn: readonly string[];
+  /** The only worker on which a checkpointed job can continue. */
+  readonly pinnedTo?: string;
+}
+
+/** Limit of a team; absent resources aren't limited. */
+export type Quota = Partial<Size>;
+
+/** What placement decides on. */
+export interface PlacementInput {
+  readonly candidates: readonly Candidate[];
+  readonly workers: readonly WorkerView[];
+  readonly quotas: ReadonlyMap<string, Quota>;
+}
+
+/** Why a job waits. */
+export type WaitReason = "no_capacity" | "quota" | "no_worker";
+
+/** What is to happen with one queued job. */
+export type PlacementDecision =
+  | {
+    readonly kind: "place";
+    readonly jobId: string;
+    readonly vmId: string;
+    readonly size: Size;
+  }
+  | {
+    readonly kind: "reject";
+    readonly jobId: string;
+    readonly reason: "fits_no_worker" | "exceeds_quota";
+  }
+  | {
+    readonly kind: "wait";
+    readonly jobId: string;
+    readonly reason: WaitReason;
+  };
+
+/** Capacity that changes as a step places jobs. */
+class Room {
+  readonly free = new Map<string, Size>();
+  readonly teamUse = new Map<string, Size>();
+  readonly probed = new Set<string>();
+  readonly heldBy = new Map<string, string>();
+  #rackLoad = new Map<string, number>();
+
+  constructor(workers: readonly WorkerView[]) {
+    for (const worker of workers) {
+      this.free.set(worker.vmId, freeSize(worker));
+      if (worker.tasks.length > 0) this.probed.add(worker.vmId);
+      for (const { identity } of worker.tasks) {
+        this.#count(worker, identity.team, classOf(identity), identity.size);
+      }
+    }
+  }
+
+  take(worker: WorkerView, { spec, size }: Candidate): void {
+    this.free.set(worker.vmId, addSize(this.free.get(worker.vmId)!, size, -1));
+    this.probed.add(worker.vmId);
+    this.#count(worker, spec.team, classOf(spec), size);
+  }
+
+  rackLoad(worker: WorkerView, jobClass: string): number {
+    return this.#rackLoad.get(`${worker.rack} ${jobClass}`) ?? 0;
+  }
+
+  #count(worker: WorkerView, team: string, jobClass: string, size: Size) {
+    const use = this.teamUse.get(team) ?? NO_SIZE;
+    this.teamUse.set(team, addSize(use, size));
+    const key = `${worker.rack} ${jobClass}`;
+    this.#rackLoad.set(key, (this.#rackLoad.get(key) ?? 0) + 1);
+  }
+}
+
+function withinQuota(size: Size, quota: Quota): boolean {
+  return size.cores <= (quota.cores ?? Infinity) &&
+    size.memoryMb <= (quota.memoryMb ?? Infinity) &&
+    size.accelerators <= (quota.accelerators ?? Infinity);
+}
+
+function isOpen(worker: WorkerView, candidate: Candidate, room: Room): boolean {
+  const { vmId, standing, held } = worker;
+  if (standing === "quarantined") return false;
+  if (standing === "probing" && room.probed.has(vmId)) return false;
+  const holder = room.heldBy.get(vmId);
+  if (holder !== undefined && holder !== candidate.jobId) return false;
+  let free = room.free.get(vmId)!;
+  if (held !== undefined && held.jobId !== candidate.jobId) {
+    free = addSize(free, held.size, -1);
+  }
+  return fits(candidate.size, free);
+}
+
+/** Orders workers for a job; lower is better. */
+function rank(worker: WorkerView, candidate: Candidate, room: Room): number[] {
+  const { spec, size, failedOn } = candidate;
+  const left = addSize(room.free.get(worker.vmId)!, size, -1);
+  return [
+    failedOn.includes(worker.vmId) ? 1 : 0,
+    worker.standing === "normal" ? 0 : 1,
+    // Jobs without accelerators leave the workers that have some to others.
+    size.accelerators === 0 ? worker.capacity.accelerators : 0,
+    room.rackLoad(worker, classOf(spec)),
+    Math.round(8 * left.cores / Math.max(1, worker.capacity.cores)),
+    rendezvousHash(candidate.jobId, worker.vmId),
+  ];
+}
+
+function compareRanks(a: readonly number[], b: readonly number[]): number {
+  for (let index = 0; index < a.length; index++) {
+    const difference = a[index]! - b[index]!;
+    if (difference !== 0) return difference;
+  }
+  return 0;
+}
+
+function choose(
+  candidate: Candidate,
+  workers: readonly WorkerView[],
+  room: Room,
+): WorkerView | undefined {
+  let best: { worker: WorkerView; rank: number[] } | undefined;
+  for (const worker of workers) {
+    if (!isOpen(worker, candidate, room)) continue;
+    const ranked = rank(worker, candidate, room);
+    if (best === undefined || compareRanks(ranked, best.rank) < 0) {
+      best = { worker, rank: ranked };
+    }
+  }
+  // An idempotent job isn't repeated where it failed as long as another worker of the pool can take it later.
+  const repeats = best !== undefined &&
+    candidate.failedOn.includes(best.worker.vmId);
+  const others = workers.some((worker) =>
+    !candidate.failedOn.includes(worker.vmId) &&
+    worker.standing !== "quarantined" && fits(candidate.size, worker.capacity)
+  );
+  return repeats && others ? undefined : best?.worker;
+}
+
+/** Holds the pool's worker with the most free cores for a job that has waited long. */
+function hold(
+  candidate: Candidate,
+  workers: readonly WorkerView[],
+  room: Room,
+) {
+  const able = workers.filter((worker) =>
+    fits(candidate.size, worker.capacity) && worker.standing === "normal" &&
+    !room.heldBy.has(worker.vmId)
+  );
+  const cores = (worker: WorkerView) => room.free.get(worker.vmId)!.cores;
+  const best = able.reduce<WorkerView | undefined>(
+    (a, b) => a !== undefined && cores(a) >= cores(b) ? a : b,
+    undefined,
+  );
+  if (best !== undefined) room.heldBy.set(best.vmId, candidate.jobId);
+}
+
+/** Returns why a job can never run; one that has started is left to wait. */
+function findRejection(
+  candidate: Candidate,
+  known: readonly WorkerView[],
+  quota: Quota,
+): "fits_no_worker" | "exceeds_quota" | undefined {
+  if (candidate.pinnedTo !== undefined) return undefined;
+  if (!known.some((worker) => fits(candidate.size, worker.capacity))) {
+    return "fits_no_worker";
+  }
+  return withinQuota(candidate.size, quota) ? undefined : "exceeds_quota";
+}
+
+function groupByPool(workers: readonly WorkerView[]) {
+  const pools = new Map<string, WorkerView[]>();
+  for (const worker of workers) {
+    const known = pools.get(worker.pool);
+    if (known === undefined) pools.set(worker.pool, [worker]);
+    else known.push(worker);
+  }
+  return pools;
+}
+
+/** Decides where queued jobs run: urgent ones first, then by waiting time. */
+export function placeJobs(input: PlacementInput): PlacementDecision[] {
+  const room = new Room(input.workers);
+  const pools = groupByPool(input.workers);
+  const holding = new Set<string>();
+  const blocked = new Set<string>();
+  const urgency = ({ spec }: Candidate) => spec.priority === "urgent" ? 0 : 1;
+  const ordered = [...input.candidates].sort((a, b) =>
+    urgency(a) - urgency(b) || b.waitedMs - a.waitedMs
+  );
+  return ordered.map((candidate): PlacementDecision => {
+    const { jobId, spec, size, failedOn, pinnedTo } = candidate;
+    const known = pools.get(spec.pool) ?? [];
+    // A pool whose workers aren't known yet proves nothing about the job.
+    if (known.length === 0) return { kind: "wait", jobId, reason: "no_worker" };
+    const quota = input.quotas.get(spec.team) ?? {};
+    const rejection = findRejection(candidate, known, quota);
+    if (rejection !== undefined) {
+      return { kind: "reject", jobId, reason: rejection };
+    }
+    const use = room.teamUse.get(spec.team) ?? NO_SIZE;
+    if (!withinQuota(addSize(use, size), quota)) {
+      return { kind: "wait", jobId, reason: "quota" };
+    }
+    const shape =
+      `${spec.pool} ${size.cores} ${size.memoryMb} ${size.accelerators}`;
+    const unrestricted = failedOn.length === 0 && pinnedTo === undefined;
+    const skips = unrestricted && blocked.has(shape);
+    const serving = known.filter((worker) =>
+      worker.serving && (pinnedTo ?? worker.vmId) === worker.vmId
+    );
+    const worker = skips ? undefined : choose(candidate, serving, room);
+    if (worker === undefined) {
+      if (unrestricted) blocked.add(shape);
+      if (
+        unrestricted && candidate.waitedMs >= HOLD_AFTER_MS &&
+        !holding.has(spec.pool)
+      ) {
+        holding.add(spec.pool);
+        hold(candidate, serving, room);
+      }
+      return { kind: "wait", jobId, reason: "no_capacity" };
+    }
+    room.take(worker, candidate);
+    return { kind: "place", jobId, vmId: worker.vmId, size };
+  });
+}
--- a/src/jobs/shard_writer.ts
+++ b/src/jobs/shard_writer.ts
@@ -124,7 +124,11 @@
 
   /** Writes all pending changes at once; never rejects. */
   flush(): Promise<void> {
-    this.#flushing ??= this.#flushOnce().finally(() => {
+    // A write that is under way doesn't contain the newest changes.
+    if (this.#flushing !== undefined) {
+      return this.#flushing.then(() => this.flush());
+    }
+    this.#flushing = this.#flushOnce().finally(() => {
       this.#flushing = undefined;
     });
     return this.#flushing;
--- /dev/null
+++ b/src/jobs/worker_reports.ts
@@ -0,0 +1,146 @@
+import type { Clock } from "../clock.ts";
+import type { Vm } from "../platform/vm_list.ts";
+import type {
+  TaskStatus,
+  WorkerAgent,
+  WorkerReport,
+} from "../platform/worker_agent.ts";
+
+/** Time between two reports of a worker, in ms. */
+const REPORT_INTERVAL_MS = 1_000;
+/** Time after a failed report until the next one, in ms. */
+const RETRY_INTERVAL_MS = 5_000;
+/** Time after which a report is given up, in ms. */
+const REPORT_TIMEOUT_MS = 1_500;
+/** Age up to which a report is used to place new tasks, in ms. */
+const FRESH_MS = 5_000;
+/** Time for which an acknowledged checkpoint overrides the lagging reports, in ms. */
+const OVERRIDE_MS = 10_000;
+
+interface Observation {
+  askedAtMs: number;
+  failed: boolean;
+  /** Time of the last answer, or of the first request. */
+  contactAtMs: number;
+  report:
+    | { readonly value: WorkerReport; readonly askedAtMs: number }
+    | undefined;
+  tasks: Map<string, TaskStatus>;
+}
+
+/** Reports of a region's workers, shared by the dispatchers of one entry. */
+export class WorkerReports {
+  #agent: WorkerAgent;
+  #clock: Clock;
+  #observations = new Map<string, Observation>();
+  #checkpointed = new Map<string, number>();
+  #refreshing: Promise<void> | undefined;
+
+  constructor(agent: WorkerAgent, clock: Clock) {
+    this.#agent = agent;
+    this.#clock = clock;
+  }
+
+  /** Asks the workers whose report is due; never rejects. */
+  refresh(workers: readonly Vm[]): Promise<void> {
+    this.#refreshing ??= this.#refresh(workers).finally(() => {
+      this.#refreshing = undefined;
+    });
+    return this.#refreshing;
+  }
+
+  /** Notes that a worker confirmed a checkpoint before its report shows it. */
+  noteCheckpoint(taskId: string): void {
+    this.#checkpointed.set(taskId, this.#clock.monotonicMs() + OVERRIDE_MS);
+  }
+
+  /** Notes that a task was started or continued. */
+  noteStart(taskId: string): void {
+    this.#checkpointed.delete(taskId);
+  }
+
+  /** Returns the newest report of an incarnation if it was asked for at or after a time. */
+  reportSince(
+    vmId: string,
+    options: { incarnation: string; sinceMs: number },
+  ): WorkerReport | undefined {
+    const report = this.#observations.get(vmId)?.report;
+    return report !== undefined && report.askedAtMs >= options.sinceMs &&
+        report.value.incarnation === options.incarnation
+      ? report.value
+      : undefined;
+  }
+
+  /** Returns the last known status of a task on a worker. */
+  taskStatus(vmId: string, taskId: string): TaskStatus | undefined {
+    const status = this.#observations.get(vmId)?.tasks.get(taskId);
+    const overridden = status?.state === "running" &&
+      (this.#checkpointed.get(taskId) ?? 0) > this.#clock.monotonicMs();
+    return overridden ? { ...status, state: "checkpointed" } : status;
+  }
+
+  /** Returns the tasks that a worker runs. */
+  runningTasks(vmId: string): TaskStatus[] {
+    const tasks = this.#observations.get(vmId)?.tasks ?? new Map();
+    return [...tasks.keys()].map((taskId) => this.taskStatus(vmId, taskId)!)
+      .filter((task) => task.state === "running");
+  }
+
+  /** Whether a worker's report is recent enough to place new tasks. */
+  isFresh(vmId: string): boolean {
+    const report = this.#observations.get(vmId)?.report;
+    return report !== undefined &&
+      this.#clock.monotonicMs() - report.askedAtMs < FRESH_MS;
+  }
+
+  /** Time without an answer of a worker, in ms; 0 for one that was never asked. */
+  silentMs(vmId: string): number {
+    const seen = this.#observations.get(vmId);
+    return seen === undefined
+      ? 0
+      : this.#clock.monotonicMs() - seen.contactAtMs;
+  }
+
+  async #refresh(workers: readonly Vm[]): Promise<void> {
+    const nowMs = this.#clock.monotonicMs();
+    const listed = new Set(workers.map((vm) => vm.id));
+    for (const vmId of this.#observations.keys()) {
+      if (!listed.has(vmId)) this.#observations.delete(vmId);
+    }
+    for (const [taskId, untilMs] of this.#checkpointed) {
+      if (untilMs <= nowMs) this.#checkpointed.delete(taskId);
+    }
+    const due = workers.filter((vm) => {
+      const seen = this.#observations.get(vm.id);
+      if (seen === undefined) return true;
+      const intervalMs = seen.failed ? RETRY_INTERVAL_MS : REPORT_INTERVAL_MS;
+      return nowMs - seen.askedAtMs >= intervalMs;
+    });
+    await Promise.all(due.map((vm) => this.#ask(vm)));
+  }
+
+  async #ask(vm: Vm): Promise<void> {
+    const askedAtMs = this.#clock.monotonicMs();
+    const seen = this.#observations.get(vm.id) ??
+      {
+        askedAtMs,
+        contactAtMs: askedAtMs,
+        report: undefined,
+        failed: false,
+        tasks: new Map(),
+      };
+    seen.askedAtMs = askedAtMs;
+    this.#observations.set(vm.id, seen);
+    try {
+      const signal = AbortSignal.timeout(REPORT_TIMEOUT_MS);
+      const value = await this.#agent.report(vm.controlAddress, signal);
+      seen.failed = false;
+      seen.report = { value, askedAtMs };
+      seen.tasks = new Map(value.tasks.map((task) => [task.taskId, task]));
+      seen.contactAtMs = this.#clock.monotonicMs();
+    } catch {
+      seen.failed = true;
+      // The time of the last contact shows how long the worker is silent.
+    }
+  }
+}
--- /dev/null
+++ b/src/jobs/worker_view.ts
@@ -0,0 +1,47 @@
+import type { Size } from "./job.ts";
+import { addSize } from "./size.ts";
+import type { TaskIdentity } from "./task_id.ts";
+
+/** Whether jobs are placed on a worker. */
+export type Standing =
+  | "normal"
+  /** Blamed, but the pool's budget doesn't allow a quarantine; used last. */
+  | "suspect"
+  /** Quarantined until its next probe. */
+  | "quarantined"
+  /** May get one task that shows whether it works again. */
+  | "probing";
+
+/** One task on a worker as a planning step sees it. */
+export interface TaskView {
+  readonly taskId: string;
+  readonly identity: TaskIdentity;
+  /** Use in the last report; undefined before the first one. */
+  readonly usedCores: number | undefined;
+  readonly usedMemoryMb: number | undefined;
+}
+
+/** One worker as a planning step sees it. */
+export interface WorkerView {
+  readonly vmId: string;
+  readonly incarnation: string;
+  readonly controlAddress: string;
+  readonly pool: string;
+  readonly rack: string;
+  readonly capacity: Size;
+  /** Whether new tasks may be placed: serving in the fleet record, listed as live and answering. */
+  readonly serving: boolean;
+  readonly standing: Standing;
+  readonly rebootIntentId: string | undefined;
+  readonly tasks: readonly TaskView[];
+  /** Capacity held for an urgent job, and that job. */
+  readonly held: { readonly jobId: string; readonly size: Size } | undefined;
+}
+
+/** Returns the capacity that no task reserves. */
+export function freeSize(worker: WorkerView): Size {
+  return worker.tasks.reduce(
+    (free, task) => addSize(free, task.identity.size, -1),
+    worker.capacity,
+  );
+}
--- a/src/platform/worker_agent.ts
+++ b/src/platform/worker_agent.ts
@@ -3,6 +3,8 @@
   readonly taskId: string;
   /** Commands with a lower fencing token than the last one seen are refused. */
   readonly fencingToken: number;
+  /** The worker refuses a task that was meant for its predecessor at the same address. */
+  readonly incarnation?: string;
   readonly command: string;
   readonly cores: number;
   readonly memoryMb: number;
--- /dev/null
+++ b/testing/fake_jobs.ts
@@ -0,0 +1,405 @@
+import { buildConfig, createVm, REGION } from "./fleet_world.ts";
+import type { FakeStore } from "./fake_store.ts";
+import type { AppliedConfig, ResolvedConfig } from "../src/config/schema.ts";
+import { PlatformError } from "../src/errors.ts";
+import { createFleetRecord, type FleetRecord } from "../src/fleet/record.ts";
+import { silentLogger } from "../src/logger.ts";
+import { createObservable } from "../src/observable.ts";
+import type { Vm } from "../src/platform/vm_list.ts";
+import type { VmListSnapshot } from "../src/platform/vm_list_poller.ts";
+import type {
+  TaskSpec,
+  TaskStatus,
+  WorkerAgent,
+} from "../src/platform/worker_agent.ts";
+import { Dispatcher } from "../src/jobs/dispatcher.ts";
+import { type Job, type JobSpec, jobSpecSchema } from "../src/jobs/job.ts";
+import { issueJobKey, type JobKey } from "../src/jobs/job_key.ts";
+import { JobMemory } from "../src/jobs/job_memory.ts";
+import { parseShard, shardKey } from "../src/jobs/shard.ts";
+import { submitJob } from "../src/jobs/submission.ts";
+import { parseTaskId } from "../src/jobs/task_id.ts";
+import { WorkerReports } from "../src/jobs/worker_reports.ts";
+
+/** What a task really does, as its command says: `run|fail <ms> [cores] [memoryMb]`. */
+interface Truth {
+  readonly fails: boolean;
+  readonly runMs: number;
+  readonly cores: number;
+  readonly memoryMb: number;
+}
+
+interface FakeTask {
+  readonly spec: TaskSpec;
+  state: TaskStatus["state"];
+  leaseEndMs: number;
+  /** Work that is left, in ms. */
+  leftMs: number;
+  cores: number;
+}
+
+/** One worker with its agent. */
+export interface FakeWorker {
+  vm: Vm;
+  answers: boolean;
+  failsTasks: boolean;
+  highestToken: number;
+  tasks: Map<string, FakeTask>;
+  /** Reports of the last ticks, which show the state of a while ago. */
+  reports: { atMs: number; tasks: TaskStatus[] }[];
+}
+
+/** What tasks did, by job id. */
+export interface Journal {
+  readonly starts: Map<string, number>;
+  readonly successes: Map<string, number>;
+  readonly firstStartMs: Map<string, number>;
+  readonly stops: Map<string, number>;
+  /** Core milliseconds spent on runs that didn't succeed, and on all. */
+  wastedCoreMs: number;
+  usedCoreMs: number;
+}
+
+/** Options of the fake workers. */
+export interface FakeJobsOptions {
+  readonly store: FakeStore;
+  readonly workers: number;
+  readonly config?: ResolvedConfig;
+  readonly vm?: Partial<Vm>;
+  readonly reportLagMs?: number;
+  /** Called before each agent call; may throw to lose the call. */
+  readonly beforeCall?: (method: keyof WorkerAgent) => Promise<void> | void;
+  /** Called after each agent call; may throw to lose the answer. */
+  readonly afterCall?: () => void;
+}
+
+/** Pool of the fake workers. */
+export const POOL = "a";
+
+function parseTruth(spec: TaskSpec): Truth {
+  const [verb, ms, cores, memoryMb] = spec.command.split(" ");
+  return {
+    fails: verb === "fail",
+    runMs: Number(ms),
+    cores: Number(cores ?? spec.cores),
+    memoryMb: Number(memoryMb ?? spec.memoryMb),
+  };
+}
+
+const add = (counts: Map<string, number>, key: string, count = 1) =>
+  counts.set(key, (counts.get(key) ?? 0) + count);
+
+/** Workers in memory with a clock of their own, for tests and measurements of jobs. */
+export class FakeJobs {
+  readonly workers = new Map<string, FakeWorker>();
+  readonly journal: Journal = {
+    starts: new Map(),
+    successes: new Map(),
+    firstStartMs: new Map(),
+    stops: new Map(),
+    wastedCoreMs: 0,
+    usedCoreMs: 0,
+  };
+  readonly agent: WorkerAgent;
+  readonly config = createObservable<AppliedConfig | undefined>(undefined);
+  readonly fleet = createObservable<FleetRecord | undefined>(undefined);
+  readonly vmList = createObservable<VmListSnapshot | undefined>(undefined);
+  nowMs = 1_700_000_000_000;
+  readonly clock = {
+    wallMs: () => this.nowMs,
+    monotonicMs: () => this.nowMs,
+  };
+  #options: FakeJobsOptions;
+
+  constructor(options: FakeJobsOptions) {
+    this.#options = options;
+    const pools = [{
+      name: POOL,
+      vms: options.workers,
+      minimumServingVms: Math.floor(options.workers * 0.7),
+    }];
+    const config = options.config ?? buildConfig(pools);
+    this.config.set({
+      revision: 1,
+      applyId: "test",
+      appliedAtMs: 0,
+      digest: "",
+      config,
+    });
+    for (let index = 0; index < options.workers; index++) {
+      const id = `w${index}`;
+      this.workers.set(id, {
+        vm: { ...createVm(id, index, POOL), ...options.vm },
+        answers: true,
+        failsTasks: false,
+        highestToken: 0,
+        tasks: new Map(),
+        reports: [],
+      });
+    }
+    this.agent = this.#createAgent();
+    this.publish();
+  }
+
+  /** Publishes the VM list and a fleet record in which all workers serve. */
+  publish(states: Record<string, "draining"> = {}): void {
+    const vms = [...this.workers.values()].map(({ vm }) => vm);
+    this.vmList.set({ vms, readAtMs: this.nowMs });
+    const records = vms.map((vm) => {
+      const { incarnation, dataCentre, rack } = vm;
+      const pool = vm.pool!;
+      const state = states[vm.id] ?? "serving" as const;
+      return [vm.id, {
+        pool,
+        homePool: pool,
+        state,
+        incarnation,
+        dataCentre,
+        rack,
+        changedAtMs: 0,
+        maintainedAtMs: 0,
+      }] as const;
+    });
+    this.fleet.set({
+      ...createFleetRecord(REGION),
+      revision: (this.fleet.get()?.revision ?? 0) + 1,
+      vms: Object.fromEntries(records),
+    });
+  }
+
+  /** Creates the dispatchers of one entry. */
+  createEntry(holder: string, shards: readonly number[]): Dispatcher[] {
+    const { agent, clock, config, fleet, vmList } = this;
+    const memory = new JobMemory();
+    const reports = new WorkerReports(agent, clock);
+    return shards.map((shard) =>
+      new Dispatcher({
+        shard,
+        region: REGION,
+        holder,
+        store: this.#options.store,
+        agent,
+        config,
+        fleet,
+        vmList,
+        reports,
+        memory,
+        clock,
+        log: silentLogger,
+      })
+    );
+  }
+
+  /** Moves time: tasks end, leases of tasks and of the store lapse. */
+  tick(ms: number): void {
+    this.nowMs += ms;
+    this.#options.store.advance(ms);
+    for (const worker of this.workers.values()) {
+      for (const [taskId, task] of worker.tasks) {
+        if (task.state === "running") this.#advance(worker, taskId, ms);
+      }
+      worker.reports.push({ atMs: this.nowMs, tasks: this.#statuses(worker) });
+      const sinceMs = this.nowMs - (this.#options.reportLagMs ?? 0);
+      while ((worker.reports[1]?.atMs ?? Infinity) <= sinceMs) {
+        worker.reports.shift();
+      }
+    }
+    this.vmList.set({ ...this.vmList.get()!, readAtMs: this.nowMs });
+  }
+
+  /** Replaces a worker under the same id; its tasks are gone. */
+  replaceWorker(worker: FakeWorker): void {
+    worker.vm = { ...worker.vm, incarnation: String(this.nowMs) };
+    for (const task of worker.tasks.values()) this.#waste(task);
+    worker.tasks = new Map();
+    worker.reports = [];
+    worker.highestToken = 0;
+    this.publish();
+  }
+
+  #advance(worker: FakeWorker, taskId: string, ms: number): void {
+    const task = worker.tasks.get(taskId)!;
+    const { jobId } = parseTaskId(taskId)!;
+    task.leftMs -= ms;
+    const truth = parseTruth(task.spec);
+    this.journal.usedCoreMs += ms * truth.cores;
+    if (this.nowMs >= task.leaseEndMs) {
+      task.state = "stopped";
+      this.#waste(task);
+    } else if (task.leftMs <= 0 || worker.failsTasks) {
+      const fails = truth.fails || worker.failsTasks;
+      task.state = fails ? "failed" : "succeeded";
+      if (fails) this.#waste(task);
+      else add(this.journal.successes, jobId);
+    }
+  }
+
+  #waste(task: FakeTask): void {
+    const truth = parseTruth(task.spec);
+    const spentMs = truth.runMs - Math.max(0, task.leftMs);
+    this.journal.wastedCoreMs += spentMs * truth.cores;
+  }
+
+  #statuses(worker: FakeWorker): TaskStatus[] {
+    return [...worker.tasks].map(([taskId, { spec, state, cores }]) => {
+      const truth = parseTruth(spec);
+      const running = state === "running";
+      return {
+        taskId,
+        state,
+        usedCores: running ? Math.min(truth.cores, cores) : 0,
+        usedMemoryMb: running ? truth.memoryMb : 0,
+      };
+    });
+  }
+
+  #run(worker: FakeWorker, spec: TaskSpec): void {
+    if (spec.fencingToken < worker.highestToken) {
+      throw new PlatformError("worker_agent", "The fencing token is outdated");
+    }
+    if (spec.incarnation !== worker.vm.incarnation) {
+      throw new PlatformError("worker_agent", "The worker was replaced");
+    }
+    worker.highestToken = spec.fencingToken;
+    const known = worker.tasks.get(spec.taskId);
+    const leaseEndMs = this.nowMs + spec.leaseMs;
+    if (known !== undefined) {
+      if (known.state !== "running" && known.state !== "checkpointed") return;
+      known.state = "running";
+      known.leaseEndMs = leaseEndMs;
+      return;
+    }
+    const { jobId } = parseTaskId(spec.taskId)!;
+    add(this.journal.starts, jobId);
+    if (!this.journal.firstStartMs.has(jobId)) {
+      this.journal.firstStartMs.set(jobId, this.nowMs);
+    }
+    worker.tasks.set(spec.taskId, {
+      spec,
+      state: "running",
+      leaseEndMs,
+      leftMs: parseTruth(spec).runMs,
+      cores: Infinity,
+    });
+  }
+
+  #createAgent(): WorkerAgent {
+    const call = async <T>(
+      method: keyof WorkerAgent,
+      id: string,
+      run: (worker: FakeWorker) => T,
+    ) => {
+      await this.#options.beforeCall?.(method);
+      const worker = this.workers.get(id);
+      if (!worker?.answers) {
+        throw new PlatformError("worker_agent", `No answer from ${id}`);
+      }
+      const result = run(worker);
+      this.#options.afterCall?.();
+      return result;
+    };
+    const command = (
+      method: keyof WorkerAgent,
+      target: { id: string; taskId: string },
+      run: (task: FakeTask) => void,
+    ) =>
+      call(method, target.id, (worker) => {
+        const task = worker.tasks.get(target.taskId);
+        if (task === undefined) {
+          throw new PlatformError("worker_agent", "There is no such task");
+        }
+        if (task.state === "running") run(task);
+      });
+    const unused = () => Promise.resolve();
+    return {
+      report: (id) =>
+        call("report", id, ({ vm, reports }) => ({
+          vmId: vm.id,
+          incarnation: vm.incarnation,
+          lastRebootIntentId: undefined,
+          tasks: reports[0]?.tasks ?? [],
+        })),
+      runTask: (id, spec) =>
+        call("runTask", id, (worker) => this.#run(worker, spec)),
+      checkpointTask: (id, taskId) =>
+        command("checkpointTask", { id, taskId }, (task) => {
+          task.state = "checkpointed";
+        }),
+      throttleTask: (id, { taskId, cores }) =>
+        command("throttleTask", { id, taskId }, (task) => {
+          task.cores = cores;
+        }),
+      stopTask: (id, taskId) => {
+        add(this.journal.stops, parseTaskId(taskId)!.jobId);
+        return command("stopTask", { id, taskId }, (task) => {
+          task.state = "stopped";
+          this.#waste(task);
+        });
+      },
+      drain: unused,
+      reboot: unused,
+    };
+  }
+}
+
+/** Returns a job of the fake workers' pool. */
+export function createSpec(overrides: Partial<JobSpec> = {}): JobSpec {
+  return jobSpecSchema.parse({
+    pool: POOL,
+    team: `${POOL}-team`,
+    jobClass: "c0",
+    command: "run 20000",
+    cores: 2,
+    memoryMb: 1_000,
+    runTimeMs: 20_000,
+    ...overrides,
+  });
+}
+
+/** Issues a key of one shard. */
+export function keyOf(shard: number, nowMs: number): JobKey {
+  let key = issueJobKey(nowMs);
+  while (key.shard !== shard) key = issueJobKey(nowMs);
+  return key;
+}
+
+/** Submits a job and flushes the shard. */
+export async function submit(
+  dispatcher: Dispatcher,
+  key: JobKey,
+  spec: JobSpec,
+): Promise<Job> {
+  const { writer } = dispatcher;
+  const options = { deadlineMs: 2_000, jobId: key.key };
+  const accepted = writer.change(
+    (draft) => submitJob(draft, key, spec),
+    options,
+  );
+  // The store may answer late; the step or a later flush settles the submit.
+  accepted.catch(() => {});
+  await writer.flush();
+  return await accepted;
+}
+
+/** Returns a shard's jobs in the store. */
+export const storedJobs = (store: FakeStore, shard: number) => {
+  const entry = store.history(shardKey(REGION, shard)).at(-1);
+  return entry === undefined
+    ? new Map<string, Job>()
+    : parseShard(entry.value).jobs;
+};
+/** Returns the outcome of a job that has ended. */
+export const outcomeOf = (job: Job | undefined) =>
+  job?.state.kind === "ended" ? job.state.outcome : undefined;
+
+/** Steps a dispatcher twice a second. */
+export async function runFor(
+  jobs: FakeJobs,
+  dispatcher: Dispatcher,
+  steps: number,
+): Promise<void> {
+  for (let count = 0; count < steps; count++) {
+    jobs.tick(500);
+    await dispatcher.step();
+  }
+}
--- a/testing/worker_agent.ts
+++ b/testing/worker_agent.ts
@@ -224,6 +224,9 @@
       case "/v1/reboot":
         return startReboot(intentId);
       case "/v1/tasks/run":
+        if ((body.incarnation ?? incarnation) !== incarnation) {
+          return { status: 409, body: { incarnation } };
+        }
         return tasks.run(body as unknown as TaskSpec);
       case "/v1/tasks/checkpoint":
         return tasks.end(taskId, "checkpointed");
