feat(jobs): HTTP interface, shard owners and wiring

Calls under /.cowslipferry/jobs are answered by the shard's owner, chosen by rendezvous hash over the live entries; other entries forward to its callers' port. A refused submit is answered not_run only if the shard is known not to hold the key, otherwise outcome_unknown with the time to come back. The request path gets one hook (systemCalls) in serve_call.ts and request_path.ts.

A takeover adopts the region's newest fencing token if it is above the one stored in the shard: with a raise for each shard 16 dispatchers of a starting entry conflicted on the counter, and only 5 of 16 shards were owned when submits arrived (seen in the test). readBusyWorkers names VMs with recorded tasks, also those that no report shows yet, for the controller's drain.

Ruled out: forwarding over the peer link, whose router belongs to another part; the callers' port already carries forwarded keyed requests.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -108,6 +108,9 @@
     ...(settings.roles.includes("controller")
       ? [createControllerPart(parts)]
       : []),
+    ...(requestPath === undefined
+      ? []
+      : [{ name: "jobs", run: () => parts.resolve(TOKENS.jobs).run() }]),
   ];
   for (const part of supervised) yield* supervisor.start(part);
   // The admin and peer ports open first, so that an entry that takes requests can be asked for its state.
--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -90,6 +90,11 @@
     });
   }
 
+  /** The shard's jobs while this dispatcher owns it. */
+  get jobs(): ReadonlyMap<string, Job> | undefined {
+    return this.#active === undefined ? undefined : this.writer.record?.jobs;
+  }
+
   /** Why a queued job waits. */
   waitReason(jobId: string): WaitReason | undefined {
     return this.#waits.get(jobId);
@@ -182,7 +187,11 @@
     const { store, region, clock, log, shard } = this.#options;
     this.#loseShard();
     await this.writer.load();
-    const fencingToken = await takeFencingToken(store, region);
+    const fencingToken = await takeFencingToken(
+      store,
+      region,
+      this.writer.record?.fencingToken ?? 0,
+    );
     const sinceMs = clock.monotonicMs();
     await this.#writeFencingToken(fencingToken);
     this.#active = { fencingToken, sinceMs };
--- a/src/jobs/fencing.ts
+++ b/src/jobs/fencing.ts
@@ -15,21 +15,27 @@
   return entry === undefined ? 0 : Number(entry.value);
 }
 
-/** Takes a token above every earlier one; a worker refuses lower ones, whichever shard they come from. */
+/** Attempts to raise the counter while other dispatchers raise it too. */
+const MAXIMUM_ATTEMPTS = 8;
+
+/** Returns a token above the one that a shard's last dispatcher wrote to it; a worker refuses lower ones, whichever shard they come from. */
 export async function takeFencingToken(
   store: Store,
   region: string,
+  lastToken: number,
 ): Promise<number> {
   const key = fencingKey(region);
-  const entry = await store.get(key);
-  const token = Number(entry?.value ?? 0) + 1;
-  const result = await store.compareAndSwap({
-    key,
-    expectedVersion: entry?.version ?? 0,
-    value: String(token),
-  });
-  if (result.kind === "conflict") {
-    throw new StoreError("unavailable", "Another dispatcher took the token");
+  for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
+    const entry = await store.get(key);
+    const newest = Number(entry?.value ?? 0);
+    // The shard's last dispatcher can't have used a token that it didn't write.
+    if (newest > lastToken) return newest;
+    const result = await store.compareAndSwap({
+      key,
+      expectedVersion: entry?.version ?? 0,
+      value: String(newest + 1),
+    });
+    if (result.kind === "swapped") return newest + 1;
   }
-  return token;
+  throw new StoreError("unavailable", "Other dispatchers took the tokens");
 }
--- /dev/null
+++ b/src/jobs/forward.ts
@@ -0,0 +1,65 @@
+import { Agent, request } from "undici";
+import {
+  FORWARDED_BY_HEADER,
+  IDEMPOTENCY_KEY_HEADER,
+  OUTCOME_HEADER,
+} from "../constants.ts";
+import { isNotSent } from "../platform/http_json.ts";
+import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
+import type { JobCall, JobReply } from "./job_reply.ts";
+
+/** Time in which a shard's owner must answer, in ms; longer than its own wait for the store. */
+const FORWARD_TIMEOUT_MS = 5_000;
+/** Time after which another entry may own the shard, in ms. */
+const UNREACHABLE_RETRY_MS = 2_000;
+
+const agent = new Agent({ connect: { timeout: 1_000 }, pipelining: 1 });
+
+/** Sends a call to the shard's owner. Rejects with a `JobRefusedError` if it provably didn't arrive, or reads only, and with a `JobOutcomeUnknownError` otherwise. */
+export async function forwardCall(
+  call: JobCall,
+  options: { readonly address: string; readonly entryId: string },
+): Promise<JobReply> {
+  try {
+    const response = await request(`http://${options.address}${call.url}`, {
+      dispatcher: agent,
+      method: call.method as "GET" | "POST" | "DELETE",
+      signal: AbortSignal.timeout(FORWARD_TIMEOUT_MS),
+      headers: {
+        [FORWARDED_BY_HEADER]: options.entryId,
+        ...(call.key === undefined ? {} : {
+          [IDEMPOTENCY_KEY_HEADER]: call.key,
+        }),
+        ...(call.body === undefined ? {} : {
+          "content-type": "application/json",
+        }),
+      },
+      body: call.body ?? null,
+    });
+    const body = Buffer.from(await response.body.arrayBuffer());
+    const headers = ["content-type", "retry-after"].flatMap((name) => {
+      const value = response.headers[name];
+      return typeof value === "string" ? [name, value] : [];
+    });
+    const outcome = response.headers[OUTCOME_HEADER];
+    return {
+      status: response.statusCode,
+      outcome: outcome === "answer" || outcome === "not_run"
+        ? outcome
+        : "outcome_unknown",
+      headers,
+      body,
+    };
+  } catch (error) {
+    if (call.method === "GET" || isNotSent(error)) {
+      throw new JobRefusedError(
+        "owner_unreachable",
+        "The entry that owns the shard can't be reached",
+        UNREACHABLE_RETRY_MS,
+      );
+    }
+    throw new JobOutcomeUnknownError(
+      "The shard's owner didn't answer; ask again with the key",
+    );
+  }
+}
--- /dev/null
+++ b/src/jobs/jobs.ts
@@ -0,0 +1,92 @@
+import { type Operation, sleep, spawn, type Task } from "effection";
+import type { Observable } from "../observable.ts";
+import type { EntryDigest } from "../peers/messages.ts";
+import type { CallServerOptions } from "../requests/serve_call.ts";
+import {
+  Dispatcher,
+  type DispatcherOptions,
+  runDispatcher,
+} from "./dispatcher.ts";
+import { JobMemory } from "./job_memory.ts";
+import { SHARD_COUNT } from "./job_key.ts";
+import { ownerOf } from "./ownership.ts";
+import { JobRoutes, JOBS_PATH } from "./routes.ts";
+import { WorkerReports } from "./worker_reports.ts";
+
+/** Time between two reviews of the shards' owners, in ms. */
+const REVIEW_INTERVAL_MS = 500;
+
+/** What the jobs of one entry work with. */
+export interface JobsOptions
+  extends Omit<DispatcherOptions, "shard" | "holder" | "reports" | "memory"> {
+  readonly entryId: string;
+  /** Digests of the region's live entries, this one included. */
+  readonly entries: Observable<readonly EntryDigest[]>;
+}
+
+/** Jobs on one entry. */
+export interface Jobs {
+  /** Answers the calls under `/.cowslipferry/jobs`. */
+  readonly systemCalls: NonNullable<CallServerOptions["systemCalls"]>;
+  /** Runs the dispatchers of the shards that this entry owns until it is halted. */
+  run(): Operation<void>;
+}
+
+/** Creates the jobs of one entry. */
+export function createJobs(options: JobsOptions): Jobs {
+  const { entryId, entries, agent, clock } = options;
+  const memory = new JobMemory();
+  const reports = new WorkerReports(agent, clock);
+  const running = new Map<
+    number,
+    { dispatcher: Dispatcher; task: Task<void> }
+  >();
+  const routes = new JobRoutes({
+    ...options,
+    dispatcherOf: (shard) => running.get(shard)?.dispatcher,
+  });
+
+  function* start(shard: number): Operation<void> {
+    const holder = entryId;
+    const dispatcher = new Dispatcher({
+      ...options,
+      shard,
+      holder,
+      reports,
+      memory,
+    });
+    const task = yield* spawn(() => runDispatcher(dispatcher));
+    running.set(shard, { dispatcher, task });
+  }
+
+  function* review(): Operation<void> {
+    const digests = entries.get();
+    for (let shard = 0; shard < SHARD_COUNT; shard++) {
+      const owner = ownerOf(shard, options, digests);
+      const owned = owner.callerAddress === undefined;
+      const known = running.get(shard);
+      if (owned && known === undefined) yield* start(shard);
+      if (!owned && known !== undefined) {
+        running.delete(shard);
+        yield* known.task.halt();
+      }
+    }
+  }
+
+  return {
+    systemCalls: {
+      pathPrefix: JOBS_PATH,
+      async handle(call) {
+        const { outcome, ...response } = await routes.handle(call);
+        return { kind: "forwarded", outcome, response };
+      },
+    },
+    *run() {
+      running.clear();
+      while (true) {
+        yield* review();
+        yield* sleep(REVIEW_INTERVAL_MS);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/jobs/ownership.ts
@@ -0,0 +1,34 @@
+import type { EntryDigest } from "../peers/messages.ts";
+import { rendezvousHash } from "../requests/rendezvous_hash.ts";
+
+/** The entry that owns a shard. */
+export interface ShardOwner {
+  readonly entryId: string;
+  /** `host:port` of the owner's callers' port; undefined for this entry. */
+  readonly callerAddress: string | undefined;
+}
+
+/** Chooses a shard's owner among the live entries; all entries with the same view choose alike. */
+export function ownerOf(
+  shard: number,
+  own: { readonly entryId: string; readonly region: string },
+  entries: readonly EntryDigest[],
+): ShardOwner {
+  const { entryId, region } = own;
+  const stopping = entries.some((digest) =>
+    digest.entryId === entryId && digest.stopping
+  );
+  const candidates = new Map<string, string | undefined>();
+  for (const digest of entries) {
+    if (digest.region !== region || digest.stopping || !digest.ready) continue;
+    candidates.set(digest.entryId, digest.callerAddress);
+  }
+  if (!stopping || candidates.size === 0) candidates.set(entryId, undefined);
+  const score = (id: string) => rendezvousHash(id, `shard ${shard}`);
+  const [best] = [...candidates.keys()].sort((a, b) =>
+    score(b) - score(a) || (a < b ? -1 : 1)
+  );
+  return best === entryId
+    ? { entryId, callerAddress: undefined }
+    : { entryId: best!, callerAddress: candidates.get(best!) };
+}
--- a/src/jobs/paused_dispatcher_test.ts
+++ b/src/jobs/paused_dispatcher_test.ts
@@ -3,6 +3,7 @@
 import { createFakeStore } from "../../testing/fake_store.ts";
 import { REGION } from "../../testing/fleet_world.ts";
 import { chooseSeed, createRandom } from "../../testing/random.ts";
+import { readBusyWorkers } from "./busy_workers.ts";
 import { issueJobKey } from "./job_key.ts";
 import { createShardRecord, ShardDraft, shardKey } from "./shard.ts";
 import { cancelJob, submitJob } from "./submission.ts";
@@ -71,7 +72,11 @@
   const pair = createPair();
   const { jobs, second, store } = pair;
   const key = await freezeBeforeRun(pair);
+  // A drain must wait for a task that no report shows yet.
+  const busy = await readBusyWorkers(store, REGION);
+  assert.equal([...busy.values()], [1]);
   await runFor(jobs, second, 30);
+  assert.is((await readBusyWorkers(store, REGION)).size, 0);
   const outcome = outcomeOf(storedJobs(store, 0).get(key.key));
   assert.equal(outcome, { kind: "succeeded" });
   // The worker doesn't remember tasks that ended long ago.
--- /dev/null
+++ b/src/jobs/routes.ts
@@ -0,0 +1,325 @@
+import { z } from "zod";
+import type { Clock } from "../clock.ts";
+import type { AppliedConfig } from "../config/schema.ts";
+import { ValidationError } from "../errors.ts";
+import type { Observable } from "../observable.ts";
+import type { EntryDigest } from "../peers/messages.ts";
+import { parseJson, parseWithSchema } from "../validation.ts";
+import type { Dispatcher } from "./dispatcher.ts";
+import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
+import { forwardCall } from "./forward.ts";
+import { type Job, type JobSpec, jobSpecSchema } from "./job.ts";
+import {
+  issueJobKey,
+  JOB_KEY_LIFETIME_MS,
+  type JobKey,
+  parseJobKey,
+  SHARD_COUNT,
+} from "./job_key.ts";
+import {
+  answerJson,
+  type JobCall,
+  type JobReply,
+  replyToError,
+} from "./job_reply.ts";
+import { ownerOf } from "./ownership.ts";
+import { cancelJob, submitJob } from "./submission.ts";
+
+/** Path of the jobs on the callers' port. */
+export const JOBS_PATH = "/.cowslipferry/jobs";
+/** Time within which the store must confirm a change, in ms. */
+const CHANGE_DEADLINE_MS = 3_000;
+/** Time after which a shard that changes hands has an owner again, in ms. */
+const NOT_OWNER_RETRY_MS = 1_000;
+/** Jobs that one list shows at most. */
+const MAXIMUM_LISTED_JOBS = 1_000;
+
+const cancelSchema = z.strictObject({
+  jobIds: z.array(z.string()).min(1).max(5_000),
+});
+
+/** What the calls about jobs work with. */
+export interface JobRoutesOptions {
+  readonly entryId: string;
+  readonly region: string;
+  readonly entries: Observable<readonly EntryDigest[]>;
+  readonly config: Observable<AppliedConfig | undefined>;
+  /** The shard's dispatcher while this entry runs it. */
+  readonly dispatcherOf: (shard: number) => Dispatcher | undefined;
+  readonly clock: Clock;
+}
+
+/** Answers calls about jobs here or at the shard's owner. */
+export class JobRoutes {
+  #options: JobRoutesOptions;
+
+  constructor(options: JobRoutesOptions) {
+    this.#options = options;
+  }
+
+  /** Answers one call; rejects only with internal errors. */
+  async handle(call: JobCall): Promise<JobReply> {
+    try {
+      return await this.#route(call);
+    } catch (error) {
+      if (error instanceof ValidationError) {
+        return {
+          ...answerJson(400, { error: error.toJSON() }),
+          outcome: "not_run",
+        };
+      }
+      return replyToError(error);
+    }
+  }
+
+  #route(call: JobCall): Promise<JobReply> | JobReply {
+    const url = new URL(call.url, "http://localhost");
+    const rest = url.pathname.slice(JOBS_PATH.length).replace(/^\//, "");
+    const route = `${call.method} ${rest}`;
+    if (route === "POST keys") return this.#issue();
+    if (route === "POST ") return this.#submit(call);
+    if (route === "POST cancel") return this.#cancelMany(call);
+    if (route === "GET ") return this.#list(call, url.searchParams);
+    if (call.method === "GET") return this.#get(call, requireKey(rest));
+    if (call.method === "DELETE") {
+      return this.#cancelOne(call, requireKey(rest));
+    }
+    throw new JobRefusedError("unknown_job", "There is no such resource");
+  }
+
+  #issue(): JobReply {
+    const { key, issuedAtMs } = issueJobKey(this.#options.clock.wallMs());
+    const expiresAtMs = issuedAtMs + JOB_KEY_LIFETIME_MS;
+    return answerJson(201, { key, expiresAtMs });
+  }
+
+  /** Forwards a call to the shard's owner; returns undefined if this entry owns the shard. */
+  #forward(call: JobCall, shard: number): Promise<JobReply> | undefined {
+    const { entryId, entries } = this.#options;
+    const owner = ownerOf(shard, this.#options, entries.get());
+    if (call.forwardedBy !== undefined || owner.callerAddress === undefined) {
+      return undefined;
+    }
+    return forwardCall(call, { address: owner.callerAddress, entryId });
+  }
+
+  #dispatcher(shard: number): Dispatcher {
+    const dispatcher = this.#options.dispatcherOf(shard);
+    if (dispatcher?.jobs === undefined) {
+      throw new JobRefusedError(
+        "not_owner",
+        "The job's shard has no dispatcher at the moment",
+        NOT_OWNER_RETRY_MS,
+      );
+    }
+    return dispatcher;
+  }
+
+  #checkSpec(spec: JobSpec): void {
+    const config = this.#options.config.get()?.config;
+    if (config === undefined) return;
+    const { region } = this.#options;
+    const known = config.pools.some((pool) =>
+      pool.name === spec.pool && pool.region === region
+    );
+    if (!known) {
+      const message = `The region has no pool named '${spec.pool}'`;
+      throw new JobRefusedError("unknown_pool", message);
+    }
+    if (!config.teams.some((team) => team.name === spec.team)) {
+      const message = `There is no team named '${spec.team}'`;
+      throw new JobRefusedError("unknown_team", message);
+    }
+  }
+
+  async #submit(call: JobCall): Promise<JobReply> {
+    const key = requireKey(call.key ?? "");
+    const spec = parseWithSchema(jobSpecSchema, parseBody(call), "job");
+    this.#checkSpec(spec);
+    try {
+      return await (this.#forward(call, key.shard) ??
+        this.#submitHere(key, spec));
+    } catch (error) {
+      const reply = replyToError(error);
+      const writer = this.#options.dispatcherOf(key.shard)?.writer;
+      // An earlier submit with this key may have been accepted.
+      const unproven = reply.status === 503 &&
+        writer?.provesAbsence(key.key) !== true;
+      return unproven ? { ...reply, outcome: "outcome_unknown" } : reply;
+    }
+  }
+
+  async #submitHere(key: JobKey, spec: JobSpec): Promise<JobReply> {
+    const { writer } = this.#dispatcher(key.shard);
+    const known = writer.record!.jobs.has(key.key);
+    const job = await withDeadline(
+      writer.change((draft) => submitJob(draft, key, spec), {
+        deadlineMs: CHANGE_DEADLINE_MS,
+        jobId: key.key,
+        // A job that is already stored is found without a write, also during an outage.
+        probes: known,
+      }),
+    );
+    return answerJson(known ? 200 : 201, this.#describe(job));
+  }
+
+  #get(call: JobCall, key: JobKey): Promise<JobReply> | JobReply {
+    const forwarded = this.#forward(call, key.shard);
+    if (forwarded !== undefined) return forwarded;
+    const job = this.#dispatcher(key.shard).jobs!.get(key.key);
+    if (job === undefined) {
+      throw new JobRefusedError("unknown_job", "There is no job with this id");
+    }
+    return answerJson(200, this.#describe(job));
+  }
+
+  #describe(job: Job): unknown {
+    const shard = parseJobKey(job.id)!.shard;
+    const waitReason = job.state.kind === "queued"
+      ? this.#options.dispatcherOf(shard)?.waitReason(job.id)
+      : undefined;
+    return { ...job, waitReason };
+  }
+
+  async #cancelOne(call: JobCall, key: JobKey): Promise<JobReply> {
+    const forwarded = this.#forward(call, key.shard);
+    if (forwarded !== undefined) return await forwarded;
+    const [result] = await this.#cancelHere(key.shard, [key.key]);
+    if (result?.kind === "unknown_job") {
+      throw new JobRefusedError("unknown_job", "There is no job with this id");
+    }
+    return answerJson(200, result);
+  }
+
+  /** Cancels jobs of one shard in one change. */
+  async #cancelHere(shard: number, jobIds: readonly string[]) {
+    const change = this.#dispatcher(shard).writer.change(
+      (draft) => jobIds.map((jobId) => ({ jobId, ...cancelJob(draft, jobId) })),
+      { deadlineMs: CHANGE_DEADLINE_MS },
+    );
+    return await withDeadline(change);
+  }
+
+  async #cancelMany(call: JobCall): Promise<JobReply> {
+    const { jobIds } = parseWithSchema(cancelSchema, parseBody(call), "cancel");
+    const shards = new Map<number, string[]>();
+    for (const jobId of new Set(jobIds)) {
+      const { shard } = requireKey(jobId);
+      shards.set(shard, [...shards.get(shard) ?? [], jobId]);
+    }
+    const results = await Promise.all(
+      [...shards].map(([shard, ids]) => this.#cancelShard(call, shard, ids)),
+    );
+    return answerJson(200, { results: results.flat() });
+  }
+
+  /** Returns a result for each job, also when the shard refuses. */
+  async #cancelShard(call: JobCall, shard: number, jobIds: string[]) {
+    try {
+      const body = Buffer.from(JSON.stringify({ jobIds }));
+      const forwarded = this.#forward({ ...call, body }, shard);
+      if (forwarded === undefined) return await this.#cancelHere(shard, jobIds);
+      const reply = await forwarded;
+      const data = JSON.parse(reply.body.toString());
+      if (reply.status === 200) return data.results;
+      return jobIds.map((jobId) => ({ jobId, ...data }));
+    } catch (error) {
+      const reply = replyToError(error);
+      const data = JSON.parse(reply.body.toString());
+      const { outcome } = reply;
+      return jobIds.map((jobId) => ({
+        jobId,
+        kind: "error",
+        outcome,
+        ...data,
+      }));
+    }
+  }
+
+  async #list(call: JobCall, query: URLSearchParams): Promise<JobReply> {
+    const all = Array.from({ length: SHARD_COUNT }, (_, shard) => shard);
+    if (call.forwardedBy !== undefined) {
+      return answerJson(200, this.#listHere(all, query));
+    }
+    const { entryId, entries } = this.#options;
+    const owners = new Map<string | undefined, number[]>();
+    for (const shard of all) {
+      const owner = ownerOf(shard, this.#options, entries.get()).callerAddress;
+      owners.set(owner, [...owners.get(owner) ?? [], shard]);
+    }
+    const parts = await Promise.all(
+      [...owners].map(async ([address, shards]) => {
+        if (address === undefined) return this.#listHere(shards, query);
+        try {
+          const reply = await forwardCall(call, { address, entryId });
+          const part = JSON.parse(reply.body.toString());
+          const missing = (shard: number) => part.missing.includes(shard);
+          return { jobs: part.jobs, missing: shards.filter(missing) };
+        } catch {
+          return { jobs: [], missing: shards };
+        }
+      }),
+    );
+    const jobs = parts.flatMap((part) => part.jobs as Job[])
+      .slice(0, MAXIMUM_LISTED_JOBS);
+    return answerJson(200, {
+      jobs,
+      /** Shards that no entry could list now. */
+      missing: parts.flatMap((part) => part.missing),
+    });
+  }
+
+  #listHere(shards: readonly number[], query: URLSearchParams) {
+    const matches = (job: Job) =>
+      (query.get("pool") ?? job.spec.pool) === job.spec.pool &&
+      (query.get("team") ?? job.spec.team) === job.spec.team &&
+      (query.get("state") ?? job.state.kind) === job.state.kind;
+    const jobs: unknown[] = [];
+    const missing: number[] = [];
+    for (const shard of shards) {
+      const known = this.#options.dispatcherOf(shard)?.jobs;
+      if (known === undefined) missing.push(shard);
+      for (const job of known?.values() ?? []) {
+        if (jobs.length >= MAXIMUM_LISTED_JOBS) break;
+        if (matches(job)) jobs.push(this.#describe(job));
+      }
+    }
+    return { jobs, missing };
+  }
+}
+
+function requireKey(text: string): JobKey {
+  const key = parseJobKey(text);
+  if (key === undefined) {
+    throw new JobRefusedError(
+      "malformed_key",
+      "The key or job id isn't one that the system issues",
+    );
+  }
+  return key;
+}
+
+function parseBody(call: JobCall): unknown {
+  return parseJson(call.body?.toString() ?? "", "request body");
+}
+
+/** Ends the wait for a change at its deadline, also while a call to the store hangs. */
+async function withDeadline<T>(change: Promise<T>): Promise<T> {
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<never>((_, reject) => {
+    timer = setTimeout(
+      () =>
+        reject(
+          new JobOutcomeUnknownError(
+            "The store didn't confirm the change in time; ask again with the key",
+          ),
+        ),
+      CHANGE_DEADLINE_MS,
+    );
+  });
+  try {
+    return await Promise.race([change, late]);
+  } finally {
+    clearTimeout(timer);
+  }
+}
--- a/src/jobs/shard_writer.ts
+++ b/src/jobs/shard_writer.ts
@@ -71,6 +71,12 @@
     return this.#record;
   }
 
+  /** Whether the shard is known not to hold a job; false while a write is under way or unresolved. */
+  provesAbsence(jobId: string): boolean {
+    return this.#record !== undefined && this.#unresolved === undefined &&
+      this.#flushing === undefined && !this.#record.jobs.has(jobId);
+  }
+
   /** Notes that the store answered another call, which ends the refusals of an outage. */
   storeAnswered(): void {
     this.#failures = 0;
--- a/src/requests/request_path.ts
+++ b/src/requests/request_path.ts
@@ -18,7 +18,7 @@
 import { type MetricSummary, RequestMetrics } from "./request_metrics.ts";
 import { Router } from "./router.ts";
 import { RequestRunner } from "./run_request.ts";
-import { CallServer } from "./serve_call.ts";
+import { CallServer, type CallServerOptions } from "./serve_call.ts";
 import { addRetryJitter } from "./shedding.ts";
 
 /** What the request path works with. */
@@ -32,6 +32,8 @@
   /** Digests of all live entries of the region, this one included. */
   readonly entries: Observable<readonly EntryDigest[]>;
   readonly contacts: ContactTracker;
+  /** Answers the calls about jobs, when the entry runs them. */
+  readonly systemCalls?: CallServerOptions["systemCalls"];
   readonly clock: Clock;
   readonly log: Logger;
 }
@@ -141,6 +143,7 @@
         ? runner.run(request, service)
         : keyed.handle(request, service),
     issueKey: () => keyed.issue(),
+    systemCalls: options.systemCalls,
     refusals,
     metrics,
     clock,
--- a/src/requests/serve_call.ts
+++ b/src/requests/serve_call.ts
@@ -46,12 +46,27 @@
     service: ServiceConfig,
   ) => Operation<Outcome>;
   readonly issueKey: () => IssuedKey;
+  /** Answers calls whose path starts with the prefix, outside of any service. */
+  readonly systemCalls?: {
+    readonly pathPrefix: string;
+    readonly handle: (call: SystemCall) => Promise<Outcome>;
+  } | undefined;
   readonly refusals: RefusalLog;
   readonly metrics: RequestMetrics;
   readonly clock: Clock;
   readonly log: Logger;
 }
 
+/** A call for one of the system's own resources. */
+export interface SystemCall {
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly url: string;
+  readonly body: Buffer | undefined;
+  readonly key: string | undefined;
+  readonly forwardedBy: string | undefined;
+}
+
 /** Time after which an entry that starts has its configuration, in ms. */
 const CONFIGURED_RETRY_MS = 1_000;
 /** Announced length above which an unread body isn't waited for, in bytes. */
@@ -128,10 +143,16 @@
     let service = "";
     let outcome: Outcome;
     try {
-      const config = this.#resolveService(call);
-      service = config.name;
-      const callerRequest = yield* this.#receive(call, requestId, config);
-      outcome = yield* this.#options.handle(callerRequest, config);
+      const { systemCalls } = this.#options;
+      if (isBelow(call.url, systemCalls?.pathPrefix)) {
+        const systemCall = yield* this.#receiveSystemCall(call);
+        outcome = yield* until(systemCalls!.handle(systemCall));
+      } else {
+        const config = this.#resolveService(call);
+        service = config.name;
+        const callerRequest = yield* this.#receive(call, requestId, config);
+        outcome = yield* this.#options.handle(callerRequest, config);
+      }
     } catch (error) {
       outcome = this.#outcomeOfError(error, requestId, service);
       if (isUncheckedKey(call, outcome)) {
@@ -184,6 +205,22 @@
     return found;
   }
 
+  *#receiveSystemCall(call: IncomingCall): Operation<SystemCall> {
+    const { request } = call;
+    this.#options.checkOpen();
+    const { requestReadTimeoutMs } = this.#options.limits;
+    const body = announcesBody(request)
+      ? yield* this.#readBody(call, requestReadTimeoutMs)
+      : undefined;
+    return {
+      method: request.method ?? "GET",
+      url: call.url,
+      body,
+      key: singleHeader(request, IDEMPOTENCY_KEY_HEADER),
+      forwardedBy: singleHeader(request, FORWARDED_BY_HEADER),
+    };
+  }
+
   *#receive(
     call: IncomingCall,
     requestId: string,
@@ -284,6 +321,12 @@
   }
 }
 
+/** Whether a URL's path is a resource or one below it. */
+function isBelow(url: string, path: string | undefined): boolean {
+  return path !== undefined && url.startsWith(path) &&
+    (url.length === path.length || "/?".includes(url[path.length]!));
+}
+
 /** Whether so much of a body is left that the connection can't wait for its end. */
 function isLongUnread(request: IncomingMessage): boolean {
   if (request.complete || !announcesBody(request)) return false;
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -15,6 +15,7 @@
 } from "./contact_tracker.ts";
 import { createEntryState, type EntryState } from "./entry_state.ts";
 import type { FleetRecord } from "./fleet/record.ts";
+import { createJobs, type Jobs } from "./jobs/jobs.ts";
 import { createLoggerFactory, type LoggerFactory } from "./logger.ts";
 import { createObservable, type MutableObservable } from "./observable.ts";
 import type { EntryDigest } from "./peers/messages.ts";
@@ -57,6 +58,7 @@
   supervisor: token<Supervisor>("supervisor"),
   /** Undefined when the entry serves no callers. */
   requestPath: token<RequestPath | undefined>("requestPath"),
+  jobs: token<Jobs>("jobs"),
   peers: token<Peers>("peers"),
   adminServer: token<Server>("adminServer"),
   vmSnapshot: token<MutableObservable<VmListSnapshot | undefined>>(
@@ -122,11 +124,28 @@
     vmList: parts.resolve(TOKENS.vmSnapshot),
     entries: parts.resolve(TOKENS.entries),
     contacts: parts.resolve(TOKENS.contacts),
+    systemCalls: parts.resolve(TOKENS.jobs).systemCalls,
     clock: parts.resolve(TOKENS.clock),
     log: parts.resolve(TOKENS.loggers)("front"),
   });
 }
 
+function createEntryJobs(parts: DependencyContainer): Jobs {
+  const { entryId, region } = parts.resolve(TOKENS.settings);
+  return createJobs({
+    entryId,
+    region,
+    store: parts.resolve(TOKENS.store),
+    agent: parts.resolve(TOKENS.workerAgent),
+    config: parts.resolve(TOKENS.config),
+    fleet: parts.resolve(TOKENS.fleet),
+    vmList: parts.resolve(TOKENS.vmSnapshot),
+    entries: parts.resolve(TOKENS.entries),
+    clock: parts.resolve(TOKENS.clock),
+    log: parts.resolve(TOKENS.loggers)("jobs"),
+  });
+}
+
 function createEntryPeers(parts: DependencyContainer): Peers {
   const { entryId, region, listen } = parts.resolve(TOKENS.settings);
   const state = parts.resolve(TOKENS.state);
@@ -196,6 +215,7 @@
     TOKENS.supervisor,
     () => createSupervisor(parts.resolve(TOKENS.loggers)("supervisor")),
   );
+  single(TOKENS.jobs, () => createEntryJobs(parts));
   single(TOKENS.requestPath, () => createEntryRequestPath(parts));
   single(TOKENS.peers, () => createEntryPeers(parts));
   // A restarted part needs a new server.
