--- /dev/null
+++ b/bench/jobs/counting_store.ts
@@ -0,0 +1,49 @@
+import type { Lease, Store, StoreEntry } from "../../src/platform/store.ts";
+
+/** An in-memory store without faults that keeps only the latest values and counts its calls. */
+export interface CountingStore extends Store {
+  /** Writes of values, leases left out. */
+  writes: number;
+  /** Acquired and renewed leases. */
+  leaseCalls: number;
+  advance(ms: number): void;
+}
+
+/** Creates a store with a clock of its own. */
+export function createCountingStore(): CountingStore {
+  const values = new Map<string, StoreEntry>();
+  const leases = new Map<string, { lease: Lease; endMs: number }>();
+  let nowMs = 0;
+  const store: CountingStore = {
+    writes: 0,
+    leaseCalls: 0,
+    advance(ms) {
+      nowMs += ms;
+    },
+    get: (key) => Promise.resolve(values.get(key)),
+    compareAndSwap({ key, expectedVersion, value }) {
+      store.writes++;
+      const version = values.get(key)?.version ?? 0;
+      if (version !== expectedVersion) {
+        return Promise.resolve({ kind: "conflict", version });
+      }
+      values.set(key, { value, version: version + 1 });
+      return Promise.resolve({ kind: "swapped", version: version + 1 });
+    },
+    watch: () => Promise.resolve(undefined),
+    acquireLease(name, { holder, ttlMs }) {
+      store.leaseCalls++;
+      const known = leases.get(name);
+      const kept = known !== undefined && known.endMs > nowMs;
+      if (kept && known.lease.holder !== holder) {
+        return Promise.resolve({ kind: "held", holder: known.lease.holder });
+      }
+      const fencingToken = (known?.lease.fencingToken ?? 0) + (kept ? 0 : 1);
+      const lease = { name, holder, ttlMs, fencingToken };
+      leases.set(name, { lease, endMs: nowMs + ttlMs });
+      return Promise.resolve({ kind: "granted", lease });
+    },
+    releaseLease: () => Promise.resolve(),
+  };
+  return store;
+}
--- /dev/null
+++ b/bench/jobs/first_fit.ts
@@ -0,0 +1,117 @@
+import type { ResolvedConfig } from "../../src/config/schema.ts";
+import { issueJobKey } from "../../src/jobs/job_key.ts";
+import type { JobSpec, Size } from "../../src/jobs/job.ts";
+import { addSize, fits, NO_SIZE } from "../../src/jobs/size.ts";
+import type { FakeJobs } from "../../testing/fake_jobs.ts";
+import type { CountingStore } from "./counting_store.ts";
+
+/** Runs of an idempotent job at most. */
+const MAXIMUM_ATTEMPTS = 3;
+const LEASE_MS = 86_400_000;
+
+interface QueuedJob {
+  readonly jobId: string;
+  readonly spec: JobSpec;
+  attempts: number;
+}
+
+interface RunningJob extends QueuedJob {
+  readonly vmId: string;
+  readonly taskId: string;
+}
+
+/** The comparison: first come, first served, on the first worker with room for the declared size; one store write for each change of a job. */
+export class FirstFit {
+  readonly ended = new Map<string, number>();
+  #queue: QueuedJob[] = [];
+  #running: RunningJob[] = [];
+  #jobs: FakeJobs;
+  #store: CountingStore;
+  #quotas: Map<string, Size>;
+
+  constructor(jobs: FakeJobs, store: CountingStore, config: ResolvedConfig) {
+    this.#jobs = jobs;
+    this.#store = store;
+    this.#quotas = new Map(config.teams.map(({ name, quota }) => [name, {
+      cores: quota.cores ?? Infinity,
+      memoryMb: quota.memoryMb ?? Infinity,
+      accelerators: quota.accelerators ?? Infinity,
+    }]));
+  }
+
+  submit(spec: JobSpec): string {
+    const jobId = issueJobKey(this.#jobs.nowMs).key;
+    this.#store.writes++;
+    this.#queue.push({ jobId, spec, attempts: 0 });
+    return jobId;
+  }
+
+  async step(): Promise<void> {
+    this.#collect();
+    const free = new Map<string, Size>();
+    const use = new Map<string, Size>();
+    for (const { vm } of this.#jobs.workers.values()) free.set(vm.id, vm);
+    for (const { vmId, spec } of this.#running) {
+      free.set(vmId, addSize(free.get(vmId)!, spec, -1));
+      use.set(spec.team, addSize(use.get(spec.team) ?? NO_SIZE, spec));
+    }
+    const waiting: QueuedJob[] = [];
+    for (const job of this.#queue) {
+      const { spec } = job;
+      const wanted = addSize(use.get(spec.team) ?? NO_SIZE, spec);
+      const worker = fits(wanted, this.#quotas.get(spec.team)!)
+        ? [...this.#jobs.workers.values()].find(({ vm }) =>
+          vm.pool === spec.pool && fits(spec, free.get(vm.id)!)
+        )
+        : undefined;
+      if (worker === undefined) {
+        waiting.push(job);
+        continue;
+      }
+      const vmId = worker.vm.id;
+      free.set(vmId, addSize(free.get(vmId)!, spec, -1));
+      use.set(spec.team, wanted);
+      await this.#start(job, vmId);
+    }
+    this.#queue = waiting;
+  }
+
+  async #start(job: QueuedJob, vmId: string): Promise<void> {
+    const { jobId, spec } = job;
+    const attempts = job.attempts + 1;
+    const { cores, memoryMb, accelerators } = spec;
+    const taskId = [
+      ...[jobId, attempts, spec.team, spec.jobClass, spec.priority],
+      ...[cores, memoryMb, accelerators],
+    ].join("~");
+    this.#store.writes++;
+    await this.#jobs.agent.runTask(vmId, {
+      taskId,
+      fencingToken: 1,
+      incarnation: this.#jobs.workers.get(vmId)!.vm.incarnation,
+      command: spec.command,
+      cores,
+      memoryMb,
+      accelerators,
+      leaseMs: LEASE_MS,
+    });
+    this.#running.push({ jobId, spec, attempts, vmId, taskId });
+  }
+
+  /** Takes up what the workers report. */
+  #collect(): void {
+    this.#running = this.#running.filter((job) => {
+      const worker = this.#jobs.workers.get(job.vmId)!;
+      const state = worker.reports[0]?.tasks.find(({ taskId }) =>
+        taskId === job.taskId
+      )?.state;
+      if (state !== "succeeded" && state !== "failed") return true;
+      this.#store.writes++;
+      const again = state === "failed" && job.spec.idempotent &&
+        job.attempts < MAXIMUM_ATTEMPTS;
+      if (again) this.#queue.push({ ...job });
+      else this.ended.set(job.jobId, this.#jobs.nowMs);
+      return false;
+    });
+  }
+}
--- a/src/jobs/decisions_test.ts
+++ b/src/jobs/decisions_test.ts
@@ -196,10 +196,14 @@
   const fullOther = createWorker("w1", { tasks: [createTask("x", 16)] });
   assert.is(place([failed], [w0, fullOther]).a, "no_capacity");
   const held = createWorker("w0", {
-    held: { jobId: "urgent", size: size(16) },
+    held: { jobId: "urgent", team: "t", size: size(16) },
   });
   assert.is(place([small], [held]).small, "no_capacity");
   assert.is(place([createCandidate("urgent", size(16))], [held]).urgent, "w0");
+  const atQuota = (jobId: string) =>
+    place([createCandidate(jobId, size(1))], [held, w1], { cores: 16 })[jobId];
+  assert.is(atQuota("small"), "quota", "quota is held as well");
+  assert.is(atQuota("urgent"), "w0", "its own hold doesn't count twice");
   assert.is(place([small], []).small, "no_worker", "nothing is known yet");
   const gpu = createWorker("w1", { capacity: size(16, 1_000, 4) });
   assert.is(place([small], [gpu, w0]).small, "w0", "accelerators stay free");
@@ -213,10 +217,25 @@
   const few = createWorker("w1", {
     tasks: [createTask("f1", 12), createTask("f2", 4, { urgent: true })],
   });
-  const need = { jobId: "u", pool: "a", size: size(8) };
+  const need = {
+    jobId: "u",
+    pool: "a",
+    team: "t",
+    size: size(8),
+    exceedsQuota: false,
+  };
   const [plan] = planPreemptions([need], [many, few]);
-  assert.is(plan?.vmId, "w1");
-  assert.equal(plan?.victims.map((task) => task.identity.jobId), ["f1"]);
+  assert.is(plan?.worker.vmId, "w1");
+  const ids = (victims = plan?.victims) =>
+    victims?.map(({ task }) => task.identity.jobId);
+  assert.equal(ids(), ["f1"]);
+  const empty = createWorker("w3");
+  const [quota] = planPreemptions([{ ...need, exceedsQuota: true }], [
+    many,
+    empty,
+  ]);
+  assert.is(quota?.worker.vmId, "w3", "room is there, the quota is not");
+  assert.equal(ids(quota?.victims), ["m1", "m2"]);
   const urgentOnly = createWorker("w2", {
     tasks: [createTask("u1", 16, { urgent: true })],
   });
--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -265,6 +265,9 @@
     if (record === undefined) return "replaced";
     memory.owned.set(shard, record.jobs);
     this.#waits = plan.waits;
+    for (const { id, state } of plan.changes) {
+      if (state.kind === "assigned") memory.endHold(id);
+    }
     this.#learn(plan.finished, record.jobs);
     const sent = [
       this.#commands.sendRuns(record.jobs, {
--- a/src/jobs/dispatcher_test.ts
+++ b/src/jobs/dispatcher_test.ts
@@ -135,6 +135,8 @@
   const refused = new Set<string>();
 
   function step(dispatcher: Dispatcher): void {
+    // Commits go on beside the steps, as in `runDispatcher`.
+    void dispatcher.writer.flush();
     if (busy.has(dispatcher)) return;
     busy.add(dispatcher);
     dispatcher.step().finally(() => busy.delete(dispatcher));
--- a/src/jobs/job_memory.ts
+++ b/src/jobs/job_memory.ts
@@ -3,7 +3,7 @@
 import { Profiles } from "./profiles.ts";
 import type { Relief } from "./pressure.ts";
 import { type Quarantined, quarantineWorker } from "./quarantine.ts";
-import type { Size } from "./job.ts";
+import type { Held } from "./worker_view.ts";
 
 /** Time for which finished runs are kept for blame, in ms. */
 const EVENT_WINDOW_MS = 600_000;
@@ -13,9 +13,7 @@
 const HOLD_MS = 5_000;
 
 /** Capacity held for an urgent job. */
-export interface Hold {
-  readonly jobId: string;
-  readonly size: Size;
+export interface Hold extends Held {
   readonly untilMs: number;
 }
 
@@ -50,9 +48,15 @@
     this.quarantined.set(vmId, quarantineWorker(known, nowMs));
   }
 
-  hold(vmId: string, hold: { jobId: string; size: Size; nowMs: number }): void {
-    const { jobId, size, nowMs } = hold;
-    this.holds.set(vmId, { jobId, size, untilMs: nowMs + HOLD_MS });
+  hold(vmId: string, held: Held, nowMs: number): void {
+    this.holds.set(vmId, { ...held, untilMs: nowMs + HOLD_MS });
+  }
+
+  /** Ends the hold of a job that was assigned. */
+  endHold(jobId: string): void {
+    for (const [vmId, hold] of this.holds) {
+      if (hold.jobId === jobId) this.holds.delete(vmId);
+    }
   }
 
   /** Returns the hold on a worker unless it has lapsed. */
--- a/src/jobs/jobs_world.ts
+++ b/src/jobs/jobs_world.ts
@@ -23,12 +23,25 @@
   readonly nowMs: number;
 }
 
+// Each started job of each shard looks up its worker in every step.
+const listed = new WeakMap<VmListSnapshot, Map<string, Map<string, Vm>>>();
+
 /** Returns the region's workers in the VM list by id. */
-export function listWorkers(snapshot: VmListSnapshot, region: string) {
-  return new Map(
-    snapshot.vms.filter((vm) => vm.role === "worker" && vm.region === region)
-      .map((vm): [string, Vm] => [vm.id, vm]),
-  );
+export function listWorkers(
+  snapshot: VmListSnapshot,
+  region: string,
+): ReadonlyMap<string, Vm> {
+  const regions = listed.get(snapshot) ?? new Map<string, Map<string, Vm>>();
+  listed.set(snapshot, regions);
+  let workers = regions.get(region);
+  if (workers === undefined) {
+    workers = new Map(
+      snapshot.vms.filter((vm) => vm.role === "worker" && vm.region === region)
+        .map((vm): [string, Vm] => [vm.id, vm]),
+    );
+    regions.set(region, workers);
+  }
+  return workers;
 }
 
 /** Returns the teams' limits by name. */
@@ -86,9 +99,7 @@
     return known;
   };
   for (const vmId of Object.keys(world.fleet.vms)) {
-    for (const status of reports.runningTasks(vmId)) {
-      const identity = parseTaskId(status.taskId);
-      if (identity === undefined) continue;
+    for (const { status, identity } of reports.runningTasks(vmId)) {
       const { taskId, usedCores, usedMemoryMb } = status;
       of(vmId).set(taskId, { taskId, identity, usedCores, usedMemoryMb });
     }
--- a/src/jobs/placement.ts
+++ b/src/jobs/placement.ts
@@ -1,7 +1,7 @@
 import { rendezvousHash } from "../requests/rendezvous_hash.ts";
 import { classOf, type JobSpec, type Size } from "./job.ts";
 import { addSize, fits, NO_SIZE } from "./size.ts";
-import { freeSize, type WorkerView } from "./worker_view.ts";
+import { freeSize, type Held, type WorkerView } from "./worker_view.ts";
 
 /** Time after which a waiting job holds a worker for itself, in ms, so that smaller jobs can't overtake it forever. */
 const HOLD_AFTER_MS = 60_000;
@@ -55,12 +55,14 @@
   readonly teamUse = new Map<string, Size>();
   readonly probed = new Set<string>();
   readonly heldBy = new Map<string, string>();
+  #held = new Map<string, Size>();
   #rackLoad = new Map<string, number>();
 
   constructor(workers: readonly WorkerView[]) {
     for (const worker of workers) {
       this.free.set(worker.vmId, freeSize(worker));
       if (worker.tasks.length > 0) this.probed.add(worker.vmId);
+      if (worker.held !== undefined) this.#hold(worker.held);
       for (const { identity } of worker.tasks) {
         this.#count(worker, identity.team, classOf(identity), identity.size);
       }
@@ -73,6 +75,19 @@
     this.#count(worker, spec.team, classOf(spec), size);
   }
 
+  /** Returns what a job's team uses, with what is held for the team's other jobs. */
+  useFor({ jobId, spec }: Candidate): Size {
+    const use = this.teamUse.get(spec.team) ?? NO_SIZE;
+    const held = this.#held.get(jobId);
+    return held === undefined ? use : addSize(use, held, -1);
+  }
+
+  #hold({ jobId, team, size }: Held): void {
+    this.#held.set(jobId, size);
+    const use = this.teamUse.get(team) ?? NO_SIZE;
+    this.teamUse.set(team, addSize(use, size));
+  }
+
   rackLoad(worker: WorkerView, jobClass: string): number {
     return this.#rackLoad.get(`${worker.rack} ${jobClass}`) ?? 0;
   }
@@ -211,7 +226,7 @@
     if (rejection !== undefined) {
       return { kind: "reject", jobId, reason: rejection };
     }
-    const use = room.teamUse.get(spec.team) ?? NO_SIZE;
+    const use = room.useFor(candidate);
     if (!withinQuota(addSize(use, size), quota)) {
       return { kind: "wait", jobId, reason: "quota" };
     }
--- a/src/jobs/plan_shard.ts
+++ b/src/jobs/plan_shard.ts
@@ -226,10 +226,14 @@
       next.set(job.id, assign(job, worker, { size: decision.size, input }));
     }
   }
-  const needs = candidates.filter(({ jobId, spec }) =>
-    spec.priority === "urgent" && waits.get(jobId) === "no_capacity" &&
-    !world.memory.isHeldFor(jobId, world.nowMs)
-  ).map(({ jobId, spec, size }) => ({ jobId, pool: spec.pool, size }));
+  const needs = candidates.flatMap(({ jobId, spec, size }) => {
+    const reason = waits.get(jobId);
+    const urgent = spec.priority === "urgent" &&
+      (reason === "no_capacity" || reason === "quota");
+    if (!urgent || world.memory.isHeldFor(jobId, world.nowMs)) return [];
+    const { pool, team } = spec;
+    return [{ jobId, pool, team, size, exceedsQuota: reason === "quota" }];
+  });
   return {
     changes: [...next.values()].filter((job) => input.jobs.get(job.id) !== job),
     finished,
--- a/src/jobs/preemption.ts
+++ b/src/jobs/preemption.ts
@@ -1,23 +1,31 @@
 import type { Size } from "./job.ts";
-import { addSize, fits } from "./size.ts";
+import { addSize, fits, NO_SIZE } from "./size.ts";
 import { freeSize, type TaskView, type WorkerView } from "./worker_view.ts";
 
 /** An urgent job that found no room. */
 export interface UrgentNeed {
   readonly jobId: string;
   readonly pool: string;
+  readonly team: string;
   readonly size: Size;
+  /** Whether the team's quota is used up, so that its own tasks must make room. */
+  readonly exceedsQuota: boolean;
 }
 
-/** Tasks to checkpoint on one worker so that an urgent job fits. */
+/** Tasks to checkpoint so that an urgent job fits on a worker. */
 export interface Preemption {
-  readonly jobId: string;
-  readonly vmId: string;
+  readonly need: UrgentNeed;
   readonly worker: WorkerView;
-  readonly size: Size;
-  readonly victims: readonly TaskView[];
+  readonly victims: readonly Victim[];
+}
+
+/** A task to checkpoint. */
+export interface Victim {
+  readonly worker: WorkerView;
+  readonly task: TaskView;
 }
 
+/** Chooses tasks on one worker that give the job room there. */
 function chooseVictims(
   worker: WorkerView,
   need: UrgentNeed,
@@ -42,6 +50,30 @@
   });
 }
 
+/** Adds tasks of the job's own team until they free as much of its quota as the job needs. */
+function freeQuota(
+  need: UrgentNeed,
+  victims: readonly Victim[],
+  workers: readonly WorkerView[],
+): Victim[] | undefined {
+  const ofTeam = ({ identity }: TaskView) => identity.team === need.team;
+  let freed = victims.filter(({ task }) => ofTeam(task))
+    .reduce((sum, { task }) => addSize(sum, task.identity.size), NO_SIZE);
+  const known = new Set(victims.map(({ task }) => task.taskId));
+  const others = workers.flatMap((worker) =>
+    worker.tasks.filter((task) =>
+      ofTeam(task) && !task.identity.urgent && !known.has(task.taskId)
+    ).map((task): Victim => ({ worker, task }))
+  ).sort((a, b) => b.task.identity.size.cores - a.task.identity.size.cores);
+  const chosen = [...victims];
+  for (const victim of others) {
+    if (fits(need.size, freed)) break;
+    chosen.push(victim);
+    freed = addSize(freed, victim.task.identity.size);
+  }
+  return fits(need.size, freed) ? chosen : undefined;
+}
+
 /** Chooses for each urgent job the worker on which the fewest tasks must be checkpointed; never an urgent task. */
 export function planPreemptions(
   needs: readonly UrgentNeed[],
@@ -54,15 +86,18 @@
       const usable = worker.pool === need.pool && worker.serving &&
         worker.standing === "normal" && worker.held === undefined &&
         !taken.has(worker.vmId);
-      const victims = usable ? chooseVictims(worker, need) : undefined;
-      if (victims === undefined) continue;
+      const tasks = usable ? chooseVictims(worker, need) : undefined;
+      if (tasks === undefined) continue;
+      const victims = tasks.map((task) => ({ worker, task }));
       if (best === undefined || victims.length < best.victims.length) {
-        const { jobId, size } = need;
-        best = { jobId, vmId: worker.vmId, worker, size, victims };
+        best = { need, worker, victims };
       }
     }
-    if (best === undefined) return [];
-    taken.add(best.vmId);
-    return [best];
+    const victims = best !== undefined && need.exceedsQuota
+      ? freeQuota(need, best.victims, workers)
+      : best?.victims;
+    if (best === undefined || victims === undefined) return [];
+    taken.add(best.worker.vmId);
+    return [{ ...best, victims }];
   });
 }
--- a/src/jobs/task_commands.ts
+++ b/src/jobs/task_commands.ts
@@ -123,11 +123,13 @@
   async sendOthers(plan: ShardPlan): Promise<void> {
     const { agent, reports, memory, clock } = this.#options;
     const calls = plan.stops.map((target) => this.#stop(target));
-    for (const { jobId, vmId, size, victims, worker } of plan.preemptions) {
-      memory.hold(vmId, { jobId, size, nowMs: clock.wallMs() });
-      for (const { taskId } of victims) {
+    for (const { need, worker, victims } of plan.preemptions) {
+      const { jobId, team, size } = need;
+      memory.hold(worker.vmId, { jobId, team, size }, clock.wallMs());
+      for (const victim of victims) {
+        const { taskId } = victim.task;
         calls.push(this.#send(async () => {
-          await agent.checkpointTask(worker.controlAddress, taskId);
+          await agent.checkpointTask(victim.worker.controlAddress, taskId);
           reports.noteCheckpoint(taskId);
         }));
       }
--- a/src/jobs/worker_reports.ts
+++ b/src/jobs/worker_reports.ts
@@ -5,6 +5,7 @@
   WorkerAgent,
   WorkerReport,
 } from "../platform/worker_agent.ts";
+import { parseTaskId, type TaskIdentity } from "./task_id.ts";
 
 /** Time between two reports of a worker, in ms. */
 const REPORT_INTERVAL_MS = 1_000;
@@ -26,6 +27,14 @@
     | { readonly value: WorkerReport; readonly askedAtMs: number }
     | undefined;
   tasks: Map<string, TaskStatus>;
+  /** Running tasks that dispatchers started; parsed once for all shards. */
+  running: RunningTask[];
+}
+
+/** A running task with what its id tells. */
+export interface RunningTask {
+  readonly status: TaskStatus;
+  readonly identity: TaskIdentity;
 }
 
 /** Reports of a region's workers, shared by the dispatchers of one entry. */
@@ -79,11 +88,13 @@
     return overridden ? { ...status, state: "checkpointed" } : status;
   }
 
-  /** Returns the tasks that a worker runs. */
-  runningTasks(vmId: string): TaskStatus[] {
-    const tasks = this.#observations.get(vmId)?.tasks ?? new Map();
-    return [...tasks.keys()].map((taskId) => this.taskStatus(vmId, taskId)!)
-      .filter((task) => task.state === "running");
+  /** Returns the tasks of dispatchers that a worker runs. */
+  runningTasks(vmId: string): readonly RunningTask[] {
+    const running = this.#observations.get(vmId)?.running ?? [];
+    if (this.#checkpointed.size === 0) return running;
+    return running.filter(({ status: { taskId } }) =>
+      this.taskStatus(vmId, taskId)?.state === "running"
+    );
   }
 
   /** Whether a worker's report is recent enough to place new tasks. */
@@ -128,6 +139,7 @@
         report: undefined,
         failed: false,
         tasks: new Map(),
+        running: [],
       };
     seen.askedAtMs = askedAtMs;
     this.#observations.set(vm.id, seen);
@@ -137,6 +149,12 @@
       seen.failed = false;
       seen.report = { value, askedAtMs };
       seen.tasks = new Map(value.tasks.map((task) => [task.taskId, task]));
+      seen.running = value.tasks.flatMap((status): RunningTask[] => {
+        const identity = status.state === "running"
+          ? parseTaskId(status.taskId)
+          : undefined;
+        return identity === undefined ? [] : [{ status, identity }];
+      });
       seen.contactAtMs = this.#clock.monotonicMs();
     } catch {
       seen.failed = true;
--- a/src/jobs/worker_view.ts
+++ b/src/jobs/worker_view.ts
@@ -21,6 +21,13 @@
   readonly usedMemoryMb: number | undefined;
 }
 
+/** Capacity that was freed for an urgent job. */
+export interface Held {
+  readonly jobId: string;
+  readonly team: string;
+  readonly size: Size;
+}
+
 /** One worker as a planning step sees it. */
 export interface WorkerView {
   readonly vmId: string;
@@ -34,8 +41,8 @@
   readonly standing: Standing;
   readonly rebootIntentId: string | undefined;
   readonly tasks: readonly TaskView[];
-  /** Capacity held for an urgent job, and that job. */
-  readonly held: { readonly jobId: string; readonly size: Size } | undefined;
+  /** Capacity held for an urgent job. */
+  readonly held: Held | undefined;
 }
 
 /** Returns the capacity that no task reserves. */
--- a/testing/fake_jobs.ts
+++ b/testing/fake_jobs.ts
@@ -1,5 +1,6 @@
 import { buildConfig, createVm, REGION } from "./fleet_world.ts";
 import type { FakeStore } from "./fake_store.ts";
+import type { Store } from "../src/platform/store.ts";
 import type { AppliedConfig, ResolvedConfig } from "../src/config/schema.ts";
 import { PlatformError } from "../src/errors.ts";
 import { createFleetRecord, type FleetRecord } from "../src/fleet/record.ts";
@@ -21,6 +22,9 @@
 import { parseTaskId } from "../src/jobs/task_id.ts";
 import { WorkerReports } from "../src/jobs/worker_reports.ts";
 
+/** Time for which a worker reports a task that has ended, in ms. */
+const KEPT_MS = 600_000;
+
 /** What a task really does, as its command says: `run|fail <ms> [cores] [memoryMb]`. */
 interface Truth {
   readonly fails: boolean;
@@ -33,6 +37,7 @@
   readonly spec: TaskSpec;
   state: TaskStatus["state"];
   leaseEndMs: number;
+  endedAtMs?: number | undefined;
   /** Work that is left, in ms. */
   leftMs: number;
   cores: number;
@@ -62,10 +67,12 @@
 
 /** Options of the fake workers. */
 export interface FakeJobsOptions {
-  readonly store: FakeStore;
+  readonly store: Store & { advance(ms: number): void };
+  /** Number of equal workers in one pool, if `vms` isn't given. */
   readonly workers: number;
+  readonly vms?: readonly Vm[];
+  readonly region?: string;
   readonly config?: ResolvedConfig;
-  readonly vm?: Partial<Vm>;
   readonly reportLagMs?: number;
   /** Called before each agent call; may throw to lose the call. */
   readonly beforeCall?: (method: keyof WorkerAgent) => Promise<void> | void;
@@ -110,9 +117,11 @@
     monotonicMs: () => this.nowMs,
   };
   #options: FakeJobsOptions;
+  #region: string;
 
   constructor(options: FakeJobsOptions) {
     this.#options = options;
+    this.#region = options.region ?? REGION;
     const pools = [{
       name: POOL,
       vms: options.workers,
@@ -126,10 +135,14 @@
       digest: "",
       config,
     });
-    for (let index = 0; index < options.workers; index++) {
-      const id = `w${index}`;
-      this.workers.set(id, {
-        vm: { ...createVm(id, index, POOL), ...options.vm },
+    const vms = options.vms ??
+      Array.from(
+        { length: options.workers },
+        (_, index) => createVm(`w${index}`, index, POOL),
+      );
+    for (const vm of vms) {
+      this.workers.set(vm.id, {
+        vm: { ...vm },
         answers: true,
         failsTasks: false,
         highestToken: 0,
@@ -161,7 +174,7 @@
       }] as const;
     });
     this.fleet.set({
-      ...createFleetRecord(REGION),
+      ...createFleetRecord(this.#region),
       revision: (this.fleet.get()?.revision ?? 0) + 1,
       vms: Object.fromEntries(records),
     });
@@ -175,7 +188,7 @@
     return shards.map((shard) =>
       new Dispatcher({
         shard,
-        region: REGION,
+        region: this.#region,
         holder,
         store: this.#options.store,
         agent,
@@ -195,8 +208,12 @@
     this.nowMs += ms;
     this.#options.store.advance(ms);
     for (const worker of this.workers.values()) {
+      this.#run(worker, ms);
       for (const [taskId, task] of worker.tasks) {
-        if (task.state === "running") this.#advance(worker, taskId, ms);
+        const ended = task.state !== "running" && task.state !== "checkpointed";
+        task.endedAtMs ??= ended ? this.nowMs : undefined;
+        const kept = this.nowMs - (task.endedAtMs ?? this.nowMs) < KEPT_MS;
+        if (!kept) worker.tasks.delete(taskId);
       }
       worker.reports.push({ atMs: this.nowMs, tasks: this.#statuses(worker) });
       const sinceMs = this.nowMs - (this.#options.reportLagMs ?? 0);
@@ -217,12 +234,35 @@
     this.publish();
   }
 
-  #advance(worker: FakeWorker, taskId: string, ms: number): void {
-    const task = worker.tasks.get(taskId)!;
-    const { jobId } = parseTaskId(taskId)!;
-    task.leftMs -= ms;
+  /** Tasks slow down when they want more cores than there are; the largest fails when memory is exhausted. */
+  #run(worker: FakeWorker, ms: number): void {
+    const running = [...worker.tasks.values()].filter((task) =>
+      task.state === "running"
+    );
+    const usedCores = (task: FakeTask) =>
+      Math.min(parseTruth(task.spec).cores, task.cores);
+    const sum = (of: (task: FakeTask) => number) =>
+      running.reduce((total, task) => total + of(task), 0);
+    const { cores, memoryMb } = worker.vm;
+    const memoryOf = (task: FakeTask) => parseTruth(task.spec).memoryMb;
+    while (sum(memoryOf) > memoryMb) {
+      running.sort((a, b) => memoryOf(a) - memoryOf(b));
+      const largest = running.pop()!;
+      largest.state = "failed";
+      this.#waste(largest);
+    }
+    const rate = Math.min(1, cores / Math.max(1, sum(usedCores)));
+    for (const task of running) {
+      const share = rate * usedCores(task) / parseTruth(task.spec).cores;
+      this.#advance(worker, task, ms * share);
+    }
+  }
+
+  #advance(worker: FakeWorker, task: FakeTask, progressMs: number): void {
+    const { jobId } = parseTaskId(task.spec.taskId)!;
     const truth = parseTruth(task.spec);
-    this.journal.usedCoreMs += ms * truth.cores;
+    task.leftMs -= progressMs;
+    this.journal.usedCoreMs += progressMs * truth.cores;
     if (this.nowMs >= task.leaseEndMs) {
       task.state = "stopped";
       this.#waste(task);
@@ -253,7 +293,7 @@
     });
   }
 
-  #run(worker: FakeWorker, spec: TaskSpec): void {
+  #start(worker: FakeWorker, spec: TaskSpec): void {
     if (spec.fencingToken < worker.highestToken) {
       throw new PlatformError("worker_agent", "The fencing token is outdated");
     }
@@ -320,7 +360,7 @@
           tasks: reports[0]?.tasks ?? [],
         })),
       runTask: (id, spec) =>
-        call("runTask", id, (worker) => this.#run(worker, spec)),
+        call("runTask", id, (worker) => this.#start(worker, spec)),
       checkpointTask: (id, taskId) =>
         command("checkpointTask", { id, taskId }, (task) => {
           task.state = "checkpointed";
