fix(jobs): workers that are gone, polling of workers by idle shards

Cause: the VM list's time of reading is monotonic, but was compared with the wall-clock time of an assignment, so a worker that had left the list was never taken as gone. The fakes' two clocks were the same and hid it; they differ now, and with that the test of a replaced worker was red before the fix.

Each entry asked every worker once a second, also without jobs. A dispatcher now asks the workers of its started jobs, and those of a pool for which it has queued jobs. Broken once, red: asking always.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -142,6 +142,8 @@
       reports,
       memory,
       nowMs: clock.wallMs(),
+      vmListReadAtMs: clock.wallMs() -
+        (clock.monotonicMs() - snapshot.readAtMs),
     };
   }
 
@@ -227,7 +229,7 @@
     log.debug("step failed", { shard, reason: messageOf(error) });
     const record = this.writer.record;
     if (record === undefined || this.#active === undefined) return "outage";
-    await this.#refreshReports(world);
+    await this.#refreshReports(world, record.jobs);
     const { fencingToken } = this.#active;
     await this.#commands.sendRuns(record.jobs, {
       world,
@@ -237,12 +239,22 @@
     return "outage";
   }
 
-  async #refreshReports(world: JobsWorld): Promise<void> {
+  /** Asks only workers that the shard's jobs concern, so that an idle shard costs the workers nothing. */
+  async #refreshReports(
+    world: JobsWorld,
+    jobs: ReadonlyMap<string, Job>,
+  ): Promise<void> {
     const workers = listWorkers(world.vmList, world.region);
-    await settleWithin(
-      this.#options.reports.refresh([...workers.values()]),
-      WORKER_WAIT_MS,
+    const asked = new Set<string>();
+    const pools = new Set<string>();
+    for (const { state, spec } of jobs.values()) {
+      if (state.kind === "queued") pools.add(spec.pool);
+      else if (state.kind !== "ended") asked.add(state.run.vmId);
+    }
+    const needed = [...workers.values()].filter(({ id }) =>
+      asked.has(id) || pools.has(world.fleet.vms[id]?.pool ?? "")
     );
+    await settleWithin(this.#options.reports.refresh(needed), WORKER_WAIT_MS);
   }
 
   async #dispatch(world: JobsWorld): Promise<DispatcherStep> {
@@ -250,7 +262,7 @@
     const base = this.writer.record;
     const active = this.#active;
     if (base === undefined || active === undefined) return "replaced";
-    await this.#refreshReports(world);
+    await this.#refreshReports(world, base.jobs);
     noteLosses(world);
     this.#notePeaks(base.jobs);
     const plan = planShard({
--- a/src/jobs/jobs_world.ts
+++ b/src/jobs/jobs_world.ts
@@ -21,6 +21,8 @@
   readonly memory: JobMemory;
   /** Wall-clock time, in ms. */
   readonly nowMs: number;
+  /** Wall-clock time at which the VM list was read, in ms; assignments carry wall-clock times. */
+  readonly vmListReadAtMs: number;
 }
 
 // Each started job of each shard looks up its worker in every step.
--- a/src/jobs/paused_dispatcher_test.ts
+++ b/src/jobs/paused_dispatcher_test.ts
@@ -173,6 +173,28 @@
   assert.ok(first.writer.record?.jobs.has(key.key));
 });
 
+// Guards against entries that poll every worker of the region all the time.
+test("a shard without open jobs asks no worker", async () => {
+  let reports = 0;
+  const jobs = new FakeJobs({
+    store: createFakeStore(),
+    workers: 4,
+    beforeCall(method) {
+      if (method === "report") reports++;
+    },
+  });
+  const [dispatcher] = jobs.createEntry("e", [0]);
+  await runFor(jobs, dispatcher!, 10);
+  assert.is(reports, 0);
+  const spec = createSpec({ command: "run 1000" });
+  await submit(dispatcher!, keyOf(0, jobs.nowMs), spec);
+  await runFor(jobs, dispatcher!, 10);
+  const asked = reports;
+  assert.ok(asked > 0);
+  await runFor(jobs, dispatcher!, 10);
+  assert.is(reports, asked);
+});
+
 // Guards against workers that fail every task and wear out jobs, and against jobs that end for a worker's fault.
 test("a tenth of the workers fails every task", async () => {
   const random = createRandom(chooseSeed());
--- a/src/jobs/plan_shard.ts
+++ b/src/jobs/plan_shard.ts
@@ -59,7 +59,7 @@
   const vm = listWorkers(vmList, region).get(run.vmId);
   if (vm === undefined || vm.incarnation !== run.incarnation) {
     // A list that is older than the assignment may not show the worker yet.
-    return vmList.readAtMs > run.atMs
+    return input.world.vmListReadAtMs > run.atMs
       ? { kind: "gone" }
       : { kind: "silent", silentMs: 0 };
   }
--- a/src/jobs/worker_reports.ts
+++ b/src/jobs/worker_reports.ts
@@ -13,6 +13,8 @@
 const RETRY_INTERVAL_MS = 5_000;
 /** Time after which a report is given up, in ms. */
 const REPORT_TIMEOUT_MS = 1_500;
+/** Time after which a worker that no shard asks about is forgotten, in ms; its silence wouldn't mean anything. */
+const FORGET_MS = 15_000;
 /** Age up to which a report is used to place new tasks, in ms. */
 const FRESH_MS = 5_000;
 /** Time for which an acknowledged checkpoint overrides the lagging reports, in ms. */
@@ -20,6 +22,8 @@
 
 interface Observation {
   askedAtMs: number;
+  /** Set while an answer is awaited. */
+  answer: Promise<void> | undefined;
   failed: boolean;
   /** Time of the last answer, or of the first request. */
   contactAtMs: number;
@@ -43,19 +47,28 @@
   #clock: Clock;
   #observations = new Map<string, Observation>();
   #checkpointed = new Map<string, number>();
-  #refreshing: Promise<void> | undefined;
 
   constructor(agent: WorkerAgent, clock: Clock) {
     this.#agent = agent;
     this.#clock = clock;
   }
 
-  /** Asks the workers whose report is due; never rejects. */
-  refresh(workers: readonly Vm[]): Promise<void> {
-    this.#refreshing ??= this.#refresh(workers).finally(() => {
-      this.#refreshing = undefined;
-    });
-    return this.#refreshing;
+  /** Asks those of the workers whose report is due, and waits for those that were asked already; never rejects. */
+  async refresh(workers: readonly Vm[]): Promise<void> {
+    const nowMs = this.#clock.monotonicMs();
+    for (const [vmId, { askedAtMs }] of this.#observations) {
+      if (nowMs - askedAtMs >= FORGET_MS) this.#observations.delete(vmId);
+    }
+    for (const [taskId, untilMs] of this.#checkpointed) {
+      if (untilMs <= nowMs) this.#checkpointed.delete(taskId);
+    }
+    await Promise.all(workers.map((vm) => {
+      const seen = this.#observations.get(vm.id);
+      if (seen?.answer !== undefined) return seen.answer;
+      const intervalMs = seen?.failed ? RETRY_INTERVAL_MS : REPORT_INTERVAL_MS;
+      const due = seen === undefined || nowMs - seen.askedAtMs >= intervalMs;
+      return due ? this.#startAsking(vm) : undefined;
+    }));
   }
 
   /** Notes that a worker confirmed a checkpoint before its report shows it. */
@@ -112,37 +125,27 @@
       : this.#clock.monotonicMs() - seen.contactAtMs;
   }
 
-  async #refresh(workers: readonly Vm[]): Promise<void> {
-    const nowMs = this.#clock.monotonicMs();
-    const listed = new Set(workers.map((vm) => vm.id));
-    for (const vmId of this.#observations.keys()) {
-      if (!listed.has(vmId)) this.#observations.delete(vmId);
-    }
-    for (const [taskId, untilMs] of this.#checkpointed) {
-      if (untilMs <= nowMs) this.#checkpointed.delete(taskId);
-    }
-    const due = workers.filter((vm) => {
-      const seen = this.#observations.get(vm.id);
-      if (seen === undefined) return true;
-      const intervalMs = seen.failed ? RETRY_INTERVAL_MS : REPORT_INTERVAL_MS;
-      return nowMs - seen.askedAtMs >= intervalMs;
-    });
-    await Promise.all(due.map((vm) => this.#ask(vm)));
-  }
-
-  async #ask(vm: Vm): Promise<void> {
+  #startAsking(vm: Vm): Promise<void> {
     const askedAtMs = this.#clock.monotonicMs();
-    const seen = this.#observations.get(vm.id) ??
-      {
-        askedAtMs,
-        contactAtMs: askedAtMs,
-        report: undefined,
-        failed: false,
-        tasks: new Map(),
-        running: [],
-      };
+    const seen: Observation = this.#observations.get(vm.id) ?? {
+      askedAtMs,
+      answer: undefined,
+      contactAtMs: askedAtMs,
+      report: undefined,
+      failed: false,
+      tasks: new Map(),
+      running: [],
+    };
     seen.askedAtMs = askedAtMs;
     this.#observations.set(vm.id, seen);
+    seen.answer = this.#ask(vm, seen).finally(() => {
+      seen.answer = undefined;
+    });
+    return seen.answer;
+  }
+
+  async #ask(vm: Vm, seen: Observation): Promise<void> {
+    const { askedAtMs } = seen;
     try {
       const signal = AbortSignal.timeout(REPORT_TIMEOUT_MS);
       const value = await this.#agent.report(vm.controlAddress, signal);
--- a/testing/fake_jobs.ts
+++ b/testing/fake_jobs.ts
@@ -22,6 +22,9 @@
 import { parseTaskId } from "../src/jobs/task_id.ts";
 import { WorkerReports } from "../src/jobs/worker_reports.ts";
 
+/** Wall-clock time at which the monotonic clock shows 0, in ms. */
+const BOOT_MS = 1_699_999_000_000;
+
 /** Time for which a worker reports a task that has ended, in ms. */
 const KEPT_MS = 600_000;
 
@@ -114,7 +117,7 @@
   nowMs = 1_700_000_000_000;
   readonly clock = {
     wallMs: () => this.nowMs,
-    monotonicMs: () => this.nowMs,
+    monotonicMs: () => this.nowMs - BOOT_MS,
   };
   #options: FakeJobsOptions;
   #region: string;
@@ -157,7 +160,7 @@
   /** Publishes the VM list and a fleet record in which all workers serve. */
   publish(states: Record<string, "draining"> = {}): void {
     const vms = [...this.workers.values()].map(({ vm }) => vm);
-    this.vmList.set({ vms, readAtMs: this.nowMs });
+    this.vmList.set({ vms, readAtMs: this.clock.monotonicMs() });
     const records = vms.map((vm) => {
       const { incarnation, dataCentre, rack } = vm;
       const pool = vm.pool!;
@@ -221,7 +224,10 @@
         worker.reports.shift();
       }
     }
-    this.vmList.set({ ...this.vmList.get()!, readAtMs: this.nowMs });
+    this.vmList.set({
+      ...this.vmList.get()!,
+      readAtMs: this.clock.monotonicMs(),
+    });
   }
 
   /** Replaces a worker under the same id; its tasks are gone. */
