--- /dev/null
+++ b/src/jobs/fencing.ts
@@ -0,0 +1,41 @@
+import { StoreError } from "../errors.ts";
+import type { Store } from "../platform/store.ts";
+
+/** Store key of the counter from which a region's dispatchers take their fencing tokens. */
+export function fencingKey(region: string): string {
+  return `jobs/${region}/fencing`;
+}
+
+/** Returns the newest token that a dispatcher of the region has taken. */
+export async function readFencingToken(
+  store: Store,
+  region: string,
+): Promise<number> {
+  const entry = await store.get(fencingKey(region));
+  return entry === undefined ? 0 : Number(entry.value);
+}
+
+/** Attempts to raise the counter while other dispatchers raise it too. */
+const MAXIMUM_ATTEMPTS = 8;
+
+/** Returns a token above the one that a shard's last dispatcher wrote to it; a worker refuses lower ones, whichever shard they come from. */
+export async function takeFencingToken(
+  store: Store,
+  region: string,
+  lastToken: number,
+): Promise<number> {
+  const key = fencingKey(region);
+  for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
+    const entry = await store.get(key);
+    const newest = Number(entry?.value ?? 0);
+    // The shard's last dispatcher can't have used a token that it didn't write.
+    if (newest > lastToken) return newest;
+    const result = await store.compareAndSwap({
+      key,
+      expectedVersion: entry?.version ?? 0,
+      value: String(newest + 1),
+    });
+    if (result.kind === "swapped") return newest + 1;
+  }
+  throw new StoreError("unavailable", "Other dispatchers took the tokens");
+}
