--- /dev/null
+++ b/src/jobs/worker_reports.ts
@@ -0,0 +1,167 @@
+import type { Clock } from "../clock.ts";
+import type { Vm } from "../platform/vm_list.ts";
+import type {
+  TaskStatus,
+  WorkerAgent,
+  WorkerReport,
+} from "../platform/worker_agent.ts";
+import { parseTaskId, type TaskIdentity } from "./task_id.ts";
+
+/** Time between two reports of a worker, in ms. */
+const REPORT_INTERVAL_MS = 1_000;
+/** Time after a failed report until the next one, in ms. */
+const RETRY_INTERVAL_MS = 5_000;
+/** Time after which a report is given up, in ms. */
+const REPORT_TIMEOUT_MS = 1_500;
+/** Time after which a worker that no shard asks about is forgotten, in ms; its silence wouldn't mean anything. */
+const FORGET_MS = 15_000;
+/** Age up to which a report is used to place new tasks, in ms. */
+const FRESH_MS = 5_000;
+/** Time for which an acknowledged checkpoint overrides the lagging reports, in ms. */
+const OVERRIDE_MS = 10_000;
+
+interface Observation {
+  askedAtMs: number;
+  /** Set while an answer is awaited. */
+  answer: Promise<void> | undefined;
+  failed: boolean;
+  /** Time of the last answer, or of the first request. */
+  contactAtMs: number;
+  report:
+    | { readonly value: WorkerReport; readonly askedAtMs: number }
+    | undefined;
+  tasks: Map<string, TaskStatus>;
+  /** Running tasks that dispatchers started; parsed once for all shards. */
+  running: RunningTask[];
+}
+
+/** A running task with what its id tells. */
+export interface RunningTask {
+  readonly status: TaskStatus;
+  readonly identity: TaskIdentity;
+}
+
+/** Reports of a region's workers, shared by the dispatchers of one entry. */
+export class WorkerReports {
+  #agent: WorkerAgent;
+  #clock: Clock;
+  #observations = new Map<string, Observation>();
+  #checkpointed = new Map<string, number>();
+
+  constructor(agent: WorkerAgent, clock: Clock) {
+    this.#agent = agent;
+    this.#clock = clock;
+  }
+
+  /** Asks those of the workers whose report is due, and waits for those that were asked already; never rejects. */
+  async refresh(workers: readonly Vm[]): Promise<void> {
+    const nowMs = this.#clock.monotonicMs();
+    for (const [vmId, { askedAtMs }] of this.#observations) {
+      if (nowMs - askedAtMs >= FORGET_MS) this.#observations.delete(vmId);
+    }
+    for (const [taskId, untilMs] of this.#checkpointed) {
+      if (untilMs <= nowMs) this.#checkpointed.delete(taskId);
+    }
+    await Promise.all(workers.map((vm) => {
+      const seen = this.#observations.get(vm.id);
+      if (seen?.answer !== undefined) return seen.answer;
+      const intervalMs = seen?.failed ? RETRY_INTERVAL_MS : REPORT_INTERVAL_MS;
+      const due = seen === undefined || nowMs - seen.askedAtMs >= intervalMs;
+      return due ? this.#startAsking(vm) : undefined;
+    }));
+  }
+
+  /** Notes that a worker confirmed a checkpoint before its report shows it. */
+  noteCheckpoint(taskId: string): void {
+    this.#checkpointed.set(taskId, this.#clock.monotonicMs() + OVERRIDE_MS);
+  }
+
+  /** Notes that a task was started or continued. */
+  noteStart(taskId: string): void {
+    this.#checkpointed.delete(taskId);
+  }
+
+  /** Returns the newest report of an incarnation if it was asked for at or after a time. */
+  reportSince(
+    vmId: string,
+    options: { incarnation: string; sinceMs: number },
+  ): WorkerReport | undefined {
+    const report = this.#observations.get(vmId)?.report;
+    return report !== undefined && report.askedAtMs >= options.sinceMs &&
+        report.value.incarnation === options.incarnation
+      ? report.value
+      : undefined;
+  }
+
+  /** Returns the last known status of a task on a worker. */
+  taskStatus(vmId: string, taskId: string): TaskStatus | undefined {
+    const status = this.#observations.get(vmId)?.tasks.get(taskId);
+    const overridden = status?.state === "running" &&
+      (this.#checkpointed.get(taskId) ?? 0) > this.#clock.monotonicMs();
+    return overridden ? { ...status, state: "checkpointed" } : status;
+  }
+
+  /** Returns the tasks of dispatchers that a worker runs. */
+  runningTasks(vmId: string): readonly RunningTask[] {
+    const running = this.#observations.get(vmId)?.running ?? [];
+    if (this.#checkpointed.size === 0) return running;
+    return running.filter(({ status: { taskId } }) =>
+      this.taskStatus(vmId, taskId)?.state === "running"
+    );
+  }
+
+  /** Whether a worker's report is recent enough to place new tasks. */
+  isFresh(vmId: string): boolean {
+    const report = this.#observations.get(vmId)?.report;
+    return report !== undefined &&
+      this.#clock.monotonicMs() - report.askedAtMs < FRESH_MS;
+  }
+
+  /** Time without an answer of a worker, in ms; 0 for one that was never asked. */
+  silentMs(vmId: string): number {
+    const seen = this.#observations.get(vmId);
+    return seen === undefined
+      ? 0
+      : this.#clock.monotonicMs() - seen.contactAtMs;
+  }
+
+  #startAsking(vm: Vm): Promise<void> {
+    const askedAtMs = this.#clock.monotonicMs();
+    const seen: Observation = this.#observations.get(vm.id) ?? {
+      askedAtMs,
+      answer: undefined,
+      contactAtMs: askedAtMs,
+      report: undefined,
+      failed: false,
+      tasks: new Map(),
+      running: [],
+    };
+    seen.askedAtMs = askedAtMs;
+    this.#observations.set(vm.id, seen);
+    seen.answer = this.#ask(vm, seen).finally(() => {
+      seen.answer = undefined;
+    });
+    return seen.answer;
+  }
+
+  async #ask(vm: Vm, seen: Observation): Promise<void> {
+    const { askedAtMs } = seen;
+    try {
+      const signal = AbortSignal.timeout(REPORT_TIMEOUT_MS);
+      const value = await this.#agent.report(vm.controlAddress, signal);
+      seen.failed = false;
+      seen.report = { value, askedAtMs };
+      seen.tasks = new Map(value.tasks.map((task) => [task.taskId, task]));
+      seen.running = value.tasks.flatMap((status): RunningTask[] => {
+        const identity = status.state === "running"
+          ? parseTaskId(status.taskId)
+          : undefined;
+        return identity === undefined ? [] : [{ status, identity }];
+      });
+      seen.contactAtMs = this.#clock.monotonicMs();
+    } catch {
+      seen.failed = true;
+      // The time of the last contact shows how long the worker is silent.
+    }
+  }
+}
