feat(jobs): a job that waits for its team's quota isn't overtaken forever

After 60 s of waiting such a job now stops younger normal jobs of its team.

Broken once, red: no such hold.

--- a/src/jobs/decisions_test.ts
+++ b/src/jobs/decisions_test.ts
@@ -191,6 +191,8 @@
   const starved = createCandidate("big", size(16), { waitedMs: 60_000 });
   const busy = createWorker("w0", { tasks: [createTask("x", 2)] });
   assert.is(place([starved, small], [busy]).small, "no_capacity");
+  const overQuota = place([starved, small], [busy, w1], { cores: 17 });
+  assert.equal(overQuota, { big: "quota", small: "quota" });
   const failed = createCandidate("a", size(1), { failedOn: ["w0"] });
   assert.is(place([failed], [w0]).a, "w0", "no other worker exists");
   const fullOther = createWorker("w1", { tasks: [createTask("x", 16)] });
--- a/src/jobs/placement.ts
+++ b/src/jobs/placement.ts
@@ -211,6 +211,7 @@
   const room = new Room(input.workers);
   const pools = groupByPool(input.workers);
   const holding = new Set<string>();
+  const quotaHeld = new Set<string>();
   const blocked = new Set<string>();
   const urgency = ({ spec }: Candidate) => spec.priority === "urgent" ? 0 : 1;
   const ordered = [...input.candidates].sort((a, b) =>
@@ -227,7 +228,10 @@
       return { kind: "reject", jobId, reason: rejection };
     }
     const use = room.useFor(candidate);
-    if (!withinQuota(addSize(use, size), quota)) {
+    const overtakes = quotaHeld.has(spec.team) && spec.priority !== "urgent";
+    if (overtakes || !withinQuota(addSize(use, size), quota)) {
+      // Smaller jobs of the team would use up the quota forever.
+      if (candidate.waitedMs >= HOLD_AFTER_MS) quotaHeld.add(spec.team);
       return { kind: "wait", jobId, reason: "quota" };
     }
     const shape =
