fix(jobs): an entry that serves no callers owns no shard

Cause: an entry without the requests role runs no dispatchers and has no callers' address, but the rendezvous hash could choose it.

--- a/src/jobs/ownership.ts
+++ b/src/jobs/ownership.ts
@@ -21,6 +21,8 @@
   const candidates = new Map<string, string | undefined>();
   for (const digest of entries) {
     if (digest.region !== region || digest.stopping || !digest.ready) continue;
+    // An entry that serves no callers runs no jobs.
+    if (digest.callerAddress === "") continue;
     candidates.set(digest.entryId, digest.callerAddress);
   }
   if (!stopping || candidates.size === 0) candidates.set(entryId, undefined);
