perf(requests): queues are reviewed every 25 ms only while requests wait

Cause: an idle entry woke 40 times a second for an empty queue. Also the store stand-in left abort listeners behind for each wake of a watch.

--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -47,6 +47,8 @@
   readonly clock: Clock;
   /** Returns a number in [0, 1). */
   readonly random: () => number;
+  /** Called when the first request begins to wait. */
+  readonly onQueued: () => void;
 }
 
 interface Waiter {
@@ -117,7 +119,7 @@
     if (refusal !== undefined) return refusal;
     return new Promise((resolve) => {
       state.waiting.push({ request, resolve });
-      this.#queued++;
+      if (++this.#queued === 1) this.#options.onQueued();
     });
   }
 
--- a/src/requests/request_path.ts
+++ b/src/requests/request_path.ts
@@ -1,5 +1,5 @@
 import type { Server } from "node:http";
-import { createScope, type Operation, sleep } from "effection";
+import { createScope, type Operation } from "effection";
 import type { Clock } from "../clock.ts";
 import type { AppliedConfig, ServiceConfig } from "../config/schema.ts";
 import type { ContactTracker } from "../contact_tracker.ts";
@@ -9,6 +9,7 @@
 import type { EntryDigest, ServiceLoad } from "../peers/messages.ts";
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
 import type { ResolvedSettings } from "../settings/schema.ts";
+import { createWake } from "../wake.ts";
 import { AdmissionQueues } from "./admission.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { createFront } from "./front.ts";
@@ -62,7 +63,7 @@
   inFlight(): number;
 }
 
-/** Interval of the review of queues, in ms. */
+/** Interval of the review of queues while requests wait, in ms. */
 const SWEEP_INTERVAL_MS = 25;
 /** Interval of the review of ejections and of expired keys, in ms. */
 const REVIEW_INTERVAL_MS = 250;
@@ -79,6 +80,7 @@
   const [scope, destroyScope] = createScope();
   const refusals = new RefusalLog();
   const metrics = new RequestMetrics();
+  const queued = createWake();
   let services = new Map<string, ServiceConfig>();
 
   const admission = new AdmissionQueues({
@@ -86,6 +88,7 @@
     maximumQueued: settings.limits.maximumQueuedRequests,
     clock,
     random: Math.random,
+    onQueued: () => queued.notify(),
   });
   const router = new Router({
     entryId: settings.entryId,
@@ -192,13 +195,15 @@
   }
 
   function* review(): Operation<void> {
-    let elapsedMs = 0;
+    let reviewAtMs = 0;
     while (true) {
-      yield* sleep(SWEEP_INTERVAL_MS);
+      yield* queued.wait(
+        admission.queued > 0 ? SWEEP_INTERVAL_MS : REVIEW_INTERVAL_MS,
+      );
       admission.sweep();
-      elapsedMs += SWEEP_INTERVAL_MS;
-      if (elapsedMs < REVIEW_INTERVAL_MS) continue;
-      elapsedMs = 0;
+      const nowMs = clock.monotonicMs();
+      if (nowMs < reviewAtMs) continue;
+      reviewAtMs = nowMs + REVIEW_INTERVAL_MS;
       router.reviewEjections();
       keyed.expire();
     }
--- a/testing/store_server.ts
+++ b/testing/store_server.ts
@@ -106,6 +106,7 @@
         function wake() {
           clearTimeout(timer);
           watchers.delete(wake);
+          call.signal.removeEventListener("abort", wake);
           resolve();
         }
         watchers.add(wake);
