test(faults): requests in flight outlast an entry's notice at its stop

Cause: with 800 ms requests the test passed also without the wait for requests in flight, as an entry serves on for 2 s and closes connections for another 1 s. The requests now take 4.5 s. Broken once, seen red (24 of 24 aborted): the stop doesn't wait for the request path's drain.

--- a/testing/faults/planned_stop_test.ts
+++ b/testing/faults/planned_stop_test.ts
@@ -1,26 +1,32 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
+import { UNREADY_NOTICE_MS } from "../../src/shutdown.ts";
 import { createHttpWorkerAgent } from "../../src/platform/http_worker_agent.ts";
 import { callEntry, type CallResult, isOwnAnswer } from "../caller.ts";
 import { waitFor } from "../wait.ts";
 import { countBy, runConcurrently, withDeployment } from "./scenario.ts";
 
-const SERVICE_TIME_MS = 800;
+/** Longer than an entry that stops goes on serving and closing connections before it must wait for requests. */
+const LONG_SERVICE_TIME_MS = UNREADY_NOTICE_MS + 2_500;
+const LONG_DEADLINE_MS = 20_000;
 const IN_FLIGHT = 24;
 
 test("an entry that stops aborts no request in flight", () =>
-  withDeployment({
-    serviceTimeMs: SERVICE_TIME_MS,
-    entryCount: 2,
-  }, async ({ entries, backends }) => {
+  withDeployment({ entryCount: 2 }, async ({ entries, backends }) => {
     const [stopped] = entries;
+    for (const { behaviour } of backends.values()) {
+      behaviour.serviceTimeMs = LONG_SERVICE_TIME_MS;
+    }
     const paths = Array.from(
       { length: IN_FLIGHT },
       (_, index) => `/survey/stop/${index}`,
     );
     const results = paths.map((path) =>
-      callEntry(`http://${stopped!.callerAddress}${path}`, { method: "POST" })
+      callEntry(`http://${stopped!.callerAddress}${path}`, {
+        method: "POST",
+        deadlineMs: LONG_DEADLINE_MS,
+      })
     );
     const countRuns = () =>
       [...backends.values()].flatMap(({ journal }) => journal)
