fix(jobs): no second run on a worker that was silent and forgot the task

A task was sent again, or renewed by an old report, when its worker answered after a long silence and no longer remembered the ended task. Found by reading; the new test shows both ways. Change: an assigned task is sent only within 60 s of its assignment, a renewal needs a fresh report, and TaskSpec.mustExist lets the worker refuse a renewal or continuation of a task that it doesn't know. Workers must remember ended tasks for more than 60 s; the fakes now forget after 120 s instead of 600 s.

Broken once, red: sending after the limit; renewals by old reports together with mustExist off (either guard alone keeps the test green).

--- a/src/jobs/paused_dispatcher_test.ts
+++ b/src/jobs/paused_dispatcher_test.ts
@@ -98,6 +98,29 @@
   assert.is(jobs.journal.starts.size, 0);
 });
 
+// Guards against a second run on a worker that has run and forgotten the task while it didn't answer.
+test("a task isn't sent again to a worker that was silent", async () => {
+  for (const reported of [false, true]) {
+    const { jobs, first, store } = createPair();
+    await first.step();
+    const key = keyOf(0, jobs.nowMs);
+    await submit(first, key, createSpec({ command: "run 5000" }));
+    if (reported) await runFor(jobs, first, 3);
+    else {
+      jobs.tick(1_000);
+      await first.step();
+    }
+    assert.is(jobs.journal.starts.get(key.key), 1);
+    for (const worker of jobs.workers.values()) worker.answers = false;
+    await runFor(jobs, first, 400);
+    for (const worker of jobs.workers.values()) worker.answers = true;
+    await runFor(jobs, first, 40);
+    assert.is(jobs.journal.starts.get(key.key), 1);
+    const outcome = outcomeOf(storedJobs(store, 0).get(key.key));
+    assert.equal(outcome, { kind: "outcome_unknown", reason: "task_lost" });
+  }
+});
+
 // Guards against a start by a dispatcher whose shard was taken over before its write.
 test("a replaced dispatcher starts nothing", async () => {
   const pair = createPair();
--- a/src/jobs/reconcile.ts
+++ b/src/jobs/reconcile.ts
@@ -3,8 +3,8 @@
 import type { Blame } from "./blame.ts";
 import { endJob, type Job, type JobOutcome, type Run } from "./job.ts";
 
-/** Time in which a task that was sent must show up in a report, in ms; reports lag. */
-const START_LIMIT_MS = 60_000;
+/** Time in which a task may be sent, and after which one that a report doesn't list counts as lost, in ms. A worker must remember ended tasks for longer. */
+export const START_LIMIT_MS = 60_000;
 /** Time after which an idempotent job leaves a worker that doesn't answer, in ms; longer than the task lease. */
 const UNREACHABLE_LIMIT_MS = 90_000;
 /** Time for which an idempotent job waits to continue where it was checkpointed, in ms. */
--- a/src/jobs/task_commands.ts
+++ b/src/jobs/task_commands.ts
@@ -6,6 +6,7 @@
 import type { JobMemory } from "./job_memory.ts";
 import { type JobsWorld, listWorkers } from "./jobs_world.ts";
 import type { ShardPlan, TaskOnWorker } from "./plan_shard.ts";
+import { START_LIMIT_MS } from "./reconcile.ts";
 import { taskIdOf } from "./task_id.ts";
 import type { WorkerReports } from "./worker_reports.ts";
 
@@ -82,9 +83,13 @@
     { world, renewOnly }: { world: JobsWorld; renewOnly: boolean },
   ): boolean {
     if (job.cancelRequestedAtMs !== undefined) return false;
-    if (job.state.kind === "assigned") return !renewOnly;
-    const taskId = taskIdOf(job, run);
-    const status = this.#options.reports.taskStatus(run.vmId, taskId);
+    if (job.state.kind === "assigned") {
+      // A worker that was silent for longer may have run and forgotten the task.
+      return !renewOnly && world.nowMs - run.atMs < START_LIMIT_MS;
+    }
+    const { reports } = this.#options;
+    if (!reports.isFresh(run.vmId)) return false;
+    const status = reports.taskStatus(run.vmId, taskIdOf(job, run));
     // A renewal would continue a task that the controller checkpointed for a drain.
     const serving = world.fleet.vms[run.vmId]?.state === "serving";
     return serving && status?.state === "running";
@@ -104,6 +109,7 @@
         taskId,
         fencingToken,
         incarnation: run.incarnation,
+        mustExist: job.state.kind === "running" || run.resumed === true,
         command: job.spec.command,
         ...run.size,
         leaseMs: TASK_LEASE_MS,
--- a/src/platform/worker_agent.ts
+++ b/src/platform/worker_agent.ts
@@ -5,6 +5,8 @@
   readonly fencingToken: number;
   /** The worker refuses a task that was meant for its predecessor at the same address. */
   readonly incarnation?: string;
+  /** Renews or continues a task; the worker refuses it if it doesn't know the task. */
+  readonly mustExist?: boolean;
   readonly command: string;
   readonly cores: number;
   readonly memoryMb: number;
--- a/testing/fake_jobs.ts
+++ b/testing/fake_jobs.ts
@@ -26,7 +26,7 @@
 const BOOT_MS = 1_699_999_000_000;
 
 /** Time for which a worker reports a task that has ended, in ms. */
-const KEPT_MS = 600_000;
+const KEPT_MS = 120_000;
 
 /** What a task really does, as its command says: `run|fail <ms> [cores] [memoryMb]`. */
 interface Truth {
@@ -308,6 +308,9 @@
     }
     worker.highestToken = spec.fencingToken;
     const known = worker.tasks.get(spec.taskId);
+    if (spec.mustExist && known === undefined) {
+      throw new PlatformError("worker_agent", "There is no such task");
+    }
     const leaseEndMs = this.nowMs + spec.leaseMs;
     if (known !== undefined) {
       if (known.state !== "running" && known.state !== "checkpointed") return;
--- a/testing/worker_agent.ts
+++ b/testing/worker_agent.ts
@@ -88,6 +88,7 @@
     }
     highestToken = spec.fencingToken;
     const known = tasks.get(spec.taskId);
+    if (spec.mustExist && known === undefined) return { status: 404, body: {} };
     if (known?.state === "running") {
       known.leaseEndMs = Date.now() + spec.leaseMs;
       schedule(known);
