feat(fleet): maintenance windows

Change: pools[].maintenance.windows with the form of the lending windows; a drain begins inside them only, and late waves and the check of the period count only the share of the week that the windows cover. Daily windows moved to src/config, as validation needs their share. Ruled out: spreading a wave over its period, which leaves VMs due for weeks and needs another answer for a period that is cut short. Broken once: without the check of the window the new test fails.

--- a/src/config/budget_rules.ts
+++ b/src/config/budget_rules.ts
@@ -1,7 +1,8 @@
 import type { ValidationIssue } from "../errors.ts";
 import { createIssue } from "../validation.ts";
 import type { DeepPartial } from "../partial_parse.ts";
-import type { LendingWindow, PartialPool } from "./schema.ts";
+import type { DailyWindow, PartialPool } from "./schema.ts";
+import { windowShare } from "./daily_window.ts";
 
 const DAY_MS = 86_400_000;
 
@@ -29,6 +30,18 @@
   )];
 }
 
+/** Share of the time in which maintenance may begin; invalid windows are left out, as they are reported by themselves. */
+function openShareOf(
+  windows: readonly (DeepPartial<DailyWindow> | undefined)[] = [],
+): number {
+  const complete = windows.filter((window): window is DailyWindow =>
+    window?.from !== undefined && window.to !== undefined &&
+    window.from !== window.to && window.days !== undefined &&
+    !window.days.includes(undefined)
+  );
+  return complete.length < windows.length ? 1 : windowShare(complete);
+}
+
 function listMaintenanceIssues(
   pool: PartialPool,
   path: string,
@@ -52,7 +65,8 @@
     vmMaintenanceMs === undefined
   ) return [];
   const concurrentVms = Math.min(maximumConcurrentVms, vms - minimum);
-  const neededDays = Math.ceil(vms / concurrentVms) * vmMaintenanceMs / DAY_MS;
+  const neededDays = Math.ceil(vms / concurrentVms) * vmMaintenanceMs /
+    DAY_MS / openShareOf(pool.maintenance?.windows);
   return neededDays <= periodDays ? [] : [createIssue(
     `${path}.maintenance.periodDays`,
     periodDays,
@@ -62,7 +76,7 @@
 }
 
 function listWindowIssues(
-  window: DeepPartial<LendingWindow> | undefined,
+  window: DeepPartial<DailyWindow> | undefined,
   path: string,
 ): ValidationIssue[] {
   const { from, to, days } = window ?? {};
@@ -83,7 +97,7 @@
   ];
 }
 
-/** Returns the rules that one pool's budget, maintenance and lending windows break. */
+/** Returns the rules that one pool's budget, maintenance and windows break. */
 export function listBudgetIssues(
   pool: PartialPool,
   path: string,
@@ -91,8 +105,10 @@
   return [
     ...listAvailabilityIssues(pool, path),
     ...listMaintenanceIssues(pool, path),
-    ...(pool.lending?.windows ?? []).flatMap((window, index) =>
-      listWindowIssues(window, `${path}.lending.windows[${index}]`)
+    ...(["lending", "maintenance"] as const).flatMap((section) =>
+      (pool[section]?.windows ?? []).flatMap((window, index) =>
+        listWindowIssues(window, `${path}.${section}.windows[${index}]`)
+      )
     ),
   ];
 }
--- a/src/fleet/lending_window.ts
+++ b/src/config/daily_window.ts
@@ -1,6 +1,4 @@
-import type { PoolConfig } from "../config/schema.ts";
-
-type LendingWindow = PoolConfig["lending"]["windows"][number];
+import type { DailyWindow } from "./schema.ts";
 
 const DAY_MINUTES = 24 * 60;
 const WEEKDAYS = ["sun", "mon", "tue", "wed", "thu", "fri", "sat"] as const;
@@ -37,7 +35,7 @@
   return Number(hours) * 60 + Number(minutes);
 }
 
-function contains(window: LendingWindow, atMs: number): boolean {
+function contains(window: DailyWindow, atMs: number): boolean {
   const { dayIndex, minute } = localTime(window.timeZone, atMs);
   const from = minuteOfDay(window.from);
   const to = minuteOfDay(window.to);
@@ -51,9 +49,21 @@
     (allows(dayIndex - 1) && minute < to);
 }
 
-/** Whether a pool may lend at a time; a pool without windows always may. */
-export function isLendingOpen(pool: PoolConfig, atMs: number): boolean {
-  const { windows } = pool.lending;
+/** Whether a time is in one of the windows; always, without any. */
+export function isWindowOpen(
+  windows: readonly DailyWindow[],
+  atMs: number,
+): boolean {
   return windows.length === 0 ||
     windows.some((window) => contains(window, atMs));
 }
+
+/** Share of a week that the windows cover, from above 0 to 1; overlaps count twice. */
+export function windowShare(windows: readonly DailyWindow[]): number {
+  if (windows.length === 0) return 1;
+  const minutes = windows.reduce((sum, { from, to, days }) => {
+    const length = minuteOfDay(to) - minuteOfDay(from);
+    return sum + days.length * (length > 0 ? length : length + DAY_MINUTES);
+  }, 0);
+  return Math.min(1, minutes / (7 * DAY_MINUTES));
+}
--- a/src/config/schema.ts
+++ b/src/config/schema.ts
@@ -29,8 +29,8 @@
   }
 }
 
-/** A daily window in which lending is allowed. `to` before `from` means the next day. */
-const lendingWindowSchema = z.strictObject({
+/** A daily window in which something is allowed. `to` before `from` means the next day. */
+const dailyWindowSchema = z.strictObject({
   timeZone,
   days: z.array(weekday).min(1).default([
     "mon",
@@ -76,7 +76,7 @@
   /** VMs that may be in other pools at the same time. */
   maximumLentVms: z.number().int().nonnegative().default(0),
   /** When VMs may be lent; always, when empty. */
-  windows: z.array(lendingWindowSchema).default([]),
+  windows: z.array(dailyWindowSchema).default([]),
   /** Shortest time that a lent VM stays before another move, in ms. */
   minimumStayMs: z.number().int().nonnegative().default(600_000),
   /** Whether requests of other services may use free slots without a move. */
@@ -87,6 +87,8 @@
   /** Every VM is maintained once in this period, in days. */
   periodDays: z.number().min(0.01).max(365).default(21),
   order: z.enum(["rack", "spread"]).default("rack"),
+  /** When drains for maintenance may begin; always, when empty. */
+  windows: z.array(dailyWindowSchema).default([]),
   /** VMs of the pool that may be under maintenance at the same time. */
   maximumConcurrentVms: z.number().int().min(1).default(1),
   /** Time from the start of a VM's drain until it serves again, in ms. */
@@ -135,8 +137,8 @@
 export type ResolvedConfig = z.output<typeof configSchema>;
 /** One pool with every default filled in. */
 export type PoolConfig = ResolvedConfig["pools"][number];
-/** A daily window in which VMs may be lent. */
-export type LendingWindow = z.output<typeof lendingWindowSchema>;
+/** A daily window in which VMs may be lent or maintained. */
+export type DailyWindow = z.output<typeof dailyWindowSchema>;
 /** One service with every default filled in. */
 export type ServiceConfig = ResolvedConfig["services"][number];
 
--- a/src/fleet/lending.ts
+++ b/src/fleet/lending.ts
@@ -1,6 +1,6 @@
 import { canSpareOne, evaluateAvailability, takeOne } from "./availability.ts";
 import { expectedPeakSlots } from "./demand.ts";
-import { isLendingOpen } from "./lending_window.ts";
+import { isWindowOpen } from "../config/daily_window.ts";
 import {
   collectLoads,
   type LendingLimits,
@@ -127,7 +127,7 @@
   if (counts.lent >= maximumLentVms) return "its lending bound is reached";
   if (!lender.lendingOpen) return "its lending window is closed";
   const horizonMs = minimumStayMs + RETURN_LEAD_MS;
-  if (!isLendingOpen(pool, nowMs + horizonMs)) {
+  if (!isWindowOpen(pool.lending.windows, nowMs + horizonMs)) {
     return "its lending window closes within the minimum stay";
   }
   if (!canSpareOne(counts)) return "its budget leaves no VM";
--- a/src/fleet/lending_terms.ts
+++ b/src/fleet/lending_terms.ts
@@ -1,7 +1,7 @@
 import type { PoolConfig } from "../config/schema.ts";
 import type { PoolAvailability } from "./availability.ts";
 import { expectedPeakSlots, movesWeightShare } from "./demand.ts";
-import { isLendingOpen } from "./lending_window.ts";
+import { isWindowOpen } from "../config/daily_window.ts";
 import type { PlanningContext } from "./planning_context.ts";
 
 /** Time before an expected surge at which the owner's VMs go back, in ms; one part of the demand history. */
@@ -107,7 +107,7 @@
         fromMs: nowMs,
         forMs: RETURN_LEAD_MS,
       }),
-      lendingOpen: isLendingOpen(pool, nowMs),
+      lendingOpen: isWindowOpen(pool.lending.windows, nowMs),
       overflowSlots: 0,
       capacityVms: counts.serving + counts.incoming,
     });
--- a/src/fleet/maintenance.ts
+++ b/src/fleet/maintenance.ts
@@ -1,3 +1,4 @@
+import { isWindowOpen, windowShare } from "../config/daily_window.ts";
 import type { PoolConfig } from "../config/schema.ts";
 import {
   type Availability,
@@ -103,6 +104,7 @@
 function startDrains(wave: PoolWave, context: PlanningContext): VmChange[] {
   const { pool, counts, ready, busyRacks } = wave;
   const changes: VmChange[] = [];
+  if (!isWindowOpen(pool.maintenance.windows, context.nowMs)) return changes;
   while (
     counts.inMaintenance < pool.maintenance.maximumConcurrentVms &&
     canSpareOne(counts)
@@ -155,7 +157,8 @@
   const durationMs = state.averageDurationMs ??
     pool.maintenance.vmMaintenanceMs;
   const neededMs = Math.ceil(due.length / concurrent) * durationMs;
-  const leftMs = waveEndMs(pool, state) - nowMs;
+  const leftMs = (waveEndMs(pool, state) - nowMs) *
+    windowShare(pool.maintenance.windows);
   if (neededMs <= leftMs * LATE_MARGIN) return undefined;
   return `${due.length} VM(s) are due and ${concurrent} at a time do not fit into the period`;
 }
--- a/src/fleet/plan_test.ts
+++ b/src/fleet/plan_test.ts
@@ -12,7 +12,7 @@
 import type { ResolvedConfig } from "../config/schema.ts";
 import { appendDecisions, MAXIMUM_DECISIONS } from "./decision_log.ts";
 import { BUCKETS_PER_DAY, createDemandState, observeDemand } from "./demand.ts";
-import { isLendingOpen } from "./lending_window.ts";
+import { isWindowOpen, windowShare } from "../config/daily_window.ts";
 import { type Plan, planFleet } from "./plan.ts";
 import type { PlanInput, WorkerView } from "./planning_context.ts";
 import { createFleetRecord, type FleetRecord } from "./record.ts";
@@ -208,7 +208,7 @@
     to: "02:00",
   };
   const lending = { ...pool.lending, windows: [window] };
-  const open = (atMs: number) => isLendingOpen({ ...pool, lending }, atMs);
+  const open = (atMs: number) => isWindowOpen(lending.windows, atMs);
   assert.is(open(Date.UTC(2026, 0, 5, 17, 0)), true, "Monday 22:00");
   assert.is(open(Date.UTC(2026, 0, 5, 20, 59)), true, "Tuesday 01:59");
   assert.is(open(Date.UTC(2026, 0, 5, 21, 0)), false, "Tuesday 02:00");
@@ -237,6 +237,30 @@
   assert.is(new Set(racks("spread")).size, 3);
 });
 
+// Guards against VMs that are stopped in the hours in which their team works.
+test("a wave starts drains in its windows only and is late by the hours in them", () => {
+  const at = (from: string, to: string, periodDays = 300) => {
+    const input = dueInput({ periodDays });
+    const [pool] = input.config.pools;
+    assert.ok(pool);
+    const windows = [{
+      timeZone: "UTC",
+      days: ["mon", "tue", "wed", "thu", "fri", "sat", "sun"] as const,
+      from,
+      to,
+    }].map((window) => ({ ...window, days: [...window.days] }));
+    const maintenance = { ...pool.maintenance, windows };
+    const config = { ...input.config, pools: [{ ...pool, maintenance }] };
+    return planFleet({ ...input, config });
+  };
+  // The input's time is noon.
+  assert.is(started(at("19:00", "05:00"), "maintain").length, 0);
+  assert.is(started(at("11:00", "13:00"), "maintain").length, 1);
+  const late = at("11:00", "12:30", 1);
+  assert.ok(late.kind === "changed" && late.record.maintenance.late.owner);
+  assert.is(windowShare([]), 1);
+});
+
 // Guards against a wave that is found to be late only when its period is over.
 test("reports a wave that can't finish, once and early", () => {
   const late = (plan: Plan) =>
