--- a/scripts/measure_requests.ts
+++ b/scripts/measure_requests.ts
@@ -14,7 +14,7 @@
 import {
   createTestFleet,
   createTestSettings,
-} from "../src/requests/test_fleet.ts";
+} from "../testing/request_fleet.ts";
 import { listenOnLoopback } from "../testing/http_json_server.ts";
 
 const BACKENDS = 6;
--- a/src/requests/keyed_requests_test.ts
+++ b/src/requests/keyed_requests_test.ts
@@ -13,8 +13,11 @@
   startRawBackend,
   startTestEntry,
   type TestEntry,
-} from "./test_entry.ts";
-import { createTestFleet, type TestFleet } from "./test_fleet.ts";
+} from "../../testing/request_entry.ts";
+import {
+  createTestFleet,
+  type TestFleet,
+} from "../../testing/request_fleet.ts";
 
 interface Context {
   readonly fleet: TestFleet;
--- a/src/requests/mixed_faults_test.ts
+++ b/src/requests/mixed_faults_test.ts
@@ -13,8 +13,8 @@
   startRawBackend,
   startTestEntry,
   type TestEntry,
-} from "./test_entry.ts";
-import { createTestFleet } from "./test_fleet.ts";
+} from "../../testing/request_entry.ts";
+import { createTestFleet } from "../../testing/request_fleet.ts";
 
 const REQUESTS = 4_000;
 const CONCURRENT_CALLERS = 60;
--- a/src/requests/response_test.ts
+++ b/src/requests/response_test.ts
@@ -8,8 +8,8 @@
   startRawBackend,
   startTestEntry,
   type TestEntry,
-} from "./test_entry.ts";
-import { createTestFleet } from "./test_fleet.ts";
+} from "../../testing/request_entry.ts";
+import { createTestFleet } from "../../testing/request_fleet.ts";
 
 type Respond = Parameters<typeof startRawBackend>[0];
 
--- a/src/requests/routing_test.ts
+++ b/src/requests/routing_test.ts
@@ -13,8 +13,11 @@
   startTestEntry,
   type TestEntry,
   type TestEntryOptions,
-} from "./test_entry.ts";
-import { createTestFleet, type TestFleetOptions } from "./test_fleet.ts";
+} from "../../testing/request_entry.ts";
+import {
+  createTestFleet,
+  type TestFleetOptions,
+} from "../../testing/request_fleet.ts";
 
 const ORDER = { method: "POST", body: "order" };
 
--- a/src/requests/test_entry.ts
+++ b/testing/request_entry.ts
@@ -1,14 +1,17 @@
 import { once } from "node:events";
 import { request as sendRequest } from "undici";
 import { createServer, type Socket } from "node:net";
-import { listenOnLoopback } from "../../testing/http_json_server.ts";
-import { type Clock, systemClock } from "../clock.ts";
-import { createContactTracker } from "../contact_tracker.ts";
-import { silentLogger } from "../logger.ts";
-import { createObservable, type MutableObservable } from "../observable.ts";
-import type { EntryDigest } from "../peers/messages.ts";
-import { createRequestPath, type RequestPath } from "./request_path.ts";
-import { createTestSettings, type TestFleet } from "./test_fleet.ts";
+import { listenOnLoopback } from "./http_json_server.ts";
+import { type Clock, systemClock } from "../src/clock.ts";
+import { createContactTracker } from "../src/contact_tracker.ts";
+import { silentLogger } from "../src/logger.ts";
+import { createObservable, type MutableObservable } from "../src/observable.ts";
+import type { EntryDigest } from "../src/peers/messages.ts";
+import {
+  createRequestPath,
+  type RequestPath,
+} from "../src/requests/request_path.ts";
+import { createTestSettings, type TestFleet } from "./request_fleet.ts";
 
 /** A request as a raw TCP backend server read it. */
 export interface RawRequest {
--- a/src/requests/test_fleet.ts
+++ b/testing/request_fleet.ts
@@ -1,10 +1,13 @@
-import { configSchema } from "../config/schema.ts";
-import type { AppliedConfig } from "../config/schema.ts";
-import type { FleetRecord, VmRecord } from "../fleet/record.ts";
-import { createObservable, type MutableObservable } from "../observable.ts";
-import type { Vm } from "../platform/vm_list.ts";
-import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
-import { type ResolvedSettings, settingsSchema } from "../settings/schema.ts";
+import { configSchema } from "../src/config/schema.ts";
+import type { AppliedConfig } from "../src/config/schema.ts";
+import type { FleetRecord, VmRecord } from "../src/fleet/record.ts";
+import { createObservable, type MutableObservable } from "../src/observable.ts";
+import type { Vm } from "../src/platform/vm_list.ts";
+import type { VmListSnapshot } from "../src/platform/vm_list_poller.ts";
+import {
+  type ResolvedSettings,
+  settingsSchema,
+} from "../src/settings/schema.ts";
 
 /** Observables of a fleet for tests and measurements. */
 export interface TestFleet {
