--- a/src/jobs/dispatcher_test.ts
+++ b/src/jobs/dispatcher_test.ts
@@ -11,15 +11,15 @@
 import { issueJobKey, type JobKey, SHARD_COUNT } from "./job_key.ts";
 import { parseShard, shardKey } from "./shard.ts";
 import { cancelJob, submitJob } from "./submission.ts";
+import { FakeJobs } from "../../testing/fake_jobs.ts";
 import {
   createSpec,
-  FakeJobs,
   keyOf,
   outcomeOf,
   runFor,
   storedJobs,
   submit,
-} from "../../testing/fake_jobs.ts";
+} from "../../testing/job_steps.ts";
 
 const seed = chooseSeed();
 const SHARDS = [0, 1];
--- a/src/jobs/paused_dispatcher_test.ts
+++ b/src/jobs/paused_dispatcher_test.ts
@@ -7,15 +7,15 @@
 import { issueJobKey } from "./job_key.ts";
 import { createShardRecord, ShardDraft, shardKey } from "./shard.ts";
 import { cancelJob, submitJob } from "./submission.ts";
+import { FakeJobs } from "../../testing/fake_jobs.ts";
 import {
   createSpec,
-  FakeJobs,
   keyOf,
   outcomeOf,
   runFor,
   storedJobs,
   submit,
-} from "../../testing/fake_jobs.ts";
+} from "../../testing/job_steps.ts";
 
 const LEASE = shardKey(REGION, 0);
 const turns = () => new Promise((resolve) => setTimeout(resolve, 0));
--- a/testing/fake_jobs.ts
+++ b/testing/fake_jobs.ts
@@ -1,5 +1,4 @@
 import { buildConfig, createVm, REGION } from "./fleet_world.ts";
-import type { FakeStore } from "./fake_store.ts";
 import type { Store } from "../src/platform/store.ts";
 import type { AppliedConfig, ResolvedConfig } from "../src/config/schema.ts";
 import { PlatformError } from "../src/errors.ts";
@@ -14,11 +13,7 @@
   WorkerAgent,
 } from "../src/platform/worker_agent.ts";
 import { Dispatcher } from "../src/jobs/dispatcher.ts";
-import { type Job, type JobSpec, jobSpecSchema } from "../src/jobs/job.ts";
-import { issueJobKey, type JobKey } from "../src/jobs/job_key.ts";
 import { JobMemory } from "../src/jobs/job_memory.ts";
-import { parseShard, shardKey } from "../src/jobs/shard.ts";
-import { submitJob } from "../src/jobs/submission.ts";
 import { parseTaskId } from "../src/jobs/task_id.ts";
 import { WorkerReports } from "../src/jobs/worker_reports.ts";
 
@@ -390,65 +385,3 @@
     };
   }
 }
-
-/** Returns a job of the fake workers' pool. */
-export function createSpec(overrides: Partial<JobSpec> = {}): JobSpec {
-  return jobSpecSchema.parse({
-    pool: POOL,
-    team: `${POOL}-team`,
-    jobClass: "c0",
-    command: "run 20000",
-    cores: 2,
-    memoryMb: 1_000,
-    runTimeMs: 20_000,
-    ...overrides,
-  });
-}
-
-/** Issues a key of one shard. */
-export function keyOf(shard: number, nowMs: number): JobKey {
-  let key = issueJobKey(nowMs);
-  while (key.shard !== shard) key = issueJobKey(nowMs);
-  return key;
-}
-
-/** Submits a job and flushes the shard. */
-export async function submit(
-  dispatcher: Dispatcher,
-  key: JobKey,
-  spec: JobSpec,
-): Promise<Job> {
-  const { writer } = dispatcher;
-  const options = { deadlineMs: 2_000, jobId: key.key };
-  const accepted = writer.change(
-    (draft) => submitJob(draft, key, spec),
-    options,
-  );
-  // The store may answer late; the step or a later flush settles the submit.
-  accepted.catch(() => {});
-  await writer.flush();
-  return await accepted;
-}
-
-/** Returns a shard's jobs in the store. */
-export const storedJobs = (store: FakeStore, shard: number) => {
-  const entry = store.history(shardKey(REGION, shard)).at(-1);
-  return entry === undefined
-    ? new Map<string, Job>()
-    : parseShard(entry.value).jobs;
-};
-/** Returns the outcome of a job that has ended. */
-export const outcomeOf = (job: Job | undefined) =>
-  job?.state.kind === "ended" ? job.state.outcome : undefined;
-
-/** Steps a dispatcher twice a second. */
-export async function runFor(
-  jobs: FakeJobs,
-  dispatcher: Dispatcher,
-  steps: number,
-): Promise<void> {
-  for (let count = 0; count < steps; count++) {
-    jobs.tick(500);
-    await dispatcher.step();
-  }
-}
