feat(requests): an unknown outcome says when to ask again where that is safe

Cause: outcome_unknown never carried Retry-After, although idempotent requests and keyed ones may be repeated; callers had to guess. Broken once: with Retry-After on every request the new test fails.

--- a/bench/capacity/idle_nodes.ts
+++ b/bench/capacity/idle_nodes.ts
@@ -23,7 +23,8 @@
 }
 
 const ENTRY_COUNTS = [3, 9, 18, 27];
-const SETTLE_MS = 5_000;
+/** Time for compilation to settle and for the first maintenance wave to end, in ms; shorter times measured up to twice the processor time. */
+const SETTLE_MS = 90_000;
 const MEASURED_MS = 20_000;
 
 async function peerBytes(entry: EntryProcess): Promise<number> {
--- a/src/jobs/routes_test.ts
+++ b/src/jobs/routes_test.ts
@@ -15,6 +15,17 @@
   runTimeMs: 200,
 };
 
+/** Fields of the replies' bodies that the test reads. */
+interface Body {
+  readonly key: string;
+  readonly missing: readonly unknown[];
+  readonly jobs: readonly unknown[];
+  readonly results: readonly unknown[];
+  readonly attempts: number;
+  readonly state: { readonly outcome?: { kind: string; reason?: string } };
+  readonly error: { readonly kind: string };
+}
+
 async function call(
   address: string,
   route: string,
@@ -33,8 +44,7 @@
     status: response.status,
     outcome: response.headers.get("cowslipferry-outcome"),
     retryAfter: response.headers.get("retry-after"),
-    // deno-lint-ignore no-explicit-any
-    body: await response.json() as any,
+    body: await response.json() as Body,
   };
 }
 
--- a/src/requests/keyed_requests.ts
+++ b/src/requests/keyed_requests.ts
@@ -42,6 +42,8 @@
 const LIMITS = { maximumKeys: 200_000, maximumBodyBytes: 67_108_864 };
 /** Time after which a retry is useful when no key is free, in ms. */
 const KEY_TABLE_RETRY_MS = 5_000;
+/** Time after which the outcome of a key may be known, in ms. */
+const ASK_AGAIN_MS = 1_000;
 /** Connections to one peer for forwarded requests. */
 const PEER_CONNECTIONS = 256;
 /** Part of the time left that the way back from the issuing entry gets. */
@@ -191,6 +193,7 @@
           resolve(outcomeUnknown(
             "waiting_for_first_run",
             "The first request with this key is still running",
+            ASK_AGAIN_MS,
           )),
         Math.max(0, remainingMs),
       );
@@ -218,6 +221,7 @@
     const unreachable = outcomeUnknown(
       "key_issuer_unreachable",
       "The entry that issued the key can't be reached",
+      ASK_AGAIN_MS,
     );
     if (peer === undefined || request.forwardedBy !== undefined) {
       return unreachable;
@@ -271,7 +275,11 @@
 ): Outcome {
   if (result.kind === "failed") {
     return result.reason === "timeout"
-      ? outcomeUnknown("timeout", "The issuing entry didn't answer in time")
+      ? outcomeUnknown(
+        "timeout",
+        "The issuing entry didn't answer in time",
+        ASK_AGAIN_MS,
+      )
       : unreachable;
   }
   const outcome = findHeader(result.response.headers, OUTCOME_HEADER);
--- a/src/requests/outcome.ts
+++ b/src/requests/outcome.ts
@@ -56,10 +56,13 @@
 /** A request that may have run and that this system won't run again. */
 export class OutcomeUnknownError extends TaggedError<UnknownReason> {
   readonly kind: UnknownReason;
+  /** Time after which the caller may ask again, in ms; undefined when repeating could run the request twice. */
+  readonly retryAfterMs: number | undefined;
 
-  constructor(kind: UnknownReason, message: string) {
+  constructor(kind: UnknownReason, message: string, retryAfterMs?: number) {
     super(message);
     this.kind = kind;
+    this.retryAfterMs = retryAfterMs;
   }
 }
 
@@ -124,10 +127,14 @@
 }
 
 /** Returns the outcome for a request that may have run. */
-export function outcomeUnknown(kind: UnknownReason, message: string): Outcome {
+export function outcomeUnknown(
+  kind: UnknownReason,
+  message: string,
+  retryAfterMs?: number,
+): Outcome {
   return {
     kind: "outcome_unknown",
-    error: new OutcomeUnknownError(kind, message),
+    error: new OutcomeUnknownError(kind, message, retryAfterMs),
   };
 }
 
@@ -181,16 +188,15 @@
 export function describeFailure(
   error: NotRunError | OutcomeUnknownError,
 ): BufferedResponse {
-  const notRunError = error instanceof NotRunError ? error : undefined;
-  const retryAfterMs = notRunError?.retryAfterMs;
+  const { retryAfterMs } = error;
   const headers = ["content-type", "application/json"];
   if (retryAfterMs !== undefined) {
     headers.push("retry-after", String(Math.ceil(retryAfterMs / 1_000)));
   }
   return {
-    status: notRunError === undefined
-      ? statusOfUnknown((error as OutcomeUnknownError).kind)
-      : statusOfRefusal(notRunError.kind),
+    status: error instanceof NotRunError
+      ? statusOfRefusal(error.kind)
+      : statusOfUnknown(error.kind),
     headers,
     body: Buffer.from(JSON.stringify({
       error: {
--- a/src/requests/response_test.ts
+++ b/src/requests/response_test.ts
@@ -87,6 +87,18 @@
     assert.is(backend.connections, 2);
   }));
 
+// Guards against callers that repeat a booking because they were told to come back.
+test("an unknown outcome says when to come back only if repeating is safe", () =>
+  withBackend(() => {}, async (entry) => {
+    const late = (method: string) =>
+      call(entry, "/quoting/late", {
+        method,
+        headers: { "cowslipferry-deadline-ms": "50" },
+      });
+    assert.ok(Number((await late("GET")).headers["retry-after"]) >= 1);
+    assert.is((await late("POST")).headers["retry-after"], undefined);
+  }));
+
 test("unsolicited bytes after a response don't reach another request", () =>
   withBackend((socket, { path }) => {
     socket.write(rawResponse(path) + rawResponse("unsolicited"));
--- a/src/requests/run_request.ts
+++ b/src/requests/run_request.ts
@@ -15,6 +15,7 @@
   type RetryBudget,
 } from "./retry_budget.ts";
 import type { Router, SlotGrant } from "./router.ts";
+import { addRetryJitter } from "./shedding.ts";
 
 /** What running a request works with. */
 export interface RunnerOptions {
@@ -32,6 +33,9 @@
 /** Time after which a retry is useful when no instance could be reached, in ms. */
 const UNREACHABLE_RETRY_MS = 500;
 
+/** Time after which asking again is useful when the outcome of a repeatable request isn't known, in ms. */
+const UNKNOWN_OUTCOME_RETRY_MS = 1_000;
+
 /** Runs requests on backend servers: admission, exchange, retries. */
 export class RequestRunner {
   #options: RunnerOptions;
@@ -62,7 +66,11 @@
         : started;
       if (admitted.kind === "refused") {
         return sent
-          ? outcomeUnknown("connection_lost", "The last attempt failed")
+          ? outcomeUnknown(
+            "connection_lost",
+            "The last attempt failed",
+            retryAfterUnknown(request, service),
+          )
           : this.#refuse(request, admitted.error, admitted.details);
       }
       const { grant } = admitted;
@@ -84,7 +92,10 @@
         budget: this.#budgetOf(service),
       });
       if (decision.kind === "stop") {
-        return this.#conclude(request, sent, result);
+        return this.#conclude(request, sent, {
+          result,
+          retryAfterMs: retryAfterUnknown(request, service),
+        });
       }
       this.#budgets.set(service.name, decision.budget);
     }
@@ -131,9 +142,14 @@
   #conclude(
     request: CallerRequest,
     sent: boolean,
-    result: Extract<ExchangeResult, { kind: "failed" }>,
+    { result, retryAfterMs }: {
+      readonly result: Extract<ExchangeResult, { kind: "failed" }>;
+      readonly retryAfterMs: number | undefined;
+    },
   ): Outcome {
-    if (sent) return outcomeUnknown(result.reason, result.message);
+    if (sent) {
+      return outcomeUnknown(result.reason, result.message, retryAfterMs);
+    }
     return this.#refuse(
       request,
       result.reason === "timeout"
@@ -168,6 +184,18 @@
   }
 }
 
+/** Repeating is safe for idempotent methods and for keys, whose first run is looked up. */
+function retryAfterUnknown(
+  request: CallerRequest,
+  service: ServiceConfig,
+): number | undefined {
+  const repeatable = request.key !== undefined ||
+    service.idempotentMethods.includes(request.method);
+  return repeatable
+    ? addRetryJitter(UNKNOWN_OUTCOME_RETRY_MS, Math.random())
+    : undefined;
+}
+
 function attemptResult(
   result: ExchangeResult,
   latencyMs: number,
