--- a/src/errors.ts
+++ b/src/errors.ts
@@ -13,6 +13,20 @@
   }
 }
 
+/** A failure that may tell when to ask again. */
+export abstract class RetryableError<Kind extends string>
+  extends TaggedError<Kind> {
+  readonly kind: Kind;
+  /** Time after which asking again can help, in ms; undefined when it can't. */
+  readonly retryAfterMs: number | undefined;
+
+  constructor(kind: Kind, message: string, retryAfterMs?: number) {
+    super(message);
+    this.kind = kind;
+    this.retryAfterMs = retryAfterMs;
+  }
+}
+
 /** A broken assumption of the program itself. */
 export class InternalError extends TaggedError<"internal"> {
   readonly kind = "internal";
--- a/src/jobs/errors.ts
+++ b/src/jobs/errors.ts
@@ -1,4 +1,4 @@
-import { TaggedError } from "../errors.ts";
+import { RetryableError, TaggedError } from "../errors.ts";
 
 /** Why a call about jobs was refused; the call had no effect. */
 export type JobRefusalReason =
@@ -15,17 +15,7 @@
   | "invalid_job";
 
 /** A call about jobs that provably had no effect. */
-export class JobRefusedError extends TaggedError<JobRefusalReason> {
-  readonly kind: JobRefusalReason;
-  /** Time after which a retry can help, in ms. */
-  readonly retryAfterMs: number | undefined;
-
-  constructor(kind: JobRefusalReason, message: string, retryAfterMs?: number) {
-    super(message);
-    this.kind = kind;
-    this.retryAfterMs = retryAfterMs;
-  }
-}
+export class JobRefusedError extends RetryableError<JobRefusalReason> {}
 
 /** A call about jobs that may have taken effect; the key can be asked for again. */
 export class JobOutcomeUnknownError extends TaggedError<"outcome_unknown"> {
--- a/src/requests/outcome.ts
+++ b/src/requests/outcome.ts
@@ -1,4 +1,4 @@
-import { assertNever, TaggedError } from "../errors.ts";
+import { assertNever, RetryableError } from "../errors.ts";
 
 /** Why a request was not run. */
 export type RefusalReason =
@@ -41,30 +41,10 @@
   | "internal";
 
 /** A request that was not run; no byte of it reached a backend server. */
-export class NotRunError extends TaggedError<RefusalReason> {
-  readonly kind: RefusalReason;
-  /** Time after which a retry can help, in ms. */
-  readonly retryAfterMs: number | undefined;
+export class NotRunError extends RetryableError<RefusalReason> {}
 
-  constructor(kind: RefusalReason, message: string, retryAfterMs?: number) {
-    super(message);
-    this.kind = kind;
-    this.retryAfterMs = retryAfterMs;
-  }
-}
-
-/** A request that may have run and that this system won't run again. */
-export class OutcomeUnknownError extends TaggedError<UnknownReason> {
-  readonly kind: UnknownReason;
-  /** Time after which the caller may ask again, in ms; undefined when repeating could run the request twice. */
-  readonly retryAfterMs: number | undefined;
-
-  constructor(kind: UnknownReason, message: string, retryAfterMs?: number) {
-    super(message);
-    this.kind = kind;
-    this.retryAfterMs = retryAfterMs;
-  }
-}
+/** A request that may have run and that this system won't run again; without `retryAfterMs`, repeating it could run it twice. */
+export class OutcomeUnknownError extends RetryableError<UnknownReason> {}
 
 /** A complete response that is held in memory. */
 export interface BufferedResponse {
--- a/src/requests/service_times.ts
+++ b/src/requests/service_times.ts
@@ -13,7 +13,7 @@
 const MAXIMUM_VALUE_US = 600_000_000;
 
 /** Creates a histogram of durations in microseconds. */
-export function createDurationHistogram(): Histogram {
+function createDurationHistogram(): Histogram {
   return build({
     lowestDiscernibleValue: 1,
     highestTrackableValue: MAXIMUM_VALUE_US,
@@ -22,7 +22,7 @@
 }
 
 /** Records a duration in ms, cut to what a histogram holds. */
-export function recordDuration(histogram: Histogram, durationMs: number): void {
+function recordDuration(histogram: Histogram, durationMs: number): void {
   histogram.recordValue(
     Math.min(MAXIMUM_VALUE_US, Math.max(1, Math.round(durationMs * 1_000))),
   );
--- a/src/settings/operator.ts
+++ b/src/settings/operator.ts
@@ -11,8 +11,6 @@
   }).prefault({}),
 });
 
-/** What an operator settings file holds. */
-export type UserOperatorSettings = z.input<typeof operatorSettingsSchema>;
 /** Operator settings with every default filled in. */
 export type ResolvedOperatorSettings = z.output<typeof operatorSettingsSchema>;
 
