test(requests): measure refusal times in the entry, not in the test process

The bound of 150 ms ran from the start of all 100 calls in the test process. Connecting 100 callers takes 1.4 ms each there (refusals seen from 55 to 195 ms), while the entry refused within 0.3 ms (median), 3.4 ms at most. Change: the time comes from the entry's own duration metric, and the 90th percentile of all refusals has to be below 150 ms (before: 80% of them). Further, more than 80% of the recorded refusals have to be decisions on arrival, which the old check didn't tell apart from those of the periodic review. Service time and deadline are five times as long, so that arrivals spread over some 100 ms don't change how many requests fit. Ruled out: late decisions of the entry (its metric), the accept queue as part of the decision. Shown failing: with the review on arrival disabled the new check fails; the old one passed. Conclusion: the check now measures what it states.

--- a/src/requests/routing_test.ts
+++ b/src/requests/routing_test.ts
@@ -148,36 +148,45 @@
 test("requests over the capacity are refused at once, admitted ones meet their deadline", () =>
   withEntry({
     fleetOptions: { service: { slotsPerInstance: 2 } },
-    backends: [answerAfter(20)],
+    backends: [answerAfter(100)],
   }, async ({ entry, backends }) => {
     for (let index = 0; index < 10; index++) await call(entry, "/quoting/0");
-    const startedAtMs = performance.now();
     const responses = await Promise.all(
-      Array.from({ length: 100 }, async (_, index) => {
-        const response = await call(entry, `/quoting/${index}`, {
-          headers: { "cowslipferry-deadline-ms": "300" },
-        });
-        return { response, tookMs: performance.now() - startedAtMs };
-      }),
-    );
-    const refused = responses.filter(({ response }) =>
-      response.outcome === "not_run"
+      Array.from(
+        { length: 100 },
+        (_, index) =>
+          call(entry, `/quoting/${index}`, {
+            headers: { "cowslipferry-deadline-ms": "1500" },
+          }),
+      ),
     );
+    const refused = responses.filter(({ outcome }) => outcome === "not_run");
     assert.ok(refused.length > 40, `${refused.length} refused`);
     assert.ok(refused.length < 90, `${refused.length} refused`);
-    for (const { response } of refused) {
+    for (const response of refused) {
       assert.is(response.error, "deadline_unreachable");
       assert.ok(JSON.parse(response.text).error.retryAfterMs >= 20);
     }
-    const earlyRefusals = refused.filter(({ tookMs }) => tookMs < 150);
-    assert.ok(earlyRefusals.length > refused.length * 0.8);
-    const unknown = responses.filter(({ response }) =>
-      response.outcome === "outcome_unknown"
+    // The entry's own figure: 100 new connections of one test process alone can take longer.
+    const durations = entry.path.metrics().find(({ labels }) =>
+      labels.outcome === "not_run"
+    );
+    assert.is(durations?.count, refused.length);
+    const p90Ms = durations!.quantiles["0.9"]!;
+    assert.ok(p90Ms < 150, `refused after ${p90Ms} ms`);
+    const unknown = responses.filter(({ outcome }) =>
+      outcome === "outcome_unknown"
     );
     assert.is(unknown.length, 0);
     assert.is(backends[0]!.connections, 2);
-    const dump = entry.path.dump() as { recentRefusals: unknown[] };
-    assert.ok(dump.recentRefusals.length > 0);
+    const { recentRefusals } = entry.path.dump() as {
+      recentRefusals: { details?: { ahead?: number } }[];
+    };
+    // Only a decision on arrival counts the requests ahead.
+    const onArrival = recentRefusals.filter(({ details }) =>
+      details?.ahead !== undefined
+    );
+    assert.ok(onArrival.length > recentRefusals.length * 0.8);
   }));
 
 test("the queue has a limit", () =>
