fix(requests): time in the accept queue counts towards a request's deadline

Trial with the times in a response header: the late requests waited up to 1.9 s in the kernel's accept queue and 1 to 50 ms in the entry. libuv of Node 20 accepts one connection per loop iteration, and the entry counted deadlines from when it read the request. Change: while connections arrive, an entry connects to its own port every 25 ms (probe). The queue is first in, first out, so what is accepted before a probe arrived before it. That time is the request's arrival. A request that has expired there is refused synchronously, with the wait as its retry time, without a task of its own. Ruled out: late decisions inside the entry (at most 52 ms after accepting), a stalled test process (subtracted by the test), a full backlog (300 callers per entry, 511 places). SO_REUSEPORT and several accepts per iteration aren't available in Node 20.

--- a/src/requests/caller_connections.ts
+++ b/src/requests/caller_connections.ts
@@ -27,6 +27,8 @@
   parserError: NotRunError | undefined;
   /** Whether the connection ends with the current response. */
   closing: boolean;
+  /** Time since which a first request may have waited in the accept queue, in monotonic ms; undefined once it would have been read. */
+  queuedSinceMs: number | undefined;
 }
 
 /** Task of one caller's connection: serves its requests one after the other. */
@@ -64,7 +66,7 @@
   }
 
   /** Starts the task of a new connection; it ends after the last request once the socket is closed. */
-  start(socket: Socket): void {
+  start(socket: Socket, queuedSinceMs?: number): void {
     const { scope, serve, log } = this.#options;
     const connection: CallerConnection = {
       queue: createQueue<IncomingCall, void>(),
@@ -72,7 +74,14 @@
       pending: 0,
       parserError: undefined,
       closing: false,
+      queuedSinceMs,
     };
+    if (queuedSinceMs !== undefined) {
+      // Bytes that were there on arrival are read before the second check phase.
+      setImmediate(() =>
+        setImmediate(() => connection.queuedSinceMs = undefined)
+      );
+    }
     this.#connections.set(socket, connection);
     this.#open++;
     socket.once("close", () => {
--- a/src/requests/front.ts
+++ b/src/requests/front.ts
@@ -13,6 +13,7 @@
 import { OUTCOME_HEADER, SYSTEM_PATH_PREFIX } from "../constants.ts";
 import type { Logger } from "../logger.ts";
 import type { ResolvedSettings } from "../settings/schema.ts";
+import { AcceptQueue } from "./accept_queue.ts";
 import { CallerConnections, type IncomingCall } from "./caller_connections.ts";
 import { describeFailure, NotRunError } from "./outcome.ts";
 import { writeReply } from "./reply.ts";
@@ -35,6 +36,9 @@
 /** Time after its own body timeout at which Node's timeout applies, in ms. */
 const BACKSTOP_MS = 2_000;
 
+/** Wait in the accept queue from which it counts towards a request's deadline, in ms. */
+const COUNTED_WAIT_MS = 10;
+
 /** Creates the callers' HTTP server; it isn't listening yet. */
 export function createFront(options: FrontOptions): Server {
   const { limits, calls, scope, clock, log } = options;
@@ -50,10 +54,14 @@
       request,
       response: response as unknown as ServerResponse,
       url: request.originalUrl,
-      arrivedAtMs: clock.monotonicMs(),
+      arrivedAtMs: connection?.queuedSinceMs ?? clock.monotonicMs(),
       connection: connection!,
     };
     calls.began(call);
+    const waited = connection!.queuedSinceMs !== undefined;
+    if (waited && connection!.pending === 0 && calls.refuseExpired(call)) {
+      return;
+    }
     connection!.pending++;
     connection!.queue.add(call);
   }
@@ -89,7 +97,13 @@
   // Node would silently drop further headers; their size is bounded.
   server.maxHeadersCount = 0;
   server.on("checkExpectation", handle);
-  server.on("connection", (socket) => connections.start(socket));
+  const acceptQueue = new AcceptQueue(server, clock);
+  server.on("connection", (socket) => {
+    const arrivedAtMs = acceptQueue.arrivalOf(socket);
+    if (arrivedAtMs === undefined) return;
+    const waited = clock.monotonicMs() - arrivedAtMs >= COUNTED_WAIT_MS;
+    connections.start(socket, waited ? arrivedAtMs : undefined);
+  });
   server.on("connect", (_request, socket) => {
     writeRawError(
       socket,
--- a/src/requests/serve_call.ts
+++ b/src/requests/serve_call.ts
@@ -136,6 +136,41 @@
     this.#noteRefusal("", "", error);
   }
 
+  /** Answers at once a call whose deadline passed while its connection waited to be accepted; returns whether it did. A keyed call may have a stored outcome and is left to `serve`. */
+  refuseExpired(call: IncomingCall): boolean {
+    const { request, response } = call;
+    if (
+      isBelow(call.url, this.#options.systemCalls?.pathPrefix) ||
+      singleHeader(request, IDEMPOTENCY_KEY_HEADER) !== undefined
+    ) return false;
+    const waitedMs = this.#options.clock.monotonicMs() - call.arrivedAtMs;
+    let service: ServiceConfig;
+    try {
+      service = this.#resolveService(call);
+      const deadlineMs = parseDeadlineMs(request) ?? service.defaultDeadlineMs;
+      if (waitedMs < deadlineMs) return false;
+    } catch {
+      return false;
+    }
+    const requestId = this.requestIdOf(request);
+    const error = new NotRunError(
+      "deadline_expired",
+      "The deadline passed before the connection was accepted",
+      // The connections that wait now are accepted within about that time.
+      Math.ceil(waitedMs),
+    );
+    this.#noteRefusal(requestId, service.name, error);
+    // The body hasn't been read, so the connection can't be used again.
+    const unread = announcesBody(request);
+    writeReply(response, { kind: "not_run", error }, {
+      requestId,
+      closeConnection: this.draining || unread,
+      ...(unread ? { beforeClose: () => discardBody(request) } : {}),
+    });
+    this.#options.metrics.record(service.name, "not_run", waitedMs);
+    return true;
+  }
+
   /** Serves one call; never throws. */
   *serve(call: IncomingCall): Operation<void> {
     const { request, response, connection } = call;
