--- a/testing/random.ts
+++ b/testing/random.ts
@@ -23,7 +23,7 @@
   };
 }
 
-/** Returns a seed from `SEED`, or a new one, and prints it so that a run can be repeated. */
+/** Returns the seed from `SEED`, or a new one if it isn't a number, and prints it so that a run can be repeated. */
 export function chooseSeed(): number {
   const given = Number(process.env.SEED);
   const seed = Number.isInteger(given) && given > 0
