feat(fleet): refused loans are decisions that explain shows

Cause: a pool that is short and gets no VM wrote no decision, so explain could not say which lenders were asked and why each refused.

Change: the lending stage returns, beside its changes, one decision of kind loan_refused for each short pool to which no VM was lent: what was asked for and each lender with its reason. The reason for a lender's own demand is split into demand now, hysteresis and expected surge. Refusals write no fleet record. The controller records one when its reasons change, changes at most once a minute, and again after 15 minutes without a shortage; the log keeps 5 for each pool. explain needs no change, as the pool that asked and its team carry the decision.

Ruled out: writing refusals into the fleet record (a write for each change of a reason); listing them under the lenders as well (a spare pool would see nothing else); a memory of refusals in the store (a repeat after a takeover costs one record for each short pool).

Conclusion: a short pool can be explained.

--- a/bench/fleet/strategies.ts
+++ b/bench/fleet/strategies.ts
@@ -103,10 +103,11 @@
     kind: "changed",
     record: { ...input.record, revision: context.nextRevision, vms },
     decisions: [],
+    refusedLoans: [],
   };
 }
 
-const unchanged = (): Plan => ({ kind: "unchanged" });
+const unchanged = (): Plan => ({ kind: "unchanged", refusedLoans: [] });
 
 /** The compared strategies. */
 export const STRATEGIES: readonly Strategy[] = [
--- a/src/fleet/controller.ts
+++ b/src/fleet/controller.ts
@@ -13,6 +13,7 @@
 import { type Decision, MAXIMUM_DECISIONS } from "./decision_log.ts";
 import { type DemandState, observeDemand } from "./demand.ts";
 import { createIntentRunner } from "./intents.ts";
+import { createRefusalFilter } from "./loan_refusals.ts";
 import { planFleet } from "./plan.ts";
 import type { WorkerView } from "./planning_context.ts";
 import type { FleetRecord } from "./record.ts";
@@ -68,6 +69,12 @@
   let demand: DemandState | undefined;
   let demandWrittenAtMs = clock.monotonicMs();
   let unlogged: Decision[] = [];
+  let refusals = createRefusalFilter();
+
+  function noteDecisions(decisions: readonly Decision[]): void {
+    unlogged = [...unlogged, ...decisions].slice(-MAXIMUM_DECISIONS);
+    for (const { kind, summary } of decisions) log.info(summary, { kind });
+  }
 
   async function observe(listedEntries: number, applied: AppliedConfig) {
     demand = observeDemand(demand ?? await values.readDemand(), {
@@ -153,6 +160,7 @@
     const listedEntries =
       snapshot.vms.filter((vm) => vm.role === "entry" && vm.region === region)
         .length;
+    const nowMs = clock.wallMs();
     const plan = planFleet({
       record,
       config: applied.config,
@@ -162,20 +170,23 @@
       workers: await viewWorkers(record),
       demand: await observe(listedEntries, applied),
       holdsNewDrains: !monitor.isSettled(),
-      nowMs: clock.wallMs(),
+      nowMs,
     });
     if (plan.kind === "outdated_config") {
       return { result: plan, current: record };
     }
     if (plan.kind === "unchanged") {
+      noteDecisions(refusals.select(plan.refusedLoans, nowMs));
       const { revision } = record;
       return { result: { kind: "unchanged", revision }, current: record };
     }
     if (!await swap(read, plan.record)) {
       return { result: { kind: "conflict" }, current: record };
     }
-    unlogged = [...unlogged, ...plan.decisions].slice(-MAXIMUM_DECISIONS);
-    for (const { kind, summary } of plan.decisions) log.info(summary, { kind });
+    noteDecisions([
+      ...plan.decisions,
+      ...refusals.select(plan.refusedLoans, nowMs),
+    ]);
     const { revision } = plan.record;
     return { result: { kind: "written", revision }, current: plan.record };
   }
@@ -194,6 +205,7 @@
       // Another controller observes the demand now; its history is read again on a takeover.
       demand = undefined;
       known = undefined;
+      refusals = createRefusalFilter();
       monitor.reset();
       return { kind: "standby", holder: lease.holder };
     }
--- a/src/fleet/controller_test.ts
+++ b/src/fleet/controller_test.ts
@@ -12,8 +12,9 @@
 import { createObservable } from "../observable.ts";
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
 import { createControllerStore } from "./controller_store.ts";
-import { decisionLogKey } from "./decision_log.ts";
+import { decisionLogKey, decisionLogSchema } from "./decision_log.ts";
 import { parseFleetRecord } from "./follower.ts";
+import { REFUSED_LOAN_KIND } from "./loan_refusals.ts";
 import { createFleetRecord, fleetKey, type VmRecord } from "./record.ts";
 import { checkRecord, checkStep } from "./record_check.ts";
 
@@ -274,6 +275,36 @@
   assert.match(log, "repair_loan");
 });
 
+// Guards against a record of the same refusal in each planning step, and against a new reason that is not recorded.
+test("a refused loan is recorded when its reason changes", async () => {
+  const pools = [{ ...SPARE, maximumLentVms: 0 }, IDLE];
+  const { world, controller } = startWorld(pools);
+  world.demandSlots.set("shop", 60);
+  const reasons = () => {
+    const log = world.store.history(decisionLogKey(REGION)).at(-1)?.value;
+    const { decisions } = decisionLogSchema.parse(
+      JSON.parse(log ?? '{"decisions":[]}'),
+    );
+    return decisions.filter(({ kind, pools }) =>
+      kind === REFUSED_LOAN_KIND && pools.includes("shop")
+    ).map(({ rejected }) => rejected[0]?.reason);
+  };
+  const step = async (count: number) => {
+    for (let done = 0; done < count; done++) {
+      world.tick(5_000);
+      await controller.step();
+    }
+  };
+  await world.runUntil(controller, () => maintained(world).length === 8);
+  const { revision } = world.record();
+  await step(50);
+  assert.equal(reasons(), ["its lending bound is reached"]);
+  world.apply(buildConfig([{ ...SPARE, minimumServingVms: 4 }, IDLE]));
+  await step(50);
+  assert.equal(reasons().slice(1), ["its budget leaves no VM"]);
+  assert.is(world.record().revision, revision);
+});
+
 // Guards against an older program that misreads a newer record.
 test("a record with an unknown newer schema version is refused", () => {
   const { world } = startWorld([SHOP]);
--- a/src/fleet/decision_log.ts
+++ b/src/fleet/decision_log.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { REFUSED_LOAN_KIND } from "./loan_refusals.ts";
 
 /** One decision about the fleet, as shown by `explain`. */
 export const decisionSchema = z.object({
@@ -27,15 +28,30 @@
 /** Number of decisions that are kept for each region. */
 export const MAXIMUM_DECISIONS = 500;
 
+/** Number of refused loans that are kept for each pool, so that they don't push out the decisions that moved VMs. */
+export const MAXIMUM_REFUSED_LOANS = 5;
+
 /** Store key of a region's recent decisions. */
 export function decisionLogKey(region: string): string {
   return `fleet-log/${region}`;
 }
 
 function identify(decision: Decision): string {
-  return `${decision.fleetRevision}/${decision.kind}/${decision.vmId ?? ""}/${
-    decision.pools.join(",")
-  }`;
+  const { fleetRevision, kind, vmId = "", pools, atMs } = decision;
+  // Refused loans write no revision, so one revision can have several at different times.
+  return `${fleetRevision}/${kind}/${vmId}/${pools.join(",")}/${atMs}`;
+}
+
+/** Drops the oldest refused loans of each pool beyond their bound. */
+function boundRefusedLoans(log: readonly Decision[]): Decision[] {
+  const counts = new Map<string, number>();
+  return log.toReversed().filter(({ kind, pools }) => {
+    if (kind !== REFUSED_LOAN_KIND) return true;
+    const pool = pools[0] ?? "";
+    const count = (counts.get(pool) ?? 0) + 1;
+    counts.set(pool, count);
+    return count <= MAXIMUM_REFUSED_LOANS;
+  }).reverse();
 }
 
 /** Returns the log with new decisions at its end, the oldest dropped beyond the bound; repeated ones are not added twice. */
@@ -45,5 +61,5 @@
 ): Decision[] {
   const known = new Set(log.map(identify));
   const fresh = added.filter((decision) => !known.has(identify(decision)));
-  return [...log, ...fresh].slice(-MAXIMUM_DECISIONS);
+  return boundRefusedLoans([...log, ...fresh]).slice(-MAXIMUM_DECISIONS);
 }
--- a/src/fleet/lending.ts
+++ b/src/fleet/lending.ts
@@ -17,6 +17,7 @@
   type VmChange,
   type Vms,
 } from "./planning_context.ts";
+import { describeRefusedLoan, type LoanNeed } from "./loan_refusals.ts";
 import { isLent, type MaintenanceState, type VmRecord } from "./record.ts";
 
 /** Share of a wave's period before its end in which lent VMs are called back for maintenance. */
@@ -32,6 +33,14 @@
   /** Serving VMs at home, by pool. */
   readonly homeVms: ReadonlyMap<string, [string, VmRecord][]>;
   readonly changes: VmChange[];
+  readonly refusals: DecisionDraft[];
+}
+
+/** What the lending stage decided. */
+export interface LendingPlan {
+  readonly changes: readonly VmChange[];
+  /** Requests for VMs that no pool granted; repeated in each step while the shortage lasts. */
+  readonly refusals: readonly DecisionDraft[];
 }
 
 function figures(loads: readonly PoolLoad[]): DecisionDraft["facts"] {
@@ -122,7 +131,7 @@
   borrower: PoolLoad | undefined,
 ): string | undefined {
   const { pool, counts } = lender;
-  const { nowMs, demand } = step.context;
+  const { nowMs } = step.context;
   const { maximumLentVms, minimumStayMs } = pool.lending;
   if (counts.lent >= maximumLentVms) return "its lending bound is reached";
   if (!lender.lendingOpen) return "its lending window is closed";
@@ -132,17 +141,31 @@
   }
   if (!canSpareOne(counts)) return "its budget leaves no VM";
   if (borrower === undefined) return undefined;
-  const peak = expectedPeakSlots(demand, pool.name, {
+  return demandRefusal(lender, step, { borrower, horizonMs });
+}
+
+/** Reason for which a pool's own demand, now or expected, rules a loan out. */
+function demandRefusal(
+  lender: PoolLoad,
+  step: LendingStep,
+  { borrower, horizonMs }: { borrower: PoolLoad; horizonMs: number },
+): string | undefined {
+  const { demand, nowMs } = step.context;
+  const { lendBelow, reclaimAbove, smallestGain } = step.limits;
+  const slots = (lender.capacityVms - 1) * lender.slotsPerVm;
+  const peak = expectedPeakSlots(demand, lender.pool.name, {
     fromMs: nowMs,
     forMs: horizonMs,
   });
-  const slots = (lender.capacityVms - 1) * lender.slotsPerVm;
+  const now = lender.levelSlots / slots;
   const after = Math.max(peak, lender.levelSlots) / slots;
-  if (after > step.limits.lendBelow) {
-    return "its own demand, now or expected, needs the VM";
+  if (now > reclaimAbove) return "its own demand needs the VM";
+  if (now > lendBelow) {
+    return "its own demand is close to where it would call the VM back (hysteresis)";
   }
-  if (utilisation(borrower) - after < step.limits.smallestGain) {
-    return "it would be almost as busy as the borrower";
+  if (after > lendBelow) return "its expected surge needs the VM";
+  if (utilisation(borrower) - after < smallestGain) {
+    return "it would be almost as busy as the borrower, which the weights don't allow";
   }
   return undefined;
 }
@@ -166,7 +189,7 @@
 function lendOne(
   borrower: PoolLoad,
   step: LendingStep,
-  need: "demand" | "budget",
+  need: LoanNeed,
 ): boolean {
   const rejected: { option: string; reason: string }[] = [];
   const able: PoolLoad[] = [];
@@ -187,7 +210,11 @@
   for (const lender of able) {
     const vms = step.homeVms.get(lender.pool.name) ?? [];
     const chosen = chooseVm(vms, step.state);
-    if (chosen === undefined) continue;
+    if (chosen === undefined) {
+      const reason = "none of its VMs serves at home and answers";
+      rejected.push({ option: lender.pool.name, reason });
+      continue;
+    }
     const others = able.filter((other) => other !== lender);
     rejected.push(...others.map((other) => ({
       option: other.pool.name,
@@ -196,14 +223,28 @@
     recordLoan(step, { borrower, lender, chosen, need, rejected });
     return true;
   }
+  refuse(step, { borrower, need, rejected });
   return false;
 }
 
+function refuse(
+  step: LendingStep,
+  refused: {
+    borrower: PoolLoad;
+    need: LoanNeed;
+    rejected: DecisionDraft["rejected"];
+  },
+): void {
+  const facts = figures([...step.loads.values()]);
+  const { limits } = step;
+  step.refusals.push(describeRefusedLoan({ ...refused, limits, facts }));
+}
+
 interface Loan {
   readonly borrower: PoolLoad;
   readonly lender: PoolLoad;
   readonly chosen: [string, VmRecord];
-  readonly need: "demand" | "budget";
+  readonly need: LoanNeed;
   readonly rejected: DecisionDraft["rejected"];
 }
 
@@ -264,10 +305,21 @@
       lendOne(load, step, "budget")
     );
   }
-  if (!demandIsKnown) return;
   const needy = loads.filter((load) =>
     utilisation(load) > step.limits.borrowAbove
   ).sort((a, b) => utilisation(b) - utilisation(a));
+  if (!demandIsKnown) {
+    const reason = "too few entries are heard to know the demand";
+    for (const load of needy) {
+      const lenders = loads.filter((lender) => lender !== load);
+      const rejected = lenders.map(({ pool }) => ({
+        option: pool.name,
+        reason,
+      }));
+      refuse(step, { borrower: load, need: "demand", rejected });
+    }
+    return;
+  }
   for (const load of needy) {
     while (
       utilisation(load) > step.limits.borrowAbove &&
@@ -281,7 +333,7 @@
   context: PlanningContext,
   vms: Vms,
   state: MaintenanceState,
-): readonly VmChange[] {
+): LendingPlan {
   const availability = evaluateAvailability({
     vms,
     pools: context.pools.values(),
@@ -294,8 +346,9 @@
     limits: resolveLendingLimits(context),
     homeVms: collectHomeVms(context, vms),
     changes: [],
+    refusals: [],
   };
   planReturns(step, vms);
   planLoans(step, context.demand.coverage >= MINIMUM_COVERAGE);
-  return step.changes;
+  return { changes: step.changes, refusals: step.refusals };
 }
--- /dev/null
+++ b/src/fleet/loan_refusals.ts
@@ -0,0 +1,105 @@
+import type { Decision } from "./decision_log.ts";
+import type { LendingLimits, PoolLoad } from "./lending_terms.ts";
+import { utilisation } from "./lending_terms.ts";
+import type { DecisionDraft } from "./planning_context.ts";
+
+/** Kind of the decisions that record a request for VMs that no pool granted. */
+export const REFUSED_LOAN_KIND = "loan_refused";
+
+/** Shortest time between two steps that record changed reasons, in ms; each such step writes the whole log, and reasons can alternate from step to step. */
+const CHANGES_INTERVAL_MS = 60_000;
+/** Time without a shortage after which the same refusal is recorded again, in ms: by then it is another surge. */
+const FORGET_AFTER_MS = 15 * 60_000;
+
+/** Why a pool asks for VMs. */
+export type LoanNeed = "demand" | "budget";
+
+/** A request for a VM that no pool granted. */
+export interface RefusedLoan {
+  readonly borrower: PoolLoad;
+  readonly need: LoanNeed;
+  readonly limits: LendingLimits;
+  /** Demand and capacity of the borrower and of the pools that were asked. */
+  readonly facts: DecisionDraft["facts"];
+  readonly rejected: DecisionDraft["rejected"];
+}
+
+function toPercent(share: number): number | string {
+  return Number.isFinite(share) ? Math.round(share * 100) : "no capacity";
+}
+
+/** Number of VMs that would end the shortage. */
+function countWanted({ borrower, need, limits }: RefusedLoan): number {
+  const { counts } = borrower;
+  if (need === "budget") {
+    return counts.minimumServingVms - counts.serving - counts.incoming;
+  }
+  const missingSlots = borrower.levelSlots / limits.borrowAbove -
+    borrower.overflowSlots - borrower.capacityVms * borrower.slotsPerVm;
+  return Math.max(1, Math.ceil(missingSlots / borrower.slotsPerVm));
+}
+
+/** Describes a refused loan as a decision about the pool that asked. */
+export function describeRefusedLoan(refused: RefusedLoan): DecisionDraft {
+  const { borrower, need, limits, facts, rejected } = refused;
+  const { name } = borrower.pool;
+  const wantedVms = countWanted(refused);
+  const reason = need === "budget"
+    ? "it is below its budget"
+    : "its demand exceeds its capacity";
+  return {
+    kind: REFUSED_LOAN_KIND,
+    pools: [name],
+    summary:
+      `${name} asks for ${wantedVms} more VM(s) because ${reason}; no pool lends one`,
+    facts: {
+      need,
+      wantedVms,
+      utilisationPercent: toPercent(utilisation(borrower)),
+      borrowAbovePercent: toPercent(limits.borrowAbove),
+      ...facts,
+    },
+    rejected,
+  };
+}
+
+/** Passes on refused loans whose reasons are new. */
+export interface RefusalFilter {
+  /** Returns the refusals to record; called once for each planning step. */
+  select(refusals: readonly Decision[], nowMs: number): readonly Decision[];
+}
+
+interface KnownRefusal {
+  reasons: string;
+  seenAtMs: number;
+}
+
+/** Creates a filter; its memory can be lost at the cost of one repeated record for each short pool. */
+export function createRefusalFilter(): RefusalFilter {
+  const known = new Map<string, KnownRefusal>();
+  let changesAtMs = -Infinity;
+
+  return {
+    select(refusals, nowMs) {
+      for (const [pool, { seenAtMs }] of known) {
+        if (nowMs - seenAtMs >= FORGET_AFTER_MS) known.delete(pool);
+      }
+      const takesChanges = nowMs - changesAtMs >= CHANGES_INTERVAL_MS;
+      return refusals.filter((refusal) => {
+        const pool = refusal.pools[0] ?? "";
+        const reasons = JSON.stringify([
+          refusal.facts["need"],
+          refusal.rejected,
+        ]);
+        const last = known.get(pool);
+        if (last !== undefined) {
+          last.seenAtMs = nowMs;
+          if (last.reasons === reasons || !takesChanges) return false;
+          changesAtMs = nowMs;
+        }
+        known.set(pool, { reasons, seenAtMs: nowMs });
+        return true;
+      });
+    },
+  };
+}
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -22,12 +22,17 @@
 export type Plan =
   /** The record was already written under a newer configuration than the one at hand. */
   | { readonly kind: "outdated_config" }
-  | { readonly kind: "unchanged" }
+  | {
+    readonly kind: "unchanged";
+    readonly refusedLoans: readonly Decision[];
+  }
   | {
     readonly kind: "changed";
     /** The record to write, with the next revision. */
     readonly record: FleetRecord;
     readonly decisions: readonly Decision[];
+    /** Requests for VMs that no pool granted; they change nothing and repeat in each step. */
+    readonly refusedLoans: readonly Decision[];
   };
 
 function teamsOf(context: PlanningContext, pools: readonly string[]): string[] {
@@ -86,11 +91,22 @@
   const waves = planMaintenance(context, vms, learned);
   apply(waves.changes);
   drafts.push(...waves.decisions);
-  if (!input.holdsNewDrains) apply(planLending(context, vms, waves.state));
-
-  if (!changed && waves.state === record.maintenance) {
-    return { kind: "unchanged" };
+  let refusals: readonly DecisionDraft[] = [];
+  if (!input.holdsNewDrains) {
+    const lending = planLending(context, vms, waves.state);
+    apply(lending.changes);
+    refusals = lending.refusals;
   }
+
+  const isUnchanged = !changed && waves.state === record.maintenance;
+  const complete = (draft: DecisionDraft): Decision => ({
+    ...draft,
+    atMs: nowMs,
+    fleetRevision: isUnchanged ? record.revision : context.nextRevision,
+    teams: teamsOf(context, draft.pools),
+  });
+  const refusedLoans = refusals.map(complete);
+  if (isUnchanged) return { kind: "unchanged", refusedLoans };
   return {
     kind: "changed",
     record: {
@@ -100,11 +116,7 @@
       vms,
       maintenance: waves.state,
     },
-    decisions: drafts.map((draft) => ({
-      ...draft,
-      atMs: nowMs,
-      fleetRevision: context.nextRevision,
-      teams: teamsOf(context, draft.pools),
-    })),
+    decisions: drafts.map(complete),
+    refusedLoans,
   };
 }
--- a/src/fleet/plan_test.ts
+++ b/src/fleet/plan_test.ts
@@ -4,101 +4,34 @@
 import {
   buildConfig,
   createDigest,
-  createVm,
   REGION,
   type TestPool,
 } from "../../testing/fleet_world.ts";
+import {
+  ANSWERS,
+  createInput,
+  NOW_MS,
+  OWNER,
+  TAKER,
+  withDemand,
+} from "../../testing/plan_input.ts";
 import { chooseSeed } from "../../testing/random.ts";
-import type { ResolvedConfig } from "../config/schema.ts";
-import { appendDecisions, MAXIMUM_DECISIONS } from "./decision_log.ts";
-import { BUCKETS_PER_DAY, createDemandState, observeDemand } from "./demand.ts";
+import {
+  appendDecisions,
+  MAXIMUM_DECISIONS,
+  MAXIMUM_REFUSED_LOANS,
+} from "./decision_log.ts";
+import { createDemandState, observeDemand } from "./demand.ts";
 import { isWindowOpen, windowShare } from "../config/daily_window.ts";
+import { REFUSED_LOAN_KIND } from "./loan_refusals.ts";
 import { type Plan, planFleet } from "./plan.ts";
-import type { PlanInput, WorkerView } from "./planning_context.ts";
+import type { PlanInput } from "./planning_context.ts";
 import { createFleetRecord, type FleetRecord } from "./record.ts";
 import { checkStep } from "./record_check.ts";
 
-const NOW_MS = Date.UTC(2026, 0, 7, 12, 0);
 const MINUTE_MS = 60_000;
-const ANSWERS: WorkerView = {
-  reachable: true,
-  answers: true,
-  lastRebootIntentId: undefined,
-  runningTasks: 0,
-};
 const seed = chooseSeed();
 
-const OWNER: TestPool = {
-  name: "owner",
-  vms: 8,
-  minimumServingVms: 2,
-  maximumLentVms: 4,
-  periodDays: 300,
-};
-const TAKER: TestPool = { ...OWNER, name: "taker", maximumLentVms: 0 };
-
-/** An input in which all VMs serve at home and no maintenance is due. */
-function createInput(
-  pools: readonly TestPool[],
-  config: ResolvedConfig = buildConfig(pools),
-): PlanInput {
-  const names = pools.flatMap(({ name, vms }) =>
-    Array.from({ length: vms }, (_, index) => [name, `${name}-${index}`])
-  );
-  const vms = names.map(([pool = "", id = ""], index) =>
-    createVm(id, index, pool)
-  );
-  const waves = Object.fromEntries(pools.map(({ name }) => [name, NOW_MS - 1]));
-  const record: FleetRecord = {
-    ...createFleetRecord(REGION),
-    revision: 1,
-    maintenance: { waves, late: {} },
-    vms: Object.fromEntries(vms.map((vm) => [vm.id, {
-      pool: vm.pool ?? "",
-      homePool: vm.pool ?? "",
-      state: "serving",
-      incarnation: vm.incarnation,
-      dataCentre: vm.dataCentre,
-      rack: vm.rack,
-      changedAtMs: NOW_MS - 1,
-      maintainedAtMs: NOW_MS,
-    }])),
-  };
-  return {
-    record,
-    config,
-    configRevision: 1,
-    vms,
-    entries: [createDigest("entry-1", record, new Map(), new Map())],
-    workers: new Map(vms.map((vm) => [vm.id, ANSWERS])),
-    demand: createDemandState(),
-    holdsNewDrains: false,
-    nowMs: NOW_MS,
-  };
-}
-
-function withDemand(
-  input: PlanInput,
-  levels: Record<string, { slots: number; nextUsualSlots?: number }>,
-): PlanInput {
-  const pools = Object.entries(levels).map(([
-    pool,
-    { slots, nextUsualSlots = slots },
-  ]) => [
-    pool,
-    {
-      levelSlots: slots,
-      bucket: 0,
-      bucketPeakSlots: slots,
-      // Usual demand is today's up to now, and another one in the next part of the day.
-      history: Array<number | null>(BUCKETS_PER_DAY).fill(slots)
-        .fill(nextUsualSlots, 49),
-    },
-  ]);
-  const demand = { ...input.demand, coverage: 1 };
-  return { ...input, demand: { ...demand, pools: Object.fromEntries(pools) } };
-}
-
 /** The input a while later, with a VM of the owner lent to the taker. */
 function withLoan(input: PlanInput, stayMs: number): PlanInput {
   const vm = input.record.vms["owner-0"];
@@ -308,6 +241,11 @@
     (_, index) => ({ ...decision, fleetRevision: index }),
   );
   assert.is(appendDecisions([], many).length, MAXIMUM_DECISIONS);
+  const refused = many.map((item) => ({ ...item, kind: REFUSED_LOAN_KIND }));
+  assert.equal(
+    appendDecisions([], refused),
+    refused.slice(-MAXIMUM_REFUSED_LOANS),
+  );
 });
 
 // Guards against decisions that break a budget or bound from any starting point.
--- /dev/null
+++ b/testing/plan_input.ts
@@ -0,0 +1,94 @@
+import type { ResolvedConfig } from "../src/config/schema.ts";
+import { BUCKETS_PER_DAY, createDemandState } from "../src/fleet/demand.ts";
+import type { PlanInput, WorkerView } from "../src/fleet/planning_context.ts";
+import { createFleetRecord, type FleetRecord } from "../src/fleet/record.ts";
+import {
+  buildConfig,
+  createDigest,
+  createVm,
+  REGION,
+  type TestPool,
+} from "./fleet_world.ts";
+
+/** Wall-clock time of the planning step: noon, in ms. */
+export const NOW_MS = Date.UTC(2026, 0, 7, 12, 0);
+/** A worker that answers and runs nothing. */
+export const ANSWERS: WorkerView = {
+  reachable: true,
+  answers: true,
+  lastRebootIntentId: undefined,
+  runningTasks: 0,
+};
+/** A pool that may lend half of its VMs. */
+export const OWNER: TestPool = {
+  name: "owner",
+  vms: 8,
+  minimumServingVms: 2,
+  maximumLentVms: 4,
+  periodDays: 300,
+};
+/** A pool that lends none. */
+export const TAKER: TestPool = { ...OWNER, name: "taker", maximumLentVms: 0 };
+
+/** An input in which all VMs serve at home and no maintenance is due. */
+export function createInput(
+  pools: readonly TestPool[],
+  config: ResolvedConfig = buildConfig(pools),
+): PlanInput {
+  const names = pools.flatMap(({ name, vms }) =>
+    Array.from({ length: vms }, (_, index) => [name, `${name}-${index}`])
+  );
+  const vms = names.map(([pool = "", id = ""], index) =>
+    createVm(id, index, pool)
+  );
+  const waves = Object.fromEntries(pools.map(({ name }) => [name, NOW_MS - 1]));
+  const record: FleetRecord = {
+    ...createFleetRecord(REGION),
+    revision: 1,
+    maintenance: { waves, late: {} },
+    vms: Object.fromEntries(vms.map((vm) => [vm.id, {
+      pool: vm.pool ?? "",
+      homePool: vm.pool ?? "",
+      state: "serving",
+      incarnation: vm.incarnation,
+      dataCentre: vm.dataCentre,
+      rack: vm.rack,
+      changedAtMs: NOW_MS - 1,
+      maintainedAtMs: NOW_MS,
+    }])),
+  };
+  return {
+    record,
+    config,
+    configRevision: 1,
+    vms,
+    entries: [createDigest("entry-1", record, new Map(), new Map())],
+    workers: new Map(vms.map((vm) => [vm.id, ANSWERS])),
+    demand: createDemandState(),
+    holdsNewDrains: false,
+    nowMs: NOW_MS,
+  };
+}
+
+/** The input with a demand for each pool, and optionally another usual one in the next part of the day. */
+export function withDemand(
+  input: PlanInput,
+  levels: Record<string, { slots: number; nextUsualSlots?: number }>,
+): PlanInput {
+  const pools = Object.entries(levels).map(([
+    pool,
+    { slots, nextUsualSlots = slots },
+  ]) => [
+    pool,
+    {
+      levelSlots: slots,
+      bucket: 0,
+      bucketPeakSlots: slots,
+      // Usual demand is today's up to now, and another one in the next part of the day.
+      history: Array<number | null>(BUCKETS_PER_DAY).fill(slots)
+        .fill(nextUsualSlots, 49),
+    },
+  ]);
+  const demand = { ...input.demand, coverage: 1 };
+  return { ...input, demand: { ...demand, pools: Object.fromEntries(pools) } };
+}
