feat(config): a store restored to an older revision is reported, and apply refuses

Cause: entries never go back to an older revision, while apply counts from the store's. After a restore of the store, new applies had no effect until they passed the revision in force, and nothing reported this.

A file that equals the restored one no longer counts as unchanged.

Ruled out: entries that write their configuration back (an operator who restored on purpose would be overruled silently); apply that skips ahead by itself (the file may have been made from the restored one); taking every newer revision from a peer as a sign of a restore (an outage of the store would be reported: only its answers count); refusing while an entry doesn't answer (a lost entry would block every apply; it is named instead).

Tests fail as intended: without the entries' comparison, without the check against a stale read, with the restored file counted as unchanged, without the note of unchanged answers, with an outage counted as a restore (unit tests), and without the note of the store's revision (real processes).

Conclusion: a restored configuration is visible and has a safe way out. Not covered: a restore of the fleet records, and reused store versions that an entry didn't see go back.

--- a/src/admin/dump.ts
+++ b/src/admin/dump.ts
@@ -1,6 +1,7 @@
 import process from "node:process";
 import type { Clock } from "../clock.ts";
 import type { AppliedConfig } from "../config/schema.ts";
+import type { StoreBehind, StoreRevision } from "../config/store_revision.ts";
 import type { ContactSource, ContactTracker } from "../contact_tracker.ts";
 import { VERSION } from "../constants.ts";
 import type { EntryState, UnreadyReason } from "../entry_state.ts";
@@ -36,6 +37,8 @@
   readonly config:
     | Pick<AppliedConfig, "revision" | "applyId" | "digest" | "appliedAtMs">
     | undefined;
+  /** Set while the store holds an older configuration than the entry knows. */
+  readonly storeBehind: StoreBehind | undefined;
   readonly fleet:
     | {
       readonly revision: number;
@@ -64,6 +67,7 @@
   readonly incarnation: string;
   readonly state: EntryState;
   readonly config: Observable<AppliedConfig | undefined>;
+  readonly storeRevision: StoreRevision;
   readonly fleet: Observable<FleetRecord | undefined>;
   readonly vmList: Observable<VmListSnapshot | undefined>;
   readonly entries: Observable<readonly EntryDigest[]>;
@@ -139,6 +143,7 @@
       const applied = options.config.get();
       return applied && summarizeConfig(applied);
     },
+    storeBehind: () => options.storeRevision.behind(),
     fleet() {
       const record = options.fleet.get();
       return record && summarizeFleet(record);
--- a/src/admin/entry_metrics.ts
+++ b/src/admin/entry_metrics.ts
@@ -66,6 +66,12 @@
   ];
 }
 
+/** Revisions that the store lacks; 0 unless it was restored to an older state. */
+function storeBehindRevisions(options: DumpOptions): number {
+  const behind = options.storeRevision.behind();
+  return behind === undefined ? 0 : behind.knownRevision - behind.storeRevision;
+}
+
 /** Reads the metrics of an entry. */
 export function readEntryMetrics(options: DumpOptions): Metric[] {
   const { state, config, fleet, supervisor } = options;
@@ -77,6 +83,11 @@
       "Configuration revision in force",
       config.get()?.revision ?? 0,
     ),
+    gauge(
+      "config_store_behind_revisions",
+      "Configuration revisions by which the store is behind this entry",
+      storeBehindRevisions(options),
+    ),
     gauge(
       "fleet_revision",
       "Fleet record revision in use",
--- a/src/commands/apply.ts
+++ b/src/commands/apply.ts
@@ -15,10 +15,15 @@
   resolvePlatform,
   setExitCode,
 } from "./context.ts";
+import { readKnownRevision } from "./known_revision.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
 
+/** Bound of `--above-revision`: 600 changes a day don't reach it in 4,000 years, and a number that JSON can't carry exactly would make the configuration unreadable. */
+const MAXIMUM_ABOVE_REVISION = 1_000_000_000;
+
 interface Options extends PlatformOptions {
   readonly expectRevision?: number;
+  readonly aboveRevision?: number;
   readonly wait?: boolean;
   readonly timeoutMs: number;
 }
@@ -144,14 +149,15 @@
   const store = platform.store();
   // Fails before anything is written when the VM list's address is missing.
   if (options.wait) platform.vmList();
+  // Read before the store, whose revision can only be higher then unless it was restored.
+  const { known, unchecked } = await readKnownRevision(platform);
   const startedAtMs = systemClock.monotonicMs();
-  const result = await applyConfig(
-    store,
-    config,
-    options.expectRevision === undefined
-      ? {}
-      : { expectedRevision: options.expectRevision },
-  );
+  const { expectRevision, aboveRevision } = options;
+  const result = await applyConfig(store, config, {
+    ...(expectRevision !== undefined && { expectedRevision: expectRevision }),
+    ...(aboveRevision !== undefined && { aboveRevision }),
+    ...(known && { known }),
+  });
   const rollOut = options.wait
     ? await waitFor(result, {
       platform,
@@ -161,8 +167,18 @@
     : undefined;
   printResult(
     options,
-    { ...describeResult(result), ...(rollOut && { rollOut }) },
-    [...formatResult(result), ...(rollOut ? formatRollOut(rollOut) : [])],
+    {
+      ...describeResult(result),
+      ...(unchecked.length > 0 && { unchecked }),
+      ...(rollOut && { rollOut }),
+    },
+    [
+      ...unchecked.map(({ what, reason }) =>
+        `revision of ${what} not compared with the store's: ${reason}`
+      ),
+      ...formatResult(result),
+      ...(rollOut ? formatRollOut(rollOut) : []),
+    ],
   );
   setExitCode(exitCodeOf(result));
   if (rollOut?.result.kind === "timed_out") {
@@ -182,6 +198,11 @@
       "refuse unless this revision is in force; 0 when there is none",
       parseInteger(0),
     )
+    .option(
+      "--above-revision <number>",
+      "after a restore of the store: write the revision after this one",
+      parseInteger(0, MAXIMUM_ABOVE_REVISION),
+    )
     .option("--wait", "wait until every live entry reports the revision")
     .option(
       "--timeout-ms <ms>",
--- a/src/commands/context.ts
+++ b/src/commands/context.ts
@@ -31,15 +31,20 @@
   readonly readDump: ReadDump;
 }
 
-/** Parses an option that is an integer of at least `minimum`. */
-export function parseInteger(minimum: number): (text: string) => number {
+/** Parses an option that is an integer of at least `minimum` and at most `maximum`. */
+export function parseInteger(
+  minimum: number,
+  maximum = Number.MAX_SAFE_INTEGER,
+): (text: string) => number {
   return (text) => {
     const value = Number(text);
-    if (/^\d+$/.test(text) && Number.isSafeInteger(value) && value >= minimum) {
+    if (/^\d+$/.test(text) && value >= minimum && value <= maximum) {
       return value;
     }
     throw new InvalidArgumentError(
-      `It must be an integer of at least ${minimum}.`,
+      maximum === Number.MAX_SAFE_INTEGER
+        ? `It must be an integer of at least ${minimum}.`
+        : `It must be an integer from ${minimum} to ${maximum}.`,
     );
   };
 }
--- /dev/null
+++ b/src/commands/known_revision.ts
@@ -0,0 +1,35 @@
+import { listLiveEntries, readEntryReport } from "../config/roll_out.ts";
+import type { KnownRevision } from "../config/store_behind.ts";
+import { messageOf } from "../errors.ts";
+import type { OperatorPlatform, Unreadable } from "./context.ts";
+
+/** What the live entries know, and which of them could not be asked. */
+export interface EntriesRevision {
+  readonly known: KnownRevision | undefined;
+  readonly unchecked: readonly Unreadable[];
+}
+
+/** Asks each live entry for the highest revision that it knows; never rejects, because a store can be written without them. */
+export async function readKnownRevision(
+  platform: OperatorPlatform,
+): Promise<EntriesRevision> {
+  const unchecked: Unreadable[] = [];
+  let known: KnownRevision | undefined;
+  try {
+    const entries = listLiveEntries(await platform.vmList().list());
+    const reports = await Promise.all(
+      entries.map((vm) => readEntryReport(vm, platform.readDump)),
+    );
+    for (const report of reports) {
+      const { entryId, failure } = report;
+      const revision = report.recordedRevision ?? report.revision ?? 0;
+      if (failure !== undefined) {
+        unchecked.push({ what: `entry ${entryId}`, reason: failure });
+      }
+      if (revision > (known?.revision ?? 0)) known = { entryId, revision };
+    }
+  } catch (error) {
+    unchecked.push({ what: "the entries", reason: messageOf(error) });
+  }
+  return { known, unchecked };
+}
--- a/src/commands/status_format.ts
+++ b/src/commands/status_format.ts
@@ -57,7 +57,21 @@
     return `entry ${entry.entryId} (${place}): leaving`;
   }
   return `entry ${entry.entryId} (${place}): ` +
-    (entry.failure ?? `configuration revision ${entry.revision}`);
+    (entry.failure ?? `configuration revision ${entry.revision}`) +
+    (entry.storeBehind === undefined
+      ? ""
+      : `, sees the store at older revision ${entry.storeBehind.storeRevision}`);
+}
+
+/** Warns when entries see the store at an older revision than they know. */
+function formatStoreBehind(entries: readonly EntryStatus[]): string[] {
+  const seen = entries.flatMap((entry) => entry.storeBehind ?? []);
+  if (seen.length === 0) return [];
+  const known = Math.max(...seen.map((item) => item.knownRevision));
+  return [
+    `STORE BEHIND: ${seen.length} entries know revision ${known}, the store ` +
+    `holds an older one; apply with --above-revision ${known}`,
+  ];
 }
 
 /** Formats the status as lines. */
@@ -78,6 +92,7 @@
   }
   return [
     ...lines,
+    ...formatStoreBehind(status.entries),
     ...status.regions.flatMap(formatRegion),
     ...status.entries.map(formatEntry),
   ];
--- a/src/config/apply.ts
+++ b/src/config/apply.ts
@@ -1,10 +1,20 @@
 import { createHash, randomUUID } from "node:crypto";
 import { setTimeout as delay } from "node:timers/promises";
 import { CONFIG_KEY } from "../constants.ts";
-import { StoreError, TaggedError, ValidationError } from "../errors.ts";
+import {
+  assertNever,
+  StoreError,
+  TaggedError,
+  ValidationError,
+} from "../errors.ts";
 import type { Store, SwapRequest } from "../platform/store.ts";
 import { type ConfigChange, diffConfigs } from "./diff.ts";
 import { parseAppliedConfig } from "./follower.ts";
+import {
+  checkRevisions,
+  type RevisionBounds,
+  StoreBehindError,
+} from "./store_behind.ts";
 import { parseJson } from "../validation.ts";
 import {
   type AppliedConfig,
@@ -45,7 +55,7 @@
   };
 
 /** Options of an apply. */
-export interface ApplyOptions {
+export interface ApplyOptions extends RevisionBounds {
   /** Revision that must be in force; 0 when none may be. */
   readonly expectedRevision?: number;
   /** Delays before each attempt to find out whether a write with a lost answer took effect, in ms. */
@@ -108,9 +118,10 @@
 function createApplied(
   config: ResolvedConfig,
   previous: Head | undefined,
+  baseRevision: number,
 ): AppliedConfig {
   return {
-    revision: (previous?.revision ?? 0) + 1,
+    revision: baseRevision + 1,
     applyId: randomUUID(),
     appliedAtMs: Date.now(),
     digest: createHash("sha256").update(JSON.stringify(config)).digest("hex"),
@@ -168,7 +179,7 @@
   // The expected version has passed, so the write can't take effect later either.
   if (current.revision <= revision || previous !== undefined) {
     return createConflict("concurrent_apply", {
-      baseRevision: revision - 1,
+      baseRevision: applied.previousApplies?.[0]?.revision ?? 0,
       stored,
       config,
     });
@@ -269,34 +280,75 @@
   );
 }
 
-/** Applies a configuration as the next revision; rejects with a `StoreError` when nothing was written. */
-export async function applyConfig(
+/** Returns a conflict when the store has passed the revision above which was to be written; throws a `StoreBehindError`. */
+async function checkBase(
+  store: Store,
+  stored: StoredConfig,
+  options: { config: ResolvedConfig; bounds: RevisionBounds },
+): Promise<ApplyResult | { kind: "proceed"; base: number }> {
+  const { config, bounds } = options;
+  const storeRevision = stored.head?.revision ?? 0;
+  const check = checkRevisions(storeRevision, bounds);
+  switch (check.kind) {
+    case "proceed":
+      return check;
+    case "passed":
+      return createConflict("unexpected_revision", {
+        baseRevision: check.aboveRevision,
+        stored,
+        config,
+      });
+    case "behind":
+      // The read may have shown an older value than the latest.
+      if (stored.version > 0 && !await confirmLatest(store, stored)) {
+        return await concurrentApply(store, stored, config);
+      }
+      throw new StoreBehindError(storeRevision, check.known);
+    default:
+      return assertNever(check);
+  }
+}
+
+async function concurrentApply(
   store: Store,
+  stored: StoredConfig,
   config: ResolvedConfig,
-  options: ApplyOptions = {},
 ): Promise<ApplyResult> {
-  const { expectedRevision, resolveDelaysMs = RESOLVE_DELAYS_MS } = options;
-  const stored = await readConfig(store);
-  if (isSameConfig(stored, config)) {
-    if (await confirmLatest(store, stored)) {
-      return { kind: "unchanged", applied: parseAppliedConfig(stored.text) };
-    }
-  } else {
-    const unexpected = checkExpectation(stored, config, expectedRevision);
-    if (unexpected !== undefined) return unexpected;
-    const applied = createApplied(config, stored.head);
-    const request = {
-      key: CONFIG_KEY,
-      expectedVersion: stored.version,
-      value: JSON.stringify(applied),
-    };
-    const write = { request, applied };
-    const result = await writeOnce(store, write, resolveDelaysMs);
-    if (result !== undefined) return result;
-  }
   return createConflict("concurrent_apply", {
     baseRevision: stored.head?.revision ?? 0,
     stored: await readConfig(store).catch(() => stored),
     config,
   });
 }
+
+/** Applies a configuration as the next revision; rejects with a `StoreError` or a `StoreBehindError` when nothing was written. */
+export async function applyConfig(
+  store: Store,
+  config: ResolvedConfig,
+  options: ApplyOptions = {},
+): Promise<ApplyResult> {
+  const { expectedRevision, resolveDelaysMs = RESOLVE_DELAYS_MS } = options;
+  const stored = await readConfig(store);
+  const storeRevision = stored.head?.revision ?? 0;
+  const known = options.known?.revision ?? 0;
+  const isCurrent =
+    storeRevision >= Math.max(known, options.aboveRevision ?? 0);
+  if (isCurrent && isSameConfig(stored, config)) {
+    return await confirmLatest(store, stored)
+      ? { kind: "unchanged", applied: parseAppliedConfig(stored.text) }
+      : await concurrentApply(store, stored, config);
+  }
+  const unexpected = checkExpectation(stored, config, expectedRevision);
+  if (unexpected !== undefined) return unexpected;
+  const checked = await checkBase(store, stored, { config, bounds: options });
+  if (checked.kind !== "proceed") return checked;
+  const applied = createApplied(config, stored.head, checked.base);
+  const request = {
+    key: CONFIG_KEY,
+    expectedVersion: stored.version,
+    value: JSON.stringify(applied),
+  };
+  const write = { request, applied };
+  const result = await writeOnce(store, write, resolveDelaysMs);
+  return result ?? await concurrentApply(store, stored, config);
+}
--- a/src/config/apply_test.ts
+++ b/src/config/apply_test.ts
@@ -14,18 +14,25 @@
 import type { Store } from "../platform/store.ts";
 import { applyConfig, UnreadableConfigError } from "./apply.ts";
 import { parseAppliedConfig } from "./follower.ts";
+import { type RevisionBounds, StoreBehindError } from "./store_behind.ts";
 import { resolveConfig } from "./validate.ts";
 
 const FILE = "examples/khomas.json";
 const BASE = resolveConfig(readFileSync(FILE, "utf8"), FILE);
 
 /** Applies a configuration that the buffer cost tells apart from others. */
-function apply(store: Store, bufferCost: number, expectedRevision?: number) {
+function apply(
+  store: Store,
+  bufferCost: number,
+  expectedRevision?: number,
+  bounds: RevisionBounds = {},
+) {
   const config = { ...BASE, weights: { bufferCost, moves: 1 } };
   const resolveDelaysMs = [0, 1, 2];
   return applyConfig(store, config, {
     resolveDelaysMs,
     ...(expectedRevision !== undefined && { expectedRevision }),
+    ...bounds,
   });
 }
 
@@ -215,6 +222,42 @@
   assert.equal(await readInForce(store), { revision: 2, cost: 2 });
 });
 
+test("guards against a revision that entries ignore because the store was restored", async () => {
+  const store = createFakeStore();
+  for (const cost of [1, 2, 3]) await apply(store, cost);
+  const [first] = store.history(CONFIG_KEY);
+  await store.compareAndSwap({
+    key: CONFIG_KEY,
+    expectedVersion: 3,
+    value: first?.value ?? "",
+  });
+  const known = { revision: 3, entryId: "entry-1" };
+  const above = (cost: number, aboveRevision?: number, revision = 3) =>
+    apply(store, cost, undefined, {
+      known: { ...known, revision },
+      ...(aboveRevision !== undefined && { aboveRevision }),
+    });
+  // The file of the restored revision must not count as in force either.
+  for (const [cost, aboveRevision] of [[1], [4], [4, 2]] as const) {
+    const error = await above(cost, aboveRevision).catch((reason) => reason);
+    assert.instance(error, StoreBehindError);
+    const { storeRevision, entryRevision } = error.toJSON();
+    assert.equal([storeRevision, entryRevision], [1, 3]);
+    assert.match(error.message, "--above-revision 3");
+  }
+  assert.equal(await readInForce(store), { revision: 1, cost: 1 });
+  assert.is((await above(1, 3)).kind, "accepted");
+  assert.equal(await readInForce(store), { revision: 4, cost: 1 });
+  assert.is((await above(1, 3, 4)).kind, "unchanged");
+  assert.is((await above(5, 3, 4)).kind, "conflict");
+  assert.is((await above(5, undefined, 4)).kind, "accepted");
+  store.faults.staleReads = 1;
+  assert.is((await above(6, undefined, 5)).kind, "conflict");
+  const emptied = createFakeStore();
+  const error = await apply(emptied, 1, undefined, { known }).catch((e) => e);
+  assert.instance(error, StoreBehindError);
+});
+
 test("guards against applying over a revision that the operator did not review", async () => {
   const store = createFakeStore();
   await apply(store, 1);
--- a/src/config/follower.ts
+++ b/src/config/follower.ts
@@ -1,4 +1,4 @@
-import type { Operation } from "effection";
+import { type Operation, spawn } from "effection";
 import { CONFIG_KEY } from "../constants.ts";
 import { messageOf } from "../errors.ts";
 import type { Logger } from "../logger.ts";
@@ -7,6 +7,7 @@
 import { runValueFollower } from "../platform/value_follower.ts";
 import { parseJson, parseWithSchema } from "../validation.ts";
 import { type AppliedConfig, appliedConfigSchema } from "./schema.ts";
+import { logStoreBehind, type StoreRevision } from "./store_revision.ts";
 
 const SOURCE = "stored configuration";
 
@@ -34,20 +35,25 @@
 export interface ConfigFollowerOptions {
   readonly store: Store;
   readonly current: MutableObservable<AppliedConfig | undefined>;
+  /** Told what the store shows. */
+  readonly storeRevision: StoreRevision;
   readonly log: Logger;
   readonly onContact?: () => void;
 }
 
 /** Task that follows the applied configuration in the store until it is halted. */
-export function runConfigFollower(
+export function* runConfigFollower(
   options: ConfigFollowerOptions,
 ): Operation<void> {
-  const { store, current, log, onContact } = options;
-  return runValueFollower({
+  const { store, current, storeRevision, log, onContact } = options;
+  yield* spawn(() => logStoreBehind(storeRevision, log));
+  yield* runValueFollower({
     store,
     key: CONFIG_KEY,
     log,
     onContact,
+    onAbsent: () => storeRevision.note(0),
+    onUnchanged: () => storeRevision.noteUnchanged(),
     onValue(entry) {
       let candidate: AppliedConfig;
       try {
@@ -56,6 +62,7 @@
         log.error("stored configuration is unreadable", {
           reason: messageOf(error),
         });
+        storeRevision.note(undefined);
         return;
       }
       if (advanceConfig(current, candidate)) {
@@ -65,6 +72,7 @@
           revision: candidate.revision,
         });
       }
+      storeRevision.note(candidate.revision);
     },
   });
 }
--- a/src/config/follower_test.ts
+++ b/src/config/follower_test.ts
@@ -4,12 +4,16 @@
 import * as assert from "uvu/assert";
 import { startStoreServer } from "../../testing/store_server.ts";
 import { waitFor } from "../../testing/wait.ts";
+import { systemClock } from "../clock.ts";
+import { CONFIG_KEY } from "../constants.ts";
 import { silentLogger } from "../logger.ts";
 import { createObservable } from "../observable.ts";
 import { createHttpStore } from "../platform/http_store.ts";
 import { applyConfig } from "./apply.ts";
 import { runConfigFollower } from "./follower.ts";
 import type { AppliedConfig } from "./schema.ts";
+import type { RevisionBounds } from "./store_behind.ts";
+import { createStoreRevision } from "./store_revision.ts";
 import { resolveConfig } from "./validate.ts";
 
 const FILE = "examples/khomas.json";
@@ -29,7 +33,13 @@
   };
   const apply = (moves: number) =>
     applyConfig(store, { ...BASE, weights: { bufferCost: 1, moves } });
-  const follower = run(() => runConfigFollower({ store, current, log }));
+  const storeRevision = createStoreRevision(
+    () => current.get()?.revision ?? 0,
+    systemClock,
+  );
+  const follower = run(() =>
+    runConfigFollower({ store, current, storeRevision, log })
+  );
   try {
     for (let moves = 1; moves <= 3; moves++) {
       await apply(moves);
@@ -50,4 +60,61 @@
   }
 });
 
+test("guards against a restored store that nothing reports, and against a report of an outage", async () => {
+  const server = await startStoreServer();
+  const store = createHttpStore(`http://${server.address}`);
+  const current = createObservable<AppliedConfig | undefined>(undefined);
+  const logged: string[] = [];
+  const write = (message: string) => logged.push(message);
+  const log = { ...silentLogger, error: write, info: write };
+  let nowMs = 0;
+  const clock = { ...systemClock, monotonicMs: () => nowMs };
+  const storeRevision = createStoreRevision(
+    () => current.get()?.revision ?? 0,
+    clock,
+  );
+  const apply = (moves: number, bounds: RevisionBounds = {}) =>
+    applyConfig(
+      store,
+      { ...BASE, weights: { bufferCost: 1, moves } },
+      bounds,
+    );
+  // The clock moves on, so that a state counts as lasting at its second look.
+  const seesBehind = () => {
+    nowMs += 10_000;
+    return storeRevision.behind()?.storeRevision;
+  };
+  const follower = run(() =>
+    runConfigFollower({ store, current, storeRevision, log })
+  );
+  try {
+    for (const moves of [1, 2]) await apply(moves);
+    await waitFor("it is in force", () => current.get()?.revision === 2);
+    const latest = server.values.get(CONFIG_KEY)!;
+    server.faults.down = true;
+    // As from a peer that the store's answer reached before the outage.
+    current.set({ ...current.get()!, revision: 3 });
+    assert.is(seesBehind(), undefined);
+    server.faults.down = false;
+    await waitFor("the store is at revision 2", () => seesBehind() === 2);
+    await waitFor(
+      "it is logged",
+      () => logged.some((line) => line.includes("holds an older revision")),
+    );
+    server.values.delete(CONFIG_KEY);
+    server.server.closeAllConnections();
+    await waitFor("the store is empty", () => seesBehind() === 0);
+    server.values.set(CONFIG_KEY, latest);
+    await apply(3, { aboveRevision: 3 });
+    await waitFor(
+      "revision 4 is in force",
+      () => current.get()?.revision === 4,
+    );
+    await waitFor("the report ends", () => seesBehind() === undefined);
+  } finally {
+    await follower.halt();
+    await server.close();
+  }
+});
+
 test.run();
--- a/src/config/roll_out.ts
+++ b/src/config/roll_out.ts
@@ -15,10 +15,20 @@
   readonly entryId: string;
   /** Revision in force at the entry; 0 when it has none, undefined when it did not answer. */
   readonly revision: number | undefined;
+  /** Revision that the entry's fleet record was planned with, if it is higher than the one in force. */
+  readonly recordedRevision?: number;
+  /** Set while the entry sees the store at an older revision. */
+  readonly storeBehind?: z.infer<typeof storeBehindSchema>;
   /** Why there is no revision. */
   readonly failure?: string;
 }
 
+const storeBehindSchema = z.object({
+  storeRevision: z.number().int(),
+  knownRevision: z.number().int(),
+  forMs: z.number(),
+});
+
 /** Result of waiting for a revision. */
 export type RollOutResult =
   | { readonly kind: "in_force"; readonly entries: readonly EntryReport[] }
@@ -43,6 +53,8 @@
 
 const dumpSchema = z.object({
   config: z.object({ revision: z.number().int() }).nullish(),
+  fleet: z.object({ configRevision: z.number().int() }).nullish(),
+  storeBehind: storeBehindSchema.nullish(),
 });
 
 /** Returns the live entries of a VM list. */
@@ -67,7 +79,14 @@
     const dump = dumpSchema.parse(
       await readDump(vm.adminAddress, AbortSignal.timeout(timeoutMs)),
     );
-    return { entryId: vm.id, revision: dump.config?.revision ?? 0 };
+    const revision = dump.config?.revision ?? 0;
+    const recordedRevision = dump.fleet?.configRevision ?? 0;
+    return {
+      entryId: vm.id,
+      revision,
+      ...(recordedRevision > revision && { recordedRevision }),
+      ...(dump.storeBehind && { storeBehind: dump.storeBehind }),
+    };
   } catch (error) {
     return { entryId: vm.id, revision: undefined, failure: messageOf(error) };
   }
--- a/src/platform/value_follower.ts
+++ b/src/platform/value_follower.ts
@@ -16,6 +16,10 @@
   readonly log: Logger;
   /** Called for each new version of the value; a thrown error is logged. */
   readonly onValue: (entry: StoreEntry) => void;
+  /** Called when the key doesn't exist, or no longer. */
+  readonly onAbsent?: () => void;
+  /** Called after an answer that shows no new version. */
+  readonly onUnchanged?: () => void;
   /** Called after each answer of the store. */
   readonly onContact?: () => void;
 }
@@ -36,9 +40,13 @@
       if (failures > 0) log.info("store is reachable again", { key });
       failures = 0;
       onContact?.();
-      if (entry === undefined || entry.version === afterVersion) continue;
+      if (entry === undefined || entry.version === afterVersion) {
+        options.onUnchanged?.();
+        continue;
+      }
       afterVersion = entry.version;
       if (entry.version > 0) onValue(entry);
+      else options.onAbsent?.();
     } catch (error) {
       if (failures === 0) {
         log.warn("watch failed", { key, reason: messageOf(error) });
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -9,6 +9,10 @@
 import { createAdminServer } from "./admin/server.ts";
 import { type Clock, systemClock } from "./clock.ts";
 import type { AppliedConfig } from "./config/schema.ts";
+import {
+  createStoreRevision,
+  type StoreRevision,
+} from "./config/store_revision.ts";
 import {
   type ContactTracker,
   createContactTracker,
@@ -48,6 +52,7 @@
   vmList: token<VmList>("vmList"),
   workerAgent: token<WorkerAgent>("workerAgent"),
   config: token<MutableObservable<AppliedConfig | undefined>>("config"),
+  storeRevision: token<StoreRevision>("storeRevision"),
   fleet: token<MutableObservable<FleetRecord | undefined>>("fleet"),
   /** Digests of all live entries of the region, this one included. */
   entries: token<MutableObservable<readonly EntryDigest[]>>("entries"),
@@ -89,6 +94,19 @@
     TOKENS.fleet,
     () => createObservable<FleetRecord | undefined>(undefined),
   );
+  single(TOKENS.storeRevision, () => {
+    const config = parts.resolve(TOKENS.config);
+    const fleet = parts.resolve(TOKENS.fleet);
+    // The fleet record names the configuration that it was planned with, which an entry that started later may not have.
+    return createStoreRevision(
+      () =>
+        Math.max(
+          config.get()?.revision ?? 0,
+          fleet.get()?.configRevision ?? 0,
+        ),
+      parts.resolve(TOKENS.clock),
+    );
+  });
   single(
     TOKENS.vmSnapshot,
     () => createObservable<VmListSnapshot | undefined>(undefined),
@@ -186,6 +204,7 @@
     incarnation: parts.resolve(TOKENS.incarnation),
     state: parts.resolve(TOKENS.state),
     config: parts.resolve(TOKENS.config),
+    storeRevision: parts.resolve(TOKENS.storeRevision),
     fleet: parts.resolve(TOKENS.fleet),
     vmList: parts.resolve(TOKENS.vmSnapshot),
     entries: parts.resolve(TOKENS.entries),
--- /dev/null
+++ b/testing/faults/restored_store_test.ts
@@ -0,0 +1,70 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { CONFIG_KEY } from "../../src/constants.ts";
+import { waitFor } from "../wait.ts";
+import { CONFIG_FILE, withDeployment } from "./scenario.ts";
+
+const GAUGE = /^cowslipferry_config_store_behind_revisions(?:\{\})? (\d+)$/m;
+
+// Guards against a restored store that goes unnoticed, and against applies that entries ignore.
+test("a store restored to an older revision is reported, and an apply above it comes into force", () =>
+  withDeployment({ entryCount: 2 }, async (deployment) => {
+    const { entries, store, storeUrl, vmListUrl } = deployment;
+    const run = async (...args: string[]) => {
+      const { code, output } = await deployment.runCommand(
+        [...args, "--store", storeUrl, "--vm-list", vmListUrl],
+      );
+      return { code, output };
+    };
+    const restored = store.values.get(CONFIG_KEY)!;
+    const applied = JSON.parse(restored.value);
+    const lost = { ...applied, revision: 3, applyId: "lost" };
+    store.values.set(CONFIG_KEY, { value: JSON.stringify(lost), version: 3 });
+    store.server.closeAllConnections();
+    const metrics = () =>
+      Promise.all(entries.map(async ({ adminAddress }) => {
+        const response = await fetch(`http://${adminAddress}/metrics`);
+        return GAUGE.exec(await response.text())?.[1];
+      }));
+    const revisions = () =>
+      Promise.all(entries.map(async ({ adminAddress }) => {
+        const response = await fetch(`http://${adminAddress}/dump?part=config`);
+        const { config } = await response.json() as typeof applied;
+        return config.revision as number;
+      }));
+    await waitFor(
+      "revision 3 is in force",
+      async () => (await revisions()).every((revision) => revision === 3),
+    );
+    store.values.set(CONFIG_KEY, restored);
+    store.server.closeAllConnections();
+    await waitFor(
+      "both entries report it",
+      async () => (await metrics()).every((value) => value === "2"),
+    );
+    const status = await run("status");
+    assert.match(status.output, "STORE BEHIND: 2 entries know revision 3");
+    assert.match(status.output, "sees the store at older revision 1");
+    assert.match((await run("dump", "entry-1")).output, '"storeBehind"');
+    const refused = await run("apply", CONFIG_FILE, "--json");
+    assert.is(refused.code, 1);
+    const { error } = JSON.parse(refused.output);
+    assert.is(error.kind, "store_behind");
+    assert.equal([error.storeRevision, error.entryRevision], [1, 3]);
+    const accepted = await run(
+      "apply",
+      CONFIG_FILE,
+      "--above-revision",
+      "3",
+      "--wait",
+    );
+    assert.is(accepted.code, 0, accepted.output);
+    assert.match(accepted.output, "accepted as revision 4");
+    assert.equal(await revisions(), [4, 4]);
+    await waitFor(
+      "the report ends",
+      async () => (await metrics()).every((value) => value === "0"),
+    );
+  }));
+
+test.run();
