--- a/src/config/roll_out.ts
+++ b/src/config/roll_out.ts
@@ -100,6 +100,7 @@
   const endMs = clock.monotonicMs() + timeoutMs;
   // By id and incarnation, so that a replaced entry is asked again.
   const done = new Map<string, EntryReport>();
+  const latest = new Map<string, EntryReport>();
   let pending: readonly EntryReport[] = [];
   let failure: string | undefined = "the VM list shows no live entry";
   while (clock.monotonicMs() < endMs) {
@@ -109,8 +110,13 @@
       const dumpTimeoutMs = Math.min(DUMP_TIMEOUT_MS, leftMs);
       const reports = await Promise.all(entries.map(async (vm) => {
         const key = `${vm.id}/${vm.incarnation}`;
-        const report = done.get(key) ??
+        const read = done.get(key) ??
           await readEntryReport(vm, readDump, dumpTimeoutMs);
+        // A poll that the end of the wait cuts short says nothing about the entry.
+        const isCut = read.failure !== undefined &&
+          dumpTimeoutMs < DUMP_TIMEOUT_MS;
+        const report = isCut ? latest.get(key) ?? read : read;
+        latest.set(key, report);
         if ((report.revision ?? 0) >= revision) done.set(key, report);
         return report;
       }));
--- a/src/config/roll_out_test.ts
+++ b/src/config/roll_out_test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { createEntryVm } from "../../testing/operator_platform.ts";
@@ -49,6 +50,23 @@
   ]);
 });
 
+test("guards against a report that is lost because the end of the wait cuts the last poll short", async () => {
+  let reads = 0;
+  const result = await waitForRollOut({
+    vmList: { list: () => Promise.resolve([entry("a", "1")]) },
+    readDump: (_, signal) =>
+      ++reads === 1
+        ? Promise.resolve({ config: { revision: 1 } })
+        : delay(10_000, undefined, { signal }),
+    revision: 3,
+    timeoutMs: 200,
+    clock: systemClock,
+  });
+  assert.equal(result.kind === "timed_out" && result.pending, [
+    { entryId: "a", revision: 1 },
+  ]);
+});
+
 test("guards against waiting for a leaving entry, and against an empty list counted as done", async () => {
   const leaving = [entry("a", "1"), entry("b", "1", "leaving")];
   assert.is((await wait([leaving], { "a/1": 3 })).kind, "in_force");
