test(faults): a data centre is lost while VMs are lent, with real processes

Cause: a lost data centre during loans was tested with in-memory fakes only.

Change: testing/faults/lost_data_centre_test.ts writes the intents to lend one VM of the spare pool from each of 3 data centres, waits until the controller has handed them over, kills the worker process of one data centre (12 VMs), and checks that requests are answered by the others while the VM list still shows the lost VMs and after it doesn't, that the owner is back at its budget by one recall, that the replaced VMs serve at home, and that no write breaks a rule by its own decision. The stand-ins can kill and replace one worker process; with as many processes as data centres, each holds the workers of one. All waits are for states; no time is asserted.

Conclusion: covered as far as a controller's first 30 s allow; its own choice of loans and a lost rack remain with the fakes.

--- a/testing/deployment.ts
+++ b/testing/deployment.ts
@@ -61,6 +61,7 @@
   /** Backend servers that run in this process. */
   readonly backends: ReadonlyMap<string, BackendServer>;
   readonly workers: ReadonlyMap<string, WorkerHandle>;
+  readonly fleet: WorkerFleet;
   readonly entries: EntryProcess[];
   readonly storeUrl: string;
   readonly vmListUrl: string;
@@ -238,6 +239,7 @@
     vmList,
     backends: fleet.backends,
     workers: fleet.workers,
+    fleet,
     entries,
     storeUrl,
     vmListUrl,
--- a/testing/worker.ts
+++ b/testing/worker.ts
@@ -14,6 +14,8 @@
 /** Options of a worker stand-in. */
 export interface WorkerOptions {
   readonly id: string;
+  /** "1" by default; another one stands for a VM that replaced the first. */
+  readonly incarnation?: string;
   readonly backend?: BackendServerOptions;
   readonly agent?: Partial<AgentBehaviour>;
   /** Whether the agent listens at the backend server's port or at its own. */
@@ -49,7 +51,7 @@
   };
   const agent = createAgentStandIn({
     vmId: id,
-    incarnation: "1",
+    incarnation: options.incarnation ?? "1",
     backend: backendOf,
     ...(options.agent ? { behaviour: options.agent } : {}),
   });
--- a/testing/worker_fleet.ts
+++ b/testing/worker_fleet.ts
@@ -33,6 +33,10 @@
   /** Backend servers in this process. */
   readonly backends: ReadonlyMap<string, BackendServer>;
   readonly vms: readonly Vm[];
+  /** Kills one of the separate processes; with as many of them as data centres, its workers are those of the data centre with this index. */
+  killProcess(part: number): Promise<void>;
+  /** Starts the workers of a killed process again as new incarnations; returns them as the VM list shows them. */
+  replaceProcess(part: number): Promise<readonly Vm[]>;
   close(): Promise<void>;
 }
 
@@ -101,26 +105,40 @@
   const workers = new Map<string, WorkerHandle>();
   const local: Worker[] = [];
   const hosts: RunningChild[] = [];
+
+  async function startPart(part: number, incarnation: string) {
+    const own = specs.filter((_, index) => index % processes === part);
+    const { child, ready } = await startHost(
+      join(folder, `workers-${part}.json`),
+      own.map((spec) => ({ ...spec, incarnation })),
+    );
+    hosts[part] = child;
+    const handles = remoteHandles(ready);
+    for (const handle of handles) workers.set(handle.id, handle);
+    return new Set(handles.map(({ id }) => id));
+  }
+
   if (processes === 0) {
     for (const spec of specs) local.push(await startWorker(spec));
     for (const worker of local) workers.set(worker.id, handleOf(worker));
   } else {
-    const started = await Promise.all(
-      Array.from({ length: processes }, (_, part) =>
-        startHost(
-          join(folder, `workers-${part}.json`),
-          specs.filter((_, index) => index % processes === part),
-        )),
-    );
-    for (const { child, ready } of started) {
-      hosts.push(child);
-      for (const handle of remoteHandles(ready)) workers.set(handle.id, handle);
-    }
+    const parts = Array.from({ length: processes }, (_, part) => part);
+    await Promise.all(parts.map((part) => startPart(part, "1")));
   }
   return {
     workers,
     backends: new Map(local.map((worker) => [worker.id, worker.backend])),
     vms: listVms(options, workers),
+    async killProcess(part) {
+      const host = hosts[part];
+      if (host !== undefined) await endChild(host);
+    },
+    async replaceProcess(part) {
+      const incarnation = "2";
+      const ids = await startPart(part, incarnation);
+      return listVms(options, workers).filter(({ id }) => ids.has(id))
+        .map((vm) => ({ ...vm, incarnation }));
+    },
     async close() {
       await Promise.all(local.map((worker) => worker.close()));
       await Promise.all(hosts.map(endChild));
