fix(fleet): a restored fleet record is replaced by the one that entries follow

Cause: when the store is restored to an older state, its fleet record goes back too. Entries ignore it, but the controller planned from it, and entries report a revision that is higher than that of a new drain. Such a drain counted as acknowledged by entries that still send the VM requests.

Change: a controller that reads an older record than the one it follows first writes the followed one again, above its revision, and plans from it in the next step. It waits while a peer follows a newer one. A stale read fails at the compare-and-swap.

Ruled out: planning from the restored record above the entries' revision (loans and reboots since the backup would be forgotten); a refusal as for the configuration (only controllers write this record, so nobody has to choose).

Conclusion: a restored store no longer undoes loans or ends drains early. Job shards of a restored store are not covered.

--- a/src/fleet/controller.ts
+++ b/src/fleet/controller.ts
@@ -49,6 +49,8 @@
   | { readonly kind: "not_ready" }
   | { readonly kind: "standby"; readonly holder: string }
   | { readonly kind: "outdated_config" }
+  /** A peer follows a newer record than both the store and this entry. */
+  | { readonly kind: "outdated_record" }
   | { readonly kind: "conflict" }
   | { readonly kind: "unchanged" | "written"; readonly revision: number };
 
@@ -123,6 +125,27 @@
     return known !== undefined;
   }
 
+  /**
+   * Replaces a record that the store was restored to by the one that the entries follow. With the
+   * restored one, entries would acknowledge drains by revisions from before the restore. If the read
+   * was only stale, the swap fails.
+   */
+  async function replaceRestored(read: ReadRecord): Promise<StepResult> {
+    const followed = options.fleet.get() ?? read.record;
+    const newest = Math.max(
+      ...options.entries.get().filter((digest) => digest.region === region)
+        .map((digest) => digest.fleetRevision),
+    );
+    if (followed.revision < newest) return { kind: "outdated_record" };
+    const next = { ...followed, revision: followed.revision + 1 };
+    if (!await swap(read, next)) return { kind: "conflict" };
+    log.warn("store held an older fleet record; the followed one is written", {
+      storeRevision: read.record.revision,
+      revision: next.revision,
+    });
+    return { kind: "written", revision: next.revision };
+  }
+
   /** A paused controller reads the record again before it has a VM rebooted. */
   async function carryOut(record: FleetRecord, vms: readonly Vm[]) {
     if (intents.hasDueReboot(record)) known = await values.readRecord();
@@ -156,6 +179,10 @@
   ): Promise<{ result: StepResult; current: FleetRecord }> {
     const read = await currentRecord();
     const { record } = read;
+    if (record.revision < (options.fleet.get()?.revision ?? 0)) {
+      const result = await replaceRestored(read);
+      return { result, current: known?.record ?? record };
+    }
     await monitor.refresh(record, snapshot.vms);
     const listedEntries =
       snapshot.vms.filter((vm) => vm.role === "entry" && vm.region === region)
--- a/src/fleet/controller_test.ts
+++ b/src/fleet/controller_test.ts
@@ -15,7 +15,12 @@
 import { decisionLogKey, decisionLogSchema } from "./decision_log.ts";
 import { parseFleetRecord } from "./follower.ts";
 import { REFUSED_LOAN_KIND } from "./loan_refusals.ts";
-import { createFleetRecord, fleetKey, type VmRecord } from "./record.ts";
+import {
+  createFleetRecord,
+  fleetKey,
+  type FleetRecord,
+  type VmRecord,
+} from "./record.ts";
 import { checkRecord, checkStep } from "./record_check.ts";
 
 const SPARE: TestPool = {
@@ -305,6 +310,34 @@
   assert.is(world.record().revision, revision);
 });
 
+// Guards against drains that entries acknowledge with a record from before a restore of the store, and against loans that it undoes.
+test("a restored older record is replaced by the one that entries follow", async () => {
+  const { store, world, controller } = startWorld([SPARE, IDLE]);
+  world.demandSlots.set("shop", 50);
+  await world.runUntil(controller, () => lentTo(world, "shop").length > 0);
+  const history = store.history(fleetKey(REGION));
+  const latest = world.record();
+  await store.compareAndSwap({
+    key: fleetKey(REGION),
+    expectedVersion: history.at(-1)?.version ?? 0,
+    value: history[0]?.value ?? "",
+  });
+  const fleet = createObservable<FleetRecord | undefined>(latest);
+  store.lapseLease(`controller/${REGION}`);
+  const successor = world.addController("c2", { fleet });
+  const entry = world.entries.get("entry-1");
+  assert.ok(entry);
+  entry.follows = false;
+  entry.digest = { ...entry.digest, fleetRevision: latest.revision + 1 };
+  world.tick(1_000);
+  // A peer that has a newer record still has to hand it over.
+  assert.is((await successor.step()).kind, "outdated_record");
+  entry.digest = { ...entry.digest, fleetRevision: latest.revision };
+  world.tick(1_000);
+  assert.is((await successor.step()).kind, "written");
+  assert.equal(world.record(), { ...latest, revision: latest.revision + 1 });
+});
+
 // Guards against an older program that misreads a newer record.
 test("a record with an unknown newer schema version is refused", () => {
   const { world } = startWorld([SHOP]);
--- a/testing/faults/restored_store_test.ts
+++ b/testing/faults/restored_store_test.ts
@@ -1,9 +1,11 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { CONFIG_KEY } from "../../src/constants.ts";
+import { fleetKey } from "../../src/fleet/record.ts";
 import { waitFor } from "../wait.ts";
 import { CONFIG_FILE, withDeployment } from "./scenario.ts";
 
+const FLEET_KEY = fleetKey("khomas");
 const GAUGE = /^cowslipferry_config_store_behind_revisions(?:\{\})? (\d+)$/m;
 
 // Guards against a restored store that goes unnoticed, and against applies that entries ignore.
@@ -19,29 +21,47 @@
     const restored = store.values.get(CONFIG_KEY)!;
     const applied = JSON.parse(restored.value);
     const lost = { ...applied, revision: 3, applyId: "lost" };
+    const readFleet = () => JSON.parse(store.values.get(FLEET_KEY)!.value);
+    await waitFor("there is a fleet record", () => store.values.has(FLEET_KEY));
+    const restoredFleet = store.values.get(FLEET_KEY)!;
+    const lostFleet = { ...readFleet(), revision: 50 };
     store.values.set(CONFIG_KEY, { value: JSON.stringify(lost), version: 3 });
+    store.values.set(FLEET_KEY, {
+      value: JSON.stringify(lostFleet),
+      version: 50,
+    });
     store.server.closeAllConnections();
     const metrics = () =>
       Promise.all(entries.map(async ({ adminAddress }) => {
         const response = await fetch(`http://${adminAddress}/metrics`);
         return GAUGE.exec(await response.text())?.[1];
       }));
-    const revisions = () =>
+    const revisions = (part: "config" | "fleet") =>
       Promise.all(entries.map(async ({ adminAddress }) => {
-        const response = await fetch(`http://${adminAddress}/dump?part=config`);
-        const { config } = await response.json() as typeof applied;
-        return config.revision as number;
+        const response = await fetch(
+          `http://${adminAddress}/dump?part=${part}`,
+        );
+        const dump = await response.json() as typeof applied;
+        return dump[part].revision as number;
       }));
     await waitFor(
-      "revision 3 is in force",
-      async () => (await revisions()).every((revision) => revision === 3),
+      "configuration 3 and fleet record 50 are in use",
+      async () =>
+        (await revisions("config")).every((revision) => revision === 3) &&
+        (await revisions("fleet")).every((revision) => revision >= 50),
     );
     store.values.set(CONFIG_KEY, restored);
+    store.values.set(FLEET_KEY, restoredFleet);
     store.server.closeAllConnections();
     await waitFor(
       "both entries report it",
       async () => (await metrics()).every((value) => value === "2"),
     );
+    // A record below 50 would be drained by acknowledgements from before the restore.
+    await waitFor(
+      "the fleet record is written again",
+      () => readFleet().revision > 50,
+    );
     const status = await run("status");
     assert.match(status.output, "STORE BEHIND: 2 entries know revision 3");
     assert.match(status.output, "sees the store at older revision 1");
@@ -60,7 +80,7 @@
     );
     assert.is(accepted.code, 0, accepted.output);
     assert.match(accepted.output, "accepted as revision 4");
-    assert.equal(await revisions(), [4, 4]);
+    assert.equal(await revisions("config"), [4, 4]);
     await waitFor(
       "the report ends",
       async () => (await metrics()).every((value) => value === "0"),
