test(cli): explain shows a refused loan for the pool and its team

Cause: only the decision code was tested for refused loans, not what explain prints.

Change: the decision log of the reading commands' test holds a refused loan; explain pool and explain team must show what was asked for and why a lender refused.

Ruled out: a test of its own, which would start the program twice more.

Fails as intended when explain leaves out the rejected options.

Conclusion: the path from the log to the operator is covered.

--- a/src/cli_test.ts
+++ b/src/cli_test.ts
@@ -130,10 +130,18 @@
     facts: { demandSlots: 60 },
     rejected: [{ option: "survey", reason: "budget" }],
   };
+  const refused = {
+    ...{ atMs: 6, fleetRevision: 4, kind: "loan_refused" },
+    pools: ["dispatch"],
+    teams: ["dispatch-team"],
+    summary: "dispatch asks for 2 more VM(s)",
+    facts: { need: "demand", wantedVms: 2 },
+    rejected: [{ option: "survey", reason: "its lending window is closed" }],
+  };
   const put = (key: string, value: object) =>
     store.values.set(key, { value: JSON.stringify(value), version: 1 });
   put(fleetKey("khomas"), record);
-  put(decisionLogKey("khomas"), { decisions: [decision] });
+  put(decisionLogKey("khomas"), { decisions: [decision, refused] });
 }
 
 withPlatform(
@@ -189,6 +197,9 @@
       "explain pool quoting": "cutshop needs a VM",
       "explain team quoting-team": "cutshop needs a VM",
       "explain team quoting-team --limit 1": "marginVms: -2",
+      "explain pool dispatch": "loan_refused: dispatch asks for 2 more VM(s)",
+      "explain team dispatch-team":
+        "rejected survey: its lending window is closed",
       "explain request r-1": 'outcome: "answer"',
     };
     for (const [line, expected] of Object.entries(lines)) {
