fix(fleet): a pool that is short for budget and demand is recorded once for each

Cause: the filter of refused loans kept one reason for each pool. A pool that is below its budget and over its demand limit has two refusals in a step, so each replaced the other's reason and one was recorded every minute.

Change: the filter keeps one reason for each pool and need.

Ruled out: one refusal for both needs (a lender can refuse one of them only, as demand is left out for a budget).

Conclusion: records depend on reasons only, as intended.

--- a/src/fleet/loan_refusals.ts
+++ b/src/fleet/loan_refusals.ts
@@ -81,23 +81,21 @@
 
   return {
     select(refusals, nowMs) {
-      for (const [pool, { seenAtMs }] of known) {
-        if (nowMs - seenAtMs >= FORGET_AFTER_MS) known.delete(pool);
+      for (const [key, { seenAtMs }] of known) {
+        if (nowMs - seenAtMs >= FORGET_AFTER_MS) known.delete(key);
       }
       const takesChanges = nowMs - changesAtMs >= CHANGES_INTERVAL_MS;
       return refusals.filter((refusal) => {
-        const pool = refusal.pools[0] ?? "";
-        const reasons = JSON.stringify([
-          refusal.facts["need"],
-          refusal.rejected,
-        ]);
-        const last = known.get(pool);
+        // A pool can be short for its budget and for demand in the same step.
+        const key = `${refusal.pools[0]}/${refusal.facts["need"]}`;
+        const reasons = JSON.stringify(refusal.rejected);
+        const last = known.get(key);
         if (last !== undefined) {
           last.seenAtMs = nowMs;
           if (last.reasons === reasons || !takesChanges) return false;
           changesAtMs = nowMs;
         }
-        known.set(pool, { reasons, seenAtMs: nowMs });
+        known.set(key, { reasons, seenAtMs: nowMs });
         return true;
       });
     },
--- a/src/fleet/loan_refusals_test.ts
+++ b/src/fleet/loan_refusals_test.ts
@@ -7,6 +7,7 @@
   TAKER,
   withDemand,
 } from "../../testing/plan_input.ts";
+import { createRefusalFilter } from "./loan_refusals.ts";
 import { planFleet } from "./plan.ts";
 
 interface Case {
@@ -65,4 +66,22 @@
   });
 }
 
+test("guards against a pool short for two needs that is recorded again and again", () => {
+  const pools = [{ ...OWNER, maximumLentVms: 0 }, {
+    ...TAKER,
+    minimumServingVms: 9,
+  }];
+  const plan = planFleet(
+    withDemand(createInput(pools), { taker: { slots: 63 } }),
+  );
+  const refusals = plan.kind === "unchanged" ? plan.refusedLoans : [];
+  assert.equal(refusals.map(({ facts }) => facts["need"]), [
+    "budget",
+    "demand",
+  ]);
+  const { select } = createRefusalFilter();
+  assert.is(select(refusals, 0).length, 2);
+  assert.equal(select(refusals, 600_000), []);
+});
+
 test.run();
