--- a/src/fleet/controller.ts
+++ b/src/fleet/controller.ts
@@ -13,6 +13,7 @@
 import { type Decision, MAXIMUM_DECISIONS } from "./decision_log.ts";
 import { type DemandState, observeDemand } from "./demand.ts";
 import { createIntentRunner } from "./intents.ts";
+import { createRefusalFilter } from "./loan_refusals.ts";
 import { planFleet } from "./plan.ts";
 import type { WorkerView } from "./planning_context.ts";
 import type { FleetRecord } from "./record.ts";
@@ -48,6 +49,8 @@
   | { readonly kind: "not_ready" }
   | { readonly kind: "standby"; readonly holder: string }
   | { readonly kind: "outdated_config" }
+  /** A peer follows a newer record than both the store and this entry. */
+  | { readonly kind: "outdated_record" }
   | { readonly kind: "conflict" }
   | { readonly kind: "unchanged" | "written"; readonly revision: number };
 
@@ -68,6 +71,12 @@
   let demand: DemandState | undefined;
   let demandWrittenAtMs = clock.monotonicMs();
   let unlogged: Decision[] = [];
+  let refusals = createRefusalFilter();
+
+  function noteDecisions(decisions: readonly Decision[]): void {
+    unlogged = [...unlogged, ...decisions].slice(-MAXIMUM_DECISIONS);
+    for (const { kind, summary } of decisions) log.info(summary, { kind });
+  }
 
   async function observe(listedEntries: number, applied: AppliedConfig) {
     demand = observeDemand(demand ?? await values.readDemand(), {
@@ -116,6 +125,27 @@
     return known !== undefined;
   }
 
+  /**
+   * Replaces a record that the store was restored to by the one that the entries follow. With the
+   * restored one, entries would acknowledge drains by revisions from before the restore. If the read
+   * was only stale, the swap fails.
+   */
+  async function replaceRestored(read: ReadRecord): Promise<StepResult> {
+    const followed = options.fleet.get() ?? read.record;
+    const newest = Math.max(
+      ...options.entries.get().filter((digest) => digest.region === region)
+        .map((digest) => digest.fleetRevision),
+    );
+    if (followed.revision < newest) return { kind: "outdated_record" };
+    const next = { ...followed, revision: followed.revision + 1 };
+    if (!await swap(read, next)) return { kind: "conflict" };
+    log.warn("store held an older fleet record; the followed one is written", {
+      storeRevision: read.record.revision,
+      revision: next.revision,
+    });
+    return { kind: "written", revision: next.revision };
+  }
+
   /** A paused controller reads the record again before it has a VM rebooted. */
   async function carryOut(record: FleetRecord, vms: readonly Vm[]) {
     if (intents.hasDueReboot(record)) known = await values.readRecord();
@@ -149,10 +179,15 @@
   ): Promise<{ result: StepResult; current: FleetRecord }> {
     const read = await currentRecord();
     const { record } = read;
+    if (record.revision < (options.fleet.get()?.revision ?? 0)) {
+      const result = await replaceRestored(read);
+      return { result, current: known?.record ?? record };
+    }
     await monitor.refresh(record, snapshot.vms);
     const listedEntries =
       snapshot.vms.filter((vm) => vm.role === "entry" && vm.region === region)
         .length;
+    const nowMs = clock.wallMs();
     const plan = planFleet({
       record,
       config: applied.config,
@@ -162,20 +197,23 @@
       workers: await viewWorkers(record),
       demand: await observe(listedEntries, applied),
       holdsNewDrains: !monitor.isSettled(),
-      nowMs: clock.wallMs(),
+      nowMs,
     });
     if (plan.kind === "outdated_config") {
       return { result: plan, current: record };
     }
     if (plan.kind === "unchanged") {
+      noteDecisions(refusals.select(plan.refusedLoans, nowMs));
       const { revision } = record;
       return { result: { kind: "unchanged", revision }, current: record };
     }
     if (!await swap(read, plan.record)) {
       return { result: { kind: "conflict" }, current: record };
     }
-    unlogged = [...unlogged, ...plan.decisions].slice(-MAXIMUM_DECISIONS);
-    for (const { kind, summary } of plan.decisions) log.info(summary, { kind });
+    noteDecisions([
+      ...plan.decisions,
+      ...refusals.select(plan.refusedLoans, nowMs),
+    ]);
     const { revision } = plan.record;
     return { result: { kind: "written", revision }, current: plan.record };
   }
@@ -194,6 +232,7 @@
       // Another controller observes the demand now; its history is read again on a takeover.
       demand = undefined;
       known = undefined;
+      refusals = createRefusalFilter();
       monitor.reset();
       return { kind: "standby", holder: lease.holder };
     }
--- a/src/fleet/controller_test.ts
+++ b/src/fleet/controller_test.ts
@@ -12,9 +12,15 @@
 import { createObservable } from "../observable.ts";
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
 import { createControllerStore } from "./controller_store.ts";
-import { decisionLogKey } from "./decision_log.ts";
+import { decisionLogKey, decisionLogSchema } from "./decision_log.ts";
 import { parseFleetRecord } from "./follower.ts";
-import { createFleetRecord, fleetKey, type VmRecord } from "./record.ts";
+import { REFUSED_LOAN_KIND } from "./loan_refusals.ts";
+import {
+  createFleetRecord,
+  fleetKey,
+  type FleetRecord,
+  type VmRecord,
+} from "./record.ts";
 import { checkRecord, checkStep } from "./record_check.ts";
 
 const SPARE: TestPool = {
@@ -274,6 +280,64 @@
   assert.match(log, "repair_loan");
 });
 
+// Guards against a record of the same refusal in each planning step, and against a new reason that is not recorded.
+test("a refused loan is recorded when its reason changes", async () => {
+  const pools = [{ ...SPARE, maximumLentVms: 0 }, IDLE];
+  const { world, controller } = startWorld(pools);
+  world.demandSlots.set("shop", 60);
+  const reasons = () => {
+    const log = world.store.history(decisionLogKey(REGION)).at(-1)?.value;
+    const { decisions } = decisionLogSchema.parse(
+      JSON.parse(log ?? '{"decisions":[]}'),
+    );
+    return decisions.filter(({ kind, pools }) =>
+      kind === REFUSED_LOAN_KIND && pools.includes("shop")
+    ).map(({ rejected }) => rejected[0]?.reason);
+  };
+  const step = async (count: number) => {
+    for (let done = 0; done < count; done++) {
+      world.tick(5_000);
+      await controller.step();
+    }
+  };
+  await world.runUntil(controller, () => maintained(world).length === 8);
+  const { revision } = world.record();
+  await step(50);
+  assert.equal(reasons(), ["its lending bound is reached"]);
+  world.apply(buildConfig([{ ...SPARE, minimumServingVms: 4 }, IDLE]));
+  await step(50);
+  assert.equal(reasons().slice(1), ["its budget leaves no VM"]);
+  assert.is(world.record().revision, revision);
+});
+
+// Guards against drains that entries acknowledge with a record from before a restore of the store, and against loans that it undoes.
+test("a restored older record is replaced by the one that entries follow", async () => {
+  const { store, world, controller } = startWorld([SPARE, IDLE]);
+  world.demandSlots.set("shop", 50);
+  await world.runUntil(controller, () => lentTo(world, "shop").length > 0);
+  const history = store.history(fleetKey(REGION));
+  const latest = world.record();
+  await store.compareAndSwap({
+    key: fleetKey(REGION),
+    expectedVersion: history.at(-1)?.version ?? 0,
+    value: history[0]?.value ?? "",
+  });
+  const fleet = createObservable<FleetRecord | undefined>(latest);
+  store.lapseLease(`controller/${REGION}`);
+  const successor = world.addController("c2", { fleet });
+  const entry = world.entries.get("entry-1");
+  assert.ok(entry);
+  entry.follows = false;
+  entry.digest = { ...entry.digest, fleetRevision: latest.revision + 1 };
+  world.tick(1_000);
+  // A peer that has a newer record still has to hand it over.
+  assert.is((await successor.step()).kind, "outdated_record");
+  entry.digest = { ...entry.digest, fleetRevision: latest.revision };
+  world.tick(1_000);
+  assert.is((await successor.step()).kind, "written");
+  assert.equal(world.record(), { ...latest, revision: latest.revision + 1 });
+});
+
 // Guards against an older program that misreads a newer record.
 test("a record with an unknown newer schema version is refused", () => {
   const { world } = startWorld([SHOP]);
