feat(jobs): job shards and the reasons of job decisions in the state dump

Cause: the dump of an entry showed nothing about jobs, and a decision kept no reason beyond a wait reason, so that nobody could tell why a job waited, moved or ended.

Change: placement returns what it judged (reserved size, the team's use and quota, workers passed over by obstacle). The dispatcher turns a written plan into decisions with facts and rejected options; quarantines and releases are recorded where they are decided. An entry keeps 2,000 placements and 1,000 other decisions; the latter are written every 30 s, one write per entry, to the store key jobs-log/<region>/<lowest owned shard>, 200 at most. A wait is kept per queued job, so shard size bounds it. The dump part `jobs` shows shards, jobs by state and pool, tasks per worker, quota use, quarantined workers, the 50 largest profiles and 20 decisions, and is computed at most once a second; GET /jobs?job= or ?vm= of the admin server explains one.

Ruled out: reasons inside the job's record (about 316 bytes are left for a job when a shard holds 3,000), one log for each shard (16 writes in place of 9), one log for each region (9 writers that conflict on one value).

Placement: obstacles are counted while the workers are visited. A worker that doesn't serve no longer counts as one that could take a failed job later; it didn't before either, as only serving workers were passed in.

Conclusion: the dump part is complete; its processor time is not measured.

--- a/src/admin/dump.ts
+++ b/src/admin/dump.ts
@@ -5,6 +5,8 @@
 import { VERSION } from "../constants.ts";
 import type { EntryState, UnreadyReason } from "../entry_state.ts";
 import type { FleetRecord } from "../fleet/record.ts";
+import type { JobsSummary } from "../jobs/job_summary.ts";
+import type { Jobs } from "../jobs/jobs.ts";
 import type { Observable } from "../observable.ts";
 import type { EntryDigest } from "../peers/messages.ts";
 import type { Peers, PeersStatus } from "../peers/peers.ts";
@@ -55,6 +57,8 @@
   };
   readonly supervisor: readonly PartStatus[];
   readonly requests: unknown;
+  /** Undefined until the platform's state is known, and when the entry serves no callers. */
+  readonly jobs: JobsSummary | undefined;
   readonly process: ProcessUsage;
 }
 
@@ -72,6 +76,7 @@
   readonly supervisor: Supervisor;
   /** Undefined when the entry serves no callers. */
   readonly requestPath: RequestPath | undefined;
+  readonly jobs: Pick<Jobs, "summary" | "explain">;
   readonly clock: Clock;
 }
 
@@ -155,6 +160,7 @@
     contacts: () => summarizeContacts(options),
     supervisor: () => options.supervisor.status(),
     requests: () => options.requestPath?.dump(),
+    jobs: () => options.requestPath && options.jobs.summary(),
     process: readProcessUsage,
   };
 }
--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -20,7 +20,7 @@
   return { status, type: JSON_TYPE, body: JSON.stringify(value) };
 }
 
-/** Creates the admin server: health, readiness, state dump and metrics. */
+/** Creates the admin server: health, readiness, state dump, reasons of job decisions, and metrics. */
 export function createAdminServer(options: AdminServerOptions): Server {
   const { state, supervisor, log } = options;
   const readers = createDumpReaders(options);
@@ -46,6 +46,16 @@
     );
   }
 
+  function explainJobs(search: string): Answer {
+    const query = new URLSearchParams(search);
+    const [jobId, vmId] = [query.get("job"), query.get("vm")];
+    if (jobId !== null) return json(200, options.jobs.explain({ jobId }));
+    if (vmId !== null) return json(200, options.jobs.explain({ vmId }));
+    return json(400, {
+      error: { kind: "missing_query", names: ["job", "vm"] },
+    });
+  }
+
   function ready(): Answer {
     const reasons = state.unreadyReasons();
     return json(reasons.length === 0 ? 200 : 503, {
@@ -61,6 +71,7 @@
     "/health": health,
     "/ready": ready,
     "/dump": dump,
+    "/jobs": explainJobs,
     "/metrics": () => ({
       status: 200,
       type: PROMETHEUS_TYPE,
--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -11,7 +11,13 @@
 import { readFencingToken, takeFencingToken } from "./fencing.ts";
 import { classOf, type Job } from "./job.ts";
 import type { JobMemory } from "./job_memory.ts";
-import { type JobsWorld, listWorkers, noteLosses } from "./jobs_world.ts";
+import { describeStep } from "./job_decisions.ts";
+import {
+  type JobsWorld,
+  listWorkers,
+  noteLosses,
+  readWorld,
+} from "./jobs_world.ts";
 import { type FinishedRun, planShard, type ShardPlan } from "./plan_shard.ts";
 import type { WaitReason } from "./placement.ts";
 import { shardKey } from "./shard.ts";
@@ -73,7 +79,6 @@
   #fencingReadAtMs = -Infinity;
   #peaks = new Map<string, { cores: number; memoryMb: number }>();
   #released = false;
-  #waits: ReadonlyMap<string, WaitReason> = new Map();
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -97,12 +102,13 @@
 
   /** Why a queued job waits. */
   waitReason(jobId: string): WaitReason | undefined {
-    return this.#waits.get(jobId);
+    const { memory, shard } = this.#options;
+    return memory.waits.get(shard)?.get(jobId)?.reason;
   }
 
   /** Renews the lease, brings the jobs up to date, writes, then commands; never rejects. */
   async step(): Promise<DispatcherStep> {
-    const world = this.#world();
+    const world = readWorld(this.#options);
     if (world === undefined) return "not_ready";
     try {
       if (!await this.#holdLease()) return "standby";
@@ -125,28 +131,6 @@
     await store.releaseLease(shardKey(region, shard), holder).catch(() => {});
   }
 
-  #world(): JobsWorld | undefined {
-    const { config, fleet, vmList, region, reports, memory, clock } =
-      this.#options;
-    const applied = config.get();
-    const record = fleet.get();
-    const snapshot = vmList.get();
-    if (
-      applied === undefined || record === undefined || snapshot === undefined
-    ) return undefined;
-    return {
-      region,
-      config: applied.config,
-      fleet: record,
-      vmList: snapshot,
-      reports,
-      memory,
-      nowMs: clock.wallMs(),
-      vmListReadAtMs: clock.wallMs() -
-        (clock.monotonicMs() - snapshot.readAtMs),
-    };
-  }
-
   #leaseAgeMs(): number {
     return this.#options.clock.monotonicMs() -
       (this.#lease?.renewedAtMs ?? -Infinity);
@@ -181,7 +165,7 @@
     this.#active = undefined;
     this.writer.abandon();
     this.#commands.reset();
-    this.#options.memory.owned.delete(this.#options.shard);
+    this.#options.memory.forgetShard(this.#options.shard);
   }
 
   /** Reads the shard and writes a new fencing token to it, by which every write of a predecessor fails. */
@@ -276,7 +260,7 @@
     const record = this.writer.record;
     if (record === undefined) return "replaced";
     memory.owned.set(shard, record.jobs);
-    this.#waits = plan.waits;
+    this.#explain(base.jobs, record.jobs, { plan, nowMs: world.nowMs });
     for (const { id, state } of plan.changes) {
       if (state.kind === "assigned") memory.endHold(id);
     }
@@ -293,6 +277,20 @@
     return "done";
   }
 
+  /** Keeps the reasons of a written plan. */
+  #explain(
+    before: ReadonlyMap<string, Job>,
+    after: ReadonlyMap<string, Job>,
+    step: { plan: ShardPlan; nowMs: number },
+  ): void {
+    const { memory, shard } = this.#options;
+    const waited = memory.waits.get(shard);
+    for (const decision of describeStep({ ...step, before, after, waited })) {
+      memory.log.add(decision);
+    }
+    memory.waits.set(shard, step.plan.waits);
+  }
+
   async #commit(
     base: ReadonlyMap<string, Job>,
     plan: ShardPlan,
@@ -351,7 +349,7 @@
       const failedProbe = memory.quarantined.has(vmId) &&
         blame?.kind === "undecided";
       if (blame?.kind === "worker" || failedProbe) {
-        memory.blameWorker(vmId, nowMs);
+        memory.blameWorker(vmId, nowMs, { job, blame });
       }
     }
   }
--- /dev/null
+++ b/src/jobs/job_log_saver.ts
@@ -0,0 +1,92 @@
+import { type Operation, sleep, until } from "effection";
+import { messageOf } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import type { Store } from "../platform/store.ts";
+import { parseJson, parseWithSchema } from "../validation.ts";
+import type { JobLog } from "./job_log.ts";
+import {
+  type JobDecision,
+  jobLogKey,
+  jobLogSchema,
+  MAXIMUM_STORED,
+} from "./job_log.ts";
+
+/** Time between two writes of an entry's decisions, in ms; the reasons only inform, so an entry that is lost may lose that much of them. */
+const SAVE_INTERVAL_MS = 30_000;
+
+/** What decisions are saved with. */
+export interface JobLogSaverOptions {
+  readonly store: Store;
+  readonly region: string;
+  readonly jobLog: JobLog;
+  /** Shards that this entry owns. */
+  readonly ownedShards: () => readonly number[];
+  readonly log: Logger;
+}
+
+/** Returns stored decisions; none if there is no log. Rejects with a `StoreError` or a `ValidationError`. */
+export async function readJobLog(
+  store: Store,
+  region: string,
+  shard: number,
+): Promise<{ decisions: readonly JobDecision[]; version: number }> {
+  const key = jobLogKey(region, shard);
+  const entry = await store.get(key);
+  if (entry === undefined) return { decisions: [], version: 0 };
+  const data = parseJson(entry.value, key);
+  const { decisions } = parseWithSchema(jobLogSchema, data, key);
+  return { decisions, version: entry.version };
+}
+
+/** Writes one entry's decisions to the store in batches. */
+export class JobLogSaver {
+  #options: JobLogSaverOptions;
+  #stored: {
+    readonly shard: number;
+    readonly decisions: readonly JobDecision[];
+    readonly version: number;
+  } | undefined;
+  #pending: readonly JobDecision[] = [];
+
+  constructor(options: JobLogSaverOptions) {
+    this.#options = options;
+  }
+
+  /** Writes what isn't stored yet; keeps it for the next call if the store doesn't take it. Never rejects. */
+  async save(): Promise<void> {
+    const { store, region, jobLog, ownedShards, log } = this.#options;
+    this.#pending = [...this.#pending, ...jobLog.takeUnsaved()]
+      .slice(-MAXIMUM_STORED);
+    const [shard] = [...ownedShards()].sort((a, b) => a - b);
+    if (this.#pending.length === 0 || shard === undefined) return;
+    try {
+      if (this.#stored?.shard !== shard) {
+        this.#stored = { shard, ...await readJobLog(store, region, shard) };
+      }
+      const decisions = [...this.#stored.decisions, ...this.#pending]
+        .slice(-MAXIMUM_STORED);
+      const result = await store.compareAndSwap({
+        key: jobLogKey(region, shard),
+        expectedVersion: this.#stored.version,
+        value: JSON.stringify({ decisions }),
+      });
+      // Another entry wrote under the key; it is read again next time.
+      if (result.kind === "conflict") this.#stored = undefined;
+      else {
+        this.#stored = { shard, decisions, version: result.version };
+        this.#pending = [];
+      }
+    } catch (error) {
+      this.#stored = undefined;
+      log.debug("decisions not written", { reason: messageOf(error) });
+    }
+  }
+}
+
+/** Task that saves an entry's decisions until it is halted. */
+export function* runJobLogSaver(saver: JobLogSaver): Operation<void> {
+  while (true) {
+    yield* sleep(SAVE_INTERVAL_MS);
+    yield* until(saver.save());
+  }
+}
--- /dev/null
+++ b/src/jobs/job_log_test.ts
@@ -0,0 +1,110 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FakeJobs } from "../../testing/fake_jobs.ts";
+import { createFakeStore } from "../../testing/fake_store.ts";
+import { REGION } from "../../testing/fleet_world.ts";
+import { createSpec, keyOf, runFor, submit } from "../../testing/job_steps.ts";
+import { silentLogger } from "../logger.ts";
+import { JobLogSaver, readJobLog } from "./job_log_saver.ts";
+import {
+  JobLog,
+  MAXIMUM_OTHERS,
+  MAXIMUM_PLACEMENTS,
+  MAXIMUM_STORED,
+} from "./job_log.ts";
+import { JobMemory } from "./job_memory.ts";
+import { summarizeJobs } from "./job_summary.ts";
+import { readWorld } from "./jobs_world.ts";
+import { WorkerReports } from "./worker_reports.ts";
+
+const decision = (atMs: number, kind: "placed" | "ended") => ({
+  ...{ atMs, kind, jobId: "j", summary: "", facts: {}, rejected: [] },
+});
+
+// Guards against decisions without their reasons, and against a dump that hides waiting jobs or used quota.
+test("a job's placement, wait, preemption, retry and end are explained", async () => {
+  const store = createFakeStore();
+  const jobs = new FakeJobs({ store, workers: 2 });
+  const memory = new JobMemory();
+  const reports = new WorkerReports(jobs.agent, jobs.clock);
+  const [dispatcher] = jobs.createEntry("entry", [0], { memory, reports });
+  assert.ok(dispatcher);
+  await runFor(jobs, dispatcher, 2);
+  const add = async (overrides: Parameters<typeof createSpec>[0]) => {
+    const key = keyOf(0, jobs.nowMs);
+    await submit(dispatcher, key, createSpec(overrides));
+    await runFor(jobs, dispatcher, 1);
+    return key.key;
+  };
+  const about = (jobId: string) =>
+    memory.log.about({ jobId }).reverse().map(({ kind }) => kind);
+  const first = await add({ cores: 12, idempotent: true });
+  const second = await add({ cores: 12, idempotent: true });
+  const waiting = await add({ cores: 12 });
+  const wait = memory.waits.get(0)?.get(waiting);
+  assert.ok(wait?.reason === "no_capacity");
+  assert.equal(wait.basis.obstacles, { no_room: 2 });
+  await runFor(jobs, dispatcher, 4);
+  assert.is(memory.waits.get(0)?.get(waiting)?.sinceMs, wait.sinceMs);
+
+  const world = readWorld({ ...jobs, region: REGION, reports, memory });
+  assert.ok(world);
+  const summary = summarizeJobs(world, [{ shard: 0, jobs: dispatcher.jobs }]);
+  assert.equal(summary.shards[0]?.jobsByState, { running: 2, queued: 1 });
+  assert.is(summary.pools[0]?.queued, 1);
+  assert.equal(summary.workers.map((worker) => worker.runningTasks), [1, 1]);
+  assert.is(summary.quotas[0]?.used.cores, 24);
+
+  const urgent = await add({ cores: 12, priority: "urgent" });
+  await runFor(jobs, dispatcher, 8);
+  assert.equal(about(urgent), ["made_room", "placed"]);
+  const victim = about(first).length > 1 ? first : second;
+  assert.equal(about(victim).slice(0, 2), ["placed", "preempted"]);
+  const [placed] = memory.log.about({ jobId: urgent });
+  assert.is(placed?.facts.waitedFor, "no_capacity");
+
+  const huge = await add({ cores: 400 });
+  assert.match(
+    memory.log.about({ jobId: huge })[0]!.summary,
+    "not_run: fits_no_worker",
+  );
+  const failing = await add({
+    command: "fail 500",
+    cores: 1,
+    idempotent: true,
+  });
+  await runFor(jobs, dispatcher, 20);
+  const [retried] = memory.log.about({ jobId: failing })
+    .filter(({ kind }) => kind === "retried");
+  assert.match(retried!.summary, "reports the task as failed");
+  assert.match(String(retried!.facts.blame), "not enough runs");
+});
+
+// Guards against reasons that grow without bound, or that an outage of the store loses.
+test("decisions are bounded in memory and in the store", async () => {
+  const store = createFakeStore();
+  const jobLog = new JobLog();
+  const saver = new JobLogSaver({
+    ...{ store, region: REGION, jobLog, log: silentLogger },
+    ownedShards: () => [9, 4],
+  });
+  for (let atMs = 0; atMs < 10_000; atMs++) {
+    jobLog.add(decision(atMs, "placed"));
+    jobLog.add(decision(atMs, "ended"));
+  }
+  const kept = jobLog.about({ jobId: "j" });
+  assert.ok(kept.length <= 2 * (MAXIMUM_PLACEMENTS + MAXIMUM_OTHERS));
+  assert.is(kept[0]?.atMs, 9_999);
+  store.faults.unavailable = true;
+  await saver.save();
+  store.faults.unavailable = false;
+  await saver.save();
+  jobLog.add(decision(10_000, "ended"));
+  await saver.save();
+  const { decisions } = await readJobLog(store, REGION, 4);
+  assert.is(decisions.length, MAXIMUM_STORED);
+  assert.is(decisions.at(-1)?.atMs, 10_000);
+  assert.is(decisions.at(-2)?.atMs, 9_999);
+});
+
+test.run();
--- a/src/jobs/job_memory.ts
+++ b/src/jobs/job_memory.ts
@@ -1,6 +1,8 @@
-import type { RunEvent } from "./blame.ts";
-import type { Job } from "./job.ts";
+import type { Blame, RunEvent } from "./blame.ts";
+import { classOf, type Job } from "./job.ts";
+import { JobLog } from "./job_log.ts";
 import { Profiles } from "./profiles.ts";
+import type { Wait } from "./plan_shard.ts";
 import type { Relief } from "./pressure.ts";
 import { type Quarantined, quarantineWorker } from "./quarantine.ts";
 import type { Held } from "./worker_view.ts";
@@ -17,6 +19,12 @@
   readonly untilMs: number;
 }
 
+/** A run that failed on a worker, with what it counts against. */
+export interface BlamedRun {
+  readonly job: Job;
+  readonly blame: Blame | undefined;
+}
+
 /** What the dispatchers of one entry have learned. It only guides decisions, so it may be lost with the entry. */
 export class JobMemory {
   readonly profiles = new Profiles();
@@ -29,6 +37,10 @@
   readonly losses = new Map<string, { rack: string; atMs: number }>();
   /** Jobs of each shard that this entry owns. */
   readonly owned = new Map<number, ReadonlyMap<string, Job>>();
+  /** Why jobs wait, for each shard that this entry owns. */
+  readonly waits = new Map<number, ReadonlyMap<string, Wait>>();
+  /** Recent decisions with their reasons. */
+  readonly log = new JobLog();
   #events: RunEvent[] = [];
 
   /** Finished runs of the last minutes. */
@@ -40,12 +52,65 @@
     this.#events = [...this.#events, event]
       .filter(({ atMs }) => event.atMs - atMs < EVENT_WINDOW_MS)
       .slice(-MAXIMUM_EVENTS);
-    if (event.succeeded) this.quarantined.delete(event.vmId);
+    if (event.succeeded && this.quarantined.delete(event.vmId)) {
+      this.log.add({
+        atMs: event.atMs,
+        kind: "released",
+        vmId: event.vmId,
+        summary: "a task succeeded on it, so it takes jobs again",
+        facts: { jobClass: event.jobClass },
+        rejected: [],
+      });
+    }
   }
 
-  blameWorker(vmId: string, nowMs: number): void {
+  /** Quarantines a worker for a run that failed there. */
+  blameWorker(vmId: string, nowMs: number, cause: BlamedRun): void {
     const known = this.quarantined.get(vmId);
-    this.quarantined.set(vmId, quarantineWorker(known, nowMs));
+    const quarantined = quarantineWorker(known, nowMs);
+    if (quarantined === known) return;
+    this.quarantined.set(vmId, quarantined);
+    this.log.add(this.#describeQuarantine(vmId, nowMs, cause));
+  }
+
+  /** Forgets what a shard's dispatcher knew, as after another entry took it over. */
+  forgetShard(shard: number): void {
+    this.owned.delete(shard);
+    this.waits.delete(shard);
+  }
+
+  #describeQuarantine(vmId: string, nowMs: number, { job, blame }: BlamedRun) {
+    const { failures, probeAtMs } = this.quarantined.get(vmId)!;
+    const { spec, id: jobId } = job;
+    const here = this.#events.filter((event) => event.vmId === vmId);
+    const failed = here.filter((event) => !event.succeeded);
+    const jobClass = classOf(spec);
+    const elsewhere = this.#events.filter((event) =>
+      event.vmId !== vmId && event.succeeded && event.jobClass === jobClass
+    );
+    const isWorker = blame?.kind === "worker";
+    const reason = isWorker ? blame.reason : "its probe failed";
+    return {
+      ...{ atMs: nowMs, kind: "quarantined" as const, jobId, vmId },
+      ...{ pool: spec.pool, team: spec.team },
+      summary: `quarantined until ${
+        new Date(probeAtMs).toISOString()
+      }: ${reason}`,
+      facts: {
+        jobClass,
+        quarantinesInRow: failures,
+        probeAtMs,
+        failedRunsHere: failed.length,
+        failedClassesHere: new Set(failed.map((event) => event.jobClass)).size,
+        succeededRunsHere: here.length - failed.length,
+        sameClassSucceededElsewhere: elsewhere.length,
+      },
+      rejected: [
+        isWorker
+          ? { option: "blame the job", reason: "its class succeeds elsewhere" }
+          : { option: "release the worker", reason: "its probe failed" },
+      ],
+    };
   }
 
   hold(vmId: string, held: Held, nowMs: number): void {
--- a/src/jobs/jobs.ts
+++ b/src/jobs/jobs.ts
@@ -8,13 +8,20 @@
   runDispatcher,
 } from "./dispatcher.ts";
 import { JobMemory } from "./job_memory.ts";
-import { SHARD_COUNT } from "./job_key.ts";
+import { parseJobKey, SHARD_COUNT } from "./job_key.ts";
+import { listFacts, listRejected } from "./job_decisions.ts";
+import type { JobExplanation, JobSubject, JobWait } from "./job_log.ts";
+import { JobLogSaver, runJobLogSaver } from "./job_log_saver.ts";
+import { type JobsSummary, summarizeJobs } from "./job_summary.ts";
+import { readWorld } from "./jobs_world.ts";
 import { ownerOf } from "./ownership.ts";
 import { JobRoutes, JOBS_PATH } from "./routes.ts";
 import { WorkerReports } from "./worker_reports.ts";
 
 /** Time between two reviews of the shards' owners, in ms. */
 const REVIEW_INTERVAL_MS = 500;
+/** Time for which a summary is reused, in ms; `apply --wait` reads the dump every 50 ms. */
+const SUMMARY_LIFETIME_MS = 1_000;
 
 /** What the jobs of one entry work with. */
 export interface JobsOptions
@@ -28,6 +35,10 @@
 export interface Jobs {
   /** Answers the calls under `/.cowslipferry/jobs`. */
   readonly systemCalls: NonNullable<CallServerOptions["systemCalls"]>;
+  /** State for the dump; undefined until the platform's state is known. */
+  summary(): JobsSummary | undefined;
+  /** Tells why things were decided about a job or a worker. */
+  explain(subject: JobSubject): JobExplanation;
   /** Runs the dispatchers of the shards that this entry owns until it is halted. */
   run(): Operation<void>;
 }
@@ -73,7 +84,47 @@
     }
   }
 
+  const jobLog = memory.log;
+  const ownedShards = () => [...memory.owned.keys()];
+  const saver = new JobLogSaver({ ...options, jobLog, ownedShards });
+  let summary: { atMs: number; value: JobsSummary | undefined } | undefined;
+
+  function summarize(): JobsSummary | undefined {
+    const world = readWorld({ ...options, reports, memory });
+    const shards = [...running].map(([shard, { dispatcher }]) => ({
+      shard,
+      jobs: dispatcher.jobs,
+    }));
+    return world &&
+      summarizeJobs(world, shards.sort((a, b) => a.shard - b.shard));
+  }
+
+  function findWait(jobId: string): JobWait | undefined {
+    const shard = parseJobKey(jobId)?.shard ?? -1;
+    const wait = memory.waits.get(shard)?.get(jobId);
+    const job = memory.owned.get(shard)?.get(jobId);
+    if (wait === undefined || job === undefined) return undefined;
+    const { reason, sinceMs, basis } = wait;
+    const facts = {
+      waitedMs: clock.wallMs() - job.submittedAtMs,
+      ...listFacts(job, basis),
+    };
+    const rejected = listRejected(basis.obstacles);
+    return { jobId, reason, sinceMs, facts, rejected };
+  }
+
   return {
+    summary() {
+      const atMs = clock.monotonicMs();
+      if (summary === undefined || atMs - summary.atMs >= SUMMARY_LIFETIME_MS) {
+        summary = { atMs, value: summarize() };
+      }
+      return summary.value;
+    },
+    explain: (subject) => ({
+      wait: "jobId" in subject ? findWait(subject.jobId) : undefined,
+      decisions: memory.log.about(subject),
+    }),
     systemCalls: {
       pathPrefix: JOBS_PATH,
       async handle(call) {
@@ -83,6 +134,7 @@
     },
     *run() {
       running.clear();
+      yield* spawn(() => runJobLogSaver(saver));
       while (true) {
         yield* review();
         yield* sleep(REVIEW_INTERVAL_MS);
--- a/src/jobs/jobs_world.ts
+++ b/src/jobs/jobs_world.ts
@@ -1,4 +1,6 @@
-import type { ResolvedConfig } from "../config/schema.ts";
+import type { Clock } from "../clock.ts";
+import type { AppliedConfig, ResolvedConfig } from "../config/schema.ts";
+import type { Observable } from "../observable.ts";
 import type { FleetRecord, VmRecord } from "../fleet/record.ts";
 import { UNREACHABLE_AFTER_MS } from "../fleet/worker_monitor.ts";
 import type { Vm } from "../platform/vm_list.ts";
@@ -25,6 +27,38 @@
   readonly vmListReadAtMs: number;
 }
 
+/** What the view of a planning step is read from. */
+export interface WorldSources {
+  readonly region: string;
+  readonly config: Observable<AppliedConfig | undefined>;
+  readonly fleet: Observable<FleetRecord | undefined>;
+  readonly vmList: Observable<VmListSnapshot | undefined>;
+  readonly reports: WorkerReports;
+  readonly memory: JobMemory;
+  readonly clock: Clock;
+}
+
+/** Returns the present view; undefined until configuration, fleet record and VM list are known. */
+export function readWorld(sources: WorldSources): JobsWorld | undefined {
+  const { config, fleet, vmList, region, reports, memory, clock } = sources;
+  const applied = config.get();
+  const record = fleet.get();
+  const snapshot = vmList.get();
+  if (
+    applied === undefined || record === undefined || snapshot === undefined
+  ) return undefined;
+  return {
+    region,
+    config: applied.config,
+    fleet: record,
+    vmList: snapshot,
+    reports,
+    memory,
+    nowMs: clock.wallMs(),
+    vmListReadAtMs: clock.wallMs() - (clock.monotonicMs() - snapshot.readAtMs),
+  };
+}
+
 // Each started job of each shard looks up its worker in every step.
 const listed = new WeakMap<VmListSnapshot, Map<string, Map<string, Vm>>>();
 
@@ -68,7 +102,8 @@
   }
 }
 
-function listStandings(world: JobsWorld): Map<string, Standing> {
+/** Returns how blamed workers are used under their pools' budgets. */
+export function listStandings(world: JobsWorld): Map<string, Standing> {
   const { memory, fleet, nowMs } = world;
   const standings = new Map<string, Standing>();
   if (memory.quarantined.size === 0) return standings;
--- a/src/jobs/placement.ts
+++ b/src/jobs/placement.ts
@@ -30,24 +30,42 @@
 /** Why a job waits. */
 export type WaitReason = "no_capacity" | "quota" | "no_worker";
 
+/** Why a worker of the job's pool was passed over. */
+export type Obstacle =
+  | "not_serving"
+  | "quarantined"
+  | "probe_running"
+  | "kept_for_older_job"
+  | "held_for_urgent_job"
+  | "no_room"
+  | "failed_there"
+  | "not_its_checkpoint";
+
+/** Number of workers that were passed over, by obstacle. */
+export type Obstacles = Partial<Record<Obstacle, number>>;
+
+/** What a decision was taken from. */
+export interface PlacementBasis {
+  readonly size: Size;
+  /** What the team used before the decision. */
+  readonly teamUse: Size;
+  readonly quota: Quota;
+  /** Workers of the pool. */
+  readonly workers: number;
+  readonly obstacles: Obstacles;
+}
+
 /** What is to happen with one queued job. */
 export type PlacementDecision =
-  | {
-    readonly kind: "place";
-    readonly jobId: string;
-    readonly vmId: string;
-    readonly size: Size;
-  }
-  | {
-    readonly kind: "reject";
-    readonly jobId: string;
-    readonly reason: "fits_no_worker" | "exceeds_quota";
-  }
-  | {
-    readonly kind: "wait";
-    readonly jobId: string;
-    readonly reason: WaitReason;
-  };
+  & { readonly jobId: string; readonly basis: PlacementBasis }
+  & (
+    | { readonly kind: "place"; readonly vmId: string; readonly size: Size }
+    | {
+      readonly kind: "reject";
+      readonly reason: "fits_no_worker" | "exceeds_quota";
+    }
+    | { readonly kind: "wait"; readonly reason: WaitReason }
+  );
 
 /** Capacity that changes as a step places jobs. */
 class Room {
@@ -106,17 +124,26 @@
     size.accelerators <= (quota.accelerators ?? Infinity);
 }
 
-function isOpen(worker: WorkerView, candidate: Candidate, room: Room): boolean {
-  const { vmId, standing, held } = worker;
-  if (standing === "quarantined") return false;
-  if (standing === "probing" && room.probed.has(vmId)) return false;
+/** Returns why a worker can't take a job now; undefined if it can. */
+function findObstacle(
+  worker: WorkerView,
+  candidate: Candidate,
+  room: Room,
+): Obstacle | undefined {
+  const { vmId, standing, held, serving } = worker;
+  if ((candidate.pinnedTo ?? vmId) !== vmId) return "not_its_checkpoint";
+  if (!serving) return "not_serving";
+  if (standing === "quarantined") return "quarantined";
+  if (standing === "probing" && room.probed.has(vmId)) return "probe_running";
   const holder = room.heldBy.get(vmId);
-  if (holder !== undefined && holder !== candidate.jobId) return false;
-  let free = room.free.get(vmId)!;
-  if (held !== undefined && held.jobId !== candidate.jobId) {
-    free = addSize(free, held.size, -1);
+  if (holder !== undefined && holder !== candidate.jobId) {
+    return "kept_for_older_job";
   }
-  return fits(candidate.size, free);
+  const free = room.free.get(vmId)!;
+  if (!fits(candidate.size, free)) return "no_room";
+  if (held === undefined || held.jobId === candidate.jobId) return undefined;
+  const unheld = addSize(free, held.size, -1);
+  return fits(candidate.size, unheld) ? undefined : "held_for_urgent_job";
 }
 
 /** Orders workers for a job; lower is better. */
@@ -146,10 +173,15 @@
   candidate: Candidate,
   workers: readonly WorkerView[],
   room: Room,
-): WorkerView | undefined {
+): { worker: WorkerView | undefined; obstacles: Obstacles } {
+  const obstacles: Obstacles = {};
   let best: { worker: WorkerView; rank: number[] } | undefined;
   for (const worker of workers) {
-    if (!isOpen(worker, candidate, room)) continue;
+    const obstacle = findObstacle(worker, candidate, room);
+    if (obstacle !== undefined) {
+      obstacles[obstacle] = (obstacles[obstacle] ?? 0) + 1;
+      continue;
+    }
     const ranked = rank(worker, candidate, room);
     if (best === undefined || compareRanks(ranked, best.rank) < 0) {
       best = { worker, rank: ranked };
@@ -158,11 +190,17 @@
   // An idempotent job isn't repeated where it failed as long as another worker of the pool can take it later.
   const repeats = best !== undefined &&
     candidate.failedOn.includes(best.worker.vmId);
-  const others = workers.some((worker) =>
-    !candidate.failedOn.includes(worker.vmId) &&
-    worker.standing !== "quarantined" && fits(candidate.size, worker.capacity)
-  );
-  return repeats && others ? undefined : best?.worker;
+  const others = repeats &&
+    workers.some((worker) =>
+      !candidate.failedOn.includes(worker.vmId) &&
+      worker.serving && worker.standing !== "quarantined" &&
+      fits(candidate.size, worker.capacity)
+    );
+  if (!others) return { worker: best?.worker, obstacles };
+  // The best worker is one on which the job failed only if no other one is open.
+  const open = workers.length -
+    Object.values(obstacles).reduce((a, b) => a + b, 0);
+  return { worker: undefined, obstacles: { ...obstacles, failed_there: open } };
 }
 
 /** Holds the pool's worker with the most free cores for a job that has waited long. */
@@ -172,8 +210,8 @@
   room: Room,
 ) {
   const able = workers.filter((worker) =>
-    fits(candidate.size, worker.capacity) && worker.standing === "normal" &&
-    !room.heldBy.has(worker.vmId)
+    worker.serving && fits(candidate.size, worker.capacity) &&
+    worker.standing === "normal" && !room.heldBy.has(worker.vmId)
   );
   const cores = (worker: WorkerView) => room.free.get(worker.vmId)!.cores;
   const best = able.reduce<WorkerView | undefined>(
@@ -212,7 +250,7 @@
   const pools = groupByPool(input.workers);
   const holding = new Set<string>();
   const quotaHeld = new Set<string>();
-  const blocked = new Set<string>();
+  const blocked = new Map<string, Obstacles>();
   const urgency = ({ spec }: Candidate) => spec.priority === "urgent" ? 0 : 1;
   const ordered = [...input.candidates].sort((a, b) =>
     urgency(a) - urgency(b) || b.waitedMs - a.waitedMs
@@ -220,40 +258,47 @@
   return ordered.map((candidate): PlacementDecision => {
     const { jobId, spec, size, failedOn, pinnedTo } = candidate;
     const known = pools.get(spec.pool) ?? [];
-    // A pool whose workers aren't known yet proves nothing about the job.
-    if (known.length === 0) return { kind: "wait", jobId, reason: "no_worker" };
     const quota = input.quotas.get(spec.team) ?? {};
+    const use = room.useFor(candidate);
+    const workers = known.length;
+    const describe = (obstacles: Obstacles = {}) => ({
+      jobId,
+      basis: { size, teamUse: use, quota, workers, obstacles },
+    });
+    // A pool whose workers aren't known yet proves nothing about the job.
+    if (workers === 0) {
+      return { kind: "wait", reason: "no_worker", ...describe() };
+    }
     const rejection = findRejection(candidate, known, quota);
     if (rejection !== undefined) {
-      return { kind: "reject", jobId, reason: rejection };
+      return { kind: "reject", reason: rejection, ...describe() };
     }
-    const use = room.useFor(candidate);
     const overtakes = quotaHeld.has(spec.team) && spec.priority !== "urgent";
     if (overtakes || !withinQuota(addSize(use, size), quota)) {
       // Smaller jobs of the team would use up the quota forever.
       if (candidate.waitedMs >= HOLD_AFTER_MS) quotaHeld.add(spec.team);
-      return { kind: "wait", jobId, reason: "quota" };
+      return { kind: "wait", reason: "quota", ...describe() };
     }
     const shape =
       `${spec.pool} ${size.cores} ${size.memoryMb} ${size.accelerators}`;
     const unrestricted = failedOn.length === 0 && pinnedTo === undefined;
-    const skips = unrestricted && blocked.has(shape);
-    const serving = known.filter((worker) =>
-      worker.serving && (pinnedTo ?? worker.vmId) === worker.vmId
-    );
-    const worker = skips ? undefined : choose(candidate, serving, room);
+    const skipped = unrestricted ? blocked.get(shape) : undefined;
+    const { worker, obstacles } = skipped === undefined
+      ? choose(candidate, known, room)
+      : { worker: undefined, obstacles: skipped };
     if (worker === undefined) {
-      if (unrestricted) blocked.add(shape);
+      if (unrestricted) blocked.set(shape, obstacles);
       if (
         unrestricted && candidate.waitedMs >= HOLD_AFTER_MS &&
         !holding.has(spec.pool)
       ) {
         holding.add(spec.pool);
-        hold(candidate, serving, room);
+        hold(candidate, known, room);
       }
-      return { kind: "wait", jobId, reason: "no_capacity" };
+      return { kind: "wait", reason: "no_capacity", ...describe(obstacles) };
     }
     room.take(worker, candidate);
-    return { kind: "place", jobId, vmId: worker.vmId, size };
+    const { vmId } = worker;
+    return { kind: "place", vmId, size, ...describe(obstacles) };
   });
 }
--- a/src/jobs/plan_shard.ts
+++ b/src/jobs/plan_shard.ts
@@ -8,7 +8,12 @@
   listWorkers,
   viewWorkers,
 } from "./jobs_world.ts";
-import { type Candidate, placeJobs, type WaitReason } from "./placement.ts";
+import {
+  type Candidate,
+  placeJobs,
+  type PlacementBasis,
+  type WaitReason,
+} from "./placement.ts";
 import { planPreemptions, type Preemption } from "./preemption.ts";
 import { type ReliefAction, relieveWorker } from "./pressure.ts";
 import { reconcileJob, type RunObservation } from "./reconcile.ts";
@@ -32,6 +37,14 @@
   readonly task: TaskView;
 }
 
+/** Why a queued or checkpointed job waits. */
+export interface Wait {
+  readonly reason: WaitReason;
+  /** Wall-clock time since which this is the reason, in ms. */
+  readonly sinceMs: number;
+  readonly basis: PlacementBasis;
+}
+
 /** What one step of a shard's dispatcher writes and does. */
 export interface ShardPlan {
   /** Jobs with a new state. */
@@ -41,7 +54,11 @@
   readonly stops: readonly TaskOnWorker[];
   readonly preemptions: readonly Preemption[];
   readonly reliefs: readonly (ReliefAction & { readonly worker: WorkerView })[];
-  readonly waits: ReadonlyMap<string, WaitReason>;
+  readonly waits: ReadonlyMap<string, Wait>;
+  /** What the jobs that were placed or rejected were judged on. */
+  readonly bases: ReadonlyMap<string, PlacementBasis>;
+  /** What the changed runs were judged on. */
+  readonly observations: ReadonlyMap<string, RunObservation>;
 }
 
 /** What a shard is planned from. */
@@ -98,6 +115,7 @@
 function reconcileAll(input: ShardPlanInput) {
   const next = new Map(input.jobs);
   const finished: FinishedRun[] = [];
+  const observations = new Map<string, RunObservation>();
   for (const job of input.jobs.values()) {
     const { state } = job;
     if (state.kind === "queued" || state.kind === "ended") continue;
@@ -108,13 +126,14 @@
     const after = reconcileJob(job, { observation, nowMs, blame: judge });
     if (after === job) continue;
     next.set(job.id, after);
+    observations.set(job.id, observation);
     const task = observation.kind === "reported" ? observation.task : undefined;
     if (task?.state !== "succeeded" && task?.state !== "failed") continue;
     const succeeded = task.state === "succeeded";
     const blame = succeeded ? undefined : judge([...job.failedOn, run.vmId]);
     finished.push({ job, run, succeeded, blame });
   }
-  return { next, finished };
+  return { next, finished, observations };
 }
 
 function* jobsOfEntry(
@@ -200,7 +219,7 @@
 /** Decides what one shard's dispatcher writes and does next. */
 export function planShard(input: ShardPlanInput): ShardPlan {
   const { world } = input;
-  const { next, finished } = reconcileAll(input);
+  const { next, finished, observations } = reconcileAll(input);
   const workers = viewWorkers(world, jobsOfEntry(input, next));
   const byId = new Map(workers.map((worker) => [worker.vmId, worker]));
   const candidates = listCandidates(input, next);
@@ -209,25 +228,32 @@
     workers,
     quotas: listQuotas(world.config),
   });
-  const waits = new Map<string, WaitReason>();
+  const waited = world.memory.waits.get(input.shard);
+  const waits = new Map<string, Wait>();
+  const bases = new Map<string, PlacementBasis>();
   let assignments = 0;
   for (const decision of decisions) {
     const job = next.get(decision.jobId)!;
     if (decision.kind === "wait") {
-      waits.set(job.id, decision.reason);
+      const { reason, basis } = decision;
+      const before = waited?.get(job.id);
+      const sinceMs = before?.reason === reason ? before.sinceMs : world.nowMs;
+      waits.set(job.id, { reason, sinceMs, basis });
     } else if (decision.kind === "reject") {
       // A job that had started before isn't reported as never run.
       const outcome = job.attempts === 0
         ? { kind: "not_run", reason: decision.reason } as const
         : { kind: "failed", reason: "task_failed" } as const;
+      bases.set(job.id, decision.basis);
       next.set(job.id, endJob(job, outcome, world.nowMs));
     } else if (assignments++ < MAXIMUM_ASSIGNMENTS) {
       const worker = byId.get(decision.vmId)!;
+      bases.set(job.id, decision.basis);
       next.set(job.id, assign(job, worker, { size: decision.size, input }));
     }
   }
   const needs = candidates.flatMap(({ jobId, spec, size }) => {
-    const reason = waits.get(jobId);
+    const reason = waits.get(jobId)?.reason;
     const urgent = spec.priority === "urgent" &&
       (reason === "no_capacity" || reason === "quota");
     if (!urgent || world.memory.isHeldFor(jobId, world.nowMs)) return [];
@@ -241,6 +267,8 @@
     preemptions: planPreemptions(needs, workers),
     reliefs: planReliefs(input, workers),
     waits,
+    bases,
+    observations,
   };
 }
 
--- a/src/jobs/profiles.ts
+++ b/src/jobs/profiles.ts
@@ -24,6 +24,16 @@
   readonly runTimeMs: number;
 }
 
+/** What is learned of one class: 95th percentiles of its finished runs. */
+export interface ClassProfile {
+  readonly team: string;
+  readonly jobClass: string;
+  readonly runs: number;
+  readonly cores: number;
+  readonly memoryMb: number;
+  readonly runTimeMs: number;
+}
+
 function createHistogram(): Histogram {
   return build({ numberOfSignificantValueDigits: 2, autoResize: true });
 }
@@ -53,6 +63,29 @@
     profile.runTimeMs.recordValue(Math.max(0, Math.round(use.runTimeMs)));
   }
 
+  /** Number of known classes. */
+  get size(): number {
+    return this.#profiles.size;
+  }
+
+  /** Returns the classes with the most runs. */
+  largest(count: number): ClassProfile[] {
+    const at = (histogram: Histogram) =>
+      histogram.getValueAtPercentile(RESERVED_PERCENTILE);
+    return [...this.#profiles]
+      .sort(([, a], [, b]) => b.memoryMb.totalCount - a.memoryMb.totalCount)
+      .slice(0, count)
+      .map(([key, { coreUnits, memoryMb, runTimeMs }]) => {
+        const [team = "", jobClass = ""] = key.split("/");
+        return {
+          ...{ team, jobClass, runs: memoryMb.totalCount },
+          cores: at(coreUnits) / CORE_UNITS,
+          memoryMb: at(memoryMb),
+          runTimeMs: at(runTimeMs),
+        };
+      });
+  }
+
   /** Returns what a job reserves; `largest` are the sizes of the pool's workers. */
   reservation(spec: JobSpec, largest: readonly Size[]): Size {
     const { cores, memoryMb, accelerators } = spec;
--- a/src/jobs/routes_test.ts
+++ b/src/jobs/routes_test.ts
@@ -3,6 +3,7 @@
 import * as assert from "uvu/assert";
 import { withDeployment } from "../../testing/faults/scenario.ts";
 import { waitFor } from "../../testing/wait.ts";
+import type { EntryDump } from "../admin/dump.ts";
 import { SHARD_COUNT } from "./job_key.ts";
 
 const SPEC = {
@@ -98,6 +99,23 @@
       ),
     );
     const jobIds = long.map(({ key }) => key);
+    // Guards against an admin server that shows no jobs, or only those of other shards.
+    await waitFor("an admin server explains a running job", async () => {
+      const answers = await Promise.all(entries.map(async (entry) => {
+        const admin = `http://${entry.adminAddress}`;
+        const [jobs, dump] = await Promise.all([
+          fetch(`${admin}/jobs?job=${jobIds[0]}`),
+          fetch(`${admin}/dump?part=jobs`),
+        ]);
+        return {
+          ...await jobs.json() as { decisions: { kind: string }[] },
+          ...await dump.json() as EntryDump,
+        };
+      }));
+      const shards = answers.flatMap(({ jobs }) => jobs?.shards ?? []);
+      return shards.filter(({ active }) => active).length === SHARD_COUNT &&
+        answers.some((answer) => answer.decisions[0]?.kind === "placed");
+    }, { timeoutMs: 30_000 });
     const cancelled = await call(a, "/cancel", {
       method: "POST",
       body: { jobIds },
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -193,6 +193,7 @@
     contacts: parts.resolve(TOKENS.contacts),
     supervisor: parts.resolve(TOKENS.supervisor),
     requestPath: parts.resolve(TOKENS.requestPath),
+    jobs: parts.resolve(TOKENS.jobs),
     clock: parts.resolve(TOKENS.clock),
     log: parts.resolve(TOKENS.loggers)("admin"),
   });
--- a/testing/fake_jobs.ts
+++ b/testing/fake_jobs.ts
@@ -178,11 +178,15 @@
     });
   }
 
-  /** Creates the dispatchers of one entry. */
-  createEntry(holder: string, shards: readonly number[]): Dispatcher[] {
+  /** Creates the dispatchers of one entry; `shared` lets a test read what they know. */
+  createEntry(
+    holder: string,
+    shards: readonly number[],
+    shared: { memory?: JobMemory; reports?: WorkerReports } = {},
+  ): Dispatcher[] {
     const { agent, clock, config, fleet, vmList } = this;
-    const memory = new JobMemory();
-    const reports = new WorkerReports(agent, clock);
+    const memory = shared.memory ?? new JobMemory();
+    const reports = shared.reports ?? new WorkerReports(agent, clock);
     return shards.map((shard) =>
       new Dispatcher({
         shard,
