feat(cli): explain a job and a worker's quarantine; job lines in status

Cause: `explain` knew the fleet's decisions only, and `status` said nothing about jobs.

Change: `explain job <id>` shows the job in its shard, why it waits now with the figures and the passed-over workers, and the decisions about it from the live entries and the stored logs, each once and newest first. `explain vm` shows job decisions about the worker as well, quarantine and release included. `status` shows a line for each pool: queued, running, longest wait of an urgent job that has not started; shards that no entry reported are named, so that a low count isn't taken for an empty queue.

Ruled out: all waiting jobs in the dump (up to 3,000 for each shard); a second read of each dump for `status`.

Conclusion: both commands answer from two sources, so that a lost entry leaves the stored decisions.

--- a/src/cli_test.ts
+++ b/src/cli_test.ts
@@ -3,12 +3,14 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import {
+  EXPLAINED_JOB,
   type OperatorPlatform,
   runProgram,
   startOperatorPlatform,
 } from "../testing/operator_platform.ts";
 import { decisionLogKey } from "./fleet/decision_log.ts";
 import { fleetKey } from "./fleet/record.ts";
+import { jobLogKey } from "./jobs/job_log.ts";
 
 const FILE = "examples/khomas.json";
 const NOWHERE = "http://127.0.0.1:1";
@@ -38,6 +40,7 @@
     [2, "no-such-command"],
     [2, "check"],
     [2, "explain vm"],
+    [2, `explain job x --store ${NOWHERE} --vm-list ${NOWHERE}`],
     [2, `apply ${FILE}`],
     [2, `apply ${FILE} --store http://localhost:1`],
     [2, `apply ${FILE} --store ${NOWHERE} --wait`],
@@ -134,6 +137,11 @@
     store.values.set(key, { value: JSON.stringify(value), version: 1 });
   put(fleetKey("khomas"), record);
   put(decisionLogKey("khomas"), { decisions: [decision] });
+  const { fleetRevision: _, pools: __, teams: ___, ...reasons } = decision;
+  const quarantined = { ...reasons, kind: "quarantined", summary: "blamed" };
+  put(jobLogKey("khomas", 0), {
+    decisions: [{ ...quarantined, jobId: EXPLAINED_JOB }],
+  });
 }
 
 withPlatform(
@@ -167,8 +175,18 @@
       "q-3",
     ]);
     assert.is(status.entries.length, 3);
+    // Each of the two live entries reports its own shards.
+    assert.equal(status.jobs[0].pools[0], {
+      pool: "quoting",
+      queued: 6,
+      running: 4,
+      urgentWaitMs: 1_234,
+    });
+    assert.is(status.jobs[0].pools.length, 5);
+    assert.is(status.jobs[0].missingShards.length, 15);
     const watch = await run("status --watch --count 2 --interval-ms 100");
     assert.is(watch.stdout.match(/BUDGET SHORT/g)?.length, 10);
+    assert.match(watch.stdout, "quoting: 6 queued, 4 running, longest urgent");
   },
 );
 
@@ -186,10 +204,16 @@
       "dump entry-1": "entry-1",
       "explain vm q-3": "cutshop needs a VM",
       "explain vm q-2": 'state: "rebooting"',
+      "explain vm q-2 --limit 5": `job ${EXPLAINED_JOB}: placed q-2`,
+      "explain vm q-3 --limit 9": "quarantined q-3: blamed",
+      "explain vm q-3 --limit 8": 'standing: "quarantined"',
       "explain pool quoting": "cutshop needs a VM",
       "explain team quoting-team": "cutshop needs a VM",
       "explain team quoting-team --limit 1": "marginVms: -2",
       "explain request r-1": 'outcome: "answer"',
+      [`explain job ${EXPLAINED_JOB}`]: "no_capacity (dispatcher of entry-1)",
+      [`explain job ${EXPLAINED_JOB} --limit 9`]: "2 recent decision(s)",
+      [`explain job ${EXPLAINED_JOB} --limit 1`]: "rejected 2 worker(s): too",
     };
     for (const [line, expected] of Object.entries(lines)) {
       const result = await run(line);
--- a/src/commands/context.ts
+++ b/src/commands/context.ts
@@ -1,6 +1,7 @@
 import process from "node:process";
 import { type Command, InvalidArgumentError, Option } from "commander";
 import type { ReadDump } from "../config/roll_out.ts";
+import type { JobSubject } from "../jobs/job_log.ts";
 import { messageOf, TaggedError } from "../errors.ts";
 import { requestJson } from "../platform/http_json.ts";
 import { createHttpStore } from "../platform/http_store.ts";
@@ -29,6 +30,12 @@
   store(): Store;
   vmList(): VmList;
   readonly readDump: ReadDump;
+  /** Reads what an entry can tell about a job or a worker. */
+  readonly readJobExplanation: (
+    adminAddress: string,
+    subject: JobSubject,
+    signal: AbortSignal,
+  ) => Promise<unknown>;
 }
 
 /** Parses an option that is an integer of at least `minimum`. */
@@ -79,21 +86,33 @@
   );
 }
 
-/** Reads the state dump of an entry; rejects with the client's error. */
-export async function readEntryDump(
-  adminAddress: string,
-  signal: AbortSignal,
-): Promise<unknown> {
-  const response = await requestJson(`http://${adminAddress}/dump`, {
-    timeoutMs: 5_000,
-    signal,
-  });
+async function readAdmin(url: string, signal: AbortSignal): Promise<unknown> {
+  const response = await requestJson(url, { timeoutMs: 5_000, signal });
   if (response.status !== 200) {
     throw new Error(`the admin server answered with status ${response.status}`);
   }
   return response.body;
 }
 
+/** Reads the state dump of an entry; rejects with the client's error. */
+export function readEntryDump(
+  adminAddress: string,
+  signal: AbortSignal,
+): Promise<unknown> {
+  return readAdmin(`http://${adminAddress}/dump`, signal);
+}
+
+function readJobExplanation(
+  adminAddress: string,
+  subject: JobSubject,
+  signal: AbortSignal,
+): Promise<unknown> {
+  const query = "jobId" in subject
+    ? new URLSearchParams({ job: subject.jobId })
+    : new URLSearchParams({ vm: subject.vmId });
+  return readAdmin(`http://${adminAddress}/jobs?${query}`, signal);
+}
+
 /** Resolves the platform's addresses; rejects with a `ValidationError`. */
 export async function resolvePlatform(
   options: PlatformOptions,
@@ -107,6 +126,7 @@
     store: () => createHttpStore(required(storeUrl, "--store")),
     vmList: () => createHttpVmList(required(vmListUrl, "--vm-list")),
     readDump: readEntryDump,
+    readJobExplanation,
   };
 }
 
--- a/src/commands/explain.ts
+++ b/src/commands/explain.ts
@@ -7,6 +7,9 @@
 import type { AppliedConfig } from "../config/schema.ts";
 import { parseFleetRecord } from "../fleet/follower.ts";
 import { fleetKey } from "../fleet/record.ts";
+import { parseJobKey } from "../jobs/job_key.ts";
+import { mergeDecisions } from "../jobs/job_log.ts";
+import { assertNever } from "../errors.ts";
 import { formatFound, parseJson, parseWithSchema } from "../validation.ts";
 import type { Store } from "../platform/store.ts";
 import {
@@ -19,25 +22,37 @@
   requireBoth,
   resolvePlatform,
   type Unreadable,
+  UsageError,
 } from "./context.ts";
 import { type DumpMatch, findInDump, readDumps } from "./entry_dumps.ts";
+import {
+  askEntries,
+  type EntryExplanations,
+  readStoredDecisions,
+  readStoredJob,
+  type RegionalJobDecision,
+} from "./explain_jobs.ts";
 import { summarizeBudgets } from "./fleet_summary.ts";
 import { listRegions, readApplied } from "./status.ts";
 
-type Subject = "vm" | "pool" | "team" | "request";
+type Subject = "vm" | "pool" | "team" | "request" | "job";
 
 interface Options extends PlatformOptions {
   readonly region?: string;
   readonly limit: number;
 }
 
+type ShownDecision = (Decision & { region: string }) | RegionalJobDecision;
+
 interface Explanation {
   readonly subject: Subject;
   readonly id: string;
-  /** What the fleet record says now: the VM, or the budgets of the pool or team. */
+  /** What the store says now: the VM, the budgets of the pool or team, or the job. */
   readonly current: readonly object[];
+  /** Why a job waits. */
+  readonly waits: EntryExplanations["waits"];
   /** Newest first. */
-  readonly decisions: readonly (Decision & { region: string })[];
+  readonly decisions: readonly ShownDecision[];
   /** What the entries hold about the subject. */
   readonly entries: readonly DumpMatch[];
   readonly unreadable: readonly Unreadable[];
@@ -49,6 +64,8 @@
   pool: ["pool", "poolName"],
   team: ["team"],
   request: ["requestId"],
+  // The entries are asked for the job by its id.
+  job: [],
 };
 
 function concerns(decision: Decision, subject: Subject, id: string): boolean {
@@ -60,7 +77,10 @@
     case "team":
       return decision.teams.includes(id);
     case "request":
+    case "job":
       return false;
+    default:
+      return assertNever(subject);
   }
 }
 
@@ -130,17 +150,26 @@
   };
 }
 
-function formatDecision(decision: Decision & { region: string }): string[] {
+function formatDecision(decision: ShownDecision): string[] {
   const at = new Date(decision.atMs).toISOString();
   const vm = decision.vmId === undefined ? "" : ` ${decision.vmId}`;
+  const source = "fleetRevision" in decision
+    ? `fleet revision ${decision.fleetRevision}`
+    : decision.jobId === undefined
+    ? "jobs"
+    : `job ${decision.jobId}`;
   return [
-    `${at} ${decision.region} fleet revision ${decision.fleetRevision}: ${decision.kind}${vm}: ${decision.summary}`,
-    ...Object.entries(decision.facts).map(([name, value]) =>
-      `  ${name}: ${value}`
-    ),
-    ...decision.rejected.map((item) =>
-      `  rejected ${item.option}: ${item.reason}`
-    ),
+    `${at} ${decision.region} ${source}: ${decision.kind}${vm}: ${decision.summary}`,
+    ...formatReasons(decision),
+  ];
+}
+
+function formatReasons(
+  { facts, rejected }: Pick<Decision, "facts" | "rejected">,
+): string[] {
+  return [
+    ...Object.entries(facts).map(([name, value]) => `  ${name}: ${value}`),
+    ...rejected.map((item) => `  rejected ${item.option}: ${item.reason}`),
   ];
 }
 
@@ -151,18 +180,26 @@
 }
 
 function formatExplanation(found: Explanation): string[] {
-  const { subject, id, current, decisions, entries, unreadable } = found;
+  const { subject, id, current, waits, decisions, entries, unreadable } = found;
+  const place = subject === "job" ? "its shard" : "the fleet record";
   return [
     ...unreadable.map((part) => `unreadable: ${part.what}: ${part.reason}`),
     ...current.flatMap((item) => [
-      `${subject} ${id} in the fleet record`,
+      `${subject} ${id} in ${place}`,
       ...formatFields(item),
     ]),
+    ...waits.flatMap((wait) => [
+      `waits since ${new Date(wait.sinceMs).toISOString()}: ${wait.reason} ` +
+      `(dispatcher of ${wait.entryId})`,
+      ...formatReasons(wait),
+    ]),
     ...(subject === "request" ? [] : [
       `${decisions.length} recent decision(s) about ${subject} ${id}, newest first`,
     ]),
     ...decisions.flatMap(formatDecision),
-    `${entries.length} record(s) about ${subject} ${id} in the entries' dumps`,
+    ...(subject === "job" ? [] : [
+      `${entries.length} record(s) about ${subject} ${id} in the entries' dumps`,
+    ]),
     ...entries.flatMap((match) => [
       `  ${match.entryId} ${match.path}`,
       ...formatFields(match.value as object),
@@ -170,34 +207,99 @@
   ];
 }
 
+async function readJobs(
+  platform: OperatorPlatform,
+  about: { subject: "vm" | "job"; id: string; region?: string | undefined },
+  unreadable: Unreadable[],
+): Promise<Pick<Explanation, "current" | "waits" | "decisions">> {
+  const { subject, id, region } = about;
+  const asked = subject === "job" ? { jobId: id } : { vmId: id };
+  const store = platform.store();
+  const applied = region !== undefined ? undefined : await readOrNote(
+    "configuration",
+    unreadable,
+    () => readApplied(store),
+  );
+  const regions = region === undefined ? listRegions(applied) : [region];
+  const [fromEntries, ...stored] = await Promise.all([
+    readOrNote(
+      "VM list",
+      unreadable,
+      () => askEntries(platform, asked, { region, unreadable }),
+    ),
+    ...regions.map(async (name) => ({
+      current: subject === "vm" ? [] : await readOrNote(
+        `job shard of ${name}`,
+        unreadable,
+        () => readStoredJob(store, name, id),
+      ),
+      decisions: await readOrNote(
+        `job decisions of ${name}`,
+        unreadable,
+        () => readStoredDecisions(store, name, asked),
+      ),
+    })),
+  ]);
+  return {
+    current: stored.flatMap(({ current }) => current ?? []),
+    waits: fromEntries?.waits ?? [],
+    decisions: mergeDecisions([
+      ...fromEntries?.decisions ?? [],
+      ...stored.flatMap(({ decisions }) => decisions ?? []),
+    ]),
+  };
+}
+
+async function readDumpMatches(
+  platform: OperatorPlatform,
+  about: { subject: Subject; id: string },
+  unreadable: Unreadable[],
+): Promise<DumpMatch[]> {
+  const { subject, id } = about;
+  if (subject === "job") return [];
+  const dumps = await readOrNote(
+    "VM list",
+    unreadable,
+    () => readDumps(platform, { unreadable }),
+  );
+  return (dumps ?? []).flatMap((dump) =>
+    findInDump(dump, DUMP_FIELDS[subject], id)
+  );
+}
+
 async function runExplain(
   subject: Subject,
   id: string,
   options: Options,
 ): Promise<void> {
+  if (subject === "job" && parseJobKey(id) === undefined) {
+    throw new UsageError(`'${id}' isn't a job id`);
+  }
   const platform = await resolvePlatform(options);
   requireBoth(platform);
   const unreadable: Unreadable[] = [];
   const about = { subject, id, region: options.region };
-  const { current, decisions } = subject === "request"
+  const fleet = subject === "request" || subject === "job"
     ? { current: [], decisions: [] }
     : await readFleets(platform, about, unreadable);
-  const dumps = await readOrNote(
-    "VM list",
-    unreadable,
-    () => readDumps(platform, { unreadable }),
-  ) ?? [];
+  const jobs = subject === "vm" || subject === "job"
+    ? await readJobs(platform, { ...about, subject }, unreadable)
+    : { current: [], waits: [], decisions: [] };
+  const decisions: ShownDecision[] = [
+    ...fleet.decisions.filter((decision) => concerns(decision, subject, id)),
+    ...jobs.decisions,
+  ];
+  const revisionOf = (decision: ShownDecision) =>
+    "fleetRevision" in decision ? decision.fleetRevision : 0;
   const explanation: Explanation = {
     subject,
     id,
-    current,
+    current: [...fleet.current, ...jobs.current],
+    waits: jobs.waits,
     decisions: decisions
-      .filter((decision) => concerns(decision, subject, id))
-      .sort((a, b) => b.atMs - a.atMs || b.fleetRevision - a.fleetRevision)
+      .sort((a, b) => b.atMs - a.atMs || revisionOf(b) - revisionOf(a))
       .slice(0, options.limit),
-    entries: dumps.flatMap((dump) =>
-      findInDump(dump, DUMP_FIELDS[subject], id)
-    ),
+    entries: await readDumpMatches(platform, about, unreadable),
     unreadable,
   };
   printResult(options, explanation, formatExplanation(explanation));
@@ -206,8 +308,16 @@
 /** Adds the `explain` command with one subcommand for each subject. */
 export function addExplainCommand(program: Command): void {
   const explain = program.command("explain")
-    .description("show why the system acted on a VM, pool, team or request");
-  const subjects: readonly Subject[] = ["vm", "pool", "team", "request"];
+    .description(
+      "show why the system acted on a VM, pool, team, request or job",
+    );
+  const subjects: readonly Subject[] = [
+    "vm",
+    "pool",
+    "team",
+    "request",
+    "job",
+  ];
   for (const subject of subjects) {
     addPlatformOptions(
       explain.command(subject)
--- /dev/null
+++ b/src/commands/job_status.ts
@@ -0,0 +1,102 @@
+import { z } from "zod";
+import type { PoolConfig } from "../config/schema.ts";
+import { SHARD_COUNT } from "../jobs/job_key.ts";
+
+const count = z.number().int();
+
+const dumpSchema = z.object({
+  jobs: z.object({
+    shards: z.array(z.object({ shard: count, active: z.boolean() })),
+    pools: z.array(z.object({
+      pool: z.string(),
+      queued: count,
+      running: count,
+      urgentWaitMs: z.number(),
+    })),
+  }),
+});
+
+/** Jobs of one pool over all entries. */
+export interface PoolJobs {
+  readonly pool: string;
+  readonly queued: number;
+  readonly running: number;
+  /** Longest wait of an urgent job that has not started, in ms. */
+  readonly urgentWaitMs: number;
+}
+
+/** Jobs of one region as its entries report them. */
+export interface RegionJobs {
+  readonly region: string;
+  readonly pools: readonly PoolJobs[];
+  /** Shards that no entry reported; their jobs aren't counted. */
+  readonly missingShards: readonly number[];
+}
+
+/** An entry's dump with its region. */
+export interface RegionalDump {
+  readonly region: string;
+  readonly dump: unknown;
+}
+
+function sumRegion(
+  region: string,
+  dumps: readonly unknown[],
+  poolNames: readonly string[],
+): RegionJobs {
+  const missing = new Set(Array.from({ length: SHARD_COUNT }, (_, n) => n));
+  const pools = new Map(
+    poolNames.map((pool): [string, PoolJobs] => [
+      pool,
+      { pool, queued: 0, running: 0, urgentWaitMs: 0 },
+    ]),
+  );
+  for (const dump of dumps) {
+    const parsed = dumpSchema.safeParse(dump);
+    // An entry that serves no callers has no jobs.
+    if (!parsed.success) continue;
+    const { jobs } = parsed.data;
+    for (const { shard, active } of jobs.shards) {
+      if (active) missing.delete(shard);
+    }
+    for (const { pool, queued, running, urgentWaitMs } of jobs.pools) {
+      const known = pools.get(pool);
+      pools.set(pool, {
+        pool,
+        queued: queued + (known?.queued ?? 0),
+        running: running + (known?.running ?? 0),
+        urgentWaitMs: Math.max(urgentWaitMs, known?.urgentWaitMs ?? 0),
+      });
+    }
+  }
+  return { region, pools: [...pools.values()], missingShards: [...missing] };
+}
+
+/** Adds up the jobs of each region's entries. */
+export function sumJobs(
+  dumps: readonly RegionalDump[],
+  pools: readonly Pick<PoolConfig, "name" | "region">[],
+): RegionJobs[] {
+  const regions = [...new Set(dumps.map(({ region }) => region))].sort();
+  return regions.map((region) =>
+    sumRegion(
+      region,
+      dumps.filter((item) => item.region === region).map(({ dump }) => dump),
+      pools.filter((pool) => pool.region === region).map(({ name }) => name),
+    )
+  );
+}
+
+/** Formats the jobs of a region as lines, one for each pool. */
+export function formatJobs(jobs: RegionJobs): string[] {
+  const { region, pools, missingShards } = jobs;
+  return [
+    ...(missingShards.length === 0 ? [] : [
+      `jobs of ${region}: ${missingShards.length} of ${SHARD_COUNT} shards have no dispatcher that reported`,
+    ]),
+    ...pools.map(({ pool, queued, running, urgentWaitMs }) =>
+      `jobs of ${region}/${pool}: ${queued} queued, ${running} running, ` +
+      `longest urgent wait ${Math.round(urgentWaitMs)} ms`
+    ),
+  ];
+}
--- a/src/commands/status.ts
+++ b/src/commands/status.ts
@@ -31,6 +31,7 @@
   summarizeBudgets,
   summarizeWaves,
 } from "./fleet_summary.ts";
+import { type RegionalDump, type RegionJobs, sumJobs } from "./job_status.ts";
 import { formatStatus } from "./status_format.ts";
 
 /** State of one region as read from its fleet record. */
@@ -61,6 +62,7 @@
     | undefined;
   readonly regions: readonly RegionStatus[];
   readonly entries: readonly EntryStatus[];
+  readonly jobs: readonly RegionJobs[];
   /** Parts that could not be read, with the reason. */
   readonly unreadable: readonly Unreadable[];
 }
@@ -94,19 +96,28 @@
   };
 }
 
-async function readEntries(platform: OperatorPlatform): Promise<EntryStatus[]> {
+async function readEntries(
+  platform: OperatorPlatform,
+): Promise<{ entries: EntryStatus[]; dumps: RegionalDump[] }> {
   const vms = await platform.vmList().list();
   const live = new Set(listLiveEntries(vms));
-  return await Promise.all(
-    vms.filter((vm) => vm.role === "entry").map(async (vm) => ({
-      ...(live.has(vm)
-        ? await readEntryReport(vm, platform.readDump)
-        : { entryId: vm.id, revision: undefined }),
-      state: vm.state,
-      region: vm.region,
-      dataCentre: vm.dataCentre,
-    })),
+  const dumps: RegionalDump[] = [];
+  const entries = await Promise.all(
+    vms.filter((vm) => vm.role === "entry").map(async (vm) => {
+      const { region, dataCentre, state } = vm;
+      // One read of the dump serves both the report and the jobs.
+      const readDump: typeof platform.readDump = async (address, signal) => {
+        const dump = await platform.readDump(address, signal);
+        dumps.push({ region, dump });
+        return dump;
+      };
+      const report = live.has(vm)
+        ? await readEntryReport(vm, readDump)
+        : { entryId: vm.id, revision: undefined };
+      return { ...report, state, region, dataCentre };
+    }),
   );
+  return { entries, dumps };
 }
 
 /** Returns the regions that a configuration's pools are in. */
@@ -126,7 +137,7 @@
 export async function readStatus(platform: OperatorPlatform): Promise<Status> {
   const unreadable: Unreadable[] = [];
   const store = platform.store();
-  const [applied, entries] = await Promise.all([
+  const [applied, found] = await Promise.all([
     readOrNote("configuration", unreadable, () => readApplied(store)),
     readOrNote("VM list", unreadable, () => readEntries(platform)),
   ]);
@@ -145,7 +156,8 @@
       ? undefined
       : { revision, applyId, appliedAtMs, digest } as Status["configuration"],
     regions: regions.filter((region) => region !== undefined),
-    entries: entries ?? [],
+    entries: found?.entries ?? [],
+    jobs: sumJobs(found?.dumps ?? [], applied?.config.pools ?? []),
     unreadable,
   };
 }
@@ -172,7 +184,7 @@
   addPlatformOptions(
     program.command("status")
       .description(
-        "show the configuration in force, budgets, maintenance, loans and entries",
+        "show the configuration in force, budgets, maintenance, loans, jobs and entries",
       ),
   )
     .option("--watch", "print again and again until interrupted")
--- a/src/commands/status_format.ts
+++ b/src/commands/status_format.ts
@@ -1,3 +1,4 @@
+import { formatJobs } from "./job_status.ts";
 import type { EntryStatus, RegionStatus, Status } from "./status.ts";
 
 function formatMissing(missing: Readonly<Record<string, number>>): string {
@@ -79,6 +80,7 @@
   return [
     ...lines,
     ...status.regions.flatMap(formatRegion),
+    ...status.jobs.flatMap(formatJobs),
     ...status.entries.map(formatEntry),
   ];
 }
--- a/testing/operator_platform.ts
+++ b/testing/operator_platform.ts
@@ -47,14 +47,39 @@
   return { code, stdout, stderr };
 }
 
+/** Job that the admin servers explain; each says that it decided on worker `q-2`. */
+export const EXPLAINED_JOB = "4-mipxxxxx-0123456789abcdef";
+
+const JOBS_IN_DUMP = {
+  shards: [{ shard: 4, active: true }],
+  pools: [{ pool: "quoting", queued: 3, running: 2, urgentWaitMs: 1_234 }],
+  quarantined: [{ vmId: "q-3", standing: "quarantined" }],
+};
+
+function explainJobs(query: URLSearchParams) {
+  const facts = { reservedCores: 9 };
+  const rejected = [{ option: "2 worker(s)", reason: "too little free" }];
+  const wait = { jobId: EXPLAINED_JOB, reason: "no_capacity", sinceMs: 7 };
+  const placed = { atMs: 6, kind: "placed", vmId: "q-2", summary: "placed" };
+  const isJob = query.get("job") === EXPLAINED_JOB;
+  return {
+    ...(isJob && { wait: { ...wait, facts, rejected } }),
+    decisions: isJob || query.get("vm") === "q-2"
+      ? [{ ...placed, jobId: EXPLAINED_JOB, facts, rejected }]
+      : [],
+  };
+}
+
 /** Admin server of an entry that reports the store's configuration, or a fixed revision. */
 function startAdminServer(revision: () => number) {
-  return listenOnLoopback(createJsonServer(() => ({
+  const dump = () => ({
+    config: { revision: revision() },
+    requests: [{ requestId: "r-1", outcome: "answer" }],
+    jobs: JOBS_IN_DUMP,
+  });
+  return listenOnLoopback(createJsonServer(({ url }) => ({
     status: 200,
-    body: {
-      config: { revision: revision() },
-      requests: [{ requestId: "r-1", outcome: "answer" }],
-    },
+    body: url.pathname === "/jobs" ? explainJobs(url.searchParams) : dump(),
   })));
 }
 
