fix(jobs): an urgent job doesn't wait for a preempted task that has just started

Cause, found with the new decision log: a job whose run was assigned less than 15 s before stayed `assigned` when its checkpoint was reported, because the report might have shown the checkpoint that it was continued from. So room that was freed for an urgent job stayed taken for up to 15 s, and after the hold of 5 s the same task was checkpointed again. The rule also applied to first starts, which have no older checkpoint, and to checkpoints that the worker had confirmed.

Change: the rule is limited to continued runs without a confirmed checkpoint. A confirmed checkpoint counts as well for a task that the lagging report doesn't list yet.

Ruled out: preempting only tasks that a report shows as running (other entries' tasks have no start time in the view, and on small pools there may be no other); a shorter settle time (a report may be that old).

--- a/src/jobs/plan_shard.ts
+++ b/src/jobs/plan_shard.ts
@@ -88,9 +88,11 @@
   if (report === undefined || silentMs > 0 && !reports.isFresh(run.vmId)) {
     return { kind: "silent", silentMs };
   }
+  const taskId = taskIdOf(job, run);
   return {
     kind: "reported",
-    task: reports.taskStatus(run.vmId, taskIdOf(job, run)),
+    task: reports.taskStatus(run.vmId, taskId),
+    checkpointConfirmed: reports.isCheckpointConfirmed(taskId),
     rebootIntentId: report.lastRebootIntentId,
   };
 }
--- a/src/jobs/reconcile.ts
+++ b/src/jobs/reconcile.ts
@@ -9,7 +9,7 @@
 const UNREACHABLE_LIMIT_MS = 90_000;
 /** Time for which an idempotent job waits to continue where it was checkpointed, in ms. */
 const RESUME_LIMIT_MS = 60_000;
-/** Time after a resume in which a report may still show the checkpoint, in ms. */
+/** Time after a resume in which a report may still show the checkpoint before it, in ms. */
 const RESUME_SETTLE_MS = 15_000;
 /** Runs after which an idempotent job that keeps failing ends. */
 const MAXIMUM_ATTEMPTS = 8;
@@ -23,6 +23,8 @@
     readonly kind: "reported";
     /** The task in a report that was asked for after the last change of the run; undefined when it isn't listed. */
     readonly task: TaskStatus | undefined;
+    /** Whether the worker confirmed a checkpoint after the run's last start. */
+    readonly checkpointConfirmed: boolean;
     readonly rebootIntentId: string | undefined;
   };
 
@@ -66,6 +68,18 @@
   return requeue({ ...job, failedOn }, nowMs);
 }
 
+/** Whether a reported checkpoint may be the one that the run was continued from. */
+function isOlderCheckpoint(
+  { state }: Job,
+  run: Run,
+  { observation, nowMs }: ReconcileInput,
+): boolean {
+  const confirmed = observation.kind === "reported" &&
+    observation.checkpointConfirmed;
+  return state.kind === "assigned" && run.resumed === true && !confirmed &&
+    nowMs - run.atMs < RESUME_SETTLE_MS;
+}
+
 function applyReport(
   job: Job,
   run: Run,
@@ -90,9 +104,7 @@
         : endJob(job, { kind: "failed", reason: "task_stopped" }, nowMs);
     case "checkpointed":
       if (cancelled) return endJob(job, { kind: "cancelled" }, nowMs);
-      if (
-        job.state.kind === "assigned" && nowMs - run.atMs < RESUME_SETTLE_MS
-      ) return job;
+      if (isOlderCheckpoint(job, run, input)) return job;
       return job.state.kind === "checkpointed" ? job : {
         ...job,
         state: { kind: "checkpointed", run, sinceMs: nowMs },
--- a/src/jobs/worker_reports.ts
+++ b/src/jobs/worker_reports.ts
@@ -96,9 +96,16 @@
   /** Returns the last known status of a task on a worker. */
   taskStatus(vmId: string, taskId: string): TaskStatus | undefined {
     const status = this.#observations.get(vmId)?.tasks.get(taskId);
-    const overridden = status?.state === "running" &&
-      (this.#checkpointed.get(taskId) ?? 0) > this.#clock.monotonicMs();
-    return overridden ? { ...status, state: "checkpointed" } : status;
+    if (!this.isCheckpointConfirmed(taskId)) return status;
+    // The report may be older than the task's start.
+    const seen = status ??
+      { taskId, state: "running", usedCores: 0, usedMemoryMb: 0 };
+    return seen.state === "running" ? { ...seen, state: "checkpointed" } : seen;
+  }
+
+  /** Whether a worker confirmed a checkpoint of the task's present start, which its lagging report may not show yet. */
+  isCheckpointConfirmed(taskId: string): boolean {
+    return (this.#checkpointed.get(taskId) ?? 0) > this.#clock.monotonicMs();
   }
 
   /** Returns the tasks of dispatchers that a worker runs. */
