fix(jobs): an urgent job takes over the quota that was freed for it

Cause, found with the decision log and shards divided among 9 entries: when a team's quota is used up, tasks of the team are checkpointed for its urgent job, but the freed quota is held only by the entry that freed it. Normal jobs of the team on other entries used it within the reports' lag, and the urgent job tried again every 5 s. With one entry this can't be seen.

Change: once none of the tasks that were checkpointed for its quota runs any more, the urgent job is placed even if the quota is used up again. The entry's exchange leaves the team's use as it was; the normal jobs that took the quota were the ones to exceed it.

Ruled out: sending needs to the other entries (peer messages, another round); checkpointing again at once (each try takes the reports' lag, and other entries can win each time).

Seen red without the rule: the urgent job waits for "quota" in decisions_test.

--- a/src/jobs/decisions_test.ts
+++ b/src/jobs/decisions_test.ts
@@ -198,7 +198,7 @@
   const fullOther = createWorker("w1", { tasks: [createTask("x", 16)] });
   assert.is(place([failed], [w0, fullOther]).a, "no_capacity");
   const held = createWorker("w0", {
-    held: { jobId: "urgent", team: "t", size: size(16) },
+    held: { jobId: "urgent", team: "t", size: size(16), quotaFreedBy: [] },
   });
   assert.is(place([small], [held]).small, "no_capacity");
   assert.is(place([createCandidate("urgent", size(16))], [held]).urgent, "w0");
@@ -206,6 +206,20 @@
     place([createCandidate(jobId, size(1))], [held, w1], { cores: 16 })[jobId];
   assert.is(atQuota("small"), "quota", "quota is held as well");
   assert.is(atQuota("urgent"), "w0", "its own hold doesn't count twice");
+  // Guards against an urgent job that waits because another entry used the quota which was freed for it.
+  const taken = createTask("x", 16);
+  const takeOver = (quotaFreedBy: string[]) => {
+    const need = { jobId: "u", team: "t", size: size(4), quotaFreedBy };
+    const workers = [
+      createWorker("w0", { held: need }),
+      createWorker("w1", { tasks: [taken] }),
+    ];
+    const urgent = createCandidate("u", size(4), { urgent: true });
+    return place([urgent], workers, { cores: 16 }).u;
+  };
+  assert.is(takeOver(["a checkpointed task"]), "w0");
+  assert.is(takeOver([taken.taskId]), "quota", "its quota isn't free yet");
+  assert.is(takeOver([]), "quota", "no quota was freed for it");
   assert.is(place([small], []).small, "no_worker", "nothing is known yet");
   const gpu = createWorker("w1", { capacity: size(16, 1_000, 4) });
   assert.is(place([small], [gpu, w0]).small, "w0", "accelerators stay free");
--- a/src/jobs/placement.ts
+++ b/src/jobs/placement.ts
@@ -73,6 +73,8 @@
   readonly teamUse = new Map<string, Size>();
   readonly probed = new Set<string>();
   readonly heldBy = new Map<string, string>();
+  /** Urgent jobs that take over the quota of tasks which are checkpointed by now. */
+  readonly takesOverQuota = new Set<string>();
   #held = new Map<string, Size>();
   #rackLoad = new Map<string, number>();
 
@@ -85,6 +87,21 @@
         this.#count(worker, identity.team, classOf(identity), identity.size);
       }
     }
+    this.#findTakeOvers(workers);
+  }
+
+  #findTakeOvers(workers: readonly WorkerView[]): void {
+    const holds = workers.flatMap(({ held }) =>
+      held === undefined || held.quotaFreedBy.length === 0 ? [] : [held]
+    );
+    if (holds.length === 0) return;
+    const running = new Set(
+      workers.flatMap(({ tasks }) => tasks.map(({ taskId }) => taskId)),
+    );
+    for (const { jobId, quotaFreedBy } of holds) {
+      const freed = !quotaFreedBy.some((taskId) => running.has(taskId));
+      if (freed) this.takesOverQuota.add(jobId);
+    }
   }
 
   take(worker: WorkerView, { spec, size }: Candidate): void {
@@ -274,7 +291,10 @@
       return { kind: "reject", reason: rejection, ...describe() };
     }
     const overtakes = quotaHeld.has(spec.team) && spec.priority !== "urgent";
-    if (overtakes || !withinQuota(addSize(use, size), quota)) {
+    // Other entries may have placed jobs on the freed quota already; the team still uses no more than before.
+    const fitsQuota = room.takesOverQuota.has(jobId) ||
+      withinQuota(addSize(use, size), quota);
+    if (overtakes || !fitsQuota) {
       // Smaller jobs of the team would use up the quota forever.
       if (candidate.waitedMs >= HOLD_AFTER_MS) quotaHeld.add(spec.team);
       return { kind: "wait", reason: "quota", ...describe() };
--- a/src/jobs/task_commands.ts
+++ b/src/jobs/task_commands.ts
@@ -130,8 +130,12 @@
     const { agent, reports, memory, clock } = this.#options;
     const calls = plan.stops.map((target) => this.#stop(target));
     for (const { need, worker, victims } of plan.preemptions) {
-      const { jobId, team, size } = need;
-      memory.hold(worker.vmId, { jobId, team, size }, clock.wallMs());
+      const { jobId, team, size, exceedsQuota } = need;
+      const quotaFreedBy = exceedsQuota
+        ? victims.map(({ task }) => task.taskId)
+        : [];
+      const held = { jobId, team, size, quotaFreedBy };
+      memory.hold(worker.vmId, held, clock.wallMs());
       for (const victim of victims) {
         const { taskId } = victim.task;
         calls.push(this.#send(async () => {
--- a/src/jobs/worker_view.ts
+++ b/src/jobs/worker_view.ts
@@ -26,6 +26,8 @@
   readonly jobId: string;
   readonly team: string;
   readonly size: Size;
+  /** Tasks of the job's team that are checkpointed because its quota is used up; none otherwise. */
+  readonly quotaFreedBy: readonly string[];
 }
 
 /** One worker as a planning step sees it. */
