bench(jobs): shards can be divided among several entries

Cause: one entry that owns all 16 shards sees every placement at once, which hides races between entries; 9 entries share a region at the two-year size.

The default stays one entry.

--- a/bench/jobs/main.ts
+++ b/bench/jobs/main.ts
@@ -61,6 +61,8 @@
   readonly runs?: number;
   /** Time in which jobs arrive, in minutes. */
   readonly arrivalMinutes?: number;
+  /** Entries among which learned placement divides the shards. */
+  readonly entries?: number;
   /** Time after the last arrival until a run ends with jobs left over, in minutes. */
   readonly tailMinutes?: number | undefined;
   /** All of them by default. */
@@ -115,7 +117,7 @@
 
 /** Compares learned placement with first fit by declared sizes; writes JSON figures and a Markdown table. */
 export async function runJobsBench(options: JobsBenchOptions): Promise<void> {
-  const { seed, runs = 3, arrivalMinutes = 20 } = options;
+  const { seed, runs = 3, arrivalMinutes = 20, entries = 1 } = options;
   const tailMs = options.tailMinutes === undefined
     ? DEFAULT_TAIL_MS
     : options.tailMinutes * 60_000;
@@ -135,7 +137,7 @@
         const runSeed = seedFor(seed, `${region}-${run}`);
         const arrivalsMs = arrivalMinutes * 60_000;
         const planned = planJobs(deployment, { seed: runSeed, arrivalsMs });
-        const runOptions = { placement, seed: runSeed, tailMs };
+        const runOptions = { placement, seed: runSeed, tailMs, entries };
         results.push(await runJobs(deployment, planned, runOptions));
       }
       const row = formatRow(region, placement, results);
--- a/bench/jobs/run.ts
+++ b/bench/jobs/run.ts
@@ -49,14 +49,22 @@
 function createLearned(
   fake: FakeJobs,
   endsMs: Map<string, number>,
-  stepCpuMs: number[],
+  { entries, stepCpuMs }: { entries: number; stepCpuMs: number[] },
 ): Scheduler {
   const shards = Array.from({ length: SHARD_COUNT }, (_, shard) => shard);
-  const dispatchers = fake.createEntry("entry", shards);
+  const owned = Array.from(
+    { length: entries },
+    (_, entry) => shards.filter((shard) => shard % entries === entry),
+  );
+  const byShard = new Map(owned.flatMap((own, entry) => {
+    const created = fake.createEntry(`entry-${entry}`, own);
+    return own.map((shard, index) => [shard, created[index]!] as const);
+  }));
+  const dispatchers = [...byShard.values()];
   return {
     submit({ spec }) {
       const key = issueJobKey(fake.nowMs);
-      dispatchers[key.shard]!.writer.change(
+      byShard.get(key.shard)!.writer.change(
         (draft) => submitJob(draft, key, spec),
         { deadlineMs: 2_000, jobId: key.key },
       );
@@ -89,6 +97,8 @@
     readonly placement: Placement;
     readonly seed: number;
     readonly tailMs: number;
+    /** Entries among which learned placement divides the shards. */
+    readonly entries: number;
   },
 ): Promise<JobsRun> {
   const store = createCountingStore();
@@ -109,7 +119,10 @@
   const firstFit = new FirstFit(fake, store, deployment.config);
   const stepCpuMs: number[] = [];
   const scheduler: Scheduler = options.placement === "learned"
-    ? createLearned(fake, new Map(), stepCpuMs)
+    ? createLearned(fake, new Map(), {
+      entries: options.entries,
+      stepCpuMs,
+    })
     : {
       submit: ({ spec }) => firstFit.submit(spec),
       step: () => firstFit.step(),
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -36,6 +36,7 @@
   readonly runs: string;
   readonly minutes: string;
   readonly tailMinutes: string | undefined;
+  readonly entries: string;
   readonly region: readonly string[] | undefined;
   readonly placement: readonly Placement[] | undefined;
 }
@@ -96,6 +97,7 @@
     new Option("--placement <name...>", "ways of placing; all by default")
       .choices(PLACEMENTS),
   )
+  .option("--entries <count>", "entries that share the shards", "1")
   .option(
     "--tail-minutes <count>",
     "time after the last arrival until a run ends with jobs left over; 30 by default",
@@ -107,6 +109,7 @@
       arrivalMinutes: Number(options.minutes),
       regions: options.region,
       placements: options.placement,
+      entries: Number(options.entries),
       tailMinutes: options.tailMinutes === undefined
         ? undefined
         : Number(options.tailMinutes),
