fix(jobs): room that is freed in vain for an urgent job is freed anew at once

Cause, found with the decision log and 9 entries: while capacity was held for an urgent job no other room was freed for 5 s, also when the held worker was quarantined meanwhile, or when its tasks had made room and another entry had filled it.

Change: a hold stops further preemption only while its worker takes tasks and one of the tasks to be checkpointed still runs. A new hold replaces the job's older one, and the worker of the older one may be chosen again.

Ruled out: a shorter hold (a checkpoint may take seconds).

Seen red: with either condition enough to hold, "room that is freed in vain is freed anew" fails.

--- a/src/jobs/decisions_test.ts
+++ b/src/jobs/decisions_test.ts
@@ -5,7 +5,7 @@
 import { blameFailure, type FailureInput } from "./blame.ts";
 import { jobSpecSchema, type Size } from "./job.ts";
 import { type Candidate, placeJobs, type Quota } from "./placement.ts";
-import { planPreemptions } from "./preemption.ts";
+import { listAwaited, planPreemptions } from "./preemption.ts";
 import { relieveWorker } from "./pressure.ts";
 import { Profiles } from "./profiles.ts";
 import { judgeStandings, quarantineWorker } from "./quarantine.ts";
@@ -198,7 +198,13 @@
   const fullOther = createWorker("w1", { tasks: [createTask("x", 16)] });
   assert.is(place([failed], [w0, fullOther]).a, "no_capacity");
   const held = createWorker("w0", {
-    held: { jobId: "urgent", team: "t", size: size(16), quotaFreedBy: [] },
+    held: {
+      jobId: "urgent",
+      team: "t",
+      size: size(16),
+      freedBy: [],
+      freesQuota: false,
+    },
   });
   assert.is(place([small], [held]).small, "no_capacity");
   assert.is(place([createCandidate("urgent", size(16))], [held]).urgent, "w0");
@@ -208,8 +214,9 @@
   assert.is(atQuota("urgent"), "w0", "its own hold doesn't count twice");
   // Guards against an urgent job that waits because another entry used the quota which was freed for it.
   const taken = createTask("x", 16);
-  const takeOver = (quotaFreedBy: string[]) => {
-    const need = { jobId: "u", team: "t", size: size(4), quotaFreedBy };
+  const takeOver = (freedBy: string[], freesQuota = true) => {
+    const hold = { jobId: "u", team: "t", size: size(4) };
+    const need = { ...hold, freedBy, freesQuota };
     const workers = [
       createWorker("w0", { held: need }),
       createWorker("w1", { tasks: [taken] }),
@@ -219,7 +226,11 @@
   };
   assert.is(takeOver(["a checkpointed task"]), "w0");
   assert.is(takeOver([taken.taskId]), "quota", "its quota isn't free yet");
-  assert.is(takeOver([]), "quota", "no quota was freed for it");
+  assert.is(
+    takeOver(["a checkpointed task"], false),
+    "quota",
+    "no quota was freed for it",
+  );
   assert.is(place([small], []).small, "no_worker", "nothing is known yet");
   const gpu = createWorker("w1", { capacity: size(16, 1_000, 4) });
   assert.is(place([small], [gpu, w0]).small, "w0", "accelerators stay free");
@@ -258,6 +269,19 @@
   assert.equal(planPreemptions([need], [urgentOnly]), []);
 });
 
+// Guards against urgent jobs that wait for room which a quarantined worker, or one that others have filled, can't give.
+test("room that is freed in vain is freed anew", () => {
+  const task = createTask("x", 8);
+  const hold = { jobId: "u", team: "t", size: size(8), freesQuota: false };
+  const held = { ...hold, freedBy: [task.taskId] };
+  const awaits = (worker: Partial<WorkerView>) =>
+    listAwaited([createWorker("w0", { held, ...worker })]).has("u");
+  assert.ok(awaits({ tasks: [task] }));
+  assert.not(awaits({ tasks: [task], standing: "quarantined" }));
+  assert.not(awaits({ tasks: [task], serving: false }));
+  assert.not(awaits({ tasks: [createTask("other", 16)] }));
+});
+
 // Guards against blaming the worker for the job's fault and the other way round.
 test("blame", () => {
   const event = (vmId: string, jobClass: string, succeeded: boolean) => ({
--- a/src/jobs/job_memory.ts
+++ b/src/jobs/job_memory.ts
@@ -134,13 +134,6 @@
     return hold;
   }
 
-  /** Whether capacity is already being freed for a job. */
-  isHeldFor(jobId: string, nowMs: number): boolean {
-    return [...this.holds.values()].some((hold) =>
-      hold.jobId === jobId && hold.untilMs > nowMs
-    );
-  }
-
   /** Workers of a rack that were lost in the last minutes. */
   lostInRack(rack: string, nowMs: number): number {
     return [...this.losses.values()].filter((loss) =>
--- a/src/jobs/placement.ts
+++ b/src/jobs/placement.ts
@@ -92,14 +92,14 @@
 
   #findTakeOvers(workers: readonly WorkerView[]): void {
     const holds = workers.flatMap(({ held }) =>
-      held === undefined || held.quotaFreedBy.length === 0 ? [] : [held]
+      held?.freesQuota === true ? [held] : []
     );
     if (holds.length === 0) return;
     const running = new Set(
       workers.flatMap(({ tasks }) => tasks.map(({ taskId }) => taskId)),
     );
-    for (const { jobId, quotaFreedBy } of holds) {
-      const freed = !quotaFreedBy.some((taskId) => running.has(taskId));
+    for (const { jobId, freedBy } of holds) {
+      const freed = !freedBy.some((taskId) => running.has(taskId));
       if (freed) this.takesOverQuota.add(jobId);
     }
   }
--- a/src/jobs/plan_shard.ts
+++ b/src/jobs/plan_shard.ts
@@ -20,7 +20,7 @@
   type PlacementBasis,
   type WaitReason,
 } from "./placement.ts";
-import { planPreemptions, type Preemption } from "./preemption.ts";
+import { listAwaited, planPreemptions, type Preemption } from "./preemption.ts";
 import { type ReliefAction, relieveWorker } from "./pressure.ts";
 import { reconcileJob, type RunObservation } from "./reconcile.ts";
 import { taskIdOf } from "./task_id.ts";
@@ -272,11 +272,12 @@
       next.set(job.id, assign(job, worker, { size: decision.size, input }));
     }
   }
+  const awaited = listAwaited(workers);
   const needs = candidates.flatMap(({ jobId, spec, size }) => {
     const reason = waits.get(jobId)?.reason;
     const urgent = spec.priority === "urgent" &&
       (reason === "no_capacity" || reason === "quota");
-    if (!urgent || world.memory.isHeldFor(jobId, world.nowMs)) return [];
+    if (!urgent || awaited.has(jobId)) return [];
     const { pool, team } = spec;
     return [{ jobId, pool, team, size, exceedsQuota: reason === "quota" }];
   });
--- a/src/jobs/preemption.ts
+++ b/src/jobs/preemption.ts
@@ -74,6 +74,20 @@
   return fits(need.size, freed) ? chosen : undefined;
 }
 
+/** Returns the jobs for which room is still being freed; a hold whose worker can't take tasks any more, or whose tasks have made room in vain, doesn't count. */
+export function listAwaited(workers: readonly WorkerView[]): Set<string> {
+  const holders = workers.filter(({ held }) => held !== undefined);
+  if (holders.length === 0) return new Set();
+  const running = new Set(
+    workers.flatMap(({ tasks }) => tasks.map(({ taskId }) => taskId)),
+  );
+  return new Set(holders.flatMap(({ held, serving, standing }) => {
+    const open = serving && standing !== "quarantined";
+    const frees = held!.freedBy.some((taskId) => running.has(taskId));
+    return open && frees ? [held!.jobId] : [];
+  }));
+}
+
 /** Chooses for each urgent job the worker on which the fewest tasks must be checkpointed; never an urgent task. */
 export function planPreemptions(
   needs: readonly UrgentNeed[],
@@ -84,8 +98,8 @@
     let best: Preemption | undefined;
     for (const worker of workers) {
       const usable = worker.pool === need.pool && worker.serving &&
-        worker.standing === "normal" && worker.held === undefined &&
-        !taken.has(worker.vmId);
+        worker.standing === "normal" &&
+        (worker.held ?? need).jobId === need.jobId && !taken.has(worker.vmId);
       const tasks = usable ? chooseVictims(worker, need) : undefined;
       if (tasks === undefined) continue;
       const victims = tasks.map((task) => ({ worker, task }));
--- a/src/jobs/task_commands.ts
+++ b/src/jobs/task_commands.ts
@@ -131,10 +131,9 @@
     const calls = plan.stops.map((target) => this.#stop(target));
     for (const { need, worker, victims } of plan.preemptions) {
       const { jobId, team, size, exceedsQuota } = need;
-      const quotaFreedBy = exceedsQuota
-        ? victims.map(({ task }) => task.taskId)
-        : [];
-      const held = { jobId, team, size, quotaFreedBy };
+      const freedBy = victims.map(({ task }) => task.taskId);
+      const held = { jobId, team, size, freedBy, freesQuota: exceedsQuota };
+      memory.endHold(jobId);
       memory.hold(worker.vmId, held, clock.wallMs());
       for (const victim of victims) {
         const { taskId } = victim.task;
--- a/src/jobs/worker_view.ts
+++ b/src/jobs/worker_view.ts
@@ -26,8 +26,10 @@
   readonly jobId: string;
   readonly team: string;
   readonly size: Size;
-  /** Tasks of the job's team that are checkpointed because its quota is used up; none otherwise. */
-  readonly quotaFreedBy: readonly string[];
+  /** Tasks that are checkpointed for the job. */
+  readonly freedBy: readonly string[];
+  /** Whether they are checkpointed for the quota of the job's team. */
+  readonly freesQuota: boolean;
 }
 
 /** One worker as a planning step sees it. */
