test(jobs): the answer of a real entry is read as `explain` reads it

Cause: cli_test uses a stand-in for the admin server, so that a difference to a real entry's answer would not be noticed.

Change: routes_test parses the answer of GET /jobs with the schema that `explain` uses.

Seen red: without decisions in the answer it times out at "an admin server explains a running job".

Conclusion: the schema fits what entries answer for a placed job; the answer for a waiting job has no test with a real entry.

--- a/src/jobs/routes_test.ts
+++ b/src/jobs/routes_test.ts
@@ -5,6 +5,7 @@
 import { waitFor } from "../../testing/wait.ts";
 import type { EntryDump } from "../admin/dump.ts";
 import { SHARD_COUNT } from "./job_key.ts";
+import { jobExplanationSchema } from "./job_log.ts";
 
 const SPEC = {
   pool: "quoting",
@@ -99,7 +100,7 @@
       ),
     );
     const jobIds = long.map(({ key }) => key);
-    // Guards against an admin server that shows no jobs, or only those of other shards.
+    // Guards against an admin server that shows no jobs, or whose answer `explain` can't read.
     await waitFor("an admin server explains a running job", async () => {
       const answers = await Promise.all(entries.map(async (entry) => {
         const admin = `http://${entry.adminAddress}`;
@@ -108,7 +109,7 @@
           fetch(`${admin}/dump?part=jobs`),
         ]);
         return {
-          ...await jobs.json() as { decisions: { kind: string }[] },
+          ...jobExplanationSchema.parse(await jobs.json()),
           ...await dump.json() as EntryDump,
         };
       }));
