--- a/src/jobs/jobs_world.ts
+++ b/src/jobs/jobs_world.ts
@@ -1,4 +1,6 @@
-import type { ResolvedConfig } from "../config/schema.ts";
+import type { Clock } from "../clock.ts";
+import type { AppliedConfig, ResolvedConfig } from "../config/schema.ts";
+import type { Observable } from "../observable.ts";
 import type { FleetRecord, VmRecord } from "../fleet/record.ts";
 import { UNREACHABLE_AFTER_MS } from "../fleet/worker_monitor.ts";
 import type { Vm } from "../platform/vm_list.ts";
@@ -25,6 +27,38 @@
   readonly vmListReadAtMs: number;
 }
 
+/** What the view of a planning step is read from. */
+export interface WorldSources {
+  readonly region: string;
+  readonly config: Observable<AppliedConfig | undefined>;
+  readonly fleet: Observable<FleetRecord | undefined>;
+  readonly vmList: Observable<VmListSnapshot | undefined>;
+  readonly reports: WorkerReports;
+  readonly memory: JobMemory;
+  readonly clock: Clock;
+}
+
+/** Returns the present view; undefined until configuration, fleet record and VM list are known. */
+export function readWorld(sources: WorldSources): JobsWorld | undefined {
+  const { config, fleet, vmList, region, reports, memory, clock } = sources;
+  const applied = config.get();
+  const record = fleet.get();
+  const snapshot = vmList.get();
+  if (
+    applied === undefined || record === undefined || snapshot === undefined
+  ) return undefined;
+  return {
+    region,
+    config: applied.config,
+    fleet: record,
+    vmList: snapshot,
+    reports,
+    memory,
+    nowMs: clock.wallMs(),
+    vmListReadAtMs: clock.wallMs() - (clock.monotonicMs() - snapshot.readAtMs),
+  };
+}
+
 // Each started job of each shard looks up its worker in every step.
 const listed = new WeakMap<VmListSnapshot, Map<string, Map<string, Vm>>>();
 
@@ -68,7 +102,8 @@
   }
 }
 
-function listStandings(world: JobsWorld): Map<string, Standing> {
+/** Returns how blamed workers are used under their pools' budgets. */
+export function listStandings(world: JobsWorld): Map<string, Standing> {
   const { memory, fleet, nowMs } = world;
   const standings = new Map<string, Standing>();
   if (memory.quarantined.size === 0) return standings;
@@ -94,29 +129,23 @@
 /** Returns the tasks of each worker: those that it reports, and those that this entry's shards have assigned to it. */
 function listTasks(world: JobsWorld, jobs: Iterable<Job>) {
   const { reports } = world;
-  const tasks = new Map<string, Map<string, TaskView>>();
-  const of = (vmId: string) => {
-    const known = tasks.get(vmId) ?? new Map<string, TaskView>();
-    tasks.set(vmId, known);
-    return known;
-  };
+  const tasks = new Map<string, TaskView[]>();
   for (const vmId of Object.keys(world.fleet.vms)) {
-    for (const { status, identity } of reports.runningTasks(vmId)) {
-      const { taskId, usedCores, usedMemoryMb } = status;
-      of(vmId).set(taskId, { taskId, identity, usedCores, usedMemoryMb });
-    }
+    tasks.set(vmId, reports.runningTasks(vmId).map(({ view }) => view));
   }
   for (const job of jobs) {
     const run = activeRun(job);
     if (run === undefined) continue;
     const taskId = taskIdOf(job, run);
-    if (of(run.vmId).has(taskId)) continue;
-    of(run.vmId).set(taskId, {
+    const known = tasks.get(run.vmId) ?? [];
+    if (known.some((task) => task.taskId === taskId)) continue;
+    known.push({
       taskId,
       identity: parseTaskId(taskId)!,
       usedCores: undefined,
       usedMemoryMb: undefined,
     });
+    tasks.set(run.vmId, known);
   }
   return tasks;
 }
@@ -151,7 +180,7 @@
       serving: isServing(record, vm, reports) && report !== undefined,
       standing: standings.get(vmId) ?? "normal",
       rebootIntentId: report?.lastRebootIntentId,
-      tasks: [...tasks.get(vmId)?.values() ?? []],
+      tasks: tasks.get(vmId) ?? [],
       held: memory.heldOn(vmId, nowMs),
     }];
   });
--- a/src/jobs/plan_shard.ts
+++ b/src/jobs/plan_shard.ts
@@ -1,6 +1,12 @@
 import { type Blame, blameFailure } from "./blame.ts";
-import { classOf, endJob, type Job, type Run, type Size } from "./job.ts";
-import { parseJobKey } from "./job_key.ts";
+import {
+  activeRun,
+  classOf,
+  endJob,
+  type Job,
+  type Run,
+  type Size,
+} from "./job.ts";
 import {
   capacityOf,
   type JobsWorld,
@@ -8,8 +14,13 @@
   listWorkers,
   viewWorkers,
 } from "./jobs_world.ts";
-import { type Candidate, placeJobs, type WaitReason } from "./placement.ts";
-import { planPreemptions, type Preemption } from "./preemption.ts";
+import {
+  type Candidate,
+  placeJobs,
+  type PlacementBasis,
+  type WaitReason,
+} from "./placement.ts";
+import { listAwaited, planPreemptions, type Preemption } from "./preemption.ts";
 import { type ReliefAction, relieveWorker } from "./pressure.ts";
 import { reconcileJob, type RunObservation } from "./reconcile.ts";
 import { taskIdOf } from "./task_id.ts";
@@ -32,6 +43,14 @@
   readonly task: TaskView;
 }
 
+/** Why a queued or checkpointed job waits. */
+export interface Wait {
+  readonly reason: WaitReason;
+  /** Wall-clock time since which this is the reason, in ms. */
+  readonly sinceMs: number;
+  readonly basis: PlacementBasis;
+}
+
 /** What one step of a shard's dispatcher writes and does. */
 export interface ShardPlan {
   /** Jobs with a new state. */
@@ -41,7 +60,11 @@
   readonly stops: readonly TaskOnWorker[];
   readonly preemptions: readonly Preemption[];
   readonly reliefs: readonly (ReliefAction & { readonly worker: WorkerView })[];
-  readonly waits: ReadonlyMap<string, WaitReason>;
+  readonly waits: ReadonlyMap<string, Wait>;
+  /** What the jobs that were placed or rejected were judged on. */
+  readonly bases: ReadonlyMap<string, PlacementBasis>;
+  /** What the changed runs were judged on. */
+  readonly observations: ReadonlyMap<string, RunObservation>;
 }
 
 /** What a shard is planned from. */
@@ -71,9 +94,11 @@
   if (report === undefined || silentMs > 0 && !reports.isFresh(run.vmId)) {
     return { kind: "silent", silentMs };
   }
+  const taskId = taskIdOf(job, run);
   return {
     kind: "reported",
-    task: reports.taskStatus(run.vmId, taskIdOf(job, run)),
+    task: reports.taskStatus(run.vmId, taskId),
+    checkpointConfirmed: reports.isCheckpointConfirmed(taskId),
     rebootIntentId: report.lastRebootIntentId,
   };
 }
@@ -98,6 +123,7 @@
 function reconcileAll(input: ShardPlanInput) {
   const next = new Map(input.jobs);
   const finished: FinishedRun[] = [];
+  const observations = new Map<string, RunObservation>();
   for (const job of input.jobs.values()) {
     const { state } = job;
     if (state.kind === "queued" || state.kind === "ended") continue;
@@ -108,13 +134,26 @@
     const after = reconcileJob(job, { observation, nowMs, blame: judge });
     if (after === job) continue;
     next.set(job.id, after);
+    observations.set(job.id, observation);
     const task = observation.kind === "reported" ? observation.task : undefined;
     if (task?.state !== "succeeded" && task?.state !== "failed") continue;
     const succeeded = task.state === "succeeded";
     const blame = succeeded ? undefined : judge([...job.failedOn, run.vmId]);
     finished.push({ job, run, succeeded, blame });
   }
-  return { next, finished };
+  return { next, finished, observations };
+}
+
+// The shards' dispatchers read each other's jobs in every step, of which most have ended.
+const active = new WeakMap<ReadonlyMap<string, Job>, readonly Job[]>();
+
+function listActive(jobs: ReadonlyMap<string, Job>): readonly Job[] {
+  let found = active.get(jobs);
+  if (found === undefined) {
+    found = [...jobs.values()].filter((job) => activeRun(job) !== undefined);
+    active.set(jobs, found);
+  }
+  return found;
 }
 
 function* jobsOfEntry(
@@ -123,7 +162,7 @@
 ): Iterable<Job> {
   yield* jobs.values();
   for (const [shard, others] of input.world.memory.owned) {
-    if (shard !== input.shard) yield* others.values();
+    if (shard !== input.shard) yield* listActive(others);
   }
 }
 
@@ -185,8 +224,8 @@
 ): TaskOnWorker[] {
   return workers.flatMap((worker) =>
     worker.tasks.flatMap((task): TaskOnWorker[] => {
-      const { jobId, attempt } = task.identity;
-      if (parseJobKey(jobId)?.shard !== input.shard) return [];
+      const { jobId, attempt, shard } = task.identity;
+      if (shard !== input.shard) return [];
       const job = jobs.get(jobId);
       // Each of these facts is final, so an outdated shard can't stop a wanted task. The lease of an unknown job's task lapses by itself.
       const unwanted = job !== undefined &&
@@ -200,7 +239,7 @@
 /** Decides what one shard's dispatcher writes and does next. */
 export function planShard(input: ShardPlanInput): ShardPlan {
   const { world } = input;
-  const { next, finished } = reconcileAll(input);
+  const { next, finished, observations } = reconcileAll(input);
   const workers = viewWorkers(world, jobsOfEntry(input, next));
   const byId = new Map(workers.map((worker) => [worker.vmId, worker]));
   const candidates = listCandidates(input, next);
@@ -209,28 +248,36 @@
     workers,
     quotas: listQuotas(world.config),
   });
-  const waits = new Map<string, WaitReason>();
+  const waited = world.memory.waits.get(input.shard);
+  const waits = new Map<string, Wait>();
+  const bases = new Map<string, PlacementBasis>();
   let assignments = 0;
   for (const decision of decisions) {
     const job = next.get(decision.jobId)!;
     if (decision.kind === "wait") {
-      waits.set(job.id, decision.reason);
+      const { reason, basis } = decision;
+      const before = waited?.get(job.id);
+      const sinceMs = before?.reason === reason ? before.sinceMs : world.nowMs;
+      waits.set(job.id, { reason, sinceMs, basis });
     } else if (decision.kind === "reject") {
       // A job that had started before isn't reported as never run.
       const outcome = job.attempts === 0
         ? { kind: "not_run", reason: decision.reason } as const
         : { kind: "failed", reason: "task_failed" } as const;
+      bases.set(job.id, decision.basis);
       next.set(job.id, endJob(job, outcome, world.nowMs));
     } else if (assignments++ < MAXIMUM_ASSIGNMENTS) {
       const worker = byId.get(decision.vmId)!;
+      bases.set(job.id, decision.basis);
       next.set(job.id, assign(job, worker, { size: decision.size, input }));
     }
   }
+  const awaited = listAwaited(workers);
   const needs = candidates.flatMap(({ jobId, spec, size }) => {
-    const reason = waits.get(jobId);
+    const reason = waits.get(jobId)?.reason;
     const urgent = spec.priority === "urgent" &&
       (reason === "no_capacity" || reason === "quota");
-    if (!urgent || world.memory.isHeldFor(jobId, world.nowMs)) return [];
+    if (!urgent || awaited.has(jobId)) return [];
     const { pool, team } = spec;
     return [{ jobId, pool, team, size, exceedsQuota: reason === "quota" }];
   });
@@ -241,6 +288,8 @@
     preemptions: planPreemptions(needs, workers),
     reliefs: planReliefs(input, workers),
     waits,
+    bases,
+    observations,
   };
 }
 
@@ -249,9 +298,7 @@
   const { memory, nowMs } = input.world;
   return workers.flatMap((worker) =>
     relieveWorker(worker, memory.reliefs.get(worker.vmId), nowMs)
-      .filter(({ task }) =>
-        parseJobKey(task.identity.jobId)?.shard === input.shard
-      )
+      .filter(({ task }) => task.identity.shard === input.shard)
       .map((action) => ({ ...action, worker }))
   );
 }
--- a/src/jobs/worker_reports.ts
+++ b/src/jobs/worker_reports.ts
@@ -5,7 +5,8 @@
   WorkerAgent,
   WorkerReport,
 } from "../platform/worker_agent.ts";
-import { parseTaskId, type TaskIdentity } from "./task_id.ts";
+import { parseTaskId } from "./task_id.ts";
+import type { TaskView } from "./worker_view.ts";
 
 /** Time between two reports of a worker, in ms. */
 const REPORT_INTERVAL_MS = 1_000;
@@ -38,7 +39,7 @@
 /** A running task with what its id tells. */
 export interface RunningTask {
   readonly status: TaskStatus;
-  readonly identity: TaskIdentity;
+  readonly view: TaskView;
 }
 
 /** Reports of a region's workers, shared by the dispatchers of one entry. */
@@ -96,9 +97,16 @@
   /** Returns the last known status of a task on a worker. */
   taskStatus(vmId: string, taskId: string): TaskStatus | undefined {
     const status = this.#observations.get(vmId)?.tasks.get(taskId);
-    const overridden = status?.state === "running" &&
-      (this.#checkpointed.get(taskId) ?? 0) > this.#clock.monotonicMs();
-    return overridden ? { ...status, state: "checkpointed" } : status;
+    if (!this.isCheckpointConfirmed(taskId)) return status;
+    // The report may be older than the task's start.
+    const seen = status ??
+      { taskId, state: "running", usedCores: 0, usedMemoryMb: 0 };
+    return seen.state === "running" ? { ...seen, state: "checkpointed" } : seen;
+  }
+
+  /** Whether a worker confirmed a checkpoint of the task's present start, which its lagging report may not show yet. */
+  isCheckpointConfirmed(taskId: string): boolean {
+    return (this.#checkpointed.get(taskId) ?? 0) > this.#clock.monotonicMs();
   }
 
   /** Returns the tasks of dispatchers that a worker runs. */
@@ -156,7 +164,10 @@
         const identity = status.state === "running"
           ? parseTaskId(status.taskId)
           : undefined;
-        return identity === undefined ? [] : [{ status, identity }];
+        if (identity === undefined) return [];
+        const { taskId, usedCores, usedMemoryMb } = status;
+        const view = { taskId, identity, usedCores, usedMemoryMb };
+        return [{ status, view }];
       });
       seen.contactAtMs = this.#clock.monotonicMs();
     } catch {
--- a/src/jobs/worker_view.ts
+++ b/src/jobs/worker_view.ts
@@ -26,6 +26,10 @@
   readonly jobId: string;
   readonly team: string;
   readonly size: Size;
+  /** Tasks that are checkpointed for the job. */
+  readonly freedBy: readonly string[];
+  /** Whether they are checkpointed for the quota of the job's team. */
+  readonly freesQuota: boolean;
 }
 
 /** One worker as a planning step sees it. */
