perf(peers): an idle entry reads its load once a round

Cause: gossip built and compared the entry's digest every 100 ms, and the request path reviewed ejections every 250 ms, also while there were no requests. Each digest walked the whole fleet record to find the VMs that don't serve. Change: an entry without a request in flight and without an arrival for 5 s counts as idle. Then digests are built once a round (500 ms) and instances reviewed once a second; the first arrival wakes both at once. VMs that don't serve are found once for each record. Timers are rounded up, because those that ended a fraction of a millisecond early cost a second wake-up. Ruled out: a longer round while idle, because silence of 3 s drops a peer that the VM list no longer shows as live.

--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -43,6 +43,8 @@
   readonly peerAddresses: () => ReadonlyMap<string, string>;
   /** The entry's current digest; the sequence number is ignored. */
   readonly currentDigest: () => EntryDigest;
+  /** Whether the load can't change before a wake. */
+  readonly isIdle: () => boolean;
   readonly links: Map<string, PeerLink>;
   readonly clock: Clock;
   readonly meter: ByteMeter;
@@ -76,6 +78,7 @@
   let roundAtMs = 0;
   let digestCredit = 0;
   let checkedAtMs = clock.monotonicMs();
+  let waitMs = 0;
   let reviewedAtMs = -Infinity;
   let published = publish(0);
 
@@ -131,7 +134,7 @@
   }
 
   function excusePause(nowMs: number): void {
-    const lateMs = nowMs - checkedAtMs - LOAD_CHECK_INTERVAL_MS;
+    const lateMs = nowMs - checkedAtMs - waitMs;
     if (lateMs > PAUSE_LIMIT_MS) {
       log.warn("process was paused", { pauseMs: Math.round(lateMs) });
       membership.excusePause(lateMs);
@@ -174,8 +177,11 @@
     }
     runRound(nowMs);
     const untilRoundMs = roundAtMs + ROUND_INTERVAL_MS - clock.monotonicMs();
-    yield* wake.wait(
-      Math.max(1, Math.min(LOAD_CHECK_INTERVAL_MS, untilRoundMs)),
-    );
+    const checkMs = options.isIdle()
+      ? ROUND_INTERVAL_MS
+      : LOAD_CHECK_INTERVAL_MS;
+    // A timer that ends a fraction of a millisecond early would cost one more wake-up.
+    waitMs = Math.max(1, Math.ceil(Math.min(checkMs, untilRoundMs)));
+    yield* wake.wait(waitMs);
   }
 }
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -43,6 +43,8 @@
   /** `host:port` of the callers' port. */
   readonly callerAddress: () => string;
   readonly load: () => LoadReport;
+  /** Whether the load can't change before `notifyChange` is called. */
+  readonly isIdle: () => boolean;
   readonly isReady: () => boolean;
   readonly isStopping: () => boolean;
   /** Called when peers know a newer incarnation of this entry. */
@@ -253,6 +255,7 @@
           vmList: options.vmList,
           peerAddresses,
           currentDigest,
+          isIdle: options.isIdle,
           links,
           clock,
           meter,
--- a/src/peers/peers_test.ts
+++ b/src/peers/peers_test.ts
@@ -84,6 +84,27 @@
     assert.ok(performance.now() - startedAtMs < changes * 100);
   }));
 
+// Guards against idle entries that build ten digests a second, and against idle ones that report their first load late.
+test("an idle entry reads its load once a round, and at once when it is woken", () =>
+  withNodes(2, async ([first, second]) => {
+    const readsPerRound = async () => {
+      const exchanges = () => first!.peers.status().links[0]!.exchanges;
+      const from = { exchanges: exchanges(), reads: first!.state.loadReads };
+      await waitFor("4 rounds", () => exchanges() >= from.exchanges + 4);
+      return (first!.state.loadReads - from.reads) / 4;
+    };
+    assert.ok(await readsPerRound() > 3);
+    first!.state.idle = true;
+    await waitFor("the last check", async () => await readsPerRound() < 3);
+    const load = { inFlight: 9, waiting: 9, demandSlots: 9 };
+    first!.state.load = { ...first!.state.load, services: { quoting: load } };
+    first!.peers.notifyChange();
+    await waitFor(
+      "the load is known",
+      () => second!.entries.get()[0]?.services.quoting?.inFlight === 9,
+    );
+  }));
+
 test("a lost peer is dropped by all, a stopping one is reported at once", () =>
   withNodes(4, async (nodes) => {
     const [lost, stopping, ...others] = nodes;
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -49,8 +49,13 @@
   readonly random: () => number;
   /** Called when the first request begins to wait. */
   readonly onQueued: () => void;
+  /** Called when a request arrives after `isIdle` was true. */
+  readonly onActive: () => void;
 }
 
+/** Time without requests after which an entry counts as idle, in ms; by then the smoothed rates of arrivals are 0. */
+const IDLE_AFTER_MS = 5_000;
+
 interface Waiter {
   readonly request: AdmissionRequest;
   readonly resolve: (admission: Admission) => void;
@@ -73,6 +78,8 @@
   #services = new Map<string, ServiceState>();
   #queued = 0;
   #pumping = false;
+  #arrivedAtMs = -Infinity;
+  #idle = false;
 
   constructor(options: AdmissionOptions) {
     this.#options = options;
@@ -83,6 +90,15 @@
     return this.#queued;
   }
 
+  /** Whether no request arrived for a while and none is in flight. */
+  isIdle(): boolean {
+    const nowMs = this.#options.clock.monotonicMs();
+    this.#idle = this.#queued === 0 &&
+      nowMs - this.#arrivedAtMs >= IDLE_AFTER_MS &&
+      [...this.#services.values()].every(({ inFlight }) => inFlight === 0);
+    return this.#idle;
+  }
+
   hasWaiting(service: string): boolean {
     return (this.#services.get(service)?.waiting.length ?? 0) > 0;
   }
@@ -90,10 +106,12 @@
   /** Counts one more request of a service's callers. */
   noteArrival(service: string): void {
     const state = this.#stateOf(service);
-    state.arrivals = addArrival(
-      state.arrivals,
-      this.#options.clock.monotonicMs(),
-    );
+    const nowMs = this.#options.clock.monotonicMs();
+    state.arrivals = addArrival(state.arrivals, nowMs);
+    this.#arrivedAtMs = nowMs;
+    if (!this.#idle) return;
+    this.#idle = false;
+    this.#options.onActive();
   }
 
   /** Grants a slot or refuses at once where it can; otherwise resolves when the request leaves the queue. */
--- a/src/requests/request_path.ts
+++ b/src/requests/request_path.ts
@@ -36,6 +36,8 @@
   readonly contacts: ContactTracker;
   /** Answers the calls about jobs, when the entry runs them. */
   readonly systemCalls?: CallServerOptions["systemCalls"];
+  /** Called when the first request arrives after `isIdle` was true. */
+  readonly onActive?: () => void;
   readonly clock: Clock;
   readonly log: Logger;
 }
@@ -54,6 +56,8 @@
   /** The callers' HTTP server. */
   readonly server: Server;
   load(): LoadReport;
+  /** Whether no request arrived for a while and none is in flight. */
+  isIdle(): boolean;
   /** State for the dump: queues, shares, ejections, recent refusals with their reasons. */
   dump(): unknown;
   /** Latency summaries by service and outcome. */
@@ -68,6 +72,8 @@
 const SWEEP_INTERVAL_MS = 25;
 /** Interval of the review of ejections and of expired keys, in ms. */
 const REVIEW_INTERVAL_MS = 250;
+/** Interval of the same review while there are no requests, in ms; the health of instances doesn't change then. */
+const IDLE_REVIEW_INTERVAL_MS = 1_000;
 /** Time in which changes of peers' digests are put together, in ms. */
 const DIGEST_DELAY_MS = 20;
 /** Time after which another entry has taken over a draining one's callers, in ms. */
@@ -90,6 +96,10 @@
     clock,
     random: Math.random,
     onQueued: () => queued.notify(),
+    onActive() {
+      queued.notify();
+      options.onActive?.();
+    },
   });
   const router = new Router({
     entryId: settings.entryId,
@@ -198,8 +208,11 @@
   function* review(): Operation<void> {
     let reviewAtMs = 0;
     while (true) {
+      const intervalMs = admission.isIdle()
+        ? IDLE_REVIEW_INTERVAL_MS
+        : REVIEW_INTERVAL_MS;
       yield* queued.wait(
-        admission.queued > 0 ? SWEEP_INTERVAL_MS : REVIEW_INTERVAL_MS,
+        admission.queued > 0 ? SWEEP_INTERVAL_MS : intervalMs,
       );
       admission.sweep();
       const nowMs = clock.monotonicMs();
@@ -243,6 +256,7 @@
       drainingInFlight: router.drainingInFlight(),
       leavingVms: router.leavingVms(),
     }),
+    isIdle: () => admission.isIdle(),
     dump: () => ({
       active: calls.active,
       draining: calls.draining,
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -71,6 +71,8 @@
   #overflowPools = new Map<string, PoolState[]>();
   #overflowInFlight = new Map<string, number>();
   #rotation = 0;
+  #reviewedRecord: FleetRecord | undefined;
+  #notServingIds: readonly string[] = [];
 
   constructor(options: RouterOptions) {
     this.#options = options;
@@ -288,16 +290,21 @@
     return this.#leaving.list();
   }
 
+  /** VMs that the record doesn't show as serving; found once for each record, as digests ask for them several times a second. */
+  #notServing(): readonly string[] {
+    const record = this.#options.fleet.get();
+    if (record !== this.#reviewedRecord) {
+      this.#reviewedRecord = record;
+      this.#notServingIds = Object.entries(record?.vms ?? {})
+        .filter(([, { state }]) => state !== "serving").map(([vmId]) => vmId);
+    }
+    return this.#notServingIds;
+  }
+
   /** Requests in flight for each VM that takes no new work. */
   drainingInFlight(): Record<string, number> {
     const counts: Record<string, number> = {};
-    for (
-      const [vmId, entry] of Object.entries(
-        this.#options.fleet.get()?.vms ?? {},
-      )
-    ) {
-      if (entry.state !== "serving") counts[vmId] = 0;
-    }
+    for (const vmId of this.#notServing()) counts[vmId] = 0;
     for (const vmId of this.#leaving.list()) counts[vmId] = 0;
     for (const [vmId, state] of this.#states) {
       if (!state.active) counts[vmId] = state.inFlight;
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -125,6 +125,8 @@
     entries: parts.resolve(TOKENS.entries),
     contacts: parts.resolve(TOKENS.contacts),
     systemCalls: parts.resolve(TOKENS.jobs).systemCalls,
+    // The peers are created with the request path, so they are resolved later.
+    onActive: () => parts.resolve(TOKENS.peers).notifyChange(),
     clock: parts.resolve(TOKENS.clock),
     log: parts.resolve(TOKENS.loggers)("front"),
   });
@@ -166,6 +168,7 @@
     load: () =>
       requestPath?.load() ??
         { services: {}, drainingInFlight: {}, leavingVms: [] },
+    isIdle: () => requestPath?.isIdle() ?? true,
     isReady: () => state.unreadyReasons().length === 0,
     isStopping: () => state.stopping,
     onSuperseded() {
--- a/testing/peer_nodes.ts
+++ b/testing/peer_nodes.ts
@@ -20,7 +20,14 @@
   readonly fleet: MutableObservable<FleetRecord | undefined>;
   readonly entries: MutableObservable<readonly EntryDigest[]>;
   /** A test may change it while the node runs. */
-  readonly state: { load: LoadReport; stopping: boolean; superseded: boolean };
+  readonly state: {
+    load: LoadReport;
+    /** Times at which the load was read. */
+    loadReads: number;
+    idle: boolean;
+    stopping: boolean;
+    superseded: boolean;
+  };
   stop(): Promise<void>;
 }
 
@@ -63,6 +70,8 @@
   const entries = createObservable<readonly EntryDigest[]>([]);
   const state: PeerNode["state"] = {
     load: { services: {}, drainingInFlight: {}, leavingVms: [] },
+    loadReads: 0,
+    idle: false,
     stopping: false,
     superseded: false,
   };
@@ -80,7 +89,11 @@
     ),
     entries,
     callerAddress: () => "127.0.0.1:1",
-    load: () => state.load,
+    load() {
+      state.loadReads++;
+      return state.load;
+    },
+    isIdle: () => state.idle,
     isReady: () => true,
     isStopping: () => state.stopping,
     onSuperseded: () => state.superseded = true,
--- a/testing/request_entry.ts
+++ b/testing/request_entry.ts
@@ -105,6 +105,7 @@
   readonly clock?: Clock;
   readonly limits?: Record<string, number>;
   readonly isolated?: () => boolean;
+  readonly onActive?: () => void;
 }
 
 /** Starts a request path on a port that the system chooses. */
@@ -119,6 +120,7 @@
     incarnation: `${id}-run`,
     ...options.fleet,
     entries,
+    onActive: options.onActive ?? (() => {}),
     contacts: {
       ...createContactTracker(clock),
       isolated: options.isolated ?? (() => false),
