perf(jobs): events instead of timers for shards without work

Cause: each shard woke up 5 times a second to write changes and twice for a step, also without a job; the shards' owners were computed twice a second. Change: a change wakes the commits, and the first one after a quiet time is written at once instead of after 100 ms on average; the writes of a shard stay at least 200 ms apart. A shard without open jobs makes one step a second, which renews its lease as before, and a write that took effect wakes it. Owners are computed again when the digests change. The loops moved to run_dispatcher.ts. Lease time, renewal, takeover and fencing are unchanged. Ruled out: fewer steps while the shard is standby or the store is away; both keep 500 ms, so takeovers take no longer.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -1,4 +1,3 @@
-import { type Operation, sleep, spawn, until } from "effection";
 import type { Clock } from "../clock.ts";
 import type { AppliedConfig } from "../config/schema.ts";
 import { messageOf } from "../errors.ts";
@@ -23,15 +22,11 @@
 /** Time to live of a shard's lease, in ms; bounds the time without a dispatcher after its entry was lost. */
 const LEASE_TTL_MS = 3_000;
 /** Time between two renewals of a shard's lease, in ms. */
-const LEASE_RENEW_MS = 1_000;
+export const LEASE_RENEW_MS = 1_000;
 /** Part of the lease that is left for a command on its way, in ms. */
 const LEASE_MARGIN_MS = 500;
 /** Time between two reads of the region's fencing token, in ms. */
 const FENCING_READ_INTERVAL_MS = 2_000;
-/** Time between two steps, in ms. */
-const STEP_INTERVAL_MS = 500;
-/** Time in which submits and cancellations are collected for one write, in ms. */
-const COMMIT_INTERVAL_MS = 200;
 /** Time within which the store must confirm a step's changes, in ms. */
 const CHANGE_DEADLINE_MS = 2_000;
 
@@ -95,6 +90,13 @@
     return this.#active === undefined ? undefined : this.writer.record?.jobs;
   }
 
+  /** Whether the shard is owned and has no open job, so that only a write gives its steps work. */
+  isIdle(): boolean {
+    const jobs = this.jobs;
+    return jobs !== undefined &&
+      [...jobs.values()].every(({ state }) => state.kind === "ended");
+  }
+
   /** Why a queued job waits. */
   waitReason(jobId: string): WaitReason | undefined {
     return this.#waits.get(jobId);
@@ -369,23 +371,3 @@
   await Promise.race([work, limit]);
   clearTimeout(timer);
 }
-
-function* runCommits(writer: ShardWriter): Operation<void> {
-  while (true) {
-    yield* sleep(COMMIT_INTERVAL_MS);
-    yield* until(writer.flush());
-  }
-}
-
-/** Task that runs one shard's jobs until it is halted, then frees the shard's lease. */
-export function* runDispatcher(dispatcher: Dispatcher): Operation<void> {
-  yield* spawn(() => runCommits(dispatcher.writer));
-  try {
-    while (true) {
-      yield* until(dispatcher.step());
-      yield* sleep(STEP_INTERVAL_MS);
-    }
-  } finally {
-    yield* until(dispatcher.release());
-  }
-}
--- a/src/jobs/jobs.ts
+++ b/src/jobs/jobs.ts
@@ -2,15 +2,12 @@
 import type { Observable } from "../observable.ts";
 import type { EntryDigest } from "../peers/messages.ts";
 import type { CallServerOptions } from "../requests/serve_call.ts";
-import {
-  Dispatcher,
-  type DispatcherOptions,
-  runDispatcher,
-} from "./dispatcher.ts";
+import { Dispatcher, type DispatcherOptions } from "./dispatcher.ts";
 import { JobMemory } from "./job_memory.ts";
 import { SHARD_COUNT } from "./job_key.ts";
 import { ownerOf } from "./ownership.ts";
 import { JobRoutes, JOBS_PATH } from "./routes.ts";
+import { runDispatcher } from "./run_dispatcher.ts";
 import { WorkerReports } from "./worker_reports.ts";
 
 /** Time between two reviews of the shards' owners, in ms. */
@@ -59,8 +56,13 @@
     running.set(shard, { dispatcher, task });
   }
 
+  let reviewed: readonly EntryDigest[] | undefined;
+
   function* review(): Operation<void> {
     const digests = entries.get();
+    // Digests are replaced by each change, so the owners are still the same.
+    if (digests === reviewed) return;
+    reviewed = digests;
     for (let shard = 0; shard < SHARD_COUNT; shard++) {
       const owner = ownerOf(shard, options, digests);
       const owned = owner.callerAddress === undefined;
@@ -83,6 +85,7 @@
     },
     *run() {
       running.clear();
+      reviewed = undefined;
       while (true) {
         yield* review();
         yield* sleep(REVIEW_INTERVAL_MS);
--- /dev/null
+++ b/src/jobs/run_dispatcher_test.ts
@@ -0,0 +1,55 @@
+import { run } from "effection";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FakeJobs } from "../../testing/fake_jobs.ts";
+import { createFakeStore } from "../../testing/fake_store.ts";
+import { createSpec, keyOf, storedJobs } from "../../testing/job_steps.ts";
+import { waitFor } from "../../testing/wait.ts";
+import { runDispatcher } from "./run_dispatcher.ts";
+import { submitJob } from "./submission.ts";
+
+// Guards against idle shards that wake up several times a second, and against changes that nothing wakes up for.
+test("an idle shard waits for changes; each change is written and started", async () => {
+  const store = createFakeStore();
+  const jobs = new FakeJobs({ store, workers: 2 });
+  const dispatcher = jobs.createEntry("e", [0])[0]!;
+  const { writer } = dispatcher;
+  const counts = { steps: 0, flushes: 0 };
+  const step = dispatcher.step.bind(dispatcher);
+  const flush = writer.flush.bind(writer);
+  dispatcher.step = () => {
+    counts.steps++;
+    return step();
+  };
+  writer.flush = () => {
+    counts.flushes++;
+    return flush();
+  };
+  const task = run(() => runDispatcher(dispatcher));
+  task.catch(() => {});
+  try {
+    await waitFor("the shard is taken over", () => counts.steps >= 2);
+    const before = { ...counts };
+    await waitFor("four more steps", () => counts.steps >= before.steps + 4);
+    // One flush belongs to each step; a timer of 200 ms would add five for each second.
+    assert.ok(counts.flushes - before.flushes <= 6, JSON.stringify(counts));
+    for (const lostAnswers of [0, 2]) {
+      const key = keyOf(0, jobs.nowMs);
+      store.faults.loseAnswers = lostAnswers;
+      const submitted = writer.change(
+        (draft) => submitJob(draft, key, createSpec()),
+        { deadlineMs: 2_000, jobId: key.key },
+      );
+      await submitted;
+      assert.ok(storedJobs(store, 0).has(key.key));
+      await waitFor("the job starts", () => {
+        jobs.tick(100);
+        return jobs.journal.starts.has(key.key);
+      });
+    }
+  } finally {
+    await task.halt();
+  }
+});
+
+test.run();
--- a/src/jobs/shard_writer.ts
+++ b/src/jobs/shard_writer.ts
@@ -3,6 +3,7 @@
 import { StoreError } from "../errors.ts";
 import type { Store, SwapRequest, SwapResult } from "../platform/store.ts";
 import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
+import { createWake } from "../wake.ts";
 import {
   createShardRecord,
   formatShard,
@@ -59,6 +60,10 @@
   #pending: PendingChange[] = [];
   #unresolved: PendingWrite | undefined;
   #flushing: Promise<void> | undefined;
+  /** Notified of each change that waits for a write. */
+  readonly changed = createWake();
+  /** Notified of each write that took effect. */
+  readonly written = createWake();
   #failures = 0;
   #refusesUntilMs = -Infinity;
 
@@ -71,6 +76,11 @@
     return this.#record;
   }
 
+  /** Whether a flush has something to do. */
+  get needsFlush(): boolean {
+    return this.#pending.length > 0 || this.#unresolved !== undefined;
+  }
+
   /** Whether the shard is known not to hold a job; false while a write is under way or unresolved. */
   provesAbsence(jobId: string): boolean {
     return this.#record !== undefined && this.#unresolved === undefined &&
@@ -125,6 +135,7 @@
         result: undefined,
         settled: false,
       });
+      this.changed.notify();
     });
   }
 
@@ -191,6 +202,7 @@
     if (result.kind === "swapped") {
       this.#record = write.next;
       this.#version = result.version;
+      this.written.notify();
       return settleAll(write.batch);
     }
     this.#record = undefined;
