perf(jobs): one fencing-token read per entry

Cause: each shard's dispatcher read the region's token every 2 s, although there is one for all shards. Change: the dispatchers of an entry share one reader with the same interval. What a dispatcher does with a newer token is unchanged: it adopts it only with a write to its own shard.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -7,7 +7,7 @@
 import type { Store } from "../platform/store.ts";
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
 import type { WorkerAgent } from "../platform/worker_agent.ts";
-import { readFencingToken, takeFencingToken } from "./fencing.ts";
+import { type FencingReader, takeFencingToken } from "./fencing.ts";
 import { classOf, type Job } from "./job.ts";
 import type { JobMemory } from "./job_memory.ts";
 import { type JobsWorld, listWorkers, noteLosses } from "./jobs_world.ts";
@@ -25,8 +25,6 @@
 export const LEASE_RENEW_MS = 1_000;
 /** Part of the lease that is left for a command on its way, in ms. */
 const LEASE_MARGIN_MS = 500;
-/** Time between two reads of the region's fencing token, in ms. */
-const FENCING_READ_INTERVAL_MS = 2_000;
 /** Time within which the store must confirm a step's changes, in ms. */
 const CHANGE_DEADLINE_MS = 2_000;
 
@@ -44,6 +42,8 @@
   readonly config: Observable<AppliedConfig | undefined>;
   readonly fleet: Observable<FleetRecord | undefined>;
   readonly vmList: Observable<VmListSnapshot | undefined>;
+  /** Shared by the dispatchers of the entry. */
+  readonly fencing: FencingReader;
   readonly reports: WorkerReports;
   readonly memory: JobMemory;
   readonly clock: Clock;
@@ -65,7 +65,6 @@
   #commands: TaskCommands;
   #lease: { token: number; renewedAtMs: number } | undefined;
   #active: { fencingToken: number; sinceMs: number } | undefined;
-  #fencingReadAtMs = -Infinity;
   #peaks = new Map<string, { cores: number; memoryMb: number }>();
   #released = false;
   #waits: ReadonlyMap<string, WaitReason> = new Map();
@@ -204,11 +203,7 @@
 
   /** Adopts a token that another shard's dispatcher has taken; the write proves that the shard is still owned. */
   async #followFencing(): Promise<void> {
-    const { store, region, clock } = this.#options;
-    const nowMs = clock.monotonicMs();
-    if (nowMs - this.#fencingReadAtMs < FENCING_READ_INTERVAL_MS) return;
-    const newest = await readFencingToken(store, region);
-    this.#fencingReadAtMs = nowMs;
+    const newest = await this.#options.fencing.newest();
     if (newest <= this.#active!.fencingToken) return;
     await this.#writeFencingToken(newest);
     this.#active = { ...this.#active!, fencingToken: newest };
--- a/src/jobs/fencing.ts
+++ b/src/jobs/fencing.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "../clock.ts";
 import { StoreError } from "../errors.ts";
 import type { Store } from "../platform/store.ts";
 
@@ -6,8 +7,7 @@
   return `jobs/${region}/fencing`;
 }
 
-/** Returns the newest token that a dispatcher of the region has taken. */
-export async function readFencingToken(
+async function readFencingToken(
   store: Store,
   region: string,
 ): Promise<number> {
@@ -15,6 +15,38 @@
   return entry === undefined ? 0 : Number(entry.value);
 }
 
+/** Time between two reads of the region's newest token, in ms. */
+const READ_INTERVAL_MS = 2_000;
+
+/** Reads the region's newest token for all dispatchers of one entry. */
+export class FencingReader {
+  #options: { store: Store; region: string; clock: Clock };
+  #readAtMs = -Infinity;
+  #newest = 0;
+  #reading: Promise<void> | undefined;
+
+  constructor(options: { store: Store; region: string; clock: Clock }) {
+    this.#options = options;
+  }
+
+  /** Returns a token that was the newest one at most 2 s ago; rejects with a `StoreError` while that can't be read. */
+  async newest(): Promise<number> {
+    const nowMs = this.#options.clock.monotonicMs();
+    if (nowMs - this.#readAtMs < READ_INTERVAL_MS) return this.#newest;
+    this.#reading ??= this.#read(nowMs).finally(() => {
+      this.#reading = undefined;
+    });
+    await this.#reading;
+    return this.#newest;
+  }
+
+  async #read(startedAtMs: number): Promise<void> {
+    const { store, region } = this.#options;
+    this.#newest = await readFencingToken(store, region);
+    this.#readAtMs = startedAtMs;
+  }
+}
+
 /** Attempts to raise the counter while other dispatchers raise it too. */
 const MAXIMUM_ATTEMPTS = 8;
 
--- /dev/null
+++ b/src/jobs/fencing_test.ts
@@ -0,0 +1,38 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FakeJobs } from "../../testing/fake_jobs.ts";
+import { createFakeStore } from "../../testing/fake_store.ts";
+import { REGION } from "../../testing/fleet_world.ts";
+import { fencingKey } from "./fencing.ts";
+import { shardKey } from "./shard.ts";
+
+// Guards against one token read for each shard, and against commands that workers refuse because another entry took a newer token.
+test("an entry reads the fencing token once for all of its shards and adopts newer ones", async () => {
+  const store = createFakeStore();
+  const jobs = new FakeJobs({ store, workers: 2 });
+  const first = jobs.createEntry("first", [0, 1, 2]);
+  const [second] = jobs.createEntry("second", [0]);
+  const stepFirst = async (ms: number) => {
+    jobs.tick(ms);
+    await Promise.all(first.map((dispatcher) => dispatcher.step()));
+  };
+  const reads = () =>
+    store.calls.filter(({ method, key }) =>
+      method === "get" && key === fencingKey(REGION)
+    ).length;
+  await stepFirst(500);
+  const before = reads();
+  for (let count = 0; count < 4; count++) await stepFirst(500);
+  assert.is(reads() - before, 1);
+
+  store.lapseLease(shardKey(REGION, 0));
+  await second!.step();
+  const token = second!.writer.record!.fencingToken;
+  assert.ok(token > first[1]!.writer.record!.fencingToken);
+  for (let count = 0; count < 4; count++) await stepFirst(500);
+  for (const { writer } of first.slice(1)) {
+    assert.is(writer.record!.fencingToken, token);
+  }
+});
+
+test.run();
--- a/src/jobs/jobs.ts
+++ b/src/jobs/jobs.ts
@@ -3,6 +3,7 @@
 import type { EntryDigest } from "../peers/messages.ts";
 import type { CallServerOptions } from "../requests/serve_call.ts";
 import { Dispatcher, type DispatcherOptions } from "./dispatcher.ts";
+import { FencingReader } from "./fencing.ts";
 import { JobMemory } from "./job_memory.ts";
 import { SHARD_COUNT } from "./job_key.ts";
 import { ownerOf } from "./ownership.ts";
@@ -14,8 +15,11 @@
 const REVIEW_INTERVAL_MS = 500;
 
 /** What the jobs of one entry work with. */
-export interface JobsOptions
-  extends Omit<DispatcherOptions, "shard" | "holder" | "reports" | "memory"> {
+export interface JobsOptions extends
+  Omit<
+    DispatcherOptions,
+    "shard" | "holder" | "fencing" | "reports" | "memory"
+  > {
   readonly entryId: string;
   /** Digests of the region's live entries, this one included. */
   readonly entries: Observable<readonly EntryDigest[]>;
@@ -34,6 +38,7 @@
   const { entryId, entries, agent, clock } = options;
   const memory = new JobMemory();
   const reports = new WorkerReports(agent, clock);
+  const fencing = new FencingReader(options);
   const running = new Map<
     number,
     { dispatcher: Dispatcher; task: Task<void> }
@@ -49,6 +54,7 @@
       ...options,
       shard,
       holder,
+      fencing,
       reports,
       memory,
     });
--- a/testing/fake_jobs.ts
+++ b/testing/fake_jobs.ts
@@ -13,6 +13,7 @@
   WorkerAgent,
 } from "../src/platform/worker_agent.ts";
 import { Dispatcher } from "../src/jobs/dispatcher.ts";
+import { FencingReader } from "../src/jobs/fencing.ts";
 import { JobMemory } from "../src/jobs/job_memory.ts";
 import { parseTaskId } from "../src/jobs/task_id.ts";
 import { WorkerReports } from "../src/jobs/worker_reports.ts";
@@ -183,12 +184,16 @@
     const { agent, clock, config, fleet, vmList } = this;
     const memory = new JobMemory();
     const reports = new WorkerReports(agent, clock);
+    const { store } = this.#options;
+    const region = this.#region;
+    const fencing = new FencingReader({ store, region, clock });
     return shards.map((shard) =>
       new Dispatcher({
         shard,
-        region: this.#region,
+        region,
         holder,
-        store: this.#options.store,
+        store,
+        fencing,
         agent,
         config,
         fleet,
