perf(platform): the timer of an HTTP call ends with the call

Cause: each call made a signal with AbortSignal.timeout. Its timer goes on after the answer, so 1 to 2 s later it woke the process, built an exception and aborted a signal that nobody used. Calls with an outer signal made a third one with AbortSignal.any. Change: callWithTimeout has one controller and one timer for each call and ends both with it. Timeouts and aborts reject with the same errors as before.

--- a/src/peers/client.ts
+++ b/src/peers/client.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { buildConnector, Pool } from "undici";
+import { callWithTimeout } from "../call_timeout.ts";
 import { messageOf, TaggedError } from "../errors.ts";
 import type { ByteMeter } from "./byte_meter.ts";
 import type { PeerRouter } from "./router.ts";
@@ -104,7 +105,7 @@
     send: (signal: AbortSignal) => Promise<T>,
   ): Promise<T> {
     try {
-      return await send(AbortSignal.timeout(timeoutMs));
+      return await callWithTimeout(send, { timeoutMs });
     } catch (error) {
       throw new PeerError(
         isRefused(error) ? "refused" : "unreachable",
--- a/src/platform/http_json.ts
+++ b/src/platform/http_json.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from "undici";
+import { callWithTimeout } from "../call_timeout.ts";
 
 /** A JSON response of a platform service. */
 export interface JsonResponse {
@@ -35,14 +36,18 @@
 }
 
 /** Sends one JSON request; rejects with the client's error. */
-export async function requestJson(
+export function requestJson(
   url: string,
   options: JsonRequestOptions,
 ): Promise<JsonResponse> {
-  const timeout = AbortSignal.timeout(options.timeoutMs);
-  const signal = options.signal
-    ? AbortSignal.any([options.signal, timeout])
-    : timeout;
+  return callWithTimeout((signal) => send(url, options, signal), options);
+}
+
+async function send(
+  url: string,
+  options: JsonRequestOptions,
+  signal: AbortSignal,
+): Promise<JsonResponse> {
   const headers: Record<string, string> = {};
   if (options.body !== undefined) headers["content-type"] = "application/json";
   if (options.ifNoneMatch !== undefined) {
