perf(jobs): owners are reviewed when the digests change

Cause: each entry woke up twice a second to compare the owners of the shards, although only a changed digest moves one. Change: a change of the digests wakes the review; two reviews stay at least 500 ms apart. A shard changes hands no later than before. Seen red: routes_test without the wake (no dispatcher for some shards). src/jobs: 32 of 32 pass.

--- a/src/jobs/jobs.ts
+++ b/src/jobs/jobs.ts
@@ -2,6 +2,7 @@
 import type { Observable } from "../observable.ts";
 import type { EntryDigest } from "../peers/messages.ts";
 import type { CallServerOptions } from "../requests/serve_call.ts";
+import { createWake } from "../wake.ts";
 import { Dispatcher, type DispatcherOptions } from "./dispatcher.ts";
 import { FencingReader } from "./fencing.ts";
 import { JobMemory } from "./job_memory.ts";
@@ -11,8 +12,10 @@
 import { runDispatcher } from "./run_dispatcher.ts";
 import { WorkerReports } from "./worker_reports.ts";
 
-/** Time between two reviews of the shards' owners, in ms. */
+/** Shortest time between two reviews of the shards' owners, in ms. */
 const REVIEW_INTERVAL_MS = 500;
+/** Longest time between two reviews, in ms; each change of the digests wakes them. */
+const IDLE_REVIEW_INTERVAL_MS = 60_000;
 
 /** What the jobs of one entry work with. */
 export interface JobsOptions extends
@@ -92,9 +95,16 @@
     *run() {
       running.clear();
       reviewed = undefined;
-      while (true) {
-        yield* review();
-        yield* sleep(REVIEW_INTERVAL_MS);
+      const changed = createWake();
+      const unsubscribe = entries.subscribe(() => changed.notify());
+      try {
+        while (true) {
+          yield* review();
+          yield* sleep(REVIEW_INTERVAL_MS);
+          yield* changed.wait(IDLE_REVIEW_INTERVAL_MS);
+        }
+      } finally {
+        unsubscribe();
       }
     },
   };
