--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -1,4 +1,3 @@
-import { type Operation, sleep, spawn, until } from "effection";
 import type { Clock } from "../clock.ts";
 import type { AppliedConfig } from "../config/schema.ts";
 import { messageOf } from "../errors.ts";
@@ -8,7 +7,7 @@
 import type { Store } from "../platform/store.ts";
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
 import type { WorkerAgent } from "../platform/worker_agent.ts";
-import { readFencingToken, takeFencingToken } from "./fencing.ts";
+import { type FencingReader, takeFencingToken } from "./fencing.ts";
 import { classOf, type Job } from "./job.ts";
 import type { JobMemory } from "./job_memory.ts";
 import { describeStep } from "./job_decisions.ts";
@@ -29,15 +28,9 @@
 /** Time to live of a shard's lease, in ms; bounds the time without a dispatcher after its entry was lost. */
 const LEASE_TTL_MS = 3_000;
 /** Time between two renewals of a shard's lease, in ms. */
-const LEASE_RENEW_MS = 1_000;
+export const LEASE_RENEW_MS = 1_000;
 /** Part of the lease that is left for a command on its way, in ms. */
 const LEASE_MARGIN_MS = 500;
-/** Time between two reads of the region's fencing token, in ms. */
-const FENCING_READ_INTERVAL_MS = 2_000;
-/** Time between two steps, in ms. */
-const STEP_INTERVAL_MS = 500;
-/** Time in which submits and cancellations are collected for one write, in ms. */
-const COMMIT_INTERVAL_MS = 200;
 /** Time within which the store must confirm a step's changes, in ms. */
 const CHANGE_DEADLINE_MS = 2_000;
 
@@ -55,6 +48,8 @@
   readonly config: Observable<AppliedConfig | undefined>;
   readonly fleet: Observable<FleetRecord | undefined>;
   readonly vmList: Observable<VmListSnapshot | undefined>;
+  /** Shared by the dispatchers of the entry. */
+  readonly fencing: FencingReader;
   readonly reports: WorkerReports;
   readonly memory: JobMemory;
   readonly clock: Clock;
@@ -76,7 +71,6 @@
   #commands: TaskCommands;
   #lease: { token: number; renewedAtMs: number } | undefined;
   #active: { fencingToken: number; sinceMs: number } | undefined;
-  #fencingReadAtMs = -Infinity;
   #peaks = new Map<string, { cores: number; memoryMb: number }>();
   #released = false;
 
@@ -100,6 +94,13 @@
     return this.#active === undefined ? undefined : this.writer.record?.jobs;
   }
 
+  /** Whether the shard is owned and has no open job, so that only a write gives its steps work. */
+  isIdle(): boolean {
+    const jobs = this.jobs;
+    return jobs !== undefined &&
+      [...jobs.values()].every(({ state }) => state.kind === "ended");
+  }
+
   /** Why a queued job waits. */
   waitReason(jobId: string): WaitReason | undefined {
     const { memory, shard } = this.#options;
@@ -186,11 +187,7 @@
 
   /** Adopts a token that another shard's dispatcher has taken; the write proves that the shard is still owned. */
   async #followFencing(): Promise<void> {
-    const { store, region, clock } = this.#options;
-    const nowMs = clock.monotonicMs();
-    if (nowMs - this.#fencingReadAtMs < FENCING_READ_INTERVAL_MS) return;
-    const newest = await readFencingToken(store, region);
-    this.#fencingReadAtMs = nowMs;
+    const newest = await this.#options.fencing.newest();
     if (newest <= this.#active!.fencingToken) return;
     await this.#writeFencingToken(newest);
     this.#active = { ...this.#active!, fencingToken: newest };
@@ -367,23 +364,3 @@
   await Promise.race([work, limit]);
   clearTimeout(timer);
 }
-
-function* runCommits(writer: ShardWriter): Operation<void> {
-  while (true) {
-    yield* sleep(COMMIT_INTERVAL_MS);
-    yield* until(writer.flush());
-  }
-}
-
-/** Task that runs one shard's jobs until it is halted, then frees the shard's lease. */
-export function* runDispatcher(dispatcher: Dispatcher): Operation<void> {
-  yield* spawn(() => runCommits(dispatcher.writer));
-  try {
-    while (true) {
-      yield* until(dispatcher.step());
-      yield* sleep(STEP_INTERVAL_MS);
-    }
-  } finally {
-    yield* until(dispatcher.release());
-  }
-}
--- a/src/jobs/jobs.ts
+++ b/src/jobs/jobs.ts
@@ -2,11 +2,9 @@
 import type { Observable } from "../observable.ts";
 import type { EntryDigest } from "../peers/messages.ts";
 import type { CallServerOptions } from "../requests/serve_call.ts";
-import {
-  Dispatcher,
-  type DispatcherOptions,
-  runDispatcher,
-} from "./dispatcher.ts";
+import { createWake } from "../wake.ts";
+import { Dispatcher, type DispatcherOptions } from "./dispatcher.ts";
+import { FencingReader } from "./fencing.ts";
 import { JobMemory } from "./job_memory.ts";
 import { parseJobKey, SHARD_COUNT } from "./job_key.ts";
 import { listFacts, listRejected } from "./job_decisions.ts";
@@ -16,16 +14,22 @@
 import { readWorld } from "./jobs_world.ts";
 import { ownerOf } from "./ownership.ts";
 import { JobRoutes, JOBS_PATH } from "./routes.ts";
+import { runDispatcher } from "./run_dispatcher.ts";
 import { WorkerReports } from "./worker_reports.ts";
 
-/** Time between two reviews of the shards' owners, in ms. */
+/** Shortest time between two reviews of the shards' owners, in ms. */
 const REVIEW_INTERVAL_MS = 500;
 /** Time for which a summary is reused, in ms; `apply --wait` reads the dump every 50 ms. */
 const SUMMARY_LIFETIME_MS = 1_000;
+/** Longest time between two reviews, in ms; each change of the digests wakes them. */
+const IDLE_REVIEW_INTERVAL_MS = 60_000;
 
 /** What the jobs of one entry work with. */
-export interface JobsOptions
-  extends Omit<DispatcherOptions, "shard" | "holder" | "reports" | "memory"> {
+export interface JobsOptions extends
+  Omit<
+    DispatcherOptions,
+    "shard" | "holder" | "fencing" | "reports" | "memory"
+  > {
   readonly entryId: string;
   /** Digests of the region's live entries, this one included. */
   readonly entries: Observable<readonly EntryDigest[]>;
@@ -48,6 +52,7 @@
   const { entryId, entries, agent, clock } = options;
   const memory = new JobMemory();
   const reports = new WorkerReports(agent, clock);
+  const fencing = new FencingReader(options);
   const running = new Map<
     number,
     { dispatcher: Dispatcher; task: Task<void> }
@@ -63,6 +68,7 @@
       ...options,
       shard,
       holder,
+      fencing,
       reports,
       memory,
     });
@@ -70,8 +76,13 @@
     running.set(shard, { dispatcher, task });
   }
 
+  let reviewed: readonly EntryDigest[] | undefined;
+
   function* review(): Operation<void> {
     const digests = entries.get();
+    // Digests are replaced by each change, so the owners are still the same.
+    if (digests === reviewed) return;
+    reviewed = digests;
     for (let shard = 0; shard < SHARD_COUNT; shard++) {
       const owner = ownerOf(shard, options, digests);
       const owned = owner.callerAddress === undefined;
@@ -134,10 +145,18 @@
     },
     *run() {
       running.clear();
+      reviewed = undefined;
       yield* spawn(() => runJobLogSaver(saver));
-      while (true) {
-        yield* review();
-        yield* sleep(REVIEW_INTERVAL_MS);
+      const changed = createWake();
+      const unsubscribe = entries.subscribe(() => changed.notify());
+      try {
+        while (true) {
+          yield* review();
+          yield* sleep(REVIEW_INTERVAL_MS);
+          yield* changed.wait(IDLE_REVIEW_INTERVAL_MS);
+        }
+      } finally {
+        unsubscribe();
       }
     },
   };
