--- a/src/requests/accept_queue_test.ts
+++ b/src/requests/accept_queue_test.ts
@@ -1,13 +1,8 @@
 import { connect, type Socket } from "node:net";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import {
-  createFakeClock,
-  rawResponse,
-  startRawBackend,
-  startTestEntry,
-} from "../../testing/request_entry.ts";
-import { createTestFleet } from "../../testing/request_fleet.ts";
+import { answer, withEntry } from "../../testing/entry_with_backends.ts";
+import { createFakeClock } from "../../testing/request_entry.ts";
 
 const CALLERS = 30;
 /** Time that the entry is made to spend on each accepted connection, in ms. */
@@ -28,43 +23,36 @@
 
 // Guards against deadlines that start only when the entry accepts a connection: the last of many callers that connect at once would be answered long after theirs.
 test("time in the accept queue counts towards the deadline", async () => {
-  const backend = await startRawBackend((socket, { path }) =>
-    socket.write(rawResponse(path))
-  );
   const clock = createFakeClock();
-  const entry = await startTestEntry({
-    clock,
-    fleet: createTestFleet([backend.address]),
-  });
-  const [host, port] = entry.address.split(":");
-  entry.path.server.on("connection", () => clock.advance(ACCEPT_COST_MS));
-  try {
-    const sockets = Array.from(
-      { length: CALLERS },
-      () => connect(Number(port), host),
-    );
-    // Connects with the others, but sends its request later.
-    const late = connect(Number(port), host);
-    const texts = await Promise.all(
-      sockets.map((socket, index) => send(socket, `/quoting/${index}`)),
-    );
-    const refused = texts.flatMap((text, index) =>
-      text.includes("cowslipferry-outcome: not_run") ? [index] : []
-    );
-    assert.ok(refused.length >= CALLERS / 2, `${refused.length} refused`);
-    assert.ok(refused.length < CALLERS - 2, `${refused.length} refused`);
-    const run = new Set(backend.requests.map(({ path }) => path));
-    for (const index of refused) {
-      assert.match(texts[index]!, /"kind":"deadline_expired"/);
-      assert.match(texts[index]!, /"retryAfterMs":[2-9]\d\d/);
-      assert.match(texts[index]!, /retry-after: 1/);
-      assert.not(run.has(`/quoting/${index}`), `${index} was run`);
-    }
-    assert.match(await send(late, "/quoting/late"), /outcome: answer/);
-  } finally {
-    await entry.close();
-    backend.close();
-  }
+  await withEntry(
+    { clock, backends: [answer] },
+    async ({ entry, backends }) => {
+      const [host, port] = entry.address.split(":");
+      entry.path.server.on("connection", () => clock.advance(ACCEPT_COST_MS));
+      const sockets = Array.from(
+        { length: CALLERS },
+        () => connect(Number(port), host),
+      );
+      // Connects with the others, but sends its request later.
+      const late = connect(Number(port), host);
+      const texts = await Promise.all(
+        sockets.map((socket, index) => send(socket, `/quoting/${index}`)),
+      );
+      const refused = texts.flatMap((text, index) =>
+        text.includes("cowslipferry-outcome: not_run") ? [index] : []
+      );
+      assert.ok(refused.length >= CALLERS / 2, `${refused.length} refused`);
+      assert.ok(refused.length < CALLERS - 2, `${refused.length} refused`);
+      const run = new Set(backends[0]!.requests.map(({ path }) => path));
+      for (const index of refused) {
+        assert.match(texts[index]!, /"kind":"deadline_expired"/);
+        assert.match(texts[index]!, /"retryAfterMs":[2-9]\d\d/);
+        assert.match(texts[index]!, /retry-after: 1/);
+        assert.not(run.has(`/quoting/${index}`), `${index} was run`);
+      }
+      assert.match(await send(late, "/quoting/late"), /outcome: answer/);
+    },
+  );
 });
 
 test.run();
--- a/src/requests/routing_test.ts
+++ b/src/requests/routing_test.ts
@@ -1,64 +1,23 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { findFreePort } from "../../testing/ports.ts";
 import { waitFor } from "../../testing/wait.ts";
 import { BackendConnections } from "./backend_connections.ts";
+import {
+  answer,
+  answerAfter,
+  breakOff,
+  withEntry,
+} from "../../testing/entry_with_backends.ts";
 import {
   call,
   createFakeClock,
   digestOf,
-  type RawBackend,
   rawResponse,
   startRawBackend,
-  startTestEntry,
-  type TestEntry,
-  type TestEntryOptions,
 } from "../../testing/request_entry.ts";
-import {
-  createTestFleet,
-  type TestFleetOptions,
-} from "../../testing/request_fleet.ts";
 
 const ORDER = { method: "POST", body: "order" };
 
-interface Setup extends Omit<TestEntryOptions, "fleet"> {
-  readonly fleetOptions?: TestFleetOptions;
-  /** Backend servers of the pool `quoting`, by how they respond. */
-  readonly backends: readonly Parameters<typeof startRawBackend>[0][];
-  /** Addresses at which nothing listens. */
-  readonly closedPorts?: number;
-}
-
-async function withEntry(
-  setup: Setup,
-  check: (context: {
-    readonly entry: TestEntry;
-    readonly backends: readonly RawBackend[];
-    readonly fleet: ReturnType<typeof createTestFleet>;
-  }) => Promise<void>,
-): Promise<void> {
-  const backends = await Promise.all(setup.backends.map(startRawBackend));
-  const addresses = backends.map((backend) => backend.address);
-  for (let count = 0; count < (setup.closedPorts ?? 0); count++) {
-    addresses.unshift(`127.0.0.1:${await findFreePort()}`);
-  }
-  const fleet = createTestFleet(addresses, setup.fleetOptions);
-  const entry = await startTestEntry({ ...setup, fleet });
-  try {
-    await check({ entry, backends, fleet });
-  } finally {
-    await entry.close();
-    for (const backend of backends) backend.close();
-  }
-}
-
-type Respond = Setup["backends"][number];
-const answer: Respond = (socket, { path }) => socket.write(rawResponse(path));
-const breakOff: Respond = (socket) => socket.destroy();
-const answerAfter = (delayMs: number): Respond => (socket, request) => {
-  setTimeout(() => answer(socket, request), delayMs);
-};
-
 test("a request is not_run only if nothing was sent", () =>
   withEntry({ backends: [], closedPorts: 1 }, async ({ entry }) => {
     const refused = await call(entry, "/quoting/1", ORDER);
