perf(requests): a connection's task starts with its first call

Cause: the last of hundreds of callers that connect at once wait in the kernel's accept queue, of which Node takes one connection per loop iteration. In a profile of an entry under such bursts 13% of the processor time went into starting the task of each connection, also of those whose first request had expired and was refused without it.

Change: CallerConnections.add only notes the connection; its task starts with the first call to be served. Keep-alive connections have one task as before.

Ruled out: several listening handles on one port (Node 20 has no SO_REUSEPORT and can't duplicate a handle within a process); more accepts per loop iteration (libuv takes one).

--- a/src/requests/caller_connections.ts
+++ b/src/requests/caller_connections.ts
@@ -27,6 +27,8 @@
   parserError: NotRunError | undefined;
   /** Whether the connection ends with the current response. */
   closing: boolean;
+  /** Whether the task runs that serves the connection's requests. */
+  served: boolean;
   /** Time since which a first request may have waited in the accept queue, in monotonic ms; undefined once it would have been read. */
   queuedSinceMs: number | undefined;
 }
@@ -65,15 +67,15 @@
     return this.#open;
   }
 
-  /** Starts the task of a new connection; it ends after the last request once the socket is closed. */
-  start(socket: Socket, queuedSinceMs?: number): void {
-    const { scope, serve, log } = this.#options;
+  /** Takes a new connection. */
+  add(socket: Socket, queuedSinceMs?: number): void {
     const connection: CallerConnection = {
       queue: createQueue<IncomingCall, void>(),
       failBody: undefined,
       pending: 0,
       parserError: undefined,
       closing: false,
+      served: false,
       queuedSinceMs,
     };
     if (queuedSinceMs !== undefined) {
@@ -88,7 +90,18 @@
       this.#open--;
       connection.queue.close();
     });
+  }
+
+  /** Serves a call after those before it on its connection. The connection's task starts with its first call, so that connections that are only refused cost none, and ends once the socket is closed. */
+  serve(call: IncomingCall): void {
+    const { scope, serve, log } = this.#options;
+    const { connection } = call;
+    connection.pending++;
+    connection.queue.add(call);
+    if (connection.served) return;
+    connection.served = true;
     scope.run(() => serveConnection(connection, serve)).catch((error) => {
+      const { socket } = call.request;
       if (!socket.destroyed) {
         log.error("connection task failed", { reason: messageOf(error) });
       }
--- a/src/requests/front.ts
+++ b/src/requests/front.ts
@@ -62,8 +62,7 @@
     if (waited && connection!.pending === 0 && calls.refuseExpired(call)) {
       return;
     }
-    connection!.pending++;
-    connection!.queue.add(call);
+    connections.serve(call);
   }
 
   const app = new App({
@@ -102,7 +101,7 @@
     const arrivedAtMs = acceptQueue.arrivalOf(socket);
     if (arrivedAtMs === undefined) return;
     const waited = clock.monotonicMs() - arrivedAtMs >= COUNTED_WAIT_MS;
-    connections.start(socket, waited ? arrivedAtMs : undefined);
+    connections.add(socket, waited ? arrivedAtMs : undefined);
   });
   server.on("connect", (_request, socket) => {
     writeRawError(
