test(faults): partitions between regions with real processes

Cause: no test with real processes had entries of two regions, so the bounds during and after a partition between regions were not verified.

Change: region_partition_test runs two entries in each of two regions, each region with a VM list of its own that shows the other region's entries behind relays. For 16 s these links and the second region's way to the store are cut or hold bytes back. Both sides must answer each request in time, a file that is accepted meanwhile must be in force on its side within 5 s and on the other side within 11 s after the links work again, in the held case without the store, and no revision may go down. An apply on the side without the store must be refused. A deployment lists an entry with the region of its own settings. RevisionWatch, the exchange over raw sockets and applyChange move into files that several tests use; RevisionWatch reads only the configuration part of the dump where a poll interval is given by the test.

Ruled out: nothing had to be fixed in src for these bounds.

--- a/testing/deployment.ts
+++ b/testing/deployment.ts
@@ -191,13 +191,13 @@
       exited: running.exited,
     };
     entries.push(entry);
-    await listEntry(entry, dataCentre);
+    await listEntry(entry, settings);
     return entry;
   }
 
   async function listEntry(
     entry: EntryProcess,
-    dataCentre: string,
+    { region, dataCentre }: UserSettings,
   ): Promise<void> {
     const vm: Vm = {
       id: entry.id,
--- a/testing/faults/final_response_test.ts
+++ b/testing/faults/final_response_test.ts
@@ -1,9 +1,7 @@
-import { connect } from "node:net";
-import { performance } from "node:perf_hooks";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { chooseSeed, createRandom } from "../random.ts";
-import { createStallMeter } from "../stall_meter.ts";
+import { exchange, type RawExchange, stalledMs } from "../raw_exchange.ts";
 import { createRelays } from "./relays.ts";
 import {
   countBy,
@@ -16,56 +14,6 @@
 /** More callers than slots, so that queues form. */
 const CONCURRENCY = 900;
 const GRACE_MS = 500;
-const GIVE_UP_MS = 10_000;
-
-/** A response that waits in this process isn't late. */
-const stalledMs = createStallMeter();
-
-interface RawExchange {
-  readonly statusLines: number;
-  readonly complete: boolean;
-  readonly outcome: string;
-  readonly retryAfter: boolean;
-  readonly elapsedMs: number;
-  readonly deadlineMs: number;
-}
-
-/** Sends a request over a connection of its own and reads all bytes until the entry closes it. */
-function exchange(
-  address: string,
-  request: { path: string; deadlineMs: number },
-): Promise<RawExchange> {
-  const [host, port] = address.split(":");
-  return new Promise((resolve) => {
-    let text = "";
-    let startedAtMs = performance.now();
-    let stalledBeforeMs = stalledMs();
-    const socket = connect({ host, port: Number(port) }, () => {
-      startedAtMs = performance.now();
-      stalledBeforeMs = stalledMs();
-      socket.write(
-        `GET ${request.path} HTTP/1.1\r\nhost: ${address}\r\nconnection: close\r\ncowslipferry-deadline-ms: ${request.deadlineMs}\r\n\r\n`,
-      );
-    });
-    const timer = setTimeout(() => socket.destroy(), GIVE_UP_MS);
-    socket.on("data", (chunk) => text += chunk);
-    socket.on("error", () => {});
-    socket.on("close", () => {
-      clearTimeout(timer);
-      const length = /\r\ncontent-length: (\d+)\r\n/i.exec(text)?.[1];
-      const body = text.slice(text.indexOf("\r\n\r\n") + 4);
-      resolve({
-        statusLines: text.match(/HTTP\/1\.1 \d/g)?.length ?? 0,
-        complete: Number(length) === Buffer.byteLength(body),
-        outcome: /\r\ncowslipferry-outcome: (\w+)/i.exec(text)?.[1] ?? "",
-        retryAfter: /\r\nretry-after: \d+/i.test(text),
-        elapsedMs: performance.now() - startedAtMs -
-          (stalledMs() - stalledBeforeMs),
-        deadlineMs: request.deadlineMs,
-      });
-    });
-  });
-}
 
 test("each request gets exactly one final response by its deadline plus 500 ms", async () => {
   // A held link swallows requests without any error.
--- a/testing/faults/roll_out_test.ts
+++ b/testing/faults/roll_out_test.ts
@@ -1,104 +1,17 @@
-import process from "node:process";
-import { readFile, writeFile } from "node:fs/promises";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { setTimeout as delay } from "node:timers/promises";
-import { request } from "undici";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { CONFIG_KEY } from "../../src/constants.ts";
-import type {
-  Deployment,
-  DeploymentOptions,
-  EntryProcess,
-} from "../deployment.ts";
+import type { Deployment, DeploymentOptions } from "../deployment.ts";
 import { startTcpRelay } from "../tcp_relay.ts";
 import { waitFor } from "../wait.ts";
-import { CONFIG_FILE, withDeployment } from "./scenario.ts";
+import { RevisionWatch } from "./revision_watch.ts";
+import { applyChange, withDeployment } from "./scenario.ts";
 
 /** Bound in normal operation, about 20 times the expected value. */
 const NORMAL_LIMIT_MS = 2_000;
 /** Bound with one entry frozen and resumed, or the store lost right after acceptance. */
 const FAULT_LIMIT_MS = 5_000;
 const ROUNDS = 5;
-const POLL_INTERVAL_MS = 5;
-const POLL_TIMEOUT_MS = 500;
-
-interface Sample {
-  readonly revision: number;
-  readonly atMs: number;
-}
-
-/** Follows the revisions that entries report in their dumps. */
-class RevisionWatch {
-  readonly #samples = new Map<string, Sample[]>();
-  readonly #entries: readonly EntryProcess[];
-  #stopped = false;
-  #loops: Promise<void>[] = [];
-
-  constructor(entries: readonly EntryProcess[]) {
-    this.#entries = entries;
-  }
-
-  /** Follows entries that were started since the last call too. */
-  follow(): void {
-    for (const entry of this.#entries) {
-      if (this.#samples.has(entry.id)) continue;
-      this.#samples.set(entry.id, []);
-      this.#loops.push(this.#poll(entry));
-    }
-  }
-
-  async #poll(entry: EntryProcess): Promise<void> {
-    while (!this.#stopped) {
-      try {
-        const { body } = await request(`http://${entry.adminAddress}/dump`, {
-          signal: AbortSignal.timeout(POLL_TIMEOUT_MS),
-        });
-        const dump = await body.json() as { config?: { revision: number } };
-        const revision = dump.config?.revision ?? 0;
-        this.#samples.get(entry.id)?.push({ revision, atMs: Date.now() });
-      } catch {
-        // A frozen entry doesn't answer; the next poll asks again.
-      }
-      await delay(POLL_INTERVAL_MS);
-    }
-  }
-
-  latest(entry: EntryProcess): number {
-    return this.#samples.get(entry.id)?.at(-1)?.revision ?? 0;
-  }
-
-  /** Resolves with the time at which the last entry was seen with the revision. */
-  async inForce(
-    entries: readonly EntryProcess[],
-    revision: number,
-  ): Promise<number> {
-    this.follow();
-    await waitFor(
-      `revision ${revision} is in force at ${entries.map(({ id }) => id)}`,
-      () => entries.every((entry) => this.latest(entry) >= revision),
-    );
-    return Math.max(
-      ...entries.map((entry) =>
-        this.#samples.get(entry.id)?.find((sample) =>
-          sample.revision >= revision
-        )?.atMs ?? 0
-      ),
-    );
-  }
-
-  /** Ends the polls; throws when an entry went back to an older revision. */
-  async end(): Promise<void> {
-    this.#stopped = true;
-    await Promise.all(this.#loops);
-    for (const [id, samples] of this.#samples) {
-      const revisions = samples.map((sample) => sample.revision);
-      const sorted = revisions.toSorted((x, y) => x - y);
-      assert.equal(revisions, sorted, `${id} went back`);
-    }
-  }
-}
 
 async function withWatch(
   options: Partial<DeploymentOptions>,
@@ -115,31 +28,17 @@
   });
 }
 
-/** Applies a file that differs from the one before; resolves with its revision. */
-async function applyChange(
-  deployment: Deployment,
-  deadlineMs: number,
-): Promise<number> {
-  const config = JSON.parse(await readFile(CONFIG_FILE, "utf8"));
-  config.services[0].defaultDeadlineMs = deadlineMs;
-  const file = join(tmpdir(), `roll-out-${process.pid}-${deadlineMs}.json`);
-  await writeFile(file, JSON.stringify(config));
-  await deployment.apply(file);
-  return JSON.parse(deployment.store.values.get(CONFIG_KEY)!.value).revision;
-}
-
-function appliedAtMs(deployment: Deployment): number {
-  return JSON.parse(deployment.store.values.get(CONFIG_KEY)!.value).appliedAtMs;
-}
-
 test("a file is in force everywhere within 2 s", () =>
   withWatch({}, async (deployment, watch) => {
     const { entries } = deployment;
     const times: number[] = [];
     for (let round = 0; round < ROUNDS; round++) {
-      const revision = await applyChange(deployment, 3_000 + round);
+      const { revision, appliedAtMs } = await applyChange(
+        deployment,
+        3_000 + round,
+      );
       const endMs = await watch.inForce(entries, revision);
-      times.push(endMs - appliedAtMs(deployment));
+      times.push(endMs - appliedAtMs);
     }
     console.log(`roll-out ms: ${times.join(" ")}`);
     assert.ok(Math.max(...times) < NORMAL_LIMIT_MS, times.join(" "));
@@ -150,14 +49,14 @@
     const { entries } = deployment;
     const frozen = entries[1]!;
     frozen.process.kill("SIGSTOP");
-    const revision = await applyChange(deployment, 3_000);
+    const { revision, appliedAtMs } = await applyChange(deployment, 3_000);
     const others = entries.filter((entry) => entry !== frozen);
     await watch.inForce(others, revision);
     const resumedAtMs = Date.now();
     frozen.process.kill("SIGCONT");
     const endMs = await watch.inForce(entries, revision);
     console.log(`roll-out after the freeze: ${endMs - resumedAtMs} ms`);
-    assert.ok(endMs - appliedAtMs(deployment) < FAULT_LIMIT_MS);
+    assert.ok(endMs - appliedAtMs < FAULT_LIMIT_MS);
   }));
 
 test("a file is in force within 5 s when the store is lost right after one entry has it", async () => {
@@ -178,11 +77,11 @@
       await watch.inForce(entries, 1);
       // Entries 2 and 3 can have the file only from entry 1.
       relays.forEach((relay) => relay.cut());
-      const revision = await applyChange(deployment, 3_000);
+      const { revision, appliedAtMs } = await applyChange(deployment, 3_000);
       await watch.inForce(entries.slice(0, 1), revision);
       store.faults.down = true;
       const endMs = await watch.inForce(entries, revision);
-      const timeMs = endMs - appliedAtMs(deployment);
+      const timeMs = endMs - appliedAtMs;
       console.log(`roll-out with the store lost: ${timeMs} ms`);
       assert.ok(timeMs < FAULT_LIMIT_MS, `${timeMs} ms`);
       // An entry that starts during the outage has the file from its peers.
@@ -198,7 +97,7 @@
   withWatch({ entryCount: 2 }, async (deployment, watch) => {
     const { entries, store } = deployment;
     const old = store.values.get(CONFIG_KEY)!;
-    const revision = await applyChange(deployment, 3_000);
+    const { revision } = await applyChange(deployment, 3_000);
     await watch.inForce(entries, revision);
     const current = store.values.get(CONFIG_KEY)!;
     store.values.set(CONFIG_KEY, {
@@ -221,7 +120,7 @@
       value: current.value,
       version: current.version + 2,
     });
-    const next = await applyChange(deployment, 3_001);
+    const { revision: next } = await applyChange(deployment, 3_001);
     await watch.inForce(entries, next);
   }));
 
--- a/testing/faults/scenario.ts
+++ b/testing/faults/scenario.ts
@@ -1,4 +1,9 @@
+import { readFile, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
 import { resolveConfig } from "../../src/config/validate.ts";
+import { CONFIG_KEY } from "../../src/constants.ts";
 import { readTextFile } from "../../src/settings/load.ts";
 import {
   type Deployment,
@@ -21,15 +26,16 @@
   options: Partial<DeploymentOptions>,
   body: (deployment: Deployment) => Promise<void>,
 ): Promise<void> {
+  const configFile = options.configFile ?? CONFIG_FILE;
   const deployment = await startDeployment({
-    configFile: CONFIG_FILE,
+    configFile,
     entryCount: 3,
     program: { kind: "source" },
     dataCentres: ["khomas-1", "khomas-2", "khomas-3"],
     ...options,
   });
   try {
-    await deployment.apply(CONFIG_FILE);
+    await deployment.apply(configFile);
     await waitUntilServing(deployment.entries, SERVICES);
     await body(deployment);
   } catch (error) {
@@ -42,6 +48,23 @@
   }
 }
 
+/** Applies the configuration file with another default deadline; resolves with its revision and time. */
+export async function applyChange(
+  deployment: Deployment,
+  defaultDeadlineMs: number,
+  configFile = CONFIG_FILE,
+): Promise<{ revision: number; appliedAtMs: number }> {
+  const config = JSON.parse(await readFile(configFile, "utf8"));
+  config.services[0].defaultDeadlineMs = defaultDeadlineMs;
+  const file = join(
+    tmpdir(),
+    `change-${process.pid}-${defaultDeadlineMs}.json`,
+  );
+  await writeFile(file, JSON.stringify(config));
+  await deployment.apply(file);
+  return JSON.parse(deployment.store.values.get(CONFIG_KEY)!.value);
+}
+
 /** Runs `count` operations, `concurrency` at a time. */
 export async function runConcurrently(
   options: { count: number; concurrency: number },
--- /dev/null
+++ b/testing/raw_exchange.ts
@@ -0,0 +1,58 @@
+import { connect } from "node:net";
+import { performance } from "node:perf_hooks";
+import { createStallMeter } from "./stall_meter.ts";
+
+const GIVE_UP_MS = 10_000;
+
+/** A response that waits in this process isn't late. */
+export const stalledMs = createStallMeter();
+
+/** What came back for one request, byte by byte. */
+export interface RawExchange {
+  readonly statusLines: number;
+  readonly complete: boolean;
+  readonly outcome: string;
+  readonly retryAfter: boolean;
+  readonly elapsedMs: number;
+  readonly deadlineMs: number;
+}
+
+/** Sends a request over a connection of its own and reads all bytes until the entry closes it. */
+export function exchange(
+  address: string,
+  request: { path: string; deadlineMs: number; idempotencyKey?: string },
+): Promise<RawExchange> {
+  const [host, port] = address.split(":");
+  const keyHeader = request.idempotencyKey === undefined
+    ? ""
+    : `idempotency-key: ${request.idempotencyKey}\r\n`;
+  return new Promise((resolve) => {
+    let text = "";
+    let startedAtMs = performance.now();
+    let stalledBeforeMs = stalledMs();
+    const socket = connect({ host, port: Number(port) }, () => {
+      startedAtMs = performance.now();
+      stalledBeforeMs = stalledMs();
+      socket.write(
+        `GET ${request.path} HTTP/1.1\r\nhost: ${address}\r\nconnection: close\r\ncowslipferry-deadline-ms: ${request.deadlineMs}\r\n${keyHeader}\r\n`,
+      );
+    });
+    const timer = setTimeout(() => socket.destroy(), GIVE_UP_MS);
+    socket.on("data", (chunk) => text += chunk);
+    socket.on("error", () => {});
+    socket.on("close", () => {
+      clearTimeout(timer);
+      const length = /\r\ncontent-length: (\d+)\r\n/i.exec(text)?.[1];
+      const body = text.slice(text.indexOf("\r\n\r\n") + 4);
+      resolve({
+        statusLines: text.match(/HTTP\/1\.1 \d/g)?.length ?? 0,
+        complete: Number(length) === Buffer.byteLength(body),
+        outcome: /\r\ncowslipferry-outcome: (\w+)/i.exec(text)?.[1] ?? "",
+        retryAfter: /\r\nretry-after: \d+/i.test(text),
+        elapsedMs: performance.now() - startedAtMs -
+          (stalledMs() - stalledBeforeMs),
+        deadlineMs: request.deadlineMs,
+      });
+    });
+  });
+}
