fix(peers): a region that is cut off doesn't delay the exchange with others

Cause: one task exchanged configuration revisions with one region after the other. The attempts at a region behind frozen links take 3 s, so each region listed after it got a new revision 3 s late, or 6 s when a round was under way.

Change: a task for each region, woken by a change and every 5 s as before. A peers test has a frozen region listed before a reachable one and three roll-outs in a row without a store.

Ruled out: rounds that call all regions at once and wait for the slowest, as a change during such a round would still wait up to 3 s.

Conclusion: regions are independent of each other in the exchange. Three regions were run inside one process only, not with real processes.

--- a/src/peers/peers_test.ts
+++ b/src/peers/peers_test.ts
@@ -1,5 +1,7 @@
+import { createServer } from "node:http";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
+import { listenOnLoopback } from "../../testing/http_json_server.ts";
 import {
   appliedConfig,
   type PeerNode,
@@ -205,4 +207,38 @@
     }
   }));
 
+// Guards against a region behind frozen links that delays the exchange with each region after it.
+test("a region that doesn't answer doesn't delay the exchange with another", () =>
+  withNodes(1, async ([node], vmList) => {
+    const frozen = await listenOnLoopback(createServer(() => {}));
+    const remote = await startPeerNode({
+      entryId: "remote-1",
+      region: "other",
+      vmList,
+    });
+    const frozenVms = [1, 2, 3].map((index) => ({
+      ...vmOf(remote, "frozen"),
+      id: `frozen-${index}`,
+      controlAddress: frozen.address,
+    }));
+    try {
+      const vms = [vmOf(node!), ...frozenVms, vmOf(remote, "other")];
+      vmList.set({ vms, readAtMs: 1 });
+      const startedAtMs = performance.now();
+      for (const revision of [3, 4, 5]) {
+        node!.config.set(appliedConfig(revision));
+        await waitFor(
+          "the other region has it",
+          () => remote.config.get()?.revision === revision,
+        );
+      }
+      const timeMs = performance.now() - startedAtMs;
+      // 0.5 s is expected, 9 s when each exchange waits for the frozen region.
+      assert.ok(timeMs < 5_000, `${timeMs} ms`);
+    } finally {
+      await remote.stop();
+      await frozen.close();
+    }
+  }));
+
 test.run();
--- a/src/peers/region_exchange.ts
+++ b/src/peers/region_exchange.ts
@@ -1,4 +1,4 @@
-import { type Operation, until } from "effection";
+import { type Operation, spawn, until } from "effection";
 import { messageOf } from "../errors.ts";
 import type { Logger } from "../logger.ts";
 import type { Observable } from "../observable.ts";
@@ -7,10 +7,11 @@
 import type { RevisionReport } from "./body_sync.ts";
 import type { ByteMeter } from "./byte_meter.ts";
 import { createPeerClient } from "./client.ts";
-import type { Wake } from "../wake.ts";
+import { createWake, type Wake } from "../wake.ts";
 
 /** Interval of regular exchanges with each other region, in ms. */
 const REGION_INTERVAL_MS = 5_000;
+const IDLE_WAIT_MS = 60_000;
 /** Entries of a region that are tried in one exchange. */
 const MAXIMUM_ATTEMPTS = 3;
 
@@ -73,12 +74,28 @@
     }
   }
 
-  while (true) {
-    for (const entries of entriesByRegion(options).values()) {
-      const tried = shuffle(entries, random).slice(0, MAXIMUM_ATTEMPTS);
-      for (const vm of tried) {
+  function* runRegion(region: string, regionWake: Wake): Operation<void> {
+    while (true) {
+      const entries = entriesByRegion(options).get(region) ?? [];
+      for (const vm of shuffle(entries, random).slice(0, MAXIMUM_ATTEMPTS)) {
         if (yield* exchangeWith(vm.controlAddress)) break;
       }
+      yield* regionWake.wait(IDLE_WAIT_MS);
+    }
+  }
+
+  // A task for each region, because the attempts at one that is cut off take seconds.
+  const regionWakes = new Map<string, Wake>();
+  while (true) {
+    for (const region of entriesByRegion(options).keys()) {
+      const known = regionWakes.get(region);
+      if (known !== undefined) {
+        known.notify();
+        continue;
+      }
+      const regionWake = createWake();
+      regionWakes.set(region, regionWake);
+      yield* spawn(() => runRegion(region, regionWake));
     }
     yield* wake.wait(REGION_INTERVAL_MS);
   }
