test(faults): forwarded keyed requests to a frozen issuer, a region without the store

Cause: the links to entries' callers' ports are not behind the relays of frozen_links_test, and the exchange between regions was only tested where held bytes arrive after the partition.

Change: a second test freezes the issuing entry and sends 40 keyed requests through the other one; each must end with outcome_unknown by its deadline plus 500 ms. region_partition_test has a third case: links are cut and the second region's store stays away, so that the file comes through the exchange between regions only.

Ruled out: nothing had to be fixed in src for these two.

--- a/testing/faults/frozen_links_test.ts
+++ b/testing/faults/frozen_links_test.ts
@@ -21,6 +21,8 @@
 const ROLL_OUT_LIMIT_MS = 5_000;
 const GRACE_MS = 500;
 const CALLERS = 6;
+/** Requests with keys of the entry that is frozen. */
+const FORWARDED = 40;
 /** Ends the callers if the test doesn't; never reached in a passing run. */
 const MAXIMUM_REQUESTS = 100_000;
 
@@ -55,7 +57,9 @@
   };
 }
 
-function checkExchanges(exchanges: readonly RawExchange[]): void {
+function checkExchanges(
+  exchanges: readonly RawExchange[],
+): Record<string, number> {
   const outcomes = countBy(exchanges, (item) => item.outcome);
   const lateMs = exchanges.map((item) => item.elapsedMs - item.deadlineMs);
   const latestMs = lateMs.reduce((most, value) => Math.max(most, value));
@@ -66,8 +70,7 @@
     (item.outcome === "not_run" && !item.retryAfter)
   );
   assert.equal(wrong.slice(0, 5), [], "not one final response in time");
-  // Requests need no other entry, so frozen links cost at most the forwarded ones.
-  assert.ok((outcomes.answer ?? 0) > exchanges.length / 2, "few answers");
+  return outcomes;
 }
 
 interface Dump {
@@ -158,7 +161,10 @@
           });
         }
       } finally {
-        checkExchanges(await callers.end());
+        const exchanges = await callers.end();
+        const outcomes = checkExchanges(exchanges);
+        // Requests need no other entry, so frozen links cost at most the forwarded ones.
+        assert.ok((outcomes.answer ?? 0) > exchanges.length / 2, "few answers");
         await watch.end();
       }
     });
@@ -168,4 +174,25 @@
   }
 });
 
+// A frozen process holds the bytes back on its callers' port, which the VM list's relays don't cover.
+test("a keyed request whose issuer holds all bytes back ends by its deadline", () =>
+  withDeployment({ entryCount: 2 }, async ({ entries: [entry, issuer] }) => {
+    const random = createRandom(chooseSeed());
+    const keys = await Promise.all(
+      Array.from({ length: FORWARDED }, () => obtainKey(issuer!.callerAddress)),
+    );
+    issuer!.process.kill("SIGSTOP");
+    const exchanges = await Promise.all(
+      keys.map((key, index) =>
+        exchange(entry!.callerAddress, {
+          path: `/${SERVICES[0]}/forwarded/${index}`,
+          deadlineMs: 200 + random.below(2_000),
+          idempotencyKey: key!,
+        })
+      ),
+    );
+    issuer!.process.kill("SIGCONT");
+    assert.equal(checkExchanges(exchanges), { outcome_unknown: FORWARDED });
+  }));
+
 test.run();
--- a/testing/faults/region_partition_test.ts
+++ b/testing/faults/region_partition_test.ts
@@ -179,6 +179,9 @@
   checkPartition({ fault: "cut", storeReturns: true }));
 
 // Without the store, the exchange between regions is the only way that the file can take.
+test("a region that was cut off gets the file without the store", () =>
+  checkPartition({ fault: "cut", storeReturns: false }));
+
 test("a region whose links held bytes back gets the file without the store", () =>
   checkPartition({ fault: "hold", storeReturns: false }));
 
