fix(peers): advertise the listed address of an entry that listens on every host

Cause: an entry that listens on 0.0.0.0 reported 0.0.0.0 and its port in its digest. Peers forward keyed requests and job calls to the digest's callers' address, so on VMs with equal ports each would forward to itself. Peer links are not concerned, as they take the VM list's address first. Found while reading how forwarded calls choose their link.

Change: such an entry reports its own address from the VM list. Other entries report the address on which they listen, as before.

Ruled out: the VM list's address before every digest's, because a lagging list would send forwarded calls to the address before a replacement.

Figures: the new peers test times out without the change and passes with it; peers (9), settings (4), entry (3), at_most_once (1) and roll_out (4) pass, load average 8 to 18. The fault itself was read from the code: on one machine two entries can't have the same port on every host, so it was not run.

Conclusion: forwarded calls no longer depend on the host that an entry listens on. The processor time of the additional look-up was not measured.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -49,3 +49,6 @@
 
 /** Header with the id of the entry that forwarded a keyed request to the key's issuer. */
 export const FORWARDED_BY_HEADER = "cowslipferry-forwarded-by";
+
+/** Host that stands for every address of the machine when a server listens on it. */
+export const ANY_HOST = "0.0.0.0";
--- a/src/peers/peer_addresses.ts
+++ b/src/peers/peer_addresses.ts
@@ -1,3 +1,4 @@
+import { ANY_HOST } from "../constants.ts";
 import type { Vm } from "../platform/vm_list.ts";
 import type { EntryDigest } from "./messages.ts";
 
@@ -34,3 +35,15 @@
   addresses.delete(self.entryId);
   return addresses;
 }
+
+/**
+ * Returns the `host:port` at which others reach a server of this entry. One that
+ * listens on every host has no address of its own, and a peer that called that
+ * host would reach itself.
+ */
+export function resolveAdvertisedAddress(
+  listening: string,
+  listed: string | undefined,
+): string {
+  return listening.startsWith(`${ANY_HOST}:`) ? listed ?? listening : listening;
+}
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -20,7 +20,11 @@
   type MergeResult,
 } from "./membership.ts";
 import type { EntryDigest } from "./messages.ts";
-import { findListedPeer, resolvePeerAddresses } from "./peer_addresses.ts";
+import {
+  findListedPeer,
+  resolveAdvertisedAddress,
+  resolvePeerAddresses,
+} from "./peer_addresses.ts";
 import type { PeerLink, PeerLinkStatus } from "./peer_link.ts";
 import { runRegionExchange } from "./region_exchange.ts";
 import { createPeerServer, type PeerHandlers } from "./router.ts";
@@ -118,11 +122,18 @@
   }
 
   function currentDigest(): EntryDigest {
+    const listed = findListedPeer(listedVms(), self.entryId);
     return {
       ...self,
       sequence: 0,
-      peerAddress,
-      callerAddress: options.callerAddress(),
+      peerAddress: resolveAdvertisedAddress(
+        peerAddress,
+        listed?.controlAddress,
+      ),
+      callerAddress: resolveAdvertisedAddress(
+        options.callerAddress(),
+        listed?.address,
+      ),
       ready: options.isReady(),
       stopping: options.isStopping(),
       configRevision: configRevision(),
--- a/src/peers/peers_test.ts
+++ b/src/peers/peers_test.ts
@@ -178,6 +178,29 @@
     }
   }));
 
+// Guards against keyed requests and job calls that an entry forwards to its own port.
+test("an entry that listens on every host is known by its address in the VM list", () =>
+  withNodes(1, async ([node], vmList) => {
+    const peer = await startPeerNode({
+      entryId: "entry-2",
+      callerAddress: "0.0.0.0:80",
+      vmList,
+    });
+    try {
+      const address = "127.0.0.1:2";
+      vmList.set({
+        vms: [vmOf(node!), { ...vmOf(peer), address }],
+        readAtMs: 1,
+      });
+      await waitFor(
+        "the listed address is known",
+        () => node!.entries.get()[1]?.callerAddress === address,
+      );
+    } finally {
+      await peer.stop();
+    }
+  }));
+
 test("between regions the configuration spreads, digests and fleet records don't", () =>
   withNodes(2, async (nodes, vmList) => {
     const remote = await startPeerNode({
--- a/src/settings/listen_rules.ts
+++ b/src/settings/listen_rules.ts
@@ -1,10 +1,9 @@
 import type { ValidationIssue } from "../errors.ts";
+import { ANY_HOST } from "../constants.ts";
 import { parseValidParts } from "../partial_parse.ts";
 import { createIssue } from "../validation.ts";
 import { settingsSchema } from "./schema.ts";
 
-const ANY_HOST = "0.0.0.0";
-
 interface Listener {
   readonly name: string;
   readonly host: string;
--- a/testing/peer_nodes.ts
+++ b/testing/peer_nodes.ts
@@ -38,6 +38,8 @@
   readonly incarnation?: string;
   /** Port of the peer server; 0 lets the operating system choose. */
   readonly port?: number;
+  /** `host:port` on which the callers' port listens. */
+  readonly callerAddress?: string;
   readonly vmList?: MutableObservable<VmListSnapshot | undefined>;
   readonly clock?: Clock;
 }
@@ -88,7 +90,7 @@
       undefined,
     ),
     entries,
-    callerAddress: () => "127.0.0.1:1",
+    callerAddress: () => options.callerAddress ?? "127.0.0.1:1",
     load() {
       state.loadReads++;
       return state.load;
