--- /dev/null
+++ b/src/peers/body_sync_test.ts
@@ -0,0 +1,62 @@
+import { createServer } from "node:http";
+import { run } from "effection";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { listenOnLoopback } from "../../testing/http_json_server.ts";
+import { waitFor } from "../../testing/wait.ts";
+import { silentLogger } from "../logger.ts";
+import { createWake } from "../wake.ts";
+import { runBodySync } from "./body_sync.ts";
+import { createByteMeter } from "./byte_meter.ts";
+import { createPeerServer } from "./router.ts";
+
+const FROZEN_PEERS = 2;
+
+// Guards against a newer body that is late by the time limit of each call to a peer behind a frozen link.
+test("the next peer is asked while peers that accept a call and don't answer still have time", async () => {
+  const meter = createByteMeter();
+  const calls = { begun: 0, ended: 0 };
+  const frozen = await Promise.all(
+    Array.from({ length: FROZEN_PEERS }, async () => {
+      const server = createServer((_request, response) => {
+        calls.begun++;
+        response.on("close", () => calls.ended++);
+      });
+      return await listenOnLoopback(server);
+    }),
+  );
+  const peer = await listenOnLoopback(createPeerServer({
+    exchange: () => ({ records: [] }),
+    exchangeConfigRevision: () => 0,
+    configBody: () => "body",
+    fleetBody: () => undefined,
+  }, meter));
+  let fetchedWith: typeof calls | undefined;
+  const task = run(() =>
+    runBodySync({
+      name: "configuration",
+      currentRevision: () => fetchedWith === undefined ? 1 : 2,
+      reports: () =>
+        [...frozen, peer].map(({ address }) => ({ address, revision: 2 })),
+      fetch: (client, aboveRevision) => client.configBody(aboveRevision),
+      advance() {
+        fetchedWith = { ...calls };
+        return true;
+      },
+      meter,
+      wake: createWake(),
+      log: silentLogger,
+      // The frozen peers come first.
+      random: () => 0,
+    })
+  );
+  try {
+    await waitFor("the body is fetched", () => fetchedWith !== undefined);
+    assert.equal(fetchedWith, { begun: FROZEN_PEERS, ended: 0 });
+  } finally {
+    await task.halt().catch(() => {});
+    await Promise.all([...frozen, peer].map((server) => server.close()));
+  }
+});
+
+test.run();
