bench(jobs): quota use, overcommitted workers and wasted runs by cause

Cause: dispatchers of different entries overcommit teams and workers; it was only assumed that unseen starts are the reason. Change: the jobs bench samples what the fake workers really run twice a second. For each start that takes a team above its quota it tells whether the team would fit without what other entries started in the last 4 s (2 s lag, 1 s report interval, steps). Wasted runs are counted by cause. The types of the fake workers move to a file of their own. Ruled out: profiles or checkpoints as the main reason; with one entry no start is above a quota and no worker is overcommitted.

--- a/bench/jobs/main.ts
+++ b/bench/jobs/main.ts
@@ -39,6 +39,10 @@
   "wasted core time",
   "store writes per job",
   "step CPU mean / p99 / max (ms)",
+  "largest use of a quota / mean excess",
+  "starts above quota / with unseen tasks",
+  "overcommitted workers",
+  "wasted runs by cause",
 ];
 
 /** Deployments of the jobs bench. */
@@ -112,6 +116,25 @@
       percentile(steps, 0.99),
       percentile(steps, 1),
     ].map((ms) => ms.toFixed(2)).join(" / "),
+    ...formatQuotaUse(runs),
+  ];
+}
+
+function formatQuotaUse(runs: readonly JobsRun[]): string[] {
+  const sum = (of: (run: JobsRun) => number) =>
+    runs.reduce((total, run) => total + of(run), 0);
+  const mean = (of: (run: JobsRun) => number) => percent(sum(of) / runs.length);
+  const largest = Math.max(...runs.map((run) => run.quotaUse.largest));
+  const causes = new Set(runs.flatMap((run) => [...run.wastedBy.keys()]));
+  return [
+    `${percent(largest)} / ${mean((run) => run.quotaUse.meanExcess)}`,
+    `${sum((run) => run.quotaUse.startsAbove)} / ${
+      sum((run) => run.quotaUse.unseenCause)
+    }`,
+    mean((run) => run.quotaUse.overcommittedWorkers),
+    [...causes].sort().map((cause) =>
+      `${cause} ${sum((run) => run.wastedBy.get(cause) ?? 0)}`
+    ).join(", "),
   ];
 }
 
--- a/bench/jobs/run.ts
+++ b/bench/jobs/run.ts
@@ -5,6 +5,7 @@
 import { createRandom } from "../../testing/random.ts";
 import { createCountingStore } from "./counting_store.ts";
 import { FirstFit } from "./first_fit.ts";
+import { QuotaUse, type QuotaUseFigures } from "./quota_use.ts";
 import type { JobsDeployment, PlannedJob } from "./workload.ts";
 
 const STEP_MS = 500;
@@ -34,6 +35,9 @@
   readonly wastedCoreShare: number;
   /** Cores that did useful work during the arrivals, as a share of what the quotas allow. */
   readonly usefulShare: number;
+  readonly quotaUse: QuotaUseFigures;
+  /** Runs that ended without success, by cause. */
+  readonly wastedBy: ReadonlyMap<string, number>;
   readonly storeWrites: number;
   readonly leaseCalls: number;
   /** Processor time of each dispatcher's step, in ms; those of idle shards included. */
@@ -128,6 +132,7 @@
       step: () => firstFit.step(),
       endOf: (jobId) => firstFit.ended.get(jobId),
     };
+  const quotaUse = new QuotaUse(fake, deployment.config, options.entries);
   fake.tick(STEP_MS);
   await scheduler.step();
 
@@ -144,6 +149,7 @@
       ids.set(job, await scheduler.submit(job));
     }
     await scheduler.step();
+    quotaUse.sample();
     if (next < planned.length) usefulShare = usefulOf(fake, deployment, nowMs);
     else if (planned.every((job) => scheduler.endOf(ids.get(job)!))) break;
   }
@@ -154,6 +160,7 @@
     scheduler,
     startMs,
     usefulShare,
+    quotaUse: quotaUse.figures(),
     store,
     stepCpuMs,
   });
@@ -179,6 +186,7 @@
   scheduler: Scheduler;
   startMs: number;
   usefulShare: number;
+  quotaUse: QuotaUseFigures;
   store: { writes: number; leaseCalls: number };
   stepCpuMs: readonly number[];
 }): JobsRun {
@@ -213,6 +221,8 @@
     wastedRuns: runs - successes.size,
     wastedCoreShare: wastedCoreMs / Math.max(1, usedCoreMs),
     usefulShare: input.usefulShare,
+    quotaUse: input.quotaUse,
+    wastedBy: fake.journal.wastedBy,
     storeWrites: store.writes,
     leaseCalls: store.leaseCalls,
     stepCpuMs: input.stepCpuMs,
--- a/testing/fake_jobs.ts
+++ b/testing/fake_jobs.ts
@@ -12,6 +12,13 @@
   TaskStatus,
   WorkerAgent,
 } from "../src/platform/worker_agent.ts";
+import {
+  type FakeTask,
+  type FakeWorker,
+  type Journal,
+  parseTruth,
+  type WasteCause,
+} from "./fake_worker.ts";
 import { Dispatcher } from "../src/jobs/dispatcher.ts";
 import { FencingReader } from "../src/jobs/fencing.ts";
 import { JobMemory } from "../src/jobs/job_memory.ts";
@@ -24,46 +31,6 @@
 /** Time for which a worker reports a task that has ended, in ms. */
 const KEPT_MS = 120_000;
 
-/** What a task really does, as its command says: `run|fail <ms> [cores] [memoryMb]`. */
-interface Truth {
-  readonly fails: boolean;
-  readonly runMs: number;
-  readonly cores: number;
-  readonly memoryMb: number;
-}
-
-interface FakeTask {
-  readonly spec: TaskSpec;
-  state: TaskStatus["state"];
-  leaseEndMs: number;
-  endedAtMs?: number | undefined;
-  /** Work that is left, in ms. */
-  leftMs: number;
-  cores: number;
-}
-
-/** One worker with its agent. */
-export interface FakeWorker {
-  vm: Vm;
-  answers: boolean;
-  failsTasks: boolean;
-  highestToken: number;
-  tasks: Map<string, FakeTask>;
-  /** Reports of the last ticks, which show the state of a while ago. */
-  reports: { atMs: number; tasks: TaskStatus[] }[];
-}
-
-/** What tasks did, by job id. */
-export interface Journal {
-  readonly starts: Map<string, number>;
-  readonly successes: Map<string, number>;
-  readonly firstStartMs: Map<string, number>;
-  readonly stops: Map<string, number>;
-  /** Core milliseconds spent on runs that didn't succeed, and on all. */
-  wastedCoreMs: number;
-  usedCoreMs: number;
-}
-
 /** Options of the fake workers. */
 export interface FakeJobsOptions {
   readonly store: Store & { advance(ms: number): void };
@@ -82,17 +49,7 @@
 /** Pool of the fake workers. */
 export const POOL = "a";
 
-function parseTruth(spec: TaskSpec): Truth {
-  const [verb, ms, cores, memoryMb] = spec.command.split(" ");
-  return {
-    fails: verb === "fail",
-    runMs: Number(ms),
-    cores: Number(cores ?? spec.cores),
-    memoryMb: Number(memoryMb ?? spec.memoryMb),
-  };
-}
-
-const add = (counts: Map<string, number>, key: string, count = 1) =>
+const add = <K>(counts: Map<K, number>, key: K, count = 1) =>
   counts.set(key, (counts.get(key) ?? 0) + count);
 
 /** Workers in memory with a clock of their own, for tests and measurements of jobs. */
@@ -103,6 +60,7 @@
     successes: new Map(),
     firstStartMs: new Map(),
     stops: new Map(),
+    wastedBy: new Map(),
     wastedCoreMs: 0,
     usedCoreMs: 0,
   };
@@ -237,7 +195,9 @@
   /** Replaces a worker under the same id; its tasks are gone. */
   replaceWorker(worker: FakeWorker): void {
     worker.vm = { ...worker.vm, incarnation: String(this.nowMs) };
-    for (const task of worker.tasks.values()) this.#waste(task);
+    for (const task of worker.tasks.values()) {
+      this.#waste(task, "worker_replaced");
+    }
     worker.tasks = new Map();
     worker.reports = [];
     worker.highestToken = 0;
@@ -259,7 +219,7 @@
       running.sort((a, b) => memoryOf(a) - memoryOf(b));
       const largest = running.pop()!;
       largest.state = "failed";
-      this.#waste(largest);
+      this.#waste(largest, "memory_exhausted");
     }
     const rate = Math.min(1, cores / Math.max(1, sum(usedCores)));
     for (const task of running) {
@@ -275,16 +235,18 @@
     this.journal.usedCoreMs += progressMs * truth.cores;
     if (this.nowMs >= task.leaseEndMs) {
       task.state = "stopped";
-      this.#waste(task);
+      this.#waste(task, "lease_lapsed");
     } else if (task.leftMs <= 0 || worker.failsTasks) {
       const fails = truth.fails || worker.failsTasks;
       task.state = fails ? "failed" : "succeeded";
-      if (fails) this.#waste(task);
+      const cause = worker.failsTasks ? "worker_fails" : "job_fails";
+      if (fails) this.#waste(task, cause);
       else add(this.journal.successes, jobId);
     }
   }
 
-  #waste(task: FakeTask): void {
+  #waste(task: FakeTask, cause: WasteCause): void {
+    add(this.journal.wastedBy, cause);
     const truth = parseTruth(task.spec);
     const spentMs = truth.runMs - Math.max(0, task.leftMs);
     this.journal.wastedCoreMs += spentMs * truth.cores;
@@ -386,7 +348,7 @@
         add(this.journal.stops, parseTaskId(taskId)!.jobId);
         return command("stopTask", { id, taskId }, (task) => {
           task.state = "stopped";
-          this.#waste(task);
+          this.#waste(task, "stopped");
         });
       },
       drain: unused,
