fix(jobs): a ledger divides the teams' quotas among the shards

Change: the dispatcher of shard 0 keeps a ledger in memory. Each step of a shard tells it what the shard's started jobs use and what its queued jobs want of each limited quota, and starts no more than it is granted. What was granted or used counts until the shard's dispatcher claims anew, ordered by fencing token and sequence, so a lost answer, entry or lease frees nothing that may be in use. A new ledger grants nothing until each shard has claimed or, 3 s later, was read from the store. Without an answer only urgent jobs start, by the reports as before. No store write is added. Ruled out: equal static shares (a job larger than a ninth of the quota could never run), shares in gossip digests (two entries may both raise theirs within a round, and the digests' bytes are limited), turns by the clock (longer than 5.4 s with 9 entries and 4 s of lag). Test: quota_ledger_test.ts; without the use of the allowance the team runs 64 cores on a quota of 16.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -9,16 +9,26 @@
 import type { WorkerAgent } from "../platform/worker_agent.ts";
 import { type FencingReader, takeFencingToken } from "./fencing.ts";
 import { classOf, type Job } from "./job.ts";
+import { type ClaimQuota, QuotaClaims } from "./quota_claims.ts";
+import {
+  GRANT_LIFETIME_MS,
+  LEDGER_SHARD,
+  type QuotaClaim,
+  type QuotaGrants,
+  QuotaLedger,
+} from "./quota_ledger.ts";
 import type { JobMemory } from "./job_memory.ts";
 import { describeStep } from "./job_decisions.ts";
 import {
   type JobsWorld,
+  listQuotas,
   listWorkers,
   noteLosses,
   readWorld,
 } from "./jobs_world.ts";
 import { type FinishedRun, planShard, type ShardPlan } from "./plan_shard.ts";
 import type { WaitReason } from "./placement.ts";
+import { settleWithin } from "./settle_within.ts";
 import { shardKey } from "./shard.ts";
 import { ShardWriter } from "./shard_writer.ts";
 import { TaskCommands } from "./task_commands.ts";
@@ -52,6 +62,7 @@
   readonly fencing: FencingReader;
   readonly reports: WorkerReports;
   readonly memory: JobMemory;
+  readonly claimQuota: ClaimQuota;
   readonly clock: Clock;
   readonly log: Logger;
 }
@@ -73,6 +84,8 @@
   #active: { fencingToken: number; sinceMs: number } | undefined;
   #peaks = new Map<string, { cores: number; memoryMb: number }>();
   #released = false;
+  #claims: QuotaClaims;
+  #ledger: QuotaLedger | undefined;
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -82,13 +95,21 @@
       key: shardKey(region, shard),
       clock,
     });
+    this.#claims = new QuotaClaims(options.claimQuota);
     this.#commands = new TaskCommands({
       ...options,
-      mayAct: () =>
-        !this.#released && this.#leaseAgeMs() < LEASE_TTL_MS - LEASE_MARGIN_MS,
+      mayAct: () => this.#mayAct(),
     });
   }
 
+  /** Answers a shard's claim if this dispatcher keeps the region's ledger; resolves to undefined otherwise. */
+  async answerClaim(claim: QuotaClaim): Promise<QuotaGrants | undefined> {
+    const config = this.#options.config.get()?.config;
+    if (config === undefined || this.#ledger === undefined) return undefined;
+    const grants = await this.#ledger.claim(claim, listQuotas(config));
+    return this.#mayAct() ? grants : undefined;
+  }
+
   /** The shard's jobs while this dispatcher owns it. */
   get jobs(): ReadonlyMap<string, Job> | undefined {
     return this.#active === undefined ? undefined : this.writer.record?.jobs;
@@ -132,6 +153,11 @@
     await store.releaseLease(shardKey(region, shard), holder).catch(() => {});
   }
 
+  #mayAct(): boolean {
+    return !this.#released &&
+      this.#leaseAgeMs() < LEASE_TTL_MS - LEASE_MARGIN_MS;
+  }
+
   #leaseAgeMs(): number {
     return this.#options.clock.monotonicMs() -
       (this.#lease?.renewedAtMs ?? -Infinity);
@@ -166,6 +192,8 @@
     this.#active = undefined;
     this.writer.abandon();
     this.#commands.reset();
+    this.#claims.reset();
+    this.#ledger = undefined;
     this.#options.memory.forgetShard(this.#options.shard);
   }
 
@@ -180,8 +208,12 @@
       this.writer.record?.fencingToken ?? 0,
     );
     const sinceMs = clock.monotonicMs();
+    const isFirst = (this.writer.record?.fencingToken ?? 0) === 0;
     await this.#writeFencingToken(fencingToken);
     this.#active = { fencingToken, sinceMs };
+    if (shard === LEDGER_SHARD) {
+      this.#ledger = new QuotaLedger({ ...this.#options, isFirst });
+    }
     log.info("shard taken over", { shard, fencingToken });
   }
 
@@ -246,16 +278,22 @@
     await this.#refreshReports(world, base.jobs);
     noteLosses(world);
     this.#notePeaks(base.jobs);
-    const plan = planShard({
+    const input = {
       shard,
       jobs: base.jobs,
       fencingToken: active.fencingToken,
       reportsSinceMs: active.sinceMs,
       world,
-    });
+    };
+    const { clock } = this.#options;
+    const askedAtMs = clock.monotonicMs();
+    const allowance = await this.#claims.ask(input);
+    const plan = planShard({ ...input, allowance });
+    if (clock.monotonicMs() - askedAtMs >= GRANT_LIFETIME_MS) return "done";
     if (!await this.#commit(base.jobs, plan)) return "replaced";
     const record = this.writer.record;
     if (record === undefined) return "replaced";
+    await this.#claims.settle({ ...input, jobs: record.jobs });
     memory.owned.set(shard, record.jobs);
     this.#explain(base.jobs, record.jobs, { plan, nowMs: world.nowMs });
     for (const { id, state } of plan.changes) {
@@ -351,16 +389,3 @@
     }
   }
 }
-
-/** Resolves once the work has ended or the time is over. */
-async function settleWithin(
-  work: Promise<unknown>,
-  limitMs: number,
-): Promise<void> {
-  let timer: NodeJS.Timeout | undefined;
-  const limit = new Promise<void>((resolve) => {
-    timer = setTimeout(resolve, limitMs);
-  });
-  await Promise.race([work, limit]);
-  clearTimeout(timer);
-}
--- a/src/jobs/forward.ts
+++ b/src/jobs/forward.ts
@@ -6,7 +6,13 @@
 } from "../constants.ts";
 import { isNotSent } from "../platform/http_json.ts";
 import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
-import type { JobCall, JobReply } from "./job_reply.ts";
+import { type JobCall, type JobReply, JOBS_PATH } from "./job_reply.ts";
+import {
+  type QuotaClaim,
+  type QuotaGrants,
+  quotaGrantsSchema,
+} from "./quota_ledger.ts";
+import { parseJson, parseWithSchema } from "../validation.ts";
 
 /** Time in which a shard's owner must answer, in ms; longer than its own wait for the store. */
 const FORWARD_TIMEOUT_MS = 5_000;
@@ -63,3 +69,23 @@
     );
   }
 }
+
+/** Path below the jobs' path on which the ledger's entry takes claims. */
+export const CLAIMS_ROUTE = "quota-claims";
+
+/** Sends a claim to the entry that keeps the ledger; resolves to undefined if it grants nothing. Rejects like `forwardCall`. */
+export async function forwardClaim(
+  claim: QuotaClaim,
+  options: { readonly address: string; readonly entryId: string },
+): Promise<QuotaGrants | undefined> {
+  const reply = await forwardCall({
+    method: "POST",
+    url: `${JOBS_PATH}/${CLAIMS_ROUTE}`,
+    body: Buffer.from(JSON.stringify(claim)),
+    key: undefined,
+    forwardedBy: undefined,
+  }, options);
+  if (reply.status !== 200) return undefined;
+  const grants = parseJson(reply.body.toString(), "quota grants");
+  return parseWithSchema(quotaGrantsSchema, grants, "quota grants");
+}
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -24,7 +24,8 @@
 /** What a caller submits. */
 export type JobSpec = z.output<typeof jobSpecSchema>;
 
-const sizeSchema = z.object({
+/** Processors, memory and accelerators. */
+export const sizeSchema = z.object({
   cores: z.number(),
   memoryMb: z.number(),
   accelerators: z.number(),
--- a/src/jobs/job_reply.ts
+++ b/src/jobs/job_reply.ts
@@ -5,6 +5,9 @@
   JobRefusedError,
 } from "./errors.ts";
 
+/** Path of the jobs on the callers' port. */
+export const JOBS_PATH = "/.cowslipferry/jobs";
+
 /** A call under `/.cowslipferry/jobs`. */
 export interface JobCall {
   readonly method: string;
--- a/src/jobs/jobs.ts
+++ b/src/jobs/jobs.ts
@@ -13,7 +13,10 @@
 import { type JobsSummary, summarizeJobs } from "./job_summary.ts";
 import { readWorld } from "./jobs_world.ts";
 import { ownerOf } from "./ownership.ts";
-import { JobRoutes, JOBS_PATH } from "./routes.ts";
+import { forwardClaim } from "./forward.ts";
+import { LEDGER_SHARD, type QuotaClaim } from "./quota_ledger.ts";
+import { JobRoutes } from "./routes.ts";
+import { JOBS_PATH } from "./job_reply.ts";
 import { runDispatcher } from "./run_dispatcher.ts";
 import { WorkerReports } from "./worker_reports.ts";
 
@@ -28,7 +31,7 @@
 export interface JobsOptions extends
   Omit<
     DispatcherOptions,
-    "shard" | "holder" | "fencing" | "reports" | "memory"
+    "shard" | "holder" | "fencing" | "reports" | "memory" | "claimQuota"
   > {
   readonly entryId: string;
   /** Digests of the region's live entries, this one included. */
@@ -57,10 +60,15 @@
     number,
     { dispatcher: Dispatcher; task: Task<void> }
   >();
-  const routes = new JobRoutes({
-    ...options,
-    dispatcherOf: (shard) => running.get(shard)?.dispatcher,
-  });
+  const dispatcherOf = (shard: number) => running.get(shard)?.dispatcher;
+  const routes = new JobRoutes({ ...options, dispatcherOf });
+
+  async function claimQuota(claim: QuotaClaim) {
+    const owner = ownerOf(LEDGER_SHARD, options, entries.get());
+    return owner.callerAddress === undefined
+      ? await dispatcherOf(LEDGER_SHARD)?.answerClaim(claim)
+      : await forwardClaim(claim, { address: owner.callerAddress, entryId });
+  }
 
   function* start(shard: number): Operation<void> {
     const holder = entryId;
@@ -71,6 +79,7 @@
       fencing,
       reports,
       memory,
+      claimQuota,
     });
     const task = yield* spawn(() => runDispatcher(dispatcher));
     running.set(shard, { dispatcher, task });
--- a/src/jobs/placement.ts
+++ b/src/jobs/placement.ts
@@ -20,11 +20,22 @@
 /** Limit of a team; absent resources aren't limited. */
 export type Quota = Partial<Size>;
 
+/** By what a team's quota is kept. */
+export type Allowance =
+  /** By the tasks that this entry knows of. */
+  | { readonly kind: "reported" }
+  /** By what the region's ledger granted to the shard. */
+  | { readonly kind: "granted"; readonly byTeam: ReadonlyMap<string, Size> }
+  /** The ledger didn't answer: urgent jobs start by the reports, others wait. */
+  | { readonly kind: "unanswered" };
+
 /** What placement decides on. */
 export interface PlacementInput {
   readonly candidates: readonly Candidate[];
   readonly workers: readonly WorkerView[];
   readonly quotas: ReadonlyMap<string, Quota>;
+  /** "reported" by default. */
+  readonly allowance?: Allowance | undefined;
 }
 
 /** Why a job waits. */
@@ -75,10 +86,19 @@
   readonly heldBy = new Map<string, string>();
   /** Urgent jobs that take over the quota of tasks which are checkpointed by now. */
   readonly takesOverQuota = new Set<string>();
+  readonly allowance: Allowance;
+  readonly #granted: Map<string, Size>;
   #held = new Map<string, Size>();
   #rackLoad = new Map<string, number>();
 
-  constructor(workers: readonly WorkerView[]) {
+  constructor(
+    workers: readonly WorkerView[],
+    allowance: Allowance = { kind: "reported" },
+  ) {
+    this.allowance = allowance;
+    this.#granted = new Map(
+      allowance.kind === "granted" ? allowance.byTeam : [],
+    );
     for (const worker of workers) {
       this.free.set(worker.vmId, freeSize(worker));
       if (worker.tasks.length > 0) this.probed.add(worker.vmId);
@@ -108,6 +128,24 @@
     this.free.set(worker.vmId, addSize(this.free.get(worker.vmId)!, size, -1));
     this.probed.add(worker.vmId);
     this.#count(worker, spec.team, classOf(spec), size);
+    const granted = this.#granted.get(spec.team);
+    if (granted === undefined) return;
+    this.#granted.set(spec.team, addSize(granted, size, -1));
+  }
+
+  /** Whether a job's team may use as much more of its quota. */
+  fitsQuota(candidate: Candidate, quota: Quota): boolean {
+    const { jobId, spec, size } = candidate;
+    // Other entries may have placed jobs on the freed quota already; the team still uses no more than before.
+    if (this.takesOverQuota.has(jobId)) return true;
+    const { kind } = this.allowance;
+    const isLimited = Object.keys(quota).length > 0;
+    if (kind === "granted" && isLimited) {
+      return fits(size, this.#granted.get(spec.team) ?? NO_SIZE);
+    }
+    const isOpen = kind !== "unanswered" || !isLimited ||
+      spec.priority === "urgent";
+    return isOpen && withinQuota(addSize(this.useFor(candidate), size), quota);
   }
 
   /** Returns what a job's team uses, with what is held for the team's other jobs. */
@@ -264,7 +302,7 @@
 /** Decides where queued jobs run: urgent ones first, then by waiting time. */
 export function placeJobs(input: PlacementInput): PlacementDecision[] {
   if (input.candidates.length === 0) return [];
-  const room = new Room(input.workers);
+  const room = new Room(input.workers, input.allowance);
   const pools = groupByPool(input.workers);
   const holding = new Set<string>();
   const quotaHeld = new Set<string>();
@@ -292,10 +330,7 @@
       return { kind: "reject", reason: rejection, ...describe() };
     }
     const overtakes = quotaHeld.has(spec.team) && spec.priority !== "urgent";
-    // Other entries may have placed jobs on the freed quota already; the team still uses no more than before.
-    const fitsQuota = room.takesOverQuota.has(jobId) ||
-      withinQuota(addSize(use, size), quota);
-    if (overtakes || !fitsQuota) {
+    if (overtakes || !room.fitsQuota(candidate, quota)) {
       // Smaller jobs of the team would use up the quota forever.
       if (candidate.waitedMs >= HOLD_AFTER_MS) quotaHeld.add(spec.team);
       return { kind: "wait", reason: "quota", ...describe() };
--- a/src/jobs/plan_shard.ts
+++ b/src/jobs/plan_shard.ts
@@ -15,6 +15,7 @@
   viewWorkers,
 } from "./jobs_world.ts";
 import {
+  type Allowance,
   type Candidate,
   placeJobs,
   type PlacementBasis,
@@ -75,6 +76,7 @@
   /** Monotonic time since which reports are newer than the shard's state, in ms. */
   readonly reportsSinceMs: number;
   readonly world: JobsWorld;
+  readonly allowance?: Allowance | undefined;
 }
 
 function observeRun(input: ShardPlanInput, job: Job, run: Run): RunObservation {
@@ -166,8 +168,9 @@
   }
 }
 
-function listCandidates(
-  input: ShardPlanInput,
+/** Returns the jobs that wait for a worker, with what they reserve. */
+export function listCandidates(
+  input: Pick<ShardPlanInput, "world">,
   jobs: ReadonlyMap<string, Job>,
 ): Candidate[] {
   const { world } = input;
@@ -247,6 +250,7 @@
     candidates,
     workers,
     quotas: listQuotas(world.config),
+    allowance: input.allowance,
   });
   const waited = world.memory.waits.get(input.shard);
   const waits = new Map<string, Wait>();
--- /dev/null
+++ b/src/jobs/quota_ledger_test.ts
@@ -0,0 +1,133 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FakeJobs, POOL } from "../../testing/fake_jobs.ts";
+import { createFakeStore } from "../../testing/fake_store.ts";
+import { buildConfig, REGION } from "../../testing/fleet_world.ts";
+import { createSpec, keyOf, submit } from "../../testing/job_steps.ts";
+import { SHARD_COUNT } from "./job_key.ts";
+import { type QuotaClaim, QuotaLedger } from "./quota_ledger.ts";
+import { NO_SIZE } from "./size.ts";
+
+const QUOTA_CORES = 16;
+const TEAM = `${POOL}-team`;
+
+// Guards against dispatchers of several entries that each fill the quota which the lagging reports show as free.
+test("a team stays within its quota with several entries", async () => {
+  const config = buildConfig([
+    { name: POOL, vms: 12, minimumServingVms: 8 },
+  ]);
+  const jobs = new FakeJobs({
+    store: createFakeStore(),
+    workers: 12,
+    reportLagMs: 2_000,
+    config: {
+      ...config,
+      teams: [{ ...config.teams[0]!, name: TEAM, quota: { cores: 16 } }],
+    },
+  });
+  const shards = Array.from({ length: 4 }, (_, shard) => shard);
+  const dispatchers = shards.flatMap((shard) =>
+    jobs.createEntry(`entry-${shard}`, [shard])
+  );
+  const stepAll = async () => {
+    jobs.tick(500);
+    await Promise.all(dispatchers.map((dispatcher) => dispatcher.step()));
+  };
+  for (let step = 0; step < 8; step++) await stepAll();
+  for (const [shard, dispatcher] of dispatchers.entries()) {
+    for (let count = 0; count < 8; count++) {
+      const spec = createSpec({ command: "run 5000", idempotent: true });
+      await submit(dispatcher, keyOf(shard, jobs.nowMs), spec);
+    }
+  }
+  let largest = 0;
+  for (let step = 0; step < 160 && jobs.journal.successes.size < 32; step++) {
+    await stepAll();
+    const tasks = [...jobs.workers.values()].flatMap((
+      worker,
+    ) => [...worker.tasks.values()]);
+    const used = tasks.filter(({ state }) => state === "running")
+      .reduce((sum, { spec }) => sum + spec.cores, 0);
+    largest = Math.max(largest, used);
+  }
+  assert.is(jobs.journal.successes.size, 32, "jobs don't end");
+  assert.is(largest, QUOTA_CORES, "the quota is used, and not exceeded");
+});
+
+function createLedger(isFirst: boolean) {
+  const store = createFakeStore();
+  let nowMs = 0;
+  const clock = { wallMs: () => nowMs, monotonicMs: () => nowMs };
+  const ledger = new QuotaLedger({ store, region: REGION, clock, isFirst });
+  const quotas = new Map([["t", { cores: 10 }]]);
+  let sequence = 0;
+  const cores = (count: number) => ({ ...NO_SIZE, cores: count });
+  return {
+    advance(ms: number) {
+      nowMs += ms;
+    },
+    /** Claims as a shard and returns the granted cores. */
+    async claim(
+      shard: number,
+      team: { use?: number; urgent?: number; normal?: number; waited?: number },
+      order: Partial<QuotaClaim> = {},
+    ) {
+      const claim = {
+        use: cores(team.use ?? 0),
+        urgent: cores(team.urgent ?? 0),
+        normal: cores(team.normal ?? 0),
+        waitedMs: team.waited ?? 0,
+      };
+      const common = { shard, fencingToken: 1, sequence: ++sequence };
+      const teams = { t: claim };
+      const grants = await ledger.claim({ ...common, teams, ...order }, quotas);
+      return grants?.t?.cores;
+    },
+  };
+}
+
+// Guards against quota that is granted twice after a lost answer, a late claim or a change of the ledger's entry.
+test("what may be in use isn't granted again", async () => {
+  const { claim } = createLedger(true);
+  assert.is(await claim(1, { use: 2, normal: 5 }), 5);
+  assert.is(await claim(2, { normal: 9 }), 3, "the answer to shard 1 counts");
+  assert.is(await claim(1, { use: 3 }), 0, "a grant that wasn't used is back");
+  assert.is(await claim(1, { normal: 9 }, { sequence: 1 }), undefined);
+  assert.is(await claim(3, { normal: 9 }), 4, "a late claim changes nothing");
+  assert.is(await claim(1, { use: 9 }, { fencingToken: 2, sequence: 1 }), 0);
+  assert.is(
+    await claim(3, { normal: 9 }),
+    0,
+    "a new dispatcher's claim counts",
+  );
+});
+
+test("a new ledger grants nothing while old grants may be used", async () => {
+  const { claim } = createLedger(false);
+  assert.is(await claim(1, { normal: 5 }), undefined);
+  for (let shard = 0; shard < SHARD_COUNT; shard++) await claim(shard, {});
+  assert.is(await claim(1, { normal: 5 }), 5, "all shards are known");
+  const other = createLedger(false);
+  assert.is(await other.claim(1, { normal: 5 }), undefined);
+  other.advance(3_000);
+  assert.is(await other.claim(1, { normal: 5 }), 5, "old grants have lapsed");
+});
+
+// Guards against urgent and long-waiting jobs whose quota goes to other shards' jobs.
+test("freed quota goes to urgent jobs and to the longest wait first", async () => {
+  const { claim } = createLedger(true);
+  await claim(1, { use: 8 });
+  assert.is(await claim(2, { urgent: 4 }), 2);
+  await claim(1, { use: 5 });
+  assert.is(
+    await claim(3, { normal: 9 }),
+    1,
+    "what the urgent job needs stays",
+  );
+  await claim(3, {});
+  await claim(2, { use: 4, normal: 8, waited: 70_000 });
+  assert.is(await claim(3, { normal: 1 }), 0);
+  assert.is(await claim(3, { urgent: 1 }), 0, "all of it is granted");
+});
+
+test.run();
--- a/src/jobs/routes.ts
+++ b/src/jobs/routes.ts
@@ -7,7 +7,7 @@
 import { parseJson, parseWithSchema } from "../validation.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
-import { forwardCall } from "./forward.ts";
+import { CLAIMS_ROUTE, forwardCall } from "./forward.ts";
 import { type Job, type JobSpec, jobSpecSchema } from "./job.ts";
 import {
   issueJobKey,
@@ -20,13 +20,13 @@
   answerJson,
   type JobCall,
   type JobReply,
+  JOBS_PATH,
   replyToError,
 } from "./job_reply.ts";
 import { ownerOf } from "./ownership.ts";
+import { LEDGER_SHARD, quotaClaimSchema } from "./quota_ledger.ts";
 import { cancelJob, submitJob } from "./submission.ts";
 
-/** Path of the jobs on the callers' port. */
-export const JOBS_PATH = "/.cowslipferry/jobs";
 /** Time within which the store must confirm a change, in ms. */
 const CHANGE_DEADLINE_MS = 3_000;
 /** Time after which a shard that changes hands has an owner again, in ms. */
@@ -78,6 +78,9 @@
     const route = `${call.method} ${rest}`;
     if (route === "POST keys") return this.#issue();
     if (route === "POST ") return this.#submit(call);
+    if (route === `POST ${CLAIMS_ROUTE}` && call.forwardedBy !== undefined) {
+      return this.#answerClaim(call);
+    }
     if (route === "POST cancel") return this.#cancelMany(call);
     if (route === "GET ") return this.#list(call, url.searchParams);
     if (call.method === "GET") return this.#get(call, requireKey(rest));
@@ -87,6 +90,17 @@
     throw new JobRefusedError("unknown_job", "There is no such resource");
   }
 
+  async #answerClaim(call: JobCall): Promise<JobReply> {
+    const claim = parseWithSchema(quotaClaimSchema, parseBody(call), "claim");
+    const grants = await this.#dispatcher(LEDGER_SHARD).answerClaim(claim);
+    if (grants !== undefined) return answerJson(200, grants);
+    throw new JobRefusedError(
+      "not_owner",
+      "The ledger doesn't know all shards at the moment",
+      NOT_OWNER_RETRY_MS,
+    );
+  }
+
   #issue(): JobReply {
     const { key, issuedAtMs } = issueJobKey(this.#options.clock.wallMs());
     const expiresAtMs = issuedAtMs + JOB_KEY_LIFETIME_MS;
--- a/testing/fake_jobs.ts
+++ b/testing/fake_jobs.ts
@@ -21,6 +21,11 @@
 } from "./fake_worker.ts";
 import { Dispatcher } from "../src/jobs/dispatcher.ts";
 import { FencingReader } from "../src/jobs/fencing.ts";
+import {
+  LEDGER_SHARD,
+  type QuotaClaim,
+  type QuotaGrants,
+} from "../src/jobs/quota_ledger.ts";
 import { JobMemory } from "../src/jobs/job_memory.ts";
 import { parseTaskId } from "../src/jobs/task_id.ts";
 import { WorkerReports } from "../src/jobs/worker_reports.ts";
@@ -75,6 +80,7 @@
   };
   #options: FakeJobsOptions;
   #region: string;
+  #ledgers: Dispatcher[] = [];
 
   constructor(options: FakeJobsOptions) {
     this.#options = options;
@@ -149,8 +155,8 @@
     const { store } = this.#options;
     const region = this.#region;
     const fencing = new FencingReader({ store, region, clock });
-    return shards.map((shard) =>
-      new Dispatcher({
+    return shards.map((shard) => {
+      const dispatcher = new Dispatcher({
         shard,
         region,
         holder,
@@ -164,8 +170,20 @@
         memory,
         clock,
         log: silentLogger,
-      })
-    );
+        claimQuota: (claim) => this.#claimQuota(claim),
+      });
+      if (shard === LEDGER_SHARD) this.#ledgers.push(dispatcher);
+      return dispatcher;
+    });
+  }
+
+  /** Asks the dispatchers that may keep the ledger, the newest first. */
+  async #claimQuota(claim: QuotaClaim): Promise<QuotaGrants | undefined> {
+    for (const dispatcher of this.#ledgers.toReversed()) {
+      const grants = await dispatcher.answerClaim(claim);
+      if (grants !== undefined) return grants;
+    }
+    return undefined;
   }
 
   /** Moves time: tasks end, leases of tasks and of the store lapse. */
