feat(jobs): entries tell each other of ended runs and preemptions

Cause: each entry learns profiles and failing workers on its own, so that 9 entries run 9 times the runs until a class's reservation is learned and a worker is blamed; and an urgent job started above its quota, because the preempted tasks' shards notice the checkpoint only from lagging reports. Change: a claim carries what the entry's dispatchers found out (ended runs with use and blame, room held for urgent jobs, confirmed checkpoints) to the ledger's entry, whose answers pass on what the others sent. An urgent job waits for its grant instead of taking quota over. A shard with open jobs claims in each step. Ruled out: gossip digests as carrier (10 KB/s for each node, and a digest tells a state and no events).

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -8,13 +8,13 @@
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
 import type { WorkerAgent } from "../platform/worker_agent.ts";
 import { type FencingReader, takeFencingToken } from "./fencing.ts";
-import { classOf, type Job } from "./job.ts";
-import { type ClaimQuota, QuotaClaims } from "./quota_claims.ts";
+import type { Job } from "./job.ts";
+import type { LedgerAnswer, LedgerCall, LedgerLink } from "./ledger_link.ts";
+import { type FinishedNotice, NoticeBoard } from "./notices.ts";
+import { QuotaClaims } from "./quota_claims.ts";
 import {
   GRANT_LIFETIME_MS,
   LEDGER_SHARD,
-  type QuotaClaim,
-  type QuotaGrants,
   QuotaLedger,
 } from "./quota_ledger.ts";
 import type { JobMemory } from "./job_memory.ts";
@@ -62,7 +62,7 @@
   readonly fencing: FencingReader;
   readonly reports: WorkerReports;
   readonly memory: JobMemory;
-  readonly claimQuota: ClaimQuota;
+  readonly link: LedgerLink;
   readonly clock: Clock;
   readonly log: Logger;
 }
@@ -85,7 +85,7 @@
   #peaks = new Map<string, { cores: number; memoryMb: number }>();
   #released = false;
   #claims: QuotaClaims;
-  #ledger: QuotaLedger | undefined;
+  #ledger: { quotas: QuotaLedger; board: NoticeBoard } | undefined;
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -95,19 +95,21 @@
       key: shardKey(region, shard),
       clock,
     });
-    this.#claims = new QuotaClaims(options.claimQuota);
+    this.#claims = new QuotaClaims(options.link);
     this.#commands = new TaskCommands({
       ...options,
       mayAct: () => this.#mayAct(),
     });
   }
 
-  /** Answers a shard's claim if this dispatcher keeps the region's ledger; resolves to undefined otherwise. */
-  async answerClaim(claim: QuotaClaim): Promise<QuotaGrants | undefined> {
+  /** Answers a call if this dispatcher keeps the region's ledger; resolves to undefined otherwise. */
+  async answerLedger(call: LedgerCall): Promise<LedgerAnswer | undefined> {
     const config = this.#options.config.get()?.config;
-    if (config === undefined || this.#ledger === undefined) return undefined;
-    const grants = await this.#ledger.claim(claim, listQuotas(config));
-    return this.#mayAct() ? grants : undefined;
+    const ledger = this.#ledger;
+    if (config === undefined || ledger === undefined) return undefined;
+    const grants = await ledger.quotas.claim(call.claim, listQuotas(config));
+    if (!this.#mayAct()) return undefined;
+    return { grants, notices: ledger.board.exchange(call.notices) };
   }
 
   /** The shard's jobs while this dispatcher owns it. */
@@ -212,7 +214,10 @@
     await this.#writeFencingToken(fencingToken);
     this.#active = { fencingToken, sinceMs };
     if (shard === LEDGER_SHARD) {
-      this.#ledger = new QuotaLedger({ ...this.#options, isFirst });
+      this.#ledger = {
+        quotas: new QuotaLedger({ ...this.#options, isFirst }),
+        board: new NoticeBoard(String(fencingToken), clock),
+      };
     }
     log.info("shard taken over", { shard, fencingToken });
   }
@@ -369,23 +374,20 @@
     finished: readonly FinishedRun[],
     jobs: ReadonlyMap<string, Job>,
   ): void {
-    const { memory, clock } = this.#options;
+    const { memory, clock, link } = this.#options;
     const nowMs = clock.wallMs();
     for (const { job, run, succeeded, blame } of finished) {
       if (jobs.get(job.id) === job) continue;
-      const { vmId } = run;
-      const jobClass = classOf(job.spec);
-      memory.addEvent({ vmId, jobClass, succeeded, atMs: nowMs });
-      const use = this.#peaks.get(taskIdOf(job, run));
-      if (succeeded && use !== undefined && use.memoryMb > 0) {
-        const runTimeMs = nowMs - run.atMs;
-        memory.profiles.add(job.spec, { ...use, runTimeMs });
-      }
-      const failedProbe = memory.quarantined.has(vmId) &&
-        blame?.kind === "undecided";
-      if (blame?.kind === "worker" || failedProbe) {
-        memory.blameWorker(vmId, nowMs, { job, blame });
-      }
+      const peaks = this.#peaks.get(taskIdOf(job, run));
+      const { pool, team, jobClass } = job.spec;
+      const notice: FinishedNotice = {
+        kind: "finished",
+        ...{ jobId: job.id, vmId: run.vmId, pool, team, jobClass, succeeded },
+        use: peaks && { ...peaks, runTimeMs: nowMs - run.atMs },
+        blame,
+      };
+      memory.learn(notice, nowMs);
+      link.notify(notice);
     }
   }
 }
--- a/src/jobs/forward.ts
+++ b/src/jobs/forward.ts
@@ -8,10 +8,10 @@
 import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
 import { type JobCall, type JobReply, JOBS_PATH } from "./job_reply.ts";
 import {
-  type QuotaClaim,
-  type QuotaGrants,
-  quotaGrantsSchema,
-} from "./quota_ledger.ts";
+  type LedgerAnswer,
+  ledgerAnswerSchema,
+  type LedgerCall,
+} from "./ledger_link.ts";
 import { parseJson, parseWithSchema } from "../validation.ts";
 
 /** Time in which a shard's owner must answer, in ms; longer than its own wait for the store. */
@@ -70,22 +70,22 @@
   }
 }
 
-/** Path below the jobs' path on which the ledger's entry takes claims. */
-export const CLAIMS_ROUTE = "quota-claims";
+/** Path below the jobs' path on which the ledger's entry is called. */
+export const LEDGER_ROUTE = "ledger";
 
-/** Sends a claim to the entry that keeps the ledger; resolves to undefined if it grants nothing. Rejects like `forwardCall`. */
-export async function forwardClaim(
-  claim: QuotaClaim,
+/** Calls the entry that keeps the ledger; resolves to undefined if it doesn't. Rejects like `forwardCall`. */
+export async function callLedger(
+  call: LedgerCall,
   options: { readonly address: string; readonly entryId: string },
-): Promise<QuotaGrants | undefined> {
+): Promise<LedgerAnswer | undefined> {
   const reply = await forwardCall({
     method: "POST",
-    url: `${JOBS_PATH}/${CLAIMS_ROUTE}`,
-    body: Buffer.from(JSON.stringify(claim)),
+    url: `${JOBS_PATH}/${LEDGER_ROUTE}`,
+    body: Buffer.from(JSON.stringify(call)),
     key: undefined,
     forwardedBy: undefined,
   }, options);
   if (reply.status !== 200) return undefined;
-  const grants = parseJson(reply.body.toString(), "quota grants");
-  return parseWithSchema(quotaGrantsSchema, grants, "quota grants");
+  const answer = parseJson(reply.body.toString(), "ledger answer");
+  return parseWithSchema(ledgerAnswerSchema, answer, "ledger answer");
 }
--- a/src/jobs/job_memory.ts
+++ b/src/jobs/job_memory.ts
@@ -1,5 +1,6 @@
-import type { Blame, RunEvent } from "./blame.ts";
+import type { RunEvent } from "./blame.ts";
 import { classOf, type Job } from "./job.ts";
+import type { FinishedNotice } from "./notices.ts";
 import { JobLog } from "./job_log.ts";
 import { Profiles } from "./profiles.ts";
 import type { Wait } from "./plan_shard.ts";
@@ -19,12 +20,6 @@
   readonly untilMs: number;
 }
 
-/** A run that failed on a worker, with what it counts against. */
-export interface BlamedRun {
-  readonly job: Job;
-  readonly blame: Blame | undefined;
-}
-
 /** What the dispatchers of one entry have learned. It only guides decisions, so it may be lost with the entry. */
 export class JobMemory {
   readonly profiles = new Profiles();
@@ -64,13 +59,27 @@
     }
   }
 
+  /** Learns from a run that ended, here or at another entry. */
+  learn(run: FinishedNotice, nowMs: number): void {
+    const { vmId, succeeded, use, blame } = run;
+    const jobClass = classOf(run);
+    this.addEvent({ vmId, jobClass, succeeded, atMs: nowMs });
+    if (succeeded && use !== undefined && use.memoryMb > 0) {
+      this.profiles.add(run, use);
+    }
+    const failedProbe = this.quarantined.has(vmId) &&
+      blame?.kind === "undecided";
+    if (blame?.kind === "worker" || failedProbe) this.blameWorker(run, nowMs);
+  }
+
   /** Quarantines a worker for a run that failed there. */
-  blameWorker(vmId: string, nowMs: number, cause: BlamedRun): void {
+  blameWorker(run: FinishedNotice, nowMs: number): void {
+    const { vmId } = run;
     const known = this.quarantined.get(vmId);
     const quarantined = quarantineWorker(known, nowMs);
     if (quarantined === known) return;
     this.quarantined.set(vmId, quarantined);
-    this.log.add(this.#describeQuarantine(vmId, nowMs, cause));
+    this.log.add(this.#describeQuarantine(run, nowMs));
   }
 
   /** Forgets what a shard's dispatcher knew, as after another entry took it over. */
@@ -79,12 +88,12 @@
     this.waits.delete(shard);
   }
 
-  #describeQuarantine(vmId: string, nowMs: number, { job, blame }: BlamedRun) {
+  #describeQuarantine(run: FinishedNotice, nowMs: number) {
+    const { vmId, jobId, pool, team, blame } = run;
     const { failures, probeAtMs } = this.quarantined.get(vmId)!;
-    const { spec, id: jobId } = job;
     const here = this.#events.filter((event) => event.vmId === vmId);
     const failed = here.filter((event) => !event.succeeded);
-    const jobClass = classOf(spec);
+    const jobClass = classOf(run);
     const elsewhere = this.#events.filter((event) =>
       event.vmId !== vmId && event.succeeded && event.jobClass === jobClass
     );
@@ -92,7 +101,7 @@
     const reason = isWorker ? blame.reason : "its probe failed";
     return {
       ...{ atMs: nowMs, kind: "quarantined" as const, jobId, vmId },
-      ...{ pool: spec.pool, team: spec.team },
+      ...{ pool, team },
       summary: `quarantined until ${
         new Date(probeAtMs).toISOString()
       }: ${reason}`,
--- a/src/jobs/jobs.ts
+++ b/src/jobs/jobs.ts
@@ -13,8 +13,9 @@
 import { type JobsSummary, summarizeJobs } from "./job_summary.ts";
 import { readWorld } from "./jobs_world.ts";
 import { ownerOf } from "./ownership.ts";
-import { forwardClaim } from "./forward.ts";
-import { LEDGER_SHARD, type QuotaClaim } from "./quota_ledger.ts";
+import { callLedger } from "./forward.ts";
+import { LedgerLink } from "./ledger_link.ts";
+import { LEDGER_SHARD } from "./quota_ledger.ts";
 import { JobRoutes } from "./routes.ts";
 import { JOBS_PATH } from "./job_reply.ts";
 import { runDispatcher } from "./run_dispatcher.ts";
@@ -31,7 +32,7 @@
 export interface JobsOptions extends
   Omit<
     DispatcherOptions,
-    "shard" | "holder" | "fencing" | "reports" | "memory" | "claimQuota"
+    "shard" | "holder" | "fencing" | "reports" | "memory" | "link"
   > {
   readonly entryId: string;
   /** Digests of the region's live entries, this one included. */
@@ -63,12 +64,15 @@
   const dispatcherOf = (shard: number) => running.get(shard)?.dispatcher;
   const routes = new JobRoutes({ ...options, dispatcherOf });
 
-  async function claimQuota(claim: QuotaClaim) {
-    const owner = ownerOf(LEDGER_SHARD, options, entries.get());
-    return owner.callerAddress === undefined
-      ? await dispatcherOf(LEDGER_SHARD)?.answerClaim(claim)
-      : await forwardClaim(claim, { address: owner.callerAddress, entryId });
-  }
+  const link = new LedgerLink({
+    ...{ entryId, memory, reports, clock },
+    async send(call) {
+      const owner = ownerOf(LEDGER_SHARD, options, entries.get());
+      return owner.callerAddress === undefined
+        ? await dispatcherOf(LEDGER_SHARD)?.answerLedger(call)
+        : await callLedger(call, { address: owner.callerAddress, entryId });
+    },
+  });
 
   function* start(shard: number): Operation<void> {
     const holder = entryId;
@@ -79,7 +83,7 @@
       fencing,
       reports,
       memory,
-      claimQuota,
+      link,
     });
     const task = yield* spawn(() => runDispatcher(dispatcher));
     running.set(shard, { dispatcher, task });
--- a/src/jobs/placement.ts
+++ b/src/jobs/placement.ts
@@ -136,13 +136,13 @@
   /** Whether a job's team may use as much more of its quota. */
   fitsQuota(candidate: Candidate, quota: Quota): boolean {
     const { jobId, spec, size } = candidate;
-    // Other entries may have placed jobs on the freed quota already; the team still uses no more than before.
-    if (this.takesOverQuota.has(jobId)) return true;
     const { kind } = this.allowance;
     const isLimited = Object.keys(quota).length > 0;
     if (kind === "granted" && isLimited) {
       return fits(size, this.#granted.get(spec.team) ?? NO_SIZE);
     }
+    // Other entries may have placed jobs on the freed quota already; the team still uses no more than before.
+    if (this.takesOverQuota.has(jobId)) return true;
     const isOpen = kind !== "unanswered" || !isLimited ||
       spec.priority === "urgent";
     return isOpen && withinQuota(addSize(this.useFor(candidate), size), quota);
--- a/src/jobs/profiles.ts
+++ b/src/jobs/profiles.ts
@@ -43,7 +43,7 @@
   #profiles = new Map<string, Profile>();
 
   /** Adds a run that succeeded. */
-  add(spec: JobSpec, use: RunUse): void {
+  add(spec: Pick<JobSpec, "team" | "jobClass">, use: RunUse): void {
     const key = classOf(spec);
     let profile = this.#profiles.get(key);
     if (profile === undefined) {
--- a/src/jobs/quota_claims.ts
+++ b/src/jobs/quota_claims.ts
@@ -1,39 +1,23 @@
 import type { Size } from "./job.ts";
+import type { LedgerLink } from "./ledger_link.ts";
 import { listQuotas } from "./jobs_world.ts";
 import type { Allowance, Candidate } from "./placement.ts";
 import { listCandidates, type ShardPlanInput } from "./plan_shard.ts";
-import {
-  type QuotaClaim,
-  type QuotaGrants,
-  type TeamClaim,
-  useByTeam,
-} from "./quota_ledger.ts";
-import { settleWithin } from "./settle_within.ts";
+import { type QuotaGrants, type TeamClaim, useByTeam } from "./quota_ledger.ts";
 import { addSize, NO_SIZE } from "./size.ts";
 
-/** Time after which an unchanged claim is made again, in ms, so that a new ledger knows the shard soon. */
-const REPEAT_MS = 2_000;
-/** Time within which a claim must be answered, in ms. */
-const ANSWER_LIMIT_MS = 300;
-
-/** Sends a claim to the region's ledger; resolves to undefined if nothing was granted or the ledger can't be reached. */
-export type ClaimQuota = (
-  claim: QuotaClaim,
-) => Promise<QuotaGrants | undefined>;
-
 /** What a shard is planned from, without its allowance. */
 export type ClaimInput = Omit<ShardPlanInput, "allowance">;
 
 /** Makes the claims of one shard. */
 export class QuotaClaims {
-  #send: ClaimQuota;
+  #link: LedgerLink;
   #sequence = 0;
   /** What the ledger counts for the shard; undefined when that isn't known. */
   #counted: string | undefined;
-  #sentAtMs = -Infinity;
 
-  constructor(send: ClaimQuota) {
-    this.#send = send;
+  constructor(link: LedgerLink) {
+    this.#link = link;
   }
 
   /** Forgets what the ledger counts, as after another dispatcher had the shard. */
@@ -45,7 +29,11 @@
   async ask(input: ClaimInput): Promise<Allowance> {
     const candidates = listCandidates(input, input.jobs);
     const teams = listClaims(input, candidates);
-    const grants = await this.#claim(input, teams);
+    // Open jobs claim in each step, because the answers bring other entries' notices.
+    const isOpen = [...input.jobs.values()].some(({ state }) =>
+      state.kind !== "ended"
+    );
+    const grants = await this.#claim(input, teams, isOpen);
     return grants === undefined ? { kind: "unanswered" } : {
       kind: "granted",
       byTeam: new Map(Object.entries(grants)),
@@ -54,36 +42,27 @@
 
   /** Tells what the shard uses after a step, which returns what was granted in vain. */
   async settle(input: ClaimInput): Promise<void> {
-    await this.#claim(input, listClaims(input, []));
+    await this.#claim(input, listClaims(input, []), false);
   }
 
   async #claim(
-    { shard, fencingToken, world }: ClaimInput,
+    { shard, fencingToken }: ClaimInput,
     teams: Map<string, TeamClaim>,
+    asks: boolean,
   ): Promise<QuotaGrants | undefined> {
-    const wants = [...teams.values()].some(({ urgent, normal }) =>
-      urgent.cores > 0 || normal.cores > 0
+    const use = JSON.stringify(
+      [...teams].map(([team, { use }]) => [team, use]),
     );
-    const counted = JSON.stringify([...teams].map(([team, { use }]) => [
-      team,
-      use,
-    ]));
-    const isRepeated = world.nowMs - this.#sentAtMs >= REPEAT_MS;
-    if (!wants && counted === this.#counted && !isRepeated) return {};
-    if (!wants && teams.size === 0 && counted === this.#counted) return {};
+    if (!asks && use === this.#counted) return {};
     // Until the answer is known, the ledger may count more than the use.
     this.#counted = undefined;
-    this.#sentAtMs = world.nowMs;
-    const claim: QuotaClaim = {
+    const grants = await this.#link.claim({
       ...{ shard, fencingToken, sequence: ++this.#sequence },
       teams: Object.fromEntries(teams),
-    };
-    const grants = await settleWithin(
-      this.#send(claim).catch(() => undefined),
-      ANSWER_LIMIT_MS,
-    );
-    if (grants === undefined || wants) return grants;
-    this.#counted = counted;
+    });
+    const isExact = grants !== undefined &&
+      Object.values(grants).every((size) => size.cores === 0);
+    if (isExact) this.#counted = use;
     return grants;
   }
 }
--- a/src/jobs/routes.ts
+++ b/src/jobs/routes.ts
@@ -7,7 +7,7 @@
 import { parseJson, parseWithSchema } from "../validation.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
-import { CLAIMS_ROUTE, forwardCall } from "./forward.ts";
+import { forwardCall, LEDGER_ROUTE } from "./forward.ts";
 import { type Job, type JobSpec, jobSpecSchema } from "./job.ts";
 import {
   issueJobKey,
@@ -24,7 +24,8 @@
   replyToError,
 } from "./job_reply.ts";
 import { ownerOf } from "./ownership.ts";
-import { LEDGER_SHARD, quotaClaimSchema } from "./quota_ledger.ts";
+import { ledgerCallSchema } from "./ledger_link.ts";
+import { LEDGER_SHARD } from "./quota_ledger.ts";
 import { cancelJob, submitJob } from "./submission.ts";
 
 /** Time within which the store must confirm a change, in ms. */
@@ -78,8 +79,8 @@
     const route = `${call.method} ${rest}`;
     if (route === "POST keys") return this.#issue();
     if (route === "POST ") return this.#submit(call);
-    if (route === `POST ${CLAIMS_ROUTE}` && call.forwardedBy !== undefined) {
-      return this.#answerClaim(call);
+    if (route === `POST ${LEDGER_ROUTE}` && call.forwardedBy !== undefined) {
+      return this.#answerLedger(call);
     }
     if (route === "POST cancel") return this.#cancelMany(call);
     if (route === "GET ") return this.#list(call, url.searchParams);
@@ -90,13 +91,13 @@
     throw new JobRefusedError("unknown_job", "There is no such resource");
   }
 
-  async #answerClaim(call: JobCall): Promise<JobReply> {
-    const claim = parseWithSchema(quotaClaimSchema, parseBody(call), "claim");
-    const grants = await this.#dispatcher(LEDGER_SHARD).answerClaim(claim);
-    if (grants !== undefined) return answerJson(200, grants);
+  async #answerLedger(call: JobCall): Promise<JobReply> {
+    const body = parseWithSchema(ledgerCallSchema, parseBody(call), "claim");
+    const answer = await this.#dispatcher(LEDGER_SHARD).answerLedger(body);
+    if (answer !== undefined) return answerJson(200, answer);
     throw new JobRefusedError(
       "not_owner",
-      "The ledger doesn't know all shards at the moment",
+      "This entry doesn't keep the ledger at the moment",
       NOT_OWNER_RETRY_MS,
     );
   }
--- a/src/jobs/task_commands.ts
+++ b/src/jobs/task_commands.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../logger.ts";
 import type { WorkerAgent } from "../platform/worker_agent.ts";
 import { activeRun, type Job, type Run } from "./job.ts";
+import type { LedgerLink } from "./ledger_link.ts";
 import type { JobMemory } from "./job_memory.ts";
 import { type JobsWorld, listWorkers } from "./jobs_world.ts";
 import type { ShardPlan, TaskOnWorker } from "./plan_shard.ts";
@@ -22,6 +23,7 @@
   readonly agent: WorkerAgent;
   readonly reports: WorkerReports;
   readonly memory: JobMemory;
+  readonly link: LedgerLink;
   readonly clock: Clock;
   readonly log: Logger;
   /** Whether the shard's lease still covers the start of a task; asked right before each command. */
@@ -127,7 +129,7 @@
 
   /** Sends stops, checkpoints and throttles of a plan. */
   async sendOthers(plan: ShardPlan): Promise<void> {
-    const { agent, reports, memory, clock } = this.#options;
+    const { agent, reports, memory, link, clock } = this.#options;
     const calls = plan.stops.map((target) => this.#stop(target));
     for (const { need, worker, victims } of plan.preemptions) {
       const { jobId, team, size, exceedsQuota } = need;
@@ -135,11 +137,13 @@
       const held = { jobId, team, size, freedBy, freesQuota: exceedsQuota };
       memory.endHold(jobId);
       memory.hold(worker.vmId, held, clock.wallMs());
+      link.notify({ kind: "held", vmId: worker.vmId, held });
       for (const victim of victims) {
         const { taskId } = victim.task;
         calls.push(this.#send(async () => {
           await agent.checkpointTask(victim.worker.controlAddress, taskId);
           reports.noteCheckpoint(taskId);
+          link.notify({ kind: "checkpointed", taskId });
         }));
       }
     }
--- a/testing/fake_jobs.ts
+++ b/testing/fake_jobs.ts
@@ -22,10 +22,11 @@
 import { Dispatcher } from "../src/jobs/dispatcher.ts";
 import { FencingReader } from "../src/jobs/fencing.ts";
 import {
-  LEDGER_SHARD,
-  type QuotaClaim,
-  type QuotaGrants,
-} from "../src/jobs/quota_ledger.ts";
+  type LedgerAnswer,
+  type LedgerCall,
+  LedgerLink,
+} from "../src/jobs/ledger_link.ts";
+import { LEDGER_SHARD } from "../src/jobs/quota_ledger.ts";
 import { JobMemory } from "../src/jobs/job_memory.ts";
 import { parseTaskId } from "../src/jobs/task_id.ts";
 import { WorkerReports } from "../src/jobs/worker_reports.ts";
@@ -155,6 +156,10 @@
     const { store } = this.#options;
     const region = this.#region;
     const fencing = new FencingReader({ store, region, clock });
+    const link = new LedgerLink({
+      ...{ entryId: holder, memory, reports, clock },
+      send: (call) => this.#callLedger(call),
+    });
     return shards.map((shard) => {
       const dispatcher = new Dispatcher({
         shard,
@@ -170,7 +175,7 @@
         memory,
         clock,
         log: silentLogger,
-        claimQuota: (claim) => this.#claimQuota(claim),
+        link,
       });
       if (shard === LEDGER_SHARD) this.#ledgers.push(dispatcher);
       return dispatcher;
@@ -178,10 +183,10 @@
   }
 
   /** Asks the dispatchers that may keep the ledger, the newest first. */
-  async #claimQuota(claim: QuotaClaim): Promise<QuotaGrants | undefined> {
+  async #callLedger(call: LedgerCall): Promise<LedgerAnswer | undefined> {
     for (const dispatcher of this.#ledgers.toReversed()) {
-      const grants = await dispatcher.answerClaim(claim);
-      if (grants !== undefined) return grants;
+      const answer = await dispatcher.answerLedger(call);
+      if (answer !== undefined) return answer;
     }
     return undefined;
   }
