fix(jobs): quota that is freed for an urgent job stays its own between claims

Cause: the claim at the end of a step told only what the shard uses, so the ledger forgot that an urgent job still waits and granted the quota that its preemption frees to other shards' jobs, each time anew. Change: that claim also tells what still waits and asks for no grant. Ruled out: taking the quota over without a grant, which exceeds it. Test: quota_ledger_test.ts with urgent jobs; without the wants in the closing claim one of them never starts in the test's time (35 of 36 jobs end). What is left above the quotas comes with tasks that the ledger doesn't count; their kind isn't known yet.

--- a/src/jobs/quota_claims.ts
+++ b/src/jobs/quota_claims.ts
@@ -33,7 +33,9 @@
     const isOpen = [...input.jobs.values()].some(({ state }) =>
       state.kind !== "ended"
     );
-    const grants = await this.#claim(input, teams, isOpen);
+    const grants = isOpen || this.#counted === undefined
+      ? await this.#claim(input, teams, true)
+      : {};
     return grants === undefined ? { kind: "unanswered" } : {
       kind: "granted",
       byTeam: new Map(Object.entries(grants)),
@@ -42,7 +44,8 @@
 
   /** Tells what the shard uses after a step, which returns what was granted in vain. */
   async settle(input: ClaimInput): Promise<void> {
-    await this.#claim(input, listClaims(input, []), false);
+    const candidates = listCandidates(input, input.jobs);
+    await this.#claim(input, listClaims(input, candidates), false);
   }
 
   async #claim(
@@ -50,19 +53,19 @@
     teams: Map<string, TeamClaim>,
     asks: boolean,
   ): Promise<QuotaGrants | undefined> {
-    const use = JSON.stringify(
-      [...teams].map(([team, { use }]) => [team, use]),
+    const counted = JSON.stringify(
+      [...teams].map(([team, { use, urgent }]) => [team, use, urgent]),
     );
-    if (!asks && use === this.#counted) return {};
+    if (!asks && counted === this.#counted) return {};
     // Until the answer is known, the ledger may count more than the use.
     this.#counted = undefined;
     const grants = await this.#link.claim({
-      ...{ shard, fencingToken, sequence: ++this.#sequence },
+      ...{ shard, fencingToken, sequence: ++this.#sequence, asks },
       teams: Object.fromEntries(teams),
     });
     const isExact = grants !== undefined &&
       Object.values(grants).every((size) => size.cores === 0);
-    if (isExact) this.#counted = use;
+    if (isExact) this.#counted = counted;
     return grants;
   }
 }
--- a/src/jobs/quota_ledger.ts
+++ b/src/jobs/quota_ledger.ts
@@ -37,6 +37,8 @@
   fencingToken: z.number().int(),
   /** Orders the claims of one dispatcher. */
   sequence: z.number().int(),
+  /** Whether the claim asks for grants; otherwise it returns them and tells what still waits. */
+  asks: z.boolean(),
   teams: z.record(z.string(), teamClaimSchema),
 });
 
@@ -124,6 +126,7 @@
       return undefined;
     }
     const granted: QuotaGrants = {};
+    if (!claim.asks) return granted;
     for (const [team, wanted] of Object.entries(claim.teams)) {
       const quota = quotas.get(team) ?? {};
       granted[team] = this.#grant(claim.shard, { team, wanted, quota });
@@ -194,7 +197,7 @@
       const { fencingToken } = record;
       if (this.#claims.has(shard)) return;
       this.#note({
-        ...{ shard, fencingToken, sequence: -1, granted: {} },
+        ...{ shard, fencingToken, sequence: -1, asks: false, granted: {} },
         teams: Object.fromEntries(teams),
       });
     }));
--- a/src/jobs/quota_ledger_test.ts
+++ b/src/jobs/quota_ledger_test.ts
@@ -11,7 +11,7 @@
 const QUOTA_CORES = 16;
 const TEAM = `${POOL}-team`;
 
-// Guards against dispatchers of several entries that each fill the quota which the lagging reports show as free.
+// Guards against dispatchers of several entries that each fill the quota which the lagging reports show as free, and against freed quota that other shards take from an urgent job.
 test("a team stays within its quota with several entries", async () => {
   const config = buildConfig([
     { name: POOL, vms: 12, minimumServingVms: 8 },
@@ -40,9 +40,18 @@
       await submit(dispatcher, keyOf(shard, jobs.nowMs), spec);
     }
   }
+  const urgent = createSpec({
+    ...{ command: "run 1000", priority: "urgent", cores: 6 },
+  });
+  const urgentKeys: { key: string; sentAtMs: number }[] = [];
   let largest = 0;
-  for (let step = 0; step < 160 && jobs.journal.successes.size < 32; step++) {
+  for (let step = 0; step < 200 && jobs.journal.successes.size < 36; step++) {
     await stepAll();
+    if (step % 8 === 4 && urgentKeys.length < 4) {
+      const key = keyOf(urgentKeys.length, jobs.nowMs);
+      await submit(dispatchers[urgentKeys.length]!, key, urgent);
+      urgentKeys.push({ key: key.key, sentAtMs: jobs.nowMs });
+    }
     const tasks = [...jobs.workers.values()].flatMap((
       worker,
     ) => [...worker.tasks.values()]);
@@ -50,7 +59,11 @@
       .reduce((sum, { spec }) => sum + spec.cores, 0);
     largest = Math.max(largest, used);
   }
-  assert.is(jobs.journal.successes.size, 32, "jobs don't end");
+  assert.is(jobs.journal.successes.size, 36, "jobs don't end");
+  for (const { key, sentAtMs } of urgentKeys) {
+    const waitMs = jobs.journal.firstStartMs.get(key)! - sentAtMs;
+    assert.ok(waitMs <= 5_400, `an urgent job waited ${waitMs} ms`);
+  }
   assert.is(largest, QUOTA_CORES, "the quota is used, and not exceeded");
 });
 
@@ -78,7 +91,9 @@
         normal: cores(team.normal ?? 0),
         waitedMs: team.waited ?? 0,
       };
-      const common = { shard, fencingToken: 1, sequence: ++sequence };
+      const common = {
+        ...{ shard, fencingToken: 1, sequence: ++sequence, asks: true },
+      };
       const teams = { t: claim };
       const grants = await ledger.claim({ ...common, teams, ...order }, quotas);
       return grants?.t?.cores;
@@ -118,6 +133,7 @@
   const { claim } = createLedger(true);
   await claim(1, { use: 8 });
   assert.is(await claim(2, { urgent: 4 }), 2);
+  await claim(2, { urgent: 4 }, { asks: false });
   await claim(1, { use: 5 });
   assert.is(
     await claim(3, { normal: 9 }),
