fix(jobs): a late notice of a checkpoint doesn't undo a later start

Each had been checkpointed and continued, and was then taken for checkpointed again: an entry that preempts a task chooses it from a lagging report, so its checkpoint may come before the continuation and its notice after it. Change: the notice names the time of the command, and the task's shard ignores it if the task was started, continued or renewed at that time or later. Then the lagging report tells. Test: ledger_link_test.ts, fails without the comparison of the times.

--- a/src/jobs/ledger_link.ts
+++ b/src/jobs/ledger_link.ts
@@ -103,8 +103,12 @@
         return memory.hold(notice.vmId, notice.held, clock.wallMs());
       case "checkpointed": {
         // The task's own shard gives its quota back without waiting for the lagging report.
-        const shard = parseTaskId(notice.taskId)?.shard ?? -1;
-        if (memory.owned.has(shard)) reports.noteCheckpoint(notice.taskId);
+        const { taskId, atMs } = notice;
+        const shard = parseTaskId(taskId)?.shard ?? -1;
+        // The sender chose the task from a lagging report and may have sent the command before the task was continued.
+        const isCurrent = memory.owned.has(shard) &&
+          reports.lastStartMs(taskId) < atMs;
+        if (isCurrent) reports.noteCheckpoint(taskId);
         return;
       }
       default:
--- /dev/null
+++ b/src/jobs/ledger_link_test.ts
@@ -0,0 +1,76 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { FakeJobs } from "../../testing/fake_jobs.ts";
+import { createFakeStore } from "../../testing/fake_store.ts";
+import { JobMemory } from "./job_memory.ts";
+import { LedgerLink } from "./ledger_link.ts";
+import { type Notice, NoticeBoard } from "./notices.ts";
+import { WorkerReports } from "./worker_reports.ts";
+
+const TASK = "0-loyw4fw8-969aa61b493ecf9d~1~t~c~normal~2~100~0";
+const CLAIM = {
+  ...{ shard: 0, fencingToken: 1, sequence: 1, asks: true },
+  teams: {},
+};
+
+function createPair() {
+  const fake = new FakeJobs({ store: createFakeStore(), workers: 1 });
+  const { agent, clock } = fake;
+  const board = new NoticeBoard("1", clock);
+  const entries = ["a", "b"].map((entryId) => {
+    const memory = new JobMemory();
+    memory.owned.set(0, new Map());
+    const reports = new WorkerReports(agent, clock);
+    const link = new LedgerLink({
+      ...{ entryId, memory, reports, clock },
+      send: ({ notices }) =>
+        Promise.resolve({ grants: {}, notices: board.exchange(notices) }),
+    });
+    return { link, memory, reports };
+  });
+  return { fake, a: entries[0]!, b: entries[1]! };
+}
+
+async function tell(
+  { a, b }: ReturnType<typeof createPair>,
+  notice: Notice,
+): Promise<void> {
+  a.link.notify(notice);
+  await a.link.claim(CLAIM);
+  await b.link.claim(CLAIM);
+}
+
+// Guards against a task that runs on without being counted, because the notice of an older checkpoint came after its continuation.
+test("the notice of a checkpoint doesn't undo a later start", async () => {
+  const pair = createPair();
+  const { fake, b } = pair;
+  const atMs = fake.nowMs;
+  const notice = { kind: "checkpointed", taskId: TASK, atMs } as const;
+  await tell(pair, notice);
+  assert.is(b.reports.isCheckpointConfirmed(TASK), true);
+  fake.nowMs += 100;
+  b.reports.noteStart(TASK);
+  await tell(pair, notice);
+  assert.is(b.reports.isCheckpointConfirmed(TASK), false);
+});
+
+// Guards against entries that each need a class's first runs and a failing worker's failures of their own.
+test("an entry learns from the runs of others once", async () => {
+  const pair = createPair();
+  const { a, b } = pair;
+  const run = {
+    kind: "finished",
+    ...{ jobId: "j", vmId: "w0", pool: "a", team: "t", jobClass: "c" },
+    succeeded: true,
+    use: { cores: 1, memoryMb: 100, runTimeMs: 1_000 },
+  } as const;
+  await tell(pair, run);
+  await b.link.claim(CLAIM);
+  assert.is(b.memory.profiles.largest(1)[0]?.runs, 1);
+  assert.is(a.memory.events.length, 0, "the sender has learned by itself");
+  const blame = { kind: "worker", reason: "r" } as const;
+  await tell(pair, { ...run, succeeded: false, use: undefined, blame });
+  assert.ok(b.memory.quarantined.has("w0"));
+});
+
+test.run();
--- a/src/jobs/notices.ts
+++ b/src/jobs/notices.ts
@@ -33,7 +33,12 @@
     }),
   }),
   /** A worker confirmed the checkpoint of a preempted task. */
-  z.object({ kind: z.literal("checkpointed"), taskId: z.string() }),
+  z.object({
+    kind: z.literal("checkpointed"),
+    taskId: z.string(),
+    /** Wall-clock time at which the command was sent, in ms. */
+    atMs: z.number(),
+  }),
 ]);
 
 /** What one entry's dispatchers tell those of the others. They only inform: losing some costs time. */
--- a/src/jobs/task_commands.ts
+++ b/src/jobs/task_commands.ts
@@ -141,9 +141,10 @@
       for (const victim of victims) {
         const { taskId } = victim.task;
         calls.push(this.#send(async () => {
+          const atMs = clock.wallMs();
           await agent.checkpointTask(victim.worker.controlAddress, taskId);
           reports.noteCheckpoint(taskId);
-          link.notify({ kind: "checkpointed", taskId });
+          link.notify({ kind: "checkpointed", taskId, atMs });
         }));
       }
     }
--- a/src/jobs/worker_reports.ts
+++ b/src/jobs/worker_reports.ts
@@ -20,6 +20,8 @@
 const FRESH_MS = 5_000;
 /** Time for which an acknowledged checkpoint overrides the lagging reports, in ms. */
 const OVERRIDE_MS = 10_000;
+/** Time for which starts are remembered, in ms; longer than a checkpoint's notice takes between entries. */
+const START_KEPT_MS = 15_000;
 
 interface Observation {
   askedAtMs: number;
@@ -48,6 +50,7 @@
   #clock: Clock;
   #observations = new Map<string, Observation>();
   #checkpointed = new Map<string, number>();
+  #startedAtMs = new Map<string, number>();
 
   constructor(agent: WorkerAgent, clock: Clock) {
     this.#agent = agent;
@@ -63,6 +66,11 @@
     for (const [taskId, untilMs] of this.#checkpointed) {
       if (untilMs <= nowMs) this.#checkpointed.delete(taskId);
     }
+    for (const [taskId, atMs] of this.#startedAtMs) {
+      if (this.#clock.wallMs() - atMs >= START_KEPT_MS) {
+        this.#startedAtMs.delete(taskId);
+      }
+    }
     await Promise.all(workers.map((vm) => {
       const seen = this.#observations.get(vm.id);
       if (seen?.answer !== undefined) return seen.answer;
@@ -80,6 +88,12 @@
   /** Notes that a task was started or continued. */
   noteStart(taskId: string): void {
     this.#checkpointed.delete(taskId);
+    this.#startedAtMs.set(taskId, this.#clock.wallMs());
+  }
+
+  /** Wall-clock time of a task's last start, continuation or renewal, in ms; -Infinity if that was long ago. */
+  lastStartMs(taskId: string): number {
+    return this.#startedAtMs.get(taskId) ?? -Infinity;
   }
 
   /** Returns the newest report of an incarnation if it was asked for at or after a time. */
