fix(jobs): a continued task isn't taken for checkpointed by an older report

Each was checkpointed once and continued 0.5 to 1 s later; then the 2 s old reports showed it first as running, which ended the protection of a continued run, and then as checkpointed. Change: the protection of 15 s holds for a run that was reported as running in the meantime, too.

--- a/src/jobs/reconcile.ts
+++ b/src/jobs/reconcile.ts
@@ -70,13 +70,13 @@
 
 /** Whether a reported checkpoint may be the one that the run was continued from. */
 function isOlderCheckpoint(
-  { state }: Job,
   run: Run,
   { observation, nowMs }: ReconcileInput,
 ): boolean {
   const confirmed = observation.kind === "reported" &&
     observation.checkpointConfirmed;
-  return state.kind === "assigned" && run.resumed === true && !confirmed &&
+  // A report from before the checkpoint may have shown the run as running in the meantime.
+  return run.resumed === true && !confirmed &&
     nowMs - run.atMs < RESUME_SETTLE_MS;
 }
 
@@ -104,7 +104,7 @@
         : endJob(job, { kind: "failed", reason: "task_stopped" }, nowMs);
     case "checkpointed":
       if (cancelled) return endJob(job, { kind: "cancelled" }, nowMs);
-      if (isOlderCheckpoint(job, run, input)) return job;
+      if (isOlderCheckpoint(run, input)) return job;
       return job.state.kind === "checkpointed" ? job : {
         ...job,
         state: { kind: "checkpointed", run, sinceMs: nowMs },
