fix(jobs): entries count each other's newest tasks on workers

Change: with its claim an entry tells which tasks it has assigned, and the others count them on their workers for 5 s unless a report shows their end. A hold for an urgent job ends when its start is told. A checkpoint that the entry saw confirmed beats an assignment that it was told of before. Ruled out: a share of each worker for each entry (a job of half a worker would fit no share of a ninth). Test: ledger_link_test.ts, fails without the told starts.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -276,7 +276,7 @@
   }
 
   async #dispatch(world: JobsWorld): Promise<DispatcherStep> {
-    const { shard, memory } = this.#options;
+    const { shard, memory, link, clock } = this.#options;
     const base = this.writer.record;
     const active = this.#active;
     if (base === undefined || active === undefined) return "replaced";
@@ -290,7 +290,6 @@
       reportsSinceMs: active.sinceMs,
       world,
     };
-    const { clock } = this.#options;
     const askedAtMs = clock.monotonicMs();
     const allowance = await this.#claims.ask(input);
     const plan = planShard({ ...input, allowance });
@@ -298,13 +297,17 @@
     if (!await this.#commit(base.jobs, plan)) return "replaced";
     const record = this.writer.record;
     if (record === undefined) return "replaced";
-    await this.#claims.settle({ ...input, jobs: record.jobs });
     memory.owned.set(shard, record.jobs);
     this.#explain(base.jobs, record.jobs, { plan, nowMs: world.nowMs });
-    for (const { id, state } of plan.changes) {
-      if (state.kind === "assigned") memory.endHold(id);
+    for (const job of plan.changes) {
+      if (job.state.kind !== "assigned") continue;
+      memory.endHold(job.id);
+      const { run } = job.state;
+      const taskId = taskIdOf(job, run);
+      link.notify({ kind: "started", vmId: run.vmId, taskId });
     }
     this.#learn(plan.finished, record.jobs);
+    await this.#claims.settle({ ...input, jobs: record.jobs });
     const sent = [
       this.#commands.sendRuns(record.jobs, {
         world,
--- a/src/jobs/job_memory.ts
+++ b/src/jobs/job_memory.ts
@@ -6,6 +6,7 @@
 import type { Wait } from "./plan_shard.ts";
 import type { Relief } from "./pressure.ts";
 import { type Quarantined, quarantineWorker } from "./quarantine.ts";
+import { parseTaskId } from "./task_id.ts";
 import type { Held } from "./worker_view.ts";
 
 /** Time for which finished runs are kept for blame, in ms. */
@@ -15,6 +16,9 @@
 /** Time for which preempted capacity is held for its urgent job, in ms. */
 const HOLD_MS = 5_000;
 
+/** Time for which another entry's start counts although no report shows it, in ms: the start, the lag and the interval of the reports. */
+const UNSEEN_MS = 5_000;
+
 /** Capacity held for an urgent job. */
 export interface Hold extends Held {
   readonly untilMs: number;
@@ -36,6 +40,8 @@
   readonly waits = new Map<number, ReadonlyMap<string, Wait>>();
   /** Recent decisions with their reasons. */
   readonly log = new JobLog();
+  /** Tasks that other entries assigned in the last seconds, by task id. */
+  readonly #starts = new Map<string, { vmId: string; untilMs: number }>();
   #events: RunEvent[] = [];
 
   /** Finished runs of the last minutes. */
@@ -59,6 +65,22 @@
     }
   }
 
+  /** Notes a task that another entry assigned. */
+  noteStart(start: { vmId: string; taskId: string }, nowMs: number): void {
+    const { vmId, taskId } = start;
+    this.#starts.set(taskId, { vmId, untilMs: nowMs + UNSEEN_MS });
+    const started = parseTaskId(taskId);
+    if (started !== undefined) this.endHold(started.jobId);
+  }
+
+  /** Returns tasks that other entries assigned and that reports may not show yet. */
+  listUnseenStarts(nowMs: number): { vmId: string; taskId: string }[] {
+    for (const [taskId, { untilMs }] of this.#starts) {
+      if (untilMs <= nowMs) this.#starts.delete(taskId);
+    }
+    return [...this.#starts].map(([taskId, { vmId }]) => ({ vmId, taskId }));
+  }
+
   /** Learns from a run that ended, here or at another entry. */
   learn(run: FinishedNotice, nowMs: number): void {
     const { vmId, succeeded, use, blame } = run;
--- a/src/jobs/jobs_world.ts
+++ b/src/jobs/jobs_world.ts
@@ -126,26 +126,31 @@
   return standings;
 }
 
-/** Returns the tasks of each worker: those that it reports, and those that this entry's shards have assigned to it. */
+/** Returns the tasks of each worker: those that it reports, those that this entry's shards have assigned to it, and those that other entries have assigned just now. */
 function listTasks(world: JobsWorld, jobs: Iterable<Job>) {
-  const { reports } = world;
+  const { reports, memory, nowMs } = world;
   const tasks = new Map<string, TaskView[]>();
+  const add = (vmId: string, taskId: string) => {
+    const known = tasks.get(vmId) ?? [];
+    if (known.some((task) => task.taskId === taskId)) return;
+    const identity = parseTaskId(taskId)!;
+    const use = { usedCores: undefined, usedMemoryMb: undefined };
+    known.push({ taskId, identity, ...use });
+    tasks.set(vmId, known);
+  };
   for (const vmId of Object.keys(world.fleet.vms)) {
     tasks.set(vmId, reports.runningTasks(vmId).map(({ view }) => view));
   }
   for (const job of jobs) {
     const run = activeRun(job);
     if (run === undefined) continue;
-    const taskId = taskIdOf(job, run);
-    const known = tasks.get(run.vmId) ?? [];
-    if (known.some((task) => task.taskId === taskId)) continue;
-    known.push({
-      taskId,
-      identity: parseTaskId(taskId)!,
-      usedCores: undefined,
-      usedMemoryMb: undefined,
-    });
-    tasks.set(run.vmId, known);
+    add(run.vmId, taskIdOf(job, run));
+  }
+  for (const { vmId, taskId } of memory.listUnseenStarts(nowMs)) {
+    if (reports.isCheckpointConfirmed(taskId)) continue;
+    const state = reports.taskStatus(vmId, taskId)?.state ?? "running";
+    // A report that shows a checkpoint may be older than the continuation.
+    if (state === "running" || state === "checkpointed") add(vmId, taskId);
   }
   return tasks;
 }
--- a/src/jobs/ledger_link.ts
+++ b/src/jobs/ledger_link.ts
@@ -67,6 +67,11 @@
     this.#waiting = [...this.#waiting, notice].slice(-MAXIMUM_WAITING);
   }
 
+  /** Whether notices wait for a claim. */
+  get hasNotices(): boolean {
+    return this.#waiting.length > 0;
+  }
+
   /** Makes a claim; resolves to undefined if nothing was granted or the ledger can't be reached. */
   async claim(claim: QuotaClaim): Promise<QuotaGrants | undefined> {
     const { entryId, send } = this.#options;
@@ -101,6 +106,10 @@
       case "held":
         memory.endHold(notice.held.jobId);
         return memory.hold(notice.vmId, notice.held, clock.wallMs());
+      case "started":
+        // A checkpoint that this entry saw confirmed was before the start.
+        reports.noteStart(notice.taskId);
+        return memory.noteStart(notice, clock.wallMs());
       case "checkpointed": {
         // The task's own shard gives its quota back without waiting for the lagging report.
         const { taskId, atMs } = notice;
--- a/src/jobs/ledger_link_test.ts
+++ b/src/jobs/ledger_link_test.ts
@@ -2,6 +2,9 @@
 import * as assert from "uvu/assert";
 import { FakeJobs } from "../../testing/fake_jobs.ts";
 import { createFakeStore } from "../../testing/fake_store.ts";
+import { REGION } from "../../testing/fleet_world.ts";
+import { readWorld, viewWorkers } from "./jobs_world.ts";
+import { NO_SIZE } from "./size.ts";
 import { JobMemory } from "./job_memory.ts";
 import { LedgerLink } from "./ledger_link.ts";
 import { type Notice, NoticeBoard } from "./notices.ts";
@@ -54,6 +57,31 @@
   assert.is(b.reports.isCheckpointConfirmed(TASK), false);
 });
 
+// Guards against a worker that two entries fill before its reports show the tasks of the other one.
+test("another entry's start takes room until it was checkpointed", async () => {
+  const pair = createPair();
+  const { fake, b } = pair;
+  const { reports, memory } = b;
+  const view = () => {
+    const world = readWorld({ ...fake, ...b, region: REGION })!;
+    const [worker] = viewWorkers(world, []);
+    return worker!.tasks.map(({ taskId }) => taskId);
+  };
+  memory.hold("w0", {
+    ...{ jobId: TASK.split("~")[0]!, team: "t", size: NO_SIZE },
+    ...{ freedBy: [], freesQuota: false },
+  }, fake.nowMs);
+  await tell(pair, { kind: "started", vmId: "w0", taskId: TASK });
+  assert.equal(view(), [TASK]);
+  assert.is(memory.heldOn("w0", fake.nowMs), undefined, "its hold has ended");
+  reports.noteCheckpoint(TASK);
+  assert.equal(view(), []);
+  await tell(pair, { kind: "started", vmId: "w0", taskId: TASK });
+  assert.equal(view(), [TASK], "it was continued");
+  fake.nowMs += 5_000;
+  assert.equal(view(), [], "by now the reports tell");
+});
+
 // Guards against entries that each need a class's first runs and a failing worker's failures of their own.
 test("an entry learns from the runs of others once", async () => {
   const pair = createPair();
--- a/src/jobs/notices.ts
+++ b/src/jobs/notices.ts
@@ -32,6 +32,12 @@
       ...{ freedBy: z.array(z.string()), freesQuota: z.boolean() },
     }),
   }),
+  /** A task was assigned, which reports don't show yet. */
+  z.object({
+    kind: z.literal("started"),
+    vmId: z.string(),
+    taskId: z.string(),
+  }),
   /** A worker confirmed the checkpoint of a preempted task. */
   z.object({
     kind: z.literal("checkpointed"),
--- a/src/jobs/quota_claims.ts
+++ b/src/jobs/quota_claims.ts
@@ -56,7 +56,8 @@
     const counted = JSON.stringify(
       [...teams].map(([team, { use, urgent }]) => [team, use, urgent]),
     );
-    if (!asks && counted === this.#counted) return {};
+    const tells = asks || this.#link.hasNotices;
+    if (!tells && counted === this.#counted) return {};
     // Until the answer is known, the ledger may count more than the use.
     this.#counted = undefined;
     const grants = await this.#link.claim({
