fix(jobs): a continued task isn't lost because an older report doesn't list it

They had just started when they were preempted; the confirmed checkpoint came before the reports listed them, the jobs continued at once, and a report from before the start then counted as the task's loss. A non-idempotent job would have ended as outcome_unknown while it ran. Change: for 15 s after a checkpoint or a continuation only a reboot proves that a task which isn't listed was lost. Ruled out: losing them by the task lease (the tasks ran on).

--- a/src/jobs/reconcile.ts
+++ b/src/jobs/reconcile.ts
@@ -9,7 +9,7 @@
 const UNREACHABLE_LIMIT_MS = 90_000;
 /** Time for which an idempotent job waits to continue where it was checkpointed, in ms. */
 const RESUME_LIMIT_MS = 60_000;
-/** Time after a resume in which a report may still show the checkpoint before it, in ms. */
+/** Time after a checkpoint or a resume in which a report may still show what was before it, in ms. */
 const RESUME_SETTLE_MS = 15_000;
 /** Runs after which an idempotent job that keeps failing ends. */
 const MAXIMUM_ATTEMPTS = 8;
@@ -121,10 +121,17 @@
   nowMs: number,
 ): Job {
   // A task that was listed before, or was sent before a reboot, was lost by the worker.
-  if (job.state.kind !== "assigned" || run.resumed === true) {
+  if (run.rebootIntentId !== rebootIntentId) {
     return lose(job, "task_lost", nowMs);
   }
-  if (run.rebootIntentId !== rebootIntentId) {
+  // A confirmed checkpoint comes before the reports list a task that had just started, and so may its continuation.
+  const changedAtMs = job.state.kind === "checkpointed"
+    ? job.state.sinceMs
+    : run.resumed === true
+    ? run.atMs
+    : -Infinity;
+  if (nowMs - changedAtMs < RESUME_SETTLE_MS) return job;
+  if (job.state.kind !== "assigned" || run.resumed === true) {
     return lose(job, "task_lost", nowMs);
   }
   if (nowMs - run.atMs < START_LIMIT_MS) return job;
