test(jobs): a team's quota with real entries while the ledger's entry is killed

Cause: the ledger was tested with fakes only. Change: a test with 3 entry processes, reports 2 s behind and 60 jobs of 8 cores for a quota of 96; the entry that keeps the ledger is killed while they run. Ruled out: nothing new. Conclusion: the ledger works over the callers' port and moves to another entry.

--- /dev/null
+++ b/testing/faults/team_quota_test.ts
@@ -0,0 +1,90 @@
+import process from "node:process";
+import { setTimeout as delay } from "node:timers/promises";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { LEDGER_SHARD } from "../../src/jobs/quota_ledger.ts";
+import { ownerOf } from "../../src/jobs/ownership.ts";
+import type { EntryDigest } from "../../src/peers/messages.ts";
+import { waitFor } from "../wait.ts";
+import { runConcurrently, withDeployment } from "./scenario.ts";
+
+const JOBS = 60;
+const QUOTA_CORES = 96;
+const SPEC = {
+  ...{ pool: "quoting", team: "quoting-team", jobClass: "report" },
+  ...{ command: "run 2500", cores: 8, memoryMb: 100, runTimeMs: 2_500 },
+  idempotent: true,
+};
+
+// Guards against a quota that several entries fill at once, also when the entry that divides it is lost.
+test("a team stays within its quota while the ledger's entry is killed", async () => {
+  const worker = { agent: { reportLagMs: 2_000 } };
+  await withDeployment({ entryCount: 3, worker }, async (deployment) => {
+    const { entries, workers } = deployment;
+    const digests = entries.map(({ id, callerAddress }) => ({
+      ...{ entryId: id, region: "khomas", callerAddress },
+      ...{ ready: true, stopping: false },
+    })) as EntryDigest[];
+    const { entryId } = ownerOf(
+      LEDGER_SHARD,
+      { entryId: entries[0]!.id, region: "khomas" },
+      digests,
+    );
+    const keeper = entries.find(({ id }) => id === entryId)!;
+    const asked = entries.filter((entry) => entry !== keeper);
+    const call = (index: number, route: string, init: RequestInit) =>
+      fetch(
+        `http://${
+          asked[index % asked.length]!.callerAddress
+        }/.cowslipferry/jobs${route}`,
+        { ...init, signal: AbortSignal.timeout(8_000) },
+      );
+    const keys: string[] = [];
+    async function submit(index: number): Promise<void> {
+      const issued = await call(index, "/keys", { method: "POST" });
+      const { key } = await issued.json() as { key: string };
+      const headers = { "idempotency-key": key };
+      const body = JSON.stringify(SPEC);
+      await waitFor("the job is accepted", async () => {
+        const request = { method: "POST", body, headers };
+        const response = await call(index, "", request).catch(() => undefined);
+        return response?.ok ?? false;
+      }, { timeoutMs: 60_000 });
+      keys.push(key);
+    }
+    let largest = 0;
+    let ended = 0;
+    async function sample(): Promise<void> {
+      const counts = await Promise.all(
+        [...workers.values()].map(async ({ controlAddress }) => {
+          const response = await fetch(`http://${controlAddress}/v1/report`);
+          const { tasks } = await response.json() as {
+            tasks: { state: string; usedCores: number }[];
+          };
+          const done = tasks.filter(({ state }) => state === "succeeded");
+          ended += done.length;
+          return tasks.reduce((sum, { usedCores }) => sum + usedCores, 0);
+        }),
+      );
+      largest = Math.max(largest, counts.reduce((a, b) => a + b, 0));
+    }
+    await runConcurrently({ count: JOBS, concurrency: 6 }, submit);
+    let killed = false;
+    await waitFor("all jobs end", async () => {
+      ended = 0;
+      await sample();
+      if (!killed && ended >= JOBS / 6) {
+        killed = true;
+        keeper.process.kill("SIGKILL");
+      }
+      await delay(50);
+      return ended >= JOBS;
+    }, { timeoutMs: 120_000 });
+    console.log(`largest use ${largest} of ${QUOTA_CORES} cores`);
+    assert.ok(killed);
+    assert.is(largest, QUOTA_CORES, "the quota is used, and not exceeded");
+  });
+});
+
+test.run();
+process.once("beforeExit", () => process.exit());
