--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -8,17 +8,27 @@
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
 import type { WorkerAgent } from "../platform/worker_agent.ts";
 import { type FencingReader, takeFencingToken } from "./fencing.ts";
-import { classOf, type Job } from "./job.ts";
+import type { Job } from "./job.ts";
+import type { LedgerAnswer, LedgerCall, LedgerLink } from "./ledger_link.ts";
+import { type FinishedNotice, NoticeBoard } from "./notices.ts";
+import { QuotaClaims } from "./quota_claims.ts";
+import {
+  GRANT_LIFETIME_MS,
+  LEDGER_SHARD,
+  QuotaLedger,
+} from "./quota_ledger.ts";
 import type { JobMemory } from "./job_memory.ts";
 import { describeStep } from "./job_decisions.ts";
 import {
   type JobsWorld,
+  listQuotas,
   listWorkers,
   noteLosses,
   readWorld,
 } from "./jobs_world.ts";
 import { type FinishedRun, planShard, type ShardPlan } from "./plan_shard.ts";
 import type { WaitReason } from "./placement.ts";
+import { settleWithin } from "./settle_within.ts";
 import { shardKey } from "./shard.ts";
 import { ShardWriter } from "./shard_writer.ts";
 import { TaskCommands } from "./task_commands.ts";
@@ -52,6 +62,7 @@
   readonly fencing: FencingReader;
   readonly reports: WorkerReports;
   readonly memory: JobMemory;
+  readonly link: LedgerLink;
   readonly clock: Clock;
   readonly log: Logger;
 }
@@ -73,6 +84,8 @@
   #active: { fencingToken: number; sinceMs: number } | undefined;
   #peaks = new Map<string, { cores: number; memoryMb: number }>();
   #released = false;
+  #claims: QuotaClaims;
+  #ledger: { quotas: QuotaLedger; board: NoticeBoard } | undefined;
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -82,13 +95,23 @@
       key: shardKey(region, shard),
       clock,
     });
+    this.#claims = new QuotaClaims(options.link);
     this.#commands = new TaskCommands({
       ...options,
-      mayAct: () =>
-        !this.#released && this.#leaseAgeMs() < LEASE_TTL_MS - LEASE_MARGIN_MS,
+      mayAct: () => this.#mayAct(),
     });
   }
 
+  /** Answers a call if this dispatcher keeps the region's ledger; resolves to undefined otherwise. */
+  async answerLedger(call: LedgerCall): Promise<LedgerAnswer | undefined> {
+    const config = this.#options.config.get()?.config;
+    const ledger = this.#ledger;
+    if (config === undefined || ledger === undefined) return undefined;
+    const grants = await ledger.quotas.claim(call.claim, listQuotas(config));
+    if (!this.#mayAct()) return undefined;
+    return { grants, notices: ledger.board.exchange(call.notices) };
+  }
+
   /** The shard's jobs while this dispatcher owns it. */
   get jobs(): ReadonlyMap<string, Job> | undefined {
     return this.#active === undefined ? undefined : this.writer.record?.jobs;
@@ -132,6 +155,11 @@
     await store.releaseLease(shardKey(region, shard), holder).catch(() => {});
   }
 
+  #mayAct(): boolean {
+    return !this.#released &&
+      this.#leaseAgeMs() < LEASE_TTL_MS - LEASE_MARGIN_MS;
+  }
+
   #leaseAgeMs(): number {
     return this.#options.clock.monotonicMs() -
       (this.#lease?.renewedAtMs ?? -Infinity);
@@ -166,6 +194,8 @@
     this.#active = undefined;
     this.writer.abandon();
     this.#commands.reset();
+    this.#claims.reset();
+    this.#ledger = undefined;
     this.#options.memory.forgetShard(this.#options.shard);
   }
 
@@ -180,8 +210,15 @@
       this.writer.record?.fencingToken ?? 0,
     );
     const sinceMs = clock.monotonicMs();
+    const isFirst = (this.writer.record?.fencingToken ?? 0) === 0;
     await this.#writeFencingToken(fencingToken);
     this.#active = { fencingToken, sinceMs };
+    if (shard === LEDGER_SHARD) {
+      this.#ledger = {
+        quotas: new QuotaLedger({ ...this.#options, isFirst }),
+        board: new NoticeBoard(String(fencingToken), clock),
+      };
+    }
     log.info("shard taken over", { shard, fencingToken });
   }
 
@@ -239,29 +276,38 @@
   }
 
   async #dispatch(world: JobsWorld): Promise<DispatcherStep> {
-    const { shard, memory } = this.#options;
+    const { shard, memory, link, clock } = this.#options;
     const base = this.writer.record;
     const active = this.#active;
     if (base === undefined || active === undefined) return "replaced";
     await this.#refreshReports(world, base.jobs);
     noteLosses(world);
     this.#notePeaks(base.jobs);
-    const plan = planShard({
+    const input = {
       shard,
       jobs: base.jobs,
       fencingToken: active.fencingToken,
       reportsSinceMs: active.sinceMs,
       world,
-    });
+    };
+    const askedAtMs = clock.monotonicMs();
+    const allowance = await this.#claims.ask(input);
+    const plan = planShard({ ...input, allowance });
+    if (clock.monotonicMs() - askedAtMs >= GRANT_LIFETIME_MS) return "done";
     if (!await this.#commit(base.jobs, plan)) return "replaced";
     const record = this.writer.record;
     if (record === undefined) return "replaced";
     memory.owned.set(shard, record.jobs);
     this.#explain(base.jobs, record.jobs, { plan, nowMs: world.nowMs });
-    for (const { id, state } of plan.changes) {
-      if (state.kind === "assigned") memory.endHold(id);
+    for (const job of plan.changes) {
+      if (job.state.kind !== "assigned") continue;
+      memory.endHold(job.id);
+      const { run } = job.state;
+      const taskId = taskIdOf(job, run);
+      link.notify({ kind: "started", vmId: run.vmId, taskId });
     }
     this.#learn(plan.finished, record.jobs);
+    await this.#claims.settle({ ...input, jobs: record.jobs });
     const sent = [
       this.#commands.sendRuns(record.jobs, {
         world,
@@ -331,36 +377,20 @@
     finished: readonly FinishedRun[],
     jobs: ReadonlyMap<string, Job>,
   ): void {
-    const { memory, clock } = this.#options;
+    const { memory, clock, link } = this.#options;
     const nowMs = clock.wallMs();
     for (const { job, run, succeeded, blame } of finished) {
       if (jobs.get(job.id) === job) continue;
-      const { vmId } = run;
-      const jobClass = classOf(job.spec);
-      memory.addEvent({ vmId, jobClass, succeeded, atMs: nowMs });
-      const use = this.#peaks.get(taskIdOf(job, run));
-      if (succeeded && use !== undefined && use.memoryMb > 0) {
-        const runTimeMs = nowMs - run.atMs;
-        memory.profiles.add(job.spec, { ...use, runTimeMs });
-      }
-      const failedProbe = memory.quarantined.has(vmId) &&
-        blame?.kind === "undecided";
-      if (blame?.kind === "worker" || failedProbe) {
-        memory.blameWorker(vmId, nowMs, { job, blame });
-      }
+      const peaks = this.#peaks.get(taskIdOf(job, run));
+      const { pool, team, jobClass } = job.spec;
+      const notice: FinishedNotice = {
+        kind: "finished",
+        ...{ jobId: job.id, vmId: run.vmId, pool, team, jobClass, succeeded },
+        use: peaks && { ...peaks, runTimeMs: nowMs - run.atMs },
+        blame,
+      };
+      memory.learn(notice, nowMs);
+      link.notify(notice);
     }
   }
 }
-
-/** Resolves once the work has ended or the time is over. */
-async function settleWithin(
-  work: Promise<unknown>,
-  limitMs: number,
-): Promise<void> {
-  let timer: NodeJS.Timeout | undefined;
-  const limit = new Promise<void>((resolve) => {
-    timer = setTimeout(resolve, limitMs);
-  });
-  await Promise.race([work, limit]);
-  clearTimeout(timer);
-}
--- a/src/jobs/forward.ts
+++ b/src/jobs/forward.ts
@@ -6,7 +6,13 @@
 } from "../constants.ts";
 import { isNotSent } from "../platform/http_json.ts";
 import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
-import type { JobCall, JobReply } from "./job_reply.ts";
+import { type JobCall, type JobReply, JOBS_PATH } from "./job_reply.ts";
+import {
+  type LedgerAnswer,
+  ledgerAnswerSchema,
+  type LedgerCall,
+} from "./ledger_link.ts";
+import { parseJson, parseWithSchema } from "../validation.ts";
 
 /** Time in which a shard's owner must answer, in ms; longer than its own wait for the store. */
 const FORWARD_TIMEOUT_MS = 5_000;
@@ -63,3 +69,23 @@
     );
   }
 }
+
+/** Path below the jobs' path on which the ledger's entry is called. */
+export const LEDGER_ROUTE = "ledger";
+
+/** Calls the entry that keeps the ledger; resolves to undefined if it doesn't. Rejects like `forwardCall`. */
+export async function callLedger(
+  call: LedgerCall,
+  options: { readonly address: string; readonly entryId: string },
+): Promise<LedgerAnswer | undefined> {
+  const reply = await forwardCall({
+    method: "POST",
+    url: `${JOBS_PATH}/${LEDGER_ROUTE}`,
+    body: Buffer.from(JSON.stringify(call)),
+    key: undefined,
+    forwardedBy: undefined,
+  }, options);
+  if (reply.status !== 200) return undefined;
+  const answer = parseJson(reply.body.toString(), "ledger answer");
+  return parseWithSchema(ledgerAnswerSchema, answer, "ledger answer");
+}
--- a/src/jobs/job_memory.ts
+++ b/src/jobs/job_memory.ts
@@ -1,10 +1,12 @@
-import type { Blame, RunEvent } from "./blame.ts";
+import type { RunEvent } from "./blame.ts";
 import { classOf, type Job } from "./job.ts";
+import type { FinishedNotice } from "./notices.ts";
 import { JobLog } from "./job_log.ts";
 import { Profiles } from "./profiles.ts";
 import type { Wait } from "./plan_shard.ts";
 import type { Relief } from "./pressure.ts";
 import { type Quarantined, quarantineWorker } from "./quarantine.ts";
+import { parseTaskId } from "./task_id.ts";
 import type { Held } from "./worker_view.ts";
 
 /** Time for which finished runs are kept for blame, in ms. */
@@ -14,17 +16,14 @@
 /** Time for which preempted capacity is held for its urgent job, in ms. */
 const HOLD_MS = 5_000;
 
+/** Time for which another entry's start counts although no report shows it, in ms: the start, the lag and the interval of the reports. */
+const UNSEEN_MS = 5_000;
+
 /** Capacity held for an urgent job. */
 export interface Hold extends Held {
   readonly untilMs: number;
 }
 
-/** A run that failed on a worker, with what it counts against. */
-export interface BlamedRun {
-  readonly job: Job;
-  readonly blame: Blame | undefined;
-}
-
 /** What the dispatchers of one entry have learned. It only guides decisions, so it may be lost with the entry. */
 export class JobMemory {
   readonly profiles = new Profiles();
@@ -41,6 +40,8 @@
   readonly waits = new Map<number, ReadonlyMap<string, Wait>>();
   /** Recent decisions with their reasons. */
   readonly log = new JobLog();
+  /** Tasks that other entries assigned in the last seconds, by task id. */
+  readonly #starts = new Map<string, { vmId: string; untilMs: number }>();
   #events: RunEvent[] = [];
 
   /** Finished runs of the last minutes. */
@@ -64,13 +65,43 @@
     }
   }
 
+  /** Notes a task that another entry assigned. */
+  noteStart(start: { vmId: string; taskId: string }, nowMs: number): void {
+    const { vmId, taskId } = start;
+    this.#starts.set(taskId, { vmId, untilMs: nowMs + UNSEEN_MS });
+    const started = parseTaskId(taskId);
+    if (started !== undefined) this.endHold(started.jobId);
+  }
+
+  /** Returns tasks that other entries assigned and that reports may not show yet. */
+  listUnseenStarts(nowMs: number): { vmId: string; taskId: string }[] {
+    for (const [taskId, { untilMs }] of this.#starts) {
+      if (untilMs <= nowMs) this.#starts.delete(taskId);
+    }
+    return [...this.#starts].map(([taskId, { vmId }]) => ({ vmId, taskId }));
+  }
+
+  /** Learns from a run that ended, here or at another entry. */
+  learn(run: FinishedNotice, nowMs: number): void {
+    const { vmId, succeeded, use, blame } = run;
+    const jobClass = classOf(run);
+    this.addEvent({ vmId, jobClass, succeeded, atMs: nowMs });
+    if (succeeded && use !== undefined && use.memoryMb > 0) {
+      this.profiles.add(run, use);
+    }
+    const failedProbe = this.quarantined.has(vmId) &&
+      blame?.kind === "undecided";
+    if (blame?.kind === "worker" || failedProbe) this.blameWorker(run, nowMs);
+  }
+
   /** Quarantines a worker for a run that failed there. */
-  blameWorker(vmId: string, nowMs: number, cause: BlamedRun): void {
+  blameWorker(run: FinishedNotice, nowMs: number): void {
+    const { vmId } = run;
     const known = this.quarantined.get(vmId);
     const quarantined = quarantineWorker(known, nowMs);
     if (quarantined === known) return;
     this.quarantined.set(vmId, quarantined);
-    this.log.add(this.#describeQuarantine(vmId, nowMs, cause));
+    this.log.add(this.#describeQuarantine(run, nowMs));
   }
 
   /** Forgets what a shard's dispatcher knew, as after another entry took it over. */
@@ -79,12 +110,12 @@
     this.waits.delete(shard);
   }
 
-  #describeQuarantine(vmId: string, nowMs: number, { job, blame }: BlamedRun) {
+  #describeQuarantine(run: FinishedNotice, nowMs: number) {
+    const { vmId, jobId, pool, team, blame } = run;
     const { failures, probeAtMs } = this.quarantined.get(vmId)!;
-    const { spec, id: jobId } = job;
     const here = this.#events.filter((event) => event.vmId === vmId);
     const failed = here.filter((event) => !event.succeeded);
-    const jobClass = classOf(spec);
+    const jobClass = classOf(run);
     const elsewhere = this.#events.filter((event) =>
       event.vmId !== vmId && event.succeeded && event.jobClass === jobClass
     );
@@ -92,7 +123,7 @@
     const reason = isWorker ? blame.reason : "its probe failed";
     return {
       ...{ atMs: nowMs, kind: "quarantined" as const, jobId, vmId },
-      ...{ pool: spec.pool, team: spec.team },
+      ...{ pool, team },
       summary: `quarantined until ${
         new Date(probeAtMs).toISOString()
       }: ${reason}`,
