perf(jobs): calls of the ledger carry deflated JSON

Claims repeat the same field and team names for each of up to 61 teams.

Change: bodies and answers are deflated (zlib, level 1), with a bound on the decoded size; bytes that aren't a call are refused with a typed error. The jobs bench counts the bytes and calls.

Ruled out for now: sending only changed teams, which needs an acknowledged base for each shard and isn't needed on today's sizes.

--- a/bench/jobs/main.ts
+++ b/bench/jobs/main.ts
@@ -38,6 +38,7 @@
   "wasted runs",
   "wasted core time",
   "store writes per job",
+  "ledger calls/s / KB/s in all",
   "step CPU mean / p99 / max (ms)",
   "largest use of a quota / mean excess",
   "starts above quota / with unseen tasks",
@@ -111,6 +112,9 @@
     `${sum((run) => run.wastedRuns)} of ${sum((run) => run.runs)}`,
     percent(sum((run) => run.wastedCoreShare) / runs.length),
     (sum((run) => run.storeWrites) / jobs).toFixed(2),
+    `${(sum((run) => run.ledgerCallsPerSecond) / runs.length).toFixed(0)} / ${
+      (sum((run) => run.ledgerBytesPerSecond) / runs.length / 1_000).toFixed(1)
+    }`,
     steps.length === 0 ? "" : [
       steps.reduce((a, b) => a + b, 0) / steps.length,
       percentile(steps, 0.99),
--- a/bench/jobs/run.ts
+++ b/bench/jobs/run.ts
@@ -40,6 +40,9 @@
   readonly wastedBy: ReadonlyMap<string, number>;
   readonly storeWrites: number;
   readonly leaseCalls: number;
+  /** Bytes of the ledger's calls and answers, without HTTP headers, during the arrivals; for all entries. */
+  readonly ledgerBytesPerSecond: number;
+  readonly ledgerCallsPerSecond: number;
   /** Processor time of each dispatcher's step, in ms; those of idle shards included. */
   readonly stepCpuMs: readonly number[];
 }
@@ -141,6 +144,7 @@
   const lastMs = planned.at(-1)?.arrivalMs ?? 0;
   let next = 0;
   let usefulShare = 0;
+  let ledger = { bytes: 0, calls: 0, seconds: 1 };
   while (fake.nowMs - startMs < lastMs + options.tailMs) {
     fake.tick(STEP_MS);
     const nowMs = fake.nowMs - startMs;
@@ -150,8 +154,10 @@
     }
     await scheduler.step();
     quotaUse.sample();
-    if (next < planned.length) usefulShare = usefulOf(fake, deployment, nowMs);
-    else if (planned.every((job) => scheduler.endOf(ids.get(job)!))) break;
+    if (next < planned.length) {
+      usefulShare = usefulOf(fake, deployment, nowMs);
+      ledger = { ...fake.ledgerTraffic, seconds: nowMs / 1_000 };
+    } else if (planned.every((job) => scheduler.endOf(ids.get(job)!))) break;
   }
   return summarise({
     fake,
@@ -163,6 +169,7 @@
     quotaUse: quotaUse.figures(),
     store,
     stepCpuMs,
+    ledger,
   });
 }
 
@@ -189,8 +196,9 @@
   quotaUse: QuotaUseFigures;
   store: { writes: number; leaseCalls: number };
   stepCpuMs: readonly number[];
+  ledger: { bytes: number; calls: number; seconds: number };
 }): JobsRun {
-  const { fake, planned, ids, scheduler, startMs, store } = input;
+  const { fake, planned, ids, scheduler, startMs, store, ledger } = input;
   const { starts, successes, firstStartMs, usedCoreMs, wastedCoreMs } =
     fake.journal;
   const waitOf = (job: PlannedJob) => {
@@ -225,6 +233,8 @@
     wastedBy: fake.journal.wastedBy,
     storeWrites: store.writes,
     leaseCalls: store.leaseCalls,
+    ledgerBytesPerSecond: ledger.bytes / ledger.seconds,
+    ledgerCallsPerSecond: ledger.calls / ledger.seconds,
     stepCpuMs: input.stepCpuMs,
   };
 }
--- a/src/jobs/forward.ts
+++ b/src/jobs/forward.ts
@@ -6,13 +6,13 @@
 } from "../constants.ts";
 import { isNotSent } from "../platform/http_json.ts";
 import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
+import { decodeLedger, encodeLedger } from "./ledger_codec.ts";
 import { type JobCall, type JobReply, JOBS_PATH } from "./job_reply.ts";
 import {
   type LedgerAnswer,
   ledgerAnswerSchema,
   type LedgerCall,
 } from "./ledger_link.ts";
-import { parseJson, parseWithSchema } from "../validation.ts";
 
 /** Time in which a shard's owner must answer, in ms; longer than its own wait for the store. */
 const FORWARD_TIMEOUT_MS = 5_000;
@@ -81,11 +81,10 @@
   const reply = await forwardCall({
     method: "POST",
     url: `${JOBS_PATH}/${LEDGER_ROUTE}`,
-    body: Buffer.from(JSON.stringify(call)),
+    body: encodeLedger(call),
     key: undefined,
     forwardedBy: undefined,
   }, options);
   if (reply.status !== 200) return undefined;
-  const answer = parseJson(reply.body.toString(), "ledger answer");
-  return parseWithSchema(ledgerAnswerSchema, answer, "ledger answer");
+  return decodeLedger(reply.body, ledgerAnswerSchema, "ledger answer");
 }
--- /dev/null
+++ b/src/jobs/ledger_codec.ts
@@ -0,0 +1,31 @@
+import { deflateRawSync, inflateRawSync } from "node:zlib";
+import type { z } from "zod";
+import { ValidationError } from "../errors.ts";
+import { createIssue, parseJson, parseWithSchema } from "../validation.ts";
+
+/** Bytes of a decoded call or answer at most. */
+const MAXIMUM_DECODED_BYTES = 8_388_608;
+
+/** Encodes a call or an answer as deflated JSON: claims repeat the same names for each team, and as plain JSON they exceed the bytes that control may send. */
+export function encodeLedger(data: unknown): Buffer {
+  return deflateRawSync(JSON.stringify(data), { level: 1 });
+}
+
+/** Decodes a call or an answer; throws a `ValidationError`. */
+export function decodeLedger<Schema extends z.ZodType>(
+  bytes: Buffer,
+  schema: Schema,
+  subject: string,
+): z.output<Schema> {
+  let text: string;
+  try {
+    const options = { maxOutputLength: MAXIMUM_DECODED_BYTES };
+    text = inflateRawSync(bytes, options).toString();
+  } catch {
+    const found = `${bytes.length} bytes`;
+    throw new ValidationError(subject, [
+      createIssue("$", found, "deflated JSON"),
+    ]);
+  }
+  return parseWithSchema(schema, parseJson(text, subject), subject);
+}
--- a/src/jobs/routes.ts
+++ b/src/jobs/routes.ts
@@ -24,6 +24,7 @@
   replyToError,
 } from "./job_reply.ts";
 import { ownerOf } from "./ownership.ts";
+import { decodeLedger, encodeLedger } from "./ledger_codec.ts";
 import { ledgerCallSchema } from "./ledger_link.ts";
 import { LEDGER_SHARD } from "./quota_ledger.ts";
 import { cancelJob, submitJob } from "./submission.ts";
@@ -92,9 +93,14 @@
   }
 
   async #answerLedger(call: JobCall): Promise<JobReply> {
-    const body = parseWithSchema(ledgerCallSchema, parseBody(call), "claim");
-    const answer = await this.#dispatcher(LEDGER_SHARD).answerLedger(body);
-    if (answer !== undefined) return answerJson(200, answer);
+    const bytes = call.body ?? Buffer.alloc(0);
+    const claim = decodeLedger(bytes, ledgerCallSchema, "claim");
+    const answer = await this.#dispatcher(LEDGER_SHARD).answerLedger(claim);
+    if (answer !== undefined) {
+      const headers = ["content-type", "application/octet-stream"];
+      const body = encodeLedger(answer);
+      return { status: 200, outcome: "answer", headers, body };
+    }
     throw new JobRefusedError(
       "not_owner",
       "This entry doesn't keep the ledger at the moment",
--- a/testing/fake_jobs.ts
+++ b/testing/fake_jobs.ts
@@ -26,6 +26,7 @@
   type LedgerCall,
   LedgerLink,
 } from "../src/jobs/ledger_link.ts";
+import { encodeLedger } from "../src/jobs/ledger_codec.ts";
 import { LEDGER_SHARD } from "../src/jobs/quota_ledger.ts";
 import { JobMemory } from "../src/jobs/job_memory.ts";
 import { parseTaskId } from "../src/jobs/task_id.ts";
@@ -61,6 +62,8 @@
 /** Workers in memory with a clock of their own, for tests and measurements of jobs. */
 export class FakeJobs {
   readonly workers = new Map<string, FakeWorker>();
+  /** Calls of the ledger and the bytes of their bodies and answers. */
+  readonly ledgerTraffic = { calls: 0, bytes: 0 };
   readonly journal: Journal = {
     starts: new Map(),
     successes: new Map(),
@@ -184,9 +187,13 @@
 
   /** Asks the dispatchers that may keep the ledger, the newest first. */
   async #callLedger(call: LedgerCall): Promise<LedgerAnswer | undefined> {
+    this.ledgerTraffic.calls++;
+    this.ledgerTraffic.bytes += encodeLedger(call).length;
     for (const dispatcher of this.#ledgers.toReversed()) {
       const answer = await dispatcher.answerLedger(call);
-      if (answer !== undefined) return answer;
+      if (answer === undefined) continue;
+      this.ledgerTraffic.bytes += encodeLedger(answer).length;
+      return answer;
     }
     return undefined;
   }
