refactor(fleet): controller tests of waves in a file of their own

Change: the 8 tests of waves, drains and losses move to controller_wave_test.ts, their shared set-up to testing/fleet_cases.ts; no test changes.

--- /dev/null
+++ b/src/fleet/controller_wave_test.ts
@@ -0,0 +1,180 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import {
+  assertStepsAllowed,
+  IDLE,
+  inState,
+  lentTo,
+  maintained,
+  SHOP,
+  SPARE,
+  startWave,
+  startWorld,
+  vmsOf,
+} from "../../testing/fleet_cases.ts";
+import { buildConfig } from "../../testing/fleet_world.ts";
+import { ValidationError } from "../errors.ts";
+import { createObservable } from "../observable.ts";
+import { type VmListSnapshot } from "../platform/vm_list_poller.ts";
+import { checkRecord } from "./record_check.ts";
+
+// Guards against a wave that skips a VM, maintains one twice or never ends.
+test("a wave reboots each VM exactly once in its period", async () => {
+  const { world, controller } = startWorld([SHOP]);
+  await world.runUntil(controller, () => maintained(world).length === 4);
+  for (const worker of world.workers.values()) {
+    assert.is(worker.reboots.length, 1, worker.vm.id);
+  }
+  assertStepsAllowed(world);
+});
+
+// Guards against commands that no record covers, and against a wave that doesn't go on after an outage.
+test("the store is down for a whole wave", async () => {
+  const { store, world, controller } = await startWave();
+  const before = world.record().revision;
+  store.faults.unavailable = true;
+  for (let step = 0; step < 300; step++) {
+    world.tick(5_000);
+    await controller.step().catch(() => {});
+  }
+  assert.is(world.record().revision, before);
+  assert.ok([...world.workers.values()].every((item) => !item.reboots.length));
+  store.faults.unavailable = false;
+  await world.runUntil(controller, () => maintained(world).length === 4);
+  assertStepsAllowed(world);
+});
+
+// Guards against drains that wait for, or skip, what only an up-to-date list would show.
+test("the VM list is 30 s behind", async () => {
+  const { world } = startWorld([SHOP]);
+  const vmList = createObservable<VmListSnapshot | undefined>(undefined);
+  const queue: VmListSnapshot[] = [];
+  const controller = world.addController("c1", { vmList });
+  const lagging = () => {
+    queue.push({
+      vms: (world.vmList.get()?.vms ?? []).map((vm) => ({ ...vm })),
+      readAtMs: world.nowMs(),
+    });
+    if (queue.length > 6) vmList.set(queue.shift());
+    return maintained(world).length === 4;
+  };
+  await world.runUntil(controller, lagging);
+  const worker = world.workers.get("shop-2");
+  if (worker) worker.vm = { ...worker.vm, incarnation: "2" };
+  await world.runUntil(
+    controller,
+    () => lagging() && world.record().vms["shop-2"]?.incarnation === "2",
+  );
+  assertStepsAllowed(world);
+});
+
+// Guards against a stop while an entry that can't be reached may still hold requests.
+test("an entry that never acknowledges blocks the stop until the VM list drops it", async () => {
+  const { world, controller } = await startWave();
+  const entry = world.entries.get("entry-2");
+  assert.ok(entry);
+  entry.follows = false;
+  for (let step = 0; step < 200; step++) {
+    world.tick(5_000);
+    await controller.step();
+  }
+  assert.is(inState(world, "draining").length, 1);
+  entry.heard = false;
+  for (let step = 0; step < 20; step++) {
+    world.tick(5_000);
+    await controller.step();
+  }
+  assert.is(inState(world, "draining").length, 1);
+  world.entries.delete("entry-2");
+  await world.runUntil(controller, () => maintained(world).length === 4);
+});
+
+// Guards against a wave that keeps draining while failures spread, and against one that stays paused.
+test("a rack lost during a wave pauses it until the failures are over", async () => {
+  const pools = [{ ...SHOP, vms: 8, minimumServingVms: 3, concurrentVms: 2 }];
+  const { world, controller } = await startWave(pools);
+  const [first = ""] = inState(world, "draining");
+  const rack = world.workers.get(first)?.vm.rack;
+  const lost = [...world.workers.values()].filter(({ vm }) => vm.rack === rack);
+  for (const { vm } of lost) world.workers.delete(vm.id);
+  const paused = () => world.record().maintenance.pausedReason !== undefined;
+  await world.runUntil(controller, paused);
+  const count = maintained(world).length;
+  world.tick(60_000);
+  await controller.step();
+  assert.equal(inState(world, "draining"), []);
+  assert.is(maintained(world).length, count);
+  for (const worker of lost) world.workers.set(worker.vm.id, worker);
+  await world.runUntil(controller, () => !paused());
+  await world.runUntil(controller, () => maintained(world).length === 8);
+  assertStepsAllowed(world);
+});
+
+// Guards against an owner that stays short while its VMs are in other pools.
+test("a data centre lost while VMs are lent brings the loans back", async () => {
+  const pools = [{ ...SPARE, vms: 6, minimumServingVms: 3 }, IDLE];
+  const { world, controller } = startWorld(pools);
+  world.demandSlots.set("shop", 50);
+  await world.runUntil(controller, () => lentTo(world, "shop").length === 3);
+  const home = vmsOf(world, (vm) => vm.pool === "spare");
+  for (const vmId of home.slice(0, 2)) world.workers.delete(vmId);
+  await world.runUntil(
+    controller,
+    () => vmsOf(world, (vm) => vm.pool === "spare").length === 5,
+  );
+  const shortages = checkRecord(world.record(), buildConfig(pools));
+  assert.equal(shortages, []);
+  assertStepsAllowed(world);
+});
+
+// Guards against budgets that are evaluated only when a drain starts.
+test("a budget raised mid-wave undoes the drain, and lowered lets the wave go on", async () => {
+  const { world, controller } = await startWave();
+  const entry = world.entries.get("entry-2");
+  assert.ok(entry);
+  entry.follows = false;
+  const raised = [{ ...SHOP, minimumServingVms: 4 }];
+  world.apply(buildConfig(raised));
+  world.tick(1_000);
+  await controller.step();
+  assert.equal(checkRecord(world.record(), buildConfig(raised)), []);
+  await world.runUntil(
+    controller,
+    () => world.record().maintenance.late.shop !== undefined,
+  );
+  entry.follows = true;
+  world.apply(buildConfig([{ ...SHOP, minimumServingVms: 3 }]));
+  await world.runUntil(controller, () => maintained(world).length === 4);
+});
+
+// Guards against a reboot of a worker whose task was recorded but is not in its lagging report yet.
+test("a drain waits for recorded tasks and for a readable record of them", async () => {
+  const { world } = startWorld([SHOP]);
+  let assigned: "unreadable" | number = "unreadable";
+  const controller = world.addController("c1", {
+    readAssignedTasks: () =>
+      assigned === "unreadable"
+        ? Promise.reject(new ValidationError("jobs", []))
+        : Promise.resolve(
+          new Map(
+            [...world.workers.keys()].map((id) => [id, Number(assigned)]),
+          ),
+        ),
+  });
+  await world.runUntil(
+    controller,
+    () => inState(world, "draining").length > 0,
+  );
+  for (assigned of ["unreadable", 1] as const) {
+    for (let step = 0; step < 20; step++) {
+      world.tick(5_000);
+      await controller.step();
+    }
+    assert.equal(inState(world, "rebooting"), []);
+    assert.equal(maintained(world), []);
+  }
+  assigned = 0;
+  await world.runUntil(controller, () => maintained(world).length > 0);
+});
+
+test.run();
--- /dev/null
+++ b/testing/fleet_cases.ts
@@ -0,0 +1,79 @@
+import * as assert from "uvu/assert";
+import { parseFleetRecord } from "../src/fleet/follower.ts";
+import { fleetKey, type VmRecord } from "../src/fleet/record.ts";
+import { checkStep } from "../src/fleet/record_check.ts";
+import { createFakeStore } from "./fake_store.ts";
+import {
+  buildConfig,
+  createFleetWorld,
+  type FleetWorld,
+  REGION,
+  type TestPool,
+} from "./fleet_world.ts";
+
+/** The pool that others borrow from first. */
+export const SPARE: TestPool = {
+  name: "spare",
+  vms: 4,
+  minimumServingVms: 1,
+  maximumLentVms: 3,
+  periodDays: 300,
+  spare: true,
+};
+/** A pool whose VMs are all due for maintenance. */
+export const SHOP: TestPool = { name: "shop", vms: 4, minimumServingVms: 2 };
+/** A pool without a due maintenance that the tests would notice. */
+export const IDLE: TestPool = { ...SHOP, periodDays: 300 };
+
+/** Creates a world of these pools with one controller. */
+export function startWorld(pools: readonly TestPool[]) {
+  const store = createFakeStore();
+  const world = createFleetWorld({ store, pools });
+  world.apply(buildConfig(pools));
+  return { store, world, controller: world.addController("c1") };
+}
+
+/** Ids of the recorded VMs that match. */
+export function vmsOf(
+  world: FleetWorld,
+  predicate: (vm: VmRecord, id: string) => boolean,
+): string[] {
+  return Object.entries(world.record().vms).filter(([id, vm]) =>
+    predicate(vm, id)
+  ).map(([id]) => id);
+}
+
+/** Ids of the VMs in a state. */
+export const inState = (world: FleetWorld, state: VmRecord["state"]) =>
+  vmsOf(world, (vm) => vm.state === state);
+/** Ids of the borrowed VMs that serve in a pool. */
+export const lentTo = (world: FleetWorld, pool: string) =>
+  vmsOf(
+    world,
+    (vm) => vm.pool === pool && vm.homePool !== pool && vm.state === "serving",
+  );
+/** Ids of the VMs that have been maintained. */
+export const maintained = (world: FleetWorld) =>
+  vmsOf(world, (vm) => vm.maintainedAtMs > 0);
+
+/** Fails if a write broke a rule by its own decisions. */
+export function assertStepsAllowed(world: FleetWorld): void {
+  const history = world.store.history(fleetKey(REGION)).map(({ value }) =>
+    parseFleetRecord(value)
+  );
+  const config = world.config.get()?.config;
+  for (const [index, after] of history.entries()) {
+    const before = history[index - 1];
+    if (before === undefined || config === undefined) continue;
+    assert.equal(checkStep(before, after, config), []);
+  }
+  assert.equal(world.faults, []);
+}
+
+/** Creates a world and runs it until the first drain. */
+export async function startWave(pools: readonly TestPool[] = [SHOP]) {
+  const started = startWorld(pools);
+  const { world, controller } = started;
+  await world.runUntil(controller, () => inState(world, "draining").length > 0);
+  return started;
+}
