fix(fleet): count the watch over workers from their first reports

Cause: the 30 s in which a controller starts no loan or maintenance counted from its start, or from its last step as a standby. A controller that got its first configuration or the lease later than that, for example after a store outage, drained at once while no unreachable worker was known; with more than 128 workers the last ones were asked several steps after the count began. Change: the time counts from the step after which every listed worker was asked. Test: worker_monitor_test.ts, both cases fail without the fix. Ruled out: settling again for each newly listed worker, because one new worker that doesn't answer would hold up the whole region. Conclusion: no budget is spent before unreachable workers are known, as docs/design.md requires.

--- a/src/fleet/worker_monitor.ts
+++ b/src/fleet/worker_monitor.ts
@@ -42,7 +42,8 @@
   clock: Clock,
 ): WorkerMonitor {
   const observations = new Map<string, Observation>();
-  let startedAtMs = clock.monotonicMs();
+  /** Since when every listed worker is asked; the first reports take several steps in a large region. */
+  let watchedSinceMs: number | undefined;
 
   function isDue(vmId: string, record: FleetRecord, nowMs: number): boolean {
     const seen = observations.get(vmId);
@@ -98,10 +99,10 @@
       for (const vmId of observations.keys()) {
         if (!listed.has(vmId)) observations.delete(vmId);
       }
-      const due = vms.filter((vm) =>
-        vm.role === "worker" && vm.region === record.region &&
-        isDue(vm.id, record, nowMs)
+      const workers = vms.filter((vm) =>
+        vm.role === "worker" && vm.region === record.region
       );
+      const due = workers.filter((vm) => isDue(vm.id, record, nowMs));
       const urgent = (vm: Vm) =>
         record.vms[vm.id]?.transition === undefined ? 1 : 0;
       due.sort((a, b) =>
@@ -110,6 +111,9 @@
           (observations.get(b.id)?.askedAtMs ?? 0)
       );
       await Promise.all(due.slice(0, MAXIMUM_REPORTS_PER_STEP).map(ask));
+      const all = workers.length > 0 &&
+        workers.every((vm) => observations.has(vm.id));
+      if (all) watchedSinceMs ??= clock.monotonicMs();
     },
     views(record) {
       const views = new Map<string, WorkerView>();
@@ -121,9 +125,11 @@
     },
     reset() {
       observations.clear();
-      startedAtMs = clock.monotonicMs();
+      watchedSinceMs = undefined;
     },
-    isSettled: () => clock.monotonicMs() - startedAtMs >= UNREACHABLE_AFTER_MS,
+    isSettled: () =>
+      watchedSinceMs !== undefined &&
+      clock.monotonicMs() - watchedSinceMs >= UNREACHABLE_AFTER_MS,
     reportOf: (vmId) => observations.get(vmId)?.report,
   };
 }
--- /dev/null
+++ b/src/fleet/worker_monitor_test.ts
@@ -0,0 +1,55 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { createVm, REGION } from "../../testing/fleet_world.ts";
+import { PlatformError } from "../errors.ts";
+import type { WorkerAgent } from "../platform/worker_agent.ts";
+import { createFleetRecord } from "./record.ts";
+import { createWorkerMonitor, UNREACHABLE_AFTER_MS } from "./worker_monitor.ts";
+
+const STEP_MS = 1_000;
+const record = createFleetRecord(REGION);
+const silentAgent = {
+  report: () => Promise.reject(new PlatformError("worker_agent", "No answer")),
+} as unknown as WorkerAgent;
+
+function watch(workers: number) {
+  let nowMs = 0;
+  const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
+  const monitor = createWorkerMonitor(silentAgent, clock);
+  const vms = Array.from(
+    { length: workers },
+    (_, index) => createVm(`worker-${index}`, index, "pool"),
+  );
+  return {
+    monitor,
+    wait: (ms: number) => nowMs += ms,
+    /** Workers that count as reachable once the monitor is settled. */
+    async reachableWhenSettled() {
+      await monitor.refresh(record, vms);
+      while (!monitor.isSettled()) {
+        nowMs += STEP_MS;
+        await monitor.refresh(record, vms);
+      }
+      const views = [...monitor.views(record).values()];
+      assert.is(views.length, workers);
+      return views.filter(({ reachable }) => reachable).length;
+    },
+  };
+}
+
+// Guards against new drains of a controller that got the lease or its first configuration late and knows no unreachable worker yet.
+test("time before the first reports doesn't count as watching", async () => {
+  const { monitor, wait, reachableWhenSettled } = watch(3);
+  wait(2 * UNREACHABLE_AFTER_MS);
+  assert.is(await reachableWhenSettled(), 0);
+  monitor.reset();
+  wait(2 * UNREACHABLE_AFTER_MS);
+  assert.is(await reachableWhenSettled(), 0);
+});
+
+// Guards against the same in a region with more workers than are asked in one step.
+test("every worker is watched before new drains may start", async () => {
+  assert.is(await watch(400).reachableWhenSettled(), 0);
+});
+
+test.run();
--- a/testing/fleet_cases.ts
+++ b/testing/fleet_cases.ts
@@ -22,7 +22,7 @@
 };
 /** A pool whose VMs are all due for maintenance. */
 export const SHOP: TestPool = { name: "shop", vms: 4, minimumServingVms: 2 };
-/** A pool without a due maintenance that the tests would notice. */
+/** The same pool with a period so long that its wave is never late. */
 export const IDLE: TestPool = { ...SHOP, periodDays: 300 };
 
 /** Creates a world of these pools with one controller. */
