fix(fleet): a new controller doesn't end a pause of the waves

Cause: a pause ends once no correlated failure is seen. A controller that takes over while a rack is unreachable but still listed sees none for its first 30 s, recorded the end of a pause older than 5 minutes, and paused again after that, with a new 5 minutes and two untrue decisions in the log. Change: the pause lasts at least until the controller knows the unreachable workers. Test: plan_test.ts, "a pause doesn't end while the workers were not watched long enough", fails without the fix. Ruled out: a drain by this fault; drains wait for the same time.

--- a/src/fleet/maintenance.ts
+++ b/src/fleet/maintenance.ts
@@ -218,8 +218,12 @@
       decisions: [decision("maintenance_paused", `paused; ${reason}`)],
     };
   }
-  const waited = context.nowMs - pausedAtMs >= RESUME_DELAY_MS;
-  if (pausedReason === undefined || !waited) return { state, decisions: [] };
+  // A new controller doesn't know yet which workers are unreachable.
+  const mayResume = !context.holdsNewDrains &&
+    context.nowMs - pausedAtMs >= RESUME_DELAY_MS;
+  if (pausedReason === undefined || !mayResume) {
+    return { state, decisions: [] };
+  }
   return {
     state: rest,
     decisions: [
--- a/src/fleet/plan_test.ts
+++ b/src/fleet/plan_test.ts
@@ -71,6 +71,20 @@
   assert.is(plan.kind, "unchanged");
 });
 
+// Guards against a new controller that resumes the waves before it can know that the failures last.
+test("a pause doesn't end while the workers were not watched long enough", () => {
+  const input = createInput([OWNER]);
+  const maintenance = {
+    ...input.record.maintenance,
+    pausedReason: "test",
+    pausedAtMs: 0,
+  };
+  const paused = { ...input, record: { ...input.record, maintenance } };
+  const plan = planFleet({ ...paused, holdsNewDrains: true });
+  assert.is(plan.kind, "unchanged");
+  assert.is(planFleet(paused).kind, "changed");
+});
+
 // Guards against unreachable VMs that count as available.
 test("unreachable VMs count as missing from the budget", () => {
   const input = withDemand(createInput([OWNER, TAKER]), {
