feat(settings): time to unreachable and shortest wave pause of the controller

Cause: a controller holds new drains for 30 s and keeps a pause of the waves for 5 minutes, so that no test of less than 60 s with real processes sees it choose loans and maintenance by itself, and operators of a small or quick fleet can't shorten either. Change: settings controller.unreachableAfterMs (10 s to 10 min, default 30 s) and controller.wavePauseMs (5 s to 24 h, default 5 min). The report interval follows the first one, 5 s shorter, as 25 s was for 30 s. Ruled out: limits below 10 s, with which the first lost report would count as unreachable before the second one is asked for; fields of the configuration, because the times follow from the network and platform of the entries, not from a team's budget; a hook for tests only. Conclusion: defaults keep the behaviour; tests can use the lower bounds.

--- a/bench/fleet/planning_cost.ts
+++ b/bench/fleet/planning_cost.ts
@@ -1,3 +1,4 @@
+import { WAVE_PAUSE_MS } from "../../src/constants.ts";
 import process from "node:process";
 import { performance } from "node:perf_hooks";
 import type { ResolvedConfig } from "../../src/config/schema.ts";
@@ -109,6 +110,7 @@
       workers: createWorkerViews(record),
       demand,
       holdsNewDrains: false,
+      wavePauseMs: WAVE_PAUSE_MS,
       nowMs,
     };
     const planStart = process.cpuUsage();
--- a/bench/fleet/run.ts
+++ b/bench/fleet/run.ts
@@ -1,3 +1,4 @@
+import { WAVE_PAUSE_MS } from "../../src/constants.ts";
 import { performance } from "node:perf_hooks";
 import type { ResolvedConfig } from "../../src/config/schema.ts";
 import {
@@ -154,6 +155,7 @@
       workers: viewWorkers(record, nowMs),
       demand,
       holdsNewDrains: false,
+      wavePauseMs: WAVE_PAUSE_MS,
       nowMs,
     };
     const startedAtMs = performance.now();
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -49,3 +49,7 @@
 
 /** Header with the id of the entry that forwarded a keyed request to the key's issuer. */
 export const FORWARDED_BY_HEADER = "cowslipferry-forwarded-by";
+/** Default time without an answer after which a worker counts as unreachable, in ms. */
+export const UNREACHABLE_AFTER_MS = 30_000;
+/** Default of the shortest pause of maintenance after correlated failures, in ms. */
+export const WAVE_PAUSE_MS = 300_000;
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -56,7 +56,7 @@
 }
 
 function createControllerPart(parts: DependencyContainer): Part {
-  const { entryId, region } = parts.resolve(TOKENS.settings);
+  const { entryId, region, controller } = parts.resolve(TOKENS.settings);
   const store = parts.resolve(TOKENS.store);
   return {
     name: "controller",
@@ -70,6 +70,7 @@
         vmList: parts.resolve(TOKENS.vmSnapshot),
         entries: parts.resolve(TOKENS.entries),
         workerAgent: parts.resolve(TOKENS.workerAgent),
+        timing: controller,
         readAssignedTasks: () => readBusyWorkers(store, region),
         clock: parts.resolve(TOKENS.clock),
         log: parts.resolve(TOKENS.loggers)("controller"),
--- a/src/fleet/availability.ts
+++ b/src/fleet/availability.ts
@@ -20,7 +20,7 @@
 export interface AvailabilityInput {
   readonly vms: Readonly<Record<string, VmRecord>>;
   readonly pools: Iterable<PoolConfig>;
-  /** VMs whose agent has not answered for 30 s; they count as missing. */
+  /** VMs whose agent has not answered for `controller.unreachableAfterMs`; they count as missing. */
   readonly unreachable: ReadonlySet<string>;
 }
 
--- a/src/fleet/controller.ts
+++ b/src/fleet/controller.ts
@@ -9,6 +9,7 @@
 import type { Store } from "../platform/store.ts";
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
 import type { WorkerAgent } from "../platform/worker_agent.ts";
+import type { ResolvedSettings } from "../settings/schema.ts";
 import { createControllerStore, type ReadRecord } from "./controller_store.ts";
 import { type Decision, MAXIMUM_DECISIONS } from "./decision_log.ts";
 import { type DemandState, observeDemand } from "./demand.ts";
@@ -45,6 +46,7 @@
   readonly workerAgent: WorkerAgent;
   /** Tasks that are recorded as started on each VM, also those that no report shows yet; rejects with a `StoreError` or a `ValidationError`. */
   readonly readAssignedTasks: () => Promise<ReadonlyMap<string, number>>;
+  readonly timing: ResolvedSettings["controller"];
   readonly clock: Clock;
   readonly log: Logger;
 }
@@ -67,9 +69,13 @@
 
 /** Creates a controller; all of its memory can be lost without harm. */
 export function createController(options: ControllerOptions): Controller {
-  const { holder, region, config, clock, log, workerAgent } = options;
+  const { holder, region, config, clock, log, workerAgent, timing } = options;
+  const { unreachableAfterMs, wavePauseMs } = timing;
   const values = createControllerStore(options.store, region);
-  const monitor = createWorkerMonitor(workerAgent, clock);
+  const monitor = createWorkerMonitor(workerAgent, {
+    clock,
+    unreachableAfterMs,
+  });
   const intents = createIntentRunner({ workerAgent, monitor, clock, log });
   /** The record as last read or written; dropped whenever it may be outdated. */
   let known: ReadRecord | undefined;
@@ -202,6 +208,7 @@
       workers: await viewWorkers(record),
       demand: await observe(listedEntries, applied),
       holdsNewDrains: !monitor.isSettled(),
+      wavePauseMs,
       nowMs,
     });
     if (plan.kind === "outdated_config") {
--- a/src/fleet/maintenance.ts
+++ b/src/fleet/maintenance.ts
@@ -15,7 +15,7 @@
   type Vms,
 } from "./planning_context.ts";
 import { isLent, type MaintenanceState, type VmRecord } from "./record.ts";
-import { findCorrelatedFailures, RESUME_DELAY_MS } from "./wave_pause.ts";
+import { findCorrelatedFailures } from "./wave_pause.ts";
 
 const DAY_MS = 24 * 3_600_000;
 /** Share of the remaining time that a wave may plan to use before it is reported as late. */
@@ -220,7 +220,7 @@
   }
   // A new controller doesn't know yet which workers are unreachable.
   const mayResume = !context.holdsNewDrains &&
-    context.nowMs - pausedAtMs >= RESUME_DELAY_MS;
+    context.nowMs - pausedAtMs >= context.wavePauseMs;
   if (pausedReason === undefined || !mayResume) {
     return { state, decisions: [] };
   }
--- a/src/fleet/planning_context.ts
+++ b/src/fleet/planning_context.ts
@@ -7,7 +7,7 @@
 
 /** What the controller knows from a worker's agent. */
 export interface WorkerView {
-  /** False once the agent has not answered for 30 s. */
+  /** False once the agent has not answered for `controller.unreachableAfterMs`. */
   readonly reachable: boolean;
   /** Whether the last request was answered. */
   readonly answers: boolean;
@@ -28,6 +28,8 @@
   readonly demand: DemandState;
   /** Set while the controller has watched the workers for less than the time that shows an unreachable one. */
   readonly holdsNewDrains: boolean;
+  /** Shortest pause of the waves after correlated failures, in ms. */
+  readonly wavePauseMs: number;
   /** Wall-clock time, in ms. */
   readonly nowMs: number;
 }
@@ -37,7 +39,7 @@
   /** Pools of the region by name. */
   readonly pools: ReadonlyMap<string, PoolConfig>;
   readonly listed: ReadonlyMap<string, Vm>;
-  /** VMs whose agent has not answered for 30 s. */
+  /** VMs whose agent has not answered for `controller.unreachableAfterMs`. */
   readonly unreachable: ReadonlySet<string>;
   readonly digests: ReadonlyMap<string, EntryDigest>;
   /** Entries whose acknowledgement a drain needs: every one that the VM list or a digest shows. */
--- a/src/fleet/wave_pause.ts
+++ b/src/fleet/wave_pause.ts
@@ -7,8 +7,6 @@
 const FAILURE_WINDOW_MS = 15 * 60_000;
 /** Failures inside a wave that count as correlated. */
 const CORRELATED_FAILURES = 2;
-/** Shortest pause, in ms; keeps a wave from alternating between pausing and draining. */
-export const RESUME_DELAY_MS = 5 * 60_000;
 
 /** Failures that the waves may have caused or run into. */
 export interface WaveFailures {
--- a/src/fleet/worker_monitor.ts
+++ b/src/fleet/worker_monitor.ts
@@ -4,11 +4,10 @@
 import type { WorkerView } from "./planning_context.ts";
 import type { FleetRecord } from "./record.ts";
 
-/** Time without an answer after which a worker counts as unreachable, in ms. */
-export const UNREACHABLE_AFTER_MS = 30_000;
-/** Time between two reports of a worker that has no transition, in ms; 467 workers of a region then cost about 19 calls per second. */
-const REPORT_INTERVAL_MS = 25_000;
-/** Time after a failed report until the next one, in ms. */
+/**
+ * Time after a failed report until the next one, in ms. A worker that has no transition is asked this long before it
+ * would count as unreachable; with the default of 30 s, 467 workers of a region cost about 19 calls per second.
+ */
 const RETRY_INTERVAL_MS = 5_000;
 /** Time after which a report is given up, in ms. */
 const REPORT_TIMEOUT_MS = 1_500;
@@ -39,8 +38,9 @@
 /** Creates a monitor without any observation. */
 export function createWorkerMonitor(
   workerAgent: WorkerAgent,
-  clock: Clock,
+  options: { clock: Clock; unreachableAfterMs: number },
 ): WorkerMonitor {
+  const { clock, unreachableAfterMs } = options;
   const observations = new Map<string, Observation>();
   /** Since when every listed worker is asked; the first reports take several steps in a large region. */
   let watchedSinceMs: number | undefined;
@@ -52,7 +52,7 @@
     }
     const intervalMs = seen.report === undefined
       ? RETRY_INTERVAL_MS
-      : REPORT_INTERVAL_MS;
+      : unreachableAfterMs - RETRY_INTERVAL_MS;
     return nowMs - seen.askedAtMs >= intervalMs;
   }
 
@@ -84,7 +84,7 @@
     const current = seen.report?.incarnation === record.vms[vmId]?.incarnation;
     const report = current ? seen.report : undefined;
     return {
-      reachable: report !== undefined || sinceMs < UNREACHABLE_AFTER_MS,
+      reachable: report !== undefined || sinceMs < unreachableAfterMs,
       answers: report !== undefined,
       lastRebootIntentId: report?.lastRebootIntentId,
       runningTasks: report?.tasks.filter((task) => task.state === "running")
@@ -129,7 +129,7 @@
     },
     isSettled: () =>
       watchedSinceMs !== undefined &&
-      clock.monotonicMs() - watchedSinceMs >= UNREACHABLE_AFTER_MS,
+      clock.monotonicMs() - watchedSinceMs >= unreachableAfterMs,
     reportOf: (vmId) => observations.get(vmId)?.report,
   };
 }
--- a/src/fleet/worker_monitor_test.ts
+++ b/src/fleet/worker_monitor_test.ts
@@ -1,10 +1,11 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { createVm, REGION } from "../../testing/fleet_world.ts";
+import { UNREACHABLE_AFTER_MS } from "../constants.ts";
 import { PlatformError } from "../errors.ts";
 import type { WorkerAgent } from "../platform/worker_agent.ts";
 import { createFleetRecord } from "./record.ts";
-import { createWorkerMonitor, UNREACHABLE_AFTER_MS } from "./worker_monitor.ts";
+import { createWorkerMonitor } from "./worker_monitor.ts";
 
 const STEP_MS = 1_000;
 const record = createFleetRecord(REGION);
@@ -15,7 +16,10 @@
 function watch(workers: number) {
   let nowMs = 0;
   const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
-  const monitor = createWorkerMonitor(silentAgent, clock);
+  const monitor = createWorkerMonitor(silentAgent, {
+    clock,
+    unreachableAfterMs: UNREACHABLE_AFTER_MS,
+  });
   const vms = Array.from(
     { length: workers },
     (_, index) => createVm(`worker-${index}`, index, "pool"),
--- a/src/jobs/jobs_world.ts
+++ b/src/jobs/jobs_world.ts
@@ -2,7 +2,7 @@
 import type { AppliedConfig, ResolvedConfig } from "../config/schema.ts";
 import type { Observable } from "../observable.ts";
 import type { FleetRecord, VmRecord } from "../fleet/record.ts";
-import { UNREACHABLE_AFTER_MS } from "../fleet/worker_monitor.ts";
+import { UNREACHABLE_AFTER_MS } from "../constants.ts";
 import type { Vm } from "../platform/vm_list.ts";
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
 import { activeRun, type Job, type Size } from "./job.ts";
--- a/src/settings/load_test.ts
+++ b/src/settings/load_test.ts
@@ -54,9 +54,12 @@
       admin: { port: 80 },
     },
     limits: { maximumBodyBytes: 0 },
+    controller: { unreachableAfterMs: 9_999, wavePauseMs: 4_999 },
     graceSeconds: 3,
   });
   assert.equal(paths, [
+    "$.controller.unreachableAfterMs",
+    "$.controller.wavePauseMs",
     "$.entryId",
     "$.graceSeconds",
     "$.limits.maximumBodyBytes",
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { UNREACHABLE_AFTER_MS, WAVE_PAUSE_MS } from "../constants.ts";
 import { platformUrl } from "./platform_url.ts";
 
 const ipAddress = z.ipv4("an IPv4 address");
@@ -49,6 +50,20 @@
       30_000,
     ),
   }).prefault({}),
+  /** The same in each entry of a region, as every entry may become its controller. */
+  controller: z.strictObject({
+    /**
+     * Time without an answer after which a worker counts as unreachable, in ms. A controller starts no loan or
+     * maintenance before it has watched the workers for as long. Below 10 s a single lost report would be enough.
+     */
+    unreachableAfterMs: z.number().int().min(10_000).max(600_000).default(
+      UNREACHABLE_AFTER_MS,
+    ),
+    /** Shortest pause of maintenance after correlated failures, in ms; keeps a wave from alternating between pausing and draining. */
+    wavePauseMs: z.number().int().min(5_000).max(86_400_000).default(
+      WAVE_PAUSE_MS,
+    ),
+  }).prefault({}),
   /** Longest time of a graceful shutdown, in ms. */
   graceMs: z.number().int().min(0).max(600_000).default(30_000),
   logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default(
--- a/testing/fleet_world.ts
+++ b/testing/fleet_world.ts
@@ -4,6 +4,7 @@
   ResolvedConfig,
   UserConfig,
 } from "../src/config/schema.ts";
+import { UNREACHABLE_AFTER_MS, WAVE_PAUSE_MS } from "../src/constants.ts";
 import { configSchema } from "../src/config/schema.ts";
 import { PlatformError } from "../src/errors.ts";
 import {
@@ -247,6 +248,10 @@
         vmList,
         entries: digests,
         workerAgent,
+        timing: {
+          unreachableAfterMs: UNREACHABLE_AFTER_MS,
+          wavePauseMs: WAVE_PAUSE_MS,
+        },
         readAssignedTasks: () => Promise.resolve(new Map()),
         clock,
         log: silentLogger,
--- a/testing/plan_input.ts
+++ b/testing/plan_input.ts
@@ -1,3 +1,4 @@
+import { WAVE_PAUSE_MS } from "../src/constants.ts";
 import type { ResolvedConfig } from "../src/config/schema.ts";
 import { BUCKETS_PER_DAY, createDemandState } from "../src/fleet/demand.ts";
 import type { PlanInput, WorkerView } from "../src/fleet/planning_context.ts";
@@ -66,6 +67,7 @@
     workers: new Map(vms.map((vm) => [vm.id, ANSWERS])),
     demand: createDemandState(),
     holdsNewDrains: false,
+    wavePauseMs: WAVE_PAUSE_MS,
     nowMs: NOW_MS,
   };
 }
