refactor(testing): checks of fleet records for any configuration and program run

Cause: the checks in lost_data_centre_test.ts know one configuration file, while tests of the controller's own decisions change it during the run. Change: followRecords moves to testing/faults/fleet_records.ts and checks each write under the configuration revision that it names; withDeployment takes a configuration file; the stand-ins show the holder of a lease and reboots begun. Ruled out: a second copy of the checks.

--- a/testing/faults/lost_data_centre_test.ts
+++ b/testing/faults/lost_data_centre_test.ts
@@ -2,17 +2,12 @@
 import * as assert from "uvu/assert";
 import { resolveConfig } from "../../src/config/validate.ts";
 import { parseFleetRecord } from "../../src/fleet/follower.ts";
-import { fleetKey, type FleetRecord } from "../../src/fleet/record.ts";
-import {
-  checkRecord,
-  checkStep,
-  type Violation,
-} from "../../src/fleet/record_check.ts";
-import type { StoreEntry } from "../../src/platform/store.ts";
+import { checkRecord } from "../../src/fleet/record_check.ts";
 import { readTextFile } from "../../src/settings/load.ts";
 import { callEntry, isOwnAnswer } from "../caller.ts";
 import type { Deployment } from "../deployment.ts";
 import { waitFor } from "../wait.ts";
+import { FLEET_KEY, followRecords } from "./fleet_records.ts";
 import { CONFIG_FILE, SERVICES, withDeployment } from "./scenario.ts";
 
 const DATA_CENTRES = ["khomas-1", "khomas-2", "khomas-3"];
@@ -20,7 +15,6 @@
 const LOST = 0;
 const OWNER = "backoffice";
 const BORROWERS = ["quoting", "survey", "dispatch"];
-const KEY = fleetKey("khomas");
 const REQUESTS_PER_SERVICE = 40;
 /** Long enough that a busy machine doesn't end requests, in ms. */
 const DEADLINE_MS = 20_000;
@@ -28,36 +22,12 @@
 const MAXIMUM_UNANSWERED = 0.1;
 const config = resolveConfig(await readTextFile(CONFIG_FILE), CONFIG_FILE);
 
-/** Follows the records that are written from now on; `latest` throws once a decision has broken a rule. */
-function followRecords(values: Map<string, StoreEntry>) {
-  let record = parseFleetRecord(values.get(KEY)!.value);
-  let count = 0;
-  const broken: Violation[] = [];
-  const set = values.set.bind(values);
-  values.set = (key, entry) => {
-    if (key === KEY) {
-      const next = parseFleetRecord(entry.value);
-      broken.push(...checkStep(record, next, config));
-      record = next;
-      count++;
-    }
-    return set(key, entry);
-  };
-  return {
-    count: () => count,
-    latest(): FleetRecord {
-      assert.equal(broken, []);
-      return record;
-    },
-  };
-}
-
 /**
  * Writes the intents to lend one of the owner's VMs of each data centre, as a controller that was
  * killed then leaves them. A controller starts no loan of its own in its first 30 s.
  */
 function lendFromEachDataCentre({ store }: Deployment): readonly string[] {
-  const { value, version } = store.values.get(KEY)!;
+  const { value, version } = store.values.get(FLEET_KEY)!;
   const record = parseFleetRecord(value);
   const revision = record.revision + 1;
   const lent = DATA_CENTRES.map((dataCentre, index) => {
@@ -81,7 +51,7 @@
     return vmId;
   });
   const next = JSON.stringify({ ...record, revision });
-  store.values.set(KEY, { value: next, version: version + 1 });
+  store.values.set(FLEET_KEY, { value: next, version: version + 1 });
   store.server.closeAllConnections();
   return lent;
 }
@@ -113,13 +83,10 @@
     dataCentres: DATA_CENTRES,
   }, async (deployment) => {
     const { fleet, store, vmList } = deployment;
-    await waitFor(
-      "all VMs are recorded",
-      () =>
-        Object.keys(parseFleetRecord(store.values.get(KEY)!.value).vms)
-          .length === fleet.vms.length,
+    const { latest, history } = await followRecords(
+      store.values,
+      fleet.vms.length,
     );
-    const { latest, count } = followRecords(store.values);
     const owned = () =>
       Object.values(latest().vms).filter(({ homePool }) => homePool === OWNER);
     const lent = lendFromEachDataCentre(deployment);
@@ -163,7 +130,7 @@
           vm.pool === vm.homePool;
       });
     });
-    console.log(`${count()} records, ${lost.size} VMs lost`);
+    console.log(`${history.length} records, ${lost.size} VMs lost`);
   }));
 
 test.run();
--- a/testing/faults/scenario.ts
+++ b/testing/faults/scenario.ts
@@ -10,27 +10,31 @@
 /** Configuration that the tests with real processes use. */
 export const CONFIG_FILE = "examples/khomas.json";
 
+async function readServices(file: string): Promise<readonly string[]> {
+  return resolveConfig(await readTextFile(file), file).services
+    .map((service) => service.name);
+}
+
 /** Services of that configuration. */
-export const SERVICES: readonly string[] = resolveConfig(
-  await readTextFile(CONFIG_FILE),
-  CONFIG_FILE,
-).services.map((service) => service.name);
+export const SERVICES: readonly string[] = await readServices(CONFIG_FILE);
 
 /** Runs a test against entry processes that serve; ends all of them afterwards. */
 export async function withDeployment(
   options: Partial<DeploymentOptions>,
   body: (deployment: Deployment) => Promise<void>,
 ): Promise<void> {
+  const { configFile = CONFIG_FILE } = options;
+  const services = await readServices(configFile);
   const deployment = await startDeployment({
-    configFile: CONFIG_FILE,
+    configFile,
     entryCount: 3,
     program: { kind: "source" },
     dataCentres: ["khomas-1", "khomas-2", "khomas-3"],
     ...options,
   });
   try {
-    await deployment.apply(CONFIG_FILE);
-    await waitUntilServing(deployment.entries, SERVICES);
+    await deployment.apply(configFile);
+    await waitUntilServing(deployment.entries, services);
     await body(deployment);
   } catch (error) {
     for (const entry of deployment.entries) {
--- a/testing/store_server.ts
+++ b/testing/store_server.ts
@@ -36,6 +36,8 @@
   readonly values: Map<string, StoreEntry>;
   /** Ends a lease at once; its former holder isn't told. */
   lapseLease(name: string): void;
+  /** Last holder of a lease. */
+  leaseHolder(name: string): string | undefined;
 }
 
 interface HeldLease {
@@ -207,5 +209,12 @@
     return reply;
   });
   const running = await listenOnLoopback(server, port);
-  return { ...running, faults, counts, values, lapseLease };
+  return {
+    ...running,
+    faults,
+    counts,
+    values,
+    lapseLease,
+    leaseHolder: (name) => leases.get(name)?.holder,
+  };
 }
--- a/testing/worker_host.ts
+++ b/testing/worker_host.ts
@@ -16,6 +16,8 @@
 export interface WorkerJournal {
   readonly runs: readonly JournalEntry[];
   readonly arrivals: readonly Arrival[];
+  /** Intent ids of the reboots that the agent began. */
+  readonly reboots: readonly string[];
 }
 
 /** A worker stand-in in this process or in another one. */
@@ -32,13 +34,17 @@
 
 /** Returns a handle of a worker in this process. */
 export function handleOf(worker: Worker): WorkerHandle {
-  const { id, address, controlAddress, backend } = worker;
+  const { id, address, controlAddress, backend, agent } = worker;
   return {
     id,
     address,
     controlAddress,
     journal: () =>
-      Promise.resolve({ runs: backend.journal, arrivals: backend.arrivals }),
+      Promise.resolve({
+        runs: backend.journal,
+        arrivals: backend.arrivals,
+        reboots: agent.journal.reboots,
+      }),
     configure: (change) => Promise.resolve(worker.configure(change)),
     crash: () => backend.crash(),
     restart: () => backend.restart(),
