--- /dev/null
+++ b/testing/faults/controller_scenario.ts
@@ -0,0 +1,58 @@
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { UserConfig } from "../../src/config/schema.ts";
+import type { Deployment, DeploymentOptions } from "../deployment.ts";
+import { withDeployment } from "./scenario.ts";
+
+/** Shortest times that the settings allow, so that a controller decides by itself within a test. */
+export const TIMING = { unreachableAfterMs: 10_000, wavePauseMs: 5_000 };
+
+type PoolChange = Partial<UserConfig["pools"][number]>;
+
+/** Returns a configuration of pools that serve one service each, by the pool's name. */
+export function buildPools(pools: Record<string, PoolChange>): UserConfig {
+  const names = Object.keys(pools);
+  return {
+    version: 1,
+    weights: { bufferCost: 1, moves: 0 },
+    teams: names.map((name) => ({ name })),
+    services: names.map((name) => ({ name, defaultDeadlineMs: 30_000 })),
+    pools: names.map((name) => ({
+      name,
+      region: "khomas",
+      team: name,
+      services: [name],
+      vms: 6,
+      availability: { minimumServingVms: 1 },
+      ...pools[name],
+    })),
+  };
+}
+
+/** Runs a test against entries that may choose loans and maintenance after 10 s; `apply` applies another configuration. */
+export async function withController(
+  config: UserConfig,
+  options: Partial<DeploymentOptions>,
+  body: (
+    deployment: Deployment,
+    apply: (next: UserConfig) => Promise<void>,
+  ) => Promise<void>,
+): Promise<void> {
+  const folder = await mkdtemp(join(tmpdir(), "cowslipferry-config-"));
+  const configFile = join(folder, "config.json");
+  try {
+    await writeFile(configFile, JSON.stringify(config));
+    const settings = { ...options.settings, controller: TIMING };
+    await withDeployment(
+      { ...options, configFile, settings },
+      (deployment) =>
+        body(deployment, async (next) => {
+          await writeFile(configFile, JSON.stringify(next));
+          await deployment.apply(configFile);
+        }),
+    );
+  } finally {
+    await rm(folder, { recursive: true });
+  }
+}
