test(fleet): only the drain protects requests in flight in the raised budget test

Change: reboots without a grace time; until the budget is raised, requests take 6 s, set once the traffic may begin; 24 callers in place of 80, so that one VM of 8 slots answers all of them before their deadline.

--- a/testing/faults/raised_budget_test.ts
+++ b/testing/faults/raised_budget_test.ts
@@ -13,7 +13,10 @@
 const BORROWER = "quoting";
 /** Of 6 VMs; one fewer than that at most, so that each can be maintained. */
 const RAISED = 5;
-const CALLERS = 80;
+const CALLERS = 24;
+/** Longer than it takes from a drain's record until each entry has acknowledged it, in ms. */
+const SLOW_MS = 6_000;
+const QUICK_MS = 300;
 const DEADLINE_MS = 30_000;
 const TIMEOUT = { timeoutMs: 40_000 };
 
@@ -37,14 +40,22 @@
 test("a budget is raised in the middle of a wave while VMs are lent by the controller's choice", () =>
   withController(buildConfig(1, 2), {
     entryCount: 2,
-    serviceTimeMs: 300,
+    serviceTimeMs: QUICK_MS,
     workerProcesses: 1,
-    worker: { agent: { rebootMs: 1_500 } },
+    // A reboot doesn't wait for requests, so only the drain before it protects them.
+    worker: { agent: { rebootMs: 1_500, graceMs: 0 } },
   }, async ({ entries, fleet, store }, apply) => {
     const records = await followRecords(store.values, fleet.vms.length);
     const owned = () =>
       Object.values(records.latest().vms).filter((vm) => vm.homePool === OWNER);
     const lentVms = () => owned().filter(({ pool }) => pool !== OWNER);
+    const setServiceTime = (serviceTimeMs: number) =>
+      Promise.all(
+        [...fleet.workers.values()].map((worker) =>
+          worker.configure({ backend: { serviceTimeMs } })
+        ),
+      );
+    await setServiceTime(SLOW_MS);
     const failed: CallResult[] = [];
     let answered = 0;
     let stopped = false;
@@ -72,6 +83,7 @@
           ),
         TIMEOUT,
       );
+      await setServiceTime(QUICK_MS);
       const before = records.history.length;
       await apply(buildConfig(RAISED, 1));
       await waitFor(
