--- a/src/constants.ts
+++ b/src/constants.ts
@@ -52,3 +52,8 @@
 
 /** Host that stands for every address of the machine when a server listens on it. */
 export const ANY_HOST = "0.0.0.0";
+
+/** Default time without an answer after which a worker counts as unreachable, in ms. */
+export const UNREACHABLE_AFTER_MS = 30_000;
+/** Default of the shortest pause of maintenance after correlated failures, in ms. */
+export const WAVE_PAUSE_MS = 300_000;
--- a/src/fleet/worker_monitor.ts
+++ b/src/fleet/worker_monitor.ts
@@ -4,11 +4,10 @@
 import type { WorkerView } from "./planning_context.ts";
 import type { FleetRecord } from "./record.ts";
 
-/** Time without an answer after which a worker counts as unreachable, in ms. */
-export const UNREACHABLE_AFTER_MS = 30_000;
-/** Time between two reports of a worker that has no transition, in ms; 467 workers of a region then cost about 19 calls per second. */
-const REPORT_INTERVAL_MS = 25_000;
-/** Time after a failed report until the next one, in ms. */
+/**
+ * Time after a failed report until the next one, in ms. A worker that has no transition is asked this long before it
+ * would count as unreachable; with the default of 30 s, 467 workers of a region cost about 19 calls per second.
+ */
 const RETRY_INTERVAL_MS = 5_000;
 /** Time after which a report is given up, in ms. */
 const REPORT_TIMEOUT_MS = 1_500;
@@ -39,10 +38,12 @@
 /** Creates a monitor without any observation. */
 export function createWorkerMonitor(
   workerAgent: WorkerAgent,
-  clock: Clock,
+  options: { clock: Clock; unreachableAfterMs: number },
 ): WorkerMonitor {
+  const { clock, unreachableAfterMs } = options;
   const observations = new Map<string, Observation>();
-  let startedAtMs = clock.monotonicMs();
+  /** Since when every listed worker is asked; the first reports take several steps in a large region. */
+  let watchedSinceMs: number | undefined;
 
   function isDue(vmId: string, record: FleetRecord, nowMs: number): boolean {
     const seen = observations.get(vmId);
@@ -51,7 +52,7 @@
     }
     const intervalMs = seen.report === undefined
       ? RETRY_INTERVAL_MS
-      : REPORT_INTERVAL_MS;
+      : unreachableAfterMs - RETRY_INTERVAL_MS;
     return nowMs - seen.askedAtMs >= intervalMs;
   }
 
@@ -83,7 +84,7 @@
     const current = seen.report?.incarnation === record.vms[vmId]?.incarnation;
     const report = current ? seen.report : undefined;
     return {
-      reachable: report !== undefined || sinceMs < UNREACHABLE_AFTER_MS,
+      reachable: report !== undefined || sinceMs < unreachableAfterMs,
       answers: report !== undefined,
       lastRebootIntentId: report?.lastRebootIntentId,
       runningTasks: report?.tasks.filter((task) => task.state === "running")
@@ -98,10 +99,10 @@
       for (const vmId of observations.keys()) {
         if (!listed.has(vmId)) observations.delete(vmId);
       }
-      const due = vms.filter((vm) =>
-        vm.role === "worker" && vm.region === record.region &&
-        isDue(vm.id, record, nowMs)
+      const workers = vms.filter((vm) =>
+        vm.role === "worker" && vm.region === record.region
       );
+      const due = workers.filter((vm) => isDue(vm.id, record, nowMs));
       const urgent = (vm: Vm) =>
         record.vms[vm.id]?.transition === undefined ? 1 : 0;
       due.sort((a, b) =>
@@ -110,6 +111,9 @@
           (observations.get(b.id)?.askedAtMs ?? 0)
       );
       await Promise.all(due.slice(0, MAXIMUM_REPORTS_PER_STEP).map(ask));
+      const all = workers.length > 0 &&
+        workers.every((vm) => observations.has(vm.id));
+      if (all) watchedSinceMs ??= clock.monotonicMs();
     },
     views(record) {
       const views = new Map<string, WorkerView>();
@@ -121,9 +125,11 @@
     },
     reset() {
       observations.clear();
-      startedAtMs = clock.monotonicMs();
+      watchedSinceMs = undefined;
     },
-    isSettled: () => clock.monotonicMs() - startedAtMs >= UNREACHABLE_AFTER_MS,
+    isSettled: () =>
+      watchedSinceMs !== undefined &&
+      clock.monotonicMs() - watchedSinceMs >= unreachableAfterMs,
     reportOf: (vmId) => observations.get(vmId)?.report,
   };
 }
