perf(peers): gossip calls are sent without trpc's client

Cause: each gossip call passed trpc's links, observables and two abort signals, whose teardown aborts a signal and builds an exception, and undici's streams. Change: sendHttpCall gives one call to undici's dispatcher and reads the response with one timer. The gossip call uses it and writes trpc's format itself; the seldom calls still go through trpc's client. Ruled out: a format of our own; entries of both versions must understand each other while they are replaced.

--- /dev/null
+++ b/src/http_call.ts
@@ -0,0 +1,90 @@
+import type { Dispatcher } from "undici";
+
+/** One HTTP call whose whole response is read. */
+export interface HttpCall {
+  /** `http://host:port`; needed by dispatchers with several origins. */
+  readonly origin?: string;
+  /** Path with query. */
+  readonly path: string;
+  readonly method: "GET" | "PUT" | "POST" | "DELETE";
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string | undefined;
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal | undefined;
+}
+
+/** The response of an HTTP call. */
+export interface HttpResponse {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly text: string;
+}
+
+/**
+ * Sends one call; rejects with undici's error, a `TimeoutError`, or the reason
+ * of the outer signal. undici's own `request` makes streams, an abort signal
+ * and timers for each response, which cost an idle entry more than the rest of
+ * the call.
+ */
+export function sendHttpCall(
+  dispatcher: Dispatcher,
+  call: HttpCall,
+): Promise<HttpResponse> {
+  const { origin, path, method, body, timeoutMs, signal } = call;
+  return new Promise((resolve, reject) => {
+    if (signal?.aborted) return reject(signal.reason);
+    const chunks: Buffer[] = [];
+    let status = 0;
+    let headers: HttpResponse["headers"] = {};
+    let running: Dispatcher.DispatchController | undefined;
+    let failure: Error | undefined;
+
+    function end(): void {
+      clearTimeout(timer);
+      signal?.removeEventListener("abort", onAbort);
+    }
+    function fail(error: Error): void {
+      failure = error;
+      end();
+      reject(error);
+      running?.abort(error);
+    }
+    const onAbort = () => fail(signal?.reason);
+    const timer = setTimeout(() => {
+      const message = "The operation was aborted due to timeout";
+      fail(new DOMException(message, "TimeoutError"));
+    }, timeoutMs);
+    signal?.addEventListener("abort", onAbort, { once: true });
+
+    dispatcher.dispatch({
+      ...(origin === undefined ? {} : { origin }),
+      path,
+      method,
+      headers: call.headers ?? {},
+      body: body ?? null,
+      // This call's timer covers the whole response.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    }, {
+      onRequestStart(controller) {
+        running = controller;
+        // A call that ended while it waited for its connection isn't sent.
+        if (failure !== undefined) controller.abort(failure);
+      },
+      onResponseStart(_controller, statusCode, responseHeaders) {
+        status = statusCode;
+        headers = responseHeaders;
+      },
+      onResponseData: (_controller, chunk) => void chunks.push(chunk),
+      onResponseEnd() {
+        end();
+        const bytes = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+        resolve({ status, headers, text: bytes.toString() });
+      },
+      onResponseError(_controller, error) {
+        end();
+        reject(error);
+      },
+    });
+  });
+}
--- /dev/null
+++ b/src/http_call_test.ts
@@ -0,0 +1,66 @@
+import { createServer } from "node:http";
+import process from "node:process";
+import { Pool } from "undici";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { listenOnLoopback } from "../testing/http_json_server.ts";
+import { waitFor } from "../testing/wait.ts";
+import { sendHttpCall } from "./http_call.ts";
+
+const reasonOf = (call: Promise<unknown>) =>
+  call.then(() => assert.unreachable(), (error) => error);
+const timers = () =>
+  process.getActiveResourcesInfo().filter((name) => name === "Timeout").length;
+
+// Guards against calls that hang, that are sent after their end, or whose body is cut, and against timers that outlive their call.
+test("a call ends with its response, its timeout or the outer signal", async () => {
+  const received: string[] = [];
+  const server = createServer((request, response) => {
+    received.push(request.url ?? "");
+    if (request.url === "/slow") return;
+    if (request.url === "/cut") {
+      response.setHeader("content-length", 100);
+      response.write("short", () => response.destroy());
+      return;
+    }
+    response.setHeader("etag", "v1");
+    request.on("data", (chunk) => response.write(chunk));
+    request.on("end", () => response.end("é"));
+  });
+  const { address, close } = await listenOnLoopback(server);
+  const pool = new Pool(`http://${address}`, { connections: 1, pipelining: 1 });
+  const call = (path: string, timeoutMs = 60_000, signal?: AbortSignal) =>
+    sendHttpCall(pool, {
+      path,
+      method: "POST",
+      body: "sent ",
+      timeoutMs,
+      signal,
+    });
+  try {
+    const { status, headers, text } = await call("/");
+    assert.equal([status, headers.etag, text], [200, "v1", "sent é"]);
+    assert.is((await reasonOf(call("/cut"))).code, "UND_ERR_SOCKET");
+
+    const before = timers();
+    const late = reasonOf(call("/slow", 200));
+    await waitFor("the slow call", () => received.includes("/slow"));
+    // The connection is in use, so these two calls wait for it.
+    const outer = new AbortController();
+    const aborted = reasonOf(call("/aborted", 60_000, outer.signal));
+    const expired = reasonOf(call("/expired", 10));
+    outer.abort("stopped");
+    assert.is(await aborted, "stopped");
+    assert.is((await expired).name, "TimeoutError");
+    assert.is((await late).name, "TimeoutError");
+    assert.is(await reasonOf(call("/never", 1, outer.signal)), "stopped");
+    assert.is((await call("/last")).status, 200);
+    assert.equal(received, ["/", "/cut", "/slow", "/last"]);
+    assert.ok(timers() <= before);
+  } finally {
+    await pool.destroy();
+    await close();
+  }
+});
+
+test.run();
--- a/src/peers/client.ts
+++ b/src/peers/client.ts
@@ -3,7 +3,9 @@
 import { buildConnector, Pool } from "undici";
 import { callWithTimeout } from "../call_timeout.ts";
 import { messageOf, TaggedError } from "../errors.ts";
+import { sendHttpCall } from "../http_call.ts";
 import type { ByteMeter } from "./byte_meter.ts";
+import { EXCHANGE_PATH } from "./exchange_endpoint.ts";
 import type { PeerRouter } from "./router.ts";
 import {
   type ExchangeReply,
@@ -88,6 +90,25 @@
   return false;
 }
 
+/**
+ * Makes one gossip call in trpc's HTTP format. trpc's links, observables and
+ * abort signals cost processor time in each call, and gossip never pauses.
+ */
+async function callExchange(
+  pool: Pool,
+  request: ExchangeRequest,
+): Promise<ExchangeReply> {
+  const { status, text } = await sendHttpCall(pool, {
+    path: `/${EXCHANGE_PATH}`,
+    method: "POST",
+    headers: { "content-type": "application/json" },
+    body: JSON.stringify(request),
+    timeoutMs: EXCHANGE_TIMEOUT_MS,
+  });
+  if (status !== 200) throw new Error(`status ${status}`);
+  return exchangeReplySchema.parse(JSON.parse(text)?.result?.data);
+}
+
 /** Creates the client of the peer at `host:port`. */
 export function createPeerClient(
   address: string,
@@ -100,12 +121,9 @@
     ],
   });
 
-  async function call<T>(
-    timeoutMs: number,
-    send: (signal: AbortSignal) => Promise<T>,
-  ): Promise<T> {
+  async function guard<T>(answer: Promise<T>): Promise<T> {
     try {
-      return await callWithTimeout(send, { timeoutMs });
+      return await answer;
     } catch (error) {
       throw new PeerError(
         isRefused(error) ? "refused" : "unreachable",
@@ -114,12 +132,13 @@
     }
   }
 
+  const call = <T>(
+    timeoutMs: number,
+    send: (signal: AbortSignal) => Promise<T>,
+  ) => guard(callWithTimeout(send, { timeoutMs }));
+
   return {
-    exchange: (request) =>
-      call(EXCHANGE_TIMEOUT_MS, async (signal) =>
-        exchangeReplySchema.parse(
-          await client.exchange.mutate(request, { signal }),
-        )),
+    exchange: (request) => guard(callExchange(pool, request)),
     exchangeConfigRevision: (report) =>
       call(
         EXCHANGE_TIMEOUT_MS,
