perf(jobs): a shard without jobs is not planned

Change: a step of a shard that holds no job and has no change waiting keeps its lease and the newest token, and ends there. A shard that still holds ended jobs is planned as before, because their tasks may have to be stopped.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -243,6 +243,10 @@
     const base = this.writer.record;
     const active = this.#active;
     if (base === undefined || active === undefined) return "replaced";
+    if (base.jobs.size === 0 && !this.writer.needsFlush) {
+      await this.#passEmpty(base.jobs);
+      return "done";
+    }
     await this.#refreshReports(world, base.jobs);
     noteLosses(world);
     this.#notePeaks(base.jobs);
@@ -274,6 +278,16 @@
     return "done";
   }
 
+  /** Ends a step of a shard without jobs, for which planning would only view all workers. */
+  async #passEmpty(jobs: ReadonlyMap<string, Job>): Promise<void> {
+    const { shard, memory, reports } = this.#options;
+    this.#peaks.clear();
+    memory.waits.delete(shard);
+    memory.owned.set(shard, jobs);
+    // Forgets the workers that no shard asks about.
+    await reports.refresh([]);
+  }
+
   /** Keeps the reasons of a written plan. */
   #explain(
     before: ReadonlyMap<string, Job>,
