perf(peers): the body of a gossip call is read without an async iterator

Cause: the async iterator over the request and its clean-up made up about 2% of an idle entry's profile. Change: the body is collected from the stream's events; a call above the size limit is refused as before.

--- a/src/peers/exchange_endpoint.ts
+++ b/src/peers/exchange_endpoint.ts
@@ -12,21 +12,33 @@
     request.headers["content-type"] === "application/json";
 }
 
+// An async iterator over the request costs more than its few chunks.
+function readBody(
+  request: IncomingMessage,
+  maximumBytes: number,
+): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on("data", (chunk: Buffer) => {
+      bytes += chunk.length;
+      chunks.push(chunk);
+      if (bytes <= maximumBytes) return;
+      request.pause();
+      reject(new TRPCError({ code: "PAYLOAD_TOO_LARGE" }));
+    });
+    request.on("end", () => resolve(Buffer.concat(chunks).toString()));
+    request.on("error", reject);
+  });
+}
+
 async function readInput(
   request: IncomingMessage,
   maximumBytes: number,
 ): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of request) {
-    bytes += chunk.length;
-    if (bytes > maximumBytes) {
-      throw new TRPCError({ code: "PAYLOAD_TOO_LARGE" });
-    }
-    chunks.push(chunk);
-  }
+  const text = await readBody(request, maximumBytes);
   try {
-    return JSON.parse(Buffer.concat(chunks).toString());
+    return JSON.parse(text);
   } catch (cause) {
     throw new TRPCError({ code: "BAD_REQUEST", cause });
   }
