--- a/src/fleet/worker_monitor.ts
+++ b/src/fleet/worker_monitor.ts
@@ -1,3 +1,4 @@
+import { callWithTimeout } from "../call_timeout.ts";
 import type { Clock } from "../clock.ts";
 import type { Vm } from "../platform/vm_list.ts";
 import type { WorkerAgent, WorkerReport } from "../platform/worker_agent.ts";
@@ -66,8 +67,10 @@
     observations.set(vm.id, seen);
     seen.askedAtMs = nowMs;
     try {
-      const signal = AbortSignal.timeout(REPORT_TIMEOUT_MS);
-      seen.report = await workerAgent.report(vm.controlAddress, signal);
+      seen.report = await callWithTimeout(
+        (signal) => workerAgent.report(vm.controlAddress, signal),
+        { timeoutMs: REPORT_TIMEOUT_MS },
+      );
       seen.answeredAtMs = clock.monotonicMs();
     } catch {
       seen.report = undefined;
