--- a/src/fleet/worker_monitor.ts
+++ b/src/fleet/worker_monitor.ts
@@ -1,4 +1,3 @@
-import { callWithTimeout } from "../call_timeout.ts";
 import type { Clock } from "../clock.ts";
 import type { Vm } from "../platform/vm_list.ts";
 import type { WorkerAgent, WorkerReport } from "../platform/worker_agent.ts";
@@ -67,10 +66,8 @@
     observations.set(vm.id, seen);
     seen.askedAtMs = nowMs;
     try {
-      seen.report = await callWithTimeout(
-        (signal) => workerAgent.report(vm.controlAddress, signal),
-        { timeoutMs: REPORT_TIMEOUT_MS },
-      );
+      const signal = AbortSignal.timeout(REPORT_TIMEOUT_MS);
+      seen.report = await workerAgent.report(vm.controlAddress, signal);
       seen.answeredAtMs = clock.monotonicMs();
     } catch {
       seen.report = undefined;
--- a/src/jobs/worker_reports.ts
+++ b/src/jobs/worker_reports.ts
@@ -1,4 +1,3 @@
-import { callWithTimeout } from "../call_timeout.ts";
 import type { Clock } from "../clock.ts";
 import type { Vm } from "../platform/vm_list.ts";
 import type {
@@ -156,10 +155,8 @@
   async #ask(vm: Vm, seen: Observation): Promise<void> {
     const { askedAtMs } = seen;
     try {
-      const value = await callWithTimeout(
-        (signal) => this.#agent.report(vm.controlAddress, signal),
-        { timeoutMs: REPORT_TIMEOUT_MS },
-      );
+      const signal = AbortSignal.timeout(REPORT_TIMEOUT_MS);
+      const value = await this.#agent.report(vm.controlAddress, signal);
       seen.failed = false;
       seen.report = { value, askedAtMs };
       seen.tasks = new Map(value.tasks.map((task) => [task.taskId, task]));
--- a/src/peers/exchange_endpoint.ts
+++ b/src/peers/exchange_endpoint.ts
@@ -60,14 +60,14 @@
   response: ServerResponse,
   options: {
     readonly maximumBytes: number;
-    readonly exchange: (input: unknown) => unknown;
+    readonly exchange: (input: unknown) => Promise<unknown>;
   },
 ): Promise<void> {
   let status = 200;
   let body: unknown;
   try {
     const input = await readInput(request, options.maximumBytes);
-    body = { result: { data: options.exchange(input) } };
+    body = { result: { data: await options.exchange(input) } };
   } catch (cause) {
     const error = getTRPCErrorFromUnknown(cause);
     status = getHTTPStatusCodeFromError(error);
--- a/src/peers/router.ts
+++ b/src/peers/router.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from "node:http";
-import { initTRPC, TRPCError } from "@trpc/server";
+import { initTRPC } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { z } from "zod";
 import type { ByteMeter } from "./byte_meter.ts";
@@ -51,16 +51,11 @@
   ),
 });
 
+const createCaller = trpc.createCallerFactory(peerRouter);
+
 /** Calls that peers make to each other. */
 export type PeerRouter = typeof peerRouter;
 
-/** Does what the `exchange` procedure does without trpc's middlewares. */
-function answerExchange(handlers: PeerHandlers, input: unknown): ExchangeReply {
-  const { success, data, error } = exchangeRequestSchema.safeParse(input);
-  if (!success) throw new TRPCError({ code: "BAD_REQUEST", cause: error });
-  return handlers.exchange(data);
-}
-
 /** Creates the server for peers' calls; it isn't listening yet. */
 export function createPeerServer(
   handlers: PeerHandlers,
@@ -72,9 +67,11 @@
     maxBodySize: MAXIMUM_REQUEST_BYTES,
     allowBatching: false,
   });
+  const caller = createCaller({ handlers });
   const exchange = {
     maximumBytes: MAXIMUM_REQUEST_BYTES,
-    exchange: (input: unknown) => answerExchange(handlers, input),
+    // The procedure checks the input by its schema.
+    exchange: (input: unknown) => caller.exchange(input as ExchangeRequest),
   };
   const server = createServer((request, response) => {
     response.sendDate = false;
