--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -116,7 +116,6 @@
       if (this.writer.record === undefined || this.#active === undefined) {
         await this.#takeOver();
       }
-      if (this.#isEmpty()) return await this.#passEmpty();
       await this.#followFencing();
     } catch (error) {
       return await this.#surviveOutage(world, error);
@@ -218,8 +217,6 @@
       fencingToken,
       renewOnly: true,
     });
-    // Changes that wait are refused now, not when the store is back.
-    await this.writer.flush();
     return "outage";
   }
 
@@ -241,29 +238,15 @@
     await settleWithin(this.#options.reports.refresh(needed), WORKER_WAIT_MS);
   }
 
-  #isEmpty(): boolean {
-    return this.writer.record?.jobs.size === 0 && !this.writer.needsFlush;
-  }
-
-  /**
-   * Ends a step of a shard without jobs. It needs no newer fencing token, and
-   * planning would only view all workers.
-   */
-  async #passEmpty(): Promise<DispatcherStep> {
-    const { shard, memory, reports } = this.#options;
-    this.#peaks.clear();
-    memory.waits.delete(shard);
-    memory.owned.set(shard, this.writer.record!.jobs);
-    // Forgets the workers that no shard asks about.
-    await reports.refresh([]);
-    return "done";
-  }
-
   async #dispatch(world: JobsWorld): Promise<DispatcherStep> {
     const { shard, memory } = this.#options;
     const base = this.writer.record;
     const active = this.#active;
     if (base === undefined || active === undefined) return "replaced";
+    if (base.jobs.size === 0 && !this.writer.needsFlush) {
+      await this.#passEmpty(base.jobs);
+      return "done";
+    }
     await this.#refreshReports(world, base.jobs);
     noteLosses(world);
     this.#notePeaks(base.jobs);
@@ -295,6 +278,16 @@
     return "done";
   }
 
+  /** Ends a step of a shard without jobs, for which planning would only view all workers. */
+  async #passEmpty(jobs: ReadonlyMap<string, Job>): Promise<void> {
+    const { shard, memory, reports } = this.#options;
+    this.#peaks.clear();
+    memory.waits.delete(shard);
+    memory.owned.set(shard, jobs);
+    // Forgets the workers that no shard asks about.
+    await reports.refresh([]);
+  }
+
   /** Keeps the reasons of a written plan. */
   #explain(
     before: ReadonlyMap<string, Job>,
