perf(jobs): an idle shard renews its lease every 1.5 s

Cause: the shards' lease renewals are the most frequent calls of an idle entry after gossip: 1.8 a second at 9 entries. Change: a shard without open jobs makes a step every 1.5 s in place of 1 s; half of its lease of 3 s is left for attempts that fail. The time after which a lost dispatcher is replaced depends on the lease alone and stays. A shard with open jobs renews as before.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -28,7 +28,7 @@
 /** Time to live of a shard's lease, in ms; bounds the time without a dispatcher after its entry was lost. */
 const LEASE_TTL_MS = 3_000;
 /** Time between two renewals of a shard's lease, in ms. */
-export const LEASE_RENEW_MS = 1_000;
+const LEASE_RENEW_MS = 1_000;
 /** Part of the lease that is left for a command on its way, in ms. */
 const LEASE_MARGIN_MS = 500;
 /** Time within which the store must confirm a step's changes, in ms. */
--- a/src/jobs/run_dispatcher.ts
+++ b/src/jobs/run_dispatcher.ts
@@ -1,11 +1,14 @@
 import { type Operation, sleep, spawn, until } from "effection";
-import { type Dispatcher, LEASE_RENEW_MS } from "./dispatcher.ts";
+import type { Dispatcher } from "./dispatcher.ts";
 import type { ShardWriter } from "./shard_writer.ts";
 
 /** Time between two steps, in ms. */
 const STEP_INTERVAL_MS = 500;
-/** Longest time between two steps of a shard without open jobs, in ms; each renews the lease. */
-const IDLE_STEP_INTERVAL_MS = LEASE_RENEW_MS;
+/**
+ * Longest time between two steps of a shard without open jobs, in ms; each
+ * renews the lease. Half of the lease of 3 s is left for attempts that fail.
+ */
+const IDLE_STEP_INTERVAL_MS = 1_500;
 /** Time in which submits and cancellations are collected for one write, in ms. */
 const COMMIT_INTERVAL_MS = 200;
 /** Longest time without a look at the changes that wait, in ms; each one wakes the commits. */
