--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -38,7 +38,7 @@
 /** Time to live of a shard's lease, in ms; bounds the time without a dispatcher after its entry was lost. */
 const LEASE_TTL_MS = 3_000;
 /** Time between two renewals of a shard's lease, in ms. */
-export const LEASE_RENEW_MS = 1_000;
+const LEASE_RENEW_MS = 1_000;
 /** Part of the lease that is left for a command on its way, in ms. */
 const LEASE_MARGIN_MS = 500;
 /** Time within which the store must confirm a step's changes, in ms. */
@@ -280,6 +280,11 @@
     const base = this.writer.record;
     const active = this.#active;
     if (base === undefined || active === undefined) return "replaced";
+    const isEmpty = base.jobs.size === 0 && !this.writer.needsFlush;
+    if (isEmpty && this.#claims.isSettled) {
+      await this.#passEmpty(base.jobs);
+      return "done";
+    }
     await this.#refreshReports(world, base.jobs);
     noteLosses(world);
     this.#notePeaks(base.jobs);
@@ -320,6 +325,16 @@
     return "done";
   }
 
+  /** Ends a step of a shard without jobs, for which planning would only view all workers. */
+  async #passEmpty(jobs: ReadonlyMap<string, Job>): Promise<void> {
+    const { shard, memory, reports } = this.#options;
+    this.#peaks.clear();
+    memory.waits.delete(shard);
+    memory.owned.set(shard, jobs);
+    // Forgets the workers that no shard asks about.
+    await reports.refresh([]);
+  }
+
   /** Keeps the reasons of a written plan. */
   #explain(
     before: ReadonlyMap<string, Job>,
--- a/src/jobs/quota_claims.ts
+++ b/src/jobs/quota_claims.ts
@@ -25,6 +25,11 @@
     this.#counted = undefined;
   }
 
+  /** Whether the ledger counts what the shard uses, and no notice waits for a claim. */
+  get isSettled(): boolean {
+    return this.#counted !== undefined && !this.#link.hasNotices;
+  }
+
   /** Asks for what the shard's queued jobs need. */
   async ask(input: ClaimInput): Promise<Allowance> {
     const candidates = listCandidates(input, input.jobs);
--- a/src/jobs/quota_ledger_test.ts
+++ b/src/jobs/quota_ledger_test.ts
@@ -67,6 +67,24 @@
   assert.is(largest, QUOTA_CORES, "the quota is used, and not exceeded");
 });
 
+// Guards against a shard whose last claim was lost and that claims no more because it has no jobs: the ledger would count its quota as used for good.
+test("a shard without jobs claims until it was answered, and no longer", async () => {
+  const jobs = new FakeJobs({ store: createFakeStore(), workers: 1 });
+  const [empty] = jobs.createEntry("entry-1", [1]);
+  const callsDuring = async (steps: () => Promise<unknown>) => {
+    const before = jobs.ledgerTraffic.calls;
+    for (let step = 0; step < 4; step++) {
+      jobs.tick(500);
+      await steps();
+    }
+    return jobs.ledgerTraffic.calls - before;
+  };
+  assert.ok(await callsDuring(() => empty!.step()) >= 3, "no ledger yet");
+  const [keeper] = jobs.createEntry("entry-0", [0]);
+  await callsDuring(async () => [await keeper!.step(), await empty!.step()]);
+  assert.is(await callsDuring(() => empty!.step()), 0);
+});
+
 function createLedger(isFirst: boolean) {
   const store = createFakeStore();
   let nowMs = 0;
--- a/src/platform/http_json.ts
+++ b/src/platform/http_json.ts
@@ -1,5 +1,5 @@
-import { Agent, request } from "undici";
-import { callWithTimeout } from "../call_timeout.ts";
+import { Agent, Client } from "undici";
+import { sendHttpCall } from "../http_call.ts";
 
 /** A JSON response of a platform service. */
 export interface JsonResponse {
@@ -17,6 +17,8 @@
   readonly ifNoneMatch?: string | undefined;
   readonly timeoutMs: number;
   readonly signal?: AbortSignal | undefined;
+  /** Ends the connection with the call; cheaper when the next call comes long after an idle connection is closed. */
+  readonly ownConnection?: boolean;
 }
 
 /** Error codes of calls whose request can't have reached the server. */
@@ -27,7 +29,8 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
-const agent = new Agent({ connect: { timeout: 1_000 }, pipelining: 1 });
+const CONNECTION_OPTIONS = { connect: { timeout: 1_000 }, pipelining: 1 };
+const agent = new Agent(CONNECTION_OPTIONS);
 
 /** Whether a failed call provably never reached the server. */
 export function isNotSent(error: unknown): boolean {
@@ -36,36 +39,32 @@
 }
 
 /** Sends one JSON request; rejects with the client's error. */
-export function requestJson(
+export async function requestJson(
   url: string,
   options: JsonRequestOptions,
-): Promise<JsonResponse> {
-  return callWithTimeout((signal) => send(url, options, signal), options);
-}
-
-async function send(
-  url: string,
-  options: JsonRequestOptions,
-  signal: AbortSignal,
 ): Promise<JsonResponse> {
   const headers: Record<string, string> = {};
   if (options.body !== undefined) headers["content-type"] = "application/json";
   if (options.ifNoneMatch !== undefined) {
     headers["if-none-match"] = options.ifNoneMatch;
   }
-  const response = await request(url, {
-    dispatcher: agent,
+  const { origin, pathname, search } = new URL(url);
+  const client = options.ownConnection
+    ? new Client(origin, CONNECTION_OPTIONS)
+    : undefined;
+  const response = await sendHttpCall(client ?? agent, {
+    origin,
+    path: pathname + search,
     method: options.method ?? "GET",
-    signal,
-    headersTimeout: options.timeoutMs,
-    bodyTimeout: options.timeoutMs,
     headers,
-    body: options.body === undefined ? null : JSON.stringify(options.body),
-  });
-  const text = await response.body.text();
+    body: options.body === undefined ? undefined : JSON.stringify(options.body),
+    timeoutMs: options.timeoutMs,
+    signal: options.signal,
+  }).finally(() => void client?.destroy());
+  const { status, text } = response;
   const { etag } = response.headers;
   return {
-    status: response.statusCode,
+    status,
     body: text === "" ? undefined : JSON.parse(text),
     etag: typeof etag === "string" ? etag : undefined,
   };
