--- a/src/cli_test.ts
+++ b/src/cli_test.ts
@@ -126,7 +126,10 @@
     },
   };
   const decision = {
-    ...{ atMs: 5, fleetRevision: 4, kind: "lend", vmId: "q-3" },
+    atMs: 5,
+    fleetRevision: 4,
+    kind: "lend",
+    vmId: "q-3",
     pools: ["quoting", "cutshop"],
     teams: ["quoting-team"],
     summary: "cutshop needs a VM",
@@ -134,7 +137,9 @@
     rejected: [{ option: "survey", reason: "budget" }],
   };
   const refused = {
-    ...{ atMs: 6, fleetRevision: 4, kind: "loan_refused" },
+    atMs: 6,
+    fleetRevision: 4,
+    kind: "loan_refused",
     pools: ["dispatch"],
     teams: ["dispatch-team"],
     summary: "dispatch asks for 2 more VM(s)",
--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -31,6 +31,7 @@
 import { settleWithin } from "./settle_within.ts";
 import { shardKey } from "./shard.ts";
 import { ShardWriter } from "./shard_writer.ts";
+import { TaskPeaks } from "./task_peaks.ts";
 import { TaskCommands } from "./task_commands.ts";
 import { taskIdOf } from "./task_id.ts";
 import type { WorkerReports } from "./worker_reports.ts";
@@ -82,7 +83,7 @@
   #commands: TaskCommands;
   #lease: { token: number; renewedAtMs: number } | undefined;
   #active: { fencingToken: number; sinceMs: number } | undefined;
-  #peaks = new Map<string, { cores: number; memoryMb: number }>();
+  #peaks: TaskPeaks;
   #released = false;
   #claims: QuotaClaims;
   #ledger: { quotas: QuotaLedger; board: NoticeBoard } | undefined;
@@ -90,11 +91,9 @@
   constructor(options: DispatcherOptions) {
     this.#options = options;
     const { store, region, shard, clock } = options;
-    this.writer = new ShardWriter({
-      store,
-      key: shardKey(region, shard),
-      clock,
-    });
+    const key = shardKey(region, shard);
+    this.writer = new ShardWriter({ store, key, clock });
+    this.#peaks = new TaskPeaks(options.reports);
     this.#claims = new QuotaClaims(options.link);
     this.#commands = new TaskCommands({
       ...options,
@@ -287,7 +286,7 @@
     }
     await this.#refreshReports(world, base.jobs);
     noteLosses(world);
-    this.#notePeaks(base.jobs);
+    this.#peaks.note(base.jobs);
     const input = {
       shard,
       jobs: base.jobs,
@@ -328,7 +327,7 @@
   /** Ends a step of a shard without jobs, for which planning would only view all workers. */
   async #passEmpty(jobs: ReadonlyMap<string, Job>): Promise<void> {
     const { shard, memory, reports } = this.#options;
-    this.#peaks.clear();
+    this.#peaks.note(jobs);
     memory.waits.delete(shard);
     memory.owned.set(shard, jobs);
     // Forgets the workers that no shard asks about.
@@ -371,22 +370,6 @@
     }
   }
 
-  #notePeaks(jobs: ReadonlyMap<string, Job>): void {
-    const peaks = new Map<string, { cores: number; memoryMb: number }>();
-    for (const job of jobs.values()) {
-      if (job.state.kind !== "running") continue;
-      const { run } = job.state;
-      const taskId = taskIdOf(job, run);
-      const known = this.#peaks.get(taskId);
-      const status = this.#options.reports.taskStatus(run.vmId, taskId);
-      peaks.set(taskId, {
-        cores: Math.max(known?.cores ?? 0, status?.usedCores ?? 0),
-        memoryMb: Math.max(known?.memoryMb ?? 0, status?.usedMemoryMb ?? 0),
-      });
-    }
-    this.#peaks = peaks;
-  }
-
   /** Learns from runs whose end is recorded. */
   #learn(
     finished: readonly FinishedRun[],
@@ -396,11 +379,16 @@
     const nowMs = clock.wallMs();
     for (const { job, run, succeeded, blame } of finished) {
       if (jobs.get(job.id) === job) continue;
-      const peaks = this.#peaks.get(taskIdOf(job, run));
+      const peaks = this.#peaks.of(job, run);
       const { pool, team, jobClass } = job.spec;
       const notice: FinishedNotice = {
         kind: "finished",
-        ...{ jobId: job.id, vmId: run.vmId, pool, team, jobClass, succeeded },
+        jobId: job.id,
+        vmId: run.vmId,
+        pool,
+        team,
+        jobClass,
+        succeeded,
         use: peaks && { ...peaks, runTimeMs: nowMs - run.atMs },
         blame,
       };
--- a/src/jobs/job_decisions.ts
+++ b/src/jobs/job_decisions.ts
@@ -114,7 +114,10 @@
   const wait = step.waited?.get(job.id);
   const verb = run.resumed === true ? "continued" : "placed";
   return {
-    ...{ atMs: step.nowMs, kind: verb, vmId: run.vmId, ...subject(job) },
+    atMs: step.nowMs,
+    kind: verb,
+    vmId: run.vmId,
+    ...subject(job),
     summary: `${verb} on ${run.vmId} as attempt ${run.attempt}`,
     facts: {
       waitedMs: step.nowMs - job.submittedAtMs,
@@ -153,7 +156,8 @@
   const common = { atMs, ...subject(job), ...(run && { vmId: run.vmId }) };
   if (job.state.kind === "queued") {
     return {
-      ...{ ...common, kind: "retried" },
+      ...common,
+      kind: "retried",
       summary: `queued again: ${describeObservation(observed)}`,
       facts,
       rejected: [],
@@ -167,7 +171,8 @@
     ? ""
     : `, as ${describeObservation(observed)}`;
   return {
-    ...{ ...common, kind: "ended" },
+    ...common,
+    kind: "ended",
     summary: `${describeOutcome(outcome)}${cause}`,
     facts: { ...facts, ...(basis !== undefined && listFacts(job, basis)) },
     rejected: basis === undefined ? rejectRetry(job) : [],
@@ -209,15 +214,24 @@
     const wait = plan.waits.get(jobId);
     return [
       {
-        ...{ atMs, kind: "made_room" as const, jobId, vmId, pool, team },
+        atMs,
+        kind: "made_room" as const,
+        jobId,
+        vmId,
+        pool,
+        team,
         summary:
           `checkpoints ${victims.length} task(s) for this urgent job: ${cause}`,
         facts: { reservedCores: size.cores, reservedMemoryMb: size.memoryMb },
         rejected: wait === undefined ? [] : listRejected(wait.basis.obstacles),
       },
       ...victims.map(({ worker, task: { identity } }) => ({
-        ...{ atMs, kind: "preempted" as const, jobId: identity.jobId },
-        ...{ vmId: worker.vmId, pool: worker.pool, team: identity.team },
+        atMs,
+        kind: "preempted" as const,
+        jobId: identity.jobId,
+        vmId: worker.vmId,
+        pool: worker.pool,
+        team: identity.team,
         summary: `checkpointed for urgent job ${jobId}: ${cause}`,
         facts: { urgentJob: jobId, freedCores: identity.size.cores },
         rejected: [],
@@ -228,8 +242,12 @@
 
 function describeReliefs({ plan, nowMs }: StepDescription): JobDecision[] {
   return plan.reliefs.map(({ measure, task, worker }) => ({
-    ...{ atMs: nowMs, kind: "relieved", jobId: task.identity.jobId },
-    ...{ vmId: worker.vmId, pool: worker.pool, team: task.identity.team },
+    atMs: nowMs,
+    kind: "relieved",
+    jobId: task.identity.jobId,
+    vmId: worker.vmId,
+    pool: worker.pool,
+    team: task.identity.team,
     summary: `${measure} on an overloaded worker`,
     facts: {
       reservedCores: task.identity.size.cores,
--- a/src/jobs/job_log_test.ts
+++ b/src/jobs/job_log_test.ts
@@ -18,7 +18,12 @@
 import { WorkerReports } from "./worker_reports.ts";
 
 const decision = (atMs: number, kind: "placed" | "ended") => ({
-  ...{ atMs, kind, jobId: "j", summary: "", facts: {}, rejected: [] },
+  atMs,
+  kind,
+  jobId: "j",
+  summary: "",
+  facts: {},
+  rejected: [],
 });
 
 // Guards against decisions without their reasons, and against a dump that hides waiting jobs or used quota.
@@ -85,7 +90,10 @@
   const store = createFakeStore();
   const jobLog = new JobLog();
   const saver = new JobLogSaver({
-    ...{ store, region: REGION, jobLog, log: silentLogger },
+    store,
+    region: REGION,
+    jobLog,
+    log: silentLogger,
     ownedShards: () => [9, 4],
   });
   for (let atMs = 0; atMs < 10_000; atMs++) {
--- a/src/jobs/job_memory.ts
+++ b/src/jobs/job_memory.ts
@@ -122,8 +122,12 @@
     const isWorker = blame?.kind === "worker";
     const reason = isWorker ? blame.reason : "its probe failed";
     return {
-      ...{ atMs: nowMs, kind: "quarantined" as const, jobId, vmId },
-      ...{ pool, team },
+      atMs: nowMs,
+      kind: "quarantined" as const,
+      jobId,
+      vmId,
+      pool,
+      team,
       summary: `quarantined until ${
         new Date(probeAtMs).toISOString()
       }: ${reason}`,
--- a/src/jobs/job_summary.ts
+++ b/src/jobs/job_summary.ts
@@ -87,8 +87,12 @@
       if (state.kind === "ended") continue;
       const { pool } = spec;
       const sum = pools.get(pool) ?? {
-        ...{ pool, queued: 0, running: 0, checkpointed: 0 },
-        ...{ urgentQueued: 0, urgentWaitMs: 0 },
+        pool,
+        queued: 0,
+        running: 0,
+        checkpointed: 0,
+        urgentQueued: 0,
+        urgentWaitMs: 0,
       };
       pools.set(pool, sum);
       if (state.kind === "queued") sum.queued++;
--- a/src/jobs/jobs.ts
+++ b/src/jobs/jobs.ts
@@ -65,7 +65,10 @@
   const routes = new JobRoutes({ ...options, dispatcherOf });
 
   const link = new LedgerLink({
-    ...{ entryId, memory, reports, clock },
+    entryId,
+    memory,
+    reports,
+    clock,
     async send(call) {
       const owner = ownerOf(LEDGER_SHARD, options, entries.get());
       return owner.callerAddress === undefined
--- a/src/jobs/ledger_link_test.ts
+++ b/src/jobs/ledger_link_test.ts
@@ -12,7 +12,10 @@
 
 const TASK = "0-loyw4fw8-969aa61b493ecf9d~1~t~c~normal~2~100~0";
 const CLAIM = {
-  ...{ shard: 0, fencingToken: 1, sequence: 1, asks: true },
+  shard: 0,
+  fencingToken: 1,
+  sequence: 1,
+  asks: true,
   teams: {},
 };
 
@@ -25,7 +28,10 @@
     memory.owned.set(0, new Map());
     const reports = new WorkerReports(agent, clock);
     const link = new LedgerLink({
-      ...{ entryId, memory, reports, clock },
+      entryId,
+      memory,
+      reports,
+      clock,
       send: ({ notices }) =>
         Promise.resolve({ grants: {}, notices: board.exchange(notices) }),
     });
@@ -68,8 +74,11 @@
     return worker!.tasks.map(({ taskId }) => taskId);
   };
   memory.hold("w0", {
-    ...{ jobId: TASK.split("~")[0]!, team: "t", size: NO_SIZE },
-    ...{ freedBy: [], freesQuota: false },
+    jobId: TASK.split("~")[0]!,
+    team: "t",
+    size: NO_SIZE,
+    freedBy: [],
+    freesQuota: false,
   }, fake.nowMs);
   await tell(pair, { kind: "started", vmId: "w0", taskId: TASK });
   assert.equal(view(), [TASK]);
@@ -88,7 +97,11 @@
   const { a, b } = pair;
   const run = {
     kind: "finished",
-    ...{ jobId: "j", vmId: "w0", pool: "a", team: "t", jobClass: "c" },
+    jobId: "j",
+    vmId: "w0",
+    pool: "a",
+    team: "t",
+    jobClass: "c",
     succeeded: true,
     use: { cores: 1, memoryMb: 100, runTimeMs: 1_000 },
   } as const;
--- a/src/jobs/notices.ts
+++ b/src/jobs/notices.ts
@@ -13,10 +13,16 @@
   /** A run ended; all entries learn from it. */
   z.object({
     kind: z.literal("finished"),
-    ...{ jobId: z.string(), vmId: z.string(), pool: z.string() },
-    ...{ team: z.string(), jobClass: z.string(), succeeded: z.boolean() },
+    jobId: z.string(),
+    vmId: z.string(),
+    pool: z.string(),
+    team: z.string(),
+    jobClass: z.string(),
+    succeeded: z.boolean(),
     use: z.object({
-      ...{ cores: z.number(), memoryMb: z.number(), runTimeMs: z.number() },
+      cores: z.number(),
+      memoryMb: z.number(),
+      runTimeMs: z.number(),
     }).optional(),
     blame: z.object({
       kind: z.enum(["worker", "job", "neither", "undecided"]),
@@ -28,8 +34,11 @@
     kind: z.literal("held"),
     vmId: z.string(),
     held: z.object({
-      ...{ jobId: z.string(), team: z.string(), size: sizeSchema },
-      ...{ freedBy: z.array(z.string()), freesQuota: z.boolean() },
+      jobId: z.string(),
+      team: z.string(),
+      size: sizeSchema,
+      freedBy: z.array(z.string()),
+      freesQuota: z.boolean(),
     }),
   }),
   /** A task was assigned, which reports don't show yet. */
--- a/src/jobs/profiles.ts
+++ b/src/jobs/profiles.ts
@@ -78,7 +78,9 @@
       .map(([key, { coreUnits, memoryMb, runTimeMs }]) => {
         const [team = "", jobClass = ""] = key.split("/");
         return {
-          ...{ team, jobClass, runs: memoryMb.totalCount },
+          team,
+          jobClass,
+          runs: memoryMb.totalCount,
           cores: at(coreUnits) / CORE_UNITS,
           memoryMb: at(memoryMb),
           runTimeMs: at(runTimeMs),
--- a/src/jobs/quota_claims.ts
+++ b/src/jobs/quota_claims.ts
@@ -66,7 +66,10 @@
     // Until the answer is known, the ledger may count more than the use.
     this.#counted = undefined;
     const grants = await this.#link.claim({
-      ...{ shard, fencingToken, sequence: ++this.#sequence, asks },
+      shard,
+      fencingToken,
+      sequence: ++this.#sequence,
+      asks,
       teams: Object.fromEntries(teams),
     });
     const isExact = grants !== undefined &&
--- a/src/jobs/quota_ledger.ts
+++ b/src/jobs/quota_ledger.ts
@@ -197,7 +197,11 @@
       const { fencingToken } = record;
       if (this.#claims.has(shard)) return;
       this.#note({
-        ...{ shard, fencingToken, sequence: -1, asks: false, granted: {} },
+        shard,
+        fencingToken,
+        sequence: -1,
+        asks: false,
+        granted: {},
         teams: Object.fromEntries(teams),
       });
     }));
--- a/src/jobs/quota_ledger_test.ts
+++ b/src/jobs/quota_ledger_test.ts
@@ -41,7 +41,9 @@
     }
   }
   const urgent = createSpec({
-    ...{ command: "run 1000", priority: "urgent", cores: 6 },
+    command: "run 1000",
+    priority: "urgent",
+    cores: 6,
   });
   const urgentKeys: { key: string; sentAtMs: number }[] = [];
   let largest = 0;
@@ -110,7 +112,10 @@
         waitedMs: team.waited ?? 0,
       };
       const common = {
-        ...{ shard, fencingToken: 1, sequence: ++sequence, asks: true },
+        shard,
+        fencingToken: 1,
+        sequence: ++sequence,
+        asks: true,
       };
       const teams = { t: claim };
       const grants = await ledger.claim({ ...common, teams, ...order }, quotas);
--- a/src/jobs/reconcile_test.ts
+++ b/src/jobs/reconcile_test.ts
@@ -5,15 +5,23 @@
 import { reconcileJob } from "./reconcile.ts";
 
 const createJob = (): Job => ({
-  ...{ id: "j", spec: createSpec({ idempotent: true }), attempts: 1 },
-  ...{ issuedAtMs: 0, submittedAtMs: 0, failedOn: [] },
+  id: "j",
+  spec: createSpec({ idempotent: true }),
+  attempts: 1,
+  issuedAtMs: 0,
+  submittedAtMs: 0,
+  failedOn: [],
   state: { kind: "assigned", run: RUN },
 });
 
 const RUN = {
-  ...{ vmId: "w0", incarnation: "1", attempt: 1, fencingToken: 1 },
-  ...{ size: { cores: 2, memoryMb: 100, accelerators: 0 } },
-  ...{ atMs: 1_000, resumed: true },
+  vmId: "w0",
+  incarnation: "1",
+  attempt: 1,
+  fencingToken: 1,
+  size: { cores: 2, memoryMb: 100, accelerators: 0 },
+  atMs: 1_000,
+  resumed: true,
 };
 
 // Guards against a task that is requeued while it runs, because it was preempted and continued before the reports listed it.
@@ -21,7 +29,9 @@
   const after = (nowMs: number, rebootIntentId?: string) =>
     reconcileJob(createJob(), {
       observation: {
-        ...{ kind: "reported", task: undefined, checkpointConfirmed: false },
+        kind: "reported",
+        task: undefined,
+        checkpointConfirmed: false,
         rebootIntentId,
       },
       nowMs,
@@ -43,7 +53,9 @@
     const task = { taskId: "j~1", state, usedCores: 1, usedMemoryMb: 1 };
     job = reconcileJob(job, {
       observation: {
-        ...{ kind: "reported", task, checkpointConfirmed },
+        kind: "reported",
+        task,
+        checkpointConfirmed,
         rebootIntentId: undefined,
       },
       nowMs,
--- /dev/null
+++ b/src/jobs/task_peaks.ts
@@ -0,0 +1,40 @@
+import type { Job, Run } from "./job.ts";
+import { taskIdOf } from "./task_id.ts";
+import type { WorkerReports } from "./worker_reports.ts";
+
+/** Most that a task was seen to use. */
+export interface TaskPeak {
+  readonly cores: number;
+  readonly memoryMb: number;
+}
+
+/** Follows what the running tasks of one shard use at most. */
+export class TaskPeaks {
+  #reports: WorkerReports;
+  #peaks = new Map<string, TaskPeak>();
+
+  constructor(reports: WorkerReports) {
+    this.#reports = reports;
+  }
+
+  of(job: Job, run: Run): TaskPeak | undefined {
+    return this.#peaks.get(taskIdOf(job, run));
+  }
+
+  /** Takes the reports of the running tasks in and forgets the others. */
+  note(jobs: ReadonlyMap<string, Job>): void {
+    const peaks = new Map<string, TaskPeak>();
+    for (const job of jobs.values()) {
+      if (job.state.kind !== "running") continue;
+      const { run } = job.state;
+      const taskId = taskIdOf(job, run);
+      const known = this.#peaks.get(taskId);
+      const status = this.#reports.taskStatus(run.vmId, taskId);
+      peaks.set(taskId, {
+        cores: Math.max(known?.cores ?? 0, status?.usedCores ?? 0),
+        memoryMb: Math.max(known?.memoryMb ?? 0, status?.usedMemoryMb ?? 0),
+      });
+    }
+    this.#peaks = peaks;
+  }
+}
--- a/testing/fake_jobs.ts
+++ b/testing/fake_jobs.ts
@@ -160,7 +160,10 @@
     const region = this.#region;
     const fencing = new FencingReader({ store, region, clock });
     const link = new LedgerLink({
-      ...{ entryId: holder, memory, reports, clock },
+      entryId: holder,
+      memory,
+      reports,
+      clock,
       send: (call) => this.#callLedger(call),
     });
     return shards.map((shard) => {
--- a/testing/faults/team_quota_test.ts
+++ b/testing/faults/team_quota_test.ts
@@ -11,8 +11,13 @@
 const JOBS = 60;
 const QUOTA_CORES = 96;
 const SPEC = {
-  ...{ pool: "quoting", team: "quoting-team", jobClass: "report" },
-  ...{ command: "run 2500", cores: 8, memoryMb: 100, runTimeMs: 2_500 },
+  pool: "quoting",
+  team: "quoting-team",
+  jobClass: "report",
+  command: "run 2500",
+  cores: 8,
+  memoryMb: 100,
+  runTimeMs: 2_500,
   idempotent: true,
 };
 
@@ -22,8 +27,11 @@
   await withDeployment({ entryCount: 3, worker }, async (deployment) => {
     const { entries, workers } = deployment;
     const digests = entries.map(({ id, callerAddress }) => ({
-      ...{ entryId: id, region: "khomas", callerAddress },
-      ...{ ready: true, stopping: false },
+      entryId: id,
+      region: "khomas",
+      callerAddress,
+      ready: true,
+      stopping: false,
     })) as EntryDigest[];
     const { entryId } = ownerOf(
       LEDGER_SHARD,
