--- a/testing/faults/region_partition_test.ts
+++ b/testing/faults/region_partition_test.ts
@@ -24,8 +24,8 @@
 const PARTITION_MS = 16_000;
 const SAME_SIDE_LIMIT_MS = 5_000;
 const OTHER_SIDE_LIMIT_MS = 11_000;
-/** Far above what a response takes, also on a busy machine. */
-const DEADLINE_MS = 3_000;
+/** Default deadline of the service in the configuration file. */
+const DEADLINE_MS = 2_000;
 const GRACE_MS = 500;
 
 /** Writes a configuration with one pool of the same service in each region. */
