refactor(jobs): the wait for a change uses settleWithin

Cause: withDeadline in routes.ts repeated the race, the timer and its end that settle_within.ts has since the ledger was built.

No behaviour changed: results are objects, so an undefined one means the time is over, which still gives the same JobOutcomeUnknownError. The 47 tests in src/jobs pass.

--- a/src/jobs/routes.ts
+++ b/src/jobs/routes.ts
@@ -27,6 +27,7 @@
 import { decodeLedger, encodeLedger } from "./ledger_codec.ts";
 import { ledgerCallSchema } from "./ledger_link.ts";
 import { LEDGER_SHARD } from "./quota_ledger.ts";
+import { settleWithin } from "./settle_within.ts";
 import { cancelJob, submitJob } from "./submission.ts";
 
 /** Time within which the store must confirm a change, in ms. */
@@ -325,22 +326,12 @@
 }
 
 /** Ends the wait for a change at its deadline, also while a call to the store hangs. */
-async function withDeadline<T>(change: Promise<T>): Promise<T> {
-  let timer: NodeJS.Timeout | undefined;
-  const late = new Promise<never>((_, reject) => {
-    timer = setTimeout(
-      () =>
-        reject(
-          new JobOutcomeUnknownError(
-            "The store didn't confirm the change in time; ask again with the key",
-          ),
-        ),
-      CHANGE_DEADLINE_MS,
-    );
-  });
-  try {
-    return await Promise.race([change, late]);
-  } finally {
-    clearTimeout(timer);
-  }
+async function withDeadline<T extends object>(
+  change: Promise<T>,
+): Promise<T> {
+  const result = await settleWithin(change, CHANGE_DEADLINE_MS);
+  if (result !== undefined) return result;
+  throw new JobOutcomeUnknownError(
+    "The store didn't confirm the change in time; ask again with the key",
+  );
 }
