--- /dev/null
+++ b/bench/fleet/capacity.ts
@@ -0,0 +1,79 @@
+import type { PoolConfig } from "../../src/config/schema.ts";
+
+/** Time that a request may wait, in whole seconds; the example services' deadline. */
+const DEADLINE_S = 2;
+
+/** Work of one second, in slot-seconds. */
+export interface SecondResult {
+  readonly late: number;
+  readonly served: number;
+}
+
+/** One service with its own pool. */
+interface ServiceState {
+  readonly pool: PoolConfig;
+  /** Indexes of the other pools that serve it and lend by overflow. */
+  readonly lenders: readonly number[];
+  /** Waiting work by age, oldest last. */
+  readonly waiting: number[];
+}
+
+/** Serves demand from slots, second by second; work that waited past the deadline is late. */
+export function createCapacityModel(
+  pools: readonly PoolConfig[],
+  options: { slotsPerVm: number; overflow: boolean },
+) {
+  const services: ServiceState[] = pools.map((pool, index) => ({
+    pool,
+    lenders: options.overflow
+      ? pools.flatMap((other, position) =>
+        position !== index && other.lending.overflow &&
+          other.services.includes(pool.services[0] ?? "")
+          ? [position]
+          : []
+      )
+      : [],
+    waiting: Array<number>(DEADLINE_S + 1).fill(0),
+  }));
+  const free = pools.map(() => 0);
+
+  /** Takes up to a number of slots from the queue, oldest first; returns what it took. */
+  function serve(waiting: number[], slots: number): number {
+    let left = slots;
+    for (let age = waiting.length - 1; age >= 0 && left > 0; age--) {
+      const taken = Math.min(left, waiting[age] ?? 0);
+      waiting[age] = (waiting[age] ?? 0) - taken;
+      left -= taken;
+    }
+    return slots - left;
+  }
+
+  return function step(
+    demandSlots: readonly number[],
+    servingVms: readonly number[],
+  ): SecondResult {
+    let served = 0;
+    let late = 0;
+    services.forEach((service, index) => {
+      service.waiting[0] = demandSlots[index] ?? 0;
+      const slots = (servingVms[index] ?? 0) * options.slotsPerVm;
+      const used = serve(service.waiting, slots);
+      served += used;
+      const owed = service.pool.availability.minimumServingVms *
+        options.slotsPerVm;
+      free[index] = Math.max(0, slots - Math.max(used, owed));
+    });
+    for (const { waiting, lenders } of services) {
+      for (const lender of lenders) {
+        const used = serve(waiting, free[lender] ?? 0);
+        free[lender] = (free[lender] ?? 0) - used;
+        served += used;
+      }
+      late += waiting[DEADLINE_S] ?? 0;
+      for (let age = DEADLINE_S; age > 0; age--) {
+        waiting[age] = waiting[age - 1] ?? 0;
+      }
+    }
+    return { late, served };
+  };
+}
--- /dev/null
+++ b/bench/fleet/comparison.ts
@@ -0,0 +1,134 @@
+import type { ResolvedConfig } from "../../src/config/schema.ts";
+import { type Deployment, type Weighting, WEIGHTINGS } from "./deployments.ts";
+import { runOnce, type RunOptions, type RunResult } from "./run.ts";
+import { STRATEGIES, type Strategy } from "./strategies.ts";
+
+/** Share of late work up to which a load counts as carried. */
+const LATE_LIMIT = 0.001;
+const SEARCH_STEPS = 7;
+const LOWEST_LOAD = 0.02;
+const HIGHEST_LOAD = 0.95;
+
+/** What demand a comparison is made with. */
+export interface Experiment {
+  readonly name: string;
+  /** Surges with overflow between the pools, or drift alone without overflow. */
+  readonly surges: boolean;
+  /** Load at which all strategies are compared; the threshold strategy's highest load when absent. */
+  readonly commonLoad?: number;
+}
+
+/** Figures of one strategy in one experiment. */
+export interface ComparisonRow {
+  readonly strategy: Strategy["name"];
+  readonly weighting: Weighting | undefined;
+  /** Highest load at which at most 0.1% of the work is late. */
+  readonly highestLoad: number;
+  /** Idle slots over needed slots at that load. */
+  readonly buffer: number;
+  readonly commonLoad: number;
+  readonly lateShare: number;
+  readonly movesPerVmDay: number;
+  readonly violations: number;
+  readonly planMeanMs: number;
+}
+
+/** Times of the runs, in s. */
+export interface RunTimes {
+  readonly planningIntervalS: number;
+  readonly warmUpS: number;
+  readonly measuredS: number;
+}
+
+interface Variant {
+  readonly strategy: Strategy;
+  readonly weighting: Weighting | undefined;
+}
+
+function listVariants(surges: boolean): Variant[] {
+  return STRATEGIES.flatMap((strategy): Variant[] => {
+    if (strategy.name === "policy") {
+      return [
+        { strategy, weighting: "buffer" },
+        { strategy, weighting: "moves" },
+      ];
+    }
+    const needsOverflow = strategy.name === "static, overflow";
+    return needsOverflow && !surges ? [] : [{ strategy, weighting: undefined }];
+  });
+}
+
+function configure(
+  config: ResolvedConfig,
+  variant: Variant,
+  surges: boolean,
+): ResolvedConfig {
+  const pools = config.pools.map((pool) => ({
+    ...pool,
+    lending: { ...pool.lending, overflow: surges && pool.lending.overflow },
+  }));
+  // The threshold strategy gets the shorter smoothing of the buffer weighting.
+  const weights = WEIGHTINGS[variant.weighting ?? "buffer"];
+  return { ...config, pools, weights };
+}
+
+/** Finds the highest load that a strategy carries, by bisection. */
+function findHighestLoad(base: Omit<RunOptions, "load">) {
+  let low = LOWEST_LOAD;
+  let high = HIGHEST_LOAD;
+  let best: RunResult | undefined;
+  let violations = 0;
+  for (let step = 0; step < SEARCH_STEPS; step++) {
+    const load = (low + high) / 2;
+    const result = runOnce({ ...base, load });
+    violations += result.violations;
+    if (result.lateShare <= LATE_LIMIT) {
+      low = load;
+      best = result;
+    } else high = load;
+  }
+  return { load: low, buffer: best?.buffer ?? Infinity, violations };
+}
+
+/** Compares the strategies on one deployment with one demand series. */
+export function compareStrategies(options: {
+  deployment: Deployment;
+  experiment: Experiment;
+  seed: number;
+  times: RunTimes;
+}): ComparisonRow[] {
+  const { deployment, experiment, seed, times } = options;
+  const { surges } = experiment;
+  const searched = listVariants(surges).map((variant) => {
+    const base = {
+      deployment,
+      config: configure(deployment.config, variant, surges),
+      strategy: {
+        ...variant.strategy,
+        overflow: surges && variant.strategy.overflow,
+      },
+      seed,
+      surges,
+      ...times,
+    };
+    return { variant, base, highest: findHighestLoad(base) };
+  });
+  const threshold = searched.find(({ variant }) =>
+    variant.strategy.name === "threshold"
+  );
+  const commonLoad = experiment.commonLoad ?? threshold?.highest.load ?? 0;
+  return searched.map(({ variant, base, highest }) => {
+    const result = runOnce({ ...base, load: commonLoad });
+    return {
+      strategy: variant.strategy.name,
+      weighting: variant.weighting,
+      highestLoad: highest.load,
+      buffer: highest.buffer,
+      commonLoad,
+      lateShare: result.lateShare,
+      movesPerVmDay: result.movesPerVmDay,
+      violations: highest.violations + result.violations,
+      planMeanMs: result.planMeanMs,
+    };
+  });
+}
--- /dev/null
+++ b/bench/fleet/deployments.ts
@@ -0,0 +1,135 @@
+import { readFileSync } from "node:fs";
+import { configSchema, type ResolvedConfig } from "../../src/config/schema.ts";
+import { resolveConfig } from "../../src/config/validate.ts";
+import type { Vm } from "../../src/platform/vm_list.ts";
+
+/** One region's part of a deployment. */
+export interface Deployment {
+  readonly name: string;
+  readonly region: string;
+  readonly config: ResolvedConfig;
+  readonly vms: readonly Vm[];
+}
+
+/** Weights under which every deployment is run. */
+export const WEIGHTINGS = {
+  buffer: { bufferCost: 4, moves: 1 },
+  moves: { bufferCost: 1, moves: 4 },
+} as const;
+
+/** Name of a weighting. */
+export type Weighting = keyof typeof WEIGHTINGS;
+
+const VMS_PER_RACK = 4;
+const TWO_YEAR = {
+  workers: 1_400,
+  pools: 23,
+  teams: 61,
+  dataCentresOf: [4, 4, 3],
+} as const;
+
+function createWorkers(
+  config: ResolvedConfig,
+  region: string,
+  dataCentres: number,
+): Vm[] {
+  const vms: Vm[] = [];
+  for (const pool of config.pools) {
+    if (pool.region !== region) continue;
+    for (let number = 0; number < pool.vms; number++) {
+      const index = vms.length;
+      const dataCentre = `${region}-${index % dataCentres}`;
+      const rack = Math.floor(index / (VMS_PER_RACK * dataCentres));
+      vms.push({
+        id: `${pool.name}-${number}`,
+        role: "worker",
+        state: "live",
+        incarnation: "1",
+        region,
+        dataCentre,
+        rack: `${dataCentre}-rack-${rack}`,
+        address: "",
+        controlAddress: "",
+        pool: pool.name,
+        cores: 16,
+        memoryMb: 65_536,
+        accelerators: 0,
+      });
+    }
+  }
+  return vms;
+}
+
+function readDeployment(file: string, dataCentres: number): Deployment {
+  const config = resolveConfig(readFileSync(file, "utf8"), file);
+  const region = config.pools[0]?.region ?? "";
+  const vms = createWorkers(config, region, dataCentres);
+  return { name: region, region, config, vms };
+}
+
+/** Generates the two-year size; sizes of pools grow from one to the next. */
+export function createTwoYearConfig(): ResolvedConfig {
+  const regions = TWO_YEAR.dataCentresOf.map((_, index) => `region-${index}`);
+  const names = Array.from(
+    { length: TWO_YEAR.pools },
+    (_, index) => ({ name: `pool-${index}`, region: regions[index % 3] ?? "" }),
+  );
+  const sizes = names.map((_, index) => 39 + 2 * index);
+  const sum = sizes.reduce((total, size) => total + size, 0);
+  sizes[sizes.length - 1] = (sizes.at(-1) ?? 0) + TWO_YEAR.workers - sum;
+  return configSchema.parse({
+    version: 1,
+    teams: Array.from(
+      { length: TWO_YEAR.teams },
+      (_, index) => ({ name: `team-${index}` }),
+    ),
+    services: names.map(({ name }) => ({ name })),
+    pools: names.map(({ name, region }, index) => {
+      const vms = sizes[index] ?? 0;
+      const others = names.filter((other) =>
+        other.region === region && other.name !== name
+      );
+      return {
+        name,
+        region,
+        team: `team-${index}`,
+        services: [name, ...others.map((other) => other.name)],
+        vms,
+        availability: { minimumServingVms: Math.ceil(vms / 2) },
+        lending: {
+          maximumLentVms: Math.floor(vms / 3),
+          minimumStayMs: 600_000,
+          overflow: true,
+        },
+        maintenance: { maximumConcurrentVms: 2, order: "rack" },
+        spare: index < 3,
+      };
+    }),
+  });
+}
+
+/** The two deployments and the largest region of the two-year size. */
+export function loadDeployments(): Deployment[] {
+  const config = createTwoYearConfig();
+  const region = "region-1";
+  return [
+    readDeployment("examples/khomas.json", 3),
+    readDeployment("examples/punjab-east.json", 4),
+    {
+      name: "two-year region",
+      region,
+      config,
+      vms: createWorkers(config, region, 4),
+    },
+  ];
+}
+
+/** The two-year size with all workers in one region, an upper bound of a planning step. */
+export function createSingleRegion(): Deployment {
+  const region = "region-0";
+  const base = createTwoYearConfig();
+  const pools = base.pools.map((pool) => ({ ...pool, region }));
+  const config = { ...base, pools };
+  const vms = createWorkers(config, region, 11);
+  return { name: "two-year, one region", region, config, vms };
+}
--- /dev/null
+++ b/bench/fleet/main.ts
@@ -0,0 +1,112 @@
+import { mkdirSync, writeFileSync } from "node:fs";
+import process from "node:process";
+import { pathToFileURL } from "node:url";
+import { compareStrategies, type Experiment } from "./comparison.ts";
+import {
+  createSingleRegion,
+  type Deployment,
+  loadDeployments,
+  WEIGHTINGS,
+} from "./deployments.ts";
+import { measurePlanning } from "./planning_cost.ts";
+import {
+  type FleetReport,
+  formatHtml,
+  formatMarkdown,
+  type MaintenanceRow,
+} from "./report.ts";
+import { runOnce } from "./run.ts";
+import { STRATEGIES } from "./strategies.ts";
+
+const HOUR_S = 3_600;
+/** Regions larger than this are planned less often and measured for a shorter time, to bound the run. */
+const LARGE_REGION_VMS = 200;
+const MAINTENANCE_LOAD = 0.2;
+const OUTPUT_FOLDER = "bench/out";
+
+const EXPERIMENTS: readonly Experiment[] = [
+  { name: "surges and drift, with overflow", surges: true, commonLoad: 0.4 },
+  { name: "drift alone, without overflow", surges: false },
+];
+
+/** Options of the fleet bench. */
+export interface FleetBenchOptions {
+  readonly seed?: number;
+  /** Folder for the JSON figures and the report. */
+  readonly outputFolder?: string;
+}
+
+function timesOf(deployment: Deployment) {
+  const large = deployment.vms.length > LARGE_REGION_VMS;
+  return {
+    planningIntervalS: large ? 30 : 10,
+    // The first day fills the demand history.
+    warmUpS: 24 * HOUR_S,
+    measuredS: (large ? 6 : 12) * HOUR_S,
+  };
+}
+
+function measureMaintenance(
+  deployment: Deployment,
+  seed: number,
+): MaintenanceRow[] {
+  const strategy = STRATEGIES.find(({ name }) => name === "policy");
+  if (strategy === undefined) return [];
+  return Object.entries(WEIGHTINGS).map(([weighting, weights]) => {
+    const result = runOnce({
+      deployment,
+      config: { ...deployment.config, weights },
+      strategy,
+      load: MAINTENANCE_LOAD,
+      seed,
+      surges: true,
+      maintenanceDue: true,
+      planningIntervalS: 10,
+      warmUpS: 0,
+      measuredS: 24 * HOUR_S,
+    });
+    return {
+      deployment: deployment.name,
+      weighting,
+      days: result.maintenanceDays,
+      violations: result.violations,
+    };
+  });
+}
+
+/** Runs the fleet bench, prints its tables and writes them to the output folder. */
+export function runFleetBench(options: FleetBenchOptions = {}): FleetReport {
+  const seed = options.seed ?? Math.floor(Math.random() * 2 ** 31);
+  const folder = options.outputFolder ?? OUTPUT_FOLDER;
+  console.log(`seed ${seed}`);
+  const deployments = loadDeployments();
+  const report: FleetReport = {
+    seed,
+    comparisons: EXPERIMENTS.flatMap((experiment) =>
+      deployments.map((deployment) => ({
+        deployment: deployment.name,
+        experiment: experiment.name,
+        rows: compareStrategies({
+          deployment,
+          experiment,
+          seed,
+          times: timesOf(deployment),
+        }),
+      }))
+    ),
+    maintenance: deployments.flatMap((deployment) =>
+      measureMaintenance(deployment, seed)
+    ),
+    planning: [...deployments, createSingleRegion()].map(measurePlanning),
+  };
+  mkdirSync(folder, { recursive: true });
+  writeFileSync(`${folder}/fleet.json`, JSON.stringify(report, null, 2));
+  writeFileSync(`${folder}/fleet.html`, formatHtml(report));
+  console.log(formatMarkdown(report));
+  return report;
+}
+
+if (import.meta.url === pathToFileURL(process.argv[1] ?? "").href) {
+  const seed = Number(process.env.SEED);
+  runFleetBench(Number.isInteger(seed) && seed > 0 ? { seed } : {});
+}
--- /dev/null
+++ b/bench/fleet/planning_cost.ts
@@ -0,0 +1,125 @@
+import process from "node:process";
+import { performance } from "node:perf_hooks";
+import { createDemandState, observeDemand } from "../../src/fleet/demand.ts";
+import { parseFleetRecord } from "../../src/fleet/follower.ts";
+import { planFleet } from "../../src/fleet/plan.ts";
+import type {
+  PlanInput,
+  WorkerView,
+} from "../../src/fleet/planning_context.ts";
+import { createFleetRecord, type FleetRecord } from "../../src/fleet/record.ts";
+import type { Deployment } from "./deployments.ts";
+import { createDigest } from "./run.ts";
+
+const ENTRIES = 9;
+const WARM_UP_STEPS = 100;
+const STEPS = 500;
+const STEP_MS = 10_000;
+const START_MS = Date.UTC(2026, 0, 5);
+
+/** Cost of a planning step, with a wave and loans under way. */
+export interface PlanningCost {
+  readonly deployment: string;
+  readonly workers: number;
+  readonly pools: number;
+  /** Time of `planFleet`, in ms. */
+  readonly planMeanMs: number;
+  readonly planP99Ms: number;
+  readonly planMaximumMs: number;
+  /** CPU time of a step with parsing and serializing the record, in ms. */
+  readonly stepCpuMs: number;
+  readonly changedSteps: number;
+  readonly recordBytes: number;
+}
+
+function createWorkerViews(record: FleetRecord): Map<string, WorkerView> {
+  return new Map(
+    Object.entries(record.vms).map(([vmId, vm]) => [vmId, {
+      reachable: true,
+      answers: true,
+      lastRebootIntentId: vm.transition?.intentId,
+      runningTasks: 0,
+    }]),
+  );
+}
+
+function createEntries(
+  deployment: Deployment,
+  record: FleetRecord,
+  turn: number,
+) {
+  const pools = deployment.config.pools.filter((pool) =>
+    pool.region === deployment.region
+  );
+  const demand = new Map(pools.map((pool, index) => {
+    const busy = (index + Math.floor(turn / 60)) % pools.length < 3;
+    return [
+      pool.services[0] ?? "",
+      pool.vms * 8 * (busy ? 0.95 : 0.2) / ENTRIES,
+    ];
+  }));
+  return Array.from({ length: ENTRIES }, (_, index) => ({
+    ...createDigest(deployment.region, record, demand),
+    entryId: `entry-${index}`,
+  }));
+}
+
+/** Measures planning steps of a region in which every VM is due for maintenance. */
+export function measurePlanning(deployment: Deployment): PlanningCost {
+  const { config, region, vms } = deployment;
+  let text = JSON.stringify(createFleetRecord(region));
+  let demand = createDemandState();
+  const timesMs: number[] = [];
+  let changedSteps = 0;
+  let recordBytes = 0;
+  let cpuMs = 0;
+  for (let turn = 0; turn < WARM_UP_STEPS + STEPS; turn++) {
+    const nowMs = START_MS + turn * STEP_MS;
+    const cpuStart = process.cpuUsage();
+    const record = parseFleetRecord(text);
+    const parsed = process.cpuUsage(cpuStart);
+    const entries = createEntries(deployment, record, turn);
+    demand = observeDemand(demand, {
+      config,
+      region,
+      entries,
+      listedEntries: ENTRIES,
+      nowMs,
+    });
+    const input: PlanInput = {
+      record,
+      config,
+      configRevision: 1,
+      vms,
+      entries,
+      workers: createWorkerViews(record),
+      demand,
+      holdsNewDrains: false,
+      nowMs,
+    };
+    const planStart = process.cpuUsage();
+    const startedAtMs = performance.now();
+    const plan = planFleet(input);
+    const planMs = performance.now() - startedAtMs;
+    if (plan.kind === "changed") text = JSON.stringify(plan.record);
+    const planned = process.cpuUsage(planStart);
+    recordBytes = Math.max(recordBytes, Buffer.byteLength(text));
+    if (turn < WARM_UP_STEPS) continue;
+    timesMs.push(planMs);
+    if (plan.kind === "changed") changedSteps++;
+    cpuMs += (parsed.user + parsed.system + planned.user + planned.system) /
+      1_000;
+  }
+  timesMs.sort((a, b) => a - b);
+  return {
+    deployment: deployment.name,
+    workers: vms.length,
+    pools: config.pools.filter((pool) => pool.region === region).length,
+    planMeanMs: timesMs.reduce((sum, ms) => sum + ms, 0) / STEPS,
+    planP99Ms: timesMs[Math.floor(STEPS * 0.99)] ?? 0,
+    planMaximumMs: timesMs.at(-1) ?? 0,
+    stepCpuMs: cpuMs / STEPS,
+    changedSteps,
+    recordBytes,
+  };
+}
--- /dev/null
+++ b/bench/fleet/report.ts
@@ -0,0 +1,134 @@
+import type { ComparisonRow } from "./comparison.ts";
+import type { PlanningCost } from "./planning_cost.ts";
+
+/** One deployment's comparison in one experiment. */
+export interface ComparisonTable {
+  readonly deployment: string;
+  readonly experiment: string;
+  readonly rows: readonly ComparisonRow[];
+}
+
+/** Time that a maintenance round takes. */
+export interface MaintenanceRow {
+  readonly deployment: string;
+  readonly weighting: string;
+  /** Days until every VM was maintained; undefined when the run ended before. */
+  readonly days: number | undefined;
+  readonly violations: number;
+}
+
+/** All figures of one run of the bench. */
+export interface FleetReport {
+  readonly seed: number;
+  readonly comparisons: readonly ComparisonTable[];
+  readonly maintenance: readonly MaintenanceRow[];
+  readonly planning: readonly PlanningCost[];
+}
+
+type Table = readonly (readonly string[])[];
+
+const percent = (share: number) => `${(share * 100).toFixed(2)}%`;
+
+function comparisonTable({ rows }: ComparisonTable): Table {
+  const base = rows.find((row) => row.strategy === "static")?.buffer ?? NaN;
+  return [
+    [
+      "strategy",
+      "weighting",
+      "highest load",
+      "buffer",
+      "of static",
+      "late at common load",
+      "moves per VM and day",
+      "violations",
+    ],
+    ...rows.map((row) => [
+      row.strategy,
+      row.weighting ?? "-",
+      row.highestLoad.toFixed(3),
+      row.buffer.toFixed(2),
+      percent(row.buffer / base),
+      `${percent(row.lateShare)} at ${row.commonLoad.toFixed(3)}`,
+      row.movesPerVmDay.toFixed(2),
+      String(row.violations),
+    ]),
+  ];
+}
+
+function maintenanceTable(rows: readonly MaintenanceRow[]): Table {
+  return [
+    ["deployment", "weighting", "days for a round", "violations"],
+    ...rows.map((row) => [
+      row.deployment,
+      row.weighting,
+      row.days?.toFixed(3) ?? "not finished",
+      String(row.violations),
+    ]),
+  ];
+}
+
+function planningTable(rows: readonly PlanningCost[]): Table {
+  return [
+    [
+      "deployment",
+      "workers",
+      "pools",
+      "plan mean ms",
+      "plan p99 ms",
+      "plan max ms",
+      "CPU ms with parse and write",
+      "record bytes",
+    ],
+    ...rows.map((row) => [
+      row.deployment,
+      String(row.workers),
+      String(row.pools),
+      row.planMeanMs.toFixed(2),
+      row.planP99Ms.toFixed(2),
+      row.planMaximumMs.toFixed(2),
+      row.stepCpuMs.toFixed(2),
+      String(row.recordBytes),
+    ]),
+  ];
+}
+
+function sections(report: FleetReport): [string, Table][] {
+  return [
+    ...report.comparisons.map((table): [string, Table] => [
+      `${table.deployment}: ${table.experiment}`,
+      comparisonTable(table),
+    ]),
+    ["Maintenance round", maintenanceTable(report.maintenance)],
+    ["Planning step", planningTable(report.planning)],
+  ];
+}
+
+/** Formats the figures as Markdown tables. */
+export function formatMarkdown(report: FleetReport): string {
+  const line = (cells: readonly string[]) => `| ${cells.join(" | ")} |`;
+  return sections(report).map(([title, [head = [], ...rows]]) =>
+    [
+      `### ${title}`,
+      "",
+      line(head),
+      line(head.map(() => "---")),
+      ...rows.map(line),
+      "",
+    ].join("\n")
+  ).join("\n");
+}
+
+/** Formats the figures as a page. */
+export function formatHtml(report: FleetReport): string {
+  const row = (cells: readonly string[], tag: string) =>
+    `<tr>${cells.map((cell) => `<${tag}>${cell}</${tag}>`).join("")}</tr>`;
+  const body = sections(report).map(([title, [head = [], ...rows]]) =>
+    `<h2>${title}</h2><table border="1">${row(head, "th")}${
+      rows.map((cells) => row(cells, "td")).join("")
+    }</table>`
+  ).join("\n");
+  return `<!doctype html><meta charset="utf-8"><title>Fleet</title>
+<h1>Fleet bench, seed ${report.seed}</h1>
+${body}
+`;
+}
--- /dev/null
+++ b/bench/fleet/run.ts
@@ -0,0 +1,254 @@
+import { performance } from "node:perf_hooks";
+import type { ResolvedConfig } from "../../src/config/schema.ts";
+import {
+  createDemandState,
+  type DemandState,
+  observeDemand,
+} from "../../src/fleet/demand.ts";
+import type { WorkerView } from "../../src/fleet/planning_context.ts";
+import { createFleetRecord, type FleetRecord } from "../../src/fleet/record.ts";
+import { checkStep } from "../../src/fleet/record_check.ts";
+import type { EntryDigest } from "../../src/peers/messages.ts";
+import { createCapacityModel } from "./capacity.ts";
+import { createDemandSeries } from "./demand_series.ts";
+import type { Deployment } from "./deployments.ts";
+import type { Strategy } from "./strategies.ts";
+
+/** Time constant of the demand that entries report, in s. */
+const DIGEST_SMOOTHING_S = 10;
+/** Time that a reboot takes, in s. */
+const REBOOT_S = 180;
+const START_MS = Date.UTC(2026, 0, 5);
+const DAY_S = 86_400;
+
+/** What one run is made with. */
+export interface RunOptions {
+  readonly deployment: Deployment;
+  readonly config: ResolvedConfig;
+  readonly strategy: Strategy;
+  /** Mean demand over the slots of each pool. */
+  readonly load: number;
+  readonly seed: number;
+  /** Whether services surge in turn, and whether pools overflow to each other. */
+  readonly surges: boolean;
+  /** Time between planning steps, in s. */
+  readonly planningIntervalS: number;
+  readonly warmUpS: number;
+  readonly measuredS: number;
+  /** Whether every VM is due for maintenance at the start. */
+  readonly maintenanceDue?: boolean;
+}
+
+/** Figures of one run, after its warm-up. */
+export interface RunResult {
+  /** Late work over all work. */
+  readonly lateShare: number;
+  /** Idle slots over the slots that the demand needs on average. */
+  readonly buffer: number;
+  readonly movesPerVmDay: number;
+  readonly violations: number;
+  readonly maintenanceDays: number | undefined;
+  readonly planMeanMs: number;
+  readonly planMaximumMs: number;
+}
+
+function createRecord(options: RunOptions): FleetRecord {
+  const { deployment, config, maintenanceDue } = options;
+  const waves = Object.fromEntries(
+    config.pools.filter((pool) => pool.region === deployment.region)
+      .map((pool) => [pool.name, START_MS]),
+  );
+  const vms = deployment.vms.map((vm) =>
+    [vm.id, {
+      pool: vm.pool ?? "",
+      homePool: vm.pool ?? "",
+      state: "serving",
+      incarnation: vm.incarnation,
+      dataCentre: vm.dataCentre,
+      rack: vm.rack,
+      changedAtMs: START_MS,
+      maintainedAtMs: maintenanceDue ? 0 : START_MS,
+    }] as const
+  );
+  return {
+    ...createFleetRecord(deployment.region),
+    revision: 1,
+    vms: Object.fromEntries(vms),
+    maintenance: { waves, late: {} },
+  };
+}
+
+/** Creates the digest of the one entry that reports the demand. */
+export function createDigest(
+  region: string,
+  record: FleetRecord,
+  demandSlots: ReadonlyMap<string, number>,
+): EntryDigest {
+  const services = [...demandSlots].map(([service, slots]) =>
+    [service, { inFlight: 0, waiting: 0, demandSlots: slots }] as const
+  );
+  return {
+    entryId: "entry-1",
+    incarnation: "1",
+    sequence: 1,
+    region,
+    peerAddress: "",
+    callerAddress: "",
+    ready: true,
+    stopping: false,
+    configRevision: 1,
+    fleetRevision: record.revision,
+    services: Object.fromEntries(services),
+    drainingInFlight: {},
+    leavingVms: [],
+  };
+}
+
+function viewWorkers(record: FleetRecord, nowMs: number) {
+  const views = new Map<string, WorkerView>();
+  for (const [vmId, vm] of Object.entries(record.vms)) {
+    const rebooted = vm.state === "rebooting" &&
+      nowMs - vm.changedAtMs >= REBOOT_S * 1_000;
+    views.set(vmId, {
+      reachable: true,
+      answers: vm.state !== "rebooting" || rebooted,
+      lastRebootIntentId: rebooted ? vm.transition?.intentId : undefined,
+      runningTasks: 0,
+    });
+  }
+  return views;
+}
+
+function countMoves(before: FleetRecord, after: FleetRecord): number {
+  let moves = 0;
+  for (const vmId in after.vms) {
+    if (after.vms[vmId]?.pool !== before.vms[vmId]?.pool) moves++;
+  }
+  return moves;
+}
+
+/** The fleet of one run and the figures of its planning. */
+function createPlanner(options: RunOptions) {
+  const { deployment, config, strategy } = options;
+  const { region, vms } = deployment;
+  let record = createRecord(options);
+  let demand: DemandState = createDemandState();
+  const totals = { moves: 0, violations: 0, steps: 0, ms: 0, maximumMs: 0 };
+
+  function plan(second: number, reported: ReadonlyMap<string, number>): void {
+    const nowMs = START_MS + second * 1_000;
+    const entries = [createDigest(region, record, reported)];
+    demand = observeDemand(demand, {
+      config,
+      region,
+      entries,
+      listedEntries: 1,
+      nowMs,
+    });
+    const input = {
+      record,
+      config,
+      configRevision: 1,
+      vms,
+      entries,
+      workers: viewWorkers(record, nowMs),
+      demand,
+      holdsNewDrains: false,
+      nowMs,
+    };
+    const startedAtMs = performance.now();
+    const result = strategy.plan(input);
+    const passedMs = performance.now() - startedAtMs;
+    totals.steps++;
+    totals.ms += passedMs;
+    totals.maximumMs = Math.max(totals.maximumMs, passedMs);
+    if (result.kind !== "changed") return;
+    totals.moves += countMoves(record, result.record);
+    totals.violations += checkStep(record, result.record, config).length;
+    record = result.record;
+  }
+
+  return { plan, totals, record: () => record };
+}
+
+function countServing(record: FleetRecord, pools: readonly string[]) {
+  const index = new Map(pools.map((pool, position) => [pool, position]));
+  const serving = pools.map(() => 0);
+  for (const vmId in record.vms) {
+    const vm = record.vms[vmId];
+    const position = index.get(vm?.pool ?? "");
+    if (vm?.state === "serving" && position !== undefined) {
+      serving[position] = (serving[position] ?? 0) + 1;
+    }
+  }
+  return serving;
+}
+
+/** Runs one strategy against one demand series. */
+export function runOnce(options: RunOptions): RunResult {
+  const { deployment, config, strategy, load, seed } = options;
+  const pools = config.pools.filter((pool) =>
+    pool.region === deployment.region
+  );
+  const names = pools.map((pool) => pool.name);
+  const slotsPerVm = config.services[0]?.slotsPerInstance ?? 8;
+  const series = createDemandSeries(pools.length, {
+    seed,
+    surges: options.surges,
+  });
+  const capacity = createCapacityModel(pools, {
+    slotsPerVm,
+    overflow: strategy.overflow,
+  });
+  const planner = createPlanner(options);
+  const meanSlots = pools.map((pool) => pool.vms * slotsPerVm * load);
+  const reported = new Map<string, number>();
+  const endS = options.warmUpS + options.measuredS;
+  let serving = countServing(planner.record(), names);
+  let movesBefore = 0;
+  let asked = 0;
+  let late = 0;
+  let maintainedS: number | undefined;
+
+  for (let second = 0; second < endS; second++) {
+    const demand = series.next().map((value, index) =>
+      value * (meanSlots[index] ?? 0)
+    );
+    pools.forEach(({ services: [own = ""] }, index) => {
+      const old = reported.get(own) ?? demand[index] ?? 0;
+      const change = ((demand[index] ?? 0) - old) / DIGEST_SMOOTHING_S;
+      reported.set(own, old + change);
+    });
+    if (second % options.planningIntervalS === 0) {
+      planner.plan(second, reported);
+      serving = countServing(planner.record(), names);
+      const isDone = options.maintenanceDue && maintainedS === undefined &&
+        Object.values(planner.record().vms).every((vm) => vm.maintainedAtMs);
+      if (isDone) {
+        maintainedS = second;
+        break;
+      }
+    }
+    const result = capacity(demand, serving);
+    if (second === options.warmUpS) movesBefore = planner.totals.moves;
+    if (second < options.warmUpS) continue;
+    late += result.late;
+    for (const slots of demand) asked += slots;
+  }
+
+  const { totals } = planner;
+  const slots = deployment.vms.length * slotsPerVm;
+  const needed = asked / options.measuredS;
+  const days = options.measuredS / DAY_S;
+  return {
+    lateShare: late / asked,
+    buffer: (slots - needed) / needed,
+    movesPerVmDay: (totals.moves - movesBefore) / deployment.vms.length / days,
+    violations: totals.violations,
+    maintenanceDays: maintainedS === undefined
+      ? undefined
+      : maintainedS / DAY_S,
+    planMeanMs: totals.ms / totals.steps,
+    planMaximumMs: totals.maximumMs,
+  };
+}
--- /dev/null
+++ b/bench/fleet/strategies.ts
@@ -0,0 +1,117 @@
+import {
+  canSpareOne,
+  evaluateAvailability,
+  takeOne,
+} from "../../src/fleet/availability.ts";
+import { completeTransitions } from "../../src/fleet/drain.ts";
+import { collectLoads, utilisation } from "../../src/fleet/lending_terms.ts";
+import { type Plan, planFleet } from "../../src/fleet/plan.ts";
+import {
+  createPlanningContext,
+  type PlanInput,
+  type PlanningContext,
+  startDrain,
+} from "../../src/fleet/planning_context.ts";
+import { isLent, type VmRecord } from "../../src/fleet/record.ts";
+
+/** Utilisation above which the threshold strategy borrows. */
+const BORROW_ABOVE = 0.8;
+/** Utilisation of the borrower below which it returns a VM. */
+const RETURN_BELOW = 0.5;
+
+/** A way to plan the fleet, compared in the bench. */
+export interface Strategy {
+  readonly name: "static" | "static, overflow" | "threshold" | "policy";
+  readonly overflow: boolean;
+  plan(input: PlanInput): Plan;
+}
+
+function returnByThreshold(
+  context: PlanningContext,
+  vms: Record<string, VmRecord>,
+  loads: ReturnType<typeof collectLoads>,
+): void {
+  for (const [vmId, vm] of Object.entries(vms)) {
+    const borrower = loads.get(vm.pool);
+    const owner = context.pools.get(vm.homePool);
+    if (!isLent(vm) || vm.state !== "serving") continue;
+    if (borrower === undefined || owner === undefined) continue;
+    const stayMs = context.nowMs - (vm.lentAtMs ?? 0);
+    if (stayMs < owner.lending.minimumStayMs) continue;
+    if (utilisation(borrower) >= RETURN_BELOW) continue;
+    borrower.capacityVms--;
+    vms[vmId] = startDrain(vm, {
+      vmId,
+      kind: "return",
+      reason: "threshold",
+      targetPool: vm.homePool,
+    }, context);
+  }
+}
+
+function lendByThreshold(
+  context: PlanningContext,
+  vms: Record<string, VmRecord>,
+  loads: ReturnType<typeof collectLoads>,
+): void {
+  for (const borrower of loads.values()) {
+    while (utilisation(borrower) > BORROW_ABOVE) {
+      const lender = [...loads.values()].filter((load) =>
+        load !== borrower && canSpareOne(load.counts) &&
+        load.counts.lent < load.pool.lending.maximumLentVms &&
+        load.lendingOpen && utilisation(load, { addedVms: -1 }) < BORROW_ABOVE
+      ).sort((a, b) =>
+        utilisation(a) - utilisation(b)
+      )[0];
+      const chosen = Object.entries(vms).find(([, vm]) =>
+        vm.homePool === lender?.pool.name && !isLent(vm) &&
+        vm.state === "serving"
+      );
+      if (lender === undefined || chosen === undefined) break;
+      const [vmId, vm] = chosen;
+      takeOne(lender.counts, "lent");
+      lender.capacityVms--;
+      borrower.capacityVms++;
+      vms[vmId] = startDrain(vm, {
+        vmId,
+        kind: "move",
+        reason: "threshold",
+        targetPool: borrower.pool.name,
+      }, context);
+    }
+  }
+}
+
+/** Lends above one utilisation and returns below another, under the configuration's bounds and minimum stay. */
+function planByThreshold(input: PlanInput): Plan {
+  const context = createPlanningContext(input);
+  const vms = { ...input.record.vms };
+  for (const { vmId, next } of completeTransitions(context, vms)) {
+    if (next !== undefined) vms[vmId] = next;
+  }
+  const availability = evaluateAvailability({
+    vms,
+    pools: context.pools.values(),
+    unreachable: context.unreachable,
+  });
+  const loads = collectLoads(context, availability);
+  // A threshold looks at a pool's own utilisation only.
+  for (const load of loads.values()) load.overflowSlots = 0;
+  returnByThreshold(context, vms, loads);
+  lendByThreshold(context, vms, loads);
+  return {
+    kind: "changed",
+    record: { ...input.record, revision: context.nextRevision, vms },
+    decisions: [],
+  };
+}
+
+const unchanged = (): Plan => ({ kind: "unchanged" });
+
+/** The compared strategies. */
+export const STRATEGIES: readonly Strategy[] = [
+  { name: "static", overflow: false, plan: unchanged },
+  { name: "static, overflow", overflow: true, plan: unchanged },
+  { name: "threshold", overflow: true, plan: planByThreshold },
+  { name: "policy", overflow: true, plan: planFleet },
+];
--- a/src/fleet/demand.ts
+++ b/src/fleet/demand.ts
@@ -139,21 +139,26 @@
   return { schemaVersion: 1, observedAtMs: nowMs, pools, coverage };
 }
 
-/** Highest usual demand of a pool in the time that follows, in slots; 0 when nothing is known. */
+/**
+ * Highest demand that is expected of a pool in the time that follows, in slots; 0 when nothing is known.
+ *
+ * It is the smaller one of the usual demand and today's demand scaled by the usual growth: yesterday's peak alone
+ * would hold VMs back on a quiet day.
+ */
 export function expectedPeakSlots(
   state: DemandState,
   pool: string,
   span: { fromMs: number; forMs: number },
 ): number {
-  const history = state.pools[pool]?.history;
-  if (history === undefined) return 0;
+  const known = state.pools[pool];
+  if (known === undefined) return 0;
+  const { history, levelSlots } = known;
+  const usualNow = Math.max(1, history[bucketAt(span.fromMs)] ?? levelSlots);
   const buckets = Math.min(BUCKETS_PER_DAY - 1, span.forMs / BUCKET_MS);
   let peak = 0;
   for (let step = 0; step <= buckets; step++) {
-    peak = Math.max(
-      peak,
-      history[bucketAt(span.fromMs + step * BUCKET_MS)] ?? 0,
-    );
+    const usual = history[bucketAt(span.fromMs + step * BUCKET_MS)] ?? 0;
+    peak = Math.max(peak, Math.min(usual, levelSlots * usual / usualNow));
   }
   return peak;
 }
--- a/src/fleet/lending.ts
+++ b/src/fleet/lending.ts
@@ -71,8 +71,8 @@
   if (isMaintenanceUrgent(vm, step)) return "maintenance is due";
   const stayMs = context.nowMs - (vm.lentAtMs ?? 0);
   if (stayMs < owner.pool.lending.minimumStayMs) return undefined;
-  if (utilisation(owner) > limits.borrowAbove) return "the owner needs it";
-  if (utilisation(owner, { expected: true }) > limits.borrowAbove) {
+  if (utilisation(owner) > limits.reclaimAbove) return "the owner needs it";
+  if (utilisation(owner, { expected: true }) > limits.reclaimAbove) {
     return "the owner's expected surge is near";
   }
   const unneeded = utilisation(borrower, { addedVms: -1, expected: true }) <
@@ -115,11 +115,11 @@
   }
 }
 
-/** Reason for which a pool can't lend now, or undefined if it can. */
+/** Reason for which a pool can't lend now, or undefined if it can; without a borrower, demand is left out. */
 function refusal(
   lender: PoolLoad,
   step: LendingStep,
-  need: "demand" | "budget",
+  borrower: PoolLoad | undefined,
 ): string | undefined {
   const { pool, counts } = lender;
   const { nowMs, demand } = step.context;
@@ -131,15 +131,19 @@
     return "its lending window closes within the minimum stay";
   }
   if (!canSpareOne(counts)) return "its budget leaves no VM";
-  if (need === "budget") return undefined;
+  if (borrower === undefined) return undefined;
   const peak = expectedPeakSlots(demand, pool.name, {
     fromMs: nowMs,
     forMs: horizonMs,
   });
   const slots = (lender.capacityVms - 1) * lender.slotsPerVm;
-  if (Math.max(peak, lender.levelSlots) > slots * step.limits.lendBelow) {
+  const after = Math.max(peak, lender.levelSlots) / slots;
+  if (after > step.limits.lendBelow) {
     return "its own demand, now or expected, needs the VM";
   }
+  if (utilisation(borrower) - after < step.limits.smallestGain) {
+    return "it would be almost as busy as the borrower";
+  }
   return undefined;
 }
 
@@ -168,7 +172,11 @@
   const able: PoolLoad[] = [];
   for (const lender of step.loads.values()) {
     if (lender === borrower) continue;
-    const reason = refusal(lender, step, need);
+    const reason = refusal(
+      lender,
+      step,
+      need === "demand" ? borrower : undefined,
+    );
     if (reason === undefined) able.push(lender);
     else rejected.push({ option: lender.pool.name, reason });
   }
--- a/src/fleet/lending_terms.ts
+++ b/src/fleet/lending_terms.ts
@@ -11,20 +11,27 @@
 export interface LendingLimits {
   /** A pool above it borrows. */
   readonly borrowAbove: number;
-  /** A pool lends only if it stays below it. */
+  /** A pool lends only if its own demand, now and expected, leaves it below. */
   readonly lendBelow: number;
+  /** An owner above it gets its VMs back; higher than `lendBelow`, so that a loan does not end at once. */
+  readonly reclaimAbove: number;
+  /** By how much the borrower must be busier than the lender would become. */
+  readonly smallestGain: number;
   /** A loan that the borrower can miss at this utilisation is no longer needed. */
   readonly returnBelow: number;
 }
 
-/** Moves with more weight widen the gap between borrowing and giving back (hysteresis). */
+/** Moves with more weight widen every gap between starting and undoing a loan (hysteresis). */
 export function resolveLendingLimits(context: PlanningContext): LendingLimits {
   const share = movesWeightShare(context.config);
-  const borrowAbove = 0.7 + 0.2 * share;
+  const borrowAbove = 0.65 + 0.25 * share;
+  const reclaimAbove = 0.85 + 0.15 * share;
   return {
     borrowAbove,
-    lendBelow: borrowAbove - 0.1 - 0.1 * share,
-    returnBelow: borrowAbove - 0.2 - 0.4 * share,
+    reclaimAbove,
+    lendBelow: reclaimAbove - 0.08 - 0.25 * share,
+    smallestGain: 0.05 + 0.35 * share,
+    returnBelow: borrowAbove - 0.1 - 0.5 * share,
   };
 }
 
@@ -37,16 +44,19 @@
   /** Usual peak during the next minimum stay and lead time. */
   readonly expectedSlots: number;
   readonly lendingOpen: boolean;
+  /** Slots that overflow to other pools is counted on for. */
+  overflowSlots: number;
   /** VMs that serve in the pool or are on their way to it. */
   capacityVms: number;
 }
 
-/** Utilisation of the pool with a number of VMs more or fewer. */
+/** Utilisation of the pool, overflow included, with a number of VMs more or fewer. */
 export function utilisation(
   load: PoolLoad,
   options: { addedVms?: number; expected?: boolean } = {},
 ): number {
-  const slots = (load.capacityVms + (options.addedVms ?? 0)) * load.slotsPerVm;
+  const vms = load.capacityVms + (options.addedVms ?? 0);
+  const slots = vms * load.slotsPerVm + load.overflowSlots;
   const demand = options.expected
     ? Math.max(load.levelSlots, load.expectedSlots)
     : load.levelSlots;
@@ -54,6 +64,27 @@
   return demand / slots;
 }
 
+/** Slots that a pool can give to others by overflow: beyond its own demand and what it owes. */
+function freeSlots(load: PoolLoad): number {
+  const owed = load.counts.minimumServingVms * load.slotsPerVm;
+  const slots = load.capacityVms * load.slotsPerVm;
+  return Math.max(0, slots - Math.max(owed, load.levelSlots));
+}
+
+/** Overflow needs no move, so it is counted on in proportion to the weight on moves. */
+function addOverflow(loads: ReadonlyMap<string, PoolLoad>, share: number) {
+  for (const load of loads.values()) {
+    const own = load.pool.services[0] ?? "";
+    let free = 0;
+    for (const other of loads.values()) {
+      const serves = other !== load && other.pool.lending.overflow &&
+        other.pool.services.includes(own);
+      if (serves) free += freeSlots(other);
+    }
+    load.overflowSlots = share * free;
+  }
+}
+
 /** Collects demand and capacity of each pool. */
 export function collectLoads(
   context: PlanningContext,
@@ -77,8 +108,10 @@
         forMs: RETURN_LEAD_MS,
       }),
       lendingOpen: isLendingOpen(pool, nowMs),
+      overflowSlots: 0,
       capacityVms: counts.serving + counts.incoming,
     });
   }
+  addOverflow(loads, movesWeightShare(config));
   return loads;
 }
