--- a/bench/fleet/demand_series.ts
+++ b/bench/fleet/demand_series.ts
@@ -1,5 +1,4 @@
-import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { createRandom } from "../../testing/random.ts";
 
 /** Services take turns: each surges for one part in this many. */
 const TURNS = 5;
@@ -29,8 +28,7 @@
   options: { seed: number; surges: boolean },
 ): DemandSeries {
   const { seed, surges } = options;
-  const generator = xoroshiro128plus(seed);
-  const random = () => uniformFloat64(generator);
+  const random = createRandom(seed).next;
   // The sum of 12 uniform numbers is close to a normal distribution.
   const normal = () => {
     let sum = -6;
--- a/bench/fleet/main.ts
+++ b/bench/fleet/main.ts
@@ -1,6 +1,7 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import process from "node:process";
 import { pathToFileURL } from "node:url";
+import { chooseSeed } from "../../testing/random.ts";
 import { compareStrategies, type Experiment } from "./comparison.ts";
 import {
   createSingleRegion,
@@ -31,7 +32,7 @@
 
 /** Options of the fleet bench. */
 export interface FleetBenchOptions {
-  readonly seed?: number;
+  readonly seed: number;
   /** Folder for the JSON figures and the report. */
   readonly outputFolder?: string;
 }
@@ -75,10 +76,8 @@
 }
 
 /** Runs the fleet bench, prints its tables and writes them to the output folder. */
-export function runFleetBench(options: FleetBenchOptions = {}): FleetReport {
-  const seed = options.seed ?? Math.floor(Math.random() * 2 ** 31);
-  const folder = options.outputFolder ?? OUTPUT_FOLDER;
-  console.log(`seed ${seed}`);
+export function runFleetBench(options: FleetBenchOptions): FleetReport {
+  const { seed, outputFolder: folder = OUTPUT_FOLDER } = options;
   const deployments = loadDeployments();
   const report: FleetReport = {
     seed,
@@ -107,6 +106,5 @@
 }
 
 if (import.meta.url === pathToFileURL(process.argv[1] ?? "").href) {
-  const seed = Number(process.env.SEED);
-  runFleetBench(Number.isInteger(seed) && seed > 0 ? { seed } : {});
+  runFleetBench({ seed: chooseSeed() });
 }
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 import process from "node:process";
 import { Command, Option } from "commander";
 import { chooseSeed } from "../testing/random.ts";
+import { runFleetBench } from "./fleet/main.ts";
 import { runRequestsBench } from "./requests/main.ts";
 
 const REGIONS: Record<string, readonly string[]> = {
@@ -62,5 +63,11 @@
     });
   });
 
+program.command("fleet")
+  .description("static pools, lending on a threshold, and the policy")
+  .action(() => {
+    runFleetBench({ seed: chooseSeed() });
+  });
+
 await program.parseAsync();
 process.exit();
--- a/src/fleet/controller_random_test.ts
+++ b/src/fleet/controller_random_test.ts
@@ -1,6 +1,3 @@
-import process from "node:process";
-import { uniformInt } from "pure-rand/distribution/uniformInt";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { createFakeStore } from "../../testing/fake_store.ts";
@@ -11,6 +8,7 @@
   REGION,
   type TestPool,
 } from "../../testing/fleet_world.ts";
+import { chooseSeed, createRandom } from "../../testing/random.ts";
 import type { AppliedConfig } from "../config/schema.ts";
 import { createObservable } from "../observable.ts";
 import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
@@ -20,7 +18,7 @@
 
 const STEPS = 5_000;
 const FINAL_STEPS = 1_500;
-const seed = Number(process.env.SEED ?? Math.floor(Math.random() * 2 ** 31));
+const seed = chooseSeed();
 
 const POOLS: readonly TestPool[] = [
   { name: "a", vms: 7, minimumServingVms: 4, maximumLentVms: 2 },
@@ -39,8 +37,7 @@
 type Draw = (limit: number) => number;
 
 function createDraw(): Draw {
-  const generator = xoroshiro128plus(seed);
-  return (limit) => uniformInt(generator, 0, limit - 1);
+  return createRandom(seed).below;
 }
 
 function pick<T>(draw: Draw, items: readonly T[]): T {
@@ -136,7 +133,6 @@
 }
 
 async function runControllers(count: number): Promise<void> {
-  console.log(`seed ${seed}`);
   const draw = createDraw();
   const store = createFakeStore({
     random: {
--- a/src/fleet/plan_test.ts
+++ b/src/fleet/plan_test.ts
@@ -1,4 +1,3 @@
-import process from "node:process";
 import fc from "fast-check";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
@@ -9,6 +8,7 @@
   REGION,
   type TestPool,
 } from "../../testing/fleet_world.ts";
+import { chooseSeed } from "../../testing/random.ts";
 import type { ResolvedConfig } from "../config/schema.ts";
 import { appendDecisions, MAXIMUM_DECISIONS } from "./decision_log.ts";
 import { BUCKETS_PER_DAY, createDemandState, observeDemand } from "./demand.ts";
@@ -26,7 +26,7 @@
   lastRebootIntentId: undefined,
   runningTasks: 0,
 };
-const seed = Number(process.env.SEED ?? Math.floor(Math.random() * 2 ** 31));
+const seed = chooseSeed();
 
 const OWNER: TestPool = {
   name: "owner",
@@ -301,7 +301,6 @@
     gone: fc.array(fc.nat(31), { maxLength: 6 }),
     due: fc.boolean(),
   });
-  console.log(`seed ${seed}`);
   fc.assert(
     fc.property(scenario, ({ pools, gone, due }) => {
       const named = pools.map((item, index) => ({
