--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,7 @@
 import process from "node:process";
 import { Command, Option } from "commander";
 import { chooseSeed } from "../testing/random.ts";
+import { runCapacityBench } from "./capacity/main.ts";
 import { runFleetBench } from "./fleet/main.ts";
 import { runRequestsBench } from "./requests/main.ts";
 
@@ -69,5 +70,22 @@
     runFleetBench({ seed: chooseSeed() });
   });
 
+program.command("capacity")
+  .description("processor time, memory and traffic of control, per entry")
+  .addOption(
+    new Option("--region <name>", "example configuration")
+      .choices(Object.keys(REGIONS)).default("khomas"),
+  )
+  .option("--binary <file>", "binary of the entries", "dist/cowslipferry")
+  .action(async ({ region, binary }: { region: string; binary: string }) => {
+    await runCapacityBench({
+      seed: chooseSeed(),
+      configFile: `examples/${region}.json`,
+      dataCentres: REGIONS[region] ?? [],
+      binary,
+      command: `npm run bench -- ${process.argv.slice(2).join(" ")}`,
+    });
+  });
+
 await program.parseAsync();
 process.exit();
--- a/scripts/quickstart.ts
+++ b/scripts/quickstart.ts
@@ -166,7 +166,12 @@
     } s; each takes ${SERVICE_TIME_MS} ms in its backend server`,
   );
   console.log(
-    `state dump: dist/cowslipferry dump --store ${deployment.storeUrl} --vm-list ${deployment.vmListUrl}`,
+    `state dump of an entry: http://${
+      deployment.entries[0]?.adminAddress
+    }/dump`,
+  );
+  console.log(
+    `state dump of all entries: dist/cowslipferry dump --store ${deployment.storeUrl} --vm-list ${deployment.vmListUrl}`,
   );
   for (let round = 0; !run.stopping.aborted; round++) {
     await runRound(deployment, services, seed + round);
