--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
 import { chooseSeed } from "../testing/random.ts";
 import { runCapacityBench } from "./capacity/main.ts";
 import { runFleetBench } from "./fleet/main.ts";
+import { runJobsBench } from "./jobs/main.ts";
 import { runRequestsBench } from "./requests/main.ts";
 
 const REGIONS: Record<string, readonly string[]> = {
@@ -70,6 +71,18 @@
     runFleetBench({ seed: chooseSeed() });
   });
 
+program.command("jobs")
+  .description("learned placement against first fit by declared sizes")
+  .option("--runs <count>", "runs of each deployment and placement", "3")
+  .option("--minutes <count>", "time in which jobs arrive", "20")
+  .action(async ({ runs, minutes }: { runs: string; minutes: string }) => {
+    await runJobsBench({
+      seed: chooseSeed(),
+      runs: Number(runs),
+      arrivalMinutes: Number(minutes),
+    });
+  });
+
 program.command("capacity")
   .description("processor time, memory and traffic of control, per entry")
   .addOption(
