--- a/bench/jobs/main.ts
+++ b/bench/jobs/main.ts
@@ -2,21 +2,35 @@
 import process from "node:process";
 import { pathToFileURL } from "node:url";
 import { chooseSeed, seedFor } from "../../testing/random.ts";
-import { type JobsRun, type Placement, runJobs } from "./run.ts";
-import { loadJobsDeployment, planJobs } from "./workload.ts";
+import {
+  DEFAULT_TAIL_MS,
+  type JobsRun,
+  type Placement,
+  runJobs,
+} from "./run.ts";
+import {
+  createTwoYearJobs,
+  type JobsDeployment,
+  loadJobsDeployment,
+  planJobs,
+} from "./workload.ts";
 
 const OUTPUT_FOLDER = "bench/out";
+/** Name of the largest region of the two-year size. */
+const TWO_YEAR_REGION = "two-year region";
 const DEPLOYMENTS = [
   { region: "khomas", cores: 32, memoryMb: 65_536, dataCentres: 3 },
   { region: "punjab-east", cores: 16, memoryMb: 65_536, dataCentres: 4 },
 ];
-const PLACEMENTS: readonly Placement[] = ["first fit", "learned"];
+/** Ways of placing jobs that the bench compares. */
+export const PLACEMENTS: readonly Placement[] = ["first fit", "learned"];
 const COLUMNS = [
   "deployment",
   "placement",
   "jobs",
   "wait p50 / p99 (s)",
-  "urgent wait p99 (s)",
+  "urgent jobs",
+  "urgent wait p99 / longest (s)",
   "succeeded of those that can",
   "left over",
   "unfit jobs: end p99 (s)",
@@ -24,8 +38,22 @@
   "wasted runs",
   "wasted core time",
   "store writes per job",
+  "step CPU mean / p99 / max (ms)",
 ];
 
+/** Deployments of the jobs bench. */
+export const REGIONS: readonly string[] = [
+  ...DEPLOYMENTS.map(({ region }) => region),
+  TWO_YEAR_REGION,
+];
+
+async function loadDeployment(name: string): Promise<JobsDeployment> {
+  const known = DEPLOYMENTS.find(({ region }) => region === name);
+  return known === undefined
+    ? createTwoYearJobs()
+    : await loadJobsDeployment(name, known);
+}
+
 /** Options of the jobs bench. */
 export interface JobsBenchOptions {
   readonly seed: number;
@@ -33,7 +61,13 @@
   readonly runs?: number;
   /** Time in which jobs arrive, in minutes. */
   readonly arrivalMinutes?: number;
+  /** Time after the last arrival until a run ends with jobs left over, in minutes. */
+  readonly tailMinutes?: number | undefined;
+  /** All of them by default. */
+  readonly placements?: readonly Placement[] | undefined;
   readonly outputFolder?: string;
+  /** All of them by default. */
+  readonly regions?: readonly string[] | undefined;
 }
 
 function percentile(values: readonly number[], share: number): number {
@@ -54,13 +88,16 @@
   const sum = (of: (run: JobsRun) => number) =>
     runs.reduce((total, run) => total + of(run), 0);
   const waits = all((run) => run.waitsMs);
+  const urgent = all((run) => run.urgentWaitsMs);
+  const steps = all((run) => run.stepCpuMs);
   const jobs = sum((run) => run.jobs);
   return [
     region,
     placement,
     String(jobs),
     `${seconds(percentile(waits, 0.5))} / ${seconds(percentile(waits, 0.99))}`,
-    seconds(percentile(all((run) => run.urgentWaitsMs), 0.99)),
+    String(urgent.length),
+    `${seconds(percentile(urgent, 0.99))} / ${seconds(percentile(urgent, 1))}`,
     percent(sum((run) => run.succeeded) / sum((run) => run.possible)),
     String(jobs - sum((run) => run.ended)),
     seconds(percentile(all((run) => run.hopelessEndMs), 0.99)),
@@ -68,25 +105,38 @@
     `${sum((run) => run.wastedRuns)} of ${sum((run) => run.runs)}`,
     percent(sum((run) => run.wastedCoreShare) / runs.length),
     (sum((run) => run.storeWrites) / jobs).toFixed(2),
+    steps.length === 0 ? "" : [
+      steps.reduce((a, b) => a + b, 0) / steps.length,
+      percentile(steps, 0.99),
+      percentile(steps, 1),
+    ].map((ms) => ms.toFixed(2)).join(" / "),
   ];
 }
 
 /** Compares learned placement with first fit by declared sizes; writes JSON figures and a Markdown table. */
 export async function runJobsBench(options: JobsBenchOptions): Promise<void> {
   const { seed, runs = 3, arrivalMinutes = 20 } = options;
+  const tailMs = options.tailMinutes === undefined
+    ? DEFAULT_TAIL_MS
+    : options.tailMinutes * 60_000;
   const folder = options.outputFolder ?? OUTPUT_FOLDER;
   const rows: string[][] = [];
   const figures: unknown[] = [];
-  for (const { region, ...size } of DEPLOYMENTS) {
-    const deployment = await loadJobsDeployment(region, size);
-    for (const placement of PLACEMENTS) {
+  const chosen = options.regions ?? REGIONS;
+  for (const region of chosen) {
+    const deployment = await loadDeployment(region);
+    // First fit has no use for the cost of a dispatcher's step.
+    const placements = region === TWO_YEAR_REGION
+      ? (["learned"] as const)
+      : options.placements ?? PLACEMENTS;
+    for (const placement of placements) {
       const results: JobsRun[] = [];
       for (let run = 0; run < runs; run++) {
         const runSeed = seedFor(seed, `${region}-${run}`);
         const arrivalsMs = arrivalMinutes * 60_000;
         const planned = planJobs(deployment, { seed: runSeed, arrivalsMs });
-        const options = { placement, seed: runSeed };
-        results.push(await runJobs(deployment, planned, options));
+        const runOptions = { placement, seed: runSeed, tailMs };
+        results.push(await runJobs(deployment, planned, runOptions));
       }
       const row = formatRow(region, placement, results);
       console.log(row.join(" | "));
--- a/bench/jobs/run.ts
+++ b/bench/jobs/run.ts
@@ -1,3 +1,4 @@
+import process from "node:process";
 import { issueJobKey, SHARD_COUNT } from "../../src/jobs/job_key.ts";
 import { submitJob } from "../../src/jobs/submission.ts";
 import { FakeJobs } from "../../testing/fake_jobs.ts";
@@ -8,7 +9,7 @@
 
 const STEP_MS = 500;
 /** Time after the last arrival until a run ends with jobs left over, in ms. */
-const TAIL_MS = 1_800_000;
+export const DEFAULT_TAIL_MS = 1_800_000;
 const REPORT_LAG_MS = 2_000;
 const FAILING_SHARE = 0.1;
 
@@ -20,6 +21,7 @@
   readonly jobs: number;
   /** Time from arrival to first start of each job that started, in ms. */
   readonly waitsMs: readonly number[];
+  /** The same of urgent jobs; one that neither started nor ended counts with its age. */
   readonly urgentWaitsMs: readonly number[];
   readonly succeeded: number;
   /** Jobs that could have succeeded. */
@@ -34,6 +36,8 @@
   readonly usefulShare: number;
   readonly storeWrites: number;
   readonly leaseCalls: number;
+  /** Processor time of each dispatcher's step, in ms; those of idle shards included. */
+  readonly stepCpuMs: readonly number[];
 }
 
 interface Scheduler {
@@ -45,6 +49,7 @@
 function createLearned(
   fake: FakeJobs,
   endsMs: Map<string, number>,
+  stepCpuMs: number[],
 ): Scheduler {
   const shards = Array.from({ length: SHARD_COUNT }, (_, shard) => shard);
   const dispatchers = fake.createEntry("entry", shards);
@@ -59,9 +64,12 @@
     },
     async step() {
       for (const dispatcher of dispatchers) {
+        const before = process.cpuUsage();
         // The service writes submits at a shorter interval than its steps.
         await dispatcher.writer.flush();
         await dispatcher.step();
+        const { user, system } = process.cpuUsage(before);
+        stepCpuMs.push((user + system) / 1_000);
         for (const { id, state } of dispatcher.jobs?.values() ?? []) {
           if (state.kind === "ended" && !endsMs.has(id)) {
             endsMs.set(id, fake.nowMs);
@@ -77,7 +85,11 @@
 export async function runJobs(
   deployment: JobsDeployment,
   planned: readonly PlannedJob[],
-  options: { readonly placement: Placement; readonly seed: number },
+  options: {
+    readonly placement: Placement;
+    readonly seed: number;
+    readonly tailMs: number;
+  },
 ): Promise<JobsRun> {
   const store = createCountingStore();
   const fake = new FakeJobs({
@@ -95,8 +107,9 @@
     workers[random.below(workers.length)]!.failsTasks = true;
   }
   const firstFit = new FirstFit(fake, store, deployment.config);
+  const stepCpuMs: number[] = [];
   const scheduler: Scheduler = options.placement === "learned"
-    ? createLearned(fake, new Map())
+    ? createLearned(fake, new Map(), stepCpuMs)
     : {
       submit: ({ spec }) => firstFit.submit(spec),
       step: () => firstFit.step(),
@@ -110,7 +123,7 @@
   const lastMs = planned.at(-1)?.arrivalMs ?? 0;
   let next = 0;
   let usefulShare = 0;
-  while (fake.nowMs - startMs < lastMs + TAIL_MS) {
+  while (fake.nowMs - startMs < lastMs + options.tailMs) {
     fake.tick(STEP_MS);
     const nowMs = fake.nowMs - startMs;
     for (; (planned[next]?.arrivalMs ?? Infinity) <= nowMs; next++) {
@@ -129,6 +142,7 @@
     startMs,
     usefulShare,
     store,
+    stepCpuMs,
   });
 }
 
@@ -153,6 +167,7 @@
   startMs: number;
   usefulShare: number;
   store: { writes: number; leaseCalls: number };
+  stepCpuMs: readonly number[];
 }): JobsRun {
   const { fake, planned, ids, scheduler, startMs, store } = input;
   const { starts, successes, firstStartMs, usedCoreMs, wastedCoreMs } =
@@ -168,7 +183,12 @@
     jobs: planned.length,
     waitsMs: normal.flatMap(waitOf),
     urgentWaitsMs: normal.filter(({ spec }) => spec.priority === "urgent")
-      .flatMap(waitOf),
+      .flatMap((job) => {
+        const waitsMs = waitOf(job);
+        const open = waitsMs.length === 0 &&
+          scheduler.endOf(ids.get(job)!) === undefined;
+        return open ? [fake.nowMs - startMs - job.arrivalMs] : waitsMs;
+      }),
     succeeded: normal.filter((job) => successes.has(ids.get(job)!)).length,
     possible: normal.length,
     ended: planned.filter((job) => scheduler.endOf(ids.get(job)!)).length,
@@ -182,5 +202,6 @@
     usefulShare: input.usefulShare,
     storeWrites: store.writes,
     leaseCalls: store.leaseCalls,
+    stepCpuMs: input.stepCpuMs,
   };
 }
--- a/bench/jobs/workload.ts
+++ b/bench/jobs/workload.ts
@@ -4,12 +4,18 @@
 import { type JobSpec, jobSpecSchema } from "../../src/jobs/job.ts";
 import type { Vm } from "../../src/platform/vm_list.ts";
 import { createRandom, type Random } from "../../testing/random.ts";
+import { loadDeployments } from "../fleet/deployments.ts";
 
 /** One deployment with the size of its workers. */
 export interface JobsDeployment {
   readonly region: string;
   readonly config: ResolvedConfig;
   readonly vms: readonly Vm[];
+  /** The teams that submit jobs, with the pool of each. */
+  readonly submitters: readonly {
+    readonly team: string;
+    readonly pool: string;
+  }[];
 }
 
 /** What a job is, apart from its declaration. */
@@ -67,7 +73,37 @@
       });
     }
   }
-  return { region, config, vms };
+  const submitters = config.pools.map(({ name, team }) => ({
+    team,
+    pool: name,
+  }));
+  return { region, config, vms, submitters };
+}
+
+/** Returns the largest region of the two-year size. All teams submit there, each to one pool, and their quotas share out the pool's cores. */
+export function createTwoYearJobs(): JobsDeployment {
+  const { region, config, vms } = loadDeployments().find(({ name }) =>
+    name === "two-year region"
+  )!;
+  const pools = config.pools.filter((pool) => pool.region === region);
+  const submitters = config.teams.map(({ name }, index) => ({
+    team: name,
+    pool: pools[index % pools.length]!.name,
+  }));
+  const coresOf = (pool: string) =>
+    vms.filter((vm) => vm.pool === pool).reduce((sum, vm) => sum + vm.cores, 0);
+  const teams = config.teams.map((team, index) => {
+    const { pool } = submitters[index]!;
+    const sharers = submitters.filter((other) => other.pool === pool).length;
+    return { ...team, quota: { cores: Math.floor(coresOf(pool) / sharers) } };
+  });
+  return {
+    region,
+    config: { ...config, teams },
+    // The fake workers are addressed by their id.
+    vms: vms.map((vm) => ({ ...vm, controlAddress: vm.id })),
+    submitters,
+  };
 }
 
 interface JobClass {
@@ -133,17 +169,17 @@
 
 /** Plans the jobs of one run, by time of arrival. */
 export function planJobs(
-  { config, vms }: JobsDeployment,
+  { config, vms, submitters }: JobsDeployment,
   options: { readonly seed: number; readonly arrivalsMs: number },
 ): PlannedJob[] {
   const random = createRandom(options.seed);
   const jobs: PlannedJob[] = [];
-  for (const pool of config.pools) {
-    const quota = config.teams.find(({ name }) => name === pool.team)?.quota;
-    const poolCores = vms.filter((vm) => vm.pool === pool.name)
+  for (const { team, pool } of submitters) {
+    const quota = config.teams.find(({ name }) => name === team)?.quota;
+    const poolCores = vms.filter((vm) => vm.pool === pool)
       .reduce((sum, vm) => sum + vm.cores, 0);
     const cores = Math.min(quota?.cores ?? Infinity, poolCores);
-    const classes = createClasses(pool.name, pool.team, random);
+    const classes = createClasses(pool, team, random);
     const meanWork = classes.reduce((sum, { cores, runMs }) =>
       sum + cores * runMs, 0) / classes.length;
     const intervalMs = meanWork / (LOAD * cores);
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,7 +3,12 @@
 import { chooseSeed } from "../testing/random.ts";
 import { runCapacityBench } from "./capacity/main.ts";
 import { runFleetBench } from "./fleet/main.ts";
-import { runJobsBench } from "./jobs/main.ts";
+import {
+  PLACEMENTS,
+  REGIONS as JOB_REGIONS,
+  runJobsBench,
+} from "./jobs/main.ts";
+import type { Placement } from "./jobs/run.ts";
 import { runRequestsBench } from "./requests/main.ts";
 
 const REGIONS: Record<string, readonly string[]> = {
@@ -27,6 +32,14 @@
   readonly name: string;
 }
 
+interface JobsCommandOptions {
+  readonly runs: string;
+  readonly minutes: string;
+  readonly tailMinutes: string | undefined;
+  readonly region: readonly string[] | undefined;
+  readonly placement: readonly Placement[] | undefined;
+}
+
 const program = new Command("bench").description(
   "Load and experiment tool; SEED=<number> repeats a run",
 );
@@ -75,11 +88,28 @@
   .description("learned placement against first fit by declared sizes")
   .option("--runs <count>", "runs of each deployment and placement", "3")
   .option("--minutes <count>", "time in which jobs arrive", "20")
-  .action(async ({ runs, minutes }: { runs: string; minutes: string }) => {
+  .addOption(
+    new Option("--region <name...>", "deployments to run; all by default")
+      .choices(JOB_REGIONS),
+  )
+  .addOption(
+    new Option("--placement <name...>", "ways of placing; all by default")
+      .choices(PLACEMENTS),
+  )
+  .option(
+    "--tail-minutes <count>",
+    "time after the last arrival until a run ends with jobs left over; 30 by default",
+  )
+  .action(async (options: JobsCommandOptions) => {
     await runJobsBench({
       seed: chooseSeed(),
-      runs: Number(runs),
-      arrivalMinutes: Number(minutes),
+      runs: Number(options.runs),
+      arrivalMinutes: Number(options.minutes),
+      regions: options.region,
+      placements: options.placement,
+      tailMinutes: options.tailMinutes === undefined
+        ? undefined
+        : Number(options.tailMinutes),
     });
   });
 
