--- a/bench/capacity/idle_nodes.ts
+++ b/bench/capacity/idle_nodes.ts
@@ -22,7 +22,8 @@
   readonly storeWatchesPerSecond: number;
 }
 
-const ENTRY_COUNTS = [3, 9, 18, 27];
+/** Numbers of entries that are measured unless others are given. */
+export const ENTRY_COUNTS: readonly number[] = [3, 9, 18, 27];
 /** Time for compilation to settle and for the first maintenance wave to end, in ms; shorter times measured up to twice the processor time. */
 const SETTLE_MS = 90_000;
 const MEASURED_MS = 20_000;
@@ -67,9 +68,10 @@
 /** Measures what control costs per entry without requests, for several numbers of entries. */
 export async function measureIdleNodes(
   options: Omit<BenchDeploymentOptions, "entryCount">,
+  entryCounts: readonly number[],
 ): Promise<CapacityRow[]> {
   const rows: CapacityRow[] = [];
-  for (const entryCount of ENTRY_COUNTS) {
+  for (const entryCount of entryCounts) {
     console.log(`measuring control with ${entryCount} entries`);
     rows.push(await withDeployment({ ...options, entryCount }, measure));
   }
--- a/bench/capacity/main.ts
+++ b/bench/capacity/main.ts
@@ -13,8 +13,19 @@
   readonly dataCentres: readonly string[];
   readonly binary: string;
   readonly command: string;
+  /** Parts to run. */
+  readonly parts: readonly string[];
+  /** Numbers of entries of the part `idle`. */
+  readonly entryCounts: readonly number[];
 }
 
+/** Parts of the experiment. */
+export const CAPACITY_PARTS: readonly string[] = [
+  "records",
+  "roll-outs",
+  "idle",
+];
+
 /** Measures the slopes of control: number of entries, size of the fleet, size of the configuration. */
 export async function runCapacityBench(
   options: CapacityBenchOptions,
@@ -28,9 +39,12 @@
       overflow: true,
       folder,
     };
-    const records = measureRecords();
-    const rollOuts = await measureRollOuts(deployment);
-    const idleNodes = await measureIdleNodes(deployment);
+    const runs = (part: string) => options.parts.includes(part);
+    const records = runs("records") ? measureRecords() : [];
+    const rollOuts = runs("roll-outs") ? await measureRollOuts(deployment) : [];
+    const idleNodes = runs("idle")
+      ? await measureIdleNodes(deployment, options.entryCounts)
+      : [];
     await writeReport({
       name: "capacity",
       command: options.command,
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,7 +1,8 @@
 import process from "node:process";
 import { Command, Option } from "commander";
 import { chooseSeed } from "../testing/random.ts";
-import { runCapacityBench } from "./capacity/main.ts";
+import { ENTRY_COUNTS } from "./capacity/idle_nodes.ts";
+import { CAPACITY_PARTS, runCapacityBench } from "./capacity/main.ts";
 import { runFleetBench } from "./fleet/main.ts";
 import { runJobsBench } from "./jobs/main.ts";
 import { runRequestsBench } from "./requests/main.ts";
@@ -17,6 +18,13 @@
 };
 const PARTS = ["latency", "throughput", "surge"];
 
+interface CapacityOptions {
+  readonly region: string;
+  readonly binary: string;
+  readonly part: readonly string[] | undefined;
+  readonly entries: readonly string[] | undefined;
+}
+
 interface RequestsOptions {
   readonly region: string;
   readonly part: readonly string[] | undefined;
@@ -90,8 +98,16 @@
       .choices(Object.keys(REGIONS)).default("khomas"),
   )
   .option("--binary <file>", "binary of the entries", "dist/cowslipferry")
-  .action(async ({ region, binary }: { region: string; binary: string }) => {
+  .addOption(
+    new Option("--part <name...>", "parts to run; all by default").choices(
+      CAPACITY_PARTS,
+    ),
+  )
+  .option("--entries <number...>", "numbers of entries of the part `idle`")
+  .action(async ({ region, binary, part, entries }: CapacityOptions) => {
     await runCapacityBench({
+      parts: part ?? CAPACITY_PARTS,
+      entryCounts: entries?.map(Number) ?? ENTRY_COUNTS,
       seed: chooseSeed(),
       configFile: `examples/${region}.json`,
       dataCentres: REGIONS[region] ?? [],
