--- a/bench/capacity/records.ts
+++ b/bench/capacity/records.ts
@@ -1,7 +1,7 @@
 import process from "node:process";
 import { parseFleetRecord } from "../../src/fleet/follower.ts";
 import { createFleetRecord, type FleetRecord } from "../../src/fleet/record.ts";
-import { vmSchema } from "../../src/platform/vm_list.ts";
+import { vmSchema } from "../../src/ports/vm_list.ts";
 import { resolvePoolMap } from "../../src/requests/pool_map.ts";
 import { createSingleRegion, type Deployment } from "../fleet/deployments.ts";
 import { measurePlanning } from "../fleet/planning_cost.ts";
--- a/bench/capacity/roll_outs.ts
+++ b/bench/capacity/roll_outs.ts
@@ -5,7 +5,7 @@
 import { applyConfig } from "../../src/config/apply.ts";
 import type { ResolvedConfig } from "../../src/config/schema.ts";
 import { resolveConfig } from "../../src/config/validate.ts";
-import { createHttpStore } from "../../src/platform/http_store.ts";
+import { createHttpStore } from "../../src/ports/http_store.ts";
 import type { Deployment, EntryProcess } from "../../testing/deployment.ts";
 import type { ReportTable } from "../report.ts";
 import {
--- a/bench/fleet/deployments.ts
+++ b/bench/fleet/deployments.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from "node:fs";
 import { configSchema, type ResolvedConfig } from "../../src/config/schema.ts";
 import { resolveConfig } from "../../src/config/validate.ts";
-import type { Vm } from "../../src/platform/vm_list.ts";
+import type { Vm } from "../../src/ports/vm_list.ts";
 
 /** One region's part of a deployment. */
 export interface Deployment {
--- a/bench/jobs/counting_store.ts
+++ b/bench/jobs/counting_store.ts
@@ -1,4 +1,4 @@
-import type { Lease, Store, StoreEntry } from "../../src/platform/store.ts";
+import type { Lease, Store, StoreEntry } from "../../src/ports/store.ts";
 
 /** An in-memory store without faults that keeps only the latest values and counts its calls. */
 export interface CountingStore extends Store {
--- a/bench/jobs/workload.ts
+++ b/bench/jobs/workload.ts
@@ -2,7 +2,7 @@
 import { resolveConfig } from "../../src/config/validate.ts";
 import { readTextFile } from "../../src/settings/load.ts";
 import { type JobSpec, jobSpecSchema } from "../../src/jobs/job.ts";
-import type { Vm } from "../../src/platform/vm_list.ts";
+import type { Vm } from "../../src/ports/vm_list.ts";
 import { createRandom, type Random } from "../../testing/random.ts";
 import { loadDeployments } from "../fleet/deployments.ts";
 
--- a/src/admin/dump.ts
+++ b/src/admin/dump.ts
@@ -11,7 +11,7 @@
 import type { Observable } from "../observable.ts";
 import type { EntryDigest } from "../peers/messages.ts";
 import type { Peers, PeersStatus } from "../peers/peers.ts";
-import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import type { VmListSnapshot } from "../ports/vm_list_poller.ts";
 import type { RequestPath } from "../requests/request_path.ts";
 import type { ResolvedSettings } from "../settings/schema.ts";
 import type { PartStatus, Supervisor } from "../supervisor.ts";
--- a/src/commands/explain.ts
+++ b/src/commands/explain.ts
@@ -11,7 +11,7 @@
 import { mergeDecisions } from "../jobs/job_log.ts";
 import { assertNever } from "../errors.ts";
 import { formatFound, parseJson, parseWithSchema } from "../validation.ts";
-import type { Store } from "../platform/store.ts";
+import type { Store } from "../ports/store.ts";
 import {
   addPlatformOptions,
   type OperatorPlatform,
--- a/src/commands/explain_jobs.ts
+++ b/src/commands/explain_jobs.ts
@@ -9,7 +9,7 @@
 } from "../jobs/job_log.ts";
 import { readJobLog } from "../jobs/job_log_saver.ts";
 import { parseShard, shardKey } from "../jobs/shard.ts";
-import type { Store } from "../platform/store.ts";
+import type { Store } from "../ports/store.ts";
 import {
   type OperatorPlatform,
   readOrNote,
--- a/src/commands/status.ts
+++ b/src/commands/status.ts
@@ -10,8 +10,8 @@
 import { CONFIG_KEY } from "../constants.ts";
 import { parseFleetRecord } from "../fleet/follower.ts";
 import { fleetKey } from "../fleet/record.ts";
-import type { Store } from "../platform/store.ts";
-import type { Vm } from "../platform/vm_list.ts";
+import type { Store } from "../ports/store.ts";
+import type { Vm } from "../ports/vm_list.ts";
 import {
   addPlatformOptions,
   type OperatorPlatform,
--- a/src/config/apply.ts
+++ b/src/config/apply.ts
@@ -7,7 +7,7 @@
   TaggedError,
   ValidationError,
 } from "../errors.ts";
-import type { Store, SwapRequest } from "../platform/store.ts";
+import type { Store, SwapRequest } from "../ports/store.ts";
 import { type ConfigChange, diffConfigs } from "./diff.ts";
 import { parseAppliedConfig } from "./follower.ts";
 import {
--- a/src/config/apply_test.ts
+++ b/src/config/apply_test.ts
@@ -10,8 +10,8 @@
 import { startStoreServer } from "../../testing/store_server.ts";
 import { CONFIG_KEY } from "../constants.ts";
 import { StoreError } from "../errors.ts";
-import { createHttpStore } from "../platform/http_store.ts";
-import type { Store } from "../platform/store.ts";
+import { createHttpStore } from "../ports/http_store.ts";
+import type { Store } from "../ports/store.ts";
 import { applyConfig, UnreadableConfigError } from "./apply.ts";
 import { parseAppliedConfig } from "./follower.ts";
 import { type RevisionBounds, StoreBehindError } from "./store_behind.ts";
--- a/src/config/follower_test.ts
+++ b/src/config/follower_test.ts
@@ -8,7 +8,7 @@
 import { CONFIG_KEY } from "../constants.ts";
 import { silentLogger } from "../logger.ts";
 import { createObservable } from "../observable.ts";
-import { createHttpStore } from "../platform/http_store.ts";
+import { createHttpStore } from "../ports/http_store.ts";
 import { applyConfig } from "./apply.ts";
 import { runConfigFollower } from "./follower.ts";
 import type { AppliedConfig } from "./schema.ts";
--- a/src/config/roll_out.ts
+++ b/src/config/roll_out.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 import type { Clock } from "../clock.ts";
 import { messageOf } from "../errors.ts";
-import type { Vm, VmList } from "../platform/vm_list.ts";
+import type { Vm, VmList } from "../ports/vm_list.ts";
 
 /** Reads the state dump of the entry whose admin server listens at an address. */
 export type ReadDump = (
--- a/src/config/roll_out_test.ts
+++ b/src/config/roll_out_test.ts
@@ -3,7 +3,7 @@
 import * as assert from "uvu/assert";
 import { createEntryVm } from "../../testing/operator_platform.ts";
 import { systemClock } from "../clock.ts";
-import type { Vm } from "../platform/vm_list.ts";
+import type { Vm } from "../ports/vm_list.ts";
 import { type RollOutResult, waitForRollOut } from "./roll_out.ts";
 
 const entry = (id: string, incarnation: string, state: Vm["state"] = "live") =>
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -5,7 +5,7 @@
 import { runFleetFollower } from "./fleet/follower.ts";
 import { useListeningServer } from "./http_server.ts";
 import { readBusyWorkers } from "./jobs/busy_workers.ts";
-import { runVmListPoller } from "./platform/vm_list_poller.ts";
+import { runVmListPoller } from "./ports/vm_list_poller.ts";
 import type { ResolvedSettings } from "./settings/schema.ts";
 import { stopGracefully } from "./shutdown.ts";
 import { type StopSignals, useProcessSignals } from "./signals.ts";
--- a/src/entry_state.ts
+++ b/src/entry_state.ts
@@ -2,7 +2,7 @@
 import type { ContactTracker } from "./contact_tracker.ts";
 import type { FleetRecord } from "./fleet/record.ts";
 import type { Observable } from "./observable.ts";
-import type { VmListSnapshot } from "./platform/vm_list_poller.ts";
+import type { VmListSnapshot } from "./ports/vm_list_poller.ts";
 
 /** Why an entry should get no new work from the balancer. */
 export type UnreadyReason =
--- a/src/fleet/controller_random_test.ts
+++ b/src/fleet/controller_random_test.ts
@@ -11,7 +11,7 @@
 import { chooseSeed, createRandom } from "../../testing/random.ts";
 import type { AppliedConfig } from "../config/schema.ts";
 import { createObservable } from "../observable.ts";
-import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import type { VmListSnapshot } from "../ports/vm_list_poller.ts";
 import { parseFleetRecord } from "./follower.ts";
 import { createFleetRecord, fleetKey, type FleetRecord } from "./record.ts";
 import { checkRecord, checkStep } from "./record_check.ts";
--- a/src/fleet/controller_store.ts
+++ b/src/fleet/controller_store.ts
@@ -1,5 +1,5 @@
 import { StoreError } from "../errors.ts";
-import type { Store, StoreEntry } from "../platform/store.ts";
+import type { Store, StoreEntry } from "../ports/store.ts";
 import { parseJson, parseWithSchema } from "../validation.ts";
 import {
   appendDecisions,
--- a/src/fleet/controller_wave_test.ts
+++ b/src/fleet/controller_wave_test.ts
@@ -15,7 +15,7 @@
 import { buildConfig } from "../../testing/fleet_world.ts";
 import { ValidationError } from "../errors.ts";
 import { createObservable } from "../observable.ts";
-import { type VmListSnapshot } from "../platform/vm_list_poller.ts";
+import { type VmListSnapshot } from "../ports/vm_list_poller.ts";
 import { checkRecord } from "./record_check.ts";
 
 // Guards against a wave that skips a VM, maintains one twice or never ends.
--- a/src/fleet/follower.ts
+++ b/src/fleet/follower.ts
@@ -2,8 +2,8 @@
 import { messageOf } from "../errors.ts";
 import type { Logger } from "../logger.ts";
 import type { MutableObservable } from "../observable.ts";
-import type { Store } from "../platform/store.ts";
-import { runValueFollower } from "../platform/value_follower.ts";
+import type { Store } from "../ports/store.ts";
+import { runValueFollower } from "../ports/value_follower.ts";
 import { parseJson, parseWithSchema } from "../validation.ts";
 import { fleetKey, type FleetRecord, fleetRecordSchema } from "./record.ts";
 
--- a/src/fleet/intents.ts
+++ b/src/fleet/intents.ts
@@ -1,8 +1,8 @@
 import type { Clock } from "../clock.ts";
 import { messageOf } from "../errors.ts";
 import type { Logger } from "../logger.ts";
-import type { Vm } from "../platform/vm_list.ts";
-import type { WorkerAgent } from "../platform/worker_agent.ts";
+import type { Vm } from "../ports/vm_list.ts";
+import type { WorkerAgent } from "../ports/worker_agent.ts";
 import type { FleetRecord, VmRecord } from "./record.ts";
 import type { WorkerMonitor } from "./worker_monitor.ts";
 
--- a/src/fleet/planning_context.ts
+++ b/src/fleet/planning_context.ts
@@ -1,6 +1,6 @@
 import type { PoolConfig, ResolvedConfig } from "../config/schema.ts";
 import type { EntryDigest } from "../peers/messages.ts";
-import type { Vm } from "../platform/vm_list.ts";
+import type { Vm } from "../ports/vm_list.ts";
 import type { Decision } from "./decision_log.ts";
 import type { DemandState } from "./demand.ts";
 import type { FleetRecord, Transition, VmRecord } from "./record.ts";
--- a/src/fleet/reconciliation.ts
+++ b/src/fleet/reconciliation.ts
@@ -1,4 +1,4 @@
-import type { Vm } from "../platform/vm_list.ts";
+import type { Vm } from "../ports/vm_list.ts";
 import {
   type PlanningContext,
   settle,
--- a/src/fleet/worker_monitor.ts
+++ b/src/fleet/worker_monitor.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "../clock.ts";
-import type { Vm } from "../platform/vm_list.ts";
-import type { WorkerAgent, WorkerReport } from "../platform/worker_agent.ts";
+import type { Vm } from "../ports/vm_list.ts";
+import type { WorkerAgent, WorkerReport } from "../ports/worker_agent.ts";
 import type { WorkerView } from "./planning_context.ts";
 import type { FleetRecord } from "./record.ts";
 
--- a/src/fleet/worker_monitor_test.ts
+++ b/src/fleet/worker_monitor_test.ts
@@ -3,7 +3,7 @@
 import { createVm, REGION } from "../../testing/fleet_world.ts";
 import { UNREACHABLE_AFTER_MS } from "../constants.ts";
 import { PlatformError } from "../errors.ts";
-import type { WorkerAgent } from "../platform/worker_agent.ts";
+import type { WorkerAgent } from "../ports/worker_agent.ts";
 import { createFleetRecord } from "./record.ts";
 import { createWorkerMonitor } from "./worker_monitor.ts";
 
--- a/src/jobs/busy_workers.ts
+++ b/src/jobs/busy_workers.ts
@@ -1,4 +1,4 @@
-import type { Store } from "../platform/store.ts";
+import type { Store } from "../ports/store.ts";
 import { SHARD_COUNT } from "./job_key.ts";
 import { parseShard, shardKey } from "./shard.ts";
 
--- a/src/jobs/fencing.ts
+++ b/src/jobs/fencing.ts
@@ -1,6 +1,6 @@
 import type { Clock } from "../clock.ts";
 import { StoreError } from "../errors.ts";
-import type { Store } from "../platform/store.ts";
+import type { Store } from "../ports/store.ts";
 
 /** Store key of the counter from which a region's dispatchers take their fencing tokens. */
 export function fencingKey(region: string): string {
--- a/src/jobs/job_log_saver.ts
+++ b/src/jobs/job_log_saver.ts
@@ -1,7 +1,7 @@
 import { type Operation, sleep, until } from "effection";
 import { messageOf } from "../errors.ts";
 import type { Logger } from "../logger.ts";
-import type { Store } from "../platform/store.ts";
+import type { Store } from "../ports/store.ts";
 import { parseJson, parseWithSchema } from "../validation.ts";
 import type { JobLog } from "./job_log.ts";
 import {
--- a/src/jobs/quota_ledger.ts
+++ b/src/jobs/quota_ledger.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
 import type { Clock } from "../clock.ts";
-import type { Store } from "../platform/store.ts";
+import type { Store } from "../ports/store.ts";
 import { activeRun, type Job, type Size, sizeSchema } from "./job.ts";
 import { SHARD_COUNT } from "./job_key.ts";
 import type { Quota } from "./placement.ts";
--- a/src/jobs/reconcile.ts
+++ b/src/jobs/reconcile.ts
@@ -1,5 +1,5 @@
 import { assertNever } from "../errors.ts";
-import type { TaskStatus } from "../platform/worker_agent.ts";
+import type { TaskStatus } from "../ports/worker_agent.ts";
 import type { Blame } from "./blame.ts";
 import { endJob, type Job, type JobOutcome, type Run } from "./job.ts";
 
--- a/src/jobs/shard_writer.ts
+++ b/src/jobs/shard_writer.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 import type { Clock } from "../clock.ts";
 import { StoreError } from "../errors.ts";
-import type { Store, SwapRequest, SwapResult } from "../platform/store.ts";
+import type { Store, SwapRequest, SwapResult } from "../ports/store.ts";
 import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
 import { createWake } from "../wake.ts";
 import {
--- a/src/jobs/task_commands.ts
+++ b/src/jobs/task_commands.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "../clock.ts";
 import { messageOf } from "../errors.ts";
 import type { Logger } from "../logger.ts";
-import type { WorkerAgent } from "../platform/worker_agent.ts";
+import type { WorkerAgent } from "../ports/worker_agent.ts";
 import { activeRun, type Job, type Run } from "./job.ts";
 import type { LedgerLink } from "./ledger_link.ts";
 import type { JobMemory } from "./job_memory.ts";
--- a/src/jobs/worker_reports.ts
+++ b/src/jobs/worker_reports.ts
@@ -1,10 +1,10 @@
 import type { Clock } from "../clock.ts";
-import type { Vm } from "../platform/vm_list.ts";
+import type { Vm } from "../ports/vm_list.ts";
 import type {
   TaskStatus,
   WorkerAgent,
   WorkerReport,
-} from "../platform/worker_agent.ts";
+} from "../ports/worker_agent.ts";
 import { parseTaskId } from "./task_id.ts";
 import type { TaskView } from "./worker_view.ts";
 
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
 import type { Observable } from "../observable.ts";
-import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import type { VmListSnapshot } from "../ports/vm_list_poller.ts";
 import type { ByteMeter } from "./byte_meter.ts";
 import { classifyChange } from "./digest_change.ts";
 import type { Membership, MergeResult, SilenceEvidence } from "./membership.ts";
--- a/src/peers/peer_addresses.ts
+++ b/src/peers/peer_addresses.ts
@@ -1,5 +1,5 @@
 import { ANY_HOST } from "../constants.ts";
-import type { Vm } from "../platform/vm_list.ts";
+import type { Vm } from "../ports/vm_list.ts";
 import type { EntryDigest } from "./messages.ts";
 
 /** What the addresses of peers are taken from. */
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -9,7 +9,7 @@
 import type { Logger } from "../logger.ts";
 import { createDurationMetric, type MetricSummary } from "../metrics.ts";
 import type { MutableObservable, Observable } from "../observable.ts";
-import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import type { VmListSnapshot } from "../ports/vm_list_poller.ts";
 import type { LoadReport } from "../requests/request_path.ts";
 import { type RevisionReport, runBodySync } from "./body_sync.ts";
 import { createByteMeter } from "./byte_meter.ts";
--- a/src/peers/peers_test.ts
+++ b/src/peers/peers_test.ts
@@ -12,7 +12,7 @@
 import { waitFor } from "../../testing/wait.ts";
 import { advanceConfig } from "../config/follower.ts";
 import { createObservable } from "../observable.ts";
-import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import type { VmListSnapshot } from "../ports/vm_list_poller.ts";
 
 const test = suite("peers");
 
--- a/src/requests/entry_demands.ts
+++ b/src/requests/entry_demands.ts
@@ -1,5 +1,5 @@
 import type { EntryDigest, ServiceLoad } from "../peers/messages.ts";
-import type { Vm } from "../platform/vm_list.ts";
+import type { Vm } from "../ports/vm_list.ts";
 import type { PoolView } from "./pool_map.ts";
 import type { EntryDemand } from "./slot_shares.ts";
 
--- a/src/requests/leaving_vms.ts
+++ b/src/requests/leaving_vms.ts
@@ -1,5 +1,5 @@
 import type { FleetRecord } from "../fleet/record.ts";
-import type { Vm } from "../platform/vm_list.ts";
+import type { Vm } from "../ports/vm_list.ts";
 
 interface Announcement {
   readonly incarnation: string;
--- a/src/requests/pool_map.ts
+++ b/src/requests/pool_map.ts
@@ -1,6 +1,6 @@
 import type { ResolvedConfig } from "../config/schema.ts";
 import type { FleetRecord } from "../fleet/record.ts";
-import type { Vm } from "../platform/vm_list.ts";
+import type { Vm } from "../ports/vm_list.ts";
 
 /** One backend server that may get requests. */
 export interface Instance {
--- a/src/requests/request_path.ts
+++ b/src/requests/request_path.ts
@@ -8,7 +8,7 @@
 import type { MetricSummary } from "../metrics.ts";
 import type { Observable } from "../observable.ts";
 import type { EntryDigest, ServiceLoad } from "../peers/messages.ts";
-import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import type { VmListSnapshot } from "../ports/vm_list_poller.ts";
 import type { ResolvedSettings } from "../settings/schema.ts";
 import { createWake } from "../wake.ts";
 import { AdmissionQueues } from "./admission.ts";
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -4,7 +4,7 @@
 import type { Logger } from "../logger.ts";
 import type { Observable } from "../observable.ts";
 import type { EntryDigest, ServiceLoad } from "../peers/messages.ts";
-import type { VmListSnapshot } from "../platform/vm_list_poller.ts";
+import type { VmListSnapshot } from "../ports/vm_list_poller.ts";
 import { countEntries, resolveEntryDemands } from "./entry_demands.ts";
 import { decideEjections, decideReinstatements } from "./ejection.ts";
 import { type AttemptResult, InstanceState } from "./instance_state.ts";
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -25,13 +25,13 @@
 import type { EntryDigest } from "./peers/messages.ts";
 import { createPeers, type Peers } from "./peers/peers.ts";
 import { createIncarnation } from "./peers/wire.ts";
-import { createHttpStore } from "./platform/http_store.ts";
-import { createHttpVmList } from "./platform/http_vm_list.ts";
-import { createHttpWorkerAgent } from "./platform/http_worker_agent.ts";
-import type { Store } from "./platform/store.ts";
-import type { VmList } from "./platform/vm_list.ts";
-import type { VmListSnapshot } from "./platform/vm_list_poller.ts";
-import type { WorkerAgent } from "./platform/worker_agent.ts";
+import { createHttpStore } from "./ports/http_store.ts";
+import { createHttpVmList } from "./ports/http_vm_list.ts";
+import { createHttpWorkerAgent } from "./ports/http_worker_agent.ts";
+import type { Store } from "./ports/store.ts";
+import type { VmList } from "./ports/vm_list.ts";
+import type { VmListSnapshot } from "./ports/vm_list_poller.ts";
+import type { WorkerAgent } from "./ports/worker_agent.ts";
 import {
   createRequestPath,
   type RequestPath,
--- a/testing/deployment.ts
+++ b/testing/deployment.ts
@@ -6,7 +6,7 @@
 import { resolveConfig } from "../src/config/validate.ts";
 import type { ResolvedConfig } from "../src/config/schema.ts";
 import { readTextFile } from "../src/settings/load.ts";
-import type { Vm } from "../src/platform/vm_list.ts";
+import type { Vm } from "../src/ports/vm_list.ts";
 import type { UserSettings } from "../src/settings/schema.ts";
 import type { BackendServer } from "./backend_server.ts";
 import { endChild, type RunningChild, startChild } from "./child_process.ts";
--- a/testing/fake_jobs.ts
+++ b/testing/fake_jobs.ts
@@ -1,17 +1,17 @@
 import { buildConfig, createVm, REGION } from "./fleet_world.ts";
-import type { Store } from "../src/platform/store.ts";
+import type { Store } from "../src/ports/store.ts";
 import type { AppliedConfig, ResolvedConfig } from "../src/config/schema.ts";
 import { PlatformError } from "../src/errors.ts";
 import { createFleetRecord, type FleetRecord } from "../src/fleet/record.ts";
 import { silentLogger } from "../src/logger.ts";
 import { createObservable } from "../src/observable.ts";
-import type { Vm } from "../src/platform/vm_list.ts";
-import type { VmListSnapshot } from "../src/platform/vm_list_poller.ts";
+import type { Vm } from "../src/ports/vm_list.ts";
+import type { VmListSnapshot } from "../src/ports/vm_list_poller.ts";
 import type {
   TaskSpec,
   TaskStatus,
   WorkerAgent,
-} from "../src/platform/worker_agent.ts";
+} from "../src/ports/worker_agent.ts";
 import {
   type FakeTask,
   type FakeWorker,
--- a/testing/fake_store.ts
+++ b/testing/fake_store.ts
@@ -8,7 +8,7 @@
   StoreEntry,
   SwapRequest,
   SwapResult,
-} from "../src/platform/store.ts";
+} from "../src/ports/store.ts";
 
 /** Faults of the fake store; each counter goes down as it is used. */
 export interface FakeStoreFaults {
--- a/testing/fake_worker.ts
+++ b/testing/fake_worker.ts
@@ -1,5 +1,5 @@
-import type { Vm } from "../src/platform/vm_list.ts";
-import type { TaskSpec, TaskStatus } from "../src/platform/worker_agent.ts";
+import type { Vm } from "../src/ports/vm_list.ts";
+import type { TaskSpec, TaskStatus } from "../src/ports/worker_agent.ts";
 
 /** What a task really does, as its command says: `run|fail <ms> [cores] [memoryMb]`. */
 export interface Truth {
--- a/testing/faults/fleet_records.ts
+++ b/testing/faults/fleet_records.ts
@@ -7,7 +7,7 @@
 import { parseFleetRecord } from "../../src/fleet/follower.ts";
 import { fleetKey, type FleetRecord } from "../../src/fleet/record.ts";
 import { checkStep, type Violation } from "../../src/fleet/record_check.ts";
-import type { StoreEntry } from "../../src/platform/store.ts";
+import type { StoreEntry } from "../../src/ports/store.ts";
 import { waitFor } from "../wait.ts";
 
 const REGION = "khomas";
--- a/testing/faults/leaving_test.ts
+++ b/testing/faults/leaving_test.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { createHttpWorkerAgent } from "../../src/platform/http_worker_agent.ts";
+import { createHttpWorkerAgent } from "../../src/ports/http_worker_agent.ts";
 import { callEntry } from "../caller.ts";
 import type { Deployment } from "../deployment.ts";
 import { waitFor } from "../wait.ts";
--- a/testing/faults/planned_stop_test.ts
+++ b/testing/faults/planned_stop_test.ts
@@ -2,7 +2,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { UNREADY_NOTICE_MS } from "../../src/shutdown.ts";
-import { createHttpWorkerAgent } from "../../src/platform/http_worker_agent.ts";
+import { createHttpWorkerAgent } from "../../src/ports/http_worker_agent.ts";
 import { callEntry, type CallResult, isOwnAnswer } from "../caller.ts";
 import { waitFor } from "../wait.ts";
 import { countBy, runConcurrently, withDeployment } from "./scenario.ts";
--- a/testing/faults/region_partition_test.ts
+++ b/testing/faults/region_partition_test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import type { Vm } from "../../src/platform/vm_list.ts";
+import type { Vm } from "../../src/ports/vm_list.ts";
 import { callEntry, type CallResult } from "../caller.ts";
 import type { Deployment, EntryProcess } from "../deployment.ts";
 import { waitUntilServing } from "../serving.ts";
--- a/testing/faults/relays.ts
+++ b/testing/faults/relays.ts
@@ -1,4 +1,4 @@
-import type { Vm } from "../../src/platform/vm_list.ts";
+import type { Vm } from "../../src/ports/vm_list.ts";
 import { startTcpRelay, type TcpRelay } from "../tcp_relay.ts";
 
 /** Relays in front of the addresses that the VM list shows. */
--- a/testing/fleet_world.ts
+++ b/testing/fleet_world.ts
@@ -21,9 +21,9 @@
 import { silentLogger } from "../src/logger.ts";
 import { createObservable, type MutableObservable } from "../src/observable.ts";
 import type { EntryDigest } from "../src/peers/messages.ts";
-import type { Vm } from "../src/platform/vm_list.ts";
-import type { VmListSnapshot } from "../src/platform/vm_list_poller.ts";
-import type { WorkerAgent } from "../src/platform/worker_agent.ts";
+import type { Vm } from "../src/ports/vm_list.ts";
+import type { VmListSnapshot } from "../src/ports/vm_list_poller.ts";
+import type { WorkerAgent } from "../src/ports/worker_agent.ts";
 import type { FakeStore } from "./fake_store.ts";
 
 /** Region of the simulated fleet. */
--- a/testing/operator_platform.ts
+++ b/testing/operator_platform.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
-import type { Vm } from "../src/platform/vm_list.ts";
+import type { Vm } from "../src/ports/vm_list.ts";
 import { createJsonServer, listenOnLoopback } from "./http_json_server.ts";
 import { commandOf, testedProgram } from "./program.ts";
 import { startStoreServer } from "./store_server.ts";
--- a/testing/peer_nodes.ts
+++ b/testing/peer_nodes.ts
@@ -7,8 +7,8 @@
 import { createObservable, type MutableObservable } from "../src/observable.ts";
 import type { EntryDigest } from "../src/peers/messages.ts";
 import { createPeers, type Peers } from "../src/peers/peers.ts";
-import type { Vm } from "../src/platform/vm_list.ts";
-import type { VmListSnapshot } from "../src/platform/vm_list_poller.ts";
+import type { Vm } from "../src/ports/vm_list.ts";
+import type { VmListSnapshot } from "../src/ports/vm_list_poller.ts";
 import type { LoadReport } from "../src/requests/request_path.ts";
 import { waitFor } from "./wait.ts";
 
--- a/testing/request_fleet.ts
+++ b/testing/request_fleet.ts
@@ -2,8 +2,8 @@
 import type { AppliedConfig } from "../src/config/schema.ts";
 import type { FleetRecord, VmRecord } from "../src/fleet/record.ts";
 import { createObservable, type MutableObservable } from "../src/observable.ts";
-import type { Vm } from "../src/platform/vm_list.ts";
-import type { VmListSnapshot } from "../src/platform/vm_list_poller.ts";
+import type { Vm } from "../src/ports/vm_list.ts";
+import type { VmListSnapshot } from "../src/ports/vm_list_poller.ts";
 import {
   type ResolvedSettings,
   settingsSchema,
--- a/testing/stand_ins_test.ts
+++ b/testing/stand_ins_test.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { createHttpVmList } from "../src/platform/http_vm_list.ts";
+import { createHttpVmList } from "../src/ports/http_vm_list.ts";
 import type { BackendFault } from "./backend_faults.ts";
 import { startBackendServer } from "./backend_server.ts";
 import { startTcpRelay } from "./tcp_relay.ts";
--- a/testing/store_server.ts
+++ b/testing/store_server.ts
@@ -1,5 +1,5 @@
 import { setTimeout as delay } from "node:timers/promises";
-import type { StoreEntry } from "../src/platform/store.ts";
+import type { StoreEntry } from "../src/ports/store.ts";
 import {
   createJsonServer,
   type JsonCall,
--- a/testing/vm_list_server.ts
+++ b/testing/vm_list_server.ts
@@ -1,4 +1,4 @@
-import type { Vm } from "../src/platform/vm_list.ts";
+import type { Vm } from "../src/ports/vm_list.ts";
 import {
   createJsonServer,
   listenOnLoopback,
--- a/testing/worker_agent.ts
+++ b/testing/worker_agent.ts
@@ -3,7 +3,7 @@
   TaskSpec,
   TaskStatus,
   WorkerReport,
-} from "../src/platform/worker_agent.ts";
+} from "../src/ports/worker_agent.ts";
 import type { BackendServer } from "./backend_server.ts";
 import type { JsonCall, JsonReply } from "./http_json_server.ts";
 import { waitFor } from "./wait.ts";
--- a/testing/worker_fleet.ts
+++ b/testing/worker_fleet.ts
@@ -1,7 +1,7 @@
 import { writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import type { ResolvedConfig } from "../src/config/schema.ts";
-import type { Vm } from "../src/platform/vm_list.ts";
+import type { Vm } from "../src/ports/vm_list.ts";
 import type { BackendServer } from "./backend_server.ts";
 import { endChild, type RunningChild, startSource } from "./child_process.ts";
 import { waitFor } from "./wait.ts";
--- a/testing/worker_test.ts
+++ b/testing/worker_test.ts
@@ -1,7 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { LEAVING_HEADER } from "../src/constants.ts";
-import { createHttpWorkerAgent } from "../src/platform/http_worker_agent.ts";
+import { createHttpWorkerAgent } from "../src/ports/http_worker_agent.ts";
 import { waitFor } from "./wait.ts";
 import { startWorker, type Worker, type WorkerOptions } from "./worker.ts";
 
