--- a/src/logger.ts
+++ b/src/logger.ts
@@ -37,6 +37,61 @@
   return (prefix) => wrap(base, prefix);
 }
 
+/** Bytes of log lines that are written together, in bytes. */
+const WRITE_SIZE_BYTES = 4_096;
+/** Most bytes of lines that wait for a reader that doesn't keep up; later lines are dropped and counted. */
+const MAXIMUM_WAITING_BYTES = 524_288;
+/** Longest time for which a line waits to be written, in ms. */
+const FLUSH_INTERVAL_MS = 500;
+
+/** Log of a process that must never wait for the reader of its lines. */
+export interface BufferedLog {
+  readonly loggers: LoggerFactory;
+  /** Lines that were dropped because the reader didn't keep up. */
+  droppedLines(): number;
+  /** Writes what waits; for the end of the process. */
+  flush(): void;
+}
+
+/** Creates a log on standard output that buffers lines and drops them, counted, rather than block. */
+export function createBufferedLog(
+  level: LogLevel,
+  processId: string,
+): BufferedLog {
+  const destination = pino.destination({
+    dest: 1,
+    sync: false,
+    minLength: WRITE_SIZE_BYTES,
+    maxLength: MAXIMUM_WAITING_BYTES,
+  });
+  let dropped = 0;
+  let reported = 0;
+  destination.on("drop", () => dropped++);
+  // An error of standard output can't be logged anywhere; the lines count as dropped.
+  destination.on("error", () => dropped++);
+  const base = pino({ level, base: { process: processId } }, destination);
+  const timer = setInterval(() => {
+    if (dropped > reported) {
+      base.warn({ lines: dropped - reported }, "log: lines were dropped");
+      reported = dropped;
+    }
+    destination.flush();
+  }, FLUSH_INTERVAL_MS);
+  timer.unref();
+  return {
+    loggers: (prefix) => wrap(base, prefix),
+    droppedLines: () => dropped,
+    flush() {
+      try {
+        destination.flushSync();
+      } catch {
+        // The process ends and its reader is gone; there is nowhere to report it.
+        dropped++;
+      }
+    },
+  };
+}
+
 /** A logger that drops every line, for tests and offline commands. */
 export const silentLogger: Logger = {
   debug() {},
--- a/src/peers/client.ts
+++ b/src/peers/client.ts
@@ -4,6 +4,7 @@
 import { callWithTimeout } from "../call_timeout.ts";
 import { messageOf, TaggedError } from "../errors.ts";
 import { sendHttpCall } from "../http_call.ts";
+import { createPoolFetch } from "../trpc_fetch.ts";
 import type { ByteMeter } from "./byte_meter.ts";
 import { EXCHANGE_PATH } from "./exchange_endpoint.ts";
 import type { PeerRouter } from "./router.ts";
@@ -57,32 +58,6 @@
   });
 }
 
-// The global fetch adds about 150 bytes of headers to each call.
-function createFetch(pool: Pool) {
-  return async (
-    url: unknown,
-    init: { method?: string; body?: unknown; signal?: AbortSignal | null } = {},
-  ) => {
-    const { pathname, search } = new URL(String(url));
-    const response = await pool.request({
-      path: pathname + search,
-      method: init.method === "POST" ? "POST" : "GET",
-      signal: init.signal ?? null,
-      ...(typeof init.body === "string"
-        ? {
-          body: init.body,
-          headers: { "content-type": "application/json" },
-        }
-        : {}),
-    });
-    return {
-      ok: response.statusCode < 300,
-      status: response.statusCode,
-      json: () => response.body.json(),
-    };
-  };
-}
-
 function isRefused(error: unknown): boolean {
   for (let cause = error; cause instanceof Error; cause = cause.cause) {
     if ((cause as { code?: unknown }).code === "ECONNREFUSED") return true;
@@ -117,7 +92,10 @@
   const pool = createPool(address, meter);
   const client = createTRPCClient<PeerRouter>({
     links: [
-      httpLink({ url: `http://${address}`, fetch: createFetch(pool) as never }),
+      httpLink({
+        url: `http://${address}`,
+        fetch: createPoolFetch(pool) as never,
+      }),
     ],
   });
 
--- /dev/null
+++ b/src/scheduler/entry.ts
@@ -0,0 +1,276 @@
+import "reflect-metadata";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { App } from "@tinyhttp/app";
+import { type Operation, race, sleep, spawn, suspend } from "effection";
+import { type Clock } from "../clock.ts";
+import { closeGracefully, useListeningServer } from "../http_server.ts";
+import type { Logger } from "../logger.ts";
+import { formatPrometheus, type Metric } from "../metrics.ts";
+import type { StopSignals } from "../signals.ts";
+import type { Part, Supervisor } from "../supervisor.ts";
+import type { Election } from "./election.ts";
+import type { Front } from "./front.ts";
+import type { OperatorState } from "./operator_state.ts";
+import { createPeerHandler, type PeerHandlers } from "./peer_router.ts";
+import { KEYS } from "./ownership.ts";
+import type { RecordStore } from "./ports.ts";
+import type { RequestStats } from "./request_stats.ts";
+import type { SchedulerSettings } from "./settings.ts";
+
+/** Time for which a stopping entry still takes new requests, in ms: the balancer asks for readiness once a second and needs two misses. */
+const UNREADY_NOTICE_MS = 2_800;
+/** Time kept at the end of the grace time for closing connections, in ms. */
+const CLOSE_MARGIN_MS = 900;
+/** Age of the last contact with store and owner from which an entry is not ready, in ms; two waits of a watch. */
+const CONTACT_LIMIT_MS = 4_500;
+
+/** What a scheduler process consists of. */
+export interface SchedulerEntryParts {
+  readonly settings: SchedulerSettings;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly store: RecordStore;
+  readonly operator: OperatorState;
+  readonly election: Election;
+  readonly front: Front;
+  readonly stats: RequestStats;
+  readonly supervisor: Supervisor;
+  readonly signals: StopSignals;
+  /** Serves callers; `isStopping` makes it close connections. */
+  readonly createCallerListener: (isStopping: () => boolean) => RequestListener;
+  readonly droppedLogLines: () => number;
+}
+
+function hostAndPort(address: string): { host: string; port: number } {
+  const [host, port] = address.split(":");
+  return { host: host ?? "", port: Number(port) };
+}
+
+/** Serves calls of other entries on this one. */
+export function createPeerHandlers(
+  parts: Pick<SchedulerEntryParts, "election" | "store" | "operator">,
+): PeerHandlers {
+  const { election, store } = parts;
+
+  async function storeOnce(key: string, value: string): Promise<boolean> {
+    const outcome = await store.change({
+      conditions: [{ key, revision: 0 }],
+      puts: [{ key, value }],
+    });
+    return outcome.kind === "committed";
+  }
+
+  return {
+    accepted(spec) {
+      const owner = election.local();
+      if (owner === undefined) return { kind: "not_owner" };
+      owner.accept(spec);
+      return { kind: "reply", value: true };
+    },
+    async submit(spec) {
+      const owner = election.local();
+      if (owner === undefined) return { kind: "not_owner" };
+      const isNew = await storeOnce(
+        KEYS.jobPrefix + spec.jobId,
+        JSON.stringify(spec),
+      );
+      if (isNew) owner.accept(spec);
+      return { kind: "reply", value: isNew };
+    },
+    cancelled(jobId) {
+      const owner = election.local();
+      if (owner === undefined) return { kind: "not_owner" };
+      owner.cancel(jobId);
+      return { kind: "reply", value: true };
+    },
+    async cancel(jobId) {
+      const owner = election.local();
+      if (owner === undefined) return { kind: "not_owner" };
+      const isNew = await storeOnce(KEYS.cancelPrefix + jobId, "{}");
+      owner.cancel(jobId);
+      return { kind: "reply", value: isNew };
+    },
+    status(jobId) {
+      const owner = election.local();
+      if (owner === undefined) return { kind: "not_owner" };
+      return { kind: "reply", value: owner.status(jobId) ?? null };
+    },
+    waitingJobs(queue) {
+      const owner = election.local();
+      if (owner === undefined) return { kind: "not_owner" };
+      return { kind: "reply", value: owner.waitingJobs(queue) };
+    },
+    owner: () => election.owner() ?? null,
+  };
+}
+
+/** Runs a scheduler process until a stop signal; returns the exit code. */
+export function* runSchedulerEntry(
+  parts: SchedulerEntryParts,
+): Operation<number> {
+  const { settings, clock, log, election, operator, stats, supervisor } = parts;
+  let stopping = false;
+
+  function unreadyReasons(): string[] {
+    const reasons: string[] = [];
+    if (stopping) reasons.push("stopping");
+    if (operator.config() === undefined) reasons.push("no configuration");
+    if (
+      election.storeContact.ms() > CONTACT_LIMIT_MS &&
+      stats.ownerContactAgeMs() > CONTACT_LIMIT_MS
+    ) reasons.push("no contact with store and owner");
+    return reasons;
+  }
+
+  function metrics(): Metric[] {
+    return [
+      ...stats.metrics(),
+      ...ownerMetrics(election),
+      {
+        kind: "counter",
+        name: "cowslipferry_log_lines_dropped_total",
+        help: "Log lines dropped because their reader did not keep up",
+        labels: {},
+        value: parts.droppedLogLines(),
+      },
+    ];
+  }
+
+  const peerHandler = createPeerHandler(createPeerHandlers(parts));
+  const admin = new App({ settings: { xPoweredBy: false } });
+  admin.get("/metrics", (_request, response) => {
+    response.setHeader("content-type", "text/plain; version=0.0.4");
+    response.end(formatPrometheus(metrics()));
+  });
+  admin.get("/dump", (_request, response) => {
+    response.setHeader("content-type", "application/json");
+    response.end(JSON.stringify({
+      entryId: settings.entryId,
+      unreadyReasons: unreadyReasons(),
+      owner: election.owner(),
+      configVersion: operator.config()?.version,
+      storeContactAgeMs: Math.round(election.storeContact.ms()),
+      parts: supervisor.status(),
+      tenure: election.local()?.describe(),
+    }));
+  });
+  function onPeerRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    if (request.url === "/metrics" || request.url === "/dump") {
+      admin.handler(request as never, response as never);
+    } else peerHandler(request, response);
+  }
+
+  function onReadiness(_: IncomingMessage, response: ServerResponse): void {
+    response.statusCode = unreadyReasons().length === 0 ? 200 : 503;
+    response.end();
+  }
+
+  const callers = createServer(parts.createCallerListener(() => stopping));
+  callers.keepAliveTimeout = 20_000;
+
+  function serve(name: string, server: Server, address: string): Part {
+    return {
+      name,
+      *run() {
+        yield* useListeningServer(server, hostAndPort(address));
+        log.info("listening", { part: name, address });
+        yield* suspend();
+      },
+    };
+  }
+
+  log.info("starting", {
+    dataCentre: settings.dataCentre,
+    region: settings.region,
+  });
+  const { listen } = settings;
+  yield* supervisor.start({ name: "operator", run: () => operator.run() });
+  yield* supervisor.start({ name: "election", run: () => election.run() });
+  yield* supervisor.start(
+    serve("peers", createServer(onPeerRequest), listen.peers),
+  );
+  yield* supervisor.start(
+    serve("readiness", createServer(onReadiness), listen.readiness),
+  );
+  yield* spawn(() => useAndHold(callers, listen.callers));
+
+  yield* parts.signals.next();
+  stopping = true;
+  const graceMs = settings.bounds.graceS * 1_000;
+  log.info("stopping", { graceMs });
+  const startedAtMs = clock.monotonicMs();
+  election.stop();
+  yield* race([sleep(UNREADY_NOTICE_MS), parts.signals.next()]);
+  const usedMs = clock.monotonicMs() - startedAtMs;
+  yield* closeGracefully(
+    callers,
+    Math.max(100, graceMs - usedMs - CLOSE_MARGIN_MS),
+  );
+  log.info("stopped", {
+    afterMs: Math.round(clock.monotonicMs() - startedAtMs),
+  });
+  return 0;
+}
+
+function* useAndHold(server: Server, address: string): Operation<void> {
+  yield* useListeningServer(server, hostAndPort(address));
+  yield* suspend();
+}
+
+function ownerMetrics(election: Election): Metric[] {
+  const owner = election.local();
+  if (owner === undefined) return [];
+  const { counters, jobs, roster } = owner.scheduler;
+  const counter = (
+    name: string,
+    help: string,
+    value: number,
+    labels: Record<string, string> = {},
+  ): Metric => ({ kind: "counter", name, help, labels, value });
+  return [
+    counter(
+      "cowslipferry_task_starts_total",
+      "Confirmed starts of tasks",
+      counters.starts,
+    ),
+    counter(
+      "cowslipferry_runs_lost_total",
+      "Runs that ended with their worker or without a trace",
+      counters.lostRuns,
+    ),
+    counter(
+      "cowslipferry_task_relocations_total",
+      "Tasks taken from slow workers",
+      counters.relocations,
+    ),
+    ...Object.entries(counters.ends).map(([ending, value]) =>
+      counter("cowslipferry_run_ends_total", "Listed ends of runs", value, {
+        ending,
+      })
+    ),
+    {
+      kind: "gauge",
+      name: "cowslipferry_active_jobs",
+      help: "Jobs that have not ended",
+      labels: {},
+      value:
+        [...jobs.values()].filter(({ status }) => status === "active").length,
+    },
+    {
+      kind: "gauge",
+      name: "cowslipferry_workers",
+      help: "Workers that the owner deals with",
+      labels: {},
+      value: roster.lives.size,
+    },
+  ];
+}
--- /dev/null
+++ b/src/scheduler/fleet_manager.ts
@@ -0,0 +1,509 @@
+import { type Operation, sleep, spawn, until } from "effection";
+import { z } from "zod";
+import type { Clock } from "../clock.ts";
+import { messageOf } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import type { Elapsed } from "./clock_guard.ts";
+import type { DemandForecast } from "./demand_forecast.ts";
+import type { Journal } from "./journal.ts";
+import { listOpenSteps, stepOf, type TaskState } from "./job_state.ts";
+import { KEYS, type Tenure } from "./ownership.ts";
+import { type PlannedVm, planPools } from "./pool_plan.ts";
+import type {
+  PlatformRecords,
+  RecordStore,
+  SchedulerConfig,
+  VmEntry,
+  VmFleet,
+  WaveRequest,
+} from "./ports.ts";
+import type { WorkerLife } from "./roster.ts";
+import type { Scheduler } from "./scheduler.ts";
+import { createVmOrders, VM_ORDER_PREFIX } from "./vm_orders.ts";
+import { planWave, type WaveVm } from "./wave_plan.ts";
+
+/** Interval of decisions, in ms. */
+const DECISION_INTERVAL_MS = 200;
+/** Interval of reading the VM list while something depends on it, in ms. */
+const ACTIVE_LIST_INTERVAL_MS = 400;
+/** Interval of reading the VM list otherwise, in ms. */
+const IDLE_LIST_INTERVAL_MS = 2_500;
+/** Silence after which the VM list is asked whether a worker's VM is down, in ms. */
+const SUSPICION_MS = 250;
+/** The VM list shows an order at the latest after this time, in ms. */
+const LIST_LAG_MS = 1_000;
+
+const waveRecordSchema = z.object({
+  /** When the wave was first seen, in ms since 1970. */
+  seenAtMs: z.number(),
+  done: z.array(z.string()),
+  completed: z.boolean(),
+});
+type WaveRecord = z.infer<typeof waveRecordSchema>;
+
+/** What the fleet manager works with. */
+export interface FleetManagerOptions {
+  readonly store: RecordStore;
+  readonly records: PlatformRecords;
+  readonly fleet: VmFleet;
+  readonly tenure: Tenure;
+  readonly entryId: string;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly scheduler: Scheduler;
+  readonly journal: Journal;
+  readonly contact: Elapsed;
+  readonly forecast: DemandForecast;
+  readonly config: () => SchedulerConfig | undefined;
+  readonly waves: () => ReadonlyMap<number, WaveRequest>;
+  readonly mayOrder: () => boolean;
+  /** Time between orders of two owners for one VM, in ms. */
+  readonly holderGapMs: number;
+  readonly endLife: (life: WorkerLife, reason: string) => void;
+  readonly onFenced: () => void;
+  readonly onChange: () => void;
+}
+
+/** Moves VMs between pools, carries out maintenance waves and reads the VM list. */
+export interface FleetManager {
+  isCordoned(vmId: string): boolean;
+  run(): Operation<void>;
+  describe(): unknown;
+}
+
+/** Creates the fleet manager of one tenure. */
+export function createFleetManager(options: FleetManagerOptions): FleetManager {
+  const { scheduler, clock, log, journal, records } = options;
+  const orders = createVmOrders({
+    ...options,
+    holder: options.entryId,
+    fence: options.tenure.epoch,
+  });
+  let vms = new Map<string, VmEntry>();
+  let listedAtMs = -Infinity;
+  /** VMs that get no new tasks, with the monotonic time since when, in ms. */
+  const leaving = new Map<string, number>();
+  const emptying = new Map<string, number>();
+  /** VMs whose order was carried out, until the list shows that they are back. */
+  const returning = new Map<
+    string,
+    {
+      sinceMs: number;
+      workerId: string | undefined;
+      wave: number | undefined;
+      pool: string;
+    }
+  >();
+  const lastBusyMs = new Map<string, number>();
+  const waveRecords = new Map<number, WaveRecord>();
+  let lastTargets: Readonly<Record<string, number>> = {};
+
+  function lifeOn(vmId: string): WorkerLife | undefined {
+    const vm = vms.get(vmId);
+    for (const life of scheduler.roster.lives.values()) {
+      if (life.vmId !== vmId) continue;
+      if (vm?.workerId === undefined || life.workerId === vm.workerId) {
+        return life;
+      }
+    }
+    return undefined;
+  }
+
+  function endLivesOn(
+    vmId: string,
+    exceptWorkerId: string | undefined,
+    reason: string,
+  ): void {
+    for (const life of [...scheduler.roster.lives.values()]) {
+      if (life.vmId === vmId && life.workerId !== exceptWorkerId) {
+        options.endLife(life, reason);
+      }
+    }
+  }
+
+  /** The platform's list proves that a silent worker's life is over. */
+  function checkSilentLives(
+    list: ReadonlyMap<string, VmEntry>,
+    askedAtMs: number,
+  ): void {
+    for (const life of [...scheduler.roster.lives.values()]) {
+      const silentMs = life.link?.silentMs() ?? Infinity;
+      if (
+        life.vmId === "" || (silentMs < SUSPICION_MS && life.link?.confirmed)
+      ) continue;
+      if (life.link !== undefined && !life.link.confirmed && silentMs === 0) {
+        continue;
+      }
+      const vm = list.get(life.vmId);
+      const reason = vm === undefined
+        ? "its VM is listed no more"
+        : vm.state === "down"
+        ? "its VM is down"
+        : vm.workerId !== undefined && vm.workerId !== life.workerId
+        ? "its VM runs another worker"
+        : undefined;
+      if (reason === undefined) continue;
+      log.info("VM list shows that a worker is gone", {
+        worker: life.workerId,
+        vm: life.vmId,
+        reason,
+        listAgeMs: Math.round(clock.monotonicMs() - askedAtMs),
+      });
+      options.endLife(life, reason);
+    }
+  }
+
+  function* readList(): Operation<void> {
+    const askedAtMs = clock.monotonicMs();
+    try {
+      const list = yield* until(options.fleet.list());
+      vms = new Map(list.map((vm) => [vm.vmId, vm]));
+      listedAtMs = askedAtMs;
+    } catch (error) {
+      log.warn("VM list can't be read", { reason: messageOf(error) });
+      return;
+    }
+    checkSilentLives(vms, askedAtMs);
+    for (const [vmId, order] of returning) {
+      const vm = vms.get(vmId);
+      if (askedAtMs - order.sinceMs < LIST_LAG_MS) continue;
+      if (vm === undefined || vm.state === "up" || vm.state === "down") {
+        returning.delete(vmId);
+        emptying.delete(vmId);
+        leaving.delete(vmId);
+      }
+    }
+  }
+
+  function needsList(): boolean {
+    if (orders.active.size > 0 || returning.size > 0) return true;
+    for (const wave of waveRecords.values()) if (!wave.completed) return true;
+    for (const life of scheduler.roster.lives.values()) {
+      if (
+        life.tasks.size > 0 &&
+        (life.link?.silentMs() ?? Infinity) > SUSPICION_MS
+      ) return true;
+    }
+    return false;
+  }
+
+  function* listLoop(): Operation<void> {
+    for (;;) {
+      const waitMs = needsList()
+        ? ACTIVE_LIST_INTERVAL_MS
+        : IDLE_LIST_INTERVAL_MS;
+      if (clock.monotonicMs() - listedAtMs >= waitMs) yield* readList();
+      yield* sleep(100);
+    }
+  }
+
+  function order(
+    vmId: string,
+    what: { kind: "move"; pool: string } | { kind: "maintain"; wave: number },
+    onDone?: () => void,
+  ): void {
+    const before = vms.get(vmId);
+    orders.send(vmId, what, (end) => {
+      if (end === "fenced") return options.onFenced();
+      if (end === "refused") {
+        leaving.delete(vmId);
+        emptying.delete(vmId);
+        return;
+      }
+      returning.set(vmId, {
+        sinceMs: clock.monotonicMs(),
+        workerId: before?.workerId,
+        wave: what.kind === "maintain" ? what.wave : undefined,
+        pool: what.kind === "move" ? what.pool : before?.pool ?? "",
+      });
+      const life = lifeOn(vmId);
+      if (life !== undefined && life.workerId === before?.workerId) {
+        endLivesOn(vmId, undefined, `its VM was ordered to ${what.kind}`);
+      }
+      onDone?.();
+      options.onChange();
+    });
+  }
+
+  function isOrderable(vm: VmEntry): boolean {
+    return vm.state === "up" && orders.isFree(vm.vmId) &&
+      !returning.has(vm.vmId);
+  }
+
+  // --- Maintenance waves ---
+
+  /** Tasks of a step with a budget that are away or about to be. */
+  function countAway(task: TaskState): number {
+    const tasks = task.job.occurrences[task.occurrence]!.steps[task.stepIndex]!;
+    return tasks.filter((other) => {
+      const { placement } = other;
+      if (placement === undefined || placement.order !== "running") return true;
+      return placement.percent < 100 || placement.stopReason !== undefined ||
+        orders.active.has(placement.vmId);
+    }).length;
+  }
+
+  function budgetsHold(life: WorkerLife | undefined): boolean {
+    if (life === undefined) return true;
+    const ending = new Map<string, number>();
+    for (const task of life.tasks) {
+      const { mayMiss } = stepOf(task);
+      const { placement } = task;
+      if (mayMiss === undefined || placement === undefined) continue;
+      if (placement.order !== "running") return false;
+      // A task that isn't at work counts among those that are away.
+      if (placement.percent < 100) continue;
+      const key = `${task.job.spec.jobId}.${task.stepIndex}`;
+      ending.set(key, (ending.get(key) ?? 0) + 1);
+      if (countAway(task) + ending.get(key)! > mayMiss) return false;
+    }
+    return true;
+  }
+
+  /** Moves long-running tasks that share a step off a VM one by one, as far as the budget allows. */
+  function thinOut(life: WorkerLife): void {
+    for (const task of life.tasks) {
+      const { mayMiss } = stepOf(task);
+      if (mayMiss === undefined || task.placement?.stopReason !== undefined) {
+        continue;
+      }
+      const siblings = [...life.tasks].filter((other) =>
+        other.job === task.job && other.stepIndex === task.stepIndex
+      ).length;
+      if (siblings > mayMiss && mayMiss > 0 && countAway(task) < mayMiss) {
+        scheduler.stop(task, "its VM is to be maintained");
+        return;
+      }
+    }
+  }
+
+  function describeWaveVm(vm: VmEntry, nowMs: number): WaveVm {
+    const life = lifeOn(vm.vmId);
+    const since = emptying.get(vm.vmId);
+    return {
+      vmId: vm.vmId,
+      orderable: isOrderable(vm),
+      cordoned: since !== undefined,
+      cordonedMs: since === undefined ? 0 : nowMs - since,
+      batchTasks: life === undefined
+        ? 0
+        : [...life.tasks].filter((task) => !stepOf(task).longRunning).length,
+      budgetsHold: budgetsHold(life),
+    };
+  }
+
+  function saveWave(wave: number, record: WaveRecord): void {
+    journal.put({
+      key: KEYS.wavePrefix + wave,
+      encode: () => JSON.stringify(record),
+    });
+    const status = records.waveStatus(
+      wave,
+      record.completed ? "completed" : "running",
+    );
+    journal.put({ key: status.key, encode: () => status.value });
+  }
+
+  function runWave(request: WaveRequest): void {
+    const { wave } = request;
+    let record = waveRecords.get(wave);
+    if (record === undefined) {
+      record = { seenAtMs: clock.wallMs(), done: [], completed: false };
+      waveRecords.set(wave, record);
+      log.info("maintenance wave started", {
+        wave,
+        vms: request.vmIds.length,
+        maximumDown: request.maximumDown,
+        deadlineMs: request.deadlineMs,
+      });
+      saveWave(wave, record);
+    }
+    if (record.completed || listedAtMs === -Infinity) return;
+    const nowMs = clock.monotonicMs();
+    const open = request.vmIds.filter((vmId) => !record.done.includes(vmId));
+    const present = open.flatMap((vmId) => vms.get(vmId) ?? []);
+    if (present.length === 0 && !open.some((vmId) => orders.active.has(vmId))) {
+      record.completed = true;
+      log.info("maintenance wave completed", {
+        wave,
+        done: record.done.length,
+      });
+      saveWave(wave, record);
+      return;
+    }
+    const down =
+      request.vmIds.filter((vmId) =>
+        orders.active.get(vmId)?.kind === "maintain" ||
+        returning.get(vmId)?.wave !== undefined ||
+        vms.get(vmId)?.state === "maintenance"
+      ).length;
+    const described = present.map((vm) => describeWaveVm(vm, nowMs));
+    const step = planWave(described, {
+      down,
+      maximumDown: request.maximumDown,
+      timeLeftMs: record.seenAtMs + request.deadlineMs - clock.wallMs(),
+    });
+    for (const vmId of step.cordon) {
+      emptying.set(vmId, nowMs);
+      log.info("VM gets no new tasks before its maintenance", {
+        vm: vmId,
+        wave,
+      });
+    }
+    for (const vm of described) {
+      if (!vm.cordoned || vm.budgetsHold || vm.batchTasks > 0) continue;
+      const life = lifeOn(vm.vmId);
+      if (life !== undefined) thinOut(life);
+    }
+    for (const vmId of step.maintain) {
+      // Orders of this round count towards the budgets of the next ones.
+      if (!budgetsHold(lifeOn(vmId))) continue;
+      emptying.set(vmId, emptying.get(vmId) ?? nowMs);
+      order(vmId, { kind: "maintain", wave }, () => {
+        record.done.push(vmId);
+        saveWave(wave, record);
+      });
+    }
+  }
+
+  // --- Pools ---
+
+  function needOf(service: string): number {
+    let millis = 0;
+    for (const life of scheduler.roster.lives.values()) {
+      if (life.entry?.service !== service) continue;
+      for (const task of life.tasks) {
+        if (!stepOf(task).fills) millis += stepOf(task).cpuMillis;
+      }
+    }
+    const config = options.config();
+    for (const job of scheduler.jobs.values()) {
+      if (job.status !== "active") continue;
+      const target = config?.queues.find(({ name }) =>
+        name === job.spec.queue
+      )?.service ??
+        job.spec.service;
+      if (target !== service) continue;
+      for (const occurrence of job.occurrences) {
+        for (const tasks of listOpenSteps(job, occurrence)) {
+          const step = stepOf(tasks[0]!);
+          if (step.fills) continue;
+          millis += step.cpuMillis *
+            tasks.filter(({ phase }) => phase === "waiting").length;
+        }
+      }
+    }
+    return Math.max(millis, options.forecast.expectCores(service) * 1_000);
+  }
+
+  function describeVms(nowMs: number): PlannedVm[] {
+    const planned: PlannedVm[] = [];
+    for (const vm of vms.values()) {
+      if (
+        vm.state !== "up" || returning.has(vm.vmId) ||
+        orders.active.has(vm.vmId)
+      ) continue;
+      const life = lifeOn(vm.vmId);
+      const tasks = life?.tasks.size ?? 0;
+      if (tasks > 0 || !lastBusyMs.has(vm.vmId)) lastBusyMs.set(vm.vmId, nowMs);
+      planned.push({
+        vmId: vm.vmId,
+        pool: vm.pool,
+        cpuMillis: vm.capacity.cpuMillis,
+        tasks,
+        lastingTasks: life === undefined
+          ? 0
+          : [...life.tasks].filter((task) => stepOf(task).longRunning).length,
+        idleMs: nowMs - (lastBusyMs.get(vm.vmId) ?? nowMs),
+        leaving: leaving.has(vm.vmId),
+        movable: isOrderable(vm) && !emptying.has(vm.vmId) &&
+          (life === undefined || life.entry?.state !== "draining"),
+      });
+    }
+    return planned;
+  }
+
+  function balancePools(): void {
+    const config = options.config();
+    if (config === undefined || listedAtMs === -Infinity) return;
+    const nowMs = clock.monotonicMs();
+    const arriving = new Map<string, number>();
+    for (const { pool } of returning.values()) {
+      arriving.set(pool, (arriving.get(pool) ?? 0) + 1);
+    }
+    for (const [vmId, active] of orders.active) {
+      const pool = active.kind === "move"
+        ? active.pool
+        : vms.get(vmId)?.pool ?? "";
+      arriving.set(pool, (arriving.get(pool) ?? 0) + 1);
+    }
+    const pools = config.services.map((name) => ({
+      name,
+      spare: config.sparePools.includes(name),
+      needMillis: needOf(name),
+      arriving: arriving.get(name) ?? 0,
+    }));
+    const plan = planPools(pools, describeVms(nowMs));
+    lastTargets = plan.targets;
+    for (const vmId of plan.cordons) leaving.set(vmId, nowMs);
+    for (const vmId of plan.releases) leaving.delete(vmId);
+    for (const { vmId, from, to } of plan.moves) {
+      leaving.set(vmId, nowMs);
+      log.info("VM changes its pool", {
+        vm: vmId,
+        from,
+        to,
+        targets: plan.targets,
+        needCores: Object.fromEntries(
+          pools.map((
+            { name, needMillis },
+          ) => [name, Math.round(needMillis / 1_000)]),
+        ),
+      });
+      order(vmId, { kind: "move", pool: to });
+    }
+  }
+
+  function* loadRecords(): Operation<void> {
+    const waves = yield* until(options.store.list(KEYS.wavePrefix));
+    for (const { key, value } of waves.items) {
+      const parsed = waveRecordSchema.safeParse(JSON.parse(value));
+      if (parsed.success) {
+        waveRecords.set(Number(key.slice(KEYS.wavePrefix.length)), parsed.data);
+      } else log.error("stored wave can't be read and is set aside", { key });
+    }
+    const earlier = yield* until(options.store.list(VM_ORDER_PREFIX));
+    for (const { key, value } of earlier.items) {
+      const parsed = z.object({ atMs: z.number() }).safeParse(
+        JSON.parse(value),
+      );
+      if (parsed.success) {
+        orders.noteEarlier(key.slice(VM_ORDER_PREFIX.length), parsed.data.atMs);
+      }
+    }
+  }
+
+  return {
+    isCordoned: (vmId) =>
+      leaving.has(vmId) || emptying.has(vmId) || orders.active.has(vmId) ||
+      returning.has(vmId),
+    *run() {
+      yield* loadRecords();
+      yield* spawn(() => listLoop());
+      for (;;) {
+        if (options.mayOrder() && options.contact.ms() < options.holderGapMs) {
+          for (const request of options.waves().values()) runWave(request);
+          balancePools();
+        }
+        yield* sleep(DECISION_INTERVAL_MS);
+      }
+    },
+    describe: () => ({
+      targets: lastTargets,
+      orders: Object.fromEntries(orders.active),
+      returning: [...returning.keys()],
+      leaving: [...leaving.keys()],
+      waves: Object.fromEntries(waveRecords),
+    }),
+  };
+}
--- /dev/null
+++ b/src/scheduler/front.ts
@@ -0,0 +1,296 @@
+import type { Clock } from "../clock.ts";
+import { messageOf, StoreError } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import { readRecordedStatus } from "./job_state.ts";
+import {
+  InvalidJobError,
+  type JobSpec,
+  jobSpecSchema,
+  type JobStatus,
+  listJobIssues,
+} from "./model.ts";
+import { type OwnerClient, OwnerError } from "./owner_client.ts";
+import { KEYS } from "./ownership.ts";
+import type { QueueConfig, RecordStore, SchedulerConfig } from "./ports.ts";
+
+/** Time kept for sending the response before the caller's deadline, in ms. */
+const ANSWER_MARGIN_MS = 150;
+/** Pause between two tries to store a job or to read its status, in ms. */
+const RETRY_DELAY_MS = 80;
+/** When to ask again while the store or the owner is away, in ms: a new owner is there after about 3 s. */
+const AWAY_RETRY_AFTER_MS = 2_000;
+/** Time for which a count of waiting jobs is reused, in ms. */
+const COUNT_VALID_MS = 250;
+
+/** A job as a caller submits it. */
+export type Submission = Omit<
+  JobSpec,
+  "queue" | "service" | "maximumAttempts" | "acceptedAtMs"
+>;
+
+/** Answer to a submission. */
+export type SubmitAnswer =
+  | { readonly kind: "accepted" }
+  /** The job isn't stored and never runs. */
+  | {
+    readonly kind: "refused";
+    readonly reason: string;
+    readonly retryAfterMs: number;
+  }
+  | { readonly kind: "invalid"; readonly error: InvalidJobError }
+  /** It isn't known whether the job is stored. */
+  | { readonly kind: "unresolved" };
+
+/** Answer to a question about one job. */
+export type StatusAnswer =
+  | { readonly kind: "status"; readonly status: JobStatus }
+  | { readonly kind: "unknown_job" }
+  | { readonly kind: "unavailable"; readonly retryAfterMs: number };
+
+/** Answer to a cancellation. */
+export type CancelAnswer =
+  | { readonly kind: "cancelled" }
+  | { readonly kind: "unknown_job" }
+  | { readonly kind: "unresolved" };
+
+/** Answer to the question how many jobs wait. */
+export type WaitingAnswer =
+  | { readonly kind: "count"; readonly jobs: number }
+  | { readonly kind: "unavailable"; readonly retryAfterMs: number };
+
+/** Identifies a caller's request in the log and bounds its time. */
+export interface RequestContext {
+  readonly requestId: string;
+  /** Monotonic time at which the caller gives up, in ms. */
+  readonly deadlineMs: number;
+}
+
+/** Serves callers on any entry. */
+export interface Front {
+  submit(
+    queue: QueueConfig,
+    submission: Submission,
+    context: RequestContext,
+  ): Promise<SubmitAnswer>;
+  status(jobId: string, context: RequestContext): Promise<StatusAnswer>;
+  cancel(jobId: string, context: RequestContext): Promise<CancelAnswer>;
+  waiting(queue: string, context: RequestContext): Promise<WaitingAnswer>;
+}
+
+/** What the front works with. */
+export interface FrontOptions {
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly config: () => SchedulerConfig | undefined;
+  /** The owner, on this entry or another; undefined while none is known. */
+  readonly owner: () => OwnerClient | undefined;
+  readonly onOwnerAnswer: () => void;
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+/** Creates the front of an entry. */
+export function createFront(options: FrontOptions): Front {
+  const { store, clock, log } = options;
+  const counts = new Map<string, { jobs: number; atMs: number }>();
+
+  const timeLeftMs = (context: RequestContext) =>
+    context.deadlineMs - ANSWER_MARGIN_MS - clock.monotonicMs();
+
+  /** Calls the owner; undefined when there is none or it doesn't answer. */
+  async function askOwner<T>(
+    ask: (owner: OwnerClient) => Promise<T>,
+  ): Promise<{ value: T } | undefined> {
+    const owner = options.owner();
+    if (owner === undefined) return undefined;
+    try {
+      const value = await ask(owner);
+      options.onOwnerAnswer();
+      return { value };
+    } catch (error) {
+      if (!(error instanceof OwnerError)) throw error;
+      log.debug("owner not reached", { reason: messageOf(error) });
+      return undefined;
+    }
+  }
+
+  function tellOwner(tell: (owner: OwnerClient) => Promise<void>): void {
+    // The owner also watches the store; this call only saves time.
+    void askOwner(tell);
+  }
+
+  /** Stores a record once; tries again, also through the owner, until the deadline. */
+  async function storeRecord(
+    key: string,
+    value: string,
+    context: RequestContext,
+    throughOwner: (owner: OwnerClient) => Promise<boolean>,
+  ): Promise<"stored" | "existing" | "not_stored" | "unresolved"> {
+    let unresolved = false;
+    for (let tries = 0;; tries++) {
+      try {
+        const outcome = await store.change({
+          conditions: [{ key, revision: 0 }],
+          puts: [{ key, value }],
+        });
+        if (outcome.kind === "committed") return "stored";
+        if (outcome.kind === "conflict") return "existing";
+      } catch (error) {
+        if (!(error instanceof StoreError)) throw error;
+        if (error.failure === "unknown_outcome") unresolved = true;
+      }
+      const viaOwner = await askOwner(throughOwner);
+      if (viaOwner !== undefined) return viaOwner.value ? "stored" : "existing";
+      // The owner may have stored it without an answer.
+      if (options.owner() !== undefined) unresolved = true;
+      if (timeLeftMs(context) < RETRY_DELAY_MS * 4) break;
+      await delay(RETRY_DELAY_MS);
+    }
+    return unresolved ? "unresolved" : "not_stored";
+  }
+
+  async function isStored(jobId: string): Promise<boolean> {
+    return await store.get(KEYS.jobPrefix + jobId) !== undefined;
+  }
+
+  /** Status from the store, for the time in which there is no owner to ask. */
+  async function readStoredStatus(jobId: string): Promise<StatusAnswer> {
+    const progress = await store.get(KEYS.progressPrefix + jobId);
+    if (progress !== undefined) {
+      const recorded = readRecordedStatus(progress.value);
+      if (recorded === undefined) {
+        log.error("stored progress can't be read", { job: jobId });
+      } else if (recorded.status !== "active") {
+        return { kind: "status", status: recorded.status };
+      }
+    }
+    if (!await isStored(jobId)) return { kind: "unknown_job" };
+    if (await store.get(KEYS.cancelPrefix + jobId) !== undefined) {
+      return { kind: "status", status: "cancelled" };
+    }
+    return {
+      kind: "status",
+      status: progress === undefined ? "queued" : "running",
+    };
+  }
+
+  async function status(
+    jobId: string,
+    context: RequestContext,
+  ): Promise<StatusAnswer> {
+    for (;;) {
+      const reply = await askOwner((owner) => owner.status(jobId));
+      if (reply?.value !== undefined) {
+        return { kind: "status", status: reply.value };
+      }
+      try {
+        // The owner may not have heard of a new job yet.
+        return await readStoredStatus(jobId);
+      } catch (error) {
+        if (!(error instanceof StoreError)) throw error;
+      }
+      if (timeLeftMs(context) < RETRY_DELAY_MS * 4) {
+        return { kind: "unavailable", retryAfterMs: AWAY_RETRY_AFTER_MS };
+      }
+      await delay(RETRY_DELAY_MS);
+    }
+  }
+
+  return {
+    async submit(queue, submission, context) {
+      const parsed = jobSpecSchema.safeParse({
+        ...submission,
+        queue: queue.name,
+        service: queue.service,
+        maximumAttempts: queue.maximumAttempts,
+        acceptedAtMs: clock.wallMs(),
+      });
+      const issues = parsed.success ? listJobIssues(parsed.data) : [
+        ...parsed.error.issues.map((issue) => ({
+          path: `$.${issue.path.join(".")}`,
+          found: "",
+          expected: issue.message,
+        })),
+      ];
+      if (!parsed.success || issues.length > 0) {
+        return { kind: "invalid", error: new InvalidJobError(issues) };
+      }
+      const spec = parsed.data;
+      const outcome = await storeRecord(
+        KEYS.jobPrefix + spec.jobId,
+        JSON.stringify(spec),
+        context,
+        (owner) => owner.submit(spec),
+      );
+      const fields = {
+        request: context.requestId,
+        job: spec.jobId,
+        queue: queue.name,
+        configVersion: options.config()?.version,
+        leftMs: Math.round(timeLeftMs(context)),
+      };
+      switch (outcome) {
+        case "stored":
+          tellOwner((owner) => owner.accepted(spec));
+          log.info("job accepted", fields);
+          return { kind: "accepted" };
+        case "existing":
+          log.info("job was known already", fields);
+          return { kind: "accepted" };
+        case "not_stored":
+          log.warn("job refused: the store is away", fields);
+          return {
+            kind: "refused",
+            reason: "the store is away",
+            retryAfterMs: AWAY_RETRY_AFTER_MS,
+          };
+        case "unresolved":
+          log.warn("it isn't known whether the job is stored", fields);
+          return { kind: "unresolved" };
+      }
+    },
+    status,
+    async cancel(jobId, context) {
+      const known = await status(jobId, context);
+      if (known.kind === "unknown_job") return { kind: "unknown_job" };
+      const outcome = await storeRecord(
+        KEYS.cancelPrefix + jobId,
+        JSON.stringify({ atMs: clock.wallMs() }),
+        context,
+        (owner) => owner.cancel(jobId),
+      );
+      log.info("cancellation", {
+        request: context.requestId,
+        job: jobId,
+        outcome,
+        statusBefore: known.kind === "status" ? known.status : known.kind,
+      });
+      if (outcome === "stored" || outcome === "existing") {
+        tellOwner((owner) => owner.cancelled(jobId));
+        return { kind: "cancelled" };
+      }
+      return { kind: "unresolved" };
+    },
+    async waiting(queue, context) {
+      const cached = counts.get(queue);
+      const now = clock.monotonicMs();
+      if (cached !== undefined && now - cached.atMs < COUNT_VALID_MS) {
+        return { kind: "count", jobs: cached.jobs };
+      }
+      for (;;) {
+        const reply = await askOwner((owner) => owner.waitingJobs(queue));
+        if (reply !== undefined) {
+          counts.set(queue, { jobs: reply.value, atMs: clock.monotonicMs() });
+          return { kind: "count", jobs: reply.value };
+        }
+        if (timeLeftMs(context) < RETRY_DELAY_MS * 4) {
+          return { kind: "unavailable", retryAfterMs: AWAY_RETRY_AFTER_MS };
+        }
+        await delay(RETRY_DELAY_MS);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/scheduler/job_state.ts
@@ -0,0 +1,338 @@
+import { z } from "zod";
+import type { JobSpec, JobStatus, Step } from "./model.ts";
+
+/** Where a task was sent. */
+export interface Placement {
+  readonly workerId: string;
+  /** Start of the worker's life, in ms since 1970. */
+  readonly bornAtMs: number;
+  readonly vmId: string;
+  readonly run: number;
+  /** How far the start order has come. */
+  order:
+    /** The record that must precede the order isn't stored yet. */
+    | "unrecorded"
+    /** Taken over from an earlier owner; it may never have been sent. */
+    | "inherited"
+    | "sending"
+    | "running"
+    /** Sent without an answer; it may be carried out later. */
+    | "unresolved";
+  /** Reason why the run is being stopped; undefined while it shall go on. */
+  stopReason: string | undefined;
+  /** Monotonic time of the placement, in ms. */
+  placedAtMs: number;
+  /** Monotonic time at which the worker confirmed the start, in ms. */
+  confirmedAtMs: number | undefined;
+  /** Monotonic time at which the worker confirmed that the run is stopped or will never start, in ms. */
+  stopConfirmedAtMs: number | undefined;
+  percent: number;
+  /** Tail of response times in ms for a serving task, processor use in thousandths of a core for others. */
+  recentFigure: number;
+}
+
+/** One task of one occurrence of a job. */
+export interface TaskState {
+  readonly job: JobState;
+  readonly taskId: string;
+  readonly occurrence: number;
+  readonly stepIndex: number;
+  readonly index: number;
+  phase: "waiting" | "placed" | "done";
+  /** Number of the latest run; 0 before the first. */
+  run: number;
+  failures: number;
+  checkpoint: string;
+  placement: Placement | undefined;
+  /** Worker on which the task failed last, or from which it was taken because it was too slow. */
+  avoidWorker: string | undefined;
+  /** Monotonic time before which the task isn't placed again, in ms. */
+  notBeforeMs: number;
+  relocations: number;
+}
+
+/** One occurrence of a job's steps; a job without a schedule has one. */
+export interface Occurrence {
+  readonly number: number;
+  /** Due time, in ms since 1970. */
+  readonly dueAtMs: number;
+  /** Tasks by step. */
+  readonly steps: readonly TaskState[][];
+  /** Tasks of each step that aren't done yet. */
+  readonly remaining: number[];
+}
+
+/** A job with the state of all its tasks. */
+export interface JobState {
+  readonly spec: JobSpec;
+  status: "active" | "completed" | "failed" | "cancelled";
+  /** The latest status that is stored; the one that callers see. */
+  recordedStatus: JobState["status"];
+  started: boolean;
+  /** When this owner first saw the final status, in ms since 1970. */
+  endedSeenAtMs?: number;
+  /** Occurrences that are due or have been; the others have no state. */
+  readonly occurrences: Occurrence[];
+  finishedOccurrences: number;
+}
+
+/** Name of a step of an occurrence, as the advice service knows it. */
+export function stepId(task: TaskState): string {
+  return `${task.job.spec.jobId}.${task.occurrence}.${task.stepIndex}`;
+}
+
+/** The step that a task belongs to. */
+export function stepOf(task: TaskState): Step {
+  return task.job.spec.steps[task.stepIndex]!;
+}
+
+/** Creates the state of a job that has just been accepted. */
+export function createJobState(spec: JobSpec): JobState {
+  return {
+    spec,
+    status: "active",
+    recordedStatus: "active",
+    started: false,
+    occurrences: [],
+    finishedOccurrences: 0,
+  };
+}
+
+function createOccurrence(job: JobState, number: number): Occurrence {
+  const { spec } = job;
+  const steps = spec.steps.map((step, stepIndex) =>
+    Array.from({ length: step.taskCount }, (_, index): TaskState => ({
+      job,
+      taskId: `${spec.jobId}.${number}.${stepIndex}.${index}`,
+      occurrence: number,
+      stepIndex,
+      index,
+      phase: "waiting",
+      run: 0,
+      failures: 0,
+      checkpoint: "",
+      placement: undefined,
+      avoidWorker: undefined,
+      notBeforeMs: 0,
+      relocations: 0,
+    }))
+  );
+  return {
+    number,
+    dueAtMs: spec.repeatCount === 0
+      ? spec.acceptedAtMs
+      : spec.firstRunMs + number * spec.intervalMs,
+    steps,
+    remaining: spec.steps.map((step) => step.taskCount),
+  };
+}
+
+/** Number of occurrences of a job. */
+export function occurrenceCount(spec: JobSpec): number {
+  return Math.max(1, spec.repeatCount);
+}
+
+/** Due time of the next occurrence that has no state yet, in ms since 1970; undefined when all have. */
+export function nextDueMs(job: JobState): number | undefined {
+  const { spec } = job;
+  const number = job.occurrences.length;
+  if (number >= occurrenceCount(spec)) return undefined;
+  return spec.repeatCount === 0
+    ? 0
+    : spec.firstRunMs + number * spec.intervalMs;
+}
+
+/** Creates the state of every occurrence that is due; returns whether there is a new one. */
+export function openDueOccurrences(job: JobState, wallMs: number): boolean {
+  let opened = false;
+  for (
+    let due = nextDueMs(job);
+    due !== undefined && due <= wallMs;
+    due = nextDueMs(job)
+  ) {
+    job.occurrences.push(createOccurrence(job, job.occurrences.length));
+    opened = true;
+  }
+  return opened;
+}
+
+/** Returns the steps of an occurrence whose earlier steps are done and that have tasks left. */
+export function listOpenSteps(
+  job: JobState,
+  occurrence: Occurrence,
+): TaskState[][] {
+  return occurrence.steps.filter((_, index) =>
+    occurrence.remaining[index]! > 0 &&
+    job.spec.steps[index]!.after.every((earlier) =>
+      occurrence.remaining[earlier] === 0
+    )
+  );
+}
+
+/** Marks a task as done and the job as completed with its last one. */
+export function finishTask(task: TaskState): void {
+  if (task.phase === "done") return;
+  task.phase = "done";
+  task.placement = undefined;
+  const { job } = task;
+  const occurrence = job.occurrences[task.occurrence]!;
+  occurrence.remaining[task.stepIndex]!--;
+  if (occurrence.remaining.some((count) => count > 0)) return;
+  job.finishedOccurrences++;
+  if (
+    job.finishedOccurrences === occurrenceCount(job.spec) &&
+    job.status === "active"
+  ) job.status = "completed";
+}
+
+/** Returns a task to the waiting ones after its run is proven to be over. */
+export function releaseTask(task: TaskState): void {
+  if (task.phase !== "placed") return;
+  task.phase = "waiting";
+  task.placement = undefined;
+}
+
+/** Calls back for each task of a job that has been placed. */
+export function forEachPlaced(
+  job: JobState,
+  visit: (task: TaskState, placement: Placement) => void,
+): void {
+  for (const occurrence of job.occurrences) {
+    for (const tasks of occurrence.steps) {
+      for (const task of tasks) {
+        if (task.placement !== undefined) visit(task, task.placement);
+      }
+    }
+  }
+}
+
+/** Status of a job as callers see it. */
+export function visibleStatus(job: JobState): JobStatus {
+  if (job.recordedStatus !== "active") return job.recordedStatus;
+  return job.started ? "running" : "queued";
+}
+
+const taskRecordSchema = z.object({
+  o: z.number().int(),
+  s: z.number().int(),
+  i: z.number().int(),
+  /** Phase: waiting, placed or done. */
+  p: z.enum(["w", "p", "d"]),
+  run: z.number().int().default(0),
+  failures: z.number().int().default(0),
+  checkpoint: z.string().default(""),
+  worker: z.string().optional(),
+  born: z.number().optional(),
+  vm: z.string().optional(),
+});
+
+const progressSchema = z.object({
+  status: z.enum(["active", "completed", "failed", "cancelled"]),
+  /** Occurrences that have state; tasks that aren't listed wait for their first run. */
+  opened: z.number().int(),
+  tasks: z.array(taskRecordSchema),
+  /** When the job reached its final status, in ms since 1970. */
+  endedAtMs: z.number().optional(),
+});
+
+type TaskRecord = z.input<typeof taskRecordSchema>;
+
+function describeTask(task: TaskState): TaskRecord {
+  const base = { o: task.occurrence, s: task.stepIndex, i: task.index };
+  if (task.phase === "done") return { ...base, p: "d" };
+  const { run, failures, checkpoint, placement } = task;
+  return {
+    ...base,
+    p: placement === undefined ? "w" : "p",
+    run,
+    ...(failures > 0 ? { failures } : {}),
+    ...(checkpoint === "" ? {} : { checkpoint }),
+    ...(placement === undefined ? {} : {
+      worker: placement.workerId,
+      born: placement.bornAtMs,
+      vm: placement.vmId,
+    }),
+  };
+}
+
+/** Encodes what must outlive the owner: ends, failures, run numbers and where each run was sent. */
+export function encodeProgress(job: JobState, wallMs: number): string {
+  const tasks: TaskRecord[] = [];
+  if (job.status === "active") {
+    for (const occurrence of job.occurrences) {
+      for (const step of occurrence.steps) {
+        for (const task of step) {
+          if (task.run > 0 || task.phase !== "waiting") {
+            tasks.push(describeTask(task));
+          }
+        }
+      }
+    }
+  } else {
+    // Runs of a finished job may still have to be stopped by the next owner.
+    forEachPlaced(job, (task) => tasks.push(describeTask(task)));
+  }
+  return JSON.stringify({
+    status: job.status,
+    opened: job.occurrences.length,
+    tasks,
+    ...(job.status === "active" ? {} : { endedAtMs: wallMs }),
+  });
+}
+
+/** The status in a progress record; undefined when it can't be read. */
+export function readRecordedStatus(
+  value: string,
+): { status: JobState["status"]; started: boolean } | undefined {
+  try {
+    const record = progressSchema.parse(JSON.parse(value));
+    return { status: record.status, started: record.tasks.length > 0 };
+  } catch {
+    // The caller logs the record; a status must not be guessed.
+    return undefined;
+  }
+}
+
+/** Rebuilds a job from its stored spec and progress; throws when the record doesn't fit the spec. */
+export function restoreJob(
+  spec: JobSpec,
+  progress: string | undefined,
+  nowMs: number,
+): JobState {
+  const job = createJobState(spec);
+  if (progress === undefined) return job;
+  const record = progressSchema.parse(JSON.parse(progress));
+  const opened = Math.min(record.opened, occurrenceCount(spec));
+  while (job.occurrences.length < opened) {
+    job.occurrences.push(createOccurrence(job, job.occurrences.length));
+  }
+  for (const entry of record.tasks) {
+    const task = job.occurrences[entry.o]?.steps[entry.s]?.[entry.i];
+    if (task === undefined) {
+      throw new Error(`no task ${entry.o}.${entry.s}.${entry.i}`);
+    }
+    job.started = true;
+    task.run = entry.run;
+    task.failures = entry.failures;
+    task.checkpoint = entry.checkpoint;
+    if (entry.p === "d") finishTask(task);
+    if (entry.p !== "p") continue;
+    task.phase = "placed";
+    task.placement = {
+      workerId: entry.worker ?? "",
+      bornAtMs: entry.born ?? 0,
+      vmId: entry.vm ?? "",
+      run: entry.run,
+      order: "inherited",
+      stopReason: undefined,
+      placedAtMs: nowMs,
+      confirmedAtMs: undefined,
+      stopConfirmedAtMs: undefined,
+      percent: 0,
+      recentFigure: 0,
+    };
+  }
+  job.status = record.status;
+  job.recordedStatus = record.status;
+  return job;
+}
--- /dev/null
+++ b/src/scheduler/operator_state.ts
@@ -0,0 +1,65 @@
+import type { Operation } from "effection";
+import type { Logger } from "../logger.ts";
+import { followPrefix } from "./follow_prefix.ts";
+import type {
+  PlatformRecords,
+  RecordStore,
+  SchedulerConfig,
+  StoredItem,
+  WaveRequest,
+} from "./ports.ts";
+
+/** Longest wait of a watch, in ms: a change must be in force 2 s after it is acknowledged, and a connection that has gone silent is noticed only when the wait is over. */
+const WATCH_WAIT_MS = 1_800;
+
+/** What operators want, as far as this entry knows. */
+export interface OperatorState {
+  config(): SchedulerConfig | undefined;
+  waves(): ReadonlyMap<number, WaveRequest>;
+  run(): Operation<void>;
+}
+
+/** Follows the operators' configuration and maintenance waves. */
+export function createOperatorState(options: {
+  readonly store: RecordStore;
+  readonly records: PlatformRecords;
+  readonly log: Logger;
+}): OperatorState {
+  const { store, records, log } = options;
+  const waves = new Map<number, WaveRequest>();
+  let config: SchedulerConfig | undefined;
+
+  function onPut(item: StoredItem): void {
+    const next = records.readConfig(item);
+    if (next !== undefined) {
+      // An entry never goes back to an older configuration.
+      if (config !== undefined && next.version <= config.version) return;
+      log.info("configuration in force", {
+        from: config?.version,
+        version: next.version,
+        revision: item.revision,
+        queues: next.queues.length,
+      });
+      config = next;
+      return;
+    }
+    const wave = records.readWave(item);
+    if (wave !== undefined) waves.set(wave.wave, wave);
+  }
+
+  return {
+    config: () => config,
+    waves: () => waves,
+    run: () =>
+      followPrefix({
+        store,
+        prefix: records.operatorPrefix,
+        log,
+        waitMs: WATCH_WAIT_MS,
+        pauseMs: 0,
+        onSnapshot: (items) => items.forEach(onPut),
+        onPut,
+        onDelete() {},
+      }),
+  };
+}
--- /dev/null
+++ b/src/scheduler/owner_client.ts
@@ -0,0 +1,101 @@
+import { createTRPCClient, httpLink } from "@trpc/client";
+import { Pool } from "undici";
+import { callWithTimeout } from "../call_timeout.ts";
+import { TaggedError } from "../errors.ts";
+import { createPoolFetch } from "../trpc_fetch.ts";
+import type { JobSpec, JobStatus } from "./model.ts";
+import type { Owner } from "./ownership.ts";
+import type { OwnerReply, SchedulerRouter } from "./peer_router.ts";
+
+/** Time after which a call between entries counts as failed, in ms; answers take a few ms, and a caller waits about 3 s. */
+const CALL_TIMEOUT_MS = 450;
+/** Time for a call that makes the owner write to the store, in ms. */
+const STORE_CALL_TIMEOUT_MS = 900;
+
+/** No answer of another entry, or one that isn't the owner. */
+export class OwnerError extends TaggedError<"owner"> {
+  readonly kind = "owner";
+}
+
+/** Calls to one entry; each method rejects with an `OwnerError`. */
+export interface OwnerClient {
+  accepted(spec: JobSpec): Promise<void>;
+  submit(spec: JobSpec): Promise<boolean>;
+  cancelled(jobId: string): Promise<void>;
+  cancel(jobId: string): Promise<boolean>;
+  status(jobId: string): Promise<JobStatus | undefined>;
+  waitingJobs(queue: string): Promise<number>;
+  owner(): Promise<Owner | undefined>;
+  close(): void;
+}
+
+/** Creates the client of the entry at `host:port`. */
+export function createOwnerClient(address: string): OwnerClient {
+  const pool = new Pool(`http://${address}`, {
+    connections: 4,
+    pipelining: 1,
+    connect: { timeout: CALL_TIMEOUT_MS },
+  });
+  const client = createTRPCClient<SchedulerRouter>({
+    links: [
+      httpLink({
+        url: `http://${address}`,
+        fetch: createPoolFetch(pool) as never,
+      }),
+    ],
+  });
+
+  async function call<T>(
+    send: (signal: AbortSignal) => Promise<T>,
+    timeoutMs = CALL_TIMEOUT_MS,
+  ): Promise<T> {
+    try {
+      return await callWithTimeout(send, { timeoutMs });
+    } catch (error) {
+      throw new OwnerError(
+        `The entry at ${address} did not answer: ${(error as Error).message}`,
+      );
+    }
+  }
+
+  async function callOwner<T>(
+    send: (signal: AbortSignal) => Promise<OwnerReply<T>>,
+    timeoutMs = CALL_TIMEOUT_MS,
+  ): Promise<T> {
+    const reply = await call(send, timeoutMs);
+    if (reply.kind === "not_owner") {
+      throw new OwnerError(`The entry at ${address} is not the owner`);
+    }
+    return reply.value;
+  }
+
+  return {
+    accepted: async (spec) =>
+      void await callOwner((signal) =>
+        client.accepted.mutate(spec, { signal })
+      ),
+    submit: (spec) =>
+      callOwner(
+        (signal) => client.submit.mutate(spec, { signal }),
+        STORE_CALL_TIMEOUT_MS,
+      ),
+    cancelled: async (jobId) =>
+      void await callOwner((signal) =>
+        client.cancelled.mutate({ jobId }, { signal })
+      ),
+    cancel: (jobId) =>
+      callOwner(
+        (signal) => client.cancel.mutate({ jobId }, { signal }),
+        STORE_CALL_TIMEOUT_MS,
+      ),
+    status: async (jobId) =>
+      await callOwner((signal) => client.status.query({ jobId }, { signal })) ??
+        undefined,
+    waitingJobs: (queue) =>
+      callOwner((signal) => client.waitingJobs.query({ queue }, { signal })),
+    owner: async () =>
+      await call((signal) => client.owner.query(undefined, { signal })) ??
+        undefined,
+    close: () => void pool.destroy(),
+  };
+}
--- /dev/null
+++ b/src/scheduler/ownership.ts
@@ -0,0 +1,108 @@
+import { z } from "zod";
+import type { RecordStore, StoredItem } from "./ports.ts";
+
+/** Keys of the product in the platform's store. */
+export const KEYS = {
+  /** The owner's address, under a lease. */
+  owner: "ctl/owner",
+  /** Epoch and number of the latest commit; never under a lease, so that it never falls. */
+  head: "ctl/head",
+  controlPrefix: "ctl/",
+  /** Accepted jobs and cancellations, written by any entry. */
+  queuePrefix: "queue/",
+  jobPrefix: "queue/job/",
+  cancelPrefix: "queue/cancel/",
+  progressPrefix: "progress/",
+  wavePrefix: "fleet/wave/",
+} as const;
+
+const ownerSchema = z.object({
+  entryId: z.string(),
+  address: z.string(),
+  epoch: z.number().int(),
+});
+
+const headSchema = z.object({
+  epoch: z.number().int(),
+  commit: z.number().int(),
+});
+
+/** Who owns the queues and workers, and under which epoch. */
+export type Owner = z.infer<typeof ownerSchema>;
+
+/** Decodes the owner's key; undefined when it can't be read. */
+export function readOwner(item: StoredItem): Owner | undefined {
+  return parseItem(ownerSchema, item);
+}
+
+/** Decodes the head of the journal; undefined when it can't be read. */
+export function readHead(
+  item: StoredItem,
+): z.infer<typeof headSchema> | undefined {
+  return parseItem(headSchema, item);
+}
+
+function parseItem<T extends z.ZodType>(
+  schema: T,
+  item: StoredItem,
+): z.output<T> | undefined {
+  try {
+    return schema.parse(JSON.parse(item.value));
+  } catch {
+    // Another value than the product's own; the caller decides what that means.
+    return undefined;
+  }
+}
+
+/** Encodes the head of the journal. */
+export function encodeHead(epoch: number, commit: number): string {
+  return JSON.stringify({ epoch, commit });
+}
+
+/** Ownership that was just won. */
+export interface Tenure {
+  readonly epoch: number;
+  readonly leaseId: number;
+  readonly leaseTtlMs: number;
+  /** Store revision of the head at the start of the tenure. */
+  readonly headRevision: number;
+}
+
+/**
+ * Tries to become the owner: one change creates the owner's key under a lease
+ * and raises the epoch in the head. Returns undefined when another entry is the
+ * owner; rejects with a `StoreError`.
+ */
+export async function acquireOwnership(
+  store: RecordStore,
+  self: { entryId: string; address: string },
+  leaseTtlMs: number,
+): Promise<Tenure | undefined> {
+  const head = await store.get(KEYS.head);
+  const epoch = (head === undefined ? 0 : readHead(head)?.epoch ?? 0) + 1;
+  const lease = await store.grantLease(leaseTtlMs);
+  const outcome = await store.change({
+    conditions: [
+      { key: KEYS.owner, revision: 0 },
+      { key: KEYS.head, revision: head?.revision ?? 0 },
+    ],
+    puts: [
+      {
+        key: KEYS.owner,
+        value: JSON.stringify({ ...self, epoch }),
+        leaseId: lease.leaseId,
+      },
+      { key: KEYS.head, value: encodeHead(epoch, 0) },
+    ],
+  });
+  if (outcome.kind !== "committed") {
+    // A lease without a key ends by itself.
+    return undefined;
+  }
+  return {
+    epoch,
+    leaseId: lease.leaseId,
+    leaseTtlMs: lease.ttlMs,
+    headRevision: outcome.revision,
+  };
+}
--- /dev/null
+++ b/src/scheduler/pacing.ts
@@ -0,0 +1,87 @@
+import { type Operation, sleep } from "effection";
+import type { Clock } from "../clock.ts";
+import type { Logger } from "../logger.ts";
+import { stepOf, type TaskState } from "./job_state.ts";
+import type { Scheduler } from "./scheduler.ts";
+
+/** Interval of decisions, in ms; the workers' figures cover the last half second. */
+const PACE_INTERVAL_MS = 350;
+/** Share of its target at which a serving task's tail slows the filling tasks beside it. */
+const SLOW_DOWN_SHARE = 0.85;
+/** Share of its target below which they may speed up again. */
+const SPEED_UP_SHARE = 0.6;
+/** Factor of each slowing step. */
+const SLOW_DOWN_FACTOR = 0.5;
+/** Percent added by each step up. */
+const SPEED_UP_PERCENT = 10;
+/** Percent below which a filling task is paused. */
+const MINIMUM_PERCENT = 8;
+
+/**
+ * Pace of filling tasks beside serving ones whose tail nears its target: down
+ * at once by halves, up by small steps; all the way down when the target is
+ * missed.
+ */
+export function choosePercent(
+  current: number,
+  worstShareOfTarget: number,
+): number {
+  if (worstShareOfTarget >= 1) {
+    return current > 50 ? 25 : 0;
+  }
+  if (worstShareOfTarget >= SLOW_DOWN_SHARE) {
+    const next = Math.floor(current * SLOW_DOWN_FACTOR);
+    return next < MINIMUM_PERCENT ? 0 : next;
+  }
+  if (worstShareOfTarget < SPEED_UP_SHARE) {
+    return Math.min(100, current + SPEED_UP_PERCENT);
+  }
+  return current;
+}
+
+/** Paces the filling tasks of every worker that also runs serving tasks. */
+export function* runPacing(
+  scheduler: Scheduler,
+  _clock: Clock,
+  log: Logger,
+): Operation<void> {
+  const percents = new WeakMap<object, number>();
+  for (;;) {
+    yield* sleep(PACE_INTERVAL_MS);
+    for (const life of scheduler.roster.lives.values()) {
+      const { link } = life;
+      if (link === undefined) continue;
+      let worstShare = 0;
+      const filling: TaskState[] = [];
+      for (const task of life.tasks) {
+        const { placement } = task;
+        if (placement?.order !== "running") continue;
+        const step = stepOf(task);
+        if (step.fills) filling.push(task);
+        else if (step.targetMs > 0) {
+          worstShare = Math.max(
+            worstShare,
+            placement.recentFigure / step.targetMs,
+          );
+        }
+      }
+      for (const task of filling) {
+        const placement = task.placement!;
+        const current = percents.get(placement) ?? 100;
+        const next = choosePercent(current, worstShare);
+        if (next === current) continue;
+        percents.set(placement, next);
+        log.debug("pace of a filling task changed", {
+          task: task.taskId,
+          worker: life.workerId,
+          worstShare: Number(worstShare.toFixed(2)),
+          percent: next,
+        });
+        void link.pace(task.taskId, placement.run, next).then((outcome) => {
+          // The next round sets the pace again.
+          if (outcome.kind !== "done") percents.set(placement, current);
+        });
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/scheduler/planner.ts
@@ -0,0 +1,223 @@
+import type { Clock } from "../clock.ts";
+import type { Logger } from "../logger.ts";
+import {
+  listOpenSteps,
+  openDueOccurrences,
+  stepId,
+  stepOf,
+  type TaskState,
+} from "./job_state.ts";
+import {
+  compareContenders,
+  type Contender,
+  createContender,
+} from "./job_order.ts";
+import {
+  chooseGang,
+  chooseWorker,
+  type Request,
+  takeRoom,
+  type WorkerRoom,
+} from "./placement.ts";
+import type { QueueConfig, SchedulerConfig } from "./ports.ts";
+import { readRoom, type WorkerLife } from "./roster.ts";
+import type { Scheduler } from "./scheduler.ts";
+import type { Tickets } from "./tickets.ts";
+
+/** A registration that is gone longer than this means that the worker is gone, in ms; it may be away for a moment after an outage of the store. */
+export const REGISTRATION_GRACE_MS = 2_000;
+/** Silence from which a worker gets no new tasks, in ms. */
+const SILENCE_LIMIT_MS = 300;
+
+/** What one planning round works with. */
+export interface PlannerOptions {
+  readonly scheduler: Scheduler;
+  readonly tickets: Tickets;
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** VMs that get no new tasks because they are about to change pools or to be maintained. */
+  readonly isCordoned: (vmId: string) => boolean;
+}
+
+/** Configuration of a queue, or what was in force when its job was accepted. */
+function queueOf(
+  config: SchedulerConfig | undefined,
+  task: { queue: string; service: string; maximumAttempts: number },
+): QueueConfig {
+  return config?.queues.find(({ name }) => name === task.queue) ?? {
+    name: task.queue,
+    host: "",
+    pathPrefix: "",
+    service: task.service,
+    priority: 0,
+    maximumAttempts: task.maximumAttempts,
+    stretch: 2,
+    targetDurationMs: 1_000,
+    needsAdvice: false,
+  };
+}
+
+/** Whether a worker may get new tasks. */
+export function isUsable(
+  life: WorkerLife,
+  options: Pick<PlannerOptions, "scheduler" | "isCordoned">,
+): boolean {
+  const { entry, link } = life;
+  return entry !== undefined && link !== undefined && link.confirmed &&
+    entry.state === "ready" && link.silentMs() < SILENCE_LIMIT_MS &&
+    !options.isCordoned(life.vmId) &&
+    options.scheduler.health.isOpen(life.workerId);
+}
+
+interface ServiceRooms {
+  readonly rooms: WorkerRoom[];
+  readonly lives: Map<string, WorkerLife>;
+}
+
+function collectRooms(options: PlannerOptions): Map<string, ServiceRooms> {
+  const { scheduler } = options;
+  const services = new Map<string, ServiceRooms>();
+  for (const life of scheduler.roster.lives.values()) {
+    if (!isUsable(life, options)) continue;
+    const entry = life.entry!;
+    let service = services.get(entry.service);
+    if (service === undefined) {
+      service = { rooms: [], lives: new Map() };
+      services.set(entry.service, service);
+    }
+    service.rooms.push(
+      readRoom(life, entry, scheduler.health.slowness(life.workerId)),
+    );
+    service.lives.set(life.workerId, life);
+  }
+  return services;
+}
+
+function collectContenders(
+  options: PlannerOptions,
+  config: SchedulerConfig | undefined,
+): Map<string, Contender[]> {
+  const { scheduler, clock } = options;
+  const wallMs = clock.wallMs();
+  const byService = new Map<string, Contender[]>();
+  for (const job of scheduler.jobs.values()) {
+    if (job.status !== "active") continue;
+    if (openDueOccurrences(job, wallMs)) scheduler.save(job);
+    const queue = queueOf(config, job.spec);
+    for (const occurrence of job.occurrences) {
+      const hasWaiting = listOpenSteps(job, occurrence).some((tasks) =>
+        tasks.some(({ phase }) => phase === "waiting")
+      );
+      if (!hasWaiting) continue;
+      const contender = createContender(job, occurrence, {
+        wallMs,
+        durations: scheduler.durations,
+        queue,
+      });
+      const list = byService.get(queue.service);
+      if (list === undefined) byService.set(queue.service, [contender]);
+      else list.push(contender);
+    }
+  }
+  return byService;
+}
+
+function racksOf(
+  tasks: readonly TaskState[],
+  service: ServiceRooms,
+): Map<string, number> {
+  const racks = new Map<string, number>();
+  for (const { placement } of tasks) {
+    if (placement === undefined) continue;
+    const rack = service.lives.get(placement.workerId)?.entry?.rack;
+    if (rack !== undefined) racks.set(rack, (racks.get(rack) ?? 0) + 1);
+  }
+  return racks;
+}
+
+/** Places every waiting task for which a worker has room, in the order of the contenders; returns how many. */
+export function planPlacements(
+  options: PlannerOptions,
+  config: SchedulerConfig | undefined,
+): number {
+  const { scheduler, tickets, clock } = options;
+  const services = collectRooms(options);
+  const nowMs = clock.monotonicMs();
+  let placed = 0;
+
+  function placeOne(
+    task: TaskState,
+    room: WorkerRoom,
+    run: number,
+    service: ServiceRooms,
+    request: Request,
+  ): void {
+    takeRoom(room, request);
+    scheduler.place(task, service.lives.get(room.workerId)!, {
+      run,
+      ticket: tickets.find(request.stepId, room.workerId),
+    });
+    placed++;
+  }
+
+  function placeStep(
+    tasks: readonly TaskState[],
+    service: ServiceRooms,
+    needsAdvice: boolean,
+  ): void {
+    const waiting = tasks.filter((task) =>
+      task.phase === "waiting" && task.notBeforeMs <= nowMs
+    );
+    const first = waiting[0];
+    if (first === undefined) return;
+    const step = stepOf(first);
+    const id = stepId(first);
+    const request: Request = {
+      stepId: id,
+      step,
+      avoid: new Set(),
+      allowed: needsAdvice
+        ? tickets.allowed(
+          id,
+          service.rooms.map(({ workerId }) => workerId),
+        )
+        : undefined,
+      tasksByRack: new Map(),
+    };
+    if (step.gang) {
+      if (waiting.length < tasks.length) return;
+      const rooms = chooseGang(service.rooms, request, waiting.length);
+      if (rooms === undefined) return;
+      const run = Math.max(...tasks.map((task) => task.run)) + 1;
+      waiting.forEach((task, index) =>
+        placeOne(task, rooms[index]!, run, service, request)
+      );
+      return;
+    }
+    for (const task of waiting) {
+      const own: Request = {
+        ...request,
+        avoid: new Set(
+          task.avoidWorker === undefined ? [] : [task.avoidWorker],
+        ),
+        tasksByRack: step.longRunning ? racksOf(tasks, service) : new Map(),
+      };
+      const room = chooseWorker(service.rooms, own);
+      if (room === undefined) return;
+      placeOne(task, room, task.run + 1, service, own);
+    }
+  }
+
+  for (const [name, contenders] of collectContenders(options, config)) {
+    const service = services.get(name);
+    if (service === undefined) continue;
+    contenders.sort(compareContenders);
+    for (const { job, occurrence } of contenders) {
+      const { needsAdvice } = queueOf(config, job.spec);
+      for (const tasks of listOpenSteps(job, occurrence)) {
+        placeStep(tasks, service, needsAdvice);
+      }
+    }
+  }
+  return placed;
+}
--- /dev/null
+++ b/src/scheduler/roster.ts
@@ -0,0 +1,82 @@
+import type { TaskState } from "./job_state.ts";
+import { stepId, stepOf } from "./job_state.ts";
+import { reservedCpuMillis, type WorkerRoom } from "./placement.ts";
+import type { WorkerEntry } from "./ports.ts";
+import type { WorkerLink } from "./worker_link.ts";
+
+/** One life of a worker with the tasks that may be running on it. */
+export interface WorkerLife {
+  readonly workerId: string;
+  readonly bornAtMs: number;
+  readonly vmId: string;
+  /** Undefined for a life that earlier owners used and that is registered no more. */
+  readonly link: WorkerLink | undefined;
+  /** The registration; undefined once it is gone from the store. */
+  entry: WorkerEntry | undefined;
+  /** When the registration went, in monotonic ms; undefined while it is there. */
+  missingSinceMs: number | undefined;
+  readonly tasks: Set<TaskState>;
+  /** Monotonic time until which earlier owners' leases may last, in ms. */
+  readonly earlierLeasesEndMs: number;
+}
+
+/** Identifies one life of a worker. */
+export function lifeKey(workerId: string, bornAtMs: number): string {
+  return `${workerId}/${bornAtMs}`;
+}
+
+/** All lives of workers that the owner deals with. */
+export interface Roster {
+  readonly lives: ReadonlyMap<string, WorkerLife>;
+  add(life: WorkerLife): void;
+  remove(life: WorkerLife): void;
+  /** The life that a placement names. */
+  find(workerId: string, bornAtMs: number): WorkerLife | undefined;
+  /** The registered life under an id. */
+  current(workerId: string): WorkerLife | undefined;
+}
+
+/** Creates an empty roster. */
+export function createRoster(): Roster {
+  const lives = new Map<string, WorkerLife>();
+  return {
+    lives,
+    add: (life) => void lives.set(lifeKey(life.workerId, life.bornAtMs), life),
+    remove: (life) => void lives.delete(lifeKey(life.workerId, life.bornAtMs)),
+    find: (workerId, bornAtMs) => lives.get(lifeKey(workerId, bornAtMs)),
+    current(workerId) {
+      for (const life of lives.values()) {
+        if (life.workerId === workerId && life.entry !== undefined) return life;
+      }
+      return undefined;
+    },
+  };
+}
+
+/** Computes what a life has left; tasks that are being stopped still take their room. */
+export function readRoom(
+  life: WorkerLife,
+  entry: WorkerEntry,
+  slowness: number,
+): WorkerRoom {
+  const room: WorkerRoom = {
+    workerId: life.workerId,
+    rack: entry.rack,
+    labels: entry.labels,
+    capacity: entry.capacity,
+    free: { ...entry.capacity },
+    tasksByStep: new Map(),
+    lastingTasks: 0,
+    slowness,
+  };
+  for (const task of life.tasks) {
+    const step = stepOf(task);
+    const id = stepId(task);
+    room.free.cpuMillis -= reservedCpuMillis(step);
+    room.free.memoryMb -= step.memoryMb;
+    room.free.gpuCount -= step.gpuCount;
+    room.tasksByStep.set(id, (room.tasksByStep.get(id) ?? 0) + 1);
+    if (step.longRunning) room.lastingTasks++;
+  }
+  return room;
+}
--- /dev/null
+++ b/src/scheduler/scheduler.ts
@@ -0,0 +1,566 @@
+import type { Clock } from "../clock.ts";
+import { assertNever } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import { createDurations, type Durations } from "./durations.ts";
+import type { Journal } from "./journal.ts";
+import {
+  createJobState,
+  encodeProgress,
+  finishTask,
+  forEachPlaced,
+  type JobState,
+  type Placement,
+  releaseTask,
+  stepOf,
+  type TaskState,
+  visibleStatus,
+} from "./job_state.ts";
+import type { JobSpec, JobStatus } from "./model.ts";
+import { KEYS } from "./ownership.ts";
+import type {
+  EndedRow,
+  OrderOutcome,
+  OrderRefusal,
+  RunningRow,
+  SchedulerConfig,
+  WorkerReport,
+} from "./ports.ts";
+import { createRoster, type Roster, type WorkerLife } from "./roster.ts";
+import { createWorkerHealth, type WorkerHealth } from "./worker_health.ts";
+
+/** Tries of a start order without an answer before the run is stopped instead. */
+const START_TRIES = 2;
+/** Shortest time between two stop orders for one run, in ms. */
+const STOP_REPEAT_MS = 300;
+/** Pause of a task whose start order was refused as malformed, in ms. */
+const INVALID_PAUSE_MS = 2_000;
+
+/** Why the scheduler's counters move; served as metrics. */
+export interface SchedulerCounters {
+  starts: number;
+  ends: Record<string, number>;
+  lostRuns: number;
+  relocations: number;
+}
+
+/** Jobs, tasks and workers of one tenure, and what happens to them. */
+export interface Scheduler {
+  readonly jobs: ReadonlyMap<string, JobState>;
+  readonly roster: Roster;
+  readonly durations: Durations;
+  readonly health: WorkerHealth;
+  readonly counters: SchedulerCounters;
+  /** Takes over a job that was loaded from the store. */
+  adopt(job: JobState): void;
+  /** Adds a job that has just been stored; a known one stays as it is. */
+  accept(spec: JobSpec): void;
+  /** Cancels a job whose cancellation is stored. */
+  cancel(jobId: string): void;
+  status(jobId: string): JobStatus | undefined;
+  /** Jobs of a queue of which no task has started. */
+  waitingJobs(queue: string): number;
+  /** Records a placement, then sends the start order. */
+  place(
+    task: TaskState,
+    life: WorkerLife,
+    options: { run: number; ticket: string | undefined },
+  ): void;
+  /** Stops a run; its room is free once the worker lists the end. */
+  stop(task: TaskState, reason: string): void;
+  onReport(life: WorkerLife, report: WorkerReport, sentAtMs: number): void;
+  /** Frees the tasks of a life that is proven to be over. */
+  endLife(life: WorkerLife, reason: string): void;
+  /** Stores the job's progress with the next commit. */
+  save(job: JobState, onStored?: () => void): void;
+  /** Forgets a job and deletes its records. */
+  remove(job: JobState): void;
+}
+
+/** What the scheduler works with. */
+export interface SchedulerOptions {
+  readonly journal: Journal;
+  readonly fence: number;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly config: () => SchedulerConfig | undefined;
+  readonly mayOrder: () => boolean;
+  /** Something changed that may let tasks be placed. */
+  readonly onChange: () => void;
+}
+
+/** Creates the scheduler of one tenure. */
+export function createScheduler(options: SchedulerOptions): Scheduler {
+  const { journal, fence, clock, log } = options;
+  const jobs = new Map<string, JobState>();
+  const roster = createRoster();
+  const durations = createDurations();
+  const health = createWorkerHealth(() => clock.monotonicMs());
+  const counters: SchedulerCounters = {
+    starts: 0,
+    ends: {},
+    lostRuns: 0,
+    relocations: 0,
+  };
+  const lastStopAtMs = new WeakMap<Placement, number>();
+  /** Cancellations that came before their job. */
+  const earlyCancellations = new Set<string>();
+
+  function lifeOf(placement: Placement): WorkerLife | undefined {
+    return roster.find(placement.workerId, placement.bornAtMs);
+  }
+
+  function free(task: TaskState): void {
+    if (task.placement !== undefined) {
+      lifeOf(task.placement)?.tasks.delete(task);
+    }
+    releaseTask(task);
+    options.onChange();
+  }
+
+  function save(job: JobState, onStored?: () => void): void {
+    const status = job.status;
+    journal.put({
+      key: KEYS.progressPrefix + job.spec.jobId,
+      encode: () => encodeProgress(job, clock.wallMs()),
+      onStored() {
+        if (job.recordedStatus !== status && job.status === status) {
+          job.recordedStatus = status;
+          log.info("job reached its final status", {
+            job: job.spec.jobId,
+            queue: job.spec.queue,
+            status,
+            ageMs: clock.wallMs() - job.spec.acceptedAtMs,
+          });
+        }
+        onStored?.();
+      },
+    });
+  }
+
+  function maximumAttempts(job: JobState): number {
+    const queue = options.config()?.queues.find(({ name }) =>
+      name === job.spec.queue
+    );
+    return queue?.maximumAttempts ?? job.spec.maximumAttempts;
+  }
+
+  function stopAll(job: JobState, reason: string): void {
+    forEachPlaced(job, (task) => stop(task, reason));
+  }
+
+  function failJob(task: TaskState): void {
+    const { job } = task;
+    if (job.status !== "active") return;
+    job.status = "failed";
+    log.info("job failed: a task has used up its attempts", {
+      job: job.spec.jobId,
+      task: task.taskId,
+      failures: task.failures,
+    });
+    stopAll(job, "the job has failed");
+  }
+
+  function gangOf(task: TaskState): TaskState[] {
+    return task.job.occurrences[task.occurrence]!.steps[task.stepIndex]!;
+  }
+
+  function recordDone(task: TaskState, run: number): void {
+    const { job, placement } = task;
+    if (task.phase === "done") return;
+    if (placement !== undefined && placement.run !== run) {
+      // An earlier run was taken as over and has ended well after all.
+      log.warn("two runs of a task overlapped", { task: task.taskId, run });
+      stop(task, "another run of the task has ended done");
+    }
+    const step = stepOf(task);
+    if (placement?.run === run && placement.confirmedAtMs !== undefined) {
+      const durationMs = clock.monotonicMs() - placement.confirmedAtMs;
+      const expectedMs = durations.expectMs(job.spec.queue, step.estimatedMs);
+      health.recordRatio(placement.workerId, durationMs / expectedMs);
+      if (task.checkpoint === "") {
+        durations.record(job.spec.queue, durationMs, step.estimatedMs);
+      }
+    }
+    const finished = step.gang ? gangOf(task) : [task];
+    for (const member of finished) {
+      const held = member.placement;
+      if (held !== undefined && held.run === run) {
+        lifeOf(held)?.tasks.delete(member);
+      }
+      finishTask(member);
+    }
+  }
+
+  function recordFailure(task: TaskState, workerId: string): void {
+    task.failures++;
+    task.avoidWorker = workerId;
+    const step = stepOf(task);
+    if (step.longRunning) return;
+    const failures = step.gang
+      ? gangOf(task).reduce((sum, member) => sum + member.failures, 0)
+      : task.failures;
+    if (failures >= maximumAttempts(task.job)) failJob(task);
+  }
+
+  function onEnd(life: WorkerLife, row: EndedRow): void {
+    counters.ends[row.ending] = (counters.ends[row.ending] ?? 0) + 1;
+    const task = findTask(row.taskId);
+    if (task === undefined) return;
+    const { job } = task;
+    if (
+      health.recordEnd(life.workerId, {
+        ending: row.ending,
+        jobId: job.spec.jobId,
+      })
+    ) {
+      log.warn("worker fails tasks of different jobs and gets no new ones", {
+        worker: life.workerId,
+        service: life.entry?.service,
+      });
+    }
+    if (row.checkpoint !== "") task.checkpoint = row.checkpoint;
+    const isCurrent = task.placement?.run === row.run &&
+      life.tasks.has(task);
+    log.debug("run ended", {
+      task: row.taskId,
+      run: row.run,
+      ending: row.ending,
+      worker: life.workerId,
+    });
+    switch (row.ending) {
+      case "done":
+        if (stepOf(task).longRunning) {
+          if (isCurrent) free(task);
+        } else recordDone(task, row.run);
+        break;
+      case "failed":
+        if (isCurrent) free(task);
+        if (task.phase !== "done") recordFailure(task, life.workerId);
+        break;
+      case "stopped":
+      case "lapsed":
+      case "broken":
+      case "alone":
+        if (isCurrent) free(task);
+        break;
+      default:
+        assertNever(row.ending);
+    }
+    save(job);
+    options.onChange();
+  }
+
+  function findTask(taskId: string): TaskState | undefined {
+    const [jobId, occurrence, step, index] = taskId.split(".");
+    return jobs.get(jobId ?? "")?.occurrences[Number(occurrence)]
+      ?.steps[Number(step)]?.[Number(index)];
+  }
+
+  function onRunning(life: WorkerLife, row: RunningRow): void {
+    const task = findTask(row.taskId);
+    const placement = task?.placement;
+    if (
+      task === undefined || placement === undefined || !life.tasks.has(task) ||
+      placement.run !== row.run
+    ) {
+      log.info("stopping a run that isn't wanted", {
+        task: row.taskId,
+        run: row.run,
+        worker: life.workerId,
+        phase: task?.phase ?? "unknown job",
+      });
+      void life.link?.stop(row.taskId, row.run);
+      return;
+    }
+    placement.percent = row.percent;
+    placement.recentFigure = row.recentFigure;
+    if (row.checkpoint !== "") task.checkpoint = row.checkpoint;
+    if (placement.order !== "running") {
+      placement.order = "running";
+      placement.confirmedAtMs ??= clock.monotonicMs();
+    }
+    if (placement.stopReason !== undefined) sendStop(task, placement);
+  }
+
+  /** A placed task that the worker lists neither as running nor as ended. */
+  function onMissing(
+    task: TaskState,
+    placement: Placement,
+    sentAtMs: number,
+  ): void {
+    switch (placement.order) {
+      case "unrecorded":
+      case "sending":
+        return;
+      case "inherited":
+        // The call has raised the worker's fence, so that an earlier owner's order can't be carried out any more.
+        free(task);
+        return;
+      case "running":
+        if ((placement.confirmedAtMs ?? Infinity) >= sentAtMs) return;
+        log.warn("a run has vanished from its worker", {
+          task: task.taskId,
+          run: placement.run,
+          worker: placement.workerId,
+        });
+        counters.lostRuns++;
+        free(task);
+        return;
+      case "unresolved":
+        if ((placement.stopConfirmedAtMs ?? Infinity) < sentAtMs) free(task);
+        else sendStop(task, placement);
+        return;
+      default:
+        assertNever(placement.order);
+    }
+  }
+
+  function sendStop(task: TaskState, placement: Placement): void {
+    const now = clock.monotonicMs();
+    if (now - (lastStopAtMs.get(placement) ?? -Infinity) < STOP_REPEAT_MS) {
+      return;
+    }
+    lastStopAtMs.set(placement, now);
+    const link = lifeOf(placement)?.link;
+    if (link === undefined || !options.mayOrder()) return;
+    void link.stop(task.taskId, placement.run).then((outcome) => {
+      if (outcome.kind !== "done") return;
+      placement.stopConfirmedAtMs = clock.monotonicMs();
+      link.poke();
+    });
+  }
+
+  function stop(task: TaskState, reason: string): void {
+    const { placement } = task;
+    if (placement === undefined || placement.stopReason !== undefined) return;
+    placement.stopReason = reason;
+    switch (placement.order) {
+      case "unrecorded":
+        // The order hasn't been sent and won't be.
+        free(task);
+        save(task.job);
+        return;
+      case "inherited":
+      case "sending":
+      case "running":
+      case "unresolved":
+        sendStop(task, placement);
+    }
+  }
+
+  async function sendStart(
+    task: TaskState,
+    placement: Placement,
+    ticket: string | undefined,
+  ): Promise<void> {
+    const life = lifeOf(placement);
+    if (task.placement !== placement) return;
+    if (life?.link === undefined || !options.mayOrder()) return free(task);
+    placement.order = "sending";
+    let outcome: OrderOutcome = { kind: "unknown" };
+    for (let tries = 0; tries < START_TRIES; tries++) {
+      outcome = await life.link.start({
+        taskId: task.taskId,
+        run: placement.run,
+        specification: task.job.spec.specification,
+        fence,
+        checkpoint: task.checkpoint,
+        ticket,
+      });
+      // A report may have shown the run, or its end, in the meantime.
+      if (task.placement !== placement) return;
+      if (outcome.kind !== "unknown") break;
+    }
+    onStartOutcome(task, placement, outcome);
+  }
+
+  /** Frees a task whose start order was provably not carried out. */
+  function retryElsewhere(
+    task: TaskState,
+    placement: Placement,
+    reason: string,
+  ): void {
+    log.info("start refused", {
+      task: task.taskId,
+      run: placement.run,
+      worker: placement.workerId,
+      reason,
+    });
+    free(task);
+  }
+
+  function onStartRefused(
+    task: TaskState,
+    placement: Placement,
+    reason: OrderRefusal,
+  ): void {
+    switch (reason) {
+      case "fenced":
+        return;
+      case "superseded":
+        // An earlier try of this order has been carried out and has ended.
+        placement.order = "unresolved";
+        lifeOf(placement)?.link?.poke();
+        return;
+      case "no_room":
+      case "unhealthy":
+        health.recordRefusal(placement.workerId);
+        return retryElsewhere(task, placement, reason);
+      case "invalid":
+        task.notBeforeMs = clock.monotonicMs() + INVALID_PAUSE_MS;
+        return retryElsewhere(task, placement, reason);
+      case "expired":
+      case "ticket":
+        return retryElsewhere(task, placement, reason);
+      default:
+        assertNever(reason);
+    }
+  }
+
+  function onStartOutcome(
+    task: TaskState,
+    placement: Placement,
+    outcome: OrderOutcome,
+  ): void {
+    if (placement.order !== "sending") return;
+    switch (outcome.kind) {
+      case "done":
+        counters.starts++;
+        placement.order = "running";
+        placement.confirmedAtMs = clock.monotonicMs();
+        if (placement.stopReason !== undefined) sendStop(task, placement);
+        return;
+      case "refused":
+        return onStartRefused(task, placement, outcome.reason);
+      case "not_sent":
+        health.recordRefusal(placement.workerId);
+        retryElsewhere(task, placement, outcome.kind);
+        return;
+      case "other_life":
+        return;
+      case "unknown":
+        log.info("start order unanswered", {
+          task: task.taskId,
+          run: placement.run,
+          worker: placement.workerId,
+        });
+        placement.order = "unresolved";
+        health.recordRefusal(placement.workerId);
+        sendStop(task, placement);
+        return;
+      default:
+        assertNever(outcome);
+    }
+  }
+
+  function cancel(jobId: string): void {
+    const job = jobs.get(jobId);
+    if (job === undefined) {
+      earlyCancellations.add(jobId);
+      return;
+    }
+    if (job.recordedStatus !== "active") return;
+    job.status = "cancelled";
+    job.recordedStatus = "cancelled";
+    log.info("job cancelled", { job: jobId, queue: job.spec.queue });
+    stopAll(job, "the job is cancelled");
+    save(job);
+    options.onChange();
+  }
+
+  return {
+    jobs,
+    roster,
+    durations,
+    health,
+    counters,
+    adopt(job) {
+      jobs.set(job.spec.jobId, job);
+    },
+    accept(spec) {
+      if (jobs.has(spec.jobId)) return;
+      jobs.set(spec.jobId, createJobState(spec));
+      if (earlyCancellations.delete(spec.jobId)) cancel(spec.jobId);
+      options.onChange();
+    },
+    cancel,
+    status(jobId) {
+      const job = jobs.get(jobId);
+      return job === undefined ? undefined : visibleStatus(job);
+    },
+    waitingJobs(queue) {
+      let count = 0;
+      for (const job of jobs.values()) {
+        if (
+          job.spec.queue === queue && !job.started &&
+          job.recordedStatus === "active"
+        ) count++;
+      }
+      return count;
+    },
+    place(task, life, { run, ticket }) {
+      task.phase = "placed";
+      task.run = run;
+      task.job.started = true;
+      const placement: Placement = {
+        workerId: life.workerId,
+        bornAtMs: life.bornAtMs,
+        vmId: life.vmId,
+        run,
+        order: "unrecorded",
+        stopReason: undefined,
+        placedAtMs: clock.monotonicMs(),
+        confirmedAtMs: undefined,
+        stopConfirmedAtMs: undefined,
+        percent: 0,
+        recentFigure: 0,
+      };
+      task.placement = placement;
+      life.tasks.add(task);
+      save(task.job, () => void sendStart(task, placement, ticket));
+    },
+    stop,
+    onReport(life, report, sentAtMs) {
+      for (const row of report.ended) onEnd(life, row);
+      const running = new Map(
+        report.running.map((row) => [row.taskId, row]),
+      );
+      for (const row of report.running) onRunning(life, row);
+      for (const task of [...life.tasks]) {
+        const { placement } = task;
+        if (placement === undefined) continue;
+        if (running.get(task.taskId)?.run === placement.run) continue;
+        onMissing(task, placement, sentAtMs);
+      }
+    },
+    endLife(life, reason) {
+      if (life.tasks.size > 0) {
+        log.info("runs are over with their worker", {
+          worker: life.workerId,
+          vm: life.vmId,
+          reason,
+          runs: life.tasks.size,
+        });
+      }
+      for (const task of [...life.tasks]) {
+        counters.lostRuns++;
+        free(task);
+        save(task.job);
+      }
+      roster.remove(life);
+      health.forget(life.workerId);
+    },
+    save,
+    remove(job) {
+      jobs.delete(job.spec.jobId);
+      for (
+        const prefix of [KEYS.jobPrefix, KEYS.cancelPrefix, KEYS.progressPrefix]
+      ) {
+        journal.put({
+          key: prefix + job.spec.jobId,
+          encode: () => undefined,
+        });
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/scheduler/settings.ts
@@ -0,0 +1,54 @@
+import { z } from "zod";
+import { ValidationError } from "../errors.ts";
+import { listSchemaIssues, parseJson } from "../validation.ts";
+
+const address = z.string().regex(
+  /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
+  "an IPv4 address with a port, such as 10.0.0.1:7000",
+);
+
+/** Settings of a scheduler process; unknown fields are ignored, as the platform may add some. */
+export const schedulerSettingsSchema = z.object({
+  entryId: z.string().min(1),
+  dataCentre: z.string().min(1),
+  region: z.string().min(1),
+  listen: z.object({
+    callers: address,
+    readiness: address,
+    /** Calls of other entries, metrics and the state dump. */
+    peers: address,
+  }),
+  /** Peer addresses of a few entries, which may be out of date. */
+  seedPeers: z.array(address).default([]),
+  platform: z.object({
+    storeAddress: address,
+    vmApiAddress: address,
+    adviceAddress: z.union([address, z.literal("")]).default(""),
+  }),
+  bounds: z.object({
+    /** Time between the stop signal and the kill, in seconds. */
+    graceS: z.number().positive().default(6),
+    /** Time for which the state of an ended job can be asked for, in seconds. */
+    keepEndedS: z.number().positive().default(120),
+    /** Time between the orders of two owners for one VM, in ms. */
+    holderGapMs: z.number().min(0).default(3_000),
+    /** Longest time that a run may be held without another order, in ms. */
+    maximumLeaseMs: z.number().positive().default(10_000),
+  }).prefault({}),
+  logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default(
+    "info",
+  ),
+});
+
+export type SchedulerSettings = z.infer<typeof schedulerSettingsSchema>;
+
+/** Parses and checks settings; throws a `ValidationError` that lists every problem. */
+export function resolveSchedulerSettings(
+  text: string,
+  source: string,
+): SchedulerSettings {
+  const data = parseJson(text, source);
+  const issues = listSchemaIssues(schedulerSettingsSchema, data);
+  if (issues.length > 0) throw new ValidationError(source, issues);
+  return schedulerSettingsSchema.parse(data);
+}
--- /dev/null
+++ b/src/scheduler/stalled_tasks.ts
@@ -0,0 +1,67 @@
+import type { Clock } from "../clock.ts";
+import type { Logger } from "../logger.ts";
+import { forEachPlaced, stepOf } from "./job_state.ts";
+import type { Scheduler } from "./scheduler.ts";
+
+/** Earliest time after its start at which a task's pace is judged, in ms. */
+const JUDGE_AFTER_MS = 900;
+/** A task is moved if what it has left at its pace exceeds a fresh run by this factor ... */
+const GAIN_FACTOR = 2;
+/** ... and by this time, in ms, for the stop, the record and the new start. */
+const GAIN_MARGIN_MS = 900;
+/** Moves of one task; a task that is slow on several workers is long by itself. */
+const MAXIMUM_RELOCATIONS = 1;
+
+/** Time that a task still needs at its present pace, in ms. */
+export function remainingMs(elapsedMs: number, percent: number): number {
+  if (percent <= 0) return elapsedMs * 100;
+  return elapsedMs * (100 - percent) / percent;
+}
+
+/**
+ * Stops tasks that stand still or run on a slow worker, so that they start
+ * anew elsewhere; notes the pace of each worker for later placements.
+ */
+export function relocateStalledTasks(
+  scheduler: Scheduler,
+  clock: Clock,
+  log: Logger,
+): void {
+  const now = clock.monotonicMs();
+  for (const job of scheduler.jobs.values()) {
+    if (job.status !== "active") continue;
+    forEachPlaced(job, (task, placement) => {
+      const step = stepOf(task);
+      const { confirmedAtMs } = placement;
+      if (
+        step.longRunning || step.gang || placement.order !== "running" ||
+        confirmedAtMs === undefined || placement.stopReason !== undefined
+      ) return;
+      const elapsedMs = now - confirmedAtMs;
+      if (elapsedMs < JUDGE_AFTER_MS) return;
+      const expectedMs = scheduler.durations.expectMs(
+        job.spec.queue,
+        step.estimatedMs,
+      );
+      const leftMs = remainingMs(elapsedMs, placement.percent);
+      if (leftMs < expectedMs * GAIN_FACTOR + GAIN_MARGIN_MS) return;
+      scheduler.health.recordRatio(
+        placement.workerId,
+        (elapsedMs + leftMs) / expectedMs,
+      );
+      if (task.relocations >= MAXIMUM_RELOCATIONS) return;
+      task.relocations++;
+      task.avoidWorker = placement.workerId;
+      scheduler.counters.relocations++;
+      log.info("task is much slower than expected and starts anew elsewhere", {
+        task: task.taskId,
+        run: placement.run,
+        worker: placement.workerId,
+        percent: placement.percent,
+        elapsedMs: Math.round(elapsedMs),
+        expectedMs: Math.round(expectedMs),
+      });
+      scheduler.stop(task, "the worker is too slow");
+    });
+  }
+}
--- /dev/null
+++ b/src/scheduler/tickets.ts
@@ -0,0 +1,119 @@
+import type { Clock } from "../clock.ts";
+import { messageOf } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import type { PlacementAdvice } from "./ports.ts";
+
+/** Workers asked about in one call; each adds to the time of the answer. */
+const WORKERS_PER_CALL = 30;
+/** A ticket is not used in the last part of its validity, in ms: storing the placement and the start order take that long. */
+const EXPIRY_MARGIN_MS = 400;
+/** Pause after a call without an answer, in ms. */
+const RETRY_DELAY_MS = 300;
+/** Time after which a step that may run on none of the asked workers is asked about again, in ms. */
+const EMPTY_ANSWER_MS = 2_000;
+
+interface StepTickets {
+  tickets: Map<string, { ticket: string; untilMs: number }>;
+  /** Workers that the policy was asked about; its answer doesn't change. */
+  asked: Set<string>;
+  askAgainAtMs: number;
+}
+
+/** Tickets of the advice service, by step and worker. */
+export interface Tickets {
+  /** Workers that may run the step now; asks for more when none is known. */
+  allowed(stepId: string, workerIds: readonly string[]): ReadonlySet<string>;
+  find(stepId: string, workerId: string): string | undefined;
+  forgetWorker(workerId: string): void;
+}
+
+/** Creates the cache of tickets; one call is made at a time, as the service handles one per caller. */
+export function createTickets(options: {
+  readonly advice: PlacementAdvice;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly onChange: () => void;
+}): Tickets {
+  const { advice, clock, log } = options;
+  const steps = new Map<string, StepTickets>();
+  const wanted = new Map<string, readonly string[]>();
+  let calling = false;
+
+  async function callNext(): Promise<void> {
+    if (calling) return;
+    calling = true;
+    try {
+      for (const [stepId, workerIds] of wanted) {
+        wanted.delete(stepId);
+        await call(stepId, workerIds);
+      }
+    } catch (error) {
+      log.error("advice call failed", { reason: messageOf(error) });
+    } finally {
+      calling = false;
+    }
+  }
+
+  async function call(
+    stepId: string,
+    workerIds: readonly string[],
+  ): Promise<void> {
+    const state = steps.get(stepId)!;
+    const asked = workerIds.slice(0, WORKERS_PER_CALL);
+    const answer = await advice.ask(stepId, asked);
+    const now = clock.monotonicMs();
+    if (answer === undefined) {
+      state.askAgainAtMs = now + RETRY_DELAY_MS;
+      return;
+    }
+    for (const workerId of asked) state.asked.add(workerId);
+    for (const { workerId, ticket } of answer.tickets) {
+      state.tickets.set(workerId, {
+        ticket,
+        untilMs: now + answer.validityMs - EXPIRY_MARGIN_MS,
+      });
+    }
+    state.askAgainAtMs = answer.tickets.length > 0
+      ? now
+      : now + EMPTY_ANSWER_MS;
+    log.debug("advice received", {
+      step: stepId,
+      asked: asked.length,
+      allowed: answer.tickets.length,
+    });
+    options.onChange();
+  }
+
+  return {
+    allowed(stepId, workerIds) {
+      const now = clock.monotonicMs();
+      let state = steps.get(stepId);
+      if (state === undefined) {
+        state = { tickets: new Map(), asked: new Set(), askAgainAtMs: 0 };
+        steps.set(stepId, state);
+      }
+      const valid = new Set(
+        workerIds.filter((id) => (state.tickets.get(id)?.untilMs ?? 0) > now),
+      );
+      if (valid.size === 0 && state.askAgainAtMs <= now) {
+        // Workers with an expired ticket are asked about first: the policy's answer doesn't change.
+        const known = workerIds.filter((id) => state.tickets.has(id));
+        const fresh = workerIds.filter((id) => !state.asked.has(id));
+        const next = known.length > 0 ? known : fresh;
+        if (next.length > 0) {
+          wanted.set(stepId, next);
+          void callNext();
+        }
+      }
+      return valid;
+    },
+    find: (stepId, workerId) =>
+      steps.get(stepId)?.tickets.get(workerId)?.ticket,
+    forgetWorker(workerId) {
+      for (const state of steps.values()) {
+        state.tickets.delete(workerId);
+        state.asked.delete(workerId);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/scheduler/vm_orders.ts
@@ -0,0 +1,122 @@
+import type { Clock } from "../clock.ts";
+import type { Logger } from "../logger.ts";
+import type { Journal } from "./journal.ts";
+import type { VmFleet, VmOrderOutcome } from "./ports.ts";
+
+/** Pause before an order without a usable answer is repeated, in ms. */
+const REPEAT_DELAY_MS = 300;
+/** An order is not sent when the record that precedes it is older than this, in ms: another entry may own the VMs by then. */
+const RECORD_VALID_MS = 700;
+
+/** What is ordered for a VM. */
+export type VmOrder =
+  | { readonly kind: "move"; readonly pool: string }
+  | { readonly kind: "maintain"; readonly wave: number };
+
+/** How an order ended; `refused` means that nothing was done. */
+export type VmOrderEnd = "done" | "refused" | "fenced";
+
+/** Sends orders for VMs, each after a stored record, and repeats those without an answer. */
+export interface VmOrders {
+  /** Orders that are under way, by VM. */
+  readonly active: ReadonlyMap<string, VmOrder>;
+  /** Whether the VM may be ordered about; not shortly after an order of an earlier owner. */
+  isFree(vmId: string): boolean;
+  /** Notes an order of an earlier owner. */
+  noteEarlier(vmId: string, atWallMs: number): void;
+  send(vmId: string, order: VmOrder, onEnd: (end: VmOrderEnd) => void): void;
+}
+
+/** Prefix of the records of orders for VMs. */
+export const VM_ORDER_PREFIX = "fleet/order/";
+
+/** Creates the sender of orders for VMs. */
+export function createVmOrders(options: {
+  readonly fleet: VmFleet;
+  readonly journal: Journal;
+  readonly holder: string;
+  readonly fence: number;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly mayOrder: () => boolean;
+  /** Time between orders of two holders for one VM, in ms. */
+  readonly holderGapMs: number;
+}): VmOrders {
+  const { fleet, journal, holder, fence, clock, log } = options;
+  const active = new Map<string, VmOrder>();
+  const freeAtMs = new Map<string, number>();
+
+  function call(vmId: string, order: VmOrder): Promise<VmOrderOutcome> {
+    switch (order.kind) {
+      case "move":
+        return fleet.move({ holder, fence, vmId, pool: order.pool });
+      case "maintain":
+        return fleet.maintain({ holder, fence, vmId, wave: order.wave });
+    }
+  }
+
+  /** Stores the intent, then sends the order: the commit proves that the tenure still holds. */
+  function record(
+    vmId: string,
+    order: VmOrder,
+    onEnd: (end: VmOrderEnd) => void,
+  ): void {
+    journal.put({
+      key: VM_ORDER_PREFIX + vmId,
+      encode: () =>
+        JSON.stringify({ ...order, epoch: fence, atMs: clock.wallMs() }),
+      onStored: () => void deliver(vmId, order, onEnd, clock.monotonicMs()),
+    });
+  }
+
+  async function deliver(
+    vmId: string,
+    order: VmOrder,
+    onEnd: (end: VmOrderEnd) => void,
+    recordedAtMs: number,
+  ): Promise<void> {
+    for (;;) {
+      if (clock.monotonicMs() - recordedAtMs > RECORD_VALID_MS) {
+        return record(vmId, order, onEnd);
+      }
+      if (!options.mayOrder()) return;
+      const outcome = await call(vmId, order);
+      log.info("VM ordered", {
+        vm: vmId,
+        ...order,
+        fence,
+        outcome: outcome.kind,
+        ...(outcome.kind === "refused" ? { reason: outcome.reason } : {}),
+      });
+      switch (outcome.kind) {
+        case "done":
+          active.delete(vmId);
+          return onEnd("done");
+        case "refused":
+          active.delete(vmId);
+          return onEnd(outcome.reason === "fenced" ? "fenced" : "refused");
+        case "unavailable":
+        case "unknown":
+          // The same order again has no further effect if the first was carried out.
+          await new Promise((resolve) => setTimeout(resolve, REPEAT_DELAY_MS));
+      }
+    }
+  }
+
+  return {
+    active,
+    isFree: (vmId) =>
+      !active.has(vmId) && (freeAtMs.get(vmId) ?? 0) <= clock.monotonicMs(),
+    noteEarlier(vmId, atWallMs) {
+      const ageMs = Math.max(0, clock.wallMs() - atWallMs);
+      freeAtMs.set(
+        vmId,
+        clock.monotonicMs() + Math.max(0, options.holderGapMs - ageMs),
+      );
+    },
+    send(vmId, order, onEnd) {
+      active.set(vmId, order);
+      record(vmId, order, onEnd);
+    },
+  };
+}
--- /dev/null
+++ b/src/scheduler/wiring.ts
@@ -0,0 +1,144 @@
+import "reflect-metadata";
+import type { RequestListener } from "node:http";
+import {
+  container,
+  type DependencyContainer,
+  type InjectionToken,
+} from "tsyringe";
+import { type Clock, systemClock } from "../clock.ts";
+import { type BufferedLog, createBufferedLog } from "../logger.ts";
+import type { StopSignals } from "../signals.ts";
+import { createSupervisor, type Supervisor } from "../supervisor.ts";
+import { createElection, type Election } from "./election.ts";
+import type { SchedulerEntryParts } from "./entry.ts";
+import { createFront, type Front } from "./front.ts";
+import { createOperatorState, type OperatorState } from "./operator_state.ts";
+import type {
+  PlacementAdvice,
+  PlatformRecords,
+  RecordStore,
+  VmFleet,
+  WorkerControl,
+} from "./ports.ts";
+import { createRequestStats, type RequestStats } from "./request_stats.ts";
+import type { SchedulerSettings } from "./settings.ts";
+
+function token<T>(name: string): InjectionToken<T> {
+  return Symbol(name);
+}
+
+/** Added to the platform's gap between orders of two owners for one VM, in ms, because clocks of entries differ. */
+const HOLDER_GAP_MARGIN_MS = 300;
+
+const TOKENS = {
+  clock: token<Clock>("clock"),
+  log: token<BufferedLog>("log"),
+  operator: token<OperatorState>("operator"),
+  election: token<Election>("election"),
+  front: token<Front>("front"),
+  stats: token<RequestStats>("stats"),
+  supervisor: token<Supervisor>("supervisor"),
+};
+
+/** What serves callers in the platform's words. */
+export interface CallerApi {
+  createListener(options: {
+    readonly front: Front;
+    readonly operator: OperatorState;
+    readonly stats: RequestStats;
+    readonly clock: Clock;
+    readonly isStopping: () => boolean;
+  }): RequestListener;
+}
+
+/** The platform as the scheduler sees it. */
+export interface PlatformAdapters {
+  readonly store: RecordStore;
+  readonly records: PlatformRecords;
+  readonly control: WorkerControl;
+  readonly fleet: VmFleet;
+  readonly advice: PlacementAdvice;
+  readonly callers: CallerApi;
+}
+
+function registerParts(
+  parts: DependencyContainer,
+  settings: SchedulerSettings,
+  platform: (log: BufferedLog) => PlatformAdapters,
+): PlatformAdapters {
+  function single<T>(key: InjectionToken<T>, create: () => T): void {
+    let value: { value: T } | undefined;
+    parts.register(key, {
+      useFactory: () => (value ??= { value: create() }).value,
+    });
+  }
+  single(TOKENS.clock, () => systemClock);
+  single(
+    TOKENS.log,
+    () => createBufferedLog(settings.logLevel, settings.entryId),
+  );
+  const adapters = platform(parts.resolve(TOKENS.log));
+  const { loggers } = parts.resolve(TOKENS.log);
+  single(TOKENS.stats, () => createRequestStats(parts.resolve(TOKENS.clock)));
+  single(TOKENS.supervisor, () => createSupervisor(loggers("supervisor")));
+  single(
+    TOKENS.operator,
+    () => createOperatorState({ ...adapters, log: loggers("config") }),
+  );
+  single(TOKENS.election, () =>
+    createElection({
+      ...adapters,
+      entryId: settings.entryId,
+      self: { entryId: settings.entryId, address: settings.listen.peers },
+      seedPeers: settings.seedPeers,
+      clock: parts.resolve(TOKENS.clock),
+      log: loggers("owner"),
+      random: Math.random,
+      config: parts.resolve(TOKENS.operator).config,
+      waves: parts.resolve(TOKENS.operator).waves,
+      keepEndedMs: settings.bounds.keepEndedS * 1_000,
+      holderGapMs: settings.bounds.holderGapMs + HOLDER_GAP_MARGIN_MS,
+    }));
+  single(TOKENS.front, () =>
+    createFront({
+      store: adapters.store,
+      clock: parts.resolve(TOKENS.clock),
+      log: loggers("front"),
+      config: parts.resolve(TOKENS.operator).config,
+      owner: () => parts.resolve(TOKENS.election).client(),
+      onOwnerAnswer: () => parts.resolve(TOKENS.stats).noteOwnerContact(),
+    }));
+  return adapters;
+}
+
+/** Builds the parts of a scheduler process. */
+export function createSchedulerEntry(
+  settings: SchedulerSettings,
+  options: {
+    readonly platform: (log: BufferedLog) => PlatformAdapters;
+    readonly signals: StopSignals;
+  },
+): SchedulerEntryParts & { readonly flushLog: () => void } {
+  const parts = container.createChildContainer();
+  const adapters = registerParts(parts, settings, options.platform);
+  const log = parts.resolve(TOKENS.log);
+  const resolved = {
+    operator: parts.resolve(TOKENS.operator),
+    front: parts.resolve(TOKENS.front),
+    stats: parts.resolve(TOKENS.stats),
+    clock: parts.resolve(TOKENS.clock),
+  };
+  return {
+    ...resolved,
+    settings,
+    log: log.loggers("entry"),
+    store: adapters.store,
+    election: parts.resolve(TOKENS.election),
+    supervisor: parts.resolve(TOKENS.supervisor),
+    signals: options.signals,
+    createCallerListener: (isStopping) =>
+      adapters.callers.createListener({ ...resolved, isStopping }),
+    droppedLogLines: log.droppedLines,
+    flushLog: log.flush,
+  };
+}
