--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -27,6 +27,8 @@
   /** Monotonic time at which the worker confirmed that the run is stopped or will never start, in ms. */
   stopConfirmedAtMs: number | undefined;
   percent: number;
+  /** Monotonic time at which the worker was last heard of the run, in ms. */
+  reportedAtMs: number | undefined;
   /** Tail of response times in ms for a serving task, processor use in thousandths of a core for others. */
   recentFigure: number;
 }
@@ -329,6 +331,7 @@
       confirmedAtMs: undefined,
       stopConfirmedAtMs: undefined,
       percent: 0,
+      reportedAtMs: undefined,
       recentFigure: 0,
     };
   }
--- a/src/scheduler/journal.ts
+++ b/src/scheduler/journal.ts
@@ -3,14 +3,14 @@
 import type { Logger } from "../logger.ts";
 import { createWake } from "../wake.ts";
 import { encodeHead, KEYS, readHead, type Tenure } from "./ownership.ts";
-import { MAXIMUM_KEYS_PER_CHANGE, type RecordStore } from "./ports.ts";
+import { MAXIMUM_ENTRIES_PER_CHANGE, type RecordStore } from "./ports.ts";
 
 /** Shortest time between two commits, in ms; bounds the calls to 40 a second. */
 const COMMIT_INTERVAL_MS = 25;
 /** Pause after a failed commit, in ms. */
 const RETRY_DELAY_MS = 120;
-/** The head takes one of the keys. */
-const RECORDS_PER_COMMIT = MAXIMUM_KEYS_PER_CHANGE - 1;
+/** The head is in each commit twice, as a condition and as a put. */
+const RECORDS_PER_COMMIT = MAXIMUM_ENTRIES_PER_CHANGE - 2;
 
 /** One record to be stored with the next commit. */
 export interface JournalEntry {
@@ -116,7 +116,8 @@
       }
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
-      log.debug("commit failed and will be repeated", {
+      const level = error.failure === "rejected" ? "error" : "debug";
+      log[level]("commit failed and will be repeated", {
         failure: error.failure,
         reason: messageOf(error),
         records: batch.length,
--- a/src/scheduler/pacing.ts
+++ b/src/scheduler/pacing.ts
@@ -1,5 +1,4 @@
 import { type Operation, sleep } from "effection";
-import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
 import { stepOf, type TaskState } from "./job_state.ts";
 import type { Scheduler } from "./scheduler.ts";
@@ -42,7 +41,6 @@
 /** Paces the filling tasks of every worker that also runs serving tasks. */
 export function* runPacing(
   scheduler: Scheduler,
-  _clock: Clock,
   log: Logger,
 ): Operation<void> {
   const percents = new WeakMap<object, number>();
--- a/src/scheduler/ports.ts
+++ b/src/scheduler/ports.ts
@@ -26,8 +26,8 @@
   | { readonly kind: "conflict"; readonly items: readonly StoredItem[] }
   | { readonly kind: "lease_ended" };
 
-/** Most keys in one change. */
-export const MAXIMUM_KEYS_PER_CHANGE = 32;
+/** Most entries in one change: conditions, puts and deletes together. */
+export const MAXIMUM_ENTRIES_PER_CHANGE = 32;
 
 /** The platform's store; each method rejects with a `StoreError`. */
 export interface RecordStore {
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -273,6 +273,7 @@
       return;
     }
     placement.percent = row.percent;
+    placement.reportedAtMs = clock.monotonicMs();
     placement.recentFigure = row.recentFigure;
     if (row.checkpoint !== "") task.checkpoint = row.checkpoint;
     if (placement.order !== "running") {
@@ -513,6 +514,7 @@
         confirmedAtMs: undefined,
         stopConfirmedAtMs: undefined,
         percent: 0,
+        reportedAtMs: undefined,
         recentFigure: 0,
       };
       task.placement = placement;
--- a/src/scheduler/stalled_tasks.ts
+++ b/src/scheduler/stalled_tasks.ts
@@ -1,4 +1,3 @@
-import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
 import { forEachPlaced, stepOf } from "./job_state.ts";
 import type { Scheduler } from "./scheduler.ts";
@@ -24,10 +23,8 @@
  */
 export function relocateStalledTasks(
   scheduler: Scheduler,
-  clock: Clock,
   log: Logger,
 ): void {
-  const now = clock.monotonicMs();
   for (const job of scheduler.jobs.values()) {
     if (job.status !== "active") continue;
     forEachPlaced(job, (task, placement) => {
@@ -37,7 +34,9 @@
         step.longRunning || step.gang || placement.order !== "running" ||
         confirmedAtMs === undefined || placement.stopReason !== undefined
       ) return;
-      const elapsedMs = now - confirmedAtMs;
+      // The percentage is as old as the last report.
+      const elapsedMs = (placement.reportedAtMs ?? confirmedAtMs) -
+        confirmedAtMs;
       if (elapsedMs < JUDGE_AFTER_MS) return;
       const expectedMs = scheduler.durations.expectMs(
         job.spec.queue,
--- a/src/scheduler/tenure.ts
+++ b/src/scheduler/tenure.ts
@@ -414,7 +414,7 @@
   function* checkLoop(): Operation<void> {
     for (;;) {
       checkLives();
-      if (!resigning) relocateStalledTasks(scheduler, clock, log);
+      if (!resigning) relocateStalledTasks(scheduler, log);
       yield* sleep(CHECK_INTERVAL_MS);
     }
   }
@@ -482,7 +482,7 @@
     yield* spawn(() => checkLoop());
     yield* spawn(() => cleanUp());
     yield* spawn(() => fleet.run());
-    yield* spawn(() => runPacing(scheduler, clock, log));
+    yield* spawn(() => runPacing(scheduler, log));
     loaded = true;
     yield* suspend();
   }
