feat(scheduler): pools are planned by room, and SIGHUP reads the settings again

The plan now counts the scarcer of processors and memory, and work that waits asks for VMs beyond those that are there.

--- a/src/logger.ts
+++ b/src/logger.ts
@@ -49,6 +49,7 @@
   readonly loggers: LoggerFactory;
   /** Lines that were dropped because the reader didn't keep up. */
   droppedLines(): number;
+  setLevel(level: LogLevel): void;
   /** Writes what waits; for the end of the process. */
   flush(): void;
 }
@@ -80,6 +81,9 @@
   timer.unref();
   return {
     loggers: (prefix) => wrap(base, prefix),
+    setLevel(next) {
+      base.level = next;
+    },
     droppedLines: () => dropped,
     flush() {
       try {
--- a/src/scheduler/fleet_manager.ts
+++ b/src/scheduler/fleet_manager.ts
@@ -8,10 +8,13 @@
 import type { Journal } from "./journal.ts";
 import { listOpenSteps, stepOf, type TaskState } from "./job_state.ts";
 import { KEYS, type Tenure } from "./ownership.ts";
-import { type PlannedVm, planPools } from "./pool_plan.ts";
+import type { Step } from "./model.ts";
+import { reservedCpuMillis } from "./placement.ts";
+import { type PlannedPool, type PlannedVm, planPools } from "./pool_plan.ts";
 import type {
   PlatformRecords,
   RecordStore,
+  Resources,
   SchedulerConfig,
   VmEntry,
   VmFleet,
@@ -71,6 +74,27 @@
   describe(): unknown;
 }
 
+type MutableResources = { -readonly [Key in keyof Resources]: Resources[Key] };
+
+function addResources(
+  sum: MutableResources,
+  step: Step,
+  count: number,
+): void {
+  sum.cpuMillis += reservedCpuMillis(step) * count;
+  sum.memoryMb += step.memoryMb * count;
+  sum.gpuCount += step.gpuCount * count;
+}
+
+/** Room in VMs: the resource that runs out first decides. */
+function shareOf(sum: Resources, capacity: Resources): number {
+  return Math.max(
+    sum.cpuMillis / Math.max(1, capacity.cpuMillis),
+    sum.memoryMb / Math.max(1, capacity.memoryMb),
+    capacity.gpuCount > 0 ? sum.gpuCount / capacity.gpuCount : 0,
+  );
+}
+
 /** Creates the fleet manager of one tenure. */
 export function createFleetManager(options: FleetManagerOptions): FleetManager {
   const { scheduler, clock, log, journal, records } = options;
@@ -368,32 +392,48 @@
 
   // --- Pools ---
 
-  function needOf(service: string): number {
-    let millis = 0;
+  /** Room of the usual VM of a pool, or of any VM while the pool has none. */
+  function usualCapacity(pool: string): Resources | undefined {
+    let any: Resources | undefined;
+    for (const vm of vms.values()) {
+      if (vm.pool === pool) return vm.capacity;
+      any ??= vm.capacity;
+    }
+    return any;
+  }
+
+  /** What a pool needs, in VMs. */
+  function demandOf(
+    service: string,
+    config: SchedulerConfig,
+  ): Pick<PlannedPool, "usedVms" | "waitingVms" | "expectedVms"> {
+    const capacity = usualCapacity(service);
+    if (capacity === undefined) {
+      return { usedVms: 0, waitingVms: 0, expectedVms: 0 };
+    }
+    const used = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
+    const waiting = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
     for (const life of scheduler.roster.lives.values()) {
       if (life.entry?.service !== service) continue;
-      for (const task of life.tasks) {
-        if (!stepOf(task).fills) millis += stepOf(task).cpuMillis;
-      }
+      for (const task of life.tasks) addResources(used, stepOf(task), 1);
     }
-    const config = options.config();
     for (const job of scheduler.jobs.values()) {
       if (job.status !== "active") continue;
-      const target = config?.queues.find(({ name }) =>
-        name === job.spec.queue
-      )?.service ??
-        job.spec.service;
-      if (target !== service) continue;
+      const queue = config.queues.find(({ name }) => name === job.spec.queue);
+      if ((queue?.service ?? job.spec.service) !== service) continue;
       for (const occurrence of job.occurrences) {
         for (const tasks of listOpenSteps(job, occurrence)) {
-          const step = stepOf(tasks[0]!);
-          if (step.fills) continue;
-          millis += step.cpuMillis *
-            tasks.filter(({ phase }) => phase === "waiting").length;
+          const count = tasks.filter(({ phase }) => phase === "waiting").length;
+          if (count > 0) addResources(waiting, stepOf(tasks[0]!), count);
         }
       }
     }
-    return Math.max(millis, options.forecast.expectCores(service) * 1_000);
+    return {
+      usedVms: shareOf(used, capacity),
+      waitingVms: shareOf(waiting, capacity),
+      expectedVms: options.forecast.expectCores(service) * 1_000 /
+        Math.max(1, capacity.cpuMillis),
+    };
   }
 
   function describeVms(nowMs: number): PlannedVm[] {
@@ -409,7 +449,6 @@
       planned.push({
         vmId: vm.vmId,
         pool: vm.pool,
-        cpuMillis: vm.capacity.cpuMillis,
         tasks,
         lastingTasks: life === undefined
           ? 0
@@ -440,7 +479,7 @@
     const pools = config.services.map((name) => ({
       name,
       spare: config.sparePools.includes(name),
-      needMillis: needOf(name),
+      ...demandOf(name, config),
       arriving: arriving.get(name) ?? 0,
     }));
     const plan = planPools(pools, describeVms(nowMs));
@@ -454,11 +493,7 @@
         from,
         to,
         targets: plan.targets,
-        needCores: Object.fromEntries(
-          pools.map((
-            { name, needMillis },
-          ) => [name, Math.round(needMillis / 1_000)]),
-        ),
+        demand: pools.find(({ name }) => name === to),
       });
       order(vmId, { kind: "move", pool: to });
     }
--- a/src/scheduler/pool_plan.ts
+++ b/src/scheduler/pool_plan.ts
@@ -2,7 +2,6 @@
 export interface PlannedVm {
   readonly vmId: string;
   readonly pool: string;
-  readonly cpuMillis: number;
   /** Tasks on the VM, those that are being stopped included. */
   readonly tasks: number;
   readonly lastingTasks: number;
@@ -19,8 +18,12 @@
   readonly name: string;
   /** VMs of a spare pool are off and cost nothing. */
   readonly spare: boolean;
-  /** Processor need of running, waiting and expected tasks, in thousandths of a core. */
-  readonly needMillis: number;
+  /** Room that placed tasks take, in VMs: the larger of their share of processors and of memory. */
+  readonly usedVms: number;
+  /** Room that waiting tasks ask for, which no VM of the pool has now, in VMs. */
+  readonly waitingVms: number;
+  /** Room that the work will take that is expected to arrive, in VMs. */
+  readonly expectedVms: number;
   /** VMs that are on their way into the pool. */
   readonly arriving: number;
 }
@@ -35,7 +38,7 @@
   readonly targets: Readonly<Record<string, number>>;
 }
 
-/** Share of a VM's processors that is planned with; tasks don't fill a VM exactly. */
+/** Share of a VM's room that is planned with; tasks don't fill a VM exactly. */
 const PLANNED_SHARE = 0.85;
 /** Fewest VMs of a pool that serves: one may fail. */
 const MINIMUM_VMS = 2;
@@ -44,13 +47,15 @@
 
 function targetOf(pool: PlannedPool, vms: readonly PlannedVm[]): number {
   if (pool.spare) return 0;
-  const cpuMillis = Math.max(1, ...vms.map((vm) => vm.cpuMillis));
   const pinned = vms.filter((vm) => vm.lastingTasks > 0).length;
-  return Math.max(
-    MINIMUM_VMS,
-    pinned,
-    Math.ceil(pool.needMillis / (cpuMillis * PLANNED_SHARE)),
+  const settled = Math.ceil(
+    Math.max(pool.usedVms, pool.expectedVms) / PLANNED_SHARE,
   );
+  // Tasks that wait have found no room on the VMs that are there, however full those are.
+  const surge = pool.waitingVms > 0
+    ? vms.length + Math.ceil(pool.waitingVms / PLANNED_SHARE)
+    : 0;
+  return Math.max(MINIMUM_VMS, pinned, settled, surge);
 }
 
 /**
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -52,3 +52,16 @@
   if (issues.length > 0) throw new ValidationError(source, issues);
   return schedulerSettingsSchema.parse(data);
 }
+
+/** Names of the top-level settings that differ. */
+export function listChangedSettings(
+  before: SchedulerSettings,
+  after: SchedulerSettings,
+): string[] {
+  const names = Object.keys(
+    schedulerSettingsSchema.shape,
+  ) as (keyof SchedulerSettings)[];
+  return names.filter((name) =>
+    JSON.stringify(before[name]) !== JSON.stringify(after[name])
+  );
+}
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -118,7 +118,7 @@
     readonly platform: (log: BufferedLog) => PlatformAdapters;
     readonly signals: StopSignals;
   },
-): SchedulerEntryParts & { readonly flushLog: () => void } {
+): SchedulerEntryParts & { readonly processLog: BufferedLog } {
   const parts = container.createChildContainer();
   const adapters = registerParts(parts, settings, options.platform);
   const log = parts.resolve(TOKENS.log);
@@ -139,6 +139,6 @@
     createCallerListener: (isStopping) =>
       adapters.callers.createListener({ ...resolved, isStopping }),
     droppedLogLines: log.droppedLines,
-    flushLog: log.flush,
+    processLog: log,
   };
 }
--- a/src/signals.ts
+++ b/src/signals.ts
@@ -27,6 +27,18 @@
   };
 }
 
+/** Calls back on SIGHUP, which asks for the settings to be read again, for the life of the current scope. */
+export function useReloadSignal(onReload: () => void): Operation<void> {
+  return resource(function* (provide) {
+    process.on("SIGHUP", onReload);
+    try {
+      yield* provide();
+    } finally {
+      process.off("SIGHUP", onReload);
+    }
+  });
+}
+
 /** Receives SIGTERM and SIGINT for the life of the current scope. */
 export function useProcessSignals(): Operation<StopSignals> {
   return resource(function* (provide) {
