fix(scheduler): a silent worker's leases have a known end

Cause: each call to a silent worker could have renewed its leases, so that their end moved on with every try and its tasks never ran elsewhere. Found by the new test "tasks of a worker that is cut off run elsewhere only after their lease", which never ended before. Calls to a worker that may not answer now grant nothing. Ruled out: the VM list, which says that a cut-off worker's VM is up.

--- /dev/null
+++ b/src/scheduler/ownership_faults_test.ts
@@ -0,0 +1,163 @@
+import assert from "node:assert/strict";
+import { setTimeout as delay } from "node:timers/promises";
+import { suite } from "uvu";
+import { chooseSeed, createRandom } from "../../testing/random.ts";
+import { SchedulerCluster } from "../../testing/scheduler_cluster.ts";
+import { waitFor } from "../../testing/wait.ts";
+
+const test = suite("ownership under faults");
+const seed = chooseSeed();
+
+const STEPS = [
+  { taskCount: 4, cpuMillis: 1_000, memoryMb: 500, estimatedMs: 60 },
+  {
+    taskCount: 3,
+    cpuMillis: 2_000,
+    memoryMb: 500,
+    estimatedMs: 80,
+    after: [0],
+  },
+];
+
+async function withCluster(
+  name: string,
+  body: (cluster: SchedulerCluster) => Promise<void>,
+): Promise<void> {
+  const random = createRandom(seed + name.length);
+  const cluster = new SchedulerCluster(random);
+  try {
+    for (let index = 0; index < 6; index++) cluster.addWorker(index);
+    for (let index = 0; index < 3; index++) cluster.startEntry();
+    await body(cluster);
+    assert.deepEqual(cluster.check.violations, [], `seed ${seed}`);
+  } finally {
+    await cluster.close();
+  }
+}
+
+// Guards against a job that is lost, or a task that runs twice, when the owner loses power between record and order.
+test("jobs end once while owners are killed one after the other", async () => {
+  await withCluster("kill", async (cluster) => {
+    const jobs: string[] = [];
+    for (let round = 0; round < 4; round++) {
+      await waitFor("an owner", () => cluster.owner() !== undefined);
+      for (let index = 0; index < 8; index++) {
+        jobs.push(await cluster.submit(STEPS));
+      }
+      await delay(cluster.random.below(120));
+      const owner = cluster.owner();
+      if (owner !== undefined) await cluster.killEntry(owner);
+      cluster.startEntry();
+    }
+    for (const job of jobs) await cluster.waitForStatus(job, "completed");
+  });
+});
+
+// Guards against orders that are carried out seconds later, after the task was placed elsewhere.
+test("late and unanswered orders never make a task run twice", async () => {
+  await withCluster("late orders", async (cluster) => {
+    cluster.workers.faults.lateShare = 0.08;
+    const jobs = await Promise.all(
+      Array.from({ length: 30 }, () => cluster.submit(STEPS)),
+    );
+    await delay(800);
+    const owner = cluster.owner();
+    if (owner !== undefined) await cluster.killEntry(owner);
+    cluster.startEntry();
+    await delay(1_500);
+    cluster.workers.faults.lateShare = 0;
+    for (const job of jobs) await cluster.waitForStatus(job, "completed");
+  });
+});
+
+// Guards against a commit that is carried out after a newer one, and against acceptances that are lost with an answer.
+test("lost and late answers of the store", async () => {
+  await withCluster("store answers", async (cluster) => {
+    cluster.store.faults.lostShare = 0.2;
+    cluster.store.faults.lateShare = 0.1;
+    const jobs = await Promise.all(
+      Array.from({ length: 20 }, () => cluster.submit(STEPS)),
+    );
+    await delay(1_000);
+    const owner = cluster.owner();
+    if (owner !== undefined) await cluster.killEntry(owner);
+    cluster.startEntry();
+    await delay(1_500);
+    cluster.store.faults.lostShare = 0;
+    cluster.store.faults.lateShare = 0;
+    for (const job of jobs) await cluster.waitForStatus(job, "completed");
+  });
+});
+
+// Guards against runs that lapse, or run twice, while the store is away and has ended the owner's lease.
+test("an outage of the store that ends all leases", async () => {
+  await withCluster("outage", async (cluster) => {
+    const lasting = await cluster.submit([
+      { taskCount: 2, cpuMillis: 1_000, longRunning: true },
+    ]);
+    await cluster.waitForStatus(lasting, "running");
+    const jobs = await Promise.all(
+      Array.from({ length: 10 }, () => cluster.submit(STEPS)),
+    );
+    cluster.store.faults.down = true;
+    await delay(2_500);
+    cluster.store.endAllLeases();
+    await delay(500);
+    cluster.store.faults.down = false;
+    cluster.store.forgetHistory();
+    for (const job of jobs) await cluster.waitForStatus(job, "completed");
+    const runs = [...cluster.workers.workers.values()].flatMap((worker) =>
+      [...worker.running.values()].filter(({ taskId }) =>
+        taskId.startsWith(lasting)
+      )
+    );
+    assert.deepEqual(runs.map(({ run }) => run), [1, 1]);
+  });
+});
+
+// Guards against an owner that goes on starting tasks while another entry has taken over.
+test("an owner that the store refuses is replaced, and its workers follow the new one", async () => {
+  await withCluster("refused owner", async (cluster) => {
+    await waitFor("an owner", () => cluster.owner() !== undefined);
+    const first = cluster.owner()!;
+    cluster.store.faults.refused.add(first.id);
+    await waitFor(
+      "another owner",
+      () =>
+        cluster.entries.some((entry) =>
+          entry !== first && entry.election.local() !== undefined
+        ),
+    );
+    const others = cluster.entries.filter((entry) => entry !== first);
+    cluster.entries.splice(0, cluster.entries.length, ...others, first);
+    const job = await cluster.submit(STEPS);
+    await cluster.waitForStatus(job, "completed");
+    await waitFor(
+      "the old owner to step down",
+      () => first.election.local() === undefined,
+    );
+  });
+});
+
+// Guards against a cut-off worker whose task is started elsewhere while it still runs there.
+test("tasks of a worker that is cut off run elsewhere only after their lease", async () => {
+  await withCluster("cut worker", async (cluster) => {
+    const job = await cluster.submit([
+      { taskCount: 6, cpuMillis: 4_000, estimatedMs: 3_000 },
+    ]);
+    await waitFor(
+      "tasks run",
+      () =>
+        [...cluster.workers.workers.values()].some(({ running }) =>
+          running.size > 0
+        ),
+    );
+    const cut = [...cluster.workers.workers.values()].find(({ running }) =>
+      running.size > 0
+    )!;
+    cluster.workers.faults.cut.add(cut.entry.workerId);
+    await cluster.waitForStatus(job, "completed");
+  });
+});
+
+test.run();
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -144,7 +144,8 @@
 
   function* holdOnce(): Operation<void> {
     const sentAtMs = clock.monotonicMs();
-    const leaseEndMs = nextLeaseEndMs();
+    // A worker that may not answer gets no further lease, so that the end of the last one stays known.
+    const leaseEndMs = failing ? undefined : nextLeaseEndMs();
     if (leaseEndMs !== undefined) noteLease();
     const waitMs = leaseEndMs === undefined
       ? 0
--- /dev/null
+++ b/testing/fake_record_store.ts
@@ -0,0 +1,226 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { StoreError } from "../src/errors.ts";
+import type {
+  ChangeOutcome,
+  RecordStore,
+  StoreChange,
+  StoredItem,
+  StoreEvent,
+} from "../src/scheduler/ports.ts";
+import { MAXIMUM_ENTRIES_PER_CHANGE } from "../src/scheduler/ports.ts";
+import type { Random } from "./random.ts";
+
+interface Item extends StoredItem {
+  readonly leaseId: number;
+}
+
+/** Faults of the store, changed while a test runs. */
+export interface StoreFaults {
+  /** Nobody is served. */
+  down: boolean;
+  /** Clients that get no answer. */
+  readonly refused: Set<string>;
+  /** Share of changes that are carried out without an answer. */
+  lostShare: number;
+  /** Share of changes that are carried out late, without an answer. */
+  lateShare: number;
+  /** Delay of a late change, in ms. */
+  lateMs: number;
+}
+
+/** Time of one answer, in ms. */
+const ANSWER_MS = 2;
+
+/** An in-memory store with the guarantees and the faults of the platform's. */
+export class FakeRecordStore {
+  readonly faults: StoreFaults = {
+    down: false,
+    refused: new Set(),
+    lostShare: 0,
+    lateShare: 0,
+    lateMs: 1_000,
+  };
+  readonly items = new Map<string, Item>();
+  #history: { revision: number; event: StoreEvent }[] = [];
+  #forgottenUpTo = 0;
+  #revision = 1;
+  #leases = new Map<number, { ttlMs: number; timer: NodeJS.Timeout }>();
+  #nextLease = 1;
+  #waiters = new Set<() => void>();
+  changes = 0;
+
+  constructor(readonly random: Random) {}
+
+  /** Drops the history, so that waiting watches must read everything again. */
+  forgetHistory(): void {
+    this.#history = [];
+    this.#forgottenUpTo = this.#revision;
+    this.#wake();
+  }
+
+  /** Writes as the operator or a worker does. */
+  write(key: string, value: string): void {
+    this.#put(key, value, 0, ++this.#revision);
+    this.#wake();
+  }
+
+  remove(key: string): void {
+    if (!this.items.has(key)) return;
+    this.#delete(key, ++this.#revision);
+    this.#wake();
+  }
+
+  /** Ends every lease, as an outage may. */
+  endAllLeases(): void {
+    for (const leaseId of [...this.#leases.keys()]) this.#endLease(leaseId);
+  }
+
+  close(): void {
+    for (const { timer } of this.#leases.values()) clearTimeout(timer);
+    this.#leases.clear();
+    this.#wake();
+  }
+
+  #wake(): void {
+    for (const waiter of [...this.#waiters]) waiter();
+  }
+
+  #put(key: string, value: string, leaseId: number, revision: number): void {
+    const item = { key, value, revision, leaseId };
+    this.items.set(key, item);
+    this.#history.push({ revision, event: { kind: "put", item } });
+  }
+
+  #delete(key: string, revision: number): void {
+    this.items.delete(key);
+    this.#history.push({ revision, event: { kind: "delete", key } });
+  }
+
+  #endLease(leaseId: number): void {
+    const lease = this.#leases.get(leaseId);
+    if (lease === undefined) return;
+    clearTimeout(lease.timer);
+    this.#leases.delete(leaseId);
+    for (const item of [...this.items.values()]) {
+      if (item.leaseId === leaseId) this.#delete(item.key, ++this.#revision);
+    }
+    this.#wake();
+  }
+
+  #startLease(leaseId: number, ttlMs: number): void {
+    const timer = setTimeout(() => this.#endLease(leaseId), ttlMs);
+    timer.unref();
+    this.#leases.set(leaseId, { ttlMs, timer });
+  }
+
+  #apply(change: StoreChange): ChangeOutcome {
+    this.changes++;
+    const items = change.conditions.map(({ key }) =>
+      this.items.get(key) ?? { key, value: "", revision: 0, leaseId: 0 }
+    );
+    const holds = change.conditions.every(({ revision }, index) =>
+      items[index]!.revision === revision
+    );
+    if (!holds) return { kind: "conflict", items };
+    for (const { leaseId } of change.puts) {
+      if (leaseId !== undefined && !this.#leases.has(leaseId)) {
+        return { kind: "lease_ended" };
+      }
+    }
+    const revision = ++this.#revision;
+    for (const { key, value, leaseId } of change.puts) {
+      this.#put(key, value, leaseId ?? 0, revision);
+    }
+    for (const key of change.deletes ?? []) {
+      if (this.items.has(key)) this.#delete(key, revision);
+    }
+    this.#wake();
+    return { kind: "committed", revision };
+  }
+
+  async #serve(clientId: string): Promise<void> {
+    await delay(ANSWER_MS);
+    if (this.faults.down || this.faults.refused.has(clientId)) {
+      throw new StoreError("unavailable", "The store is away");
+    }
+  }
+
+  /** The store as one entry reaches it. */
+  client(clientId: string): RecordStore {
+    const serve = () => this.#serve(clientId);
+    return {
+      get: async (key) => {
+        await serve();
+        return this.items.get(key);
+      },
+      list: async (prefix) => {
+        await serve();
+        const items = [...this.items.values()].filter(({ key }) =>
+          key.startsWith(prefix)
+        );
+        return { items, revision: this.#revision };
+      },
+      watch: async (prefix, { afterRevision, waitMs }) => {
+        await serve();
+        const endMs = performance.now() + waitMs;
+        for (;;) {
+          if (afterRevision < this.#forgottenUpTo) return { kind: "compacted" };
+          const events = this.#history.filter(({ revision, event }) =>
+            revision > afterRevision &&
+            (event.kind === "put" ? event.item.key : event.key)
+              .startsWith(prefix)
+          ).map(({ event }) => event);
+          const leftMs = endMs - performance.now();
+          if (events.length > 0 || leftMs <= 0) {
+            await serve();
+            return { kind: "events", events, revision: this.#revision };
+          }
+          await new Promise<void>((resolve) => {
+            const done = () => {
+              clearTimeout(timer);
+              this.#waiters.delete(done);
+              resolve();
+            };
+            const timer = setTimeout(done, leftMs);
+            this.#waiters.add(done);
+          });
+        }
+      },
+      change: async (change) => {
+        const entries = change.conditions.length + change.puts.length +
+          (change.deletes?.length ?? 0);
+        if (entries > MAXIMUM_ENTRIES_PER_CHANGE) {
+          throw new StoreError("rejected", `${entries} entries in one change`);
+        }
+        await serve();
+        if (this.random.next() < this.faults.lateShare) {
+          setTimeout(() => this.#apply(change), this.faults.lateMs).unref();
+          throw new StoreError("unknown_outcome", "No answer");
+        }
+        const outcome = this.#apply(change);
+        if (this.random.next() < this.faults.lostShare) {
+          throw new StoreError("unknown_outcome", "The answer was lost");
+        }
+        return outcome;
+      },
+      grantLease: async (ttlMs) => {
+        await serve();
+        const leaseId = this.#nextLease++;
+        this.#startLease(leaseId, ttlMs);
+        return { leaseId, ttlMs };
+      },
+      keepLease: async (leaseId) => {
+        await serve();
+        const lease = this.#leases.get(leaseId);
+        if (lease === undefined) return false;
+        clearTimeout(lease.timer);
+        this.#startLease(leaseId, lease.ttlMs);
+        return true;
+      },
+      endLease: async (leaseId) => {
+        await serve();
+        this.#endLease(leaseId);
+      },
+    };
+  }
+}
--- /dev/null
+++ b/testing/fake_task_workers.ts
@@ -0,0 +1,341 @@
+import { setTimeout as delay } from "node:timers/promises";
+import type {
+  EndedRow,
+  OrderOutcome,
+  RunEnding,
+  RunningRow,
+  StartOrder,
+  WorkerControl,
+  WorkerEntry,
+  WorkerReport,
+} from "../src/scheduler/ports.ts";
+import type { JobSpec } from "../src/scheduler/model.ts";
+import type { Random } from "./random.ts";
+
+interface Run {
+  readonly taskId: string;
+  readonly run: number;
+  readonly startedAtMs: number;
+  readonly durationMs: number;
+  readonly lasting: boolean;
+  readonly cpuMillis: number;
+  readonly memoryMb: number;
+}
+
+/** Faults of the workers, changed while a test runs. */
+export interface WorkerFaults {
+  /** Share of orders that are carried out late and get no answer. */
+  lateShare: number;
+  /** Longest delay of a late order, in ms. */
+  lateMs: number;
+  /** Share of runs that fail. */
+  failShare: number;
+  /** Workers that no order reaches. */
+  readonly cut: Set<string>;
+}
+
+/** Time of one answer, in ms. */
+const ANSWER_MS = 1;
+/** Longest lease that a worker grants, in ms. */
+const MAXIMUM_LEASE_MS = 10_000;
+
+/** One worker of the fake fleet. */
+export class FakeTaskWorker {
+  fence = 0;
+  readonly running = new Map<string, Run>();
+  ended: EndedRow[] = [];
+  leaseEndMs = 0;
+  alive = true;
+  #nextNumber = 1;
+  readonly highestRun = new Map<string, number>();
+  waiters = new Set<() => void>();
+
+  constructor(
+    readonly entry: WorkerEntry,
+    readonly clockOffsetMs: number,
+  ) {}
+
+  clockMs(): number {
+    return Math.floor(performance.now() + this.clockOffsetMs);
+  }
+
+  end(taskId: string, ending: RunEnding): void {
+    const run = this.running.get(taskId);
+    if (run === undefined) return;
+    this.running.delete(taskId);
+    this.ended.push({
+      number: this.#nextNumber++,
+      taskId,
+      run: run.run,
+      ending,
+      checkpoint: "",
+    });
+    for (const waiter of [...this.waiters]) waiter();
+  }
+}
+
+/** Checks what workers see against the promises made to callers. */
+export class RuleCheck {
+  readonly violations: string[] = [];
+  readonly specs = new Map<string, JobSpec>();
+  readonly acknowledgedDone = new Set<string>();
+  readonly done = new Set<string>();
+  readonly failures = new Map<string, number>();
+  /** When each cancellation was acknowledged, in monotonic ms. */
+  readonly cancelledAtMs = new Map<string, number>();
+  starts = 0;
+
+  report(rule: string, detail: string): void {
+    this.violations.push(`${rule}: ${detail}`);
+  }
+}
+
+/** A fleet of in-memory workers; every entry reaches it through its own client. */
+export class FakeTaskWorkers {
+  readonly faults: WorkerFaults = {
+    lateShare: 0,
+    lateMs: 2_000,
+    failShare: 0,
+    cut: new Set(),
+  };
+  readonly workers = new Map<string, FakeTaskWorker>();
+  readonly #timer: NodeJS.Timeout;
+
+  constructor(readonly random: Random, readonly check: RuleCheck) {
+    this.#timer = setInterval(() => this.#tick(), 10);
+    this.#timer.unref();
+  }
+
+  close(): void {
+    clearInterval(this.#timer);
+  }
+
+  add(entry: WorkerEntry): FakeTaskWorker {
+    const worker = new FakeTaskWorker(
+      entry,
+      Math.floor(this.random.next() * 1e6),
+    );
+    this.workers.set(entry.workerId, worker);
+    return worker;
+  }
+
+  #tick(): void {
+    for (const worker of this.workers.values()) {
+      if (!worker.alive) continue;
+      const lapsed = worker.clockMs() > worker.leaseEndMs;
+      for (const run of [...worker.running.values()]) {
+        if (lapsed) worker.end(run.taskId, "lapsed");
+        else if (
+          !run.lasting && performance.now() - run.startedAtMs > run.durationMs
+        ) {
+          const failed = this.random.next() < this.faults.failShare;
+          if (failed) {
+            this.check.failures.set(
+              run.taskId,
+              (this.check.failures.get(run.taskId) ?? 0) + 1,
+            );
+          } else this.check.done.add(run.taskId);
+          worker.end(run.taskId, failed ? "failed" : "done");
+        }
+      }
+    }
+  }
+
+  #checkStart(worker: FakeTaskWorker, order: StartOrder, run: Run): void {
+    const { check } = this;
+    check.starts++;
+    const [jobId, , step] = order.taskId.split(".");
+    const spec = check.specs.get(jobId!);
+    if (spec === undefined) {
+      return check.report("UNASKED", `${order.taskId} has no job`);
+    }
+    for (const other of this.workers.values()) {
+      if (other.alive && other.running.has(order.taskId)) {
+        check.report(
+          "TWICE",
+          `${order.taskId} run ${order.run} on ${worker.entry.workerId} runs on ${other.entry.workerId} too`,
+        );
+      }
+    }
+    if (check.acknowledgedDone.has(order.taskId)) {
+      check.report("TWICE", `${order.taskId} was done and acknowledged`);
+    }
+    for (const earlier of spec.steps[Number(step)]!.after) {
+      for (let index = 0; index < spec.steps[earlier]!.taskCount; index++) {
+        if (!check.done.has(`${jobId}.0.${earlier}.${index}`)) {
+          check.report("ORDER", `${order.taskId} before step ${earlier}`);
+        }
+      }
+    }
+    if ((check.failures.get(order.taskId) ?? 0) >= spec.maximumAttempts) {
+      check.report("BUDGET", `${order.taskId} after its last attempt`);
+    }
+    const { capacity } = worker.entry;
+    const used = [...worker.running.values(), run];
+    if (
+      used.reduce((sum, item) => sum + item.cpuMillis, 0) >
+        capacity.cpuMillis ||
+      used.reduce((sum, item) => sum + item.memoryMb, 0) > capacity.memoryMb
+    ) check.report("LIMIT", `${worker.entry.workerId} is over its capacity`);
+  }
+
+  #carryOut<T>(
+    workerId: string,
+    run: (worker: FakeTaskWorker) => OrderOutcome<T>,
+  ): Promise<OrderOutcome<T>> {
+    const worker = this.workers.get(workerId);
+    if (
+      worker === undefined || !worker.alive || this.faults.cut.has(workerId)
+    ) {
+      return delay(50, { kind: "unknown" as const });
+    }
+    if (this.random.next() < this.faults.lateShare) {
+      const lateMs = 200 + this.random.next() * this.faults.lateMs;
+      setTimeout(() => {
+        if (worker.alive) run(worker);
+      }, lateMs).unref();
+      return delay(100, { kind: "unknown" as const });
+    }
+    return delay(ANSWER_MS).then(() =>
+      worker.alive ? run(worker) : { kind: "unknown" }
+    );
+  }
+
+  #fenced(worker: FakeTaskWorker, fence: number): boolean {
+    if (fence < worker.fence) return true;
+    worker.fence = fence;
+    return false;
+  }
+
+  #extend(worker: FakeTaskWorker, leaseEndMs: number): void {
+    worker.leaseEndMs = Math.max(
+      worker.leaseEndMs,
+      Math.min(leaseEndMs, worker.clockMs() + MAXIMUM_LEASE_MS),
+    );
+  }
+
+  #start(worker: FakeTaskWorker, order: StartOrder): OrderOutcome {
+    if (this.#fenced(worker, order.fence)) {
+      return { kind: "refused", reason: "fenced" };
+    }
+    const present = worker.running.get(order.taskId);
+    if (present?.run === order.run) {
+      return { kind: "done", clockMs: worker.clockMs() };
+    }
+    if (order.run <= (worker.highestRun.get(order.taskId) ?? 0)) {
+      return { kind: "refused", reason: "superseded" };
+    }
+    if (order.leaseEndMs <= worker.clockMs()) {
+      return { kind: "refused", reason: "expired" };
+    }
+    const [jobId, , stepIndex] = order.taskId.split(".");
+    const step = this.check.specs.get(jobId!)?.steps[Number(stepIndex)];
+    const run: Run = {
+      taskId: order.taskId,
+      run: order.run,
+      startedAtMs: performance.now(),
+      durationMs: (step?.estimatedMs ?? 50) * (0.5 + this.random.next()),
+      lasting: step?.longRunning ?? false,
+      cpuMillis: step?.cpuMillis ?? 0,
+      memoryMb: step?.memoryMb ?? 0,
+    };
+    this.#checkStart(worker, order, run);
+    worker.running.set(order.taskId, run);
+    worker.highestRun.set(order.taskId, order.run);
+    this.#extend(worker, order.leaseEndMs);
+    return { kind: "done", clockMs: worker.clockMs() };
+  }
+
+  #report(worker: FakeTaskWorker, acknowledged: number): WorkerReport {
+    for (const { number, taskId, ending } of worker.ended) {
+      if (number <= acknowledged && ending === "done") {
+        this.check.acknowledgedDone.add(taskId);
+      }
+    }
+    worker.ended = worker.ended.filter(({ number }) => number > acknowledged);
+    const now = performance.now();
+    return {
+      clockMs: worker.clockMs(),
+      bornAtMs: worker.entry.bornAtMs,
+      running: [...worker.running.values()].map((run): RunningRow => ({
+        taskId: run.taskId,
+        run: run.run,
+        checkpoint: "",
+        percent: run.lasting
+          ? 100
+          : Math.min(99, 100 * (now - run.startedAtMs) / run.durationMs),
+        recentFigure: 0,
+      })),
+      ended: [...worker.ended],
+    };
+  }
+
+  /** The workers as an entry reaches them; `isUp` is false once the entry is dead. */
+  client(isUp: () => boolean): WorkerControl {
+    const guard = <T>(call: Promise<OrderOutcome<T>>) =>
+      call.then((outcome): OrderOutcome<T> =>
+        isUp() ? outcome : { kind: "unknown" }
+      );
+    const never: OrderOutcome<never> = { kind: "unknown" };
+    return {
+      start: ({ workerId }, order) =>
+        isUp()
+          ? guard(
+            this.#carryOut(workerId, (worker) => this.#start(worker, order)),
+          )
+          : Promise.resolve(never),
+      stop: ({ workerId }, { taskId, run, fence }) =>
+        isUp()
+          ? guard(this.#carryOut<{ clockMs: number }>(workerId, (worker) => {
+            if (this.#fenced(worker, fence)) {
+              return { kind: "refused", reason: "fenced" };
+            }
+            const present = worker.running.get(taskId);
+            worker.highestRun.set(
+              taskId,
+              Math.max(worker.highestRun.get(taskId) ?? 0, run),
+            );
+            if (present !== undefined && present.run <= run) {
+              worker.end(taskId, "stopped");
+            }
+            return { kind: "done", clockMs: worker.clockMs() };
+          }))
+          : Promise.resolve(never),
+      pace: () => Promise.resolve({ kind: "done", clockMs: 0 }),
+      hold: async (
+        { workerId },
+        { fence, acknowledged, leaseEndMs, waitMs },
+      ) => {
+        if (!isUp()) return delay(100, never);
+        const worker = this.workers.get(workerId);
+        const first = await guard(
+          this.#carryOut<WorkerReport>(workerId, (present) => {
+            if (this.#fenced(present, fence)) {
+              return { kind: "refused", reason: "fenced" };
+            }
+            if (leaseEndMs !== undefined) this.#extend(present, leaseEndMs);
+            return { kind: "done", ...this.#report(present, acknowledged) };
+          }),
+        );
+        if (
+          first.kind !== "done" || first.ended.length > 0 || waitMs === 0 ||
+          worker === undefined
+        ) return first;
+        await new Promise<void>((resolve) => {
+          const done = () => {
+            clearTimeout(timer);
+            worker.waiters.delete(done);
+            resolve();
+          };
+          const timer = setTimeout(done, waitMs);
+          worker.waiters.add(done);
+        });
+        if (!isUp() || !worker.alive || this.faults.cut.has(workerId)) {
+          return delay(50, never);
+        }
+        return { kind: "done", ...this.#report(worker, 0) };
+      },
+      forget() {},
+    };
+  }
+}
--- /dev/null
+++ b/testing/scheduler_cluster.ts
@@ -0,0 +1,216 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { run, type Task } from "effection";
+import { systemClock } from "../src/clock.ts";
+import { silentLogger } from "../src/logger.ts";
+import { createElection, type Election } from "../src/scheduler/election.ts";
+import { createFront, type Front } from "../src/scheduler/front.ts";
+import { type JobSpec, jobSpecSchema } from "../src/scheduler/model.ts";
+import type {
+  PlatformRecords,
+  QueueConfig,
+  SchedulerConfig,
+  VmEntry,
+  VmFleet,
+  WorkerEntry,
+} from "../src/scheduler/ports.ts";
+import { FakeRecordStore } from "./fake_record_store.ts";
+import { FakeTaskWorkers, RuleCheck } from "./fake_task_workers.ts";
+import type { Random } from "./random.ts";
+import { waitFor } from "./wait.ts";
+
+/** The queue that the cluster serves. */
+export const QUEUE: QueueConfig = {
+  name: "quotes",
+  host: "quotes.example",
+  pathPrefix: "/quotes/",
+  service: "quoting",
+  priority: 0,
+  maximumAttempts: 3,
+  stretch: 2,
+  targetDurationMs: 500,
+  needsAdvice: false,
+};
+
+const CONFIG: SchedulerConfig = {
+  version: 1,
+  queues: [QUEUE],
+  sparePools: [],
+  services: ["quoting"],
+  maximumBodyBytes: 100_000,
+};
+
+const records: PlatformRecords = {
+  operatorPrefix: "op/",
+  workerPrefix: "servers/",
+  readConfig: () => undefined,
+  readWave: () => undefined,
+  readWorker: (item) => JSON.parse(item.value) as WorkerEntry,
+  waveStatus: (wave, state) => ({ key: `status/wave/${wave}`, value: state }),
+};
+
+/** One entry of the cluster. */
+export interface ClusterEntry {
+  readonly id: string;
+  readonly election: Election;
+  readonly front: Front;
+  up: boolean;
+  task: Task<void>;
+}
+
+/** Several entries, a store and workers in one process, without a network. */
+export class SchedulerCluster {
+  readonly check = new RuleCheck();
+  readonly store: FakeRecordStore;
+  readonly workers: FakeTaskWorkers;
+  readonly entries: ClusterEntry[] = [];
+  #nextEntry = 1;
+  #nextJob = 1;
+
+  constructor(readonly random: Random) {
+    this.store = new FakeRecordStore(random);
+    this.workers = new FakeTaskWorkers(random, this.check);
+  }
+
+  addWorker(index: number, bornAtMs = 1): void {
+    const entry: WorkerEntry = {
+      workerId: `worker-${index}`,
+      vmId: `vm-${index}`,
+      service: QUEUE.service,
+      address: "",
+      dataCentre: "dc-1",
+      state: "ready",
+      capacity: { cpuMillis: 8_000, memoryMb: 16_000, gpuCount: 0 },
+      labels: [],
+      rack: `rack-${index % 3}`,
+      bornAtMs,
+      remainingMs: undefined,
+    };
+    this.workers.add(entry);
+    this.store.write(`servers/${entry.workerId}`, JSON.stringify(entry));
+  }
+
+  #fleet(): VmFleet {
+    return {
+      list: () =>
+        Promise.resolve(
+          [...this.workers.workers.values()].map((
+            { entry, alive },
+          ): VmEntry => ({
+            vmId: entry.vmId,
+            pool: entry.service,
+            state: alive ? "up" : "down",
+            dataCentre: entry.dataCentre,
+            rack: entry.rack,
+            capacity: entry.capacity,
+            workerId: alive ? entry.workerId : undefined,
+          })),
+        ),
+      move: () => Promise.resolve({ kind: "refused", reason: "busy" }),
+      maintain: () => Promise.resolve({ kind: "refused", reason: "busy" }),
+    };
+  }
+
+  startEntry(): ClusterEntry {
+    const id = `entry-${this.#nextEntry++}`;
+    const state = { up: true };
+    const isUp = () => state.up;
+    const store = this.store.client(id);
+    const election = createElection({
+      store,
+      records,
+      control: this.workers.client(isUp),
+      fleet: this.#fleet(),
+      advice: { ask: () => Promise.resolve(undefined) },
+      entryId: id,
+      self: { entryId: id, address: "127.0.0.1:1" },
+      seedPeers: [],
+      clock: systemClock,
+      log: silentLogger,
+      random: () => this.random.next(),
+      config: () => CONFIG,
+      waves: () => new Map(),
+      keepEndedMs: 60_000,
+      holderGapMs: 100,
+    });
+    const entry: ClusterEntry = {
+      id,
+      election,
+      front: createFront({
+        store,
+        clock: systemClock,
+        log: silentLogger,
+        config: () => CONFIG,
+        owner: () => election.client(),
+        onOwnerAnswer() {},
+      }),
+      get up() {
+        return state.up;
+      },
+      set up(value) {
+        state.up = value;
+      },
+      task: run(() => election.run()),
+    };
+    this.entries.push(entry);
+    return entry;
+  }
+
+  /** Ends an entry as a loss of power does: nothing of it reaches store or workers any more. */
+  async killEntry(entry: ClusterEntry): Promise<void> {
+    entry.up = false;
+    this.store.faults.refused.add(entry.id);
+    this.entries.splice(this.entries.indexOf(entry), 1);
+    await entry.task.halt();
+  }
+
+  owner(): ClusterEntry | undefined {
+    return this.entries.find(({ election }) => election.local() !== undefined);
+  }
+
+  /** Submits a job through an entry; returns its id once it is accepted. */
+  async submit(steps: Partial<JobSpec["steps"][number]>[]): Promise<string> {
+    const jobId = (this.#nextJob++).toString(16).padStart(16, "0");
+    const spec = jobSpecSchema.parse({
+      jobId,
+      queue: QUEUE.name,
+      service: QUEUE.service,
+      maximumAttempts: QUEUE.maximumAttempts,
+      specification: `work of ${jobId}`,
+      steps,
+      acceptedAtMs: Date.now(),
+    });
+    this.check.specs.set(jobId, spec);
+    for (;;) {
+      const entry = this.entries[this.random.below(this.entries.length)];
+      if (entry === undefined) {
+        await delay(20);
+        continue;
+      }
+      const answer = await entry.front.submit(QUEUE, spec, {
+        requestId: jobId,
+        deadlineMs: performance.now() + 2_000,
+      });
+      if (answer.kind === "accepted") return jobId;
+      await delay(20);
+    }
+  }
+
+  /** Waits until a job has a status; asks any entry. */
+  async waitForStatus(jobId: string, wanted: string): Promise<void> {
+    await waitFor(`job ${jobId} is ${wanted}`, async () => {
+      const entry = this.entries[0];
+      if (entry === undefined) return false;
+      const answer = await entry.front.status(jobId, {
+        requestId: "",
+        deadlineMs: performance.now() + 1_000,
+      });
+      return answer.kind === "status" && answer.status === wanted;
+    }, { timeoutMs: 40_000 });
+  }
+
+  async close(): Promise<void> {
+    for (const entry of [...this.entries]) await this.killEntry(entry);
+    this.workers.close();
+    this.store.close();
+  }
+}
