--- a/src/scheduler/fleet_manager.ts
+++ b/src/scheduler/fleet_manager.ts
@@ -406,13 +406,17 @@
   function demandOf(
     service: string,
     config: SchedulerConfig,
-  ): Pick<PlannedPool, "usedVms" | "waitingVms" | "expectedVms"> {
+  ): Pick<
+    PlannedPool,
+    "usedVms" | "waitingVms" | "longestWaitMs" | "expectedVms"
+  > {
     const capacity = usualCapacity(service);
     if (capacity === undefined) {
-      return { usedVms: 0, waitingVms: 0, expectedVms: 0 };
+      return { usedVms: 0, waitingVms: 0, longestWaitMs: 0, expectedVms: 0 };
     }
     const used = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
     const waiting = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
+    let longestWaitMs = 0;
     for (const life of scheduler.roster.lives.values()) {
       if (life.entry?.service !== service) continue;
       for (const task of life.tasks) addResources(used, stepOf(task), 1);
@@ -423,14 +427,24 @@
       if ((queue?.service ?? job.spec.service) !== service) continue;
       for (const occurrence of job.occurrences) {
         for (const tasks of listOpenSteps(job, occurrence)) {
-          const count = tasks.filter(({ phase }) => phase === "waiting").length;
-          if (count > 0) addResources(waiting, stepOf(tasks[0]!), count);
+          const open = tasks.filter(({ phase }) => phase === "waiting");
+          if (open.length > 0) {
+            addResources(waiting, stepOf(open[0]!), open.length);
+          }
+          for (const task of open) {
+            task.waitingSinceMs ??= clock.monotonicMs();
+            longestWaitMs = Math.max(
+              longestWaitMs,
+              clock.monotonicMs() - task.waitingSinceMs,
+            );
+          }
         }
       }
     }
     return {
       usedVms: shareOf(used, capacity),
       waitingVms: shareOf(waiting, capacity),
+      longestWaitMs,
       expectedVms: options.forecast.expectCores(service) * 1_000 /
         Math.max(1, capacity.cpuMillis),
     };
--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -51,6 +51,8 @@
   /** Monotonic time before which the task isn't placed again, in ms. */
   notBeforeMs: number;
   relocations: number;
+  /** Monotonic time at which the task was first seen to wait for room, in ms. */
+  waitingSinceMs?: number | undefined;
 }
 
 /** One occurrence of a job's steps; a job without a schedule has one. */
@@ -191,6 +193,7 @@
 export function releaseTask(task: TaskState): void {
   if (task.phase !== "placed") return;
   task.phase = "waiting";
+  task.waitingSinceMs = undefined;
   task.placement = undefined;
 }
 
--- a/src/scheduler/pool_plan.ts
+++ b/src/scheduler/pool_plan.ts
@@ -22,6 +22,8 @@
   readonly usedVms: number;
   /** Room that waiting tasks ask for, which no VM of the pool has now, in VMs. */
   readonly waitingVms: number;
+  /** Longest time for which a placeable task of the pool has waited, in ms. */
+  readonly longestWaitMs: number;
   /** Room that the work will take that is expected to arrive, in VMs. */
   readonly expectedVms: number;
   /** VMs that are on their way into the pool. */
@@ -39,23 +41,42 @@
 }
 
 /** Share of a VM's room that is planned with; tasks don't fill a VM exactly. */
-const PLANNED_SHARE = 0.85;
+const PLANNED_SHARE = 0.75;
+/** Weight of waiting tasks against placed ones: part of them finds room before a VM could come, about 2 s later. */
+const WAITING_WEIGHT = 0.7;
+/** Waiting time from which the pool gets a VM more than its work seems to need, in ms. */
+const STUCK_AFTER_MS = 1_200;
 /** Fewest VMs of a pool that serves: one may fail. */
 const MINIMUM_VMS = 2;
+/** Least part of an equal share of all VMs that a pool keeps, so that it can take the first jobs of its turn while more VMs come. */
+const KEPT_SHARE = 0.45;
 /** Time without tasks after which a surplus VM is turned off, in ms. Shorter, it would often be wanted back at once; each move costs more than a second of the VM. */
-const IDLE_BEFORE_OFF_MS = 2_000;
+const IDLE_BEFORE_OFF_MS = 3_000;
 
-function targetOf(pool: PlannedPool, vms: readonly PlannedVm[]): number {
+function targetOf(
+  pool: PlannedPool,
+  vms: readonly PlannedVm[],
+  equalShare: number,
+): number {
   if (pool.spare) return 0;
   const pinned = vms.filter((vm) => vm.lastingTasks > 0).length;
   const settled = Math.ceil(
     Math.max(pool.usedVms, pool.expectedVms) / PLANNED_SHARE,
   );
-  // Tasks that wait have found no room on the VMs that are there, however full those are.
-  const surge = pool.waitingVms > 0
-    ? vms.length + Math.ceil(pool.waitingVms / PLANNED_SHARE)
-    : 0;
-  return Math.max(MINIMUM_VMS, pinned, settled, surge);
+  // Room becomes free as tasks end; VMs are added for what would wait longer than that.
+  const surge = Math.ceil(
+    (pool.usedVms + pool.waitingVms * WAITING_WEIGHT) / PLANNED_SHARE,
+  );
+  // A task that has waited long fits on none of the VMs that are there, however much room they have together.
+  const stuck = pool.longestWaitMs > STUCK_AFTER_MS ? vms.length + 1 : 0;
+  return Math.max(
+    MINIMUM_VMS,
+    Math.ceil(equalShare * KEPT_SHARE),
+    pinned,
+    settled,
+    surge,
+    stuck,
+  );
 }
 
 /**
@@ -77,11 +98,13 @@
       allVms.filter((vm) => vm.pool === pool.name),
     ]),
   );
+  const serving = pools.filter(({ spare }) => !spare).length;
+  const equalShare = allVms.length / Math.max(1, serving);
   const missing = new Map<string, number>();
   const surplus = new Map<string, number>();
   for (const pool of pools) {
     const vms = vmsOf.get(pool.name)!;
-    const target = targetOf(pool, vms);
+    const target = targetOf(pool, vms, equalShare);
     targets[pool.name] = target;
     const present = vms.length + pool.arriving;
     if (pool.spare) continue;
--- /dev/null
+++ b/src/scheduler/pool_plan_test.ts
@@ -0,0 +1,132 @@
+import assert from "node:assert/strict";
+import process from "node:process";
+import { suite } from "uvu";
+import { createRandom } from "../../testing/random.ts";
+import { type ModelPolicy, playTurns } from "../../testing/turn_demand.ts";
+import { type PlannedPool, type PlannedVm, planPools } from "./pool_plan.ts";
+
+const test = suite("pool plan");
+
+const SEED = Number(process.env.SEED ?? 1);
+
+function play(policy: ModelPolicy, seed: number) {
+  const random = createRandom(seed);
+  return playTurns({
+    services: [
+      { name: "quoting", jobsPerSecond: 5, jobCores: 11, jobMs: 1_300, vms: 6 },
+      { name: "cutshop", jobsPerSecond: 1, jobCores: 24, jobMs: 2_600, vms: 6 },
+      { name: "survey", jobsPerSecond: 6, jobCores: 11, jobMs: 1_300, vms: 8 },
+      {
+        name: "dispatch",
+        jobsPerSecond: 1.2,
+        jobCores: 24,
+        jobMs: 2_600,
+        vms: 9,
+      },
+    ],
+    spareVms: 6,
+    vmCores: 32,
+    turnMs: 8_500,
+    lengthMs: 68_000,
+    allowedWaitMs: 1_000,
+    policy,
+    random: () => random.next(),
+  });
+}
+
+function pool(name: string, fields: Partial<PlannedPool> = {}): PlannedPool {
+  return {
+    name,
+    spare: false,
+    usedVms: 0,
+    waitingVms: 0,
+    longestWaitMs: 0,
+    expectedVms: 0,
+    arriving: 0,
+    ...fields,
+  };
+}
+
+function vm(
+  vmId: string,
+  poolName: string,
+  fields: Partial<PlannedVm> = {},
+): PlannedVm {
+  return {
+    vmId,
+    pool: poolName,
+    tasks: 0,
+    lastingTasks: 0,
+    idleMs: 0,
+    leaving: false,
+    movable: true,
+    ...fields,
+  };
+}
+
+// Guards against pools that are too small in their turn, or kept on outside it.
+test("demand by turns: fewer late jobs and fewer VM seconds than fixed pools and lending on a threshold", () => {
+  const total = { fixed: 0, threshold: 0, plan: 0 };
+  const seconds = { fixed: 0, threshold: 0, plan: 0 };
+  for (let round = 0; round < 4; round++) {
+    for (const policy of ["fixed", "threshold", "plan"] as const) {
+      const result = play(policy, SEED + round);
+      total[policy] += result.late / result.jobs;
+      seconds[policy] += result.vmSeconds;
+    }
+  }
+  assert.ok(total.plan < total.fixed / 2, JSON.stringify(total));
+  assert.ok(total.plan < total.threshold, JSON.stringify(total));
+  assert.ok(seconds.plan < seconds.fixed, JSON.stringify(seconds));
+});
+
+// Guards against a move that would end tasks.
+test("a VM with tasks is emptied first and never moved", () => {
+  const plan = planPools(
+    [pool("a", { usedVms: 3, waitingVms: 2 }), pool("b", { usedVms: 0.5 })],
+    [
+      vm("a1", "a", { tasks: 5 }),
+      ...[1, 2, 3, 4].map((index) => vm(`b${index}`, "b", { tasks: 1 })),
+    ],
+  );
+  assert.deepEqual(plan.moves, []);
+  assert.equal(plan.cordons.length, 2);
+});
+
+// Guards against stopping long-running tasks for a move.
+test("a VM with long-running tasks stays in its pool", () => {
+  const plan = planPools(
+    [pool("a", { waitingVms: 3 }), pool("b")],
+    [1, 2, 3, 4].map((index) =>
+      vm(`b${index}`, "b", { tasks: 1, lastingTasks: 1 })
+    ),
+  );
+  assert.deepEqual([plan.moves, plan.cordons], [[], []]);
+});
+
+// Guards against a task that waits for ever because the pool has room only in pieces.
+test("a task that waits long gets one more VM although the work would fit", () => {
+  const vms = [
+    vm("a1", "a", { tasks: 2 }),
+    vm("a2", "a", { tasks: 2 }),
+    vm("s1", "spare"),
+  ];
+  const few = pool("a", { usedVms: 1, waitingVms: 0.1 });
+  const spare = pool("spare", { spare: true });
+  assert.deepEqual(planPools([few, spare], vms).moves, []);
+  assert.deepEqual(
+    planPools([{ ...few, longestWaitMs: 2_000 }, spare], vms).moves,
+    [{ vmId: "s1", from: "spare", to: "a" }],
+  );
+});
+
+// Guards against paying for VMs that nobody needs, and against turning one off between two jobs.
+test("a surplus VM is turned off only after it has been idle for a while", () => {
+  const pools = [pool("a"), pool("spare", { spare: true })];
+  const vms = (idleMs: number) =>
+    [1, 2, 3].map((index) => vm(`a${index}`, "a", { idleMs }));
+  assert.equal(planPools(pools, vms(500)).moves.length, 0);
+  assert.equal(planPools(pools, vms(5_000)).moves.length, 1);
+});
+
+test.run();
--- /dev/null
+++ b/testing/turn_demand.ts
@@ -0,0 +1,236 @@
+import {
+  createDemandForecast,
+  type DemandForecast,
+} from "../src/scheduler/demand_forecast.ts";
+import {
+  type PlannedPool,
+  type PlannedVm,
+  planPools,
+} from "../src/scheduler/pool_plan.ts";
+
+/** Time step of the model, in ms. */
+const STEP_MS = 50;
+/** Interval of decisions, in ms. */
+const DECISION_MS = 200;
+/** Time from the order of a move to the first task on the VM, in ms. */
+const MOVE_MS = 1_900;
+
+/** Load of one service in the model. */
+export interface ModelService {
+  readonly name: string;
+  /** Mean number of jobs a second over a whole round of turns. */
+  readonly jobsPerSecond: number;
+  /** Processors that a job holds while it runs. */
+  readonly jobCores: number;
+  readonly jobMs: number;
+  readonly vms: number;
+}
+
+/** How VMs are divided among the pools. */
+export type ModelPolicy = "fixed" | "threshold" | "plan";
+
+/** What the callers and the operators of the model saw. */
+export interface ModelResult {
+  readonly jobs: number;
+  /** Jobs that waited longer for room than they were allowed to. */
+  readonly late: number;
+  readonly meanWaitMs: number;
+  readonly vmSeconds: number;
+  readonly moves: number;
+}
+
+interface Job {
+  readonly service: ModelService;
+  readonly arrivedMs: number;
+  endsMs: number;
+  vm: ModelVm | undefined;
+}
+
+interface ModelVm {
+  readonly id: string;
+  pool: string;
+  readonly cores: number;
+  used: number;
+  jobs: number;
+  leaving: boolean;
+  movingUntilMs: number;
+  idleSinceMs: number;
+}
+
+/** Rate of a service at a time: five times the mean in its turn, a twentieth otherwise. */
+function rateAt(
+  services: readonly ModelService[],
+  index: number,
+  timeMs: number,
+  turnMs: number,
+): number {
+  const round = turnMs * services.length;
+  const phase = ((timeMs - index * turnMs) % round + round) % round;
+  const mean = services[index]!.jobsPerSecond;
+  if (phase >= turnMs * 1.2) return mean * 0.05;
+  return mean * 5 * Math.sin(Math.PI * phase / (turnMs * 1.2)) ** 2;
+}
+
+/** Plays demand that comes by turns against pools of VMs; `random` returns numbers from 0 to 1. */
+export function playTurns(options: {
+  readonly services: readonly ModelService[];
+  readonly spareVms: number;
+  readonly vmCores: number;
+  readonly turnMs: number;
+  readonly lengthMs: number;
+  readonly allowedWaitMs: number;
+  readonly policy: ModelPolicy;
+  readonly random: () => number;
+}): ModelResult {
+  const { services, policy, random } = options;
+  let nowMs = 0;
+  const forecast: DemandForecast = createDemandForecast(() => nowMs);
+  const vms: ModelVm[] = [];
+  const addVms = (pool: string, count: number) => {
+    for (let index = 0; index < count; index++) {
+      vms.push({
+        id: `${pool}-${index}`,
+        pool,
+        cores: options.vmCores,
+        used: 0,
+        jobs: 0,
+        leaving: false,
+        movingUntilMs: 0,
+        idleSinceMs: 0,
+      });
+    }
+  };
+  for (const service of services) addVms(service.name, service.vms);
+  addVms("spare", options.spareVms);
+  let waiting: Job[] = [];
+  let running: Job[] = [];
+  const result = { jobs: 0, late: 0, waitMs: 0, vmMs: 0, moves: 0 };
+
+  function move(id: string, to: string): void {
+    const vm = vms.find((candidate) => candidate.id === id)!;
+    vm.pool = to;
+    vm.leaving = false;
+    vm.movingUntilMs = nowMs + MOVE_MS;
+    result.moves++;
+  }
+
+  function plan(): void {
+    const pools: PlannedPool[] = [
+      ...services.map(({ name }): PlannedPool => {
+        const own = waiting.filter((job) => job.service.name === name);
+        const cores = (jobs: readonly Job[]) =>
+          jobs.reduce((sum, job) => sum + job.service.jobCores, 0);
+        return {
+          name,
+          spare: false,
+          usedVms: cores(running.filter((job) => job.service.name === name)) /
+            options.vmCores,
+          waitingVms: cores(own) / options.vmCores,
+          longestWaitMs: Math.max(
+            0,
+            ...own.map((job) => nowMs - job.arrivedMs),
+          ),
+          expectedVms: forecast.expectCores(name) / options.vmCores,
+          arriving: vms.filter((vm) =>
+            vm.pool === name && vm.movingUntilMs > nowMs
+          ).length,
+        };
+      }),
+      {
+        name: "spare",
+        spare: true,
+        usedVms: 0,
+        waitingVms: 0,
+        longestWaitMs: 0,
+        expectedVms: 0,
+        arriving: 0,
+      },
+    ];
+    const described = vms.filter((vm) => vm.movingUntilMs <= nowMs).map((
+      vm,
+    ): PlannedVm => ({
+      vmId: vm.id,
+      pool: vm.pool,
+      tasks: vm.jobs,
+      lastingTasks: 0,
+      idleMs: nowMs - vm.idleSinceMs,
+      leaving: vm.leaving,
+      movable: true,
+    }));
+    const planned = planPools(pools, described);
+    for (const { vmId, to } of planned.moves) move(vmId, to);
+    for (const vm of vms) {
+      if (planned.cordons.includes(vm.id)) vm.leaving = true;
+      if (planned.releases.includes(vm.id)) vm.leaving = false;
+    }
+  }
+
+  /** Lends one idle VM to a pool that is nearly full: the rule that many fleets start with. */
+  function lendByThreshold(): void {
+    for (const { name } of services) {
+      const own = vms.filter((vm) => vm.pool === name);
+      const used = own.reduce((sum, vm) => sum + vm.used, 0);
+      if (used < own.length * options.vmCores * 0.8) continue;
+      const idle = vms.find((vm) =>
+        vm.pool !== name && vm.jobs === 0 && vm.movingUntilMs <= nowMs &&
+        vms.filter((other) => other.pool === vm.pool).length > 2
+      );
+      if (idle !== undefined) move(idle.id, name);
+    }
+  }
+
+  function startJobs(): void {
+    waiting = waiting.filter((job) => {
+      const vm = vms.filter((candidate) =>
+        candidate.pool === job.service.name && !candidate.leaving &&
+        candidate.movingUntilMs <= nowMs &&
+        candidate.cores - candidate.used >= job.service.jobCores
+      ).sort((a, b) =>
+        b.used - a.used
+      )[0];
+      if (vm === undefined) return true;
+      vm.used += job.service.jobCores;
+      vm.jobs++;
+      job.vm = vm;
+      job.endsMs = nowMs + job.service.jobMs;
+      const waitMs = nowMs - job.arrivedMs;
+      result.waitMs += waitMs;
+      if (waitMs > options.allowedWaitMs) result.late++;
+      running.push(job);
+      return false;
+    });
+  }
+
+  for (; nowMs < options.lengthMs; nowMs += STEP_MS) {
+    running = running.filter((job) => {
+      if (job.endsMs > nowMs) return true;
+      job.vm!.used -= job.service.jobCores;
+      job.vm!.jobs--;
+      if (job.vm!.jobs === 0) job.vm!.idleSinceMs = nowMs;
+      return false;
+    });
+    services.forEach((service, index) => {
+      const expected = rateAt(services, index, nowMs, options.turnMs) *
+        STEP_MS / 1_000;
+      if (random() >= expected) return;
+      result.jobs++;
+      forecast.record(service.name, service.jobCores * service.jobMs);
+      waiting.push({ service, arrivedMs: nowMs, endsMs: 0, vm: undefined });
+    });
+    startJobs();
+    if (nowMs % DECISION_MS === 0) {
+      if (policy === "plan") plan();
+      else if (policy === "threshold") lendByThreshold();
+    }
+    result.vmMs += vms.filter((vm) => vm.pool !== "spare").length * STEP_MS;
+  }
+  // What still waits at the end is late as well.
+  result.late += waiting.length;
+  return {
+    jobs: result.jobs,
+    late: result.late,
+    meanWaitMs: result.waitMs / Math.max(1, result.jobs),
+    vmSeconds: result.vmMs / 1_000,
+    moves: result.moves,
+  };
+}
