--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -8,7 +8,7 @@
 const FILE_TIMEOUT_MS = 300_000;
 // Random tests give the same verdict in every run; `SEED=new` draws other seeds.
 const DEFAULT_SEED = "1533078834";
-const ROOTS = ["src", "testing", "bench"];
+const ROOTS = ["src", "platform", "testing", "bench"];
 
 function findTests(folder) {
   if (!existsSync(folder)) return [];
--- /dev/null
+++ b/src/scheduler/demand_forecast_test.ts
@@ -0,0 +1,47 @@
+import assert from "node:assert/strict";
+import { suite } from "uvu";
+import { createDemandForecast, extendTrend } from "./demand_forecast.ts";
+
+const test = suite("demand forecast");
+
+// Guards against VMs that come only when a turn is at its peak.
+test("the start of a turn: a rising rate is extended over the lead time", () => {
+  assert.ok(extendTrend(2, 10) > 25);
+  assert.ok(extendTrend(0, 5) > 15);
+});
+
+// Guards against VMs that are turned on for chance.
+test("an even rate is not extended by chance differences", () => {
+  assert.equal(extendTrend(10, 11), 11);
+  assert.equal(extendTrend(11, 10), 10);
+});
+
+// Guards against VMs that stay on after a turn.
+test("the end of a turn: a falling rate is taken down, never below zero", () => {
+  assert.ok(extendTrend(20, 10) < 5);
+  assert.equal(extendTrend(40, 2), 0);
+});
+
+// Guards against a forecast in other units than the pools' room.
+test("the rate is weighed with the mean work of a job", () => {
+  let nowMs = 10_000;
+  const forecast = createDemandForecast(() => nowMs);
+  for (let index = 0; index < 40; index++) {
+    forecast.record("quoting", 5_000);
+    nowMs += 50;
+  }
+  // 20 jobs a second of 5 core-seconds each.
+  const cores = forecast.expectCores("quoting");
+  assert.ok(cores > 80 && cores < 130, `${cores}`);
+  nowMs += 5_000;
+  assert.equal(forecast.expectCores("quoting"), 0);
+});
+
+// Guards against pools that grow for jobs whose tasks never end.
+test("jobs of long-running tasks don't count", () => {
+  const forecast = createDemandForecast(() => 1_000);
+  forecast.record("quoting", 0);
+  assert.equal(forecast.expectCores("quoting"), 0);
+});
+
+test.run();
--- /dev/null
+++ b/src/scheduler/explain_log_test.ts
@@ -0,0 +1,39 @@
+import assert from "node:assert/strict";
+import { suite } from "uvu";
+import { explainRequest, formatStory, parseLogLines } from "./explain_log.ts";
+
+const test = suite("explain");
+
+const LOG = `
+   1.2 entry-2 {"time":120,"process":"entry-2","msg":"owner: tasks placed","job":"aa","step":"aa.0.0","count":1,"workers":["w1"]}
+{"time":100,"process":"entry-1","msg":"front: job accepted","request":"q1","job":"aa"}
+{"time":130,"process":"entry-1","msg":"front: job accepted","request":"q2","job":"bb"}
+not a line of ours
+{"time":150,"process":"entry-2","msg":"owner: run ended","task":"aa.0.0.0","worker":"w1","ending":"failed"}
+{"time":151,"process":"entry-2","msg":"owner: worker fails tasks of different jobs and gets no new ones","worker":"w1"}
+{"time":170,"process":"entry-2","msg":"owner: job reached its final status","job":"aa","status":"failed"}
+`;
+
+// Guards against a story that leaves out what another process, or the worker, did.
+test("the lines of all processes are joined in the order of time", () => {
+  const story = explainRequest("q1", parseLogLines(LOG));
+  assert.deepEqual(story.jobs, ["aa"]);
+  assert.deepEqual(story.lines.map(({ time }) => time), [
+    100,
+    120,
+    150,
+    151,
+    170,
+  ]);
+  assert.deepEqual(story.missing, []);
+  assert.match(formatStory(story), /20 ms {2}entry-2 {2}owner: tasks placed/);
+});
+
+// Guards against a story that looks whole although logs are missing.
+test("what the logs don't hold is said", () => {
+  const story = explainRequest("q2", parseLogLines(LOG));
+  assert.equal(story.missing.length, 2);
+  assert.equal(explainRequest("q9", parseLogLines(LOG)).missing.length, 1);
+});
+
+test.run();
--- /dev/null
+++ b/src/scheduler/job_order_test.ts
@@ -0,0 +1,95 @@
+import assert from "node:assert/strict";
+import { suite } from "uvu";
+import { createDurations } from "./durations.ts";
+import { compareContenders, createContender } from "./job_order.ts";
+import { createJobState, openDueOccurrences } from "./job_state.ts";
+import { jobSpecSchema } from "./model.ts";
+import type { QueueConfig } from "./ports.ts";
+
+const test = suite("job order");
+
+const queue: QueueConfig = {
+  name: "quotes",
+  host: "",
+  pathPrefix: "/",
+  service: "quoting",
+  priority: 0,
+  maximumAttempts: 3,
+  stretch: 1.6,
+  targetDurationMs: 600,
+  needsAdvice: false,
+};
+
+function contender(
+  options: { ageMs: number; taskCount?: number; lasting?: boolean },
+  priority = 0,
+) {
+  const wallMs = 1_000_000;
+  const job = createJobState(jobSpecSchema.parse({
+    jobId: "0123456789abcdef",
+    queue: "quotes",
+    service: "quoting",
+    maximumAttempts: 3,
+    specification: "",
+    steps: [{
+      taskCount: options.taskCount ?? 1,
+      cpuMillis: 1_000,
+      estimatedMs: 1_000,
+      longRunning: options.lasting ?? false,
+    }],
+    acceptedAtMs: wallMs - options.ageMs,
+  }));
+  openDueOccurrences(job, wallMs);
+  return createContender(job, job.occurrences[0]!, {
+    wallMs,
+    durations: createDurations(),
+    queue: { ...queue, priority },
+  });
+}
+
+// Guards against a surge in which every job is late because each waits behind one that is late already.
+test("surge: jobs that can still be on time go before late ones", () => {
+  const late = contender({ ageMs: 2_000 });
+  const fresh = contender({ ageMs: 100 });
+  assert.equal(late.prospect, "late");
+  assert.equal(fresh.prospect, "on_time");
+  assert.ok(compareContenders(fresh, late) < 0);
+});
+
+// Guards against an order of arrival that lets a job miss its objective while another has time left.
+test("surge: of two jobs on time the one that must start first goes first", () => {
+  assert.ok(
+    compareContenders(contender({ ageMs: 900 }), contender({ ageMs: 100 })) < 0,
+  );
+});
+
+// Guards against one big late job that makes many small ones useless as well.
+test("surge: of late jobs the one with the least work goes first", () => {
+  const big = contender({ ageMs: 3_000, taskCount: 20 });
+  const small = contender({ ageMs: 2_000, taskCount: 2 });
+  assert.deepEqual([big.prospect, small.prospect], ["late", "late"]);
+  assert.ok(compareContenders(small, big) < 0);
+});
+
+// Guards against starvation: what is overdue is still done, the oldest first.
+test("overdue jobs come last, by age", () => {
+  const old = contender({ ageMs: 60_000 });
+  const older = contender({ ageMs: 90_000 });
+  assert.equal(old.prospect, "overdue");
+  assert.ok(compareContenders(older, old) < 0);
+  assert.ok(compareContenders(contender({ ageMs: 3_000 }), older) < 0);
+});
+
+// Guards against batch work that keeps serving tasks away.
+test("long-running tasks and then priority decide before prospects", () => {
+  const lasting = contender({ ageMs: 0, lasting: true });
+  assert.ok(compareContenders(lasting, contender({ ageMs: 500 })) < 0);
+  assert.ok(
+    compareContenders(
+      contender({ ageMs: 3_000 }, 0),
+      contender({ ageMs: 0 }, 1),
+    ) < 0,
+  );
+});
+
+test.run();
--- /dev/null
+++ b/src/scheduler/job_state_test.ts
@@ -0,0 +1,143 @@
+import assert from "node:assert/strict";
+import process from "node:process";
+import fc from "fast-check";
+import { suite } from "uvu";
+import {
+  createJobState,
+  encodeProgress,
+  finishTask,
+  type JobState,
+  listOpenSteps,
+  openDueOccurrences,
+  restoreJob,
+} from "./job_state.ts";
+import { type JobSpec, jobSpecSchema } from "./model.ts";
+
+const test = suite("job state");
+const seed = Number(process.env.SEED ?? 1);
+
+function spec(fields: Partial<JobSpec> = {}): JobSpec {
+  return jobSpecSchema.parse({
+    jobId: "0123456789abcdef",
+    queue: "quotes",
+    service: "quoting",
+    maximumAttempts: 3,
+    specification: "",
+    steps: [
+      { taskCount: 3, cpuMillis: 100 },
+      { taskCount: 2, cpuMillis: 100, after: [0] },
+      { taskCount: 1, cpuMillis: 100 },
+    ],
+    acceptedAtMs: 1_000,
+    ...fields,
+  });
+}
+
+function describe(job: JobState) {
+  return {
+    status: job.status,
+    occurrences: job.occurrences.map(({ remaining, steps }) => ({
+      remaining,
+      tasks: steps.flat().map((task) => [
+        task.taskId,
+        task.phase,
+        task.phase === "done" ? 0 : task.run,
+        task.phase === "done" ? 0 : task.failures,
+        task.placement?.workerId,
+        task.placement?.bornAtMs,
+      ]),
+    })),
+  };
+}
+
+// Guards against an owner that takes over less than its predecessor recorded.
+test("what is recorded is what a new owner restores, for any history", () => {
+  fc.assert(
+    fc.property(
+      fc.array(
+        fc.record({
+          index: fc.nat(5),
+          event: fc.constantFrom("place", "done", "fail"),
+        }),
+        { maxLength: 40 },
+      ),
+      (events) => {
+        const job = createJobState(spec());
+        openDueOccurrences(job, 2_000);
+        const tasks = job.occurrences[0]!.steps.flat();
+        for (const { index, event } of events) {
+          const task = tasks[index]!;
+          if (task.phase === "done") continue;
+          if (event === "place" && task.phase === "waiting") {
+            task.phase = "placed";
+            task.run++;
+            task.placement = {
+              workerId: `w${index}`,
+              bornAtMs: 7,
+              vmId: "vm",
+              run: task.run,
+              order: "running",
+              stopReason: undefined,
+              placedAtMs: 0,
+              confirmedAtMs: undefined,
+              stopConfirmedAtMs: undefined,
+              percent: 0,
+              reportedAtMs: undefined,
+              recentFigure: 0,
+            };
+          } else if (event === "done" && task.phase === "placed") {
+            finishTask(task);
+          } else if (event === "fail" && task.phase === "placed") {
+            task.failures++;
+            task.phase = "waiting";
+            task.placement = undefined;
+          }
+        }
+        if (job.status !== "active") return;
+        const restored = restoreJob(spec(), encodeProgress(job, 0), 0);
+        assert.deepEqual(describe(restored), describe(job));
+      },
+    ),
+    { seed, numRuns: 300 },
+  );
+});
+
+// Guards against a step that starts before the work it builds on.
+test("a step is open once every earlier step that it names is done", () => {
+  const job = createJobState(spec());
+  openDueOccurrences(job, 2_000);
+  const occurrence = job.occurrences[0]!;
+  const open = () =>
+    listOpenSteps(job, occurrence).map((tasks) => tasks[0]!.stepIndex);
+  assert.deepEqual(open(), [0, 2]);
+  for (const task of occurrence.steps[0]!) finishTask(task);
+  assert.deepEqual(open(), [1, 2]);
+});
+
+// Guards against a job that is shown as completed while a task hasn't ended.
+test("a job is completed with its last task, once", () => {
+  const job = createJobState(spec());
+  openDueOccurrences(job, 2_000);
+  const tasks = job.occurrences[0]!.steps.flat();
+  for (const task of tasks.slice(1)) finishTask(task);
+  finishTask(tasks[1]!);
+  assert.equal(job.status, "active");
+  finishTask(tasks[0]!);
+  assert.equal(job.status, "completed");
+});
+
+// Guards against occurrences that start early, or that a late owner forgets.
+test("occurrences open when they are due, several at once after a pause", () => {
+  const job = createJobState(
+    spec({ repeatCount: 4, firstRunMs: 5_000, intervalMs: 1_000 }),
+  );
+  assert.equal(openDueOccurrences(job, 4_999), false);
+  openDueOccurrences(job, 5_000);
+  assert.equal(job.occurrences.length, 1);
+  openDueOccurrences(job, 7_500);
+  assert.equal(job.occurrences.length, 3);
+  openDueOccurrences(job, 60_000);
+  assert.equal(job.occurrences.length, 4);
+});
+
+test.run();
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -140,7 +140,7 @@
   options: PlannerOptions,
   config: SchedulerConfig | undefined,
 ): number {
-  const { scheduler, tickets, clock } = options;
+  const { scheduler, tickets, clock, log } = options;
   const services = collectRooms(options);
   const nowMs = clock.monotonicMs();
   let placed = 0;
@@ -208,14 +208,46 @@
     }
   }
 
+  /** One line for all tasks of a step that found room in this round. */
+  function logPlacement(
+    contender: Contender,
+    tasks: readonly TaskState[],
+    count: number,
+    service: ServiceRooms,
+  ): void {
+    const { spec } = contender.job;
+    log.info("tasks placed", {
+      job: spec.jobId,
+      queue: spec.queue,
+      step: stepId(tasks[0]!),
+      count,
+      waiting: tasks.filter(({ phase }) => phase === "waiting").length,
+      ageMs: clock.wallMs() - contender.occurrence.dueAtMs,
+      prospect: contender.prospect,
+      usableWorkers: service.rooms.length,
+      workers: [
+        ...new Set(
+          tasks.flatMap(({ placement }) =>
+            placement?.order === "unrecorded" ? [placement.workerId] : []
+          ),
+        ),
+      ],
+    });
+  }
+
   for (const [name, contenders] of collectContenders(options, config)) {
     const service = services.get(name);
     if (service === undefined) continue;
     contenders.sort(compareContenders);
-    for (const { job, occurrence } of contenders) {
+    for (const contender of contenders) {
+      const { job, occurrence } = contender;
       const { needsAdvice } = queueOf(config, job.spec);
       for (const tasks of listOpenSteps(job, occurrence)) {
+        const before = placed;
         placeStep(tasks, service, needsAdvice);
+        if (placed > before) {
+          logPlacement(contender, tasks, placed - before, service);
+        }
       }
     }
   }
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -221,11 +221,13 @@
     if (row.checkpoint !== "") task.checkpoint = row.checkpoint;
     const isCurrent = task.placement?.run === row.run &&
       life.tasks.has(task);
-    log.debug("run ended", {
+    // The end of a job's last task has a line of its own.
+    log[row.ending === "done" ? "debug" : "info"]("run ended", {
       task: row.taskId,
       run: row.run,
       ending: row.ending,
       worker: life.workerId,
+      failures: task.failures,
     });
     switch (row.ending) {
       case "done":
--- /dev/null
+++ b/src/scheduler/stalled_tasks_test.ts
@@ -0,0 +1,69 @@
+import assert from "node:assert/strict";
+import { suite } from "uvu";
+import { silentLogger } from "../logger.ts";
+import { createDurations } from "./durations.ts";
+import { createJobState, openDueOccurrences } from "./job_state.ts";
+import { jobSpecSchema } from "./model.ts";
+import type { Scheduler } from "./scheduler.ts";
+import { relocateStalledTasks, remainingMs } from "./stalled_tasks.ts";
+import { createWorkerHealth } from "./worker_health.ts";
+
+const test = suite("stalled tasks");
+
+function play(percent: number, reportedAtMs: number): string[] {
+  const job = createJobState(jobSpecSchema.parse({
+    jobId: "0123456789abcdef",
+    queue: "quotes",
+    service: "quoting",
+    maximumAttempts: 3,
+    specification: "",
+    steps: [{ taskCount: 1, cpuMillis: 100, estimatedMs: 1_000 }],
+    acceptedAtMs: 0,
+  }));
+  openDueOccurrences(job, 0);
+  const task = job.occurrences[0]!.steps[0]![0]!;
+  task.phase = "placed";
+  task.placement = {
+    workerId: "w1",
+    bornAtMs: 1,
+    vmId: "vm-1",
+    run: 1,
+    order: "running",
+    stopReason: undefined,
+    placedAtMs: 0,
+    confirmedAtMs: 0,
+    stopConfirmedAtMs: undefined,
+    percent,
+    reportedAtMs,
+    recentFigure: 0,
+  };
+  const stopped: string[] = [];
+  const scheduler = {
+    jobs: new Map([["job", job]]),
+    durations: createDurations(),
+    health: createWorkerHealth(() => 0),
+    counters: { relocations: 0 },
+    stop: (_task: unknown, reason: string) => stopped.push(reason),
+  } as unknown as Scheduler;
+  relocateStalledTasks(scheduler, silentLogger);
+  relocateStalledTasks(scheduler, silentLogger);
+  return stopped;
+}
+
+// Guards against a task that stands still until its caller has left.
+test("a task that stands still is moved, once", () => {
+  assert.equal(play(0, 1_500).length, 1);
+});
+
+// Guards against moving a sound task because the worker's last report is old.
+test("progress is judged at the time of the report", () => {
+  assert.equal(play(40, 500).length, 0);
+});
+
+// Guards against throwing away work that would soon have ended.
+test("a task that is only a little slow goes on", () => {
+  assert.equal(play(45, 1_000).length, 0);
+  assert.equal(Math.round(remainingMs(1_000, 50)), 1_000);
+});
+
+test.run();
--- /dev/null
+++ b/src/scheduler/wave_plan_test.ts
@@ -0,0 +1,65 @@
+import assert from "node:assert/strict";
+import { suite } from "uvu";
+import { planWave, type WaveVm } from "./wave_plan.ts";
+
+const test = suite("wave plan");
+
+function vm(vmId: string, fields: Partial<WaveVm> = {}): WaveVm {
+  return {
+    vmId,
+    orderable: true,
+    cordoned: false,
+    cordonedMs: 0,
+    batchTasks: 0,
+    budgetsHold: true,
+    ...fields,
+  };
+}
+
+// Guards against more VMs down at once than the operators allow.
+test("idle VMs are maintained at once, up to the limit with those that are down", () => {
+  const vms = [1, 2, 3, 4].map((index) => vm(`vm-${index}`));
+  const step = planWave(vms, { down: 1, maximumDown: 3, timeLeftMs: 20_000 });
+  assert.deepEqual(step.maintain, ["vm-1", "vm-2"]);
+  assert.deepEqual(
+    planWave(vms, { down: 3, maximumDown: 3, timeLeftMs: 20_000 }).maintain,
+    [],
+  );
+});
+
+// Guards against work that is thrown away although there is time to let it end.
+test("busy VMs are emptied first, as few at a time as the deadline allows", () => {
+  const vms = Array.from(
+    { length: 8 },
+    (_, index) => vm(`vm-${index}`, { batchTasks: index + 1 }),
+  );
+  const early = planWave(vms, { down: 0, maximumDown: 8, timeLeftMs: 25_000 });
+  assert.deepEqual(early.maintain, []);
+  assert.equal(early.cordon.length, 3);
+  assert.equal(early.cordon[0], "vm-0");
+  const late = planWave(vms, { down: 0, maximumDown: 8, timeLeftMs: 6_000 });
+  assert.equal(late.cordon.length, 8);
+});
+
+// Guards against a late wave because of one task that doesn't end.
+test("a VM that doesn't get empty is maintained after a while", () => {
+  const busy = vm("vm-1", { batchTasks: 1, cordoned: true, cordonedMs: 1_000 });
+  const left = { down: 0, maximumDown: 2, timeLeftMs: 10_000 };
+  assert.deepEqual(planWave([busy], left).maintain, []);
+  assert.deepEqual(
+    planWave([{ ...busy, cordonedMs: 5_000 }], left).maintain,
+    ["vm-1"],
+  );
+});
+
+// Guards against a step of which more tasks are away than it may miss.
+test("a VM waits while a step's budget doesn't hold", () => {
+  const step = planWave([vm("vm-1", { budgetsHold: false })], {
+    down: 0,
+    maximumDown: 2,
+    timeLeftMs: 10_000,
+  });
+  assert.deepEqual(step.maintain, []);
+});
+
+test.run();
--- /dev/null
+++ b/src/scheduler/worker_health_test.ts
@@ -0,0 +1,54 @@
+import assert from "node:assert/strict";
+import { suite } from "uvu";
+import { createWorkerHealth } from "./worker_health.ts";
+
+const test = suite("worker health");
+
+function createHealth() {
+  const time = { nowMs: 0 };
+  return { time, health: createWorkerHealth(() => time.nowMs) };
+}
+
+// Guards against a worker that fails all it starts and so uses up the attempts of many jobs.
+test("two failures in a row of different jobs close a worker for a growing time", () => {
+  const { time, health } = createHealth();
+  const fail = (jobId: string) =>
+    health.recordEnd("w1", { ending: "failed", jobId });
+  assert.equal(fail("job-1"), false);
+  assert.equal(fail("job-2"), true);
+  assert.equal(health.isOpen("w1"), false);
+  time.nowMs = 3_001;
+  assert.equal(health.isOpen("w1"), true);
+  assert.equal(fail("job-3"), true);
+  time.nowMs += 4_000;
+  assert.equal(health.isOpen("w1"), false);
+});
+
+// Guards against a sound worker that is closed because of one job that always fails.
+test("failures of one job don't close a worker", () => {
+  const { health } = createHealth();
+  for (let index = 0; index < 5; index++) {
+    health.recordEnd("w1", { ending: "failed", jobId: "job-1" });
+  }
+  assert.equal(health.isOpen("w1"), true);
+});
+
+// Guards against a worker that stays closed, or almost closed, after it has recovered.
+test("a task that ends well clears the failures", () => {
+  const { health } = createHealth();
+  health.recordEnd("w1", { ending: "failed", jobId: "job-1" });
+  health.recordEnd("w1", { ending: "done", jobId: "job-2" });
+  health.recordEnd("w1", { ending: "failed", jobId: "job-3" });
+  assert.equal(health.isOpen("w1"), true);
+});
+
+// Guards against slow workers that are used as if they were not, and against old slowness that is never forgotten.
+test("slowness follows the latest tasks and fades", () => {
+  const { time, health } = createHealth();
+  for (let index = 0; index < 4; index++) health.recordRatio("w1", 6);
+  assert.ok(health.slowness("w1") > 3);
+  time.nowMs = 20_000;
+  assert.ok(health.slowness("w1") < 1.2);
+});
+
+test.run();
--- /dev/null
+++ b/testing/scripted_http_server.ts
@@ -0,0 +1,62 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** One request that the server got. */
+export interface ScriptedRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: unknown;
+}
+
+/** What the server does with a request; `silent` never answers, `reset` closes the connection. */
+export type ScriptedAnswer =
+  | { readonly status: number; readonly body?: unknown }
+  | "silent"
+  | "reset";
+
+/** An HTTP server that answers as a test says and remembers the requests. */
+export interface ScriptedServer {
+  readonly address: string;
+  readonly requests: ScriptedRequest[];
+  answer: (request: ScriptedRequest) => ScriptedAnswer;
+  close(): Promise<void>;
+}
+
+/** Starts a scripted server on a port that the system chooses. */
+export async function startScriptedServer(): Promise<ScriptedServer> {
+  const scripted = {
+    address: "",
+    requests: [] as ScriptedRequest[],
+    answer: (_: ScriptedRequest): ScriptedAnswer => ({ status: 200 }),
+    close: () => Promise.resolve(),
+  };
+  const server = createServer((request, response) => {
+    let text = "";
+    request.on("data", (chunk) => text += chunk);
+    request.on("end", () => {
+      const received: ScriptedRequest = {
+        method: request.method ?? "",
+        path: request.url ?? "",
+        headers: request.headers,
+        body: text === "" ? undefined : JSON.parse(text),
+      };
+      scripted.requests.push(received);
+      const answer = scripted.answer(received);
+      if (answer === "silent") return;
+      if (answer === "reset") return request.socket.destroy();
+      response.writeHead(answer.status, { "content-type": "application/json" });
+      response.end(JSON.stringify(answer.body ?? {}));
+    });
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  scripted.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  scripted.close = () =>
+    new Promise((resolve) => {
+      server.close(() => resolve());
+      server.closeAllConnections();
+    });
+  return scripted;
+}
