--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -25,6 +25,10 @@
 const WATCH_WAIT_MS = 1_800;
 /** Longest random delay before an entry tries to become the owner, in ms, so that not all write at once. */
 const MAXIMUM_JITTER_MS = 40;
+/** Delay of an entry that has given ownership up, in ms, so that another one takes it if there is any. */
+const RESIGNED_DELAY_MS = 600;
+/** Time for which that entry waits longer, in ms. */
+const RESIGNED_MEMORY_MS = 10_000;
 /** Pause after a lost election, in ms. */
 const RETRY_DELAY_MS = 150;
 /** Time without the store after which other entries are asked for the owner, in ms. */
@@ -65,6 +69,7 @@
   let believed: Owner | undefined;
   let known = false;
   let stopping = false;
+  let resignedAtMs = -Infinity;
   let current: { run: TenureRun; epoch: number } | undefined;
 
   function onOwner(owner: Owner | undefined): void {
@@ -99,7 +104,7 @@
       prefix: KEYS.owner,
       log,
       waitMs: WATCH_WAIT_MS,
-      pauseMs: 0,
+      pauseMs: () => 0,
       onContact: () => storeContact.restart(),
       onSnapshot(items) {
         known = true;
@@ -147,7 +152,11 @@
         yield* changed.wait(1_000);
         continue;
       }
-      yield* sleep(options.random() * MAXIMUM_JITTER_MS);
+      const resignedMs = clock.monotonicMs() - resignedAtMs;
+      yield* sleep(
+        options.random() * MAXIMUM_JITTER_MS +
+          (resignedMs < RESIGNED_MEMORY_MS ? RESIGNED_DELAY_MS : 0),
+      );
       if (believed !== undefined || stopping) continue;
       try {
         const tenure = yield* until(
@@ -162,6 +171,7 @@
         const run = createTenureRun({ ...options, tenure });
         current = { run, epoch: tenure.epoch };
         yield* run.run();
+        if (run.resigned()) resignedAtMs = clock.monotonicMs();
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
         log.info("election failed", { reason: messageOf(error) });
--- a/src/scheduler/fleet_manager.ts
+++ b/src/scheduler/fleet_manager.ts
@@ -70,6 +70,8 @@
 /** Moves VMs between pools, carries out maintenance waves and reads the VM list. */
 export interface FleetManager {
   isCordoned(vmId: string): boolean;
+  /** Whether VMs are about to register after a move or maintenance. */
+  expectsWorkers(): boolean;
   run(): Operation<void>;
   describe(): unknown;
 }
@@ -536,6 +538,7 @@
     isCordoned: (vmId) =>
       leaving.has(vmId) || emptying.has(vmId) || orders.active.has(vmId) ||
       returning.has(vmId),
+    expectsWorkers: () => orders.active.size > 0 || returning.size > 0,
     *run() {
       yield* loadRecords();
       yield* spawn(() => listLoop());
--- a/src/scheduler/follow_prefix.ts
+++ b/src/scheduler/follow_prefix.ts
@@ -14,7 +14,7 @@
   /** Longest wait of one watch, in ms; a connection that has gone silent is noticed after this time. */
   readonly waitMs: number;
   /** Pause between two watches, in ms; events that come meanwhile share one call. */
-  readonly pauseMs: number;
+  readonly pauseMs: () => number;
   /** Called with every item at the start and after a gap in the history. */
   readonly onSnapshot: (items: readonly StoredItem[]) => void;
   readonly onPut: (item: StoredItem) => void;
@@ -54,9 +54,8 @@
       else options.onDelete(event.key);
     }
     revision = watched.revision;
-    if (options.pauseMs > 0 && watched.events.length > 0) {
-      yield* sleep(options.pauseMs);
-    }
+    const pauseMs = options.pauseMs();
+    if (pauseMs > 0 && watched.events.length > 0) yield* sleep(pauseMs);
   }
 
   for (;;) {
--- a/src/scheduler/operator_state.ts
+++ b/src/scheduler/operator_state.ts
@@ -56,7 +56,7 @@
         prefix: records.operatorPrefix,
         log,
         waitMs: WATCH_WAIT_MS,
-        pauseMs: 0,
+        pauseMs: () => 0,
         onSnapshot: (items) => items.forEach(onPut),
         onPut,
         onDelete() {},
--- a/src/scheduler/pool_plan.ts
+++ b/src/scheduler/pool_plan.ts
@@ -49,7 +49,7 @@
 /** Fewest VMs of a pool that serves: one may fail. */
 const MINIMUM_VMS = 2;
 /** Least part of an equal share of all VMs that a pool keeps, so that it can take the first jobs of its turn while more VMs come. */
-const KEPT_SHARE = 0.45;
+const KEPT_SHARE = 0.6;
 /** Time without tasks after which a surplus VM is turned off, in ms. Shorter, it would often be wanted back at once; each move costs more than a second of the VM. */
 const IDLE_BEFORE_OFF_MS = 3_000;
 
--- a/src/scheduler/tenure.ts
+++ b/src/scheduler/tenure.ts
@@ -23,6 +23,7 @@
   restoreJob,
   stepOf,
 } from "./job_state.ts";
+import { watchLag } from "./lag_meter.ts";
 import { type JobSpec, jobSpecSchema, type JobStatus } from "./model.ts";
 import { KEYS, type Tenure } from "./ownership.ts";
 import { runPacing } from "./pacing.ts";
@@ -60,6 +61,8 @@
 const QUEUE_WATCH_PAUSE_MS = 300;
 /** Pause between two watches of workers, in ms; every worker writes a heartbeat. */
 const WORKER_WATCH_PAUSE_MS = 350;
+/** The same while VMs are expected to register after a move or maintenance, in ms. */
+const ARRIVAL_WATCH_PAUSE_MS = 60;
 /** Longest wait of a watch, in ms. */
 const WATCH_WAIT_MS = 2_000;
 
@@ -100,6 +103,8 @@
   api(): OwnerApi | undefined;
   /** Gives ownership up: stores what is pending and ends the lease. */
   resign(): void;
+  /** Whether ownership was given up rather than lost. */
+  resigned(): boolean;
   /** Ends the tenure because it is known to be over. */
   abandon(reason: string): void;
   run(): Operation<string>;
@@ -431,9 +436,12 @@
     }
   }
 
+  const workerPauseMs = () =>
+    fleet.expectsWorkers() ? ARRIVAL_WATCH_PAUSE_MS : WORKER_WATCH_PAUSE_MS;
+
   function* follow(
     prefix: string,
-    pauseMs: number,
+    pauseMs: () => number,
     handlers: {
       onSnapshot: (items: readonly StoredItem[]) => void;
       onPut: (item: StoredItem) => void;
@@ -462,7 +470,7 @@
     yield* spawn(() => journal.run());
     yield* spawn(() => runLinks());
     yield* spawn(() =>
-      follow(records.workerPrefix, WORKER_WATCH_PAUSE_MS, {
+      follow(records.workerPrefix, workerPauseMs, {
         onSnapshot: readWorkers,
         onPut(item) {
           const entry = records.readWorker(item);
@@ -472,7 +480,7 @@
       })
     );
     yield* spawn(() =>
-      follow(KEYS.queuePrefix, QUEUE_WATCH_PAUSE_MS, {
+      follow(KEYS.queuePrefix, () => QUEUE_WATCH_PAUSE_MS, {
         onSnapshot: (items) => items.forEach(readQueueItem),
         onPut: readQueueItem,
         onDelete() {},
@@ -483,10 +491,34 @@
     yield* spawn(() => cleanUp());
     yield* spawn(() => fleet.run());
     yield* spawn(() => runPacing(scheduler, log));
+    yield* spawn(() =>
+      watchLag(clock, (meanLagMs) => {
+        log.warn("this entry is too slow to be the owner", {
+          epoch: tenure.epoch,
+          meanLagMs: Math.round(meanLagMs),
+        });
+        resign("this entry is too slow");
+      })
+    );
     loaded = true;
     yield* suspend();
   }
 
+  /** Stores what is pending, then ends the lease so that another entry takes over at once. */
+  function resign(reason: string): void {
+    if (resigning) return;
+    resigning = true;
+    log.info("giving up ownership", { reason, pending: journal.pending() });
+    journal.afterFlush(() => {
+      void store.endLease(tenure.leaseId).catch((error) =>
+        log.warn("the lease couldn't be ended and will run out", {
+          reason: messageOf(error),
+        })
+      );
+      onLost(reason);
+    });
+  }
+
   function* waitUntilLost(): Operation<string> {
     while (lostReason === undefined) yield* lost.wait(1_000);
     return lostReason;
@@ -524,18 +556,8 @@
 
   return {
     api: () => loaded && lostReason === undefined ? api : undefined,
-    resign() {
-      resigning = true;
-      log.info("giving up ownership", { pending: journal.pending() });
-      journal.afterFlush(() => {
-        void store.endLease(tenure.leaseId).catch((error) =>
-          log.warn("the lease couldn't be ended and will run out", {
-            reason: messageOf(error),
-          })
-        );
-        onLost("this entry is stopping");
-      });
-    },
+    resign: () => resign("this entry is stopping"),
+    resigned: () => resigning,
     abandon: onLost,
     *run() {
       const reason = yield* scoped(() =>
