--- a/src/scheduler/fleet_manager.ts
+++ b/src/scheduler/fleet_manager.ts
@@ -20,7 +20,7 @@
   VmFleet,
   WaveRequest,
 } from "./ports.ts";
-import type { WorkerLife } from "./roster.ts";
+import { livesOn, tasksOn, type WorkerLife } from "./roster.ts";
 import type { Scheduler } from "./scheduler.ts";
 import { createVmOrders, VM_ORDER_PREFIX } from "./vm_orders.ts";
 import { planWave, type WaveVm } from "./wave_plan.ts";
@@ -124,28 +124,8 @@
   const waveRecords = new Map<number, WaveRecord>();
   let lastTargets: Readonly<Record<string, number>> = {};
 
-  function lifeOn(vmId: string): WorkerLife | undefined {
-    const vm = vms.get(vmId);
-    for (const life of scheduler.roster.lives.values()) {
-      if (life.vmId !== vmId) continue;
-      if (vm?.workerId === undefined || life.workerId === vm.workerId) {
-        return life;
-      }
-    }
-    return undefined;
-  }
-
-  function endLivesOn(
-    vmId: string,
-    exceptWorkerId: string | undefined,
-    reason: string,
-  ): void {
-    for (const life of [...scheduler.roster.lives.values()]) {
-      if (life.vmId === vmId && life.workerId !== exceptWorkerId) {
-        options.endLife(life, reason);
-      }
-    }
-  }
+  const tasksOf = (vmId: string) =>
+    tasksOn(scheduler.roster.lives.values(), vmId);
 
   /** The platform's list proves that a silent worker's life is over. */
   function checkSilentLives(
@@ -228,6 +208,8 @@
     what: { kind: "move"; pool: string } | { kind: "maintain"; wave: number },
     onDone?: () => void,
   ): void {
+    // A repeated order may be answered when the VM is back with another life.
+    const ended = livesOn(scheduler.roster.lives.values(), vmId);
     const before = vms.get(vmId);
     orders.send(vmId, what, (end) => {
       if (end === "fenced") return options.onFenced();
@@ -242,9 +224,8 @@
         wave: what.kind === "maintain" ? what.wave : undefined,
         pool: what.kind === "move" ? what.pool : before?.pool ?? "",
       });
-      const life = lifeOn(vmId);
-      if (life !== undefined && life.workerId === before?.workerId) {
-        endLivesOn(vmId, undefined, `its VM was ordered to ${what.kind}`);
+      for (const life of ended) {
+        options.endLife(life, `its VM was ordered to ${what.kind}`);
       }
       onDone?.();
       options.onChange();
@@ -269,10 +250,9 @@
     }).length;
   }
 
-  function budgetsHold(life: WorkerLife | undefined): boolean {
-    if (life === undefined) return true;
+  function budgetsHold(tasks: readonly TaskState[]): boolean {
     const ending = new Map<string, number>();
-    for (const task of life.tasks) {
+    for (const task of tasks) {
       const { mayMiss } = stepOf(task);
       const { placement } = task;
       if (mayMiss === undefined || placement === undefined) continue;
@@ -287,13 +267,13 @@
   }
 
   /** Moves long-running tasks that share a step off a VM one by one, as far as the budget allows. */
-  function thinOut(life: WorkerLife): void {
-    for (const task of life.tasks) {
+  function thinOut(tasks: readonly TaskState[]): void {
+    for (const task of tasks) {
       const { mayMiss } = stepOf(task);
       if (mayMiss === undefined || task.placement?.stopReason !== undefined) {
         continue;
       }
-      const siblings = [...life.tasks].filter((other) =>
+      const siblings = tasks.filter((other) =>
         other.job === task.job && other.stepIndex === task.stepIndex
       ).length;
       if (siblings > mayMiss && mayMiss > 0 && countAway(task) < mayMiss) {
@@ -304,17 +284,15 @@
   }
 
   function describeWaveVm(vm: VmEntry, nowMs: number): WaveVm {
-    const life = lifeOn(vm.vmId);
+    const tasks = tasksOf(vm.vmId);
     const since = emptying.get(vm.vmId);
     return {
       vmId: vm.vmId,
       orderable: isOrderable(vm),
       cordoned: since !== undefined,
       cordonedMs: since === undefined ? 0 : nowMs - since,
-      batchTasks: life === undefined
-        ? 0
-        : [...life.tasks].filter((task) => !stepOf(task).longRunning).length,
-      budgetsHold: budgetsHold(life),
+      batchTasks: tasks.filter((task) => !stepOf(task).longRunning).length,
+      budgetsHold: budgetsHold(tasks),
     };
   }
 
@@ -378,12 +356,11 @@
     }
     for (const vm of described) {
       if (!vm.cordoned || vm.budgetsHold || vm.batchTasks > 0) continue;
-      const life = lifeOn(vm.vmId);
-      if (life !== undefined) thinOut(life);
+      thinOut(tasksOf(vm.vmId));
     }
     for (const vmId of step.maintain) {
       // Orders of this round count towards the budgets of the next ones.
-      if (!budgetsHold(lifeOn(vmId))) continue;
+      if (!budgetsHold(tasksOf(vmId))) continue;
       emptying.set(vmId, emptying.get(vmId) ?? nowMs);
       order(vmId, { kind: "maintain", wave }, () => {
         record.done.push(vmId);
@@ -459,20 +436,20 @@
         vm.state !== "up" || returning.has(vm.vmId) ||
         orders.active.has(vm.vmId)
       ) continue;
-      const life = lifeOn(vm.vmId);
-      const tasks = life?.tasks.size ?? 0;
-      if (tasks > 0 || !lastBusyMs.has(vm.vmId)) lastBusyMs.set(vm.vmId, nowMs);
+      const lives = livesOn(scheduler.roster.lives.values(), vm.vmId);
+      const tasks = tasksOf(vm.vmId);
+      if (tasks.length > 0 || !lastBusyMs.has(vm.vmId)) {
+        lastBusyMs.set(vm.vmId, nowMs);
+      }
       planned.push({
         vmId: vm.vmId,
         pool: vm.pool,
-        tasks,
-        lastingTasks: life === undefined
-          ? 0
-          : [...life.tasks].filter((task) => stepOf(task).longRunning).length,
+        tasks: tasks.length,
+        lastingTasks: tasks.filter((task) => stepOf(task).longRunning).length,
         idleMs: nowMs - (lastBusyMs.get(vm.vmId) ?? nowMs),
         leaving: leaving.has(vm.vmId),
         movable: isOrderable(vm) && !emptying.has(vm.vmId) &&
-          (life === undefined || life.entry?.state !== "draining"),
+          lives.every((life) => life.entry?.state !== "draining"),
       });
     }
     return planned;
--- a/src/scheduler/pool_plan.ts
+++ b/src/scheduler/pool_plan.ts
@@ -37,6 +37,7 @@
   readonly cordons: readonly string[];
   /** VMs that may take tasks again. */
   readonly releases: readonly string[];
+  /** VMs that each pool needs. */
   readonly targets: Readonly<Record<string, number>>;
 }
 
@@ -48,17 +49,23 @@
 const STUCK_AFTER_MS = 1_200;
 /** Fewest VMs of a pool that serves: one may fail. */
 const MINIMUM_VMS = 2;
-/** Least part of an equal share of all VMs that a pool keeps, so that it can take the first jobs of its turn while more VMs come. */
-const KEPT_SHARE = 0.6;
+/** Part of an equal share of all VMs that a pool keeps while no other pool needs them, so that it can take the first jobs of its turn. */
+const KEPT_SHARE = 0.4;
 /** Time without tasks after which a surplus VM is turned off, in ms. Shorter, it would often be wanted back at once; each move costs more than a second of the VM. */
 const IDLE_BEFORE_OFF_MS = 3_000;
 
-function targetOf(
-  pool: PlannedPool,
-  vms: readonly PlannedVm[],
-  equalShare: number,
-): number {
-  if (pool.spare) return 0;
+interface PoolState {
+  readonly pool: PlannedPool;
+  readonly vms: readonly PlannedVm[];
+  /** VMs that its work needs. */
+  readonly need: number;
+  /** VMs that it keeps while nobody else needs them. */
+  readonly kept: number;
+  /** VMs in the pool or on their way, less those that this plan takes. */
+  present: number;
+}
+
+function needOf(pool: PlannedPool, vms: readonly PlannedVm[]): number {
   const pinned = vms.filter((vm) => vm.lastingTasks > 0).length;
   const settled = Math.ceil(
     Math.max(pool.usedVms, pool.expectedVms) / PLANNED_SHARE,
@@ -69,20 +76,15 @@
   );
   // A task that has waited long fits on none of the VMs that are there, however much room they have together.
   const stuck = pool.longestWaitMs > STUCK_AFTER_MS ? vms.length + 1 : 0;
-  return Math.max(
-    MINIMUM_VMS,
-    Math.ceil(equalShare * KEPT_SHARE),
-    pinned,
-    settled,
-    surge,
-    stuck,
-  );
+  return Math.max(MINIMUM_VMS, pinned, settled, surge, stuck);
 }
 
 /**
- * Divides the VMs among pools whose demand surges by turns: a pool that will
- * need more than it holds gets idle VMs of pools that hold more than they
- * need, then VMs of the spare pool; what stays idle is turned off.
+ * Divides the VMs among pools whose demand surges by turns. A pool whose work
+ * needs more than it holds gets idle VMs that other pools don't need, then VMs
+ * of the spare pool; busy VMs that their pool doesn't need are emptied for it.
+ * Without such a need each pool keeps a few VMs ready, and what stays idle
+ * beyond them is turned off.
  */
 export function planPools(
   pools: readonly PlannedPool[],
@@ -91,90 +93,117 @@
   const moves: { vmId: string; from: string; to: string }[] = [];
   const cordons: string[] = [];
   const releases: string[] = [];
-  const targets: Record<string, number> = {};
-  const vmsOf = new Map(
-    pools.map((pool) => [
-      pool.name,
-      allVms.filter((vm) => vm.pool === pool.name),
-    ]),
+  const taken = new Set<string>();
+  const total = pools.reduce((sum, { arriving }) => sum + arriving, 0) +
+    allVms.length;
+  const serving = pools.filter(({ spare }) => !spare);
+  const kept = Math.ceil(total / Math.max(1, serving.length) * KEPT_SHARE);
+  const states = serving.map((pool): PoolState => {
+    const vms = allVms.filter((vm) => vm.pool === pool.name);
+    const need = needOf(pool, vms);
+    return {
+      pool,
+      vms,
+      need,
+      kept: Math.max(need, kept),
+      present: vms.length + pool.arriving,
+    };
+  });
+  const spareNames = pools.filter(({ spare }) => spare).map(({ name }) => name);
+  const spareVms = allVms.filter((vm) =>
+    spareNames.includes(vm.pool) && vm.movable
   );
-  const serving = pools.filter(({ spare }) => !spare).length;
-  const equalShare = allVms.length / Math.max(1, serving);
-  const missing = new Map<string, number>();
-  const surplus = new Map<string, number>();
-  for (const pool of pools) {
-    const vms = vmsOf.get(pool.name)!;
-    const target = targetOf(pool, vms, equalShare);
-    targets[pool.name] = target;
-    const present = vms.length + pool.arriving;
-    if (pool.spare) continue;
-    if (present < target) missing.set(pool.name, target - present);
-    else surplus.set(pool.name, present - target);
+
+  function move(vm: PlannedVm, to: string): void {
+    moves.push({ vmId: vm.vmId, from: vm.pool, to });
+    taken.add(vm.vmId);
   }
 
-  const taken = new Set<string>();
-  const idleDonors = [...surplus].flatMap(([name, count]) =>
-    vmsOf.get(name)!
-      .filter((vm) => vm.movable && vm.tasks === 0)
-      .sort((a, b) => Number(b.leaving) - Number(a.leaving))
-      .slice(0, count)
-  );
-  const spareDonors = pools.filter(({ spare }) => spare).flatMap(({ name }) =>
-    vmsOf.get(name)!.filter((vm) => vm.movable)
-  );
-  const donors = [...idleDonors, ...spareDonors];
-  const receivers = [...missing].sort((a, b) => b[1] - a[1]);
-  for (const [to, count] of receivers) {
-    let left = count;
-    while (left > 0 && donors.length > 0) {
-      const vm = donors.shift()!;
-      moves.push({ vmId: vm.vmId, from: vm.pool, to });
-      taken.add(vm.vmId);
-      if (surplus.has(vm.pool)) {
-        surplus.set(vm.pool, surplus.get(vm.pool)! - 1);
-      }
-      left--;
+  /** An idle VM of a pool that holds more than `keep` says. */
+  function takeIdle(
+    keep: (state: PoolState) => number,
+    fits: (vm: PlannedVm) => boolean = () => true,
+  ): PlannedVm | undefined {
+    const donors = states.filter((state) => state.present > keep(state))
+      .sort((a, b) => (b.present - keep(b)) - (a.present - keep(a)));
+    for (const state of donors) {
+      const idle = state.vms.filter((vm) =>
+        vm.movable && vm.tasks === 0 && !taken.has(vm.vmId) && fits(vm)
+      ).sort((a, b) =>
+        Number(b.leaving) - Number(a.leaving)
+      )[0];
+      if (idle === undefined) continue;
+      state.present--;
+      return idle;
+    }
+    return undefined;
+  }
+
+  const takeSpare = () => spareVms.find((vm) => !taken.has(vm.vmId));
+
+  function fill(
+    wanted: (state: PoolState) => number,
+    take: () => PlannedVm | undefined,
+  ): void {
+    for (;;) {
+      const neediest = states.filter((state) => state.present < wanted(state))
+        .sort((a, b) => (wanted(b) - b.present) - (wanted(a) - a.present))[0];
+      const vm = neediest && take();
+      if (neediest === undefined || vm === undefined) return;
+      move(vm, neediest.pool.name);
+      neediest.present++;
     }
-    missing.set(to, left);
   }
 
+  // VMs beyond what is kept go first, then those that are off, then those that are kept without need.
+  fill(
+    ({ need }) => need,
+    () =>
+      takeIdle((state) => state.kept) ?? takeSpare() ??
+        takeIdle((state) => state.need),
+  );
+  let missing = states.reduce(
+    (sum, { need, present }) => sum + Math.max(0, need - present),
+    0,
+  );
+
   // Busy VMs of a surplus are emptied while others still miss some.
-  let wanted = [...missing.values()].reduce((sum, count) => sum + count, 0);
-  for (const [name, count] of surplus) {
-    const vms = vmsOf.get(name)!.filter((vm) => !taken.has(vm.vmId));
-    let allowed = count;
-    const byLoad = vms
-      .filter((vm) => vm.lastingTasks === 0 && vm.movable && vm.tasks > 0)
-      .sort((a, b) =>
-        Number(b.leaving) - Number(a.leaving) || a.tasks - b.tasks
-      );
-    for (const vm of byLoad) {
-      if (wanted > 0 && allowed > 0) {
+  for (const state of states) {
+    let allowed = Math.max(0, state.present - state.need);
+    const busy = state.vms.filter((vm) =>
+      vm.lastingTasks === 0 && vm.movable && vm.tasks > 0 &&
+      !taken.has(vm.vmId)
+    ).sort((a, b) =>
+      Number(b.leaving) - Number(a.leaving) || a.tasks - b.tasks
+    );
+    for (const vm of busy) {
+      if (missing > 0 && allowed > 0) {
         if (!vm.leaving) cordons.push(vm.vmId);
-        wanted--;
+        missing--;
         allowed--;
       } else if (vm.leaving) releases.push(vm.vmId);
     }
   }
-  for (const [name] of missing) {
-    for (const vm of vmsOf.get(name)!) {
-      if (vm.leaving) releases.push(vm.vmId);
-    }
-  }
 
-  const spare = pools.find((pool) => pool.spare);
-  if (spare !== undefined && wanted === 0) {
-    for (const [name, count] of surplus) {
-      vmsOf.get(name)!
-        .filter((vm) =>
-          vm.movable && vm.tasks === 0 && vm.idleMs > IDLE_BEFORE_OFF_MS &&
-          !taken.has(vm.vmId)
-        )
-        .slice(0, Math.max(0, count))
-        .forEach((vm) =>
-          moves.push({ vmId: vm.vmId, from: vm.pool, to: spare.name })
-        );
-    }
+  if (missing === 0) {
+    fill((state) => state.kept, takeSpare);
+    const [spare] = spareNames;
+    for (
+      let vm = spare && takeIdle((state) => state.kept, isLongIdle);
+      vm && spare;
+      vm = takeIdle((state) => state.kept, isLongIdle)
+    ) move(vm, spare);
   }
-  return { moves, cordons, releases, targets };
+  return {
+    moves,
+    cordons,
+    releases,
+    targets: Object.fromEntries(
+      states.map(({ pool, need }) => [pool.name, need]),
+    ),
+  };
+}
+
+function isLongIdle(vm: PlannedVm): boolean {
+  return vm.idleMs > IDLE_BEFORE_OFF_MS;
 }
--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -53,6 +53,22 @@
   };
 }
 
+/** Lives of workers on a VM, whichever of them the platform's list names: the list may be older than the latest registration. */
+export function livesOn(
+  lives: Iterable<WorkerLife>,
+  vmId: string,
+): WorkerLife[] {
+  return [...lives].filter((life) => life.vmId === vmId);
+}
+
+/** Tasks that an order for a VM would end. */
+export function tasksOn(
+  lives: Iterable<WorkerLife>,
+  vmId: string,
+): TaskState[] {
+  return livesOn(lives, vmId).flatMap(({ tasks }) => [...tasks]);
+}
+
 /** Computes what a life has left; tasks that are being stopped still take their room. */
 export function readRoom(
   life: WorkerLife,
