fix(scheduler): a failed run counts once; lost election answers, a store that refuses one entry

Causes, found by reading: an end that was recorded but not yet acknowledged is listed again to the next owner and counted as a second failure (the new test saw 2 instead of 1), so that a job could be shown as failed without cause; an election whose answer was lost left the tenure unused until its lease ran out; an entry that the store refuses spent up to 0.75 s of each caller's time before it asked the owner; a service whose workers were all in quarantine placed nothing.

--- a/src/scheduler/front.ts
+++ b/src/scheduler/front.ts
@@ -19,6 +19,8 @@
 const RETRY_DELAY_MS = 80;
 /** When to ask again while the store or the owner is away, in ms: a new owner is there after about 3 s. */
 const AWAY_RETRY_AFTER_MS = 2_000;
+/** Time after a failure of the store in which the owner is asked to store a record first, in ms; a silent store would take most of a caller's time. */
+const SUSPECT_STORE_MS = 3_000;
 /** Time for which a count of waiting jobs is reused, in ms. */
 const COUNT_VALID_MS = 250;
 
@@ -95,6 +97,7 @@
 /** Creates the front of an entry. */
 export function createFront(options: FrontOptions): Front {
   const { store, clock, log } = options;
+  let storeFailedAtMs = -Infinity;
   const counts = new Map<string, { jobs: number; atMs: number }>();
 
   const timeLeftMs = (context: RequestContext) =>
@@ -130,22 +133,37 @@
     throughOwner: (owner: OwnerClient) => Promise<boolean>,
   ): Promise<"stored" | "existing" | "not_stored" | "unresolved"> {
     let unresolved = false;
-    for (let tries = 0;; tries++) {
+
+    async function storeDirectly(): Promise<"stored" | "existing" | undefined> {
       try {
         const outcome = await store.change({
           conditions: [{ key, revision: 0 }],
           puts: [{ key, value }],
         });
-        if (outcome.kind === "committed") return "stored";
-        if (outcome.kind === "conflict") return "existing";
+        storeFailedAtMs = -Infinity;
+        return outcome.kind === "conflict" ? "existing" : "stored";
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
+        storeFailedAtMs = clock.monotonicMs();
         if (error.failure === "unknown_outcome") unresolved = true;
+        return undefined;
       }
-      const viaOwner = await askOwner(throughOwner);
-      if (viaOwner !== undefined) return viaOwner.value ? "stored" : "existing";
+    }
+
+    async function storeThroughOwner() {
+      if (options.owner() === undefined) return undefined;
+      const reply = await askOwner(throughOwner);
       // The owner may have stored it without an answer.
-      if (options.owner() !== undefined) unresolved = true;
+      if (reply === undefined) unresolved = true;
+      return reply && (reply.value ? "stored" as const : "existing" as const);
+    }
+
+    for (;;) {
+      const suspect = clock.monotonicMs() - storeFailedAtMs < SUSPECT_STORE_MS;
+      const outcome = suspect
+        ? await storeThroughOwner() ?? await storeDirectly()
+        : await storeDirectly() ?? await storeThroughOwner();
+      if (outcome !== undefined) return outcome;
       if (timeLeftMs(context) < RETRY_DELAY_MS * 4) break;
       await delay(RETRY_DELAY_MS);
     }
--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -43,7 +43,8 @@
   phase: "waiting" | "placed" | "done";
   /** Number of the latest run; 0 before the first. */
   run: number;
-  failures: number;
+  /** Runs that ended failed; an end may be listed again, to this owner or the next. */
+  readonly failedRuns: Set<number>;
   checkpoint: string;
   placement: Placement | undefined;
   /** Worker on which the task failed last, or from which it was taken because it was too slow. */
@@ -113,7 +114,7 @@
       index,
       phase: "waiting",
       run: 0,
-      failures: 0,
+      failedRuns: new Set(),
       checkpoint: "",
       placement: undefined,
       avoidWorker: undefined,
@@ -224,7 +225,7 @@
   /** Phase: waiting, placed or done. */
   p: z.enum(["w", "p", "d"]),
   run: z.number().int().default(0),
-  failures: z.number().int().default(0),
+  failedRuns: z.array(z.number().int()).default([]),
   checkpoint: z.string().default(""),
   worker: z.string().optional(),
   born: z.number().optional(),
@@ -245,12 +246,12 @@
 function describeTask(task: TaskState): TaskRecord {
   const base = { o: task.occurrence, s: task.stepIndex, i: task.index };
   if (task.phase === "done") return { ...base, p: "d" };
-  const { run, failures, checkpoint, placement } = task;
+  const { run, failedRuns, checkpoint, placement } = task;
   return {
     ...base,
     p: placement === undefined ? "w" : "p",
     run,
-    ...(failures > 0 ? { failures } : {}),
+    ...(failedRuns.size > 0 ? { failedRuns: [...failedRuns] } : {}),
     ...(checkpoint === "" ? {} : { checkpoint }),
     ...(placement === undefined ? {} : {
       worker: placement.workerId,
@@ -318,7 +319,7 @@
     }
     job.started = true;
     task.run = entry.run;
-    task.failures = entry.failures;
+    for (const run of entry.failedRuns) task.failedRuns.add(run);
     task.checkpoint = entry.checkpoint;
     if (entry.p === "d") finishTask(task);
     if (entry.p !== "p") continue;
--- a/src/scheduler/job_state_test.ts
+++ b/src/scheduler/job_state_test.ts
@@ -42,7 +42,7 @@
         task.taskId,
         task.phase,
         task.phase === "done" ? 0 : task.run,
-        task.phase === "done" ? 0 : task.failures,
+        task.phase === "done" ? [] : [...task.failedRuns],
         task.placement?.workerId,
         task.placement?.bornAtMs,
       ]),
@@ -88,7 +88,7 @@
           } else if (event === "done" && task.phase === "placed") {
             finishTask(task);
           } else if (event === "fail" && task.phase === "placed") {
-            task.failures++;
+            task.failedRuns.add(task.run);
             task.phase = "waiting";
             task.placement = undefined;
           }
--- a/src/scheduler/journal_test.ts
+++ b/src/scheduler/journal_test.ts
@@ -113,4 +113,21 @@
   });
 });
 
+// Guards against a tenure that nobody works in until its lease runs out, because the answer to the election was lost.
+test("an election whose answer was lost is found in the store", async () => {
+  const store = new FakeRecordStore(createRandom(5));
+  try {
+    store.faults.lostShare = 1;
+    const tenure = await acquireOwnership(
+      store.client("entry-1"),
+      { entryId: "entry-1", address: "" },
+      60_000,
+    );
+    assert.equal(tenure?.epoch, 1);
+    assert.equal(tenure?.headRevision, store.items.get(KEYS.head)?.revision);
+  } finally {
+    store.close();
+  }
+});
+
 test.run();
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
-import type { RecordStore, StoredItem } from "./ports.ts";
+import { StoreError } from "../errors.ts";
+import type { RecordStore, StoreChange, StoredItem } from "./ports.ts";
 
 /** Keys of the product in the platform's store. */
 export const KEYS = {
@@ -81,7 +82,13 @@
   const head = await store.get(KEYS.head);
   const epoch = (head === undefined ? 0 : readHead(head)?.epoch ?? 0) + 1;
   const lease = await store.grantLease(leaseTtlMs);
-  const outcome = await store.change({
+  const tenure = (headRevision: number): Tenure => ({
+    epoch,
+    leaseId: lease.leaseId,
+    leaseTtlMs: lease.ttlMs,
+    headRevision,
+  });
+  const change: StoreChange = {
     conditions: [
       { key: KEYS.owner, revision: 0 },
       { key: KEYS.head, revision: head?.revision ?? 0 },
@@ -94,15 +101,21 @@
       },
       { key: KEYS.head, value: encodeHead(epoch, 0) },
     ],
-  });
-  if (outcome.kind !== "committed") {
+  };
+  try {
+    const outcome = await store.change(change);
     // A lease without a key ends by itself.
-    return undefined;
+    return outcome.kind === "committed" ? tenure(outcome.revision) : undefined;
+  } catch (error) {
+    if (!(error instanceof StoreError)) throw error;
+    if (error.failure !== "unknown_outcome") throw error;
+    // The answer may have been lost after the change: the keys tell.
+    const item = await store.get(KEYS.owner);
+    const owner = item === undefined ? undefined : readOwner(item);
+    if (
+      item === undefined || owner?.epoch !== epoch ||
+      owner.entryId !== self.entryId
+    ) throw error;
+    return tenure(item.revision);
   }
-  return {
-    epoch,
-    leaseId: lease.leaseId,
-    leaseTtlMs: lease.ttlMs,
-    headRevision: outcome.revision,
-  };
 }
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -65,8 +65,7 @@
   const { entry, link } = life;
   return entry !== undefined && link !== undefined && link.confirmed &&
     entry.state === "ready" && link.silentMs() < SILENCE_LIMIT_MS &&
-    !options.isCordoned(life.vmId) &&
-    options.scheduler.health.isOpen(life.workerId);
+    !options.isCordoned(life.vmId);
 }
 
 interface ServiceRooms {
@@ -77,9 +76,17 @@
 function collectRooms(options: PlannerOptions): Map<string, ServiceRooms> {
   const { scheduler } = options;
   const services = new Map<string, ServiceRooms>();
-  for (const life of scheduler.roster.lives.values()) {
-    if (!isUsable(life, options)) continue;
+  const usable = [...scheduler.roster.lives.values()].filter((life) =>
+    isUsable(life, options)
+  );
+  const isOpen = (life: WorkerLife) => scheduler.health.isOpen(life.workerId);
+  const served = new Set(
+    usable.filter(isOpen).map(({ entry }) => entry!.service),
+  );
+  for (const life of usable) {
     const entry = life.entry!;
+    // A service whose workers all fail tasks goes on with them: the jobs may be at fault.
+    if (served.has(entry.service) && !isOpen(life)) continue;
     let service = services.get(entry.service);
     if (service === undefined) {
       service = { rooms: [], lives: new Map() };
--- a/src/scheduler/pool_plan.ts
+++ b/src/scheduler/pool_plan.ts
@@ -51,8 +51,8 @@
 const MINIMUM_VMS = 2;
 /** Part of an equal share of all VMs that a pool keeps while no other pool needs them, so that it can take the first jobs of its turn. */
 const KEPT_SHARE = 0.4;
-/** Time without tasks after which a surplus VM is turned off, in ms. Shorter, it would often be wanted back at once; each move costs more than a second of the VM. */
-const IDLE_BEFORE_OFF_MS = 3_000;
+/** Time without tasks after which a surplus VM is turned off, in ms: after about this time it has cost as much as the two moves that a VM needs which is wanted again. */
+const IDLE_BEFORE_OFF_MS = 2_200;
 
 interface PoolState {
   readonly pool: PlannedPool;
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -155,7 +155,7 @@
     log.info("job failed: a task has used up its attempts", {
       job: job.spec.jobId,
       task: task.taskId,
-      failures: task.failures,
+      failures: task.failedRuns.size,
     });
     stopAll(job, "the job has failed");
   }
@@ -191,14 +191,19 @@
     }
   }
 
-  function recordFailure(task: TaskState, workerId: string): void {
-    task.failures++;
+  function recordFailure(
+    task: TaskState,
+    run: number,
+    workerId: string,
+  ): void {
+    if (task.failedRuns.has(run)) return;
+    task.failedRuns.add(run);
     task.avoidWorker = workerId;
     const step = stepOf(task);
     if (step.longRunning) return;
     const failures = step.gang
-      ? gangOf(task).reduce((sum, member) => sum + member.failures, 0)
-      : task.failures;
+      ? gangOf(task).reduce((sum, member) => sum + member.failedRuns.size, 0)
+      : task.failedRuns.size;
     if (failures >= maximumAttempts(task.job)) failJob(task);
   }
 
@@ -227,7 +232,7 @@
       run: row.run,
       ending: row.ending,
       worker: life.workerId,
-      failures: task.failures,
+      failures: task.failedRuns.size,
     });
     switch (row.ending) {
       case "done":
@@ -237,7 +242,7 @@
         break;
       case "failed":
         if (isCurrent) free(task);
-        if (task.phase !== "done") recordFailure(task, life.workerId);
+        if (task.phase !== "done") recordFailure(task, row.run, life.workerId);
         break;
       case "stopped":
       case "lapsed":
--- /dev/null
+++ b/src/scheduler/scheduler_test.ts
@@ -0,0 +1,222 @@
+import assert from "node:assert/strict";
+import { suite } from "uvu";
+import { systemClock } from "../clock.ts";
+import { silentLogger } from "../logger.ts";
+import { encodeProgress, openDueOccurrences, restoreJob } from "./job_state.ts";
+import type { Journal, JournalEntry } from "./journal.ts";
+import { type JobSpec, jobSpecSchema } from "./model.ts";
+import type { EndedRow, OrderOutcome, RunningRow } from "./ports.ts";
+import type { WorkerLife } from "./roster.ts";
+import { createScheduler } from "./scheduler.ts";
+import type { WorkerLink } from "./worker_link.ts";
+
+const test = suite("scheduler");
+
+const JOB = "0123456789abcdef";
+
+function spec(fields: Partial<JobSpec> = {}): JobSpec {
+  return jobSpecSchema.parse({
+    jobId: JOB,
+    queue: "quotes",
+    service: "quoting",
+    maximumAttempts: 2,
+    specification: "",
+    steps: [{ taskCount: 1, cpuMillis: 100, estimatedMs: 100 }],
+    acceptedAtMs: 0,
+    ...fields,
+  });
+}
+
+/** A scheduler whose records are stored when the test says so, with one worker that answers as the test says. */
+function createWorld() {
+  const entries: JournalEntry[] = [];
+  const journal: Journal = {
+    put: (entry) => void entries.push(entry),
+    afterFlush: (callback) => callback(),
+    pending: () => entries.length,
+    *run() {},
+  };
+  const calls: string[] = [];
+  const answers = { start: { kind: "done", clockMs: 0 } as OrderOutcome };
+  const scheduler = createScheduler({
+    journal,
+    fence: 1,
+    clock: systemClock,
+    log: silentLogger,
+    config: () => undefined,
+    mayOrder: () => true,
+    onChange() {},
+  });
+  const link = {
+    start: (order: { taskId: string; run: number }) => {
+      calls.push(`start ${order.taskId} ${order.run}`);
+      return Promise.resolve(answers.start);
+    },
+    stop: (taskId: string, run: number) => {
+      calls.push(`stop ${taskId} ${run}`);
+      return Promise.resolve({ kind: "done", clockMs: 0 });
+    },
+    poke() {},
+  } as unknown as WorkerLink;
+  const life: WorkerLife = {
+    workerId: "w1",
+    bornAtMs: 1,
+    vmId: "vm-1",
+    link,
+    entry: undefined,
+    missingSinceMs: undefined,
+    tasks: new Set(),
+    earlierLeasesEndMs: 0,
+  };
+  scheduler.roster.add(life);
+  return {
+    scheduler,
+    life,
+    calls,
+    answers,
+    /** Stores all scheduled records and lets the orders be sent. */
+    async flush() {
+      for (const entry of entries.splice(0)) entry.onStored?.();
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    },
+    report(ended: EndedRow[], running: RunningRow[] = [], sentAtMs = Infinity) {
+      scheduler.onReport(
+        life,
+        { clockMs: 0, bornAtMs: 1, running, ended },
+        sentAtMs,
+      );
+    },
+    openTask() {
+      const job = scheduler.jobs.get(JOB)!;
+      openDueOccurrences(job, Date.now());
+      return job.occurrences[0]!.steps[0]![0]!;
+    },
+  };
+}
+
+function ended(
+  number: number,
+  run: number,
+  ending: EndedRow["ending"],
+): EndedRow {
+  return { number, taskId: `${JOB}.0.0.0`, run, ending, checkpoint: "" };
+}
+
+// Guards against a start that a new owner can't know of.
+test("the start order follows the stored record", async () => {
+  const world = createWorld();
+  world.scheduler.accept(spec());
+  const task = world.openTask();
+  world.scheduler.place(task, world.life, { run: 1, ticket: undefined });
+  assert.deepEqual(world.calls, []);
+  await world.flush();
+  assert.deepEqual(world.calls, [`start ${JOB}.0.0.0 1`]);
+});
+
+// Guards against a job that is failed without cause: an end that was recorded but not acknowledged is listed again to the next owner.
+test("a failed run counts once, also after a change of owner", async () => {
+  const first = createWorld();
+  first.scheduler.accept(spec());
+  const task = first.openTask();
+  first.scheduler.place(task, first.life, { run: 1, ticket: undefined });
+  await first.flush();
+  first.report([ended(1, 1, "failed")]);
+  assert.equal(task.failedRuns.size, 1);
+  first.report([ended(1, 1, "failed")]);
+  assert.equal(task.failedRuns.size, 1);
+
+  const next = createWorld();
+  next.scheduler.adopt(
+    restoreJob(spec(), encodeProgress(task.job, 0), 0),
+  );
+  next.report([ended(1, 1, "failed")]);
+  const restored = next.openTask();
+  assert.equal(restored.failedRuns.size, 1);
+  assert.equal(restored.job.status, "active");
+  next.report([ended(2, 2, "failed")]);
+  assert.equal(restored.job.status, "failed");
+});
+
+// Guards against a second run while the first may still be carried out.
+test("an order without an answer is stopped, and the task waits until a list proves the run gone", async () => {
+  const world = createWorld();
+  world.answers.start = { kind: "unknown" };
+  world.scheduler.accept(spec());
+  const task = world.openTask();
+  world.scheduler.place(task, world.life, { run: 1, ticket: undefined });
+  await world.flush();
+  assert.equal(task.placement?.order, "unresolved");
+  assert.ok(world.calls.includes(`stop ${JOB}.0.0.0 1`));
+  // A list that was asked for before the stop was confirmed proves nothing.
+  world.report([], [], 0);
+  assert.equal(task.phase, "placed");
+  world.report([], []);
+  assert.equal(task.phase, "waiting");
+});
+
+// Guards against a task that is taken as free while its end is on the way.
+test("a refused start frees the task at once", async () => {
+  const world = createWorld();
+  world.answers.start = { kind: "refused", reason: "no_room" };
+  world.scheduler.accept(spec());
+  const task = world.openTask();
+  world.scheduler.place(task, world.life, { run: 1, ticket: undefined });
+  await world.flush();
+  assert.equal(task.phase, "waiting");
+  assert.equal(world.life.tasks.size, 0);
+});
+
+// Guards against work that goes on for a job that its caller has given up.
+test("a cancellation stops what runs and sends no recorded start", async () => {
+  const world = createWorld();
+  world.scheduler.accept(spec({
+    steps: spec().steps.map((step) => ({ ...step, taskCount: 2 })),
+  }));
+  const tasks = world.openTask().job.occurrences[0]!.steps[0]!;
+  world.scheduler.place(tasks[0]!, world.life, { run: 1, ticket: undefined });
+  await world.flush();
+  world.scheduler.place(tasks[1]!, world.life, { run: 1, ticket: undefined });
+  world.scheduler.cancel(JOB);
+  await world.flush();
+  assert.deepEqual(world.calls, [
+    `start ${JOB}.0.0.0 1`,
+    `stop ${JOB}.0.0.0 1`,
+  ]);
+  assert.equal(world.scheduler.status(JOB), "cancelled");
+});
+
+// Guards against a cancellation that is lost because it comes before its job.
+test("a cancellation that comes before its job cancels it", () => {
+  const world = createWorld();
+  world.scheduler.cancel(JOB);
+  world.scheduler.accept(spec());
+  assert.equal(world.scheduler.status(JOB), "cancelled");
+});
+
+// Guards against a final status that a loss of power takes back.
+test("a job is shown as completed once that is stored", async () => {
+  const world = createWorld();
+  world.scheduler.accept(spec());
+  const task = world.openTask();
+  world.scheduler.place(task, world.life, { run: 1, ticket: undefined });
+  await world.flush();
+  world.report([ended(1, 1, "done")]);
+  assert.equal(world.scheduler.status(JOB), "running");
+  await world.flush();
+  assert.equal(world.scheduler.status(JOB), "completed");
+});
+
+// Guards against runs of an earlier owner, or of an ended job, that nobody stops.
+test("a run that isn't wanted is stopped", () => {
+  const world = createWorld();
+  world.report([], [{
+    taskId: "ffffffffffffffff.0.0.0",
+    run: 3,
+    checkpoint: "",
+    percent: 1,
+    recentFigure: 0,
+  }]);
+  assert.deepEqual(world.calls, ["stop ffffffffffffffff.0.0.0 3"]);
+});
+
+test.run();
