fix(scheduler): an answered order for a VM doesn't prove that its worker is gone

A new owner repeated the maintenance of a VM that its predecessor had had done but not yet recorded; the platform answers 200 to that and ends nothing, but the owner took the VM's tasks as over. Change: after the answer the VM list is read at once, and only a list without the worker ends its life; a life that joined less than 1.2 s before a list was asked for isn't judged by it. Test that failed first: "maintenance that was done before doesn't free the tasks on the VM" (TWICE: run 2 on worker-1 runs on worker-0 too). Ruled out: the lease bound (1.8 s after the start) and a late order (the run had been confirmed).

--- a/src/scheduler/fleet_manager.ts
+++ b/src/scheduler/fleet_manager.ts
@@ -33,8 +33,8 @@
 const IDLE_LIST_INTERVAL_MS = 2_500;
 /** Silence after which the VM list is asked whether a worker's VM is down, in ms. */
 const SUSPICION_MS = 250;
-/** The VM list shows an order at the latest after this time, in ms. */
-const LIST_LAG_MS = 1_000;
+/** The VM list shows an order, or a new life, at the latest after this time, in ms. */
+const LIST_LAG_MS = 1_200;
 
 const waveRecordSchema = z.object({
   /** When the wave was first seen, in ms since 1970. */
@@ -76,6 +76,18 @@
   describe(): unknown;
 }
 
+/** A VM after an answered order. */
+interface ReturningVm {
+  /** Monotonic time of the answer, in ms. */
+  readonly sinceMs: number;
+  /** Lives on the VM when the order was given; the answer doesn't prove that they are over, as the operation may have been done before. */
+  readonly lives: readonly WorkerLife[];
+  /** The wave of an order for maintenance. */
+  readonly wave: number | undefined;
+  /** Pool of the VM after the order. */
+  readonly pool: string;
+}
+
 type MutableResources = { -readonly [Key in keyof Resources]: Resources[Key] };
 
 function addResources(
@@ -110,16 +122,8 @@
   /** VMs that get no new tasks, with the monotonic time since when, in ms. */
   const leaving = new Map<string, number>();
   const emptying = new Map<string, number>();
-  /** VMs whose order was carried out, until the list shows that they are back. */
-  const returning = new Map<
-    string,
-    {
-      sinceMs: number;
-      workerId: string | undefined;
-      wave: number | undefined;
-      pool: string;
-    }
-  >();
+  /** VMs whose order was answered, until the list shows that they are back. */
+  const returning = new Map<string, ReturningVm>();
   const lastBusyMs = new Map<string, number>();
   const waveRecords = new Map<number, WaveRecord>();
   let lastTargets: Readonly<Record<string, number>> = {};
@@ -140,6 +144,8 @@
       if (life.link !== undefined && !life.link.confirmed && silentMs === 0) {
         continue;
       }
+      // The list may be older than a life that has just joined.
+      if (askedAtMs - life.joinedAtMs < LIST_LAG_MS) continue;
       const vm = list.get(life.vmId);
       const reason = vm === undefined
         ? "its VM is listed no more"
@@ -172,6 +178,13 @@
     checkSilentLives(vms, askedAtMs);
     for (const [vmId, order] of returning) {
       const vm = vms.get(vmId);
+      for (const life of order.lives) {
+        if (vm?.state === "up" && vm.workerId === life.workerId) continue;
+        if (scheduler.roster.find(life.workerId, life.bornAtMs) !== life) {
+          continue;
+        }
+        options.endLife(life, "its VM was taken down by an order");
+      }
       if (askedAtMs - order.sinceMs < LIST_LAG_MS) continue;
       if (vm === undefined || vm.state === "up" || vm.state === "down") {
         returning.delete(vmId);
@@ -208,8 +221,7 @@
     what: { kind: "move"; pool: string } | { kind: "maintain"; wave: number },
     onDone?: () => void,
   ): void {
-    // A repeated order may be answered when the VM is back with another life.
-    const ended = livesOn(scheduler.roster.lives.values(), vmId);
+    const lives = livesOn(scheduler.roster.lives.values(), vmId);
     const before = vms.get(vmId);
     orders.send(vmId, what, (end) => {
       if (end === "fenced") return options.onFenced();
@@ -220,13 +232,12 @@
       }
       returning.set(vmId, {
         sinceMs: clock.monotonicMs(),
-        workerId: before?.workerId,
+        lives,
         wave: what.kind === "maintain" ? what.wave : undefined,
         pool: what.kind === "move" ? what.pool : before?.pool ?? "",
       });
-      for (const life of ended) {
-        options.endLife(life, `its VM was ordered to ${what.kind}`);
-      }
+      // The list tells at once whether the worker is gone.
+      listedAtMs = -Infinity;
       onDone?.();
       options.onChange();
     });
@@ -322,7 +333,7 @@
       });
       saveWave(wave, record);
     }
-    if (record.completed || listedAtMs === -Infinity) return;
+    if (record.completed || vms.size === 0) return;
     const nowMs = clock.monotonicMs();
     const open = request.vmIds.filter((vmId) => !record.done.includes(vmId));
     const present = open.flatMap((vmId) => vms.get(vmId) ?? []);
@@ -457,7 +468,7 @@
 
   function balancePools(): void {
     const config = options.config();
-    if (config === undefined || listedAtMs === -Infinity) return;
+    if (config === undefined || vms.size === 0) return;
     const nowMs = clock.monotonicMs();
     const arriving = new Map<string, number>();
     for (const { pool } of returning.values()) {
--- /dev/null
+++ b/src/scheduler/fleet_manager_test.ts
@@ -0,0 +1,90 @@
+import assert from "node:assert/strict";
+import { setTimeout as delay } from "node:timers/promises";
+import { suite } from "uvu";
+import { createRandom } from "../../testing/random.ts";
+import { SchedulerCluster } from "../../testing/scheduler_cluster.ts";
+import { waitFor } from "../../testing/wait.ts";
+
+const test = suite("fleet manager");
+
+async function withCluster(
+  body: (cluster: SchedulerCluster) => Promise<void>,
+): Promise<void> {
+  const cluster = new SchedulerCluster(createRandom(11));
+  try {
+    for (let index = 0; index < 3; index++) cluster.addWorker(index);
+    cluster.startEntry();
+    await body(cluster);
+    assert.deepEqual(cluster.check.violations, []);
+  } finally {
+    await cluster.close();
+  }
+}
+
+function findRun(cluster: SchedulerCluster, jobId: string) {
+  for (const worker of cluster.workers.workers.values()) {
+    for (const run of worker.running.values()) {
+      if (run.taskId.startsWith(jobId)) return { worker, run };
+    }
+  }
+  return undefined;
+}
+
+// Guards against a second run of a task: the platform also answers that maintenance is done when an earlier owner had it done, and then ends nothing.
+test("maintenance that was done before doesn't free the tasks on the VM", async () => {
+  await withCluster(async (cluster) => {
+    const job = await cluster.submit([{ taskCount: 1, longRunning: true }]);
+    await waitFor(
+      "the task runs",
+      () => findRun(cluster, job) !== undefined,
+    );
+    const before = findRun(cluster, job)!;
+    let orders = 0;
+    cluster.maintain = () => {
+      orders++;
+      return { kind: "done" };
+    };
+    cluster.waves.set(1, {
+      wave: 1,
+      vmIds: [before.worker.entry.vmId],
+      deadlineMs: 10_000,
+      maximumDown: 1,
+    });
+    await waitFor("the order", () => orders > 0);
+    await delay(2_500);
+    const after = findRun(cluster, job)!;
+    assert.equal(after.worker, before.worker);
+    assert.equal(after.run.run, 1);
+    assert.equal(orders, 1);
+  });
+});
+
+// Guards against tasks that wait for a lease although their VM has been taken down.
+test("maintenance that ends the worker frees its tasks at once", async () => {
+  await withCluster(async (cluster) => {
+    const job = await cluster.submit([{ taskCount: 1, longRunning: true }]);
+    await waitFor(
+      "the task runs",
+      () => findRun(cluster, job) !== undefined,
+    );
+    const before = findRun(cluster, job)!;
+    cluster.maintain = () => {
+      before.worker.running.clear();
+      before.worker.alive = false;
+      return { kind: "done" };
+    };
+    cluster.waves.set(1, {
+      wave: 1,
+      vmIds: [before.worker.entry.vmId],
+      deadlineMs: 10_000,
+      maximumDown: 1,
+    });
+    await waitFor(
+      "the task runs elsewhere",
+      () => (findRun(cluster, job)?.run.run ?? 0) > 1,
+      { timeoutMs: 4_000 },
+    );
+  });
+});
+
+test.run();
--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -16,6 +16,8 @@
   /** When the registration went, in monotonic ms; undefined while it is there. */
   missingSinceMs: number | undefined;
   readonly tasks: Set<TaskState>;
+  /** Monotonic time at which the owner first heard of the life, in ms. */
+  readonly joinedAtMs: number;
   /** Monotonic time until which earlier owners' leases may last, in ms. */
   readonly earlierLeasesEndMs: number;
 }
--- a/src/scheduler/roster_test.ts
+++ b/src/scheduler/roster_test.ts
@@ -16,6 +16,7 @@
     tasks: new Set(
       taskIds.map((taskId) => ({ taskId }) as unknown as TaskState),
     ),
+    joinedAtMs: 0,
     earlierLeasesEndMs: 0,
   };
 }
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -66,6 +66,7 @@
     entry: undefined,
     missingSinceMs: undefined,
     tasks: new Set(),
+    joinedAtMs: 0,
     earlierLeasesEndMs: 0,
   };
   scheduler.roster.add(life);
--- a/src/scheduler/tenure.ts
+++ b/src/scheduler/tenure.ts
@@ -227,6 +227,7 @@
       entry,
       missingSinceMs: undefined,
       tasks: known?.tasks ?? new Set(),
+      joinedAtMs: clock.monotonicMs(),
       earlierLeasesEndMs,
     };
     roster.add(life);
@@ -364,6 +365,7 @@
           entry: undefined,
           missingSinceMs: undefined,
           tasks: new Set(),
+          joinedAtMs: startedAtMs,
           earlierLeasesEndMs,
         };
         roster.add(life);
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -11,6 +11,8 @@
   SchedulerConfig,
   VmEntry,
   VmFleet,
+  VmOrderOutcome,
+  WaveRequest,
   WorkerEntry,
 } from "../src/scheduler/ports.ts";
 import { FakeRecordStore } from "./fake_record_store.ts";
@@ -63,6 +65,13 @@
   readonly store: FakeRecordStore;
   readonly workers: FakeTaskWorkers;
   readonly entries: ClusterEntry[] = [];
+  /** Maintenance waves that operators ask for. */
+  readonly waves = new Map<number, WaveRequest>();
+  /** What the platform does with an order for maintenance. */
+  maintain: (vmId: string) => VmOrderOutcome = () => ({
+    kind: "refused",
+    reason: "busy",
+  });
   #nextEntry = 1;
   #nextJob = 1;
 
@@ -106,7 +115,7 @@
           })),
         ),
       move: () => Promise.resolve({ kind: "refused", reason: "busy" }),
-      maintain: () => Promise.resolve({ kind: "refused", reason: "busy" }),
+      maintain: ({ vmId }) => Promise.resolve(this.maintain(vmId)),
     };
   }
 
@@ -128,7 +137,7 @@
       log: silentLogger,
       random: () => this.random.next(),
       config: () => CONFIG,
-      waves: () => new Map(),
+      waves: () => this.waves,
       keepEndedMs: 60_000,
       holderGapMs: 100,
     });
