--- a/src/scheduler/job_order.ts
+++ b/src/scheduler/job_order.ts
@@ -5,11 +5,6 @@
 /** A result up to this many times the objective still has some value to the caller. */
 export const LATE_FACTOR = 3;
 
-/** Factor on the expected work left: declared durations are far from the truth, and a job that starts at the last moment of its expected time is late half of the time. */
-const ESTIMATE_MARGIN = 1.25;
-/** Time that each step needs besides its work, in ms: its end is reported, its placement stored, its start ordered. */
-const STEP_OVERHEAD_MS = 70;
-
 /** How much a caller can still gain from an occurrence of a job. */
 export type Prospect =
   /** Can be done within its objective. */
@@ -62,11 +57,9 @@
   const wholeMs = chainMs(job, durations);
   const leftMs = chainMs(job, durations, occurrence);
   const allowedMs = queue.stretch * wholeMs + queue.targetDurationMs;
-  const stepsLeft = occurrence.remaining.filter((count) => count > 0).length;
-  const reservedMs = leftMs * ESTIMATE_MARGIN + stepsLeft * STEP_OVERHEAD_MS;
-  const latestStartMs = occurrence.dueAtMs + allowedMs - reservedMs;
+  const latestStartMs = occurrence.dueAtMs + allowedMs - leftMs;
   const latestLateStartMs = occurrence.dueAtMs + LATE_FACTOR * allowedMs -
-    reservedMs;
+    leftMs;
   return {
     job,
     occurrence,
