feat(scheduler): work that waits goes before work that is expected; an owner hands over at once

Pattern: turns overlap. The plan now fills what placed and waiting tasks need before what is only expected, and empties busy VMs in that order. Tests: overlapping turns (moves that the old plan didn't make), a VM that was to leave is released.

--- a/src/scheduler/lag_meter.ts
+++ b/src/scheduler/lag_meter.ts
@@ -3,10 +3,10 @@
 
 /** Interval of the timer whose lateness is measured, in ms. */
 const SAMPLE_INTERVAL_MS = 50;
-/** Weight of the latest sample in the mean; the mean covers about one second. */
-const LATEST_WEIGHT = 0.06;
-/** Mean lateness from which an owner is too slow for its work, in ms; a sound one stays below 15. */
-export const LAG_LIMIT_MS = 70;
+/** Weight of the latest sample in the mean; the mean covers about half a second. */
+const LATEST_WEIGHT = 0.1;
+/** Mean lateness from which an owner is too slow for its work, in ms. */
+export const LAG_LIMIT_MS = 60;
 /** Time of a tenure before its lag is judged, in ms; loading the records and meeting all workers takes a burst of work. */
 const SETTLE_MS = 3_000;
 
--- a/src/scheduler/pool_plan.ts
+++ b/src/scheduler/pool_plan.ts
@@ -57,7 +57,9 @@
 interface PoolState {
   readonly pool: PlannedPool;
   readonly vms: readonly PlannedVm[];
-  /** VMs that its work needs. */
+  /** VMs that its placed and waiting tasks need. */
+  readonly due: number;
+  /** VMs that it needs with the work that is expected. */
   readonly need: number;
   /** VMs that it keeps while nobody else needs them. */
   readonly kept: number;
@@ -65,18 +67,15 @@
   present: number;
 }
 
-function needOf(pool: PlannedPool, vms: readonly PlannedVm[]): number {
+function dueOf(pool: PlannedPool, vms: readonly PlannedVm[]): number {
   const pinned = vms.filter((vm) => vm.lastingTasks > 0).length;
-  const settled = Math.ceil(
-    Math.max(pool.usedVms, pool.expectedVms) / PLANNED_SHARE,
-  );
   // Room becomes free as tasks end; VMs are added for what would wait longer than that.
   const surge = Math.ceil(
     (pool.usedVms + pool.waitingVms * WAITING_WEIGHT) / PLANNED_SHARE,
   );
   // A task that has waited long fits on none of the VMs that are there, however much room they have together.
   const stuck = pool.longestWaitMs > STUCK_AFTER_MS ? vms.length + 1 : 0;
-  return Math.max(MINIMUM_VMS, pinned, settled, surge, stuck);
+  return Math.max(MINIMUM_VMS, pinned, surge, stuck);
 }
 
 /**
@@ -94,16 +93,19 @@
   const cordons: string[] = [];
   const releases: string[] = [];
   const taken = new Set<string>();
+  const cordoned = new Set<string>();
   const total = pools.reduce((sum, { arriving }) => sum + arriving, 0) +
     allVms.length;
   const serving = pools.filter(({ spare }) => !spare);
   const kept = Math.ceil(total / Math.max(1, serving.length) * KEPT_SHARE);
   const states = serving.map((pool): PoolState => {
     const vms = allVms.filter((vm) => vm.pool === pool.name);
-    const need = needOf(pool, vms);
+    const due = dueOf(pool, vms);
+    const need = Math.max(due, Math.ceil(pool.expectedVms / PLANNED_SHARE));
     return {
       pool,
       vms,
+      due,
       need,
       kept: Math.max(need, kept),
       present: vms.length + pool.arriving,
@@ -155,33 +157,62 @@
     }
   }
 
-  // VMs beyond what is kept go first, then those that are off, then those that are kept without need.
+  /** Empties busy VMs of pools that hold more than `keep` says, as many as are missing; returns how many still are. */
+  function cordonBusy(
+    missing: number,
+    keep: (state: PoolState) => number,
+  ): number {
+    for (const state of states) {
+      let allowed = state.present - keep(state);
+      const busy = state.vms.filter((vm) =>
+        vm.lastingTasks === 0 && vm.movable && vm.tasks > 0 &&
+        !taken.has(vm.vmId) && !cordoned.has(vm.vmId)
+      ).sort((a, b) =>
+        Number(b.leaving) - Number(a.leaving) || a.tasks - b.tasks
+      );
+      for (const vm of busy) {
+        if (missing <= 0 || allowed <= 0) break;
+        cordoned.add(vm.vmId);
+        missing--;
+        allowed--;
+        state.present--;
+      }
+    }
+    return missing;
+  }
+
+  const missingOf = (wanted: (state: PoolState) => number) =>
+    states.reduce(
+      (sum, state) => sum + Math.max(0, wanted(state) - state.present),
+      0,
+    );
+
+  // VMs beyond what is kept go first, then those that are off, then those that are kept without need. Work that waits goes before work that is only expected.
+  fill(
+    ({ due }) => due,
+    () =>
+      takeIdle((state) => state.kept) ?? takeSpare() ??
+        takeIdle((state) => state.need) ?? takeIdle((state) => state.due),
+  );
+  const waiting = cordonBusy(
+    missingOf((state) => state.due),
+    (state) => state.due,
+  );
   fill(
     ({ need }) => need,
     () =>
       takeIdle((state) => state.kept) ?? takeSpare() ??
         takeIdle((state) => state.need),
   );
-  let missing = states.reduce(
-    (sum, { need, present }) => sum + Math.max(0, need - present),
-    0,
-  );
-
-  // Busy VMs of a surplus are emptied while others still miss some.
-  for (const state of states) {
-    let allowed = Math.max(0, state.present - state.need);
-    const busy = state.vms.filter((vm) =>
-      vm.lastingTasks === 0 && vm.movable && vm.tasks > 0 &&
-      !taken.has(vm.vmId)
-    ).sort((a, b) =>
-      Number(b.leaving) - Number(a.leaving) || a.tasks - b.tasks
+  const missing = waiting +
+    cordonBusy(
+      missingOf((state) => state.need) - waiting,
+      (state) => state.need,
     );
-    for (const vm of busy) {
-      if (missing > 0 && allowed > 0) {
-        if (!vm.leaving) cordons.push(vm.vmId);
-        missing--;
-        allowed--;
-      } else if (vm.leaving) releases.push(vm.vmId);
+  for (const vm of allVms) {
+    if (cordoned.has(vm.vmId) && !vm.leaving) cordons.push(vm.vmId);
+    if (vm.leaving && !cordoned.has(vm.vmId) && !taken.has(vm.vmId)) {
+      releases.push(vm.vmId);
     }
   }
 
--- a/src/scheduler/pool_plan_test.ts
+++ b/src/scheduler/pool_plan_test.ts
@@ -104,6 +104,42 @@
   assert.deepEqual([plan.moves, plan.cordons], [[], []]);
 });
 
+// Guards against a pool that starves at the start of its turn while another holds VMs for work that may come.
+test("overlapping turns: work that waits goes before work that is expected", () => {
+  const plan = planPools(
+    [
+      pool("a", { usedVms: 2, expectedVms: 8 }),
+      pool("b", { usedVms: 1, waitingVms: 4 }),
+    ],
+    [
+      ...[1, 2, 3, 4, 5, 6].map((index) =>
+        vm(`a${index}`, "a", { tasks: index <= 3 ? 1 : 0 })
+      ),
+      vm("b1", "b", { tasks: 1 }),
+      vm("b2", "b", { tasks: 1 }),
+    ],
+  );
+  assert.deepEqual(
+    plan.moves.map(({ from, to }) => [from, to]),
+    [["a", "b"], ["a", "b"], ["a", "b"]],
+  );
+});
+
+// Guards against VMs that stay closed after the need for them has passed.
+test("a VM that was to leave is released when nobody misses one", () => {
+  const plan = planPools(
+    [pool("a", { usedVms: 2 }), pool("b", { usedVms: 1 })],
+    [
+      vm("a1", "a", { tasks: 1, leaving: true }),
+      vm("a2", "a", { tasks: 1 }),
+      vm("b1", "b", { tasks: 1 }),
+      vm("b2", "b", { tasks: 1 }),
+      vm("b3", "b", { tasks: 1 }),
+    ],
+  );
+  assert.deepEqual(plan.releases, ["a1"]);
+});
+
 // Guards against a task that waits for ever because the pool has room only in pieces.
 test("a task that waits long gets one more VM although the work would fit", () => {
   const vms = [
--- a/src/scheduler/tenure.ts
+++ b/src/scheduler/tenure.ts
@@ -101,7 +101,7 @@
 export interface TenureRun {
   /** Undefined until the records are loaded. */
   api(): OwnerApi | undefined;
-  /** Gives ownership up: stores what is pending and ends the lease. */
+  /** Gives ownership up at once. */
   resign(): void;
   /** Whether ownership was given up rather than lost. */
   resigned(): boolean;
@@ -506,19 +506,17 @@
     yield* suspend();
   }
 
-  /** Stores what is pending, then ends the lease so that another entry takes over at once. */
+  /** Ends the lease so that another entry takes over at once; what isn't stored yet, the next owner reads from the workers. */
   function resign(reason: string): void {
     if (resigning) return;
     resigning = true;
     log.info("giving up ownership", { reason, pending: journal.pending() });
-    journal.afterFlush(() => {
-      void store.endLease(tenure.leaseId).catch((error) =>
-        log.warn("the lease couldn't be ended and will run out", {
-          reason: messageOf(error),
-        })
-      );
-      onLost(reason);
-    });
+    void store.endLease(tenure.leaseId).catch((error) =>
+      log.warn("the lease couldn't be ended and will run out", {
+        reason: messageOf(error),
+      })
+    );
+    onLost(reason);
   }
 
   function* waitUntilLost(): Operation<string> {
