--- /dev/null
+++ b/src/scheduler/front_test.ts
@@ -0,0 +1,168 @@
+import assert from "node:assert/strict";
+import { suite } from "uvu";
+import { FakeRecordStore } from "../../testing/fake_record_store.ts";
+import { createRandom } from "../../testing/random.ts";
+import { QUEUE } from "../../testing/scheduler_cluster.ts";
+import { waitFor } from "../../testing/wait.ts";
+import { systemClock } from "../clock.ts";
+import { silentLogger } from "../logger.ts";
+import { createFront } from "./front.ts";
+import { encodeProgress, openDueOccurrences, restoreJob } from "./job_state.ts";
+import { jobSpecSchema } from "./model.ts";
+import { type OwnerClient, OwnerError } from "./owner_client.ts";
+import { KEYS } from "./ownership.ts";
+
+const test = suite("front");
+
+const JOB = "0123456789abcdef";
+const submission = {
+  jobId: JOB,
+  specification: "",
+  steps: [{ taskCount: 1 }],
+} as never;
+
+function createWorld(owner?: Partial<OwnerClient>) {
+  const store = new FakeRecordStore(createRandom(7));
+  const refuse = () => Promise.reject(new OwnerError("away"));
+  const client = {
+    accepted: refuse,
+    submit: refuse,
+    cancelled: refuse,
+    cancel: refuse,
+    status: refuse,
+    waitingJobs: refuse,
+    owner: refuse,
+    close() {},
+    ...owner,
+  } as OwnerClient;
+  const front = createFront({
+    store: store.client("entry-1"),
+    clock: systemClock,
+    log: silentLogger,
+    config: () => undefined,
+    owner: () => owner === undefined ? undefined : client,
+    onOwnerAnswer() {},
+  });
+  const context = (budgetMs = 700) => ({
+    requestId: "r",
+    deadlineMs: performance.now() + budgetMs,
+  });
+  return { store, front, context };
+}
+
+// Guards against telling a caller that its job never runs although it may be stored.
+test("a submission is refused only when nothing can be stored, and without an answer it is unresolved", async () => {
+  const away = createWorld();
+  away.store.faults.down = true;
+  const refused = await away.front.submit(QUEUE, submission, away.context());
+  assert.equal(refused.kind, "refused");
+  assert.ok(refused.kind === "refused" && refused.retryAfterMs > 0);
+
+  const late = createWorld();
+  late.store.faults.lateShare = 1;
+  late.store.faults.lateMs = 5_000;
+  assert.deepEqual(
+    await late.front.submit(QUEUE, submission, late.context()),
+    { kind: "unresolved" },
+  );
+});
+
+// Guards against a job that is stored twice, or refused, because its first answer was lost.
+test("a submission whose answer was lost is accepted once it is found stored", async () => {
+  const world = createWorld();
+  world.store.faults.lostShare = 1;
+  const first = world.front.submit(QUEUE, submission, world.context(3_000));
+  await waitFor("the job is stored", () => world.store.items.size > 0);
+  world.store.faults.lostShare = 0;
+  assert.deepEqual(await first, { kind: "accepted" });
+  assert.deepEqual(
+    await world.front.submit(QUEUE, submission, world.context()),
+    { kind: "accepted" },
+  );
+});
+
+// Guards against callers that are turned away by an entry that only the store refuses.
+test("an entry that the store refuses stores through the owner", async () => {
+  const asked: string[] = [];
+  const world = createWorld({
+    submit: (spec) => {
+      asked.push(spec.jobId);
+      return Promise.resolve(true);
+    },
+    accepted: () => Promise.resolve(),
+  });
+  world.store.faults.refused.add("entry-1");
+  assert.deepEqual(
+    await world.front.submit(QUEUE, submission, world.context()),
+    { kind: "accepted" },
+  );
+  assert.deepEqual(asked, [JOB]);
+});
+
+// Guards against a job that is denied because the owner hasn't heard of it, or guessed at because the owner is away.
+test("the status comes from the owner, else from the store", async () => {
+  const unknown = createWorld({ status: () => Promise.resolve(undefined) });
+  assert.deepEqual(
+    await unknown.front.status(JOB, unknown.context()),
+    { kind: "unknown_job" },
+  );
+  await unknown.front.submit(QUEUE, submission, unknown.context());
+  assert.deepEqual(
+    await unknown.front.status(JOB, unknown.context()),
+    { kind: "status", status: "queued" },
+  );
+
+  const world = createWorld();
+  await world.front.submit(QUEUE, submission, world.context());
+  const spec = jobSpecSchema.parse(
+    JSON.parse(world.store.items.get(KEYS.jobPrefix + JOB)!.value),
+  );
+  const job = restoreJob(spec, undefined, 0);
+  openDueOccurrences(job, spec.acceptedAtMs);
+  job.status = "completed";
+  world.store.write(KEYS.progressPrefix + JOB, encodeProgress(job, 0));
+  assert.deepEqual(
+    await world.front.status(JOB, world.context()),
+    { kind: "status", status: "completed" },
+  );
+  world.store.faults.down = true;
+  const away = await world.front.status(JOB, world.context());
+  assert.equal(away.kind, "unavailable");
+});
+
+// Guards against a cancellation that is acknowledged before it is stored.
+test("a cancellation is acknowledged once it is stored; an unknown job isn't cancelled", async () => {
+  const world = createWorld();
+  assert.deepEqual(
+    await world.front.cancel(JOB, world.context()),
+    { kind: "unknown_job" },
+  );
+  await world.front.submit(QUEUE, submission, world.context());
+  assert.deepEqual(
+    await world.front.cancel(JOB, world.context()),
+    { kind: "cancelled" },
+  );
+  assert.ok(world.store.items.has(KEYS.cancelPrefix + JOB));
+  assert.deepEqual(
+    await world.front.status(JOB, world.context()),
+    { kind: "status", status: "cancelled" },
+  );
+});
+
+// Guards against a malformed job that reaches the store.
+test("a job that can't be run is refused with every problem", async () => {
+  const world = createWorld();
+  const answer = await world.front.submit(
+    QUEUE,
+    {
+      jobId: JOB,
+      specification: "",
+      steps: [{ taskCount: 1, after: [0] }],
+    } as never,
+    world.context(),
+  );
+  assert.equal(answer.kind, "invalid");
+  assert.equal(world.store.items.size, 0);
+});
+
+test.run();
