fix(scheduler): tasks of VMs that return from an order count as away

Since an answered order no longer frees the tasks by itself, they counted as at work until the VM list was read, and the next VM of the wave was taken down meanwhile. Besides, a task whose last report was older than its return to work was taken as one that may be ended without asking the budget. Change: tasks on a VM whose order was answered count as away until the list shows the VM back; a task's own state doesn't free it from the budget. Test that failed first: "VMs whose tasks share a budget are maintained one after the other" (tasks left at work: 1, 0; now 1, 1).

--- a/src/scheduler/fleet_manager.ts
+++ b/src/scheduler/fleet_manager.ts
@@ -257,7 +257,7 @@
       const { placement } = other;
       if (placement === undefined || placement.order !== "running") return true;
       return placement.percent < 100 || placement.stopReason !== undefined ||
-        orders.active.has(placement.vmId);
+        orders.active.has(placement.vmId) || returning.has(placement.vmId);
     }).length;
   }
 
@@ -268,11 +268,11 @@
       const { placement } = task;
       if (mayMiss === undefined || placement === undefined) continue;
       if (placement.order !== "running") return false;
-      // A task that isn't at work counts among those that are away.
-      if (placement.percent < 100) continue;
+      // The last report may be older than the task's return to work, so that its own state doesn't count.
+      const others = countAway(task) - (placement.percent < 100 ? 1 : 0);
       const key = `${task.job.spec.jobId}.${task.stepIndex}`;
       ending.set(key, (ending.get(key) ?? 0) + 1);
-      if (countAway(task) + ending.get(key)! > mayMiss) return false;
+      if (others + ending.get(key)! > mayMiss) return false;
     }
     return true;
   }
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -67,6 +67,8 @@
   readonly entries: ClusterEntry[] = [];
   /** Maintenance waves that operators ask for. */
   readonly waves = new Map<number, WaveRequest>();
+  /** Time that the platform's VM list takes, in ms. */
+  listDelayMs = 0;
   /** What the platform does with an order for maintenance. */
   maintain: (vmId: string) => VmOrderOutcome = () => ({
     kind: "refused",
@@ -101,7 +103,8 @@
   #fleet(): VmFleet {
     return {
       list: () =>
-        Promise.resolve(
+        delay(
+          this.listDelayMs,
           [...this.workers.workers.values()].map((
             { entry, alive },
           ): VmEntry => ({
