refactor(scheduler): VM states, waves, pools, worker registry and loading in files of their own

No behaviour changes but one: reads of a new owner are repeated until the store answers; before, one failed read ended the tenure, and nobody worked until its lease had run out.

--- /dev/null
+++ b/src/scheduler/load_jobs.ts
@@ -0,0 +1,100 @@
+import type { Operation } from "effection";
+import { messageOf } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import type { Clock } from "../clock.ts";
+import { forEachPlaced, type JobState, restoreJob } from "./job_state.ts";
+import { type JobSpec, jobSpecSchema } from "./model.ts";
+import { KEYS } from "./ownership.ts";
+import type { RecordStore, StoredItem } from "./ports.ts";
+import { readStore } from "./read_store.ts";
+import type { Scheduler } from "./scheduler.ts";
+
+/** Decodes a stored job; undefined, with a log line, for one that can't be read. */
+export function readSpec(item: StoredItem, log: Logger): JobSpec | undefined {
+  try {
+    return jobSpecSchema.parse(JSON.parse(item.value));
+  } catch (error) {
+    log.error("stored job can't be read and is set aside", {
+      key: item.key,
+      reason: messageOf(error),
+    });
+    return undefined;
+  }
+}
+
+/** What jobs are loaded into. */
+export interface LoadJobsOptions {
+  readonly store: RecordStore;
+  readonly scheduler: Scheduler;
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** Monotonic time until which leases of earlier owners may last, in ms. */
+  readonly earlierLeasesEndMs: number;
+}
+
+/** Takes over one job; each of its placements belongs to the life that it names, registered or not. */
+function adoptJob(
+  spec: JobSpec,
+  progress: string | undefined,
+  { scheduler, clock, log, earlierLeasesEndMs }: LoadJobsOptions,
+): void {
+  const { roster } = scheduler;
+  const nowMs = clock.monotonicMs();
+  let job: JobState;
+  try {
+    job = restoreJob(spec, progress, nowMs);
+  } catch (error) {
+    log.error("stored progress of a job can't be read; the job is set aside", {
+      job: spec.jobId,
+      reason: messageOf(error),
+    });
+    return;
+  }
+  scheduler.adopt(job);
+  forEachPlaced(job, (task, placement) => {
+    let life = roster.find(placement.workerId, placement.bornAtMs);
+    if (life === undefined) {
+      life = {
+        workerId: placement.workerId,
+        bornAtMs: placement.bornAtMs,
+        vmId: placement.vmId,
+        link: undefined,
+        entry: undefined,
+        missingSinceMs: undefined,
+        tasks: new Set(),
+        joinedAtMs: nowMs,
+        earlierLeasesEndMs,
+      };
+      roster.add(life);
+    }
+    life.tasks.add(task);
+    if (job.status !== "active") scheduler.stop(task, "the job has ended");
+  });
+}
+
+/** Takes over the jobs that earlier owners and other entries have stored; returns the number of records. */
+export function* loadJobs(options: LoadJobsOptions): Operation<number> {
+  const { store, scheduler, log } = options;
+  const progress = yield* readStore(
+    () => store.list(KEYS.progressPrefix),
+    log,
+  );
+  const queue = yield* readStore(() => store.list(KEYS.queuePrefix), log);
+  const progressOf = new Map(
+    progress.items.map((
+      { key, value },
+    ) => [key.slice(KEYS.progressPrefix.length), value]),
+  );
+  const cancelled: string[] = [];
+  for (const item of queue.items) {
+    if (item.key.startsWith(KEYS.cancelPrefix)) {
+      cancelled.push(item.key.slice(KEYS.cancelPrefix.length));
+      continue;
+    }
+    const spec = readSpec(item, log);
+    if (spec === undefined) continue;
+    adoptJob(spec, progressOf.get(spec.jobId), options);
+  }
+  for (const jobId of cancelled) scheduler.cancel(jobId);
+  return queue.items.length;
+}
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -24,8 +24,6 @@
 import type { Scheduler } from "./scheduler.ts";
 import type { Tickets } from "./tickets.ts";
 
-/** A registration that is gone longer than this means that the worker is gone, in ms; it may be away for a moment after an outage of the store. */
-export const REGISTRATION_GRACE_MS = 2_000;
 /** Silence from which a worker gets no new tasks, in ms. */
 const SILENCE_LIMIT_MS = 300;
 
--- /dev/null
+++ b/src/scheduler/pool_balancer.ts
@@ -0,0 +1,175 @@
+import type { Clock } from "../clock.ts";
+import type { Logger } from "../logger.ts";
+import type { DemandForecast } from "./demand_forecast.ts";
+import { listOpenSteps, stepOf } from "./job_state.ts";
+import type { Step } from "./model.ts";
+import { reservedCpuMillis } from "./placement.ts";
+import { type PlannedPool, type PlannedVm, planPools } from "./pool_plan.ts";
+import type { Resources, SchedulerConfig } from "./ports.ts";
+import { livesOn } from "./roster.ts";
+import type { Scheduler } from "./scheduler.ts";
+import type { VmStates } from "./vm_states.ts";
+
+type MutableResources = { -readonly [Key in keyof Resources]: Resources[Key] };
+
+function addResources(
+  sum: MutableResources,
+  step: Step,
+  count: number,
+): void {
+  sum.cpuMillis += reservedCpuMillis(step) * count;
+  sum.memoryMb += step.memoryMb * count;
+  sum.gpuCount += step.gpuCount * count;
+}
+
+/** Room in VMs: the resource that runs out first decides. */
+function shareOf(sum: Resources, capacity: Resources): number {
+  return Math.max(
+    sum.cpuMillis / Math.max(1, capacity.cpuMillis),
+    sum.memoryMb / Math.max(1, capacity.memoryMb),
+    capacity.gpuCount > 0 ? sum.gpuCount / capacity.gpuCount : 0,
+  );
+}
+
+/** Moves VMs between pools as demand asks. */
+export interface PoolBalancer {
+  balance(): void;
+  /** VMs that each pool needed at the last decision. */
+  targets(): Readonly<Record<string, number>>;
+}
+
+/** Creates the balancer of one tenure. */
+export function createPoolBalancer(options: {
+  readonly states: VmStates;
+  readonly scheduler: Scheduler;
+  readonly forecast: DemandForecast;
+  readonly config: () => SchedulerConfig | undefined;
+  readonly clock: Clock;
+  readonly log: Logger;
+}): PoolBalancer {
+  const { states, scheduler, clock, log } = options;
+  const lastBusyMs = new Map<string, number>();
+  let lastTargets: Readonly<Record<string, number>> = {};
+
+  /** Room of the usual VM of a pool, or of any VM while the pool has none. */
+  function usualCapacity(pool: string): Resources | undefined {
+    let any: Resources | undefined;
+    for (const vm of states.list().values()) {
+      if (vm.pool === pool) return vm.capacity;
+      any ??= vm.capacity;
+    }
+    return any;
+  }
+
+  /** What a pool needs, in VMs. */
+  function demandOf(
+    service: string,
+    config: SchedulerConfig,
+  ): Pick<
+    PlannedPool,
+    "usedVms" | "waitingVms" | "longestWaitMs" | "expectedVms"
+  > {
+    const capacity = usualCapacity(service);
+    if (capacity === undefined) {
+      return { usedVms: 0, waitingVms: 0, longestWaitMs: 0, expectedVms: 0 };
+    }
+    const used = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
+    const waiting = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
+    let longestWaitMs = 0;
+    for (const life of scheduler.roster.lives.values()) {
+      if (life.entry?.service !== service) continue;
+      for (const task of life.tasks) addResources(used, stepOf(task), 1);
+    }
+    for (const job of scheduler.jobs.values()) {
+      if (job.status !== "active") continue;
+      const queue = config.queues.find(({ name }) => name === job.spec.queue);
+      if ((queue?.service ?? job.spec.service) !== service) continue;
+      for (const occurrence of job.occurrences) {
+        for (const tasks of listOpenSteps(job, occurrence)) {
+          const open = tasks.filter(({ phase }) => phase === "waiting");
+          if (open.length > 0) {
+            addResources(waiting, stepOf(open[0]!), open.length);
+          }
+          for (const task of open) {
+            task.waitingSinceMs ??= clock.monotonicMs();
+            longestWaitMs = Math.max(
+              longestWaitMs,
+              clock.monotonicMs() - task.waitingSinceMs,
+            );
+          }
+        }
+      }
+    }
+    return {
+      usedVms: shareOf(used, capacity),
+      waitingVms: shareOf(waiting, capacity),
+      longestWaitMs,
+      expectedVms: options.forecast.expectCores(service) * 1_000 /
+        Math.max(1, capacity.cpuMillis),
+    };
+  }
+
+  function describeVms(nowMs: number): PlannedVm[] {
+    const planned: PlannedVm[] = [];
+    for (const vm of states.list().values()) {
+      if (
+        vm.state !== "up" || states.isAway(vm.vmId)
+      ) continue;
+      const lives = livesOn(scheduler.roster.lives.values(), vm.vmId);
+      const tasks = states.tasksOf(vm.vmId);
+      if (tasks.length > 0 || !lastBusyMs.has(vm.vmId)) {
+        lastBusyMs.set(vm.vmId, nowMs);
+      }
+      planned.push({
+        vmId: vm.vmId,
+        pool: vm.pool,
+        tasks: tasks.length,
+        lastingTasks: tasks.filter((task) => stepOf(task).longRunning).length,
+        idleMs: nowMs - (lastBusyMs.get(vm.vmId) ?? nowMs),
+        leaving: states.leaving.has(vm.vmId),
+        movable: states.isOrderable(vm) && !states.emptying.has(vm.vmId) &&
+          lives.every((life) => life.entry?.state !== "draining"),
+      });
+    }
+    return planned;
+  }
+
+  function balance(): void {
+    const config = options.config();
+    if (config === undefined || states.list().size === 0) return;
+    const nowMs = clock.monotonicMs();
+    const arriving = new Map<string, number>();
+    for (const { pool } of states.returning.values()) {
+      arriving.set(pool, (arriving.get(pool) ?? 0) + 1);
+    }
+    for (const [vmId, active] of states.orders.active) {
+      const pool = active.kind === "move"
+        ? active.pool
+        : states.list().get(vmId)?.pool ?? "";
+      arriving.set(pool, (arriving.get(pool) ?? 0) + 1);
+    }
+    const pools = config.services.map((name) => ({
+      name,
+      spare: config.sparePools.includes(name),
+      ...demandOf(name, config),
+      arriving: arriving.get(name) ?? 0,
+    }));
+    const plan = planPools(pools, describeVms(nowMs));
+    lastTargets = plan.targets;
+    for (const vmId of plan.cordons) states.leaving.set(vmId, nowMs);
+    for (const vmId of plan.releases) states.leaving.delete(vmId);
+    for (const { vmId, from, to } of plan.moves) {
+      states.leaving.set(vmId, nowMs);
+      log.info("VM changes its pool", {
+        vm: vmId,
+        from,
+        to,
+        targets: plan.targets,
+        demand: pools.find(({ name }) => name === to),
+      });
+      states.order(vmId, { kind: "move", pool: to });
+    }
+  }
+
+  return { balance, targets: () => lastTargets };
+}
--- a/src/scheduler/tenure.ts
+++ b/src/scheduler/tenure.ts
@@ -17,17 +17,12 @@
 import { createFleetManager, type FleetManager } from "./fleet_manager.ts";
 import { followPrefix } from "./follow_prefix.ts";
 import { createJournal, type Journal } from "./journal.ts";
-import {
-  forEachPlaced,
-  type JobState,
-  restoreJob,
-  stepOf,
-} from "./job_state.ts";
 import { watchLag } from "./lag_meter.ts";
-import { type JobSpec, jobSpecSchema, type JobStatus } from "./model.ts";
+import { loadJobs, readSpec } from "./load_jobs.ts";
+import type { JobSpec, JobStatus } from "./model.ts";
 import { KEYS, type Tenure } from "./ownership.ts";
 import { runPacing } from "./pacing.ts";
-import { planPlacements, REGISTRATION_GRACE_MS } from "./planner.ts";
+import { planPlacements } from "./planner.ts";
 import type {
   PlacementAdvice,
   PlatformRecords,
@@ -37,13 +32,12 @@
   VmFleet,
   WaveRequest,
   WorkerControl,
-  WorkerEntry,
 } from "./ports.ts";
-import type { WorkerLife } from "./roster.ts";
 import { createScheduler, type Scheduler } from "./scheduler.ts";
 import { relocateStalledTasks } from "./stalled_tasks.ts";
 import { createTickets, type Tickets } from "./tickets.ts";
-import { createWorkerLink, RUN_LEASE_MS } from "./worker_link.ts";
+import { RUN_LEASE_MS } from "./worker_link.ts";
+import { createWorkerRegistry } from "./worker_registry.ts";
 
 /** Time without an answer of the store after which an owner gives no more orders, in ms. Outages of the store last about 10 s, in which running tasks must keep their leases; a new owner waits this long for workers that it can't reach. */
 const SILENT_STORE_LIMIT_MS = 13_000;
@@ -150,13 +144,23 @@
     mayOrder,
     onChange: () => planWake.notify(),
   });
-  const { roster } = scheduler;
   /** Leases that earlier owners granted may last as long as a silent owner goes on and one lease more. */
   const earlierLeasesEndMs = tenure.epoch === 1
     ? startedAtMs
     : startedAtMs + SILENT_STORE_LIMIT_MS + RUN_LEASE_MS * 1.03 + 500;
-  const newLinks: WorkerLife[] = [];
-  const linksWake = createWake();
+  const workers = createWorkerRegistry({
+    ...options,
+    scheduler,
+    tickets,
+    fence: tenure.epoch,
+    earlierLeasesEndMs,
+    events: {
+      onFenced: () => onLost("a worker follows a newer owner"),
+      afterFlush: (callback) => journal.afterFlush(callback),
+      mayOrder,
+    },
+    onChange: () => planWake.notify(),
+  });
   const forecast = createDemandForecast(() => clock.monotonicMs());
   const fleet: FleetManager = createFleetManager({
     ...options,
@@ -165,7 +169,7 @@
     contact,
     forecast,
     mayOrder: () => mayOrder() && !resigning,
-    endLife,
+    endLife: workers.endLife,
     onFenced: () => onLost("a VM follows a newer owner"),
     onChange: () => planWake.notify(),
   });
@@ -180,212 +184,15 @@
     forecast.record(service, declaredWork(spec, scheduler.durations));
   }
 
-  function addWorker(entry: WorkerEntry): void {
-    const known = roster.find(entry.workerId, entry.bornAtMs);
-    if (known?.link !== undefined) {
-      if (known.entry?.state !== entry.state) {
-        log.info("worker changed its state", {
-          worker: entry.workerId,
-          service: entry.service,
-          state: entry.state,
-          remainingMs: entry.remainingMs,
-        });
-      }
-      known.entry = entry;
-      known.missingSinceMs = undefined;
-      known.link.updateEntry(entry);
-      return;
-    }
-    for (const other of [...roster.lives.values()]) {
-      if (other.workerId !== entry.workerId) continue;
-      if (other.bornAtMs > entry.bornAtMs) return;
-      if (other.bornAtMs < entry.bornAtMs) {
-        endLife(other, "the worker has started anew");
-      }
-    }
-    const link = createWorkerLink({
-      entry,
-      fence: tenure.epoch,
-      control: options.control,
-      clock,
-      log,
-      earlierLeasesEndMs,
-      events: {
-        onReport: (_, report, sentAtMs) =>
-          scheduler.onReport(life, report, sentAtMs),
-        onGone: (_, reason) => endLife(life, reason),
-        onFenced: () => onLost("a worker follows a newer owner"),
-        afterFlush: (callback) => journal.afterFlush(callback),
-        mayOrder,
-      },
-    });
-    const life: WorkerLife = {
-      workerId: entry.workerId,
-      bornAtMs: entry.bornAtMs,
-      vmId: entry.vmId,
-      link,
-      entry,
-      missingSinceMs: undefined,
-      tasks: known?.tasks ?? new Set(),
-      joinedAtMs: clock.monotonicMs(),
-      earlierLeasesEndMs,
-    };
-    roster.add(life);
-    log.info("worker joined", {
-      worker: entry.workerId,
-      vm: entry.vmId,
-      service: entry.service,
-      rack: entry.rack,
-    });
-    newLinks.push(life);
-    linksWake.notify();
-  }
-
-  function endLife(life: WorkerLife, reason: string): void {
-    scheduler.endLife(life, reason);
-    life.link?.close();
-    tickets.forgetWorker(life.workerId);
-    if (life.entry !== undefined) options.control.forget(life.entry.address);
-    planWake.notify();
-  }
-
-  function missWorker(key: string): void {
-    const workerId = key.slice(records.workerPrefix.length);
-    const life = roster.current(workerId);
-    if (life === undefined) return;
-    life.missingSinceMs = clock.monotonicMs();
-    log.info("worker's registration is gone", { worker: workerId });
-  }
-
-  function readWorkers(items: readonly StoredItem[]): void {
-    const present = new Set<string>();
-    for (const item of items) {
-      const entry = records.readWorker(item);
-      if (entry === undefined) continue;
-      present.add(entry.workerId);
-      addWorker(entry);
-    }
-    for (const life of roster.lives.values()) {
-      if (life.entry !== undefined && !present.has(life.workerId)) {
-        life.missingSinceMs ??= clock.monotonicMs();
-      }
-    }
-  }
-
-  /** Frees tasks of workers that are proven to be gone, and hides workers that are taken as gone. */
-  function checkLives(): void {
-    for (const life of [...roster.lives.values()]) {
-      const missing = life.missingSinceMs !== undefined &&
-        clock.monotonicMs() - life.missingSinceMs > REGISTRATION_GRACE_MS;
-      if (missing) life.entry = undefined;
-      const unreachable = life.link === undefined ||
-        life.link.silentMs() > 0 || !life.link.confirmed;
-      const over = life.link === undefined
-        ? clock.monotonicMs() > life.earlierLeasesEndMs
-        : life.link.leasesOver();
-      if (unreachable && over && (life.tasks.size > 0 || missing)) {
-        endLife(life, "every lease that it may hold has run out");
-      }
-      if (life.link !== undefined) {
-        life.link.busy = life.tasks.size > 0;
-        life.link.watched = [...life.tasks].some((task) =>
-          stepOf(task).targetMs > 0 || stepOf(task).fills
-        );
-      }
-    }
-  }
-
-  function readSpec(item: StoredItem): JobSpec | undefined {
-    try {
-      return jobSpecSchema.parse(JSON.parse(item.value));
-    } catch (error) {
-      log.error("stored job can't be read and is set aside", {
-        key: item.key,
-        reason: messageOf(error),
-      });
-      return undefined;
-    }
-  }
-
   function readQueueItem(item: StoredItem): void {
     if (item.key.startsWith(KEYS.cancelPrefix)) {
       scheduler.cancel(item.key.slice(KEYS.cancelPrefix.length));
       return;
     }
-    const spec = readSpec(item);
+    const spec = readSpec(item, log);
     if (spec !== undefined) acceptJob(spec);
   }
 
-  function* loadJobs(): Operation<number> {
-    const progress = yield* until(store.list(KEYS.progressPrefix));
-    const queue = yield* until(store.list(KEYS.queuePrefix));
-    const progressOf = new Map(
-      progress.items.map((
-        { key, value },
-      ) => [key.slice(KEYS.progressPrefix.length), value]),
-    );
-    const cancelled: string[] = [];
-    for (const item of queue.items) {
-      if (item.key.startsWith(KEYS.cancelPrefix)) {
-        cancelled.push(item.key.slice(KEYS.cancelPrefix.length));
-        continue;
-      }
-      const spec = readSpec(item);
-      if (spec === undefined) continue;
-      adopt(spec, progressOf.get(spec.jobId));
-    }
-    for (const jobId of cancelled) scheduler.cancel(jobId);
-    contact.restart();
-    return queue.items.length;
-  }
-
-  function adopt(spec: JobSpec, progress: string | undefined): void {
-    let job: JobState;
-    try {
-      job = restoreJob(spec, progress, clock.monotonicMs());
-    } catch (error) {
-      log.error(
-        "stored progress of a job can't be read; the job is set aside",
-        {
-          job: spec.jobId,
-          reason: messageOf(error),
-        },
-      );
-      return;
-    }
-    scheduler.adopt(job);
-    forEachPlaced(job, (task, placement) => {
-      let life = roster.find(placement.workerId, placement.bornAtMs);
-      if (life === undefined) {
-        life = {
-          workerId: placement.workerId,
-          bornAtMs: placement.bornAtMs,
-          vmId: placement.vmId,
-          link: undefined,
-          entry: undefined,
-          missingSinceMs: undefined,
-          tasks: new Set(),
-          joinedAtMs: startedAtMs,
-          earlierLeasesEndMs,
-        };
-        roster.add(life);
-      }
-      life.tasks.add(task);
-      if (job.status !== "active") {
-        scheduler.stop(task, "the job has ended");
-      }
-    });
-  }
-
-  function* runLinks(): Operation<void> {
-    for (;;) {
-      for (const life of newLinks.splice(0)) {
-        yield* spawn(() => life.link!.run());
-      }
-      yield* linksWake.wait(10_000);
-    }
-  }
-
   function* renewLease(): Operation<void> {
     for (;;) {
       yield* sleep(tenure.leaseTtlMs / RENEWALS_PER_LEASE);
@@ -420,7 +227,7 @@
 
   function* checkLoop(): Operation<void> {
     for (;;) {
-      checkLives();
+      workers.check();
       if (!resigning) relocateStalledTasks(scheduler, log);
       yield* sleep(CHECK_INTERVAL_MS);
     }
@@ -463,22 +270,20 @@
 
   function* work(): Operation<void> {
     yield* spawn(() => renewLease());
-    const jobs = yield* loadJobs();
+    const jobs = yield* loadJobs({ ...options, scheduler, earlierLeasesEndMs });
+    contact.restart();
     log.info("owner started", {
       epoch: tenure.epoch,
       records: jobs,
       loadMs: Math.round(clock.monotonicMs() - startedAtMs),
     });
     yield* spawn(() => journal.run());
-    yield* spawn(() => runLinks());
+    yield* spawn(() => workers.run());
     yield* spawn(() =>
       follow(records.workerPrefix, workerPauseMs, {
-        onSnapshot: readWorkers,
-        onPut(item) {
-          const entry = records.readWorker(item);
-          if (entry !== undefined) addWorker(entry);
-        },
-        onDelete: missWorker,
+        onSnapshot: workers.readAll,
+        onPut: workers.readItem,
+        onDelete: workers.miss,
       })
     );
     yield* spawn(() =>
@@ -538,7 +343,7 @@
       pendingRecords: journal.pending(),
       counters: scheduler.counters,
       fleet: fleet.describe(),
-      workers: [...roster.lives.values()].map((life) => ({
+      workers: [...scheduler.roster.lives.values()].map((life) => ({
         workerId: life.workerId,
         vmId: life.vmId,
         service: life.entry?.service,
--- /dev/null
+++ b/src/scheduler/vm_states.ts
@@ -0,0 +1,205 @@
+import { type Operation, sleep, until } from "effection";
+import type { Clock } from "../clock.ts";
+import { messageOf } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import type { TaskState } from "./job_state.ts";
+import type { VmEntry, VmFleet } from "./ports.ts";
+import { livesOn, tasksOn, type WorkerLife } from "./roster.ts";
+import type { Scheduler } from "./scheduler.ts";
+import type { VmOrder, VmOrders } from "./vm_orders.ts";
+
+/** Interval of reading the VM list while something depends on it, in ms. */
+const ACTIVE_LIST_INTERVAL_MS = 400;
+/** Interval of reading the VM list otherwise, in ms. */
+const IDLE_LIST_INTERVAL_MS = 2_500;
+/** Interval of checks whether the list must be read, in ms. */
+const CHECK_INTERVAL_MS = 100;
+/** Silence after which the VM list is asked whether a worker's VM is down, in ms. */
+const SUSPICION_MS = 250;
+/** The VM list shows an order, or a new life, at the latest after this time, in ms. */
+const LIST_LAG_MS = 1_200;
+
+/** A VM after an answered order. */
+export interface ReturningVm {
+  /** Monotonic time of the answer, in ms. */
+  readonly sinceMs: number;
+  /** Lives on the VM when the order was given; the answer doesn't prove that they are over, as the operation may have been done before. */
+  readonly lives: readonly WorkerLife[];
+  /** The wave of an order for maintenance. */
+  readonly wave: number | undefined;
+  /** Pool of the VM after the order. */
+  readonly pool: string;
+}
+
+/** VMs as the platform lists them, and what is under way with each. */
+export interface VmStates {
+  list(): ReadonlyMap<string, VmEntry>;
+  readonly orders: VmOrders;
+  /** VMs whose order was answered, until the list shows that they are back. */
+  readonly returning: ReadonlyMap<string, ReturningVm>;
+  /** VMs that get no new tasks because they are to change pools, with the monotonic time since when, in ms. */
+  readonly leaving: Map<string, number>;
+  /** VMs that get no new tasks because they are to be maintained, with the monotonic time since when, in ms. */
+  readonly emptying: Map<string, number>;
+  tasksOf(vmId: string): TaskState[];
+  /** Whether the VM is up and nothing is under way with it. */
+  isOrderable(vm: VmEntry): boolean;
+  isCordoned(vmId: string): boolean;
+  /** Whether anything under way keeps the VM from working. */
+  isAway(vmId: string): boolean;
+  order(vmId: string, order: VmOrder, onDone?: () => void): void;
+  /** Reads the list from time to time; `isWatched` asks for short intervals. */
+  run(isWatched: () => boolean): Operation<void>;
+}
+
+/** What the states work with. */
+export interface VmStatesOptions {
+  readonly fleet: VmFleet;
+  readonly orders: VmOrders;
+  readonly scheduler: Scheduler;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly endLife: (life: WorkerLife, reason: string) => void;
+  readonly onFenced: () => void;
+  readonly onChange: () => void;
+}
+
+/** Creates the states of all VMs for one tenure. */
+export function createVmStates(options: VmStatesOptions): VmStates {
+  const { orders, scheduler, clock, log } = options;
+  let vms: ReadonlyMap<string, VmEntry> = new Map();
+  let listedAtMs = -Infinity;
+  const leaving = new Map<string, number>();
+  const emptying = new Map<string, number>();
+  const returning = new Map<string, ReturningVm>();
+
+  /** The platform's list proves that a silent worker's life is over. */
+  function checkSilentLives(
+    list: ReadonlyMap<string, VmEntry>,
+    askedAtMs: number,
+  ): void {
+    for (const life of [...scheduler.roster.lives.values()]) {
+      const silentMs = life.link?.silentMs() ?? Infinity;
+      if (
+        life.vmId === "" || (silentMs < SUSPICION_MS && life.link?.confirmed)
+      ) continue;
+      if (life.link !== undefined && !life.link.confirmed && silentMs === 0) {
+        continue;
+      }
+      // The list may be older than a life that has just joined.
+      if (askedAtMs - life.joinedAtMs < LIST_LAG_MS) continue;
+      const vm = list.get(life.vmId);
+      const reason = vm === undefined
+        ? "its VM is listed no more"
+        : vm.state === "down"
+        ? "its VM is down"
+        : vm.workerId !== undefined && vm.workerId !== life.workerId
+        ? "its VM runs another worker"
+        : undefined;
+      if (reason === undefined) continue;
+      log.info("VM list shows that a worker is gone", {
+        worker: life.workerId,
+        vm: life.vmId,
+        reason,
+        listAgeMs: Math.round(clock.monotonicMs() - askedAtMs),
+      });
+      options.endLife(life, reason);
+    }
+  }
+
+  function* readList(): Operation<void> {
+    const askedAtMs = clock.monotonicMs();
+    try {
+      const list = yield* until(options.fleet.list());
+      vms = new Map(list.map((vm) => [vm.vmId, vm]));
+      listedAtMs = askedAtMs;
+    } catch (error) {
+      log.warn("VM list can't be read", { reason: messageOf(error) });
+      return;
+    }
+    checkSilentLives(vms, askedAtMs);
+    for (const [vmId, order] of returning) {
+      const vm = vms.get(vmId);
+      for (const life of order.lives) {
+        if (vm?.state === "up" && vm.workerId === life.workerId) continue;
+        if (scheduler.roster.find(life.workerId, life.bornAtMs) !== life) {
+          continue;
+        }
+        options.endLife(life, "its VM was taken down by an order");
+      }
+      if (askedAtMs - order.sinceMs < LIST_LAG_MS) continue;
+      if (vm === undefined || vm.state === "up" || vm.state === "down") {
+        returning.delete(vmId);
+        emptying.delete(vmId);
+        leaving.delete(vmId);
+      }
+    }
+  }
+
+  function needsList(): boolean {
+    if (orders.active.size > 0 || returning.size > 0) return true;
+    for (const life of scheduler.roster.lives.values()) {
+      if (
+        life.tasks.size > 0 &&
+        (life.link?.silentMs() ?? Infinity) > SUSPICION_MS
+      ) return true;
+    }
+    return false;
+  }
+
+  function order(
+    vmId: string,
+    what: VmOrder,
+    onDone?: () => void,
+  ): void {
+    const lives = livesOn(scheduler.roster.lives.values(), vmId);
+    const before = vms.get(vmId);
+    orders.send(vmId, what, (end) => {
+      if (end === "fenced") return options.onFenced();
+      if (end === "refused") {
+        leaving.delete(vmId);
+        emptying.delete(vmId);
+        return;
+      }
+      returning.set(vmId, {
+        sinceMs: clock.monotonicMs(),
+        lives,
+        wave: what.kind === "maintain" ? what.wave : undefined,
+        pool: what.kind === "move" ? what.pool : before?.pool ?? "",
+      });
+      // The list tells at once whether the worker is gone.
+      listedAtMs = -Infinity;
+      onDone?.();
+      options.onChange();
+    });
+  }
+
+  function isOrderable(vm: VmEntry): boolean {
+    return vm.state === "up" && orders.isFree(vm.vmId) &&
+      !returning.has(vm.vmId);
+  }
+
+  return {
+    list: () => vms,
+    orders,
+    returning,
+    leaving,
+    emptying,
+    tasksOf: (vmId) => tasksOn(scheduler.roster.lives.values(), vmId),
+    isOrderable,
+    isCordoned: (vmId) =>
+      leaving.has(vmId) || emptying.has(vmId) || orders.active.has(vmId) ||
+      returning.has(vmId),
+    isAway: (vmId) => orders.active.has(vmId) || returning.has(vmId),
+    order,
+    *run(isWatched) {
+      for (;;) {
+        const waitMs = isWatched() || needsList()
+          ? ACTIVE_LIST_INTERVAL_MS
+          : IDLE_LIST_INTERVAL_MS;
+        if (clock.monotonicMs() - listedAtMs >= waitMs) yield* readList();
+        yield* sleep(CHECK_INTERVAL_MS);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/src/scheduler/wave_runner.ts
@@ -0,0 +1,198 @@
+import type { Operation } from "effection";
+import { z } from "zod";
+import type { Clock } from "../clock.ts";
+import type { Logger } from "../logger.ts";
+import type { Journal } from "./journal.ts";
+import { stepOf, type TaskState } from "./job_state.ts";
+import { KEYS } from "./ownership.ts";
+import type {
+  PlatformRecords,
+  RecordStore,
+  VmEntry,
+  WaveRequest,
+} from "./ports.ts";
+import { readStore } from "./read_store.ts";
+import type { Scheduler } from "./scheduler.ts";
+import type { VmStates } from "./vm_states.ts";
+import { planWave, type WaveVm } from "./wave_plan.ts";
+
+const waveRecordSchema = z.object({
+  /** When the wave was first seen, in ms since 1970. */
+  seenAtMs: z.number(),
+  done: z.array(z.string()),
+  completed: z.boolean(),
+});
+type WaveRecord = z.infer<typeof waveRecordSchema>;
+
+/** Carries out maintenance waves within the budgets of long-running steps. */
+export interface WaveRunner {
+  /** Reads what earlier owners have done. */
+  load(store: RecordStore): Operation<void>;
+  /** Takes the next step of a wave. */
+  advance(request: WaveRequest): void;
+  /** Whether a wave is under way. */
+  isActive(): boolean;
+  describe(): unknown;
+}
+
+/** Creates the runner of one tenure. */
+export function createWaveRunner(options: {
+  readonly states: VmStates;
+  readonly scheduler: Scheduler;
+  readonly journal: Journal;
+  readonly records: PlatformRecords;
+  readonly clock: Clock;
+  readonly log: Logger;
+}): WaveRunner {
+  const { states, scheduler, journal, records, clock, log } = options;
+  const waveRecords = new Map<number, WaveRecord>();
+
+  /** Tasks of a step with a budget that are away or about to be. */
+  function countAway(task: TaskState): number {
+    const tasks = task.job.occurrences[task.occurrence]!.steps[task.stepIndex]!;
+    return tasks.filter((other) => {
+      const { placement } = other;
+      if (placement === undefined || placement.order !== "running") return true;
+      return placement.percent < 100 || placement.stopReason !== undefined ||
+        states.isAway(placement.vmId);
+    }).length;
+  }
+
+  function budgetsHold(tasks: readonly TaskState[]): boolean {
+    const ending = new Map<string, number>();
+    for (const task of tasks) {
+      const { mayMiss } = stepOf(task);
+      const { placement } = task;
+      if (mayMiss === undefined || placement === undefined) continue;
+      if (placement.order !== "running") return false;
+      // The last report may be older than the task's return to work, so that its own state doesn't count.
+      const others = countAway(task) - (placement.percent < 100 ? 1 : 0);
+      const key = `${task.job.spec.jobId}.${task.stepIndex}`;
+      ending.set(key, (ending.get(key) ?? 0) + 1);
+      if (others + ending.get(key)! > mayMiss) return false;
+    }
+    return true;
+  }
+
+  /** Moves long-running tasks that share a step off a VM one by one, as far as the budget allows. */
+  function thinOut(tasks: readonly TaskState[]): void {
+    for (const task of tasks) {
+      const { mayMiss } = stepOf(task);
+      if (mayMiss === undefined || task.placement?.stopReason !== undefined) {
+        continue;
+      }
+      const siblings = tasks.filter((other) =>
+        other.job === task.job && other.stepIndex === task.stepIndex
+      ).length;
+      if (siblings > mayMiss && mayMiss > 0 && countAway(task) < mayMiss) {
+        scheduler.stop(task, "its VM is to be maintained");
+        return;
+      }
+    }
+  }
+
+  function describeWaveVm(vm: VmEntry, nowMs: number): WaveVm {
+    const tasks = states.tasksOf(vm.vmId);
+    const since = states.emptying.get(vm.vmId);
+    return {
+      vmId: vm.vmId,
+      orderable: states.isOrderable(vm),
+      cordoned: since !== undefined,
+      cordonedMs: since === undefined ? 0 : nowMs - since,
+      batchTasks: tasks.filter((task) => !stepOf(task).longRunning).length,
+      budgetsHold: budgetsHold(tasks),
+    };
+  }
+
+  function saveWave(wave: number, record: WaveRecord): void {
+    journal.put({
+      key: KEYS.wavePrefix + wave,
+      encode: () => JSON.stringify(record),
+    });
+    const status = records.waveStatus(
+      wave,
+      record.completed ? "completed" : "running",
+    );
+    journal.put({ key: status.key, encode: () => status.value });
+  }
+
+  function advance(request: WaveRequest): void {
+    const { wave } = request;
+    let record = waveRecords.get(wave);
+    if (record === undefined) {
+      record = { seenAtMs: clock.wallMs(), done: [], completed: false };
+      waveRecords.set(wave, record);
+      log.info("maintenance wave started", {
+        wave,
+        vms: request.vmIds.length,
+        maximumDown: request.maximumDown,
+        deadlineMs: request.deadlineMs,
+      });
+      saveWave(wave, record);
+    }
+    if (record.completed || states.list().size === 0) return;
+    const nowMs = clock.monotonicMs();
+    const open = request.vmIds.filter((vmId) => !record.done.includes(vmId));
+    const present = open.flatMap((vmId) => states.list().get(vmId) ?? []);
+    if (
+      present.length === 0 &&
+      !open.some((vmId) => states.orders.active.has(vmId))
+    ) {
+      record.completed = true;
+      log.info("maintenance wave completed", {
+        wave,
+        done: record.done.length,
+      });
+      saveWave(wave, record);
+      return;
+    }
+    const down =
+      request.vmIds.filter((vmId) =>
+        states.orders.active.get(vmId)?.kind === "maintain" ||
+        states.returning.get(vmId)?.wave !== undefined ||
+        states.list().get(vmId)?.state === "maintenance"
+      ).length;
+    const described = present.map((vm) => describeWaveVm(vm, nowMs));
+    const step = planWave(described, {
+      down,
+      maximumDown: request.maximumDown,
+      timeLeftMs: record.seenAtMs + request.deadlineMs - clock.wallMs(),
+    });
+    for (const vmId of step.cordon) {
+      states.emptying.set(vmId, nowMs);
+      log.info("VM gets no new tasks before its maintenance", {
+        vm: vmId,
+        wave,
+      });
+    }
+    for (const vm of described) {
+      if (!vm.cordoned || vm.budgetsHold || vm.batchTasks > 0) continue;
+      thinOut(states.tasksOf(vm.vmId));
+    }
+    for (const vmId of step.maintain) {
+      // Orders of this round count towards the budgets of the next ones.
+      if (!budgetsHold(states.tasksOf(vmId))) continue;
+      states.emptying.set(vmId, states.emptying.get(vmId) ?? nowMs);
+      states.order(vmId, { kind: "maintain", wave }, () => {
+        record.done.push(vmId);
+        saveWave(wave, record);
+      });
+    }
+  }
+
+  return {
+    *load(store) {
+      const waves = yield* readStore(() => store.list(KEYS.wavePrefix), log);
+      for (const { key, value } of waves.items) {
+        const parsed = waveRecordSchema.safeParse(JSON.parse(value));
+        const wave = Number(key.slice(KEYS.wavePrefix.length));
+        if (parsed.success) waveRecords.set(wave, parsed.data);
+        else log.error("stored wave can't be read and is set aside", { key });
+      }
+    },
+    advance,
+    isActive: () =>
+      [...waveRecords.values()].some(({ completed }) => !completed),
+    describe: () => Object.fromEntries(waveRecords),
+  };
+}
--- /dev/null
+++ b/src/scheduler/worker_registry.ts
@@ -0,0 +1,192 @@
+import { type Operation, spawn } from "effection";
+import type { Clock } from "../clock.ts";
+import type { Logger } from "../logger.ts";
+import { createWake } from "../wake.ts";
+import { stepOf } from "./job_state.ts";
+import type {
+  PlatformRecords,
+  StoredItem,
+  WorkerControl,
+  WorkerEntry,
+} from "./ports.ts";
+import type { WorkerLife } from "./roster.ts";
+import type { Scheduler } from "./scheduler.ts";
+import type { Tickets } from "./tickets.ts";
+import { createWorkerLink, type WorkerLinkEvents } from "./worker_link.ts";
+
+/** A registration that is gone longer than this means that the worker is gone, in ms; it may be away for a moment after an outage of the store. */
+const REGISTRATION_GRACE_MS = 2_000;
+
+/** Lives of workers as they register, and the links to them. */
+export interface WorkerRegistry {
+  add(entry: WorkerEntry): void;
+  /** Notes that a registration is gone. */
+  miss(key: string): void;
+  /** Takes all registrations at once. */
+  readAll(items: readonly StoredItem[]): void;
+  readItem(item: StoredItem): void;
+  /** Ends a life that is proven to be over. */
+  endLife(life: WorkerLife, reason: string): void;
+  /** Frees tasks of workers whose leases are over, and hides workers that are taken as gone. */
+  check(): void;
+  /** Runs the links. */
+  run(): Operation<void>;
+}
+
+/** Creates the registry of one tenure. */
+export function createWorkerRegistry(options: {
+  readonly scheduler: Scheduler;
+  readonly tickets: Tickets;
+  readonly control: WorkerControl;
+  readonly records: PlatformRecords;
+  readonly fence: number;
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** Monotonic time until which leases of earlier owners may last, in ms. */
+  readonly earlierLeasesEndMs: number;
+  readonly events: Pick<
+    WorkerLinkEvents,
+    "onFenced" | "afterFlush" | "mayOrder"
+  >;
+  readonly onChange: () => void;
+}): WorkerRegistry {
+  const { scheduler, records, clock, log, earlierLeasesEndMs } = options;
+  const { roster } = scheduler;
+  const newLinks: WorkerLife[] = [];
+  const linksWake = createWake();
+
+  function addWorker(entry: WorkerEntry): void {
+    const known = roster.find(entry.workerId, entry.bornAtMs);
+    if (known?.link !== undefined) {
+      if (known.entry?.state !== entry.state) {
+        log.info("worker changed its state", {
+          worker: entry.workerId,
+          service: entry.service,
+          state: entry.state,
+          remainingMs: entry.remainingMs,
+        });
+      }
+      known.entry = entry;
+      known.missingSinceMs = undefined;
+      known.link.updateEntry(entry);
+      return;
+    }
+    for (const other of [...roster.lives.values()]) {
+      if (other.workerId !== entry.workerId) continue;
+      if (other.bornAtMs > entry.bornAtMs) return;
+      if (other.bornAtMs < entry.bornAtMs) {
+        endLife(other, "the worker has started anew");
+      }
+    }
+    const link = createWorkerLink({
+      entry,
+      fence: options.fence,
+      control: options.control,
+      clock,
+      log,
+      earlierLeasesEndMs,
+      events: {
+        onReport: (_, report, sentAtMs) =>
+          scheduler.onReport(life, report, sentAtMs),
+        onGone: (_, reason) => endLife(life, reason),
+        ...options.events,
+      },
+    });
+    const life: WorkerLife = {
+      workerId: entry.workerId,
+      bornAtMs: entry.bornAtMs,
+      vmId: entry.vmId,
+      link,
+      entry,
+      missingSinceMs: undefined,
+      tasks: known?.tasks ?? new Set(),
+      joinedAtMs: clock.monotonicMs(),
+      earlierLeasesEndMs,
+    };
+    roster.add(life);
+    log.info("worker joined", {
+      worker: entry.workerId,
+      vm: entry.vmId,
+      service: entry.service,
+      rack: entry.rack,
+    });
+    newLinks.push(life);
+    linksWake.notify();
+  }
+
+  function endLife(life: WorkerLife, reason: string): void {
+    scheduler.endLife(life, reason);
+    life.link?.close();
+    options.tickets.forgetWorker(life.workerId);
+    if (life.entry !== undefined) options.control.forget(life.entry.address);
+    options.onChange();
+  }
+
+  function missWorker(key: string): void {
+    const workerId = key.slice(records.workerPrefix.length);
+    const life = roster.current(workerId);
+    if (life === undefined) return;
+    life.missingSinceMs = clock.monotonicMs();
+    log.info("worker's registration is gone", { worker: workerId });
+  }
+
+  function readWorkers(items: readonly StoredItem[]): void {
+    const present = new Set<string>();
+    for (const item of items) {
+      const entry = records.readWorker(item);
+      if (entry === undefined) continue;
+      present.add(entry.workerId);
+      addWorker(entry);
+    }
+    for (const life of roster.lives.values()) {
+      if (life.entry !== undefined && !present.has(life.workerId)) {
+        life.missingSinceMs ??= clock.monotonicMs();
+      }
+    }
+  }
+
+  /** Frees tasks of workers that are proven to be gone, and hides workers that are taken as gone. */
+  function checkLives(): void {
+    for (const life of [...roster.lives.values()]) {
+      const missing = life.missingSinceMs !== undefined &&
+        clock.monotonicMs() - life.missingSinceMs > REGISTRATION_GRACE_MS;
+      if (missing) life.entry = undefined;
+      const unreachable = life.link === undefined ||
+        life.link.silentMs() > 0 || !life.link.confirmed;
+      const over = life.link === undefined
+        ? clock.monotonicMs() > life.earlierLeasesEndMs
+        : life.link.leasesOver();
+      if (unreachable && over && (life.tasks.size > 0 || missing)) {
+        endLife(life, "every lease that it may hold has run out");
+      }
+      if (life.link !== undefined) {
+        life.link.busy = life.tasks.size > 0;
+        life.link.watched = [...life.tasks].some((task) =>
+          stepOf(task).targetMs > 0 || stepOf(task).fills
+        );
+      }
+    }
+  }
+
+  function* runLinks(): Operation<void> {
+    for (;;) {
+      for (const life of newLinks.splice(0)) {
+        yield* spawn(() => life.link!.run());
+      }
+      yield* linksWake.wait(10_000);
+    }
+  }
+
+  return {
+    add: addWorker,
+    miss: missWorker,
+    readAll: readWorkers,
+    readItem(item) {
+      const entry = records.readWorker(item);
+      if (entry !== undefined) addWorker(entry);
+    },
+    endLife,
+    check: checkLives,
+    run: runLinks,
+  };
+}
