fix(scheduler): a request that can't be served gets its final answer at once

A test with a deadline of 30 s took 30 s. Change: 0.4 s of tries when nothing can have been stored, 1.2 s when a write has no answer, so that a second try can find out; Retry-After is 3 s for the store and 2 s for a change of owner. Ruled out: refusing without a try (a connection that was silent is replaced within the limit).

--- a/src/scheduler/front.ts
+++ b/src/scheduler/front.ts
@@ -17,8 +17,14 @@
 const ANSWER_MARGIN_MS = 150;
 /** Pause between two tries to store a job or to read its status, in ms. */
 const RETRY_DELAY_MS = 80;
-/** When to ask again while the store or the owner is away, in ms: a new owner is there after about 3 s. */
-const AWAY_RETRY_AFTER_MS = 2_000;
+/** Longest time for which a request waits for a store or owner that is away, in ms: long enough for a connection to be replaced, too short to help a caller through an outage, which lasts seconds. */
+const HOLD_LIMIT_MS = 400;
+/** Longest time for which a write without an answer is tried again, in ms: the second try finds out whether the first was carried out, and an answer counts as lost after 0.75 s. */
+const RESOLVE_LIMIT_MS = 1_200;
+/** When to ask again while the store is away, in ms: outages last 4 to 10 s, and callers try a few times. */
+const STORE_RETRY_AFTER_MS = 3_000;
+/** When to ask again while the owner is being replaced, in ms: its lease of 2 s has to run out. */
+const OWNER_RETRY_AFTER_MS = 2_000;
 /** Time after a failure of the store in which the owner is asked to store a record first, in ms; a silent store would take most of a caller's time. */
 const SUSPECT_STORE_MS = 3_000;
 /** Time for which a count of waiting jobs is reused, in ms. */
@@ -103,6 +109,16 @@
   const timeLeftMs = (context: RequestContext) =>
     context.deadlineMs - ANSWER_MARGIN_MS - clock.monotonicMs();
 
+  /** Returns whether a request that began at a time may be tried once more. */
+  function mayTryAgain(
+    startedAtMs: number,
+    context: RequestContext,
+    limitMs = HOLD_LIMIT_MS,
+  ): boolean {
+    return clock.monotonicMs() - startedAtMs < limitMs &&
+      timeLeftMs(context) > RETRY_DELAY_MS * 4;
+  }
+
   /** Calls the owner; undefined when there is none or it doesn't answer. */
   async function askOwner<T>(
     ask: (owner: OwnerClient) => Promise<T>,
@@ -125,13 +141,14 @@
     void askOwner(tell);
   }
 
-  /** Stores a record once; tries again, also through the owner, until the deadline. */
+  /** Stores a record once; tries again, also through the owner, for a short time. */
   async function storeRecord(
     key: string,
     value: string,
     context: RequestContext,
     throughOwner: (owner: OwnerClient) => Promise<boolean>,
   ): Promise<"stored" | "existing" | "not_stored" | "unresolved"> {
+    const startedAtMs = clock.monotonicMs();
     let unresolved = false;
 
     async function storeDirectly(): Promise<"stored" | "existing" | undefined> {
@@ -164,7 +181,8 @@
         ? await storeThroughOwner() ?? await storeDirectly()
         : await storeDirectly() ?? await storeThroughOwner();
       if (outcome !== undefined) return outcome;
-      if (timeLeftMs(context) < RETRY_DELAY_MS * 4) break;
+      const limitMs = unresolved ? RESOLVE_LIMIT_MS : HOLD_LIMIT_MS;
+      if (!mayTryAgain(startedAtMs, context, limitMs)) break;
       await delay(RETRY_DELAY_MS);
     }
     return unresolved ? "unresolved" : "not_stored";
@@ -199,6 +217,7 @@
     jobId: string,
     context: RequestContext,
   ): Promise<StatusAnswer> {
+    const startedAtMs = clock.monotonicMs();
     for (;;) {
       const reply = await askOwner((owner) => owner.status(jobId));
       if (reply?.value !== undefined) {
@@ -210,8 +229,8 @@
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
       }
-      if (timeLeftMs(context) < RETRY_DELAY_MS * 4) {
-        return { kind: "unavailable", retryAfterMs: AWAY_RETRY_AFTER_MS };
+      if (!mayTryAgain(startedAtMs, context)) {
+        return { kind: "unavailable", retryAfterMs: STORE_RETRY_AFTER_MS };
       }
       await delay(RETRY_DELAY_MS);
     }
@@ -263,7 +282,7 @@
           return {
             kind: "refused",
             reason: "the store is away",
-            retryAfterMs: AWAY_RETRY_AFTER_MS,
+            retryAfterMs: STORE_RETRY_AFTER_MS,
           };
         case "unresolved":
           log.warn("it isn't known whether the job is stored", fields);
@@ -304,8 +323,8 @@
           counts.set(queue, { jobs: reply.value, atMs: clock.monotonicMs() });
           return { kind: "count", jobs: reply.value };
         }
-        if (timeLeftMs(context) < RETRY_DELAY_MS * 4) {
-          return { kind: "unavailable", retryAfterMs: AWAY_RETRY_AFTER_MS };
+        if (!mayTryAgain(now, context)) {
+          return { kind: "unavailable", retryAfterMs: OWNER_RETRY_AFTER_MS };
         }
         await delay(RETRY_DELAY_MS);
       }
--- a/src/scheduler/front_test.ts
+++ b/src/scheduler/front_test.ts
@@ -67,6 +67,25 @@
   );
 });
 
+// Guards against callers that are held until their deadline although the store is known to be away.
+test("while the store is away a request gets its final answer at once", async () => {
+  const world = createWorld();
+  world.store.faults.down = true;
+  const startedAtMs = performance.now();
+  const answers = await Promise.all([
+    world.front.submit(QUEUE, submission, world.context(30_000)),
+    world.front.status(JOB, world.context(30_000)),
+    world.front.waiting(QUEUE.name, world.context(30_000)),
+  ]);
+  assert.deepEqual(answers.map(({ kind }) => kind), [
+    "refused",
+    "unavailable",
+    "unavailable",
+  ]);
+  // Ten times the limit of 0.4 s; held requests would take 30 s.
+  assert.ok(performance.now() - startedAtMs < 4_000);
+});
+
 // Guards against a job that is stored twice, or refused, because its first answer was lost.
 test("a submission whose answer was lost is accepted once it is found stored", async () => {
   const world = createWorld();
