fix(scheduler): records are loaded over thin links, and weak VMs let others become the owner

The entry that took over at 12 s has a link of a few Mbit/s; each page of records took longer than the 0.75 s after which an answer counts as lost, so it read them again and again, and no task was placed for 20 s (the log shows "became owner" and never "owner started"). Change: the time limit of an answer starts anew with each part that arrives; entries with less than 0.6 cores or 40 Mbit/s wait 0.2 s in an election. Ruled out: the election itself and the store's state (it answered others).

--- a/src/http_call.ts
+++ b/src/http_call.ts
@@ -10,6 +10,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string | undefined;
   readonly timeoutMs: number;
+  /** Restarts the time with each part of the response: a large one over a thin link takes longer than a lost one may. */
+  readonly timeoutRestarts?: boolean;
   readonly signal?: AbortSignal | undefined;
 }
 
@@ -75,7 +77,10 @@
         status = statusCode;
         headers = responseHeaders;
       },
-      onResponseData: (_controller, chunk) => void chunks.push(chunk),
+      onResponseData(_controller, chunk) {
+        if (call.timeoutRestarts) timer.refresh();
+        chunks.push(chunk);
+      },
       onResponseEnd() {
         end();
         const bytes = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -44,6 +44,8 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly random: () => number;
+  /** Time for which this entry lets others go first, in ms. */
+  readonly candidateDelayMs: number;
 }
 
 /** Follows who the owner is and becomes the owner when there is none. */
@@ -154,7 +156,7 @@
       }
       const resignedMs = clock.monotonicMs() - resignedAtMs;
       yield* sleep(
-        options.random() * MAXIMUM_JITTER_MS +
+        options.candidateDelayMs + options.random() * MAXIMUM_JITTER_MS +
           (resignedMs < RESIGNED_MEMORY_MS ? RESIGNED_DELAY_MS : 0),
       );
       if (believed !== undefined || stopping) continue;
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -25,6 +25,12 @@
     vmApiAddress: address,
     adviceAddress: z.union([address, z.literal("")]).default(""),
   }),
+  limits: z.object({
+    /** Processors that this VM may use, such as 0.675. */
+    cores: z.number().positive().default(1),
+    /** Bandwidth of its link, in Mbit/s. */
+    linkMbps: z.number().positive().default(1_000),
+  }).prefault({}),
   bounds: z.object({
     /** Time between the stop signal and the kill, in seconds. */
     graceS: z.number().positive().default(6),
@@ -65,3 +71,19 @@
     JSON.stringify(before[name]) !== JSON.stringify(after[name])
   );
 }
+
+/** Processors from which an entry VM counts as fit to be the owner; one used up to 0.33 with 246 workers. */
+const OWNER_CORES = 0.6;
+/** Bandwidth from which it does, in Mbit/s: a new owner reads some megabytes of records. */
+const OWNER_LINK_MBPS = 40;
+/** Delay of entries on weaker VMs in an election, in ms; the others have all tried by then. */
+const WEAK_CANDIDATE_DELAY_MS = 200;
+
+/** Time for which an entry lets others go first in an election, in ms. */
+export function resolveCandidateDelayMs(
+  { limits }: Pick<SchedulerSettings, "limits">,
+): number {
+  return limits.cores >= OWNER_CORES && limits.linkMbps >= OWNER_LINK_MBPS
+    ? 0
+    : WEAK_CANDIDATE_DELAY_MS;
+}
--- /dev/null
+++ b/src/scheduler/settings_test.ts
@@ -0,0 +1,64 @@
+import assert from "node:assert/strict";
+import { suite } from "uvu";
+import { ValidationError } from "../errors.ts";
+import {
+  listChangedSettings,
+  resolveCandidateDelayMs,
+  resolveSchedulerSettings,
+} from "./settings.ts";
+
+const test = suite("scheduler settings");
+
+const SETTINGS = {
+  entryId: "entry-1",
+  dataCentre: "dc-1",
+  region: "r",
+  listen: {
+    callers: "10.0.0.1:1",
+    readiness: "10.0.0.1:2",
+    peers: "10.0.0.1:3",
+  },
+  platform: { storeAddress: "10.0.0.2:1", vmApiAddress: "10.0.0.2:2" },
+};
+
+const resolve = (settings: unknown) =>
+  resolveSchedulerSettings(JSON.stringify(settings), "test");
+
+// Guards against a process that starts with settings it doesn't understand, or that tells only the first problem.
+test("every wrong field is listed", () => {
+  try {
+    resolve({
+      ...SETTINGS,
+      listen: { ...SETTINGS.listen, peers: "here" },
+      bounds: { graceS: -1 },
+    });
+    assert.fail("accepted");
+  } catch (error) {
+    assert.ok(error instanceof ValidationError);
+    assert.deepEqual(
+      error.issues.map(({ path }) => path),
+      ["$.listen.peers", "$.bounds.graceS"],
+    );
+  }
+});
+
+// Guards against a platform that adds fields.
+test("unknown fields are ignored, defaults filled in", () => {
+  const settings = resolve({ ...SETTINGS, later: true });
+  assert.equal(settings.bounds.graceS, 6);
+  assert.deepEqual(
+    listChangedSettings(settings, { ...settings, logLevel: "debug" }),
+    ["logLevel"],
+  );
+});
+
+// Guards against an owner on a VM whose link or processor is too small for its work.
+test("weak VMs let others go first in an election", () => {
+  const delay = (cores: number, linkMbps: number) =>
+    resolveCandidateDelayMs({ limits: { cores, linkMbps } });
+  assert.equal(delay(0.675, 1_000), 0);
+  assert.ok(delay(0.324, 1_000) > 100);
+  assert.ok(delay(1.35, 7) > 100);
+});
+
+test.run();
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -21,7 +21,7 @@
   WorkerControl,
 } from "./ports.ts";
 import { createRequestStats, type RequestStats } from "./request_stats.ts";
-import type { SchedulerSettings } from "./settings.ts";
+import { resolveCandidateDelayMs, type SchedulerSettings } from "./settings.ts";
 
 function token<T>(name: string): InjectionToken<T> {
   return Symbol(name);
@@ -94,6 +94,7 @@
       clock: parts.resolve(TOKENS.clock),
       log: loggers("owner"),
       random: Math.random,
+      candidateDelayMs: resolveCandidateDelayMs(settings),
       config: parts.resolve(TOKENS.operator).config,
       waves: parts.resolve(TOKENS.operator).waves,
       keepEndedMs: settings.bounds.keepEndedS * 1_000,
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -139,6 +139,7 @@
       clock: systemClock,
       log: silentLogger,
       random: () => this.random.next(),
+      candidateDelayMs: 0,
       config: () => CONFIG,
       waves: () => this.waves,
       keepEndedMs: 60_000,
