--- a/src/http_call.ts
+++ b/src/http_call.ts
@@ -22,6 +22,20 @@
   readonly text: string;
 }
 
+/** Error codes of calls whose request can't have reached the server. */
+const NOT_SENT_CODES = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** Whether a failed call provably never reached the server. */
+export function isNotSent(error: unknown): boolean {
+  const code = (error as { code?: unknown } | undefined)?.code;
+  return typeof code === "string" && NOT_SENT_CODES.has(code);
+}
+
 /**
  * Sends one call; rejects with undici's error, a `TimeoutError`, or the reason
  * of the outer signal. undici's own `request` makes streams, an abort signal
--- a/src/jobs/forward.ts
+++ b/src/jobs/forward.ts
@@ -4,7 +4,7 @@
   IDEMPOTENCY_KEY_HEADER,
   OUTCOME_HEADER,
 } from "../constants.ts";
-import { isNotSent } from "../ports/http_json.ts";
+import { isNotSent } from "../http_call.ts";
 import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
 import { decodeLedger, encodeLedger } from "./ledger_codec.ts";
 import { type JobCall, type JobReply, JOBS_PATH } from "./job_reply.ts";
--- a/src/ports/http_json.ts
+++ b/src/ports/http_json.ts
@@ -21,23 +21,9 @@
   readonly ownConnection?: boolean;
 }
 
-/** Error codes of calls whose request can't have reached the server. */
-const NOT_SENT_CODES = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-
 const CONNECTION_OPTIONS = { connect: { timeout: 1_000 }, pipelining: 1 };
 const agent = new Agent(CONNECTION_OPTIONS);
 
-/** Whether a failed call provably never reached the server. */
-export function isNotSent(error: unknown): boolean {
-  const code = (error as { code?: unknown } | undefined)?.code;
-  return typeof code === "string" && NOT_SENT_CODES.has(code);
-}
-
 /** Sends one JSON request; rejects with the client's error. */
 export async function requestJson(
   url: string,
--- a/src/ports/http_store.ts
+++ b/src/ports/http_store.ts
@@ -1,8 +1,8 @@
 import { z } from "zod";
 import { STORE_CALL_TIMEOUT_MS } from "../constants.ts";
 import { messageOf, StoreError } from "../errors.ts";
+import { isNotSent } from "../http_call.ts";
 import {
-  isNotSent,
   type JsonRequestOptions,
   type JsonResponse,
   requestJson,
--- a/src/scheduler/job_order.ts
+++ b/src/scheduler/job_order.ts
@@ -11,7 +11,7 @@
   | "on_time"
   /** Can only be done late. */
   | "late"
-  /** Too late to be of use; it is still owed. */
+  /** Too late to be of use; it is done all the same. */
   | "overdue";
 
 /** One occurrence that has tasks to place, with what decides its turn. */
--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -18,7 +18,7 @@
     | "running"
     /** Sent without an answer; it may be carried out later. */
     | "unresolved";
-  /** Reason why the run is being stopped; undefined while it shall go on. */
+  /** Reason why the run is being stopped; undefined while it may go on. */
   stopReason: string | undefined;
   /** Monotonic time of the placement, in ms. */
   placedAtMs: number;
--- a/src/scheduler/pool_plan.ts
+++ b/src/scheduler/pool_plan.ts
@@ -33,7 +33,7 @@
 /** What the plan wants done. */
 export interface PoolPlan {
   readonly moves: readonly { vmId: string; from: string; to: string }[];
-  /** VMs that shall get no new tasks, so that they can leave. */
+  /** VMs that must get no new tasks, so that they can leave. */
   readonly cordons: readonly string[];
   /** VMs that may take tasks again. */
   readonly releases: readonly string[];
--- a/src/scheduler/wave_plan.ts
+++ b/src/scheduler/wave_plan.ts
@@ -17,7 +17,7 @@
 export interface WaveStep {
   /** VMs to maintain now. */
   readonly maintain: readonly string[];
-  /** VMs that shall get no new tasks, so that they empty. */
+  /** VMs that must get no new tasks, so that they empty. */
   readonly cordon: readonly string[];
 }
 
