--- a/src/scheduler/front.ts
+++ b/src/scheduler/front.ts
@@ -230,6 +230,12 @@
         if (!(error instanceof StoreError)) throw error;
       }
       if (!mayTryAgain(startedAtMs, context)) {
+        log.warn("status refused: neither owner nor store answers", {
+          request: context.requestId,
+          job: jobId,
+          configVersion: options.config()?.version,
+          retryAfterMs: STORE_RETRY_AFTER_MS,
+        });
         return { kind: "unavailable", retryAfterMs: STORE_RETRY_AFTER_MS };
       }
       await delay(RETRY_DELAY_MS);
@@ -324,6 +330,12 @@
           return { kind: "count", jobs: reply.value };
         }
         if (!mayTryAgain(now, context)) {
+          log.warn("count refused: the owner doesn't answer", {
+            request: context.requestId,
+            queue,
+            configVersion: options.config()?.version,
+            retryAfterMs: OWNER_RETRY_AFTER_MS,
+          });
           return { kind: "unavailable", retryAfterMs: OWNER_RETRY_AFTER_MS };
         }
         await delay(RETRY_DELAY_MS);
