--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -54,7 +54,7 @@
 
 /** Serves calls of other entries on this one. */
 export function createPeerHandlers(
-  parts: Pick<SchedulerEntryParts, "election" | "store" | "operator">,
+  parts: Pick<SchedulerEntryParts, "election" | "store">,
 ): PeerHandlers {
   const { election, store } = parts;
 
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -96,8 +96,10 @@
 }
 
 /** Takes the room of one task. */
-export function takeRoom(room: WorkerRoom, request: Request): void {
-  const { step, stepId } = request;
+export function takeRoom(
+  room: WorkerRoom,
+  { step, stepId }: Pick<Request, "step" | "stepId">,
+): void {
   room.free.cpuMillis -= reservedCpuMillis(step);
   room.free.memoryMb -= step.memoryMb;
   room.free.gpuCount -= step.gpuCount;
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -19,7 +19,8 @@
   takeRoom,
   type WorkerRoom,
 } from "./placement.ts";
-import type { QueueConfig, SchedulerConfig } from "./ports.ts";
+import type { SchedulerConfig } from "./ports.ts";
+import { resolveQueue } from "./resolve_queue.ts";
 import { readRoom, type WorkerLife } from "./roster.ts";
 import type { Scheduler } from "./scheduler.ts";
 import type { Tickets } from "./tickets.ts";
@@ -37,26 +38,8 @@
   readonly isCordoned: (vmId: string) => boolean;
 }
 
-/** Configuration of a queue, or what was in force when its job was accepted. */
-function queueOf(
-  config: SchedulerConfig | undefined,
-  task: { queue: string; service: string; maximumAttempts: number },
-): QueueConfig {
-  return config?.queues.find(({ name }) => name === task.queue) ?? {
-    name: task.queue,
-    host: "",
-    pathPrefix: "",
-    service: task.service,
-    priority: 0,
-    maximumAttempts: task.maximumAttempts,
-    stretch: 2,
-    targetDurationMs: 1_000,
-    needsAdvice: false,
-  };
-}
-
 /** Whether a worker may get new tasks. */
-export function isUsable(
+function isUsable(
   life: WorkerLife,
   options: Pick<PlannerOptions, "scheduler" | "isCordoned">,
 ): boolean {
@@ -108,7 +91,7 @@
   for (const job of scheduler.jobs.values()) {
     if (job.status !== "active") continue;
     if (openDueOccurrences(job, wallMs)) scheduler.save(job);
-    const queue = queueOf(config, job.spec);
+    const queue = resolveQueue(config, job.spec);
     for (const occurrence of job.occurrences) {
       const hasWaiting = listOpenSteps(job, occurrence).some((tasks) =>
         tasks.some(({ phase }) => phase === "waiting")
@@ -246,7 +229,7 @@
     contenders.sort(compareContenders);
     for (const contender of contenders) {
       const { job, occurrence } = contender;
-      const { needsAdvice } = queueOf(config, job.spec);
+      const { needsAdvice } = resolveQueue(config, job.spec);
       for (const tasks of listOpenSteps(job, occurrence)) {
         const before = placed;
         placeStep(tasks, service, needsAdvice);
--- a/src/scheduler/pool_balancer.ts
+++ b/src/scheduler/pool_balancer.ts
@@ -6,6 +6,7 @@
 import { reservedCpuMillis } from "./placement.ts";
 import { type PlannedPool, type PlannedVm, planPools } from "./pool_plan.ts";
 import type { Resources, SchedulerConfig } from "./ports.ts";
+import { resolveQueue } from "./resolve_queue.ts";
 import { livesOn } from "./roster.ts";
 import type { Scheduler } from "./scheduler.ts";
 import type { VmStates } from "./vm_states.ts";
@@ -82,8 +83,7 @@
     }
     for (const job of scheduler.jobs.values()) {
       if (job.status !== "active") continue;
-      const queue = config.queues.find(({ name }) => name === job.spec.queue);
-      if ((queue?.service ?? job.spec.service) !== service) continue;
+      if (resolveQueue(config, job.spec).service !== service) continue;
       for (const occurrence of job.occurrences) {
         for (const tasks of listOpenSteps(job, occurrence)) {
           const open = tasks.filter(({ phase }) => phase === "waiting");
--- /dev/null
+++ b/src/scheduler/resolve_queue.ts
@@ -0,0 +1,20 @@
+import type { JobSpec } from "./model.ts";
+import type { QueueConfig, SchedulerConfig } from "./ports.ts";
+
+/** Configuration of a job's queue, or what was in force when the job was accepted. */
+export function resolveQueue(
+  config: SchedulerConfig | undefined,
+  job: Pick<JobSpec, "queue" | "service" | "maximumAttempts">,
+): QueueConfig {
+  return config?.queues.find(({ name }) => name === job.queue) ?? {
+    name: job.queue,
+    host: "",
+    pathPrefix: "",
+    service: job.service,
+    priority: 0,
+    maximumAttempts: job.maximumAttempts,
+    stretch: 2,
+    targetDurationMs: 1_000,
+    needsAdvice: false,
+  };
+}
--- a/src/scheduler/roster.ts
+++ b/src/scheduler/roster.ts
@@ -1,6 +1,6 @@
 import type { TaskState } from "./job_state.ts";
 import { stepId, stepOf } from "./job_state.ts";
-import { reservedCpuMillis, type WorkerRoom } from "./placement.ts";
+import { takeRoom, type WorkerRoom } from "./placement.ts";
 import type { WorkerEntry } from "./ports.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
@@ -88,13 +88,7 @@
     slowness,
   };
   for (const task of life.tasks) {
-    const step = stepOf(task);
-    const id = stepId(task);
-    room.free.cpuMillis -= reservedCpuMillis(step);
-    room.free.memoryMb -= step.memoryMb;
-    room.free.gpuCount -= step.gpuCount;
-    room.tasksByStep.set(id, (room.tasksByStep.get(id) ?? 0) + 1);
-    if (step.longRunning) room.lastingTasks++;
+    takeRoom(room, { stepId: stepId(task), step: stepOf(task) });
   }
   return room;
 }
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -25,6 +25,7 @@
   SchedulerConfig,
   WorkerReport,
 } from "./ports.ts";
+import { resolveQueue } from "./resolve_queue.ts";
 import { createRoster, type Roster, type WorkerLife } from "./roster.ts";
 import { createWorkerHealth, type WorkerHealth } from "./worker_health.ts";
 
@@ -138,10 +139,7 @@
   }
 
   function maximumAttempts(job: JobState): number {
-    const queue = options.config()?.queues.find(({ name }) =>
-      name === job.spec.queue
-    );
-    return queue?.maximumAttempts ?? job.spec.maximumAttempts;
+    return resolveQueue(options.config(), job.spec).maximumAttempts;
   }
 
   function stopAll(job: JobState, reason: string): void {
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -38,8 +38,6 @@
     keepEndedS: z.number().positive().default(120),
     /** Time between the orders of two owners for one VM, in ms. */
     holderGapMs: z.number().min(0).default(3_000),
-    /** Longest time that a run may be held without another order, in ms. */
-    maximumLeaseMs: z.number().positive().default(10_000),
   }).prefault({}),
   logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default(
     "info",
--- a/src/scheduler/tenure.ts
+++ b/src/scheduler/tenure.ts
@@ -33,6 +33,7 @@
   WaveRequest,
   WorkerControl,
 } from "./ports.ts";
+import { resolveQueue } from "./resolve_queue.ts";
 import { createScheduler, type Scheduler } from "./scheduler.ts";
 import { relocateStalledTasks } from "./stalled_tasks.ts";
 import { createTickets, type Tickets } from "./tickets.ts";
@@ -168,7 +169,7 @@
     journal,
     contact,
     forecast,
-    mayOrder: () => mayOrder() && !resigning,
+    mayOrder,
     endLife: workers.endLife,
     onFenced: () => onLost("a VM follows a newer owner"),
     onChange: () => planWake.notify(),
@@ -178,9 +179,7 @@
   function acceptJob(spec: JobSpec): void {
     if (scheduler.jobs.has(spec.jobId)) return;
     scheduler.accept(spec);
-    const service =
-      options.config()?.queues.find(({ name }) => name === spec.queue)
-        ?.service ?? spec.service;
+    const { service } = resolveQueue(options.config(), spec);
     forecast.record(service, declaredWork(spec, scheduler.durations));
   }
 
@@ -212,7 +211,7 @@
   function* planLoop(): Operation<void> {
     for (;;) {
       yield* planWake.wait(PLAN_TIMEOUT_MS);
-      if (mayOrder() && !resigning) {
+      if (mayOrder()) {
         planPlacements({
           scheduler,
           tickets,
@@ -228,7 +227,7 @@
   function* checkLoop(): Operation<void> {
     for (;;) {
       workers.check();
-      if (!resigning) relocateStalledTasks(scheduler, log);
+      relocateStalledTasks(scheduler, log);
       yield* sleep(CHECK_INTERVAL_MS);
     }
   }
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -51,8 +51,6 @@
   silentMs(): number;
   /** Whether every lease that a call may have granted has run out. */
   leasesOver(): boolean;
-  /** End of the leases if the next call renews them, on the worker's clock; undefined while the clock isn't known. */
-  nextLeaseEndMs(): number | undefined;
   start(order: Omit<StartOrder, "leaseEndMs">): Promise<OrderOutcome>;
   stop(taskId: string, run: number): Promise<OrderOutcome>;
   pace(taskId: string, run: number, percent: number): Promise<OrderOutcome>;
@@ -102,6 +100,7 @@
     lastAnswerAtMs = clock.monotonicMs();
   }
 
+  /** End of the leases if the next call renews them, on the worker's clock; undefined while the clock isn't known. */
   function nextLeaseEndMs(): number | undefined {
     return clockOffsetMs === undefined
       ? undefined
@@ -217,7 +216,6 @@
     },
     silentMs: () => failing ? clock.monotonicMs() - lastAnswerAtMs : 0,
     leasesOver: () => clock.monotonicMs() > leaseBoundMs,
-    nextLeaseEndMs,
     async start(order) {
       noteLease();
       const outcome = await control.start(entry, {
--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -19,7 +19,6 @@
 
 /** Lives of workers as they register, and the links to them. */
 export interface WorkerRegistry {
-  add(entry: WorkerEntry): void;
   /** Notes that a registration is gone. */
   miss(key: string): void;
   /** Takes all registrations at once. */
@@ -178,7 +177,6 @@
   }
 
   return {
-    add: addWorker,
     miss: missWorker,
     readAll: readWorkers,
     readItem(item) {
