fix(scheduler): a submission that nobody stored is refused, not left unknown

Change: the owner replies stored, existing, not_stored or unresolved; an entry that isn't the owner, and the owner's own entry, reply not_stored. The owner logs each record of another entry that it couldn't store.

Ruled out: refusing after an unknown outcome of the entry's own write; it may still be carried out.

Tests: both new ones fail before ('unresolved' for 'refused').

--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -222,15 +222,13 @@
       ? Promise.reject(new OwnerError("This entry is not the owner"))
       : Promise.resolve(ask(owner));
   }
-  const refuse = () =>
-    Promise.reject(
-      new OwnerError("The owner on this entry uses the same store"),
-    );
+  /** The entry has tried its store itself, which is the owner's as well. */
+  const decline = () => Promise.resolve("not_stored" as const);
   return {
     accepted: (spec) => use((owner) => owner.accept(spec)),
-    submit: refuse,
+    submit: decline,
     cancelled: (jobId) => use((owner) => owner.cancel(jobId)),
-    cancel: refuse,
+    cancel: decline,
     status: (jobId) => use((owner) => owner.status(jobId)),
     waitingJobs: (queue) => use((owner) => owner.waitingJobs(queue)),
     owner: () => Promise.resolve(undefined),
--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -10,6 +10,7 @@
 import { type Operation, race, sleep, spawn, suspend } from "effection";
 import { type Clock } from "../clock.ts";
 import { closeGracefully, useListeningServer } from "../http_server.ts";
+import { messageOf, StoreError } from "../errors.ts";
 import type { Logger } from "../logger.ts";
 import { formatPrometheus, type Metric } from "../metrics.ts";
 import type { StopSignals } from "../signals.ts";
@@ -17,7 +18,11 @@
 import type { Election } from "./election.ts";
 import type { Front } from "./front.ts";
 import type { OperatorState } from "./operator_state.ts";
-import { createPeerHandler, type PeerHandlers } from "./peer_router.ts";
+import {
+  createPeerHandler,
+  type PeerHandlers,
+  type StoreReply,
+} from "./peer_router.ts";
 import { KEYS } from "./ownership.ts";
 import type { RecordStore } from "./ports.ts";
 import type { RequestStats } from "./request_stats.ts";
@@ -54,16 +59,26 @@
 
 /** Serves calls of other entries on this one. */
 export function createPeerHandlers(
-  parts: Pick<SchedulerEntryParts, "election" | "store">,
+  parts: Pick<SchedulerEntryParts, "election" | "store" | "log">,
 ): PeerHandlers {
-  const { election, store } = parts;
+  const { election, store, log } = parts;
 
-  async function storeOnce(key: string, value: string): Promise<boolean> {
-    const outcome = await store.change({
-      conditions: [{ key, revision: 0 }],
-      puts: [{ key, value }],
-    });
-    return outcome.kind === "committed";
+  async function storeOnce(key: string, value: string): Promise<StoreReply> {
+    try {
+      const outcome = await store.change({
+        conditions: [{ key, revision: 0 }],
+        puts: [{ key, value }],
+      });
+      return outcome.kind === "committed" ? "stored" : "existing";
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      log.info("a record of another entry could not be stored", {
+        key,
+        failure: error.failure,
+        reason: messageOf(error),
+      });
+      return error.failure === "unknown_outcome" ? "unresolved" : "not_stored";
+    }
   }
 
   return {
@@ -76,12 +91,12 @@
     async submit(spec) {
       const owner = election.local();
       if (owner === undefined) return { kind: "not_owner" };
-      const isNew = await storeOnce(
+      const value = await storeOnce(
         KEYS.jobPrefix + spec.jobId,
         JSON.stringify(spec),
       );
-      if (isNew) owner.accept(spec);
-      return { kind: "reply", value: isNew };
+      if (value === "stored") owner.accept(spec);
+      return { kind: "reply", value };
     },
     cancelled(jobId) {
       const owner = election.local();
@@ -92,9 +107,9 @@
     async cancel(jobId) {
       const owner = election.local();
       if (owner === undefined) return { kind: "not_owner" };
-      const isNew = await storeOnce(KEYS.cancelPrefix + jobId, "{}");
-      owner.cancel(jobId);
-      return { kind: "reply", value: isNew };
+      const value = await storeOnce(KEYS.cancelPrefix + jobId, "{}");
+      if (value === "stored" || value === "existing") owner.cancel(jobId);
+      return { kind: "reply", value };
     },
     status(jobId) {
       const owner = election.local();
--- a/src/scheduler/front.ts
+++ b/src/scheduler/front.ts
@@ -11,6 +11,7 @@
 } from "./model.ts";
 import { type OwnerClient, OwnerError } from "./owner_client.ts";
 import { KEYS } from "./ownership.ts";
+import type { StoreReply } from "./peer_router.ts";
 import type { QueueConfig, RecordStore, SchedulerConfig } from "./ports.ts";
 
 /** Time kept for sending the response before the caller's deadline, in ms. */
@@ -146,8 +147,8 @@
     key: string,
     value: string,
     context: RequestContext,
-    throughOwner: (owner: OwnerClient) => Promise<boolean>,
-  ): Promise<"stored" | "existing" | "not_stored" | "unresolved"> {
+    throughOwner: (owner: OwnerClient) => Promise<StoreReply>,
+  ): Promise<StoreReply> {
     const startedAtMs = clock.monotonicMs();
     let unresolved = false;
 
@@ -167,12 +168,15 @@
       }
     }
 
-    async function storeThroughOwner() {
+    async function storeThroughOwner(): Promise<
+      "stored" | "existing" | undefined
+    > {
       if (options.owner() === undefined) return undefined;
       const reply = await askOwner(throughOwner);
-      // The owner may have stored it without an answer.
-      if (reply === undefined) unresolved = true;
-      return reply && (reply.value ? "stored" as const : "existing" as const);
+      // Without a reply the owner may have stored it.
+      const value = reply?.value ?? "unresolved";
+      if (value === "unresolved") unresolved = true;
+      return value === "stored" || value === "existing" ? value : undefined;
     }
 
     for (;;) {
--- a/src/scheduler/front_test.ts
+++ b/src/scheduler/front_test.ts
@@ -67,6 +67,25 @@
   );
 });
 
+// Guards against callers that are told "unknown" where the owner knows that nothing was stored, so that they don't learn when to come back.
+test("a submission is refused when neither the entry nor the owner reached the store", async () => {
+  const world = createWorld({ submit: () => Promise.resolve("not_stored") });
+  world.store.faults.down = true;
+  const refused = await world.front.submit(
+    QUEUE,
+    submission,
+    world.context(),
+  );
+  assert.equal(refused.kind, "refused");
+
+  const unclear = createWorld({ submit: () => Promise.resolve("unresolved") });
+  unclear.store.faults.down = true;
+  assert.deepEqual(
+    await unclear.front.submit(QUEUE, submission, unclear.context()),
+    { kind: "unresolved" },
+  );
+});
+
 // Guards against callers that are held until their deadline although the store is known to be away.
 test("while the store is away a request gets its final answer at once", async () => {
   const world = createWorld();
@@ -106,7 +125,7 @@
   const world = createWorld({
     submit: (spec) => {
       asked.push(spec.jobId);
-      return Promise.resolve(true);
+      return Promise.resolve("stored");
     },
     accepted: () => Promise.resolve(),
   });
--- a/src/scheduler/owner_client.ts
+++ b/src/scheduler/owner_client.ts
@@ -5,7 +5,7 @@
 import { createPoolFetch } from "../trpc_fetch.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
 import type { Owner } from "./ownership.ts";
-import type { OwnerReply, SchedulerRouter } from "./peer_router.ts";
+import type { OwnerReply, SchedulerRouter, StoreReply } from "./peer_router.ts";
 
 /** Time after which a call between entries counts as failed, in ms; answers take a few ms, and a caller waits about 3 s. */
 const CALL_TIMEOUT_MS = 450;
@@ -20,9 +20,9 @@
 /** Calls to one entry; each method rejects with an `OwnerError`. */
 export interface OwnerClient {
   accepted(spec: JobSpec): Promise<void>;
-  submit(spec: JobSpec): Promise<boolean>;
+  submit(spec: JobSpec): Promise<StoreReply>;
   cancelled(jobId: string): Promise<void>;
-  cancel(jobId: string): Promise<boolean>;
+  cancel(jobId: string): Promise<StoreReply>;
   status(jobId: string): Promise<JobStatus | undefined>;
   waitingJobs(queue: string): Promise<number>;
   owner(): Promise<Owner | undefined>;
@@ -58,11 +58,18 @@
     }
   }
 
+  /** An entry that isn't the owner stores nothing. */
+  async function store(
+    send: (signal: AbortSignal) => Promise<OwnerReply<StoreReply>>,
+  ): Promise<StoreReply> {
+    const reply = await call(send, STORE_CALL_TIMEOUT_MS);
+    return reply.kind === "not_owner" ? "not_stored" : reply.value;
+  }
+
   async function callOwner<T>(
     send: (signal: AbortSignal) => Promise<OwnerReply<T>>,
-    timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<T> {
-    const reply = await call(send, timeoutMs);
+    const reply = await call(send);
     if (reply.kind === "not_owner") {
       throw new OwnerError(`The entry at ${address} is not the owner`);
     }
@@ -74,20 +81,13 @@
       void await callOwner((signal) =>
         client.accepted.mutate(spec, { signal })
       ),
-    submit: (spec) =>
-      callOwner(
-        (signal) => client.submit.mutate(spec, { signal }),
-        STORE_CALL_TIMEOUT_MS,
-      ),
+    submit: (spec) => store((signal) => client.submit.mutate(spec, { signal })),
     cancelled: async (jobId) =>
       void await callOwner((signal) =>
         client.cancelled.mutate({ jobId }, { signal })
       ),
     cancel: (jobId) =>
-      callOwner(
-        (signal) => client.cancel.mutate({ jobId }, { signal }),
-        STORE_CALL_TIMEOUT_MS,
-      ),
+      store((signal) => client.cancel.mutate({ jobId }, { signal })),
     status: async (jobId) =>
       await callOwner((signal) => client.status.query({ jobId }, { signal })) ??
         undefined,
--- a/src/scheduler/ownership_faults_test.ts
+++ b/src/scheduler/ownership_faults_test.ts
@@ -2,7 +2,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
 import { chooseSeed, createRandom } from "../../testing/random.ts";
-import { SchedulerCluster } from "../../testing/scheduler_cluster.ts";
+import { QUEUE, SchedulerCluster } from "../../testing/scheduler_cluster.ts";
 import { waitFor } from "../../testing/wait.ts";
 
 const test = suite("ownership under faults");
@@ -115,6 +115,21 @@
   });
 });
 
+// Guards against callers of the owner's entry that get no time to come back, though its store refuses every write.
+test("the owner's entry refuses submissions while the store is away", async () => {
+  await withCluster("owner refuses", async (cluster) => {
+    await waitFor("an owner", () => cluster.owner() !== undefined);
+    cluster.store.faults.down = true;
+    const answer = await cluster.owner()!.front.submit(
+      QUEUE,
+      { jobId: "00000000000000ff", specification: "", steps: STEPS } as never,
+      { requestId: "", deadlineMs: performance.now() + 2_000 },
+    );
+    assert.equal(answer.kind, "refused");
+    cluster.store.faults.down = false;
+  });
+});
+
 // Guards against an owner that goes on starting tasks while another entry has taken over.
 test("an owner that the store refuses is replaced, and its workers follow the new one", async () => {
   await withCluster("refused owner", async (cluster) => {
--- a/src/scheduler/peer_router.ts
+++ b/src/scheduler/peer_router.ts
@@ -12,15 +12,25 @@
   | { readonly kind: "reply"; readonly value: T }
   | { readonly kind: "not_owner" };
 
+/** What became of a record that the owner was asked to store. */
+export type StoreReply =
+  | "stored"
+  /** The key existed already. */
+  | "existing"
+  /** The store refused the write, so that nothing was done. */
+  | "not_stored"
+  /** The write had no answer; it may be carried out, now or later. */
+  | "unresolved";
+
 /** What an entry does with calls of other entries. */
 export interface PeerHandlers {
   /** Takes note of a stored job. */
   accepted(spec: JobSpec): OwnerReply<true>;
   /** Stores a job for an entry that can't reach the store. */
-  submit(spec: JobSpec): Promise<OwnerReply<boolean>>;
+  submit(spec: JobSpec): Promise<OwnerReply<StoreReply>>;
   cancelled(jobId: string): OwnerReply<true>;
   /** Stores a cancellation for an entry that can't reach the store. */
-  cancel(jobId: string): Promise<OwnerReply<boolean>>;
+  cancel(jobId: string): Promise<OwnerReply<StoreReply>>;
   /** Status of a job; null for one that the owner doesn't know. */
   status(jobId: string): OwnerReply<JobStatus | null>;
   waitingJobs(queue: string): OwnerReply<number>;
