--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -31,14 +31,6 @@
 /** Slowness from which a worker is used only when no other has room. */
 const SLOW_LIMIT = 1.6;
 
-/** Tasks of one long-running step that share a VM before another VM is used: VMs with such tasks stay on and in their pool. A planned stop of the VM takes at most one task beyond a budget of one, which is moved off first. */
-const SHARED_LONG_RUNNING_TASKS = 2;
-
-/** Tasks of the long-running step that a worker may hold while others have room; tasks that serve or fill disturb each other and stay apart. */
-function sharedTasks(step: Step): number {
-  return step.targetMs > 0 || step.fills ? 1 : SHARED_LONG_RUNNING_TASKS;
-}
-
 /** Processor share that a task takes from its worker's capacity, in thousandths of a core. */
 export function reservedCpuMillis(step: Step): number {
   return step.fills ? 0 : step.cpuMillis;
@@ -74,12 +66,10 @@
     if (far !== 0) return far;
   }
   if (step.longRunning) {
-    // A planned stop of one VM, or the loss of one rack, takes few tasks of a step.
-    const own = (room: WorkerRoom) => room.tasksByStep.get(stepId) ?? 0;
-    const most = sharedTasks(step);
-    const beyond = Math.max(0, own(a) + 1 - most) -
-      Math.max(0, own(b) + 1 - most);
-    if (beyond !== 0) return beyond;
+    // A planned stop of one VM, or the loss of one rack, takes as few tasks of a step as possible.
+    const same = (a.tasksByStep.get(stepId) ?? 0) -
+      (b.tasksByStep.get(stepId) ?? 0);
+    if (same !== 0) return same;
     const rack = (request.tasksByRack.get(a.rack) ?? 0) -
       (request.tasksByRack.get(b.rack) ?? 0);
     if (rack !== 0) return rack;
