feat(scheduler): an owner is replaced before its lease runs out

Change: the owner's key may be replaced at the revision that was seen, with a higher epoch, by an entry that knows that the owner is gone: - an owner whose calls to the store have all failed for 0.4 s asks the entries that called it last, and the seeds, to take over; - a restarted process finds its own earlier key and takes its place back; - an owner that doesn't answer a call is asked again over a new connection; when others don't reach it either and none does, it is replaced.

Ruled out: a shorter lease, which a slow store (260 ms an answer) and thin links would let lapse.

The cluster of the tests now has calls between entries.

--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -5,12 +5,16 @@
 import { createWake } from "../wake.ts";
 import { createElapsed, type Elapsed } from "./clock_guard.ts";
 import { followPrefix } from "./follow_prefix.ts";
+import { createEntryDirectory } from "./entry_directory.ts";
+import { type OwnerClient, OwnerError } from "./owner_client.ts";
+import { askWitnesses, isOwnerGone, reachesEntry } from "./owner_doubt.ts";
 import {
-  createOwnerClient,
-  type OwnerClient,
-  OwnerError,
-} from "./owner_client.ts";
-import { acquireOwnership, KEYS, type Owner, readOwner } from "./ownership.ts";
+  acquireOwnership,
+  KEYS,
+  type Owner,
+  readOwner,
+  type Tenure,
+} from "./ownership.ts";
 import type { RecordStore, StoredItem } from "./ports.ts";
 import {
   createTenureRun,
@@ -36,11 +40,19 @@
 /** Interval of asking, in ms. */
 const HINT_INTERVAL_MS = 500;
 
+/** Age from which an owner that doesn't answer is doubted, in ms; a new one is busy with its records. */
+const DOUBT_AFTER_MS = 3_000;
+/** Entries that an owner asks to take over. */
+const RELIEF_PEERS = 6;
+
 /** What an entry's part in the election works with. */
-export interface ElectionOptions extends Omit<TenureOptions, "tenure"> {
+export interface ElectionOptions
+  extends Omit<TenureOptions, "tenure" | "askForRelief"> {
   readonly store: RecordStore;
   readonly self: { readonly entryId: string; readonly address: string };
   readonly seedPeers: readonly string[];
+  /** Creates the client of the entry at an address. */
+  readonly connect: (address: string) => OwnerClient;
   readonly clock: Clock;
   readonly log: Logger;
   readonly random: () => number;
@@ -57,6 +69,14 @@
   /** The owner's interface when this entry is the owner. */
   local(): OwnerApi | undefined;
   readonly storeContact: Elapsed;
+  /** Finds out whether an owner that has not answered is gone, and then takes over. */
+  doubtOwner(): void;
+  /** Takes over from an owner that asks for it; false when this entry can't. */
+  replaceOwner(epoch: number): boolean;
+  /** Whether this entry reaches the one at an address. */
+  reaches(address: string): Promise<boolean>;
+  /** Notes that the entry on a VM has called. */
+  noteCaller(ip: string): void;
   /** Gives up ownership and takes part in no further election. */
   stop(): void;
   run(): Operation<void>;
@@ -67,8 +87,20 @@
   const { store, self, clock, log } = options;
   const changed = createWake();
   const storeContact = createElapsed(clock);
-  const clients = new Map<string, OwnerClient>();
+  const directory = createEntryDirectory({
+    ...options,
+    selfAddress: self.address,
+  });
+  /** Epochs that this process has won. */
+  const ownEpochs = new Set<number>();
   let believed: Owner | undefined;
+  let believedSinceMs = clock.monotonicMs();
+  /** Store revision of the owner's key; 0 when there is none. */
+  let ownerRevision = 0;
+  /** Epoch whose owner is known to be gone although its key is still there. */
+  let goneEpoch: number | undefined;
+  let acquiring = false;
+  let doubting = false;
   let known = false;
   let stopping = false;
   let resignedAtMs = -Infinity;
@@ -81,6 +113,7 @@
         to: owner?.entryId,
         epoch: owner?.epoch,
       });
+      believedSinceMs = clock.monotonicMs();
     }
     believed = owner;
     if (current !== undefined && owner?.epoch !== current.epoch) {
@@ -90,6 +123,7 @@
           : `epoch ${owner.epoch} has begun`,
       );
     }
+    checkOwnKey();
     changed.notify();
   }
 
@@ -97,9 +131,51 @@
     if (item.key !== KEYS.owner) return;
     const owner = readOwner(item);
     if (owner === undefined) log.error("the owner's key can't be read");
+    ownerRevision = item.revision;
     onOwner(owner);
   }
 
+  function onDelete(): void {
+    ownerRevision = 0;
+    onOwner(undefined);
+  }
+
+  /** Lets this entry take over although the owner's key is still there; fences stop an owner that lives on. */
+  function declareGone(epoch: number, reason: string): void {
+    if (believed?.epoch !== epoch || goneEpoch === epoch || stopping) return;
+    log.info("the owner is taken as gone", {
+      owner: believed.entryId,
+      epoch,
+      reason,
+    });
+    goneEpoch = epoch;
+    changed.notify();
+  }
+
+  /** A key with this entry's address that the process hasn't won belongs to an earlier process on the VM. */
+  function checkOwnKey(): void {
+    if (
+      acquiring || believed === undefined || ownEpochs.has(believed.epoch) ||
+      believed.address !== self.address || believed.entryId !== self.entryId
+    ) return;
+    declareGone(believed.epoch, "it was an earlier process of this entry");
+  }
+
+  const isVacant = () => believed === undefined || believed.epoch === goneEpoch;
+
+  async function confirmGone(owner: Owner): Promise<void> {
+    if (await reachesEntry(owner.address, options.connect)) return;
+    const testimonies = await askWitnesses(owner.address, directory);
+    log.info("the owner doesn't answer", {
+      owner: owner.entryId,
+      epoch: owner.epoch,
+      testimonies,
+    });
+    if (isOwnerGone(testimonies)) {
+      declareGone(owner.epoch, "no entry that was asked reaches it");
+    }
+  }
+
   function* follow(): Operation<void> {
     yield* followPrefix({
       store,
@@ -111,23 +187,14 @@
       onSnapshot(items) {
         known = true;
         const item = items.find(({ key }) => key === KEYS.owner);
-        if (item === undefined) onOwner(undefined);
+        if (item === undefined) onDelete();
         else onPut(item);
       },
       onPut,
-      onDelete: () => onOwner(undefined),
+      onDelete,
     });
   }
 
-  function remote(address: string): OwnerClient {
-    let client = clients.get(address);
-    if (client === undefined) {
-      client = createOwnerClient(address);
-      clients.set(address, client);
-    }
-    return client;
-  }
-
   /** Without the store, the other entries are asked who the owner is. */
   function* askForOwner(): Operation<void> {
     for (;;) {
@@ -136,7 +203,7 @@
       for (const address of options.seedPeers) {
         if (address === self.address) continue;
         try {
-          const owner = yield* until(remote(address).owner());
+          const owner = yield* until(directory.client(address).owner());
           if (owner !== undefined && owner.epoch > (believed?.epoch ?? 0)) {
             onOwner(owner);
           }
@@ -148,9 +215,40 @@
     }
   }
 
+  function* acquire(): Operation<Tenure | undefined> {
+    acquiring = true;
+    try {
+      const tenure = yield* until(acquireOwnership(store, self, {
+        leaseTtlMs: OWNER_LEASE_MS,
+        replacedRevision: believed === undefined ? 0 : ownerRevision,
+      }));
+      if (tenure !== undefined) ownEpochs.add(tenure.epoch);
+      return tenure;
+    } finally {
+      acquiring = false;
+      // The key has changed, or the entry that was taken as gone is given another chance.
+      goneEpoch = undefined;
+      checkOwnKey();
+    }
+  }
+
+  /** The entry that takes over fences this owner. */
+  function askForRelief(epoch: number): void {
+    for (const address of directory.list(RELIEF_PEERS)) {
+      void directory.client(address).replaceOwner(epoch).then(
+        (willing) =>
+          log.info("asked to take over", { address, epoch, willing }),
+        (error) => {
+          if (!(error instanceof OwnerError)) throw error;
+          log.debug("entry doesn't answer", { address });
+        },
+      );
+    }
+  }
+
   function* compete(): Operation<void> {
     for (;;) {
-      if (!known || believed !== undefined || stopping) {
+      if (!known || !isVacant() || stopping) {
         yield* changed.wait(1_000);
         continue;
       }
@@ -159,18 +257,19 @@
         options.candidateDelayMs + options.random() * MAXIMUM_JITTER_MS +
           (resignedMs < RESIGNED_MEMORY_MS ? RESIGNED_DELAY_MS : 0),
       );
-      if (believed !== undefined || stopping) continue;
+      if (!isVacant() || stopping) continue;
       try {
-        const tenure = yield* until(
-          acquireOwnership(store, self, OWNER_LEASE_MS),
-        );
+        const tenure = yield* acquire();
         if (tenure === undefined) {
           yield* changed.wait(RETRY_DELAY_MS);
           continue;
         }
-        log.info("became owner", { epoch: tenure.epoch });
+        log.info("became owner", {
+          epoch: tenure.epoch,
+          replaced: believed?.entryId,
+        });
         believed = { ...self, epoch: tenure.epoch };
-        const run = createTenureRun({ ...options, tenure });
+        const run = createTenureRun({ ...options, tenure, askForRelief });
         current = { run, epoch: tenure.epoch };
         yield* run.run();
         if (run.resigned()) resignedAtMs = clock.monotonicMs();
@@ -198,10 +297,31 @@
       if (believed === undefined || believed.address === self.address) {
         return undefined;
       }
-      return remote(believed.address);
+      return directory.client(believed.address);
     },
     local: () => current?.run.api(),
     storeContact,
+    doubtOwner() {
+      const owner = believed;
+      if (
+        doubting || owner === undefined || owner.address === self.address ||
+        options.candidateDelayMs > 0 ||
+        clock.monotonicMs() - believedSinceMs < DOUBT_AFTER_MS
+      ) return;
+      doubting = true;
+      void confirmGone(owner).finally(() => {
+        doubting = false;
+      });
+    },
+    replaceOwner(epoch) {
+      const canServe = !stopping && options.candidateDelayMs === 0 &&
+        storeContact.ms() < WATCH_WAIT_MS + HINT_AFTER_MS;
+      if (!canServe || believed?.epoch !== epoch) return false;
+      declareGone(epoch, "it has lost the store and asks to be replaced");
+      return true;
+    },
+    reaches: (address) => reachesEntry(address, options.connect),
+    noteCaller: directory.noteCaller,
     stop() {
       stopping = true;
       current?.run.resign();
@@ -219,7 +339,9 @@
   function use<T>(ask: (owner: OwnerApi) => T): Promise<T> {
     const owner = api();
     return owner === undefined
-      ? Promise.reject(new OwnerError("This entry is not the owner"))
+      ? Promise.reject(
+        new OwnerError("This entry is not the owner", "not_owner"),
+      )
       : Promise.resolve(ask(owner));
   }
   /** The entry has tried its store itself, which is the owner's as well. */
@@ -232,6 +354,8 @@
     status: (jobId) => use((owner) => owner.status(jobId)),
     waitingJobs: (queue) => use((owner) => owner.waitingJobs(queue)),
     owner: () => Promise.resolve(undefined),
+    replaceOwner: () => Promise.resolve(false),
+    reaches: () => Promise.resolve(false),
     close() {},
   };
 }
--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -122,6 +122,9 @@
       return { kind: "reply", value: owner.waitingJobs(queue) };
     },
     owner: () => election.owner() ?? null,
+    replaceOwner: (epoch) => election.replaceOwner(epoch),
+    reaches: (address) => election.reaches(address),
+    noteCaller: (ip) => election.noteCaller(ip),
   };
 }
 
--- a/src/scheduler/front.ts
+++ b/src/scheduler/front.ts
@@ -95,6 +95,8 @@
   /** The owner, on this entry or another; undefined while none is known. */
   readonly owner: () => OwnerClient | undefined;
   readonly onOwnerAnswer: () => void;
+  /** The owner has not answered a call. */
+  readonly onOwnerSilent: () => void;
 }
 
 function delay(ms: number): Promise<void> {
@@ -133,6 +135,7 @@
     } catch (error) {
       if (!(error instanceof OwnerError)) throw error;
       log.debug("owner not reached", { reason: messageOf(error) });
+      if (error.reason === "no_answer") options.onOwnerSilent();
       return undefined;
     }
   }
--- a/src/scheduler/front_test.ts
+++ b/src/scheduler/front_test.ts
@@ -23,7 +23,7 @@
 
 function createWorld(owner?: Partial<OwnerClient>) {
   const store = new FakeRecordStore(createRandom(7));
-  const refuse = () => Promise.reject(new OwnerError("away"));
+  const refuse = () => Promise.reject(new OwnerError("away", "no_answer"));
   const client = {
     accepted: refuse,
     submit: refuse,
@@ -42,6 +42,7 @@
     config: () => undefined,
     owner: () => owner === undefined ? undefined : client,
     onOwnerAnswer() {},
+    onOwnerSilent() {},
   });
   const context = (budgetMs = 700) => ({
     requestId: "r",
--- a/src/scheduler/journal.ts
+++ b/src/scheduler/journal.ts
@@ -40,6 +40,8 @@
   readonly onLost: (reason: string) => void;
   /** Called after each answer of the store that proves the tenure. */
   readonly onContact: () => void;
+  /** Called after each commit that failed. */
+  readonly onFailure: () => void;
 }
 
 interface PendingEntry {
@@ -116,6 +118,7 @@
       }
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
+      options.onFailure();
       const level = error.failure === "rejected" ? "error" : "debug";
       log[level]("commit failed and will be repeated", {
         failure: error.failure,
--- a/src/scheduler/journal_test.ts
+++ b/src/scheduler/journal_test.ts
@@ -8,6 +8,9 @@
 import { createJournal, type Journal } from "./journal.ts";
 import { acquireOwnership, KEYS } from "./ownership.ts";
 
+/** A lease that outlasts each test, for an entry that finds no owner's key. */
+const VACANT = { leaseTtlMs: 60_000, replacedRevision: 0 };
+
 const test = suite("journal");
 
 async function withJournal(
@@ -22,7 +25,7 @@
   const tenure = await acquireOwnership(
     client,
     { entryId: "entry-1", address: "" },
-    60_000,
+    VACANT,
   );
   const lost: string[] = [];
   const journal = createJournal({
@@ -31,6 +34,7 @@
     log: silentLogger,
     onLost: (reason) => lost.push(reason),
     onContact() {},
+    onFailure() {},
   });
   const task = run(() => journal.run());
   try {
@@ -85,7 +89,7 @@
     await acquireOwnership(
       store.client("entry-2"),
       { entryId: "entry-2", address: "" },
-      60_000,
+      VACANT,
     );
     journal.put({ key: "progress/a", encode: () => "1" });
     await waitFor("the tenure is lost", () => lost.length > 0);
@@ -100,19 +104,37 @@
     const next = await acquireOwnership(
       store.client("entry-2"),
       { entryId: "entry-2", address: "" },
-      60_000,
+      VACANT,
     );
     assert.equal(next?.epoch, 2);
     const other = await acquireOwnership(
       store.client("entry-3"),
       { entryId: "entry-3", address: "" },
-      60_000,
+      VACANT,
     );
     assert.equal(other, undefined);
     assert.ok(store.items.has(KEYS.head));
   });
 });
 
+// Guards against two owners: an entry that takes the owner as gone must not replace one that it hasn't seen.
+test("a key is replaced only at the revision that was seen, with a higher epoch", async () => {
+  await withJournal(async (journal, store, lost) => {
+    const seen = store.items.get(KEYS.owner)!.revision;
+    const replace = (id: string) =>
+      acquireOwnership(
+        store.client(id),
+        { entryId: id, address: "" },
+        { ...VACANT, replacedRevision: seen },
+      );
+    assert.equal((await replace("entry-2"))?.epoch, 2);
+    assert.equal(await replace("entry-3"), undefined);
+    journal.put({ key: "progress/a", encode: () => "1" });
+    await waitFor("the tenure is lost", () => lost.length > 0);
+    assert.equal(store.items.has("progress/a"), false);
+  });
+});
+
 // Guards against a tenure that nobody works in until its lease runs out, because the answer to the election was lost.
 test("an election whose answer was lost is found in the store", async () => {
   const store = new FakeRecordStore(createRandom(5));
@@ -121,7 +143,7 @@
     const tenure = await acquireOwnership(
       store.client("entry-1"),
       { entryId: "entry-1", address: "" },
-      60_000,
+      VACANT,
     );
     assert.equal(tenure?.epoch, 1);
     assert.equal(tenure?.headRevision, store.items.get(KEYS.head)?.revision);
--- a/src/scheduler/owner_client.ts
+++ b/src/scheduler/owner_client.ts
@@ -15,6 +15,10 @@
 /** No answer of another entry, or one that isn't the owner. */
 export class OwnerError extends TaggedError<"owner"> {
   readonly kind = "owner";
+
+  constructor(message: string, readonly reason: "no_answer" | "not_owner") {
+    super(message);
+  }
 }
 
 /** Calls to one entry; each method rejects with an `OwnerError`. */
@@ -26,6 +30,8 @@
   status(jobId: string): Promise<JobStatus | undefined>;
   waitingJobs(queue: string): Promise<number>;
   owner(): Promise<Owner | undefined>;
+  replaceOwner(epoch: number): Promise<boolean>;
+  reaches(address: string): Promise<boolean>;
   close(): void;
 }
 
@@ -54,6 +60,7 @@
     } catch (error) {
       throw new OwnerError(
         `The entry at ${address} did not answer: ${(error as Error).message}`,
+        "no_answer",
       );
     }
   }
@@ -71,7 +78,10 @@
   ): Promise<T> {
     const reply = await call(send);
     if (reply.kind === "not_owner") {
-      throw new OwnerError(`The entry at ${address} is not the owner`);
+      throw new OwnerError(
+        `The entry at ${address} is not the owner`,
+        "not_owner",
+      );
     }
     return reply.value;
   }
@@ -96,6 +106,13 @@
     owner: async () =>
       await call((signal) => client.owner.query(undefined, { signal })) ??
         undefined,
+    replaceOwner: (epoch) =>
+      call((signal) => client.replaceOwner.mutate({ epoch }, { signal })),
+    reaches: (target) =>
+      call(
+        (signal) => client.reaches.query({ address: target }, { signal }),
+        2 * CALL_TIMEOUT_MS,
+      ),
     close: () => void pool.destroy(),
   };
 }
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -70,14 +70,18 @@
 }
 
 /**
- * Tries to become the owner: one change creates the owner's key under a lease
- * and raises the epoch in the head. Returns undefined when another entry is the
- * owner; rejects with a `StoreError`.
+ * Tries to become the owner: one change writes the owner's key under a lease and
+ * raises the epoch in the head. `replacedRevision` is the revision of the key of
+ * an owner that is taken as gone, 0 when there is no key. Returns undefined when
+ * another entry is the owner; rejects with a `StoreError`.
  */
 export async function acquireOwnership(
   store: RecordStore,
   self: { entryId: string; address: string },
-  leaseTtlMs: number,
+  { leaseTtlMs, replacedRevision }: {
+    readonly leaseTtlMs: number;
+    readonly replacedRevision: number;
+  },
 ): Promise<Tenure | undefined> {
   const head = await store.get(KEYS.head);
   const epoch = (head === undefined ? 0 : readHead(head)?.epoch ?? 0) + 1;
@@ -90,7 +94,7 @@
   });
   const change: StoreChange = {
     conditions: [
-      { key: KEYS.owner, revision: 0 },
+      { key: KEYS.owner, revision: replacedRevision },
       { key: KEYS.head, revision: head?.revision ?? 0 },
     ],
     puts: [
--- a/src/scheduler/ownership_faults_test.ts
+++ b/src/scheduler/ownership_faults_test.ts
@@ -154,6 +154,86 @@
   });
 });
 
+/** Longest time without an owner, in ms; the owner's lease alone takes 2 s, an election and loading well under 0.5 s. */
+const HANDOVER_LIMIT_MS = 1_700;
+
+/** Time until an entry other than `first` is the owner, in ms. */
+async function handoverMs(
+  cluster: SchedulerCluster,
+  epoch: number,
+): Promise<number> {
+  const startedAtMs = performance.now();
+  await waitFor(
+    "a newer owner",
+    () =>
+      cluster.entries.some(({ election }) =>
+        (election.local()?.epoch ?? 0) > epoch
+      ),
+  );
+  return performance.now() - startedAtMs;
+}
+
+// Guards against seconds without starts although another entry could take over at once.
+test("an owner that the store refuses asks another entry to take over before its lease runs out", async () => {
+  await withCluster("relief", async (cluster) => {
+    await waitFor("an owner", () => cluster.owner() !== undefined);
+    const first = cluster.owner()!;
+    const { epoch } = first.election.local()!;
+    cluster.store.faults.refused.add(first.id);
+    const waitedMs = await handoverMs(cluster, epoch);
+    assert.ok(waitedMs < HANDOVER_LIMIT_MS, `${waitedMs} ms`);
+  });
+});
+
+// Guards against a restarted owner that waits for the lease of its own earlier process.
+test("a restarted owner takes its place back before the lease of its earlier process runs out", async () => {
+  await withCluster("restart", async (cluster) => {
+    await waitFor("an owner", () => cluster.owner() !== undefined);
+    const first = cluster.owner()!;
+    const { epoch } = first.election.local()!;
+    await cluster.killEntry(first);
+    cluster.store.faults.refused.delete(first.id);
+    cluster.startEntry(first.id);
+    const waitedMs = await handoverMs(cluster, epoch);
+    assert.ok(waitedMs < HANDOVER_LIMIT_MS, `${waitedMs} ms`);
+  });
+});
+
+// Guards against seconds without starts after the owner's VM has lost power while jobs arrive.
+test("an owner that no entry reaches is replaced before its lease runs out", async () => {
+  await withCluster("silent", async (cluster) => {
+    await waitFor("an owner", () => cluster.owner() !== undefined);
+    const first = cluster.owner()!;
+    const { epoch } = first.election.local()!;
+    await delay(3_100);
+    cluster.silent.add(first.id);
+    const others = cluster.entries.filter((entry) => entry !== first);
+    const status = others[0]!.front.status("00000000000000aa", {
+      requestId: "",
+      deadlineMs: performance.now() + 2_000,
+    });
+    const waitedMs = await handoverMs(cluster, epoch);
+    assert.ok(waitedMs < HANDOVER_LIMIT_MS, `${waitedMs} ms`);
+    await status;
+  });
+});
+
+// Guards against an owner that is replaced because one entry alone is cut off from it.
+test("an owner that another entry reaches stays", async () => {
+  await withCluster("witness", async (cluster) => {
+    await waitFor("an owner", () => cluster.owner() !== undefined);
+    await delay(3_100);
+    const first = cluster.owner()!;
+    const { epoch } = first.election.local()!;
+    const doubting = cluster.entries.find((entry) => entry !== first)!;
+    cluster.cut.add(`${doubting.id} ${first.id}`);
+    doubting.election.doubtOwner();
+    await delay(600);
+    assert.equal(first.election.local()?.epoch, epoch);
+    assert.equal(doubting.election.local(), undefined);
+  });
+});
+
 // Guards against a cut-off worker whose task is started elsewhere while it still runs there.
 test("tasks of a worker that is cut off run elsewhere only after their lease", async () => {
   await withCluster("cut worker", async (cluster) => {
--- a/src/scheduler/peer_router.ts
+++ b/src/scheduler/peer_router.ts
@@ -36,6 +36,12 @@
   waitingJobs(queue: string): OwnerReply<number>;
   /** Who this entry takes for the owner. */
   owner(): Owner | null;
+  /** Takes over from an owner that the store refuses; false when this entry can't. */
+  replaceOwner(epoch: number): boolean;
+  /** Whether this entry reaches the entry at an address. */
+  reaches(address: string): Promise<boolean>;
+  /** Notes that the entry on a VM has called. */
+  noteCaller(ip: string): void;
 }
 
 const trpc = initTRPC.context<{ handlers: PeerHandlers }>().create();
@@ -61,6 +67,12 @@
     { input, ctx },
   ) => ctx.handlers.waitingJobs(input.queue)),
   owner: trpc.procedure.query(({ ctx }) => ctx.handlers.owner()),
+  replaceOwner: trpc.procedure.input(z.object({ epoch: z.number() })).mutation((
+    { input, ctx },
+  ) => ctx.handlers.replaceOwner(input.epoch)),
+  reaches: trpc.procedure.input(z.object({ address: z.string() })).query((
+    { input, ctx },
+  ) => ctx.handlers.reaches(input.address)),
 });
 
 /** Calls that entries make to each other. */
@@ -70,7 +82,10 @@
 export function createPeerHandler(handlers: PeerHandlers) {
   return createHTTPHandler({
     router: schedulerRouter,
-    createContext: () => ({ handlers }),
+    createContext({ req }) {
+      handlers.noteCaller(req.socket.remoteAddress ?? "");
+      return { handlers };
+    },
     maxBodySize: MAXIMUM_REQUEST_BYTES,
     allowBatching: false,
   });
--- a/src/scheduler/tenure.ts
+++ b/src/scheduler/tenure.ts
@@ -44,6 +44,12 @@
 const SILENT_STORE_LIMIT_MS = 13_000;
 /** Renewals in one lease time. */
 const RENEWALS_PER_LEASE = 4;
+/** Pause between two renewals while the store doesn't answer, in ms. */
+const FAILED_RENEWAL_PAUSE_MS = 120;
+/** Time in which every call to the store has failed after which another entry is asked to take over, in ms; a slow store still answers within it. */
+const RELIEF_AFTER_MS = 400;
+/** Interval of asking, in ms. */
+const RELIEF_INTERVAL_MS = 500;
 /** Shortest time between two planning rounds, in ms. */
 const PLAN_INTERVAL_MS = 12;
 /** Longest time between two planning rounds, in ms; due occurrences and pauses end unannounced. */
@@ -78,6 +84,8 @@
   readonly keepEndedMs: number;
   /** Time between orders of two owners for one VM, in ms. */
   readonly holderGapMs: number;
+  /** Asks other entries to take over; the one that does raises the epoch. */
+  readonly askForRelief: (epoch: number) => void;
 }
 
 /** What entries may ask the owner once its records are loaded. */
@@ -116,6 +124,8 @@
   let lostReason: string | undefined;
   let resigning = false;
   let loaded = false;
+  /** Monotonic time of the first failure since the store's last answer, in ms. */
+  let failingSinceMs: number | undefined;
 
   const onLost = (reason: string) => {
     lostReason ??= reason;
@@ -123,12 +133,20 @@
   };
   const mayOrder = () =>
     lostReason === undefined && contact.ms() < SILENT_STORE_LIMIT_MS;
+  const onContact = () => {
+    contact.restart();
+    failingSinceMs = undefined;
+  };
+  const onFailure = () => {
+    failingSinceMs ??= clock.monotonicMs();
+  };
   const journal: Journal = createJournal({
     store,
     tenure,
     log,
     onLost,
-    onContact: () => contact.restart(),
+    onContact,
+    onFailure,
   });
   const tickets: Tickets = createTickets({
     advice: options.advice,
@@ -194,20 +212,41 @@
 
   function* renewLease(): Operation<void> {
     for (;;) {
-      yield* sleep(tenure.leaseTtlMs / RENEWALS_PER_LEASE);
+      yield* sleep(
+        failingSinceMs === undefined
+          ? tenure.leaseTtlMs / RENEWALS_PER_LEASE
+          : FAILED_RENEWAL_PAUSE_MS,
+      );
       try {
         if (!(yield* until(store.keepLease(tenure.leaseId)))) {
           onLost("the lease has ended");
           return;
         }
-        contact.restart();
+        onContact();
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
+        onFailure();
         log.debug("renewal failed", { reason: messageOf(error) });
       }
     }
   }
 
+  /** The store may refuse this entry alone; another one need not wait for the lease to run out. */
+  function* seekRelief(): Operation<void> {
+    for (;;) {
+      yield* sleep(FAILED_RENEWAL_PAUSE_MS);
+      if (failingSinceMs === undefined) continue;
+      const failingMs = clock.monotonicMs() - failingSinceMs;
+      if (failingMs < RELIEF_AFTER_MS) continue;
+      log.info("asking other entries to take over", {
+        epoch: tenure.epoch,
+        storeFailingMs: Math.round(failingMs),
+      });
+      options.askForRelief(tenure.epoch);
+      yield* sleep(RELIEF_INTERVAL_MS);
+    }
+  }
+
   function* planLoop(): Operation<void> {
     for (;;) {
       yield* planWake.wait(PLAN_TIMEOUT_MS);
@@ -262,15 +301,16 @@
       log,
       waitMs: WATCH_WAIT_MS,
       pauseMs,
-      onContact: () => contact.restart(),
+      onContact,
       ...handlers,
     });
   }
 
   function* work(): Operation<void> {
     yield* spawn(() => renewLease());
+    yield* spawn(() => seekRelief());
     const jobs = yield* loadJobs({ ...options, scheduler, earlierLeasesEndMs });
-    contact.restart();
+    onContact();
     log.info("owner started", {
       epoch: tenure.epoch,
       records: jobs,
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -13,6 +13,7 @@
 import type { SchedulerEntryParts } from "./entry.ts";
 import { createFront, type Front } from "./front.ts";
 import { createOperatorState, type OperatorState } from "./operator_state.ts";
+import { createOwnerClient } from "./owner_client.ts";
 import type {
   PlacementAdvice,
   PlatformRecords,
@@ -91,6 +92,7 @@
       entryId: settings.entryId,
       self: { entryId: settings.entryId, address: settings.listen.peers },
       seedPeers: settings.seedPeers,
+      connect: createOwnerClient,
       clock: parts.resolve(TOKENS.clock),
       log: loggers("owner"),
       random: Math.random,
@@ -108,6 +110,7 @@
       config: parts.resolve(TOKENS.operator).config,
       owner: () => parts.resolve(TOKENS.election).client(),
       onOwnerAnswer: () => parts.resolve(TOKENS.stats).noteOwnerContact(),
+      onOwnerSilent: () => parts.resolve(TOKENS.election).doubtOwner(),
     }));
   return adapters;
 }
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -5,6 +5,9 @@
 import { createElection, type Election } from "../src/scheduler/election.ts";
 import { createFront, type Front } from "../src/scheduler/front.ts";
 import { type JobSpec, jobSpecSchema } from "../src/scheduler/model.ts";
+import { createPeerHandlers } from "../src/scheduler/entry.ts";
+import { type OwnerClient, OwnerError } from "../src/scheduler/owner_client.ts";
+import type { OwnerReply, PeerHandlers } from "../src/scheduler/peer_router.ts";
 import type {
   PlatformRecords,
   QueueConfig,
@@ -59,12 +62,24 @@
   task: Task<void>;
 }
 
+/** Time of a call between entries, in ms. */
+const CALL_MS = 1;
+
+/** Peer address of an entry. */
+function addressOf(entryId: string): string {
+  return `127.0.0.1:${entryId.slice("entry-".length)}`;
+}
+
 /** Several entries, a store and workers in one process, without a network. */
 export class SchedulerCluster {
   readonly check = new RuleCheck();
   readonly store: FakeRecordStore;
   readonly workers: FakeTaskWorkers;
   readonly entries: ClusterEntry[] = [];
+  /** Entries that answer no call of another entry. */
+  readonly silent = new Set<string>();
+  /** Pairs of ids, the caller's first, between which no call arrives. */
+  readonly cut = new Set<string>();
   /** Maintenance waves that operators ask for. */
   readonly waves = new Map<number, WaveRequest>();
   /** Time that the platform's VM list takes, in ms. */
@@ -122,8 +137,57 @@
     };
   }
 
-  startEntry(): ClusterEntry {
-    const id = `entry-${this.#nextEntry++}`;
+  /** Calls between entries; an entry that is dead or frozen doesn't answer. */
+  #connect(
+    from: string,
+    address: string,
+    isUp: () => boolean,
+  ): OwnerClient {
+    const use = async <T>(
+      call: (handlers: PeerHandlers) => Promise<T> | T,
+    ): Promise<T> => {
+      await delay(CALL_MS);
+      const entry = this.entries.find(({ id }) => addressOf(id) === address);
+      if (
+        !isUp() || entry === undefined || this.silent.has(entry.id) ||
+        this.cut.has(`${from} ${entry.id}`)
+      ) {
+        throw new OwnerError(`${address} did not answer`, "no_answer");
+      }
+      return await call(createPeerHandlers({
+        election: entry.election,
+        store: this.store.client(entry.id),
+        log: silentLogger,
+      }));
+    };
+    const ask = async <T>(
+      call: (
+        handlers: PeerHandlers,
+      ) => Promise<OwnerReply<T>> | OwnerReply<T>,
+    ): Promise<T> => {
+      const reply = await use<OwnerReply<T>>(call);
+      if (reply.kind === "reply") return reply.value;
+      throw new OwnerError(`${address} is not the owner`, "not_owner");
+    };
+    return {
+      accepted: async (spec) =>
+        void await ask((handlers) => handlers.accepted(spec)),
+      submit: (spec) => ask((handlers) => handlers.submit(spec)),
+      cancelled: async (jobId) =>
+        void await ask((handlers) => handlers.cancelled(jobId)),
+      cancel: (jobId) => ask((handlers) => handlers.cancel(jobId)),
+      status: async (jobId) =>
+        await ask((handlers) => handlers.status(jobId)) ?? undefined,
+      waitingJobs: (queue) => ask((handlers) => handlers.waitingJobs(queue)),
+      owner: async () => await use((handlers) => handlers.owner()) ?? undefined,
+      replaceOwner: (epoch) => use((handlers) => handlers.replaceOwner(epoch)),
+      reaches: (target) => use((handlers) => handlers.reaches(target)),
+      close() {},
+    };
+  }
+
+  /** Starts an entry; with an id, as a new process on that entry's VM. */
+  startEntry(id = `entry-${this.#nextEntry++}`): ClusterEntry {
     const state = { up: true };
     const isUp = () => state.up;
     const store = this.store.client(id);
@@ -134,8 +198,9 @@
       fleet: this.#fleet(),
       advice: { ask: () => Promise.resolve(undefined) },
       entryId: id,
-      self: { entryId: id, address: "127.0.0.1:1" },
-      seedPeers: [],
+      self: { entryId: id, address: addressOf(id) },
+      seedPeers: ["entry-1", "entry-2", "entry-3"].map(addressOf),
+      connect: (address) => this.#connect(id, address, isUp),
       clock: systemClock,
       log: silentLogger,
       random: () => this.random.next(),
@@ -155,6 +220,7 @@
         config: () => CONFIG,
         owner: () => election.client(),
         onOwnerAnswer() {},
+        onOwnerSilent: () => election.doubtOwner(),
       }),
       get up() {
         return state.up;
@@ -172,6 +238,7 @@
   async killEntry(entry: ClusterEntry): Promise<void> {
     entry.up = false;
     this.store.faults.refused.add(entry.id);
+    this.silent.delete(entry.id);
     this.entries.splice(this.entries.indexOf(entry), 1);
     await entry.task.halt();
   }
