fix(scheduler): submissions are refused at once while the store is known to be silent

Change: an entry remembers whether its latest call to the store had an answer. The owner does the same for others. The owner's entry doesn't ask itself.

Ruled out: refusing after a write of one's own had no answer; it may be carried out.

--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -53,6 +53,8 @@
   readonly seedPeers: readonly string[];
   /** Creates the client of the entry at an address. */
   readonly connect: (address: string) => OwnerClient;
+  readonly onStoreAnswer: () => void;
+  readonly onStoreFailure: () => void;
   readonly clock: Clock;
   readonly log: Logger;
   readonly random: () => number;
@@ -183,7 +185,11 @@
       log,
       waitMs: WATCH_WAIT_MS,
       pauseMs: () => 0,
-      onContact: () => storeContact.restart(),
+      onContact() {
+        storeContact.restart();
+        options.onStoreAnswer();
+      },
+      onFailure: options.onStoreFailure,
       onSnapshot(items) {
         known = true;
         const item = items.find(({ key }) => key === KEYS.owner);
@@ -344,9 +350,10 @@
       )
       : Promise.resolve(ask(owner));
   }
-  /** The entry has tried its store itself, which is the owner's as well. */
+  /** An entry doesn't ask itself to store. */
   const decline = () => Promise.resolve("not_stored" as const);
   return {
+    isLocal: true,
     accepted: (spec) => use((owner) => owner.accept(spec)),
     submit: decline,
     cancelled: (jobId) => use((owner) => owner.cancel(jobId)),
--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -27,6 +27,7 @@
 import type { RecordStore } from "./ports.ts";
 import type { RequestStats } from "./request_stats.ts";
 import type { SchedulerSettings } from "./settings.ts";
+import type { StoreHealth } from "./store_health.ts";
 
 /** Time for which a stopping entry still takes new requests, in ms: the balancer asks for readiness once a second and needs two misses. */
 const UNREADY_NOTICE_MS = 2_800;
@@ -41,6 +42,7 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly store: RecordStore;
+  readonly health: StoreHealth;
   readonly operator: OperatorState;
   readonly election: Election;
   readonly front: Front;
@@ -59,19 +61,22 @@
 
 /** Serves calls of other entries on this one. */
 export function createPeerHandlers(
-  parts: Pick<SchedulerEntryParts, "election" | "store" | "log">,
+  parts: Pick<SchedulerEntryParts, "election" | "store" | "health" | "log">,
 ): PeerHandlers {
-  const { election, store, log } = parts;
+  const { election, store, health, log } = parts;
 
   async function storeOnce(key: string, value: string): Promise<StoreReply> {
+    if (!health.mayTry()) return "not_stored";
     try {
       const outcome = await store.change({
         conditions: [{ key, revision: 0 }],
         puts: [{ key, value }],
       });
+      health.noteAnswer();
       return outcome.kind === "committed" ? "stored" : "existing";
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
+      health.noteFailure();
       log.info("a record of another entry could not be stored", {
         key,
         failure: error.failure,
--- a/src/scheduler/follow_prefix.ts
+++ b/src/scheduler/follow_prefix.ts
@@ -21,6 +21,8 @@
   readonly onDelete: (key: string) => void;
   /** Called after each answer of the store. */
   readonly onContact?: () => void;
+  /** Called after each call that failed. */
+  readonly onFailure?: () => void;
 }
 
 /** Follows the items below a prefix until it is halted; store failures are retried. */
@@ -69,6 +71,7 @@
         log.warn("store lost", { prefix, reason: messageOf(error) });
       }
       failing = true;
+      options.onFailure?.();
       // A watch may have missed changes while its connection was silent.
       yield* sleep(RETRY_DELAY_MS);
     }
--- a/src/scheduler/front.ts
+++ b/src/scheduler/front.ts
@@ -13,6 +13,7 @@
 import { KEYS } from "./ownership.ts";
 import type { StoreReply } from "./peer_router.ts";
 import type { QueueConfig, RecordStore, SchedulerConfig } from "./ports.ts";
+import type { StoreHealth } from "./store_health.ts";
 
 /** Time kept for sending the response before the caller's deadline, in ms. */
 const ANSWER_MARGIN_MS = 150;
@@ -89,6 +90,7 @@
 /** What the front works with. */
 export interface FrontOptions {
   readonly store: RecordStore;
+  readonly health: StoreHealth;
   readonly clock: Clock;
   readonly log: Logger;
   readonly config: () => SchedulerConfig | undefined;
@@ -105,7 +107,7 @@
 
 /** Creates the front of an entry. */
 export function createFront(options: FrontOptions): Front {
-  const { store, clock, log } = options;
+  const { store, health, clock, log } = options;
   let storeFailedAtMs = -Infinity;
   const counts = new Map<string, { jobs: number; atMs: number }>();
 
@@ -154,18 +156,23 @@
   ): Promise<StoreReply> {
     const startedAtMs = clock.monotonicMs();
     let unresolved = false;
+    /** The owner, which uses connections of its own, has failed to store it as well. */
+    let refusedByOwner = false;
 
     async function storeDirectly(): Promise<"stored" | "existing" | undefined> {
+      if (!health.mayTry()) return undefined;
       try {
         const outcome = await store.change({
           conditions: [{ key, revision: 0 }],
           puts: [{ key, value }],
         });
         storeFailedAtMs = -Infinity;
+        health.noteAnswer();
         return outcome.kind === "conflict" ? "existing" : "stored";
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
         storeFailedAtMs = clock.monotonicMs();
+        health.noteFailure();
         if (error.failure === "unknown_outcome") unresolved = true;
         return undefined;
       }
@@ -174,11 +181,13 @@
     async function storeThroughOwner(): Promise<
       "stored" | "existing" | undefined
     > {
-      if (options.owner() === undefined) return undefined;
+      const owner = options.owner();
+      if (owner === undefined || owner.isLocal) return undefined;
       const reply = await askOwner(throughOwner);
       // Without a reply the owner may have stored it.
       const value = reply?.value ?? "unresolved";
       if (value === "unresolved") unresolved = true;
+      refusedByOwner = value === "not_stored";
       return value === "stored" || value === "existing" ? value : undefined;
     }
 
@@ -188,6 +197,8 @@
         ? await storeThroughOwner() ?? await storeDirectly()
         : await storeDirectly() ?? await storeThroughOwner();
       if (outcome !== undefined) return outcome;
+      // Neither this entry nor the owner reaches the store; waiting wouldn't help the caller.
+      if (refusedByOwner && health.isFailing()) break;
       const limitMs = unresolved ? RESOLVE_LIMIT_MS : HOLD_LIMIT_MS;
       if (!mayTryAgain(startedAtMs, context, limitMs)) break;
       await delay(RETRY_DELAY_MS);
--- a/src/scheduler/front_test.ts
+++ b/src/scheduler/front_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
 import { FakeRecordStore } from "../../testing/fake_record_store.ts";
 import { createRandom } from "../../testing/random.ts";
@@ -11,6 +12,7 @@
 import { jobSpecSchema } from "./model.ts";
 import { type OwnerClient, OwnerError } from "./owner_client.ts";
 import { KEYS } from "./ownership.ts";
+import { createStoreHealth } from "./store_health.ts";
 
 const test = suite("front");
 
@@ -25,6 +27,7 @@
   const store = new FakeRecordStore(createRandom(7));
   const refuse = () => Promise.reject(new OwnerError("away", "no_answer"));
   const client = {
+    isLocal: false,
     accepted: refuse,
     submit: refuse,
     cancelled: refuse,
@@ -37,6 +40,7 @@
   } as OwnerClient;
   const front = createFront({
     store: store.client("entry-1"),
+    health: createStoreHealth(systemClock),
     clock: systemClock,
     log: silentLogger,
     config: () => undefined,
@@ -106,6 +110,46 @@
   assert.ok(performance.now() - startedAtMs < 4_000);
 });
 
+// Guards against an outage in which every caller's write is sent into silence, so that it may still be carried out and the caller can't be told to come back.
+test("once the store has gone silent, further submissions are refused at once", async () => {
+  const world = createWorld({ submit: () => Promise.resolve("not_stored") });
+  world.store.faults.lateShare = 1;
+  world.store.faults.lateMs = 60_000;
+  const submit = (jobId: string) =>
+    world.front.submit(
+      QUEUE,
+      { ...(submission as object), jobId } as never,
+      world.context(3_000),
+    );
+  const first = submit("00000000000000f0");
+  await delay(50);
+  const startedAtMs = performance.now();
+  const later = await Promise.all(
+    Array.from(
+      { length: 20 },
+      (_, index) => submit(`00000000000001${10 + index}`),
+    ),
+  );
+  const refused = later.filter(({ kind }) => kind === "refused");
+  assert.ok(refused.length >= 18, `${refused.length} of 20`);
+  // Ten times the few milliseconds of a call to the owner, with room for the probe.
+  assert.ok(performance.now() - startedAtMs < 2_000);
+  assert.deepEqual(await first, { kind: "unresolved" });
+  world.store.faults.lateShare = 0;
+  await delay(300);
+  assert.deepEqual(await submit("00000000000000f1"), { kind: "accepted" });
+});
+
+// Guards against an owner's entry that gives up after one lost answer of its store.
+test("the owner's entry looks again for a submission whose answer was lost", async () => {
+  const world = createWorld({ isLocal: true });
+  world.store.faults.lostShare = 1;
+  const first = world.front.submit(QUEUE, submission, world.context(3_000));
+  await waitFor("the job is stored", () => world.store.items.size > 0);
+  world.store.faults.lostShare = 0;
+  assert.deepEqual(await first, { kind: "accepted" });
+});
+
 // Guards against a job that is stored twice, or refused, because its first answer was lost.
 test("a submission whose answer was lost is accepted once it is found stored", async () => {
   const world = createWorld();
--- a/src/scheduler/owner_client.ts
+++ b/src/scheduler/owner_client.ts
@@ -23,6 +23,8 @@
 
 /** Calls to one entry; each method rejects with an `OwnerError`. */
 export interface OwnerClient {
+  /** Whether the owner is this entry, which uses the same store. */
+  readonly isLocal: boolean;
   accepted(spec: JobSpec): Promise<void>;
   submit(spec: JobSpec): Promise<StoreReply>;
   cancelled(jobId: string): Promise<void>;
@@ -87,6 +89,7 @@
   }
 
   return {
+    isLocal: false,
     accepted: async (spec) =>
       void await callOwner((signal) =>
         client.accepted.mutate(spec, { signal })
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -23,6 +23,7 @@
 } from "./ports.ts";
 import { createRequestStats, type RequestStats } from "./request_stats.ts";
 import { resolveCandidateDelayMs, type SchedulerSettings } from "./settings.ts";
+import { createStoreHealth, type StoreHealth } from "./store_health.ts";
 
 function token<T>(name: string): InjectionToken<T> {
   return Symbol(name);
@@ -37,6 +38,7 @@
   operator: token<OperatorState>("operator"),
   election: token<Election>("election"),
   front: token<Front>("front"),
+  health: token<StoreHealth>("health"),
   stats: token<RequestStats>("stats"),
   supervisor: token<Supervisor>("supervisor"),
 };
@@ -86,6 +88,7 @@
     TOKENS.operator,
     () => createOperatorState({ ...adapters, log: loggers("config") }),
   );
+  single(TOKENS.health, () => createStoreHealth(parts.resolve(TOKENS.clock)));
   single(TOKENS.election, () =>
     createElection({
       ...adapters,
@@ -93,6 +96,8 @@
       self: { entryId: settings.entryId, address: settings.listen.peers },
       seedPeers: settings.seedPeers,
       connect: createOwnerClient,
+      onStoreAnswer: () => parts.resolve(TOKENS.health).noteAnswer(),
+      onStoreFailure: () => parts.resolve(TOKENS.health).noteFailure(),
       clock: parts.resolve(TOKENS.clock),
       log: loggers("owner"),
       random: Math.random,
@@ -105,6 +110,7 @@
   single(TOKENS.front, () =>
     createFront({
       store: adapters.store,
+      health: parts.resolve(TOKENS.health),
       clock: parts.resolve(TOKENS.clock),
       log: loggers("front"),
       config: parts.resolve(TOKENS.operator).config,
@@ -137,6 +143,7 @@
     settings,
     log: log.loggers("entry"),
     store: adapters.store,
+    health: parts.resolve(TOKENS.health),
     election: parts.resolve(TOKENS.election),
     supervisor: parts.resolve(TOKENS.supervisor),
     signals: options.signals,
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -18,6 +18,10 @@
   WaveRequest,
   WorkerEntry,
 } from "../src/scheduler/ports.ts";
+import {
+  createStoreHealth,
+  type StoreHealth,
+} from "../src/scheduler/store_health.ts";
 import { FakeRecordStore } from "./fake_record_store.ts";
 import { FakeTaskWorkers, RuleCheck } from "./fake_task_workers.ts";
 import type { Random } from "./random.ts";
@@ -58,6 +62,7 @@
   readonly id: string;
   readonly election: Election;
   readonly front: Front;
+  readonly health: StoreHealth;
   up: boolean;
   task: Task<void>;
 }
@@ -157,6 +162,7 @@
       return await call(createPeerHandlers({
         election: entry.election,
         store: this.store.client(entry.id),
+        health: entry.health,
         log: silentLogger,
       }));
     };
@@ -170,6 +176,7 @@
       throw new OwnerError(`${address} is not the owner`, "not_owner");
     };
     return {
+      isLocal: false,
       accepted: async (spec) =>
         void await ask((handlers) => handlers.accepted(spec)),
       submit: (spec) => ask((handlers) => handlers.submit(spec)),
@@ -191,6 +198,7 @@
     const state = { up: true };
     const isUp = () => state.up;
     const store = this.store.client(id);
+    const health = createStoreHealth(systemClock);
     const election = createElection({
       store,
       records,
@@ -201,6 +209,8 @@
       self: { entryId: id, address: addressOf(id) },
       seedPeers: ["entry-1", "entry-2", "entry-3"].map(addressOf),
       connect: (address) => this.#connect(id, address, isUp),
+      onStoreAnswer: () => health.noteAnswer(),
+      onStoreFailure: () => health.noteFailure(),
       clock: systemClock,
       log: silentLogger,
       random: () => this.random.next(),
@@ -213,8 +223,10 @@
     const entry: ClusterEntry = {
       id,
       election,
+      health,
       front: createFront({
         store,
+        health,
         clock: systemClock,
         log: silentLogger,
         config: () => CONFIG,
