--- a/src/scheduler/job_order.ts
+++ b/src/scheduler/job_order.ts
@@ -48,15 +48,23 @@
   );
 }
 
+/** Time from a job's due time within which it is on time, in ms. */
+export function objectiveMs(
+  job: JobState,
+  durations: Durations,
+  queue: QueueConfig,
+): number {
+  return queue.stretch * chainMs(job, durations) + queue.targetDurationMs;
+}
+
 /** Judges what an occurrence can still gain and when it must start. */
 export function createContender(
   job: JobState,
   occurrence: Occurrence,
   { wallMs, durations, queue }: OrderContext,
 ): Contender {
-  const wholeMs = chainMs(job, durations);
   const leftMs = chainMs(job, durations, occurrence);
-  const allowedMs = queue.stretch * wholeMs + queue.targetDurationMs;
+  const allowedMs = objectiveMs(job, durations, queue);
   const latestStartMs = occurrence.dueAtMs + allowedMs - leftMs;
   const latestLateStartMs = occurrence.dueAtMs + LATE_FACTOR * allowedMs -
     leftMs;
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -16,6 +16,7 @@
   visibleStatus,
 } from "./job_state.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
+import { objectiveMs } from "./job_order.ts";
 import { KEYS } from "./ownership.ts";
 import type {
   EndedRow,
@@ -131,6 +132,13 @@
             queue: job.spec.queue,
             status,
             ageMs: clock.wallMs() - job.spec.acceptedAtMs,
+            objectiveMs: Math.round(
+              objectiveMs(
+                job,
+                durations,
+                resolveQueue(options.config(), job.spec),
+              ),
+            ),
           });
         }
         onStored?.();
