test(soak): random faults against real scheduler processes

testing/soak runs scheduler processes, a store, workers and VMs behind loopback relays and injects faults in series that overlap: kills, stops, pauses, all processes killed; links reset, held, cut one way, slowed, silenced; the store down, refusing one entry, losing answers, acting late, forgetting history, ending all leases; late orders, failing tasks, crashed workers, waves, changes of configuration. It checks from the outside that accepted jobs end once and in order, that refused ones never start, that no start follows a cancellation, that states are true and that answers come in time. Callers keep their connections.

Not covered: clocks that jump.

--- a/testing/http_json_server.ts
+++ b/testing/http_json_server.ts
@@ -1,6 +1,7 @@
 import { createHash } from "node:crypto";
 import {
   createServer,
+  type IncomingHttpHeaders,
   type IncomingMessage,
   type Server,
   type ServerResponse,
@@ -11,6 +12,7 @@
 export interface JsonCall {
   readonly method: string;
   readonly url: URL;
+  readonly headers: IncomingHttpHeaders;
   readonly body: unknown;
   /** Aborted when the client closes the connection. */
   readonly signal: AbortSignal;
@@ -73,6 +75,7 @@
     const reply = await handle({
       method: request.method ?? "GET",
       url: new URL(request.url ?? "/", "http://localhost"),
+      headers: request.headers,
       body: await readBody(request),
       signal: aborted.signal,
     });
--- /dev/null
+++ b/testing/soak/build_program.ts
@@ -0,0 +1,17 @@
+import { join } from "node:path";
+import { build } from "esbuild";
+
+/** Bundles the program as the platform's build does; returns the path of the bundle. */
+export async function buildProgram(folder: string): Promise<string> {
+  const outfile = join(folder, "cowslipferry.cjs");
+  await build({
+    entryPoints: ["platform/main.ts"],
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    logLevel: "error",
+    outfile,
+  });
+  return outfile;
+}
--- /dev/null
+++ b/testing/soak/platform_host.ts
@@ -0,0 +1,280 @@
+import { StoreError } from "../../src/errors.ts";
+import type {
+  OrderOutcome,
+  RecordStore,
+  StoredItem,
+  WorkerControl,
+  WorkerReport,
+} from "../../src/scheduler/ports.ts";
+import type { FakeRecordStore } from "../fake_record_store.ts";
+import type { FakeTaskWorkers } from "../fake_task_workers.ts";
+import {
+  createJsonServer,
+  type JsonCall,
+  type JsonReply,
+  listenOnLoopback,
+  type RunningServer,
+} from "../http_json_server.ts";
+import type { FakeFleet } from "./fake_fleet.ts";
+
+/** Fields of the platform's requests; each call uses some of them. */
+interface Body {
+  readonly precondition?: { key: string; revision: number }[];
+  readonly puts?: { key: string; value: string; lease?: number }[];
+  readonly deletes?: string[];
+  readonly "ttl-ms"?: number;
+  readonly task?: string;
+  readonly run?: number;
+  readonly specification?: string;
+  readonly "deadline-ms"?: number;
+  readonly "fencing-token"?: number;
+  readonly checkpoint?: string;
+  readonly acknowledged?: number;
+  readonly "wait-ms"?: number;
+  readonly machine?: string;
+  readonly pool?: string;
+  readonly wave?: number;
+}
+
+function encodeItem(item: StoredItem) {
+  return { ...item, value: Buffer.from(item.value).toString("base64") };
+}
+
+async function answerStoreCall(
+  store: RecordStore,
+  { method, url, body }: JsonCall,
+): Promise<JsonReply> {
+  const call = url.pathname.slice("/api/".length);
+  const query = url.searchParams;
+  const fields = (body ?? {}) as Body;
+  const [name, id] = call.split("/");
+  switch (name) {
+    case "kv-key": {
+      const item = await store.get(query.get("key") ?? "");
+      return item === undefined
+        ? { status: 404 }
+        : { status: 200, body: encodeItem(item) };
+    }
+    case "kv-range": {
+      const { items, revision } = await store.list(query.get("prefix") ?? "");
+      return {
+        status: 200,
+        body: {
+          items: items.map(encodeItem),
+          "has-more": false,
+          at: revision,
+        },
+      };
+    }
+    case "kv-watch": {
+      const watched = await store.watch(query.get("prefix") ?? "", {
+        afterRevision: Number(query.get("after")),
+        waitMs: Number(query.get("wait-ms")),
+      });
+      if (watched.kind === "compacted") return { status: 410 };
+      return {
+        status: 200,
+        body: {
+          at: watched.revision,
+          events: watched.events.map((event) =>
+            event.kind === "put"
+              ? encodeItem(event.item)
+              : { key: event.key, deleted: true }
+          ),
+        },
+      };
+    }
+    case "kv-txn": {
+      const outcome = await store.change({
+        conditions: fields.precondition ?? [],
+        puts: (fields.puts ?? []).map(({ key, value, lease }) => ({
+          key,
+          value: Buffer.from(value, "base64").toString("utf8"),
+          ...(lease === undefined ? {} : { leaseId: lease }),
+        })),
+        deletes: fields.deletes ?? [],
+      });
+      switch (outcome.kind) {
+        case "committed":
+          return { status: 200, body: { revision: outcome.revision } };
+        case "conflict":
+          return {
+            status: 412,
+            body: { items: outcome.items.map(encodeItem) },
+          };
+        case "lease_ended":
+          return { status: 404 };
+      }
+      break;
+    }
+    case "kv-lease": {
+      const lease = await store.grantLease(fields["ttl-ms"] ?? 1_000);
+      return {
+        status: 200,
+        body: { lease: lease.leaseId, "ttl-ms": lease.ttlMs },
+      };
+    }
+    case "kv-keep":
+      return { status: await store.keepLease(Number(id)) ? 200 : 404 };
+    case "kv-lease-end":
+      await store.endLease(Number(id));
+      return { status: 200 };
+  }
+  return { status: method === "GET" ? 404 : 400 };
+}
+
+const REFUSALS = {
+  fenced: "fence",
+  superseded: "old",
+  expired: "late",
+  no_room: "room",
+  ticket: "ticket",
+} as const;
+
+function encodeOutcome<T>(
+  outcome: OrderOutcome<T>,
+  encode: (done: { kind: "done" } & T) => unknown,
+): JsonReply | undefined {
+  switch (outcome.kind) {
+    case "done":
+      return { status: 200, body: encode(outcome) };
+    case "refused":
+      switch (outcome.reason) {
+        case "unhealthy":
+          return { status: 503 };
+        case "invalid":
+          return { status: 400 };
+        default:
+          return { status: 409, body: { reason: REFUSALS[outcome.reason] } };
+      }
+    case "other_life":
+      return { status: 421 };
+    case "not_sent":
+    case "unknown":
+      return undefined;
+  }
+}
+
+function encodeReport(report: WorkerReport) {
+  return {
+    "clock-ms": report.clockMs,
+    born: report.bornAtMs,
+    running: report.running.map((row) => [
+      row.taskId,
+      row.run,
+      row.checkpoint,
+      Math.floor(row.percent),
+      row.recentFigure,
+    ]),
+    finished: report.ended.map((row) => [
+      row.number,
+      row.taskId,
+      row.run,
+      row.ending,
+      row.checkpoint,
+    ]),
+  };
+}
+
+async function answerWorkerCall(
+  control: WorkerControl,
+  workerId: string,
+  { url, body }: JsonCall,
+): Promise<JsonReply | undefined> {
+  const fields = body as Body;
+  const worker = { workerId, address: "" };
+  const fence = fields["fencing-token"] ?? 0;
+  const order = {
+    taskId: fields.task ?? "",
+    run: fields.run ?? 0,
+    fence,
+  };
+  const clock = ({ clockMs }: { clockMs: number }) => ({ "clock-ms": clockMs });
+  switch (url.pathname) {
+    case "/api/run-start":
+      return encodeOutcome(
+        await control.start(worker, {
+          ...order,
+          specification: fields.specification ?? "",
+          leaseEndMs: fields["deadline-ms"] ?? 0,
+          checkpoint: fields.checkpoint ?? "",
+          ticket: undefined,
+        }),
+        clock,
+      );
+    case "/api/run-stop":
+      return encodeOutcome(await control.stop(worker, order), clock);
+    case "/api/pace":
+      return { status: 200, body: { "clock-ms": 0 } };
+    case "/api/hold":
+      return encodeOutcome(
+        await control.hold(worker, {
+          fence,
+          acknowledged: fields.acknowledged ?? 0,
+          leaseEndMs: fields["deadline-ms"],
+          waitMs: fields["wait-ms"] ?? 0,
+        }),
+        encodeReport,
+      );
+    default:
+      return { status: 404 };
+  }
+}
+
+/** Serves the store to one entry, so that it can be refused alone. */
+export function startStoreHost(
+  store: FakeRecordStore,
+  entryId: string,
+): Promise<RunningServer> {
+  const client = store.client(entryId);
+  return listenOnLoopback(createJsonServer(async (call) => {
+    try {
+      return await answerStoreCall(client, call);
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      // A connection on which an answer is lost returns nothing further.
+      return error.failure === "unknown_outcome"
+        ? undefined
+        : { status: error.failure === "rejected" ? 400 : 503 };
+    }
+  }));
+}
+
+/** Serves all workers at one address; calls name the worker. */
+export function startWorkerHost(
+  workers: FakeTaskWorkers,
+): Promise<RunningServer> {
+  const control = workers.client(() => true);
+  return listenOnLoopback(createJsonServer((call) => {
+    const workerId = String(call.headers["cowslipferry-expected-instance"]);
+    const worker = workers.workers.get(workerId);
+    if (worker === undefined) return { status: 421 };
+    return answerWorkerCall(control, workerId, call);
+  }));
+}
+
+/** Serves the interface for VMs. */
+export function startVmHost(fleet: FakeFleet): Promise<RunningServer> {
+  return listenOnLoopback(createJsonServer((call) => {
+    const fields = (call.body ?? {}) as Body;
+    const fence = Number(call.headers["cowslipferry-fencing-token"]);
+    const encode = (answer: ReturnType<FakeFleet["move"]>): JsonReply =>
+      answer === "done"
+        ? { status: 200 }
+        : { status: 409, body: { reason: answer } };
+    switch (call.url.pathname) {
+      case "/api/machines":
+        return { status: 200, body: { machines: fleet.describe() } };
+      case "/api/machine-move":
+        return encode(
+          fleet.move(fields.machine ?? "", fields.pool ?? "", fence),
+        );
+      case "/api/machine-upkeep":
+        return encode(
+          fleet.maintain(fields.machine ?? "", fields.wave ?? 0, fence),
+        );
+      default:
+        return { status: 404 };
+    }
+  }));
+}
--- /dev/null
+++ b/testing/soak/soak_test.ts
@@ -0,0 +1,33 @@
+import assert from "node:assert/strict";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { suite } from "uvu";
+import { chooseSeed } from "../random.ts";
+import { buildProgram } from "./build_program.ts";
+import { playSeed } from "./soak.ts";
+
+const test = suite("soak");
+const seed = chooseSeed();
+
+// Guards against a job that is lost, runs twice or runs after a refusal while processes, links and the store fail in series.
+test("real processes keep every promise under random faults", async () => {
+  const folder = await mkdtemp(join(tmpdir(), "cowslipferry-soak-"));
+  try {
+    const report = await playSeed({
+      seed,
+      entries: 3,
+      vms: 10,
+      faultsMs: 12_000,
+      program: await buildProgram(folder),
+      folder,
+    });
+    assert.deepEqual(report.violations, [], report.faults.join("\n"));
+    assert.ok(report.accepted > 20, `${report.accepted} jobs accepted`);
+    assert.ok(report.starts > report.accepted, `${report.starts} starts`);
+  } finally {
+    await rm(folder, { recursive: true });
+  }
+});
+
+test.run();
--- a/testing/tcp_relay.ts
+++ b/testing/tcp_relay.ts
@@ -1,4 +1,5 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { Transform } from "node:stream";
 
 /** A TCP relay in front of one address, to cut, hold and heal a link. */
 export interface TcpRelay {
@@ -8,6 +9,12 @@
   cut(): void;
   /** Keeps connections open but passes no bytes on, in either direction. */
   hold(): void;
+  /** Passes bytes in one direction only. */
+  holdOneWay(held: "to_target" | "to_client"): void;
+  /** Silences the open connections for good, without a reset; new ones work. */
+  silenceOpen(): void;
+  /** Passes bytes on only after this time, in ms, on connections that open from now on; 0 passes them at once. */
+  delay(ms: number): void;
   /** Passes bytes on again, those held back included. */
   heal(): void;
   close(): Promise<void>;
@@ -16,6 +23,18 @@
 interface Link {
   readonly client: Socket;
   readonly server: Socket;
+  readonly delayMs: number;
+  /** Set once it passes nothing on for good. */
+  silent?: boolean;
+}
+
+/** Passes what it reads on after a time. */
+function createDelay(delayMs: number): Transform {
+  return new Transform({
+    transform(chunk, _encoding, callback) {
+      setTimeout(() => callback(null, chunk), delayMs);
+    },
+  });
 }
 
 /** Resets a connection. One whose write side has ended can only be closed: a reset would leave its handle open in Node 20. */
@@ -29,15 +48,22 @@
   const [host, port] = target.split(":");
   const links = new Set<Link>();
   let state: "passing" | "held" | "cut" = "passing";
+  let delayMs = 0;
+
+  function pass(from: Socket, to: Socket, linkDelayMs: number): void {
+    if (linkDelayMs === 0) from.pipe(to);
+    else from.pipe(createDelay(linkDelayMs)).pipe(to);
+  }
 
   function start(link: Link): void {
-    link.client.pipe(link.server);
-    link.server.pipe(link.client);
+    if (link.silent) return;
+    pass(link.client, link.server, link.delayMs);
+    pass(link.server, link.client, link.delayMs);
   }
 
   function stop(link: Link): void {
-    link.client.unpipe(link.server).pause();
-    link.server.unpipe(link.client).pause();
+    link.client.unpipe().pause();
+    link.server.unpipe().pause();
   }
 
   function accept(client: Socket): void {
@@ -47,7 +73,7 @@
       return;
     }
     const server = connect({ host, port: Number(port) });
-    const link: Link = { client, server };
+    const link: Link = { client, server, delayMs };
     links.add(link);
     server.on("error", () => reset(client));
     const drop = () => {
@@ -81,8 +107,31 @@
       state = "held";
       links.forEach(stop);
     },
+    holdOneWay(held) {
+      for (const { client, server } of links) {
+        const socket = held === "to_target" ? client : server;
+        socket.unpipe().pause();
+      }
+      state = "held";
+    },
+    silenceOpen() {
+      for (const link of links) {
+        stop(link);
+        link.silent = true;
+      }
+    },
+    delay(ms) {
+      delayMs = ms;
+    },
     heal() {
-      if (state === "held") links.forEach(start);
+      delayMs = 0;
+      if (state === "held") {
+        for (const link of links) {
+          // One direction may still be passing.
+          stop(link);
+          start(link);
+        }
+      }
       state = "passing";
     },
     close() {
