--- a/src/scheduler/front.ts
+++ b/src/scheduler/front.ts
@@ -4,10 +4,10 @@
 import { readRecordedStatus } from "./job_state.ts";
 import {
   InvalidJobError,
-  type JobSpec,
   jobSpecSchema,
   type JobStatus,
   listJobIssues,
+  type Submission,
 } from "./model.ts";
 import { type OwnerClient, OwnerError } from "./owner_client.ts";
 import { KEYS } from "./ownership.ts";
@@ -32,12 +32,6 @@
 /** Time for which a count of waiting jobs is reused, in ms. */
 const COUNT_VALID_MS = 250;
 
-/** A job as a caller submits it. */
-export type Submission = Omit<
-  JobSpec,
-  "queue" | "service" | "maximumAttempts" | "acceptedAtMs"
->;
-
 /** Answer to a submission. */
 export type SubmitAnswer =
   | { readonly kind: "accepted" }
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { createIssue } from "../validation.ts";
+import { createIssue, listSchemaIssues } from "../validation.ts";
 import { TaggedError, type ValidationIssue } from "../errors.ts";
 
 /** Most tasks that one occurrence of a job may have. */
@@ -88,6 +88,29 @@
   }
 }
 
+/** A job as a caller describes it; the rest is added when it is accepted. */
+const submissionSchema = jobSpecSchema.omit({
+  queue: true,
+  service: true,
+  maximumAttempts: true,
+  acceptedAtMs: true,
+});
+
+/** A job as a caller submits it. */
+export type Submission = z.infer<typeof submissionSchema>;
+
+/** Parses a job in the product's words, whose unknown fields are wrong; throws an `InvalidJobError`. */
+export function parseAsJob(jobId: string, body: unknown): Submission {
+  const fields = typeof body === "object" ? body : undefined;
+  const issues = listSchemaIssues(
+    submissionSchema.extend({ steps: z.array(stepSchema.strict()).min(1) })
+      .strict(),
+    { ...fields, jobId },
+  );
+  if (issues.length > 0) throw new InvalidJobError(issues);
+  return submissionSchema.parse({ ...fields, jobId });
+}
+
 /** Returns the problems of a job that its schema can't express. */
 export function listJobIssues(spec: JobSpec): ValidationIssue[] {
   const issues: ValidationIssue[] = [];
--- /dev/null
+++ b/src/scheduler/own_dialect.ts
@@ -0,0 +1,33 @@
+import {
+  DEADLINE_HEADER,
+  REQUEST_ID_HEADER,
+  SYSTEM_PATH_PREFIX,
+} from "../constants.ts";
+import { parseAsJob } from "./model.ts";
+import type { JobDialect } from "./job_api.ts";
+
+/** Path of the queues on the callers' port. */
+const QUEUES_PATH = `${SYSTEM_PATH_PREFIX}queues/`;
+
+/** The product's own JSON interface for jobs: `/.cowslipferry/queues/QUEUE/jobs/ID`. */
+export const ownDialect: JobDialect = {
+  find(request, config) {
+    const path = (request.url ?? "").split("?")[0]!;
+    if (!path.startsWith(QUEUES_PATH)) return undefined;
+    const [name, jobs, jobId, ...rest] = path.slice(QUEUES_PATH.length)
+      .split("/");
+    const queue = config.queues.find((one) => one.name === name);
+    if (queue === undefined || jobs !== "jobs" || rest.length > 0) {
+      return undefined;
+    }
+    return { queue, jobId: jobId ?? "" };
+  },
+  requestId: ({ headers }) => String(headers[REQUEST_ID_HEADER] ?? ""),
+  deadlineMs({ headers }) {
+    const deadlineMs = Number(headers[DEADLINE_HEADER]);
+    return deadlineMs > 0 ? deadlineMs : undefined;
+  },
+  decodeJob: parseAsJob,
+  encodeStatus: (status) => ({ status }),
+  encodeWaiting: (jobs) => ({ waitingJobs: jobs }),
+};
--- /dev/null
+++ b/src/scheduler/own_dialect_test.ts
@@ -0,0 +1,129 @@
+import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import { suite } from "uvu";
+import { request } from "undici";
+import { listenOnLoopback } from "../../testing/http_json_server.ts";
+import { QUEUE } from "../../testing/scheduler_cluster.ts";
+import { systemClock } from "../clock.ts";
+import type { Front } from "./front.ts";
+import { createJobListener } from "./job_api.ts";
+import type { Submission } from "./model.ts";
+import { ownDialect } from "./own_dialect.ts";
+import { createRequestStats } from "./request_stats.ts";
+
+const test = suite("own job interface");
+
+const PATH = `/.cowslipferry/queues/${QUEUE.name}/jobs`;
+const JOB = "0123456789abcdef";
+
+async function withServer(
+  front: Partial<Front>,
+  body: (
+    send: (
+      method: "GET" | "POST" | "DELETE",
+      path: string,
+      body?: unknown,
+    ) => Promise<{ status: number; body: unknown }>,
+  ) => Promise<void>,
+): Promise<void> {
+  const config = {
+    version: 1,
+    queues: [QUEUE],
+    sparePools: [],
+    services: [],
+    maximumBodyBytes: 10_000,
+  };
+  const server = await listenOnLoopback(createServer(createJobListener({
+    dialects: [ownDialect],
+    front: front as Front,
+    operator: { config: () => config },
+    stats: createRequestStats(systemClock),
+    clock: systemClock,
+    isStopping: () => false,
+  })));
+  try {
+    await body(async (method, path, sent) => {
+      const response = await request(`http://${server.address}${path}`, {
+        method,
+        ...(sent === undefined ? {} : { body: JSON.stringify(sent) }),
+      });
+      return {
+        status: response.statusCode,
+        body: await response.body.json(),
+      };
+    });
+  } finally {
+    await server.close();
+  }
+}
+
+// Guards against a job of several steps whose fields or defaults are lost.
+test("a job of several steps is accepted in the product's words", async () => {
+  const seen: Submission[] = [];
+  await withServer({
+    submit: (_, submission) => {
+      seen.push(submission);
+      return Promise.resolve({ kind: "accepted" });
+    },
+  }, async (send) => {
+    const reply = await send("POST", `${PATH}/${JOB}`, {
+      specification: "frames for order 7",
+      steps: [
+        { taskCount: 2, cpuMillis: 500, memoryMb: 256 },
+        { taskCount: 1, after: [0], longRunning: true, mayMiss: 1 },
+      ],
+    });
+    assert.equal(reply.status, 200);
+  });
+  const [job] = seen;
+  assert.deepEqual(
+    job!.steps.map(({ taskCount, cpuMillis, after, mayMiss }) => [
+      taskCount,
+      cpuMillis,
+      after,
+      mayMiss,
+    ]),
+    [[2, 500, [], undefined], [1, 0, [0], 1]],
+  );
+  assert.equal(job!.repeatCount, 0);
+});
+
+// Guards against a misspelt field that is ignored, and against one problem a time.
+test("a malformed job is refused with every problem and its path", async () => {
+  await withServer({}, async (send) => {
+    const reply = await send("POST", `${PATH}/${JOB}`, {
+      specification: "",
+      steps: [{ taskCount: 0, cpuMilis: 500 }],
+    });
+    assert.equal(reply.status, 400);
+    const { error } = reply.body as { error: string };
+    assert.match(error, /steps\[0\]\.taskCount/);
+    assert.match(error, /cpuMilis/);
+  });
+});
+
+// Guards against answers that callers can't read.
+test("states, counts and unknown queues", async () => {
+  await withServer({
+    status: () => Promise.resolve({ kind: "status", status: "running" }),
+    waiting: () => Promise.resolve({ kind: "count", jobs: 3 }),
+    cancel: () => Promise.resolve({ kind: "cancelled" }),
+  }, async (send) => {
+    assert.deepEqual(await send("GET", `${PATH}/${JOB}`), {
+      status: 200,
+      body: { status: "running" },
+    });
+    assert.deepEqual(await send("GET", PATH), {
+      status: 200,
+      body: { waitingJobs: 3 },
+    });
+    assert.equal((await send("DELETE", `${PATH}/${JOB}`)).status, 200);
+    assert.equal((await send("GET", `${PATH}/short`)).status, 404);
+    assert.equal(
+      (await send("GET", "/.cowslipferry/queues/other/jobs")).status,
+      404,
+    );
+  });
+});
+
+test.run();
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -1,5 +1,4 @@
 import "reflect-metadata";
-import type { RequestListener } from "node:http";
 import {
   container,
   type DependencyContainer,
@@ -12,7 +11,9 @@
 import { createElection, type Election } from "./election.ts";
 import type { SchedulerEntryParts } from "./entry.ts";
 import { createFront, type Front } from "./front.ts";
+import { createJobListener, type JobDialect } from "./job_api.ts";
 import { createOperatorState, type OperatorState } from "./operator_state.ts";
+import { ownDialect } from "./own_dialect.ts";
 import { createOwnerClient } from "./owner_client.ts";
 import type {
   PlacementAdvice,
@@ -43,17 +44,6 @@
   supervisor: token<Supervisor>("supervisor"),
 };
 
-/** What serves callers in the platform's words. */
-export interface CallerApi {
-  createListener(options: {
-    readonly front: Front;
-    readonly operator: OperatorState;
-    readonly stats: RequestStats;
-    readonly clock: Clock;
-    readonly isStopping: () => boolean;
-  }): RequestListener;
-}
-
 /** The platform as the scheduler sees it. */
 export interface PlatformAdapters {
   readonly store: RecordStore;
@@ -61,7 +51,8 @@
   readonly control: WorkerControl;
   readonly fleet: VmFleet;
   readonly advice: PlacementAdvice;
-  readonly callers: CallerApi;
+  /** How the platform's callers speak of jobs. */
+  readonly callers: JobDialect;
 }
 
 function registerParts(
@@ -148,7 +139,11 @@
     supervisor: parts.resolve(TOKENS.supervisor),
     signals: options.signals,
     createCallerListener: (isStopping) =>
-      adapters.callers.createListener({ ...resolved, isStopping }),
+      createJobListener({
+        ...resolved,
+        dialects: [ownDialect, adapters.callers],
+        isStopping,
+      }),
     droppedLogLines: log.droppedLines,
     processLog: log,
   };
