fix(requests): one host, no dot segments, and a refused framing ends the connection

Change: one check of the host and one of the path before routing; a malformed request closes its connection, and what was read after it isn't served.

Ruled out: normalising the path, which would change what the backend server signs or logs.

--- a/src/requests/caller_connections.ts
+++ b/src/requests/caller_connections.ts
@@ -43,6 +43,8 @@
     if (next.done) return;
     yield* serve(next.value);
     connection.pending--;
+    // Requests that were read after the last one aren't served.
+    if (connection.closing) return;
   }
 }
 
--- a/src/requests/caller_request.ts
+++ b/src/requests/caller_request.ts
@@ -25,6 +25,8 @@
 const MAXIMUM_DEADLINE_MS = 600_000;
 const REQUEST_ID_PATTERN = /^[\x21-\x7e]{1,128}$/;
 const PATH_PATTERN = /^\/[\x21-\x7e]*$/;
+/** A path segment `.` or `..`, also percent-encoded. */
+const DOT_SEGMENT_PATTERN = /\/(\.|%2e){1,2}(?=[/?#]|$)/i;
 
 /** Returns a single header value; undefined when the header is missing. */
 export function singleHeader(
@@ -49,9 +51,29 @@
       "The path must start with / and the name of a service",
     );
   }
+  // A backend server that resolves dot segments could read the path as another service's.
+  if (DOT_SEGMENT_PATTERN.test(path.split(/[?#]/, 1)[0]!)) {
+    throw new NotRunError(
+      "invalid_path",
+      "The path must not have dot segments",
+    );
+  }
   return /^\/([^/?#]*)/.exec(path)![1]!;
 }
 
+/** Throws a `NotRunError` unless a request of HTTP/1.1 names one host. */
+export function checkHost(request: IncomingMessage): void {
+  const hosts =
+    request.rawHeaders.filter((name, index) =>
+      index % 2 === 0 && name.toLowerCase() === "host"
+    ).length;
+  if (hosts === 1 || (hosts === 0 && request.httpVersion === "1.0")) return;
+  throw new NotRunError(
+    "malformed_request",
+    `The request has ${hosts} host headers, not one`,
+  );
+}
+
 /** Returns the time that the caller gives, in ms, if it names one; throws a `NotRunError`. */
 export function parseDeadlineMs(request: IncomingMessage): number | undefined {
   const text = singleHeader(request, DEADLINE_HEADER);
--- a/src/requests/serve_call.ts
+++ b/src/requests/serve_call.ts
@@ -15,6 +15,7 @@
   announcesBody,
   type CallerRequest,
   callerRequestId,
+  checkHost,
   parseDeadlineMs,
   parseServiceName,
   singleHeader,
@@ -178,6 +179,7 @@
     let service = "";
     let outcome: Outcome;
     try {
+      checkHost(request);
       const { systemCalls } = this.#options;
       if (isBelow(call.url, systemCalls?.pathPrefix)) {
         const systemCall = yield* this.#receiveSystemCall(call);
@@ -199,6 +201,8 @@
     }
     connection.failBody = undefined;
     if (response.destroyed) return cancelStream(outcome);
+    // What follows a request that can't be framed may be taken for another one.
+    if (isMalformed(outcome)) connection.closing = true;
     const unread = isLongUnread(request) || connection.closing;
     const written = writeReply(response, outcome, {
       requestId,
@@ -371,6 +375,11 @@
     : Number(announced) > LONG_UNREAD_BYTES;
 }
 
+function isMalformed(outcome: Outcome): boolean {
+  return outcome.kind === "not_run" &&
+    outcome.error.kind === "malformed_request";
+}
+
 function cancelStream(outcome: Outcome): void {
   if ("response" in outcome && "source" in outcome.response) {
     outcome.response.source.cancel();
