--- a/src/scheduler/pool_balancer.ts
+++ b/src/scheduler/pool_balancer.ts
@@ -51,8 +51,7 @@
   const { states, scheduler, clock, log } = options;
   const lastBusyMs = new Map<string, number>();
   let lastTargets: Readonly<Record<string, number>> = {};
-  /** When each pool's work last surged, in monotonic ms. */
-  const lastTurnMs = new Map<string, number>();
+  let turnSeen = false;
 
   /** Room of the usual VM of a pool, or of any VM while the pool has none. */
   function usualCapacity(pool: string): Resources | undefined {
@@ -157,10 +156,9 @@
       spare: config.sparePools.includes(name),
       ...demandOf(name, config),
       arriving: arriving.get(name) ?? 0,
-      sinceTurnMs: nowMs - (lastTurnMs.get(name) ?? -Infinity),
     }));
-    const plan = planPools(pools, describeVms(nowMs));
-    for (const name of plan.inTurn) lastTurnMs.set(name, nowMs);
+    const plan = planPools(pools, describeVms(nowMs), { turnSeen });
+    turnSeen ||= plan.inTurn;
     lastTargets = plan.targets;
     for (const vmId of plan.cordons) states.leaving.set(vmId, nowMs);
     for (const vmId of plan.releases) states.leaving.delete(vmId);
--- a/src/scheduler/pool_plan.ts
+++ b/src/scheduler/pool_plan.ts
@@ -28,8 +28,6 @@
   readonly expectedVms: number;
   /** VMs that are on their way into the pool. */
   readonly arriving: number;
-  /** Time since the pool's work last surged, in ms; infinite when that hasn't been seen. */
-  readonly sinceTurnMs: number;
 }
 
 /** What the plan wants done. */
@@ -41,8 +39,8 @@
   readonly releases: readonly string[];
   /** VMs that each pool needs. */
   readonly targets: Readonly<Record<string, number>>;
-  /** Pools whose work surges now. */
-  readonly inTurn: readonly string[];
+  /** Whether the work of a pool surges now. */
+  readonly inTurn: boolean;
 }
 
 /** Share of a VM's room that is planned with; tasks don't fill a VM exactly. */
@@ -55,12 +53,8 @@
 const MINIMUM_VMS = 2;
 /** Part of an equal share of all VMs that a pool keeps in the middle of another pool's turn. */
 const KEPT_SHARE = 0.2;
-/** The same while no turn has been seen, so that any pool's may start. */
-const UNKNOWN_SHARE = 0.45;
-/** Equal shares that are kept in all for the pools whose turn may start next while another's comes to its end. */
-const READY_SHARES = 1.2;
-/** Largest part of an equal share that one such pool keeps. */
-const MAXIMUM_READY_SHARE = 0.7;
+/** The same when its own turn may start next: another pool's turn comes to its end, or none has been seen. */
+const READY_SHARE = 0.45;
 /** Expected work against placed work below which a pool's turn comes to its end. */
 const FALLING_RATIO = 0.8;
 /** Part of all VMs that the placed work of a pool takes in its turn, at least. */
@@ -92,33 +86,18 @@
   return Math.max(MINIMUM_VMS, pinned, surge, stuck);
 }
 
-/** Pools whose turn may start next: those whose last one is the longest ago, or has not been seen. */
-function listNextTurns(
-  serving: readonly PlannedPool[],
-  inTurn: readonly PlannedPool[],
-): PlannedPool[] {
-  const ending = inTurn.some((pool) =>
-    pool.expectedVms < pool.usedVms * FALLING_RATIO
-  );
-  const unknown = inTurn.length === 0 &&
-    serving.every(({ sinceTurnMs }) => sinceTurnMs === Infinity);
-  if (!ending && !unknown) return [];
-  const waiting = serving.filter((pool) => !inTurn.includes(pool));
-  const longest = Math.max(...waiting.map(({ sinceTurnMs }) => sinceTurnMs));
-  return waiting.filter(({ sinceTurnMs }) => sinceTurnMs === longest);
-}
-
 /**
  * Divides the VMs among pools whose demand surges by turns. A pool whose work
  * needs more than it holds gets idle VMs that other pools don't need, then VMs
  * of the spare pool; busy VMs that their pool doesn't need are emptied for it.
  * Without such a need each pool keeps a few VMs ready, more of them when a turn
  * comes to its end and the next pool's is about to start; what stays idle beyond
- * them is turned off.
+ * them is turned off. `turnSeen` tells whether a turn has been seen before.
  */
 export function planPools(
   pools: readonly PlannedPool[],
   allVms: readonly PlannedVm[],
+  { turnSeen = false }: { readonly turnSeen?: boolean } = {},
 ): PoolPlan {
   const moves: { vmId: string; from: string; to: string }[] = [];
   const cordons: string[] = [];
@@ -128,13 +107,13 @@
   const total = pools.reduce((sum, { arriving }) => sum + arriving, 0) +
     allVms.length;
   const serving = pools.filter(({ spare }) => !spare);
-  const equalShare = total / Math.max(1, serving.length);
   const inTurn = serving.filter(({ usedVms }) => usedVms > total * TURN_SHARE);
-  const seen = serving.some(({ sinceTurnMs }) => sinceTurnMs < Infinity);
-  const next = listNextTurns(serving, inTurn);
-  const readyShare = seen
-    ? Math.min(MAXIMUM_READY_SHARE, READY_SHARES / next.length)
-    : UNKNOWN_SHARE;
+  const mayTurnNext = !(turnSeen || inTurn.length > 0) ||
+    inTurn.some((pool) => pool.expectedVms < pool.usedVms * FALLING_RATIO);
+  const kept = Math.ceil(
+    total / Math.max(1, serving.length) *
+      (mayTurnNext ? READY_SHARE : KEPT_SHARE),
+  );
   const states = serving.map((pool): PoolState => {
     const vms = allVms.filter((vm) => vm.pool === pool.name);
     const due = dueOf(pool, vms);
@@ -144,12 +123,7 @@
       vms,
       due,
       need,
-      kept: Math.max(
-        need,
-        Math.ceil(
-          equalShare * (next.includes(pool) ? readyShare : KEPT_SHARE),
-        ),
-      ),
+      kept: Math.max(need, kept),
       present: vms.length + pool.arriving,
     };
   });
@@ -277,7 +251,7 @@
     targets: Object.fromEntries(
       states.map(({ pool, need }) => [pool.name, need]),
     ),
-    inTurn: inTurn.map(({ name }) => name),
+    inTurn: inTurn.length > 0,
   };
 }
 
--- a/testing/turn_demand.ts
+++ b/testing/turn_demand.ts
@@ -88,7 +88,7 @@
   let nowMs = 0;
   const forecast: DemandForecast = createDemandForecast(() => nowMs);
   const vms: ModelVm[] = [];
-  const lastTurnMs = new Map<string, number>();
+  let turnSeen = false;
   const addVms = (pool: string, count: number) => {
     for (let index = 0; index < count; index++) {
       vms.push({
@@ -140,7 +140,6 @@
           arriving: vms.filter((vm) =>
             vm.pool === name && vm.movingUntilMs > nowMs
           ).length,
-          sinceTurnMs: nowMs - (lastTurnMs.get(name) ?? -Infinity),
         };
       }),
       {
@@ -151,7 +150,6 @@
         longestWaitMs: 0,
         expectedVms: 0,
         arriving: 0,
-        sinceTurnMs: Infinity,
       },
     ];
     const described = vms.filter((vm) => vm.movingUntilMs <= nowMs).map((
@@ -165,8 +163,8 @@
       leaving: vm.leaving,
       movable: true,
     }));
-    const planned = planPools(pools, described);
-    for (const name of planned.inTurn) lastTurnMs.set(name, nowMs);
+    const planned = planPools(pools, described, { turnSeen });
+    turnSeen ||= planned.inTurn;
     for (const { vmId, to } of planned.moves) move(vmId, to);
     for (const vm of vms) {
       if (planned.cordons.includes(vm.id)) vm.leaving = true;
