perf(scheduler): a new owner starts sooner: ended jobs are known by their state alone

Change: ended jobs of which nothing runs leave the working set (planning rounds no longer go through them either) and aren't decoded by a new owner; the watch of jobs goes on from the revision that was read; jobs that were loaded count as arrivals with their age; the first decision follows the first VM list.

Ruled out: a code cache for the bundle (0.05 s of processor time of 0.2), a smaller bundle (none when minified).

--- a/src/scheduler/demand_forecast.ts
+++ b/src/scheduler/demand_forecast.ts
@@ -15,14 +15,14 @@
 
 /** Forecast of the processor work that arrives for each service. */
 export interface DemandForecast {
-  /** Notes the work of a job, in core-milliseconds. */
-  record(service: string, work: number): void;
+  /** Notes the work of a job, in core-milliseconds, that arrived `ageMs` ago. */
+  record(service: string, work: number, ageMs?: number): void;
   /** Work per time that is expected to arrive when a VM ordered now would be there, in cores. */
   expectCores(service: string): number;
 }
 
 interface Arrivals {
-  /** Arrival times of the last two windows, in ms, the oldest first. */
+  /** Arrival times of the last two windows, in ms. */
   times: number[];
   /** Mean work of a job, in core-milliseconds. */
   meanWork: number;
@@ -55,13 +55,13 @@
   const services = new Map<string, Arrivals>();
 
   return {
-    record(service, work) {
+    record(service, work, ageMs = 0) {
       // Jobs of long-running tasks bring no work that ends.
       if (work <= 0) return;
       const arrivals = services.get(service) ?? { times: [], meanWork: work };
       services.set(service, arrivals);
       arrivals.meanWork += (work - arrivals.meanWork) * LATEST_WEIGHT;
-      arrivals.times.push(nowMs());
+      arrivals.times.push(nowMs() - ageMs);
     },
     expectCores(service) {
       const arrivals = services.get(service);
--- a/src/scheduler/demand_forecast_test.ts
+++ b/src/scheduler/demand_forecast_test.ts
@@ -47,6 +47,16 @@
   assert.equal(forecast.expectCores("quoting"), 0);
 });
 
+// Guards against a new owner that takes a turn for quiet until it has seen arrivals of its own.
+test("jobs that an earlier owner saw arrive count with their age", () => {
+  const forecast = createDemandForecast(() => 10_000);
+  for (let ageMs = 0; ageMs < 3_000; ageMs += 50) {
+    forecast.record("quoting", 5_000, ageMs);
+  }
+  const cores = forecast.expectCores("quoting");
+  assert.ok(cores > 80 && cores < 130, `${cores}`);
+});
+
 // Guards against pools that grow for jobs whose tasks never end.
 test("jobs of long-running tasks don't count", () => {
   const forecast = createDemandForecast(() => 1_000);
--- a/src/scheduler/fleet_manager.ts
+++ b/src/scheduler/fleet_manager.ts
@@ -23,6 +23,8 @@
 
 /** Interval of decisions, in ms. */
 const DECISION_INTERVAL_MS = 200;
+/** The same until the VM list has been read for the first time, in ms. */
+const FIRST_DECISION_INTERVAL_MS = 40;
 
 /** What the fleet manager works with. */
 export interface FleetManagerOptions {
@@ -101,7 +103,11 @@
           }
           balancer.balance();
         }
-        yield* sleep(DECISION_INTERVAL_MS);
+        yield* sleep(
+          states.list().size === 0
+            ? FIRST_DECISION_INTERVAL_MS
+            : DECISION_INTERVAL_MS,
+        );
       }
     },
     describe: () => ({
--- a/src/scheduler/follow_prefix.ts
+++ b/src/scheduler/follow_prefix.ts
@@ -10,6 +10,8 @@
 export interface FollowOptions {
   readonly store: RecordStore;
   readonly prefix: string;
+  /** Store revision up to which the items are known; without it they are read first. */
+  readonly fromRevision?: number | undefined;
   readonly log: Logger;
   /** Longest wait of one watch, in ms; a connection that has gone silent is noticed after this time. */
   readonly waitMs: number;
@@ -29,7 +31,7 @@
 export function* followPrefix(options: FollowOptions): Operation<void> {
   const { store, prefix, log } = options;
   let failing = false;
-  let revision: number | undefined;
+  let revision = options.fromRevision;
 
   function* step(): Operation<void> {
     if (revision === undefined) {
--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -67,15 +67,16 @@
   readonly remaining: number[];
 }
 
+/** Final status of a job. */
+export type EndedStatus = "completed" | "failed" | "cancelled";
+
 /** A job with the state of all its tasks. */
 export interface JobState {
   readonly spec: JobSpec;
-  status: "active" | "completed" | "failed" | "cancelled";
+  status: "active" | EndedStatus;
   /** The latest status that is stored; the one that callers see. */
   recordedStatus: JobState["status"];
   started: boolean;
-  /** When this owner first saw the final status, in ms since 1970. */
-  endedSeenAtMs?: number;
   /** Occurrences that are due or have been; the others have no state. */
   readonly occurrences: Occurrence[];
   finishedOccurrences: number;
@@ -241,6 +242,10 @@
   endedAtMs: z.number().optional(),
 });
 
+const recordedStatusSchema = progressSchema.pick({ status: true }).extend({
+  tasks: z.array(z.unknown()),
+});
+
 type TaskRecord = z.input<typeof taskRecordSchema>;
 
 function describeTask(task: TaskState): TaskRecord {
@@ -286,13 +291,14 @@
   });
 }
 
-/** The status in a progress record; undefined when it can't be read. */
+/** The status in a progress record and the number of its tasks; undefined when it can't be read. */
 export function readRecordedStatus(
   value: string,
-): { status: JobState["status"]; started: boolean } | undefined {
+): { status: JobState["status"]; tasks: number } | undefined {
   try {
-    const record = progressSchema.parse(JSON.parse(value));
-    return { status: record.status, started: record.tasks.length > 0 };
+    // A new owner reads thousands of these; only what is used is checked.
+    const { status, tasks } = recordedStatusSchema.parse(JSON.parse(value));
+    return { status, tasks: tasks.length };
   } catch {
     // The caller logs the record; a status must not be guessed.
     return undefined;
--- a/src/scheduler/load_jobs.ts
+++ b/src/scheduler/load_jobs.ts
@@ -2,7 +2,12 @@
 import { messageOf } from "../errors.ts";
 import type { Logger } from "../logger.ts";
 import type { Clock } from "../clock.ts";
-import { forEachPlaced, type JobState, restoreJob } from "./job_state.ts";
+import {
+  forEachPlaced,
+  type JobState,
+  readRecordedStatus,
+  restoreJob,
+} from "./job_state.ts";
 import { type JobSpec, jobSpecSchema } from "./model.ts";
 import { KEYS } from "./ownership.ts";
 import type { RecordStore, StoredItem } from "./ports.ts";
@@ -72,8 +77,10 @@
   });
 }
 
-/** Takes over the jobs that earlier owners and other entries have stored; returns the number of records. */
-export function* loadJobs(options: LoadJobsOptions): Operation<number> {
+/** Takes over the jobs that earlier owners and other entries have stored; returns their number and the store's revision at the time. */
+export function* loadJobs(
+  options: LoadJobsOptions,
+): Operation<{ records: number; revision: number }> {
   const { store, scheduler, log } = options;
   const progress = yield* readStore(
     () => store.list(KEYS.progressPrefix),
@@ -91,10 +98,22 @@
       cancelled.push(item.key.slice(KEYS.cancelPrefix.length));
       continue;
     }
+    const jobId = item.key.slice(KEYS.jobPrefix.length);
+    const progress = progressOf.get(jobId);
+    const recorded = progress === undefined
+      ? undefined
+      : readRecordedStatus(progress);
+    // Of most jobs nothing but the final status is needed any more.
+    if (
+      recorded !== undefined && recorded.status !== "active" &&
+      recorded.tasks === 0
+    ) {
+      scheduler.adoptEnded(jobId, recorded.status);
+      continue;
+    }
     const spec = readSpec(item, log);
-    if (spec === undefined) continue;
-    adoptJob(spec, progressOf.get(spec.jobId), options);
+    if (spec !== undefined) adoptJob(spec, progress, options);
   }
   for (const jobId of cancelled) scheduler.cancel(jobId);
-  return queue.items.length;
+  return { records: queue.items.length, revision: queue.revision };
 }
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -6,6 +6,7 @@
 import {
   createJobState,
   encodeProgress,
+  type EndedStatus,
   finishTask,
   forEachPlaced,
   type JobState,
@@ -47,6 +48,7 @@
 
 /** Jobs, tasks and workers of one tenure, and what happens to them. */
 export interface Scheduler {
+  /** Jobs that have not ended, and ended ones of which runs still have to be stopped. */
   readonly jobs: ReadonlyMap<string, JobState>;
   readonly roster: Roster;
   readonly durations: Durations;
@@ -54,6 +56,10 @@
   readonly counters: SchedulerCounters;
   /** Takes over a job that was loaded from the store. */
   adopt(job: JobState): void;
+  /** Takes over an ended job of which nothing runs any more. */
+  adoptEnded(jobId: string, status: EndedStatus): void;
+  /** Whether the job has been accepted, ended or not. */
+  knows(jobId: string): boolean;
   /** Adds a job that has just been stored; a known one stays as it is. */
   accept(spec: JobSpec): void;
   /** Cancels a job whose cancellation is stored. */
@@ -74,8 +80,8 @@
   endLife(life: WorkerLife, reason: string): void;
   /** Stores the job's progress with the next commit. */
   save(job: JobState, onStored?: () => void): void;
-  /** Forgets a job and deletes its records. */
-  remove(job: JobState): void;
+  /** Forgets the jobs that ended before a time, in ms since 1970, and deletes their records. */
+  removeEndedBefore(limitMs: number): void;
 }
 
 /** What the scheduler works with. */
@@ -104,9 +110,13 @@
     relocations: 0,
   };
   const lastStopAtMs = new WeakMap<Placement, number>();
+  /** Ended jobs whose state can still be asked for; kept apart, as each planning round goes through the others. */
+  const ended = new Map<string, { status: EndedStatus; sinceMs: number }>();
   /** Cancellations that came before their job. */
   const earlyCancellations = new Set<string>();
 
+  const knows = (jobId: string) => jobs.has(jobId) || ended.has(jobId);
+
   function lifeOf(placement: Placement): WorkerLife | undefined {
     return roster.find(placement.workerId, placement.bornAtMs);
   }
@@ -116,9 +126,21 @@
       lifeOf(task.placement)?.tasks.delete(task);
     }
     releaseTask(task);
+    retireEnded(task.job);
     options.onChange();
   }
 
+  /** Takes an ended job out of the working set once none of its runs is left. */
+  function retireEnded(job: JobState): void {
+    const { recordedStatus: status, spec: { jobId } } = job;
+    if (status === "active" || jobs.get(jobId) !== job) return;
+    let runs = 0;
+    forEachPlaced(job, () => runs++);
+    if (runs > 0) return;
+    jobs.delete(jobId);
+    ended.set(jobId, { status, sinceMs: clock.wallMs() });
+  }
+
   function save(job: JobState, onStored?: () => void): void {
     const status = job.status;
     journal.put({
@@ -142,6 +164,7 @@
           });
         }
         onStored?.();
+        retireEnded(job);
       },
     });
   }
@@ -470,7 +493,7 @@
   function cancel(jobId: string): void {
     const job = jobs.get(jobId);
     if (job === undefined) {
-      earlyCancellations.add(jobId);
+      if (!ended.has(jobId)) earlyCancellations.add(jobId);
       return;
     }
     if (job.recordedStatus !== "active") return;
@@ -491,8 +514,12 @@
     adopt(job) {
       jobs.set(job.spec.jobId, job);
     },
+    adoptEnded(jobId, status) {
+      ended.set(jobId, { status, sinceMs: clock.wallMs() });
+    },
+    knows,
     accept(spec) {
-      if (jobs.has(spec.jobId)) return;
+      if (knows(spec.jobId)) return;
       jobs.set(spec.jobId, createJobState(spec));
       if (earlyCancellations.delete(spec.jobId)) cancel(spec.jobId);
       options.onChange();
@@ -500,7 +527,7 @@
     cancel,
     status(jobId) {
       const job = jobs.get(jobId);
-      return job === undefined ? undefined : visibleStatus(job);
+      return job === undefined ? ended.get(jobId)?.status : visibleStatus(job);
     },
     waitingJobs(queue) {
       let count = 0;
@@ -566,15 +593,17 @@
       health.forget(life.workerId);
     },
     save,
-    remove(job) {
-      jobs.delete(job.spec.jobId);
-      for (
-        const prefix of [KEYS.jobPrefix, KEYS.cancelPrefix, KEYS.progressPrefix]
-      ) {
-        journal.put({
-          key: prefix + job.spec.jobId,
-          encode: () => undefined,
-        });
+    removeEndedBefore(limitMs) {
+      for (const [jobId, { sinceMs }] of ended) {
+        if (sinceMs >= limitMs) continue;
+        ended.delete(jobId);
+        for (
+          const prefix of [
+            KEYS.jobPrefix,
+            KEYS.cancelPrefix,
+            KEYS.progressPrefix,
+          ]
+        ) journal.put({ key: prefix + jobId, encode: () => undefined });
       }
     },
   };
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -220,4 +220,27 @@
   assert.deepEqual(world.calls, ["stop ffffffffffffffff.0.0.0 3"]);
 });
 
+// Guards against an ended job that runs again or changes its state once it has left the working set, and against planning rounds that go through ended jobs.
+test("an ended job leaves the working set when its last run is over; its state stays", async () => {
+  const world = createWorld();
+  const { scheduler } = world;
+  scheduler.accept(spec());
+  const task = world.openTask();
+  scheduler.place(task, world.life, { run: 1, ticket: undefined });
+  await world.flush();
+  scheduler.cancel(JOB);
+  await world.flush();
+  // The cancelled run still takes its room.
+  assert.equal(scheduler.jobs.size, 1);
+  world.report([ended(1, 1, "stopped")]);
+  assert.equal(scheduler.jobs.size, 0);
+  scheduler.accept(spec());
+  scheduler.cancel(JOB);
+  assert.equal(scheduler.jobs.size, 0);
+  assert.equal(scheduler.knows(JOB), true);
+  assert.equal(scheduler.status(JOB), "cancelled");
+  scheduler.removeEndedBefore(Date.now() + 1_000);
+  assert.equal(scheduler.status(JOB), undefined);
+});
+
 test.run();
--- a/src/scheduler/tenure.ts
+++ b/src/scheduler/tenure.ts
@@ -195,10 +195,14 @@
 
   /** Adds a stored job; entries and the watch both tell of it. */
   function acceptJob(spec: JobSpec): void {
-    if (scheduler.jobs.has(spec.jobId)) return;
+    if (scheduler.knows(spec.jobId)) return;
     scheduler.accept(spec);
+    noteDemand(spec, 0);
+  }
+
+  function noteDemand(spec: JobSpec, ageMs: number): void {
     const { service } = resolveQueue(options.config(), spec);
-    forecast.record(service, declaredWork(spec, scheduler.durations));
+    forecast.record(service, declaredWork(spec, scheduler.durations), ageMs);
   }
 
   function readQueueItem(item: StoredItem): void {
@@ -206,6 +210,7 @@
       scheduler.cancel(item.key.slice(KEYS.cancelPrefix.length));
       return;
     }
+    if (scheduler.knows(item.key.slice(KEYS.jobPrefix.length))) return;
     const spec = readSpec(item, log);
     if (spec !== undefined) acceptJob(spec);
   }
@@ -274,12 +279,7 @@
   function* cleanUp(): Operation<void> {
     for (;;) {
       yield* sleep(CLEANUP_INTERVAL_MS);
-      const limit = clock.wallMs() - options.keepEndedMs;
-      for (const job of [...scheduler.jobs.values()]) {
-        if (job.recordedStatus === "active") continue;
-        job.endedSeenAtMs ??= clock.wallMs();
-        if (job.endedSeenAtMs < limit) scheduler.remove(job);
-      }
+      scheduler.removeEndedBefore(clock.wallMs() - options.keepEndedMs);
     }
   }
 
@@ -294,10 +294,12 @@
       onPut: (item: StoredItem) => void;
       onDelete: (key: string) => void;
     },
+    fromRevision?: number,
   ): Operation<void> {
     yield* followPrefix({
       store,
       prefix,
+      fromRevision,
       log,
       waitMs: WATCH_WAIT_MS,
       pauseMs,
@@ -309,11 +311,18 @@
   function* work(): Operation<void> {
     yield* spawn(() => renewLease());
     yield* spawn(() => seekRelief());
-    const jobs = yield* loadJobs({ ...options, scheduler, earlierLeasesEndMs });
+    const loadedJobs = yield* loadJobs({
+      ...options,
+      scheduler,
+      earlierLeasesEndMs,
+    });
+    for (const { spec } of scheduler.jobs.values()) {
+      noteDemand(spec, clock.wallMs() - spec.acceptedAtMs);
+    }
     onContact();
     log.info("owner started", {
       epoch: tenure.epoch,
-      records: jobs,
+      records: loadedJobs.records,
       loadMs: Math.round(clock.monotonicMs() - startedAtMs),
     });
     yield* spawn(() => journal.run());
@@ -330,7 +339,7 @@
         onSnapshot: (items) => items.forEach(readQueueItem),
         onPut: readQueueItem,
         onDelete() {},
-      })
+      }, loadedJobs.revision)
     );
     yield* spawn(() => planLoop());
     yield* spawn(() => checkLoop());
