fix(scheduler): an owner that is slow to answer isn't taken as gone

Each was busy with its records, a call on a new connection took longer than 450 ms at the owner's own loop, so that all witnesses said 'not reached', and after each change no VM could be ordered for 3 s.

Change: the probe only opens a connection, which a busy process accepts; two witnesses must fail to open one and none may succeed; an owner is doubted after 5 s instead of 3 s.

Tests: 'an owner that is too busy to answer, but accepts connections, stays' fails before; 'an owner to which no entry can connect is replaced' replaces the one that used silence for it, with the same limit.

--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -7,7 +7,7 @@
 import { followPrefix } from "./follow_prefix.ts";
 import { createEntryDirectory } from "./entry_directory.ts";
 import { type OwnerClient, OwnerError } from "./owner_client.ts";
-import { askWitnesses, isOwnerGone, reachesEntry } from "./owner_doubt.ts";
+import { askWitnesses, isOwnerGone } from "./owner_doubt.ts";
 import {
   acquireOwnership,
   KEYS,
@@ -41,7 +41,7 @@
 const HINT_INTERVAL_MS = 500;
 
 /** Age from which an owner that doesn't answer is doubted, in ms; a new one is busy with its records. */
-const DOUBT_AFTER_MS = 3_000;
+const DOUBT_AFTER_MS = 5_000;
 /** Entries that an owner asks to take over. */
 const RELIEF_PEERS = 6;
 
@@ -53,6 +53,8 @@
   readonly seedPeers: readonly string[];
   /** Creates the client of the entry at an address. */
   readonly connect: (address: string) => OwnerClient;
+  /** Whether a connection to the entry at an address can be opened. */
+  readonly probe: (address: string) => Promise<boolean>;
   readonly onStoreAnswer: () => void;
   readonly onStoreFailure: () => void;
   readonly clock: Clock;
@@ -166,7 +168,7 @@
   const isVacant = () => believed === undefined || believed.epoch === goneEpoch;
 
   async function confirmGone(owner: Owner): Promise<void> {
-    if (await reachesEntry(owner.address, options.connect)) return;
+    if (await options.probe(owner.address)) return;
     const testimonies = await askWitnesses(owner.address, directory);
     log.info("the owner doesn't answer", {
       owner: owner.entryId,
@@ -326,7 +328,7 @@
       declareGone(epoch, "it has lost the store and asks to be replaced");
       return true;
     },
-    reaches: (address) => reachesEntry(address, options.connect),
+    reaches: options.probe,
     noteCaller: directory.noteCaller,
     stop() {
       stopping = true;
--- a/src/scheduler/owner_client.ts
+++ b/src/scheduler/owner_client.ts
@@ -9,6 +9,8 @@
 
 /** Time after which a call between entries counts as failed, in ms; answers take a few ms, and a caller waits about 3 s. */
 const CALL_TIMEOUT_MS = 450;
+/** Time for a call that makes the other entry open a connection, in ms. */
+const PROBE_CALL_TIMEOUT_MS = 900;
 /** Time for a call that makes the owner write to the store, in ms. */
 const STORE_CALL_TIMEOUT_MS = 900;
 
@@ -114,7 +116,7 @@
     reaches: (target) =>
       call(
         (signal) => client.reaches.query({ address: target }, { signal }),
-        2 * CALL_TIMEOUT_MS,
+        PROBE_CALL_TIMEOUT_MS,
       ),
     close: () => void pool.destroy(),
   };
--- a/src/scheduler/owner_doubt.ts
+++ b/src/scheduler/owner_doubt.ts
@@ -1,32 +1,36 @@
+import { connect } from "node:net";
 import type { EntryDirectory } from "./entry_directory.ts";
-import { type OwnerClient, OwnerError } from "./owner_client.ts";
+import { OwnerError } from "./owner_client.ts";
 
 /** Entries that are asked whether they reach the owner. */
 const WITNESSES = 4;
+/** Entries that must not reach it. */
+const REQUIRED_WITNESSES = 2;
+/** Time for a connection to open, in ms; a lost packet is sent again after some 200 ms. */
+const PROBE_TIMEOUT_MS = 600;
 
 /** What another entry says of the owner. */
 export type Testimony = "reached" | "not_reached" | "no_answer";
 
-/** Calls an entry over a new connection, as open ones may have gone silent. */
-export async function reachesEntry(
-  address: string,
-  connect: (address: string) => OwnerClient,
-): Promise<boolean> {
-  const client = connect(address);
-  try {
-    await client.owner();
-    return true;
-  } catch (error) {
-    if (!(error instanceof OwnerError)) throw error;
-    return false;
-  } finally {
-    client.close();
-  }
+/** Whether a connection to an entry can be opened. A busy entry accepts connections long before it answers calls; replacing it would only move its load. */
+export function opensConnection(address: string): Promise<boolean> {
+  const [host, port] = address.split(":");
+  return new Promise((resolve) => {
+    const socket = connect({ host, port: Number(port) });
+    const end = (opened: boolean) => {
+      socket.destroy();
+      resolve(opened);
+    };
+    socket.setTimeout(PROBE_TIMEOUT_MS, () => end(false));
+    socket.once("connect", () => end(true));
+    socket.once("error", () => end(false));
+  });
 }
 
-/** Whether an owner that doesn't answer this entry is gone: another entry must say so as well, and none may reach it. */
+/** Whether an owner that this entry doesn't reach is gone: two others must say so as well, and none may reach it. */
 export function isOwnerGone(testimonies: readonly Testimony[]): boolean {
-  return testimonies.includes("not_reached") &&
+  return testimonies.filter((one) => one === "not_reached").length >=
+      REQUIRED_WITNESSES &&
     !testimonies.includes("reached");
 }
 
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -15,6 +15,7 @@
 import { createOperatorState, type OperatorState } from "./operator_state.ts";
 import { ownDialect } from "./own_dialect.ts";
 import { createOwnerClient } from "./owner_client.ts";
+import { opensConnection } from "./owner_doubt.ts";
 import type {
   PlacementAdvice,
   PlatformRecords,
@@ -87,6 +88,7 @@
       self: { entryId: settings.entryId, address: settings.listen.peers },
       seedPeers: settings.seedPeers,
       connect: createOwnerClient,
+      probe: opensConnection,
       onStoreAnswer: () => parts.resolve(TOKENS.health).noteAnswer(),
       onStoreFailure: () => parts.resolve(TOKENS.health).noteFailure(),
       clock: parts.resolve(TOKENS.clock),
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -81,8 +81,10 @@
   readonly store: FakeRecordStore;
   readonly workers: FakeTaskWorkers;
   readonly entries: ClusterEntry[] = [];
-  /** Entries that answer no call of another entry. */
+  /** Entries that answer no call of another entry, but accept connections. */
   readonly silent = new Set<string>();
+  /** Entries to which no connection opens. */
+  readonly dark = new Set<string>();
   /** Pairs of ids, the caller's first, between which no call arrives. */
   readonly cut = new Set<string>();
   /** Maintenance waves that operators ask for. */
@@ -142,6 +144,14 @@
     };
   }
 
+  /** Whether a connection opens; a busy entry accepts connections. */
+  async #probe(from: string, address: string): Promise<boolean> {
+    await delay(CALL_MS);
+    const entry = this.entries.find(({ id }) => addressOf(id) === address);
+    return entry !== undefined && !this.dark.has(entry.id) &&
+      !this.cut.has(`${from} ${entry.id}`);
+  }
+
   /** Calls between entries; an entry that is dead or frozen doesn't answer. */
   #connect(
     from: string,
@@ -155,6 +165,7 @@
       const entry = this.entries.find(({ id }) => addressOf(id) === address);
       if (
         !isUp() || entry === undefined || this.silent.has(entry.id) ||
+        this.dark.has(entry.id) ||
         this.cut.has(`${from} ${entry.id}`)
       ) {
         throw new OwnerError(`${address} did not answer`, "no_answer");
@@ -209,6 +220,7 @@
       self: { entryId: id, address: addressOf(id) },
       seedPeers: ["entry-1", "entry-2", "entry-3"].map(addressOf),
       connect: (address) => this.#connect(id, address, isUp),
+      probe: (address) => this.#probe(id, address),
       onStoreAnswer: () => health.noteAnswer(),
       onStoreFailure: () => health.noteFailure(),
       clock: systemClock,
@@ -251,6 +263,7 @@
     entry.up = false;
     this.store.faults.refused.add(entry.id);
     this.silent.delete(entry.id);
+    this.dark.delete(entry.id);
     this.entries.splice(this.entries.indexOf(entry), 1);
     await entry.task.halt();
   }
