perf(scheduler): a late backlog doesn't keep the next turn's pool from its VMs

Change: late waiting work counts a fifth in a pool's need; when the needs add up to more VMs than there are, each pool gets its floor and the same part of the rest, first of work that is there, then of work that is expected.

Ruled out: shares by the largest gap, as before, which give all to the pool that asks for most.

Tests: 'a late backlog leaves VMs', 'scarce VMs are divided by need'.

--- a/src/scheduler/pool_balancer.ts
+++ b/src/scheduler/pool_balancer.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
 import type { DemandForecast } from "./demand_forecast.ts";
+import { createContender } from "./job_order.ts";
 import { listOpenSteps, stepOf } from "./job_state.ts";
 import type { Step } from "./model.ts";
 import { reservedCpuMillis } from "./placement.ts";
@@ -69,14 +70,22 @@
     config: SchedulerConfig,
   ): Pick<
     PlannedPool,
-    "usedVms" | "waitingVms" | "longestWaitMs" | "expectedVms"
+    "usedVms" | "waitingVms" | "lateVms" | "longestWaitMs" | "expectedVms"
   > {
     const capacity = usualCapacity(service);
     if (capacity === undefined) {
-      return { usedVms: 0, waitingVms: 0, longestWaitMs: 0, expectedVms: 0 };
+      return {
+        usedVms: 0,
+        waitingVms: 0,
+        lateVms: 0,
+        longestWaitMs: 0,
+        expectedVms: 0,
+      };
     }
     const used = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
     const waiting = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
+    const late = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
+    const wallMs = clock.wallMs();
     let longestWaitMs = 0;
     for (const life of scheduler.roster.lives.values()) {
       if (life.entry?.service !== service) continue;
@@ -84,12 +93,22 @@
     }
     for (const job of scheduler.jobs.values()) {
       if (job.status !== "active") continue;
-      if (resolveQueue(config, job.spec).service !== service) continue;
+      const queue = resolveQueue(config, job.spec);
+      if (queue.service !== service) continue;
       for (const occurrence of job.occurrences) {
         for (const tasks of listOpenSteps(job, occurrence)) {
           const open = tasks.filter(({ phase }) => phase === "waiting");
           if (open.length > 0) {
-            addResources(waiting, stepOf(open[0]!), open.length);
+            const { prospect, lasting } = createContender(job, occurrence, {
+              wallMs,
+              durations: scheduler.durations,
+              queue,
+            });
+            addResources(
+              lasting || prospect === "on_time" ? waiting : late,
+              stepOf(open[0]!),
+              open.length,
+            );
           }
           for (const task of open) {
             task.waitingSinceMs ??= clock.monotonicMs();
@@ -104,6 +123,7 @@
     return {
       usedVms: shareOf(used, capacity),
       waitingVms: shareOf(waiting, capacity),
+      lateVms: shareOf(late, capacity),
       longestWaitMs,
       expectedVms: options.forecast.expectCores(service) * 1_000 /
         Math.max(1, capacity.cpuMillis),
--- a/src/scheduler/pool_plan.ts
+++ b/src/scheduler/pool_plan.ts
@@ -20,8 +20,10 @@
   readonly spare: boolean;
   /** Room that placed tasks take, in VMs: the larger of their share of processors and of memory. */
   readonly usedVms: number;
-  /** Room that waiting tasks ask for, which no VM of the pool has now, in VMs. */
+  /** Room that waiting tasks ask for, which no VM of the pool has now, in VMs; those of late jobs not included. */
   readonly waitingVms: number;
+  /** The same of jobs that can't be on time any more. */
+  readonly lateVms: number;
   /** Longest time for which a placeable task of the pool has waited, in ms. */
   readonly longestWaitMs: number;
   /** Room that the work will take that is expected to arrive, in VMs. */
@@ -47,6 +49,8 @@
 const PLANNED_SHARE = 0.75;
 /** Weight of waiting tasks against placed ones: part of them finds room before a VM could come, about 2 s later. */
 const WAITING_WEIGHT = 0.7;
+/** Weight of late waiting tasks: they get room, but not before work of another pool that can be on time. */
+const LATE_WEIGHT = 0.2;
 /** Waiting time from which the pool gets a VM more than its work seems to need, in ms. */
 const STUCK_AFTER_MS = 1_200;
 /** Fewest VMs of a pool that serves: one may fail. */
@@ -62,24 +66,69 @@
 /** Time without tasks after which a surplus VM is turned off, in ms: after about this time it has cost as much as the two moves that a VM needs which is wanted again. */
 const IDLE_BEFORE_OFF_MS = 2_200;
 
-interface PoolState {
+interface PoolNeeds {
   readonly pool: PlannedPool;
   readonly vms: readonly PlannedVm[];
+  /** Fewest VMs that it may have. */
+  readonly floor: number;
   /** VMs that its placed and waiting tasks need. */
   readonly due: number;
   /** VMs that it needs with the work that is expected. */
   readonly need: number;
+}
+
+interface PoolState extends PoolNeeds {
   /** VMs that it keeps while nobody else needs them. */
   readonly kept: number;
   /** VMs in the pool or on their way, less those that this plan takes. */
   present: number;
 }
 
+function pinnedOf(vms: readonly PlannedVm[]): number {
+  return vms.filter((vm) => vm.lastingTasks > 0).length;
+}
+
+/** Parts of several wishes, each the same part of what lies above its floor, that sum up to about `total`. */
+function scaleDown(
+  wishes: readonly { readonly floor: number; readonly wanted: number }[],
+  total: number,
+): number[] {
+  const floors = wishes.reduce((sum, { floor }) => sum + floor, 0);
+  const wanted = wishes.reduce((sum, wish) => sum + wish.wanted, 0);
+  const share = wanted <= total || wanted === floors
+    ? 1
+    : Math.max(0, total - floors) / (wanted - floors);
+  return wishes.map((wish) =>
+    wish.floor + Math.ceil((wish.wanted - wish.floor) * share)
+  );
+}
+
+/** When the pools need more VMs than there are, each gets the same part of what it needs, so that a backlog doesn't keep the next turn's pool from starting; work that is expected gets what work that is there leaves. */
+function divideScarce(needs: readonly PoolNeeds[], total: number): PoolNeeds[] {
+  const dues = scaleDown(
+    needs.map(({ floor, due }) => ({ floor, wanted: due })),
+    total,
+  );
+  const wants = scaleDown(
+    needs.map(({ need }, index) => ({
+      floor: dues[index]!,
+      wanted: Math.max(need, dues[index]!),
+    })),
+    total,
+  );
+  return needs.map((pool, index) => ({
+    ...pool,
+    due: dues[index]!,
+    need: wants[index]!,
+  }));
+}
+
 function dueOf(pool: PlannedPool, vms: readonly PlannedVm[]): number {
-  const pinned = vms.filter((vm) => vm.lastingTasks > 0).length;
+  const pinned = pinnedOf(vms);
   // Room becomes free as tasks end; VMs are added for what would wait longer than that.
   const surge = Math.ceil(
-    (pool.usedVms + pool.waitingVms * WAITING_WEIGHT) / PLANNED_SHARE,
+    (pool.usedVms + pool.waitingVms * WAITING_WEIGHT +
+      pool.lateVms * LATE_WEIGHT) / PLANNED_SHARE,
   );
   // A task that has waited long fits on none of the VMs that are there, however much room they have together.
   const stuck = pool.longestWaitMs > STUCK_AFTER_MS ? vms.length + 1 : 0;
@@ -114,19 +163,24 @@
     total / Math.max(1, serving.length) *
       (mayTurnNext ? READY_SHARE : KEPT_SHARE),
   );
-  const states = serving.map((pool): PoolState => {
-    const vms = allVms.filter((vm) => vm.pool === pool.name);
-    const due = dueOf(pool, vms);
-    const need = Math.max(due, Math.ceil(pool.expectedVms / PLANNED_SHARE));
-    return {
-      pool,
-      vms,
-      due,
-      need,
-      kept: Math.max(need, kept),
-      present: vms.length + pool.arriving,
-    };
-  });
+  const states = divideScarce(
+    serving.map((pool) => {
+      const vms = allVms.filter((vm) => vm.pool === pool.name);
+      const due = dueOf(pool, vms);
+      return {
+        pool,
+        vms,
+        floor: Math.max(MINIMUM_VMS, pinnedOf(vms)),
+        due,
+        need: Math.max(due, Math.ceil(pool.expectedVms / PLANNED_SHARE)),
+      };
+    }),
+    total,
+  ).map((needs): PoolState => ({
+    ...needs,
+    kept: Math.max(needs.need, kept),
+    present: needs.vms.length + needs.pool.arriving,
+  }));
   const spareNames = pools.filter(({ spare }) => spare).map(({ name }) => name);
   const spareVms = allVms.filter((vm) =>
     spareNames.includes(vm.pool) && vm.movable
--- a/src/scheduler/pool_plan_test.ts
+++ b/src/scheduler/pool_plan_test.ts
@@ -62,6 +62,7 @@
     spare: false,
     usedVms: 0,
     waitingVms: 0,
+    lateVms: 0,
     longestWaitMs: 0,
     expectedVms: 0,
     arriving: 0,
@@ -198,4 +199,38 @@
   assert.ok(total.late < total.jobs / 20, JSON.stringify(total));
 });
 
+// Guards against a pool whose late backlog keeps every VM, so that the next turn's jobs become late as well.
+test("a late backlog leaves VMs to work of another pool that can be on time", () => {
+  const vms = [1, 2, 3, 4, 5, 6, 7, 8].map((index) =>
+    vm(`a${index}`, "a", { tasks: 2 })
+  );
+  const own = [vm("b1", "b", { tasks: 2 }), vm("b2", "b", { tasks: 2 })];
+  const backlog = pool("a", { usedVms: 8, lateVms: 30 });
+  const starting = pool("b", { usedVms: 2, waitingVms: 5 });
+  const plan = planPools([backlog, starting], [...vms, ...own]);
+  assert.ok(plan.cordons.length >= 1, JSON.stringify(plan));
+  assert.ok(plan.cordons.every((id) => id.startsWith("a")));
+  // Without other work the backlog gets what there is.
+  const alone = planPools(
+    [backlog, pool("b"), pool("spare", { spare: true })],
+    [...vms, vm("b1", "b"), vm("b2", "b"), vm("s1", "spare")],
+  );
+  assert.deepEqual(alone.moves.map(({ to }) => to), ["a"]);
+});
+
+// Guards against needs that add up to more VMs than there are, of which the largest takes all.
+test("scarce VMs are divided by need, never below a pool's floor", () => {
+  const { targets } = planPools(
+    [
+      pool("a", { usedVms: 100, waitingVms: 200 }),
+      pool("b", { usedVms: 5, waitingVms: 20 }),
+      pool("c"),
+    ],
+    Array.from({ length: 60 }, (_, index) => vm(`a${index}`, "a")),
+  );
+  assert.ok(targets.a! > 40 && targets.a! < 56, JSON.stringify(targets));
+  assert.ok(targets.b! >= 4, JSON.stringify(targets));
+  assert.equal(targets.c, 2);
+});
+
 test.run();
--- a/testing/turn_demand.ts
+++ b/testing/turn_demand.ts
@@ -120,6 +120,8 @@
     result.moves++;
   }
 
+  const isOnTime = (job: Job) => nowMs - job.arrivedMs <= options.allowedWaitMs;
+
   function plan(): void {
     const pools: PlannedPool[] = [
       ...services.map(({ name }): PlannedPool => {
@@ -131,7 +133,9 @@
           spare: false,
           usedVms: cores(running.filter((job) => job.service.name === name)) /
             options.vmCores,
-          waitingVms: cores(own) / options.vmCores,
+          waitingVms: cores(own.filter(isOnTime)) / options.vmCores,
+          lateVms: cores(own.filter((job) => !isOnTime(job))) /
+            options.vmCores,
           longestWaitMs: Math.max(
             0,
             ...own.map((job) => nowMs - job.arrivedMs),
@@ -147,6 +151,7 @@
         spare: true,
         usedVms: 0,
         waitingVms: 0,
+        lateVms: 0,
         longestWaitMs: 0,
         expectedVms: 0,
         arriving: 0,
