fix(scheduler): an entry cut off from the store finds the new owner at once

Change: an entry that is told that the owner isn't the owner asks the entries that called it last, and the seeds, who the owner is, at once; until then the submission waits its 0.4 s.

Test: 'an entry that is told that the owner isn't the owner looks for the new one'.

--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -39,6 +39,10 @@
 const HINT_AFTER_MS = 700;
 /** Interval of asking, in ms. */
 const HINT_INTERVAL_MS = 500;
+/** Pause after asking, in ms. */
+const HINT_PAUSE_MS = 100;
+/** Entries that are asked each time. */
+const HINT_PEERS = 4;
 
 /** Age from which an owner that doesn't answer is doubted, in ms; a new one is busy with its records. */
 const DOUBT_AFTER_MS = 5_000;
@@ -75,6 +79,8 @@
   readonly storeContact: Elapsed;
   /** Finds out whether an owner that has not answered is gone, and then takes over. */
   doubtOwner(): void;
+  /** Asks other entries at once who the owner is. */
+  findOwner(): void;
   /** Takes over from an owner that asks for it; false when this entry can't. */
   replaceOwner(epoch: number): boolean;
   /** Whether this entry reaches the one at an address. */
@@ -90,6 +96,7 @@
 export function createElection(options: ElectionOptions): Election {
   const { store, self, clock, log } = options;
   const changed = createWake();
+  const hintWanted = createWake();
   const storeContact = createElapsed(clock);
   const directory = createEntryDirectory({
     ...options,
@@ -206,10 +213,9 @@
   /** Without the store, the other entries are asked who the owner is. */
   function* askForOwner(): Operation<void> {
     for (;;) {
-      yield* sleep(HINT_INTERVAL_MS);
-      if (storeContact.ms() < HINT_AFTER_MS + WATCH_WAIT_MS) continue;
-      for (const address of options.seedPeers) {
-        if (address === self.address) continue;
+      const asked = yield* hintWanted.wait(HINT_INTERVAL_MS);
+      if (!asked && storeContact.ms() < HINT_AFTER_MS + WATCH_WAIT_MS) continue;
+      for (const address of directory.list(HINT_PEERS)) {
         try {
           const owner = yield* until(directory.client(address).owner());
           if (owner !== undefined && owner.epoch > (believed?.epoch ?? 0)) {
@@ -217,9 +223,11 @@
           }
         } catch (error) {
           if (!(error instanceof OwnerError)) throw error;
-          log.debug("seed doesn't answer", { address });
+          log.debug("entry doesn't answer", { address });
         }
       }
+      // Every request of a moment may ask for the owner.
+      yield* sleep(HINT_PAUSE_MS);
     }
   }
 
@@ -321,6 +329,7 @@
         doubting = false;
       });
     },
+    findOwner: () => hintWanted.notify(),
     replaceOwner(epoch) {
       const canServe = !stopping && options.candidateDelayMs === 0 &&
         storeContact.ms() < WATCH_WAIT_MS + HINT_AFTER_MS;
--- a/src/scheduler/front.ts
+++ b/src/scheduler/front.ts
@@ -93,6 +93,8 @@
   readonly onOwnerAnswer: () => void;
   /** The owner has not answered a call. */
   readonly onOwnerSilent: () => void;
+  /** The entry that was taken for the owner says that it isn't. */
+  readonly onOwnerMoved: () => void;
 }
 
 function delay(ms: number): Promise<void> {
@@ -118,7 +120,7 @@
       timeLeftMs(context) > RETRY_DELAY_MS * 4;
   }
 
-  /** Calls the owner; undefined when there is none or it doesn't answer. */
+  /** Calls the owner; undefined when there is none, when it doesn't answer or isn't the owner any more. */
   async function askOwner<T>(
     ask: (owner: OwnerClient) => Promise<T>,
   ): Promise<{ value: T } | undefined> {
@@ -131,7 +133,13 @@
     } catch (error) {
       if (!(error instanceof OwnerError)) throw error;
       log.debug("owner not reached", { reason: messageOf(error) });
-      if (error.reason === "no_answer") options.onOwnerSilent();
+      switch (error.reason) {
+        case "no_answer":
+          options.onOwnerSilent();
+          break;
+        case "not_owner":
+          options.onOwnerMoved();
+      }
       return undefined;
     }
   }
@@ -146,7 +154,7 @@
     key: string,
     value: string,
     context: RequestContext,
-    throughOwner: (owner: OwnerClient) => Promise<StoreReply>,
+    throughOwner: (owner: OwnerClient) => Promise<StoreReply | "not_owner">,
   ): Promise<StoreReply> {
     const startedAtMs = clock.monotonicMs();
     let unresolved = false;
@@ -181,6 +189,7 @@
       // Without a reply the owner may have stored it.
       const value = reply?.value ?? "unresolved";
       if (value === "unresolved") unresolved = true;
+      if (value === "not_owner") options.onOwnerMoved();
       refusedByOwner = value === "not_stored";
       return value === "stored" || value === "existing" ? value : undefined;
     }
--- a/src/scheduler/front_test.ts
+++ b/src/scheduler/front_test.ts
@@ -25,6 +25,7 @@
 
 function createWorld(owner?: Partial<OwnerClient>) {
   const store = new FakeRecordStore(createRandom(7));
+  const moved: string[] = [];
   const refuse = () => Promise.reject(new OwnerError("away", "no_answer"));
   const client = {
     isLocal: false,
@@ -47,12 +48,13 @@
     owner: () => owner === undefined ? undefined : client,
     onOwnerAnswer() {},
     onOwnerSilent() {},
+    onOwnerMoved: () => moved.push("moved"),
   });
   const context = (budgetMs = 700) => ({
     requestId: "r",
     deadlineMs: performance.now() + budgetMs,
   });
-  return { store, front, context };
+  return { store, front, context, moved };
 }
 
 // Guards against telling a caller that its job never runs although it may be stored.
@@ -110,6 +112,20 @@
   assert.ok(performance.now() - startedAtMs < 4_000);
 });
 
+// Guards against an entry cut off from the store that goes on asking an owner of the past.
+test("an entry that is told that the owner isn't the owner looks for the new one", async () => {
+  let current = false;
+  const world = createWorld({
+    submit: () => Promise.resolve(current ? "stored" : "not_owner"),
+    accepted: () => Promise.resolve(),
+  });
+  world.store.faults.refused.add("entry-1");
+  const answer = world.front.submit(QUEUE, submission, world.context(3_000));
+  await waitFor("the entry looks for the owner", () => world.moved.length > 0);
+  current = true;
+  assert.deepEqual(await answer, { kind: "accepted" });
+});
+
 // Guards against an outage in which every caller's write is sent into silence, so that it may still be carried out and the caller can't be told to come back.
 test("once the store has gone silent, further submissions are refused at once", async () => {
   const world = createWorld({ submit: () => Promise.resolve("not_stored") });
--- a/src/scheduler/owner_client.ts
+++ b/src/scheduler/owner_client.ts
@@ -28,9 +28,10 @@
   /** Whether the owner is this entry, which uses the same store. */
   readonly isLocal: boolean;
   accepted(spec: JobSpec): Promise<void>;
-  submit(spec: JobSpec): Promise<StoreReply>;
+  /** `not_owner` means that nothing was stored. */
+  submit(spec: JobSpec): Promise<StoreReply | "not_owner">;
   cancelled(jobId: string): Promise<void>;
-  cancel(jobId: string): Promise<StoreReply>;
+  cancel(jobId: string): Promise<StoreReply | "not_owner">;
   status(jobId: string): Promise<JobStatus | undefined>;
   waitingJobs(queue: string): Promise<number>;
   owner(): Promise<Owner | undefined>;
@@ -72,9 +73,9 @@
   /** An entry that isn't the owner stores nothing. */
   async function store(
     send: (signal: AbortSignal) => Promise<OwnerReply<StoreReply>>,
-  ): Promise<StoreReply> {
+  ): Promise<StoreReply | "not_owner"> {
     const reply = await call(send, STORE_CALL_TIMEOUT_MS);
-    return reply.kind === "not_owner" ? "not_stored" : reply.value;
+    return reply.kind === "not_owner" ? reply.kind : reply.value;
   }
 
   async function callOwner<T>(
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -110,6 +110,7 @@
       owner: () => parts.resolve(TOKENS.election).client(),
       onOwnerAnswer: () => parts.resolve(TOKENS.stats).noteOwnerContact(),
       onOwnerSilent: () => parts.resolve(TOKENS.election).doubtOwner(),
+      onOwnerMoved: () => parts.resolve(TOKENS.election).findOwner(),
     }));
   return adapters;
 }
--- a/src/wake.ts
+++ b/src/wake.ts
@@ -3,8 +3,8 @@
 /** Lets other code wake a task that waits. */
 export interface Wake {
   notify(): void;
-  /** Waits for a notification since the last wait, at most for the given time. */
-  wait(timeoutMs: number): Operation<void>;
+  /** Waits for a notification since the last wait, at most for the given time; returns whether there was one. */
+  wait(timeoutMs: number): Operation<boolean>;
 }
 
 /** Creates a wake with no notification pending. */
@@ -27,7 +27,9 @@
           };
         });
       }
+      const notified = pending;
       pending = false;
+      return notified;
     },
   };
 }
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -245,6 +245,7 @@
         owner: () => election.client(),
         onOwnerAnswer() {},
         onOwnerSilent: () => election.doubtOwner(),
+        onOwnerMoved: () => election.findOwner(),
       }),
       get up() {
         return state.up;
