fix(timeouts): read the sockets before a call counts as unanswered

Cause: after a stall Node runs due timers before it reads its sockets, so every call in progress timed out although its response had arrived. Ruled out: a larger limit, which a longer stall exceeds as well. Change: a due timer waits for the next read of the sockets, and a stall extends the limit once by its length.

--- a/src/call_timeout.ts
+++ b/src/call_timeout.ts
@@ -1,3 +1,5 @@
+import { startResponseTimeout } from "./timeout.ts";
+
 /**
  * Runs a call with a signal that aborts on timeout or when the outer signal
  * aborts. The timer is cleared when the call settles. The timer of
@@ -16,14 +18,14 @@
   const onAbort = () => controller.abort(outer?.reason);
   if (outer?.aborted) onAbort();
   outer?.addEventListener("abort", onAbort, { once: true });
-  const timer = setTimeout(() => {
+  const timeout = startResponseTimeout(timeoutMs, () => {
     const message = "The operation was aborted due to timeout";
     controller.abort(new DOMException(message, "TimeoutError"));
-  }, timeoutMs);
+  });
   try {
     return await call(controller.signal);
   } finally {
-    clearTimeout(timer);
+    timeout.clear();
     outer?.removeEventListener("abort", onAbort);
   }
 }
--- a/src/http_call.ts
+++ b/src/http_call.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from "undici";
+import { startResponseTimeout } from "./timeout.ts";
 
 /** An HTTP call whose response is read as a whole. */
 export interface HttpCall {
@@ -59,7 +60,7 @@
     let failure: Error | undefined;
 
     function cleanUp(): void {
-      clearTimeout(timer);
+      timeout.clear();
       signal?.removeEventListener("abort", onAbort);
     }
     function fail(error: Error): void {
@@ -69,10 +70,10 @@
       activeController?.abort(error);
     }
     const onAbort = () => fail(signal?.reason);
-    const timer = setTimeout(() => {
+    const timeout = startResponseTimeout(timeoutMs, () => {
       const message = "The operation was aborted due to timeout";
       fail(new DOMException(message, "TimeoutError"));
-    }, timeoutMs);
+    });
     signal?.addEventListener("abort", onAbort, { once: true });
 
     dispatcher.dispatch({
@@ -95,7 +96,7 @@
         headers = responseHeaders;
       },
       onResponseData(_controller, chunk) {
-        if (call.resetTimeoutOnData) timer.refresh();
+        if (call.resetTimeoutOnData) timeout.refresh();
         chunks.push(chunk);
       },
       onResponseEnd() {
