perf(scheduler): planning rounds that cost what is pending

Cause: each planning round, up to 80 a second, rebuilt the free resources of all workers from their tasks and looked at each task of each job; the pool balancer searched all workers for each VM, which grows with the square. Change: the sums of a worker's tasks are kept with them, workers are indexed by VM and ID, a round without pending work ends at once, and a request that found no room rules out larger ones for the rest of the round. After a round planning pauses for three times its duration.

--- a/bench/capacity/main.ts
+++ b/bench/capacity/main.ts
@@ -5,6 +5,7 @@
 import { formatIdleEntries, measureIdleEntries } from "./idle_entries.ts";
 import { formatFleetSizes, measureFleetSizes } from "./records.ts";
 import { formatRollOuts, measureRollOuts } from "./roll_outs.ts";
+import { formatSchedulingCosts, measureSchedulingCosts } from "./scheduling.ts";
 
 /** Options of the `capacity` benchmark. */
 export interface CapacityBenchOptions {
@@ -22,6 +23,7 @@
 /** Names of the parts of the benchmark. */
 export const CAPACITY_PARTS: readonly string[] = [
   "records",
+  "scheduling",
   "roll-outs",
   "idle",
 ];
@@ -41,6 +43,7 @@
     };
     const isSelected = (part: string) => options.parts.includes(part);
     const records = isSelected("records") ? measureFleetSizes() : [];
+    const scheduling = isSelected("scheduling") ? measureSchedulingCosts() : [];
     const rollOuts = isSelected("roll-outs")
       ? await measureRollOuts(deployment)
       : [];
@@ -53,11 +56,13 @@
       results: {
         seed: options.seed,
         records,
+        scheduling,
         rollOuts,
         idleNodes: idleEntries,
       },
       tables: [
         formatFleetSizes(records),
+        formatSchedulingCosts(scheduling),
         formatRollOuts(rollOuts),
         formatIdleEntries(idleEntries),
       ],
--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -165,19 +165,40 @@
   return added;
 }
 
+function isRunnable(
+  job: JobState,
+  { remaining }: Occurrence,
+  stepIndex: number,
+): boolean {
+  if (remaining[stepIndex] === 0) return false;
+  for (const earlier of job.spec.steps[stepIndex]!.after) {
+    if (remaining[earlier] !== 0) return false;
+  }
+  return true;
+}
+
 /** Returns the tasks of each unfinished step whose dependencies are complete. */
 export function listRunnableSteps(
   job: JobState,
   occurrence: Occurrence,
 ): TaskState[][] {
   return occurrence.steps.filter((_, index) =>
-    occurrence.remaining[index]! > 0 &&
-    job.spec.steps[index]!.after.every((earlier) =>
-      occurrence.remaining[earlier] === 0
-    )
+    isRunnable(job, occurrence, index)
   );
 }
 
+/** Whether a runnable step has a task to place; called for each active job in each planning round. */
+export function hasWaitingTasks(
+  job: JobState,
+  occurrence: Occurrence,
+): boolean {
+  for (const [index, tasks] of occurrence.steps.entries()) {
+    if (!isRunnable(job, occurrence, index)) continue;
+    for (const task of tasks) if (task.phase === "waiting") return true;
+  }
+  return false;
+}
+
 /** Marks a task as done, and its job as completed if this was the last task. */
 export function finishTask(task: TaskState): void {
   if (task.phase === "done") return;
--- a/src/scheduler/load_jobs.ts
+++ b/src/scheduler/load_jobs.ts
@@ -10,6 +10,7 @@
 } from "./job_state.ts";
 import { type JobSpec, jobSpecSchema } from "./model.ts";
 import { STORE_KEYS } from "./ownership.ts";
+import { PlacedTasks } from "./placed_tasks.ts";
 import type { RecordStore, StoredItem } from "./ports.ts";
 import { retryStoreRead } from "./retry_store_read.ts";
 import type { Scheduler } from "./scheduler.ts";
@@ -69,7 +70,7 @@
         link: undefined,
         registration: undefined,
         missingSinceMs: undefined,
-        tasks: new Set(),
+        tasks: new PlacedTasks(),
         joinedAtMs: nowMs,
         earlierLeasesEndMs,
       };
--- a/src/scheduler/placement.ts
+++ b/src/scheduler/placement.ts
@@ -90,7 +90,36 @@
   }
   // Best fit: filling the fullest worker first leaves whole VMs idle, which can change pools.
   return a.free.cpuMillis - b.free.cpuMillis ||
-    a.workerId.localeCompare(b.workerId);
+    (a.workerId < b.workerId ? -1 : 1);
+}
+
+/**
+ * Remembers requests that no worker had room for, so that a backlog of similar
+ * tasks is searched once. It is valid while free resources only shrink.
+ */
+export interface UnplaceableRequests {
+  /** Whether a request that needs no more of any resource has found no room. */
+  includes(step: Step): boolean;
+  /** Records a request that found no room on any worker. */
+  record(request: PlacementRequest): void;
+}
+
+/** Creates an empty record of unplaceable requests. */
+export function createUnplaceableRequests(): UnplaceableRequests {
+  const failed: Step[] = [];
+  const needsAtLeast = (step: Step, other: Step) =>
+    reservedCpuMillis(step) >= reservedCpuMillis(other) &&
+    step.memoryMb >= other.memoryMb && step.gpuCount >= other.gpuCount;
+  return {
+    includes: (step) => failed.some((other) => needsAtLeast(step, other)),
+    record({ step, allowedWorkers }) {
+      // With further constraints, a worker may have had room all the same.
+      if (
+        step.requiredLabel === "" && step.maxPerWorker === 0 &&
+        allowedWorkers === undefined
+      ) failed.push(step);
+    },
+  };
 }
 
 /** Chooses the worker for one task; undefined if none fits. */
@@ -108,19 +137,27 @@
   return best;
 }
 
-/** Subtracts the resources of one task from the worker's free ones. */
-export function reserveResources(
+/** Subtracts the resources of one task from the worker's free ones; `tasksByStep` is left to the caller. */
+export function subtractResources(
   candidate: CandidateWorker,
-  { step, stepId }: Pick<PlacementRequest, "step" | "stepId">,
+  step: Step,
 ): void {
   candidate.free.cpuMillis -= reservedCpuMillis(step);
   candidate.free.memoryMb -= step.memoryMb;
   candidate.free.gpuCount -= step.gpuCount;
+  if (step.longRunning) candidate.longRunningTasks++;
+}
+
+/** Adds one task to a candidate that doesn't share its counts with a worker. */
+export function reserveResources(
+  candidate: CandidateWorker,
+  { step, stepId }: Pick<PlacementRequest, "step" | "stepId">,
+): void {
+  subtractResources(candidate, step);
   candidate.tasksByStep.set(
     stepId,
     (candidate.tasksByStep.get(stepId) ?? 0) + 1,
   );
-  if (step.longRunning) candidate.longRunningTasks++;
 }
 
 /** Chooses a worker for each task of a gang; undefined if they don't all fit. */
--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -3,6 +3,7 @@
 import {
   createDueOccurrences,
   getStep,
+  hasWaitingTasks,
   listRunnableSteps,
   stepId,
   type TaskState,
@@ -16,8 +17,10 @@
   type CandidateWorker,
   chooseGangWorkers,
   chooseWorker,
+  createUnplaceableRequests,
   type PlacementRequest,
-  reserveResources,
+  subtractResources,
+  type UnplaceableRequests,
 } from "./placement.ts";
 import type { SchedulerConfig } from "./ports.ts";
 import { resolveQueue } from "./resolve_queue.ts";
@@ -53,16 +56,24 @@
 interface ServiceCandidates {
   readonly candidates: CandidateWorker[];
   readonly instances: Map<string, WorkerInstance>;
+  readonly unplaceable: UnplaceableRequests;
 }
 
+/** Collects the workers of the services that have pending work. */
 function collectCandidates(
   options: PlannerOptions,
+  pendingServices: ReadonlyMap<string, unknown>,
 ): Map<string, ServiceCandidates> {
   const { scheduler } = options;
   const services = new Map<string, ServiceCandidates>();
-  const usable = [...scheduler.workers.instances.values()].filter((instance) =>
-    acceptsTasks(instance, options)
-  );
+  const usable: WorkerInstance[] = [];
+  for (const instance of scheduler.workers.instances.values()) {
+    const service = instance.registration?.service;
+    if (
+      service !== undefined && pendingServices.has(service) &&
+      acceptsTasks(instance, options)
+    ) usable.push(instance);
+  }
   const isAvailable = (instance: WorkerInstance) =>
     scheduler.health.isAvailable(instance.workerId);
   const availableServices = new Set(
@@ -76,7 +87,11 @@
     }
     let service = services.get(registration.service);
     if (service === undefined) {
-      service = { candidates: [], instances: new Map() };
+      service = {
+        candidates: [],
+        instances: new Map(),
+        unplaceable: createUnplaceableRequests(),
+      };
       services.set(registration.service, service);
     }
     service.candidates.push(
@@ -103,10 +118,7 @@
     if (createDueOccurrences(job, wallMs)) scheduler.save(job);
     const queue = resolveQueue(config, job.spec);
     for (const occurrence of job.occurrences) {
-      const hasWaiting = listRunnableSteps(job, occurrence).some((tasks) =>
-        tasks.some(({ phase }) => phase === "waiting")
-      );
-      if (!hasWaiting) continue;
+      if (!hasWaitingTasks(job, occurrence)) continue;
       const pending = createPendingOccurrence(job, occurrence, {
         wallMs,
         durationEstimates: scheduler.durationEstimates,
@@ -139,7 +151,9 @@
   config: SchedulerConfig | undefined,
 ): number {
   const { scheduler, tickets, clock, log } = options;
-  const services = collectCandidates(options);
+  const pendingOccurrences = collectPendingOccurrences(options, config);
+  if (pendingOccurrences.size === 0) return 0;
+  const services = collectCandidates(options, pendingOccurrences);
   const nowMs = clock.monotonicMs();
   let placed = 0;
 
@@ -150,7 +164,8 @@
     service: ServiceCandidates,
     request: PlacementRequest,
   ): void {
-    reserveResources(candidate, request);
+    subtractResources(candidate, request.step);
+    // Also counts the task in `tasksByStep`, which the candidate shares with its instance.
     scheduler.place(task, service.instances.get(candidate.workerId)!, {
       run,
       ticket: tickets.find(request.stepId, candidate.workerId),
@@ -169,6 +184,7 @@
     const first = waiting[0];
     if (first === undefined) return;
     const step = getStep(first);
+    if (service.unplaceable.includes(step)) return;
     const id = stepId(first);
     const request: PlacementRequest = {
       stepId: id,
@@ -207,7 +223,10 @@
           : new Map(),
       };
       const candidate = chooseWorker(service.candidates, taskRequest);
-      if (candidate === undefined) return;
+      if (candidate === undefined) {
+        service.unplaceable.record(taskRequest);
+        return;
+      }
       placeTask(task, candidate, task.run + 1, service, taskRequest);
     }
   }
@@ -239,9 +258,7 @@
     });
   }
 
-  for (
-    const [name, occurrences] of collectPendingOccurrences(options, config)
-  ) {
+  for (const [name, occurrences] of pendingOccurrences) {
     const service = services.get(name);
     if (service === undefined) continue;
     occurrences.sort(comparePendingOccurrences);
--- a/src/scheduler/placement_test.ts
+++ b/src/scheduler/placement_test.ts
@@ -5,6 +5,7 @@
   type CandidateWorker,
   chooseGangWorkers,
   chooseWorker,
+  createUnplaceableRequests,
   type PlacementRequest,
   reserveResources,
 } from "./placement.ts";
@@ -177,4 +178,28 @@
   assert.equal(candidates[0]!.free.cpuMillis, 8_000);
 });
 
+// Guards against a backlog that hides a smaller task which still fits, or a constrained one that says nothing about others.
+test("a request without room rules out just those that need at least as much", () => {
+  const unplaceable = createUnplaceableRequests();
+  unplaceable.record(createRequest({
+    taskCount: 1,
+    cpuMillis: 4_000,
+    memoryMb: 2_000,
+  }));
+  unplaceable.record(createRequest({
+    taskCount: 1,
+    cpuMillis: 100,
+    requiredLabel: "b",
+  }));
+  const includes = (cpuMillis: number, memoryMb: number, fills = false) =>
+    unplaceable.includes(
+      stepSchema.parse({ taskCount: 1, cpuMillis, memoryMb, fills }),
+    );
+  assert.equal(includes(4_000, 2_000), true);
+  assert.equal(includes(5_000, 3_000), true);
+  assert.equal(includes(3_999, 9_000), false);
+  assert.equal(includes(9_000, 1_999), false);
+  assert.equal(includes(9_000, 9_000, true), false);
+});
+
 test.run();
--- a/src/scheduler/pool_balancer.ts
+++ b/src/scheduler/pool_balancer.ts
@@ -2,13 +2,12 @@
 import type { Logger } from "../logger.ts";
 import type { DemandForecast } from "./demand_forecast.ts";
 import { createPendingOccurrence } from "./job_order.ts";
-import { getStep, listRunnableSteps } from "./job_state.ts";
+import { getStep, hasWaitingTasks, listRunnableSteps } from "./job_state.ts";
 import type { Step } from "./model.ts";
 import { reservedCpuMillis } from "./placement.ts";
 import { type PlannedPool, type PlannedVm, planPools } from "./pool_plan.ts";
 import type { Resources, SchedulerConfig } from "./ports.ts";
 import { resolveQueue } from "./resolve_queue.ts";
-import { instancesOnVm } from "./worker_table.ts";
 import type { Scheduler } from "./scheduler.ts";
 import type { VmStates } from "./vm_states.ts";
 
@@ -88,15 +87,20 @@
     const late = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
     const wallMs = clock.wallMs();
     let longestWaitMs = 0;
-    for (const instance of scheduler.workers.instances.values()) {
-      if (instance.registration?.service !== service) continue;
-      for (const task of instance.tasks) addResources(used, getStep(task), 1);
+    for (
+      const { registration, tasks } of scheduler.workers.instances.values()
+    ) {
+      if (registration?.service !== service) continue;
+      used.cpuMillis += tasks.reserved.cpuMillis;
+      used.memoryMb += tasks.reserved.memoryMb;
+      used.gpuCount += tasks.reserved.gpuCount;
     }
     for (const job of scheduler.jobs.values()) {
       if (job.status !== "active") continue;
       const queue = resolveQueue(config, job.spec);
       if (queue.service !== service) continue;
       for (const occurrence of job.occurrences) {
+        if (!hasWaitingTasks(job, occurrence)) continue;
         for (const tasks of listRunnableSteps(job, occurrence)) {
           const waitingTasks = tasks.filter(({ phase }) => phase === "waiting");
           if (waitingTasks.length > 0) {
@@ -143,21 +147,21 @@
         lastBusyAtMs.set(vm.vmId, nowMs);
         continue;
       }
-      const instances = instancesOnVm(
-        scheduler.workers.instances.values(),
-        vm.vmId,
-      );
-      const tasks = vmStates.listTasks(vm.vmId);
-      if (tasks.length > 0 || !lastBusyAtMs.has(vm.vmId)) {
+      const instances = scheduler.workers.listByVm(vm.vmId);
+      let taskCount = 0;
+      let longRunningTasks = 0;
+      for (const { tasks } of instances) {
+        taskCount += tasks.size;
+        longRunningTasks += tasks.longRunningCount;
+      }
+      if (taskCount > 0 || !lastBusyAtMs.has(vm.vmId)) {
         lastBusyAtMs.set(vm.vmId, nowMs);
       }
       plannedVms.push({
         vmId: vm.vmId,
         pool: vm.pool,
-        taskCount: tasks.length,
-        longRunningTasks: tasks.filter((task) =>
-          getStep(task).longRunning
-        ).length,
+        taskCount,
+        longRunningTasks,
         idleMs: nowMs - (lastBusyAtMs.get(vm.vmId) ?? nowMs),
         cordoned: vmStates.cordonedForMove.has(vm.vmId),
         movable: vmStates.isOrderable(vm) &&
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -9,6 +9,7 @@
 } from "./job_state.ts";
 import type { Journal, JournalRecord } from "./journal.ts";
 import { type JobSpec, jobSpecSchema } from "./model.ts";
+import { PlacedTasks } from "./placed_tasks.ts";
 import type { ActiveRunReport, EndedRunReport, OrderOutcome } from "./ports.ts";
 import type { WorkerInstance } from "./worker_table.ts";
 import { createScheduler } from "./scheduler.ts";
@@ -69,7 +70,7 @@
     link,
     registration: undefined,
     missingSinceMs: undefined,
-    tasks: new Set(),
+    tasks: new PlacedTasks(),
     joinedAtMs: 0,
     earlierLeasesEndMs: 0,
   };
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -57,6 +57,8 @@
 const TAKEOVER_REQUEST_INTERVAL_MS = 500;
 /** Minimum pause between two planning rounds, in ms. */
 const PLAN_INTERVAL_MS = 12;
+/** Minimum pause after a planning round relative to its duration, so that planning leaves time for the workers' reports. */
+const PLAN_PAUSE_FACTOR = 3;
 /** Longest time between two planning rounds, in ms, because no event announces due occurrences and the end of pauses. */
 const PLAN_TIMEOUT_MS = 100;
 /** Interval of the checks for unreachable workers and stalled tasks, in ms. */
@@ -271,6 +273,7 @@
   function* planLoop(): Operation<void> {
     for (;;) {
       yield* planWake.wait(PLAN_TIMEOUT_MS);
+      const startedAtMs = clock.monotonicMs();
       if (mayOrder()) {
         planPlacements({
           scheduler,
@@ -280,7 +283,10 @@
           isCordoned: fleet.isCordoned,
         }, options.config());
       }
-      yield* sleep(PLAN_INTERVAL_MS);
+      const durationMs = clock.monotonicMs() - startedAtMs;
+      yield* sleep(
+        Math.max(PLAN_INTERVAL_MS, durationMs * PLAN_PAUSE_FACTOR),
+      );
     }
   }
 
--- a/src/scheduler/vm_states.ts
+++ b/src/scheduler/vm_states.ts
@@ -4,11 +4,7 @@
 import type { Logger } from "../logger.ts";
 import type { TaskState } from "./job_state.ts";
 import type { VmApi, VmInfo } from "./ports.ts";
-import {
-  instancesOnVm,
-  tasksOnVm,
-  type WorkerInstance,
-} from "./worker_table.ts";
+import { tasksOnVm, type WorkerInstance } from "./worker_table.ts";
 import type { Scheduler } from "./scheduler.ts";
 import type { VmOrder, VmOrders } from "./vm_orders.ts";
 
@@ -169,7 +165,7 @@
     vmOrder: VmOrder,
     onDone?: () => void,
   ): void {
-    const instances = instancesOnVm(scheduler.workers.instances.values(), vmId);
+    const instances = scheduler.workers.listByVm(vmId);
     const listedVm = vms.get(vmId);
     orders.send(vmId, vmOrder, (result) => {
       if (result === "fenced") return options.onFenced();
@@ -202,7 +198,7 @@
     returning,
     cordonedForMove,
     cordonedForMaintenance,
-    listTasks: (vmId) => tasksOnVm(scheduler.workers.instances.values(), vmId),
+    listTasks: (vmId) => tasksOnVm(scheduler.workers, vmId),
     isOrderable,
     isCordoned: (vmId) =>
       cordonedForMove.has(vmId) || cordonedForMaintenance.has(vmId) ||
--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../logger.ts";
 import { createNotifier } from "../notifier.ts";
 import { getStep } from "./job_state.ts";
+import { PlacedTasks } from "./placed_tasks.ts";
 import type {
   PlatformRecordCodec,
   StoredItem,
@@ -77,8 +78,7 @@
       existingInstance.link.updateRegistration(registration);
       return;
     }
-    for (const other of [...workers.instances.values()]) {
-      if (other.workerId !== registration.workerId) continue;
+    for (const other of workers.listByWorker(registration.workerId)) {
       if (other.bornAtMs > registration.bornAtMs) return;
       if (other.bornAtMs < registration.bornAtMs) {
         removeInstance(other, "the worker has restarted");
@@ -105,7 +105,7 @@
       link,
       registration,
       missingSinceMs: undefined,
-      tasks: existingInstance?.tasks ?? new Set(),
+      tasks: existingInstance?.tasks ?? new PlacedTasks(),
       joinedAtMs: clock.monotonicMs(),
       earlierLeasesEndMs,
     };
--- a/src/scheduler/worker_table.ts
+++ b/src/scheduler/worker_table.ts
@@ -1,6 +1,6 @@
 import type { TaskState } from "./job_state.ts";
-import { getStep, stepId } from "./job_state.ts";
-import { type CandidateWorker, reserveResources } from "./placement.ts";
+import type { PlacedTasks } from "./placed_tasks.ts";
+import type { CandidateWorker } from "./placement.ts";
 import type { WorkerRegistration } from "./ports.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
@@ -16,7 +16,7 @@
   registration: WorkerRegistration | undefined;
   /** Monotonic time at which the registration disappeared, in ms; undefined while it exists. */
   missingSinceMs: number | undefined;
-  readonly tasks: Set<TaskState>;
+  readonly tasks: PlacedTasks;
   /** Monotonic time at which the owner learned of the instance, in ms. */
   readonly joinedAtMs: number;
   /** Monotonic time until which leases of earlier owners may last, in ms. */
@@ -37,69 +37,97 @@
   find(workerId: string, bornAtMs: number): WorkerInstance | undefined;
   /** Returns the registered instance of a worker; undefined if there is none. */
   findRegistered(workerId: string): WorkerInstance | undefined;
+  /** Returns all instances of a worker, of which at most one is registered. */
+  listByWorker(workerId: string): WorkerInstance[];
+  /** Returns all instances on a VM, not only the one in the platform's list, which may predate the latest registration. */
+  listByVm(vmId: string): WorkerInstance[];
+}
+
+/** Instances by a key that several of them may share. */
+type InstanceIndex = Map<string, Set<WorkerInstance>>;
+
+function addToIndex(
+  index: InstanceIndex,
+  key: string,
+  instance: WorkerInstance,
+): void {
+  const instances = index.get(key);
+  if (instances === undefined) index.set(key, new Set([instance]));
+  else instances.add(instance);
+}
+
+function removeFromIndex(
+  index: InstanceIndex,
+  key: string,
+  instance: WorkerInstance,
+): void {
+  const instances = index.get(key);
+  instances?.delete(instance);
+  if (instances?.size === 0) index.delete(key);
 }
 
 /** Creates an empty worker table. */
 export function createWorkerTable(): WorkerTable {
   const instances = new Map<string, WorkerInstance>();
+  const byWorker: InstanceIndex = new Map();
+  const byVm: InstanceIndex = new Map();
+
+  function remove(instance: WorkerInstance): void {
+    const key = instanceKey(instance.workerId, instance.bornAtMs);
+    if (instances.get(key) === instance) instances.delete(key);
+    removeFromIndex(byWorker, instance.workerId, instance);
+    removeFromIndex(byVm, instance.vmId, instance);
+  }
+
   return {
     instances,
-    add: (instance) =>
-      void instances.set(
-        instanceKey(instance.workerId, instance.bornAtMs),
-        instance,
-      ),
-    remove: (instance) =>
-      void instances.delete(instanceKey(instance.workerId, instance.bornAtMs)),
+    add(instance) {
+      const key = instanceKey(instance.workerId, instance.bornAtMs);
+      const replaced = instances.get(key);
+      if (replaced !== undefined) remove(replaced);
+      instances.set(key, instance);
+      addToIndex(byWorker, instance.workerId, instance);
+      addToIndex(byVm, instance.vmId, instance);
+    },
+    remove,
     find: (workerId, bornAtMs) =>
       instances.get(instanceKey(workerId, bornAtMs)),
     findRegistered(workerId) {
-      for (const instance of instances.values()) {
-        if (
-          instance.workerId === workerId && instance.registration !== undefined
-        ) {
-          return instance;
-        }
+      for (const instance of byWorker.get(workerId) ?? []) {
+        if (instance.registration !== undefined) return instance;
       }
       return undefined;
     },
+    listByWorker: (workerId) => [...byWorker.get(workerId) ?? []],
+    listByVm: (vmId) => [...byVm.get(vmId) ?? []],
   };
 }
 
-/** Returns all worker instances on a VM, not only the one in the platform's list, which may predate the latest registration. */
-export function instancesOnVm(
-  instances: Iterable<WorkerInstance>,
-  vmId: string,
-): WorkerInstance[] {
-  return [...instances].filter((instance) => instance.vmId === vmId);
-}
-
 /** Returns the tasks that an order for a VM would end. */
-export function tasksOnVm(
-  instances: Iterable<WorkerInstance>,
-  vmId: string,
-): TaskState[] {
-  return instancesOnVm(instances, vmId).flatMap(({ tasks }) => [...tasks]);
+export function tasksOnVm(table: WorkerTable, vmId: string): TaskState[] {
+  return table.listByVm(vmId).flatMap(({ tasks }) => [...tasks]);
 }
 
-/** Creates the placement candidate for an instance, with its free resources; tasks that are being stopped still occupy theirs. */
+/** Creates the placement candidate for an instance, with its free resources. */
 export function createCandidate(
   instance: WorkerInstance,
   registration: WorkerRegistration,
   slowness: number,
 ): CandidateWorker {
-  const candidate: CandidateWorker = {
+  const { capacity } = registration;
+  const { reserved, countByStep, longRunningCount } = instance.tasks;
+  return {
     workerId: instance.workerId,
     rack: registration.rack,
     labels: registration.labels,
-    capacity: registration.capacity,
-    free: { ...registration.capacity },
-    tasksByStep: new Map(),
-    longRunningTasks: 0,
+    capacity,
+    free: {
+      cpuMillis: capacity.cpuMillis - reserved.cpuMillis,
+      memoryMb: capacity.memoryMb - reserved.memoryMb,
+      gpuCount: capacity.gpuCount - reserved.gpuCount,
+    },
+    tasksByStep: countByStep,
+    longRunningTasks: longRunningCount,
     slowness,
   };
-  for (const task of instance.tasks) {
-    reserveResources(candidate, { stepId: stepId(task), step: getStep(task) });
-  }
-  return candidate;
 }
