feat(relay): entries relay the owner's orders to the workers of their data centre

Weighed: an owner for each group of pools. Pools lend to each other at all times and fences are per VM, so every move would need two owners to agree. Change: from 100 workers on, orders pass in batches through one relay per 100 workers of a data centre, with one more connected. Leases, fences, run numbers and records stay with the owner; a relay's failure counts as an unanswered order, polls are repeated directly. Relays drop orders after a pause of their process and refuse the channel of an earlier owner.

--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -16,6 +16,8 @@
   type Tenure,
 } from "./ownership.ts";
 import type { RecordStore, StoredItem } from "./ports.ts";
+import type { RelayOffer } from "./relay/control.ts";
+import { createRelayOffers } from "./relay/offers.ts";
 import {
   createTenureRunner,
   type OwnerApi,
@@ -55,6 +57,7 @@
   readonly store: RecordStore;
   readonly self: { readonly entryId: string; readonly address: string };
   readonly seedPeers: readonly string[];
+  readonly dataCentre: string;
   /** Creates a client of the entry at an address. */
   readonly connect: (address: string) => EntryClient;
   /** Checks whether a connection to the entry at an address can be opened. */
@@ -87,6 +90,8 @@
   discoverOwner(): void;
   /** Takes over from an owner that has requested it; returns false if this entry can't. */
   replaceOwner(epoch: number): boolean;
+  /** Adds a relay if this entry is the owner; returns false if it isn't. */
+  addRelay(offer: RelayOffer): boolean;
   /** Checks whether this entry can connect to the one at an address. */
   reaches(address: string): Promise<boolean>;
   /** Records the IP address of an entry that has called this one. */
@@ -106,6 +111,14 @@
     ...options,
     selfAddress: self.address,
   });
+  const relayOffers = options.candidateDelayMs > 0
+    ? undefined
+    : createRelayOffers({
+      offer: { address: self.address, dataCentre: options.dataCentre },
+      client: directory.client,
+      isLatest: ({ epoch }) => !stopping && knownOwner?.epoch === epoch,
+      log,
+    });
   /** Epochs in which this process was elected. */
   const electedEpochs = new Set<number>();
   let knownOwner: Owner | undefined;
@@ -129,6 +142,9 @@
         epoch: owner?.epoch,
       });
       knownOwnerSinceMs = clock.monotonicMs();
+      if (owner !== undefined && owner.address !== self.address) {
+        relayOffers?.offerTo(owner);
+      }
     }
     knownOwner = owner;
     if (currentTenure !== undefined && owner?.epoch !== currentTenure.epoch) {
@@ -365,6 +381,10 @@
       );
       return true;
     },
+    addRelay(offer) {
+      currentTenure?.runner.addRelay(offer);
+      return currentTenure !== undefined;
+    },
     reaches: options.probe,
     recordCaller: directory.recordCaller,
     stop() {
@@ -402,6 +422,7 @@
     owner: () => Promise.resolve(undefined),
     replaceOwner: () => Promise.resolve(false),
     reaches: () => Promise.resolve(false),
+    offerRelay: () => Promise.resolve(),
     close() {},
   };
 }
--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -7,7 +7,7 @@
   type ServerResponse,
 } from "node:http";
 import { App } from "@tinyhttp/app";
-import { type Operation, race, sleep, spawn, suspend } from "effection";
+import { ensure, type Operation, race, sleep, spawn, suspend } from "effection";
 import { type Clock } from "../clock.ts";
 import { closeGracefully, useListeningServer } from "../http_server.ts";
 import { messageOf, StoreError } from "../errors.ts";
@@ -25,6 +25,7 @@
 } from "./peer_router.ts";
 import { STORE_KEYS } from "./ownership.ts";
 import type { RecordStore } from "./ports.ts";
+import type { RelayServer } from "./relay/server.ts";
 import type { RequestStats } from "./request_stats.ts";
 import type { SchedulerSettings } from "./settings.ts";
 import type { StoreHealth } from "./store_health.ts";
@@ -51,6 +52,7 @@
   readonly frontend: JobFrontend;
   readonly stats: RequestStats;
   readonly supervisor: Supervisor;
+  readonly relayServer: RelayServer;
   readonly signals: StopSignals;
   /** Creates the listener of the callers' port, which closes connections once `isStopping` returns true. */
   readonly createCallerListener: (isStopping: () => boolean) => RequestListener;
@@ -139,6 +141,10 @@
     owner: () => election.owner() ?? null,
     replaceOwner: (epoch) => election.replaceOwner(epoch),
     reaches: (address) => election.reaches(address),
+    offerRelay: (offer) =>
+      election.addRelay(offer)
+        ? { kind: "reply", value: true }
+        : { kind: "not_owner" },
     recordCaller: (ip) => election.recordCaller(ip),
   };
 }
@@ -147,8 +153,16 @@
 export function* runSchedulerEntry(
   dependencies: SchedulerEntryDependencies,
 ): Operation<number> {
-  const { settings, clock, log, election, operator, stats, supervisor } =
-    dependencies;
+  const {
+    settings,
+    clock,
+    log,
+    election,
+    operator,
+    relayServer,
+    stats,
+    supervisor,
+  } = dependencies;
   let stopping = false;
 
   function unreadyReasons(): string[] {
@@ -231,9 +245,10 @@
   const { listen } = settings;
   yield* supervisor.start({ name: "operator", run: () => operator.run() });
   yield* supervisor.start({ name: "election", run: () => election.run() });
-  yield* supervisor.start(
-    serve("peers", createServer(onPeerRequest), listen.peers),
-  );
+  const peerServer = createServer(onPeerRequest);
+  peerServer.on("upgrade", relayServer.onUpgrade);
+  yield* ensure(() => relayServer.close());
+  yield* supervisor.start(serve("peers", peerServer, listen.peers));
   yield* supervisor.start(
     serve("readiness", createServer(onReadiness), listen.readiness),
   );
@@ -245,6 +260,7 @@
   log.info("stopping", { graceMs });
   const startedAtMs = clock.monotonicMs();
   election.stop();
+  relayServer.stop();
   yield* race([sleep(DRAIN_DELAY_MS), dependencies.signals.next()]);
   const usedMs = clock.monotonicMs() - startedAtMs;
   yield* closeGracefully(
--- a/src/scheduler/entry_client.ts
+++ b/src/scheduler/entry_client.ts
@@ -5,6 +5,7 @@
 import { createPoolFetch } from "../trpc_fetch.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
 import type { Owner } from "./ownership.ts";
+import type { RelayOffer } from "./relay/control.ts";
 import type { OwnerReply, SchedulerRouter, StoreReply } from "./peer_router.ts";
 
 /** Timeout of a call between entries, in ms; a response normally takes a few ms, and a caller waits about 3 s. */
@@ -38,6 +39,8 @@
   owner(): Promise<Owner | undefined>;
   replaceOwner(epoch: number): Promise<boolean>;
   reaches(address: string): Promise<boolean>;
+  /** Offers the calling entry as a relay to the owner. */
+  offerRelay(offer: RelayOffer): Promise<void>;
   close(): void;
 }
 
@@ -120,6 +123,10 @@
         (signal) => client.reaches.query({ address: target }, { signal }),
         PROBE_CALL_TIMEOUT_MS,
       ),
+    offerRelay: async (offer) =>
+      void await callOwner((signal) =>
+        client.offerRelay.mutate(offer, { signal })
+      ),
     close: () => void pool.destroy(),
   };
 }
--- a/src/scheduler/peer_router.ts
+++ b/src/scheduler/peer_router.ts
@@ -3,6 +3,7 @@
 import { z } from "zod";
 import { type JobSpec, jobSpecSchema, type JobStatus } from "./model.ts";
 import type { Owner } from "./ownership.ts";
+import type { RelayOffer } from "./relay/control.ts";
 
 /** Maximum size of a request body between entries, in bytes; a job has at most 256 KB. */
 const MAXIMUM_REQUEST_BYTES = 524_288;
@@ -41,6 +42,8 @@
   replaceOwner(epoch: number): boolean;
   /** Checks whether this entry can connect to the entry at an address. */
   reaches(address: string): Promise<boolean>;
+  /** Adds an entry that offers to send orders to workers for the owner. */
+  offerRelay(offer: RelayOffer): OwnerReply<true>;
   /** Records the IP address of the calling entry. */
   recordCaller(ip: string): void;
 }
@@ -74,6 +77,9 @@
   reaches: trpc.procedure.input(z.object({ address: z.string() })).query((
     { input, ctx },
   ) => ctx.handlers.reaches(input.address)),
+  offerRelay: trpc.procedure.input(
+    z.object({ address: z.string(), dataCentre: z.string() }),
+  ).mutation(({ input, ctx }) => ctx.handlers.offerRelay(input)),
 });
 
 /** Type of the tRPC router for calls between entries. */
--- a/src/scheduler/ports.ts
+++ b/src/scheduler/ports.ts
@@ -76,10 +76,11 @@
   readonly remainingMs: number | undefined;
 }
 
-/** ID and address of a worker instance. */
+/** ID, address and data centre of a worker instance. */
 export interface WorkerAddress {
   readonly workerId: string;
   readonly address: string;
+  readonly dataCentre: string;
 }
 
 /** How a run ended on its worker. */
@@ -176,7 +177,7 @@
     order: { taskId: string; run: number; percent: number; fence: number },
   ): Promise<OrderOutcome>;
   /** Closes the connections to a worker that no longer exists. */
-  close(address: string): void;
+  close(worker: WorkerAddress): void;
 }
 
 /** A VM in the platform's VM list. */
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -1,4 +1,5 @@
 import {
+  ensure,
   type Operation,
   race,
   scoped,
@@ -33,6 +34,8 @@
   WaveRequest,
   WorkerControl,
 } from "./ports.ts";
+import { openRelayChannel } from "./relay/channel.ts";
+import { createRelayedControl, type RelayOffer } from "./relay/control.ts";
 import { resolveQueue } from "./resolve_queue.ts";
 import { createScheduler, type Scheduler } from "./scheduler.ts";
 import { relocateStragglers } from "./stragglers.ts";
@@ -111,6 +114,8 @@
 
 /** Runs the owner during one tenure; `run` returns the reason why the tenure ended. */
 export interface TenureRunner {
+  /** Adds an entry that sends orders to the workers of its data centre for this owner. */
+  addRelay(offer: RelayOffer): void;
   /** Returns undefined until the records are loaded and after the tenure has ended. */
   api(): OwnerApi | undefined;
   /** Gives up ownership at once. */
@@ -181,8 +186,17 @@
   const earlierLeasesEndMs = tenure.epoch === 1
     ? startedAtMs
     : startedAtMs + STORE_SILENCE_LIMIT_MS + RUN_LEASE_MS * 1.03 + 500;
+  const control = createRelayedControl({
+    direct: options.control,
+    openChannel: (address) =>
+      openRelayChannel(address, { epoch: tenure.epoch, log }),
+    countWorkers: () => scheduler.workers.instances.size,
+    clock,
+    log,
+  });
   const workers = createWorkerRegistry({
     ...options,
+    control,
     scheduler,
     tickets,
     fence: tenure.epoch,
@@ -413,6 +427,7 @@
       sinceMs: clock.wallMs() - startedAtWallMs,
       storeContactAgeMs: Math.round(storeContact.elapsedMs()),
       pendingRecords: journal.pending(),
+      relays: control.describe(),
       counters: scheduler.counters,
       fleet: fleet.describe(),
       workers: [...scheduler.workers.instances.values()].map((instance) => ({
@@ -434,12 +449,14 @@
   return {
     api: () => loaded && endReason === undefined ? api : undefined,
     resign: () => resign("this entry is stopping"),
+    addRelay: control.addRelay,
     hasResigned: () => resigning,
     abandon: endTenure,
     *run() {
-      const reason = yield* scoped(() =>
-        race([waitUntilEnded(), runTasks() as Operation<never>])
-      );
+      const reason = yield* scoped(function* () {
+        yield* ensure(() => control.closeRelays());
+        return yield* race([waitUntilEnded(), runTasks() as Operation<never>]);
+      });
       log.info("owner ended", { epoch: tenure.epoch, reason });
       return reason;
     },
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -23,6 +23,7 @@
   VmApi,
   WorkerControl,
 } from "./ports.ts";
+import { createRelayServer } from "./relay/server.ts";
 import { createRequestStats, type RequestStats } from "./request_stats.ts";
 import { resolveCandidateDelayMs, type SchedulerSettings } from "./settings.ts";
 import { createStoreHealth, type StoreHealth } from "./store_health.ts";
@@ -96,6 +97,7 @@
       entryId: settings.entryId,
       self: { entryId: settings.entryId, address: settings.listen.peers },
       seedPeers: settings.seedPeers,
+      dataCentre: settings.dataCentre,
       connect: createEntryClient,
       probe: canConnect,
       onStoreResponse: () => scope.resolve(TOKENS.health).recordSuccess(),
@@ -149,6 +151,11 @@
     health: scope.resolve(TOKENS.health),
     election: scope.resolve(TOKENS.election),
     supervisor: scope.resolve(TOKENS.supervisor),
+    relayServer: createRelayServer({
+      control: adapters.control,
+      clock: scope.resolve(TOKENS.clock),
+      log: log.loggers("relay"),
+    }),
     signals: options.signals,
     createCallerListener: (isStopping) =>
       createJobListener({
--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -124,8 +124,8 @@
     scheduler.removeInstance(instance, reason);
     instance.link?.close();
     options.tickets.forgetWorker(instance.workerId);
-    if (instance.registration !== undefined) {
-      options.control.close(instance.registration.address);
+    if (instance.link !== undefined) {
+      options.control.close(instance.link.registration);
     }
     options.onChange();
   }
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -216,6 +216,8 @@
       replaceOwner: (epoch) =>
         callEntry((handlers) => handlers.replaceOwner(epoch)),
       reaches: (target) => callEntry((handlers) => handlers.reaches(target)),
+      offerRelay: async (offer) =>
+        void await callOwner((handlers) => handlers.offerRelay(offer)),
       close() {},
     };
   }
@@ -234,6 +236,7 @@
       advice: { advise: () => Promise.resolve(undefined) },
       entryId: id,
       self: { entryId: id, address: peerAddressOf(id) },
+      dataCentre: "dc-1",
       seedPeers: ["entry-1", "entry-2", "entry-3"].map(peerAddressOf),
       connect: (address) => this.#connect(id, address, isUp),
       probe: (address) => this.#probe(id, address),
--- a/testing/soak/platform_host.ts
+++ b/testing/soak/platform_host.ts
@@ -186,7 +186,7 @@
   { url, body }: JsonCall,
 ): Promise<JsonReply | undefined> {
   const requestFields = body as RequestFields;
-  const worker = { workerId, address: "" };
+  const worker = { workerId, address: "", dataCentre: "" };
   const fencingToken = requestFields["fencing-token"] ?? 0;
   const order = {
     taskId: requestFields.task ?? "",
