perf(peers): calls between entries without the adapter's web streams

Change: the endpoint that gossip already used serves all calls between entries; validation stays with the procedures.

--- a/src/peers/client.ts
+++ b/src/peers/client.ts
@@ -6,8 +6,7 @@
 import { sendHttpCall } from "../http_call.ts";
 import { createPoolFetch } from "../trpc_fetch.ts";
 import type { ByteMeter } from "./byte_meter.ts";
-import { EXCHANGE_PATH } from "./exchange_endpoint.ts";
-import type { PeerRouter } from "./router.ts";
+import { EXCHANGE_PATH, type PeerRouter } from "./router.ts";
 import {
   type ConfigRevisionReport,
   type ExchangeReply,
--- a/src/peers/router.ts
+++ b/src/peers/router.ts
@@ -1,9 +1,9 @@
-import { createServer, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server } from "node:http";
 import { initTRPC } from "@trpc/server";
 import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { z } from "zod";
+import { serveTrpcCall } from "../trpc_endpoint.ts";
 import type { ByteMeter } from "./byte_meter.ts";
-import { isExchange, serveExchange } from "./exchange_endpoint.ts";
 import {
   type ConfigRevisionReport,
   configRevisionReportSchema,
@@ -17,6 +17,9 @@
 /** Time after which an idle connection is closed, in ms; longer than a gossip cycle through 27 peers. */
 const IDLE_CONNECTION_TIMEOUT_MS = 60_000;
 
+/** Path of the gossip call. */
+export const EXCHANGE_PATH = "exchange";
+
 const bodyRequestSchema = z.object({ aboveRevision: z.number().int() });
 
 /** Handlers of the calls that peers make to this entry. */
@@ -57,6 +60,12 @@
 /** Type of the tRPC router for the calls between entries. */
 export type PeerRouter = typeof peerRouter;
 
+/** Whether the request is a gossip call; all others go to tRPC's adapter. */
+function isExchange(request: IncomingMessage): boolean {
+  return request.method === "POST" && request.url === `/${EXCHANGE_PATH}` &&
+    request.headers["content-type"] === "application/json";
+}
+
 /** Creates the HTTP server for peers' calls; it isn't listening yet. */
 export function createPeerServer(
   handlers: PeerHandlers,
@@ -70,13 +79,13 @@
   });
   const caller = createCaller({ handlers });
   const options = {
+    path: EXCHANGE_PATH,
     maximumBytes: MAXIMUM_REQUEST_BYTES,
-    // The procedure validates the input against its schema.
-    exchange: (input: unknown) => caller.exchange(input as ExchangeRequest),
+    call: (input: unknown) => caller.exchange(input as ExchangeRequest),
   };
   const server = createServer((request, response) => {
     response.sendDate = false;
-    if (isExchange(request)) void serveExchange(request, response, options);
+    if (isExchange(request)) void serveTrpcCall(request, response, options);
     else trpcHandler(request, response);
   });
   server.keepAliveTimeout = IDLE_CONNECTION_TIMEOUT_MS;
--- a/src/scheduler/peer_router.ts
+++ b/src/scheduler/peer_router.ts
@@ -1,6 +1,7 @@
-import { initTRPC } from "@trpc/server";
-import { createHTTPHandler } from "@trpc/server/adapters/standalone";
+import type { RequestListener } from "node:http";
+import { initTRPC, TRPCError } from "@trpc/server";
 import { z } from "zod";
+import { serveTrpcCall } from "../trpc_endpoint.ts";
 import { type JobSpec, jobSpecSchema, type JobStatus } from "./model.ts";
 import type { Owner } from "./ownership.ts";
 import type { RelayOffer } from "./relay/control.ts";
@@ -85,15 +86,35 @@
 /** Type of the tRPC router for calls between entries. */
 export type SchedulerRouter = typeof schedulerRouter;
 
+const createCaller = trpc.createCallerFactory(schedulerRouter);
+
 /** Creates the HTTP handler for calls from other entries. */
-export function createPeerHandler(handlers: PeerHandlers) {
-  return createHTTPHandler({
-    router: schedulerRouter,
-    createContext({ req }) {
-      handlers.recordCaller(req.socket.remoteAddress ?? "");
-      return { handlers };
-    },
-    maxBodySize: MAXIMUM_REQUEST_BYTES,
-    allowBatching: false,
-  });
+export function createPeerHandler(handlers: PeerHandlers): RequestListener {
+  const procedures: Readonly<
+    Record<string, ((input: never) => Promise<unknown>) | undefined>
+  > = createCaller({ handlers });
+  const kinds: Readonly<
+    Record<string, { _def: { type: string } } | undefined>
+  > = schedulerRouter._def.procedures;
+
+  return (request, response) => {
+    handlers.recordCaller(request.socket.remoteAddress ?? "");
+    const path = (request.url ?? "").split("?")[0]!.slice(1);
+    const kind = Object.hasOwn(kinds, path)
+      ? kinds[path]?._def.type
+      : undefined;
+    void serveTrpcCall(request, response, {
+      path,
+      maximumBytes: MAXIMUM_REQUEST_BYTES,
+      call(input) {
+        if (kind !== (request.method === "POST" ? "mutation" : "query")) {
+          throw new TRPCError({
+            code: "NOT_FOUND",
+            message: `no procedure ${request.method} ${path}`,
+          });
+        }
+        return procedures[path]!(input as never);
+      },
+    });
+  };
 }
--- a/src/peers/exchange_endpoint.ts
+++ b/src/trpc_endpoint.ts
@@ -3,15 +3,6 @@
 import { getHTTPStatusCodeFromError } from "@trpc/server/http";
 import { TRPC_ERROR_CODES_BY_KEY } from "@trpc/server/rpc";
 
-/** Path of the gossip call in tRPC's HTTP format. */
-export const EXCHANGE_PATH = "exchange";
-
-/** Whether `serveExchange` can handle the request; all others go to tRPC's adapter. */
-export function isExchange(request: IncomingMessage): boolean {
-  return request.method === "POST" && request.url === `/${EXCHANGE_PATH}` &&
-    request.headers["content-type"] === "application/json";
-}
-
 // Uses events, because an async iterator costs more than reading the few chunks.
 function readBody(
   request: IncomingMessage,
@@ -32,11 +23,7 @@
   });
 }
 
-async function readJsonBody(
-  request: IncomingMessage,
-  maximumBytes: number,
-): Promise<unknown> {
-  const text = await readBody(request, maximumBytes);
+function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
   } catch (cause) {
@@ -44,34 +31,60 @@
   }
 }
 
-function toErrorBody(error: TRPCError, httpStatus: number): unknown {
-  const data = { code: error.code, httpStatus, path: EXCHANGE_PATH };
+async function readJsonBody(
+  request: IncomingMessage,
+  maximumBytes: number,
+): Promise<unknown> {
+  return parseJson(await readBody(request, maximumBytes));
+}
+
+/** Reads the input of a call: from the body of a mutation, or from the URL of a query. */
+async function readInput(
+  request: IncomingMessage,
+  maximumBytes: number,
+): Promise<unknown> {
+  if (request.method === "POST") {
+    return await readJsonBody(request, maximumBytes);
+  }
+  const { searchParams } = new URL(request.url ?? "/", "http://entry");
+  const input = searchParams.get("input");
+  return input === null ? undefined : parseJson(input);
+}
+
+function toErrorBody(
+  error: TRPCError,
+  httpStatus: number,
+  path: string,
+): unknown {
+  const data = { code: error.code, httpStatus, path };
   const code = TRPC_ERROR_CODES_BY_KEY[error.code];
   return { error: { message: error.message, code, data } };
 }
 
 /**
- * Handles one gossip call in tRPC's HTTP format. It bypasses tRPC's adapter,
- * which creates a web request and streams for each call; that took a fifth of an
- * idle entry's CPU profile.
+ * Handles one call in tRPC's HTTP format. It bypasses tRPC's adapter, which
+ * creates a web request and streams for each call; that took a fifth of an idle
+ * entry's CPU profile.
  */
-export async function serveExchange(
+export async function serveTrpcCall(
   request: IncomingMessage,
   response: ServerResponse,
   options: {
+    readonly path: string;
     readonly maximumBytes: number;
-    readonly exchange: (input: unknown) => Promise<unknown>;
+    /** Runs the procedure, which validates the input. */
+    readonly call: (input: unknown) => Promise<unknown>;
   },
 ): Promise<void> {
   let status = 200;
   let body: unknown;
   try {
-    const input = await readJsonBody(request, options.maximumBytes);
-    body = { result: { data: await options.exchange(input) } };
+    const input = await readInput(request, options.maximumBytes);
+    body = { result: { data: await options.call(input) } };
   } catch (cause) {
     const error = getTRPCErrorFromUnknown(cause);
     status = getHTTPStatusCodeFromError(error);
-    body = toErrorBody(error, status);
+    body = toErrorBody(error, status, options.path);
   }
   if (response.destroyed) return;
   // A connection with unread request data can't be reused.
