fix(scheduler): a job waits until a worker has confirmed a run of it

Change: the count holds each job of which no worker has confirmed a run; a new owner counts inherited placements until a report shows the run. Result: test with an unanswered start order, 0 jobs counted before, 1 after.

--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -80,6 +80,8 @@
   recordedStatus: JobState["status"];
   /** Whether a task of the job has ever been placed. */
   started: boolean;
+  /** Whether a worker has confirmed a run of the job, to this owner or, as an end, to an earlier one. */
+  begun: boolean;
   /** Occurrences that have become due; later ones have no state yet. */
   readonly occurrences: Occurrence[];
   finishedOccurrences: number;
@@ -102,6 +104,7 @@
     status: "active",
     recordedStatus: "active",
     started: false,
+    begun: false,
     occurrences: [],
     finishedOccurrences: 0,
   };
@@ -357,6 +360,9 @@
     task.run = taskRecord.run;
     for (const run of taskRecord.failedRuns) task.failedRuns.add(run);
     task.checkpoint = taskRecord.checkpoint;
+    if (taskRecord.p === "d" || taskRecord.failedRuns.length > 0) {
+      job.begun = true;
+    }
     if (taskRecord.p === "d") finishTask(task);
     if (taskRecord.p !== "p") continue;
     task.phase = "placed";
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -77,7 +77,7 @@
   cancel(jobId: string): void;
   /** Returns the status that is reported to callers; undefined if the job is unknown. */
   status(jobId: string): JobStatus | undefined;
-  /** Returns the number of jobs in a queue that have no started task. */
+  /** Returns the number of jobs in a queue of which no worker has confirmed a run. */
   waitingJobs(queue: string): number;
   /** Assigns a task to a worker instance; the start order is sent once the placement is stored. */
   place(
@@ -269,6 +269,7 @@
     const task = findTask(endedRun.taskId);
     if (task === undefined) return;
     const { job } = task;
+    job.begun = true;
     if (
       health.recordEnd(instance.workerId, {
         ending: endedRun.ending,
@@ -349,6 +350,7 @@
     if (placement.startState !== "running") {
       placement.startState = "running";
       placement.confirmedAtMs ??= clock.monotonicMs();
+      task.job.begun = true;
     }
     if (placement.stopReason !== undefined) sendStop(task, placement);
   }
@@ -505,6 +507,7 @@
         counters.starts++;
         placement.startState = "running";
         placement.confirmedAtMs = clock.monotonicMs();
+        task.job.begun = true;
         if (placement.stopReason !== undefined) sendStop(task, placement);
         return;
       case "refused":
@@ -575,7 +578,7 @@
       let count = 0;
       for (const job of jobs.values()) {
         if (
-          job.spec.queue === queue && !job.started &&
+          job.spec.queue === queue && !job.begun &&
           job.recordedStatus === "active"
         ) count++;
       }
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -112,6 +112,27 @@
   return { number, taskId: `${JOB}.0.0.0`, run, ending, checkpoint: "" };
 }
 
+// Guards against a count of waiting jobs that leaves out jobs whose start orders are unanswered or not sent yet.
+test("a job waits until a worker has confirmed a run of it", async () => {
+  const { scheduler, instance, flush, responses, report, openTask } =
+    createTestScheduler();
+  scheduler.accept(spec());
+  const { queue } = spec();
+  responses.start = { kind: "unknown" };
+  scheduler.place(openTask(), instance, { run: 1, ticket: undefined });
+  assert.equal(scheduler.waitingJobs(queue), 1);
+  await flush();
+  assert.equal(scheduler.waitingJobs(queue), 1);
+  report([], [{
+    taskId: `${JOB}.0.0.0`,
+    run: 1,
+    checkpoint: "",
+    percent: 0,
+    loadMetric: 0,
+  }]);
+  assert.equal(scheduler.waitingJobs(queue), 0);
+});
+
 // Guards against a started run that a new owner can't know of.
 test("the start order is sent only after its record is stored", async () => {
   const context = createTestScheduler();
