--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -80,6 +80,8 @@
   recordedStatus: JobState["status"];
   /** Whether a task of the job has ever been placed. */
   started: boolean;
+  /** Whether a worker has confirmed a run of the job, to this owner or, as an end, to an earlier one. */
+  begun: boolean;
   /** Occurrences that have become due; later ones have no state yet. */
   readonly occurrences: Occurrence[];
   finishedOccurrences: number;
@@ -102,6 +104,7 @@
     status: "active",
     recordedStatus: "active",
     started: false,
+    begun: false,
     occurrences: [],
     finishedOccurrences: 0,
   };
@@ -165,19 +168,40 @@
   return added;
 }
 
+function isRunnable(
+  job: JobState,
+  { remaining }: Occurrence,
+  stepIndex: number,
+): boolean {
+  if (remaining[stepIndex] === 0) return false;
+  for (const earlier of job.spec.steps[stepIndex]!.after) {
+    if (remaining[earlier] !== 0) return false;
+  }
+  return true;
+}
+
 /** Returns the tasks of each unfinished step whose dependencies are complete. */
 export function listRunnableSteps(
   job: JobState,
   occurrence: Occurrence,
 ): TaskState[][] {
   return occurrence.steps.filter((_, index) =>
-    occurrence.remaining[index]! > 0 &&
-    job.spec.steps[index]!.after.every((earlier) =>
-      occurrence.remaining[earlier] === 0
-    )
+    isRunnable(job, occurrence, index)
   );
 }
 
+/** Whether a runnable step has a task to place; called for each active job in each planning round. */
+export function hasWaitingTasks(
+  job: JobState,
+  occurrence: Occurrence,
+): boolean {
+  for (const [index, tasks] of occurrence.steps.entries()) {
+    if (!isRunnable(job, occurrence, index)) continue;
+    for (const task of tasks) if (task.phase === "waiting") return true;
+  }
+  return false;
+}
+
 /** Marks a task as done, and its job as completed if this was the last task. */
 export function finishTask(task: TaskState): void {
   if (task.phase === "done") return;
@@ -336,6 +360,9 @@
     task.run = taskRecord.run;
     for (const run of taskRecord.failedRuns) task.failedRuns.add(run);
     task.checkpoint = taskRecord.checkpoint;
+    if (taskRecord.p === "d" || taskRecord.failedRuns.length > 0) {
+      job.begun = true;
+    }
     if (taskRecord.p === "d") finishTask(task);
     if (taskRecord.p !== "p") continue;
     task.phase = "placed";
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -1,4 +1,5 @@
 import {
+  ensure,
   type Operation,
   race,
   scoped,
@@ -17,10 +18,15 @@
 import { createFleetManager, type FleetManager } from "./fleet_manager.ts";
 import { watchPrefix } from "./watch_prefix.ts";
 import { createJournal, type Journal } from "./journal.ts";
-import { watchEventLoopLag } from "./event_loop_lag.ts";
+import { resolveWarmUpMs, watchEventLoopLag } from "./event_loop_lag.ts";
 import { loadJobs, parseStoredJob } from "./load_jobs.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
-import { STORE_KEYS, type Tenure } from "./ownership.ts";
+import {
+  encodeHandover,
+  parseHandoverMs,
+  STORE_KEYS,
+  type Tenure,
+} from "./ownership.ts";
 import { runThrottling } from "./throttling.ts";
 import { planPlacements } from "./placement_planner.ts";
 import type {
@@ -33,7 +39,10 @@
   WaveRequest,
   WorkerControl,
 } from "./ports.ts";
+import { openRelayChannel } from "./relay/channel.ts";
+import { createRelayedControl, type RelayOffer } from "./relay/control.ts";
 import { resolveQueue } from "./resolve_queue.ts";
+import { retryStoreRead } from "./retry_store_read.ts";
 import { createScheduler, type Scheduler } from "./scheduler.ts";
 import { relocateStragglers } from "./stragglers.ts";
 import { createTicketCache, type TicketCache } from "./ticket_cache.ts";
@@ -57,6 +66,8 @@
 const TAKEOVER_REQUEST_INTERVAL_MS = 500;
 /** Minimum pause between two planning rounds, in ms. */
 const PLAN_INTERVAL_MS = 12;
+/** Minimum pause after a planning round relative to its duration, so that planning leaves time for the workers' reports. */
+const PLAN_PAUSE_FACTOR = 3;
 /** Longest time between two planning rounds, in ms, because no event announces due occurrences and the end of pauses. */
 const PLAN_TIMEOUT_MS = 100;
 /** Interval of the checks for unreachable workers and stalled tasks, in ms. */
@@ -100,7 +111,7 @@
   cancel(jobId: string): void;
   /** Returns the status of a job; undefined if the owner doesn't know it. */
   status(jobId: string): JobStatus | undefined;
-  /** Returns the number of jobs in a queue that have no started task. */
+  /** Returns the number of jobs in a queue of which no worker has confirmed a run. */
   waitingJobs(queue: string): number;
   /** Returns the owner's state for the `/dump` endpoint. */
   describeState(): unknown;
@@ -109,6 +120,8 @@
 
 /** Runs the owner during one tenure; `run` returns the reason why the tenure ended. */
 export interface TenureRunner {
+  /** Adds an entry that sends orders to the workers of its data centre for this owner. */
+  addRelay(offer: RelayOffer): void;
   /** Returns undefined until the records are loaded and after the tenure has ended. */
   api(): OwnerApi | undefined;
   /** Gives up ownership at once. */
@@ -179,8 +192,17 @@
   const earlierLeasesEndMs = tenure.epoch === 1
     ? startedAtMs
     : startedAtMs + STORE_SILENCE_LIMIT_MS + RUN_LEASE_MS * 1.03 + 500;
+  const control = createRelayedControl({
+    direct: options.control,
+    openChannel: (address) =>
+      openRelayChannel(address, { epoch: tenure.epoch, log }),
+    countWorkers: () => scheduler.workers.instances.size,
+    clock,
+    log,
+  });
   const workers = createWorkerRegistry({
     ...options,
+    control,
     scheduler,
     tickets,
     fence: tenure.epoch,
@@ -271,6 +293,7 @@
   function* planLoop(): Operation<void> {
     for (;;) {
       yield* planWake.wait(PLAN_TIMEOUT_MS);
+      const startedAtMs = clock.monotonicMs();
       if (mayOrder()) {
         planPlacements({
           scheduler,
@@ -280,7 +303,10 @@
           isCordoned: fleet.isCordoned,
         }, options.config());
       }
-      yield* sleep(PLAN_INTERVAL_MS);
+      const durationMs = clock.monotonicMs() - startedAtMs;
+      yield* sleep(
+        Math.max(PLAN_INTERVAL_MS, durationMs * PLAN_PAUSE_FACTOR),
+      );
     }
   }
 
@@ -364,25 +390,48 @@
     yield* spawn(() => removeEndedJobs());
     yield* spawn(() => fleet.run());
     yield* spawn(() => runThrottling(scheduler, log));
-    yield* spawn(() =>
-      watchEventLoopLag(clock, (meanLagMs) => {
+    yield* spawn(() => handOverWhenSlow());
+    loaded = true;
+    yield* suspend();
+  }
+
+  /** Resigns when this process lags, unless an earlier owner has done so a short time ago. */
+  function* handOverWhenSlow(): Operation<void> {
+    const item = yield* retryStoreRead(
+      () => store.get(STORE_KEYS.slowHandover),
+      log,
+    );
+    const sinceHandoverMs = item === undefined
+      ? Infinity
+      : clock.wallMs() - parseHandoverMs(item);
+    yield* watchEventLoopLag(
+      clock,
+      resolveWarmUpMs(sinceHandoverMs),
+      (meanLagMs) => {
         log.warn("this entry is too slow to be the owner", {
           epoch: tenure.epoch,
           meanLagMs: Math.round(meanLagMs),
         });
-        resign("this entry is too slow");
-      })
+        const recorded = store.change({
+          conditions: [],
+          puts: [{
+            key: STORE_KEYS.slowHandover,
+            value: encodeHandover(clock.wallMs()),
+          }],
+        });
+        resign("this entry is too slow", recorded);
+      },
     );
-    loaded = true;
-    yield* suspend();
   }
 
   /** Ends the lease so that another entry can take over at once. The next owner learns what isn't stored yet from the workers. */
-  function resign(reason: string): void {
+  function resign(reason: string, prepared?: Promise<unknown>): void {
     if (resigning) return;
     resigning = true;
     log.info("giving up ownership", { reason, pending: journal.pending() });
-    void store.endLease(tenure.leaseId).catch((error) =>
+    void Promise.resolve(prepared).catch((error) =>
+      log.warn("could not record the hand-over", { reason: messageOf(error) })
+    ).then(() => store.endLease(tenure.leaseId)).catch((error) =>
       log.warn("could not end the lease; it will expire", {
         reason: messageOf(error),
       })
@@ -407,6 +456,7 @@
       sinceMs: clock.wallMs() - startedAtWallMs,
       storeContactAgeMs: Math.round(storeContact.elapsedMs()),
       pendingRecords: journal.pending(),
+      relays: control.describe(),
       counters: scheduler.counters,
       fleet: fleet.describe(),
       workers: [...scheduler.workers.instances.values()].map((instance) => ({
@@ -428,12 +478,14 @@
   return {
     api: () => loaded && endReason === undefined ? api : undefined,
     resign: () => resign("this entry is stopping"),
+    addRelay: control.addRelay,
     hasResigned: () => resigning,
     abandon: endTenure,
     *run() {
-      const reason = yield* scoped(() =>
-        race([waitUntilEnded(), runTasks() as Operation<never>])
-      );
+      const reason = yield* scoped(function* () {
+        yield* ensure(() => control.closeRelays());
+        return yield* race([waitUntilEnded(), runTasks() as Operation<never>]);
+      });
       log.info("owner ended", { epoch: tenure.epoch, reason });
       return reason;
     },
