fix(fleet): a paused owner stores its VM order again before it repeats it

Cause: the age of an order's record was read from the monotonic clock, which doesn't count a suspension. An owner that was suspended between two attempts repeated the order on a record that other entries had every right to take as outdated; only the fence of that VM could stop it. Change: the age is the larger of both clocks, as for the leases. Result: test with a suspension of 5 s between two attempts: the second was sent without a new record before, with one after.

--- a/src/scheduler/vm_orders.ts
+++ b/src/scheduler/vm_orders.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "../logger.ts";
 import type { Journal } from "./journal.ts";
 import type { VmApi, VmOrderOutcome } from "./ports.ts";
+import { createStopwatch, type Stopwatch } from "./stopwatch.ts";
 
 /** Delay before an order without a conclusive response is sent again, in ms. */
 const RETRY_DELAY_MS = 300;
@@ -75,7 +76,8 @@
       key: VM_ORDER_PREFIX + vmId,
       encode: () =>
         JSON.stringify({ ...order, epoch: fence, atMs: clock.wallMs() }),
-      onStored: () => void deliver(vmId, order, onResult, clock.monotonicMs()),
+      onStored: () =>
+        void deliver(vmId, order, onResult, createStopwatch(clock)),
     });
   }
 
@@ -83,10 +85,10 @@
     vmId: string,
     order: VmOrder,
     onResult: (result: VmOrderResult) => void,
-    recordedAtMs: number,
+    recordAge: Stopwatch,
   ): Promise<void> {
     for (;;) {
-      if (clock.monotonicMs() - recordedAtMs > RECORD_VALIDITY_MS) {
+      if (recordAge.elapsedMs() > RECORD_VALIDITY_MS) {
         return storeIntent(vmId, order, onResult);
       }
       if (!options.mayOrder()) return;
--- /dev/null
+++ b/src/scheduler/vm_orders_test.ts
@@ -0,0 +1,73 @@
+import assert from "node:assert/strict";
+import { suite } from "uvu";
+import { waitFor } from "../../testing/wait.ts";
+import { silentLogger } from "../logger.ts";
+import type { VmApi, VmOrderOutcome } from "./ports.ts";
+import { createVmOrders } from "./vm_orders.ts";
+
+const test = suite("VM orders");
+
+/** Orders whose records are stored at once; `pauseMs` is the time that only the wall clock has counted. */
+function createTestOrders(outcomes: VmOrderOutcome[]) {
+  const state = { pauseMs: 0, mayOrder: true };
+  const events: string[] = [];
+  const fleet: VmApi = {
+    list: () => Promise.resolve([]),
+    move: ({ vmId, pool, fence }) => {
+      events.push(`move ${vmId} ${pool} ${fence}`);
+      return Promise.resolve(outcomes.shift() ?? { kind: "done" });
+    },
+    startMaintenance: () => Promise.resolve({ kind: "done" }),
+  };
+  const orders = createVmOrders({
+    fleet,
+    journal: {
+      put: ({ onStored }) => {
+        events.push("record");
+        onStored?.();
+      },
+      afterFlush: (callback) => callback(),
+      pending: () => 0,
+      *run() {},
+    },
+    holder: "entry-1",
+    fence: 4,
+    clock: {
+      monotonicMs: () => performance.now(),
+      wallMs: () => Date.now() + state.pauseMs,
+    },
+    log: silentLogger,
+    mayOrder: () => state.mayOrder,
+    holderGapMs: 100,
+  });
+  return { orders, events, state };
+}
+
+// Guards against an owner that was suspended and then repeats an order although another owner may have come meanwhile; the monotonic clock doesn't count the suspension.
+test("an order is repeated after a pause only once its record is stored again", async () => {
+  const { orders, events, state } = createTestOrders([{ kind: "unknown" }]);
+  let result = "";
+  orders.send("vm-1", { kind: "move", pool: "p" }, (outcome) => {
+    result = outcome;
+  });
+  state.pauseMs = 5_000;
+  await waitFor("the result", () => result !== "");
+  assert.deepEqual(events, [
+    "record",
+    "move vm-1 p 4",
+    "record",
+    "move vm-1 p 4",
+  ]);
+});
+
+// Guards against an order that an owner repeats after its tenure has ended.
+test("an unanswered order isn't repeated once the owner may not order", async () => {
+  const { orders, events, state } = createTestOrders([{ kind: "unknown" }]);
+  orders.send("vm-1", { kind: "move", pool: "p" }, () => {});
+  state.mayOrder = false;
+  await new Promise((resolve) => setTimeout(resolve, 500));
+  assert.deepEqual(events, ["record", "move vm-1 p 4"]);
+  assert.equal(orders.isFree("vm-1"), false);
+});
+
+test.run();
