fix(waves): a withdrawn wave is no longer carried out

VMs cordoned for it got no task for the rest of the tenure. Stored records of orders and waves were parsed without a guard: one unreadable record ended each new owner before its first decision.

--- a/src/scheduler/fleet_manager.ts
+++ b/src/scheduler/fleet_manager.ts
@@ -5,7 +5,7 @@
 import type { Stopwatch } from "./stopwatch.ts";
 import type { DemandForecast } from "./demand_forecast.ts";
 import type { Journal } from "./journal.ts";
-import type { Tenure } from "./ownership.ts";
+import { parseRecord, type Tenure } from "./ownership.ts";
 import { createPoolBalancer } from "./pool_balancer.ts";
 import type {
   PlatformRecordCodec,
@@ -54,6 +54,8 @@
 export interface FleetManager {
   /** Whether the VM gets no new tasks because of a planned or ongoing move or maintenance. */
   isCordoned(vmId: string): boolean;
+  /** Counts the VMs that are on their way into each pool. */
+  countArriving(): ReadonlyMap<string, number>;
   /** Whether workers are expected to register after a move or maintenance of their VMs. */
   expectsWorkers(): boolean;
   run(): Operation<void>;
@@ -78,25 +80,23 @@
       () => options.store.list(VM_ORDER_PREFIX),
       options.log,
     );
-    for (const { key, value } of storedOrders.items) {
-      const parsed = z.object({ atMs: z.number() }).safeParse(
-        JSON.parse(value),
-      );
-      if (parsed.success) {
-        orders.recordEarlierOrder(
-          key.slice(VM_ORDER_PREFIX.length),
-          parsed.data.atMs,
-        );
-      } else {
-        options.log.error("invalid stored VM order record ignored", {
-          key,
-        });
+    for (const item of storedOrders.items) {
+      const { key } = item;
+      const order = parseRecord(z.object({ atMs: z.number() }), item);
+      if (order === undefined) {
+        options.log.error("invalid stored VM order record ignored", { key });
       }
+      orders.recordEarlierOrder(
+        key.slice(VM_ORDER_PREFIX.length),
+        // An order at an unknown time may have been sent just now.
+        order?.atMs ?? options.clock.wallMs(),
+      );
     }
   }
 
   return {
     isCordoned: vmStates.isCordoned,
+    countArriving: vmStates.countArriving,
     expectsWorkers: () => orders.active.size > 0 || vmStates.returning.size > 0,
     *run() {
       yield* waves.load(options.store);
@@ -107,9 +107,7 @@
           options.mayOrder() &&
           options.storeContact.elapsedMs() < options.holderGapMs
         ) {
-          for (const request of options.waves().values()) {
-            waves.advance(request);
-          }
+          waves.advanceAll(options.waves());
           balancer.balance();
         }
         yield* sleep(
--- a/src/scheduler/fleet_manager_test.ts
+++ b/src/scheduler/fleet_manager_test.ts
@@ -124,4 +124,34 @@
   });
 });
 
+// Guards against VMs that get no tasks for good because they were cordoned for a wave that was withdrawn.
+test("the VMs of a withdrawn wave get tasks again", async () => {
+  await withCluster(async (cluster) => {
+    const job = await cluster.submit([
+      { taskCount: 3, maxPerWorker: 1, longRunning: true, mayMiss: 0 },
+    ]);
+    const countRuns = (jobId: string) =>
+      [...cluster.workers.workers.values()].flatMap(({ running }) => [
+        ...running.values(),
+      ]).filter(({ taskId }) => taskId.startsWith(jobId)).length;
+    await waitFor("all tasks run", () => countRuns(job) === 3);
+    cluster.waves.set(1, {
+      wave: 1,
+      vmIds: ["vm-0", "vm-1", "vm-2"],
+      deadlineMs: 1_000,
+      maximumDown: 3,
+    });
+    await delay(1_500);
+    const next = await cluster.submit([
+      { taskCount: 3, maxPerWorker: 1, longRunning: true },
+    ]);
+    await delay(500);
+    assert.ok(countRuns(next) < 3, "no VM was cordoned");
+    cluster.waves.delete(1);
+    await waitFor("the next job runs", () => countRuns(next) === 3, {
+      timeoutMs: 5_000,
+    });
+  });
+});
+
 test.run();
--- a/src/scheduler/operator_state.ts
+++ b/src/scheduler/operator_state.ts
@@ -33,8 +33,26 @@
 }): OperatorState {
   const { store, records, log } = options;
   const waves = new Map<number, WaveRequest>();
+  /** Number of the wave that each key requests. */
+  const waveNumbers = new Map<string, number>();
   let config: SchedulerConfig | undefined;
 
+  function onDelete(key: string): void {
+    const wave = waveNumbers.get(key);
+    if (wave === undefined) return;
+    waveNumbers.delete(key);
+    waves.delete(wave);
+    log.info("maintenance wave withdrawn", { wave });
+  }
+
+  function onSnapshot(items: readonly StoredItem[]): void {
+    const keys = new Set(items.map(({ key }) => key));
+    for (const key of [...waveNumbers.keys()]) {
+      if (!keys.has(key)) onDelete(key);
+    }
+    items.forEach(onPut);
+  }
+
   function onPut(item: StoredItem): void {
     const next = records.readConfig(item);
     if (next !== undefined) {
@@ -50,7 +68,9 @@
       return;
     }
     const wave = records.readWave(item);
-    if (wave !== undefined) waves.set(wave.wave, wave);
+    if (wave === undefined) return;
+    waveNumbers.set(item.key, wave.wave);
+    waves.set(wave.wave, wave);
   }
 
   return {
@@ -63,9 +83,9 @@
         log,
         waitMs: WATCH_WAIT_MS,
         pauseMs: () => 0,
-        onSnapshot: (items) => items.forEach(onPut),
+        onSnapshot,
         onPut,
-        onDelete() {},
+        onDelete,
       }),
   };
 }
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -35,17 +35,18 @@
 
 /** Decodes the owner's record; returns undefined if it is invalid. */
 export function parseOwner(item: StoredItem): Owner | undefined {
-  return parseItem(ownerSchema, item);
+  return parseRecord(ownerSchema, item);
 }
 
 /** Decodes the head of the journal; returns undefined if it is invalid. */
 export function parseHead(
   item: StoredItem,
 ): z.infer<typeof headSchema> | undefined {
-  return parseItem(headSchema, item);
+  return parseRecord(headSchema, item);
 }
 
-function parseItem<T extends z.ZodType>(
+/** Decodes a record that an owner has written; returns undefined if it is invalid. */
+export function parseRecord<T extends z.ZodType>(
   schema: T,
   item: StoredItem,
 ): z.output<T> | undefined {
@@ -66,7 +67,7 @@
 
 /** Decodes the time of a hand-over, in ms since 1970; an invalid record counts as one long ago. */
 export function parseHandoverMs(item: StoredItem): number {
-  return parseItem(handoverSchema, item)?.atMs ?? 0;
+  return parseRecord(handoverSchema, item)?.atMs ?? 0;
 }
 
 /** Encodes the head of the journal. */
--- a/src/scheduler/wave_runner.ts
+++ b/src/scheduler/wave_runner.ts
@@ -4,7 +4,7 @@
 import type { Logger } from "../logger.ts";
 import type { Journal } from "./journal.ts";
 import { getStep, type TaskState } from "./job_state.ts";
-import { STORE_KEYS } from "./ownership.ts";
+import { parseRecord, STORE_KEYS } from "./ownership.ts";
 import type {
   PlatformRecordCodec,
   RecordStore,
@@ -29,9 +29,9 @@
 export interface WaveRunner {
   /** Loads the wave records of earlier owners. */
   load(store: RecordStore): Operation<void>;
-  /** Advances a wave by one round. */
-  advance(request: WaveRequest): void;
-  /** Whether any wave is in progress. */
+  /** Advances the requested waves by one round, and uncordons the VMs of withdrawn ones. */
+  advanceAll(requests: ReadonlyMap<number, WaveRequest>): void;
+  /** Whether a requested wave is in progress. */
   isActive(): boolean;
   /** Returns the wave records for the `/dump` endpoint, by wave number. */
   describe(): unknown;
@@ -48,6 +48,7 @@
 }): WaveRunner {
   const { vmStates, scheduler, journal, records, clock, log } = options;
   const waveRecords = new Map<number, WaveRecord>();
+  let requestedWaves: ReadonlyMap<number, WaveRequest> = new Map();
 
   /** Counts the tasks of a task's step that are unavailable or about to be. */
   function countUnavailable(task: TaskState): number {
@@ -197,22 +198,40 @@
     }
   }
 
+  function uncordonWithdrawn(): void {
+    const requests = [...requestedWaves.values()];
+    for (const vmId of [...vmStates.cordonedForMaintenance.keys()]) {
+      if (
+        vmStates.isUnavailable(vmId) ||
+        requests.some(({ vmIds }) => vmIds.includes(vmId))
+      ) continue;
+      vmStates.cordonedForMaintenance.delete(vmId);
+    }
+  }
+
   return {
     *load(store) {
       const waves = yield* retryStoreRead(
         () => store.list(STORE_KEYS.wavePrefix),
         log,
       );
-      for (const { key, value } of waves.items) {
-        const parsed = waveRecordSchema.safeParse(JSON.parse(value));
+      for (const item of waves.items) {
+        const { key } = item;
+        const record = parseRecord(waveRecordSchema, item);
         const wave = Number(key.slice(STORE_KEYS.wavePrefix.length));
-        if (parsed.success) waveRecords.set(wave, parsed.data);
+        if (record !== undefined) waveRecords.set(wave, record);
         else log.error("invalid stored wave record ignored", { key });
       }
     },
-    advance,
+    advanceAll(requests) {
+      requestedWaves = requests;
+      uncordonWithdrawn();
+      for (const request of requests.values()) advance(request);
+    },
     isActive: () =>
-      [...waveRecords.values()].some(({ completed }) => !completed),
+      [...requestedWaves.keys()].some((wave) =>
+        waveRecords.get(wave)?.completed === false
+      ),
     describe: () => Object.fromEntries(waveRecords),
   };
 }
