fix(entry): an unexpected error no longer ends the process

Cause: an error in a callback, or in a promise that nobody awaits such as a start order, ended the whole process: callers' connections broke and the restart took a second and more. Change: such errors are logged with their stack; an owner hands over, as its state may be inconsistent, and the entry goes on serving callers.

--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -96,6 +96,8 @@
   reaches(address: string): Promise<boolean>;
   /** Records the IP address of an entry that has called this one. */
   recordCaller(ip: string): void;
+  /** Resigns if this entry is the owner, and campaigns again after the others. */
+  handOver(reason: string): void;
   /** Resigns if this entry is the owner and stops campaigning. */
   stop(): void;
   run(): Operation<void>;
@@ -387,9 +389,10 @@
     },
     reaches: options.probe,
     recordCaller: directory.recordCaller,
+    handOver: (reason) => currentTenure?.runner.resign(reason),
     stop() {
       stopping = true;
-      currentTenure?.runner.resign();
+      currentTenure?.runner.resign("this entry is stopping");
       changed.notify();
     },
     *run() {
--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -9,6 +9,7 @@
 import { App } from "@tinyhttp/app";
 import { ensure, type Operation, race, sleep, spawn, suspend } from "effection";
 import { type Clock } from "../clock.ts";
+import { useErrorGuard } from "../error_guard.ts";
 import { closeGracefully, useListeningServer } from "../http_server.ts";
 import { messageOf, StoreError } from "../errors.ts";
 import type { Logger } from "../logger.ts";
@@ -238,6 +239,14 @@
     };
   }
 
+  yield* useErrorGuard((error) => {
+    log.error("unexpected error", {
+      reason: messageOf(error),
+      stack: error instanceof Error ? error.stack : undefined,
+    });
+    // The owner's state may be inconsistent now; the next owner restores it from the store and the workers.
+    election.handOver("an unexpected error");
+  });
   log.info("starting", {
     dataCentre: settings.dataCentre,
     region: settings.region,
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -125,7 +125,7 @@
   /** Returns undefined until the records are loaded and after the tenure has ended. */
   api(): OwnerApi | undefined;
   /** Gives up ownership at once. */
-  resign(): void;
+  resign(reason: string): void;
   /** Whether ownership was given up voluntarily. */
   hasResigned(): boolean;
   /** Ends the tenure because another entry is the owner or the owner's key was deleted. */
@@ -477,7 +477,7 @@
 
   return {
     api: () => loaded && endReason === undefined ? api : undefined,
-    resign: () => resign("this entry is stopping"),
+    resign: (reason) => resign(reason),
     addRelay: control.addRelay,
     hasResigned: () => resigning,
     abandon: endTenure,
