fix(relay): entries offer themselves once they know the owner

Change: the owner is stored first. Result: test on the simulated cluster with a kill: no offer before, one of each other entry to both owners after.

--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -137,18 +137,19 @@
   let currentTenure: { runner: TenureRunner; epoch: number } | undefined;
 
   function setKnownOwner(owner: Owner | undefined): void {
-    if (owner?.epoch !== knownOwner?.epoch) {
+    const isNew = owner?.epoch !== knownOwner?.epoch;
+    if (isNew) {
       log.info("owner changed", {
         from: knownOwner?.entryId,
         to: owner?.entryId,
         epoch: owner?.epoch,
       });
       knownOwnerSinceMs = clock.monotonicMs();
-      if (owner !== undefined && owner.address !== self.address) {
-        relayOffers?.offerTo(owner);
-      }
     }
     knownOwner = owner;
+    if (isNew && owner !== undefined && owner.address !== self.address) {
+      relayOffers?.offerTo(owner);
+    }
     if (currentTenure !== undefined && owner?.epoch !== currentTenure.epoch) {
       currentTenure.runner.abandon(
         owner === undefined
--- a/src/scheduler/ownership_faults_test.ts
+++ b/src/scheduler/ownership_faults_test.ts
@@ -285,4 +285,29 @@
   });
 });
 
+// Guards against an owner of a large fleet that sends all orders itself because no entry has offered itself as a relay.
+test("each other entry offers itself as a relay to every new owner", async () => {
+  const cluster = new SchedulerCluster(createRandom(12));
+  try {
+    for (let index = 0; index < 3; index++) cluster.startEntry();
+    for (const killed of [false, true]) {
+      await waitFor("an owner", () => cluster.owner() !== undefined);
+      const owner = cluster.owner()!;
+      const listRelays = () => {
+        const state = owner.election.localOwner()!.describeState() as {
+          relays: Record<string, { address: string }[]>;
+        };
+        return (state.relays["dc-1"] ?? []).map(({ address }) => address);
+      };
+      await waitFor(
+        "the offers",
+        () => listRelays().length === (killed ? 1 : 2),
+      );
+      if (!killed) await cluster.killEntry(owner);
+    }
+  } finally {
+    await cluster.close();
+  }
+});
+
 test.run();
--- a/src/scheduler/relay/control.ts
+++ b/src/scheduler/relay/control.ts
@@ -159,7 +159,7 @@
       if (known !== undefined) known.retryAtMs = 0;
       else {
         relays.push({ address, channel: undefined, retryAtMs: 0 });
-        log.info("relay offered", { relay: address, dataCentre });
+        log.info("relay was offered", { relay: address, dataCentre });
       }
     },
     describe: () =>
