perf(owner): fewer wake-ups for reports and counts

Change: a relay collects outcomes for 8 ms; counts are kept for 1 s of the 2 s that callers are promised, measured by both clocks; the pause after a failed poll is one timer.

--- a/src/scheduler/job_frontend.ts
+++ b/src/scheduler/job_frontend.ts
@@ -13,6 +13,7 @@
 import { STORE_KEYS } from "./ownership.ts";
 import type { StoreReply } from "./peer_router.ts";
 import type { QueueConfig, RecordStore, SchedulerConfig } from "./ports.ts";
+import { createStopwatch, type Stopwatch } from "./stopwatch.ts";
 import type { StoreHealth } from "./store_health.ts";
 
 /** Time reserved before the caller's deadline for sending the response, in ms. */
@@ -41,8 +42,8 @@
  * deadline.
  */
 const STORE_SUSPICION_MS = 3_000;
-/** Time for which a count of waiting jobs is cached, in ms. */
-const COUNT_VALID_MS = 250;
+/** Time for which a count of waiting jobs is cached, in ms; callers are promised one that is at most 2 s old. */
+const COUNT_VALID_MS = 1_000;
 
 /** Result of a submission. */
 export type SubmitResult =
@@ -120,7 +121,7 @@
 export function createJobFrontend(options: JobFrontendOptions): JobFrontend {
   const { store, health, clock, log } = options;
   let storeFailedAtMs = -Infinity;
-  const counts = new Map<string, { jobs: number; atMs: number }>();
+  const counts = new Map<string, { jobs: number; age: Stopwatch }>();
 
   const timeLeftMs = (context: RequestContext) =>
     context.deadlineMs - RESPONSE_MARGIN_MS - clock.monotonicMs();
@@ -359,13 +360,14 @@
     async countWaiting(queue, context) {
       const cached = counts.get(queue);
       const now = clock.monotonicMs();
-      if (cached !== undefined && now - cached.atMs < COUNT_VALID_MS) {
+      if (cached !== undefined && cached.age.elapsedMs() < COUNT_VALID_MS) {
         return { kind: "count", jobs: cached.jobs };
       }
       for (;;) {
+        const age = createStopwatch(clock);
         const reply = await callOwner((owner) => owner.waitingJobs(queue));
         if (reply !== undefined) {
-          counts.set(queue, { jobs: reply.value, atMs: clock.monotonicMs() });
+          counts.set(queue, { jobs: reply.value, age });
           return { kind: "count", jobs: reply.value };
         }
         if (!mayRetry(now, context)) {
--- a/src/scheduler/relay/channel.ts
+++ b/src/scheduler/relay/channel.ts
@@ -8,6 +8,7 @@
   createMessageReader,
   encodeMessage,
   EPOCH_HEADER,
+  ORDER_BATCH_MS,
   outcomesMessageSchema,
   RELAY_PATH,
   RELAY_PROTOCOL,
@@ -62,6 +63,7 @@
   );
 
   const batcher = createBatcher<{ id: number; order: RelayedOrder }>(
+    ORDER_BATCH_MS,
     (orders) => {
       if (socket === undefined || state === "failed") return;
       for (const { id } of orders) {
--- a/src/scheduler/relay/messages.ts
+++ b/src/scheduler/relay/messages.ts
@@ -7,8 +7,10 @@
 export const RELAY_PROTOCOL = "cowslipferry-relay";
 /** Header with the epoch of the owner that opens the channel. */
 export const EPOCH_HEADER = "cowslipferry-epoch";
-/** Time for which orders and outcomes are collected before they are sent, in ms. */
-export const BATCH_DELAY_MS = 4;
+/** Time for which orders are collected before they are sent, in ms. */
+export const ORDER_BATCH_MS = 4;
+/** Time for which outcomes are collected before they are sent, in ms; the owner handles them together. */
+export const OUTCOME_BATCH_MS = 8;
 /** Maximum length of a message, in characters. */
 const MAXIMUM_MESSAGE_LENGTH = 8_000_000;
 
@@ -147,15 +149,18 @@
   };
 }
 
-/** Collects items and passes them on together after `BATCH_DELAY_MS`. */
+/** Collects items and passes them on together after a delay. */
 export interface Batcher<T> {
   add(item: T): void;
   /** Returns and removes the items that were not passed on yet. */
   take(): T[];
 }
 
-/** Creates an empty batcher. */
-export function createBatcher<T>(onBatch: (items: T[]) => void): Batcher<T> {
+/** Creates an empty batcher; `delayMs` counts from the first item of a batch. */
+export function createBatcher<T>(
+  delayMs: number,
+  onBatch: (items: T[]) => void,
+): Batcher<T> {
   let items: T[] = [];
   let timer: NodeJS.Timeout | undefined;
   function take(): T[] {
@@ -168,7 +173,7 @@
   return {
     add(item) {
       items.push(item);
-      timer ??= setTimeout(() => onBatch(take()), BATCH_DELAY_MS);
+      timer ??= setTimeout(() => onBatch(take()), delayMs);
     },
     take,
   };
--- a/src/scheduler/relay/server.ts
+++ b/src/scheduler/relay/server.ts
@@ -11,6 +11,7 @@
   encodeMessage,
   EPOCH_HEADER,
   ordersMessageSchema,
+  OUTCOME_BATCH_MS,
   RELAY_PATH,
   RELAY_PROTOCOL,
   type RelayedOrder,
@@ -110,6 +111,7 @@
       if (!closed) socket.write(encodeMessage({ outcomes, closing }));
     }
     const batcher = createBatcher<{ id: number; outcome: RelayedOutcome }>(
+      OUTCOME_BATCH_MS,
       (outcomes) => write(outcomes),
     );
     /** Closes the channel after a pause: the owner has given up the orders that it still holds. */
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -1,4 +1,4 @@
-import { type Operation, race, sleep, until } from "effection";
+import { type Operation, sleep, until } from "effection";
 import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
 import { createNotifier, type Notifier } from "../notifier.ts";
@@ -175,10 +175,7 @@
         });
       }
       failing = true;
-      yield* race([
-        sleep(FAILED_CALL_PAUSE_MS),
-        pollWake.wait(FAILED_CALL_PAUSE_MS),
-      ]);
+      yield* pollWake.wait(FAILED_CALL_PAUSE_MS);
       return;
     }
     if (
