feat(scheduler): defer the jobs that a full fleet can't finish on time

Change: while a pool's tasks need more VMs than the fleet has, the jobs that can't all be on time together are found from the pool's capacity, and those with the least time left are deferred, whatever their size; jobs that run already and more urgent queues keep their place.

--- a/bench/capacity/scheduling.ts
+++ b/bench/capacity/scheduling.ts
@@ -147,6 +147,7 @@
     isOrderable: () => true,
     isCordoned: () => false,
     isUnavailable: () => false,
+    countArriving: () => new Map(),
     sendOrder() {},
   } as unknown as VmStates;
 }
@@ -180,6 +181,8 @@
     clock,
     log: silentLogger,
     isCordoned: () => false,
+    isScarce: () => false,
+    countArriving: () => new Map(),
   };
   const plan = () => planPlacements(planner, CONFIG);
   let nextJob = 1;
--- a/src/scheduler/fleet_manager.ts
+++ b/src/scheduler/fleet_manager.ts
@@ -54,6 +54,8 @@
 export interface FleetManager {
   /** Whether the VM gets no new tasks because of a planned or ongoing move or maintenance. */
   isCordoned(vmId: string): boolean;
+  /** Whether a pool's tasks need more VMs than the fleet has. */
+  isScarce(pool: string): boolean;
   /** Counts the VMs that are on their way into each pool. */
   countArriving(): ReadonlyMap<string, number>;
   /** Whether workers are expected to register after a move or maintenance of their VMs. */
@@ -96,6 +98,7 @@
 
   return {
     isCordoned: vmStates.isCordoned,
+    isScarce: balancer.isScarce,
     countArriving: vmStates.countArriving,
     expectsWorkers: () => orders.active.size > 0 || vmStates.returning.size > 0,
     *run() {
--- a/src/scheduler/job_order.ts
+++ b/src/scheduler/job_order.ts
@@ -12,6 +12,8 @@
 export type Timeliness =
   /** Can finish within its objective. */
   | "on_time"
+  /** Could finish within its objective, but not together with the others that wait. */
+  | "deferred"
   /** Can only finish late, with a result of reduced value. */
   | "late"
   /** Too late for its result to be useful; it still runs. */
@@ -26,6 +28,8 @@
   readonly timeliness: Timeliness;
   /** Latest time at which the remaining work must start to finish on time, in ms since 1970. */
   readonly latestStartMs: number;
+  /** End of the objective, in ms since 1970. */
+  readonly deadlineMs: number;
   /** Estimated remaining CPU work, in core-milliseconds. */
   readonly remainingWork: number;
 }
@@ -69,7 +73,8 @@
 ): PendingOccurrence {
   const remainingMs = criticalPathMs(job, durationEstimates, occurrence);
   const objectiveMs = computeObjectiveMs(job, durationEstimates, queue);
-  const latestStartMs = occurrence.dueAtMs + objectiveMs - remainingMs;
+  const deadlineMs = occurrence.dueAtMs + objectiveMs;
+  const latestStartMs = deadlineMs - remainingMs;
   const latestLateStartMs = occurrence.dueAtMs +
     LATE_LIMIT_FACTOR * objectiveMs -
     remainingMs;
@@ -84,20 +89,22 @@
       ? "late"
       : "overdue",
     latestStartMs,
+    deadlineMs,
     remainingWork: computeRemainingWork(job, occurrence, durationEstimates),
   };
 }
 
 const TIMELINESS_RANK: Record<Timeliness, number> = {
   on_time: 0,
-  late: 1,
-  overdue: 2,
+  deferred: 1,
+  late: 2,
+  overdue: 3,
 };
 
 /**
  * Orders pending work when demand exceeds a pool's capacity: long-running jobs
  * first, then by priority, then jobs that can still be on time, by latest start.
- * Late jobs follow, least remaining work first, so that one big job doesn't make
+ * Deferred jobs follow, those with the most time left first. Then come late jobs, least remaining work first, so that one big job doesn't make
  * many small ones useless as well; overdue jobs come last, oldest first.
  */
 export function comparePendingOccurrences(
@@ -111,6 +118,8 @@
   switch (a.timeliness) {
     case "on_time":
       return a.latestStartMs - b.latestStartMs;
+    case "deferred":
+      return b.latestStartMs - a.latestStartMs;
     case "late":
       return a.remainingWork - b.remainingWork;
     case "overdue":
--- a/src/scheduler/placed_tasks.ts
+++ b/src/scheduler/placed_tasks.ts
@@ -1,13 +1,52 @@
 import { getStep, stepId, type TaskState } from "./job_state.ts";
+import type { Step } from "./model.ts";
 import { reservedCpuMillis } from "./placement.ts";
+import type { Resources } from "./ports.ts";
+
+/** Sums of resources. */
+export interface ResourceSums {
+  cpuMillis: number;
+  memoryMb: number;
+  gpuCount: number;
+}
+
+/** Creates sums of zero. */
+export function createSums(): ResourceSums {
+  return { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
+}
+
+/** Adds the demand of `count` tasks of a step. */
+export function addDemand(
+  sums: ResourceSums,
+  step: Step,
+  count: number,
+): void {
+  sums.cpuMillis += reservedCpuMillis(step) * count;
+  sums.memoryMb += step.memoryMb * count;
+  sums.gpuCount += step.gpuCount * count;
+}
+
+/** Converts resources to a number of VMs; the scarcest resource decides. */
+export function toVmEquivalents(
+  sums: Resources,
+  capacity: Resources,
+): number {
+  return Math.max(
+    sums.cpuMillis / Math.max(1, capacity.cpuMillis),
+    sums.memoryMb / Math.max(1, capacity.memoryMb),
+    capacity.gpuCount > 0 ? sums.gpuCount / capacity.gpuCount : 0,
+  );
+}
 
 /** Tasks on one worker instance, with the sums that each planning round needs. */
 export class PlacedTasks extends Set<TaskState> {
   /** Resources that the tasks reserve; tasks that are being stopped still occupy theirs. */
-  readonly reserved = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
+  readonly reserved: ResourceSums = createSums();
   /** Number of tasks of each step, by step ID. */
   readonly countByStep = new Map<string, number>();
   longRunningCount = 0;
+  /** Part of `reserved` that long-running tasks hold. */
+  readonly reservedLongRunning: ResourceSums = createSums();
 
   override add(task: TaskState): this {
     if (this.has(task)) return this;
@@ -27,10 +66,11 @@
 
   #count(task: TaskState, change: 1 | -1): void {
     const step = getStep(task);
-    this.reserved.cpuMillis += change * reservedCpuMillis(step);
-    this.reserved.memoryMb += change * step.memoryMb;
-    this.reserved.gpuCount += change * step.gpuCount;
-    if (step.longRunning) this.longRunningCount += change;
+    addDemand(this.reserved, step, change);
+    if (step.longRunning) {
+      addDemand(this.reservedLongRunning, step, change);
+      this.longRunningCount += change;
+    }
     const id = stepId(task);
     const count = (this.countByStep.get(id) ?? 0) + change;
     if (count > 0) this.countByStep.set(id, count);
--- a/src/scheduler/pool_balancer.ts
+++ b/src/scheduler/pool_balancer.ts
@@ -3,41 +3,21 @@
 import type { DemandForecast } from "./demand_forecast.ts";
 import { createPendingOccurrence } from "./job_order.ts";
 import { getStep, hasWaitingTasks, listRunnableSteps } from "./job_state.ts";
-import type { Step } from "./model.ts";
-import { reservedCpuMillis } from "./placement.ts";
+import { addDemand, createSums, toVmEquivalents } from "./placed_tasks.ts";
 import { type PlannedPool, type PlannedVm, planPools } from "./pool_plan.ts";
 import type { Resources, SchedulerConfig } from "./ports.ts";
 import { resolveQueue } from "./resolve_queue.ts";
 import type { Scheduler } from "./scheduler.ts";
 import type { VmStates } from "./vm_states.ts";
 
-type MutableResources = { -readonly [Key in keyof Resources]: Resources[Key] };
-
-function addResources(
-  sum: MutableResources,
-  step: Step,
-  count: number,
-): void {
-  sum.cpuMillis += reservedCpuMillis(step) * count;
-  sum.memoryMb += step.memoryMb * count;
-  sum.gpuCount += step.gpuCount * count;
-}
-
-/** Converts resources to a number of VMs; the scarcest resource decides. */
-function toVmEquivalents(sum: Resources, capacity: Resources): number {
-  return Math.max(
-    sum.cpuMillis / Math.max(1, capacity.cpuMillis),
-    sum.memoryMb / Math.max(1, capacity.memoryMb),
-    capacity.gpuCount > 0 ? sum.gpuCount / capacity.gpuCount : 0,
-  );
-}
-
 /** Moves VMs between pools to follow demand. */
 export interface PoolBalancer {
   /** Plans the pools once and sends the resulting orders. */
   balance(): void;
   /** Number of VMs that each pool needed in the latest plan. */
   targets(): Readonly<Record<string, number>>;
+  /** Whether a pool's tasks needed more VMs than the fleet had in the latest plan. */
+  isScarce(pool: string): boolean;
 }
 
 /** Creates the pool balancer for one tenure. */
@@ -52,6 +32,7 @@
   const { vmStates, scheduler, clock, log } = options;
   const lastBusyAtMs = new Map<string, number>();
   let lastTargets: Readonly<Record<string, number>> = {};
+  let scarcePools: readonly string[] = [];
   let surgeSeen = false;
 
   /** Capacity of the first listed VM of the pool, or of any VM if the pool has none. */
@@ -82,9 +63,9 @@
         expectedVms: 0,
       };
     }
-    const used = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
-    const waiting = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
-    const late = { cpuMillis: 0, memoryMb: 0, gpuCount: 0 };
+    const used = createSums();
+    const waiting = createSums();
+    const late = createSums();
     const wallMs = clock.wallMs();
     let longestWaitMs = 0;
     for (
@@ -113,7 +94,7 @@
                 queue,
               },
             );
-            addResources(
+            addDemand(
               longRunning || timeliness === "on_time" ? waiting : late,
               getStep(waitingTasks[0]!),
               waitingTasks.length,
@@ -178,16 +159,7 @@
     const config = options.config();
     if (config === undefined || vmStates.list().size === 0) return;
     const nowMs = clock.monotonicMs();
-    const arriving = new Map<string, number>();
-    for (const { pool } of vmStates.returning.values()) {
-      arriving.set(pool, (arriving.get(pool) ?? 0) + 1);
-    }
-    for (const [vmId, order] of vmStates.orders.active) {
-      const pool = order.kind === "move"
-        ? order.pool
-        : vmStates.list().get(vmId)?.pool ?? "";
-      arriving.set(pool, (arriving.get(pool) ?? 0) + 1);
-    }
+    const arriving = vmStates.countArriving();
     const pools = config.services.map((name) => ({
       name,
       spare: config.sparePools.includes(name),
@@ -197,6 +169,7 @@
     const plan = planPools(pools, describeVms(nowMs), { surgeSeen });
     surgeSeen ||= plan.surging;
     lastTargets = plan.targets;
+    scarcePools = plan.scarcePools;
     for (const vmId of plan.cordons) vmStates.cordonedForMove.set(vmId, nowMs);
     for (const vmId of plan.uncordons) vmStates.cordonedForMove.delete(vmId);
     for (const { vmId, from, to } of plan.moves) {
@@ -212,5 +185,9 @@
     }
   }
 
-  return { balance, targets: () => lastTargets };
+  return {
+    balance,
+    targets: () => lastTargets,
+    isScarce: (pool) => scarcePools.includes(pool),
+  };
 }
--- a/src/scheduler/pool_plan.ts
+++ b/src/scheduler/pool_plan.ts
@@ -43,6 +43,8 @@
   readonly targets: Readonly<Record<string, number>>;
   /** Whether demand is surging in some pool. */
   readonly surging: boolean;
+  /** Names of the pools whose placed and waiting tasks need more VMs although no VM is idle. */
+  readonly scarcePools: readonly string[];
 }
 
 /** Utilization of a VM that the plan assumes; tasks don't pack exactly into a VM. */
@@ -186,23 +188,26 @@
     totalVms / Math.max(1, servingPools.length) *
       (surgeMayStart ? SURGE_RESERVE_SHARE : RESERVE_SHARE),
   );
-  const poolStates = divideScarceVms(
-    servingPools.map((pool) => {
-      const vms = allVms.filter((vm) => vm.pool === pool.name);
-      const currentNeed = computeCurrentNeed(pool, vms);
-      return {
-        pool,
-        vms,
-        minimum: Math.max(MINIMUM_POOL_VMS, countPinnedVms(vms)),
+  const demands = servingPools.map((pool): PoolDemand => {
+    const vms = allVms.filter((vm) => vm.pool === pool.name);
+    const currentNeed = computeCurrentNeed(pool, vms);
+    return {
+      pool,
+      vms,
+      minimum: Math.max(MINIMUM_POOL_VMS, countPinnedVms(vms)),
+      currentNeed,
+      forecastNeed: Math.max(
         currentNeed,
-        forecastNeed: Math.max(
-          currentNeed,
-          Math.ceil(pool.expectedVms / TARGET_UTILIZATION),
-        ),
-      };
-    }),
-    totalVms,
-  ).map((demand): PoolState => ({
+        Math.ceil(pool.expectedVms / TARGET_UTILIZATION),
+      ),
+    };
+  });
+  const undividedNeeds = new Map(
+    demands.map(({ pool, currentNeed }) => [pool.name, currentNeed]),
+  );
+  const poolStates = divideScarceVms(demands, totalVms).map((
+    demand,
+  ): PoolState => ({
     ...demand,
     retained: Math.max(demand.forecastNeed, reserve),
     allocated: demand.vms.length + demand.pool.arriving,
@@ -299,6 +304,9 @@
         takeIdleVm((state) => state.forecastNeed) ??
         takeIdleVm((state) => state.currentNeed),
   );
+  const scarcePools = poolStates.filter((state) =>
+    state.allocated < undividedNeeds.get(state.pool.name)!
+  ).map(({ pool }) => pool.name);
   const missingForCurrentNeed = cordonBusyVms(
     countMissingVms((state) => state.currentNeed),
     (state) => state.currentNeed,
@@ -344,6 +352,7 @@
       poolStates.map(({ pool, forecastNeed }) => [pool.name, forecastNeed]),
     ),
     surging: surgingPools.length > 0,
+    scarcePools,
   };
 }
 
--- a/src/scheduler/pool_plan_test.ts
+++ b/src/scheduler/pool_plan_test.ts
@@ -239,4 +239,19 @@
   assert.equal(targets.c, 2);
 });
 
+// Guards against deferring jobs although VMs are on their way, and against a fleet that is full without anyone knowing.
+test("a pool is scarce only when its tasks need more VMs than the fleet has", () => {
+  const vms = [1, 2, 3, 4].flatMap((index) => [
+    vm(`a-${index}`, "a", { taskCount: 3 }),
+    vm(`b-${index}`, "b", { idleMs: 10_000 }),
+  ]);
+  const needy = pool("a", { usedVms: 3, waitingVms: 1 });
+  const idle = pool("b");
+  assert.deepEqual(planPools([needy, idle], vms).scarcePools, []);
+  assert.deepEqual(
+    planPools([{ ...needy, waitingVms: 12 }, idle], vms).scarcePools,
+    ["a"],
+  );
+});
+
 test.run();
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -301,6 +301,8 @@
           clock,
           log,
           isCordoned: fleet.isCordoned,
+          isScarce: fleet.isScarce,
+          countArriving: fleet.countArriving,
         }, options.config());
       }
       const durationMs = clock.monotonicMs() - startedAtMs;
--- a/src/scheduler/vm_states.ts
+++ b/src/scheduler/vm_states.ts
@@ -53,6 +53,8 @@
   isCordoned(vmId: string): boolean;
   /** Whether an operation in progress keeps the VM from running tasks. */
   isUnavailable(vmId: string): boolean;
+  /** Counts the VMs that are being moved into each pool or are returning to it. */
+  countArriving(): Map<string, number>;
   sendOrder(vmId: string, order: VmOrder, onDone?: () => void): void;
   /** Reads the VM list periodically, at short intervals while `needsFrequentReads` returns true. */
   run(needsFrequentReads: () => boolean): Operation<void>;
@@ -205,6 +207,16 @@
       orders.active.has(vmId) ||
       returning.has(vmId),
     isUnavailable: (vmId) => orders.active.has(vmId) || returning.has(vmId),
+    countArriving() {
+      const counts = new Map<string, number>();
+      const count = (pool: string) =>
+        counts.set(pool, (counts.get(pool) ?? 0) + 1);
+      for (const { pool } of returning.values()) count(pool);
+      for (const [vmId, order] of orders.active) {
+        count(order.kind === "move" ? order.pool : vms.get(vmId)?.pool ?? "");
+      }
+      return counts;
+    },
     sendOrder,
     *run(needsFrequentReads) {
       for (;;) {
