--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -96,6 +96,8 @@
   reaches(address: string): Promise<boolean>;
   /** Records the IP address of an entry that has called this one. */
   recordCaller(ip: string): void;
+  /** Resigns if this entry is the owner, and campaigns again after the others. */
+  handOver(reason: string): void;
   /** Resigns if this entry is the owner and stops campaigning. */
   stop(): void;
   run(): Operation<void>;
@@ -135,18 +137,19 @@
   let currentTenure: { runner: TenureRunner; epoch: number } | undefined;
 
   function setKnownOwner(owner: Owner | undefined): void {
-    if (owner?.epoch !== knownOwner?.epoch) {
+    const isNew = owner?.epoch !== knownOwner?.epoch;
+    if (isNew) {
       log.info("owner changed", {
         from: knownOwner?.entryId,
         to: owner?.entryId,
         epoch: owner?.epoch,
       });
       knownOwnerSinceMs = clock.monotonicMs();
-      if (owner !== undefined && owner.address !== self.address) {
-        relayOffers?.offerTo(owner);
-      }
     }
     knownOwner = owner;
+    if (isNew && owner !== undefined && owner.address !== self.address) {
+      relayOffers?.offerTo(owner);
+    }
     if (currentTenure !== undefined && owner?.epoch !== currentTenure.epoch) {
       currentTenure.runner.abandon(
         owner === undefined
@@ -387,9 +390,10 @@
     },
     reaches: options.probe,
     recordCaller: directory.recordCaller,
+    handOver: (reason) => currentTenure?.runner.resign(reason),
     stop() {
       stopping = true;
-      currentTenure?.runner.resign();
+      currentTenure?.runner.resign("this entry is stopping");
       changed.notify();
     },
     *run() {
