--- a/testing/fake_task_workers.ts
+++ b/testing/fake_task_workers.ts
@@ -33,6 +33,8 @@
   failedRunRate: number;
   /** Ids of workers that receive no orders. */
   readonly unreachable: Set<string>;
+  /** Ids of workers that execute polls but whose reports get lost. */
+  readonly silent: Set<string>;
 }
 
 /** Delay of a worker's response, in ms. */
@@ -112,6 +114,7 @@
     lateMs: 2_000,
     failedRunRate: 0,
     unreachable: new Set(),
+    silent: new Set(),
   };
   readonly workers = new Map<string, FakeTaskWorker>();
   readonly #timer: NodeJS.Timeout;
@@ -364,6 +367,7 @@
             return { kind: "done", ...this.#report(target, acknowledged) };
           }),
         );
+        if (this.faults.silent.has(workerId)) return delay(50, noResponse);
         if (
           first.kind !== "done" || first.ended.length > 0 || waitMs === 0 ||
           worker === undefined
@@ -377,7 +381,10 @@
           const timer = setTimeout(done, waitMs);
           worker.waiters.add(done);
         });
-        if (!isUp() || !worker.alive || this.faults.unreachable.has(workerId)) {
+        if (
+          !isUp() || !worker.alive || this.faults.unreachable.has(workerId) ||
+          this.faults.silent.has(workerId)
+        ) {
           return delay(50, noResponse);
         }
         return { kind: "done", ...this.#report(worker, 0) };
