fix(front): a submission that nothing has sent is refused, not unknown

Change: a call between entries that was not sent is told from one without an answer; the caller gets 503 with Retry-After then. Result: test with a refused connection: unresolved before, refused with a time to come back after; a lost cancellation is acknowledged once it is found.

--- a/src/scheduler/entry_client.ts
+++ b/src/scheduler/entry_client.ts
@@ -2,6 +2,7 @@
 import { Pool } from "undici";
 import { callWithTimeout } from "../call_timeout.ts";
 import { TaggedError } from "../errors.ts";
+import { isNotSent } from "../http_call.ts";
 import { createPoolFetch } from "../trpc_fetch.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
 import type { Owner } from "./ownership.ts";
@@ -19,11 +20,26 @@
 export class EntryCallError extends TaggedError<"owner"> {
   readonly kind = "owner";
 
-  constructor(message: string, readonly reason: "no_answer" | "not_owner") {
+  constructor(
+    message: string,
+    readonly reason:
+      | "no_answer"
+      /** No connection could be opened, so the call can't have been executed. */
+      | "not_sent"
+      | "not_owner",
+  ) {
     super(message);
   }
 }
 
+/** Whether an error or one of its causes proves that a call was not sent. */
+function hasNotSentCause(error: unknown): boolean {
+  for (let cause = error; cause instanceof Error; cause = cause.cause) {
+    if (isNotSent(cause)) return true;
+  }
+  return false;
+}
+
 /** Client of one entry, which handles the calls with its `PeerHandlers`; each method rejects with an `EntryCallError`. */
 export interface EntryClient {
   /** Whether this is the client of the local entry, which uses the same connections to the store. */
@@ -69,7 +85,7 @@
     } catch (error) {
       throw new EntryCallError(
         `Call to the entry at ${address} failed: ${(error as Error).message}`,
-        "no_answer",
+        hasNotSentCause(error) ? "not_sent" : "no_answer",
       );
     }
   }
--- a/src/scheduler/job_frontend.ts
+++ b/src/scheduler/job_frontend.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../clock.ts";
-import { messageOf, StoreError } from "../errors.ts";
+import { assertNever, messageOf, StoreError } from "../errors.ts";
 import type { Logger } from "../logger.ts";
 import { readRecordedStatus } from "./job_state.ts";
 import {
@@ -113,6 +113,11 @@
   readonly onOwnerChanged: () => void;
 }
 
+/** Result of a call to the owner. */
+type OwnerCallResult<T> =
+  | { readonly kind: "reply"; readonly value: T }
+  | { readonly kind: "failed"; readonly mayBeExecuted: boolean };
+
 function delay(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
@@ -136,27 +141,32 @@
       timeLeftMs(context) > RETRY_DELAY_MS * 4;
   }
 
-  /** Calls the owner; returns undefined if there is none, if it doesn't respond or if it is no longer the owner. */
+  /** Calls the owner; `failed` if there is none, if it doesn't respond or if it is no longer the owner. */
   async function callOwner<T>(
     call: (owner: EntryClient) => Promise<T>,
-  ): Promise<{ value: T } | undefined> {
+  ): Promise<OwnerCallResult<T>> {
     const owner = options.ownerClient();
-    if (owner === undefined) return undefined;
+    if (owner === undefined) return { kind: "failed", mayBeExecuted: false };
     try {
       const value = await call(owner);
       options.onOwnerResponse();
-      return { value };
+      return { kind: "reply", value };
     } catch (error) {
       if (!(error instanceof EntryCallError)) throw error;
       log.debug("call to the owner failed", { reason: messageOf(error) });
       switch (error.reason) {
         case "no_answer":
           options.onOwnerUnresponsive();
-          break;
+          return { kind: "failed", mayBeExecuted: true };
+        case "not_sent":
+          options.onOwnerUnresponsive();
+          return { kind: "failed", mayBeExecuted: false };
         case "not_owner":
           options.onOwnerChanged();
+          return { kind: "failed", mayBeExecuted: false };
+        default:
+          return assertNever(error.reason);
       }
-      return undefined;
     }
   }
 
@@ -202,8 +212,12 @@
       const owner = options.ownerClient();
       if (owner === undefined || owner.isLocal) return undefined;
       const reply = await callOwner(storeOnOwner);
-      // Without a reply, the owner may have stored the record.
-      const value = reply?.value ?? "unresolved";
+      if (reply.kind === "failed") {
+        if (reply.mayBeExecuted) unresolved = true;
+        refusedByOwner = false;
+        return undefined;
+      }
+      const { value } = reply;
       if (value === "unresolved") unresolved = true;
       if (value === "not_owner") options.onOwnerChanged();
       refusedByOwner = value === "not_stored";
@@ -258,7 +272,7 @@
     const startedAtMs = clock.monotonicMs();
     for (;;) {
       const reply = await callOwner((owner) => owner.status(jobId));
-      if (reply?.value !== undefined) {
+      if (reply.kind === "reply" && reply.value !== undefined) {
         return { kind: "status", status: reply.value };
       }
       try {
@@ -366,7 +380,7 @@
       for (;;) {
         const age = createStopwatch(clock);
         const reply = await callOwner((owner) => owner.waitingJobs(queue));
-        if (reply !== undefined) {
+        if (reply.kind === "reply") {
           counts.set(queue, { jobs: reply.value, age });
           return { kind: "count", jobs: reply.value };
         }
--- a/src/scheduler/job_frontend_test.ts
+++ b/src/scheduler/job_frontend_test.ts
@@ -211,6 +211,42 @@
   );
 });
 
+// Guards against a cancellation that is reported as unknown, or stored twice, because the store's first response was lost.
+test("a cancellation whose response was lost is acknowledged once it is found in the store", async () => {
+  const fixture = createFixture();
+  await fixture.frontend.submit(QUEUE, submission, fixture.context());
+  fixture.store.faults.lostAnswerRate = 1;
+  const first = fixture.frontend.cancel(JOB, fixture.context(3_000));
+  await waitFor(
+    "the cancellation is stored",
+    () => fixture.store.items.has(STORE_KEYS.cancelPrefix + JOB),
+  );
+  fixture.store.faults.lostAnswerRate = 0;
+  assert.deepEqual(await first, { kind: "cancelled" });
+});
+
+// Guards against telling a caller that its job may have been stored when nothing has left this entry: the caller would not know that a retry is safe.
+test("a submission that reached neither the store nor the owner is refused with a time to come back", async () => {
+  const unreachable = () =>
+    Promise.reject(new EntryCallError("no connection", "not_sent"));
+  const fixture = createFixture({ submit: unreachable });
+  fixture.store.faults.refusedClients.add("entry-1");
+  const refused = await fixture.frontend.submit(
+    QUEUE,
+    submission,
+    fixture.context(),
+  );
+  assert.equal(refused.kind, "refused");
+  const silent = createFixture({});
+  silent.store.faults.refusedClients.add("entry-1");
+  const unresolved = await silent.frontend.submit(
+    QUEUE,
+    submission,
+    silent.context(),
+  );
+  assert.equal(unresolved.kind, "unresolved");
+});
+
 // Guards against refusing callers on an entry that is the only one the store rejects.
 test("an entry that the store rejects stores through the owner", async () => {
   const submitted: string[] = [];
