--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -7,6 +7,7 @@
 import { watchPrefix } from "./watch_prefix.ts";
 import { createEntryDirectory } from "./entry_directory.ts";
 import { EntryCallError, type EntryClient } from "./entry_client.ts";
+import { createLocalClient } from "./local_entry_client.ts";
 import { isOwnerUnreachable, probeThroughPeers } from "./owner_reachability.ts";
 import {
   acquireOwnership,
@@ -403,30 +404,3 @@
     },
   };
 }
-
-function createLocalClient(api: () => OwnerApi | undefined): EntryClient {
-  function callOwner<T>(call: (owner: OwnerApi) => T): Promise<T> {
-    const owner = api();
-    return owner === undefined
-      ? Promise.reject(
-        new EntryCallError("This entry is not the owner", "not_owner"),
-      )
-      : Promise.resolve(call(owner));
-  }
-  /** An entry stores records directly rather than through itself. */
-  const refuseToStore = () => Promise.resolve("not_stored" as const);
-  return {
-    isLocal: true,
-    accepted: (spec) => callOwner((owner) => owner.accept(spec)),
-    submit: refuseToStore,
-    cancelled: (jobId) => callOwner((owner) => owner.cancel(jobId)),
-    cancel: refuseToStore,
-    status: (jobId) => callOwner((owner) => owner.status(jobId)),
-    waitingJobs: (queue) => callOwner((owner) => owner.waitingJobs(queue)),
-    owner: () => Promise.resolve(undefined),
-    replaceOwner: () => Promise.resolve(false),
-    reaches: () => Promise.resolve(false),
-    offerRelay: () => Promise.resolve(),
-    close() {},
-  };
-}
--- /dev/null
+++ b/src/scheduler/local_entry_client.ts
@@ -0,0 +1,32 @@
+import { EntryCallError, type EntryClient } from "./entry_client.ts";
+import type { OwnerApi } from "./tenure_runner.ts";
+
+/** Creates the client that an owner's entry uses for itself; `api` returns undefined while it isn't the owner. */
+export function createLocalClient(
+  api: () => OwnerApi | undefined,
+): EntryClient {
+  function callOwner<T>(call: (owner: OwnerApi) => T): Promise<T> {
+    const owner = api();
+    return owner === undefined
+      ? Promise.reject(
+        new EntryCallError("This entry is not the owner", "not_owner"),
+      )
+      : Promise.resolve(call(owner));
+  }
+  /** An entry stores records directly rather than through itself. */
+  const refuseToStore = () => Promise.resolve("not_stored" as const);
+  return {
+    isLocal: true,
+    accepted: (spec) => callOwner((owner) => owner.accept(spec)),
+    submit: refuseToStore,
+    cancelled: (jobId) => callOwner((owner) => owner.cancel(jobId)),
+    cancel: refuseToStore,
+    status: (jobId) => callOwner((owner) => owner.status(jobId)),
+    waitingJobs: (queue) => callOwner((owner) => owner.waitingJobs(queue)),
+    owner: () => Promise.resolve(undefined),
+    replaceOwner: () => Promise.resolve(false),
+    reaches: () => Promise.resolve(false),
+    offerRelay: () => Promise.resolve(),
+    close() {},
+  };
+}
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -58,18 +58,6 @@
   }
 }
 
-const handoverSchema = z.object({ atMs: z.number() });
-
-/** Encodes the time of a hand-over, in ms since 1970. */
-export function encodeHandover(atMs: number): string {
-  return JSON.stringify({ atMs });
-}
-
-/** Decodes the time of a hand-over, in ms since 1970; an invalid record counts as one long ago. */
-export function parseHandoverMs(item: StoredItem): number {
-  return parseRecord(handoverSchema, item)?.atMs ?? 0;
-}
-
 /** Encodes the head of the journal. */
 export function encodeHead(epoch: number, commit: number): string {
   return JSON.stringify({ epoch, commit });
--- a/src/scheduler/relay/control.ts
+++ b/src/scheduler/relay/control.ts
@@ -38,15 +38,6 @@
   retryAtMs: number;
 }
 
-/** Returns a small number that is always the same for one worker. */
-function hashWorkerId(workerId: string): number {
-  let hash = 0;
-  for (let index = 0; index < workerId.length; index++) {
-    hash = (hash * 31 + workerId.charCodeAt(index)) >>> 0;
-  }
-  return hash;
-}
-
 /**
  * Creates the control of one tenure. A relay only saves the owner's processor
  * time: leases, fences and run numbers are checked as for a direct order, and an
@@ -64,6 +55,9 @@
   const startedAtMs = clock.monotonicMs();
   const relaysByDataCentre = new Map<string, Relay[]>();
   const startWaits = new Map<string, Promise<void>>();
+  /** Number of each worker, which spreads the workers over the relays in use. */
+  const workerNumbers = new Map<string, number>();
+  let nextWorkerNumber = 0;
   let closed = false;
 
   function countRelaysInUse(): number {
@@ -101,7 +95,16 @@
         open.push(channel);
       }
     }
-    return open[hashWorkerId(worker.workerId) % open.length];
+    return open[numberOf(worker) % open.length];
+  }
+
+  function numberOf({ workerId }: WorkerAddress): number {
+    let number = workerNumbers.get(workerId);
+    if (number === undefined) {
+      number = nextWorkerNumber++;
+      workerNumbers.set(workerId, number);
+    }
+    return number;
   }
 
   async function waitForRelay(worker: WorkerAddress): Promise<void> {
@@ -212,6 +215,7 @@
     },
     close(worker) {
       direct.close(worker);
+      workerNumbers.delete(worker.workerId);
       for (
         const { channel } of relaysByDataCentre.get(worker.dataCentre) ?? []
       ) {
--- /dev/null
+++ b/src/scheduler/slow_handover.ts
@@ -0,0 +1,50 @@
+import type { Operation } from "effection";
+import { z } from "zod";
+import type { Clock } from "../clock.ts";
+import type { Logger } from "../logger.ts";
+import { resolveWarmUpMs, watchEventLoopLag } from "./event_loop_lag.ts";
+import { parseRecord, STORE_KEYS } from "./ownership.ts";
+import type { RecordStore } from "./ports.ts";
+import { retryStoreRead } from "./retry_store_read.ts";
+
+const handoverSchema = z.object({
+  /** When an owner last handed over because it was too slow, in ms since 1970. */
+  atMs: z.number(),
+});
+
+/** Dependencies of `handOverWhenSlow`. */
+export interface SlowHandoverOptions {
+  readonly store: RecordStore;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly epoch: number;
+  /** Gives up ownership once `prepared` has settled. */
+  readonly resign: (reason: string, prepared: Promise<unknown>) => void;
+}
+
+/** Hands over when this process lags, unless an earlier owner has done so a short time ago. */
+export function* handOverWhenSlow(
+  { store, clock, log, epoch, resign }: SlowHandoverOptions,
+): Operation<void> {
+  const item = yield* retryStoreRead(
+    () => store.get(STORE_KEYS.slowHandover),
+    log,
+  );
+  // An unreadable record counts as one of long ago.
+  const lastAtMs = item && parseRecord(handoverSchema, item)?.atMs;
+  const warmUpMs = resolveWarmUpMs(clock.wallMs() - (lastAtMs ?? 0));
+  yield* watchEventLoopLag(clock, warmUpMs, (meanLagMs) => {
+    log.warn("this entry is too slow to be the owner", {
+      epoch,
+      meanLagMs: Math.round(meanLagMs),
+    });
+    const recorded = store.change({
+      conditions: [],
+      puts: [{
+        key: STORE_KEYS.slowHandover,
+        value: JSON.stringify({ atMs: clock.wallMs() }),
+      }],
+    });
+    resign("this entry is too slow", recorded);
+  });
+}
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -18,15 +18,9 @@
 import { createFleetManager, type FleetManager } from "./fleet_manager.ts";
 import { watchPrefix } from "./watch_prefix.ts";
 import { createJournal, type Journal } from "./journal.ts";
-import { resolveWarmUpMs, watchEventLoopLag } from "./event_loop_lag.ts";
 import { loadJobs, parseStoredJob } from "./load_jobs.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
-import {
-  encodeHandover,
-  parseHandoverMs,
-  STORE_KEYS,
-  type Tenure,
-} from "./ownership.ts";
+import { STORE_KEYS, type Tenure } from "./ownership.ts";
 import { runThrottling } from "./throttling.ts";
 import { planPlacements } from "./placement_planner.ts";
 import type {
@@ -42,8 +36,8 @@
 import { openRelayChannel } from "./relay/channel.ts";
 import { createRelayedControl, type RelayOffer } from "./relay/control.ts";
 import { resolveQueue } from "./resolve_queue.ts";
-import { retryStoreRead } from "./retry_store_read.ts";
 import { createScheduler, type Scheduler } from "./scheduler.ts";
+import { handOverWhenSlow } from "./slow_handover.ts";
 import { relocateStragglers } from "./stragglers.ts";
 import { createTicketCache, type TicketCache } from "./ticket_cache.ts";
 import { RUN_LEASE_MS } from "./worker_link.ts";
@@ -392,40 +386,13 @@
     yield* spawn(() => removeEndedJobs());
     yield* spawn(() => fleet.run());
     yield* spawn(() => runThrottling(scheduler, log));
-    yield* spawn(() => handOverWhenSlow());
+    yield* spawn(() =>
+      handOverWhenSlow({ ...options, epoch: tenure.epoch, resign })
+    );
     loaded = true;
     yield* suspend();
   }
 
-  /** Resigns when this process lags, unless an earlier owner has done so a short time ago. */
-  function* handOverWhenSlow(): Operation<void> {
-    const item = yield* retryStoreRead(
-      () => store.get(STORE_KEYS.slowHandover),
-      log,
-    );
-    const sinceHandoverMs = item === undefined
-      ? Infinity
-      : clock.wallMs() - parseHandoverMs(item);
-    yield* watchEventLoopLag(
-      clock,
-      resolveWarmUpMs(sinceHandoverMs),
-      (meanLagMs) => {
-        log.warn("this entry is too slow to be the owner", {
-          epoch: tenure.epoch,
-          meanLagMs: Math.round(meanLagMs),
-        });
-        const recorded = store.change({
-          conditions: [],
-          puts: [{
-            key: STORE_KEYS.slowHandover,
-            value: encodeHandover(clock.wallMs()),
-          }],
-        });
-        resign("this entry is too slow", recorded);
-      },
-    );
-  }
-
   /** Ends the lease so that another entry can take over at once. The next owner learns what isn't stored yet from the workers. */
   function resign(reason: string, prepared?: Promise<unknown>): void {
     if (resigning) return;
