--- /dev/null
+++ b/src/scheduler/deferral.ts
@@ -0,0 +1,76 @@
+import { findUnattainable, type PoolCapacity } from "./attainability.ts";
+import type { DurationEstimates } from "./duration_estimates.ts";
+import type { PendingOccurrence } from "./job_order.ts";
+import { addDemand, createSums, toVmEquivalents } from "./placed_tasks.ts";
+import type { Resources } from "./ports.ts";
+import type { WorkerInstance } from "./worker_table.ts";
+
+/** Measures the capacity of a pool's usable workers. */
+function measureCapacity(
+  workers: readonly WorkerInstance[],
+  meanDurationMs: number,
+  arrivingVms: number,
+): PoolCapacity {
+  let vms = 0;
+  let busyVms = 0;
+  for (const { tasks, registration } of workers) {
+    if (registration === undefined) continue;
+    const { capacity } = registration;
+    const reserved = toVmEquivalents(tasks.reserved, capacity);
+    const longRunning = toVmEquivalents(tasks.reservedLongRunning, capacity);
+    vms += 1 - longRunning;
+    busyVms += reserved - longRunning;
+  }
+  // On average, half of a running task's work is left.
+  return { vms, arrivingVms, runningVmMs: busyVms * meanDurationMs / 2 };
+}
+
+/** Computes the work of an occurrence's tasks that aren't placed, in VM-milliseconds. */
+function computeWaitingVmMs(
+  { job, occurrence }: PendingOccurrence,
+  durationEstimates: DurationEstimates,
+  capacity: Resources,
+): number {
+  let vmMs = 0;
+  for (const [index, tasks] of occurrence.steps.entries()) {
+    const step = job.spec.steps[index]!;
+    const waiting = tasks.filter(({ phase }) => phase === "waiting").length;
+    if (waiting === 0) continue;
+    const demand = createSums();
+    addDemand(demand, step, waiting);
+    vmMs += toVmEquivalents(demand, capacity) *
+      durationEstimates.estimateMs(job.spec.queue, step.estimatedMs);
+  }
+  return vmMs;
+}
+
+/** Marks the occurrences that have to be deferred because the pool can't finish all of them on time. */
+export function deferUnattainable(
+  occurrences: readonly PendingOccurrence[],
+  { workers, arrivingVms, durationEstimates, wallMs }: {
+    /** Usable workers of the pool. */
+    readonly workers: readonly WorkerInstance[];
+    readonly arrivingVms: number;
+    readonly durationEstimates: DurationEstimates;
+    readonly wallMs: number;
+  },
+): PendingOccurrence[] {
+  const [first] = occurrences;
+  const vmCapacity = workers[0]?.registration?.capacity;
+  if (first === undefined || vmCapacity === undefined) return [...occurrences];
+  const deferred = findUnattainable(
+    occurrences.map((pending) => ({
+      pending,
+      remainingVmMs: computeWaitingVmMs(pending, durationEstimates, vmCapacity),
+    })),
+    measureCapacity(
+      workers,
+      durationEstimates.estimateMs(first.job.spec.queue, 0),
+      arrivingVms,
+    ),
+    wallMs,
+  );
+  return occurrences.map((pending) =>
+    deferred.has(pending) ? { ...pending, timeliness: "deferred" } : pending
+  );
+}
--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -1,7 +1,6 @@
 import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
-import { findUnattainable, type PoolCapacity } from "./attainability.ts";
-import type { DurationEstimates } from "./duration_estimates.ts";
+import { deferUnattainable } from "./deferral.ts";
 import {
   createDueOccurrences,
   getStep,
@@ -24,8 +23,7 @@
   subtractResources,
   type UnplaceableRequests,
 } from "./placement.ts";
-import { addDemand, createSums, toVmEquivalents } from "./placed_tasks.ts";
-import type { Resources, SchedulerConfig } from "./ports.ts";
+import type { SchedulerConfig } from "./ports.ts";
 import { resolveQueue } from "./resolve_queue.ts";
 import { createCandidate, type WorkerInstance } from "./worker_table.ts";
 import type { Scheduler } from "./scheduler.ts";
@@ -139,73 +137,6 @@
   return byService;
 }
 
-/** Measures the capacity of a service's usable workers. */
-function measureCapacity(
-  service: ServiceCandidates,
-  meanDurationMs: number,
-  arrivingVms: number,
-): PoolCapacity {
-  let vms = 0;
-  let busyVms = 0;
-  for (const { tasks, registration } of service.instances.values()) {
-    const { capacity } = registration!;
-    const reserved = toVmEquivalents(tasks.reserved, capacity);
-    const longRunning = toVmEquivalents(tasks.reservedLongRunning, capacity);
-    vms += 1 - longRunning;
-    busyVms += reserved - longRunning;
-  }
-  // On average, half of a running task's work is left.
-  return { vms, arrivingVms, runningVmMs: busyVms * meanDurationMs / 2 };
-}
-
-/** Computes the work of an occurrence's tasks that aren't placed, in VM-milliseconds. */
-function computeWaitingVmMs(
-  { job, occurrence }: PendingOccurrence,
-  durationEstimates: DurationEstimates,
-  capacity: Resources,
-): number {
-  let vmMs = 0;
-  for (const [index, tasks] of occurrence.steps.entries()) {
-    const step = job.spec.steps[index]!;
-    let waiting = 0;
-    for (const { phase } of tasks) if (phase === "waiting") waiting++;
-    if (waiting === 0) continue;
-    const demand = createSums();
-    addDemand(demand, step, waiting);
-    vmMs += toVmEquivalents(demand, capacity) *
-      durationEstimates.estimateMs(job.spec.queue, step.estimatedMs);
-  }
-  return vmMs;
-}
-
-/** Marks the occurrences that have to be deferred because the pool can't finish all of them on time. */
-function deferUnattainable(
-  occurrences: readonly PendingOccurrence[],
-  service: ServiceCandidates,
-  { scheduler, clock }: PlannerOptions,
-  arrivingVms: number,
-): PendingOccurrence[] {
-  const [first] = occurrences;
-  const vmCapacity = service.candidates[0]?.capacity;
-  if (first === undefined || vmCapacity === undefined) return [...occurrences];
-  const { durationEstimates } = scheduler;
-  const deferred = findUnattainable(
-    occurrences.map((pending) => ({
-      pending,
-      remainingVmMs: computeWaitingVmMs(pending, durationEstimates, vmCapacity),
-    })),
-    measureCapacity(
-      service,
-      durationEstimates.estimateMs(first.job.spec.queue, 0),
-      arrivingVms,
-    ),
-    clock.wallMs(),
-  );
-  return occurrences.map((pending) =>
-    deferred.has(pending) ? { ...pending, timeliness: "deferred" } : pending
-  );
-}
-
 function countTasksByRack(
   tasks: readonly TaskState[],
   service: ServiceCandidates,
@@ -337,12 +268,12 @@
     const service = services.get(name);
     if (service === undefined) continue;
     const ordered = options.isScarce(name)
-      ? deferUnattainable(
-        occurrences,
-        service,
-        options,
-        arriving.get(name) ?? 0,
-      )
+      ? deferUnattainable(occurrences, {
+        workers: [...service.instances.values()],
+        arrivingVms: arriving.get(name) ?? 0,
+        durationEstimates: scheduler.durationEstimates,
+        wallMs: clock.wallMs(),
+      })
       : occurrences;
     ordered.sort(comparePendingOccurrences);
     for (const pending of ordered) {
