feat(scheduler): logs say why a run was given up

Now: 'start order refused' has 'unanswered', 'run given up' has a reason, 'runs are over with their worker' lists the runs, 'run ended' says whether the run was current.

--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -149,6 +149,21 @@
     options.onChange();
   }
 
+  /** Frees a task whose run is over although no report of its end has come. */
+  function giveUpRun(
+    task: TaskState,
+    placement: Placement,
+    reason: "order not sent" | "refused to an earlier owner" | "stopped",
+  ): void {
+    log.info("run given up", {
+      task: task.taskId,
+      run: placement.run,
+      worker: placement.workerId,
+      reason,
+    });
+    freeTask(task);
+  }
+
   /** Moves an ended job from `jobs` to `endedJobs` once it has no runs left. */
   function archiveIfOver(job: JobState): void {
     const { recordedStatus: status, spec: { jobId } } = job;
@@ -284,14 +299,18 @@
     if (endedRun.checkpoint !== "") task.checkpoint = endedRun.checkpoint;
     const isCurrent = task.placement?.run === endedRun.run &&
       instance.tasks.has(task);
-    // Successful runs are logged at debug level, as the completion of the job has a line of its own.
-    log[endedRun.ending === "done" ? "debug" : "info"]("run ended", {
-      task: endedRun.taskId,
-      run: endedRun.run,
-      ending: endedRun.ending,
-      worker: instance.workerId,
-      failures: task.failedRuns.size,
-    });
+    // Expected successful runs are logged at debug level, as the completion of the job has a line of its own.
+    log[endedRun.ending === "done" && isCurrent ? "debug" : "info"](
+      "run ended",
+      {
+        task: endedRun.taskId,
+        run: endedRun.run,
+        ending: endedRun.ending,
+        worker: instance.workerId,
+        current: isCurrent,
+        failures: task.failedRuns.size,
+      },
+    );
     switch (endedRun.ending) {
       case "done":
         if (getStep(task).longRunning) {
@@ -368,7 +387,7 @@
       case "inherited":
         // The call that returned this report has raised the worker's fencing token, so the worker refuses
         // an earlier owner's start order from now on.
-        freeTask(task);
+        giveUpRun(task, placement, "refused to an earlier owner");
         return;
       case "running":
         if ((placement.confirmedAtMs ?? Infinity) >= sentAtMs) return;
@@ -382,7 +401,7 @@
         return;
       case "unresolved":
         if ((placement.stopConfirmedAtMs ?? Infinity) < sentAtMs) {
-          freeTask(task);
+          giveUpRun(task, placement, "stopped");
         } else sendStop(task, placement);
         return;
       default:
@@ -414,7 +433,7 @@
     switch (placement.startState) {
       case "unrecorded":
         // The order hasn't been sent yet; releasing the placement keeps it from being sent.
-        freeTask(task);
+        giveUpRun(task, placement, "order not sent");
         save(task.job);
         return;
       case "inherited":
@@ -433,10 +452,11 @@
     const instance = findInstance(placement);
     if (task.placement !== placement) return;
     if (instance?.link === undefined || !options.mayOrder()) {
-      return freeTask(task);
+      return giveUpRun(task, placement, "order not sent");
     }
     placement.startState = "sending";
     let outcome: OrderOutcome = { kind: "unknown" };
+    let unanswered = 0;
     for (let attempt = 0; attempt < MAXIMUM_START_ATTEMPTS; attempt++) {
       outcome = await instance.link.start({
         taskId: task.taskId,
@@ -449,21 +469,22 @@
       // A report may have ended the placement in the meantime.
       if (task.placement !== placement) return;
       if (outcome.kind !== "unknown") break;
+      unanswered++;
     }
-    handleStartOutcome(task, placement, outcome);
+    handleStartOutcome(task, placement, outcome, unanswered);
   }
 
   /** Requeues a task whose start order was provably not carried out. */
   function requeueRefusedTask(
     task: TaskState,
     placement: Placement,
-    reason: string,
+    refusal: { readonly reason: string; readonly unanswered: number },
   ): void {
     log.info("start order refused", {
       task: task.taskId,
       run: placement.run,
       worker: placement.workerId,
-      reason,
+      ...refusal,
     });
     freeTask(task);
   }
@@ -471,8 +492,9 @@
   function handleStartRefusal(
     task: TaskState,
     placement: Placement,
-    reason: OrderRefusal,
+    refusal: { readonly reason: OrderRefusal; readonly unanswered: number },
   ): void {
+    const { reason } = refusal;
     switch (reason) {
       case "fenced":
         return;
@@ -484,13 +506,13 @@
       case "no_room":
       case "unhealthy":
         health.recordRefusal(placement.workerId);
-        return requeueRefusedTask(task, placement, reason);
+        return requeueRefusedTask(task, placement, refusal);
       case "invalid":
         task.notBeforeMs = clock.monotonicMs() + INVALID_START_DELAY_MS;
-        return requeueRefusedTask(task, placement, reason);
+        return requeueRefusedTask(task, placement, refusal);
       case "expired":
       case "ticket":
-        return requeueRefusedTask(task, placement, reason);
+        return requeueRefusedTask(task, placement, refusal);
       default:
         assertNever(reason);
     }
@@ -500,6 +522,8 @@
     task: TaskState,
     placement: Placement,
     outcome: OrderOutcome,
+    /** Number of earlier attempts to send the order that had no answer. */
+    unanswered: number,
   ): void {
     if (placement.startState !== "sending") return;
     switch (outcome.kind) {
@@ -511,10 +535,16 @@
         if (placement.stopReason !== undefined) sendStop(task, placement);
         return;
       case "refused":
-        return handleStartRefusal(task, placement, outcome.reason);
+        return handleStartRefusal(task, placement, {
+          reason: outcome.reason,
+          unanswered,
+        });
       case "not_sent":
         health.recordRefusal(placement.workerId);
-        requeueRefusedTask(task, placement, outcome.kind);
+        requeueRefusedTask(task, placement, {
+          reason: outcome.kind,
+          unanswered,
+        });
         return;
       case "other_life":
         return;
@@ -626,7 +656,9 @@
           worker: instance.workerId,
           vm: instance.vmId,
           reason,
-          runs: instance.tasks.size,
+          runs: [...instance.tasks].map(({ taskId, run }) =>
+            `${taskId} run ${run}`
+          ),
         });
       }
       for (const task of [...instance.tasks]) {
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { suite } from "uvu";
 import { systemClock } from "../clock.ts";
-import { silentLogger } from "../logger.ts";
+import type { Logger } from "../logger.ts";
 import {
   createDueOccurrences,
   encodeProgress,
@@ -32,8 +32,23 @@
   });
 }
 
+/** Creates a logger that keeps the lines from level `info` on. */
+function createRecordingLogger() {
+  const lines: Record<string, unknown>[] = [];
+  const record = (msg: string, fields?: Record<string, unknown>) =>
+    void lines.push({ msg, ...fields });
+  const log: Logger = {
+    debug() {},
+    info: record,
+    warn: record,
+    error: record,
+  };
+  return { log, lines };
+}
+
 /** Creates a scheduler with one worker; the test decides when records are stored and how the worker responds. */
 function createTestScheduler() {
+  const { log, lines } = createRecordingLogger();
   const pendingRecords: JournalRecord[] = [];
   const journal: Journal = {
     put: (record) => void pendingRecords.push(record),
@@ -42,12 +57,16 @@
     *run() {},
   };
   const calls: string[] = [];
-  const responses = { start: { kind: "done", clockMs: 0 } as OrderOutcome };
+  const responses = {
+    start: { kind: "done", clockMs: 0 } as OrderOutcome,
+    /** Outcomes of the first attempts to send a start order, before `start`. */
+    firstStarts: [] as OrderOutcome[],
+  };
   const scheduler = createScheduler({
     journal,
     fence: 1,
     clock: systemClock,
-    log: silentLogger,
+    log,
     config: () => undefined,
     mayOrder: () => true,
     onChange() {},
@@ -55,7 +74,7 @@
   const link = {
     start: (order: { taskId: string; run: number }) => {
       calls.push(`start ${order.taskId} ${order.run}`);
-      return Promise.resolve(responses.start);
+      return Promise.resolve(responses.firstStarts.shift() ?? responses.start);
     },
     stop: (taskId: string, run: number) => {
       calls.push(`stop ${taskId} ${run}`);
@@ -80,6 +99,7 @@
     instance,
     calls,
     responses,
+    lines,
     /** Completes all pending writes, then waits for the resulting orders. */
     async flush() {
       for (const record of pendingRecords.splice(0)) record.onStored?.();
@@ -206,6 +226,58 @@
   assert.equal(context.instance.tasks.size, 0);
 });
 
+// Guards against logs that can't tell why a task was placed again, which hides the cause of a second run.
+test("the log says why a run was given up and whether an attempt was unanswered", async () => {
+  const context = createTestScheduler();
+  const { scheduler, instance, responses, lines, report, openTask } = context;
+  responses.firstStarts = [{ kind: "unknown" }];
+  responses.start = { kind: "refused", reason: "superseded" };
+  scheduler.accept(spec());
+  const task = openTask();
+  scheduler.place(task, instance, { run: 1, ticket: undefined });
+  await context.flush();
+  const fields = { task: `${JOB}.0.0.0`, run: 1, worker: "w1" };
+  report([]);
+  await context.flush();
+  report([]);
+  assert.deepEqual(lines.splice(0), [
+    { msg: "run given up", ...fields, reason: "stopped" },
+  ]);
+  responses.start = { kind: "refused", reason: "no_room" };
+  scheduler.place(task, instance, { run: 2, ticket: undefined });
+  await context.flush();
+  assert.deepEqual(lines.splice(0), [{
+    msg: "start order refused",
+    ...fields,
+    run: 2,
+    reason: "no_room",
+    unanswered: 0,
+  }]);
+  report([endedRun(1, 2, "done")]);
+  assert.deepEqual(lines.splice(0), [{
+    msg: "run ended",
+    ...fields,
+    run: 2,
+    ending: "done",
+    current: false,
+    failures: 0,
+  }]);
+  const inherited = createTestScheduler();
+  inherited.scheduler.accept(spec());
+  inherited.scheduler.place(inherited.openTask(), inherited.instance, {
+    run: 1,
+    ticket: undefined,
+  });
+  inherited.scheduler.removeInstance(inherited.instance, "the reason");
+  assert.deepEqual(inherited.lines, [{
+    msg: "runs are over with their worker",
+    worker: "w1",
+    vm: "vm-1",
+    reason: "the reason",
+    runs: [`${JOB}.0.0.0 run 1`],
+  }]);
+});
+
 // Guards against continuing work for a cancelled job.
 test("a cancellation stops running tasks and sends no pending start order", async () => {
   const context = createTestScheduler();
