--- a/src/scheduler/ownership_faults_test.ts
+++ b/src/scheduler/ownership_faults_test.ts
@@ -76,6 +76,22 @@
   });
 });
 
+// Guards against tasks that run twice, and workers that are overloaded, when workers execute orders late
+// and refuse others at the same time.
+test("late orders to workers that also refuse orders never make a task run twice", async () => {
+  await withCluster("late and refused orders", async (cluster) => {
+    cluster.workers.faults.lateOrderRate = 0.2;
+    cluster.workers.faults.unhealthyRate = 0.4;
+    const jobs = await Promise.all(
+      Array.from({ length: 30 }, () => cluster.submit(STEPS)),
+    );
+    await delay(5_000);
+    cluster.workers.faults.lateOrderRate = 0;
+    cluster.workers.faults.unhealthyRate = 0;
+    for (const job of jobs) await cluster.waitForStatus(job, "completed");
+  });
+});
+
 // Guards against a commit that is executed after a newer one and against accepted jobs that are lost
 // together with a response of the store.
 test("lost and late responses of the store", async () => {
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -211,6 +211,35 @@
   assert.equal(task.phase, "waiting");
 });
 
+// Guards against tasks that run twice and workers that are overloaded because a refusal of the second attempt to send a start order is taken as proof that the unanswered first one won't be carried out.
+test("a start that is refused after an unanswered attempt stays placed until a report proves that the run is gone", async () => {
+  const refusals: OrderOutcome[] = [
+    { kind: "refused", reason: "no_room" },
+    { kind: "refused", reason: "unhealthy" },
+    { kind: "refused", reason: "expired" },
+    { kind: "refused", reason: "ticket" },
+    { kind: "refused", reason: "invalid" },
+    { kind: "not_sent" },
+  ];
+  for (const refusal of refusals) {
+    const context = createTestScheduler();
+    const { scheduler, instance, responses } = context;
+    responses.firstStarts = [{ kind: "unknown" }];
+    responses.start = refusal;
+    scheduler.accept(spec());
+    const task = context.openTask();
+    scheduler.place(task, instance, { run: 1, ticket: undefined });
+    await context.flush();
+    const name = JSON.stringify(refusal);
+    assert.equal(task.placement?.startState, "unresolved", name);
+    assert.equal(instance.tasks.size, 1, name);
+    assert.equal(context.calls.at(-1), `stop ${JOB}.0.0.0 1`, name);
+    context.report([]);
+    assert.equal(task.phase, "waiting", name);
+    assert.equal(instance.tasks.size, 0, name);
+  }
+});
+
 // Guards against a task that stays placed, and occupies the worker's resources, although its start was refused.
 test("a refused start frees the task at once", async () => {
   const context = createTestScheduler();
--- a/testing/fake_task_workers.ts
+++ b/testing/fake_task_workers.ts
@@ -29,6 +29,8 @@
   lateOrderRate: number;
   /** Upper bound of the random part of a late order's delay, in ms; the fixed part is 200 ms. */
   lateMs: number;
+  /** Fraction of orders that workers refuse because they are unhealthy. */
+  unhealthyRate: number;
   /** Fraction of runs that fail. */
   failedRunRate: number;
   /** Ids of workers that receive no orders. */
@@ -112,6 +114,7 @@
   readonly faults: WorkerFaults = {
     lateOrderRate: 0,
     lateMs: 2_000,
+    unhealthyRate: 0,
     failedRunRate: 0,
     unreachable: new Set(),
     silent: new Set(),
@@ -243,6 +246,10 @@
       // The caller gives up on a late order after 100 ms, before the order is executed.
       return delay(100, { kind: "unknown" as const });
     }
+    if (this.random.next() < this.faults.unhealthyRate) {
+      const refusal = { kind: "refused", reason: "unhealthy" } as const;
+      return delay(RESPONSE_DELAY_MS, refusal);
+    }
     return delay(RESPONSE_DELAY_MS).then(() =>
       worker.alive ? run(worker) : { kind: "unknown" }
     );
