fix(scheduler): the first confirmation of a stop counts

Cause: a run without an answer is stopped, and its task is placed again after a report that was requested after the stop was confirmed. Each report that came too early sent another stop, whose confirmation replaced the time of the first. On a quiet worker the next report is requested at once, a millisecond before that confirmation, so no report ever came late enough.

A confirmed stop holds for good on a worker instance, so the first confirmation is the proof.

--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -421,7 +421,8 @@
     if (link === undefined || !options.mayOrder()) return;
     void link.stop(task.taskId, placement.run).then((outcome) => {
       if (outcome.kind !== "done") return;
-      placement.stopConfirmedAtMs = clock.monotonicMs();
+      // A later confirmation adds nothing, and would discard the report that is on its way.
+      placement.stopConfirmedAtMs ??= clock.monotonicMs();
       link.pollNow();
     });
   }
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
 import { systemClock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
@@ -211,6 +212,27 @@
   assert.equal(task.phase, "waiting");
 });
 
+// Guards against a task that is never placed again because each report of a quiet worker is requested just before the next confirmation of its stop.
+test("the first confirmation of a stop counts, however often the stop is repeated", async () => {
+  const context = createTestScheduler();
+  context.responses.start = { kind: "unknown" };
+  context.scheduler.accept(spec());
+  const task = context.openTask();
+  context.scheduler.place(task, context.instance, {
+    run: 1,
+    ticket: undefined,
+  });
+  await context.flush();
+  let sentAtMs = 0;
+  for (let poll = 0; poll < 4; poll++) {
+    // Stops are repeated after 300 ms at the earliest.
+    await delay(350);
+    context.report([], [], sentAtMs);
+    sentAtMs = systemClock.monotonicMs();
+  }
+  assert.equal(task.phase, "waiting");
+});
+
 // Guards against tasks that run twice and workers that are overloaded because a refusal of the second attempt to send a start order is taken as proof that the unanswered first one won't be carried out.
 test("a start that is refused after an unanswered attempt stays placed until a report proves that the run is gone", async () => {
   const refusals: OrderOutcome[] = [
