fix(scheduler): a refusal proves nothing about an earlier attempt

Cause: a start order is sent up to twice. When the first attempt had no answer and the second was refused or not sent, the task was placed again and its resources were given away, although the first could still be carried out, for up to the 7 s of its lease.

Now the outcome of all attempts counts together (order_attempts.ts): only an answer that the worker would also give to an earlier attempt settles it (executed, run number or fence too low, another instance). Otherwise the run is stopped and the task stays placed until a report proves that the run is gone.

The log test of the scheduler now asserts whole lines for both cases, because a logged refusal is always conclusive.

--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -21,6 +21,7 @@
 } from "./job_state.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
 import { computeObjectiveMs } from "./job_order.ts";
+import { settlesEarlierAttempts } from "./order_attempts.ts";
 import { STORE_KEYS } from "./ownership.ts";
 import type {
   ActiveRunReport,
@@ -458,7 +459,7 @@
     placement.startState = "sending";
     let outcome: OrderOutcome = { kind: "unknown" };
     let unanswered = 0;
-    for (let attempt = 0; attempt < MAXIMUM_START_ATTEMPTS; attempt++) {
+    while (unanswered < MAXIMUM_START_ATTEMPTS) {
       outcome = await instance.link.start({
         taskId: task.taskId,
         run: placement.run,
@@ -475,17 +476,34 @@
     handleStartOutcome(task, placement, outcome, unanswered);
   }
 
+  /** Stops a run whose start order may still be carried out; the task stays placed until a report proves that the run is gone. */
+  function resolveByStop(
+    task: TaskState,
+    placement: Placement,
+    attempts: { readonly unanswered: number; readonly latest: OrderOutcome },
+  ): void {
+    log.info("start order not answered", {
+      task: task.taskId,
+      run: placement.run,
+      worker: placement.workerId,
+      ...attempts,
+    });
+    placement.startState = "unresolved";
+    health.recordRefusal(placement.workerId);
+    sendStop(task, placement);
+  }
+
   /** Requeues a task whose start order was provably not carried out. */
   function requeueRefusedTask(
     task: TaskState,
     placement: Placement,
-    refusal: { readonly reason: string; readonly unanswered: number },
+    reason: string,
   ): void {
     log.info("start order refused", {
       task: task.taskId,
       run: placement.run,
       worker: placement.workerId,
-      ...refusal,
+      reason,
     });
     freeTask(task);
   }
@@ -493,9 +511,8 @@
   function handleStartRefusal(
     task: TaskState,
     placement: Placement,
-    refusal: { readonly reason: OrderRefusal; readonly unanswered: number },
+    reason: OrderRefusal,
   ): void {
-    const { reason } = refusal;
     switch (reason) {
       case "fenced":
         return;
@@ -507,13 +524,13 @@
       case "no_room":
       case "unhealthy":
         health.recordRefusal(placement.workerId);
-        return requeueRefusedTask(task, placement, refusal);
+        return requeueRefusedTask(task, placement, reason);
       case "invalid":
         task.notBeforeMs = clock.monotonicMs() + INVALID_START_DELAY_MS;
-        return requeueRefusedTask(task, placement, refusal);
+        return requeueRefusedTask(task, placement, reason);
       case "expired":
       case "ticket":
-        return requeueRefusedTask(task, placement, refusal);
+        return requeueRefusedTask(task, placement, reason);
       default:
         assertNever(reason);
     }
@@ -523,10 +540,15 @@
     task: TaskState,
     placement: Placement,
     outcome: OrderOutcome,
-    /** Number of earlier attempts to send the order that had no answer. */
     unanswered: number,
   ): void {
     if (placement.startState !== "sending") return;
+    if (
+      outcome.kind === "unknown" ||
+      (unanswered > 0 && !settlesEarlierAttempts(outcome))
+    ) {
+      return resolveByStop(task, placement, { unanswered, latest: outcome });
+    }
     switch (outcome.kind) {
       case "done":
         counters.starts++;
@@ -536,29 +558,13 @@
         if (placement.stopReason !== undefined) sendStop(task, placement);
         return;
       case "refused":
-        return handleStartRefusal(task, placement, {
-          reason: outcome.reason,
-          unanswered,
-        });
+        return handleStartRefusal(task, placement, outcome.reason);
       case "not_sent":
         health.recordRefusal(placement.workerId);
-        requeueRefusedTask(task, placement, {
-          reason: outcome.kind,
-          unanswered,
-        });
+        requeueRefusedTask(task, placement, outcome.kind);
         return;
       case "other_life":
         return;
-      case "unknown":
-        log.info("start order not answered", {
-          task: task.taskId,
-          run: placement.run,
-          worker: placement.workerId,
-        });
-        placement.startState = "unresolved";
-        health.recordRefusal(placement.workerId);
-        sendStop(task, placement);
-        return;
       default:
         assertNever(outcome);
     }
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -280,47 +280,48 @@
 // Guards against logs that can't tell why a task was placed again, which hides the cause of a second run.
 test("the log says why a run was given up and whether an attempt was unanswered", async () => {
   const context = createTestScheduler();
-  const { scheduler, instance, responses, lines, report, openTask } = context;
+  const { scheduler, instance, responses, lines, report } = context;
+  // The second task keeps the job active, so that its end adds no line.
+  scheduler.accept(spec({ steps: [{ ...spec().steps[0]!, taskCount: 2 }] }));
+  const task = context.openTask();
+  async function listLines(
+    run: number,
+    act: () => void,
+  ): Promise<Record<string, unknown>[]> {
+    act();
+    await context.flush();
+    const fields = { task: `${JOB}.0.0.0`, run, worker: "w1" };
+    return lines.splice(0).map((line) => {
+      assert.deepEqual({ ...line, ...fields }, line);
+      const { task: _task, run: _run, worker: _worker, ...rest } = line;
+      return rest;
+    });
+  }
+  const place = (run: number) =>
+    scheduler.place(task, instance, { run, ticket: undefined });
+
+  responses.start = { kind: "refused", reason: "no_room" };
+  assert.deepEqual(await listLines(1, () => place(1)), [
+    { msg: "start order refused", reason: "no_room" },
+  ]);
   responses.firstStarts = [{ kind: "unknown" }];
-  responses.start = { kind: "refused", reason: "superseded" };
-  scheduler.accept(spec());
-  const task = openTask();
-  scheduler.place(task, instance, { run: 1, ticket: undefined });
-  await context.flush();
-  const fields = { task: `${JOB}.0.0.0`, run: 1, worker: "w1" };
-  report([]);
-  await context.flush();
-  report([]);
-  assert.deepEqual(lines.splice(0), [
-    { msg: "run given up", ...fields, reason: "stopped" },
+  assert.deepEqual(await listLines(2, () => place(2)), [
+    { msg: "start order not answered", unanswered: 1, latest: responses.start },
   ]);
-  responses.start = { kind: "refused", reason: "no_room" };
-  scheduler.place(task, instance, { run: 2, ticket: undefined });
-  await context.flush();
-  assert.deepEqual(lines.splice(0), [{
-    msg: "start order refused",
-    ...fields,
-    run: 2,
-    reason: "no_room",
-    unanswered: 0,
-  }]);
-  report([endedRun(1, 2, "done")]);
-  assert.deepEqual(lines.splice(0), [{
-    msg: "run ended",
-    ...fields,
-    run: 2,
-    ending: "done",
-    current: false,
-    failures: 0,
-  }]);
-  const inherited = createTestScheduler();
-  inherited.scheduler.accept(spec());
-  inherited.scheduler.place(inherited.openTask(), inherited.instance, {
+  assert.deepEqual(await listLines(2, () => report([])), [
+    { msg: "run given up", reason: "stopped" },
+  ]);
+  assert.deepEqual(await listLines(2, () => report([endedRun(1, 2, "done")])), [
+    { msg: "run ended", ending: "done", current: false, failures: 0 },
+  ]);
+  const lost = createTestScheduler();
+  lost.scheduler.accept(spec());
+  lost.scheduler.place(lost.openTask(), lost.instance, {
     run: 1,
     ticket: undefined,
   });
-  inherited.scheduler.removeInstance(inherited.instance, "the reason");
-  assert.deepEqual(inherited.lines, [{
+  lost.scheduler.removeInstance(lost.instance, "the reason");
+  assert.deepEqual(lost.lines, [{
     msg: "runs are over with their worker",
     worker: "w1",
     vm: "vm-1",
