fix(scheduler): a busy VM proves nothing about an unanswered order

Operators would have seen a VM lose the tasks that were placed on it since, or one VM too many of a wave down at once (LIMIT), because its place was given away.

Now such an order is repeated, once a second, until it is confirmed or refused for a reason that holds for earlier attempts too (fence, no such VM or pool, not of the wave); a VM that has left for good is refused as invalid, which ends it.

The first new test failed before: the VM was free after the busy answer. vm_orders_test: 5 passed; fleet_manager_test: 4 passed. Open: an unanswered move that is carried out after a later, confirmed order for the same VM; both carry the owner's token, so the platform can't tell.

--- a/src/scheduler/vm_orders.ts
+++ b/src/scheduler/vm_orders.ts
@@ -1,4 +1,6 @@
+import { setTimeout as delay } from "node:timers/promises";
 import type { Clock } from "../clock.ts";
+import { assertNever } from "../errors.ts";
 import type { Logger } from "../logger.ts";
 import type { Journal } from "./journal.ts";
 import type { VmApi, VmOrderOutcome } from "./ports.ts";
@@ -6,6 +8,8 @@
 
 /** Delay before an order without a conclusive response is sent again, in ms. */
 const RETRY_DELAY_MS = 300;
+/** Delay before an order is sent again to a VM that is busy, in ms: operations take 1.5 s and more, and calls are limited. */
+const BUSY_RETRY_DELAY_MS = 1_000;
 /** Maximum age of the stored record when its order is sent, in ms: by then another entry may have become the owner. */
 const RECORD_VALIDITY_MS = 700;
 
@@ -14,7 +18,7 @@
   | { readonly kind: "move"; readonly pool: string }
   | { readonly kind: "maintain"; readonly wave: number };
 
-/** Result of an order; `refused` means that nothing was done. */
+/** Result of an order; `refused` means that nothing was or will be done. */
 export type VmOrderResult = "done" | "refused" | "fenced";
 
 /** Sends orders for VMs, each after storing a record of it, and repeats those without a response. */
@@ -36,6 +40,51 @@
 /** Key prefix of stored VM order records. */
 export const VM_ORDER_PREFIX = "fleet/order/";
 
+/** An order on its way, with what its attempts so far have shown. */
+interface Delivery {
+  readonly vmId: string;
+  readonly order: VmOrder;
+  readonly onResult: (result: VmOrderResult) => void;
+  /** Whether an attempt without an answer may still be executed. */
+  mayBeExecuted: boolean;
+}
+
+/** Returns the certain result of an order after its latest attempt; undefined if it has to be sent again. */
+function resolveResult(
+  outcome: VmOrderOutcome,
+  mayBeExecuted: boolean,
+): VmOrderResult | undefined {
+  switch (outcome.kind) {
+    case "done":
+      return "done";
+    case "unavailable":
+    case "unknown":
+      return undefined;
+    case "refused":
+      return resolveRefusal(outcome.reason, mayBeExecuted);
+    default:
+      return assertNever(outcome);
+  }
+}
+
+function resolveRefusal(
+  reason: Extract<VmOrderOutcome, { kind: "refused" }>["reason"],
+  mayBeExecuted: boolean,
+): VmOrderResult | undefined {
+  switch (reason) {
+    case "fenced":
+      return "fenced";
+    case "invalid":
+    case "wrong_wave":
+      // Earlier attempts name the same VM, pool and wave.
+      return "refused";
+    case "busy":
+      return mayBeExecuted ? undefined : "refused";
+    default:
+      return assertNever(reason);
+  }
+}
+
 /** Creates the sender of orders for VMs. */
 export function createVmOrders(options: {
   readonly fleet: VmApi;
@@ -67,29 +116,24 @@
   }
 
   /** Stores the order before sending it; a successful commit proves that this entry is still the owner. */
-  function storeIntent(
-    vmId: string,
-    order: VmOrder,
-    onResult: (result: VmOrderResult) => void,
-  ): void {
+  function storeIntent(delivery: Delivery): void {
+    const { vmId, order } = delivery;
     journal.put({
       key: VM_ORDER_PREFIX + vmId,
       encode: () =>
         JSON.stringify({ ...order, epoch: fence, atMs: clock.wallMs() }),
-      onStored: () =>
-        void deliver(vmId, order, onResult, createStopwatch(clock)),
+      onStored: () => void deliver(delivery, createStopwatch(clock)),
     });
   }
 
   async function deliver(
-    vmId: string,
-    order: VmOrder,
-    onResult: (result: VmOrderResult) => void,
+    delivery: Delivery,
     recordAge: Stopwatch,
   ): Promise<void> {
+    const { vmId, order } = delivery;
     for (;;) {
       if (recordAge.elapsedMs() > RECORD_VALIDITY_MS) {
-        return storeIntent(vmId, order, onResult);
+        return storeIntent(delivery);
       }
       if (!options.mayOrder()) return;
       const outcome = await callPlatform(vmId, order);
@@ -100,18 +144,16 @@
         outcome: outcome.kind,
         ...(outcome.kind === "refused" ? { reason: outcome.reason } : {}),
       });
-      switch (outcome.kind) {
-        case "done":
-          active.delete(vmId);
-          return onResult("done");
-        case "refused":
-          active.delete(vmId);
-          return onResult(outcome.reason === "fenced" ? "fenced" : "refused");
-        case "unavailable":
-        case "unknown":
-          // Orders are idempotent: if the first one was carried out, its repetition has no effect.
-          await new Promise((resolve) => setTimeout(resolve, RETRY_DELAY_MS));
+      if (outcome.kind === "unknown") delivery.mayBeExecuted = true;
+      const result = resolveResult(outcome, delivery.mayBeExecuted);
+      if (result !== undefined) {
+        active.delete(vmId);
+        return delivery.onResult(result);
       }
+      // Orders are idempotent: if an earlier one was carried out, its repetition has no effect.
+      await delay(
+        outcome.kind === "refused" ? BUSY_RETRY_DELAY_MS : RETRY_DELAY_MS,
+      );
     }
   }
 
@@ -128,7 +170,7 @@
     },
     send(vmId, order, onResult) {
       active.set(vmId, order);
-      storeIntent(vmId, order, onResult);
+      storeIntent({ vmId, order, onResult, mayBeExecuted: false });
     },
   };
 }
--- a/src/scheduler/vm_orders_test.ts
+++ b/src/scheduler/vm_orders_test.ts
@@ -43,6 +43,11 @@
   return { orders, events, state };
 }
 
+/** Counts the move orders that the platform received. */
+function countMoves(events: readonly string[]): number {
+  return events.filter((event) => event.startsWith("move ")).length;
+}
+
 // Guards against an owner that was suspended and then repeats an order although another owner may have come meanwhile; the monotonic clock doesn't count the suspension.
 test("an order is repeated after a pause only once its record is stored again", async () => {
   const { orders, events, state } = createTestOrders([{ kind: "unknown" }]);
@@ -60,6 +65,62 @@
   ]);
 });
 
+// Guards against a VM that gets tasks, or whose place in a maintenance wave is given to another VM, while an earlier attempt of its order may still be carried out.
+test("an order that is refused as busy after an unanswered attempt is repeated until its result is certain", async () => {
+  const busy = { kind: "refused", reason: "busy" } as const;
+  const { orders, events } = createTestOrders([
+    { kind: "unknown" },
+    busy,
+    { kind: "unavailable" },
+    busy,
+  ]);
+  const results: string[] = [];
+  orders.send(
+    "vm-1",
+    { kind: "move", pool: "p" },
+    (result) => results.push(result),
+  );
+  await waitFor("the second attempt", () => countMoves(events) === 2);
+  assert.equal(orders.isFree("vm-1"), false);
+  await waitFor("the result", () => results.length > 0);
+  assert.deepEqual(results, ["done"]);
+  assert.equal(countMoves(events), 5);
+});
+
+// Guards against an order that is repeated for ever because the VM has left or has a newer owner.
+test("an order is given up after an unanswered attempt when its refusal is final", async () => {
+  for (const reason of ["fenced", "invalid", "wrong_wave"] as const) {
+    const { orders } = createTestOrders([
+      { kind: "unknown" },
+      { kind: "refused", reason },
+    ]);
+    const results: string[] = [];
+    orders.send(
+      "vm-1",
+      { kind: "move", pool: "p" },
+      (result) => results.push(result),
+    );
+    await waitFor("the result", () => results.length > 0);
+    assert.deepEqual(results, [reason === "fenced" ? "fenced" : "refused"]);
+  }
+});
+
+// Guards against a VM that is kept out of use although its only order was refused.
+test("an order that is refused at the first attempt is given up at once", async () => {
+  const { orders, events } = createTestOrders([
+    { kind: "refused", reason: "busy" },
+  ]);
+  const results: string[] = [];
+  orders.send(
+    "vm-1",
+    { kind: "move", pool: "p" },
+    (result) => results.push(result),
+  );
+  await waitFor("the result", () => results.length > 0);
+  assert.deepEqual(results, ["refused"]);
+  assert.equal(countMoves(events), 1);
+});
+
 // Guards against an order that an owner repeats after its tenure has ended.
 test("an unanswered order isn't repeated once the owner may not order", async () => {
   const { orders, events, state } = createTestOrders([{ kind: "unknown" }]);
