fix(scheduler): a needless run keeps its reservation until it has ended

When an earlier run of a task that had been given up succeeded after all, the run that had replaced it was stopped, but its placement was forgotten at once and its reservation never: the end that the worker listed then belonged to no placement, so the worker lost that capacity until its instance ended.

Now a task that is done keeps the placement of a run that hasn't ended; it is stored, restored and stopped like any other, and released with its end. The same way ends the other members of a gang with an older success.

The scheduler's test failed before (the next owner knew of no run 2; with that left out, the worker's tasks stay at 1). src/scheduler: 139 passed, 0 failed.

--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -202,11 +202,10 @@
   return false;
 }
 
-/** Marks a task as done, and its job as completed if this was the last task. */
+/** Marks a task as done, and its job as completed if this was the last task; the placement of a run that hasn't ended stays. */
 export function finishTask(task: TaskState): void {
   if (task.phase === "done") return;
   task.phase = "done";
-  task.placement = undefined;
   const { job } = task;
   const occurrence = job.occurrences[task.occurrence]!;
   occurrence.remaining[task.stepIndex]!--;
@@ -218,12 +217,12 @@
   ) job.status = "completed";
 }
 
-/** Requeues a task whose run is proven to be over. */
-export function requeueTask(task: TaskState): void {
+/** Ends the placement of a task whose run is proven to be over; an unfinished task waits for its next run. */
+export function releaseTask(task: TaskState): void {
+  task.placement = undefined;
   if (task.phase !== "placed") return;
   task.phase = "waiting";
   task.waitingSinceMs = undefined;
-  task.placement = undefined;
 }
 
 /** Calls `visit` for each placed task of a job. */
@@ -279,20 +278,25 @@
 type TaskRecord = z.input<typeof taskRecordSchema>;
 
 function encodeTask(task: TaskState): TaskRecord {
-  const base = { o: task.occurrence, s: task.stepIndex, i: task.index };
-  if (task.phase === "done") return { ...base, p: "d" };
   const { run, failedRuns, checkpoint, placement } = task;
+  const base = {
+    o: task.occurrence,
+    s: task.stepIndex,
+    i: task.index,
+    ...(placement === undefined ? {} : {
+      run,
+      worker: placement.workerId,
+      born: placement.bornAtMs,
+      vm: placement.vmId,
+    }),
+  };
+  if (task.phase === "done") return { ...base, p: "d" };
   return {
     ...base,
     p: placement === undefined ? "w" : "p",
     run,
     ...(failedRuns.size > 0 ? { failedRuns: [...failedRuns] } : {}),
     ...(checkpoint === "" ? {} : { checkpoint }),
-    ...(placement === undefined ? {} : {
-      worker: placement.workerId,
-      born: placement.bornAtMs,
-      vm: placement.vmId,
-    }),
   };
 }
 
@@ -364,8 +368,8 @@
       job.begun = true;
     }
     if (taskRecord.p === "d") finishTask(task);
-    if (taskRecord.p !== "p") continue;
-    task.phase = "placed";
+    else if (taskRecord.p === "p") task.phase = "placed";
+    if (taskRecord.p !== "p" && taskRecord.worker === undefined) continue;
     task.placement = {
       workerId: taskRecord.worker ?? "",
       bornAtMs: taskRecord.born ?? 0,
--- a/src/scheduler/load_jobs.ts
+++ b/src/scheduler/load_jobs.ts
@@ -78,6 +78,7 @@
     }
     instance.tasks.add(task);
     if (job.status !== "active") scheduler.stop(task, "the job has ended");
+    else if (task.phase === "done") scheduler.stop(task, "the task is done");
   });
 }
 
--- a/src/scheduler/load_jobs_test.ts
+++ b/src/scheduler/load_jobs_test.ts
@@ -9,6 +9,7 @@
   createDueOccurrences,
   createJobState,
   encodeProgress,
+  finishTask,
   type JobState,
 } from "./job_state.ts";
 import type { Journal } from "./journal.ts";
@@ -128,6 +129,22 @@
   );
 });
 
+// Guards against a new owner that gives away the resources of a run which its predecessor was stopping because another run had completed the task.
+test("the run of a task that is done is loaded to be stopped", async () => {
+  const fixture = createFixture();
+  const job = fixture.write((state) => {
+    placeFirstTask(state);
+    finishTask(state.occurrences[0]!.steps[0]![0]!);
+  });
+  await fixture.load();
+  fixture.store.close();
+  assert.equal(fixture.scheduler.status(job), "running");
+  const [task, ...others] = fixture.scheduler.workers.find("w1", 7)!.tasks;
+  assert.deepEqual(others, []);
+  assert.equal(task?.phase, "done");
+  assert.equal(task?.placement?.stopReason, "the task is done");
+});
+
 // Guards against one invalid record that prevents an owner from starting.
 test("an invalid record is ignored", async () => {
   const fixture = createFixture();
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -15,7 +15,7 @@
   getStep,
   type JobState,
   type Placement,
-  requeueTask,
+  releaseTask,
   type TaskState,
   visibleStatus,
 } from "./job_state.ts";
@@ -145,7 +145,7 @@
     if (task.placement !== undefined) {
       findInstance(task.placement)?.tasks.delete(task);
     }
-    requeueTask(task);
+    releaseTask(task);
     archiveIfOver(task.job);
     options.onChange();
   }
@@ -230,11 +230,9 @@
 
   function recordSuccess(task: TaskState, run: number): void {
     const { job, placement } = task;
-    if (task.phase === "done") return;
     if (placement !== undefined && placement.run !== run) {
       // An earlier run was considered over but has succeeded after all.
       log.warn("two runs of a task overlapped", { task: task.taskId, run });
-      stop(task, "another run of the task has succeeded");
     }
     const step = getStep(task);
     if (placement?.run === run && placement.confirmedAtMs !== undefined) {
@@ -250,10 +248,9 @@
     }
     const finishedTasks = step.gang ? listGangTasks(task) : [task];
     for (const member of finishedTasks) {
-      const memberPlacement = member.placement;
-      if (memberPlacement !== undefined && memberPlacement.run === run) {
-        findInstance(memberPlacement)?.tasks.delete(member);
-      }
+      if (member.placement?.run === run) freeTask(member);
+      // The task is complete, but its latest run still holds resources.
+      else stop(member, "another run of the task has succeeded");
       finishTask(member);
     }
   }
@@ -314,7 +311,7 @@
     );
     switch (endedRun.ending) {
       case "done":
-        if (getStep(task).longRunning) {
+        if (getStep(task).longRunning || task.phase === "done") {
           if (isCurrent) freeTask(task);
         } else recordSuccess(task, endedRun.run);
         break;
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -125,6 +125,16 @@
   };
 }
 
+function activeRun(run: number): ActiveRunReport {
+  return {
+    taskId: `${JOB}.0.0.0`,
+    run,
+    checkpoint: "",
+    percent: 0,
+    loadMetric: 0,
+  };
+}
+
 function endedRun(
   number: number,
   run: number,
@@ -144,13 +154,7 @@
   assert.equal(scheduler.waitingJobs(queue), 1);
   await flush();
   assert.equal(scheduler.waitingJobs(queue), 1);
-  report([], [{
-    taskId: `${JOB}.0.0.0`,
-    run: 1,
-    checkpoint: "",
-    percent: 0,
-    loadMetric: 0,
-  }]);
+  report([], [activeRun(1)]);
   assert.equal(scheduler.waitingJobs(queue), 0);
 });
 
@@ -330,6 +334,34 @@
   }]);
 });
 
+// Guards against workers that run out of capacity, or get more than they can hold, because a run that has become needless keeps its reservation for ever or gives it up while it still runs.
+test("a run that another run of its task has made needless keeps its resources until it has ended", async () => {
+  for (const ending of ["stopped", "done", "failed"] as const) {
+    const context = createTestScheduler();
+    const { scheduler, instance, report } = context;
+    scheduler.accept(spec());
+    const task = context.openTask();
+    scheduler.place(task, instance, { run: 2, ticket: undefined });
+    await context.flush();
+    report([endedRun(1, 1, "done")], [activeRun(2)]);
+    assert.equal(task.phase, "done");
+    assert.equal(context.calls.at(-1), `stop ${JOB}.0.0.0 2`);
+    assert.equal(instance.tasks.size, 1);
+    await context.flush();
+    assert.equal(scheduler.status(JOB), "completed");
+    // The next owner learns of the run, too.
+    const next = createTestScheduler();
+    next.scheduler.addRestored(
+      restoreJob(spec(), encodeProgress(task.job, 0), 0),
+    );
+    assert.equal(next.openTask().placement?.run, 2);
+    report([endedRun(2, 2, ending)]);
+    assert.equal(instance.tasks.size, 0);
+    assert.equal(scheduler.jobs.size, 0);
+    assert.equal(scheduler.status(JOB), "completed");
+  }
+});
+
 // Guards against continuing work for a cancelled job.
 test("a cancellation stops running tasks and sends no pending start order", async () => {
   const context = createTestScheduler();
