fix(scheduler): a speed is ordered again after an unanswered order

The owner ordered only changes, so it never noticed: a task that should stand still went on beside a serving task over its target (HARM), or one that should run stood still for good.

Now the speed of a run with an unanswered order is ordered again every 2 s. The throttling has an interface of its own, so that a test reaches it.

--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -21,7 +21,7 @@
 import { loadJobs, parseStoredJob } from "./load_jobs.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
 import { STORE_KEYS, type Tenure } from "./ownership.ts";
-import { runThrottling } from "./throttling.ts";
+import { createThrottling, runThrottling } from "./throttling.ts";
 import { planPlacements } from "./placement_planner.ts";
 import type {
   PlacementAdvisor,
@@ -385,7 +385,9 @@
     yield* spawn(() => checkLoop());
     yield* spawn(() => removeEndedJobs());
     yield* spawn(() => fleet.run());
-    yield* spawn(() => runThrottling(scheduler, log));
+    yield* spawn(() =>
+      runThrottling(createThrottling({ scheduler, clock, log }))
+    );
     yield* spawn(() =>
       handOverWhenSlow({ ...options, epoch: tenure.epoch, resign })
     );
--- a/src/scheduler/throttling.ts
+++ b/src/scheduler/throttling.ts
@@ -1,10 +1,14 @@
 import { type Operation, sleep } from "effection";
+import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
-import { getStep, type TaskState } from "./job_state.ts";
+import { getStep, type Placement, type TaskState } from "./job_state.ts";
 import type { Scheduler } from "./scheduler.ts";
+import type { WorkerInstance } from "./worker_table.ts";
 
 /** Interval between adjustments, in ms; the workers' metrics cover the last 500 ms. */
 const THROTTLE_INTERVAL_MS = 350;
+/** Interval between repetitions of a speed that a late order may replace, in ms. */
+const REPEAT_INTERVAL_MS = 2_000;
 /** Ratio of a serving task's tail latency to its target from which best-effort tasks on the worker are slowed down. */
 const SLOW_DOWN_SHARE = 0.85;
 /** Ratio of a serving task's tail latency to its target below which best-effort tasks on the worker speed up again. */
@@ -39,48 +43,93 @@
   return current;
 }
 
+/** Speed that was ordered last for a run. */
+interface OrderedSpeed {
+  percent: number;
+  /** Whether an earlier order without an answer may still be executed and replace this speed. */
+  mayBeReplaced: boolean;
+  /** Monotonic time of the order, in ms. */
+  orderedAtMs: number;
+}
+
 /** Throttles the best-effort tasks on every worker by the latency of its serving tasks. */
-export function* runThrottling(
-  scheduler: Scheduler,
-  log: Logger,
-): Operation<void> {
-  const speedPercents = new WeakMap<object, number>();
-  for (;;) {
-    yield* sleep(THROTTLE_INTERVAL_MS);
-    for (const instance of scheduler.workers.instances.values()) {
-      const { link } = instance;
-      if (link === undefined) continue;
-      let worstShare = 0;
-      const bestEffortTasks: TaskState[] = [];
-      for (const task of instance.tasks) {
-        const { placement } = task;
-        if (placement?.startState !== "running") continue;
-        const step = getStep(task);
-        if (step.fills) bestEffortTasks.push(task);
-        else if (step.targetMs > 0) {
-          worstShare = Math.max(
-            worstShare,
-            placement.loadMetric / step.targetMs,
-          );
+export interface Throttling {
+  /** Orders the speeds that have to change. */
+  adjust(): void;
+}
+
+/** Creates the throttling of one tenure. */
+export function createThrottling(options: {
+  readonly scheduler: Pick<Scheduler, "workers">;
+  readonly clock: Clock;
+  readonly log: Logger;
+}): Throttling {
+  const { scheduler, clock, log } = options;
+  const orderedSpeeds = new WeakMap<Placement, OrderedSpeed>();
+
+  function adjustTask(
+    task: TaskState,
+    instance: WorkerInstance,
+    worstShare: number,
+  ): void {
+    const placement = task.placement!;
+    const ordered = orderedSpeeds.get(placement) ??
+      { percent: 100, mayBeReplaced: false, orderedAtMs: -Infinity };
+    const previousPercent = ordered.percent;
+    const percent = chooseSpeedPercent(previousPercent, worstShare);
+    const nowMs = clock.monotonicMs();
+    const repeat = ordered.mayBeReplaced &&
+      nowMs - ordered.orderedAtMs >= REPEAT_INTERVAL_MS;
+    if (percent === previousPercent && !repeat) return;
+    ordered.percent = percent;
+    ordered.orderedAtMs = nowMs;
+    orderedSpeeds.set(placement, ordered);
+    log.debug("speed of a best-effort task ordered", {
+      task: task.taskId,
+      worker: instance.workerId,
+      worstShare: Number(worstShare.toFixed(2)),
+      percent,
+    });
+    void instance.link?.throttle(task.taskId, placement.run, percent).then(
+      (outcome) => {
+        if (outcome.kind === "done") return;
+        if (outcome.kind === "unknown") ordered.mayBeReplaced = true;
+        // The call failed: restore the old value, so that the next round tries again.
+        ordered.percent = previousPercent;
+      },
+    );
+  }
+
+  return {
+    adjust() {
+      for (const instance of scheduler.workers.instances.values()) {
+        if (instance.link === undefined) continue;
+        let worstShare = 0;
+        const bestEffortTasks: TaskState[] = [];
+        for (const task of instance.tasks) {
+          const { placement } = task;
+          if (placement?.startState !== "running") continue;
+          const step = getStep(task);
+          if (step.fills) bestEffortTasks.push(task);
+          else if (step.targetMs > 0) {
+            worstShare = Math.max(
+              worstShare,
+              placement.loadMetric / step.targetMs,
+            );
+          }
+        }
+        for (const task of bestEffortTasks) {
+          adjustTask(task, instance, worstShare);
         }
       }
-      for (const task of bestEffortTasks) {
-        const placement = task.placement!;
-        const current = speedPercents.get(placement) ?? 100;
-        const next = chooseSpeedPercent(current, worstShare);
-        if (next === current) continue;
-        speedPercents.set(placement, next);
-        log.debug("speed of a best-effort task changed", {
-          task: task.taskId,
-          worker: instance.workerId,
-          worstShare: Number(worstShare.toFixed(2)),
-          percent: next,
-        });
-        void link.throttle(task.taskId, placement.run, next).then((outcome) => {
-          // The call failed: restore the old value, so that the next round tries again.
-          if (outcome.kind !== "done") speedPercents.set(placement, current);
-        });
-      }
-    }
+    },
+  };
+}
+
+/** Adjusts the speeds periodically. */
+export function* runThrottling(throttling: Throttling): Operation<void> {
+  for (;;) {
+    yield* sleep(THROTTLE_INTERVAL_MS);
+    throttling.adjust();
   }
 }
