fix(scheduler): a failed speed order doesn't undo a newer one

A call without an answer fails after 500 ms, but speeds are adjusted every 350 ms. Its failure restored the speed from before the call, although a newer order had been confirmed meanwhile, so that the owner took a standing task for a running one and never sped it up again.

The test failed before: no order once the latency is low, instead of 10.

--- a/src/scheduler/throttling.ts
+++ b/src/scheduler/throttling.ts
@@ -94,8 +94,8 @@
       (outcome) => {
         if (outcome.kind === "done") return;
         if (outcome.kind === "unknown") ordered.mayBeReplaced = true;
-        // The call failed: restore the old value, so that the next round tries again.
-        ordered.percent = previousPercent;
+        // The call failed: restore the old value, so that the next round tries again, unless a newer order was sent.
+        if (ordered.orderedAtMs === nowMs) ordered.percent = previousPercent;
       },
     );
   }
--- a/src/scheduler/throttling_test.ts
+++ b/src/scheduler/throttling_test.ts
@@ -117,6 +117,20 @@
   assert.deepEqual(await adjust(2_000), [0]);
 });
 
+// Guards against a speed that is taken for the old one because an earlier order has failed only after a newer one was confirmed.
+test("a failed order doesn't undo a newer one", async () => {
+  const { state, adjust } = createThrottledWorker();
+  state.latencyMs = 150;
+  let fail = (_: OrderOutcome) => {};
+  state.outcomes = [new Promise((resolve) => fail = resolve)];
+  assert.deepEqual(await adjust(350), [25]);
+  assert.deepEqual(await adjust(350), [0]);
+  fail({ kind: "not_sent" });
+  await Promise.resolve();
+  state.latencyMs = 10;
+  assert.deepEqual(await adjust(350), [10]);
+});
+
 // Guards against calls that change nothing.
 test("a speed that every order has confirmed is ordered once", async () => {
   const { state, adjust } = createThrottledWorker();
