fix(scheduler): an inherited run has no measured duration

A run that an owner inherits counted as started at its first report, and the rest of it was recorded as the duration of a whole task; the first one sets its queue's mean.

Now only runs that this owner started are measured. The test failed before: an estimate of 0.02 ms instead of 100.

--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -8,6 +8,8 @@
   readonly bornAtMs: number;
   readonly vmId: string;
   readonly run: number;
+  /** Whether an earlier owner sent the start order, so that the time of the start is unknown. */
+  readonly inherited: boolean;
   /** Progress of the start order. */
   startState:
     /** The record that must be stored before the order is sent isn't stored yet. */
@@ -375,6 +377,7 @@
       bornAtMs: taskRecord.born ?? 0,
       vmId: taskRecord.vm ?? "",
       run: taskRecord.run,
+      inherited: true,
       startState: "inherited",
       stopReason: undefined,
       placedAtMs: nowMs,
--- a/src/scheduler/job_state_test.ts
+++ b/src/scheduler/job_state_test.ts
@@ -76,6 +76,7 @@
               bornAtMs: 7,
               vmId: "vm",
               run: task.run,
+              inherited: false,
               startState: "running",
               stopReason: undefined,
               placedAtMs: 0,
--- a/src/scheduler/load_jobs_test.ts
+++ b/src/scheduler/load_jobs_test.ts
@@ -85,6 +85,7 @@
     bornAtMs: 7,
     vmId: "vm-1",
     run: 1,
+    inherited: false,
     startState: "running",
     stopReason: undefined,
     placedAtMs: 0,
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -235,7 +235,10 @@
       log.warn("two runs of a task overlapped", { task: task.taskId, run });
     }
     const step = getStep(task);
-    if (placement?.run === run && placement.confirmedAtMs !== undefined) {
+    if (
+      placement?.run === run && !placement.inherited &&
+      placement.confirmedAtMs !== undefined
+    ) {
       const durationMs = clock.monotonicMs() - placement.confirmedAtMs;
       const expectedMs = durationEstimates.estimateMs(
         job.spec.queue,
@@ -627,6 +630,7 @@
         bornAtMs: instance.bornAtMs,
         vmId: instance.vmId,
         run,
+        inherited: false,
         startState: "unrecorded",
         stopReason: undefined,
         placedAtMs: clock.monotonicMs(),
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -395,6 +395,32 @@
   assert.equal(context.scheduler.status(JOB), "cancelled");
 });
 
+// Guards against estimates that a change of owner makes far too short, so that jobs with time left are taken for late.
+test("the rest of an inherited run isn't recorded as the duration of a task", async () => {
+  const first = createTestScheduler();
+  first.scheduler.accept(spec());
+  const task = first.openTask();
+  first.scheduler.place(task, first.instance, { run: 1, ticket: undefined });
+  await first.flush();
+  const next = createTestScheduler();
+  const { durationEstimates } = next.scheduler;
+  const { queue } = spec();
+  const before = durationEstimates.estimateMs(queue, 100);
+  const restored = restoreJob(spec(), encodeProgress(task.job, 0), 0);
+  next.scheduler.addRestored(restored);
+  next.instance.tasks.add(next.openTask());
+  next.report([], [activeRun(1)]);
+  next.report([endedRun(1, 1, "done")]);
+  assert.equal(next.openTask().phase, "done");
+  assert.equal(durationEstimates.estimateMs(queue, 100), before);
+  // The duration of a run that this owner started is recorded.
+  first.report([endedRun(1, 1, "done")]);
+  assert.notEqual(
+    first.scheduler.durationEstimates.estimateMs(queue, 100),
+    before,
+  );
+});
+
 // Guards against reporting a final status that a power failure could revert.
 test("a job is reported as completed only once that is stored", async () => {
   const context = createTestScheduler();
--- a/src/scheduler/stragglers_test.ts
+++ b/src/scheduler/stragglers_test.ts
@@ -28,6 +28,7 @@
     bornAtMs: 1,
     vmId: "vm-1",
     run: 1,
+    inherited: false,
     startState: "running",
     stopReason: undefined,
     placedAtMs: 0,
--- a/src/scheduler/throttling_test.ts
+++ b/src/scheduler/throttling_test.ts
@@ -55,6 +55,7 @@
       bornAtMs: 1,
       vmId: "vm-1",
       run: 1,
+      inherited: false,
       startState: "running",
       stopReason: undefined,
       placedAtMs: 0,
