fix(http): take only a failed connection attempt as proof that a call was not sent

EHOSTUNREACH, ENETUNREACH and ECONNREFUSED also end open connections: the kernel reports them from `read` once it gives up retransmitting to a host that an ICMP error or a failed ARP lookup has shown as unreachable. `isNotSent` looked at the code alone, so a call that the server had received, and could have executed, counted as not sent.

What was seen: a worker could carry out a start order after the task had been placed on another worker (outcome `not_sent`); a caller could be told with 503 that its job is not stored and never runs although the store had committed it; an entry could report `not_run` for a forwarded job request that its owner had executed.

Node sets `syscall` on each system error. The only one that ends a call before its first byte is `connect`, whatever the code, so the list of codes is gone; undici's connect timeout has a code of its own. For a host with several addresses, Node reports the attempts in an `AggregateError`, all of which have to be failures to connect.

--- a/src/http_call.ts
+++ b/src/http_call.ts
@@ -26,18 +26,21 @@
   readonly text: string;
 }
 
-/** Error codes of failures that happen before the request is sent. */
-const NOT_SENT_CODES = new Set([
-  "ECONNREFUSED",
-  "EHOSTUNREACH",
-  "ENETUNREACH",
-  "UND_ERR_CONNECT_TIMEOUT",
-]);
-
-/** Whether the error proves that the request never reached the server. */
+/**
+ * Whether the error proves that the request never reached the server. Only a
+ * failed attempt to connect does: the operating system ends open connections
+ * with some of the same codes.
+ */
 export function isNotSent(error: unknown): boolean {
-  const code = (error as { code?: unknown } | undefined)?.code;
-  return typeof code === "string" && NOT_SENT_CODES.has(code);
+  // The attempts to connect to each address of a host.
+  if (error instanceof AggregateError && error.errors.length > 0) {
+    return error.errors.every(isNotSent);
+  }
+  const { code, syscall } = (error ?? {}) as {
+    readonly code?: unknown;
+    readonly syscall?: unknown;
+  };
+  return syscall === "connect" || code === "UND_ERR_CONNECT_TIMEOUT";
 }
 
 /**
--- a/src/http_call_test.ts
+++ b/src/http_call_test.ts
@@ -1,11 +1,12 @@
 import { createServer } from "node:http";
+import type { Socket } from "node:net";
 import process from "node:process";
-import { Pool } from "undici";
+import { buildConnector, Pool } from "undici";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { listenOnLoopback } from "../testing/http_json_server.ts";
 import { waitFor } from "../testing/wait.ts";
-import { sendHttpCall } from "./http_call.ts";
+import { isNotSent, sendHttpCall } from "./http_call.ts";
 
 const getRejection = (call: Promise<unknown>) =>
   call.then(() => assert.unreachable(), (error) => error);
@@ -67,4 +68,63 @@
   }
 });
 
+/** Fails the connection of a call that the server has received, as the operating system does when it loses the route or the host; returns the call's error. */
+async function failOpenConnection(code: string): Promise<unknown> {
+  let received = false;
+  const server = createServer(() => received = true);
+  const { address, close } = await listenOnLoopback(server);
+  const sockets: Socket[] = [];
+  const connect = buildConnector({});
+  const pool = new Pool(`http://${address}`, {
+    connect: (options, callback) =>
+      connect(options, (...result) => {
+        if (result[0] === null) sockets.push(result[1]);
+        callback(...result);
+      }),
+  });
+  try {
+    const error = getRejection(
+      sendHttpCall(pool, { path: "/", method: "POST", timeoutMs: 60_000 }),
+    );
+    await waitFor("the server has received the call", () => received);
+    sockets[0]!.destroy(
+      Object.assign(new Error(`read ${code}`), { code, syscall: "read" }),
+    );
+    return await error;
+  } finally {
+    await pool.destroy();
+    await close();
+  }
+}
+
+// Guards against repeating an order elsewhere, or reporting it as not executed, although the server has received it.
+test("only an error of the connection attempt proves that a call was not sent", async () => {
+  for (const code of ["EHOSTUNREACH", "ENETUNREACH", "ECONNREFUSED"]) {
+    const error = await failOpenConnection(code);
+    assert.is((error as { code: string }).code, code);
+    assert.is(isNotSent(error), false, code);
+  }
+  const pools = [
+    new Pool("http://127.0.0.1:1"),
+    // Each address of a host with several is tried.
+    new Pool("http://host.example:1", {
+      connect: {
+        autoSelectFamily: true,
+        lookup: (_host, _options, callback) =>
+          callback(null, [
+            { address: "127.0.0.1", family: 4 },
+            { address: "127.0.0.2", family: 4 },
+          ]),
+      },
+    }),
+  ];
+  for (const pool of pools) {
+    const error = await getRejection(
+      sendHttpCall(pool, { path: "/", method: "POST", timeoutMs: 60_000 }),
+    );
+    assert.is(isNotSent(error), true, error.message);
+    await pool.destroy();
+  }
+});
+
 test.run();
