fix(jobs): prove that a job isn't stored only while the shard is owned

A submission that fails with 503 counts as `not_run` if the shard provably doesn't contain its key. The proof was the shard's record as this entry had last written or read it. An entry that loses the store keeps that record after its lease has expired, and by then another entry may own the shard and have accepted the job.

What callers saw: the repetition of an accepted submission, sent to the entry that was cut off, was answered with 503 and `not_run`. A caller that then submits the job with a new key has it run twice.

The proof now needs ownership: the dispatcher has written its fencing token to the shard, which makes every earlier write fail, and its lease is still valid, so that no other dispatcher can have written since. The writer knows neither, so the question is asked of the dispatcher; the writer's part is renamed to what it can tell, `lacksJob`.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -150,6 +150,15 @@
       [...jobs.values()].every(({ state }) => state.kind === "ended");
   }
 
+  /**
+   * Returns whether the shard provably doesn't contain a job. False unless this
+   * dispatcher owns the shard, because another one may have written it since.
+   */
+  provesAbsence(jobId: string): boolean {
+    return this.#ownership !== undefined && this.#hasValidLease() &&
+      this.writer.lacksJob(jobId);
+  }
+
   /** Returns why a queued job waits. */
   waitReason(jobId: string): WaitReason | undefined {
     const { schedulerState, shard } = this.#options;
--- a/src/jobs/paused_dispatcher_test.ts
+++ b/src/jobs/paused_dispatcher_test.ts
@@ -4,7 +4,10 @@
 import { REGION } from "../../testing/fleet_simulation.ts";
 import { chooseSeed, createRandom } from "../../testing/random.ts";
 import { readBusyWorkers } from "./busy_workers.ts";
+import { createObservable } from "../observable.ts";
 import { issueJobKey } from "./job_key.ts";
+import { JOBS_PATH } from "./job_reply.ts";
+import { JobRoutes } from "./routes.ts";
 import { createShardRecord, ShardDraft, shardKey } from "./shard.ts";
 import { cancelJob, submitJob } from "./submission.ts";
 import { JobSimulation } from "../../testing/job_simulation.ts";
@@ -215,6 +218,44 @@
   assert.ok(first.writer.record?.jobs.has(key.key));
 });
 
+// Guards against a caller that is told its job isn't stored, by an entry that
+// lost the shard without noticing, and that submits it again with another key.
+test("an entry whose lease has expired doesn't prove that a job isn't stored", async () => {
+  const { jobs, first, second, store } = createPair();
+  await first.step();
+  const routes = new JobRoutes({
+    entryId: "first",
+    region: REGION,
+    entries: createObservable([]),
+    config: jobs.config,
+    dispatcherOf: () => first,
+    clock: jobs.clock,
+  });
+  const spec = createJobSpec();
+  const submitToFirst = async (key: string) => {
+    const reply = routes.handle({
+      method: "POST",
+      url: JOBS_PATH,
+      body: Buffer.from(JSON.stringify(spec)),
+      key,
+      forwardedBy: undefined,
+    });
+    await first.writer.flush();
+    return (await reply).outcome;
+  };
+  store.faults.unavailable = true;
+  const { key: unusedKey } = issueKeyForShard(0, jobs.nowMs);
+  assert.is(await submitToFirst(unusedKey), "not_run");
+
+  jobs.tick(4_000);
+  store.faults.unavailable = false;
+  await second.step();
+  const key = issueKeyForShard(0, jobs.nowMs);
+  await submit(second, key, spec);
+  store.faults.unavailable = true;
+  assert.is(await submitToFirst(key.key), "outcome_unknown");
+});
+
 // Guards against idle entries that keep polling every worker of the region.
 test("a shard without open jobs polls no workers", async () => {
   let reports = 0;
--- a/src/jobs/routes.ts
+++ b/src/jobs/routes.ts
@@ -171,10 +171,10 @@
         this.#submitHere(key, spec));
     } catch (error) {
       const reply = createErrorReply(error);
-      const writer = this.#options.dispatcherOf(key.shard)?.writer;
+      const dispatcher = this.#options.dispatcherOf(key.shard);
       // An earlier submission with this key may have been accepted.
       const mayBeStored = reply.status === 503 &&
-        writer?.provesAbsence(key.key) !== true;
+        dispatcher?.provesAbsence(key.key) !== true;
       return mayBeStored ? { ...reply, outcome: "outcome_unknown" } : reply;
     }
   }
--- a/src/jobs/shard_writer.ts
+++ b/src/jobs/shard_writer.ts
@@ -102,10 +102,10 @@
   }
 
   /**
-   * Returns whether the shard provably doesn't contain a job. False while a
-   * write is in flight or its outcome is unknown.
+   * Returns whether the shard, as this writer knows it, doesn't contain a job.
+   * False while a write is in flight or its outcome is unknown.
    */
-  provesAbsence(jobId: string): boolean {
+  lacksJob(jobId: string): boolean {
     return this.#record !== undefined && this.#unresolvedWrite === undefined &&
       this.#flushing === undefined && !this.#record.jobs.has(jobId);
   }
