fix(scheduler): don't take an earlier election attempt for the latest one

An entry whose change to become the owner gets no response reads the owner's key and starts its tenure if the key names it with the same epoch. A second attempt computes the same epoch while the first hasn't been executed. If the first is executed just before the second, the second fails its condition; when its response is lost too, the key written by the first counted as its success. The tenure then renews the lease of the second attempt, while the key is attached to that of the first, which nobody renews.

What operators would have seen, after unanswered calls to the store during an election: "became owner", and up to 2 s later "owner changed" to none and an abandoned tenure although the owner and the store were healthy; another load of all records and another wait for the leases of an earlier owner.

The record of the owner now contains its lease, which is unique to the attempt, and only the very record of this attempt proves its success. In the other case the attempt fails, the entry finds a key with its name that it isn't elected with, and replaces it at once, as it does with one of an earlier process.

--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -95,6 +95,12 @@
     leaseTtlMs: lease.ttlMs,
     headRevision,
   });
+  // The lease tells this attempt apart from an earlier one for the same epoch, which may still be executed.
+  const ownerRecord = JSON.stringify({
+    ...self,
+    epoch,
+    leaseId: lease.leaseId,
+  });
   const change: StoreChange = {
     conditions: [
       { key: STORE_KEYS.owner, revision: replacedRevision },
@@ -103,7 +109,7 @@
     puts: [
       {
         key: STORE_KEYS.owner,
-        value: JSON.stringify({ ...self, epoch }),
+        value: ownerRecord,
         leaseId: lease.leaseId,
       },
       { key: STORE_KEYS.head, value: encodeHead(epoch, 0) },
@@ -118,11 +124,7 @@
     if (error.failure !== "unknown_outcome") throw error;
     // The change may have been executed and only its response lost; the owner's key shows which.
     const item = await store.get(STORE_KEYS.owner);
-    const owner = item === undefined ? undefined : parseOwner(item);
-    if (
-      item === undefined || owner?.epoch !== epoch ||
-      owner.entryId !== self.entryId
-    ) throw error;
+    if (item?.value !== ownerRecord) throw error;
     return tenure(item.revision);
   }
 }
