fix(jobs): claim no quota while the outcome of a write is unknown

A shard's claim reports the usage that its record shows and returns the grants beyond it. After an assignment with a lost response, the record lacks the assignment, but the writer repeats the write until it is resolved, so the assignment may take effect later. The next step claimed with the old record all the same: the ledger took the grant back and gave it to another shard, and then both used it.

What operators would have seen: a team above its quota for as long as both jobs ran, after a call to the store without a response while several shards had jobs of that team waiting.

A step now begins with resolving the last write, and is an outage as long as that fails: running tasks keep their leases, and nothing is planned or claimed. The ledger holds the grant until the shard's next claim, as it does for any lost one.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -174,6 +174,8 @@
     if (context === undefined) return "not_ready";
     try {
       if (!await this.#ensureLease()) return "standby";
+      // A claim for quota returns the grants that the record doesn't show in use.
+      await this.writer.resolve();
       if (this.writer.record === undefined || this.#ownership === undefined) {
         await this.#takeOver();
       }
--- a/src/jobs/quota_ledger_test.ts
+++ b/src/jobs/quota_ledger_test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from "node:timers/promises";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { JobSimulation, POOL } from "../../testing/job_simulation.ts";
@@ -8,8 +9,10 @@
   issueKeyForShard,
   submit,
 } from "../../testing/job_helpers.ts";
+import { StoreError } from "../errors.ts";
 import { SHARD_COUNT } from "./job_key.ts";
 import { type QuotaClaim, QuotaLedger } from "./quota_ledger.ts";
+import { shardKey } from "./shard.ts";
 import { ZERO_SIZE } from "./size.ts";
 
 const QUOTA_CORES = 16;
@@ -85,6 +88,69 @@
   );
 });
 
+// Guards against an exceeded quota, because a shard returns a grant that an
+// assignment with a lost response may still use.
+test("a grant stays in use until the outcome of the write that used it is known", async () => {
+  let losesResponses = false;
+  const config = buildConfig([{ name: POOL, vms: 4, minimumServingVms: 2 }]);
+  const store = createFakeStore({
+    beforeCall({ method, key }) {
+      if (
+        losesResponses && method === "compareAndSwap" &&
+        key === shardKey(REGION, 1)
+      ) throw new StoreError("unknown_outcome", "The response was lost");
+    },
+  });
+  const jobs = new JobSimulation({
+    store,
+    workerCount: 4,
+    config: {
+      ...config,
+      teams: [{ ...config.teams[0]!, name: TEAM, quota: { cores: 2 } }],
+    },
+  });
+  const dispatchers = [0, 1, 2].flatMap((shard) =>
+    jobs.createEntryDispatchers(`entry-${shard}`, [shard])
+  );
+  const stepAll = async () => {
+    jobs.tick(500);
+    const steps = Promise.all(
+      dispatchers.map((dispatcher) => dispatcher.step()),
+    )
+      .then(() => true);
+    // A step waits for its changes until a flush finds their deadline passed.
+    while (!await Promise.race([steps, delay(100, false)])) {
+      jobs.tick(500);
+      await Promise.all(dispatchers.map(({ writer }) => writer.flush()));
+    }
+    const running = [...jobs.workers.values()].flatMap(({ tasks }) =>
+      [...tasks.values()].filter(({ state }) => state === "running")
+    );
+    return running.reduce((sum, { spec }) => sum + spec.cores, 0);
+  };
+  for (let step = 0; step < 8; step++) await stepAll();
+  const [, normalShard, urgentShard] = dispatchers;
+  const { id } = await submit(
+    normalShard!,
+    issueKeyForShard(1, jobs.nowMs),
+    createJobSpec({ command: "run 60000" }),
+  );
+  losesResponses = true;
+  await stepAll();
+  await submit(
+    urgentShard!,
+    issueKeyForShard(2, jobs.nowMs),
+    createJobSpec({ command: "run 60000", priority: "urgent" }),
+  );
+  for (let step = 0; step < 4; step++) await stepAll();
+  losesResponses = false;
+  for (let step = 0; step < 10; step++) {
+    const usedCores = await stepAll();
+    assert.ok(usedCores <= 2, `${usedCores} cores are used`);
+  }
+  assert.ok(jobs.statistics.starts.has(id), "the assignment was written");
+});
+
 // Guards against quota that stays in use forever, because the last claim of a
 // shard was lost and the shard sends no more claims once it has no jobs.
 test("a shard without jobs repeats its claim until it gets an answer, and not longer", async () => {
--- a/src/jobs/shard_writer.ts
+++ b/src/jobs/shard_writer.ts
@@ -119,11 +119,19 @@
     this.#rejectsUntilMs = -Infinity;
   }
 
-  /** Reloads the shard. Rejects with a `StoreError` or a `ValidationError`. */
-  async load(): Promise<void> {
+  /**
+   * Determines the outcome of a write whose response was lost; until then, the
+   * record may lack its changes. Rejects with a `StoreError` if it can't.
+   */
+  async resolve(): Promise<void> {
     await this.#flushing;
-    if (this.#unresolvedWrite !== undefined) await this.#resolveWrite();
+    if (this.#unresolvedWrite !== undefined) await this.flush();
     if (this.#unresolvedWrite !== undefined) throw unresolvedError();
+  }
+
+  /** Reloads the shard. Rejects with a `StoreError` or a `ValidationError`. */
+  async load(): Promise<void> {
+    await this.resolve();
     const entry = await this.#call(() =>
       this.#options.store.get(this.#options.key)
     );
