fix(scheduler): count an earlier owner's recent VM order as in progress

After a change of owner, the number of VMs that are down for a wave, and the tasks that count towards a step's disruption budget, came from this owner's own orders and the VM list. An order that the earlier owner sent last may be carried out after the list was read, so its absence from the list proves nothing. The stored record of the order was used only to delay further orders for the same VM.

What operators would have seen: one VM more under maintenance than the wave allows, or a step with more tasks away than its budget, if the owner changed during a wave.

Until the gap between the orders of two owners is over, a VM with such a record now counts as down for its wave, and its tasks as unavailable.

The cluster of the tests has a gap of 100 ms, which an election nearly uses up; `holderGapMs` lets a test set it. The new test, before the fix:

FAIL fleet manager "a recent maintenance order of an earlier owner counts towards the wave's limit" vm-1 was ordered after 104 ms (==)

--- a/src/scheduler/fleet_manager_test.ts
+++ b/src/scheduler/fleet_manager_test.ts
@@ -4,6 +4,7 @@
 import { createRandom } from "../../testing/random.ts";
 import { SchedulerCluster } from "../../testing/scheduler_cluster.ts";
 import { waitFor } from "../../testing/wait.ts";
+import { VM_ORDER_PREFIX } from "./vm_orders.ts";
 
 const test = suite("fleet manager");
 
@@ -124,6 +125,39 @@
   });
 });
 
+// Guards against more VMs down for a wave than allowed: an order that an earlier owner sent last may be carried out after the new owner has read the VM list.
+test("a recent maintenance order of an earlier owner counts towards the wave's limit", async () => {
+  const cluster = new SchedulerCluster(createRandom(11));
+  try {
+    for (let index = 0; index < 3; index++) cluster.addWorker(index);
+    cluster.holderGapMs = 1_500;
+    const sentAtMs = Date.now();
+    cluster.store.write(
+      `${VM_ORDER_PREFIX}vm-0`,
+      JSON.stringify({ kind: "maintain", wave: 1, epoch: 1, atMs: sentAtMs }),
+    );
+    const orders: { vmId: string; ageMs: number }[] = [];
+    cluster.maintain = (vmId) => {
+      orders.push({ vmId, ageMs: Date.now() - sentAtMs });
+      return { kind: "done" };
+    };
+    cluster.waves.set(1, {
+      wave: 1,
+      vmIds: ["vm-0", "vm-1", "vm-2"],
+      deadlineMs: 10_000,
+      maximumDown: 1,
+    });
+    cluster.startEntry();
+    await waitFor("an order", () => orders.length > 0, { timeoutMs: 10_000 });
+    assert.ok(
+      orders[0]!.ageMs >= cluster.holderGapMs,
+      `${orders[0]!.vmId} was ordered after ${orders[0]!.ageMs} ms`,
+    );
+  } finally {
+    await cluster.close();
+  }
+});
+
 // Guards against VMs that get no tasks for good because they were cordoned for a wave that was withdrawn.
 test("the VMs of a withdrawn wave get tasks again", async () => {
   await withCluster(async (cluster) => {
--- a/src/scheduler/vm_states.ts
+++ b/src/scheduler/vm_states.ts
@@ -53,6 +53,8 @@
   isCordoned(vmId: string): boolean;
   /** Whether an operation in progress keeps the VM from running tasks. */
   isUnavailable(vmId: string): boolean;
+  /** Whether the VM list may not show yet what an earlier owner has ordered for the VM. */
+  hasEarlierOrder(vmId: string): boolean;
   /** Counts the VMs that are being moved into each pool or are returning to it. */
   countArriving(): Map<string, number>;
   sendOrder(vmId: string, order: VmOrder, onDone?: () => void): void;
@@ -207,6 +209,7 @@
       orders.active.has(vmId) ||
       returning.has(vmId),
     isUnavailable: (vmId) => orders.active.has(vmId) || returning.has(vmId),
+    hasEarlierOrder: (vmId) => !orders.active.has(vmId) && !orders.isFree(vmId),
     countArriving() {
       const counts = new Map<string, number>();
       const count = (pool: string) =>
--- a/src/scheduler/wave_runner.ts
+++ b/src/scheduler/wave_runner.ts
@@ -59,7 +59,8 @@
         return true;
       }
       return placement.percent < 100 || placement.stopReason !== undefined ||
-        vmStates.isUnavailable(placement.vmId);
+        vmStates.isUnavailable(placement.vmId) ||
+        vmStates.hasEarlierOrder(placement.vmId);
     }).length;
   }
 
@@ -165,6 +166,7 @@
       request.vmIds.filter((vmId) =>
         vmStates.orders.active.get(vmId)?.kind === "maintain" ||
         vmStates.returning.get(vmId)?.wave !== undefined ||
+        vmStates.hasEarlierOrder(vmId) ||
         vmStates.list().get(vmId)?.state === "maintenance"
       ).length;
     const waveVms = listedVms.map((vm) => describeWaveVm(vm, nowMs));
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -98,6 +98,8 @@
   readonly waves = new Map<number, WaveRequest>();
   /** Delay of the platform's VM list, in ms. */
   listDelayMs = 0;
+  /** Minimum time between the orders of two owners for one VM, in ms, for entries started from now on. */
+  holderGapMs = 100;
   /** Returns the platform's response to a maintenance order. */
   maintain: (vmId: string) => VmOrderOutcome = () => ({
     kind: "refused",
@@ -249,7 +251,7 @@
       config: () => CONFIG,
       waves: () => this.waves,
       keepEndedMs: 60_000,
-      holderGapMs: 100,
+      holderGapMs: this.holderGapMs,
     });
     const entry: ClusterEntry = {
       id,
