fix(jobs): don't prove the absence of a job whose submission is pending

A submission that fails with 503 counts as `not_run` if the shard provably doesn't contain its key. The proof looked at the record and at the write in flight, but not at the submissions that wait for the next write. One that arrived during a write that failed stays pending, while the start of the outage refuses later ones at once.

What callers saw: a submission without an answer, its repetition answered with 503 and `not_run`, and the job stored by the next write all the same. A caller that submits the job with a new key after `not_run` has it run twice.

The pending submissions are now part of the question.

--- a/src/jobs/shard_writer.ts
+++ b/src/jobs/shard_writer.ts
@@ -103,11 +103,13 @@
 
   /**
    * Returns whether the shard, as this writer knows it, doesn't contain a job.
-   * False while a write is in flight or its outcome is unknown.
+   * False while a write is in flight, its outcome is unknown, or a submission of
+   * the job is pending.
    */
   lacksJob(jobId: string): boolean {
     return this.#record !== undefined && this.#unresolvedWrite === undefined &&
-      this.#flushing === undefined && !this.#record.jobs.has(jobId);
+      this.#flushing === undefined && !this.#record.jobs.has(jobId) &&
+      !this.#pending.some((change) => change.jobId === jobId);
   }
 
   /**
--- a/src/jobs/shard_writer_test.ts
+++ b/src/jobs/shard_writer_test.ts
@@ -2,6 +2,7 @@
 import * as assert from "uvu/assert";
 import { createFakeStore, type FakeStore } from "../../testing/fake_store.ts";
 import { chooseSeed, createRandom } from "../../testing/random.ts";
+import { StoreError } from "../errors.ts";
 import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
 import { endJob, type JobSpec, jobSpecSchema } from "./job.ts";
 import {
@@ -136,6 +137,36 @@
   assert.is((await again).state.kind, "queued");
 });
 
+// Guards against a repeated submission that is answered with `not_run` while the
+// first one, whose caller has given up, is still to be written.
+test("a shard may contain a job whose submission is pending", async () => {
+  let endOutage = () => {};
+  const outage = new Promise<void>((resolve) => endOutage = resolve);
+  let failing = false;
+  const store = createFakeStore({
+    beforeCall: async ({ method }) => {
+      if (!failing || method !== "compareAndSwap") return;
+      await outage;
+      failing = false;
+      throw new StoreError("unavailable", "The store is unavailable");
+    },
+  });
+  const writer = await createWriter(store);
+  failing = true;
+  const refused = kindOf(submit(writer));
+  const flushed = writer.flush();
+  const key = issueJobKey(nowMs);
+  const first = kindOf(submit(writer, key));
+  endOutage();
+  await flushed;
+  assert.is(await refused, "store_unavailable");
+  assert.is(await kindOf(submit(writer, key)), "store_unavailable");
+  assert.is(writer.lacksJob(key.key), false);
+  await writer.flush();
+  assert.is(await first, "done");
+  assert.ok(stored(store).has(key.key));
+});
+
 // Guards against a submission that waits for a lost response beyond its
 // deadline.
 test("an unconfirmed submission ends with outcome_unknown at its deadline", async () => {
