fix(jobs): find a stored job before checking its pool and team

The entry that received a submission refused an unknown pool or team before it looked the key up, and the refusal counts as `not_run`. If the configuration has changed since, the repetition of an accepted submission was answered so.

What callers saw: 201 lost on the way, then 422 `not_run` for the same key, while the job was stored and ran.

The owner of the shard now looks the key up first and checks only new jobs; a stored one is returned as before. Entries that don't own the shard forward the submission without checking it, so the owner's configuration decides.

The new test, before the fix:

FAIL "a stored job is found after its team was removed" Actual: -- "status": 422, -- "outcome": "not_run" Expected: ++ "status": 200, ++ "outcome": "answer"

--- a/src/jobs/paused_dispatcher_test.ts
+++ b/src/jobs/paused_dispatcher_test.ts
@@ -6,7 +6,9 @@
 import { readBusyWorkers } from "./busy_workers.ts";
 import { createObservable } from "../observable.ts";
 import { issueJobKey } from "./job_key.ts";
-import { JOBS_PATH } from "./job_reply.ts";
+import type { Dispatcher } from "./dispatcher.ts";
+import type { JobSpec } from "./job.ts";
+import { type JobReply, JOBS_PATH } from "./job_reply.ts";
 import { JobRoutes } from "./routes.ts";
 import { createShardRecord, ShardDraft, shardKey } from "./shard.ts";
 import { cancelJob, submitJob } from "./submission.ts";
@@ -218,31 +220,40 @@
   assert.ok(first.writer.record?.jobs.has(key.key));
 });
 
-// Guards against a caller that is told its job isn't stored, by an entry that
-// lost the shard without noticing, and that submits it again with another key.
-test("an entry whose lease has expired doesn't prove that a job isn't stored", async () => {
-  const { jobs, first, second, store } = createPair();
-  await first.step();
+/** Submits a job through the job API of an entry with one dispatcher. */
+async function submitByRoute(
+  jobs: JobSimulation,
+  dispatcher: Dispatcher,
+  key: string,
+  spec: JobSpec,
+): Promise<JobReply> {
   const routes = new JobRoutes({
     entryId: "first",
     region: REGION,
     entries: createObservable([]),
     config: jobs.config,
-    dispatcherOf: () => first,
+    dispatcherOf: () => dispatcher,
     clock: jobs.clock,
   });
+  const reply = routes.handle({
+    method: "POST",
+    url: JOBS_PATH,
+    body: Buffer.from(JSON.stringify(spec)),
+    key,
+    forwardedBy: undefined,
+  });
+  await dispatcher.writer.flush();
+  return await reply;
+}
+
+// Guards against a caller that is told its job isn't stored, by an entry that
+// lost the shard without noticing, and that submits it again with another key.
+test("an entry whose lease has expired doesn't prove that a job isn't stored", async () => {
+  const { jobs, first, second, store } = createPair();
+  await first.step();
   const spec = createJobSpec();
-  const submitToFirst = async (key: string) => {
-    const reply = routes.handle({
-      method: "POST",
-      url: JOBS_PATH,
-      body: Buffer.from(JSON.stringify(spec)),
-      key,
-      forwardedBy: undefined,
-    });
-    await first.writer.flush();
-    return (await reply).outcome;
-  };
+  const submitToFirst = async (key: string) =>
+    (await submitByRoute(jobs, first, key, spec)).outcome;
   store.faults.unavailable = true;
   const { key: unusedKey } = issueKeyForShard(0, jobs.nowMs);
   assert.is(await submitToFirst(unusedKey), "not_run");
@@ -256,6 +267,36 @@
   assert.is(await submitToFirst(key.key), "outcome_unknown");
 });
 
+// Guards against a repeated submission that is refused as not run, because the
+// configuration has changed since the job was accepted.
+test("a stored job is found after its team was removed", async () => {
+  const { jobs, first } = createPair();
+  await first.step();
+  const { key } = issueKeyForShard(0, jobs.nowMs);
+  const spec = createJobSpec();
+  const submitNow = async (submittedKey: string) => {
+    const { status, outcome } = await submitByRoute(
+      jobs,
+      first,
+      submittedKey,
+      spec,
+    );
+    return { status, outcome };
+  };
+  assert.equal(await submitNow(key), { status: 201, outcome: "answer" });
+  const applied = jobs.config.get()!;
+  jobs.config.set({
+    ...applied,
+    config: { ...applied.config, teams: [] },
+  });
+  assert.equal(await submitNow(key), { status: 200, outcome: "answer" });
+  const { key: unusedKey } = issueKeyForShard(0, jobs.nowMs);
+  assert.equal(
+    await submitNow(unusedKey),
+    { status: 422, outcome: "not_run" },
+  );
+});
+
 // Guards against idle entries that keep polling every worker of the region.
 test("a shard without open jobs polls no workers", async () => {
   let reports = 0;
--- a/src/jobs/routes.ts
+++ b/src/jobs/routes.ts
@@ -165,7 +165,6 @@
   async #submit(call: JobCall): Promise<JobReply> {
     const key = requireKey(call.key ?? "");
     const spec = parseWithSchema(jobSpecSchema, parseBody(call), "job");
-    this.#checkSpec(spec);
     try {
       return await (this.#forward(call, key.shard) ??
         this.#submitHere(key, spec));
@@ -182,6 +181,7 @@
   async #submitHere(key: JobKey, spec: JobSpec): Promise<JobReply> {
     const { writer } = this.#dispatcher(key.shard);
     const alreadyStored = writer.record!.jobs.has(key.key);
+    if (!alreadyStored) this.#checkSpec(spec);
     const job = await withDeadline(
       writer.change((draft) => submitJob(draft, key, spec), {
         deadlineMs: CHANGE_DEADLINE_MS,
