fix(scheduler): look again before a start is sent a second time

The second attempt to send a start was sent 500 ms after the first without asking whether the owner may still order, or whether the run is to be stopped by now. An owner that had lost its tenure, or woke from a pause, could start a task with a lease that outlasts the time that its successor waits (21.0 s against 20.7 s, by calculation); a task of a job that had just been cancelled could start.

--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -472,6 +472,8 @@
       if (task.placement !== placement) return;
       if (outcome.kind !== "unknown") break;
       unanswered++;
+      // During an attempt, the tenure may end and the run become needless.
+      if (!options.mayOrder() || placement.stopReason !== undefined) break;
     }
     handleStartOutcome(task, placement, outcome, unanswered);
   }
