fix(scheduler): an unwanted run occupies its resources until it has ended

It knew of the run and its step, but counted only its own placements, so that any run it doesn't want, whatever made it, could overload the worker.

Now each report replaces the reservations of the worker's unwanted runs. Open: the step of a run whose job has ended and been archived isn't known any more.

--- a/src/scheduler/placed_tasks.ts
+++ b/src/scheduler/placed_tasks.ts
@@ -40,7 +40,7 @@
 
 /** Tasks on one worker instance, with the sums that each planning round needs. */
 export class PlacedTasks extends Set<TaskState> {
-  /** Resources that the tasks reserve; tasks that are being stopped still occupy theirs. */
+  /** Resources that the tasks reserve; tasks that are being stopped and unwanted runs still occupy theirs. */
   readonly reserved: ResourceSums = createSums();
   /** Number of tasks of each step, by step ID. */
   readonly countByStep = new Map<string, number>();
@@ -48,6 +48,15 @@
   /** Part of `reserved` that long-running tasks hold. */
   readonly reservedLongRunning: ResourceSums = createSums();
 
+  #unwantedSteps: readonly Step[] = [];
+
+  /** Replaces the reservations of runs that belong to none of the tasks, by their steps. */
+  reserveUnwantedRuns(steps: readonly Step[]): void {
+    for (const step of this.#unwantedSteps) addDemand(this.reserved, step, -1);
+    for (const step of steps) addDemand(this.reserved, step, 1);
+    this.#unwantedSteps = steps;
+  }
+
   override add(task: TaskState): this {
     if (this.has(task)) return this;
     this.#count(task, 1);
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -19,7 +19,7 @@
   type TaskState,
   visibleStatus,
 } from "./job_state.ts";
-import type { JobSpec, JobStatus } from "./model.ts";
+import type { JobSpec, JobStatus, Step } from "./model.ts";
 import { computeObjectiveMs } from "./job_order.ts";
 import { settlesEarlierAttempts } from "./order_attempts.ts";
 import { STORE_KEYS } from "./ownership.ts";
@@ -343,10 +343,11 @@
       ?.steps[Number(step)]?.[Number(index)];
   }
 
+  /** Applies the report of a run; returns the step whose resources it occupies if it is unwanted. */
   function handleActiveRun(
     instance: WorkerInstance,
     activeRun: ActiveRunReport,
-  ): void {
+  ): Step | undefined {
     const task = findTask(activeRun.taskId);
     const placement = task?.placement;
     if (
@@ -361,7 +362,7 @@
         phase: task?.phase ?? "unknown job",
       });
       void instance.link?.stop(activeRun.taskId, activeRun.run);
-      return;
+      return task && getStep(task);
     }
     placement.percent = activeRun.percent;
     placement.reportedAtMs = clock.monotonicMs();
@@ -373,6 +374,7 @@
       task.job.begun = true;
     }
     if (placement.stopReason !== undefined) sendStop(task, placement);
+    return undefined;
   }
 
   /** Handles a placed task that the worker reports neither as running nor as ended. */
@@ -652,7 +654,9 @@
       const running = new Map(
         report.running.map((run) => [run.taskId, run]),
       );
-      for (const run of report.running) handleActiveRun(instance, run);
+      instance.tasks.reserveUnwantedRuns(
+        report.running.flatMap((run) => handleActiveRun(instance, run) ?? []),
+      );
       for (const task of [...instance.tasks]) {
         const { placement } = task;
         if (placement === undefined) continue;
