fix(scheduler): all members of a gang start from the same checkpoint

Any member's checkpoint is valid for the gang, so the first one is chosen when the gang is placed, and stays the same for repeated attempts.

--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -29,6 +29,7 @@
   OrderOutcome,
   OrderRefusal,
   SchedulerConfig,
+  StartOrder,
   WorkerReport,
 } from "./ports.ts";
 import { resolveQueue } from "./resolve_queue.ts";
@@ -448,10 +449,19 @@
     }
   }
 
+  /** Returns the checkpoint that a run resumes from; it is the same for all members of a gang. */
+  function chooseCheckpoint(task: TaskState): string {
+    if (!getStep(task).gang) return task.checkpoint;
+    const member = listGangTasks(task).find(({ checkpoint }) =>
+      checkpoint !== ""
+    );
+    return member?.checkpoint ?? "";
+  }
+
   async function sendStart(
     task: TaskState,
     placement: Placement,
-    ticket: string | undefined,
+    fields: Pick<StartOrder, "checkpoint" | "ticket">,
   ): Promise<void> {
     const instance = findInstance(placement);
     if (task.placement !== placement) return;
@@ -467,8 +477,7 @@
         run: placement.run,
         specification: task.job.spec.specification,
         fence,
-        checkpoint: task.checkpoint,
-        ticket,
+        ...fields,
       });
       // A report may have ended the placement in the meantime.
       if (task.placement !== placement) return;
@@ -646,7 +655,11 @@
       };
       task.placement = placement;
       instance.tasks.add(task);
-      save(task.job, () => void sendStart(task, placement, ticket));
+      const checkpoint = chooseCheckpoint(task);
+      save(
+        task.job,
+        () => void sendStart(task, placement, { checkpoint, ticket }),
+      );
     },
     stop,
     onReport(instance, report, sentAtMs) {
