fix(scheduler): a list of 500 ended runs may leave out others

A worker lists its oldest 500 unacknowledged ends; a run that had ended after them was in neither list, was taken as gone and started again (TWICE).

A report now says whether it may leave out ends, also through a relay, and until the others are listed no run is taken as gone.

--- a/src/scheduler/given_up_runs_test.ts
+++ b/src/scheduler/given_up_runs_test.ts
@@ -115,10 +115,11 @@
     instance: WorkerInstance,
     ended: EndedRunReport[],
     running: ActiveRunReport[] = [],
+    hasMoreEnded = false,
   ) {
     scheduler.onReport(
       instance,
-      { clockMs: 0, bornAtMs: 1, running, ended },
+      { clockMs: 0, bornAtMs: 1, running, ended, hasMoreEnded },
       Infinity,
     );
   }
@@ -191,7 +192,7 @@
     const [task] = openTasks(scheduler);
     scheduler.place(task!, worker, { run: 1, ticket: undefined });
     await context.flush();
-    context.report(worker, fullList);
+    context.report(worker, fullList, [], true);
     assert.equal(task!.phase, "placed", `start answered: ${answered}`);
   }
 });
@@ -317,6 +318,7 @@
         bornAtMs,
         running: [...runs],
         ended: [],
+        hasMoreEnded: false,
       })),
     close() {},
   };
--- a/src/scheduler/ports.ts
+++ b/src/scheduler/ports.ts
@@ -122,6 +122,8 @@
   readonly bornAtMs: number | undefined;
   readonly running: readonly ActiveRunReport[];
   readonly ended: readonly EndedRunReport[];
+  /** Whether `ended` may leave out runs that have ended, which the worker lists once these are acknowledged. */
+  readonly hasMoreEnded: boolean;
 }
 
 /** Reason why a worker refused an order, which was therefore not executed. */
--- a/src/scheduler/relay/messages.ts
+++ b/src/scheduler/relay/messages.ts
@@ -85,6 +85,7 @@
       ]),
       checkpoint: z.string(),
     })).default([]),
+    hasMoreEnded: z.boolean().default(false),
   }),
   z.object({
     kind: z.literal("refused"),
--- a/src/scheduler/relay/relay_test.ts
+++ b/src/scheduler/relay/relay_test.ts
@@ -46,6 +46,7 @@
     loadMetric: 5,
   }],
   ended: [],
+  hasMoreEnded: true,
 };
 
 /** A control that records its orders and answers with `outcomes`. */
--- a/src/scheduler/relay/server.ts
+++ b/src/scheduler/relay/server.ts
@@ -83,7 +83,7 @@
   outcome: Awaited<ReturnType<WorkerControl["start"]>>,
 ): RelayedOutcome {
   return outcome.kind === "done"
-    ? { ...outcome, running: [], ended: [] }
+    ? { ...outcome, running: [], ended: [], hasMoreEnded: false }
     : outcome;
 }
 
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -670,6 +670,8 @@
       instance.tasks.reserveUnwantedRuns(
         report.running.flatMap((run) => handleActiveRun(instance, run) ?? []),
       );
+      // A run in neither list may be among the ended runs that were left out.
+      if (report.hasMoreEnded) return;
       for (const task of [...instance.tasks]) {
         const { placement } = task;
         if (placement === undefined) continue;
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -113,7 +113,7 @@
     ) {
       scheduler.onReport(
         instance,
-        { clockMs: 0, bornAtMs: 1, running, ended },
+        { clockMs: 0, bornAtMs: 1, running, ended, hasMoreEnded: false },
         sentAtMs,
       );
     },
--- a/testing/fake_task_workers.ts
+++ b/testing/fake_task_workers.ts
@@ -322,6 +322,7 @@
         loadMetric: 0,
       })),
       ended: [...worker.ended],
+      hasMoreEnded: false,
     };
   }
 
