fix(scheduler): a start may reach the next process of a worker

The platform's page lets a worker start again under the ID that it had; an order names only this ID. A start that was on its way could so be executed by the next process, while the owner took it as over with the earlier one and placed the task again (TWICE), with a lease on another clock, up to the platform's 10 s instead of 7 s.

When a worker instance ends because another one with its ID responds or registers, tasks stay placed, on that one, unless a report of the earlier process has listed their run. Its reports then show the run, or it is stopped there first, like any start without an answer.

--- a/src/scheduler/given_up_runs_test.ts
+++ b/src/scheduler/given_up_runs_test.ts
@@ -285,7 +285,8 @@
   });
   const runs: ActiveRunReport[] = [];
   let bornAtMs = 1;
-  const registration: WorkerRegistration = {
+  const stoppedRuns: number[] = [];
+  let registration: WorkerRegistration = {
     workerId: "w1",
     vmId: "vm-1",
     service: "quoting",
@@ -309,7 +310,10 @@
       });
       return Promise.resolve({ kind: "done", clockMs: 1 });
     },
-    stop: () => Promise.resolve({ kind: "unknown" }),
+    stop: (_, { run: runNumber }) => {
+      stoppedRuns.push(runNumber);
+      return Promise.resolve({ kind: "done", clockMs: 1 });
+    },
     throttle: () => Promise.resolve({ kind: "unknown" }),
     renewAndPoll: () =>
       delay(100).then(() => ({
@@ -357,11 +361,64 @@
       () => scheduler.workers.find("w1", 1) === undefined,
     );
     assert.notEqual(task!.phase, "waiting");
+    // Once the next process has registered, its reports show whether it has carried out the start.
+    registration = { ...registration, bornAtMs };
+    registry.syncItem({ key: "servers/w1", value: "", revision: 2 });
+    assert.equal(scheduler.workers.listByWorker("w1").length, 1);
+    await waitFor(
+      "the run is known",
+      () => task!.placement?.startState === "running",
+    );
+    assert.deepEqual(stoppedRuns, []);
+    runs.splice(0);
+    await waitFor("the next run", () => task!.phase === "waiting");
+    assert.equal(scheduler.workers.find("w1", 2)!.tasks.size, 0);
   } finally {
     await links.halt();
   }
 });
 
+// Guards against a task that is never placed again, or that is placed again too early, after its worker has restarted under the same ID.
+test("of the runs of a restarted worker, those that its next process may start are stopped there first", async () => {
+  const context = createTestScheduler();
+  const { scheduler, state, report } = context;
+  const first = context.addWorker("w1");
+  scheduler.accept(spec([{ taskCount: 3 }]));
+  const [listed, confirmed, unanswered] = openTasks(scheduler);
+  scheduler.place(listed!, first, { run: 1, ticket: undefined });
+  await context.flush();
+  report(first, [], [
+    { taskId: TASK, run: 1, checkpoint: "", percent: 10, loadMetric: 0 },
+  ]);
+  scheduler.place(confirmed!, first, { run: 1, ticket: undefined });
+  await context.flush();
+  state.onStart = () => ({ kind: "unknown" });
+  scheduler.place(unanswered!, first, { run: 1, ticket: undefined });
+  await context.flush();
+  const successor: WorkerInstance = {
+    ...first,
+    bornAtMs: 2,
+    tasks: new PlacedTasks(),
+  };
+  scheduler.workers.add(successor);
+  scheduler.replaceInstance(first, () => successor, "the worker has restarted");
+  assert.equal(listed!.phase, "waiting");
+  assert.deepEqual([...successor.tasks], [confirmed, unanswered]);
+  assert.equal(scheduler.workers.find("w1", 1), undefined);
+  context.calls.length = 0;
+  report(successor, []);
+  assert.deepEqual(context.calls, [
+    `stop w1 ${JOB}.0.0.1 1`,
+    `stop w1 ${JOB}.0.0.2 1`,
+  ]);
+  assert.equal(confirmed!.phase, "placed");
+  await context.flush();
+  report(successor, []);
+  assert.equal(confirmed!.phase, "waiting");
+  assert.equal(unanswered!.phase, "waiting");
+  assert.equal(successor.tasks.size, 0);
+});
+
 // Guards against new tasks on a worker that is known to run something else already (LIMIT): the run occupies its resources until it has ended.
 test("an unwanted run occupies its resources until it has ended", async () => {
   const context = createTestScheduler();
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -97,6 +97,16 @@
   ): void;
   /** Removes a worker instance that is proven to have ended, and requeues its tasks. */
   removeInstance(instance: WorkerInstance, reason: string): void;
+  /**
+   * Removes a worker instance that has ended, like `removeInstance`, but keeps
+   * the tasks placed whose start orders may have reached its successor, the next
+   * process with the same ID. `successor` is called only if there are any.
+   */
+  replaceInstance(
+    instance: WorkerInstance,
+    successor: () => WorkerInstance,
+    reason: string,
+  ): void;
   /** Stores the job's progress with the next commit. */
   save(job: JobState, onStored?: () => void): void;
   /** Removes the jobs that ended before `limitMs`, in ms since 1970, and deletes their records. */
@@ -583,6 +593,66 @@
     }
   }
 
+  /** Whether the next process of a placement's worker may have executed, or may still execute, the start order. */
+  function mayHaveReachedSuccessor(placement: Placement): boolean {
+    switch (placement.startState) {
+      case "unrecorded":
+        return false;
+      case "inherited":
+      case "sending":
+      case "unresolved":
+        return true;
+      case "running":
+        // A confirmation doesn't say which process has responded, unlike a report.
+        return placement.reportedAtMs === undefined;
+      default:
+        return assertNever(placement.startState);
+    }
+  }
+
+  function moveToSuccessor(
+    task: TaskState,
+    placement: Placement,
+    successor: WorkerInstance,
+  ): void {
+    findInstance(placement)?.tasks.delete(task);
+    task.placement = {
+      ...placement,
+      bornAtMs: successor.bornAtMs,
+      startState: placement.startState === "inherited"
+        ? "inherited"
+        : "unresolved",
+      stopConfirmedAtMs: undefined,
+    };
+    successor.tasks.add(task);
+    log.info("start order may have reached the worker's next process", {
+      task: task.taskId,
+      run: placement.run,
+      worker: placement.workerId,
+    });
+    save(task.job);
+  }
+
+  function removeInstance(instance: WorkerInstance, reason: string): void {
+    if (instance.tasks.size > 0) {
+      log.info("runs are over with their worker", {
+        worker: instance.workerId,
+        vm: instance.vmId,
+        reason,
+        runs: [...instance.tasks].map(({ taskId, run }) =>
+          `${taskId} run ${run}`
+        ),
+      });
+    }
+    for (const task of [...instance.tasks]) {
+      counters.lostRuns++;
+      freeTask(task);
+      save(task.job);
+    }
+    workers.remove(instance);
+    health.forget(instance.workerId);
+  }
+
   function cancel(jobId: string): void {
     const job = jobs.get(jobId);
     if (job === undefined) {
@@ -679,24 +749,15 @@
         handleMissingRun(task, placement, sentAtMs);
       }
     },
-    removeInstance(instance, reason) {
-      if (instance.tasks.size > 0) {
-        log.info("runs are over with their worker", {
-          worker: instance.workerId,
-          vm: instance.vmId,
-          reason,
-          runs: [...instance.tasks].map(({ taskId, run }) =>
-            `${taskId} run ${run}`
-          ),
-        });
-      }
+    removeInstance,
+    replaceInstance(instance, successor, reason) {
       for (const task of [...instance.tasks]) {
-        counters.lostRuns++;
-        freeTask(task);
-        save(task.job);
+        const { placement } = task;
+        if (placement !== undefined && mayHaveReachedSuccessor(placement)) {
+          moveToSuccessor(task, placement, successor());
+        }
       }
-      workers.remove(instance);
-      health.forget(instance.workerId);
+      removeInstance(instance, reason);
     },
     save,
     removeEndedBefore(limitMs) {
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -36,8 +36,12 @@
 export interface WorkerLinkEvents {
   /** Called with a report of this worker instance; `sentAtMs` is the monotonic time at which it was requested. */
   onReport(link: WorkerLink, report: WorkerReport, sentAtMs: number): void;
-  /** Called when the worker instance has ended, for example because another one responds under its ID. */
-  onInstanceEnded(link: WorkerLink, reason: string): void;
+  /** Called when the worker instance has ended because another one responds; `successorBornAtMs` is the start time of one with the same ID. */
+  onInstanceEnded(
+    link: WorkerLink,
+    reason: string,
+    successorBornAtMs?: number,
+  ): void;
   /** Called when the worker rejected an order because it has seen a newer owner's fencing token. */
   onFenced(link: WorkerLink): void;
   /** Runs the callback once all records scheduled so far are stored. */
@@ -140,10 +144,10 @@
     }
   }
 
-  function endLink(reason: string): void {
+  function endLink(reason: string, successorBornAtMs?: number): void {
     if (closed) return;
     closed = true;
-    events.onInstanceEnded(link, reason);
+    events.onInstanceEnded(link, reason, successorBornAtMs);
   }
 
   function* pollOnce(): Operation<void> {
@@ -182,7 +186,7 @@
       outcome.bornAtMs !== undefined && worker.bornAtMs !== 0 &&
       outcome.bornAtMs !== worker.bornAtMs
     ) {
-      endLink("another instance responds under its ID");
+      endLink("another instance responds under its ID", outcome.bornAtMs);
       return;
     }
     updateClockOffset(outcome.clockMs);
--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -20,6 +20,12 @@
  * registrations may be missing briefly after a store outage.
  */
 const REGISTRATION_GRACE_MS = 2_000;
+/**
+ * Longest lease that a worker grants, in ms, with a margin for its clock. The
+ * lease end in an order counts on the clock of the process that it was meant
+ * for, so that a later process may take it for any length.
+ */
+const MAXIMUM_LEASE_MS = 10_700;
 
 /** Follows worker registrations and runs a link to each worker instance. */
 export interface WorkerRegistry {
@@ -78,23 +84,33 @@
       existingInstance.link.updateRegistration(registration);
       return;
     }
-    for (const other of workers.listByWorker(registration.workerId)) {
-      if (other.bornAtMs > registration.bornAtMs) return;
-      if (other.bornAtMs < registration.bornAtMs) {
-        removeInstance(other, "the worker has restarted");
-      }
-    }
+    const others = workers.listByWorker(registration.workerId);
+    if (others.some(({ bornAtMs }) => bornAtMs > registration.bornAtMs)) return;
+    const leasesEndMs = Math.max(
+      earlierLeasesEndMs,
+      existingInstance?.earlierLeasesEndMs ?? 0,
+      others.some(({ tasks }) => tasks.size > 0)
+        ? clock.monotonicMs() + MAXIMUM_LEASE_MS
+        : 0,
+    );
     const link = createWorkerLink({
       registration,
       fence: options.fence,
       control: options.control,
       clock,
       log,
-      earlierLeasesEndMs,
+      earlierLeasesEndMs: leasesEndMs,
       events: {
         onReport: (_, report, sentAtMs) =>
           scheduler.onReport(instance, report, sentAtMs),
-        onInstanceEnded: (_, reason) => removeInstance(instance, reason),
+        onInstanceEnded: (_, reason, successorBornAtMs) =>
+          successorBornAtMs === undefined
+            ? removeInstance(instance, reason)
+            : replaceInstance(
+              instance,
+              () => addUnregistered(instance, successorBornAtMs),
+              reason,
+            ),
         ...options.events,
       },
     });
@@ -107,9 +123,13 @@
       missingSinceMs: undefined,
       tasks: existingInstance?.tasks ?? new PlacedTasks(),
       joinedAtMs: clock.monotonicMs(),
-      earlierLeasesEndMs,
+      earlierLeasesEndMs: leasesEndMs,
     };
     workers.add(instance);
+    for (const other of others) {
+      if (other.bornAtMs === registration.bornAtMs) continue;
+      replaceInstance(other, () => instance, "the worker has restarted");
+    }
     log.info("worker registered", {
       worker: registration.workerId,
       vm: registration.vmId,
@@ -120,8 +140,44 @@
     newInstanceNotifier.notify();
   }
 
+  /** Returns the next process of a worker; adds it if it isn't known, as it will register later than it responds. */
+  function addUnregistered(
+    predecessor: WorkerInstance,
+    bornAtMs: number,
+  ): WorkerInstance {
+    const { workerId, vmId } = predecessor;
+    const known = workers.find(workerId, bornAtMs);
+    if (known !== undefined) return known;
+    const instance: WorkerInstance = {
+      workerId,
+      bornAtMs,
+      vmId,
+      link: undefined,
+      registration: undefined,
+      missingSinceMs: undefined,
+      tasks: new PlacedTasks(),
+      joinedAtMs: clock.monotonicMs(),
+      earlierLeasesEndMs: clock.monotonicMs() + MAXIMUM_LEASE_MS,
+    };
+    workers.add(instance);
+    return instance;
+  }
+
   function removeInstance(instance: WorkerInstance, reason: string): void {
     scheduler.removeInstance(instance, reason);
+    closeInstance(instance);
+  }
+
+  function replaceInstance(
+    instance: WorkerInstance,
+    successor: () => WorkerInstance,
+    reason: string,
+  ): void {
+    scheduler.replaceInstance(instance, successor, reason);
+    closeInstance(instance);
+  }
+
+  function closeInstance(instance: WorkerInstance): void {
     instance.link?.close();
     options.tickets.forgetWorker(instance.workerId);
     if (instance.link !== undefined) {
