feat(scheduler): send a commit again when its response is late

A commit without a response after five usual response times, at least 60 ms, is sent once more. Its condition on the head lets the store execute only one of the two; the other shows the head with this commit's number, as after a retry. The usual time is learned, so that a slow store isn't sent everything twice.

--- a/src/scheduler/journal.ts
+++ b/src/scheduler/journal.ts
@@ -1,9 +1,11 @@
 import { type Operation, sleep, until } from "effection";
 import { messageOf, StoreError } from "../errors.ts";
+import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
 import { createNotifier } from "../notifier.ts";
 import { encodeHead, parseHead, STORE_KEYS, type Tenure } from "./ownership.ts";
 import { MAXIMUM_OPERATIONS_PER_CHANGE, type RecordStore } from "./ports.ts";
+import { createRepeatedChanges } from "./repeated_change.ts";
 
 /** Minimum pause between two flushes, in ms; limits them to 40 per second. */
 const COMMIT_INTERVAL_MS = 25;
@@ -37,6 +39,7 @@
 export interface JournalOptions {
   readonly store: RecordStore;
   readonly tenure: Tenure;
+  readonly clock: Clock;
   readonly log: Logger;
   /** Called when a commit shows that the tenure has ended. */
   readonly onLost: (reason: string) => void;
@@ -57,7 +60,9 @@
  * executed after a newer one.
  */
 export function createJournal(options: JournalOptions): Journal {
-  const { store, tenure, log } = options;
+  const { tenure, log } = options;
+  // The condition on the head lets the store execute only one of several attempts.
+  const changes = createRepeatedChanges(options);
   const pending = new Map<string, PendingRecord>();
   const notifier = createNotifier();
   let flushCallbacks: (() => void)[] = [];
@@ -84,7 +89,7 @@
     number: number,
   ): Operation<boolean> {
     try {
-      const outcome = yield* until(store.change({
+      const outcome = yield* until(changes.send({
         conditions: [{ key: STORE_KEYS.head, revision: headRevision }],
         puts: [
           { key: STORE_KEYS.head, value: encodeHead(tenure.epoch, number) },
--- a/src/scheduler/journal_test.ts
+++ b/src/scheduler/journal_test.ts
@@ -4,6 +4,7 @@
 import { FakeRecordStore } from "../../testing/fake_record_store.ts";
 import { createRandom } from "../../testing/random.ts";
 import { waitFor } from "../../testing/wait.ts";
+import { systemClock } from "../clock.ts";
 import { silentLogger } from "../logger.ts";
 import { createJournal, type Journal } from "./journal.ts";
 import { acquireOwnership, STORE_KEYS } from "./ownership.ts";
@@ -31,6 +32,7 @@
   const journal = createJournal({
     store: client,
     tenure: tenure!,
+    clock: systemClock,
     log: silentLogger,
     onLost: (reason) => lost.push(reason),
     onResponse() {},
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -158,6 +158,7 @@
   const journal: Journal = createJournal({
     store,
     tenure,
+    clock,
     log,
     onLost: endTenure,
     onResponse: onStoreResponse,
