perf(scheduler): poll a worker often while a start is unresolved

A task whose start had no answer is placed again after a report that was requested after its stop was confirmed. Reports came from long polls of 0.9 s, so that it waited for up to two of them.

--- a/src/scheduler/given_up_runs_test.ts
+++ b/src/scheduler/given_up_runs_test.ts
@@ -96,6 +96,10 @@
         return Promise.resolve(state.stop);
       },
       pollNow() {},
+      silentMs: () => 0,
+      hasResponded: true,
+      leasesExpired: () => false,
+      needsFrequentPolls: false,
     } as unknown as WorkerLink;
     const instance: WorkerInstance = {
       workerId,
@@ -126,6 +130,32 @@
   return { scheduler, state, calls, checkpoints, flush, addWorker, report };
 }
 
+function createTestRegistry(
+  scheduler: Scheduler,
+  control: WorkerControl,
+  readWorker: () => WorkerRegistration,
+) {
+  return createWorkerRegistry({
+    scheduler,
+    tickets: { forgetWorker() {} } as unknown as TicketCache,
+    control,
+    records: {
+      workerPrefix: "servers/",
+      readWorker,
+    } as unknown as PlatformRecordCodec,
+    fence: 1,
+    clock: systemClock,
+    log: silentLogger,
+    earlierLeasesEndMs: 0,
+    events: {
+      onFenced() {},
+      afterFlush: (callback) => callback(),
+      mayOrder: () => true,
+    },
+    onChange() {},
+  });
+}
+
 function openTasks(scheduler: Scheduler) {
   const job = scheduler.jobs.get(JOB)!;
   createDueOccurrences(job, Date.now());
@@ -326,25 +356,7 @@
       })),
     close() {},
   };
-  const registry = createWorkerRegistry({
-    scheduler,
-    tickets: { forgetWorker() {} } as unknown as TicketCache,
-    control,
-    records: {
-      workerPrefix: "servers/",
-      readWorker: () => registration,
-    } as unknown as PlatformRecordCodec,
-    fence: 1,
-    clock: systemClock,
-    log: silentLogger,
-    earlierLeasesEndMs: 0,
-    events: {
-      onFenced() {},
-      afterFlush: (callback) => callback(),
-      mayOrder: () => true,
-    },
-    onChange() {},
-  });
+  const registry = createTestRegistry(scheduler, control, () => registration);
   const links = run(() => registry.run());
   try {
     registry.syncItem({ key: "servers/w1", value: "", revision: 1 });
@@ -419,6 +431,31 @@
   assert.equal(successor.tasks.size, 0);
 });
 
+// Guards against tasks that wait for the end of a long poll before they are placed again.
+test("a worker with a start that may be carried out late is polled at short intervals", async () => {
+  const context = createTestScheduler();
+  const { scheduler, state } = context;
+  const worker = context.addWorker("w1");
+  const registry = createTestRegistry(
+    scheduler,
+    {} as WorkerControl,
+    () => ({}) as WorkerRegistration,
+  );
+  state.onStart = () => ({ kind: "unknown" });
+  scheduler.accept(spec());
+  const [task] = openTasks(scheduler);
+  scheduler.place(task!, worker, { run: 1, ticket: undefined });
+  registry.checkInstances();
+  assert.equal(worker.link!.needsFrequentPolls, false);
+  await context.flush();
+  registry.checkInstances();
+  assert.equal(worker.link!.needsFrequentPolls, true);
+  context.report(worker, []);
+  assert.equal(task!.phase, "waiting");
+  registry.checkInstances();
+  assert.equal(worker.link!.needsFrequentPolls, false);
+});
+
 // Guards against new tasks on a worker that is known to run something else already (LIMIT): the run occupies its resources until it has ended.
 test("an unwanted run occupies its resources until it has ended", async () => {
   const context = createTestScheduler();
--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -230,7 +230,9 @@
       if (instance.link !== undefined) {
         instance.link.mayHaveRuns = instance.tasks.size > 0;
         instance.link.needsFrequentPolls = [...instance.tasks].some((task) =>
-          getStep(task).targetMs > 0 || getStep(task).fills
+          getStep(task).targetMs > 0 || getStep(task).fills ||
+          // Only a report shows whether the run has started, or is gone after its stop.
+          task.placement?.startState === "unresolved"
         );
       }
     }
