--- a/testing/soak/soak.ts
+++ b/testing/soak/soak.ts
@@ -530,9 +530,13 @@
         workerRelay.disconnect();
         restoreLater(() => workerRelay.restore());
       }],
-      ["orders are carried out late", () => {
+      ["orders are carried out late, others are refused", () => {
         workers.faults.lateOrderRate = 0.15;
-        restoreLater(() => workers.faults.lateOrderRate = 0);
+        workers.faults.unhealthyRate = 0.3;
+        restoreLater(() => {
+          workers.faults.lateOrderRate = 0;
+          workers.faults.unhealthyRate = 0;
+        });
       }],
       ["tasks fail", () => {
         workers.faults.failedRunRate = 0.3;
