test(requests): the request has been sent before its outcome is unknown

Traced: its deadline of 50 ms can pass before the entry has sent the request; the answer is then 503 not_run with Retry-After 0, which is true. With deadlines of 1 and 2 ms the test's requests get this answer each time, with 50 and 1,000 ms the unknown outcome. The deadline is 1 s now, and the test also checks that the outcome is unknown, which it took for granted.

--- a/src/requests/response_test.ts
+++ b/src/requests/response_test.ts
@@ -90,13 +90,17 @@
 // Guards against callers that retry a non-idempotent request, such as a booking, because of a Retry-After header.
 test("an unknown outcome has a Retry-After header only if a retry is safe", () =>
   withBackend(() => {}, async (entry) => {
-    const late = (method: string) =>
-      call(entry, "/quoting/late", {
+    const late = async (method: string) => {
+      // The entry must have sent the request by then, also on a busy machine.
+      const response = await call(entry, "/quoting/late", {
         method,
-        headers: { "cowslipferry-deadline-ms": "50" },
+        headers: { "cowslipferry-deadline-ms": "1000" },
       });
-    assert.ok(Number((await late("GET")).headers["retry-after"]) >= 1);
-    assert.is((await late("POST")).headers["retry-after"], undefined);
+      assert.is(response.outcome, "outcome_unknown");
+      return response.headers["retry-after"];
+    };
+    assert.ok(Number(await late("GET")) >= 1);
+    assert.is(await late("POST"), undefined);
   }));
 
 test("unsolicited bytes after a response don't reach another request", () =>
