--- a/src/scheduler/fleet_manager_test.ts
+++ b/src/scheduler/fleet_manager_test.ts
@@ -188,4 +188,35 @@
   });
 });
 
+// Guards against a wave that stops because one of its VMs went down while its order had no answer: a VM that is down refuses the repeated order as busy for as long as it is down.
+test("a VM that has gone down doesn't keep its place in a wave", async () => {
+  await withCluster(async (cluster) => {
+    const ordered: string[] = [];
+    cluster.maintain = (vmId) => {
+      ordered.push(vmId);
+      const worker = [...cluster.workers.workers.values()].find((
+        { registration },
+      ) => registration.vmId === vmId)!;
+      if (vmId !== ordered[0]) {
+        worker.alive = false;
+        return { kind: "done" };
+      }
+      if (!worker.alive) return { kind: "refused", reason: "busy" };
+      worker.alive = false;
+      return { kind: "unknown" };
+    };
+    cluster.waves.set(1, {
+      wave: 1,
+      vmIds: ["vm-0", "vm-1"],
+      deadlineMs: 10_000,
+      maximumDown: 1,
+    });
+    await waitFor(
+      "the order of the other VM",
+      () => new Set(ordered).size === 2,
+      { timeoutMs: 15_000 },
+    );
+  });
+});
+
 test.run();
--- a/src/scheduler/throttling_test.ts
+++ b/src/scheduler/throttling_test.ts
@@ -26,7 +26,7 @@
 });
 
 /** A worker with one best-effort task and one serving task, whose latency is `latencyMs`. */
-function createThrottledWorker() {
+function createThrottledWorker({ inherited } = { inherited: false }) {
   const state = {
     latencyMs: 0,
     nowMs: 0,
@@ -55,7 +55,7 @@
       bornAtMs: 1,
       vmId: "vm-1",
       run: 1,
-      inherited: false,
+      inherited,
       startState: "running",
       stopReason: undefined,
       placedAtMs: 0,
@@ -141,4 +141,10 @@
   assert.deepEqual(await adjust(5_000), []);
 });
 
+// Guards against a best-effort task that the previous owner has paused and that no owner lets work again.
+test("the first order after a change of owner doesn't depend on the earlier owner's speeds", async () => {
+  const { adjust } = createThrottledWorker({ inherited: true });
+  assert.deepEqual(await adjust(350), [100]);
+});
+
 test.run();
