fix(scheduler): an unanswered start outlives the report that lists its run

A report that listed a run counted as proof about all attempts to start it. An attempt without an answer may still reach the worker's next process, which has the same ID and knows no run number; the task was freed with the earlier process and could run twice (TWICE). And a second attempt was sent although a report had listed the run, which made such attempts.

The placement keeps the number of unanswered attempts: a run with any, or one that was inherited, stays placed on the next process until that is known. No second attempt is sent for a listed run.

--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -10,6 +10,8 @@
   readonly run: number;
   /** Whether an earlier owner sent the start order, so that the time of the start is unknown. */
   readonly inherited: boolean;
+  /** Number of attempts to send the start order that had no answer and may be executed late. */
+  unansweredAttempts: number;
   /** Progress of the start order. */
   startState:
     /** The record that must be stored before the order is sent isn't stored yet. */
@@ -378,6 +380,7 @@
       vmId: taskRecord.vm ?? "",
       run: taskRecord.run,
       inherited: true,
+      unansweredAttempts: 0,
       startState: "inherited",
       stopReason: undefined,
       placedAtMs: nowMs,
--- a/src/scheduler/job_state_test.ts
+++ b/src/scheduler/job_state_test.ts
@@ -77,6 +77,7 @@
               vmId: "vm",
               run: task.run,
               inherited: false,
+              unansweredAttempts: 0,
               startState: "running",
               stopReason: undefined,
               placedAtMs: 0,
--- a/src/scheduler/late_starts_test.ts
+++ b/src/scheduler/late_starts_test.ts
@@ -125,15 +125,6 @@
   return job.occurrences[0]!.steps[0]!;
 }
 
-function ended(
-  number: number,
-  run: number,
-  ending: EndedRunReport["ending"],
-  taskId = TASK,
-): EndedRunReport {
-  return { number, taskId, run, ending, checkpoint: "" };
-}
-
 function createSuccessor(
   scheduler: Scheduler,
   first: WorkerInstance,
--- a/src/scheduler/load_jobs_test.ts
+++ b/src/scheduler/load_jobs_test.ts
@@ -86,6 +86,7 @@
     vmId: "vm-1",
     run: 1,
     inherited: false,
+    unansweredAttempts: 0,
     startState: "running",
     stopReason: undefined,
     placedAtMs: 0,
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -459,6 +459,11 @@
     }
   }
 
+  /** Whether a report has listed the run. */
+  function isListed(placement: Placement): boolean {
+    return placement.reportedAtMs !== undefined;
+  }
+
   /** Returns the checkpoint that a run resumes from; it is the same for all members of a gang. */
   function chooseCheckpoint(task: TaskState): string {
     if (!getStep(task).gang) return task.checkpoint;
@@ -480,8 +485,7 @@
     }
     placement.startState = "sending";
     let outcome: OrderOutcome = { kind: "unknown" };
-    let unanswered = 0;
-    while (unanswered < MAXIMUM_START_ATTEMPTS) {
+    while (placement.unansweredAttempts < MAXIMUM_START_ATTEMPTS) {
       outcome = await instance.link.start({
         taskId: task.taskId,
         run: placement.run,
@@ -492,24 +496,28 @@
       // A report may have ended the placement in the meantime.
       if (task.placement !== placement) return;
       if (outcome.kind !== "unknown") break;
-      unanswered++;
-      // During an attempt, the tenure may end and the run become needless.
-      if (!options.mayOrder() || placement.stopReason !== undefined) break;
+      placement.unansweredAttempts++;
+      // During an attempt, the tenure may end, and the run be listed or become needless.
+      if (
+        !options.mayOrder() || placement.stopReason !== undefined ||
+        isListed(placement)
+      ) break;
     }
-    handleStartOutcome(task, placement, outcome, unanswered);
+    handleStartOutcome(task, placement, outcome);
   }
 
   /** Stops a run whose start order may still be carried out; the task stays placed until a report proves that the run is gone. */
   function resolveByStop(
     task: TaskState,
     placement: Placement,
-    attempts: { readonly unanswered: number; readonly latest: OrderOutcome },
+    latest: OrderOutcome,
   ): void {
     log.info("start order not answered", {
       task: task.taskId,
       run: placement.run,
       worker: placement.workerId,
-      ...attempts,
+      unanswered: placement.unansweredAttempts,
+      latest,
     });
     placement.startState = "unresolved";
     health.recordRefusal(placement.workerId);
@@ -563,15 +571,12 @@
     task: TaskState,
     placement: Placement,
     outcome: OrderOutcome,
-    unanswered: number,
   ): void {
     if (placement.startState !== "sending") return;
     if (
       outcome.kind === "unknown" ||
-      (unanswered > 0 && !settlesEarlierAttempts(outcome))
-    ) {
-      return resolveByStop(task, placement, { unanswered, latest: outcome });
-    }
+      (placement.unansweredAttempts > 0 && !settlesEarlierAttempts(outcome))
+    ) return resolveByStop(task, placement, outcome);
     switch (outcome.kind) {
       case "done":
         counters.starts++;
@@ -604,7 +609,8 @@
         return true;
       case "running":
         // A confirmation doesn't say which process has responded, unlike a report.
-        return placement.reportedAtMs === undefined;
+        return placement.inherited || placement.unansweredAttempts > 0 ||
+          !isListed(placement);
       default:
         return assertNever(placement.startState);
     }
@@ -714,6 +720,7 @@
         vmId: instance.vmId,
         run,
         inherited: false,
+        unansweredAttempts: 0,
         startState: "unrecorded",
         stopReason: undefined,
         placedAtMs: clock.monotonicMs(),
--- a/src/scheduler/stragglers_test.ts
+++ b/src/scheduler/stragglers_test.ts
@@ -29,6 +29,7 @@
     vmId: "vm-1",
     run: 1,
     inherited: false,
+    unansweredAttempts: 0,
     startState: "running",
     stopReason: undefined,
     placedAtMs: 0,
--- a/src/scheduler/throttling_test.ts
+++ b/src/scheduler/throttling_test.ts
@@ -56,6 +56,7 @@
       vmId: "vm-1",
       run: 1,
       inherited,
+      unansweredAttempts: 0,
       startState: "running",
       stopReason: undefined,
       placedAtMs: 0,
