fix(scheduler): a run on a worker's next process has its own times

A moved placement kept the time and progress that the earlier process had confirmed, so that the run looked slow and could be stopped as a straggler.

--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -628,7 +628,10 @@
       startState: placement.startState === "inherited"
         ? "inherited"
         : "unresolved",
+      confirmedAtMs: undefined,
       stopConfirmedAtMs: undefined,
+      reportedAtMs: undefined,
+      percent: 0,
     };
     successor.tasks.add(task);
     log.info("start order may have reached the worker's next process", {
