fix(scheduler): an unwanted run counts as a task of its step

An unwanted run reserved resources but didn't count towards the tasks of its step on the worker, so that one more than 'maxPerWorker' could run there (ROUTE). It now counts like a placed task.

--- a/src/scheduler/placed_tasks.ts
+++ b/src/scheduler/placed_tasks.ts
@@ -38,7 +38,7 @@
   );
 }
 
-/** Tasks on one worker instance, with the sums that each planning round needs. */
+/** Tasks placed on one worker instance, with the sums that each planning round needs; the sums include unwanted runs. */
 export class PlacedTasks extends Set<TaskState> {
   /** Resources that the tasks reserve; tasks that are being stopped and unwanted runs still occupy theirs. */
   readonly reserved: ResourceSums = createSums();
@@ -48,13 +48,14 @@
   /** Part of `reserved` that long-running tasks hold. */
   readonly reservedLongRunning: ResourceSums = createSums();
 
-  #unwantedSteps: readonly Step[] = [];
+  /** Tasks of the unwanted runs, which are in the sums but not in the set. */
+  #unwanted: readonly TaskState[] = [];
 
-  /** Replaces the reservations of runs that belong to none of the tasks, by their steps. */
-  reserveUnwantedRuns(steps: readonly Step[]): void {
-    for (const step of this.#unwantedSteps) addDemand(this.reserved, step, -1);
-    for (const step of steps) addDemand(this.reserved, step, 1);
-    this.#unwantedSteps = steps;
+  /** Replaces the unwanted runs, which occupy resources like the tasks in the set. */
+  reserveUnwantedRuns(tasks: readonly TaskState[]): void {
+    for (const task of this.#unwanted) this.#count(task, -1);
+    for (const task of tasks) this.#count(task, 1);
+    this.#unwanted = tasks;
   }
 
   override add(task: TaskState): this {
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -19,7 +19,7 @@
   type TaskState,
   visibleStatus,
 } from "./job_state.ts";
-import type { JobSpec, JobStatus, Step } from "./model.ts";
+import type { JobSpec, JobStatus } from "./model.ts";
 import { computeObjectiveMs } from "./job_order.ts";
 import { settlesEarlierAttempts } from "./order_attempts.ts";
 import { STORE_KEYS } from "./ownership.ts";
@@ -354,11 +354,11 @@
       ?.steps[Number(step)]?.[Number(index)];
   }
 
-  /** Applies the report of a run; returns the step whose resources it occupies if it is unwanted. */
+  /** Applies the report of a run; returns its task if it is unwanted. */
   function handleActiveRun(
     instance: WorkerInstance,
     activeRun: ActiveRunReport,
-  ): Step | undefined {
+  ): TaskState | undefined {
     const task = findTask(activeRun.taskId);
     const placement = task?.placement;
     if (
@@ -373,7 +373,7 @@
         phase: task?.phase ?? "unknown job",
       });
       void instance.link?.stop(activeRun.taskId, activeRun.run);
-      return task && getStep(task);
+      return task;
     }
     placement.percent = activeRun.percent;
     placement.reportedAtMs = clock.monotonicMs();
