fix(scheduler): an unregistered instance without tasks is removed

A successor that never registers was kept once its tasks had ended, and made the registration of a process with an earlier start time fail. An instance without a link has no use but to hold tasks.

--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -226,6 +226,8 @@
         unreachable && leasesExpired && (instance.tasks.size > 0 || missing)
       ) {
         removeInstance(instance, "every lease it may hold has expired");
+      } else if (instance.link === undefined && instance.tasks.size === 0) {
+        removeInstance(instance, "it isn't registered and has no tasks");
       }
       if (instance.link !== undefined) {
         instance.link.mayHaveRuns = instance.tasks.size > 0;
