fix(scheduler): the speed of an inherited run is unknown

A new owner took a best-effort task for one at full speed and orders only changes, so that a task which its predecessor had paused held its resources and did no work until the serving tasks came near their target. Its speed is ordered in the first round now, and again until orders of the predecessor can't be executed late any more. For the same reason the repetition after an unanswered order ends after 15 s. Not changed: with a tail near its target, the first order of an inherited run may speed it up, from 0 to 50%, for one round.

--- a/src/scheduler/throttling.ts
+++ b/src/scheduler/throttling.ts
@@ -7,8 +7,10 @@
 
 /** Interval between adjustments, in ms; the workers' metrics cover the last 500 ms. */
 const THROTTLE_INTERVAL_MS = 350;
-/** Interval between repetitions of a speed that a late order may replace, in ms. */
+/** Interval between repetitions of a speed that another order may replace, in ms. */
 const REPEAT_INTERVAL_MS = 2_000;
+/** Time after an order without an answer in which it may still be executed, in ms; workers have taken up to 12 s. */
+const LATE_ORDER_LIMIT_MS = 15_000;
 /** Ratio of a serving task's tail latency to its target from which best-effort tasks on the worker are slowed down. */
 const SLOW_DOWN_SHARE = 0.85;
 /** Ratio of a serving task's tail latency to its target below which best-effort tasks on the worker speed up again. */
@@ -46,8 +48,8 @@
 /** Speed that was ordered last for a run. */
 interface OrderedSpeed {
   percent: number;
-  /** Whether an earlier order without an answer may still be executed and replace this speed. */
-  mayBeReplaced: boolean;
+  /** Monotonic time until which an earlier order without an answer may replace this speed, in ms. */
+  replaceableUntilMs: number;
   /** Monotonic time of the order, in ms. */
   orderedAtMs: number;
 }
@@ -73,12 +75,18 @@
     worstShare: number,
   ): void {
     const placement = task.placement!;
-    const ordered = orderedSpeeds.get(placement) ??
-      { percent: 100, mayBeReplaced: false, orderedAtMs: -Infinity };
+    const nowMs = clock.monotonicMs();
+    const ordered = orderedSpeeds.get(placement) ?? {
+      percent: 100,
+      // An earlier owner may have ordered any speed.
+      replaceableUntilMs: placement.inherited
+        ? nowMs + LATE_ORDER_LIMIT_MS
+        : -Infinity,
+      orderedAtMs: -Infinity,
+    };
     const previousPercent = ordered.percent;
     const percent = chooseSpeedPercent(previousPercent, worstShare);
-    const nowMs = clock.monotonicMs();
-    const repeat = ordered.mayBeReplaced &&
+    const repeat = nowMs < ordered.replaceableUntilMs &&
       nowMs - ordered.orderedAtMs >= REPEAT_INTERVAL_MS;
     if (percent === previousPercent && !repeat) return;
     ordered.percent = percent;
@@ -93,7 +101,9 @@
     void instance.link?.throttle(task.taskId, placement.run, percent).then(
       (outcome) => {
         if (outcome.kind === "done") return;
-        if (outcome.kind === "unknown") ordered.mayBeReplaced = true;
+        if (outcome.kind === "unknown") {
+          ordered.replaceableUntilMs = nowMs + LATE_ORDER_LIMIT_MS;
+        }
         // The call failed: restore the old value, so that the next round tries again, unless a newer order was sent.
         if (ordered.orderedAtMs === nowMs) ordered.percent = previousPercent;
       },
