fix(scheduler): a busy VM ends an unanswered order after 12.5 s

An order without an answer was repeated for as long as its VM refused it as busy. A VM that is down does so for good: it kept its place in the maintenance wave, and with one place no other VM was maintained; each second cost a record and a call.

After 12.5 s without another unanswered attempt the order counts as refused; workers and the VM service have carried out calls up to 12 s late.

--- a/src/scheduler/vm_orders.ts
+++ b/src/scheduler/vm_orders.ts
@@ -10,6 +10,8 @@
 const RETRY_DELAY_MS = 300;
 /** Delay before an order is sent again to a VM that is busy, in ms: operations take 1.5 s and more, and calls are limited. */
 const BUSY_RETRY_DELAY_MS = 1_000;
+/** Time after an order without an answer in which it may still be executed, in ms; platforms have taken up to 12 s. */
+const LATE_ORDER_LIMIT_MS = 12_500;
 /** Maximum age of the stored record when its order is sent, in ms: by then another entry may have become the owner. */
 const RECORD_VALIDITY_MS = 700;
 
@@ -45,8 +47,8 @@
   readonly vmId: string;
   readonly order: VmOrder;
   readonly onResult: (result: VmOrderResult) => void;
-  /** Whether an attempt without an answer may still be executed. */
-  mayBeExecuted: boolean;
+  /** Monotonic time until which an attempt without an answer may still be executed, in ms. */
+  mayBeExecutedUntilMs: number;
 }
 
 /** Returns the certain result of an order after its latest attempt; undefined if it has to be sent again. */
@@ -144,8 +146,14 @@
         outcome: outcome.kind,
         ...(outcome.kind === "refused" ? { reason: outcome.reason } : {}),
       });
-      if (outcome.kind === "unknown") delivery.mayBeExecuted = true;
-      const result = resolveResult(outcome, delivery.mayBeExecuted);
+      if (outcome.kind === "unknown") {
+        delivery.mayBeExecutedUntilMs = clock.monotonicMs() +
+          LATE_ORDER_LIMIT_MS;
+      }
+      const result = resolveResult(
+        outcome,
+        clock.monotonicMs() < delivery.mayBeExecutedUntilMs,
+      );
       if (result !== undefined) {
         active.delete(vmId);
         return delivery.onResult(result);
@@ -170,7 +178,7 @@
     },
     send(vmId, order, onResult) {
       active.set(vmId, order);
-      storeIntent({ vmId, order, onResult, mayBeExecuted: false });
+      storeIntent({ vmId, order, onResult, mayBeExecutedUntilMs: -Infinity });
     },
   };
 }
