Revert "fix(jobs): a repetition refused for its pool or team may be stored"

I committed it before the tests of the folder had ended: paused_dispatcher_test, 'a stored job is found after its team was removed', failed. While a write is in flight nothing proves that a job is absent, so that a submission with an unknown team, which can't have been stored, was answered with outcome_unknown instead of not_run. The test is right.

--- a/src/jobs/routes.ts
+++ b/src/jobs/routes.ts
@@ -171,9 +171,8 @@
     } catch (error) {
       const reply = createErrorReply(error);
       const dispatcher = this.#options.dispatcherOf(key.shard);
-      // An earlier submission with this key may have been accepted; a reused key belongs to another job.
-      const mayBeStored = (reply.status === 503 || reply.status === 422) &&
-        !(error instanceof JobRefusedError && error.kind === "key_reused") &&
+      // An earlier submission with this key may have been accepted.
+      const mayBeStored = reply.status === 503 &&
         dispatcher?.provesAbsence(key.key) !== true;
       return mayBeStored ? { ...reply, outcome: "outcome_unknown" } : reply;
     }
