--- a/src/scheduler/late_starts_test.ts
+++ b/src/scheduler/late_starts_test.ts
@@ -1,129 +1,19 @@
 import assert from "node:assert/strict";
 import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
+import {
+  createTestScheduler,
+  JOB,
+  openTasks,
+  spec,
+  TASK,
+} from "../../testing/scheduler_helpers.ts";
 import { systemClock } from "../clock.ts";
-import { silentLogger } from "../logger.ts";
-import { createDueOccurrences } from "./job_state.ts";
-import type { Journal, JournalRecord } from "./journal.ts";
-import { type JobSpec, jobSpecSchema } from "./model.ts";
 import { PlacedTasks } from "./placed_tasks.ts";
-import type { ActiveRunReport, EndedRunReport, OrderOutcome } from "./ports.ts";
-import { createScheduler, type Scheduler } from "./scheduler.ts";
-import type { WorkerLink } from "./worker_link.ts";
+import { type Scheduler } from "./scheduler.ts";
 import type { WorkerInstance } from "./worker_table.ts";
 
-const test = suite("second review");
-
-const JOB = "0123456789abcdef";
-const TASK = `${JOB}.0.0.0`;
-
-function spec(steps: Partial<JobSpec["steps"][number]>[] = [{}]): JobSpec {
-  return jobSpecSchema.parse({
-    jobId: JOB,
-    queue: "quotes",
-    service: "quoting",
-    maximumAttempts: 2,
-    specification: "",
-    steps: steps.map((step) => ({
-      taskCount: 1,
-      cpuMillis: 100,
-      estimatedMs: 100,
-      ...step,
-    })),
-    acceptedAtMs: 0,
-  });
-}
-
-/** Creates a journal whose records are stored when the test says so. */
-function createTestJournal() {
-  const pending: JournalRecord[] = [];
-  const journal: Journal = {
-    put: (record) => void pending.push(record),
-    afterFlush: (callback) => callback(),
-    pending: () => pending.length,
-    *run() {},
-  };
-  return {
-    journal,
-    /** Completes all pending writes, then waits for the resulting orders. */
-    async flush() {
-      for (const record of pending.splice(0)) record.onStored?.();
-      await delay(5);
-    },
-  };
-}
-
-function createTestScheduler() {
-  const { journal, flush } = createTestJournal();
-  const state = {
-    mayOrder: true,
-    stop: { kind: "done", clockMs: 0 } as OrderOutcome,
-    onStart: (_attempt: number): OrderOutcome => ({ kind: "done", clockMs: 0 }),
-  };
-  const calls: string[] = [];
-  /** Checkpoints of the start orders. */
-  const checkpoints: string[] = [];
-  const scheduler = createScheduler({
-    journal,
-    fence: 1,
-    clock: systemClock,
-    log: silentLogger,
-    config: () => undefined,
-    mayOrder: () => state.mayOrder,
-    onChange() {},
-  });
-  let attempts = 0;
-  function addWorker(workerId: string): WorkerInstance {
-    const link = {
-      start: (order: { taskId: string; run: number; checkpoint: string }) => {
-        checkpoints.push(order.checkpoint);
-        calls.push(`start ${workerId} ${order.taskId} ${order.run}`);
-        return Promise.resolve(state.onStart(++attempts));
-      },
-      stop: (taskId: string, run: number) => {
-        calls.push(`stop ${workerId} ${taskId} ${run}`);
-        return Promise.resolve(state.stop);
-      },
-      pollNow() {},
-      silentMs: () => 0,
-      hasResponded: true,
-      leasesExpired: () => false,
-      needsFrequentPolls: false,
-    } as unknown as WorkerLink;
-    const instance: WorkerInstance = {
-      workerId,
-      bornAtMs: 1,
-      vmId: `vm-${workerId}`,
-      link,
-      registration: undefined,
-      missingSinceMs: undefined,
-      tasks: new PlacedTasks(),
-      joinedAtMs: 0,
-      earlierLeasesEndMs: 0,
-    };
-    scheduler.workers.add(instance);
-    return instance;
-  }
-  function report(
-    instance: WorkerInstance,
-    ended: EndedRunReport[],
-    running: ActiveRunReport[] = [],
-    hasMoreEnded = false,
-  ) {
-    scheduler.onReport(
-      instance,
-      { clockMs: 0, bornAtMs: 1, running, ended, hasMoreEnded },
-      Infinity,
-    );
-  }
-  return { scheduler, state, calls, checkpoints, flush, addWorker, report };
-}
-
-function openTasks(scheduler: Scheduler) {
-  const job = scheduler.jobs.get(JOB)!;
-  createDueOccurrences(job, Date.now());
-  return job.occurrences[0]!.steps[0]!;
-}
+const test = suite("late starts");
 
 function createSuccessor(
   scheduler: Scheduler,
