--- a/src/scheduler/given_up_runs_test.ts
+++ b/src/scheduler/given_up_runs_test.ts
@@ -157,7 +157,7 @@
   }
 });
 
-// Guards against a second run (TWICE) of a task whose start order reached the next life of its worker, which keeps its ID: the expected instance that an order names is only this ID.
+// Guards against a second run (TWICE) of a task whose start order reached the next process of its worker, which keeps its ID: the expected instance that an order names is only this ID.
 test("a start that the worker's next process has carried out is not taken as gone with the earlier one", async () => {
   const { journal, flush } = createTestJournal();
   const scheduler = createScheduler({
@@ -225,7 +225,7 @@
     await flush();
     assert.equal(runs.length, 1);
     await waitFor(
-      "the end of the earlier life",
+      "the end of the earlier process",
       () => scheduler.workers.find("w1", 1) === undefined,
     );
     assert.notEqual(task!.phase, "waiting");
--- a/src/scheduler/late_starts_test.ts
+++ b/src/scheduler/late_starts_test.ts
@@ -10,7 +10,7 @@
 } from "../../testing/scheduler_helpers.ts";
 import { systemClock } from "../clock.ts";
 import { PlacedTasks } from "./placed_tasks.ts";
-import { type Scheduler } from "./scheduler.ts";
+import type { Scheduler } from "./scheduler.ts";
 import type { WorkerInstance } from "./worker_table.ts";
 
 const test = suite("late starts");
