--- a/src/scheduler/order_attempts.ts
+++ b/src/scheduler/order_attempts.ts
@@ -13,7 +13,7 @@
       // Repeating an executed order has no effect.
       return true;
     case "other_life":
-      // Every attempt names the worker instance that it is meant for.
+      // Another worker has the address, and every attempt names the one that it is meant for.
       return true;
     case "not_sent":
     case "unknown":
