feat(scheduler): log how long each lost run is known to have run

The line of a lost worker named its runs, so that a run which ends its worker at its start couldn't be told from runs that came along. It now says for how long each is known to have run, or that its start was never confirmed, and 'explain' shows it for each job with such a run.

--- a/src/scheduler/explain_log.ts
+++ b/src/scheduler/explain_log.ts
@@ -40,7 +40,17 @@
 function mentionsAny(line: LogLine, ids: ReadonlySet<string>): boolean {
   if (typeof line.request === "string" && ids.has(line.request)) return true;
   if (typeof line.job === "string" && ids.has(line.job)) return true;
-  return typeof line.task === "string" && ids.has(line.task.split(".")[0]!);
+  if (typeof line.task === "string" && ids.has(jobOfTask(line.task))) {
+    return true;
+  }
+  // The runs that were lost with one worker share a line.
+  return Array.isArray(line.runs) &&
+    line.runs.some((run) => typeof run === "string" && ids.has(jobOfTask(run)));
+}
+
+/** Returns the job ID at the start of a task ID or of the description of a run. */
+function jobOfTask(text: string): string {
+  return text.split(".")[0]!;
 }
 
 function listMissingLines(lines: readonly LogLine[], jobs: readonly string[]) {
--- a/src/scheduler/explain_log_test.ts
+++ b/src/scheduler/explain_log_test.ts
@@ -36,6 +36,20 @@
   );
 });
 
+// Guards against a timeline that doesn't show how a job's runs were lost, because the line is about their worker.
+test("the loss of a worker is shown for each job that had runs on it", () => {
+  const lost =
+    `{"time":140,"process":"entry-2","msg":"owner: runs are over with their worker","worker":"w9","runs":["cc.0.0.1 run 2, ran for 3 ms","aa.0.0.0 run 1, ran for 90 ms"]}`;
+  const { lines } = explainRequest("aa", parseLogLines(LOG + lost));
+  assert.equal(lines.some(({ worker }) => worker === "w9"), true);
+  assert.equal(
+    explainRequest("q2", parseLogLines(LOG + lost)).lines.some(({ worker }) =>
+      worker === "w9"
+    ),
+    false,
+  );
+});
+
 // Guards against a timeline that looks complete although logs are missing.
 test("missing log lines are reported", () => {
   const timeline = explainRequest("q2", parseLogLines(LOG));
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -33,6 +33,7 @@
   WorkerReport,
 } from "./ports.ts";
 import { resolveQueue } from "./resolve_queue.ts";
+import { describeLostRun } from "./lost_runs.ts";
 import {
   createWorkerTable,
   type WorkerInstance,
@@ -648,8 +649,8 @@
         worker: instance.workerId,
         vm: instance.vmId,
         reason,
-        runs: [...instance.tasks].map(({ taskId, run }) =>
-          `${taskId} run ${run}`
+        runs: [...instance.tasks].map((task) =>
+          describeLostRun(task, instance)
         ),
       });
     }
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -330,7 +330,7 @@
     worker: "w1",
     vm: "vm-1",
     reason: "the reason",
-    runs: [`${JOB}.0.0.0 run 1`],
+    runs: [`${JOB}.0.0.0 run 1, unrecorded`],
   }]);
 });
 
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -58,6 +58,8 @@
   readonly hasResponded: boolean;
   /** Time since the last response, in ms; 0 unless the latest call failed. */
   silentMs(): number;
+  /** Monotonic time of the last response, in ms; undefined before the first. */
+  readonly lastResponseAtMs: number | undefined;
   /** Whether every lease that may have been granted has expired. */
   leasesExpired(): boolean;
   start(order: Omit<StartOrder, "leaseEndMs">): Promise<OrderOutcome>;
@@ -223,6 +225,9 @@
       return hasResponded;
     },
     silentMs: () => failing ? clock.monotonicMs() - lastResponseAtMs : 0,
+    get lastResponseAtMs() {
+      return hasResponded ? lastResponseAtMs : undefined;
+    },
     leasesExpired: () => clock.monotonicMs() > leaseBoundMs,
     async start(order) {
       extendLeaseBound();
