test(scheduler): tasks that end their workers, known red

The fake workers can have tasks that end each worker that starts them, and report a CRASH_LIMIT when such a task is started three times more after three crashes (BUDGET).

--- a/testing/fake_task_workers.ts
+++ b/testing/fake_task_workers.ts
@@ -37,6 +37,10 @@
   readonly unreachable: Set<string>;
   /** Ids of workers that execute polls but whose reports get lost. */
   readonly silent: Set<string>;
+  /** Ids of tasks that end each worker that starts them. */
+  readonly deadlyTasks: Set<string>;
+  /** Time from the start of such a task to the end of its worker, in ms. */
+  deadlyAfterMs: number;
 }
 
 /** Delay of a worker's response, in ms. */
@@ -98,6 +102,10 @@
   readonly done = new Set<string>();
   /** Number of failed runs by task id. */
   readonly failures = new Map<string, number>();
+  /** Number of workers that a task has ended, by task id. */
+  readonly crashes = new Map<string, number>();
+  /** Number of starts of a task after it had ended three workers, by task id. */
+  readonly startsAfterThreeCrashes = new Map<string, number>();
   /** Monotonic time at which each cancellation was acknowledged, in ms, by job id. */
   readonly cancelledAtMs = new Map<string, number>();
   /** Number of runs started by all workers. */
@@ -118,7 +126,11 @@
     failedRunRate: 0,
     unreachable: new Set(),
     silent: new Set(),
+    deadlyTasks: new Set(),
+    deadlyAfterMs: 10,
   };
+  /** Called when a worker's process has crashed. */
+  onCrash: (worker: FakeTaskWorker) => void = () => {};
   readonly workers = new Map<string, FakeTaskWorker>();
   readonly #timer: NodeJS.Timeout;
 
@@ -141,6 +153,25 @@
     return worker;
   }
 
+  /** Ends a worker's process with all its runs. */
+  crash(worker: FakeTaskWorker): void {
+    if (!worker.alive) return;
+    worker.alive = false;
+    worker.running.clear();
+    for (const waiter of [...worker.waiters]) waiter();
+    this.onCrash(worker);
+  }
+
+  /** Ends the worker that has started a deadly task. */
+  #crashLater(worker: FakeTaskWorker, taskId: string): void {
+    setTimeout(() => {
+      if (!worker.alive || !worker.running.has(taskId)) return;
+      const { crashes } = this.invariants;
+      crashes.set(taskId, (crashes.get(taskId) ?? 0) + 1);
+      this.crash(worker);
+    }, this.faults.deadlyAfterMs).unref();
+  }
+
   /** Ends the runs that are over, and all runs of workers whose lease has lapsed. */
   #tick(): void {
     for (const worker of this.workers.values()) {
@@ -211,6 +242,17 @@
         `${order.taskId} starts after its last attempt`,
       );
     }
+    if ((checker.crashes.get(order.taskId) ?? 0) >= 3) {
+      const starts = (checker.startsAfterThreeCrashes.get(order.taskId) ?? 0) +
+        1;
+      checker.startsAfterThreeCrashes.set(order.taskId, starts);
+      if (starts >= 3) {
+        checker.report(
+          "CRASH_LIMIT",
+          `${order.taskId} starts for the ${starts}th time after three crashes`,
+        );
+      }
+    }
     const { capacity } = worker.registration;
     const used = [...worker.running.values(), run];
     if (
@@ -298,6 +340,9 @@
     worker.running.set(order.taskId, run);
     worker.highestRun.set(order.taskId, order.run);
     this.#extendLease(worker, order.leaseEndMs);
+    if (this.faults.deadlyTasks.has(order.taskId)) {
+      this.#crashLater(worker, order.taskId);
+    }
     return { kind: "done", clockMs: worker.clockMs() };
   }
 
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -100,6 +100,8 @@
   listDelayMs = 0;
   /** Minimum time between the orders of two owners for one VM, in ms, for entries started from now on. */
   holderGapMs = 100;
+  /** Time after which a crashed worker starts again as a new process with the same id, in ms; undefined if it stays down. */
+  restartCrashedAfterMs: number | undefined;
   /** Returns the platform's response to a maintenance order. */
   maintain: (vmId: string) => VmOrderOutcome = () => ({
     kind: "refused",
@@ -111,6 +113,13 @@
   constructor(readonly random: Random) {
     this.store = new FakeRecordStore(random);
     this.workers = new FakeTaskWorkers(random, this.invariants);
+    this.workers.onCrash = ({ registration: { workerId, bornAtMs } }) => {
+      if (this.restartCrashedAfterMs === undefined) return;
+      setTimeout(
+        () => this.addWorker(Number(workerId.split("-")[1]), bornAtMs + 1),
+        this.restartCrashedAfterMs,
+      ).unref();
+    };
   }
 
   /** Adds a worker and writes its registration to the store; `bornAtMs` distinguishes instances with the same id. */
