--- a/src/scheduler/job_frontend.ts
+++ b/src/scheduler/job_frontend.ts
@@ -1,7 +1,7 @@
 import type { Clock } from "../clock.ts";
 import { assertNever, messageOf, StoreError } from "../errors.ts";
 import type { Logger } from "../logger.ts";
-import { readRecordedStatus } from "./job_state.ts";
+import { readRecordedStatus } from "./progress_record.ts";
 import {
   InvalidJobError,
   jobSpecSchema,
--- a/src/scheduler/job_frontend_test.ts
+++ b/src/scheduler/job_frontend_test.ts
@@ -8,11 +8,8 @@
 import { systemClock } from "../clock.ts";
 import { silentLogger } from "../logger.ts";
 import { createJobFrontend } from "./job_frontend.ts";
-import {
-  createDueOccurrences,
-  encodeProgress,
-  restoreJob,
-} from "./job_state.ts";
+import { createDueOccurrences } from "./job_state.ts";
+import { encodeProgress, restoreJob } from "./progress_record.ts";
 import { jobSpecSchema } from "./model.ts";
 import { EntryCallError, type EntryClient } from "./entry_client.ts";
 import { STORE_KEYS } from "./ownership.ts";
--- a/src/scheduler/job_state_test.ts
+++ b/src/scheduler/job_state_test.ts
@@ -5,12 +5,11 @@
 import {
   createDueOccurrences,
   createJobState,
-  encodeProgress,
   finishTask,
   type JobState,
   listRunnableSteps,
-  restoreJob,
 } from "./job_state.ts";
+import { encodeProgress, restoreJob } from "./progress_record.ts";
 import { type JobSpec, jobSpecSchema } from "./model.ts";
 
 const test = suite("job state");
--- a/src/scheduler/load_jobs.ts
+++ b/src/scheduler/load_jobs.ts
@@ -2,12 +2,8 @@
 import { messageOf } from "../errors.ts";
 import type { Logger } from "../logger.ts";
 import type { Clock } from "../clock.ts";
-import {
-  forEachPlacedTask,
-  type JobState,
-  readRecordedStatus,
-  restoreJob,
-} from "./job_state.ts";
+import { forEachPlacedTask, type JobState } from "./job_state.ts";
+import { readRecordedStatus, restoreJob } from "./progress_record.ts";
 import { type JobSpec, jobSpecSchema } from "./model.ts";
 import { STORE_KEYS } from "./ownership.ts";
 import { PlacedTasks } from "./placed_tasks.ts";
--- a/src/scheduler/load_jobs_test.ts
+++ b/src/scheduler/load_jobs_test.ts
@@ -8,10 +8,10 @@
 import {
   createDueOccurrences,
   createJobState,
-  encodeProgress,
   finishTask,
   type JobState,
 } from "./job_state.ts";
+import { encodeProgress } from "./progress_record.ts";
 import type { Journal } from "./journal.ts";
 import { loadJobs } from "./load_jobs.ts";
 import { type JobSpec, jobSpecSchema } from "./model.ts";
--- /dev/null
+++ b/src/scheduler/progress_record.ts
@@ -0,0 +1,158 @@
+import { z } from "zod";
+import {
+  countOccurrences,
+  createJobState,
+  createOccurrence,
+  finishTask,
+  forEachPlacedTask,
+  type JobState,
+  type TaskState,
+} from "./job_state.ts";
+import type { JobSpec } from "./model.ts";
+
+const taskRecordSchema = z.object({
+  /** Number of the occurrence. */
+  o: z.number().int(),
+  /** Index of the step. */
+  s: z.number().int(),
+  /** Index of the task within the step. */
+  i: z.number().int(),
+  /** Phase: waiting, placed or done. */
+  p: z.enum(["w", "p", "d"]),
+  run: z.number().int().default(0),
+  failedRuns: z.array(z.number().int()).default([]),
+  checkpoint: z.string().default(""),
+  worker: z.string().optional(),
+  born: z.number().optional(),
+  vm: z.string().optional(),
+});
+
+const progressSchema = z.object({
+  status: z.enum(["active", "completed", "failed", "cancelled"]),
+  /** Number of occurrences with state; their tasks that aren't listed wait for their first run. */
+  opened: z.number().int(),
+  tasks: z.array(taskRecordSchema),
+  /** When the job reached its final status, in ms since 1970. */
+  endedAtMs: z.number().optional(),
+});
+
+const recordedStatusSchema = progressSchema.pick({ status: true }).extend({
+  tasks: z.array(z.unknown()),
+});
+
+type TaskRecord = z.input<typeof taskRecordSchema>;
+
+function encodeTask(task: TaskState): TaskRecord {
+  const { run, failedRuns, checkpoint, placement } = task;
+  const base = {
+    o: task.occurrence,
+    s: task.stepIndex,
+    i: task.index,
+    ...(placement === undefined ? {} : {
+      run,
+      worker: placement.workerId,
+      born: placement.bornAtMs,
+      vm: placement.vmId,
+    }),
+  };
+  if (task.phase === "done") return { ...base, p: "d" };
+  return {
+    ...base,
+    p: placement === undefined ? "w" : "p",
+    run,
+    ...(failedRuns.size > 0 ? { failedRuns: [...failedRuns] } : {}),
+    ...(checkpoint === "" ? {} : { checkpoint }),
+  };
+}
+
+/** Encodes the state that the next owner needs: ended tasks, failed runs, run numbers and placements. */
+export function encodeProgress(job: JobState, wallMs: number): string {
+  const tasks: TaskRecord[] = [];
+  if (job.status === "active") {
+    for (const occurrence of job.occurrences) {
+      for (const step of occurrence.steps) {
+        for (const task of step) {
+          if (task.run > 0 || task.phase !== "waiting") {
+            tasks.push(encodeTask(task));
+          }
+        }
+      }
+    }
+  } else {
+    // Runs of a finished job may still have to be stopped by the next owner.
+    forEachPlacedTask(job, (task) => tasks.push(encodeTask(task)));
+  }
+  return JSON.stringify({
+    status: job.status,
+    opened: job.occurrences.length,
+    tasks,
+    ...(job.status === "active" ? {} : { endedAtMs: wallMs }),
+  });
+}
+
+/** Reads the status and the number of listed tasks from a progress record; undefined if the record is invalid. */
+export function readRecordedStatus(
+  value: string,
+): { status: JobState["status"]; tasks: number } | undefined {
+  try {
+    // A new owner reads thousands of these records, so only the fields in use are validated.
+    const { status, tasks } = recordedStatusSchema.parse(JSON.parse(value));
+    return { status, tasks: tasks.length };
+  } catch {
+    // The caller logs the invalid record; the status must not be guessed.
+    return undefined;
+  }
+}
+
+/** Rebuilds a job from its stored spec and progress; throws if the progress doesn't match the spec. */
+export function restoreJob(
+  spec: JobSpec,
+  progress: string | undefined,
+  nowMs: number,
+): JobState {
+  const job = createJobState(spec);
+  if (progress === undefined) return job;
+  const record = progressSchema.parse(JSON.parse(progress));
+  const opened = Math.min(record.opened, countOccurrences(spec));
+  while (job.occurrences.length < opened) {
+    job.occurrences.push(createOccurrence(job, job.occurrences.length));
+  }
+  for (const taskRecord of record.tasks) {
+    const task = job.occurrences[taskRecord.o]?.steps[taskRecord.s]
+      ?.[taskRecord.i];
+    if (task === undefined) {
+      throw new Error(
+        `progress record lists unknown task ${taskRecord.o}.${taskRecord.s}.${taskRecord.i}`,
+      );
+    }
+    job.started = true;
+    task.run = taskRecord.run;
+    for (const run of taskRecord.failedRuns) task.failedRuns.add(run);
+    task.checkpoint = taskRecord.checkpoint;
+    if (taskRecord.p === "d" || taskRecord.failedRuns.length > 0) {
+      job.begun = true;
+    }
+    if (taskRecord.p === "d") finishTask(task);
+    else if (taskRecord.p === "p") task.phase = "placed";
+    if (taskRecord.p !== "p" && taskRecord.worker === undefined) continue;
+    task.placement = {
+      workerId: taskRecord.worker ?? "",
+      bornAtMs: taskRecord.born ?? 0,
+      vmId: taskRecord.vm ?? "",
+      run: taskRecord.run,
+      inherited: true,
+      unansweredAttempts: 0,
+      startState: "inherited",
+      stopReason: undefined,
+      placedAtMs: nowMs,
+      confirmedAtMs: undefined,
+      stopConfirmedAtMs: undefined,
+      percent: 0,
+      reportedAtMs: undefined,
+      loadMetric: 0,
+    };
+  }
+  job.status = record.status;
+  job.recordedStatus = record.status;
+  return job;
+}
--- /dev/null
+++ b/src/scheduler/run_orders.ts
@@ -0,0 +1,217 @@
+import type { Clock } from "../clock.ts";
+import { assertNever } from "../errors.ts";
+import type { Logger } from "../logger.ts";
+import { isListed, type Placement, type TaskState } from "./job_state.ts";
+import { settlesEarlierAttempts } from "./order_attempts.ts";
+import type { OrderOutcome, OrderRefusal, StartOrder } from "./ports.ts";
+import type { WorkerHealth } from "./worker_health.ts";
+import type { WorkerInstance } from "./worker_table.ts";
+
+/** Number of unanswered attempts to start a run after which it is stopped instead. */
+const MAXIMUM_START_ATTEMPTS = 2;
+/** Minimum time between two stop orders for one run, in ms. */
+const STOP_RETRY_INTERVAL_MS = 300;
+/** Delay before a task is placed again after its start order was refused as invalid, in ms. */
+const INVALID_START_DELAY_MS = 2_000;
+
+/** Fields of a start order that are chosen when its task is placed. */
+export type StartFields = Pick<StartOrder, "checkpoint" | "ticket">;
+
+/** Sends start and stop orders for runs and applies their outcomes to the placements. */
+export interface RunOrders {
+  /** Sends the start order of a recorded placement, again if it isn't answered. */
+  sendStart(
+    task: TaskState,
+    placement: Placement,
+    fields: StartFields,
+  ): Promise<void>;
+  /** Sends a stop order unless one was sent a moment ago. */
+  sendStop(task: TaskState, placement: Placement): void;
+  /** Frees a task whose run is over although no report of its end has come. */
+  giveUpRun(
+    task: TaskState,
+    placement: Placement,
+    reason: "order not sent" | "refused to an earlier owner" | "stopped",
+  ): void;
+}
+
+/** Dependencies of the run orders. */
+export interface RunOrdersOptions {
+  /** Fencing token of the owner's orders. */
+  readonly fence: number;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly health: WorkerHealth;
+  readonly counters: { starts: number };
+  /** Whether this owner may still issue orders. */
+  readonly mayOrder: () => boolean;
+  readonly findInstance: (placement: Placement) => WorkerInstance | undefined;
+  /** Ends the placement of a task, so that it can be placed again. */
+  readonly freeTask: (task: TaskState) => void;
+}
+
+/** Creates the run orders of one tenure. */
+export function createRunOrders(options: RunOrdersOptions): RunOrders {
+  const { fence, clock, log, health, counters, findInstance, freeTask } =
+    options;
+  const lastStopAtMs = new WeakMap<Placement, number>();
+
+  function giveUpRun(
+    task: TaskState,
+    placement: Placement,
+    reason: "order not sent" | "refused to an earlier owner" | "stopped",
+  ): void {
+    log.info("run given up", {
+      task: task.taskId,
+      run: placement.run,
+      worker: placement.workerId,
+      reason,
+    });
+    freeTask(task);
+  }
+
+  function sendStop(task: TaskState, placement: Placement): void {
+    const now = clock.monotonicMs();
+    if (
+      now - (lastStopAtMs.get(placement) ?? -Infinity) < STOP_RETRY_INTERVAL_MS
+    ) {
+      return;
+    }
+    lastStopAtMs.set(placement, now);
+    const link = findInstance(placement)?.link;
+    if (link === undefined || !options.mayOrder()) return;
+    void link.stop(task.taskId, placement.run).then((outcome) => {
+      if (outcome.kind !== "done") return;
+      // A later confirmation adds nothing, and would discard the report that is on its way.
+      placement.stopConfirmedAtMs ??= clock.monotonicMs();
+      link.pollNow();
+    });
+  }
+
+  async function sendStart(
+    task: TaskState,
+    placement: Placement,
+    fields: StartFields,
+  ): Promise<void> {
+    const instance = findInstance(placement);
+    if (task.placement !== placement) return;
+    if (instance?.link === undefined || !options.mayOrder()) {
+      return giveUpRun(task, placement, "order not sent");
+    }
+    placement.startState = "sending";
+    let outcome: OrderOutcome = { kind: "unknown" };
+    while (placement.unansweredAttempts < MAXIMUM_START_ATTEMPTS) {
+      outcome = await instance.link.start({
+        taskId: task.taskId,
+        run: placement.run,
+        specification: task.job.spec.specification,
+        fence,
+        ...fields,
+      });
+      // A report may have ended the placement in the meantime.
+      if (task.placement !== placement) return;
+      if (outcome.kind !== "unknown") break;
+      placement.unansweredAttempts++;
+      // During an attempt, the tenure may end, and the run be listed or become needless.
+      if (
+        !options.mayOrder() || placement.stopReason !== undefined ||
+        isListed(placement)
+      ) break;
+    }
+    handleStartOutcome(task, placement, outcome);
+  }
+
+  /** Stops a run whose start order may still be carried out; the task stays placed until a report proves that the run is gone. */
+  function resolveByStop(
+    task: TaskState,
+    placement: Placement,
+    latest: OrderOutcome,
+  ): void {
+    log.info("start order not answered", {
+      task: task.taskId,
+      run: placement.run,
+      worker: placement.workerId,
+      unanswered: placement.unansweredAttempts,
+      latest,
+    });
+    placement.startState = "unresolved";
+    health.recordRefusal(placement.workerId);
+    sendStop(task, placement);
+  }
+
+  /** Requeues a task whose start order was provably not carried out. */
+  function requeueRefusedTask(
+    task: TaskState,
+    placement: Placement,
+    reason: string,
+  ): void {
+    log.info("start order refused", {
+      task: task.taskId,
+      run: placement.run,
+      worker: placement.workerId,
+      reason,
+    });
+    freeTask(task);
+  }
+
+  function handleStartRefusal(
+    task: TaskState,
+    placement: Placement,
+    reason: OrderRefusal,
+  ): void {
+    switch (reason) {
+      case "fenced":
+        return;
+      case "superseded":
+        // An earlier attempt to send this order was carried out, and the run has ended.
+        placement.startState = "unresolved";
+        findInstance(placement)?.link?.pollNow();
+        return;
+      case "no_room":
+      case "unhealthy":
+        health.recordRefusal(placement.workerId);
+        return requeueRefusedTask(task, placement, reason);
+      case "invalid":
+        task.notBeforeMs = clock.monotonicMs() + INVALID_START_DELAY_MS;
+        return requeueRefusedTask(task, placement, reason);
+      case "expired":
+      case "ticket":
+        return requeueRefusedTask(task, placement, reason);
+      default:
+        assertNever(reason);
+    }
+  }
+
+  function handleStartOutcome(
+    task: TaskState,
+    placement: Placement,
+    outcome: OrderOutcome,
+  ): void {
+    if (placement.startState !== "sending") return;
+    if (
+      outcome.kind === "unknown" ||
+      (placement.unansweredAttempts > 0 && !settlesEarlierAttempts(outcome))
+    ) return resolveByStop(task, placement, outcome);
+    switch (outcome.kind) {
+      case "done":
+        counters.starts++;
+        placement.startState = "running";
+        placement.confirmedAtMs = clock.monotonicMs();
+        task.job.begun = true;
+        if (placement.stopReason !== undefined) sendStop(task, placement);
+        return;
+      case "refused":
+        return handleStartRefusal(task, placement, outcome.reason);
+      case "not_sent":
+        health.recordRefusal(placement.workerId);
+        requeueRefusedTask(task, placement, outcome.kind);
+        return;
+      case "other_life":
+        return;
+      default:
+        assertNever(outcome);
+    }
+  }
+
+  return { sendStart, sendStop, giveUpRun };
+}
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -7,33 +7,32 @@
 } from "./duration_estimates.ts";
 import type { Journal } from "./journal.ts";
 import {
+  chooseCheckpoint,
   createJobState,
-  encodeProgress,
   type FinalStatus,
   finishTask,
   forEachPlacedTask,
   getStep,
   type JobState,
+  listGangTasks,
   type Placement,
   releaseTask,
   type TaskState,
   visibleStatus,
 } from "./job_state.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
+import { encodeProgress } from "./progress_record.ts";
 import { computeObjectiveMs } from "./job_order.ts";
-import { settlesEarlierAttempts } from "./order_attempts.ts";
 import { STORE_KEYS } from "./ownership.ts";
 import type {
   ActiveRunReport,
   EndedRunReport,
-  OrderOutcome,
-  OrderRefusal,
   SchedulerConfig,
-  StartOrder,
   WorkerReport,
 } from "./ports.ts";
 import { resolveQueue } from "./resolve_queue.ts";
-import { describeLostRun } from "./lost_runs.ts";
+import { describeLostRun, mayHaveReachedSuccessor } from "./lost_runs.ts";
+import { createRunOrders } from "./run_orders.ts";
 import {
   createWorkerTable,
   type WorkerInstance,
@@ -41,13 +40,6 @@
 } from "./worker_table.ts";
 import { createWorkerHealth, type WorkerHealth } from "./worker_health.ts";
 
-/** Number of unanswered attempts to start a run after which it is stopped instead. */
-const MAXIMUM_START_ATTEMPTS = 2;
-/** Minimum time between two stop orders for one run, in ms. */
-const STOP_RETRY_INTERVAL_MS = 300;
-/** Delay before a task is placed again after its start order was refused as invalid, in ms. */
-const INVALID_START_DELAY_MS = 2_000;
-
 /** Counters of the scheduler, served as metrics. */
 export interface SchedulerCounters {
   /** Start orders that workers have confirmed. */
@@ -130,7 +122,7 @@
 
 /** Creates the scheduler for one tenure. */
 export function createScheduler(options: SchedulerOptions): Scheduler {
-  const { journal, fence, clock, log } = options;
+  const { journal, clock, log } = options;
   const jobs = new Map<string, JobState>();
   const workers = createWorkerTable();
   const durationEstimates = createDurationEstimates();
@@ -141,7 +133,6 @@
     lostRuns: 0,
     relocations: 0,
   };
-  const lastStopAtMs = new WeakMap<Placement, number>();
   /** Ended jobs whose status can still be queried; kept apart because each planning round iterates over `jobs`. */
   const endedJobs = new Map<string, { status: FinalStatus; sinceMs: number }>();
   /** IDs of jobs whose cancellation arrived before the job itself. */
@@ -162,21 +153,6 @@
     options.onChange();
   }
 
-  /** Frees a task whose run is over although no report of its end has come. */
-  function giveUpRun(
-    task: TaskState,
-    placement: Placement,
-    reason: "order not sent" | "refused to an earlier owner" | "stopped",
-  ): void {
-    log.info("run given up", {
-      task: task.taskId,
-      run: placement.run,
-      worker: placement.workerId,
-      reason,
-    });
-    freeTask(task);
-  }
-
   /** Moves an ended job from `jobs` to `endedJobs` once it has no runs left. */
   function archiveIfOver(job: JobState): void {
     const { recordedStatus: status, spec: { jobId } } = job;
@@ -236,10 +212,6 @@
     stopAllRuns(job, "the job has failed");
   }
 
-  function listGangTasks(task: TaskState): TaskState[] {
-    return task.job.occurrences[task.occurrence]!.steps[task.stepIndex]!;
-  }
-
   function recordSuccess(task: TaskState, run: number): void {
     const { job, placement } = task;
     if (placement !== undefined && placement.run !== run) {
@@ -424,24 +396,6 @@
     }
   }
 
-  function sendStop(task: TaskState, placement: Placement): void {
-    const now = clock.monotonicMs();
-    if (
-      now - (lastStopAtMs.get(placement) ?? -Infinity) < STOP_RETRY_INTERVAL_MS
-    ) {
-      return;
-    }
-    lastStopAtMs.set(placement, now);
-    const link = findInstance(placement)?.link;
-    if (link === undefined || !options.mayOrder()) return;
-    void link.stop(task.taskId, placement.run).then((outcome) => {
-      if (outcome.kind !== "done") return;
-      // A later confirmation adds nothing, and would discard the report that is on its way.
-      placement.stopConfirmedAtMs ??= clock.monotonicMs();
-      link.pollNow();
-    });
-  }
-
   function stop(task: TaskState, reason: string): void {
     const { placement } = task;
     if (placement === undefined || placement.stopReason !== undefined) return;
@@ -460,163 +414,6 @@
     }
   }
 
-  /** Whether a report has listed the run. */
-  function isListed(placement: Placement): boolean {
-    return placement.reportedAtMs !== undefined;
-  }
-
-  /** Returns the checkpoint that a run resumes from; it is the same for all members of a gang. */
-  function chooseCheckpoint(task: TaskState): string {
-    if (!getStep(task).gang) return task.checkpoint;
-    const member = listGangTasks(task).find(({ checkpoint }) =>
-      checkpoint !== ""
-    );
-    return member?.checkpoint ?? "";
-  }
-
-  async function sendStart(
-    task: TaskState,
-    placement: Placement,
-    fields: Pick<StartOrder, "checkpoint" | "ticket">,
-  ): Promise<void> {
-    const instance = findInstance(placement);
-    if (task.placement !== placement) return;
-    if (instance?.link === undefined || !options.mayOrder()) {
-      return giveUpRun(task, placement, "order not sent");
-    }
-    placement.startState = "sending";
-    let outcome: OrderOutcome = { kind: "unknown" };
-    while (placement.unansweredAttempts < MAXIMUM_START_ATTEMPTS) {
-      outcome = await instance.link.start({
-        taskId: task.taskId,
-        run: placement.run,
-        specification: task.job.spec.specification,
-        fence,
-        ...fields,
-      });
-      // A report may have ended the placement in the meantime.
-      if (task.placement !== placement) return;
-      if (outcome.kind !== "unknown") break;
-      placement.unansweredAttempts++;
-      // During an attempt, the tenure may end, and the run be listed or become needless.
-      if (
-        !options.mayOrder() || placement.stopReason !== undefined ||
-        isListed(placement)
-      ) break;
-    }
-    handleStartOutcome(task, placement, outcome);
-  }
-
-  /** Stops a run whose start order may still be carried out; the task stays placed until a report proves that the run is gone. */
-  function resolveByStop(
-    task: TaskState,
-    placement: Placement,
-    latest: OrderOutcome,
-  ): void {
-    log.info("start order not answered", {
-      task: task.taskId,
-      run: placement.run,
-      worker: placement.workerId,
-      unanswered: placement.unansweredAttempts,
-      latest,
-    });
-    placement.startState = "unresolved";
-    health.recordRefusal(placement.workerId);
-    sendStop(task, placement);
-  }
-
-  /** Requeues a task whose start order was provably not carried out. */
-  function requeueRefusedTask(
-    task: TaskState,
-    placement: Placement,
-    reason: string,
-  ): void {
-    log.info("start order refused", {
-      task: task.taskId,
-      run: placement.run,
-      worker: placement.workerId,
-      reason,
-    });
-    freeTask(task);
-  }
-
-  function handleStartRefusal(
-    task: TaskState,
-    placement: Placement,
-    reason: OrderRefusal,
-  ): void {
-    switch (reason) {
-      case "fenced":
-        return;
-      case "superseded":
-        // An earlier attempt to send this order was carried out, and the run has ended.
-        placement.startState = "unresolved";
-        findInstance(placement)?.link?.pollNow();
-        return;
-      case "no_room":
-      case "unhealthy":
-        health.recordRefusal(placement.workerId);
-        return requeueRefusedTask(task, placement, reason);
-      case "invalid":
-        task.notBeforeMs = clock.monotonicMs() + INVALID_START_DELAY_MS;
-        return requeueRefusedTask(task, placement, reason);
-      case "expired":
-      case "ticket":
-        return requeueRefusedTask(task, placement, reason);
-      default:
-        assertNever(reason);
-    }
-  }
-
-  function handleStartOutcome(
-    task: TaskState,
-    placement: Placement,
-    outcome: OrderOutcome,
-  ): void {
-    if (placement.startState !== "sending") return;
-    if (
-      outcome.kind === "unknown" ||
-      (placement.unansweredAttempts > 0 && !settlesEarlierAttempts(outcome))
-    ) return resolveByStop(task, placement, outcome);
-    switch (outcome.kind) {
-      case "done":
-        counters.starts++;
-        placement.startState = "running";
-        placement.confirmedAtMs = clock.monotonicMs();
-        task.job.begun = true;
-        if (placement.stopReason !== undefined) sendStop(task, placement);
-        return;
-      case "refused":
-        return handleStartRefusal(task, placement, outcome.reason);
-      case "not_sent":
-        health.recordRefusal(placement.workerId);
-        requeueRefusedTask(task, placement, outcome.kind);
-        return;
-      case "other_life":
-        return;
-      default:
-        assertNever(outcome);
-    }
-  }
-
-  /** Whether the next process of a placement's worker may have executed, or may still execute, the start order. */
-  function mayHaveReachedSuccessor(placement: Placement): boolean {
-    switch (placement.startState) {
-      case "unrecorded":
-        return false;
-      case "inherited":
-      case "sending":
-      case "unresolved":
-        return true;
-      case "running":
-        // A confirmation doesn't say which process has responded, unlike a report.
-        return placement.inherited || placement.unansweredAttempts > 0 ||
-          !isListed(placement);
-      default:
-        return assertNever(placement.startState);
-    }
-  }
-
   function moveToSuccessor(
     task: TaskState,
     placement: Placement,
@@ -678,6 +475,14 @@
     options.onChange();
   }
 
+  const { sendStart, sendStop, giveUpRun } = createRunOrders({
+    ...options,
+    health,
+    counters,
+    findInstance,
+    freeTask,
+  });
+
   return {
     jobs,
     workers,
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -3,11 +3,8 @@
 import { suite } from "uvu";
 import { systemClock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
-import {
-  createDueOccurrences,
-  encodeProgress,
-  restoreJob,
-} from "./job_state.ts";
+import { createDueOccurrences } from "./job_state.ts";
+import { encodeProgress, restoreJob } from "./progress_record.ts";
 import type { Journal, JournalRecord } from "./journal.ts";
 import { type JobSpec, jobSpecSchema } from "./model.ts";
 import { PlacedTasks } from "./placed_tasks.ts";
