--- a/bench/capacity/scheduling.ts
+++ b/bench/capacity/scheduling.ts
@@ -1,4 +1,5 @@
 import { performance } from "node:perf_hooks";
+import { createTrialWorkers } from "../../src/scheduler/crashes/trial_workers.ts";
 import { createDemandForecast } from "../../src/scheduler/demand_forecast.ts";
 import type { Clock } from "../../src/clock.ts";
 import { silentLogger } from "../../src/logger.ts";
@@ -116,6 +117,7 @@
       } as unknown as WorkerLink,
       registration,
       missingSinceMs: undefined,
+      draining: false,
       tasks: new PlacedTasks(),
       joinedAtMs: 0,
       earlierLeasesEndMs: 0,
@@ -148,6 +150,7 @@
     isCordoned: () => false,
     isUnavailable: () => false,
     countArriving: () => new Map(),
+    trialWorkers: createTrialWorkers(),
     sendOrder() {},
   } as unknown as VmStates;
 }
@@ -168,6 +171,7 @@
     log: silentLogger,
     config: () => CONFIG,
     mayOrder: () => true,
+    isOrdered: () => false,
     onChange() {},
   });
   const vms = addWorkers(scheduler, workers);
@@ -183,6 +187,7 @@
     isCordoned: () => false,
     isScarce: () => false,
     countArriving: () => new Map(),
+    trialWorkers: createTrialWorkers(),
   };
   const plan = () => planPlacements(planner, CONFIG);
   let nextJob = 1;
--- /dev/null
+++ b/src/scheduler/crashes/crash_tracker.ts
@@ -0,0 +1,221 @@
+import type { Logger } from "../../logger.ts";
+import { getStep, type JobState, type TaskState } from "../job_state.ts";
+import type { VmInfo } from "../ports.ts";
+import { instanceKey, type WorkerInstance } from "../worker_table.ts";
+import {
+  describeInstanceEnd,
+  type InstanceEnd,
+  resolveProcessFate,
+} from "./instance_end.ts";
+import { describeLostRun, provenRunMs } from "./lost_runs.ts";
+import {
+  CLEARED_AFTER_MS,
+  judgeTask,
+  type RunLoss,
+  YOUNG_RUN_MS,
+} from "./run_loss.ts";
+
+/** Records which tasks were lost with crashed workers, and finds those that crash them. */
+export interface CrashTracker {
+  /** Records the loss of each run that may have been on an ended instance; call it before the tasks are freed. */
+  recordEnd(instance: WorkerInstance, end: InstanceEnd): void;
+  /** Adds the losses of a job that was restored from the store. */
+  restore(job: JobState): void;
+  /** Fails the job of a task that has crashed too many workers; returns whether it did. */
+  giveUpIfGuilty(task: TaskState): boolean;
+  /** Clears a long-running task of its losses once a run has lasted; returns whether it did. */
+  clearIfLasting(task: TaskState): boolean;
+  /** Settles losses whose workers were only unreachable, by the start time of the process that now runs. */
+  settleByProcess(workerId: string, bornAtMs: number): void;
+  /** Settles losses whose workers were only unreachable, by the platform's VM list. */
+  settleByVms(vms: ReadonlyMap<string, VmInfo>): void;
+}
+
+/** Dependencies of the crash tracker. */
+export interface CrashTrackerOptions {
+  readonly log: Logger;
+  /** Whether an order for its VM explains the end of an instance. */
+  readonly isOrdered: (instance: WorkerInstance) => boolean;
+  /** Fails a task's job. */
+  readonly failJob: (task: TaskState, reason: string) => void;
+  /** Stores the job's progress. */
+  readonly save: (job: JobState) => void;
+}
+
+/** Returns the time for which a placed task is known to have run, in ms; undefined if its start was never confirmed. */
+function ranMs(task: TaskState, instance: WorkerInstance): number | undefined {
+  return task.placement && provenRunMs(task.placement, instance);
+}
+
+/** Whether a task's run is so short that it may be what ends its worker. */
+export function isYoung(task: TaskState, instance: WorkerInstance): boolean {
+  return (ranMs(task, instance) ?? 0) < YOUNG_RUN_MS;
+}
+
+/** Lists the crashed workers of a task for the log and for callers. */
+function describeLosses(losses: readonly RunLoss[]): string[] {
+  return losses.map(({ worker, run }) => `${worker} (run ${run})`);
+}
+
+/** Creates the crash tracker of one tenure. */
+export function createCrashTracker(options: CrashTrackerOptions): CrashTracker {
+  const { log } = options;
+  /** Tasks with losses that aren't proven yet, by the key of the instance. */
+  const unproven = new Map<string, Set<TaskState>>();
+
+  function index(task: TaskState, loss: RunLoss): void {
+    if (loss.proven) return;
+    const key = instanceKey(loss.worker, loss.born);
+    const tasks = unproven.get(key);
+    if (tasks === undefined) unproven.set(key, new Set([task]));
+    else tasks.add(task);
+  }
+
+  function recordLoss(
+    task: TaskState,
+    instance: WorkerInstance,
+    circumstances: Pick<RunLoss, "alone" | "proven">,
+  ): void {
+    const { placement, losses } = task;
+    // A run whose order was never sent can't have reached the worker.
+    if (placement === undefined || placement.startState === "unrecorded") {
+      return;
+    }
+    const durationMs = ranMs(task, instance);
+    if (
+      getStep(task).longRunning && (durationMs ?? 0) >= CLEARED_AFTER_MS
+    ) return;
+    const { workerId, bornAtMs } = instance;
+    const known = losses.some(({ worker, born, run }) =>
+      (worker === workerId && born === bornAtMs) ||
+      // A run that was lost before is only assumed on the worker's next process until it is listed there.
+      (run === placement.run && durationMs === undefined)
+    );
+    if (known) return;
+    const loss: RunLoss = {
+      run: placement.run,
+      worker: workerId,
+      born: bornAtMs,
+      vm: instance.vmId,
+      young: (durationMs ?? 0) < YOUNG_RUN_MS,
+      confirmed: durationMs !== undefined,
+      ...circumstances,
+    };
+    task.losses = [...losses, loss];
+    index(task, loss);
+  }
+
+  function giveUpIfGuilty(task: TaskState): boolean {
+    const { losses, job } = task;
+    if (job.status !== "active" || task.phase === "done") return false;
+    if (judgeTask(losses) !== "guilty") return false;
+    const workers = describeLosses(losses);
+    log.warn("task given up: its workers crash", {
+      job: job.spec.jobId,
+      task: task.taskId,
+      workers,
+    });
+    options.failJob(
+      task,
+      `task ${task.taskId} has crashed its workers: ${workers.join(", ")}`,
+    );
+    options.save(job);
+    return true;
+  }
+
+  /** Settles the losses with one instance: its process has ended, or was only unreachable. */
+  function settle(key: string, ended: boolean): void {
+    const tasks = unproven.get(key);
+    if (tasks === undefined) return;
+    unproven.delete(key);
+    for (const task of tasks) {
+      task.losses = task.losses.flatMap((loss) =>
+        instanceKey(loss.worker, loss.born) !== key
+          ? [loss]
+          : ended
+          ? [{ ...loss, proven: true }]
+          : []
+      );
+      if (task.job.status !== "active") continue;
+      options.save(task.job);
+      giveUpIfGuilty(task);
+    }
+  }
+
+  /** Calls back with each unproven loss, once per instance. */
+  function forEachUnproven(
+    visit: (loss: RunLoss, key: string) => void,
+  ): void {
+    for (const [key, tasks] of [...unproven]) {
+      const [task] = tasks;
+      const loss = task?.losses.find(({ worker, born }) =>
+        instanceKey(worker, born) === key
+      );
+      if (loss !== undefined) visit(loss, key);
+    }
+  }
+
+  return {
+    recordEnd(instance, end) {
+      const tasks = [...instance.tasks];
+      if (tasks.length === 0) return;
+      const planned = instance.draining || options.isOrdered(instance);
+      const fate = resolveProcessFate(end, planned);
+      log.info("runs are over with their worker", {
+        worker: instance.workerId,
+        vm: instance.vmId,
+        reason: describeInstanceEnd(end),
+        process: fate,
+        runs: tasks.map((task) => describeLostRun(task, instance)),
+      });
+      if (fate === "planned") return;
+      const youngTasks = tasks.filter((task) =>
+        task.placement?.startState !== "unrecorded" && isYoung(task, instance)
+      );
+      for (const task of tasks) {
+        recordLoss(task, instance, {
+          alone: youngTasks.every((other) => other === task),
+          proven: fate === "crashed",
+        });
+      }
+    },
+    restore(job) {
+      for (const { steps } of job.occurrences) {
+        for (const task of steps.flat()) {
+          for (const loss of task.losses) index(task, loss);
+        }
+      }
+    },
+    giveUpIfGuilty,
+    clearIfLasting(task) {
+      const { placement } = task;
+      if (
+        task.losses.length === 0 || placement === undefined ||
+        !getStep(task).longRunning
+      ) return false;
+      const { reportedAtMs, confirmedAtMs } = placement;
+      if (
+        reportedAtMs === undefined || confirmedAtMs === undefined ||
+        reportedAtMs - confirmedAtMs < CLEARED_AFTER_MS
+      ) return false;
+      task.losses = [];
+      return true;
+    },
+    settleByProcess(workerId, bornAtMs) {
+      forEachUnproven(({ worker, born }, key) => {
+        if (worker === workerId) settle(key, born !== bornAtMs);
+      });
+    },
+    settleByVms(vms) {
+      forEachUnproven(({ worker, vm }, key) => {
+        if (vm === "") return;
+        const info = vms.get(vm);
+        const runsOther = info?.workerId !== undefined &&
+          info.workerId !== worker;
+        if (info === undefined || info.state === "down" || runsOther) {
+          settle(key, true);
+        }
+      });
+    },
+  };
+}
--- a/src/scheduler/lost_runs.ts
+++ b/src/scheduler/crashes/lost_runs.ts
@@ -1,6 +1,6 @@
-import { assertNever } from "../errors.ts";
-import { isListed, type Placement, type TaskState } from "./job_state.ts";
-import type { WorkerInstance } from "./worker_table.ts";
+import { assertNever } from "../../errors.ts";
+import { isListed, type Placement, type TaskState } from "../job_state.ts";
+import type { WorkerInstance } from "../worker_table.ts";
 
 /** Returns the time for which a run is known to have run, in ms; undefined if its start was never confirmed. */
 export function provenRunMs(
--- a/src/scheduler/fleet_manager.ts
+++ b/src/scheduler/fleet_manager.ts
@@ -4,6 +4,7 @@
 import type { Logger } from "../logger.ts";
 import type { Stopwatch } from "./stopwatch.ts";
 import type { DemandForecast } from "./demand_forecast.ts";
+import type { InstanceEnd } from "./crashes/instance_end.ts";
 import type { Journal } from "./journal.ts";
 import { parseRecord, type Tenure } from "./ownership.ts";
 import { createPoolBalancer } from "./pool_balancer.ts";
@@ -45,7 +46,7 @@
   readonly mayOrder: () => boolean;
   /** Minimum time between the orders of two owners for one VM, in ms. */
   readonly holderGapMs: number;
-  readonly removeInstance: (instance: WorkerInstance, reason: string) => void;
+  readonly removeInstance: (instance: WorkerInstance, end: InstanceEnd) => void;
   readonly onFenced: () => void;
   readonly onChange: () => void;
 }
@@ -58,6 +59,8 @@
   isScarce(pool: string): boolean;
   /** Counts the VMs that are on their way into each pool. */
   countArriving(): ReadonlyMap<string, number>;
+  /** Whether an order for its VM may have ended a worker instance. */
+  wasOrdered(instance: WorkerInstance): boolean;
   /** Whether workers are expected to register after a move or maintenance of their VMs. */
   expectsWorkers(): boolean;
   run(): Operation<void>;
@@ -100,6 +103,8 @@
     isCordoned: vmStates.isCordoned,
     isScarce: balancer.isScarce,
     countArriving: vmStates.countArriving,
+    wasOrdered: ({ vmId, bornAtMs }) =>
+      vmStates.isUnavailable(vmId) || orders.mayHaveEnded(vmId, bornAtMs),
     expectsWorkers: () => orders.active.size > 0 || vmStates.returning.size > 0,
     *run() {
       yield* waves.load(options.store);
--- a/src/scheduler/given_up_runs_test.ts
+++ b/src/scheduler/given_up_runs_test.ts
@@ -42,7 +42,7 @@
     }
     await context.flush();
     // The worker is cut off until its leases have expired; the run has succeeded there in time.
-    scheduler.removeInstance(first, "every lease it may hold has expired");
+    scheduler.removeInstance(first, "leases_expired");
     tasks.forEach((task, index) =>
       scheduler.place(task, index === 0 ? second : third, {
         run: 2,
@@ -167,6 +167,7 @@
     log: silentLogger,
     config: () => undefined,
     mayOrder: () => true,
+    isOrdered: () => false,
     onChange() {},
   });
   const runs: ActiveRunReport[] = [];
@@ -269,7 +270,7 @@
     tasks: new PlacedTasks(),
   };
   scheduler.workers.add(successor);
-  scheduler.replaceInstance(first, () => successor, "the worker has restarted");
+  scheduler.replaceInstance(first, () => successor, "restarted");
   assert.equal(listed!.phase, "waiting");
   assert.deepEqual([...successor.tasks], [confirmed, unanswered]);
   assert.equal(scheduler.workers.find("w1", 1), undefined);
@@ -357,7 +358,7 @@
     ...ended(1, 1, "broken", `${JOB}.0.0.1`),
     checkpoint: "b",
   }]);
-  scheduler.removeInstance(first, "the worker has restarted");
+  scheduler.removeInstance(first, "restarted");
   context.checkpoints.length = 0;
   place(2, [second, second]);
   await context.flush();
--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -1,3 +1,4 @@
+import type { RunLoss } from "./crashes/run_loss.ts";
 import type { JobSpec, JobStatus, Step } from "./model.ts";
 
 /** The worker instance that a task was assigned to, and the state of that run. */
@@ -57,6 +58,10 @@
   notBeforeMs: number;
   /** Number of times the task was stopped because its worker was too slow. */
   relocations: number;
+  /** Runs that were lost with their workers, oldest first. */
+  losses: readonly RunLoss[];
+  /** Monotonic time at which the task was first found waiting for a worker of its own, in ms. */
+  trialWaitSinceMs?: number | undefined;
   /** Monotonic time at which the task was first found waiting for capacity, in ms. */
   waitingSinceMs?: number | undefined;
 }
@@ -85,6 +90,8 @@
   started: boolean;
   /** Whether a worker has confirmed a run of the job, to this owner or, as an end, to an earlier one. */
   begun: boolean;
+  /** Why the job has failed; undefined while it hasn't. */
+  failureReason?: string | undefined;
   /** Occurrences that have become due; later ones have no state yet. */
   readonly occurrences: Occurrence[];
   finishedOccurrences: number;
@@ -136,6 +143,7 @@
       avoidedWorkerId: undefined,
       notBeforeMs: 0,
       relocations: 0,
+      losses: [],
     }))
   );
   return {
--- a/src/scheduler/late_starts_test.ts
+++ b/src/scheduler/late_starts_test.ts
@@ -50,7 +50,7 @@
   report(first, [], [RUNNING]);
   assert.equal(task!.placement?.startState, "running");
   const successor = createSuccessor(scheduler, first);
-  scheduler.replaceInstance(first, () => successor, "the worker has restarted");
+  scheduler.replaceInstance(first, () => successor, "restarted");
   assert.equal(task!.phase, "placed");
 });
 
@@ -117,7 +117,7 @@
   scheduler.place(task!, first, { run: 1, ticket: undefined });
   await context.flush();
   const successor = createSuccessor(scheduler, first);
-  scheduler.replaceInstance(first, () => successor, "the worker has restarted");
+  scheduler.replaceInstance(first, () => successor, "restarted");
   await delay(20);
   const reportedAtMs = systemClock.monotonicMs();
   report(successor, [], [RUNNING]);
--- a/src/scheduler/load_jobs.ts
+++ b/src/scheduler/load_jobs.ts
@@ -56,6 +56,7 @@
     return;
   }
   scheduler.addRestored(job);
+  scheduler.crashes.restore(job);
   forEachPlacedTask(job, (task, placement) => {
     let instance = workers.find(placement.workerId, placement.bornAtMs);
     if (instance === undefined) {
@@ -66,6 +67,7 @@
         link: undefined,
         registration: undefined,
         missingSinceMs: undefined,
+        draining: false,
         tasks: new PlacedTasks(),
         joinedAtMs: nowMs,
         earlierLeasesEndMs,
--- a/src/scheduler/load_jobs_test.ts
+++ b/src/scheduler/load_jobs_test.ts
@@ -36,6 +36,7 @@
     log: silentLogger,
     config: () => undefined,
     mayOrder: () => true,
+    isOrdered: () => false,
     onChange() {},
   });
   let nextJob = 1;
--- a/src/scheduler/placed_tasks.ts
+++ b/src/scheduler/placed_tasks.ts
@@ -45,9 +45,16 @@
   /** Number of tasks of each step, by step ID. */
   readonly countByStep = new Map<string, number>();
   longRunningCount = 0;
+  /** Tasks of which earlier runs were lost with their workers. */
+  readonly suspects = new Set<TaskState>();
   /** Part of `reserved` that long-running tasks hold. */
   readonly reservedLongRunning: ResourceSums = createSums();
 
+  /** Number of the unwanted runs. */
+  get unwantedCount(): number {
+    return this.#unwanted.length;
+  }
+
   /** Tasks of the unwanted runs, which are in the sums but not in the set. */
   #unwanted: readonly TaskState[] = [];
 
@@ -61,12 +68,14 @@
   override add(task: TaskState): this {
     if (this.has(task)) return this;
     this.#count(task, 1);
+    if (task.losses.length > 0) this.suspects.add(task);
     return super.add(task);
   }
 
   override delete(task: TaskState): boolean {
     if (!super.delete(task)) return false;
     this.#count(task, -1);
+    this.suspects.delete(task);
     return true;
   }
 
--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -27,6 +27,12 @@
 import { resolveQueue } from "./resolve_queue.ts";
 import { createCandidate, type WorkerInstance } from "./worker_table.ts";
 import type { Scheduler } from "./scheduler.ts";
+import { judgeTask } from "./crashes/run_loss.ts";
+import {
+  chooseTrialWorker,
+  isOnTrial,
+  type TrialWorkers,
+} from "./crashes/trial_workers.ts";
 import type { TicketCache } from "./ticket_cache.ts";
 
 /** Time without a response after which a worker gets no new tasks, in ms. */
@@ -44,6 +50,7 @@
   readonly isScarce: (service: string) => boolean;
   /** Counts the VMs that are on their way into each pool. */
   readonly countArriving: () => ReadonlyMap<string, number>;
+  readonly trialWorkers: TrialWorkers;
 }
 
 /** Whether a worker instance may get new tasks. */
@@ -59,7 +66,14 @@
 }
 
 interface ServiceCandidates {
+  /** Workers that get any task. */
   readonly candidates: CandidateWorker[];
+  /** Workers that are being emptied for suspects. */
+  readonly reserved: CandidateWorker[];
+  /** Number of workers on which a suspect has just been started; they get no other task. */
+  busyTrials: number;
+  /** Number of suspects that found no worker in this round. */
+  waitingSuspects: number;
   readonly instances: Map<string, WorkerInstance>;
   readonly unplaceable: UnplaceableRequests;
 }
@@ -94,19 +108,29 @@
     if (service === undefined) {
       service = {
         candidates: [],
+        reserved: [],
+        busyTrials: 0,
+        waitingSuspects: 0,
         instances: new Map(),
         unplaceable: createUnplaceableRequests(),
       };
       services.set(registration.service, service);
     }
-    service.candidates.push(
+    service.instances.set(instance.workerId, instance);
+    if (isOnTrial(instance)) {
+      service.busyTrials++;
+      continue;
+    }
+    const list = options.trialWorkers.isReserved(instance)
+      ? service.reserved
+      : service.candidates;
+    list.push(
       createCandidate(
         instance,
         registration,
         scheduler.health.slowness(instance.workerId),
       ),
     );
-    service.instances.set(instance.workerId, instance);
   }
   return services;
 }
@@ -150,6 +174,21 @@
   return racks;
 }
 
+/** Returns the workers that a task should not run on if there are others. */
+function avoidedWorkers(
+  { avoidedWorkerId, losses }: TaskState,
+): ReadonlySet<string> {
+  const workerIds = losses.map(({ worker }) => worker);
+  return new Set(
+    avoidedWorkerId === undefined ? workerIds : [avoidedWorkerId, ...workerIds],
+  );
+}
+
+/** Returns the run number of a gang's next start, which its members share. */
+function nextGangRun(tasks: readonly TaskState[]): number {
+  return Math.max(...tasks.map(({ run }) => run)) + 1;
+}
+
 /** Places every waiting task that fits on a worker, in the order of the pending occurrences; returns the number of placed tasks. */
 export function planPlacements(
   options: PlannerOptions,
@@ -179,6 +218,85 @@
     placed++;
   }
 
+  /** Chooses the worker on which a suspect runs alone; counts the suspect as waiting if there is none. */
+  function findTrialWorker(
+    task: TaskState,
+    service: ServiceCandidates,
+    request: PlacementRequest,
+  ): CandidateWorker | undefined {
+    task.trialWaitSinceMs ??= nowMs;
+    const worker = chooseTrialWorker(
+      [...service.reserved, ...service.candidates],
+      request,
+      {
+        waitedMs: nowMs - task.trialWaitSinceMs,
+        tasksOn: (workerId) => {
+          const { tasks } = service.instances.get(workerId)!;
+          return tasks.size + tasks.unwantedCount;
+        },
+        contactAgeMs: (workerId) =>
+          nowMs -
+          (service.instances.get(workerId)!.link?.lastResponseAtMs ??
+            -Infinity),
+      },
+    );
+    if (worker === undefined) service.waitingSuspects++;
+    return worker;
+  }
+
+  /** Places a suspect and closes its worker to other tasks. */
+  function placeSuspect(
+    task: TaskState,
+    worker: CandidateWorker,
+    run: number,
+    service: ServiceCandidates,
+    request: PlacementRequest,
+  ): void {
+    placeTask(task, worker, run, service, request);
+    service.busyTrials++;
+    for (const list of [service.candidates, service.reserved]) {
+      const index = list.indexOf(worker);
+      if (index >= 0) list.splice(index, 1);
+    }
+  }
+
+  /** Places a gang of which each suspect gets a worker of its own; waits until there is room for all. */
+  function placeSuspectGang(
+    tasks: readonly TaskState[],
+    suspects: readonly TaskState[],
+    service: ServiceCandidates,
+    request: PlacementRequest,
+  ): void {
+    const workers = new Map<TaskState, CandidateWorker>();
+    for (const task of suspects) {
+      const taken = new Set(workers.values());
+      const worker = findTrialWorker(task, {
+        ...service,
+        candidates: service.candidates.filter((other) => !taken.has(other)),
+        reserved: service.reserved.filter((other) => !taken.has(other)),
+      }, request);
+      if (worker !== undefined) workers.set(task, worker);
+    }
+    const others = tasks.filter((task) => !suspects.includes(task));
+    const taken = new Set(workers.values());
+    const otherWorkers = chooseGangWorkers(
+      service.candidates.filter((worker) => !taken.has(worker)),
+      request,
+      others.length,
+    );
+    if (workers.size < suspects.length || otherWorkers === undefined) {
+      service.waitingSuspects += suspects.length;
+      return;
+    }
+    const run = nextGangRun(tasks);
+    others.forEach((task, index) =>
+      placeTask(task, otherWorkers[index]!, run, service, request)
+    );
+    for (const [task, worker] of workers) {
+      placeSuspect(task, worker, run, service, request);
+    }
+  }
+
   function placeStep(
     tasks: readonly TaskState[],
     service: ServiceCandidates,
@@ -190,7 +308,10 @@
     const first = waiting[0];
     if (first === undefined) return;
     const step = getStep(first);
-    if (service.unplaceable.includes(step)) return;
+    const suspects = waiting.filter(({ losses }) =>
+      judgeTask(losses) === "suspect"
+    );
+    if (suspects.length === 0 && service.unplaceable.includes(step)) return;
     const id = stepId(first);
     const request: PlacementRequest = {
       stepId: id,
@@ -206,24 +327,36 @@
     };
     if (step.gang) {
       if (waiting.length < tasks.length) return;
+      if (suspects.length > 0) {
+        return placeSuspectGang(waiting, suspects, service, request);
+      }
       const gangWorkers = chooseGangWorkers(
         service.candidates,
         request,
         waiting.length,
       );
       if (gangWorkers === undefined) return;
-      const run = Math.max(...tasks.map((task) => task.run)) + 1;
+      const run = nextGangRun(waiting);
       waiting.forEach((task, index) =>
         placeTask(task, gangWorkers[index]!, run, service, request)
       );
       return;
     }
+    for (const task of suspects) {
+      const worker = findTrialWorker(task, service, {
+        ...request,
+        avoidedWorkers: avoidedWorkers(task),
+      });
+      if (worker !== undefined) {
+        placeSuspect(task, worker, task.run + 1, service, request);
+      }
+    }
     for (const task of waiting) {
+      if (suspects.includes(task)) continue;
+      if (service.unplaceable.includes(step)) return;
       const taskRequest: PlacementRequest = {
         ...request,
-        avoidedWorkers: new Set(
-          task.avoidedWorkerId === undefined ? [] : [task.avoidedWorkerId],
-        ),
+        avoidedWorkers: avoidedWorkers(task),
         tasksByRack: step.longRunning
           ? countTasksByRack(tasks, service)
           : new Map(),
@@ -287,6 +420,10 @@
         }
       }
     }
+    options.trialWorkers.reserve(name, [...service.instances.values()], {
+      count: service.waitingSuspects,
+      busyCount: service.busyTrials,
+    });
   }
   return placed;
 }
--- a/src/scheduler/progress_record.ts
+++ b/src/scheduler/progress_record.ts
@@ -8,6 +8,7 @@
   type JobState,
   type TaskState,
 } from "./job_state.ts";
+import { runLossSchema } from "./crashes/run_loss.ts";
 import type { JobSpec } from "./model.ts";
 
 const taskRecordSchema = z.object({
@@ -22,6 +23,7 @@
   run: z.number().int().default(0),
   failedRuns: z.array(z.number().int()).default([]),
   checkpoint: z.string().default(""),
+  losses: z.array(runLossSchema).default([]),
   worker: z.string().optional(),
   born: z.number().optional(),
   vm: z.string().optional(),
@@ -34,6 +36,8 @@
   tasks: z.array(taskRecordSchema),
   /** When the job reached its final status, in ms since 1970. */
   endedAtMs: z.number().optional(),
+  /** Why the job has failed. */
+  failureReason: z.string().optional(),
 });
 
 const recordedStatusSchema = progressSchema.pick({ status: true }).extend({
@@ -43,7 +47,7 @@
 type TaskRecord = z.input<typeof taskRecordSchema>;
 
 function encodeTask(task: TaskState): TaskRecord {
-  const { run, failedRuns, checkpoint, placement } = task;
+  const { run, failedRuns, checkpoint, losses, placement } = task;
   const base = {
     o: task.occurrence,
     s: task.stepIndex,
@@ -62,6 +66,7 @@
     run,
     ...(failedRuns.size > 0 ? { failedRuns: [...failedRuns] } : {}),
     ...(checkpoint === "" ? {} : { checkpoint }),
+    ...(losses.length > 0 ? { losses: [...losses] } : {}),
   };
 }
 
@@ -87,6 +92,9 @@
     opened: job.occurrences.length,
     tasks,
     ...(job.status === "active" ? {} : { endedAtMs: wallMs }),
+    ...(job.failureReason === undefined
+      ? {}
+      : { failureReason: job.failureReason }),
   });
 }
 
@@ -129,6 +137,7 @@
     task.run = taskRecord.run;
     for (const run of taskRecord.failedRuns) task.failedRuns.add(run);
     task.checkpoint = taskRecord.checkpoint;
+    task.losses = taskRecord.losses;
     if (taskRecord.p === "d" || taskRecord.failedRuns.length > 0) {
       job.begun = true;
     }
@@ -153,6 +162,7 @@
     };
   }
   job.status = record.status;
+  job.failureReason = record.failureReason;
   job.recordedStatus = record.status;
   return job;
 }
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -1,7 +1,9 @@
+import { setTimeout as delay } from "node:timers/promises";
 import type { Clock } from "../clock.ts";
 import { assertNever } from "../errors.ts";
 import type { Logger } from "../logger.ts";
 import { isListed, type Placement, type TaskState } from "./job_state.ts";
+import { YOUNG_RUN_MS } from "./crashes/run_loss.ts";
 import { settlesEarlierAttempts } from "./order_attempts.ts";
 import type { OrderOutcome, OrderRefusal, StartOrder } from "./ports.ts";
 import type { WorkerHealth } from "./worker_health.ts";
@@ -88,6 +90,13 @@
     });
   }
 
+  /** Learns soon whether the worker has survived the start of a suspect, which holds up other tasks. */
+  function probeLater(placement: Placement): void {
+    void delay(YOUNG_RUN_MS).then(() => {
+      if (options.mayOrder()) return findInstance(placement)?.link?.probe();
+    });
+  }
+
   async function sendStart(
     task: TaskState,
     placement: Placement,
@@ -198,6 +207,7 @@
         placement.startState = "running";
         placement.confirmedAtMs = clock.monotonicMs();
         task.job.begun = true;
+        if (task.losses.length > 0) probeLater(placement);
         if (placement.stopReason !== undefined) sendStop(task, placement);
         return;
       case "refused":
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -31,7 +31,12 @@
   WorkerReport,
 } from "./ports.ts";
 import { resolveQueue } from "./resolve_queue.ts";
-import { describeLostRun, mayHaveReachedSuccessor } from "./lost_runs.ts";
+import {
+  type CrashTracker,
+  createCrashTracker,
+} from "./crashes/crash_tracker.ts";
+import type { InstanceEnd } from "./crashes/instance_end.ts";
+import { mayHaveReachedSuccessor } from "./crashes/lost_runs.ts";
 import { createRunOrders } from "./run_orders.ts";
 import {
   createWorkerTable,
@@ -59,6 +64,7 @@
   readonly workers: WorkerTable;
   readonly durationEstimates: DurationEstimates;
   readonly health: WorkerHealth;
+  readonly crashes: CrashTracker;
   readonly counters: SchedulerCounters;
   /** Adds a job that was restored from the store. */
   addRestored(job: JobState): void;
@@ -89,7 +95,7 @@
     sentAtMs: number,
   ): void;
   /** Removes a worker instance that is proven to have ended, and requeues its tasks. */
-  removeInstance(instance: WorkerInstance, reason: string): void;
+  removeInstance(instance: WorkerInstance, end: InstanceEnd): void;
   /**
    * Removes a worker instance that has ended, like `removeInstance`, but keeps
    * the tasks placed whose start orders may have reached its successor, the next
@@ -98,7 +104,7 @@
   replaceInstance(
     instance: WorkerInstance,
     successor: () => WorkerInstance,
-    reason: string,
+    end: InstanceEnd,
   ): void;
   /** Stores the job's progress with the next commit. */
   save(job: JobState, onStored?: () => void): void;
@@ -116,6 +122,8 @@
   readonly config: () => SchedulerConfig | undefined;
   /** Whether this owner may still issue orders. */
   readonly mayOrder: () => boolean;
+  /** Whether an order for its VM explains the end of an instance. */
+  readonly isOrdered: (instance: WorkerInstance) => boolean;
   /** Called after a change that may allow tasks to be placed. */
   readonly onChange: () => void;
 }
@@ -200,14 +208,16 @@
     forEachPlacedTask(job, (task) => stop(task, reason));
   }
 
-  function failJob(task: TaskState): void {
+  function failJob(task: TaskState, reason: string): void {
     const { job } = task;
     if (job.status !== "active") return;
     job.status = "failed";
-    log.info("job failed: a task has used up its attempts", {
+    job.failureReason = reason;
+    log.info("job failed", {
       job: job.spec.jobId,
       task: task.taskId,
       failures: task.failedRuns.size,
+      reason,
     });
     stopAllRuns(job, "the job has failed");
   }
@@ -258,7 +268,9 @@
         0,
       )
       : task.failedRuns.size;
-    if (failures >= maximumAttempts(task.job)) failJob(task);
+    if (failures >= maximumAttempts(task.job)) {
+      failJob(task, `task ${task.taskId} has used up its attempts`);
+    }
   }
 
   function handleEndedRun(
@@ -358,6 +370,7 @@
       task.job.begun = true;
     }
     if (placement.stopReason !== undefined) sendStop(task, placement);
+    if (crashes.clearIfLasting(task)) save(task.job);
     return undefined;
   }
 
@@ -440,17 +453,8 @@
     save(task.job);
   }
 
-  function removeInstance(instance: WorkerInstance, reason: string): void {
-    if (instance.tasks.size > 0) {
-      log.info("runs are over with their worker", {
-        worker: instance.workerId,
-        vm: instance.vmId,
-        reason,
-        runs: [...instance.tasks].map((task) =>
-          describeLostRun(task, instance)
-        ),
-      });
-    }
+  /** Requeues the tasks of an instance that has ended. */
+  function releaseInstance(instance: WorkerInstance): void {
     for (const task of [...instance.tasks]) {
       counters.lostRuns++;
       freeTask(task);
@@ -475,6 +479,7 @@
     options.onChange();
   }
 
+  const crashes = createCrashTracker({ ...options, failJob, save });
   const { sendStart, sendStop, giveUpRun } = createRunOrders({
     ...options,
     health,
@@ -488,6 +493,7 @@
     workers,
     durationEstimates,
     health,
+    crashes,
     counters,
     addRestored(job) {
       jobs.set(job.spec.jobId, job);
@@ -521,6 +527,7 @@
     },
     place(task, instance, { run, ticket }) {
       task.phase = "placed";
+      task.trialWaitSinceMs = undefined;
       task.run = run;
       task.job.started = true;
       const placement: Placement = {
@@ -565,15 +572,23 @@
         handleMissingRun(task, placement, sentAtMs);
       }
     },
-    removeInstance,
-    replaceInstance(instance, successor, reason) {
-      for (const task of [...instance.tasks]) {
+    removeInstance(instance, end) {
+      const tasks = [...instance.tasks];
+      crashes.recordEnd(instance, end);
+      releaseInstance(instance);
+      for (const task of tasks) crashes.giveUpIfGuilty(task);
+    },
+    replaceInstance(instance, successor, end) {
+      const tasks = [...instance.tasks];
+      crashes.recordEnd(instance, end);
+      for (const task of tasks) {
         const { placement } = task;
         if (placement !== undefined && mayHaveReachedSuccessor(placement)) {
           moveToSuccessor(task, placement, successor());
         }
       }
-      removeInstance(instance, reason);
+      releaseInstance(instance);
+      for (const task of tasks) crashes.giveUpIfGuilty(task);
     },
     save,
     removeEndedBefore(limitMs) {
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -67,6 +67,7 @@
     log,
     config: () => undefined,
     mayOrder: () => true,
+    isOrdered: () => false,
     onChange() {},
   });
   const link = {
@@ -79,6 +80,8 @@
       return Promise.resolve({ kind: "done", clockMs: 0 });
     },
     pollNow() {},
+    probe: () => Promise.resolve(),
+    lastResponseAtMs: undefined,
   } as unknown as WorkerLink;
   const instance: WorkerInstance = {
     workerId: "w1",
@@ -87,6 +90,7 @@
     link,
     registration: undefined,
     missingSinceMs: undefined,
+    draining: false,
     tasks: new PlacedTasks(),
     joinedAtMs: 0,
     earlierLeasesEndMs: 0,
@@ -321,12 +325,13 @@
     run: 1,
     ticket: undefined,
   });
-  lost.scheduler.removeInstance(lost.instance, "the reason");
+  lost.scheduler.removeInstance(lost.instance, "vm_down");
   assert.deepEqual(lost.lines, [{
     msg: "runs are over with their worker",
     worker: "w1",
     vm: "vm-1",
-    reason: "the reason",
+    reason: "its VM is down",
+    process: "crashed",
     runs: [`${JOB}.0.0.0 run 1, unrecorded`],
   }]);
 });
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -19,6 +19,7 @@
 import { watchPrefix } from "./watch_prefix.ts";
 import { createJournal, type Journal } from "./journal.ts";
 import { loadJobs, parseStoredJob } from "./load_jobs.ts";
+import { createTrialWorkers } from "./crashes/trial_workers.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
 import { STORE_KEYS, type Tenure } from "./ownership.ts";
 import { createThrottling, runThrottling } from "./throttling.ts";
@@ -177,6 +178,7 @@
     log,
     config: options.config,
     mayOrder,
+    isOrdered: (instance) => fleet.wasOrdered(instance),
     onChange: () => planWake.notify(),
   });
   /**
@@ -209,6 +211,7 @@
     },
     onChange: () => planWake.notify(),
   });
+  const trialWorkers = createTrialWorkers();
   const forecast = createDemandForecast(() => clock.monotonicMs());
   const fleet: FleetManager = createFleetManager({
     ...options,
@@ -298,6 +301,7 @@
           isCordoned: fleet.isCordoned,
           isScarce: fleet.isScarce,
           countArriving: fleet.countArriving,
+          trialWorkers,
         }, options.config());
       }
       const durationMs = clock.monotonicMs() - startedAtMs;
--- a/src/scheduler/throttling_test.ts
+++ b/src/scheduler/throttling_test.ts
@@ -83,6 +83,7 @@
     } as unknown as WorkerLink,
     registration: undefined,
     missingSinceMs: undefined,
+    draining: false,
     tasks,
     joinedAtMs: 0,
     earlierLeasesEndMs: 0,
--- a/src/scheduler/vm_orders.ts
+++ b/src/scheduler/vm_orders.ts
@@ -29,6 +29,8 @@
   readonly active: ReadonlyMap<string, VmOrder>;
   /** Whether an order may be sent for the VM: none is in progress, and the last one of an earlier owner is old enough. */
   isFree(vmId: string): boolean;
+  /** Whether an order sent to the VM since `bornAtMs`, in ms since 1970, may have ended what ran there. */
+  mayHaveEnded(vmId: string, bornAtMs: number): boolean;
   /** Records an order of an earlier owner, sent at the given wall clock time. */
   recordEarlierOrder(vmId: string, atWallMs: number): void;
   /** Sends an order for a VM and calls back once its result is certain. */
@@ -102,6 +104,8 @@
   const { fleet, journal, holder, fence, clock, log } = options;
   const active = new Map<string, VmOrder>();
   const freeAtMs = new Map<string, number>();
+  /** Wall clock time of the latest order for each VM, in ms since 1970; refused orders are removed. */
+  const orderedAtMs = new Map<string, number>();
 
   function callPlatform(vmId: string, order: VmOrder): Promise<VmOrderOutcome> {
     switch (order.kind) {
@@ -138,6 +142,7 @@
         return storeIntent(delivery);
       }
       if (!options.mayOrder()) return;
+      orderedAtMs.set(vmId, clock.wallMs());
       const outcome = await callPlatform(vmId, order);
       log.info("VM ordered", {
         vm: vmId,
@@ -155,6 +160,7 @@
         clock.monotonicMs() < delivery.mayBeExecutedUntilMs,
       );
       if (result !== undefined) {
+        if (result === "refused") orderedAtMs.delete(vmId);
         active.delete(vmId);
         return delivery.onResult(result);
       }
@@ -169,7 +175,13 @@
     active,
     isFree: (vmId) =>
       !active.has(vmId) && (freeAtMs.get(vmId) ?? 0) <= clock.monotonicMs(),
+    mayHaveEnded(vmId, bornAtMs) {
+      const sentAtMs = orderedAtMs.get(vmId);
+      return sentAtMs !== undefined && sentAtMs > bornAtMs &&
+        clock.wallMs() - sentAtMs < LATE_ORDER_LIMIT_MS;
+    },
     recordEarlierOrder(vmId, atWallMs) {
+      orderedAtMs.set(vmId, atWallMs);
       const ageMs = Math.max(0, clock.wallMs() - atWallMs);
       freeAtMs.set(
         vmId,
--- a/src/scheduler/vm_states.ts
+++ b/src/scheduler/vm_states.ts
@@ -2,6 +2,10 @@
 import type { Clock } from "../clock.ts";
 import { messageOf } from "../errors.ts";
 import type { Logger } from "../logger.ts";
+import {
+  describeInstanceEnd,
+  type InstanceEnd,
+} from "./crashes/instance_end.ts";
 import type { TaskState } from "./job_state.ts";
 import type { VmApi, VmInfo } from "./ports.ts";
 import { tasksOnVm, type WorkerInstance } from "./worker_table.ts";
@@ -69,11 +73,23 @@
   readonly scheduler: Scheduler;
   readonly clock: Clock;
   readonly log: Logger;
-  readonly removeInstance: (instance: WorkerInstance, reason: string) => void;
+  readonly removeInstance: (instance: WorkerInstance, end: InstanceEnd) => void;
   readonly onFenced: () => void;
   readonly onChange: () => void;
 }
 
+/** Returns how a worker has ended according to its VM's entry in the list; undefined if it may still run. */
+function resolveListedEnd(
+  vm: VmInfo | undefined,
+  workerId: string,
+): InstanceEnd | undefined {
+  if (vm === undefined) return "vm_unlisted";
+  if (vm.state === "down") return "vm_down";
+  return vm.workerId !== undefined && vm.workerId !== workerId
+    ? "vm_reassigned"
+    : undefined;
+}
+
 /** Creates the VM states for one tenure. */
 export function createVmStates(options: VmStatesOptions): VmStates {
   const { orders, scheduler, clock, log } = options;
@@ -103,21 +119,15 @@
       // The list may predate an instance that has just registered.
       if (askedAtMs - instance.joinedAtMs < MAXIMUM_LIST_LAG_MS) continue;
       const vm = list.get(instance.vmId);
-      const reason = vm === undefined
-        ? "its VM is no longer listed"
-        : vm.state === "down"
-        ? "its VM is down"
-        : vm.workerId !== undefined && vm.workerId !== instance.workerId
-        ? "its VM runs another worker"
-        : undefined;
-      if (reason === undefined) continue;
+      const end = resolveListedEnd(vm, instance.workerId);
+      if (end === undefined) continue;
       log.info("worker instance ended according to the VM list", {
         worker: instance.workerId,
         vm: instance.vmId,
-        reason,
+        reason: describeInstanceEnd(end),
         listAgeMs: Math.round(clock.monotonicMs() - askedAtMs),
       });
-      options.removeInstance(instance, reason);
+      options.removeInstance(instance, end);
     }
   }
 
@@ -132,6 +142,7 @@
       return;
     }
     checkSilentInstances(vms, askedAtMs);
+    scheduler.crashes.settleByVms(vms);
     for (const [vmId, returningVm] of returning) {
       const vm = vms.get(vmId);
       for (const instance of returningVm.instances) {
@@ -142,7 +153,7 @@
         ) {
           continue;
         }
-        options.removeInstance(instance, "its VM was taken down for an order");
+        options.removeInstance(instance, "vm_ordered");
       }
       if (askedAtMs - returningVm.confirmedAtMs < MAXIMUM_LIST_LAG_MS) continue;
       if (vm === undefined || vm.state === "up" || vm.state === "down") {
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -37,11 +37,7 @@
   /** Called with a report of this worker instance; `sentAtMs` is the monotonic time at which it was requested. */
   onReport(link: WorkerLink, report: WorkerReport, sentAtMs: number): void;
   /** Called when the worker instance has ended because another one responds; `successorBornAtMs` is the start time of one with the same ID. */
-  onInstanceEnded(
-    link: WorkerLink,
-    reason: string,
-    successorBornAtMs?: number,
-  ): void;
+  onInstanceEnded(link: WorkerLink, successorBornAtMs?: number): void;
   /** Called when the worker rejected an order because it has seen a newer owner's fencing token. */
   onFenced(link: WorkerLink): void;
   /** Runs the callback once all records scheduled so far are stored. */
@@ -65,6 +61,8 @@
   start(order: Omit<StartOrder, "leaseEndMs">): Promise<OrderOutcome>;
   stop(taskId: string, run: number): Promise<OrderOutcome>;
   throttle(taskId: string, run: number, percent: number): Promise<OrderOutcome>;
+  /** Calls the worker only to learn whether it still responds, beside the poll that may be waiting. */
+  probe(): Promise<void>;
   /** Polls the worker again without pause if the latest call failed. */
   pollNow(): void;
   /** Whether the worker is polled at a short interval, because it runs serving tasks. */
@@ -138,7 +136,7 @@
         if (outcome.reason === "fenced") events.onFenced(link);
         return;
       case "other_life":
-        endLink("another instance responds under its ID");
+        endLink();
         return;
       case "not_sent":
       case "unknown":
@@ -146,10 +144,10 @@
     }
   }
 
-  function endLink(reason: string, successorBornAtMs?: number): void {
+  function endLink(successorBornAtMs?: number): void {
     if (closed) return;
     closed = true;
-    events.onInstanceEnded(link, reason, successorBornAtMs);
+    events.onInstanceEnded(link, successorBornAtMs);
   }
 
   function* pollOnce(): Operation<void> {
@@ -188,7 +186,7 @@
       outcome.bornAtMs !== undefined && worker.bornAtMs !== 0 &&
       outcome.bornAtMs !== worker.bornAtMs
     ) {
-      endLink("another instance responds under its ID", outcome.bornAtMs);
+      endLink(outcome.bornAtMs);
       return;
     }
     updateClockOffset(outcome.clockMs);
@@ -253,6 +251,20 @@
       handleOutcome(outcome);
       return outcome;
     },
+    async probe() {
+      if (closed || failing) return;
+      const outcome = await control.renewAndPoll(worker, {
+        fence,
+        acknowledged: storedEndNumber,
+        leaseEndMs: undefined,
+        waitMs: 0,
+      });
+      // The report is left to the polls, which are in order.
+      if (
+        !closed && outcome.kind === "done" &&
+        outcome.bornAtMs === worker.bornAtMs
+      ) updateClockOffset(outcome.clockMs);
+    },
     pollNow: () => pollWake.notify(),
     needsFrequentPolls: false,
     mayHaveRuns: false,
--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
 import { createNotifier } from "../notifier.ts";
+import type { InstanceEnd } from "./crashes/instance_end.ts";
 import { getStep } from "./job_state.ts";
 import { PlacedTasks } from "./placed_tasks.ts";
 import type {
@@ -36,7 +37,7 @@
   /** Applies one added or changed registration. */
   syncItem(item: StoredItem): void;
   /** Removes an instance that is proven to have ended. */
-  removeInstance(instance: WorkerInstance, reason: string): void;
+  removeInstance(instance: WorkerInstance, end: InstanceEnd): void;
   /** Removes unreachable instances whose leases have expired, and drops registrations that have been missing too long. */
   checkInstances(): void;
   /** Runs the link of each new instance. */
@@ -66,6 +67,10 @@
   const newInstanceNotifier = createNotifier();
 
   function registerWorker(registration: WorkerRegistration): void {
+    scheduler.crashes.settleByProcess(
+      registration.workerId,
+      registration.bornAtMs,
+    );
     const existingInstance = workers.find(
       registration.workerId,
       registration.bornAtMs,
@@ -80,6 +85,7 @@
         });
       }
       existingInstance.registration = registration;
+      existingInstance.draining ||= registration.state === "draining";
       existingInstance.missingSinceMs = undefined;
       existingInstance.link.updateRegistration(registration);
       return;
@@ -103,13 +109,13 @@
       events: {
         onReport: (_, report, sentAtMs) =>
           scheduler.onReport(instance, report, sentAtMs),
-        onInstanceEnded: (_, reason, successorBornAtMs) =>
+        onInstanceEnded: (_, successorBornAtMs) =>
           successorBornAtMs === undefined
-            ? removeInstance(instance, reason)
+            ? removeInstance(instance, "replaced")
             : replaceInstance(
               instance,
               () => addUnregistered(instance, successorBornAtMs),
-              reason,
+              "replaced",
             ),
         ...options.events,
       },
@@ -121,6 +127,7 @@
       link,
       registration,
       missingSinceMs: undefined,
+      draining: registration.state === "draining",
       tasks: existingInstance?.tasks ?? new PlacedTasks(),
       joinedAtMs: clock.monotonicMs(),
       earlierLeasesEndMs: leasesEndMs,
@@ -128,7 +135,7 @@
     workers.add(instance);
     for (const other of others) {
       if (other.bornAtMs === registration.bornAtMs) continue;
-      replaceInstance(other, () => instance, "the worker has restarted");
+      replaceInstance(other, () => instance, "restarted");
     }
     log.info("worker registered", {
       worker: registration.workerId,
@@ -155,6 +162,7 @@
       link: undefined,
       registration: undefined,
       missingSinceMs: undefined,
+      draining: false,
       tasks: new PlacedTasks(),
       joinedAtMs: clock.monotonicMs(),
       earlierLeasesEndMs: clock.monotonicMs() + MAXIMUM_LEASE_MS,
@@ -163,17 +171,17 @@
     return instance;
   }
 
-  function removeInstance(instance: WorkerInstance, reason: string): void {
-    scheduler.removeInstance(instance, reason);
+  function removeInstance(instance: WorkerInstance, end: InstanceEnd): void {
+    scheduler.removeInstance(instance, end);
     closeInstance(instance);
   }
 
   function replaceInstance(
     instance: WorkerInstance,
     successor: () => WorkerInstance,
-    reason: string,
+    end: InstanceEnd,
   ): void {
-    scheduler.replaceInstance(instance, successor, reason);
+    scheduler.replaceInstance(instance, successor, end);
     closeInstance(instance);
   }
 
@@ -225,9 +233,9 @@
       if (
         unreachable && leasesExpired && (instance.tasks.size > 0 || missing)
       ) {
-        removeInstance(instance, "every lease it may hold has expired");
+        removeInstance(instance, "leases_expired");
       } else if (instance.link === undefined && instance.tasks.size === 0) {
-        removeInstance(instance, "it isn't registered and has no tasks");
+        removeInstance(instance, "unused");
       }
       if (instance.link !== undefined) {
         instance.link.mayHaveRuns = instance.tasks.size > 0;
--- a/src/scheduler/worker_table.ts
+++ b/src/scheduler/worker_table.ts
@@ -16,6 +16,8 @@
   registration: WorkerRegistration | undefined;
   /** Monotonic time at which the registration disappeared, in ms; undefined while it exists. */
   missingSinceMs: number | undefined;
+  /** Whether the worker has announced that it is about to exit. */
+  draining: boolean;
   readonly tasks: PlacedTasks;
   /** Monotonic time at which the owner learned of the instance, in ms. */
   readonly joinedAtMs: number;
--- a/src/scheduler/worker_table_test.ts
+++ b/src/scheduler/worker_table_test.ts
@@ -42,6 +42,7 @@
     link: undefined,
     registration: undefined,
     missingSinceMs: undefined,
+    draining: false,
     tasks,
     joinedAtMs: 0,
     earlierLeasesEndMs: 0,
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -81,6 +81,7 @@
     log: silentLogger,
     config: () => undefined,
     mayOrder: () => state.mayOrder,
+    isOrdered: () => false,
     onChange() {},
   });
   let attempts = 0;
@@ -96,6 +97,8 @@
         return Promise.resolve(state.stop);
       },
       pollNow() {},
+      probe: () => Promise.resolve(),
+      lastResponseAtMs: undefined,
       silentMs: () => 0,
       hasResponded: true,
       leasesExpired: () => false,
@@ -108,6 +111,7 @@
       link,
       registration: undefined,
       missingSinceMs: undefined,
+      draining: false,
       tasks: new PlacedTasks(),
       joinedAtMs: 0,
       earlierLeasesEndMs: 0,
