perf(scheduler): suspects cost less where workers crash by themselves

Change: the neighbours of a task that is given up are cleared of the crash if they had run for a while. Suspects follow each other on one worker. Workers are emptied, up to a quarter of a pool, only for a task lost more than once or within 10 s of another task being given up; other suspects wait 200 ms. A run is young for 100 ms, and the planner runs after each probe.

--- a/src/scheduler/crashes/crash_tracker.ts
+++ b/src/scheduler/crashes/crash_tracker.ts
@@ -1,3 +1,4 @@
+import type { Clock } from "../../clock.ts";
 import type { Logger } from "../../logger.ts";
 import { getStep, type JobState, type TaskState } from "../job_state.ts";
 import type { VmInfo } from "../ports.ts";
@@ -15,6 +16,9 @@
   YOUNG_RUN_MS,
 } from "./run_loss.ts";
 
+/** Time after a task was given up in which other suspects are likely to crash their workers as well, in ms. */
+const ALERT_MS = 10_000;
+
 /** Records which tasks were lost with crashed workers, and finds those that crash them. */
 export interface CrashTracker {
   /** Records the loss of each run that may have been on an ended instance; call it before the tasks are freed. */
@@ -23,6 +27,11 @@
   restore(job: JobState): void;
   /** Fails the job of a task that has crashed too many workers; returns whether it did. */
   giveUpIfGuilty(task: TaskState): boolean;
+  /**
+   * Whether a suspect is likely to crash its worker: it was lost more than once,
+   * or another task was given up lately. Otherwise workers may crash by themselves.
+   */
+  isLikelyCause(task: TaskState): boolean;
   /** Clears a long-running task of its losses once a run has lasted; returns whether it did. */
   clearIfLasting(task: TaskState): boolean;
   /** Settles losses whose workers were only unreachable, by the start time of the process that now runs. */
@@ -33,6 +42,7 @@
 
 /** Dependencies of the crash tracker. */
 export interface CrashTrackerOptions {
+  readonly clock: Clock;
   readonly log: Logger;
   /** Whether an order for its VM explains the end of an instance. */
   readonly isOrdered: (instance: WorkerInstance) => boolean;
@@ -52,25 +62,50 @@
   return (ranMs(task, instance) ?? 0) < YOUNG_RUN_MS;
 }
 
+/** Returns the key of the instance that a run was lost with. */
+function keyOf({ worker, born }: RunLoss): string {
+  return instanceKey(worker, born);
+}
+
 /** Lists the crashed workers of a task for the log and for callers. */
 function describeLosses(losses: readonly RunLoss[]): string[] {
-  return losses.map(({ worker, run }) => `${worker} (run ${run})`);
+  return losses.map(({ worker, run, young, alone }) =>
+    `${worker} (run ${run}${young ? ", just started" : ""}${
+      alone ? ", no other had" : ""
+    })`
+  );
 }
 
 /** Creates the crash tracker of one tenure. */
 export function createCrashTracker(options: CrashTrackerOptions): CrashTracker {
-  const { log } = options;
-  /** Tasks with losses that aren't proven yet, by the key of the instance. */
-  const unproven = new Map<string, Set<TaskState>>();
+  const { clock, log } = options;
+  /** Monotonic time at which a task was last given up, in ms. */
+  let givenUpAtMs = -Infinity;
+  /** Tasks that were lost with an instance, by its key. */
+  const lostTasks = new Map<string, Set<TaskState>>();
+  /** Keys of the instances that may only have been unreachable. */
+  const unproven = new Set<string>();
 
   function index(task: TaskState, loss: RunLoss): void {
-    if (loss.proven) return;
-    const key = instanceKey(loss.worker, loss.born);
-    const tasks = unproven.get(key);
-    if (tasks === undefined) unproven.set(key, new Set([task]));
+    const key = keyOf(loss);
+    if (!loss.proven) unproven.add(key);
+    const tasks = lostTasks.get(key);
+    if (tasks === undefined) lostTasks.set(key, new Set([task]));
     else tasks.add(task);
   }
 
+  /** Clears the tasks that had been running for a while when a task that is now given up crashed their worker. */
+  function clearNeighbours(guilty: TaskState): void {
+    for (const key of guilty.losses.map(keyOf)) {
+      for (const task of lostTasks.get(key) ?? []) {
+        if (task === guilty) continue;
+        task.losses = task.losses.filter((loss) =>
+          loss.young || keyOf(loss) !== key
+        );
+      }
+    }
+  }
+
   function recordLoss(
     task: TaskState,
     instance: WorkerInstance,
@@ -120,21 +155,17 @@
       `task ${task.taskId} has crashed its workers: ${workers.join(", ")}`,
     );
     options.save(job);
+    clearNeighbours(task);
+    givenUpAtMs = clock.monotonicMs();
     return true;
   }
 
   /** Settles the losses with one instance: its process has ended, or was only unreachable. */
   function settle(key: string, ended: boolean): void {
-    const tasks = unproven.get(key);
-    if (tasks === undefined) return;
     unproven.delete(key);
-    for (const task of tasks) {
+    for (const task of lostTasks.get(key) ?? []) {
       task.losses = task.losses.flatMap((loss) =>
-        instanceKey(loss.worker, loss.born) !== key
-          ? [loss]
-          : ended
-          ? [{ ...loss, proven: true }]
-          : []
+        keyOf(loss) !== key ? [loss] : ended ? [{ ...loss, proven: true }] : []
       );
       if (task.job.status !== "active") continue;
       options.save(task.job);
@@ -146,11 +177,9 @@
   function forEachUnproven(
     visit: (loss: RunLoss, key: string) => void,
   ): void {
-    for (const [key, tasks] of [...unproven]) {
-      const [task] = tasks;
-      const loss = task?.losses.find(({ worker, born }) =>
-        instanceKey(worker, born) === key
-      );
+    for (const key of [...unproven]) {
+      const [task] = lostTasks.get(key) ?? [];
+      const loss = task?.losses.find((other) => keyOf(other) === key);
       if (loss !== undefined) visit(loss, key);
     }
   }
@@ -187,6 +216,8 @@
       }
     },
     giveUpIfGuilty,
+    isLikelyCause: ({ losses }) =>
+      losses.length > 1 || clock.monotonicMs() - givenUpAtMs < ALERT_MS,
     clearIfLasting(task) {
       const { placement } = task;
       if (
--- a/src/scheduler/crashes/run_loss.ts
+++ b/src/scheduler/crashes/run_loss.ts
@@ -28,7 +28,7 @@
   | "guilty";
 
 /** Time after which a run that its worker has survived is no longer suspected, in ms. */
-export const YOUNG_RUN_MS = 150;
+export const YOUNG_RUN_MS = 100;
 /** Time after which a long-running task is cleared of earlier losses, in ms. */
 export const CLEARED_AFTER_MS = 10_000;
 /** Number of losses after which a task is given up whatever their circumstances. */
--- a/src/scheduler/crashes/trial_workers.ts
+++ b/src/scheduler/crashes/trial_workers.ts
@@ -4,15 +4,18 @@
   fits,
   type PlacementRequest,
 } from "../placement.ts";
+import type { TaskState } from "../job_state.ts";
 import type { WorkerInstance } from "../worker_table.ts";
 import { isYoung } from "./crash_tracker.ts";
 
-/** Longest time that a suspect waits for an idle worker, in ms; then it gets the one with the fewest tasks. */
+/** Longest time that a suspect waits for an idle worker, in ms. */
+const FIRST_WAIT_MS = 200;
+/** Longest time that a suspect that is likely to crash its worker waits for an idle one, in ms. */
 const MAXIMUM_WAIT_MS = 1_500;
 /** Time since its last response within which a worker is preferred for a suspect, in ms. */
 const RECENT_CONTACT_MS = 1_000;
 /** Part of a service's workers that may be used or emptied for suspects at the same time; at least one may. */
-const MAXIMUM_SHARE = 0.34;
+const MAXIMUM_SHARE = 0.25;
 
 /** Whether a worker runs a suspect that hasn't proven harmless yet; it gets no other task. */
 export function isOnTrial(instance: WorkerInstance): boolean {
@@ -22,7 +25,12 @@
   return false;
 }
 
-/** Workers that get no new tasks until they are idle, so that suspects can run alone on them. */
+/** Whether a worker runs nothing but suspects that have proven harmless. */
+function runsOnlySuspects({ tasks }: WorkerInstance): boolean {
+  return tasks.size === tasks.suspects.size && tasks.unwantedCount === 0;
+}
+
+/** Workers that get no new tasks but suspects, one after the other. */
 export interface TrialWorkers {
   /** Whether a worker is being emptied for a suspect. */
   isReserved(instance: WorkerInstance): boolean;
@@ -52,6 +60,7 @@
         .filter(({ tasks }) => tasks.longRunningCount === 0)
         .sort((a, b) =>
           Number(before?.has(b) ?? false) - Number(before?.has(a) ?? false) ||
+          Number(runsOnlySuspects(b)) - Number(runsOnlySuspects(a)) ||
           a.tasks.size - b.tasks.size
         );
       reserved.set(
@@ -62,28 +71,41 @@
   };
 }
 
-/** Chooses a worker on which a suspect runs alone; after a long wait, the one with the fewest tasks that fits. */
+/**
+ * Chooses a worker for a suspect: an idle one, or one that runs only suspects
+ * which have proven harmless; after a long wait, the one with the fewest tasks.
+ */
 export function chooseTrialWorker(
   candidates: readonly CandidateWorker[],
   request: PlacementRequest,
-  { waitedMs, tasksOn, contactAgeMs }: {
-    /** Time that the task has waited for an idle worker, in ms. */
-    readonly waitedMs: number;
-    /** Returns the number of tasks and unwanted runs on a worker. */
-    readonly tasksOn: (workerId: string) => number;
-    /** Returns the time since a worker's last response, in ms. */
-    readonly contactAgeMs: (workerId: string) => number;
+  { task, isLikely, nowMs, instanceOf }: {
+    readonly task: TaskState;
+    /** Whether the task is likely to crash its worker, which is worth a longer wait. */
+    readonly isLikely: boolean;
+    /** Current monotonic time, in ms. */
+    readonly nowMs: number;
+    readonly instanceOf: (candidate: CandidateWorker) => WorkerInstance;
   },
 ): CandidateWorker | undefined {
-  const idle = candidates.filter(({ workerId }) => tasksOn(workerId) === 0);
+  const suitable = candidates.filter((candidate) =>
+    runsOnlySuspects(instanceOf(candidate))
+  );
   // An idle worker is polled rarely; one that is down without being known would be blamed on the suspect.
-  const inContact = idle.filter(({ workerId }) =>
-    contactAgeMs(workerId) < RECENT_CONTACT_MS
+  const inContact = suitable.filter((candidate) =>
+    nowMs - (instanceOf(candidate).link?.lastResponseAtMs ?? -Infinity) <
+      RECENT_CONTACT_MS
   );
   const chosen = chooseWorker(inContact, request) ??
-    chooseWorker(idle, request);
-  if (chosen !== undefined || waitedMs < MAXIMUM_WAIT_MS) return chosen;
+    chooseWorker(suitable, request);
+  const waitLimitMs = isLikely ? MAXIMUM_WAIT_MS : FIRST_WAIT_MS;
+  const waitedMs = nowMs - (task.trialWaitSinceMs ?? nowMs);
+  if (chosen !== undefined || waitedMs < waitLimitMs) return chosen;
   return candidates
     .filter((candidate) => fits(candidate, request))
-    .sort((a, b) => tasksOn(a.workerId) - tasksOn(b.workerId))[0];
+    .sort((a, b) => {
+      const { tasks } = instanceOf(a);
+      const { tasks: others } = instanceOf(b);
+      return tasks.longRunningCount - others.longRunningCount ||
+        tasks.size - others.size;
+    })[0];
 }
--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -72,7 +72,7 @@
   readonly reserved: CandidateWorker[];
   /** Number of workers on which a suspect has just been started; they get no other task. */
   busyTrials: number;
-  /** Number of suspects that found no worker in this round. */
+  /** Number of suspects for which workers have to be emptied. */
   waitingSuspects: number;
   readonly instances: Map<string, WorkerInstance>;
   readonly unplaceable: UnplaceableRequests;
@@ -218,29 +218,25 @@
     placed++;
   }
 
-  /** Chooses the worker on which a suspect runs alone; counts the suspect as waiting if there is none. */
+  /** Chooses the worker for a suspect; counts the suspect as waiting if a worker has to be emptied for it. */
   function findTrialWorker(
     task: TaskState,
     service: ServiceCandidates,
     request: PlacementRequest,
   ): CandidateWorker | undefined {
     task.trialWaitSinceMs ??= nowMs;
+    const isLikely = scheduler.crashes.isLikelyCause(task);
     const worker = chooseTrialWorker(
       [...service.reserved, ...service.candidates],
       request,
       {
-        waitedMs: nowMs - task.trialWaitSinceMs,
-        tasksOn: (workerId) => {
-          const { tasks } = service.instances.get(workerId)!;
-          return tasks.size + tasks.unwantedCount;
-        },
-        contactAgeMs: (workerId) =>
-          nowMs -
-          (service.instances.get(workerId)!.link?.lastResponseAtMs ??
-            -Infinity),
+        task,
+        isLikely,
+        nowMs,
+        instanceOf: ({ workerId }) => service.instances.get(workerId)!,
       },
     );
-    if (worker === undefined) service.waitingSuspects++;
+    if (worker === undefined && isLikely) service.waitingSuspects++;
     return worker;
   }
 
@@ -285,7 +281,9 @@
       others.length,
     );
     if (workers.size < suspects.length || otherWorkers === undefined) {
-      service.waitingSuspects += suspects.length;
+      service.waitingSuspects += suspects.filter(
+        scheduler.crashes.isLikelyCause,
+      ).length;
       return;
     }
     const run = nextGangRun(tasks);
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -13,6 +13,8 @@
 const MAXIMUM_START_ATTEMPTS = 2;
 /** Minimum time between two stop orders for one run, in ms. */
 const STOP_RETRY_INTERVAL_MS = 300;
+/** Time added to the age at which a suspect's run is no longer young before its worker is probed, in ms. */
+const PROBE_MARGIN_MS = 10;
 /** Delay before a task is placed again after its start order was refused as invalid, in ms. */
 const INVALID_START_DELAY_MS = 2_000;
 
@@ -48,6 +50,8 @@
   /** Whether this owner may still issue orders. */
   readonly mayOrder: () => boolean;
   readonly findInstance: (placement: Placement) => WorkerInstance | undefined;
+  /** Called after a change that may allow tasks to be placed. */
+  readonly onChange: () => void;
   /** Ends the placement of a task, so that it can be placed again. */
   readonly freeTask: (task: TaskState) => void;
 }
@@ -91,10 +95,11 @@
   }
 
   /** Learns soon whether the worker has survived the start of a suspect, which holds up other tasks. */
-  function probeLater(placement: Placement): void {
-    void delay(YOUNG_RUN_MS).then(() => {
-      if (options.mayOrder()) return findInstance(placement)?.link?.probe();
-    });
+  async function probeLater(placement: Placement): Promise<void> {
+    await delay(YOUNG_RUN_MS + PROBE_MARGIN_MS);
+    if (!options.mayOrder()) return;
+    await findInstance(placement)?.link?.probe();
+    options.onChange();
   }
 
   async function sendStart(
@@ -207,7 +212,7 @@
         placement.startState = "running";
         placement.confirmedAtMs = clock.monotonicMs();
         task.job.begun = true;
-        if (task.losses.length > 0) probeLater(placement);
+        if (task.losses.length > 0) void probeLater(placement);
         if (placement.stopReason !== undefined) sendStop(task, placement);
         return;
       case "refused":
