fix(scheduler): no start on a worker whose capacity has shrunk (LIMIT)

Cause: a placement was checked against the worker's capacity when it was planned. Its record takes seconds while the store is slow or away, and an unanswered start is sent again, whatever the worker's capacity is by then.

Change: before each attempt the worker's tasks and unwanted runs are compared with its current capacity; an unsent order is given up, an unanswered one is stopped instead of repeated. A change of capacity is logged with both values and starts a planning round. Free resources below zero take no task already.

The fake workers let a smaller capacity count after 2 s, less than the platform's 4.5 s.

--- a/src/scheduler/placed_tasks.ts
+++ b/src/scheduler/placed_tasks.ts
@@ -26,6 +26,21 @@
   sums.gpuCount += step.gpuCount * count;
 }
 
+/** Returns the mean of several capacities; undefined if there are none or no worker has any CPU. */
+export function meanCapacity(
+  capacities: readonly Resources[],
+): Resources | undefined {
+  if (!capacities.some(({ cpuMillis }) => cpuMillis > 0)) return undefined;
+  const mean = (valueOf: (capacity: Resources) => number) =>
+    capacities.reduce((sum, capacity) => sum + valueOf(capacity), 0) /
+    capacities.length;
+  return {
+    cpuMillis: mean(({ cpuMillis }) => cpuMillis),
+    memoryMb: mean(({ memoryMb }) => memoryMb),
+    gpuCount: mean(({ gpuCount }) => gpuCount),
+  };
+}
+
 /** Converts resources to a number of VMs; the scarcest resource decides. */
 export function toVmEquivalents(
   sums: Resources,
@@ -38,6 +53,14 @@
   );
 }
 
+/** Returns the part of a VM of typical capacity that a worker offers; its scarcest resource decides. */
+export function toVmShare(capacity: Resources, typical: Resources): number {
+  return Math.min(
+    capacity.cpuMillis / Math.max(1, typical.cpuMillis),
+    capacity.memoryMb / Math.max(1, typical.memoryMb),
+  );
+}
+
 /** Tasks placed on one worker instance, with the sums that each planning round needs; the sums include unwanted runs. */
 export class PlacedTasks extends Set<TaskState> {
   /** Resources that the tasks reserve; tasks that are being stopped and unwanted runs still occupy theirs. */
@@ -55,6 +78,13 @@
     return this.#unwanted.length;
   }
 
+  /** Whether the tasks and unwanted runs need more than a capacity. */
+  exceed(capacity: Resources): boolean {
+    return this.reserved.cpuMillis > capacity.cpuMillis ||
+      this.reserved.memoryMb > capacity.memoryMb ||
+      this.reserved.gpuCount > capacity.gpuCount;
+  }
+
   /** Tasks of the unwanted runs, which are in the sums but not in the set. */
   #unwanted: readonly TaskState[] = [];
 
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -56,6 +56,11 @@
   readonly freeTask: (task: TaskState) => void;
 }
 
+/** Whether a worker's capacity has become too small for the tasks that were placed on it. */
+function hasShrunk({ registration, tasks }: WorkerInstance): boolean {
+  return registration !== undefined && tasks.exceed(registration.capacity);
+}
+
 /** Creates the run orders of one tenure. */
 export function createRunOrders(options: RunOrdersOptions): RunOrders {
   const { fence, clock, log, health, counters, findInstance, freeTask } =
@@ -109,7 +114,10 @@
   ): Promise<void> {
     const instance = findInstance(placement);
     if (task.placement !== placement) return;
-    if (instance?.link === undefined || !options.mayOrder()) {
+    if (
+      instance?.link === undefined || !options.mayOrder() ||
+      hasShrunk(instance)
+    ) {
       return giveUpRun(task, placement, "order not sent");
     }
     placement.startState = "sending";
@@ -129,7 +137,7 @@
       // During an attempt, the tenure may end, and the run be listed or become needless.
       if (
         !options.mayOrder() || placement.stopReason !== undefined ||
-        isListed(placement)
+        isListed(placement) || hasShrunk(instance)
       ) break;
     }
     handleStartOutcome(task, placement, outcome);
--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from "node:util";
 import { type Operation, spawn } from "effection";
 import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
@@ -84,6 +85,7 @@
           remainingMs: registration.remainingMs,
         });
       }
+      noteCapacity(existingInstance, registration);
       existingInstance.registration = registration;
       existingInstance.draining ||= registration.state === "draining";
       existingInstance.missingSinceMs = undefined;
@@ -147,6 +149,24 @@
     newInstanceNotifier.notify();
   }
 
+  /** Logs a change of a worker's capacity, after which tasks may fit. */
+  function noteCapacity(
+    { registration: before, tasks }: WorkerInstance,
+    { workerId, service, capacity }: WorkerRegistration,
+  ): void {
+    if (
+      before === undefined || isDeepStrictEqual(before.capacity, capacity)
+    ) return;
+    log.info("worker capacity changed", {
+      worker: workerId,
+      service,
+      from: before.capacity,
+      to: capacity,
+      reserved: tasks.reserved,
+    });
+    options.onChange();
+  }
+
   /** Returns the next process of a worker; adds it if it isn't known, as it will register later than it responds. */
   function addUnregistered(
     predecessor: WorkerInstance,
--- a/src/scheduler/worker_registry_test.ts
+++ b/src/scheduler/worker_registry_test.ts
@@ -8,29 +8,14 @@
   ended,
   JOB,
   openTasks,
+  registrationOf,
   spec,
 } from "../../testing/scheduler_helpers.ts";
 import { waitFor } from "../../testing/wait.ts";
-import type { WorkerControl, WorkerRegistration } from "./ports.ts";
+import type { WorkerControl } from "./ports.ts";
 
 const test = suite("worker registry");
 
-function registrationOf(bornAtMs: number, address: string): WorkerRegistration {
-  return {
-    workerId: "w1",
-    vmId: "vm-1",
-    service: "quoting",
-    address,
-    dataCentre: "dc-1",
-    state: "ready",
-    capacity: { cpuMillis: 1_000, memoryMb: 1_000, gpuCount: 0 },
-    labels: [],
-    rack: "",
-    bornAtMs,
-    remainingMs: undefined,
-  };
-}
-
 // Guards against an instance without tasks that stays in the table for ever and keeps a later process with an earlier start time from being registered.
 test("an unregistered successor is removed once it has no tasks", async () => {
   const context = createTestScheduler();
--- a/testing/fake_task_workers.ts
+++ b/testing/fake_task_workers.ts
@@ -3,6 +3,7 @@
   ActiveRunReport,
   EndedRunReport,
   OrderOutcome,
+  Resources,
   RunEnding,
   StartOrder,
   WorkerControl,
@@ -45,6 +46,8 @@
 
 /** Delay of a worker's response, in ms. */
 const RESPONSE_DELAY_MS = 1;
+/** Time after which a smaller capacity counts, in ms. */
+const CAPACITY_GRACE_MS = 2_000;
 /** Maximum time from now until the lease end that a worker accepts, in ms. */
 const MAXIMUM_LEASE_MS = 10_000;
 
@@ -65,11 +68,40 @@
   /** Callbacks of pending polls, called when a run ends. */
   waiters = new Set<() => void>();
 
+  /** Earlier capacities with the monotonic time at which each was replaced, in ms. */
+  readonly #earlierCapacities: {
+    capacity: Resources;
+    replacedAtMs: number;
+  }[] = [];
+
   constructor(
-    readonly registration: WorkerRegistration,
+    public registration: WorkerRegistration,
     readonly clockOffsetMs: number,
   ) {}
 
+  /** Changes the capacity while the process runs. */
+  resize(capacity: Resources): void {
+    this.#earlierCapacities.push({
+      capacity: this.registration.capacity,
+      replacedAtMs: performance.now(),
+    });
+    this.registration = { ...this.registration, capacity };
+  }
+
+  /** Returns the largest capacity that starts may still rely on, as a smaller one counts only after a while. */
+  allowedCapacity(): Resources {
+    const sinceMs = performance.now() - CAPACITY_GRACE_MS;
+    const capacities = this.#earlierCapacities
+      .filter(({ replacedAtMs }) => replacedAtMs > sinceMs)
+      .map(({ capacity }) => capacity);
+    const all = [this.registration.capacity, ...capacities];
+    return {
+      cpuMillis: Math.max(...all.map(({ cpuMillis }) => cpuMillis)),
+      memoryMb: Math.max(...all.map(({ memoryMb }) => memoryMb)),
+      gpuCount: Math.max(...all.map(({ gpuCount }) => gpuCount)),
+    };
+  }
+
   /** Returns the time on the worker's clock, in ms; each worker has a different offset. */
   clockMs(): number {
     return Math.floor(performance.now() + this.clockOffsetMs);
@@ -253,7 +285,7 @@
         );
       }
     }
-    const { capacity } = worker.registration;
+    const capacity = worker.allowedCapacity();
     const used = [...worker.running.values(), run];
     if (
       used.reduce((sum, item) => sum + item.cpuMillis, 0) >
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -144,6 +144,16 @@
     );
   }
 
+  /** Changes the CPU capacity of a running worker, in thousandths of a core; its registration says so. */
+  setCapacity(index: number, cpuMillis: number): void {
+    const worker = this.workers.workers.get(`worker-${index}`)!;
+    worker.resize({ ...worker.registration.capacity, cpuMillis });
+    this.store.write(
+      `servers/${worker.registration.workerId}`,
+      JSON.stringify(worker.registration),
+    );
+  }
+
   #createVmApi(): VmApi {
     return {
       list: () =>
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -177,3 +177,23 @@
 ): EndedRunReport {
   return { number, taskId, run, ending, checkpoint: "" };
 }
+
+/** Creates the registration of worker `w1`. */
+export function registrationOf(
+  bornAtMs: number,
+  address: string,
+): WorkerRegistration {
+  return {
+    workerId: "w1",
+    vmId: "vm-1",
+    service: "quoting",
+    address,
+    dataCentre: "dc-1",
+    state: "ready",
+    capacity: { cpuMillis: 1_000, memoryMb: 1_000, gpuCount: 0 },
+    labels: [],
+    rack: "",
+    bornAtMs,
+    remainingMs: undefined,
+  };
+}
