fix(scheduler): a pool's capacity is the mean of its workers'

Cause: the pool balancer took the first listed VM's capacity for all VMs of a pool, deferral the first worker's. One that has shrunk to a tenth made a pool ten times too small. Deferral also counted a worker that holds long-running tasks beyond its shrunk capacity as many VMs below zero, which deferred every job of the pool.

Change: both use the mean of what the pool's workers report, and a worker contributes at least nothing. With equal workers nothing changes.

--- a/src/scheduler/deferral.ts
+++ b/src/scheduler/deferral.ts
@@ -1,24 +1,34 @@
 import { findUnattainable, type PoolCapacity } from "./attainability.ts";
 import type { DurationEstimates } from "./duration_estimates.ts";
 import type { PendingOccurrence } from "./job_order.ts";
-import { addDemand, createSums, toVmEquivalents } from "./placed_tasks.ts";
+import {
+  addDemand,
+  createSums,
+  meanCapacity,
+  toVmEquivalents,
+  toVmShare,
+} from "./placed_tasks.ts";
 import type { Resources } from "./ports.ts";
 import type { WorkerInstance } from "./worker_table.ts";
 
-/** Measures the capacity of a pool's usable workers. */
-function measureCapacity(
+/** Measures the capacity of a pool's usable workers in VMs of the typical capacity. */
+export function measureCapacity(
   workers: readonly WorkerInstance[],
-  meanDurationMs: number,
-  arrivingVms: number,
+  { vmCapacity, meanDurationMs, arrivingVms }: {
+    readonly vmCapacity: Resources;
+    readonly meanDurationMs: number;
+    readonly arrivingVms: number;
+  },
 ): PoolCapacity {
   let vms = 0;
   let busyVms = 0;
   for (const { tasks, registration } of workers) {
     if (registration === undefined) continue;
-    const { capacity } = registration;
-    const reserved = toVmEquivalents(tasks.reserved, capacity);
-    const longRunning = toVmEquivalents(tasks.reservedLongRunning, capacity);
-    vms += 1 - longRunning;
+    const size = toVmShare(registration.capacity, vmCapacity);
+    const reserved = toVmEquivalents(tasks.reserved, vmCapacity);
+    const longRunning = toVmEquivalents(tasks.reservedLongRunning, vmCapacity);
+    // A worker whose capacity has shrunk may hold more than it has; that takes nothing from the others.
+    vms += Math.max(0, size - longRunning);
     busyVms += reserved - longRunning;
   }
   // On average, half of a running task's work is left.
@@ -56,18 +66,20 @@
   },
 ): PendingOccurrence[] {
   const [first] = occurrences;
-  const vmCapacity = workers[0]?.registration?.capacity;
+  const vmCapacity = meanCapacity(
+    workers.flatMap(({ registration }) => registration?.capacity ?? []),
+  );
   if (first === undefined || vmCapacity === undefined) return [...occurrences];
   const deferred = findUnattainable(
     occurrences.map((pending) => ({
       pending,
       remainingVmMs: computeWaitingVmMs(pending, durationEstimates, vmCapacity),
     })),
-    measureCapacity(
-      workers,
-      durationEstimates.estimateMs(first.job.spec.queue, 0),
+    measureCapacity(workers, {
+      vmCapacity,
+      meanDurationMs: durationEstimates.estimateMs(first.job.spec.queue, 0),
       arrivingVms,
-    ),
+    }),
     wallMs,
   );
   return occurrences.map((pending) =>
--- a/src/scheduler/pool_balancer.ts
+++ b/src/scheduler/pool_balancer.ts
@@ -3,7 +3,12 @@
 import type { DemandForecast } from "./demand_forecast.ts";
 import { createPendingOccurrence } from "./job_order.ts";
 import { getStep, hasWaitingTasks, listRunnableSteps } from "./job_state.ts";
-import { addDemand, createSums, toVmEquivalents } from "./placed_tasks.ts";
+import {
+  addDemand,
+  createSums,
+  meanCapacity,
+  toVmEquivalents,
+} from "./placed_tasks.ts";
 import { type PlannedPool, type PlannedVm, planPools } from "./pool_plan.ts";
 import type { Resources, SchedulerConfig } from "./ports.ts";
 import { resolveQueue } from "./resolve_queue.ts";
@@ -35,14 +40,17 @@
   let scarcePools: readonly string[] = [];
   let surgeSeen = false;
 
-  /** Capacity of the first listed VM of the pool, or of any VM if the pool has none. */
+  /** Mean capacity of the pool's workers as they report it; if there are none, of its VMs, or of all VMs. */
   function typicalCapacity(pool: string): Resources | undefined {
-    let anyCapacity: Resources | undefined;
-    for (const vm of vmStates.list().values()) {
-      if (vm.pool === pool) return vm.capacity;
-      anyCapacity ??= vm.capacity;
-    }
-    return anyCapacity;
+    const vms = [...vmStates.list().values()];
+    const reported = [...scheduler.workers.instances.values()].flatMap(
+      ({ registration }) =>
+        registration?.service === pool ? registration.capacity : [],
+    );
+    return meanCapacity(reported) ??
+      meanCapacity(
+        vms.filter((vm) => vm.pool === pool).map(({ capacity }) => capacity),
+      ) ?? meanCapacity(vms.map(({ capacity }) => capacity));
   }
 
   /** Measures the demand of a service's pool, in VMs. */
