--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -97,13 +97,20 @@
   finishedOccurrences: number;
 }
 
+/** The part of a task that tells what it needs; kept for ended jobs, of which a run may still appear. */
+export interface TaskDemand {
+  readonly job: { readonly spec: Pick<JobSpec, "jobId" | "steps"> };
+  readonly occurrence: number;
+  readonly stepIndex: number;
+}
+
 /** Identifies a step of an occurrence towards the placement advice service. */
-export function stepId(task: TaskState): string {
+export function stepId(task: TaskDemand): string {
   return `${task.job.spec.jobId}.${task.occurrence}.${task.stepIndex}`;
 }
 
 /** Returns the step that a task belongs to. */
-export function getStep(task: TaskState): Step {
+export function getStep(task: TaskDemand): Step {
   return task.job.spec.steps[task.stepIndex]!;
 }
 
--- a/src/scheduler/placed_tasks.ts
+++ b/src/scheduler/placed_tasks.ts
@@ -1,4 +1,9 @@
-import { getStep, stepId, type TaskState } from "./job_state.ts";
+import {
+  getStep,
+  stepId,
+  type TaskDemand,
+  type TaskState,
+} from "./job_state.ts";
 import type { Step } from "./model.ts";
 import { reservedCpuMillis } from "./placement.ts";
 import type { Resources } from "./ports.ts";
@@ -86,10 +91,10 @@
   }
 
   /** Tasks of the unwanted runs, which are in the sums but not in the set. */
-  #unwanted: readonly TaskState[] = [];
+  #unwanted: readonly TaskDemand[] = [];
 
   /** Replaces the unwanted runs, which occupy resources like the tasks in the set. */
-  reserveUnwantedRuns(tasks: readonly TaskState[]): void {
+  reserveUnwantedRuns(tasks: readonly TaskDemand[]): void {
     for (const task of this.#unwanted) this.#count(task, -1);
     for (const task of tasks) this.#count(task, 1);
     this.#unwanted = tasks;
@@ -113,7 +118,7 @@
     for (const task of [...this]) this.delete(task);
   }
 
-  #count(task: TaskState, change: 1 | -1): void {
+  #count(task: TaskDemand, change: 1 | -1): void {
     const step = getStep(task);
     addDemand(this.reserved, step, change);
     if (step.longRunning) {
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -17,6 +17,7 @@
   listGangTasks,
   type Placement,
   releaseTask,
+  type TaskDemand,
   type TaskState,
   visibleStatus,
 } from "./job_state.ts";
@@ -57,6 +58,15 @@
   relocations: number;
 }
 
+/** A job that has ended and has no known runs. */
+interface EndedJob {
+  readonly status: FinalStatus;
+  /** Wall clock time of its end, in ms since 1970. */
+  readonly sinceMs: number;
+  /** Steps of the job, as a late start of one of its tasks may still occupy a worker; empty if they weren't loaded. */
+  readonly steps: JobSpec["steps"];
+}
+
 /** State of the jobs, tasks and workers during one tenure, and the transitions between their states. */
 export interface Scheduler {
   /** Active jobs, and ended ones with runs that are still to be stopped. */
@@ -142,7 +152,7 @@
     relocations: 0,
   };
   /** Ended jobs whose status can still be queried; kept apart because each planning round iterates over `jobs`. */
-  const endedJobs = new Map<string, { status: FinalStatus; sinceMs: number }>();
+  const endedJobs = new Map<string, EndedJob>();
   /** IDs of jobs whose cancellation arrived before the job itself. */
   const earlyCancellations = new Set<string>();
 
@@ -169,7 +179,11 @@
     forEachPlacedTask(job, () => runs++);
     if (runs > 0) return;
     jobs.delete(jobId);
-    endedJobs.set(jobId, { status, sinceMs: clock.wallMs() });
+    endedJobs.set(jobId, {
+      status,
+      sinceMs: clock.wallMs(),
+      steps: job.spec.steps,
+    });
   }
 
   function save(job: JobState, onStored?: () => void): void {
@@ -339,11 +353,23 @@
       ?.steps[Number(step)]?.[Number(index)];
   }
 
-  /** Applies the report of a run; returns its task if it is unwanted. */
+  /** Returns what a task of an ended job needs; undefined if the job is unknown. */
+  function findEndedDemand(taskId: string): TaskDemand | undefined {
+    const [jobId = "", occurrence, step] = taskId.split(".");
+    const steps = endedJobs.get(jobId)?.steps;
+    const stepIndex = Number(step);
+    return steps?.[stepIndex] && {
+      job: { spec: { jobId, steps } },
+      occurrence: Number(occurrence),
+      stepIndex,
+    };
+  }
+
+  /** Applies the report of a run; returns what it needs if it is unwanted. */
   function handleActiveRun(
     instance: WorkerInstance,
     activeRun: ActiveRunReport,
-  ): TaskState | undefined {
+  ): TaskDemand | undefined {
     const task = findTask(activeRun.taskId);
     const placement = task?.placement;
     if (
@@ -358,7 +384,7 @@
         phase: task?.phase ?? "unknown job",
       });
       void instance.link?.stop(activeRun.taskId, activeRun.run);
-      return task;
+      return task ?? findEndedDemand(activeRun.taskId);
     }
     placement.percent = activeRun.percent;
     placement.reportedAtMs = clock.monotonicMs();
@@ -499,7 +525,7 @@
       jobs.set(job.spec.jobId, job);
     },
     addEnded(jobId, status) {
-      endedJobs.set(jobId, { status, sinceMs: clock.wallMs() });
+      endedJobs.set(jobId, { status, sinceMs: clock.wallMs(), steps: [] });
     },
     hasJob,
     accept(spec) {
