--- a/src/scheduler/crashes/trial_workers.ts
+++ b/src/scheduler/crashes/trial_workers.ts
@@ -12,15 +12,18 @@
 const FIRST_WAIT_MS = 200;
 /** Longest time that a suspect that is likely to crash its worker waits for an idle one, in ms. */
 const MAXIMUM_WAIT_MS = 1_500;
+/** Longest time that a worker is closed to other tasks for a suspect, in ms; an unanswered start may take seconds. */
+const MAXIMUM_TRIAL_MS = 1_000;
 /** Time since its last response within which a worker is preferred for a suspect, in ms. */
 const RECENT_CONTACT_MS = 1_000;
 /** Part of a service's workers that may be used or emptied for suspects at the same time; at least one may. */
 const MAXIMUM_SHARE = 0.25;
 
-/** Whether a worker runs a suspect that hasn't proven harmless yet; it gets no other task. */
-export function isOnTrial(instance: WorkerInstance): boolean {
+/** Whether a worker runs a suspect that hasn't proven harmless yet; it gets no other task. `nowMs` is the monotonic time. */
+export function isOnTrial(instance: WorkerInstance, nowMs: number): boolean {
   for (const task of instance.tasks.suspects) {
-    if (isYoung(task, instance)) return true;
+    const ageMs = nowMs - (task.placement?.placedAtMs ?? -Infinity);
+    if (ageMs < MAXIMUM_TRIAL_MS && isYoung(task, instance)) return true;
   }
   return false;
 }
--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -117,7 +117,7 @@
       services.set(registration.service, service);
     }
     service.instances.set(instance.workerId, instance);
-    if (isOnTrial(instance)) {
+    if (isOnTrial(instance, options.clock.monotonicMs())) {
       service.busyTrials++;
       continue;
     }
