test: where suspects run, and requests that crash their backend servers

A suspect starts on a worker of its own, closes it for a while, waits a limited time, and one worker of a busy pool is emptied for it.

--- a/src/requests/routing_test.ts
+++ b/src/requests/routing_test.ts
@@ -49,6 +49,19 @@
     },
   ));
 
+// Guards against a request that crashes one backend server after the other: its attempts are limited, and its outcome isn't known.
+test("a request that crashes its backend servers is sent to three of them at most", () =>
+  withEntry(
+    { backends: Array.from({ length: 6 }, () => closeConnection) },
+    async ({ entry, backends }) => {
+      const lost = await call(entry, "/quoting/1");
+      assert.is(lost.outcome, "outcome_unknown");
+      const hit = backends.filter(({ requests }) => requests.length > 0);
+      assert.is(hit.length, 3);
+      assert.is(backends.flatMap(({ requests }) => requests).length, 3);
+    },
+  ));
+
 test("retries stop when the retry budget is empty", () =>
   withEntry({
     fleetOptions: {
--- /dev/null
+++ b/src/scheduler/crashes/trial_workers_test.ts
@@ -0,0 +1,156 @@
+import assert from "node:assert/strict";
+import { suite } from "uvu";
+import {
+  createTestScheduler,
+  openTasks,
+  registrationOf,
+  spec,
+} from "../../../testing/scheduler_helpers.ts";
+import { type Clock, systemClock } from "../../clock.ts";
+import { silentLogger } from "../../logger.ts";
+import type { TaskState } from "../job_state.ts";
+import { planPlacements } from "../placement_planner.ts";
+import type { TicketCache } from "../ticket_cache.ts";
+import type { RunLoss } from "./run_loss.ts";
+import { createTrialWorkers } from "./trial_workers.ts";
+
+const test = suite("trial workers");
+
+const LOSS: RunLoss = {
+  run: 1,
+  worker: "w0",
+  born: 1,
+  vm: "",
+  young: true,
+  confirmed: true,
+  alone: false,
+  proven: true,
+};
+
+/** Creates workers with room for ten tasks each, and a planner whose clock the test advances. */
+function createPlanner(workerCount: number) {
+  const context = createTestScheduler();
+  const workers = Array.from({ length: workerCount }, (_, index) => {
+    const worker = context.addWorker(`w${index + 1}`);
+    worker.registration = registrationOf(1, "");
+    return worker;
+  });
+  let advancedMs = 0;
+  const clock: Clock = {
+    ...systemClock,
+    monotonicMs: () => systemClock.monotonicMs() + advancedMs,
+  };
+  const trialWorkers = createTrialWorkers();
+  const plan = () =>
+    planPlacements({
+      scheduler: context.scheduler,
+      tickets: { find: () => undefined } as unknown as TicketCache,
+      clock,
+      log: silentLogger,
+      isCordoned: () => false,
+      isScarce: () => false,
+      countArriving: () => new Map(),
+      trialWorkers,
+    }, undefined);
+  return {
+    ...context,
+    workers,
+    plan,
+    advance: (ms: number) => advancedMs += ms,
+  };
+}
+
+/** Marks tasks as lost; each entry of `counts` is the number of losses of one task. */
+function lose(tasks: readonly TaskState[], counts: readonly number[]): void {
+  counts.forEach((count, index) => {
+    tasks[index]!.losses = Array.from({ length: count }, (_, number) => ({
+      ...LOSS,
+      born: number + 1,
+    }));
+  });
+}
+
+const workerOf = (task: TaskState) => task.placement?.workerId;
+
+// Guards against suspects that share a worker, so that the crash of one convicts the others, and against healthy tasks beside them.
+test("each suspect starts on a worker of its own", () => {
+  const { scheduler, plan } = createPlanner(4);
+  scheduler.accept(spec([{ taskCount: 6 }]));
+  const tasks = openTasks(scheduler);
+  lose(tasks, [1, 1, 1]);
+  plan();
+  const suspectWorkers = tasks.slice(0, 3).map(workerOf);
+  assert.equal(new Set(suspectWorkers).size, 3);
+  assert.equal(suspectWorkers.includes(undefined), false);
+  for (const task of tasks.slice(3)) {
+    assert.equal(suspectWorkers.includes(workerOf(task)), false);
+  }
+});
+
+// Guards against a worker that stays closed after its suspect has proven harmless, or for an order without an answer.
+test("a worker takes other tasks once its suspect has run for a while", () => {
+  for (const outcome of ["survived", "unanswered"] as const) {
+    const { scheduler, workers, plan, advance } = createPlanner(1);
+    scheduler.accept(spec([{ taskCount: 3 }]));
+    const tasks = openTasks(scheduler);
+    lose(tasks, [1]);
+    plan();
+    assert.equal(workers[0]!.tasks.size, 1);
+    plan();
+    assert.equal(workers[0]!.tasks.size, 1, "the suspect is on trial");
+    if (outcome === "survived") {
+      const { placement } = tasks[0]!;
+      placement!.confirmedAtMs = systemClock.monotonicMs();
+      placement!.reportedAtMs = placement!.confirmedAtMs + 150;
+    } else advance(1_100);
+    plan();
+    assert.equal(workers[0]!.tasks.size, 3, outcome);
+  }
+});
+
+// Guards against a suspect that waits for ever because no worker becomes idle.
+test("a suspect waits a limited time for an idle worker", () => {
+  for (const [losses, waitMs] of [[1, 250], [2, 1_600]] as const) {
+    const { scheduler, workers, plan, advance } = createPlanner(2);
+    scheduler.accept(spec([{ taskCount: 4, longRunning: true }]));
+    const tasks = openTasks(scheduler);
+    tasks.slice(0, 2).forEach((task, index) =>
+      scheduler.place(task, workers[index]!, { run: 1, ticket: undefined })
+    );
+    lose(tasks.slice(2), [losses]);
+    plan();
+    assert.equal(workerOf(tasks[2]!), undefined);
+    advance(waitMs);
+    plan();
+    assert.notEqual(workerOf(tasks[2]!), undefined, `${losses} losses`);
+  }
+});
+
+// Guards against a full pool in which a suspect never finds an idle worker, and against other tasks that are all held up for it.
+test("one worker of a busy pool is emptied for a task that was lost twice", () => {
+  const { scheduler, workers, plan } = createPlanner(4);
+  scheduler.accept(spec([{ taskCount: 41 }]));
+  const tasks = openTasks(scheduler);
+  tasks.slice(0, 4).forEach((task, index) =>
+    scheduler.place(task, workers[index]!, { run: 1, ticket: undefined })
+  );
+  for (const task of tasks.slice(5)) task.notBeforeMs = Infinity;
+  lose(tasks.slice(4), [2]);
+  plan();
+  assert.equal(workerOf(tasks[4]!), undefined);
+  for (const task of tasks.slice(5)) task.notBeforeMs = 0;
+  plan();
+  // Nine of the waiting tasks fit on each of the other workers.
+  const emptied = workers.filter(({ tasks }) => tasks.size === 1);
+  assert.equal(emptied.length, 1);
+  assert.equal(tasks.slice(5).filter(workerOf).length, 27);
+  // Its last task ends.
+  const last = tasks.find((task) => workerOf(task) === emptied[0]!.workerId);
+  emptied[0]!.tasks.delete(last!);
+  last!.placement = undefined;
+  last!.phase = "done";
+  plan();
+  assert.equal(workerOf(tasks[4]!), emptied[0]!.workerId);
+});
+
+test.run();
