--- a/src/scheduler/crashes/crash_tracker.ts
+++ b/src/scheduler/crashes/crash_tracker.ts
@@ -26,7 +26,7 @@
   /** Adds the losses of a job that was restored from the store. */
   restore(job: JobState): void;
   /** Fails the job of a task that has crashed too many workers; returns whether it did. */
-  giveUpIfGuilty(task: TaskState): boolean;
+  giveUpIfCrashing(task: TaskState): boolean;
   /**
    * Whether a suspect is likely to crash its worker: it was lost more than once,
    * or another task was given up lately. Otherwise workers may crash by themselves.
@@ -94,11 +94,23 @@
     else tasks.add(task);
   }
 
+  /** Drops the entries of tasks whose jobs have ended. */
+  function forgetEndedJobs(): void {
+    for (const [key, tasks] of lostTasks) {
+      for (const task of tasks) {
+        if (task.job.status !== "active") tasks.delete(task);
+      }
+      if (tasks.size > 0) continue;
+      lostTasks.delete(key);
+      unproven.delete(key);
+    }
+  }
+
   /** Clears the tasks that had been running for a while when a task that is now given up crashed their worker. */
-  function clearNeighbours(guilty: TaskState): void {
-    for (const key of guilty.losses.map(keyOf)) {
+  function clearNeighbours(cause: TaskState): void {
+    for (const key of cause.losses.map(keyOf)) {
       for (const task of lostTasks.get(key) ?? []) {
-        if (task === guilty) continue;
+        if (task === cause) continue;
         task.losses = task.losses.filter((loss) =>
           loss.young || keyOf(loss) !== key
         );
@@ -140,10 +152,10 @@
     index(task, loss);
   }
 
-  function giveUpIfGuilty(task: TaskState): boolean {
+  function giveUpIfCrashing(task: TaskState): boolean {
     const { losses, job } = task;
     if (job.status !== "active" || task.phase === "done") return false;
-    if (judgeTask(losses) !== "guilty") return false;
+    if (judgeTask(losses) !== "give_up") return false;
     const workers = describeLosses(losses);
     log.warn("task given up: its workers crash", {
       job: job.spec.jobId,
@@ -169,7 +181,7 @@
       );
       if (task.job.status !== "active") continue;
       options.save(task.job);
-      giveUpIfGuilty(task);
+      giveUpIfCrashing(task);
     }
   }
 
@@ -188,6 +200,7 @@
     recordEnd(instance, end) {
       const tasks = [...instance.tasks];
       if (tasks.length === 0) return;
+      forgetEndedJobs();
       const planned = instance.draining || options.isOrdered(instance);
       const fate = resolveProcessFate(end, planned);
       log.info("runs are over with their worker", {
@@ -215,7 +228,7 @@
         }
       }
     },
-    giveUpIfGuilty,
+    giveUpIfCrashing,
     isLikelyCause: ({ losses }) =>
       losses.length > 1 || clock.monotonicMs() - givenUpAtMs < ALERT_MS,
     clearIfLasting(task) {
--- a/src/scheduler/crashes/run_loss.ts
+++ b/src/scheduler/crashes/run_loss.ts
@@ -25,7 +25,7 @@
   /** It may have ended a worker; its next run gets a worker of its own. */
   | "suspect"
   /** It is given up, and its job fails. */
-  | "guilty";
+  | "give_up";
 
 /** Time after which a run that its worker has survived is no longer suspected, in ms. */
 export const YOUNG_RUN_MS = 100;
@@ -54,6 +54,6 @@
     proven.length >= MAXIMUM_LOSSES ||
     young.filter(({ confirmed }) => confirmed).length >= MAXIMUM_YOUNG_LOSSES ||
     (isolated && young.length >= 2)
-  ) return "guilty";
+  ) return "give_up";
   return latest.young || losses.length >= 2 ? "suspect" : "none";
 }
--- a/src/scheduler/crashes/run_loss_test.ts
+++ b/src/scheduler/crashes/run_loss_test.ts
@@ -21,7 +21,7 @@
 const young = { young: true };
 const alone = { young: true, alone: true };
 
-// Guards against innocent tasks that are given up, and against guilty ones that are started too often.
+// Guards against innocent tasks that are given up, and against tasks at fault that are started too often.
 test("the verdict follows from the circumstances of the losses", () => {
   const cases: [string, RunLoss[], string][] = [
     ["none", [], "none"],
@@ -30,7 +30,7 @@
     ["twice after running for a while", [loss(1), loss(2)], "suspect"],
     ["twice beside others", [loss(1, young), loss(2, young)], "suspect"],
     ["alone only once", [loss(1, alone)], "suspect"],
-    ["the second time alone", [loss(1, young), loss(2, alone)], "guilty"],
+    ["the second time alone", [loss(1, young), loss(2, alone)], "give_up"],
     ["alone, but ran before", [loss(1), loss(2, alone)], "suspect"],
     [
       "alone, but never confirmed",
@@ -45,7 +45,7 @@
     [
       "just started three times",
       [loss(1, young), loss(2, young), loss(3, young)],
-      "guilty",
+      "give_up",
     ],
   ];
   for (const [name, losses, verdict] of cases) {
@@ -58,7 +58,7 @@
   const losses = [1, 2, 3, 4].map((run) => loss(run, { confirmed: false }));
   assert.equal(losses.length, MAXIMUM_LOSSES);
   assert.equal(judgeTask(losses.slice(0, 3)), "suspect");
-  assert.equal(judgeTask(losses), "guilty");
+  assert.equal(judgeTask(losses), "give_up");
 });
 
 test.run();
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -602,7 +602,7 @@
       const tasks = [...instance.tasks];
       crashes.recordEnd(instance, end);
       releaseInstance(instance);
-      for (const task of tasks) crashes.giveUpIfGuilty(task);
+      for (const task of tasks) crashes.giveUpIfCrashing(task);
     },
     replaceInstance(instance, successor, end) {
       const tasks = [...instance.tasks];
@@ -614,7 +614,7 @@
         }
       }
       releaseInstance(instance);
-      for (const task of tasks) crashes.giveUpIfGuilty(task);
+      for (const task of tasks) crashes.giveUpIfCrashing(task);
     },
     save,
     removeEndedBefore(limitMs) {
