--- a/src/scheduler/crashes/trial_workers_test.ts
+++ b/src/scheduler/crashes/trial_workers_test.ts
@@ -153,4 +153,18 @@
   assert.equal(workerOf(tasks[4]!), emptied[0]!.workerId);
 });
 
+// Guards against a gang that never starts again, or starts under several run numbers, because one member is a suspect.
+test("a gang starts as one with each suspect on a worker of its own", () => {
+  const { scheduler, plan } = createPlanner(2);
+  scheduler.accept(spec([{ taskCount: 4, gang: true }]));
+  const tasks = openTasks(scheduler);
+  lose(tasks, [1]);
+  tasks[0]!.run = 1;
+  plan();
+  assert.deepEqual(tasks.map(({ run }) => run), [2, 2, 2, 2]);
+  const others = new Set(tasks.slice(1).map(workerOf));
+  assert.equal(others.has(workerOf(tasks[0]!)), false);
+  assert.equal(others.has(undefined), false);
+});
+
 test.run();
