feat(scheduler): keep a job's workspace in its records

Cause: jobs of the platform path belong to nobody, so that limits, shares and access can't be decided.

--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -99,7 +99,9 @@
 
 /** The part of a task that tells what it needs; kept for ended jobs, of which a run may still appear. */
 export interface TaskDemand {
-  readonly job: { readonly spec: Pick<JobSpec, "jobId" | "steps"> };
+  readonly job: {
+    readonly spec: Pick<JobSpec, "jobId" | "steps" | "workspace">;
+  };
   readonly occurrence: number;
   readonly stepIndex: number;
 }
--- a/src/scheduler/load_jobs.ts
+++ b/src/scheduler/load_jobs.ts
@@ -114,7 +114,8 @@
       recorded !== undefined && recorded.status !== "active" &&
       recorded.tasks === 0
     ) {
-      scheduler.addEnded(jobId, recorded.status);
+      const { status, workspace } = recorded;
+      scheduler.addEnded(jobId, { status, workspace });
       continue;
     }
     const spec = parseStoredJob(item, log);
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -45,6 +45,8 @@
 export const jobSpecSchema = z.object({
   jobId: z.string().regex(/^[0-9a-f]{16}$/),
   queue: z.string().min(1),
+  /** Workspace that owns the job; empty for a job of a public queue or of a deployment without workspaces. */
+  workspace: z.string().default(""),
   /** Service whose workers run the tasks, as configured when the job was accepted. */
   service: z.string().min(1),
   /** Number of failed runs of a task after which its job fails, as configured when the job was accepted. */
@@ -91,6 +93,7 @@
 /** Fields that a caller supplies; the remaining ones are added on acceptance. */
 const submissionSchema = jobSpecSchema.omit({
   queue: true,
+  workspace: true,
   service: true,
   maximumAttempts: true,
   acceptedAtMs: true,
--- a/src/scheduler/placed_tasks.ts
+++ b/src/scheduler/placed_tasks.ts
@@ -78,6 +78,9 @@
   /** Part of `reserved` that long-running tasks hold. */
   readonly reservedLongRunning: ResourceSums = createSums();
 
+  /** Resources that the tasks of each workspace use, by workspace; unlike `reserved`, they include best-effort tasks in full. */
+  readonly usedByWorkspace = new Map<string, ResourceSums>();
+
   /** Number of the unwanted runs. */
   get unwantedCount(): number {
     return this.#unwanted.length;
@@ -125,9 +128,21 @@
       addDemand(this.reservedLongRunning, step, change);
       this.longRunningCount += change;
     }
+    const { workspace } = task.job.spec;
+    if (workspace !== "") this.#countUsage(workspace, step, change);
     const id = stepId(task);
     const count = (this.countByStep.get(id) ?? 0) + change;
     if (count > 0) this.countByStep.set(id, count);
     else this.countByStep.delete(id);
   }
+
+  #countUsage(workspace: string, step: Step, change: 1 | -1): void {
+    const used = this.usedByWorkspace.get(workspace) ?? createSums();
+    used.cpuMillis += step.cpuMillis * change;
+    used.memoryMb += step.memoryMb * change;
+    used.gpuCount += step.gpuCount * change;
+    if (used.cpuMillis + used.memoryMb + used.gpuCount > 0) {
+      this.usedByWorkspace.set(workspace, used);
+    } else this.usedByWorkspace.delete(workspace);
+  }
 }
--- a/src/scheduler/ports.ts
+++ b/src/scheduler/ports.ts
@@ -264,6 +264,19 @@
   readonly targetDurationMs: number;
   /** Whether tasks may run only on workers for which the placement advice service has issued a ticket. */
   readonly needsAdvice: boolean;
+  /** Whether requests need no API key; the queue's jobs then belong to no workspace. */
+  readonly isPublic?: boolean;
+}
+
+/** Configuration of a workspace, whose callers share API keys, a weight and an upper bound. */
+export interface WorkspaceConfig {
+  readonly name: string;
+  /** Digests of the API keys, made with `digestApiKey`. */
+  readonly keyDigests: readonly string[];
+  /** Share of a full pool; also the number of jobs a second that the workspace is owed. */
+  readonly weight: number;
+  /** Resources that its tasks may use on all workers together; 0 means no limit. */
+  readonly upperBound: Resources;
 }
 
 /** The operators' configuration. */
@@ -274,6 +287,8 @@
   readonly sparePools: readonly string[];
   readonly services: readonly string[];
   readonly maximumBodyBytes: number;
+  /** Undefined in a deployment without workspaces, where requests need no API key. */
+  readonly workspaces?: readonly WorkspaceConfig[] | undefined;
 }
 
 /** Decodes the records that operators and workers write to the store; returns undefined for invalid ones. */
--- a/src/scheduler/progress_record.ts
+++ b/src/scheduler/progress_record.ts
@@ -38,9 +38,14 @@
   endedAtMs: z.number().optional(),
   /** Why the job has failed. */
   failureReason: z.string().optional(),
+  /** Workspace of the job, so that the status of an ended job can be read without the job. */
+  workspace: z.string().default(""),
 });
 
-const recordedStatusSchema = progressSchema.pick({ status: true }).extend({
+const recordedStatusSchema = progressSchema.pick({
+  status: true,
+  workspace: true,
+}).extend({
   tasks: z.array(z.unknown()),
 });
 
@@ -95,17 +100,22 @@
     ...(job.failureReason === undefined
       ? {}
       : { failureReason: job.failureReason }),
+    ...(job.spec.workspace === "" ? {} : { workspace: job.spec.workspace }),
   });
 }
 
-/** Reads the status and the number of listed tasks from a progress record; undefined if the record is invalid. */
+/** Reads the status, the workspace and the number of listed tasks from a progress record; undefined if the record is invalid. */
 export function readRecordedStatus(
   value: string,
-): { status: JobState["status"]; tasks: number } | undefined {
+):
+  | { status: JobState["status"]; workspace: string; tasks: number }
+  | undefined {
   try {
     // A new owner reads thousands of these records, so only the fields in use are validated.
-    const { status, tasks } = recordedStatusSchema.parse(JSON.parse(value));
-    return { status, tasks: tasks.length };
+    const { status, workspace, tasks } = recordedStatusSchema.parse(
+      JSON.parse(value),
+    );
+    return { status, workspace, tasks: tasks.length };
   } catch {
     // The caller logs the invalid record; the status must not be guessed.
     return undefined;
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -61,6 +61,7 @@
 /** A job that has ended and has no known runs. */
 interface EndedJob {
   readonly status: FinalStatus;
+  readonly workspace: string;
   /** Wall clock time of its end, in ms since 1970. */
   readonly sinceMs: number;
   /** Steps of the job, as a late start of one of its tasks may still occupy a worker; empty if they weren't loaded. */
@@ -79,15 +80,18 @@
   /** Adds a job that was restored from the store. */
   addRestored(job: JobState): void;
   /** Adds an ended job that has no runs left. */
-  addEnded(jobId: string, status: FinalStatus): void;
+  addEnded(
+    jobId: string,
+    ended: { status: FinalStatus; workspace: string },
+  ): void;
   /** Whether the job was added and not removed since, be it active or ended. */
   hasJob(jobId: string): boolean;
   /** Adds a newly stored job; has no effect if the job was added before. */
   accept(spec: JobSpec): void;
   /** Cancels a job after its cancellation has been stored. */
   cancel(jobId: string): void;
-  /** Returns the status that is reported to callers; undefined if the job is unknown. */
-  status(jobId: string): JobStatus | undefined;
+  /** Returns the status that is reported to callers; undefined if the job is unknown or another workspace's. */
+  status(jobId: string, workspace?: string): JobStatus | undefined;
   /** Returns the number of jobs in a queue of which no worker has confirmed a run. */
   waitingJobs(queue: string): number;
   /** Assigns a task to a worker instance; the start order is sent once the placement is stored. */
@@ -181,6 +185,7 @@
     jobs.delete(jobId);
     endedJobs.set(jobId, {
       status,
+      workspace: job.spec.workspace,
       sinceMs: clock.wallMs(),
       steps: job.spec.steps,
     });
@@ -356,10 +361,12 @@
   /** Returns what a task of an ended job needs; undefined if the job is unknown. */
   function findEndedDemand(taskId: string): TaskDemand | undefined {
     const [jobId = "", occurrence, step] = taskId.split(".");
-    const steps = endedJobs.get(jobId)?.steps;
+    const ended = endedJobs.get(jobId);
     const stepIndex = Number(step);
-    return steps?.[stepIndex] && {
-      job: { spec: { jobId, steps } },
+    if (ended?.steps[stepIndex] === undefined) return undefined;
+    const { steps, workspace } = ended;
+    return {
+      job: { spec: { jobId, steps, workspace } },
       occurrence: Number(occurrence),
       stepIndex,
     };
@@ -524,8 +531,8 @@
     addRestored(job) {
       jobs.set(job.spec.jobId, job);
     },
-    addEnded(jobId, status) {
-      endedJobs.set(jobId, { status, sinceMs: clock.wallMs(), steps: [] });
+    addEnded(jobId, ended) {
+      endedJobs.set(jobId, { ...ended, sinceMs: clock.wallMs(), steps: [] });
     },
     hasJob,
     accept(spec) {
@@ -535,11 +542,11 @@
       options.onChange();
     },
     cancel,
-    status(jobId) {
+    status(jobId, workspace = "") {
       const job = jobs.get(jobId);
-      return job === undefined
-        ? endedJobs.get(jobId)?.status
-        : visibleStatus(job);
+      const ended = endedJobs.get(jobId);
+      if ((job?.spec ?? ended)?.workspace !== workspace) return undefined;
+      return job === undefined ? ended?.status : visibleStatus(job);
     },
     waitingJobs(queue) {
       let count = 0;
