feat(scheduler): API keys and the workspace of requests

Cause: callers of a deployment with workspaces are not told apart; an unknown key is served, a withdrawn one stays in use. Change: entries authenticate each request against the digests of the keys in force, answer 401 for unknown ones and 503 while they may not know the latest; jobs are visible to their own workspace only, and an ID of another workspace's job is refused. Entries that the store refuses read the configuration from others. The owner is asked before a job is stored (every job is admitted so far).

--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -93,6 +93,8 @@
   replaceOwner(epoch: number): boolean;
   /** Adds a relay if this entry is the owner; returns false if it isn't. */
   addRelay(offer: RelayOffer): boolean;
+  /** Returns clients of other entries: the owner's first, then at most `limit` more. */
+  peers(limit: number): EntryClient[];
   /** Checks whether this entry can connect to the one at an address. */
   reaches(address: string): Promise<boolean>;
   /** Records the IP address of an entry that has called this one. */
@@ -389,6 +391,17 @@
       currentTenure?.runner.addRelay(offer);
       return currentTenure !== undefined;
     },
+    peers(limit) {
+      const owner = knownOwner?.address;
+      const addresses = directory.list(limit);
+      return [
+        ...new Set(
+          owner === undefined || owner === self.address
+            ? addresses
+            : [owner, ...addresses],
+        ),
+      ].map(directory.client);
+    },
     reaches: options.probe,
     recordCaller: directory.recordCaller,
     handOver: (reason) => currentTenure?.runner.resign(reason),
--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -28,6 +28,7 @@
 import type { RecordStore } from "./ports.ts";
 import type { RelayServer } from "./relay/server.ts";
 import type { RequestStats } from "./request_stats.ts";
+import { describeConflict } from "./workspaces/stored_workspace.ts";
 import type { SchedulerSettings } from "./settings.ts";
 import type { StoreHealth } from "./store_health.ts";
 
@@ -68,16 +69,19 @@
 
 /** Creates the handlers of calls from other entries. */
 export function createPeerHandlers(
-  dependencies: Pick<
-    SchedulerEntryDependencies,
-    "election" | "store" | "health" | "log"
-  >,
+  dependencies:
+    & Pick<
+      SchedulerEntryDependencies,
+      "election" | "store" | "health" | "log"
+    >
+    & { readonly operator: Pick<OperatorState, "configItemAfter"> },
 ): PeerHandlers {
-  const { election, store, health, log } = dependencies;
+  const { election, store, health, log, operator } = dependencies;
 
   async function storeIfAbsent(
     key: string,
     value: string,
+    workspace?: string,
   ): Promise<StoreReply> {
     if (!health.allowsRequest()) return "not_stored";
     try {
@@ -86,7 +90,11 @@
         puts: [{ key, value }],
       });
       health.recordSuccess();
-      return outcome.kind === "committed" ? "stored" : "existing";
+      return outcome.kind === "committed"
+        ? "stored"
+        : workspace === undefined
+        ? "existing"
+        : describeConflict(outcome, workspace);
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
       health.recordFailure();
@@ -100,6 +108,12 @@
   }
 
   return {
+    admit(spec) {
+      const owner = election.localOwner();
+      if (owner === undefined) return { kind: "not_owner" };
+      return { kind: "reply", value: owner.admit(spec) };
+    },
+    configAfter: (revision) => operator.configItemAfter(revision) ?? null,
     accepted(spec) {
       const owner = election.localOwner();
       if (owner === undefined) return { kind: "not_owner" };
@@ -112,6 +126,7 @@
       const value = await storeIfAbsent(
         STORE_KEYS.jobPrefix + spec.jobId,
         JSON.stringify(spec),
+        spec.workspace,
       );
       if (value === "stored") owner.accept(spec);
       return { kind: "reply", value };
@@ -129,10 +144,10 @@
       if (value === "stored" || value === "existing") owner.cancel(jobId);
       return { kind: "reply", value };
     },
-    status(jobId) {
+    status(jobId, workspace) {
       const owner = election.localOwner();
       if (owner === undefined) return { kind: "not_owner" };
-      return { kind: "reply", value: owner.status(jobId) ?? null };
+      return { kind: "reply", value: owner.status(jobId, workspace) ?? null };
     },
     waitingJobs(queue) {
       const owner = election.localOwner();
--- a/src/scheduler/entry_client.ts
+++ b/src/scheduler/entry_client.ts
@@ -6,13 +6,17 @@
 import { createPoolFetch } from "../trpc_fetch.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
 import type { Owner } from "./ownership.ts";
+import type { StoredItem } from "./ports.ts";
 import type { RelayOffer } from "./relay/control.ts";
+import type { AdmissionDecision } from "./workspaces/admission.ts";
 import type { OwnerReply, SchedulerRouter, StoreReply } from "./peer_router.ts";
 
 /** Timeout of a call between entries, in ms; a response normally takes a few ms, and a caller waits about 3 s. */
 const CALL_TIMEOUT_MS = 450;
 /** Timeout of a call for which the other entry opens a connection, in ms. */
 const PROBE_CALL_TIMEOUT_MS = 900;
+/** Timeout of an admission decision, in ms; the job is admitted without one. */
+const ADMISSION_TIMEOUT_MS = 150;
 /** Timeout of a call for which the owner writes to the store, in ms. */
 const STORE_CALL_TIMEOUT_MS = 900;
 
@@ -44,13 +48,17 @@
 export interface EntryClient {
   /** Whether this is the client of the local entry, which uses the same connections to the store. */
   readonly isLocal: boolean;
+  /** Asks the owner whether a job may be stored. */
+  admit(spec: JobSpec): Promise<AdmissionDecision>;
+  /** Asks for the stored configuration if it was changed after a store revision. */
+  configAfter(revision: number): Promise<StoredItem | undefined>;
   accepted(spec: JobSpec): Promise<void>;
   /** Asks the owner to store a job; `not_owner` means that nothing was stored. */
   submit(spec: JobSpec): Promise<StoreReply | "not_owner">;
   cancelled(jobId: string): Promise<void>;
   /** Asks the owner to store a cancellation; `not_owner` means that nothing was stored. */
   cancel(jobId: string): Promise<StoreReply | "not_owner">;
-  status(jobId: string): Promise<JobStatus | undefined>;
+  status(jobId: string, workspace: string): Promise<JobStatus | undefined>;
   waitingJobs(queue: string): Promise<number>;
   owner(): Promise<Owner | undefined>;
   replaceOwner(epoch: number): Promise<boolean>;
@@ -100,8 +108,9 @@
 
   async function callOwner<T>(
     send: (signal: AbortSignal) => Promise<OwnerReply<T>>,
+    timeoutMs = CALL_TIMEOUT_MS,
   ): Promise<T> {
-    const reply = await call(send);
+    const reply = await call(send, timeoutMs);
     if (reply.kind === "not_owner") {
       throw new EntryCallError(
         `The entry at ${address} is not the owner`,
@@ -113,6 +122,17 @@
 
   return {
     isLocal: false,
+    admit: (spec) =>
+      callOwner(
+        // The specification plays no part in the decision.
+        (signal) =>
+          client.admit.mutate({ ...spec, specification: "" }, { signal }),
+        ADMISSION_TIMEOUT_MS,
+      ),
+    configAfter: async (revision) =>
+      await call((signal) =>
+        client.configAfter.query({ revision }, { signal })
+      ) ?? undefined,
     accepted: async (spec) =>
       void await callOwner((signal) =>
         client.accepted.mutate(spec, { signal })
@@ -124,9 +144,10 @@
       ),
     cancel: (jobId) =>
       store((signal) => client.cancel.mutate({ jobId }, { signal })),
-    status: async (jobId) =>
-      await callOwner((signal) => client.status.query({ jobId }, { signal })) ??
-        undefined,
+    status: async (jobId, workspace) =>
+      await callOwner((signal) =>
+        client.status.query({ jobId, workspace }, { signal })
+      ) ?? undefined,
     waitingJobs: (queue) =>
       callOwner((signal) => client.waitingJobs.query({ queue }, { signal })),
     owner: async () =>
--- a/src/scheduler/job_api.ts
+++ b/src/scheduler/job_api.ts
@@ -4,12 +4,17 @@
   ServerResponse,
 } from "node:http";
 import type { Clock } from "../clock.ts";
-import { messageOf } from "../errors.ts";
-import type { JobFrontend, RequestContext } from "./job_frontend.ts";
+import { assertNever, messageOf } from "../errors.ts";
+import type {
+  JobFrontend,
+  RequestContext,
+  SubmitResult,
+} from "./job_frontend.ts";
 import { InvalidJobError, type JobStatus, type Submission } from "./model.ts";
 import type { OperatorState } from "./operator_state.ts";
 import type { QueueConfig, SchedulerConfig } from "./ports.ts";
 import type { RequestStats } from "./request_stats.ts";
+import type { Authenticator } from "./workspaces/authentication.ts";
 
 /** Deadline of requests that don't specify one, in ms. */
 const DEFAULT_DEADLINE_MS = 3_000;
@@ -31,6 +36,8 @@
   ): JobTarget | undefined;
   /** Returns the request ID for the log; empty if the request has none. */
   requestId(request: IncomingMessage): string;
+  /** Returns the API key of the request; empty if it has none. */
+  apiKey(request: IncomingMessage): string;
   /** Returns the time for which the caller waits, in ms; undefined if the request doesn't specify it. */
   deadlineMs(request: IncomingMessage): number | undefined;
   /** Decodes a submitted job; throws an `InvalidJobError` if it is invalid. */
@@ -60,6 +67,15 @@
   return { status: 400, outcome: "invalid", body: { error: reason } };
 }
 
+function limited(retryAfterMs: number, reason: string, outcome: string): Reply {
+  return {
+    status: 429,
+    retryAfterMs,
+    outcome,
+    body: { error: reason, "retry-after-ms": retryAfterMs },
+  };
+}
+
 function notFound(outcome: "no_queue" | "no_job_id", reason: string): Reply {
   return { status: 404, outcome, body: { error: reason } };
 }
@@ -92,16 +108,34 @@
   response.end(JSON.stringify(reply.body ?? {}));
 }
 
+function describeRefusal(
+  { cause, reason, retryAfterMs }: Extract<SubmitResult, { kind: "refused" }>,
+): Reply {
+  switch (cause) {
+    case "store":
+      return { ...unavailable(retryAfterMs, reason), outcome: "refused" };
+    case "overload":
+      return { ...unavailable(retryAfterMs, reason), outcome: cause };
+    case "share":
+    case "quota":
+      return limited(retryAfterMs, reason, cause);
+    default:
+      return assertNever(cause);
+  }
+}
+
 /** Creates the listener of the callers' port; a request is handled by the first protocol that finds a queue. */
 export function createJobListener(options: {
   readonly protocols: readonly JobProtocol[];
   readonly frontend: JobFrontend;
-  readonly operator: Pick<OperatorState, "config">;
+  readonly operator: Pick<OperatorState, "config" | "configAgeMs">;
+  readonly authenticator: Authenticator;
   readonly stats: RequestStats;
   readonly clock: Clock;
   readonly isStopping: () => boolean;
 }): RequestListener {
-  const { protocols, frontend, operator, stats, clock } = options;
+  const { protocols, frontend, operator, authenticator, stats, clock } =
+    options;
 
   function find(request: IncomingMessage, config: SchedulerConfig) {
     for (const protocol of protocols) {
@@ -123,8 +157,31 @@
     const found = find(request, config);
     if (found === undefined) return notFound("no_queue", "no such queue");
     const { protocol, queue, jobId } = found;
+    const access = authenticator.authenticate(config, {
+      queue,
+      key: protocol.apiKey(request),
+      configAgeMs: operator.configAgeMs(),
+    });
+    switch (access.kind) {
+      case "allowed":
+        break;
+      case "unknown_key":
+        return {
+          status: 401,
+          outcome: access.kind,
+          body: { error: "unknown API key" },
+        };
+      case "undecided":
+        return unavailable(
+          access.retryAfterMs,
+          "the entry may not know the latest API keys",
+        );
+      default:
+        return assertNever(access);
+    }
     const context = {
       requestId: protocol.requestId(request),
+      workspace: access.workspace,
       deadlineMs: arrivedAtMs +
         (protocol.deadlineMs(request) ?? DEFAULT_DEADLINE_MS),
     };
@@ -223,11 +280,14 @@
         return { status: 200, outcome: result.kind };
       case "invalid":
         return invalid(result.error.message);
-      case "refused":
+      case "foreign":
         return {
-          ...unavailable(result.retryAfterMs, result.reason),
-          outcome: "refused",
+          status: 409,
+          outcome: result.kind,
+          body: { error: "another workspace has a job with this ID" },
         };
+      case "refused":
+        return describeRefusal(result);
       case "unresolved":
         return { status: 504, outcome: result.kind };
     }
--- a/src/scheduler/job_frontend.ts
+++ b/src/scheduler/job_frontend.ts
@@ -4,6 +4,7 @@
 import { readRecordedStatus } from "./progress_record.ts";
 import {
   InvalidJobError,
+  type JobSpec,
   jobSpecSchema,
   type JobStatus,
   listJobIssues,
@@ -12,9 +13,20 @@
 import { EntryCallError, type EntryClient } from "./entry_client.ts";
 import { STORE_KEYS } from "./ownership.ts";
 import type { StoreReply } from "./peer_router.ts";
-import type { QueueConfig, RecordStore, SchedulerConfig } from "./ports.ts";
+import type {
+  ChangeOutcome,
+  QueueConfig,
+  RecordStore,
+  SchedulerConfig,
+} from "./ports.ts";
 import { createStopwatch, type Stopwatch } from "./stopwatch.ts";
 import type { StoreHealth } from "./store_health.ts";
+import type { AdmissionDecision } from "./workspaces/admission.ts";
+import { describeOversizedStep } from "./workspaces/oversized_step.ts";
+import {
+  describeConflict,
+  readStoredWorkspace,
+} from "./workspaces/stored_workspace.ts";
 
 /** Time reserved before the caller's deadline for sending the response, in ms. */
 const RESPONSE_MARGIN_MS = 150;
@@ -45,15 +57,25 @@
 /** Time for which a count of waiting jobs is cached, in ms; callers are promised one that is at most 2 s old. */
 const COUNT_VALID_MS = 1_000;
 
+/** Retry time of a job that its workspace's upper bound can't hold, in ms; only a change of the configuration helps. */
+const QUOTA_RETRY_AFTER_MS = 60_000;
+const REFUSAL_TEXTS = {
+  share: "the workspace sends more than it is owed while the pool is full",
+  overload: "the pool can't finish the job in time",
+} as const;
+
 /** Result of a submission. */
 export type SubmitResult =
   | { readonly kind: "accepted" }
   /** The job is not stored and will never run. */
   | {
     readonly kind: "refused";
+    readonly cause: "store" | "overload" | "share" | "quota";
     readonly reason: string;
     readonly retryAfterMs: number;
   }
+  /** Another workspace has a job with this ID. */
+  | { readonly kind: "foreign" }
   | { readonly kind: "invalid"; readonly error: InvalidJobError }
   /** It is unknown whether the job is stored. */
   | { readonly kind: "unresolved" };
@@ -78,6 +100,8 @@
 /** Request ID for the log and deadline of a caller's request. */
 export interface RequestContext {
   readonly requestId: string;
+  /** Workspace of the caller; empty or undefined for a public queue or in a deployment without workspaces. */
+  readonly workspace?: string;
   /** Monotonic time at which the caller gives up, in ms. */
   readonly deadlineMs: number;
 }
@@ -181,13 +205,14 @@
     value: string,
     context: RequestContext,
     storeOnOwner: (owner: EntryClient) => Promise<StoreReply | "not_owner">,
+    describeConflict: (outcome: ChangeOutcome) => StoreReply = () => "existing",
   ): Promise<StoreReply> {
     const startedAtMs = clock.monotonicMs();
     let unresolved = false;
     /** Whether the owner, which has its own connections to the store, failed as well. */
     let refusedByOwner = false;
 
-    async function storeDirectly(): Promise<"stored" | "existing" | undefined> {
+    async function storeDirectly(): Promise<StoreReply | undefined> {
       if (!health.allowsRequest()) return undefined;
       try {
         const outcome = await store.change({
@@ -196,7 +221,9 @@
         });
         storeFailedAtMs = -Infinity;
         health.recordSuccess();
-        return outcome.kind === "conflict" ? "existing" : "stored";
+        return outcome.kind === "conflict"
+          ? describeConflict(outcome)
+          : "stored";
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
         storeFailedAtMs = clock.monotonicMs();
@@ -206,9 +233,7 @@
       }
     }
 
-    async function storeThroughOwner(): Promise<
-      "stored" | "existing" | undefined
-    > {
+    async function storeThroughOwner(): Promise<StoreReply | undefined> {
       const owner = options.ownerClient();
       if (owner === undefined || owner.isLocal) return undefined;
       const reply = await callOwner(storeOnOwner);
@@ -221,7 +246,9 @@
       if (value === "unresolved") unresolved = true;
       if (value === "not_owner") options.onOwnerChanged();
       refusedByOwner = value === "not_stored";
-      return value === "stored" || value === "existing" ? value : undefined;
+      return value === "stored" || value === "existing" || value === "foreign"
+        ? value
+        : undefined;
     }
 
     for (;;) {
@@ -240,22 +267,29 @@
     return unresolved ? "unresolved" : "not_stored";
   }
 
-  async function isStored(jobId: string): Promise<boolean> {
-    return await store.get(STORE_KEYS.jobPrefix + jobId) !== undefined;
+  /** Whether a workspace has a stored job with this ID. */
+  async function isStored(jobId: string, workspace: string): Promise<boolean> {
+    const item = await store.get(STORE_KEYS.jobPrefix + jobId);
+    return item !== undefined && readStoredWorkspace(item.value) === workspace;
   }
 
   /** Derives a job's status from the store; used if the owner doesn't respond or doesn't know the job. */
-  async function readStoredStatus(jobId: string): Promise<StatusResult> {
+  async function readStoredStatus(
+    jobId: string,
+    workspace: string,
+  ): Promise<StatusResult> {
     const progress = await store.get(STORE_KEYS.progressPrefix + jobId);
     if (progress !== undefined) {
       const recorded = readRecordedStatus(progress.value);
       if (recorded === undefined) {
         log.error("invalid progress record in the store", { job: jobId });
+      } else if (recorded.workspace !== workspace) {
+        return { kind: "unknown_job" };
       } else if (recorded.status !== "active") {
         return { kind: "status", status: recorded.status };
       }
     }
-    if (!await isStored(jobId)) return { kind: "unknown_job" };
+    if (!await isStored(jobId, workspace)) return { kind: "unknown_job" };
     if (await store.get(STORE_KEYS.cancelPrefix + jobId) !== undefined) {
       return { kind: "status", status: "cancelled" };
     }
@@ -270,14 +304,15 @@
     context: RequestContext,
   ): Promise<StatusResult> {
     const startedAtMs = clock.monotonicMs();
+    const { workspace = "" } = context;
     for (;;) {
-      const reply = await callOwner((owner) => owner.status(jobId));
+      const reply = await callOwner((owner) => owner.status(jobId, workspace));
       if (reply.kind === "reply" && reply.value !== undefined) {
         return { kind: "status", status: reply.value };
       }
       try {
         // The owner may not know a new job yet.
-        return await readStoredStatus(jobId);
+        return await readStoredStatus(jobId, workspace);
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
       }
@@ -294,11 +329,39 @@
     }
   }
 
+  /** Returns why the workspace's upper bound can never hold the job; undefined if it can. */
+  function findOversizedStep(spec: JobSpec): string | undefined {
+    const workspace = options.config()?.workspaces?.find(({ name }) =>
+      name === spec.workspace
+    );
+    return workspace && describeOversizedStep(spec.steps, workspace.upperBound);
+  }
+
+  /** Asks the owner whether the job may be stored; without an answer it may, because the owner orders jobs by share anyway. */
+  async function admit(spec: JobSpec): Promise<AdmissionDecision> {
+    if (spec.workspace === "") return { kind: "admitted", excess: false };
+    const reply = await callOwner((owner) => owner.admit(spec));
+    return reply.kind === "reply"
+      ? reply.value
+      : { kind: "admitted", excess: false };
+  }
+
+  /** Whether it is known that no earlier attempt has stored a job; a refusal says that the job will never run. */
+  async function isKnownAbsent(spec: JobSpec): Promise<boolean> {
+    try {
+      return await store.get(STORE_KEYS.jobPrefix + spec.jobId) === undefined;
+    } catch (error) {
+      if (!(error instanceof StoreError)) throw error;
+      return false;
+    }
+  }
+
   return {
     async submit(queue, submission, context) {
       const parsed = jobSpecSchema.safeParse({
         ...submission,
         queue: queue.name,
+        workspace: context.workspace ?? "",
         service: queue.service,
         maximumAttempts: queue.maximumAttempts,
         acceptedAtMs: clock.wallMs(),
@@ -313,17 +376,56 @@
       if (!parsed.success || issues.length > 0) {
         return { kind: "invalid", error: new InvalidJobError(issues) };
       }
-      const spec = parsed.data;
+      const oversized = findOversizedStep(parsed.data);
+      if (oversized !== undefined && await isKnownAbsent(parsed.data)) {
+        log.warn("job refused: its workspace's upper bound can't hold it", {
+          request: context.requestId,
+          job: parsed.data.jobId,
+          workspace: context.workspace,
+          reason: oversized,
+        });
+        return {
+          kind: "refused",
+          cause: "quota",
+          reason: oversized,
+          retryAfterMs: QUOTA_RETRY_AFTER_MS,
+        };
+      }
+      const decision = await admit(parsed.data);
+      if (decision.kind === "refused" && await isKnownAbsent(parsed.data)) {
+        log.info("job refused", {
+          request: context.requestId,
+          job: parsed.data.jobId,
+          queue: queue.name,
+          workspace: context.workspace,
+          reason: decision.reason,
+          retryAfterMs: decision.retryAfterMs,
+        });
+        return {
+          kind: "refused",
+          cause: decision.reason,
+          reason: REFUSAL_TEXTS[decision.reason],
+          retryAfterMs: decision.retryAfterMs,
+        };
+      }
+      const spec: JobSpec = {
+        ...parsed.data,
+        excess: decision.kind === "admitted" && decision.excess,
+      };
       const outcome = await storeRecord(
         STORE_KEYS.jobPrefix + spec.jobId,
         JSON.stringify(spec),
         context,
         (owner) => owner.submit(spec),
+        (conflict) => describeConflict(conflict, spec.workspace),
       );
       const fields = {
         request: context.requestId,
         job: spec.jobId,
         queue: queue.name,
+        ...(spec.workspace === ""
+          ? {}
+          : { workspace: spec.workspace, excess: spec.excess }),
         configVersion: options.config()?.version,
         leftMs: Math.round(timeLeftMs(context)),
       };
@@ -335,10 +437,14 @@
         case "existing":
           log.info("job was known already", fields);
           return { kind: "accepted" };
+        case "foreign":
+          log.info("job refused: another workspace has its ID", fields);
+          return { kind: "foreign" };
         case "not_stored":
           log.warn("job refused: the store is away", fields);
           return {
             kind: "refused",
+            cause: "store",
             reason: "the store is away",
             retryAfterMs: STORE_RETRY_AFTER_MS,
           };
@@ -351,6 +457,10 @@
     async cancel(jobId, context) {
       const previous = await status(jobId, context);
       if (previous.kind === "unknown_job") return { kind: "unknown_job" };
+      // The job may be another workspace's.
+      if (previous.kind === "unavailable" && (context.workspace ?? "") !== "") {
+        return { kind: "unresolved" };
+      }
       const outcome = await storeRecord(
         STORE_KEYS.cancelPrefix + jobId,
         JSON.stringify({ atMs: clock.wallMs() }),
--- a/src/scheduler/local_entry_client.ts
+++ b/src/scheduler/local_entry_client.ts
@@ -17,11 +17,14 @@
   const refuseToStore = () => Promise.resolve("not_stored" as const);
   return {
     isLocal: true,
+    admit: (spec) => callOwner((owner) => owner.admit(spec)),
+    configAfter: () => Promise.resolve(undefined),
     accepted: (spec) => callOwner((owner) => owner.accept(spec)),
     submit: refuseToStore,
     cancelled: (jobId) => callOwner((owner) => owner.cancel(jobId)),
     cancel: refuseToStore,
-    status: (jobId) => callOwner((owner) => owner.status(jobId)),
+    status: (jobId, workspace) =>
+      callOwner((owner) => owner.status(jobId, workspace)),
     waitingJobs: (queue) => callOwner((owner) => owner.waitingJobs(queue)),
     owner: () => Promise.resolve(undefined),
     replaceOwner: () => Promise.resolve(false),
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -47,6 +47,8 @@
   queue: z.string().min(1),
   /** Workspace that owns the job; empty for a job of a public queue or of a deployment without workspaces. */
   workspace: z.string().default(""),
+  /** Whether the workspace had sent more than it is owed when the job was accepted. */
+  excess: z.boolean().default(false),
   /** Service whose workers run the tasks, as configured when the job was accepted. */
   service: z.string().min(1),
   /** Number of failed runs of a task after which its job fails, as configured when the job was accepted. */
@@ -94,6 +96,7 @@
 const submissionSchema = jobSpecSchema.omit({
   queue: true,
   workspace: true,
+  excess: true,
   service: true,
   maximumAttempts: true,
   acceptedAtMs: true,
--- a/src/scheduler/native_job_protocol.ts
+++ b/src/scheduler/native_job_protocol.ts
@@ -22,6 +22,7 @@
     }
     return { queue, jobId: jobId ?? "" };
   },
+  apiKey: ({ headers }) => String(headers["api-key"] ?? ""),
   requestId: ({ headers }) => String(headers[REQUEST_ID_HEADER] ?? ""),
   deadlineMs({ headers }) {
     const deadlineMs = Number(headers[DEADLINE_HEADER]);
--- a/src/scheduler/native_job_protocol_test.ts
+++ b/src/scheduler/native_job_protocol_test.ts
@@ -9,6 +9,7 @@
 import { createJobListener } from "./job_api.ts";
 import type { Submission } from "./model.ts";
 import { nativeJobProtocol } from "./native_job_protocol.ts";
+import { createAuthenticator } from "./workspaces/authentication.ts";
 import { createRequestStats } from "./request_stats.ts";
 
 const test = suite("native job protocol");
@@ -36,7 +37,8 @@
   const server = await listenOnLoopback(createServer(createJobListener({
     protocols: [nativeJobProtocol],
     frontend: frontend as JobFrontend,
-    operator: { config: () => config },
+    operator: { config: () => config, configAgeMs: () => 0 },
+    authenticator: createAuthenticator({ strict: false, revocationMs: 5_000 }),
     stats: createRequestStats(systemClock),
     clock: systemClock,
     isStopping: () => false,
--- a/src/scheduler/operator_state_test.ts
+++ b/src/scheduler/operator_state_test.ts
@@ -5,6 +5,7 @@
 import { createRandom } from "../../testing/random.ts";
 import { waitFor } from "../../testing/wait.ts";
 import { createRecordCodec } from "../../platform/record_codec.ts";
+import { systemClock } from "../clock.ts";
 import { silentLogger } from "../logger.ts";
 import { createOperatorState } from "./operator_state.ts";
 
@@ -29,7 +30,9 @@
   const operator = createOperatorState({
     store: store.client("entry-1"),
     records: createRecordCodec(silentLogger),
+    clock: systemClock,
     log: silentLogger,
+    readFromPeer: () => Promise.resolve(undefined),
   });
   const task = run(() => operator.run());
   const listWaves = () => [...operator.waves().keys()].join();
--- a/src/scheduler/peer_router.ts
+++ b/src/scheduler/peer_router.ts
@@ -4,7 +4,9 @@
 import { serveTrpcCall } from "../trpc_endpoint.ts";
 import { type JobSpec, jobSpecSchema, type JobStatus } from "./model.ts";
 import type { Owner } from "./ownership.ts";
+import type { StoredItem } from "./ports.ts";
 import type { RelayOffer } from "./relay/control.ts";
+import type { AdmissionDecision } from "./workspaces/admission.ts";
 
 /** Maximum size of a request body between entries, in bytes; a job has at most 256 KB. */
 const MAXIMUM_REQUEST_BYTES = 524_288;
@@ -19,6 +21,8 @@
   | "stored"
   /** The key already exists. */
   | "existing"
+  /** The key already exists, with a job of another workspace. */
+  | "foreign"
   /** The write was not executed. */
   | "not_stored"
   /** The write got no response; it may have been executed or may still be executed later. */
@@ -26,6 +30,10 @@
 
 /** Handlers of calls from other entries. */
 export interface PeerHandlers {
+  /** Decides whether the calling entry may store a job; `specification` isn't needed. */
+  admit(spec: JobSpec): OwnerReply<AdmissionDecision>;
+  /** Returns the stored configuration if it was changed after a store revision; null if this entry knows no such change. */
+  configAfter(revision: number): StoredItem | null;
   /** Adds a job that the calling entry has stored. */
   accepted(spec: JobSpec): OwnerReply<true>;
   /** Stores a job for an entry that can't reach the store. */
@@ -34,8 +42,8 @@
   cancelled(jobId: string): OwnerReply<true>;
   /** Stores a cancellation for an entry that can't reach the store. */
   cancel(jobId: string): Promise<OwnerReply<StoreReply>>;
-  /** Returns the status of a job; null if the owner doesn't know it. */
-  status(jobId: string): OwnerReply<JobStatus | null>;
+  /** Returns the status of a job; null if the owner doesn't know it or it is another workspace's. */
+  status(jobId: string, workspace: string): OwnerReply<JobStatus | null>;
   waitingJobs(queue: string): OwnerReply<number>;
   /** Returns the owner that this entry knows of. */
   owner(): Owner | null;
@@ -53,6 +61,12 @@
 const jobIdSchema = z.object({ jobId: z.string() });
 
 const schedulerRouter = trpc.router({
+  admit: trpc.procedure.input(jobSpecSchema).mutation(({ input, ctx }) =>
+    ctx.handlers.admit(input)
+  ),
+  configAfter: trpc.procedure.input(z.object({ revision: z.number() })).query((
+    { input, ctx },
+  ) => ctx.handlers.configAfter(input.revision)),
   accepted: trpc.procedure.input(jobSpecSchema).mutation(({ input, ctx }) =>
     ctx.handlers.accepted(input)
   ),
@@ -65,8 +79,10 @@
   cancel: trpc.procedure.input(jobIdSchema).mutation(({ input, ctx }) =>
     ctx.handlers.cancel(input.jobId)
   ),
-  status: trpc.procedure.input(jobIdSchema).query(({ input, ctx }) =>
-    ctx.handlers.status(input.jobId)
+  status: trpc.procedure.input(
+    jobIdSchema.extend({ workspace: z.string().default("") }),
+  ).query(({ input, ctx }) =>
+    ctx.handlers.status(input.jobId, input.workspace)
   ),
   waitingJobs: trpc.procedure.input(z.object({ queue: z.string() })).query((
     { input, ctx },
--- a/src/scheduler/peer_router_test.ts
+++ b/src/scheduler/peer_router_test.ts
@@ -25,6 +25,8 @@
 ): Promise<void> {
   const notOwner = () => ({ kind: "not_owner" }) as const;
   const server = createServer(createPeerHandler({
+    admit: notOwner,
+    configAfter: () => null,
     accepted: notOwner,
     submit: () => Promise.resolve(notOwner()),
     cancelled: notOwner,
@@ -54,18 +56,18 @@
       received.push(spec);
       return Promise.resolve({ kind: "reply", value: "stored" });
     },
-    status(jobId) {
-      received.push(jobId);
+    status(jobId, workspace) {
+      received.push(jobId, workspace);
       return { kind: "reply", value: "running" };
     },
   }, async (address) => {
     const client = createEntryClient(address);
     try {
       assert.equal(await client.submit(SPEC), "stored");
-      assert.equal(await client.status("a/b ?ü"), "running");
+      assert.equal(await client.status("a/b ?ü", "ü"), "running");
       assert.equal(await client.owner(), undefined);
       assert.equal(await client.reaches("127.0.0.1:1"), true);
-      assert.deepEqual(received, [SPEC, "a/b ?ü"]);
+      assert.deepEqual(received, [SPEC, "a/b ?ü", "ü"]);
       await assert.rejects(
         client.accepted(SPEC),
         (error) =>
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -38,6 +38,10 @@
     keepEndedS: z.number().positive().default(120),
     /** Minimum time between orders of two owners for one VM, in ms. */
     holderGapMs: z.number().min(0).default(3_000),
+    /** Whether API keys are refused once the configuration may be older than `revocationMs`. */
+    strictRevocation: z.boolean().default(false),
+    /** Time within which a withdrawn API key must be refused, in ms. */
+    revocationMs: z.number().positive().default(5_000),
   }).prefault({}),
   logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default(
     "info",
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -43,6 +43,7 @@
 import { createTicketCache, type TicketCache } from "./ticket_cache.ts";
 import { RUN_LEASE_MS } from "./worker_link.ts";
 import { createWorkerRegistry } from "./worker_registry.ts";
+import type { AdmissionDecision } from "./workspaces/admission.ts";
 
 /**
  * Time without a response of the store after which an owner issues no more
@@ -104,8 +105,10 @@
   readonly epoch: number;
   accept(spec: JobSpec): void;
   cancel(jobId: string): void;
-  /** Returns the status of a job; undefined if the owner doesn't know it. */
-  status(jobId: string): JobStatus | undefined;
+  /** Decides whether an entry may store a job. */
+  admit(spec: JobSpec): AdmissionDecision;
+  /** Returns the status of a job; undefined if the owner doesn't know it or it is another workspace's. */
+  status(jobId: string, workspace: string): JobStatus | undefined;
   /** Returns the number of jobs in a queue of which no worker has confirmed a run. */
   waitingJobs(queue: string): number;
   /** Returns the owner's state for the `/dump` endpoint. */
@@ -425,7 +428,8 @@
     scheduler,
     accept: acceptJob,
     cancel: (jobId) => scheduler.cancel(jobId),
-    status: (jobId) => scheduler.status(jobId),
+    admit: () => ({ kind: "admitted", excess: false }),
+    status: (jobId, workspace) => scheduler.status(jobId, workspace),
     waitingJobs: (queue) => scheduler.waitingJobs(queue),
     describeState: () => ({
       epoch: tenure.epoch,
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -16,6 +16,7 @@
 import { nativeJobProtocol } from "./native_job_protocol.ts";
 import { createEntryClient } from "./entry_client.ts";
 import { canConnect } from "./owner_reachability.ts";
+import { readConfigFromPeers } from "./peer_config.ts";
 import type {
   PlacementAdvisor,
   PlatformRecordCodec,
@@ -27,6 +28,7 @@
 import { createRequestStats, type RequestStats } from "./request_stats.ts";
 import { resolveCandidateDelayMs, type SchedulerSettings } from "./settings.ts";
 import { createStoreHealth, type StoreHealth } from "./store_health.ts";
+import { createAuthenticator } from "./workspaces/authentication.ts";
 
 function token<T>(name: string): InjectionToken<T> {
   return Symbol(name);
@@ -35,6 +37,9 @@
 /** Margin added to the minimum time between orders of two owners for one VM, in ms, because the clocks of entries differ. */
 const HOLDER_GAP_MARGIN_MS = 300;
 
+/** Number of entries besides the owner that are asked for the configuration while the store doesn't respond. */
+const CONFIG_PEERS = 2;
+
 const TOKENS = {
   clock: token<Clock>("clock"),
   log: token<BufferedLog>("log"),
@@ -85,7 +90,17 @@
   );
   registerSingleton(
     TOKENS.operator,
-    () => createOperatorState({ ...adapters, log: loggers("config") }),
+    () =>
+      createOperatorState({
+        ...adapters,
+        clock: scope.resolve(TOKENS.clock),
+        log: loggers("config"),
+        readFromPeer: (revision) =>
+          readConfigFromPeers(
+            scope.resolve(TOKENS.election).peers(CONFIG_PEERS),
+            revision,
+          ),
+      }),
   );
   registerSingleton(
     TOKENS.health,
@@ -160,6 +175,10 @@
     createCallerListener: (isStopping) =>
       createJobListener({
         ...resolved,
+        authenticator: createAuthenticator({
+          strict: settings.bounds.strictRevocation,
+          revocationMs: settings.bounds.revocationMs,
+        }),
         protocols: [nativeJobProtocol, adapters.jobProtocol],
         isStopping,
       }),
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -209,6 +209,7 @@
         store: this.store.client(entry.id),
         health: entry.health,
         log: silentLogger,
+        operator: { configItemAfter: () => undefined },
       }));
     };
     const callOwner = async <T>(
@@ -222,14 +223,19 @@
     };
     return {
       isLocal: false,
+      admit: (spec) => callOwner((handlers) => handlers.admit(spec)),
+      configAfter: async (revision) =>
+        await callEntry((handlers) => handlers.configAfter(revision)) ??
+          undefined,
       accepted: async (spec) =>
         void await callOwner((handlers) => handlers.accepted(spec)),
       submit: (spec) => callOwner((handlers) => handlers.submit(spec)),
       cancelled: async (jobId) =>
         void await callOwner((handlers) => handlers.cancelled(jobId)),
       cancel: (jobId) => callOwner((handlers) => handlers.cancel(jobId)),
-      status: async (jobId) =>
-        await callOwner((handlers) => handlers.status(jobId)) ?? undefined,
+      status: async (jobId, workspace) =>
+        await callOwner((handlers) => handlers.status(jobId, workspace)) ??
+          undefined,
       waitingJobs: (queue) =>
         callOwner((handlers) => handlers.waitingJobs(queue)),
       owner: async () =>
