feat(scheduler): keep workspaces within their upper bounds

The owner sums what each workspace uses on all worker instances once a planning round and starts a task, or a gang as a whole, only if its workspace's upper bound allows it. Instances that aren't registered count, so a new owner counts the runs that earlier owners ordered. A job over its limit isn't recorded as unplaceable, which would hold up the jobs of other workspaces.

While the owner has no configuration, no job of a workspace starts.

Not verified: the type check, the formatter, the linter and the tests haven't been run, because node_modules is empty.

--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -30,6 +30,8 @@
 import { judgeTask } from "./crashes/run_loss.ts";
 import { chooseTrialWorker } from "./crashes/trial_workers.ts";
 import type { TicketCache } from "./ticket_cache.ts";
+import { createQuotaCheck, type QuotaCheck } from "./workspaces/quota.ts";
+import { sumUsage } from "./workspaces/usage.ts";
 
 /** Dependencies of a planning round. */
 export interface PlannerOptions extends CandidateOptions {
@@ -67,6 +69,18 @@
   return byService;
 }
 
+/** Creates the check of the workspaces' upper bounds; undefined in a deployment without workspaces. */
+function createRoundQuota(
+  { scheduler, clock }: PlannerOptions,
+  config: SchedulerConfig | undefined,
+): QuotaCheck | undefined {
+  if (config !== undefined && config.workspaces === undefined) return undefined;
+  const usage = config === undefined
+    ? new Map()
+    : sumUsage(scheduler.workers.instances.values());
+  return createQuotaCheck(usage, config?.workspaces, clock.wallMs());
+}
+
 function countTasksByRack(
   tasks: readonly TaskState[],
   service: ServiceCandidates,
@@ -106,6 +120,7 @@
   const services = collectCandidates(options, pendingOccurrences);
   const arriving = options.countArriving();
   const nowMs = clock.monotonicMs();
+  const quota = createRoundQuota(options, config);
   let placed = 0;
 
   function placeTask(
@@ -116,6 +131,7 @@
     request: PlacementRequest,
   ): void {
     subtractResources(candidate, request.step);
+    quota?.reserve(task.job.spec, request.step, 1);
     // Also counts the task in `tasksByStep`, which the candidate shares with its instance.
     scheduler.place(task, service.instances.get(candidate.workerId)!, {
       run,
@@ -212,6 +228,10 @@
     const first = waiting[0];
     if (first === undefined) return;
     const step = getStep(first);
+    const allows = (count: number) =>
+      quota === undefined || quota.allows(first.job.spec, step, count);
+    // Not recorded as unplaceable: jobs of other workspaces may start.
+    if (!allows(step.gang ? waiting.length : 1)) return;
     const suspects = waiting.filter(({ losses }) =>
       judgeTask(losses) === "suspect"
     );
@@ -247,6 +267,7 @@
       return;
     }
     for (const task of suspects) {
+      if (!allows(1)) return;
       const worker = findTrialWorker(task, service, {
         ...request,
         avoidedWorkers: avoidedWorkers(task),
@@ -257,7 +278,7 @@
     }
     for (const task of waiting) {
       if (suspects.includes(task)) continue;
-      if (service.unplaceable.includes(step)) return;
+      if (service.unplaceable.includes(step) || !allows(1)) return;
       const taskRequest: PlacementRequest = {
         ...request,
         avoidedWorkers: avoidedWorkers(task),
