feat(scheduler): admit submissions by the workspace's entitlement

The owner keeps a token bucket for each workspace, with the weight as its rate in jobs per second and a burst of 2 s or 5 jobs. A job beyond it is admitted as excess while its pool isn't scarce and its workspace's upper bound isn't used up, and refused otherwise. A refused caller gets a slot, which takes a token in advance, is valid for 3 s and returns its token if it isn't used. Slots reach 30 s ahead, and there are at most 20,000.

Not verified: the type check, the formatter, the linter and the tests haven't been run, because node_modules is empty.

--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -44,6 +44,7 @@
 import { RUN_LEASE_MS } from "./worker_link.ts";
 import { createWorkerRegistry } from "./worker_registry.ts";
 import type { AdmissionDecision } from "./workspaces/admission.ts";
+import { createOwnerAdmission } from "./workspaces/owner_admission.ts";
 
 /**
  * Time without a response of the store after which an owner issues no more
@@ -228,6 +229,13 @@
     onChange: () => planWake.notify(),
   });
 
+  const admission = createOwnerAdmission({
+    scheduler,
+    clock,
+    config: options.config,
+    isScarce: fleet.isScarce,
+  });
+
   /** Adds a stored job unless it was added before: both the accepting entry and the watch report it. */
   function acceptJob(spec: JobSpec): void {
     if (scheduler.hasJob(spec.jobId)) return;
@@ -428,7 +436,7 @@
     scheduler,
     accept: acceptJob,
     cancel: (jobId) => scheduler.cancel(jobId),
-    admit: () => ({ kind: "admitted", excess: false }),
+    admit: admission.admit,
     status: (jobId, workspace) => scheduler.status(jobId, workspace),
     waitingJobs: (queue) => scheduler.waitingJobs(queue),
     describeState: () => ({
--- a/src/scheduler/workspaces/quota.ts
+++ b/src/scheduler/workspaces/quota.ts
@@ -35,13 +35,15 @@
     exceeds(used.gpuCount, step.gpuCount, bound.gpuCount);
 }
 
-/** Whether a workspace has reached its upper bound in some resource. */
-export function isBoundReached(used: Resources, bound: Resources): boolean {
-  const isReached = (amount: number, limit: number) =>
-    limit > 0 && amount >= limit;
-  return isReached(used.cpuMillis, bound.cpuMillis) ||
-    isReached(used.memoryMb, bound.memoryMb) ||
-    isReached(used.gpuCount, bound.gpuCount);
+/** Whether a job with these steps would have to wait for its workspace's upper bound. */
+export function isBoundUsedUp(
+  used: Resources,
+  bound: Resources,
+  steps: readonly Step[],
+): boolean {
+  return steps.some((step) =>
+    exceedsBound(used, step, step.gang ? step.taskCount : 1, bound)
+  );
 }
 
 /**
