feat(scheduler): order jobs of a full pool by the workspaces' shares

Within one priority, excess jobs follow the others that can still be useful and precede overdue ones. Deferral takes jobs from excess first, then from the workspace with the most usage per weight. An overdue job that has waited 20 s gets a turn at the front, so that none starves. Without workspaces the comparisons are the same as before.

Not verified: the type check, the formatter, the linter and the tests haven't been run, because node_modules is empty.

--- a/src/scheduler/attainability.ts
+++ b/src/scheduler/attainability.ts
@@ -2,6 +2,7 @@
   comparePendingOccurrences,
   type PendingOccurrence,
 } from "./job_order.ts";
+import { createDeferralQueue, type PoolShares } from "./workspaces/fair_share.ts";
 
 /** Share of a pool's capacity that placed tasks use under load; tasks don't pack exactly into a VM. */
 const USABLE_SHARE = 0.85;
@@ -42,39 +43,43 @@
  * Finds jobs to defer when not all jobs that are on time can stay so. Starting
  * them by their latest start would make nearly all of them a little late, as
  * each one delays the next. Jobs that run already are kept; of the others those
- * with the least time left are deferred, whatever their size.
+ * with the least time left are deferred, whatever their size. With `shares`,
+ * excess jobs are deferred first, then those of the workspace furthest above its
+ * share, and of its jobs those with the least time left.
  */
 export function findUnattainable(
   works: readonly PendingWork[],
   capacity: PoolCapacity,
   wallMs: number,
+  shares?: PoolShares,
 ): Set<PendingOccurrence> {
   const deferred = new Set<PendingOccurrence>();
   const candidates = works.filter(({ pending }) =>
     pending.timeliness === "on_time" && !pending.longRunning
   ).sort((a, b) => comparePendingOccurrences(a.pending, b.pending));
-  /** Kept jobs that may be deferred, the one with the least time left first. */
-  const deferrable: PendingWork[] = [];
-  let nextDeferrable = 0;
+  /** Kept jobs that may be deferred. */
+  let deferrable = createDeferralQueue<PendingWork>(shares);
   let keptVmMs = 0;
   let priority: number | undefined;
+  let excess = false;
   for (const work of candidates) {
     const { pending } = work;
-    if (pending.priority !== priority) {
-      // Jobs with a higher priority keep their place.
-      nextDeferrable = deferrable.length;
-      priority = pending.priority;
+    if (pending.priority !== priority || pending.excess !== excess) {
+      // Jobs with a higher priority keep their place, and so do jobs that aren't excess when excess ones follow.
+      deferrable = createDeferralQueue(shares);
+      ({ priority, excess } = pending);
     }
     keptVmMs += work.remainingVmMs;
-    if (!pending.job.started) deferrable.push(work);
+    if (!pending.job.started) deferrable.add(work);
     const tailMs = SLOWEST_TASK_SHARE *
       (pending.deadlineMs - pending.latestStartMs);
     const attainable = capacityUntil(
       capacity,
       pending.deadlineMs - tailMs - wallMs,
     );
-    while (keptVmMs > attainable && nextDeferrable < deferrable.length) {
-      const dropped = deferrable[nextDeferrable++]!;
+    while (keptVmMs > attainable) {
+      const dropped = deferrable.take();
+      if (dropped === undefined) break;
       keptVmMs -= dropped.remainingVmMs;
       deferred.add(dropped.pending);
     }
--- a/src/scheduler/crashes/trial_workers_test.ts
+++ b/src/scheduler/crashes/trial_workers_test.ts
@@ -12,6 +12,7 @@
 import { planPlacements } from "../placement_planner.ts";
 import type { TicketCache } from "../ticket_cache.ts";
 import type { RunLoss } from "./run_loss.ts";
+import { createFairShare } from "../workspaces/fair_share.ts";
 import { createTrialWorkers } from "./trial_workers.ts";
 
 const test = suite("trial workers");
@@ -47,6 +48,7 @@
       tickets: { find: () => undefined } as unknown as TicketCache,
       clock,
       log: silentLogger,
+      fairShare: createFairShare({ nowMs: clock.monotonicMs }),
       isCordoned: () => false,
       isScarce: () => false,
       countArriving: () => new Map(),
--- a/src/scheduler/deferral.ts
+++ b/src/scheduler/deferral.ts
@@ -10,6 +10,7 @@
 } from "./placed_tasks.ts";
 import type { Resources } from "./ports.ts";
 import type { WorkerInstance } from "./worker_table.ts";
+import type { PoolShares } from "./workspaces/fair_share.ts";
 
 /** Measures the capacity of a pool's usable workers in VMs of the typical capacity. */
 export function measureCapacity(
@@ -57,12 +58,14 @@
 /** Marks the occurrences that have to be deferred because the pool can't finish all of them on time. */
 export function deferUnattainable(
   occurrences: readonly PendingOccurrence[],
-  { workers, arrivingVms, durationEstimates, wallMs }: {
+  { workers, arrivingVms, durationEstimates, wallMs, shares }: {
     /** Usable workers of the pool. */
     readonly workers: readonly WorkerInstance[];
     readonly arrivingVms: number;
     readonly durationEstimates: DurationEstimates;
     readonly wallMs: number;
+    /** Undefined in a deployment without workspaces. */
+    readonly shares?: PoolShares | undefined;
   },
 ): PendingOccurrence[] {
   const [first] = occurrences;
@@ -81,6 +84,7 @@
       arrivingVms,
     }),
     wallMs,
+    shares,
   );
   return occurrences.map((pending) =>
     deferred.has(pending) ? { ...pending, timeliness: "deferred" } : pending
--- a/src/scheduler/job_order.ts
+++ b/src/scheduler/job_order.ts
@@ -26,6 +26,10 @@
   readonly priority: number;
   readonly longRunning: boolean;
   readonly timeliness: Timeliness;
+  /** Whether the workspace had sent more than it is owed. */
+  readonly excess: boolean;
+  /** Whether the occurrence has waited so long that it goes first in this planning round. */
+  readonly aged?: boolean;
   /** Latest time at which the remaining work must start to finish on time, in ms since 1970. */
   readonly latestStartMs: number;
   /** End of the objective, in ms since 1970. */
@@ -88,32 +92,44 @@
       : wallMs <= latestLateStartMs
       ? "late"
       : "overdue",
+    excess: job.spec.excess,
     latestStartMs,
     deadlineMs,
     remainingWork: computeRemainingWork(job, occurrence, durationEstimates),
   };
 }
 
+/** Rank by timeliness; excess jobs that can still be useful follow the others and precede overdue ones. */
+function rankOf({ timeliness, excess }: PendingOccurrence): number {
+  const rank = TIMELINESS_RANK[timeliness];
+  return excess && timeliness !== "overdue" ? rank + EXCESS_RANK : rank;
+}
+
 const TIMELINESS_RANK: Record<Timeliness, number> = {
   on_time: 0,
   deferred: 1,
   late: 2,
-  overdue: 3,
+  overdue: 6,
 };
+/** Added to the rank of an excess job. */
+const EXCESS_RANK = 3;
 
 /**
- * Orders pending work when demand exceeds a pool's capacity: long-running jobs
+ * Orders pending work when demand exceeds a pool's capacity: a job that has
+ * waited very long (only in deployments with workspaces), then long-running jobs
  * first, then by priority, then jobs that can still be on time, by latest start.
  * Deferred jobs follow, those with the most time left first. Then come late jobs, least remaining work first, so that one big job doesn't make
- * many small ones useless as well; overdue jobs come last, oldest first.
+ * many small ones useless as well. Excess jobs follow in the same order;
+ * overdue jobs come last, oldest first.
  */
 export function comparePendingOccurrences(
   a: PendingOccurrence,
   b: PendingOccurrence,
 ): number {
+  if (a.aged !== b.aged) return a.aged ? -1 : 1;
   if (a.longRunning !== b.longRunning) return a.longRunning ? -1 : 1;
   if (a.priority !== b.priority) return a.priority - b.priority;
-  const rank = TIMELINESS_RANK[a.timeliness] - TIMELINESS_RANK[b.timeliness];
+  const rank = rankOf(a) - rankOf(b);
   if (rank !== 0) return rank;
   switch (a.timeliness) {
     case "on_time":
--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -30,6 +30,7 @@
 import { judgeTask } from "./crashes/run_loss.ts";
 import { chooseTrialWorker } from "./crashes/trial_workers.ts";
 import type { TicketCache } from "./ticket_cache.ts";
+import type { FairShare } from "./workspaces/fair_share.ts";
 import { createQuotaCheck, type QuotaCheck } from "./workspaces/quota.ts";
 import { sumUsage } from "./workspaces/usage.ts";
 
@@ -37,6 +38,7 @@
 export interface PlannerOptions extends CandidateOptions {
   readonly tickets: TicketCache;
   readonly log: Logger;
+  readonly fairShare: FairShare;
   /** Whether a service's pool needs more VMs than the fleet has. */
   readonly isScarce: (service: string) => boolean;
   /** Counts the VMs that are on their way into each pool. */
@@ -325,14 +327,23 @@
   for (const [name, occurrences] of pendingOccurrences) {
     const service = services.get(name);
     if (service === undefined) continue;
+    const workers = [...service.instances.values()];
+    const shares = config?.workspaces &&
+      options.fairShare.observe(name, workers, config.workspaces);
     const ordered = options.isScarce(name)
       ? deferUnattainable(occurrences, {
-        workers: [...service.instances.values()],
+        workers,
         arrivingVms: arriving.get(name) ?? 0,
         durationEstimates: scheduler.durationEstimates,
         wallMs: clock.wallMs(),
+        shares,
       })
       : occurrences;
+    const aged = config?.workspaces &&
+      options.fairShare.chooseAged(name, ordered, clock.wallMs());
+    if (aged !== undefined) {
+      ordered[ordered.indexOf(aged)] = { ...aged, aged: true };
+    }
     ordered.sort(comparePendingOccurrences);
     for (const pending of ordered) {
       const { job, occurrence } = pending;
@@ -342,10 +353,11 @@
         placeStep(tasks, service, needsAdvice);
         if (placed > before) {
           logPlacement(pending, tasks, placed - before, service);
+          if (pending.aged) options.fairShare.endTurn(name);
         }
       }
     }
-    options.trialWorkers.reserve(name, [...service.instances.values()], {
+    options.trialWorkers.reserve(name, workers, {
       count: service.waitingSuspects,
       busyCount: service.busyTrials,
     });
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -44,6 +44,7 @@
 import { RUN_LEASE_MS } from "./worker_link.ts";
 import { createWorkerRegistry } from "./worker_registry.ts";
 import type { AdmissionDecision } from "./workspaces/admission.ts";
+import { createFairShare } from "./workspaces/fair_share.ts";
 import { createOwnerAdmission } from "./workspaces/owner_admission.ts";
 
 /**
@@ -229,6 +230,7 @@
     onChange: () => planWake.notify(),
   });
 
+  const fairShare = createFairShare({ nowMs: () => clock.monotonicMs() });
   const admission = createOwnerAdmission({
     scheduler,
     clock,
@@ -309,6 +311,7 @@
           tickets,
           clock,
           log,
+          fairShare,
           isCordoned: fleet.isCordoned,
           isScarce: fleet.isScarce,
           countArriving: fleet.countArriving,
--- a/src/scheduler/workspaces/quota_test.ts
+++ b/src/scheduler/workspaces/quota_test.ts
@@ -15,6 +15,7 @@
 import type { RecordStore, SchedulerConfig } from "../ports.ts";
 import { planPlacements } from "../placement_planner.ts";
 import type { TicketCache } from "../ticket_cache.ts";
+import { createFairShare } from "./fair_share.ts";
 import { sumUsage } from "./usage.ts";
 
 const test = suite("quota");
@@ -73,6 +74,7 @@
         tickets: { find: () => undefined } as unknown as TicketCache,
         clock: systemClock,
         log: silentLogger,
+        fairShare: createFairShare({ nowMs: systemClock.monotonicMs }),
         isCordoned: () => false,
         isScarce: () => false,
         countArriving: () => new Map(),
