--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -30,11 +30,15 @@
 import { judgeTask } from "./crashes/run_loss.ts";
 import { chooseTrialWorker } from "./crashes/trial_workers.ts";
 import type { TicketCache } from "./ticket_cache.ts";
+import type { FairShare } from "./workspaces/fair_share.ts";
+import { createQuotaCheck, type QuotaCheck } from "./workspaces/quota.ts";
+import { sumUsage } from "./workspaces/usage.ts";
 
 /** Dependencies of a planning round. */
 export interface PlannerOptions extends CandidateOptions {
   readonly tickets: TicketCache;
   readonly log: Logger;
+  readonly fairShare: FairShare;
   /** Whether a service's pool needs more VMs than the fleet has. */
   readonly isScarce: (service: string) => boolean;
   /** Counts the VMs that are on their way into each pool. */
@@ -67,6 +71,18 @@
   return byService;
 }
 
+/** Creates the check of the workspaces' upper bounds; undefined in a deployment without workspaces. */
+function createRoundQuota(
+  { scheduler, clock }: PlannerOptions,
+  config: SchedulerConfig | undefined,
+): QuotaCheck | undefined {
+  if (config !== undefined && config.workspaces === undefined) return undefined;
+  const usage = config === undefined
+    ? new Map()
+    : sumUsage(scheduler.workers.instances.values());
+  return createQuotaCheck(usage, config?.workspaces, clock.wallMs());
+}
+
 function countTasksByRack(
   tasks: readonly TaskState[],
   service: ServiceCandidates,
@@ -106,6 +122,7 @@
   const services = collectCandidates(options, pendingOccurrences);
   const arriving = options.countArriving();
   const nowMs = clock.monotonicMs();
+  const quota = createRoundQuota(options, config);
   let placed = 0;
 
   function placeTask(
@@ -116,6 +133,7 @@
     request: PlacementRequest,
   ): void {
     subtractResources(candidate, request.step);
+    quota?.reserve(task.job.spec, request.step, 1);
     // Also counts the task in `tasksByStep`, which the candidate shares with its instance.
     scheduler.place(task, service.instances.get(candidate.workerId)!, {
       run,
@@ -212,6 +230,10 @@
     const first = waiting[0];
     if (first === undefined) return;
     const step = getStep(first);
+    const allows = (count: number) =>
+      quota === undefined || quota.allows(first.job.spec, step, count);
+    // Not recorded as unplaceable: jobs of other workspaces may start.
+    if (!allows(step.gang ? waiting.length : 1)) return;
     const suspects = waiting.filter(({ losses }) =>
       judgeTask(losses) === "suspect"
     );
@@ -247,6 +269,7 @@
       return;
     }
     for (const task of suspects) {
+      if (!allows(1)) return;
       const worker = findTrialWorker(task, service, {
         ...request,
         avoidedWorkers: avoidedWorkers(task),
@@ -257,7 +280,7 @@
     }
     for (const task of waiting) {
       if (suspects.includes(task)) continue;
-      if (service.unplaceable.includes(step)) return;
+      if (service.unplaceable.includes(step) || !allows(1)) return;
       const taskRequest: PlacementRequest = {
         ...request,
         avoidedWorkers: avoidedWorkers(task),
@@ -304,14 +327,23 @@
   for (const [name, occurrences] of pendingOccurrences) {
     const service = services.get(name);
     if (service === undefined) continue;
+    const workers = [...service.instances.values()];
+    const shares = config?.workspaces &&
+      options.fairShare.observe(name, workers, config.workspaces);
     const ordered = options.isScarce(name)
       ? deferUnattainable(occurrences, {
-        workers: [...service.instances.values()],
+        workers,
         arrivingVms: arriving.get(name) ?? 0,
         durationEstimates: scheduler.durationEstimates,
         wallMs: clock.wallMs(),
+        shares,
       })
       : occurrences;
+    const aged = config?.workspaces &&
+      options.fairShare.chooseAged(name, ordered, clock.wallMs());
+    if (aged !== undefined) {
+      ordered[ordered.indexOf(aged)] = { ...aged, aged: true };
+    }
     ordered.sort(comparePendingOccurrences);
     for (const pending of ordered) {
       const { job, occurrence } = pending;
@@ -321,10 +353,11 @@
         placeStep(tasks, service, needsAdvice);
         if (placed > before) {
           logPlacement(pending, tasks, placed - before, service);
+          if (pending.aged) options.fairShare.endTurn(name);
         }
       }
     }
-    options.trialWorkers.reserve(name, [...service.instances.values()], {
+    options.trialWorkers.reserve(name, workers, {
       count: service.waitingSuspects,
       busyCount: service.busyTrials,
     });
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -44,6 +44,8 @@
 import { RUN_LEASE_MS } from "./worker_link.ts";
 import { createWorkerRegistry } from "./worker_registry.ts";
 import type { AdmissionDecision } from "./workspaces/admission.ts";
+import { createFairShare } from "./workspaces/fair_share.ts";
+import { createOwnerAdmission } from "./workspaces/owner_admission.ts";
 
 /**
  * Time without a response of the store after which an owner issues no more
@@ -228,6 +230,14 @@
     onChange: () => planWake.notify(),
   });
 
+  const fairShare = createFairShare({ nowMs: () => clock.monotonicMs() });
+  const admission = createOwnerAdmission({
+    scheduler,
+    clock,
+    config: options.config,
+    isScarce: fleet.isScarce,
+  });
+
   /** Adds a stored job unless it was added before: both the accepting entry and the watch report it. */
   function acceptJob(spec: JobSpec): void {
     if (scheduler.hasJob(spec.jobId)) return;
@@ -301,6 +311,7 @@
           tickets,
           clock,
           log,
+          fairShare,
           isCordoned: fleet.isCordoned,
           isScarce: fleet.isScarce,
           countArriving: fleet.countArriving,
@@ -428,7 +439,7 @@
     scheduler,
     accept: acceptJob,
     cancel: (jobId) => scheduler.cancel(jobId),
-    admit: () => ({ kind: "admitted", excess: false }),
+    admit: admission.admit,
     status: (jobId, workspace) => scheduler.status(jobId, workspace),
     waitingJobs: (queue) => scheduler.waitingJobs(queue),
     describeState: () => ({
