--- a/src/scheduler/attainability.ts
+++ b/src/scheduler/attainability.ts
@@ -2,7 +2,10 @@
   comparePendingOccurrences,
   type PendingOccurrence,
 } from "./job_order.ts";
-import { createDeferralQueue, type PoolShares } from "./workspaces/fair_share.ts";
+import {
+  createDeferralQueue,
+  type PoolShares,
+} from "./workspaces/fair_share.ts";
 
 /** Share of a pool's capacity that placed tasks use under load; tasks don't pack exactly into a VM. */
 const USABLE_SHARE = 0.85;
--- a/src/scheduler/workspaces/fair_share.ts
+++ b/src/scheduler/workspaces/fair_share.ts
@@ -1,6 +1,6 @@
 import type { Occurrence } from "../job_state.ts";
 import type { PendingOccurrence } from "../job_order.ts";
-import { createSums, meanCapacity, toVmEquivalents } from "../placed_tasks.ts";
+import { meanCapacity, toVmEquivalents } from "../placed_tasks.ts";
 import type { WorkspaceConfig } from "../ports.ts";
 import type { WorkerInstance } from "../worker_table.ts";
 import { sumUsage } from "./usage.ts";
@@ -83,7 +83,10 @@
       Math.max(weight, MINIMUM_WEIGHT),
     ]),
   );
-  const sum = [...weights.values()].reduce((total, weight) => total + weight, 0);
+  const sum = [...weights.values()].reduce(
+    (total, weight) => total + weight,
+    0,
+  );
   return { weights, meanWeight: weights.size > 0 ? sum / weights.size : 1 };
 }
 
--- a/src/scheduler/workspaces/fair_share_test.ts
+++ b/src/scheduler/workspaces/fair_share_test.ts
@@ -60,7 +60,10 @@
     const running = jobs.filter(({ startedAtMs }) =>
       startedAtMs !== undefined && startedAtMs > nowMs - TASK_MS
     );
-    const usedByWorkspace = new Map<string, typeof empty & { cpuMillis: number }>();
+    const usedByWorkspace = new Map<
+      string,
+      typeof empty & { cpuMillis: number }
+    >();
     for (const { workspace } of running) {
       const used = usedByWorkspace.get(workspace)?.cpuMillis ?? 0;
       usedByWorkspace.set(workspace, { ...empty, cpuMillis: used + cpuMillis });
