feat(scheduler): show operators why jobs wait and what workspaces use

The owner logs one line for each waiting job of a workspace and reason (quota, share or capacity), and shows usage, limit, weight and admission counts by workspace in its dump and as metrics. The planner's callers in the trial worker test and in the capacity benchmark pass the new dependencies.

The log lines, the dump and the metrics have no test of their own.

--- a/bench/capacity/scheduling.ts
+++ b/bench/capacity/scheduling.ts
@@ -16,6 +16,8 @@
 import type { VmStates } from "../../src/scheduler/vm_states.ts";
 import type { WorkerLink } from "../../src/scheduler/worker_link.ts";
 import { tasksOnVm } from "../../src/scheduler/worker_table.ts";
+import { createFairShare } from "../../src/scheduler/workspaces/fair_share.ts";
+import { createWaitLog } from "../../src/scheduler/workspaces/wait_log.ts";
 import type { ReportTable } from "../report.ts";
 
 /** Numbers of workers that are measured. */
@@ -188,6 +190,8 @@
     isScarce: () => false,
     countArriving: () => new Map(),
     trialWorkers: createTrialWorkers(),
+    fairShare: createFairShare({ nowMs: clock.monotonicMs }),
+    waitLog: createWaitLog(silentLogger),
   };
   const plan = () => planPlacements(planner, CONFIG);
   let nextJob = 1;
--- a/src/scheduler/crashes/trial_workers_test.ts
+++ b/src/scheduler/crashes/trial_workers_test.ts
@@ -49,6 +49,7 @@
       clock,
       log: silentLogger,
       fairShare: createFairShare({ nowMs: clock.monotonicMs }),
+      waitLog: { note() {} },
       isCordoned: () => false,
       isScarce: () => false,
       countArriving: () => new Map(),
--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -29,6 +29,7 @@
 import type { RelayServer } from "./relay/server.ts";
 import type { RequestStats } from "./request_stats.ts";
 import { describeConflict } from "./workspaces/stored_workspace.ts";
+import { workspaceMetrics } from "./workspaces/workspace_state.ts";
 import type { SchedulerSettings } from "./settings.ts";
 import type { StoreHealth } from "./store_health.ts";
 
@@ -348,5 +349,6 @@
       labels: {},
       value: workers.instances.size,
     },
+    ...workspaceMetrics(owner.workspaces()),
   ];
 }
--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -33,12 +33,14 @@
 import type { FairShare } from "./workspaces/fair_share.ts";
 import { createQuotaCheck, type QuotaCheck } from "./workspaces/quota.ts";
 import { sumUsage } from "./workspaces/usage.ts";
+import type { WaitLog } from "./workspaces/wait_log.ts";
 
 /** Dependencies of a planning round. */
 export interface PlannerOptions extends CandidateOptions {
   readonly tickets: TicketCache;
   readonly log: Logger;
   readonly fairShare: FairShare;
+  readonly waitLog: WaitLog;
   /** Whether a service's pool needs more VMs than the fleet has. */
   readonly isScarce: (service: string) => boolean;
   /** Counts the VMs that are on their way into each pool. */
@@ -124,6 +126,8 @@
   const nowMs = clock.monotonicMs();
   const quota = createRoundQuota(options, config);
   let placed = 0;
+  /** Whether the upper bound has stopped the current step. */
+  let isOverQuota = false;
 
   function placeTask(
     task: TaskState,
@@ -230,8 +234,10 @@
     const first = waiting[0];
     if (first === undefined) return;
     const step = getStep(first);
-    const allows = (count: number) =>
-      quota === undefined || quota.allows(first.job.spec, step, count);
+    const allows = (count: number) => {
+      isOverQuota = quota?.allows(first.job.spec, step, count) === false;
+      return !isOverQuota;
+    };
     // Not recorded as unplaceable: jobs of other workspaces may start.
     if (!allows(step.gang ? waiting.length : 1)) return;
     const suspects = waiting.filter(({ losses }) =>
@@ -324,6 +330,23 @@
     });
   }
 
+  /** Logs why the rest of a step waits. */
+  function logWait(
+    { job: { spec }, timeliness, excess }: PendingOccurrence,
+    tasks: readonly TaskState[],
+  ): void {
+    if (quota === undefined || spec.workspace === "") return;
+    if (!tasks.some(({ phase }) => phase === "waiting")) return;
+    options.waitLog.note(
+      spec,
+      isOverQuota
+        ? "quota"
+        : excess || timeliness === "deferred"
+        ? "share"
+        : "capacity",
+    );
+  }
+
   for (const [name, occurrences] of pendingOccurrences) {
     const service = services.get(name);
     if (service === undefined) continue;
@@ -350,7 +373,9 @@
       const { needsAdvice } = resolveQueue(config, job.spec);
       for (const tasks of listRunnableSteps(job, occurrence)) {
         const before = placed;
+        isOverQuota = false;
         placeStep(tasks, service, needsAdvice);
+        logWait(pending, tasks);
         if (placed > before) {
           logPlacement(pending, tasks, placed - before, service);
           if (pending.aged) options.fairShare.endTurn(name);
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -46,6 +46,12 @@
 import type { AdmissionDecision } from "./workspaces/admission.ts";
 import { createFairShare } from "./workspaces/fair_share.ts";
 import { createOwnerAdmission } from "./workspaces/owner_admission.ts";
+import { sumUsage } from "./workspaces/usage.ts";
+import { createWaitLog } from "./workspaces/wait_log.ts";
+import {
+  describeWorkspaces,
+  type WorkspaceState,
+} from "./workspaces/workspace_state.ts";
 
 /**
  * Time without a response of the store after which an owner issues no more
@@ -113,6 +119,8 @@
   status(jobId: string, workspace: string): JobStatus | undefined;
   /** Returns the number of jobs in a queue of which no worker has confirmed a run. */
   waitingJobs(queue: string): number;
+  /** Returns the state of each configured workspace. */
+  workspaces(): WorkspaceState[];
   /** Returns the owner's state for the `/dump` endpoint. */
   describeState(): unknown;
   readonly scheduler: Scheduler;
@@ -230,6 +238,7 @@
     onChange: () => planWake.notify(),
   });
 
+  const waitLog = createWaitLog(log);
   const fairShare = createFairShare({ nowMs: () => clock.monotonicMs() });
   const admission = createOwnerAdmission({
     scheduler,
@@ -312,6 +321,7 @@
           clock,
           log,
           fairShare,
+          waitLog,
           isCordoned: fleet.isCordoned,
           isScarce: fleet.isScarce,
           countArriving: fleet.countArriving,
@@ -434,6 +444,13 @@
     return endReason;
   }
 
+  const listWorkspaces = () =>
+    describeWorkspaces(
+      options.config()?.workspaces ?? [],
+      sumUsage(scheduler.workers.instances.values()),
+      admission.counts,
+    );
+
   const api: OwnerApi = {
     epoch: tenure.epoch,
     scheduler,
@@ -442,6 +459,7 @@
     admit: admission.admit,
     status: (jobId, workspace) => scheduler.status(jobId, workspace),
     waitingJobs: (queue) => scheduler.waitingJobs(queue),
+    workspaces: listWorkspaces,
     describeState: () => ({
       epoch: tenure.epoch,
       sinceMs: clock.wallMs() - startedAtWallMs,
@@ -450,6 +468,7 @@
       relays: control.describe(),
       counters: scheduler.counters,
       fleet: fleet.describe(),
+      workspaces: listWorkspaces(),
       workers: [...scheduler.workers.instances.values()].map((instance) => ({
         workerId: instance.workerId,
         vmId: instance.vmId,
--- a/src/scheduler/workspaces/quota_test.ts
+++ b/src/scheduler/workspaces/quota_test.ts
@@ -75,6 +75,7 @@
         clock: systemClock,
         log: silentLogger,
         fairShare: createFairShare({ nowMs: systemClock.monotonicMs }),
+        waitLog: { note() {} },
         isCordoned: () => false,
         isScarce: () => false,
         countArriving: () => new Map(),
