feat(scheduler): several commits in flight while the store is slow

Change: where `platform.writesPerS` (new, default 400) is above 400, the owner has one lane per 200 writes per second, 8 at most, each with a head of its own. An election writes the heads of its lanes and deletes those of further lanes of an earlier owner in the same change. `inOrder` and `after` keep the orders between records of different keys that recovery relies on. With one lane the keys and the order of writes are unchanged; an election reads the heads with one list call instead of one get.

--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -73,6 +73,8 @@
   readonly random: () => number;
   /** Delay before this entry campaigns, in ms, so that better suited entries win. */
   readonly candidateDelayMs: number;
+  /** Number of the journal's lanes while this entry is the owner; 1 if omitted. */
+  readonly lanes?: number;
 }
 
 /** Tracks the current owner and campaigns for ownership when there is none. */
@@ -274,6 +276,7 @@
       const tenure = yield* until(acquireOwnership(store, self, {
         leaseTtlMs: OWNER_LEASE_MS,
         replacedRevision: knownOwner === undefined ? 0 : ownerRevision,
+        lanes: options.lanes,
       }));
       if (tenure !== undefined) electedEpochs.add(tenure.epoch);
       return tenure;
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -2,11 +2,14 @@
 import { StoreError } from "../errors.ts";
 import type { RecordStore, StoreChange, StoredItem } from "./ports.ts";
 
+/** Maximum number of lanes: the change of an election must hold the heads of its own lanes and of an earlier owner's. */
+export const MAXIMUM_LANES = 8;
+
 /** Keys that the scheduler uses in the platform's store. */
 export const STORE_KEYS = {
   /** ID, address and epoch of the owner; attached to its lease. */
   owner: "ctl/owner",
-  /** Epoch and number of the latest commit; not attached to a lease, so that the epoch never decreases. */
+  /** Epoch and number of the latest commit; not attached to a lease, so that the epoch never decreases. Further lanes have heads of their own below this key. */
   head: "ctl/head",
   /** When an owner last gave up because its process was too slow. */
   slowHandover: "ctl/slow_handover",
@@ -58,7 +61,12 @@
   }
 }
 
-/** Encodes the head of the journal. */
+/** Returns the key of the head of one of the journal's lanes; lane 0 is the only one that each owner uses. */
+export function headKey(lane: number): string {
+  return lane === 0 ? STORE_KEYS.head : `${STORE_KEYS.head}/${lane}`;
+}
+
+/** Encodes the head of a lane. */
 export function encodeHead(epoch: number, commit: number): string {
   return JSON.stringify({ epoch, commit });
 }
@@ -68,31 +76,56 @@
   readonly epoch: number;
   readonly leaseId: number;
   readonly leaseTtlMs: number;
-  /** Store revision of the journal's head at the start of the tenure. */
+  /** Number of the journal's lanes. */
+  readonly lanes: number;
+  /** Store revision of the election, which wrote the owner's key and the heads of all lanes. */
   readonly headRevision: number;
 }
 
 /**
- * Tries to become the owner: one change writes the owner's key under a lease and
- * raises the epoch in the journal's head. `replacedRevision` is the revision of
- * the key of an owner that has failed, or 0 if there is no key. Returns undefined
- * if another entry is the owner; rejects with a `StoreError`.
+ * Reads the heads that earlier elections have left. Only elections add or remove
+ * heads, and each changes the first one, so that a condition on its revision also
+ * guards the list.
+ */
+async function readHeads(
+  store: RecordStore,
+): Promise<{ first: StoredItem | undefined; further: string[] }> {
+  const { items } = await store.list(STORE_KEYS.head);
+  return {
+    first: items.find(({ key }) => key === STORE_KEYS.head),
+    further: items.map(({ key }) => key).filter((key) =>
+      key.startsWith(`${STORE_KEYS.head}/`)
+    ),
+  };
+}
+
+/**
+ * Tries to become the owner: one change writes the owner's key under a lease,
+ * raises the epoch in the heads of this owner's lanes and deletes those of further
+ * lanes that an earlier owner has used, so that no earlier owner can commit in any
+ * lane. `replacedRevision` is the revision of the key of an owner that has failed,
+ * or 0 if there is no key. Returns undefined if another entry is the owner;
+ * rejects with a `StoreError`.
  */
 export async function acquireOwnership(
   store: RecordStore,
   self: { entryId: string; address: string },
-  { leaseTtlMs, replacedRevision }: {
+  { leaseTtlMs, replacedRevision, lanes = 1 }: {
     readonly leaseTtlMs: number;
     readonly replacedRevision: number;
+    /** Number of the journal's lanes, at most `MAXIMUM_LANES`; 1 if omitted. */
+    readonly lanes?: number | undefined;
   },
 ): Promise<Tenure | undefined> {
-  const head = await store.get(STORE_KEYS.head);
+  const { first: head, further } = await readHeads(store);
+  const ownHeads = Array.from({ length: lanes }, (_, lane) => headKey(lane));
   const epoch = (head === undefined ? 0 : parseHead(head)?.epoch ?? 0) + 1;
   const lease = await store.grantLease(leaseTtlMs);
   const tenure = (headRevision: number): Tenure => ({
     epoch,
     leaseId: lease.leaseId,
     leaseTtlMs: lease.ttlMs,
+    lanes,
     headRevision,
   });
   // The lease tells this attempt apart from an earlier one for the same epoch, which may still be executed.
@@ -112,8 +145,9 @@
         value: ownerRecord,
         leaseId: lease.leaseId,
       },
-      { key: STORE_KEYS.head, value: encodeHead(epoch, 0) },
+      ...ownHeads.map((key) => ({ key, value: encodeHead(epoch, 0) })),
     ],
+    deletes: further.filter((key) => !ownHeads.includes(key)),
   };
   try {
     const outcome = await store.change(change);
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -186,9 +186,14 @@
     });
   }
 
-  function save(job: JobState, onStored?: () => void): void {
+  function save(
+    job: JobState,
+    onStored?: () => void,
+    urgent = false,
+  ): void {
     const status = job.status;
     journal.put({
+      urgent,
       key: STORE_KEYS.progressPrefix + job.spec.jobId,
       encode: () => encodeProgress(job, clock.wallMs()),
       onStored() {
@@ -578,6 +583,7 @@
       save(
         task.job,
         () => void sendStart(task, placement, { checkpoint, ticket }),
+        true,
       );
     },
     stop,
@@ -621,13 +627,13 @@
       for (const [jobId, { sinceMs }] of endedJobs) {
         if (sinceMs >= limitMs) continue;
         endedJobs.delete(jobId);
-        for (
-          const prefix of [
-            STORE_KEYS.jobPrefix,
-            STORE_KEYS.cancelPrefix,
-            STORE_KEYS.progressPrefix,
-          ]
-        ) journal.put({ key: prefix + jobId, encode: () => undefined });
+        const jobKey = STORE_KEYS.jobPrefix + jobId;
+        const remove = (key: string, after?: string) =>
+          journal.put({ key, after, encode: () => undefined });
+        remove(jobKey);
+        remove(STORE_KEYS.cancelPrefix + jobId);
+        // Without its progress record, the next owner would run the job again.
+        remove(STORE_KEYS.progressPrefix + jobId, jobKey);
       }
     },
   };
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { ValidationError } from "../errors.ts";
 import { listSchemaIssues, parseJson } from "../validation.ts";
+import { MAXIMUM_LANES } from "./ownership.ts";
 
 const address = z.string().regex(
   /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
@@ -24,6 +25,8 @@
     storeAddress: address,
     vmApiAddress: address,
     adviceAddress: z.union([address, z.literal("")]).default(""),
+    /** Write calls per second that the store allows across all entries. */
+    writesPerS: z.number().positive().default(400),
   }),
   limits: z.object({
     /** CPU cores that this VM may use, for example 0.675. */
@@ -86,3 +89,19 @@
     ? 0
     : WEAK_CANDIDATE_DELAY_MS;
 }
+
+/** Write calls per second of a store up to which the owner sends one commit at a time. */
+const SINGLE_LANE_WRITES_PER_S = 400;
+/** Write calls per second of the store for each lane; 1,200 allow six commits in flight, which store 800 records a second at 200 ms per commit. */
+const WRITES_PER_S_PER_LANE = 200;
+
+/** Returns the number of commits that the owner may have in flight at a time. */
+export function resolveLaneCount(
+  { platform: { writesPerS } }: {
+    readonly platform: Pick<SchedulerSettings["platform"], "writesPerS">;
+  },
+): number {
+  return writesPerS <= SINGLE_LANE_WRITES_PER_S
+    ? 1
+    : Math.min(MAXIMUM_LANES, Math.floor(writesPerS / WRITES_PER_S_PER_LANE));
+}
--- a/src/scheduler/settings_test.ts
+++ b/src/scheduler/settings_test.ts
@@ -4,6 +4,7 @@
 import {
   listChangedSettings,
   resolveCandidateDelayMs,
+  resolveLaneCount,
   resolveSchedulerSettings,
 } from "./settings.ts";
 
@@ -61,4 +62,17 @@
   assert.ok(delay(1.35, 7) > 100);
 });
 
+// Guards against small deployments whose commits change, and against an owner that uses up the store's write rate.
+test("several commits are in flight only if the store allows more than 400 writes per second", () => {
+  const count = (platform: object) =>
+    resolveLaneCount(
+      resolve({ ...SETTINGS, platform: { ...SETTINGS.platform, ...platform } }),
+    );
+  assert.equal(count({}), 1);
+  assert.deepEqual(
+    [400, 401, 1_200, 10_000].map((writesPerS) => count({ writesPerS })),
+    [1, 2, 6, 8],
+  );
+});
+
 test.run();
--- a/src/scheduler/vm_orders.ts
+++ b/src/scheduler/vm_orders.ts
@@ -126,6 +126,9 @@
     const { vmId, order } = delivery;
     journal.put({
       key: VM_ORDER_PREFIX + vmId,
+      urgent: true,
+      // The order ends the VM's worker, and with it the list of ended runs that aren't stored yet.
+      inOrder: true,
       encode: () =>
         JSON.stringify({ ...order, epoch: fence, atMs: clock.wallMs() }),
       onStored: () => void deliver(delivery, createStopwatch(clock)),
--- a/src/scheduler/wave_runner.ts
+++ b/src/scheduler/wave_runner.ts
@@ -117,15 +117,18 @@
   }
 
   function saveWave(wave: number, record: WaveRecord): void {
-    journal.put({
-      key: STORE_KEYS.wavePrefix + wave,
-      encode: () => JSON.stringify(record),
-    });
+    const key = STORE_KEYS.wavePrefix + wave;
+    journal.put({ key, encode: () => JSON.stringify(record) });
     const status = records.waveStatus(
       wave,
       record.completed ? "completed" : "running",
     );
-    journal.put({ key: status.key, encode: () => status.value });
+    // A wave reported as completed must not be continued by the next owner.
+    journal.put({
+      key: status.key,
+      after: key,
+      encode: () => status.value,
+    });
   }
 
   function advance(request: WaveRequest): void {
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -25,7 +25,11 @@
 } from "./ports.ts";
 import { createRelayServer } from "./relay/server.ts";
 import { createRequestStats, type RequestStats } from "./request_stats.ts";
-import { resolveCandidateDelayMs, type SchedulerSettings } from "./settings.ts";
+import {
+  resolveCandidateDelayMs,
+  resolveLaneCount,
+  type SchedulerSettings,
+} from "./settings.ts";
 import { createStoreHealth, type StoreHealth } from "./store_health.ts";
 
 function token<T>(name: string): InjectionToken<T> {
@@ -106,6 +110,7 @@
       log: loggers("owner"),
       random: Math.random,
       candidateDelayMs: resolveCandidateDelayMs(settings),
+      lanes: resolveLaneCount(settings),
       config: scope.resolve(TOKENS.operator).config,
       waves: scope.resolve(TOKENS.operator).waves,
       keepEndedMs: settings.bounds.keepEndedS * 1_000,
--- a/testing/fake_record_store.ts
+++ b/testing/fake_record_store.ts
@@ -26,9 +26,11 @@
   lateChangeRate: number;
   /** Delay of a late change, in ms. */
   lateMs: number;
+  /** Delay of each response, in ms. */
+  responseMs: number;
 }
 
-/** Delay of a response, in ms. */
+/** Normal delay of a response, in ms. */
 const RESPONSE_DELAY_MS = 2;
 
 /** An in-memory store with the guarantees and the faults of the platform's store. */
@@ -39,6 +41,7 @@
     lostAnswerRate: 0,
     lateChangeRate: 0,
     lateMs: 1_000,
+    responseMs: RESPONSE_DELAY_MS,
   };
   /** Stored records by key. */
   readonly items = new Map<string, Item>();
@@ -143,7 +146,7 @@
   }
 
   async #simulateCall(clientId: string): Promise<void> {
-    await delay(RESPONSE_DELAY_MS);
+    await delay(this.faults.responseMs);
     if (this.faults.down || this.faults.refusedClients.has(clientId)) {
       throw new StoreError("unavailable", "The store is unavailable");
     }
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -63,9 +63,10 @@
   };
 }
 
-/** Creates a scheduler whose workers the test adds and answers for. */
-export function createTestScheduler() {
-  const { journal, flush } = createTestJournal();
+/** Creates a scheduler whose workers the test adds and answers for; a given journal isn't flushed by `flush`. */
+export function createTestScheduler(options: { journal?: Journal } = {}) {
+  const { journal: testJournal, flush } = createTestJournal();
+  const journal = options.journal ?? testJournal;
   const state = {
     mayOrder: true,
     stop: { kind: "done", clockMs: 0 } as OrderOutcome,
