--- a/src/scheduler/commit_lane.ts
+++ b/src/scheduler/commit_lane.ts
@@ -51,9 +51,9 @@
  * Creates one lane of a tenure's journal. Each commit is conditional on the
  * revision of the lane's head and advances it, so that a commit whose response was
  * lost can't be executed after a newer one of the lane, nor after the election of
- * another owner, which changes the heads of all lanes. Entries of a version that
- * knows only one lane change only the first head and the owner's key, so that the
- * further lanes are conditional on that key as well.
+ * another owner, which changes the heads of its lanes. An owner with one lane
+ * changes only the first head and the owner's key, so that the further lanes are
+ * conditional on that key as well.
  */
 export function createCommitLane(options: CommitLaneOptions): CommitLane {
   const { lane, tenure, log } = options;
@@ -72,9 +72,10 @@
       return "the owner's key was deleted or replaced";
     }
     const epoch = head === undefined ? undefined : parseHead(head)?.epoch;
-    return `the head of the journal's lane ${lane} belongs to epoch ${
-      epoch ?? "unknown"
-    }`;
+    const name = lane === 0
+      ? "the journal's head"
+      : `the head of the journal's lane ${lane}`;
+    return `${name} belongs to epoch ${epoch ?? "unknown"}`;
   }
 
   /** Tries to store a change as the lane's commit `commitNumber`; returns whether it is stored. If not, the same change must be retried. */
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -101,9 +101,9 @@
 
 /**
  * Tries to become the owner: one change writes the owner's key under a lease,
- * raises the epoch in the heads of this owner's lanes and deletes those of further
- * lanes that an earlier owner has used, so that no earlier owner can commit in any
- * lane. `replacedRevision` is the revision of the key of an owner that has failed,
+ * raises the epoch in the heads of this owner's lanes and, if it has several,
+ * deletes those of further lanes that an earlier owner has used, so that no earlier
+ * owner can commit in any lane. `replacedRevision` is the revision of the key of an owner that has failed,
  * or 0 if there is no key. Returns undefined if another entry is the owner;
  * rejects with a `StoreError`.
  */
@@ -117,7 +117,10 @@
     readonly lanes?: number | undefined;
   },
 ): Promise<Tenure | undefined> {
-  const { first: head, further } = await readHeads(store);
+  // With one lane, heads of an earlier owner's further lanes may stay: their commits are conditional on the owner's key too.
+  const { first: head, further } = lanes === 1
+    ? { first: await store.get(STORE_KEYS.head), further: [] }
+    : await readHeads(store);
   const ownHeads = Array.from({ length: lanes }, (_, lane) => headKey(lane));
   const epoch = (head === undefined ? 0 : parseHead(head)?.epoch ?? 0) + 1;
   const lease = await store.grantLease(leaseTtlMs);
