--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -26,7 +26,11 @@
 } from "./ports.ts";
 import { createRelayServer } from "./relay/server.ts";
 import { createRequestStats, type RequestStats } from "./request_stats.ts";
-import { resolveCandidateDelayMs, type SchedulerSettings } from "./settings.ts";
+import {
+  resolveCandidateDelayMs,
+  resolveLaneCount,
+  type SchedulerSettings,
+} from "./settings.ts";
 import { createStoreHealth, type StoreHealth } from "./store_health.ts";
 import { createAuthenticator } from "./workspaces/authentication.ts";
 
@@ -121,6 +125,7 @@
       log: loggers("owner"),
       random: Math.random,
       candidateDelayMs: resolveCandidateDelayMs(settings),
+      lanes: resolveLaneCount(settings),
       config: scope.resolve(TOKENS.operator).config,
       waves: scope.resolve(TOKENS.operator).waves,
       keepEndedMs: settings.bounds.keepEndedS * 1_000,
