fix(jobs): a repetition refused by the configuration may be stored

Cause: the response to the write of a submission was lost and its team was removed before it came again; the refusal said not_run although the job was stored. Change: the shard writer keeps the write in flight and tells whether a pending change, the write in flight or the unresolved write contains this job. Only then, or without a valid lease, a refusal for an unknown pool or team is answered with outcome_unknown.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -159,6 +159,15 @@
       this.writer.lacksJob(jobId);
   }
 
+  /**
+   * Returns whether the shard may contain a job that its record doesn't list.
+   * Unlike `!provesAbsence`, writes of other jobs raise no doubt.
+   */
+  mayContain(jobId: string): boolean {
+    return this.#ownership === undefined || !this.#hasValidLease() ||
+      this.writer.mayContain(jobId);
+  }
+
   /** Returns why a queued job waits. */
   waitReason(jobId: string): WaitReason | undefined {
     const { schedulerState, shard } = this.#options;
--- a/src/jobs/routes.ts
+++ b/src/jobs/routes.ts
@@ -172,8 +172,9 @@
       const reply = createErrorReply(error);
       const dispatcher = this.#options.dispatcherOf(key.shard);
       // An earlier submission with this key may have been accepted.
-      const mayBeStored = reply.status === 503 &&
-        dispatcher?.provesAbsence(key.key) !== true;
+      const mayBeStored = isSpecRefusal(error)
+        ? dispatcher?.mayContain(key.key) !== false
+        : reply.status === 503 && dispatcher?.provesAbsence(key.key) !== true;
       return mayBeStored ? { ...reply, outcome: "outcome_unknown" } : reply;
     }
   }
@@ -319,6 +320,12 @@
   }
 }
 
+/** Whether the configuration doesn't allow a job; an earlier one may have allowed it. */
+function isSpecRefusal(error: unknown): boolean {
+  return error instanceof JobRefusedError &&
+    (error.kind === "unknown_pool" || error.kind === "unknown_team");
+}
+
 function requireKey(text: string): JobKey {
   const key = parseJobKey(text);
   if (key === undefined) {
--- a/src/jobs/shard_writer.ts
+++ b/src/jobs/shard_writer.ts
@@ -74,6 +74,8 @@
   #version = 0;
   #pending: PendingChange[] = [];
   #unresolvedWrite: PendingWrite | undefined;
+  /** Write whose call to the store hasn't returned yet. */
+  #writeInFlight: PendingWrite | undefined;
   #flushing: Promise<void> | undefined;
   /** Notified when a change is queued. */
   readonly changed = createNotifier();
@@ -112,6 +114,20 @@
       !this.#pending.some((change) => change.jobId === jobId);
   }
 
+  /**
+   * Returns whether the shard contains a job, or may contain it because of a
+   * submission that is pending, in flight or of unknown outcome.
+   */
+  mayContain(jobId: string): boolean {
+    if (this.#record === undefined || this.#record.jobs.has(jobId)) return true;
+    const changes = [
+      ...this.#pending,
+      ...this.#writeInFlight?.batch ?? [],
+      ...this.#unresolvedWrite?.batch ?? [],
+    ];
+    return changes.some((change) => change.jobId === jobId);
+  }
+
   /**
    * Resets the backoff after any successful call to the store, so that changes
    * are accepted again.
@@ -215,6 +231,7 @@
   }
 
   async #write(write: PendingWrite): Promise<void> {
+    this.#writeInFlight = write;
     try {
       const result = await this.#call(() =>
         this.#options.store.compareAndSwap(write.request)
@@ -237,6 +254,8 @@
           new JobRefusedError("store_unavailable", reason, OUTAGE_RETRY_MS),
         );
       }
+    } finally {
+      this.#writeInFlight = undefined;
     }
   }
 
