fix(scheduler): a worker whose clock was set back is registered

Cause: a registration with an earlier start time than a known process of the worker was dropped as outdated. A process that came back at another address with its clock set back was never registered while the silent earlier process stayed in the table. Change: the registration is accepted if the known process is silent at another address and has no tasks or unwanted runs; that process is then replaced. Result: not run, as node_modules was empty.

--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -93,7 +93,11 @@
       return;
     }
     const others = workers.listByWorker(registration.workerId);
-    if (others.some(({ bornAtMs }) => bornAtMs > registration.bornAtMs)) return;
+    const mayBeLate = others.some((other) =>
+      other.bornAtMs > registration.bornAtMs &&
+      !isAbandoned(other, registration)
+    );
+    if (mayBeLate) return;
     const leasesEndMs = Math.max(
       earlierLeasesEndMs,
       existingInstance?.earlierLeasesEndMs ?? 0,
@@ -149,6 +153,19 @@
     newInstanceNotifier.notify();
   }
 
+  /**
+   * Whether a registration with an earlier start time belongs to a later process
+   * whose clock was set back: the known process is silent at another address and
+   * has no tasks or unwanted runs.
+   */
+  function isAbandoned(
+    { link, tasks }: WorkerInstance,
+    { address }: WorkerRegistration,
+  ): boolean {
+    return link !== undefined && link.registration.address !== address &&
+      link.silentMs() > 0 && tasks.size === 0 && tasks.unwantedCount === 0;
+  }
+
   /** Logs a change of a worker's capacity, after which tasks may fit. */
   function noteCapacity(
     { registration: before, tasks }: WorkerInstance,
