feat(scheduler): every order that ends a task asks the disruption budget

Cause: only waves checked mayMiss, and they counted a task as available as soon as one report showed it at work, also on a silent worker. By reading: the stops of a failed job (a task given up after crashes), the stop after an unanswered start, and VM orders whose record takes long to store didn't check it at all. Change: disruption_budget.ts decides from plain data; disruption_guard.ts feeds it from placements, which hold the time since which reports have shown the task at work. Stops, waves and VM orders ask it, VM orders again right before they are sent. A failed job's tasks are stopped as far as the budget allows, the others when the job is cancelled. VMs with unwanted long-running runs aren't idle.

--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -313,6 +313,11 @@
       "Tasks taken from slow workers",
       counters.relocations,
     ),
+    counter(
+      "cowslipferry_disruption_budget_refusals_total",
+      "Orders that a disruption budget didn't allow",
+      counters.budgetRefusals,
+    ),
     ...Object.entries(counters.ends).map(([ending, value]) =>
       counter("cowslipferry_run_ends_total", "Listed ends of runs", value, {
         ending,
--- a/src/scheduler/fleet_manager.ts
+++ b/src/scheduler/fleet_manager.ts
@@ -16,7 +16,7 @@
   WaveRequest,
 } from "./ports.ts";
 import { retryStoreRead } from "./retry_store_read.ts";
-import type { WorkerInstance } from "./worker_table.ts";
+import { tasksOnVm, type WorkerInstance } from "./worker_table.ts";
 import type { Scheduler } from "./scheduler.ts";
 import { createVmOrders, VM_ORDER_PREFIX } from "./vm_orders.ts";
 import { createVmStates } from "./vm_states.ts";
@@ -59,6 +59,8 @@
   isScarce(pool: string): boolean;
   /** Counts the VMs that are on their way into each pool. */
   countArriving(): ReadonlyMap<string, number>;
+  /** Whether an order for the VM may end what runs there. */
+  isVmEnding(vmId: string): boolean;
   /** Whether an order for its VM may have ended a worker instance. */
   wasOrdered(instance: WorkerInstance): boolean;
   /** Whether workers are expected to register after a move or maintenance of their VMs. */
@@ -74,6 +76,11 @@
     ...options,
     holder: options.entryId,
     fence: options.tenure.epoch,
+    mayTakeDown: (vmId) =>
+      options.scheduler.disruptions.mayEnd(
+        tasksOnVm(options.scheduler.workers, vmId),
+        `order for ${vmId}`,
+      ),
   });
   const vmStates = createVmStates({ ...options, orders });
   const waves = createWaveRunner({ ...options, vmStates });
@@ -103,6 +110,8 @@
     isCordoned: vmStates.isCordoned,
     isScarce: balancer.isScarce,
     countArriving: vmStates.countArriving,
+    isVmEnding: (vmId) =>
+      vmStates.isUnavailable(vmId) || vmStates.hasEarlierOrder(vmId),
     wasOrdered: ({ vmId, bornAtMs }) =>
       vmStates.isUnavailable(vmId) || orders.mayHaveEnded(vmId, bornAtMs),
     expectsWorkers: () => orders.active.size > 0 || vmStates.returning.size > 0,
--- a/src/scheduler/fleet_manager_test.ts
+++ b/src/scheduler/fleet_manager_test.ts
@@ -125,6 +125,58 @@
   });
 });
 
+// Guards against a wave that ends tasks at work while another task of the step, lost with a crashed worker, has only just started again.
+test("a task that was lost in a crash counts as away until it has been at work for the notice period", async () => {
+  const cluster = new SchedulerCluster(createRandom(11));
+  try {
+    for (let index = 0; index < 4; index++) cluster.addWorker(index);
+    cluster.noticeMs = 1_500;
+    cluster.startEntry();
+    const job = await cluster.submit([
+      { taskCount: 2, maxPerWorker: 1, longRunning: true, mayMiss: 1 },
+    ]);
+    const listRuns = () =>
+      [...cluster.workers.workers.values()].flatMap((worker) =>
+        [...worker.running.values()].filter(({ taskId }) =>
+          taskId.startsWith(job)
+        ).map((run) => ({ worker, run }))
+      );
+    await waitFor("both tasks run", () => listRuns().length === 2);
+    const [lost, other] = listRuns().map(({ worker }) => worker);
+    lost!.running.clear();
+    lost!.alive = false;
+    await waitFor(
+      "the lost task runs again",
+      () => listRuns().some(({ run }) => run.run === 2),
+      { timeoutMs: 10_000 },
+    );
+    const backAtMs = performance.now();
+    let orderedAtMs = Infinity;
+    cluster.maintain = () => {
+      orderedAtMs = Math.min(orderedAtMs, performance.now());
+      return { kind: "refused", reason: "invalid" };
+    };
+    cluster.waves.set(1, {
+      wave: 1,
+      vmIds: [other!.registration.vmId],
+      deadlineMs: 10_000,
+      maximumDown: 1,
+    });
+    await waitFor("the order", () => orderedAtMs < Infinity, {
+      timeoutMs: 10_000,
+    });
+    const sinceBackMs = orderedAtMs - backAtMs;
+    // `waitFor` may have noticed the start late.
+    assert.ok(
+      sinceBackMs >= cluster.noticeMs - 200,
+      `ordered ${Math.round(sinceBackMs)} ms after the task was back`,
+    );
+    assert.deepEqual(cluster.invariants.violations, []);
+  } finally {
+    await cluster.close();
+  }
+});
+
 // Guards against more VMs down for a wave than allowed: an order that an earlier owner sent last may be carried out after the new owner has read the VM list.
 test("a recent maintenance order of an earlier owner counts towards the wave's limit", async () => {
   const cluster = new SchedulerCluster(createRandom(11));
--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -32,6 +32,10 @@
   stopConfirmedAtMs: number | undefined;
   /** Progress of a batch task, or readiness of a long-running one, 0 to 100. */
   percent: number;
+  /** Monotonic time since which every report has shown the run at work (percent 100), in ms. */
+  atWorkSinceMs?: number | undefined;
+  /** Monotonic time of the latest stop order for the run, in ms. */
+  stopSentAtMs?: number | undefined;
   /** Monotonic time of the worker's latest report on the run, in ms. */
   reportedAtMs: number | undefined;
   /** Tail latency in ms for a serving task, CPU usage in thousandths of a core for others. */
@@ -92,6 +96,8 @@
   begun: boolean;
   /** Why the job has failed; undefined while it hasn't. */
   failureReason?: string | undefined;
+  /** Whether the job was cancelled, even if it had ended before. */
+  cancelRequested?: boolean | undefined;
   /** Occurrences that have become due; later ones have no state yet. */
   readonly occurrences: Occurrence[];
   finishedOccurrences: number;
@@ -114,9 +120,14 @@
   return task.job.spec.steps[task.stepIndex]!;
 }
 
+/** Returns all tasks of the step occurrence that a task belongs to. */
+export function listStepTasks(task: TaskState): TaskState[] {
+  return task.job.occurrences[task.occurrence]!.steps[task.stepIndex]!;
+}
+
 /** Returns all tasks of the gang that a task belongs to. */
 export function listGangTasks(task: TaskState): TaskState[] {
-  return task.job.occurrences[task.occurrence]!.steps[task.stepIndex]!;
+  return listStepTasks(task);
 }
 
 /** Creates the state of a job that has just been accepted. */
--- a/src/scheduler/pool_plan.ts
+++ b/src/scheduler/pool_plan.ts
@@ -4,6 +4,7 @@
   readonly pool: string;
   /** Number of tasks on the VM, including those that are being stopped. */
   readonly taskCount: number;
+  /** Number of long-running tasks on the VM, including unwanted runs. */
   readonly longRunningTasks: number;
   /** Time since the VM last had a task, in ms. */
   readonly idleMs: number;
@@ -233,8 +234,8 @@
       .sort((a, b) => (b.allocated - keep(b)) - (a.allocated - keep(a)));
     for (const state of donors) {
       const idleVm = state.vms.filter((vm) =>
-        vm.movable && vm.taskCount === 0 && !movedVmIds.has(vm.vmId) &&
-        matches(vm)
+        vm.movable && vm.taskCount === 0 && vm.longRunningTasks === 0 &&
+        !movedVmIds.has(vm.vmId) && matches(vm)
       ).sort((a, b) =>
         Number(b.cordoned) - Number(a.cordoned)
       )[0];
--- a/src/scheduler/pool_plan_test.ts
+++ b/src/scheduler/pool_plan_test.ts
@@ -130,6 +130,15 @@
   assert.deepEqual([plan.moves, plan.cordons], [[], []]);
 });
 
+// Guards against ending a long-running task by the move of its VM: a run that the owner treats as unwanted isn't among the VM's tasks.
+test("a VM with an unwanted long-running run isn't taken as idle", () => {
+  const plan = planPools(
+    [pool("a", { waitingVms: 3 }), pool("b")],
+    [1, 2, 3, 4].map((index) => vm(`b${index}`, "b", { longRunningTasks: 1 })),
+  );
+  assert.deepEqual(plan.moves, []);
+});
+
 // Guards against starving a pool at the start of its surge while another keeps VMs for forecast work.
 test("overlapping surges: waiting work takes precedence over forecast work", () => {
   const plan = planPools(
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../clock.ts";
 import { assertNever } from "../errors.ts";
 import type { Logger } from "../logger.ts";
+import type { DisruptionGuard } from "./disruption_guard.ts";
 import { isListed, type Placement, type TaskState } from "./job_state.ts";
 import { YOUNG_RUN_MS } from "./crashes/run_loss.ts";
 import { settlesEarlierAttempts } from "./order_attempts.ts";
@@ -29,8 +30,16 @@
     placement: Placement,
     fields: StartFields,
   ): Promise<void>;
-  /** Sends a stop order unless one was sent a moment ago. */
-  sendStop(task: TaskState, placement: Placement): void;
+  /**
+   * Sends a stop order unless one was sent a moment ago, or the run may be at
+   * work and the disruption budget doesn't allow it. `isListed` tells whether the
+   * latest report lists the run.
+   */
+  sendStop(
+    task: TaskState,
+    placement: Placement,
+    evidence?: { readonly isListed: boolean },
+  ): void;
   /** Frees a task whose run is over although no report of its end has come. */
   giveUpRun(
     task: TaskState,
@@ -52,6 +61,7 @@
   readonly findInstance: (placement: Placement) => WorkerInstance | undefined;
   /** Called after a change that may allow tasks to be placed. */
   readonly onChange: () => void;
+  readonly disruptions: DisruptionGuard;
   /** Ends the placement of a task, so that it can be placed again. */
   readonly freeTask: (task: TaskState) => void;
 }
@@ -81,16 +91,25 @@
     freeTask(task);
   }
 
-  function sendStop(task: TaskState, placement: Placement): void {
+  function sendStop(
+    task: TaskState,
+    placement: Placement,
+    evidence: { readonly isListed: boolean } = { isListed: true },
+  ): void {
     const now = clock.monotonicMs();
     if (
       now - (lastStopAtMs.get(placement) ?? -Infinity) < STOP_RETRY_INTERVAL_MS
     ) {
       return;
     }
+    // Each report on the run leads to another attempt.
+    if (evidence.isListed && !options.disruptions.mayEnd([task], "stop")) {
+      return;
+    }
     lastStopAtMs.set(placement, now);
     const link = findInstance(placement)?.link;
     if (link === undefined || !options.mayOrder()) return;
+    placement.stopSentAtMs = now;
     void link.stop(task.taskId, placement.run).then((outcome) => {
       if (outcome.kind !== "done") return;
       // A later confirmation adds nothing, and would discard the report that is on its way.
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -5,6 +5,11 @@
   createDurationEstimates,
   type DurationEstimates,
 } from "./duration_estimates.ts";
+import { DEFAULT_NOTICE_MS } from "./disruption_budget.ts";
+import {
+  createDisruptionGuard,
+  type DisruptionGuard,
+} from "./disruption_guard.ts";
 import type { Journal } from "./journal.ts";
 import {
   chooseCheckpoint,
@@ -56,6 +61,8 @@
   lostRuns: number;
   /** Tasks stopped because their worker was too slow. */
   relocations: number;
+  /** Orders that a disruption budget didn't allow; repetitions within a second count once. */
+  budgetRefusals: number;
 }
 
 /** A job that has ended and has no known runs. */
@@ -96,8 +103,14 @@
     instance: WorkerInstance,
     options: { run: number; ticket: string | undefined },
   ): void;
-  /** Stops the run of a task; its resources stay reserved until the worker reports the end. */
-  stop(task: TaskState, reason: string): void;
+  /** Decides whether orders may end tasks of long-running steps. */
+  readonly disruptions: DisruptionGuard;
+  /**
+   * Stops the run of a task; its resources stay reserved until the worker reports
+   * the end. Returns false if the task has no run or its step's disruption budget
+   * doesn't allow the stop.
+   */
+  stop(task: TaskState, reason: string): boolean;
   /** Applies a worker's report that was requested at the monotonic time `sentAtMs`. */
   onReport(
     instance: WorkerInstance,
@@ -134,6 +147,10 @@
   readonly mayOrder: () => boolean;
   /** Whether an order for its VM explains the end of an instance. */
   readonly isOrdered: (instance: WorkerInstance) => boolean;
+  /** Time for which a task must have been at work before it no longer counts as away, in ms. */
+  readonly noticeMs?: number;
+  /** Whether an order for the VM may end what runs there. */
+  readonly isVmEnding?: (vmId: string) => boolean;
   /** Called after a change that may allow tasks to be placed. */
   readonly onChange: () => void;
 }
@@ -150,6 +167,7 @@
     ends: {},
     lostRuns: 0,
     relocations: 0,
+    budgetRefusals: 0,
   };
   /** Ended jobs whose status can still be queried; kept apart because each planning round iterates over `jobs`. */
   const endedJobs = new Map<string, EndedJob>();
@@ -387,6 +405,9 @@
       return task ?? findEndedDemand(activeRun.taskId);
     }
     placement.percent = activeRun.percent;
+    placement.atWorkSinceMs = activeRun.percent < 100
+      ? undefined
+      : placement.atWorkSinceMs ?? clock.monotonicMs();
     placement.reportedAtMs = clock.monotonicMs();
     placement.loadMetric = activeRun.loadMetric;
     if (activeRun.checkpoint !== "") task.checkpoint = activeRun.checkpoint;
@@ -396,6 +417,8 @@
       task.job.begun = true;
     }
     if (placement.stopReason !== undefined) sendStop(task, placement);
+    // The budget may not have allowed the stop when the job failed.
+    else if (task.job.status !== "active") stop(task, "the job has ended");
     if (crashes.clearIfLasting(task)) save(task.job);
     return undefined;
   }
@@ -428,29 +451,32 @@
       case "unresolved":
         if ((placement.stopConfirmedAtMs ?? Infinity) < sentAtMs) {
           giveUpRun(task, placement, "stopped");
-        } else sendStop(task, placement);
+        } else sendStop(task, placement, { isListed: false });
         return;
       default:
         assertNever(placement.startState);
     }
   }
 
-  function stop(task: TaskState, reason: string): void {
+  function stop(task: TaskState, reason: string): boolean {
     const { placement } = task;
-    if (placement === undefined || placement.stopReason !== undefined) return;
+    if (placement === undefined) return false;
+    if (placement.stopReason !== undefined) return true;
+    if (!disruptions.mayEnd([task], reason)) return false;
     placement.stopReason = reason;
     switch (placement.startState) {
       case "unrecorded":
         // The order hasn't been sent yet; releasing the placement keeps it from being sent.
         giveUpRun(task, placement, "order not sent");
         save(task.job);
-        return;
+        return true;
       case "inherited":
       case "sending":
       case "running":
       case "unresolved":
         sendStop(task, placement);
     }
+    return true;
   }
 
   function moveToSuccessor(
@@ -468,6 +494,7 @@
       confirmedAtMs: undefined,
       stopConfirmedAtMs: undefined,
       reportedAtMs: undefined,
+      atWorkSinceMs: undefined,
       percent: 0,
     };
     successor.tasks.add(task);
@@ -496,7 +523,10 @@
       if (!endedJobs.has(jobId)) earlyCancellations.add(jobId);
       return;
     }
-    if (job.recordedStatus !== "active") return;
+    job.cancelRequested = true;
+    if (job.recordedStatus !== "active") {
+      return stopAllRuns(job, "the job was cancelled");
+    }
     job.status = "cancelled";
     job.recordedStatus = "cancelled";
     log.info("job cancelled", { job: jobId, queue: job.spec.queue });
@@ -506,11 +536,20 @@
   }
 
   const crashes = createCrashTracker({ ...options, failJob, save });
+  const disruptions = createDisruptionGuard({
+    clock,
+    log,
+    noticeMs: options.noticeMs ?? DEFAULT_NOTICE_MS,
+    findInstance,
+    isVmEnding: options.isVmEnding ?? (() => false),
+    onRefused: () => counters.budgetRefusals++,
+  });
   const { sendStart, sendStop, giveUpRun } = createRunOrders({
     ...options,
     health,
     counters,
     findInstance,
+    disruptions,
     freeTask,
   });
 
@@ -521,6 +560,7 @@
     health,
     crashes,
     counters,
+    disruptions,
     addRestored(job) {
       jobs.set(job.spec.jobId, job);
     },
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { ValidationError } from "../errors.ts";
 import { listSchemaIssues, parseJson } from "../validation.ts";
+import { DEFAULT_NOTICE_MS } from "./disruption_budget.ts";
 
 const address = z.string().regex(
   /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
@@ -38,6 +39,8 @@
     keepEndedS: z.number().positive().default(120),
     /** Minimum time between orders of two owners for one VM, in ms. */
     holderGapMs: z.number().min(0).default(3_000),
+    /** Time for which a task of a long-running step must have been at work before it no longer counts as away, in ms. */
+    noticeMs: z.number().min(0).default(DEFAULT_NOTICE_MS),
   }).prefault({}),
   logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default(
     "info",
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -95,6 +95,8 @@
   readonly keepEndedMs: number;
   /** Minimum time between orders of two owners for one VM, in ms. */
   readonly holderGapMs: number;
+  /** Time for which a task must have been at work before it no longer counts as away, in ms. */
+  readonly noticeMs: number;
   /** Asks other entries to take over; the one that does raises the epoch. */
   readonly requestTakeover: (epoch: number) => void;
 }
@@ -179,6 +181,8 @@
     config: options.config,
     mayOrder,
     isOrdered: (instance) => fleet.wasOrdered(instance),
+    noticeMs: options.noticeMs,
+    isVmEnding: (vmId) => fleet.isVmEnding(vmId),
     onChange: () => planWake.notify(),
   });
   /**
--- a/src/scheduler/vm_orders.ts
+++ b/src/scheduler/vm_orders.ts
@@ -100,6 +100,8 @@
   readonly mayOrder: () => boolean;
   /** Minimum time between the orders of two holders for one VM, in ms. */
   readonly holderGapMs: number;
+  /** Whether the disruption budgets of the tasks on the VM allow an order. */
+  readonly mayTakeDown: (vmId: string) => boolean;
 }): VmOrders {
   const { fleet, journal, holder, fence, clock, log } = options;
   const active = new Map<string, VmOrder>();
@@ -142,6 +144,18 @@
         return storeIntent(delivery);
       }
       if (!options.mayOrder()) return;
+      // Tasks may have been lost while the record was being stored. An attempt without an answer is
+      // repeated in any case, as only a response shows whether the VM is taken down.
+      const isSent = delivery.mayBeExecutedUntilMs > -Infinity;
+      if (!isSent && !options.mayTakeDown(vmId)) {
+        log.info("VM order withdrawn", {
+          vm: vmId,
+          ...order,
+          reason: "disruption budget",
+        });
+        active.delete(vmId);
+        return delivery.onResult("refused");
+      }
       orderedAtMs.set(vmId, clock.wallMs());
       const outcome = await callPlatform(vmId, order);
       log.info("VM ordered", {
--- a/src/scheduler/vm_orders_test.ts
+++ b/src/scheduler/vm_orders_test.ts
@@ -9,7 +9,7 @@
 
 /** Orders whose records are stored at once; `pauseMs` is the time that only the wall clock has counted. */
 function createTestOrders(outcomes: VmOrderOutcome[]) {
-  const state = { pauseMs: 0, mayOrder: true };
+  const state = { pauseMs: 0, mayOrder: true, mayTakeDown: true };
   const events: string[] = [];
   const fleet: VmApi = {
     list: () => Promise.resolve([]),
@@ -39,6 +39,7 @@
     log: silentLogger,
     mayOrder: () => state.mayOrder,
     holderGapMs: 100,
+    mayTakeDown: () => state.mayTakeDown,
   });
   return { orders, events, state };
 }
@@ -131,4 +132,17 @@
   assert.equal(orders.isFree("vm-1"), false);
 });
 
+// Guards against a VM that is taken down although tasks of a step on it were lost elsewhere while the order's record was being stored.
+test("an order that the budgets no longer allow is withdrawn before it is sent", () => {
+  const { orders, events, state } = createTestOrders([]);
+  state.mayTakeDown = false;
+  let result = "";
+  orders.send("vm-1", { kind: "move", pool: "p" }, (outcome) => {
+    result = outcome;
+  });
+  assert.equal(result, "refused");
+  assert.equal(countMoves(events), 0);
+  assert.ok(orders.isFree("vm-1"));
+});
+
 test.run();
--- a/src/scheduler/wave_runner.ts
+++ b/src/scheduler/wave_runner.ts
@@ -50,35 +50,16 @@
   const waveRecords = new Map<number, WaveRecord>();
   let requestedWaves: ReadonlyMap<number, WaveRequest> = new Map();
 
-  /** Counts the tasks of a task's step that are unavailable or about to be. */
-  function countUnavailable(task: TaskState): number {
-    const tasks = task.job.occurrences[task.occurrence]!.steps[task.stepIndex]!;
-    return tasks.filter((other) => {
-      const { placement } = other;
-      if (placement === undefined || placement.startState !== "running") {
-        return true;
-      }
-      return placement.percent < 100 || placement.stopReason !== undefined ||
-        vmStates.isUnavailable(placement.vmId) ||
-        vmStates.hasEarlierOrder(placement.vmId);
-    }).length;
-  }
-
-  function isWithinBudgets(tasks: readonly TaskState[]): boolean {
-    const stopping = new Map<string, number>();
-    for (const task of tasks) {
-      const { mayMiss } = getStep(task);
-      const { placement } = task;
-      if (mayMiss === undefined || placement === undefined) continue;
-      if (placement.startState !== "running") return false;
-      // The latest report may predate the task's return to readiness, so the task's own state is left out.
-      const unavailable = countUnavailable(task) -
-        (placement.percent < 100 ? 1 : 0);
-      const key = `${task.job.spec.jobId}.${task.stepIndex}`;
-      stopping.set(key, (stopping.get(key) ?? 0) + 1);
-      if (unavailable + stopping.get(key)! > mayMiss) return false;
-    }
-    return true;
+  function isWithinBudgets(
+    vmId: string,
+    tasks: readonly TaskState[],
+  ): boolean {
+    const budgeted = tasks.filter((task) =>
+      getStep(task).mayMiss !== undefined && task.placement !== undefined
+    );
+    return budgeted.every(({ placement }) =>
+      placement!.startState === "running"
+    ) && scheduler.disruptions.mayEnd(budgeted, `maintenance of ${vmId}`);
   }
 
   /**
@@ -95,11 +76,9 @@
         other.job === task.job && other.stepIndex === task.stepIndex
       ).length;
       if (
-        siblings > mayMiss && mayMiss > 0 && countUnavailable(task) < mayMiss
-      ) {
-        scheduler.stop(task, "VM maintenance");
-        return;
-      }
+        siblings > mayMiss && mayMiss > 0 &&
+        scheduler.stop(task, "VM maintenance")
+      ) return;
     }
   }
 
@@ -112,7 +91,7 @@
       cordoned: cordonedAtMs !== undefined,
       cordonedMs: cordonedAtMs === undefined ? 0 : nowMs - cordonedAtMs,
       batchTasks: tasks.filter((task) => !getStep(task).longRunning).length,
-      withinBudgets: isWithinBudgets(tasks),
+      withinBudgets: isWithinBudgets(vm.vmId, tasks),
     };
   }
 
@@ -188,7 +167,7 @@
     }
     for (const vmId of actions.maintain) {
       // The orders sent earlier in this round already count towards the budgets.
-      if (!isWithinBudgets(vmStates.listTasks(vmId))) continue;
+      if (!isWithinBudgets(vmId, vmStates.listTasks(vmId))) continue;
       vmStates.cordonedForMaintenance.set(
         vmId,
         vmStates.cordonedForMaintenance.get(vmId) ?? nowMs,
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -110,6 +110,7 @@
       waves: scope.resolve(TOKENS.operator).waves,
       keepEndedMs: settings.bounds.keepEndedS * 1_000,
       holderGapMs: settings.bounds.holderGapMs + HOLDER_GAP_MARGIN_MS,
+      noticeMs: settings.bounds.noticeMs,
     }));
   registerSingleton(TOKENS.frontend, () =>
     createJobFrontend({
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -2,6 +2,7 @@
 import { run, type Task } from "effection";
 import { systemClock } from "../src/clock.ts";
 import { silentLogger } from "../src/logger.ts";
+import { DEFAULT_NOTICE_MS } from "../src/scheduler/disruption_budget.ts";
 import { createElection, type Election } from "../src/scheduler/election.ts";
 import {
   createJobFrontend,
@@ -100,6 +101,8 @@
   listDelayMs = 0;
   /** Minimum time between the orders of two owners for one VM, in ms, for entries started from now on. */
   holderGapMs = 100;
+  /** Time for which a task must have been at work before it no longer counts as away, in ms, for entries started from now on. */
+  noticeMs = DEFAULT_NOTICE_MS;
   /** Time after which a crashed worker starts again as a new process with the same id, in ms; undefined if it stays down. */
   restartCrashedAfterMs: number | undefined;
   /** Returns the platform's response to a maintenance order. */
@@ -271,6 +274,7 @@
       waves: () => this.waves,
       keepEndedMs: 60_000,
       holderGapMs: this.holderGapMs,
+      noticeMs: this.noticeMs,
     });
     const entry: ClusterEntry = {
       id,
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -64,7 +64,9 @@
 }
 
 /** Creates a scheduler whose workers the test adds and answers for. */
-export function createTestScheduler() {
+export function createTestScheduler(
+  options: { readonly noticeMs?: number } = {},
+) {
   const { journal, flush } = createTestJournal();
   const state = {
     mayOrder: true,
@@ -83,6 +85,7 @@
     mayOrder: () => state.mayOrder,
     isOrdered: () => false,
     onChange() {},
+    ...options,
   });
   let attempts = 0;
   function addWorker(workerId: string): WorkerInstance {
