--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -41,6 +41,10 @@
     holderGapMs: z.number().min(0).default(3_000),
     /** Time for which a task of a long-running step must have been at work before it no longer counts as away, in ms. */
     noticeMs: z.number().min(0).default(DEFAULT_NOTICE_MS),
+    /** Whether API keys are refused once the configuration may be older than `revocationMs`. */
+    strictRevocation: z.boolean().default(false),
+    /** Time within which a withdrawn API key must be refused, in ms. */
+    revocationMs: z.number().positive().default(5_000),
   }).prefault({}),
   logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default(
     "info",
--- a/src/scheduler/wave_runner.ts
+++ b/src/scheduler/wave_runner.ts
@@ -78,7 +78,9 @@
       if (
         siblings > mayMiss && mayMiss > 0 &&
         scheduler.stop(task, "VM maintenance")
-      ) return;
+      ) {
+        return;
+      }
     }
   }
 
