fix(scheduler): starting tasks don't hold up maintenance within the budget

Cause: a VM waited while any of its tasks with mayMiss was starting, although such a task is away already and ending it costs the budget nothing more. Change: the wave runner asks the disruption guard alone.

--- a/src/scheduler/wave_runner.ts
+++ b/src/scheduler/wave_runner.ts
@@ -54,12 +54,7 @@
     vmId: string,
     tasks: readonly TaskState[],
   ): boolean {
-    const budgeted = tasks.filter((task) =>
-      getStep(task).mayMiss !== undefined && task.placement !== undefined
-    );
-    return budgeted.every(({ placement }) =>
-      placement!.startState === "running"
-    ) && scheduler.disruptions.mayEnd(budgeted, `maintenance of ${vmId}`);
+    return scheduler.disruptions.mayEnd(tasks, `maintenance of ${vmId}`);
   }
 
   /**
