feat(scheduler): a long-running task that crashes its workers is delayed, not failed

Cause: operators ask that long-running tasks are restarted however they end, and innocent ones are lost beside tasks that crash their workers. Giving one up failed its job and stopped its siblings. Change: such a task waits 5 s before its next start and remains a suspect, which gets a worker of its own.

--- a/src/scheduler/crashes/crash_tracker.ts
+++ b/src/scheduler/crashes/crash_tracker.ts
@@ -12,12 +12,15 @@
 import {
   CLEARED_AFTER_MS,
   judgeTask,
+  MAXIMUM_LOSSES,
   type RunLoss,
   YOUNG_RUN_MS,
 } from "./run_loss.ts";
 
 /** Time after a task was given up in which other suspects are likely to crash their workers as well, in ms. */
 const ALERT_MS = 10_000;
+/** Delay before the next start of a long-running task that may have crashed several workers, in ms; it bounds how often it can crash one. */
+const RESTART_DELAY_MS = 5_000;
 
 /** Records which tasks were lost with crashed workers, and finds those that crash them. */
 export interface CrashTracker {
@@ -25,7 +28,11 @@
   recordEnd(instance: WorkerInstance, end: InstanceEnd): void;
   /** Adds the losses of a job that was restored from the store. */
   restore(job: JobState): void;
-  /** Fails the job of a task that has crashed too many workers; returns whether it did. */
+  /**
+   * Gives up a task that has crashed too many workers: fails its job and returns
+   * true. A long-running task is restarted however it ends, so that its next start
+   * is only delayed.
+   */
   giveUpIfCrashing(task: TaskState): boolean;
   /**
    * Whether a suspect is likely to crash its worker: it was lost more than once,
@@ -94,11 +101,13 @@
     else tasks.add(task);
   }
 
-  /** Drops the entries of tasks whose jobs have ended. */
-  function forgetEndedJobs(): void {
+  /** Drops the entries of losses that no longer count and of tasks whose jobs have ended. */
+  function forgetSettledLosses(): void {
     for (const [key, tasks] of lostTasks) {
       for (const task of tasks) {
-        if (task.job.status !== "active") tasks.delete(task);
+        const isCurrent = task.job.status === "active" &&
+          task.losses.some((loss) => keyOf(loss) === key);
+        if (!isCurrent) tasks.delete(task);
       }
       if (tasks.size > 0) continue;
       lostTasks.delete(key);
@@ -148,7 +157,8 @@
       confirmed: durationMs !== undefined,
       ...circumstances,
     };
-    task.losses = [...losses, loss];
+    // A long-running task may be lost without limit; its latest losses decide.
+    task.losses = [...losses, loss].slice(-MAXIMUM_LOSSES);
     index(task, loss);
   }
 
@@ -157,6 +167,16 @@
     if (job.status !== "active" || task.phase === "done") return false;
     if (judgeTask(losses) !== "give_up") return false;
     const workers = describeLosses(losses);
+    if (getStep(task).longRunning) {
+      task.notBeforeMs = clock.monotonicMs() + RESTART_DELAY_MS;
+      log.warn("task delayed: its workers crash", {
+        job: job.spec.jobId,
+        task: task.taskId,
+        workers,
+        delayMs: RESTART_DELAY_MS,
+      });
+      return false;
+    }
     log.warn("task given up: its workers crash", {
       job: job.spec.jobId,
       task: task.taskId,
@@ -181,7 +201,8 @@
       );
       if (task.job.status !== "active") continue;
       options.save(task.job);
-      giveUpIfCrashing(task);
+      // A loss that was only a cut is no reason to give up or delay a task.
+      if (ended) giveUpIfCrashing(task);
     }
   }
 
@@ -200,7 +221,7 @@
     recordEnd(instance, end) {
       const tasks = [...instance.tasks];
       if (tasks.length === 0) return;
-      forgetEndedJobs();
+      forgetSettledLosses();
       const planned = instance.draining || options.isOrdered(instance);
       const fate = resolveProcessFate(end, planned);
       log.info("runs are over with their worker", {
--- a/src/scheduler/crashes/run_loss.ts
+++ b/src/scheduler/crashes/run_loss.ts
@@ -24,7 +24,7 @@
   | "none"
   /** It may have ended a worker; its next run gets a worker of its own. */
   | "suspect"
-  /** It is given up, and its job fails. */
+  /** It is given up, and its job fails; a long-running task is delayed instead and remains a suspect. */
   | "give_up";
 
 /** Time after which a run that its worker has survived is no longer suspected, in ms. */
--- a/src/scheduler/crashes/trial_workers_test.ts
+++ b/src/scheduler/crashes/trial_workers_test.ts
@@ -70,6 +70,11 @@
   });
 }
 
+/** ID of a second job. */
+const OTHER_JOB = "fedcba9876543210";
+/** ID of a third job. */
+const THIRD_JOB = "00000000deadbeef";
+
 const workerOf = (task: TaskState) => task.placement?.workerId;
 
 // Guards against suspects that share a worker, so that the crash of one convicts the others, and against healthy tasks beside them.
@@ -167,4 +172,43 @@
   assert.equal(others.has(undefined), false);
 });
 
+// Guards against a service that fails and loses all its tasks because one of them was lost beside a task that crashes its workers.
+test("a long-running task that was lost with three workers waits 5 s and starts on a worker of its own", async () => {
+  const context = createPlanner(3);
+  const { scheduler, workers, calls, flush, plan, advance } = context;
+  scheduler.accept(spec([{ taskCount: 3, longRunning: true, mayMiss: 3 }]));
+  scheduler.accept({ ...spec(), jobId: OTHER_JOB });
+  const [lost, ...siblings] = openTasks(scheduler);
+  const [deadly] = openTasks(scheduler, OTHER_JOB);
+  siblings.forEach((task, index) =>
+    scheduler.place(task, workers[index]!, { run: 1, ticket: undefined })
+  );
+  for (let run = 1; run <= 3; run++) {
+    const worker = context.addWorker(`crashing-${run}`);
+    for (const task of [lost!, deadly!]) {
+      scheduler.place(task, worker, { run, ticket: undefined });
+    }
+    await flush();
+    scheduler.removeInstance(worker, "restarted");
+  }
+  assert.equal(deadly!.job.status, "failed");
+  assert.equal(lost!.job.status, "active");
+  assert.deepEqual(calls.filter((call) => call.startsWith("stop")), []);
+  advance(4_900);
+  plan();
+  assert.equal(workerOf(lost!), undefined);
+  // The tasks of a later job are placed in the same round, on the
+  // other two workers, which have room for nine each.
+  scheduler.accept({
+    ...spec([{ taskCount: 20 }]),
+    jobId: THIRD_JOB,
+    acceptedAtMs: Date.now(),
+  });
+  advance(1_000);
+  plan();
+  assert.equal(workerOf(lost!), workers[2]!.workerId);
+  assert.equal(workers[2]!.tasks.size, 1);
+  assert.equal(openTasks(scheduler, THIRD_JOB).filter(workerOf).length, 18);
+});
+
 test.run();
--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -213,7 +213,7 @@
     if (first === undefined) return;
     const step = getStep(first);
     const suspects = waiting.filter(({ losses }) =>
-      judgeTask(losses) === "suspect"
+      judgeTask(losses) !== "none"
     );
     if (suspects.length === 0 && service.unplaceable.includes(step)) return;
     const id = stepId(first);
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -164,9 +164,9 @@
   });
 }
 
-/** Returns the tasks of the first step of the test job. */
-export function openTasks(scheduler: Scheduler) {
-  const job = scheduler.jobs.get(JOB)!;
+/** Returns the tasks of the first step of a job, by default the test job. */
+export function openTasks(scheduler: Scheduler, jobId = JOB) {
+  const job = scheduler.jobs.get(jobId)!;
   createDueOccurrences(job, Date.now());
   return job.occurrences[0]!.steps[0]!;
 }
