--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -241,7 +241,7 @@
     // Not recorded as unplaceable: jobs of other workspaces may start.
     if (!allows(step.gang ? waiting.length : 1)) return;
     const suspects = waiting.filter(({ losses }) =>
-      judgeTask(losses) === "suspect"
+      judgeTask(losses) !== "none"
     );
     if (suspects.length === 0 && service.unplaceable.includes(step)) return;
     const id = stepId(first);
--- a/src/scheduler/pool_plan_test.ts
+++ b/src/scheduler/pool_plan_test.ts
@@ -130,6 +130,19 @@
   assert.deepEqual([plan.moves, plan.cordons], [[], []]);
 });
 
+// Guards against ending a long-running task by the move of its VM: a run that the owner treats as unwanted isn't among the VM's tasks.
+test("a VM with an unwanted long-running run isn't taken as idle", () => {
+  const plan = planPools(
+    [pool("a", { waitingVms: 3 }), pool("b")],
+    [1, 2, 3, 4, 5, 6].map((index) =>
+      vm(`b${index}`, "b", { longRunningTasks: index === 1 ? 1 : 0 })
+    ),
+  );
+  // The pool has a surplus of idle VMs, the first of which has the run.
+  assert.ok(plan.moves.length > 0);
+  assert.equal(plan.moves.some(({ vmId }) => vmId === "b1"), false);
+});
+
 // Guards against starving a pool at the start of its surge while another keeps VMs for forecast work.
 test("overlapping surges: waiting work takes precedence over forecast work", () => {
   const plan = planPools(
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -100,6 +100,8 @@
   listDelayMs = 0;
   /** Minimum time between the orders of two owners for one VM, in ms, for entries started from now on. */
   holderGapMs = 100;
+  /** Time for which a task must have been at work before it no longer counts as away, in ms; scaled down like `holderGapMs`, so that waves take seconds. */
+  noticeMs = 500;
   /** Time after which a crashed worker starts again as a new process with the same id, in ms; undefined if it stays down. */
   restartCrashedAfterMs: number | undefined;
   /** Returns the platform's response to a maintenance order. */
@@ -277,6 +279,7 @@
       waves: () => this.waves,
       keepEndedMs: 60_000,
       holderGapMs: this.holderGapMs,
+      noticeMs: this.noticeMs,
     });
     const entry: ClusterEntry = {
       id,
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -64,7 +64,9 @@
 }
 
 /** Creates a scheduler whose workers the test adds and answers for; a given journal isn't flushed by `flush`. */
-export function createTestScheduler(options: { journal?: Journal } = {}) {
+export function createTestScheduler(
+  options: { readonly journal?: Journal; readonly noticeMs?: number } = {},
+) {
   const { journal: testJournal, flush } = createTestJournal();
   const journal = options.journal ?? testJournal;
   const state = {
@@ -84,6 +86,7 @@
     mayOrder: () => state.mayOrder,
     isOrdered: () => false,
     onChange() {},
+    ...options,
   });
   let attempts = 0;
   function addWorker(workerId: string): WorkerInstance {
@@ -162,9 +165,9 @@
   });
 }
 
-/** Returns the tasks of the first step of the test job. */
-export function openTasks(scheduler: Scheduler) {
-  const job = scheduler.jobs.get(JOB)!;
+/** Returns the tasks of the first step of a job, by default the test job. */
+export function openTasks(scheduler: Scheduler, jobId = JOB) {
+  const job = scheduler.jobs.get(jobId)!;
   createDueOccurrences(job, Date.now());
   return job.occurrences[0]!.steps[0]!;
 }
