fix(scheduler): a shrunk worker's surplus tasks are no work of the others

Cause, by reading: a worker whose capacity has shrunk below its tasks counts with its small capacity but with the whole work of its tasks, so that the difference is taken from the other workers and jobs are deferred that these could finish on time. The work that counts is now limited by the worker's room. Workers within their capacity are measured as before.

Not run: neither the new test nor any other, formatter, linter or compiler. node_modules of the work tree is empty.

--- a/src/scheduler/deferral.ts
+++ b/src/scheduler/deferral.ts
@@ -29,8 +29,12 @@
     const reserved = toVmEquivalents(tasks.reserved, vmCapacity);
     const longRunning = toVmEquivalents(tasks.reservedLongRunning, vmCapacity);
     // A worker whose capacity has shrunk may hold more than it has; that takes nothing from the others.
-    vms += Math.max(0, size - longRunning);
-    busyVms += reserved - longRunning;
+    const room = Math.max(0, size - longRunning);
+    const busy = reserved - longRunning;
+    vms += room;
+    busyVms += tasks.exceed(registration.capacity)
+      ? Math.min(busy, room)
+      : busy;
   }
   // On average, half of a running task's work is left.
   return { vms, arrivingVms, runningVmMs: busyVms * meanDurationMs / 2 };
--- a/src/scheduler/pool_capacity_test.ts
+++ b/src/scheduler/pool_capacity_test.ts
@@ -48,4 +48,31 @@
   assert.equal(vms, 1);
 });
 
+// Guards against jobs that are deferred because the work of a shrunk worker's tasks beyond its capacity is charged to the other workers.
+test("tasks beyond a shrunk worker's capacity are no work of the others", () => {
+  const { scheduler, addWorker } = createTestScheduler();
+  const worker = addWorker("w1");
+  const other = addWorker("w2");
+  scheduler.accept(spec([{ taskCount: 2 }]));
+  for (const task of openTasks(scheduler)) {
+    scheduler.place(task, worker, { run: 1, ticket: undefined });
+  }
+  other.registration = { ...registrationOf(1, ""), capacity: TYPICAL };
+  const measure = (cpuMillis: number) => {
+    const capacity = { ...TYPICAL, cpuMillis };
+    worker.registration = { ...registrationOf(1, ""), capacity };
+    return measureCapacity([worker, other], {
+      vmCapacity: TYPICAL,
+      meanDurationMs: 100,
+      arrivingVms: 0,
+    });
+  };
+  assert.deepEqual(measure(200), { vms: 2, arrivingVms: 0, runningVmMs: 50 });
+  assert.deepEqual(measure(100), {
+    vms: 1.5,
+    arrivingVms: 0,
+    runningVmMs: 25,
+  });
+});
+
 test.run();
