fix(requests): slow instances aren't ejected as silent

Cause: silence was compared with the median response time of instances with at least 20 samples. Until one has 20, or after a reinstatement, that median was 0 and an instance counted as silent after 1 s. With responses of 6 s and two instances in the pool, one healthy instance was ejected while the other had responded within that second. In raised_budget_test an entry then keeps 4 slots, half of one VM, and callers accumulate at it. A request with 16 ahead of it is refused with deadline_unreachable. An enumeration of the shedding decision for a service time of 6,000, 6,010 and 6,030 ms and up to 24 requests in one entry found only this state to give a Retry-After of 1,110 ms (base 1,016 or 1,063 ms plus jitter). This is inferred; no log of the failed run was examined.

Change: the limit is 20 times the median over all instances that have ever responded, at least 1 s. Before any response, no instance counts as silent.

--- a/src/requests/decisions_test.ts
+++ b/src/requests/decisions_test.ts
@@ -135,6 +135,46 @@
   assert.equal(decideEjections({ instances, minimumServingVms: 0 }), []);
 });
 
+// Guards against healthy instances of a slow service being ejected, which halves
+// an entry's slots until it refuses requests whose deadline could be met.
+test("an instance of a slow service isn't silent before it has had time to respond", () => {
+  const eject = (...instances: InstanceHealth[]) =>
+    decideEjections({ instances, minimumServingVms: 1 })
+      .map(({ vmId, reason }) => `${vmId} ${reason}`);
+  const slow = { latencyMs: 6_000, samples: 5 };
+  assert.equal(
+    eject(
+      createHealth("a", { ...slow, silentMs: 1_500 }),
+      createHealth("b", { ...slow, silentMs: 200 }),
+    ),
+    [],
+  );
+  // A reinstated instance has no samples, but its last response time is still known.
+  assert.equal(
+    eject(
+      createHealth("a", { ...slow, samples: 0, silentMs: 1_500 }),
+      createHealth("b", { ...slow, samples: 0 }),
+    ),
+    [],
+  );
+  const unused = { latencyMs: 0, samples: 0 };
+  assert.equal(
+    eject(
+      createHealth("a", { ...unused, silentMs: 1_500 }),
+      createHealth("b", { ...unused, silentMs: 900 }),
+    ),
+    [],
+  );
+  // An instance that never responds is ejected as soon as another one has.
+  assert.equal(
+    eject(
+      createHealth("a", { ...unused, silentMs: 1_500 }),
+      createHealth("b", { latencyMs: 5, samples: 1 }),
+    ),
+    ["a silent"],
+  );
+});
+
 test("ejections keep the minimum of serving VMs", () => {
   const instances = ["a", "b", "c", "d"].map((vmId) =>
     createHealth(vmId, { consecutiveFailures: 5 })
--- a/src/requests/ejection.ts
+++ b/src/requests/ejection.ts
@@ -2,7 +2,7 @@
 export interface InstanceHealth {
   readonly vmId: string;
   readonly consecutiveFailures: number;
-  /** Smoothed response time, in ms. */
+  /** Smoothed response time, in ms; 0 before the first response. */
   readonly latencyMs: number;
   /** Number of responses that `latencyMs` covers. */
   readonly samples: number;
@@ -35,7 +35,12 @@
 const SLOW_FACTOR = 5;
 /** Response time below which an instance is never ejected for latency, in ms. */
 const SLOW_FLOOR_MS = 50;
-/** Multiple of the pool's median response time without a response after which an instance counts as silent. */
+/**
+ * Multiple of the pool's median response time without a response after which an
+ * instance counts as silent. This median covers all instances that have ever
+ * responded: with responses of 6 s, `SAMPLES_TO_COMPARE` takes half a minute, and
+ * until then healthy instances would be ejected after `SILENT_FLOOR_MS`.
+ */
 const SILENT_FACTOR = 20;
 /** Time without a response below which an instance never counts as silent, in ms. */
 const SILENT_FLOOR_MS = 1_000;
@@ -49,14 +54,27 @@
   return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
 }
 
+/**
+ * Returns the time without a response after which an instance counts as silent,
+ * in ms; infinite until any instance has responded, because a slow service can't
+ * be told from a silent instance before that.
+ */
+function computeSilenceLimitMs(instances: readonly InstanceHealth[]): number {
+  const latenciesMs = instances.map((health) => health.latencyMs)
+    .filter((latencyMs) => latencyMs > 0);
+  if (latenciesMs.length === 0) return Infinity;
+  return Math.max(SILENT_FLOOR_MS, SILENT_FACTOR * median(latenciesMs));
+}
+
 function findEjectionReason(
   health: InstanceHealth,
-  medianMs: number,
+  { medianMs, silenceLimitMs }: {
+    readonly medianMs: number;
+    readonly silenceLimitMs: number;
+  },
 ): EjectionReason | undefined {
   if (health.consecutiveFailures >= FAILURES_TO_EJECT) return "failures";
-  if (
-    health.silentMs > Math.max(SILENT_FLOOR_MS, SILENT_FACTOR * medianMs)
-  ) return "silent";
+  if (health.silentMs > silenceLimitMs) return "silent";
   if (
     health.samples >= SAMPLES_TO_COMPARE && medianMs > 0 &&
     health.latencyMs > Math.max(SLOW_FLOOR_MS, SLOW_FACTOR * medianMs)
@@ -73,13 +91,14 @@
     input.instances.filter((health) => health.samples >= SAMPLES_TO_COMPARE)
       .map((health) => health.latencyMs),
   );
+  const silenceLimitMs = computeSilenceLimitMs(input.instances);
   const maximumEjections = Math.max(
     0,
     serving.length - Math.max(1, input.minimumServingVms),
   );
   const evaluated = serving.map((health) => ({
     health,
-    reason: findEjectionReason(health, medianMs),
+    reason: findEjectionReason(health, { medianMs, silenceLimitMs }),
   }));
   // When most instances are silent, the service itself is slow and ejections wouldn't help.
   const silent = evaluated.filter((item) => item.reason === "silent").length;
