fix(requests): requests are served by deadline between accept drains

Cause: Node 20 accepts one connection per event loop iteration. When 900 callers connect at once, the iterations that also parse and serve requests keep the last callers waiting in the accept queue, and requests that have expired are answered long after their deadline.

Pipelined requests keep their order. Keyed and system requests still bypass the refusal; requests without a deadline come first. Requests whose caller disconnected before their turn aren't run. An expired request with an unsupported transfer coding is refused as malformed instead of throwing.

--- a/src/requests/accept_queue_test.ts
+++ b/src/requests/accept_queue_test.ts
@@ -79,4 +79,44 @@
   );
 });
 
+// Guards against connections that are lost or answered twice when they are held and released.
+test("900 callers that connect at once each get one response", async () => {
+  await withEntry({ backends: [respondWithPath] }, async ({ entry }) => {
+    const [host, port] = entry.address.split(":");
+    const responses = await Promise.all(
+      Array.from({ length: 900 }, (_, index) =>
+        send(
+          connect(Number(port), host),
+          `/quoting/${index}`,
+          200 + (index * 611) % 1_500,
+        )),
+    );
+    for (const text of responses) {
+      assert.is(text.match(/HTTP\/1\.1 \d/g)?.length, 1, text);
+      assert.match(text, /outcome: (answer|not_run|outcome_unknown)/);
+    }
+  });
+});
+
+// Guards against a deadline order that reorders the requests of one connection.
+test("pipelined requests are sent in their order whatever their deadlines", async () => {
+  await withEntry(
+    { backends: [respondWithPath] },
+    async ({ entry, backends }) => {
+      const [host, port] = entry.address.split(":");
+      const socket = connect(Number(port), host);
+      socket.write(
+        [5_000, 3_000, 4_000].map((deadlineMs, index) =>
+          `POST /quoting/${index} HTTP/1.1\r\nhost: x\r\ncowslipferry-deadline-ms: ${deadlineMs}\r\n\r\n`
+        ).join(""),
+      );
+      await send(socket, "/quoting/3", 2_000);
+      assert.equal(
+        backends[0]!.requests.map(({ path }) => path),
+        [0, 1, 2, 3].map((index) => `/quoting/${index}`),
+      );
+    },
+  );
+});
+
 test.run();
--- a/src/requests/caller_connections.ts
+++ b/src/requests/caller_connections.ts
@@ -21,7 +21,9 @@
   readonly queue: Queue<IncomingRequest, void>;
   /** Aborts reading the current request's body; undefined when no body is being read. */
   abortBody: ((error: NotRunError) => void) | undefined;
-  /** Number of requests queued or being served. */
+  /** Requests that wait for the connection's turn, in the order of their arrival. */
+  waiting: IncomingRequest[];
+  /** Number of requests waiting, queued or being served. */
   pending: number;
   /** Error of the HTTP parser, after which it reads nothing more from this connection. */
   parserError: NotRunError | undefined;
@@ -31,7 +33,7 @@
   taskStarted: boolean;
   /**
    * Time at which the connection may have entered the accept queue, in monotonic
-   * ms; undefined once a request sent before the accept would have been read.
+   * ms; undefined once a request sent before the release would have been read.
    */
   queuedSinceMs: number | undefined;
 }
@@ -73,10 +75,11 @@
     return this.#open;
   }
 
-  /** Registers a new connection. */
-  add(socket: Socket, queuedSinceMs?: number): void {
+  /** Registers a connection whose requests are about to be parsed. */
+  register(socket: Socket, queuedSinceMs?: number): void {
     const connection: CallerConnection = {
       queue: createQueue<IncomingRequest, void>(),
+      waiting: [],
       abortBody: undefined,
       pending: 0,
       parserError: undefined,
@@ -85,7 +88,7 @@
       queuedSinceMs,
     };
     if (queuedSinceMs !== undefined) {
-      // Bytes that had arrived by the accept are read before the event loop's second check phase.
+      // Bytes that had arrived by now are read before the event loop's second check phase.
       setImmediate(() =>
         setImmediate(() => connection.queuedSinceMs = undefined)
       );
@@ -99,19 +102,38 @@
   }
 
   /**
-   * Queues a request on its connection. The connection's task starts with the
-   * first request, so that a connection whose requests are refused at once needs
-   * no task, and ends when the socket closes.
+   * Adds a parsed request to its connection; returns whether the connection now
+   * needs a turn by `serveWaiting`. A pipelined request follows the one before it.
    */
-  serve(incoming: IncomingRequest): void {
-    const { scope, serve, log } = this.#options;
+  add(incoming: IncomingRequest): boolean {
     const { connection } = incoming;
     connection.pending++;
-    connection.queue.add(incoming);
-    if (connection.taskStarted) return;
+    if (connection.pending > 1 && connection.waiting.length === 0) {
+      connection.queue.add(incoming);
+      return false;
+    }
+    connection.waiting.push(incoming);
+    return connection.pending === 1;
+  }
+
+  /** Removes the waiting requests without serving them, because they were refused or the caller has disconnected. */
+  dropWaiting(connection: CallerConnection): void {
+    connection.pending -= connection.waiting.splice(0).length;
+  }
+
+  /**
+   * Serves the waiting requests of a connection. The connection's task starts
+   * with its first served request, so that a connection whose requests are
+   * refused at once needs no task, and ends when the socket closes.
+   */
+  serveWaiting(connection: CallerConnection): void {
+    const { scope, serve, log } = this.#options;
+    const waiting = connection.waiting.splice(0);
+    for (const incoming of waiting) connection.queue.add(incoming);
+    if (connection.taskStarted || waiting.length === 0) return;
     connection.taskStarted = true;
+    const { socket } = waiting[0]!.request;
     scope.run(() => serveConnection(connection, serve)).catch((error) => {
-      const { socket } = incoming.request;
       if (!socket.destroyed) {
         log.error("connection task failed", { reason: messageOf(error) });
       }
@@ -119,7 +141,7 @@
     });
   }
 
-  /** Returns the state of a socket's connection; undefined if it wasn't added. */
+  /** Returns the state of a socket's connection; undefined if it wasn't registered. */
   find(socket: Socket): CallerConnection | undefined {
     return this.#connections.get(socket);
   }
--- a/src/requests/caller_server.ts
+++ b/src/requests/caller_server.ts
@@ -22,6 +22,7 @@
 import { writeReply } from "./reply.ts";
 import { LINGERING_CLOSE_MS } from "./request_body.ts";
 import type { RequestHandler } from "./request_handler.ts";
+import { ServingLoop } from "./serving_loop.ts";
 
 /** Dependencies and limits of the callers' HTTP server. */
 export interface CallerServerOptions {
@@ -32,6 +33,12 @@
   readonly log: Logger;
 }
 
+interface AcceptedConnection {
+  readonly socket: Socket;
+  /** Latest time at which the connection can have arrived, in monotonic ms. */
+  readonly arrivedAtMs: number;
+}
+
 /** Keep-alive timeout, in ms; longer than the idle timeout of common load balancers. */
 const KEEP_ALIVE_TIMEOUT_MS = 75_000;
 /** Interval at which Node checks connections for request timeouts, in ms. */
@@ -39,7 +46,7 @@
 /** Margin by which Node's request timeout exceeds the body timeout of the handler, in ms. */
 const NODE_TIMEOUT_MARGIN_MS = 2_000;
 
-/** Shortest wait in the accept queue that counts towards a request's deadline, in ms. */
+/** Shortest wait until the release that counts towards a request's deadline, in ms. */
 const MINIMUM_COUNTED_WAIT_MS = 10;
 
 /** Creates the callers' HTTP server without starting to listen. */
@@ -51,23 +58,44 @@
     log,
   });
 
+  const loop = new ServingLoop<AcceptedConnection, IncomingRequest>({
+    release: ({ socket, arrivedAtMs }) => {
+      const waitedMs = clock.monotonicMs() - arrivedAtMs;
+      connections.register(
+        socket,
+        waitedMs >= MINIMUM_COUNTED_WAIT_MS ? arrivedAtMs : undefined,
+      );
+      parse.call(server, socket);
+      socket.resume();
+    },
+    serve: serveOrRefuse,
+    afterIo: setImmediate,
+    clock,
+  });
+
   function enqueue(request: Request, response: Response): void {
-    const connection = connections.find(request.socket);
+    const connection = connections.find(request.socket)!;
     const incoming: IncomingRequest = {
       request,
       response: response as unknown as ServerResponse,
       url: request.originalUrl,
-      arrivedAtMs: connection?.queuedSinceMs ?? clock.monotonicMs(),
-      connection: connection!,
+      arrivedAtMs: connection.queuedSinceMs ?? clock.monotonicMs(),
+      connection,
     };
     handler.trackActive(incoming);
-    const waited = connection!.queuedSinceMs !== undefined;
-    if (
-      waited && connection!.pending === 0 && handler.refuseExpired(incoming)
-    ) {
-      return;
-    }
-    connections.serve(incoming);
+    if (!connections.add(incoming)) return;
+    // Requests without a deadline, such as those to the system, are served first.
+    loop.add(incoming, handler.findDeadline(incoming) ?? incoming.arrivedAtMs);
+  }
+
+  function serveOrRefuse(incoming: IncomingRequest): boolean {
+    const { connection, response } = incoming;
+    // With a pipelined request behind it, the handler refuses an expired request in its order.
+    const refused = response.destroyed ||
+      (connection.waiting.length === 1 && handler.refuseExpired(incoming));
+    if (refused) connections.dropWaiting(connection);
+    else connections.serveWaiting(connection);
+    return !refused;
   }
 
   const app = new App({
@@ -101,12 +129,23 @@
   // Disables the limit on the number of headers, beyond which Node drops them silently; maxHeaderSize bounds their size.
   server.maxHeadersCount = 0;
   server.on("checkExpectation", handle);
+  // The HTTP parser of a connection starts when the serving loop releases it.
+  const parse = server.listeners("connection")[0] as (socket: Socket) => void;
+  server.off("connection", parse);
+  // An option of the net server that the HTTP server doesn't take; a paused socket isn't read while it is held.
+  Object.assign(server, { pauseOnConnect: true });
+  // Node's HTTP server closes only the connections that it parses.
+  const closeParsed = server.closeAllConnections.bind(server);
+  server.closeAllConnections = () => {
+    for (const { socket } of loop.takeHeld()) socket.destroy();
+    closeParsed();
+  };
   const acceptQueue = new AcceptQueueMonitor(server, clock);
   server.on("connection", (socket) => {
     const arrivedAtMs = acceptQueue.estimateArrivalMs(socket);
-    if (arrivedAtMs === undefined) return;
-    const waited = clock.monotonicMs() - arrivedAtMs >= MINIMUM_COUNTED_WAIT_MS;
-    connections.add(socket, waited ? arrivedAtMs : undefined);
+    loop.recordAccept(
+      arrivedAtMs === undefined ? undefined : { socket, arrivedAtMs },
+    );
   });
   server.on("connect", (_request, socket) => {
     writeRawError(
--- a/src/requests/outcome.ts
+++ b/src/requests/outcome.ts
@@ -186,3 +186,16 @@
     })),
   };
 }
+
+/** Returns whether an outcome refuses a request that isn't valid HTTP. */
+export function isMalformed(outcome: Outcome): boolean {
+  return outcome.kind === "not_run" &&
+    outcome.error.kind === "malformed_request";
+}
+
+/** Cancels the source of a streamed response that no caller reads. */
+export function cancelStream(outcome: Outcome): void {
+  if ("response" in outcome && "source" in outcome.response) {
+    outcome.response.source.cancel();
+  }
+}
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -15,6 +15,8 @@
   type CallerRequest,
   checkHost,
   declaresBody,
+  hasLargeUnreadBody,
+  isUnderPath,
   parseDeadlineMs,
   parseRequestId,
   parseServiceName,
@@ -22,6 +24,8 @@
 } from "./caller_request.ts";
 import type { IssuedKey } from "./idempotency_keys.ts";
 import {
+  cancelStream,
+  isMalformed,
   NotRunError,
   type Outcome,
   outcomeUnknown,
@@ -72,8 +76,6 @@
 
 /** Suggested retry delay while a starting entry has no configuration yet, in ms. */
 const NOT_CONFIGURED_RETRY_MS = 1_000;
-/** Largest unread body that is drained to reuse the connection, in bytes; the connection is closed after a larger one. */
-const MAXIMUM_DRAINED_BODY_BYTES = 65_536;
 /** Inactivity timeout for callers that read their response too slowly, in ms. */
 const SLOW_READER_TIMEOUT_MS = 30_000;
 /** Maximum total size of the request bodies in memory, in bytes. */
@@ -140,34 +142,42 @@
     this.#recordRefusal("", "", error);
   }
 
+  /** Returns the deadline of a caller's request, in monotonic ms; undefined for a request to the system or an invalid one. */
+  findDeadline(incoming: IncomingRequest): number | undefined {
+    const prefix = this.#options.systemApi?.pathPrefix;
+    if (isUnderPath(incoming.url, prefix)) return undefined;
+    try {
+      const service = this.#resolveService(incoming);
+      // Throws for an unsupported transfer coding.
+      declaresBody(incoming.request);
+      return incoming.arrivedAtMs +
+        (parseDeadlineMs(incoming.request) ?? service.defaultDeadlineMs);
+    } catch {
+      return undefined;
+    }
+  }
+
   /**
-   * Refuses a request whose deadline passed while its connection waited to be
-   * accepted; returns whether it did. A request with an idempotency key may have
-   * a stored outcome and is left to `serve`.
+   * Refuses a request whose deadline passed before its turn; returns whether it
+   * did. A request with an idempotency key may have a stored outcome and is left
+   * to `serve`.
    */
   refuseExpired(incoming: IncomingRequest): boolean {
     const { request, response } = incoming;
-    if (
-      isUnderPath(incoming.url, this.#options.systemApi?.pathPrefix) ||
-      readHeader(request, IDEMPOTENCY_KEY_HEADER) !== undefined
-    ) return false;
-    const waitedMs = this.#options.clock.monotonicMs() - incoming.arrivedAtMs;
-    let service: ServiceConfig;
-    try {
-      service = this.#resolveService(incoming);
-      const deadlineMs = parseDeadlineMs(request) ?? service.defaultDeadlineMs;
-      if (waitedMs < deadlineMs) return false;
-    } catch {
-      return false;
-    }
+    if (readHeader(request, IDEMPOTENCY_KEY_HEADER) !== undefined) return false;
+    const nowMs = this.#options.clock.monotonicMs();
+    const deadlineAtMs = this.findDeadline(incoming);
+    if (deadlineAtMs === undefined || nowMs < deadlineAtMs) return false;
+    const waitedMs = nowMs - incoming.arrivedAtMs;
+    const serviceName = parseServiceName(incoming.url);
     const requestId = this.resolveRequestId(request);
     const error = new NotRunError(
       "deadline_expired",
-      "The deadline passed before the connection was accepted",
-      // The connections waiting now should be accepted within about the same time.
+      "The deadline passed before the request could be served",
+      // The requests waiting now should be served within about the same time.
       Math.ceil(waitedMs),
     );
-    this.#recordRefusal(requestId, service.name, error);
+    this.#recordRefusal(requestId, serviceName, error);
     // With an unread body, the connection can't be reused.
     const unread = declaresBody(request);
     writeReply(response, { kind: "not_run", error }, {
@@ -175,7 +185,7 @@
       closeConnection: this.draining || unread,
       ...(unread ? { beforeClose: () => discardBody(request) } : {}),
     });
-    this.#options.metrics.record(service.name, "not_run", waitedMs);
+    this.#options.metrics.record(serviceName, "not_run", waitedMs);
     return true;
   }
 
@@ -379,32 +389,6 @@
   }
 }
 
-/** Returns whether a URL's path is the given path or below it. */
-function isUnderPath(url: string, path: string | undefined): boolean {
-  return path !== undefined && url.startsWith(path) &&
-    (url.length === path.length || "/?".includes(url[path.length]!));
-}
-
-/** Returns whether the unread body may be too large to drain before the connection is reused. */
-function hasLargeUnreadBody(request: IncomingMessage): boolean {
-  if (request.complete) return false;
-  const contentLength = request.headers["content-length"];
-  return contentLength === undefined
-    ? request.headers["transfer-encoding"] !== undefined
-    : Number(contentLength) > MAXIMUM_DRAINED_BODY_BYTES;
-}
-
-function isMalformed(outcome: Outcome): boolean {
-  return outcome.kind === "not_run" &&
-    outcome.error.kind === "malformed_request";
-}
-
-function cancelStream(outcome: Outcome): void {
-  if ("response" in outcome && "source" in outcome.response) {
-    outcome.response.source.cancel();
-  }
-}
-
 /** Returns whether a keyed request was refused before its key was checked, so that an earlier request with the key may have run. */
 function isUncheckedKey(incoming: IncomingRequest, outcome: Outcome): boolean {
   if (outcome.kind !== "not_run") return false;
