test(soak): workspaces with withdrawn keys and upper bounds

Cause: no random run had workspaces. Change: runs with odd seeds have three workspaces; a configuration that withdraws keys is a fault; a job that is shown for another workspace's key or for one that no configuration held is a violation, and so is a workspace that runs more than 1.1 times its upper bound and one task.

--- a/testing/soak/main.ts
+++ b/testing/soak/main.ts
@@ -62,6 +62,7 @@
   for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
     const report = await runSeed({
       seed,
+      hasWorkspaces: seed % 2 === 1,
       entries: Number(options.entries),
       vms: Number(options.vms),
       faultsMs: Number(options.faultsS) * 1_000,
--- a/testing/soak/soak.ts
+++ b/testing/soak/soak.ts
@@ -17,10 +17,13 @@
   startVmServer,
   startWorkerServer,
 } from "./platform_host.ts";
+import { createSoakWorkspaces, UNKNOWN_KEY } from "./workspaces.ts";
 
 /** Options of a soak run. */
 export interface SoakOptions {
   readonly seed: number;
+  /** Whether the configuration defines workspaces. */
+  readonly hasWorkspaces: boolean;
   readonly entries: number;
   readonly vms: number;
   /** Duration of fault injection, in ms. */
@@ -68,6 +71,13 @@
   { name: "cuts", host: "cuts.example", prefix: "/cuts/", pool: "shop" },
 ];
 
+/** Address of a queue or job, and the workspace whose key a request carries. */
+interface Target {
+  readonly host: string;
+  readonly path: string;
+  readonly workspace: string | undefined;
+}
+
 interface Reply {
   readonly status: number;
   readonly text: string;
@@ -119,6 +129,9 @@
   const store = new FakeRecordStore(random);
   const workers = new FakeTaskWorkers(random, checker);
   const fleet = new FakeFleet(store, workers);
+  const workspaces = options.hasWorkspaces
+    ? createSoakWorkspaces({ random, workers, checker })
+    : undefined;
   const workerServer = await startWorkerServer(workers);
   const workerRelay = await startTcpRelay(workerServer.address);
   const vmServer = await startVmServer(fleet);
@@ -127,7 +140,7 @@
   const faults: string[] = [];
   const logs: string[] = [];
   /** Targets of the accepted jobs. */
-  const targetsByJobId = new Map<string, { host: string; path: string }>();
+  const targetsByJobId = new Map<string, Target>();
   const refusedJobIds = new Set<string>();
   /** Jobs with a task that ends each worker that starts it. */
   const deadlyJobIds = new Set<string>();
@@ -161,6 +174,9 @@
           { name: SPARE_POOL, spare: true },
         ],
         limits: {},
+        ...(workspaces === undefined
+          ? {}
+          : { tenants: workspaces.nextTenants() }),
       }),
     );
     configVersion += 3;
@@ -249,9 +265,11 @@
   function sendRequest(
     entry: SoakEntry,
     method: string,
-    target: { host: string; path: string },
-    body?: unknown,
+    target: Target,
+    { body, key }: { readonly body?: unknown; readonly key?: string } = {},
   ): Promise<Reply | undefined> {
+    const apiKey = key ??
+      (target.workspace && workspaces?.keyOf(target.workspace));
     const sentAtMs = now();
     return new Promise((resolve) => {
       const complete = (reply: Reply | undefined) => {
@@ -278,6 +296,7 @@
           host: target.host,
           "content-type": "application/json",
           "cowslipferry-deadline-milliseconds": String(DEADLINE_MS),
+          ...(apiKey === undefined ? {} : { "api-key": apiKey }),
         },
         timeout: DEADLINE_MS + 4 * DEADLINE_TOLERANCE_MS,
       }, (response) => {
@@ -303,7 +322,9 @@
   async function submitJob(): Promise<void> {
     const queue = QUEUES[random.nextInteger(QUEUES.length)]!;
     const jobId = (nextJobNumber++).toString(16).padStart(16, "0");
-    const target = { host: queue.host, path: queue.prefix + jobId };
+    const workspace = workspaces?.choose();
+    const target = { host: queue.host, path: queue.prefix + jobId, workspace };
+    if (workspace !== undefined) workspaces?.recordJob(jobId, workspace);
     const steps = Array.from(
       { length: 1 + random.nextInteger(3) },
       (_, index) => ({
@@ -339,13 +360,22 @@
     }
     let outcomeUnknown = false;
     for (let attempt = 0; attempt < 40 && !stopping; attempt++) {
-      const reply = await sendRequest(chooseEntry(), "POST", target, body);
+      const reply = await sendRequest(chooseEntry(), "POST", target, {
+        body,
+      });
       if (reply?.status === 200) {
         targetsByJobId.set(jobId, target);
+        if (random.next() < 0.1) await tryOtherKeys(target);
         if (random.next() < 0.1) await cancelJob(jobId, target);
         return;
       }
-      if (reply?.status === 503) {
+      // An entry may not have read the latest keys yet.
+      if (workspace !== undefined && reply?.status === 401) {
+        await delay(200);
+        continue;
+      }
+      const isOverShare = workspace !== undefined && reply?.status === 429;
+      if (reply !== undefined && (reply.status === 503 || isOverShare)) {
         refusalCount++;
         if (reply.retryAfter === undefined) {
           reportViolation("RETRY", `${jobId} was refused without Retry-After`);
@@ -366,10 +396,18 @@
     }
   }
 
-  async function cancelJob(
-    jobId: string,
-    target: { host: string; path: string },
-  ): Promise<void> {
+  /** Tries to read a job with the key of another workspace and with one that no configuration ever held. */
+  async function tryOtherKeys(target: Target): Promise<void> {
+    if (workspaces === undefined || target.workspace === undefined) return;
+    for (const key of [workspaces.foreignKey(target.workspace), UNKNOWN_KEY]) {
+      const reply = await sendRequest(chooseEntry(), "GET", target, { key });
+      if (reply?.status === 200) {
+        reportViolation("KEY", `${target.path} is shown for ${key}`);
+      }
+    }
+  }
+
+  async function cancelJob(jobId: string, target: Target): Promise<void> {
     await delay(random.nextInteger(600));
     const reply = await sendRequest(chooseEntry(), "DELETE", target);
     if (reply?.status === 200) cancelledAtMs.set(jobId, now());
@@ -417,6 +455,7 @@
   /** Checks periodically that workers run no tasks of refused jobs and start none of cancelled jobs. */
   function monitorTaskStarts(): NodeJS.Timeout {
     return setInterval(() => {
+      workspaces?.checkUsage();
       for (const worker of workers.workers.values()) {
         if (!worker.alive) continue;
         for (const run of worker.running.values()) {
@@ -468,6 +507,9 @@
     };
     const storeFaults = store.faults;
     const faultKinds: [string, () => void][] = [
+      ...(workspaces === undefined
+        ? []
+        : [["withdrawn keys", writeConfig]] as [string, () => void][]),
       ["kill", () => void entry.child?.child.kill("SIGKILL")],
       ["stop", () => void entry.child?.child.kill("SIGTERM")],
       ["pause", () => {
