refactor(scheduler): checks of a workspace's submission in a file of their own

Change: workspaces/submission_check.ts; a refusal's log line names its cause. Result: access, frontend and protocol tests pass; behaviour as before.

--- a/src/scheduler/job_frontend.ts
+++ b/src/scheduler/job_frontend.ts
@@ -21,12 +21,14 @@
 } from "./ports.ts";
 import { createStopwatch, type Stopwatch } from "./stopwatch.ts";
 import type { StoreHealth } from "./store_health.ts";
-import type { AdmissionDecision } from "./workspaces/admission.ts";
-import { describeOversizedStep } from "./workspaces/oversized_step.ts";
 import {
   describeConflict,
   readStoredWorkspace,
 } from "./workspaces/stored_workspace.ts";
+import {
+  createSubmissionCheck,
+  type SubmissionVerdict,
+} from "./workspaces/submission_check.ts";
 
 /** Time reserved before the caller's deadline for sending the response, in ms. */
 const RESPONSE_MARGIN_MS = 150;
@@ -57,23 +59,17 @@
 /** Time for which a count of waiting jobs is cached, in ms; callers are promised one that is at most 2 s old. */
 const COUNT_VALID_MS = 1_000;
 
-/** Retry time of a job that its workspace's upper bound can't hold, in ms; only a change of the configuration helps. */
-const QUOTA_RETRY_AFTER_MS = 60_000;
-const REFUSAL_TEXTS = {
-  share: "the workspace sends more than it is owed while the pool is full",
-  overload: "the pool can't finish the job in time",
-} as const;
-
 /** Result of a submission. */
 export type SubmitResult =
   | { readonly kind: "accepted" }
   /** The job is not stored and will never run. */
   | {
     readonly kind: "refused";
-    readonly cause: "store" | "overload" | "share" | "quota";
+    readonly cause: "store";
     readonly reason: string;
     readonly retryAfterMs: number;
   }
+  | Extract<SubmissionVerdict, { kind: "refused" }>
   /** Another workspace has a job with this ID. */
   | { readonly kind: "foreign" }
   | { readonly kind: "invalid"; readonly error: InvalidJobError }
@@ -329,32 +325,15 @@
     }
   }
 
-  /** Returns why the workspace's upper bound can never hold the job; undefined if it can. */
-  function findOversizedStep(spec: JobSpec): string | undefined {
-    const workspace = options.config()?.workspaces?.find(({ name }) =>
-      name === spec.workspace
-    );
-    return workspace && describeOversizedStep(spec.steps, workspace.upperBound);
-  }
-
-  /** Asks the owner whether the job may be stored; without an answer it may, because the owner orders jobs by share anyway. */
-  async function admit(spec: JobSpec): Promise<AdmissionDecision> {
-    if (spec.workspace === "") return { kind: "admitted", excess: false };
-    const reply = await callOwner((owner) => owner.admit(spec));
-    return reply.kind === "reply"
-      ? reply.value
-      : { kind: "admitted", excess: false };
-  }
-
-  /** Whether it is known that no earlier attempt has stored a job; a refusal says that the job will never run. */
-  async function isKnownAbsent(spec: JobSpec): Promise<boolean> {
-    try {
-      return await store.get(STORE_KEYS.jobPrefix + spec.jobId) === undefined;
-    } catch (error) {
-      if (!(error instanceof StoreError)) throw error;
-      return false;
-    }
-  }
+  const submissions = createSubmissionCheck({
+    store,
+    log,
+    config: options.config,
+    async askOwner(spec) {
+      const reply = await callOwner((owner) => owner.admit(spec));
+      return reply.kind === "reply" ? reply.value : undefined;
+    },
+  });
 
   return {
     async submit(queue, submission, context) {
@@ -376,42 +355,9 @@
       if (!parsed.success || issues.length > 0) {
         return { kind: "invalid", error: new InvalidJobError(issues) };
       }
-      const oversized = findOversizedStep(parsed.data);
-      if (oversized !== undefined && await isKnownAbsent(parsed.data)) {
-        log.warn("job refused: its workspace's upper bound can't hold it", {
-          request: context.requestId,
-          job: parsed.data.jobId,
-          workspace: context.workspace,
-          reason: oversized,
-        });
-        return {
-          kind: "refused",
-          cause: "quota",
-          reason: oversized,
-          retryAfterMs: QUOTA_RETRY_AFTER_MS,
-        };
-      }
-      const decision = await admit(parsed.data);
-      if (decision.kind === "refused" && await isKnownAbsent(parsed.data)) {
-        log.info("job refused", {
-          request: context.requestId,
-          job: parsed.data.jobId,
-          queue: queue.name,
-          workspace: context.workspace,
-          reason: decision.reason,
-          retryAfterMs: decision.retryAfterMs,
-        });
-        return {
-          kind: "refused",
-          cause: decision.reason,
-          reason: REFUSAL_TEXTS[decision.reason],
-          retryAfterMs: decision.retryAfterMs,
-        };
-      }
-      const spec: JobSpec = {
-        ...parsed.data,
-        excess: decision.kind === "admitted" && decision.excess,
-      };
+      const verdict = await submissions.check(parsed.data, context.requestId);
+      if (verdict.kind === "refused") return verdict;
+      const spec: JobSpec = { ...parsed.data, excess: verdict.excess };
       const outcome = await storeRecord(
         STORE_KEYS.jobPrefix + spec.jobId,
         JSON.stringify(spec),
