test: the soak test is split into one module per concern

Cause: testing/soak/soak.ts had 692 lines, most of them closures of one function, so that the entries' processes, the callers and the faults could only be found by reading it as a whole.

Change: soak.ts keeps `runSeed`, its options and its report, which main.ts and soak_test.ts use as before. The rest moves to soak_run.ts (shared state), soak_platform.ts (fakes and their servers), deployment_config.ts, entry_ports.ts, entry_processes.ts, caller_requests.ts, callers.ts, fault_kinds.ts, fault_injection.ts and task_start_monitor.ts. No behaviour changes.

--- /dev/null
+++ b/testing/soak/fault_kinds.ts
@@ -0,0 +1,155 @@
+import {
+  type EntryProcesses,
+  markDisturbed,
+  type SoakEntry,
+} from "./entry_processes.ts";
+import type { SoakPlatform } from "./soak_platform.ts";
+import type { SoakRun } from "./soak_run.ts";
+
+/** What a fault acts on. */
+export interface FaultContext {
+  readonly run: SoakRun;
+  readonly platform: SoakPlatform;
+  readonly processes: EntryProcesses;
+  /** Writes the next version of the configuration. */
+  readonly writeConfig: () => void;
+  /** Entry of the faults that affect a single one. */
+  readonly entry: SoakEntry;
+  /** Duration of the fault, in ms. */
+  readonly durationMs: number;
+  /** Number of the fault in the run, from 1. */
+  readonly faultNumber: number;
+  /** Schedules the end of the fault. */
+  readonly restoreLater: (restore: () => void) => void;
+}
+
+/** A named kind of fault. */
+export interface FaultKind {
+  readonly name: string;
+  readonly inject: () => void;
+}
+
+/** Returns all kinds of faults. A seed repeats its faults only while their order stays the same. */
+export function listFaultKinds(context: FaultContext): FaultKind[] {
+  const { entry, durationMs, restoreLater, writeConfig } = context;
+  const { random } = context.run;
+  const { store, workers, fleet, workspaces, workerRelay } = context.platform;
+  const { entries } = context.processes;
+  const storeFaults = store.faults;
+  const restoreEntryLater = (restore: () => void) => {
+    markDisturbed(entry);
+    restoreLater(() => {
+      restore();
+      markDisturbed(entry);
+    });
+  };
+  const kinds: [string, () => void][] = [
+    ...(workspaces === undefined
+      ? []
+      : [["withdrawn keys", writeConfig]] as [string, () => void][]),
+    ["kill", () => void entry.child?.child.kill("SIGKILL")],
+    ["stop", () => void entry.child?.child.kill("SIGTERM")],
+    ["pause", () => {
+      const { child } = entry;
+      child?.child.kill("SIGSTOP");
+      entry.paused = true;
+      restoreEntryLater(() => {
+        child?.child.kill("SIGCONT");
+        entry.paused = false;
+      });
+    }],
+    ["kill all", () => {
+      for (const eachEntry of entries) {
+        markDisturbed(eachEntry);
+        eachEntry.child?.child.kill("SIGKILL");
+      }
+    }],
+    ["reset store link", () => {
+      entry.storeRelay.disconnect();
+      restoreEntryLater(() => entry.storeRelay.restore());
+    }],
+    ["pause store link", () => {
+      entry.storeRelay.pause();
+      restoreEntryLater(() => entry.storeRelay.restore());
+    }],
+    ["pause store link one way", () => {
+      entry.storeRelay.pauseOneWay(
+        random.next() < 0.5 ? "to_target" : "to_client",
+      );
+      restoreEntryLater(() => entry.storeRelay.restore());
+    }],
+    ["slow store link", () => {
+      entry.storeRelay.setDelay(20 + random.nextInteger(150));
+      restoreEntryLater(() => entry.storeRelay.restore());
+    }],
+    ["stall store connections", () => {
+      markDisturbed(entry);
+      entry.storeRelay.stallOpenConnections();
+    }],
+    ["store refuses entry", () => {
+      storeFaults.refusedClients.add(entry.id);
+      restoreEntryLater(() => void storeFaults.refusedClients.delete(entry.id));
+    }],
+    ["store down", () => {
+      storeFaults.down = true;
+      entries.forEach(markDisturbed);
+      if (random.next() < 0.4) setTimeout(() => store.expireAllLeases(), 150);
+      restoreLater(() => {
+        storeFaults.down = false;
+        entries.forEach(markDisturbed);
+      });
+    }],
+    ["store loses responses", () => {
+      storeFaults.lostAnswerRate = 0.3;
+      entries.forEach(markDisturbed);
+      restoreLater(() => storeFaults.lostAnswerRate = 0);
+    }],
+    ["store applies writes late", () => {
+      storeFaults.lateChangeRate = 0.2;
+      entries.forEach(markDisturbed);
+      restoreLater(() => storeFaults.lateChangeRate = 0);
+    }],
+    ["store compacts its history", () => store.compactHistory()],
+    ["stall worker connections", () => workerRelay.stallOpenConnections()],
+    ["reset worker links", () => {
+      workerRelay.disconnect();
+      restoreLater(() => workerRelay.restore());
+    }],
+    ["orders are carried out late, others are refused", () => {
+      workers.faults.lateOrderRate = 0.15;
+      workers.faults.unhealthyRate = 0.3;
+      restoreLater(() => {
+        workers.faults.lateOrderRate = 0;
+        workers.faults.unhealthyRate = 0;
+      });
+    }],
+    ["tasks fail", () => {
+      workers.faults.failedRunRate = 0.3;
+      restoreLater(() => workers.faults.failedRunRate = 0);
+    }],
+    ["worker crashes", () => {
+      const vms = [...fleet.vms.values()];
+      fleet.crash(vms[random.nextInteger(vms.length)]!, durationMs);
+    }],
+    ["worker capacity changes", () => {
+      const vms = [...fleet.vms.values()];
+      const vm = vms[random.nextInteger(vms.length)]!;
+      fleet.resize(vm, random.nextInteger(3) * 1_500);
+      restoreLater(() => fleet.resize(vm, 8_000));
+    }],
+    ["configuration changes", writeConfig],
+    ["maintenance wave", () => {
+      const wave = context.faultNumber + 1;
+      store.write(
+        `op/wave/${wave}`,
+        JSON.stringify({
+          wave,
+          machines: [...fleet.vms.keys()].filter(() => random.next() < 0.4),
+          "deadline-s": 12,
+          "upper-bound": 2,
+        }),
+      );
+    }],
+  ];
+  return kinds.map(([name, inject]) => ({ name, inject }));
+}
