refactor: the shard's lease and plan recording leave dispatcher.ts

Beside the scheduling step it held the renewal of the lease and the recording of written plans.

Change: shard_lease.ts holds the lease of a shard with its three times; plan_recording.ts records a written plan (jobs, decisions, waits, started and finished runs) in the entry's state and as notices. The lease tells the dispatcher through two callbacks when the store has responded and when the shard must be dropped, at the same points as before. No behaviour changes.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -14,7 +14,7 @@
   LedgerCall,
   LedgerClient,
 } from "./ledger_client.ts";
-import { type FinishedNotice, NoticeRelay } from "./notices.ts";
+import { NoticeRelay } from "./notices.ts";
 import { QuotaClient } from "./quota_client.ts";
 import {
   GRANT_LIFETIME_MS,
@@ -22,7 +22,7 @@
   QuotaLedger,
 } from "./quota_ledger.ts";
 import type { SchedulerState } from "./scheduler_state.ts";
-import { describeStep } from "./job_decisions.ts";
+import { recordWrittenPlan } from "./plan_recording.ts";
 import {
   listQuotas,
   listWorkers,
@@ -30,28 +30,16 @@
   recordLostWorkers,
   type SchedulingContext,
 } from "./scheduling_context.ts";
-import { type FinishedRun, planShard, type ShardPlan } from "./plan_shard.ts";
+import { planShard, type ShardPlan } from "./plan_shard.ts";
 import type { WaitReason } from "./placement.ts";
 import { withTimeout } from "./with_timeout.ts";
 import { shardKey } from "./shard.ts";
+import { ShardLease } from "./shard_lease.ts";
 import { ShardWriter } from "./shard_writer.ts";
 import { PeakUsageTracker } from "./peak_usage.ts";
 import { TaskCommands } from "./task_commands.ts";
-import { taskIdOf } from "./task_id.ts";
 import type { WorkerReports } from "./worker_reports.ts";
 
-/**
- * Time to live of a shard's lease, in ms. Bounds the time without a dispatcher
- * after its entry has crashed.
- */
-const LEASE_TTL_MS = 3_000;
-/** Time between two renewals of a shard's lease, in ms. */
-const LEASE_RENEW_MS = 1_000;
-/**
- * Part of the lease reserved for commands in flight, in ms. No command is sent
- * in this last part.
- */
-const LEASE_MARGIN_MS = 500;
 /** Deadline for the store to confirm the changes of a step, in ms. */
 const CHANGE_DEADLINE_MS = 2_000;
 
@@ -102,10 +90,9 @@
   readonly writer: ShardWriter;
   #options: DispatcherOptions;
   #commands: TaskCommands;
-  #lease: { token: number; renewedAtMs: number } | undefined;
+  #lease: ShardLease;
   #ownership: { fencingToken: number; sinceMs: number } | undefined;
   #peakUsage: PeakUsageTracker;
-  #released = false;
   #quotaClient: QuotaClient;
   #ledger: { quotas: QuotaLedger; noticeRelay: NoticeRelay } | undefined;
 
@@ -114,11 +101,17 @@
     const { store, region, shard, clock } = options;
     const key = shardKey(region, shard);
     this.writer = new ShardWriter({ store, key, clock });
+    this.#lease = new ShardLease({
+      ...options,
+      key,
+      onResponse: () => this.writer.resetOutageBackoff(),
+      onLost: () => this.#dropShard(),
+    });
     this.#peakUsage = new PeakUsageTracker(options.reports);
     this.#quotaClient = new QuotaClient(options.ledgerClient);
     this.#commands = new TaskCommands({
       ...options,
-      hasValidLease: () => this.#hasValidLease(),
+      hasValidLease: () => this.#lease.isValid(),
     });
   }
 
@@ -131,7 +124,7 @@
     const ledger = this.#ledger;
     if (config === undefined || ledger === undefined) return undefined;
     const grants = await ledger.quotas.claim(call.claim, listQuotas(config));
-    if (!this.#hasValidLease()) return undefined;
+    if (!this.#lease.isValid()) return undefined;
     return { grants, notices: ledger.noticeRelay.exchange(call.notices) };
   }
 
@@ -155,7 +148,7 @@
    * dispatcher owns the shard, because another one may have written it since.
    */
   provesAbsence(jobId: string): boolean {
-    return this.#ownership !== undefined && this.#hasValidLease() &&
+    return this.#ownership !== undefined && this.#lease.isValid() &&
       this.writer.lacksJob(jobId);
   }
 
@@ -164,7 +157,7 @@
    * Unlike `!provesAbsence`, writes of other jobs raise no doubt.
    */
   mayContain(jobId: string): boolean {
-    return this.#ownership === undefined || !this.#hasValidLease() ||
+    return this.#ownership === undefined || !this.#lease.isValid() ||
       this.writer.mayContain(jobId);
   }
 
@@ -182,7 +175,7 @@
     const context = readSchedulingContext(this.#options);
     if (context === undefined) return "not_ready";
     try {
-      if (!await this.#ensureLease()) return "standby";
+      if (!await this.#lease.ensure()) return "standby";
       // A claim for quota returns the grants that the record doesn't show in use.
       await this.writer.resolve();
       if (this.writer.record === undefined || this.#ownership === undefined) {
@@ -200,47 +193,7 @@
    * entry.
    */
   async release(): Promise<void> {
-    this.#released = true;
-    this.#dropShard();
-    this.#lease = undefined;
-    const { store, region, shard, holder } = this.#options;
-    await store.releaseLease(shardKey(region, shard), holder).catch(() => {});
-  }
-
-  #hasValidLease(): boolean {
-    return !this.#released &&
-      this.#leaseAgeMs() < LEASE_TTL_MS - LEASE_MARGIN_MS;
-  }
-
-  #leaseAgeMs(): number {
-    return this.#options.clock.monotonicMs() -
-      (this.#lease?.renewedAtMs ?? -Infinity);
-  }
-
-  async #ensureLease(): Promise<boolean> {
-    if (this.#released) return false;
-    if (this.#leaseAgeMs() < LEASE_RENEW_MS) return true;
-    const { store, region, shard, holder, clock } = this.#options;
-    const renewedAtMs = clock.monotonicMs();
-    const result = await store.acquireLease(shardKey(region, shard), {
-      holder,
-      ttlMs: LEASE_TTL_MS,
-    });
-    this.writer.resetOutageBackoff();
-    // The dispatcher was released during the call; the lease must not be kept.
-    if (this.#released && result.kind === "granted") await this.release();
-    if (this.#released) return false;
-    if (result.kind === "held") {
-      this.#dropShard();
-      this.#lease = undefined;
-      return false;
-    }
-    const token = result.lease.fencingToken;
-    // A new token means that the lease had expired, and another dispatcher may
-    // have owned the shard in between.
-    if (this.#lease?.token !== token) this.#dropShard();
-    this.#lease = { token, renewedAtMs };
-    return true;
+    await this.#lease.release();
   }
 
   #dropShard(): void {
@@ -341,7 +294,7 @@
   }
 
   async #dispatch(context: SchedulingContext): Promise<StepResult> {
-    const { shard, schedulerState, ledgerClient, clock } = this.#options;
+    const { shard, clock } = this.#options;
     const base = this.writer.record;
     const ownership = this.#ownership;
     if (base === undefined || ownership === undefined) return "replaced";
@@ -367,19 +320,12 @@
     if (!await this.#commit(base.jobs, plan)) return "replaced";
     const record = this.writer.record;
     if (record === undefined) return "replaced";
-    schedulerState.jobsByShard.set(shard, record.jobs);
-    this.#recordDecisions(base.jobs, record.jobs, {
+    recordWrittenPlan({ ...this.#options, peakUsage: this.#peakUsage }, {
       plan,
+      before: base.jobs,
+      after: record.jobs,
       nowMs: context.nowMs,
     });
-    for (const job of plan.changes) {
-      if (job.state.kind !== "assigned") continue;
-      schedulerState.removeHold(job.id);
-      const { run } = job.state;
-      const taskId = taskIdOf(job, run);
-      ledgerClient.notify({ kind: "started", vmId: run.vmId, taskId });
-    }
-    this.#recordFinishedRuns(plan.finished, record.jobs);
     await this.#quotaClient.reportUsage({ ...input, jobs: record.jobs });
     const sent = [
       this.#commands.sendRunCommands(record.jobs, {
@@ -406,22 +352,6 @@
     await reports.refresh([]);
   }
 
-  /** Records the decisions of a written plan and why jobs wait. */
-  #recordDecisions(
-    before: ReadonlyMap<string, Job>,
-    after: ReadonlyMap<string, Job>,
-    step: { plan: ShardPlan; nowMs: number },
-  ): void {
-    const { schedulerState, shard } = this.#options;
-    const previousWaits = schedulerState.waitsByShard.get(shard);
-    for (
-      const decision of describeStep({ ...step, before, after, previousWaits })
-    ) {
-      schedulerState.decisionLog.add(decision);
-    }
-    schedulerState.waitsByShard.set(shard, step.plan.waits);
-  }
-
   async #commit(
     base: ReadonlyMap<string, Job>,
     plan: ShardPlan,
@@ -447,34 +377,4 @@
       return false;
     }
   }
-
-  /**
-   * Passes on the runs whose end was written, to the state of this entry and as
-   * notices to the other entries.
-   */
-  #recordFinishedRuns(
-    finished: readonly FinishedRun[],
-    jobs: ReadonlyMap<string, Job>,
-  ): void {
-    const { schedulerState, clock, ledgerClient } = this.#options;
-    const nowMs = clock.wallMs();
-    for (const { job, run, succeeded, blame } of finished) {
-      if (jobs.get(job.id) === job) continue;
-      const peaks = this.#peakUsage.of(job, run);
-      const { pool, team, jobClass } = job.spec;
-      const notice: FinishedNotice = {
-        kind: "finished",
-        jobId: job.id,
-        vmId: run.vmId,
-        pool,
-        team,
-        jobClass,
-        succeeded,
-        use: peaks && { ...peaks, runTimeMs: nowMs - run.atMs },
-        blame,
-      };
-      schedulerState.recordFinishedRun(notice, nowMs);
-      ledgerClient.notify(notice);
-    }
-  }
 }
