refactor(scheduler): slots of refused callers in a module of their own

The rejection of jobs that can't finish needs consecutive slots too, for callers of a pool instead of a workspace. The slots, their horizon, their validity and their limit move from admission.ts to return_slots.ts without a change of behaviour; token buckets stay where they are.

--- a/src/scheduler/workspaces/admission.ts
+++ b/src/scheduler/workspaces/admission.ts
@@ -1,3 +1,9 @@
+import {
+  createReturnSlotTable,
+  LONGEST_SLOT_MS,
+  type ReturnSlots,
+} from "./return_slots.ts";
+
 /** Decision about a submission, made by the owner before an entry stores the job. */
 export type AdmissionDecision =
   /** `excess` marks a job beyond what its workspace is owed; it comes after the others while the pool is full. */
@@ -15,33 +21,14 @@
 const MINIMUM_BURST_JOBS = 5;
 /** Minimum rate of a workspace, in jobs per second, so that slots are finite for a weight of 0. */
 const MINIMUM_RATE_PER_S = 0.1;
-/**
- * Furthest slot that is assigned, in ms. Callers that give up keep their slots
- * until these expire, so that more distant slots would delay the others longer.
- */
-const HORIZON_MS = 30_000;
-/** Time for which a slot can be used, in ms: 1 s because `Retry-After` is rounded up to whole seconds, and 2 s for the caller's way back. */
-const SLOT_VALID_MS = 3_000;
-/** Time before its slot at which a caller is admitted already, in ms, because timers may fire early. */
-const EARLY_MARGIN_MS = 50;
-/** Maximum number of slots of all workspaces, which limits the owner's memory to about 3 MB. */
-const MAXIMUM_SLOTS = 20_000;
 /** Number of buckets above which full ones are dropped; workspaces may be renamed any number of times. */
 const MAXIMUM_BUCKETS = 1_000;
 
-/** Time reserved for the return of a refused caller. */
-interface Slot {
-  readonly atMs: number;
-  /** A used slot remains until it expires, because the entry may have failed to store the job. */
-  used: boolean;
-}
-
 interface Bucket {
   /** Jobs that may be sent now; negative if slots have been assigned in advance. */
   tokens: number;
   updatedAtMs: number;
-  /** Slots by job ID, in the order of their assignment. */
-  readonly slots: Map<string, Slot>;
+  readonly slots: ReturnSlots;
 }
 
 /** Facts about a submission that decide its admission. */
@@ -73,22 +60,11 @@
   { nowMs }: { readonly nowMs: () => number },
 ): Admission {
   const buckets = new Map<string, Bucket>();
-  let slotCount = 0;
-
-  function removeSlot(bucket: Bucket, jobId: string, slot: Slot): void {
-    bucket.slots.delete(jobId);
-    slotCount--;
-    if (!slot.used) bucket.tokens++;
-  }
-
-  const isExpired = (slot: Slot) => nowMs() > slot.atMs + SLOT_VALID_MS;
+  const table = createReturnSlotTable(nowMs);
 
   /** Adds the tokens of the time that has passed and those of slots that weren't used. */
   function refill(bucket: Bucket, ratePerS: number): void {
-    for (const [jobId, slot] of bucket.slots) {
-      if (!isExpired(slot)) break;
-      removeSlot(bucket, jobId, slot);
-    }
+    bucket.tokens += bucket.slots.removeExpired();
     const elapsedS = (nowMs() - bucket.updatedAtMs) / 1_000;
     bucket.tokens = Math.min(
       computeBurst(ratePerS),
@@ -97,6 +73,11 @@
     bucket.updatedAtMs = nowMs();
   }
 
+  /** Removes the slot of a job, if it has one; its token returns if it wasn't used. */
+  function removeSlot(bucket: Bucket, jobId: string): void {
+    if (bucket.slots.remove(jobId)?.used === false) bucket.tokens++;
+  }
+
   function findBucket(workspace: string, ratePerS: number): Bucket {
     const known = buckets.get(workspace);
     if (known !== undefined) {
@@ -107,7 +88,7 @@
     const bucket: Bucket = {
       tokens: computeBurst(ratePerS),
       updatedAtMs: nowMs(),
-      slots: new Map(),
+      slots: table.createSlots(),
     };
     buckets.set(workspace, bucket);
     return bucket;
@@ -117,8 +98,8 @@
   function dropIdleBuckets(): void {
     for (const [workspace, bucket] of buckets) {
       const idleMs = nowMs() - bucket.updatedAtMs;
-      if (idleMs > HORIZON_MS + SLOT_VALID_MS + BURST_S * 1_000) {
-        slotCount -= bucket.slots.size;
+      if (idleMs > LONGEST_SLOT_MS + BURST_S * 1_000) {
+        table.drop(bucket.slots);
         buckets.delete(workspace);
       }
     }
@@ -130,31 +111,27 @@
     ratePerS: number,
   ): AdmissionDecision {
     const delayMs = (1 - bucket.tokens) * 1_000 / ratePerS;
-    const isAssignable = delayMs <= HORIZON_MS && slotCount < MAXIMUM_SLOTS;
-    if (isAssignable) {
-      bucket.tokens--;
-      bucket.slots.set(jobId, { atMs: nowMs() + delayMs, used: false });
-      slotCount++;
-    }
-    return refuse(isAssignable ? delayMs : HORIZON_MS);
+    const slot = bucket.slots.assign(jobId, delayMs);
+    if (slot !== undefined) bucket.tokens--;
+    return refuse(bucket.slots.retryAfterMs(slot));
   }
 
   return {
-    slotCount: () => slotCount,
+    slotCount: table.count,
     decide({ workspace, weight, jobId, isFull }) {
       const ratePerS = Math.max(weight, MINIMUM_RATE_PER_S);
       const bucket = findBucket(workspace, ratePerS);
-      const slot = bucket.slots.get(jobId);
-      if (slot !== undefined && !isExpired(slot)) {
-        if (slot.used || nowMs() >= slot.atMs - EARLY_MARGIN_MS) {
+      const slot = bucket.slots.find(jobId);
+      if (slot !== undefined) {
+        if (slot.used || bucket.slots.isDue(slot)) {
           slot.used = true;
           return ADMITTED;
         }
-        if (isFull) return refuse(slot.atMs - nowMs());
-        removeSlot(bucket, jobId, slot);
+        if (isFull) return refuse(bucket.slots.retryAfterMs(slot));
+        removeSlot(bucket, jobId);
         return ADMITTED_AS_EXCESS;
       }
-      if (slot !== undefined) removeSlot(bucket, jobId, slot);
+      removeSlot(bucket, jobId);
       if (bucket.tokens >= 1) {
         bucket.tokens--;
         return ADMITTED;
@@ -172,6 +149,6 @@
   return {
     kind: "refused",
     reason: "share",
-    retryAfterMs: Math.max(1, Math.ceil(retryAfterMs)),
+    retryAfterMs,
   };
 }
