feat(scheduler): reject jobs that certainly can't finish in time

Cause: while jobs of a higher priority fill a pool for seconds, new jobs of the others are stored and end after more than three times their objective, when the result is worth nothing, although their callers could come back after the surge.

Change: with overload.rejectUnattainable (default false) an entry asks the owner before it stores any job, and the owner answers 503 with Retry-After if the job can't finish within three times its objective. Only jobs of a pool short of VMs are checked. What isn't certain counts in favour of the job. The refusal takes the path of the refusal by workspace, so a job found in the store is never refused.

--- a/src/scheduler/duration_estimates.ts
+++ b/src/scheduler/duration_estimates.ts
@@ -12,6 +12,8 @@
 export interface DurationEstimates {
   /** Records the actual and the declared duration of a finished task. */
   record(queue: string, durationMs: number, declaredMs: number): void;
+  /** Whether a task of the queue has finished, so that estimates don't rest on declared durations alone. */
+  isMeasured(queue: string): boolean;
   /** Estimates the duration of a task, in ms. */
   estimateMs(queue: string, declaredMs: number): number;
 }
@@ -27,6 +29,7 @@
       mean.ratio += (Math.min(ratio, 4) - mean.ratio) * SMOOTHING_FACTOR;
       means.set(queue, mean);
     },
+    isMeasured: (queue) => means.has(queue),
     estimateMs(queue, declaredMs) {
       const mean = means.get(queue);
       if (mean === undefined) {
--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -25,6 +25,7 @@
   type StoreReply,
 } from "./peer_router.ts";
 import { STORE_KEYS } from "./ownership.ts";
+import { rejectionMetrics } from "./overload/owner_rejection.ts";
 import type { RecordStore } from "./ports.ts";
 import type { RelayServer } from "./relay/server.ts";
 import type { RequestStats } from "./request_stats.ts";
@@ -355,5 +356,6 @@
       value: workers.instances.size,
     },
     ...workspaceMetrics(owner.workspaces()),
+    ...rejectionMetrics(owner.overloadCounts ?? new Map()),
   ];
 }
--- a/src/scheduler/fleet_manager.ts
+++ b/src/scheduler/fleet_manager.ts
@@ -13,6 +13,7 @@
   RecordStore,
   SchedulerConfig,
   VmApi,
+  VmInfo,
   WaveRequest,
 } from "./ports.ts";
 import { retryStoreRead } from "./retry_store_read.ts";
@@ -59,6 +60,8 @@
   isScarce(pool: string): boolean;
   /** Counts the VMs that are on their way into each pool. */
   countArriving(): ReadonlyMap<string, number>;
+  /** Returns the VMs in the latest VM list, by VM ID; empty until it has been read once. */
+  vms(): ReadonlyMap<string, VmInfo>;
   /** Whether an order for the VM may end what runs there. */
   isVmEnding(vmId: string): boolean;
   /** Whether an order for its VM may have ended a worker instance. */
@@ -110,6 +113,7 @@
     isCordoned: vmStates.isCordoned,
     isScarce: balancer.isScarce,
     countArriving: vmStates.countArriving,
+    vms: vmStates.list,
     isVmEnding: (vmId) =>
       vmStates.isUnavailable(vmId) || vmStates.hasEarlierOrder(vmId),
     wasOrdered: ({ vmId, bornAtMs }) =>
--- a/src/scheduler/job_frontend.ts
+++ b/src/scheduler/job_frontend.ts
@@ -126,6 +126,8 @@
   readonly config: () => SchedulerConfig | undefined;
   /** Returns a client of the owner, which may be this entry; undefined while no owner is known. */
   readonly ownerClient: () => EntryClient | undefined;
+  /** Whether the owner may reject any job that can't finish in time; false if omitted. */
+  readonly rejectUnattainable?: boolean;
   readonly onOwnerResponse: () => void;
   /** Called when the owner didn't respond to a call. */
   readonly onOwnerUnresponsive: () => void;
@@ -329,6 +331,7 @@
     store,
     log,
     config: options.config,
+    rejectUnattainable: options.rejectUnattainable ?? false,
     async askOwner(spec) {
       const reply = await callOwner((owner) => owner.admit(spec));
       return reply.kind === "reply" ? reply.value : undefined;
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -49,6 +49,10 @@
     /** Time within which a withdrawn API key must be refused, in ms. */
     revocationMs: z.number().positive().default(5_000),
   }).prefault({}),
+  overload: z.object({
+    /** Whether the owner rejects jobs that certainly can't finish within three times their objective. */
+    rejectUnattainable: z.boolean().default(false),
+  }).prefault({}),
   logLevel: z.enum(["debug", "info", "warn", "error", "silent"]).default(
     "info",
   ),
--- a/src/scheduler/settings_test.ts
+++ b/src/scheduler/settings_test.ts
@@ -47,6 +47,7 @@
 test("unknown fields are ignored and defaults are filled in", () => {
   const settings = resolve({ ...SETTINGS, later: true });
   assert.equal(settings.bounds.graceS, 6);
+  assert.equal(settings.overload.rejectUnattainable, false);
   assert.deepEqual(
     listChangedSettings(settings, { ...settings, logLevel: "debug" }),
     ["logLevel"],
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -21,6 +21,10 @@
 import { loadJobs, parseStoredJob } from "./load_jobs.ts";
 import { createTrialWorkers } from "./crashes/trial_workers.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
+import {
+  createOverloadRejection,
+  type OverloadRejection,
+} from "./overload/owner_rejection.ts";
 import { STORE_KEYS, type Tenure } from "./ownership.ts";
 import { createThrottling, runThrottling } from "./throttling.ts";
 import { planPlacements } from "./placement_planner.ts";
@@ -106,6 +110,8 @@
   readonly holderGapMs: number;
   /** Time for which a task must have been at work before it no longer counts as away, in ms. */
   readonly noticeMs: number;
+  /** Whether jobs that can't finish in time are rejected; false if omitted. */
+  readonly rejectUnattainable?: boolean;
   /** Asks other entries to take over; the one that does raises the epoch. */
   readonly requestTakeover: (epoch: number) => void;
 }
@@ -123,6 +129,8 @@
   waitingJobs(queue: string): number;
   /** Returns the state of each configured workspace. */
   workspaces(): WorkspaceState[];
+  /** Decisions about submissions to pools short of VMs, by queue; undefined if the settings don't ask for rejections. */
+  readonly overloadCounts: OverloadRejection["counts"] | undefined;
   /** Returns the owner's state for the `/dump` endpoint. */
   describeState(): unknown;
   readonly scheduler: Scheduler;
@@ -244,11 +252,23 @@
 
   const waitLog = createWaitLog(log);
   const fairShare = createFairShare({ nowMs: () => clock.monotonicMs() });
+  const overload = options.rejectUnattainable
+    ? createOverloadRejection({
+      scheduler,
+      clock,
+      log,
+      config: options.config,
+      isScarce: fleet.isScarce,
+      vms: fleet.vms,
+      isVmEnding: fleet.isVmEnding,
+    })
+    : undefined;
   const admission = createOwnerAdmission({
     scheduler,
     clock,
     config: options.config,
     isScarce: fleet.isScarce,
+    overload,
   });
 
   /** Adds a stored job unless it was added before: both the accepting entry and the watch report it. */
@@ -464,6 +484,7 @@
     status: (jobId, workspace) => scheduler.status(jobId, workspace),
     waitingJobs: (queue) => scheduler.waitingJobs(queue),
     workspaces: listWorkspaces,
+    overloadCounts: overload?.counts,
     describeState: () => ({
       epoch: tenure.epoch,
       sinceMs: clock.wallMs() - startedAtWallMs,
@@ -473,6 +494,7 @@
       counters: scheduler.counters,
       fleet: fleet.describe(),
       workspaces: listWorkspaces(),
+      overload: overload && Object.fromEntries(overload.counts),
       workers: [...scheduler.workers.instances.values()].map((instance) => ({
         workerId: instance.workerId,
         vmId: instance.vmId,
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -131,6 +131,7 @@
       keepEndedMs: settings.bounds.keepEndedS * 1_000,
       holderGapMs: settings.bounds.holderGapMs + HOLDER_GAP_MARGIN_MS,
       noticeMs: settings.bounds.noticeMs,
+      rejectUnattainable: settings.overload.rejectUnattainable,
     }));
   registerSingleton(TOKENS.frontend, () =>
     createJobFrontend({
@@ -139,6 +140,7 @@
       clock: scope.resolve(TOKENS.clock),
       log: loggers("front"),
       config: scope.resolve(TOKENS.operator).config,
+      rejectUnattainable: settings.overload.rejectUnattainable,
       ownerClient: () => scope.resolve(TOKENS.election).ownerClient(),
       onOwnerResponse: () => scope.resolve(TOKENS.stats).recordOwnerContact(),
       onOwnerUnresponsive: () => scope.resolve(TOKENS.election).suspectOwner(),
--- a/src/scheduler/workspaces/access_test.ts
+++ b/src/scheduler/workspaces/access_test.ts
@@ -23,7 +23,10 @@
   steps: [{ taskCount: 4, cpuMillis: 1_000, gang: true }],
 } as never;
 
-function createFixture(admit: EntryClient["admit"], cpuMillis = 0) {
+function createFixture(
+  admit: EntryClient["admit"],
+  { cpuMillis = 0, rejectUnattainable = false } = {},
+) {
   const store = new FakeRecordStore(createRandom(7));
   const fail = () => Promise.reject(new EntryCallError("away", "no_answer"));
   const config: SchedulerConfig = {
@@ -45,6 +48,7 @@
     clock: systemClock,
     log: silentLogger,
     config: () => config,
+    rejectUnattainable,
     ownerClient: () =>
       ({
         isLocal: false,
@@ -110,18 +114,40 @@
 
 // Guards against a gang that waits forever because its workspace's upper bound can't hold it.
 test("a gang beyond the upper bound is refused at once", async () => {
-  const { frontend, context } = createFixture(admitAll, 3_999);
+  const { frontend, context } = createFixture(admitAll, { cpuMillis: 3_999 });
   const refused = await frontend.submit(QUEUE, submission, context("shop"));
   assert.ok(refused.kind === "refused" && refused.cause === "quota");
 });
 
+// Guards against refusals of jobs without a workspace that the settings don't ask for, and against an untrue one.
+test("a job without a workspace is refused for overload only with the setting, and only if it isn't stored", async () => {
+  const refuse = () =>
+    Promise.resolve(
+      { kind: "refused", reason: "overload", retryAfterMs: 1_500 } as const,
+    );
+  const asked = createFixture(refuse, { rejectUnattainable: true });
+  const submit = ({ frontend, context }: typeof asked) =>
+    frontend.submit(QUEUE, submission, context(""));
+  const refused = await submit(asked);
+  assert.ok(refused.kind === "refused" && refused.cause === "overload");
+  const key = STORE_KEYS.jobPrefix + JOB;
+  assert.equal(await asked.store.client("entry-1").get(key), undefined);
+  asked.store.write(key, JSON.stringify({ workspace: "" }));
+  assert.equal((await submit(asked)).kind, "accepted");
+  assert.equal((await submit(createFixture(refuse))).kind, "accepted");
+});
+
 // Guards against jobs that are refused while the owner is being replaced.
 test("jobs are admitted while the owner doesn't answer", async () => {
-  const { frontend, context } = createFixture(() =>
-    Promise.reject(new EntryCallError("away", "no_answer"))
+  const { frontend, context } = createFixture(
+    () => Promise.reject(new EntryCallError("away", "no_answer")),
+    { rejectUnattainable: true },
   );
   const result = await frontend.submit(QUEUE, submission, context("shop"));
   assert.equal(result.kind, "accepted");
+  const other = { ...(submission as object), jobId: "1".repeat(16) } as never;
+  const publicResult = await frontend.submit(QUEUE, other, context(""));
+  assert.equal(publicResult.kind, "accepted");
 });
 
 // Guards against a withdrawn key that stays in use at an entry which the store refuses while it serves the others.
--- a/src/scheduler/workspaces/owner_admission.ts
+++ b/src/scheduler/workspaces/owner_admission.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../../clock.ts";
 import type { JobSpec } from "../model.ts";
 import type { SchedulerConfig } from "../ports.ts";
+import type { OverloadRejection } from "../overload/owner_rejection.ts";
 import { resolveQueue } from "../resolve_queue.ts";
 import type { Scheduler } from "../scheduler.ts";
 import { type AdmissionDecision, createAdmission } from "./admission.ts";
@@ -14,6 +15,8 @@
   readonly config: () => SchedulerConfig | undefined;
   /** Whether a service's pool needs more VMs than the fleet has. */
   readonly isScarce: (service: string) => boolean;
+  /** Undefined if the settings don't ask for it. */
+  readonly overload?: OverloadRejection | undefined;
 }
 
 /** Number of decisions about the submissions of a workspace. */
@@ -50,6 +53,10 @@
   return {
     counts,
     admit(spec) {
+      const retryAfterMs = options.overload?.check(spec);
+      if (retryAfterMs !== undefined) {
+        return { kind: "refused", reason: "overload", retryAfterMs };
+      }
       const config = options.config();
       const workspace = config?.workspaces?.find(({ name }) =>
         name === spec.workspace
--- a/src/scheduler/workspaces/submission_check.ts
+++ b/src/scheduler/workspaces/submission_check.ts
@@ -24,7 +24,7 @@
     readonly retryAfterMs: number;
   };
 
-/** Checks jobs of workspaces before an entry stores them. */
+/** Checks jobs before an entry stores them. */
 export interface SubmissionCheck {
   check(spec: JobSpec, requestId: string): Promise<SubmissionVerdict>;
 }
@@ -36,11 +36,13 @@
   readonly config: () => SchedulerConfig | undefined;
   /** Asks the owner for its decision; undefined if it doesn't answer. */
   readonly askOwner: (spec: JobSpec) => Promise<AdmissionDecision | undefined>;
+  /** Whether the owner also decides about jobs without a workspace. */
+  readonly rejectUnattainable: boolean;
 }
 
 /** Creates the submission check of an entry. */
 export function createSubmissionCheck(
-  { store, log, config, askOwner }: SubmissionCheckOptions,
+  { store, log, config, askOwner, rejectUnattainable }: SubmissionCheckOptions,
 ): SubmissionCheck {
   function findOversizedStep(spec: JobSpec): string | undefined {
     const workspace = config()?.workspaces?.find(({ name }) =>
@@ -60,7 +62,7 @@
       };
     }
     const decision = await askOwner(spec);
-    // Without an answer the job is admitted, because the owner orders jobs by share anyway.
+    // Without an answer the job is admitted, because the owner orders jobs by share and time left anyway.
     if (decision === undefined) return { kind: "admitted", excess: false };
     if (decision.kind === "admitted") return decision;
     const { reason, retryAfterMs } = decision;
@@ -84,7 +86,9 @@
 
   return {
     async check(spec, requestId) {
-      if (spec.workspace === "") return { kind: "admitted", excess: false };
+      if (spec.workspace === "" && !rejectUnattainable) {
+        return { kind: "admitted", excess: false };
+      }
       const verdict = await decide(spec);
       if (verdict.kind === "admitted") return verdict;
       if (!await isKnownAbsent(spec)) {
