test(scheduler): one model of an overloaded pool

attainability_test.ts had a model of its own of a pool under a surge; the one of the overload rejection has the same cores, durations, job sizes and start delay. The test uses it now, with its thresholds unchanged.

node scripts/run_tests.mjs scheduler/attainab: 3 passed.

--- a/src/scheduler/attainability_test.ts
+++ b/src/scheduler/attainability_test.ts
@@ -1,10 +1,9 @@
 import assert from "node:assert/strict";
 import { suite } from "uvu";
-import { createRandom } from "../../testing/random.ts";
-import { findUnattainable, type PoolCapacity } from "./attainability.ts";
+import { type Caller, simulate } from "../../testing/overload_model.ts";
+import { findUnattainable } from "./attainability.ts";
 import { createDurationEstimates } from "./duration_estimates.ts";
 import {
-  comparePendingOccurrences,
   createPendingOccurrence,
   type PendingOccurrence,
 } from "./job_order.ts";
@@ -19,11 +18,6 @@
 const test = suite("attainability");
 
 const TASK_MS = 800;
-/** Largest deviation of a task's duration from the estimate, as a share of it. */
-const DURATION_SPREAD = 0.3;
-const START_DELAY_MS = 60;
-const SLOTS = 200;
-const STEP_MS = 20;
 const QUEUE: QueueConfig = {
   name: "quotes",
   host: "",
@@ -58,79 +52,37 @@
   });
 }
 
-const countWaiting = ({ occurrences }: JobState) =>
-  occurrences[0]!.steps[0]!.filter(({ phase }) => phase === "waiting").length;
-
 /**
  * Simulates a pool that gets `overload` times the work that it can do for
  * `surgeMs`; returns the shares of all jobs, and of the largest tenth, that end
- * on time. One slot is one VM with one task.
+ * on time.
  */
 function simulateSurge(
   overload: number,
   surgeMs: number,
   defer: boolean,
 ): { all: number; largest: number } {
-  const random = createRandom(5);
-  const jobs: { job: JobState; tasks: number; endsMs: number }[] = [];
-  const entries = new Map<JobState, (typeof jobs)[number]>();
-  const running: { endsMs: number }[] = [];
-  let arrivedWorkMs = 0;
-  for (let nowMs = 0; nowMs < surgeMs * (overload + 1); nowMs += STEP_MS) {
-    while (
-      nowMs < surgeMs && arrivedWorkMs < SLOTS * overload * nowMs
-    ) {
-      const tasks = 2 + random.nextInteger(15);
-      const entry = { job: createJob(nowMs, tasks), tasks, endsMs: 0 };
-      jobs.push(entry);
-      entries.set(entry.job, entry);
-      arrivedWorkMs += tasks * TASK_MS;
-    }
-    for (let index = running.length - 1; index >= 0; index--) {
-      if (running[index]!.endsMs <= nowMs) running.splice(index, 1);
-    }
-    const works = jobs.filter(({ job }) => countWaiting(job) > 0).map((
-      { job },
-    ) => ({
-      pending: createPending(job, nowMs),
-      remainingVmMs: countWaiting(job) * TASK_MS,
-    }));
-    const capacity: PoolCapacity = {
-      vms: SLOTS,
-      arrivingVms: 0,
-      runningVmMs: running.length * TASK_MS / 2,
-    };
-    const deferred = defer
-      ? findUnattainable(works, capacity, nowMs)
-      : new Set<PendingOccurrence>();
-    const ordered = works.map(({ pending }): PendingOccurrence =>
-      deferred.has(pending) ? { ...pending, timeliness: "deferred" } : pending
-    ).sort(comparePendingOccurrences);
-    for (const { job } of ordered) {
-      for (const task of job.occurrences[0]!.steps[0]!) {
-        if (running.length >= SLOTS) break;
-        if (task.phase !== "waiting") continue;
-        task.phase = "placed";
-        job.started = true;
-        const endsMs = nowMs + START_DELAY_MS +
-          TASK_MS * (1 + DURATION_SPREAD * (2 * random.next() - 1));
-        running.push({ endsMs });
-        const entry = entries.get(job)!;
-        entry.endsMs = Math.max(entry.endsMs, endsMs);
-      }
-    }
-  }
-  const objectiveMs = QUEUE.stretch * TASK_MS + QUEUE.targetDurationMs;
-  const onTimeShare = (list: typeof jobs) =>
-    list.filter(({ job, endsMs }) =>
-      countWaiting(job) === 0 &&
-      endsMs - job.spec.acceptedAtMs <= objectiveMs
-    ).length / list.length;
+  const everyMs = surgeMs * (overload + 1);
+  const callers = simulate({
+    mode: "shadow",
+    seed: 5,
+    surges: {
+      factor: overload,
+      idleFactor: 0,
+      forMs: surgeMs,
+      everyMs,
+      count: 1,
+    },
+    urgentShare: 1,
+    defer,
+  });
+  const onTimeShare = (list: typeof callers) =>
+    list.filter(({ lateness }) => lateness <= 1).length / list.length;
+  const sizeOf = (caller: Caller) => caller.spec.steps[0]!.taskCount;
+  const bySize = callers.toSorted((a, b) => sizeOf(b) - sizeOf(a));
   return {
-    all: onTimeShare(jobs),
-    largest: onTimeShare(
-      jobs.toSorted((a, b) => b.tasks - a.tasks).slice(0, jobs.length / 10),
-    ),
+    all: onTimeShare(callers),
+    largest: onTimeShare(bySize.slice(0, callers.length / 10)),
   };
 }
 
