fix(scheduler): a start that may never have arrived is no evidence of a crash

Two young losses sufficed if the latest was alone, and a start that had no answer counted as young, although its worker may have been down before it arrived.

--- a/src/scheduler/crashes/run_loss.ts
+++ b/src/scheduler/crashes/run_loss.ts
@@ -46,13 +46,13 @@
   const latest = losses.at(-1);
   if (latest === undefined) return "none";
   const proven = losses.filter((loss) => loss.proven);
-  const young = proven.filter((loss) => loss.young);
+  const young = proven.filter((loss) => loss.young && loss.confirmed);
   const last = proven.at(-1);
   const isolated = last !== undefined && last.young && last.confirmed &&
     last.alone;
   if (
     proven.length >= MAXIMUM_LOSSES ||
-    young.filter(({ confirmed }) => confirmed).length >= MAXIMUM_YOUNG_LOSSES ||
+    young.length >= MAXIMUM_YOUNG_LOSSES ||
     (isolated && young.length >= 2)
   ) return "give_up";
   return latest.young || losses.length >= 2 ? "suspect" : "none";
--- a/src/scheduler/crashes/run_loss_test.ts
+++ b/src/scheduler/crashes/run_loss_test.ts
@@ -37,6 +37,11 @@
       [loss(1, young), loss(2, { ...alone, confirmed: false })],
       "suspect",
     ],
+    [
+      "alone, after a start that may never have reached its worker",
+      [loss(1, { young: true, confirmed: false }), loss(2, alone)],
+      "suspect",
+    ],
     [
       "alone, but maybe only cut off",
       [loss(1, young), loss(2, { ...alone, proven: false })],
