feat(scheduler): start orders with a short validity

Cause: an unanswered start blocks its task and the capacity that it holds until a stop is confirmed or all leases have expired.

Change: with `bounds.startValidityMs` (default 0, off), a start order carries a short deadline if an answered poll of that worker process has granted a lease that outlasts it by one poll cycle. A report after the latest deadline of all attempts that doesn't list the run frees the task (`run given up`, `start order has expired`, `cowslipferry_starts_expired_total`). A move to the worker's next process and a new address clear the deadline; inherited runs have none.

--- a/src/scheduler/late_starts_test.ts
+++ b/src/scheduler/late_starts_test.ts
@@ -52,6 +52,8 @@
   const successor = createSuccessor(scheduler, first);
   scheduler.replaceInstance(first, () => successor, "restarted");
   assert.equal(task!.phase, "placed");
+  // The attempts' deadlines prove nothing about a process with another clock.
+  assert.equal(task!.placement?.startDeadlineMs, Infinity);
 });
 
 // Guards against a needless attempt that stays on its way after the run is known to have started.
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -7,6 +7,7 @@
 import { YOUNG_RUN_MS } from "./crashes/run_loss.ts";
 import { settlesEarlierAttempts } from "./order_attempts.ts";
 import type { OrderOutcome, OrderRefusal, StartOrder } from "./ports.ts";
+import { extendStartDeadlineMs } from "./start_validity.ts";
 import type { WorkerHealth } from "./worker_health.ts";
 import type { WorkerInstance } from "./worker_table.ts";
 
@@ -22,6 +23,13 @@
 /** Fields of a start order that are chosen when its task is placed. */
 export type StartFields = Pick<StartOrder, "checkpoint" | "ticket">;
 
+/** Why a run is over although no report of its end has come. */
+export type GiveUpReason =
+  | "order not sent"
+  | "refused to an earlier owner"
+  | "stopped"
+  | "start order has expired";
+
 /** Sends start and stop orders for runs and applies their outcomes to the placements. */
 export interface RunOrders {
   /** Sends the start order of a recorded placement, again if it isn't answered. */
@@ -44,7 +52,7 @@
   giveUpRun(
     task: TaskState,
     placement: Placement,
-    reason: "order not sent" | "refused to an earlier owner" | "stopped",
+    reason: GiveUpReason,
   ): void;
 }
 
@@ -55,7 +63,7 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly health: WorkerHealth;
-  readonly counters: { starts: number };
+  readonly counters: { starts: number; expiredStarts: number };
   /** Whether this owner may still issue orders. */
   readonly mayOrder: () => boolean;
   readonly findInstance: (placement: Placement) => WorkerInstance | undefined;
@@ -80,8 +88,9 @@
   function giveUpRun(
     task: TaskState,
     placement: Placement,
-    reason: "order not sent" | "refused to an earlier owner" | "stopped",
+    reason: GiveUpReason,
   ): void {
+    if (reason === "start order has expired") counters.expiredStarts++;
     log.info("run given up", {
       task: task.taskId,
       run: placement.run,
@@ -142,10 +151,16 @@
     placement.startState = "sending";
     let outcome: OrderOutcome = { kind: "unknown" };
     while (placement.unansweredAttempts < MAXIMUM_START_ATTEMPTS) {
+      const { leaseEndMs, isProof } = instance.link.startDeadline();
+      placement.startDeadlineMs = extendStartDeadlineMs(
+        placement.startDeadlineMs,
+        isProof ? leaseEndMs : undefined,
+      );
       outcome = await instance.link.start({
         taskId: task.taskId,
         run: placement.run,
         specification: task.job.spec.specification,
+        leaseEndMs,
         fence,
         ...fields,
       });
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -44,6 +44,7 @@
 import type { InstanceEnd } from "./crashes/instance_end.ts";
 import { mayHaveReachedSuccessor } from "./crashes/lost_runs.ts";
 import { createRunOrders } from "./run_orders.ts";
+import { isProvenNotStarted } from "./start_validity.ts";
 import {
   createWorkerTable,
   type WorkerInstance,
@@ -55,6 +56,8 @@
 export interface SchedulerCounters {
   /** Start orders that workers have confirmed. */
   starts: number;
+  /** Unanswered start orders that reports have proven to have expired before they were carried out. */
+  expiredStarts: number;
   /** Ended runs that workers have reported, by how they ended. */
   ends: Record<string, number>;
   /** Runs that ended with their worker or disappeared from it. */
@@ -168,6 +171,7 @@
   const health = createWorkerHealth(() => clock.monotonicMs());
   const counters: SchedulerCounters = {
     starts: 0,
+    expiredStarts: 0,
     ends: {},
     lostRuns: 0,
     relocations: 0,
@@ -439,6 +443,7 @@
   function handleMissingRun(
     task: TaskState,
     placement: Placement,
+    report: WorkerReport,
     sentAtMs: number,
   ): void {
     switch (placement.startState) {
@@ -463,6 +468,10 @@
       case "unresolved":
         if ((placement.stopConfirmedAtMs ?? Infinity) < sentAtMs) {
           giveUpRun(task, placement, "stopped");
+        } else if (
+          isProvenNotStarted({ taskId: task.taskId, ...placement }, report)
+        ) {
+          giveUpRun(task, placement, "start order has expired");
         } else sendStop(task, placement, { isListed: false });
         return;
       default:
@@ -500,6 +509,8 @@
     task.placement = {
       ...placement,
       bornAtMs: successor.bornAtMs,
+      // The deadlines were for the clock of the process that has ended.
+      startDeadlineMs: Infinity,
       startState: placement.startState === "inherited"
         ? "inherited"
         : "unresolved",
@@ -648,7 +659,7 @@
         const { placement } = task;
         if (placement === undefined) continue;
         if (running.get(task.taskId)?.run === placement.run) continue;
-        handleMissingRun(task, placement, sentAtMs);
+        handleMissingRun(task, placement, report, sentAtMs);
       }
     },
     removeInstance(instance, end) {
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -106,6 +106,8 @@
   readonly holderGapMs: number;
   /** Time for which a task must have been at work before it no longer counts as away, in ms. */
   readonly noticeMs: number;
+  /** Time for which a start order is valid if the worker's lease outlasts it, in ms; 0 for the whole lease. */
+  readonly startValidityMs: number;
   /** Asks other entries to take over; the one that does raises the epoch. */
   readonly requestTakeover: (epoch: number) => void;
 }
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -131,6 +131,7 @@
       keepEndedMs: settings.bounds.keepEndedS * 1_000,
       holderGapMs: settings.bounds.holderGapMs + HOLDER_GAP_MARGIN_MS,
       noticeMs: settings.bounds.noticeMs,
+      startValidityMs: settings.bounds.startValidityMs,
     }));
   registerSingleton(TOKENS.frontend, () =>
     createJobFrontend({
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -72,6 +72,7 @@
   const state = {
     mayOrder: true,
     stop: { kind: "done", clockMs: 0 } as OrderOutcome,
+    startDeadline: { leaseEndMs: 0, isProof: false },
     onStart: (_attempt: number): OrderOutcome => ({ kind: "done", clockMs: 0 }),
   };
   const calls: string[] = [];
@@ -92,6 +93,7 @@
   let attempts = 0;
   function addWorker(workerId: string): WorkerInstance {
     const link = {
+      startDeadline: () => state.startDeadline,
       start: (order: { taskId: string; run: number; checkpoint: string }) => {
         checkpoints.push(order.checkpoint);
         calls.push(`start ${workerId} ${order.taskId} ${order.run}`);
@@ -144,6 +146,7 @@
   scheduler: Scheduler,
   control: WorkerControl,
   readWorker: () => WorkerRegistration,
+  startValidityMs = 0,
 ) {
   return createWorkerRegistry({
     scheduler,
@@ -163,6 +166,7 @@
       mayOrder: () => true,
     },
     onChange() {},
+    startValidityMs,
   });
 }
 
