fix(scheduler): stop expired starts on the worker's next process

After the run was taken as expired, a late order may reach the worker's next process, whose clock may be behind, and run the task twice.

--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -42,6 +42,7 @@
   createCrashTracker,
 } from "./crashes/crash_tracker.ts";
 import type { InstanceEnd } from "./crashes/instance_end.ts";
+import { createExpiredStarts } from "./expired_starts.ts";
 import { mayHaveReachedSuccessor } from "./crashes/lost_runs.ts";
 import { createRunOrders } from "./run_orders.ts";
 import { isProvenNotStarted } from "./start_validity.ts";
@@ -472,6 +473,7 @@
           isProvenNotStarted({ taskId: task.taskId, ...placement }, report)
         ) {
           giveUpRun(task, placement, "start order has expired");
+          expiredStarts.add(task.taskId, placement);
         } else sendStop(task, placement, { isListed: false });
         return;
       default:
@@ -558,6 +560,7 @@
     options.onChange();
   }
 
+  const expiredStarts = createExpiredStarts(() => clock.monotonicMs());
   const crashes = createCrashTracker({ ...options, failJob, save });
   const disruptions = createDisruptionGuard({
     clock,
@@ -646,6 +649,7 @@
     },
     stop,
     onReport(instance, report, sentAtMs) {
+      expiredStarts.stopOnNextProcess(instance);
       for (const run of report.ended) handleEndedRun(instance, run);
       const running = new Map(
         report.running.map((run) => [run.taskId, run]),
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -12,6 +12,7 @@
   PlatformRecordCodec,
   WorkerControl,
   WorkerRegistration,
+  WorkerReport,
 } from "../src/scheduler/ports.ts";
 import { createScheduler, type Scheduler } from "../src/scheduler/scheduler.ts";
 import type { TicketCache } from "../src/scheduler/ticket_cache.ts";
@@ -130,11 +131,13 @@
     instance: WorkerInstance,
     ended: EndedRunReport[],
     running: ActiveRunReport[] = [],
-    hasMoreEnded = false,
+    changes: Partial<WorkerReport> = {},
   ) {
+    const { bornAtMs } = instance;
+    const lists = { running, ended, hasMoreEnded: false };
     scheduler.onReport(
       instance,
-      { clockMs: 0, bornAtMs: 1, running, ended, hasMoreEnded },
+      { clockMs: 0, bornAtMs, ...lists, ...changes },
       Infinity,
     );
   }
