--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -12,6 +12,7 @@
   PlatformRecordCodec,
   WorkerControl,
   WorkerRegistration,
+  WorkerReport,
 } from "../src/scheduler/ports.ts";
 import { createScheduler, type Scheduler } from "../src/scheduler/scheduler.ts";
 import type { TicketCache } from "../src/scheduler/ticket_cache.ts";
@@ -72,6 +73,7 @@
   const state = {
     mayOrder: true,
     stop: { kind: "done", clockMs: 0 } as OrderOutcome,
+    startDeadline: { leaseEndMs: 0, isProof: false },
     onStart: (_attempt: number): OrderOutcome => ({ kind: "done", clockMs: 0 }),
   };
   const calls: string[] = [];
@@ -92,6 +94,7 @@
   let attempts = 0;
   function addWorker(workerId: string): WorkerInstance {
     const link = {
+      startDeadline: () => state.startDeadline,
       start: (order: { taskId: string; run: number; checkpoint: string }) => {
         checkpoints.push(order.checkpoint);
         calls.push(`start ${workerId} ${order.taskId} ${order.run}`);
@@ -128,11 +131,13 @@
     instance: WorkerInstance,
     ended: EndedRunReport[],
     running: ActiveRunReport[] = [],
-    hasMoreEnded = false,
+    changes: Partial<WorkerReport> = {},
   ) {
+    const { bornAtMs } = instance;
+    const lists = { running, ended, hasMoreEnded: false };
     scheduler.onReport(
       instance,
-      { clockMs: 0, bornAtMs: 1, running, ended, hasMoreEnded },
+      { clockMs: 0, bornAtMs, ...lists, ...changes },
       Infinity,
     );
   }
@@ -144,6 +149,7 @@
   scheduler: Scheduler,
   control: WorkerControl,
   readWorker: () => WorkerRegistration,
+  startValidityMs = 0,
 ) {
   return createWorkerRegistry({
     scheduler,
@@ -163,6 +169,7 @@
       mayOrder: () => true,
     },
     onChange() {},
+    startValidityMs,
   });
 }
 
