--- a/src/scheduler/workspaces/wait_log_test.ts
+++ b/src/scheduler/workspaces/wait_log_test.ts
@@ -103,6 +103,19 @@
   ]);
 });
 
+// Guards against a flood of lines under the heaviest load, when each round notes more jobs than the log remembers.
+test("more than 20,000 waiting jobs: still one line for each", () => {
+  const { lines, waitLog } = createRecordedLog();
+  const jobs = Array.from(
+    { length: 20_001 },
+    (_, index) => ({ ...spec(), jobId: `${index}` }),
+  );
+  for (let round = 0; round < 2; round++) {
+    for (const job of jobs) waitLog.note(job, "capacity");
+  }
+  assert.equal(lines.length, jobs.length);
+});
+
 // Guards against a wrong reason, which would send operators to the wrong setting.
 test("all at once in a full pool: each job's line has the reason that kept it from starting", () => {
   const { accept, plan, state } = createPlanner();
