fix(scheduler): no reason for a task that waits for its next attempt

Cause: the planner logged every step with a waiting task. If its task, or a member of its gang, might not start before the time of its next attempt, no reason had been determined and the line said `capacity`.

Change: the line is written only if a task of the step, or its whole gang, may start now.

--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -129,6 +129,9 @@
   /** Whether the upper bound has stopped the current step. */
   let isOverQuota = false;
 
+  const isStartable = ({ phase, notBeforeMs }: TaskState) =>
+    phase === "waiting" && notBeforeMs <= nowMs;
+
   function placeTask(
     task: TaskState,
     candidate: CandidateWorker,
@@ -228,9 +231,7 @@
     service: ServiceCandidates,
     needsAdvice: boolean,
   ): void {
-    const waiting = tasks.filter((task) =>
-      task.phase === "waiting" && task.notBeforeMs <= nowMs
-    );
+    const waiting = tasks.filter(isStartable);
     const first = waiting[0];
     if (first === undefined) return;
     const step = getStep(first);
@@ -336,7 +337,11 @@
     tasks: readonly TaskState[],
   ): void {
     if (quota === undefined || spec.workspace === "") return;
-    if (!tasks.some(({ phase }) => phase === "waiting")) return;
+    const count = tasks.filter(isStartable).length;
+    // A gang of which a member can't start yet waits for that member.
+    if (count === 0 || (getStep(tasks[0]!).gang && count < tasks.length)) {
+      return;
+    }
     options.waitLog.note(
       spec,
       isOverQuota
--- a/src/scheduler/workspaces/wait_log_test.ts
+++ b/src/scheduler/workspaces/wait_log_test.ts
@@ -135,4 +135,15 @@
   assert.ok(plan().includes("long share"), "deferred for another job");
 });
 
+// Guards against a line that blames quota, share or capacity while a task waits for the time of its next attempt.
+test("a task, or a member of a gang, that may not start yet: no line for it", () => {
+  for (const gang of [false, true]) {
+    const { accept, plan } = createPlanner();
+    const tasks = accept("job", "a", { taskCount: 3, gang });
+    assert.deepEqual(plan(), ["job quota"]);
+    tasks().find(({ phase }) => phase === "waiting")!.notBeforeMs = Infinity;
+    assert.deepEqual(plan(), []);
+  }
+});
+
 test.run();
