--- a/bench/capacity/scheduling.ts
+++ b/bench/capacity/scheduling.ts
@@ -114,7 +114,6 @@
         registration,
         hasResponded: true,
         silentMs: () => 0,
-        startDeadline: () => ({ leaseEndMs: 0, isProof: false }),
         start: () => Promise.resolve({ kind: "done" as const }),
         stop: () => Promise.resolve({ kind: "done" as const }),
       } as unknown as WorkerLink,
--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -320,11 +320,6 @@
       "Confirmed starts of tasks",
       counters.starts,
     ),
-    counter(
-      "cowslipferry_starts_expired_total",
-      "Unanswered start orders that expired before they were carried out",
-      counters.expiredStarts,
-    ),
     counter(
       "cowslipferry_runs_lost_total",
       "Runs that ended with their worker or without a trace",
--- a/src/scheduler/given_up_runs_test.ts
+++ b/src/scheduler/given_up_runs_test.ts
@@ -78,7 +78,7 @@
     const [task] = openTasks(scheduler);
     scheduler.place(task!, worker, { run: 1, ticket: undefined });
     await context.flush();
-    context.report(worker, fullList, [], { hasMoreEnded: true });
+    context.report(worker, fullList, [], true);
     assert.equal(task!.phase, "placed", `start answered: ${answered}`);
   }
 });
--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -12,12 +12,6 @@
   readonly inherited: boolean;
   /** Number of attempts to send the start order that had no answer and may be executed late. */
   unansweredAttempts: number;
-  /**
-   * Latest deadline of all attempts of this owner to send the start order, on the
-   * worker process's clock, in ms; infinite if it isn't known or counts for
-   * another process, undefined before the first attempt.
-   */
-  startDeadlineMs?: number | undefined;
   /** Progress of the start order. */
   startState:
     /** The record that must be stored before the order is sent isn't stored yet. */
--- a/src/scheduler/late_starts_test.ts
+++ b/src/scheduler/late_starts_test.ts
@@ -52,37 +52,6 @@
   const successor = createSuccessor(scheduler, first);
   scheduler.replaceInstance(first, () => successor, "restarted");
   assert.equal(task!.phase, "placed");
-  // The attempts' deadlines prove nothing about a process with another clock.
-  assert.equal(task!.placement?.startDeadlineMs, Infinity);
-});
-
-// Guards against a second run (TWICE): an order that expired on the clock of one process reaches the worker's next process, whose clock is behind.
-test("an expired start is stopped on the worker's next process until that is confirmed", async () => {
-  const context = createTestScheduler();
-  const { scheduler, state, calls, report } = context;
-  const first = context.addWorker("w1");
-  state.startDeadline = { leaseEndMs: 1_500, isProof: true };
-  state.onStart = () => ({ kind: "unknown" });
-  state.stop = { kind: "unknown" };
-  scheduler.accept(spec());
-  const [task] = openTasks(scheduler);
-  scheduler.place(task!, first, { run: 1, ticket: undefined });
-  await context.flush();
-  report(first, []);
-  assert.equal(task!.phase, "placed");
-  report(first, [], [], { clockMs: 2_000 });
-  assert.equal(task!.phase, "waiting");
-  assert.equal(first.tasks.reserved.cpuMillis, 0);
-  calls.length = 0;
-  report(first, []);
-  const successor = createSuccessor(scheduler, first);
-  for (const kind of ["unknown", "done"] as const) {
-    state.stop = kind === "done" ? { kind, clockMs: 0 } : { kind };
-    report(successor, []);
-    await context.flush();
-  }
-  report(successor, []);
-  assert.deepEqual(calls, Array(2).fill(`stop w1 ${TASK} 1`));
 });
 
 // Guards against a needless attempt that stays on its way after the run is known to have started.
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -7,7 +7,6 @@
 import { YOUNG_RUN_MS } from "./crashes/run_loss.ts";
 import { settlesEarlierAttempts } from "./order_attempts.ts";
 import type { OrderOutcome, OrderRefusal, StartOrder } from "./ports.ts";
-import { extendStartDeadlineMs } from "./start_validity.ts";
 import type { WorkerHealth } from "./worker_health.ts";
 import type { WorkerInstance } from "./worker_table.ts";
 
@@ -23,13 +22,6 @@
 /** Fields of a start order that are chosen when its task is placed. */
 export type StartFields = Pick<StartOrder, "checkpoint" | "ticket">;
 
-/** Why a run is over although no report of its end has come. */
-export type GiveUpReason =
-  | "order not sent"
-  | "refused to an earlier owner"
-  | "stopped"
-  | "start order has expired";
-
 /** Sends start and stop orders for runs and applies their outcomes to the placements. */
 export interface RunOrders {
   /** Sends the start order of a recorded placement, again if it isn't answered. */
@@ -52,7 +44,7 @@
   giveUpRun(
     task: TaskState,
     placement: Placement,
-    reason: GiveUpReason,
+    reason: "order not sent" | "refused to an earlier owner" | "stopped",
   ): void;
 }
 
@@ -63,7 +55,7 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly health: WorkerHealth;
-  readonly counters: { starts: number; expiredStarts: number };
+  readonly counters: { starts: number };
   /** Whether this owner may still issue orders. */
   readonly mayOrder: () => boolean;
   readonly findInstance: (placement: Placement) => WorkerInstance | undefined;
@@ -88,9 +80,8 @@
   function giveUpRun(
     task: TaskState,
     placement: Placement,
-    reason: GiveUpReason,
+    reason: "order not sent" | "refused to an earlier owner" | "stopped",
   ): void {
-    if (reason === "start order has expired") counters.expiredStarts++;
     log.info("run given up", {
       task: task.taskId,
       run: placement.run,
@@ -151,16 +142,10 @@
     placement.startState = "sending";
     let outcome: OrderOutcome = { kind: "unknown" };
     while (placement.unansweredAttempts < MAXIMUM_START_ATTEMPTS) {
-      const { leaseEndMs, isProof } = instance.link.startDeadline();
-      placement.startDeadlineMs = extendStartDeadlineMs(
-        placement.startDeadlineMs,
-        isProof ? leaseEndMs : undefined,
-      );
       outcome = await instance.link.start({
         taskId: task.taskId,
         run: placement.run,
         specification: task.job.spec.specification,
-        leaseEndMs,
         fence,
         ...fields,
       });
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -42,10 +42,8 @@
   createCrashTracker,
 } from "./crashes/crash_tracker.ts";
 import type { InstanceEnd } from "./crashes/instance_end.ts";
-import { createExpiredStarts } from "./expired_starts.ts";
 import { mayHaveReachedSuccessor } from "./crashes/lost_runs.ts";
 import { createRunOrders } from "./run_orders.ts";
-import { isProvenNotStarted } from "./start_validity.ts";
 import {
   createWorkerTable,
   type WorkerInstance,
@@ -57,8 +55,6 @@
 export interface SchedulerCounters {
   /** Start orders that workers have confirmed. */
   starts: number;
-  /** Unanswered start orders that reports have proven to have expired before they were carried out. */
-  expiredStarts: number;
   /** Ended runs that workers have reported, by how they ended. */
   ends: Record<string, number>;
   /** Runs that ended with their worker or disappeared from it. */
@@ -172,7 +168,6 @@
   const health = createWorkerHealth(() => clock.monotonicMs());
   const counters: SchedulerCounters = {
     starts: 0,
-    expiredStarts: 0,
     ends: {},
     lostRuns: 0,
     relocations: 0,
@@ -444,7 +439,6 @@
   function handleMissingRun(
     task: TaskState,
     placement: Placement,
-    report: WorkerReport,
     sentAtMs: number,
   ): void {
     switch (placement.startState) {
@@ -469,11 +463,6 @@
       case "unresolved":
         if ((placement.stopConfirmedAtMs ?? Infinity) < sentAtMs) {
           giveUpRun(task, placement, "stopped");
-        } else if (
-          isProvenNotStarted({ taskId: task.taskId, ...placement }, report)
-        ) {
-          giveUpRun(task, placement, "start order has expired");
-          expiredStarts.add(task.taskId, placement);
         } else sendStop(task, placement, { isListed: false });
         return;
       default:
@@ -511,8 +500,6 @@
     task.placement = {
       ...placement,
       bornAtMs: successor.bornAtMs,
-      // The deadlines were for the clock of the process that has ended.
-      startDeadlineMs: Infinity,
       startState: placement.startState === "inherited"
         ? "inherited"
         : "unresolved",
@@ -560,7 +547,6 @@
     options.onChange();
   }
 
-  const expiredStarts = createExpiredStarts(() => clock.monotonicMs());
   const crashes = createCrashTracker({ ...options, failJob, save });
   const disruptions = createDisruptionGuard({
     clock,
@@ -649,7 +635,6 @@
     },
     stop,
     onReport(instance, report, sentAtMs) {
-      expiredStarts.stopOnNextProcess(instance);
       for (const run of report.ended) handleEndedRun(instance, run);
       const running = new Map(
         report.running.map((run) => [run.taskId, run]),
@@ -663,7 +648,7 @@
         const { placement } = task;
         if (placement === undefined) continue;
         if (running.get(task.taskId)?.run === placement.run) continue;
-        handleMissingRun(task, placement, report, sentAtMs);
+        handleMissingRun(task, placement, sentAtMs);
       }
     },
     removeInstance(instance, end) {
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -71,7 +71,6 @@
     onChange() {},
   });
   const link = {
-    startDeadline: () => ({ leaseEndMs: 0, isProof: false }),
     start: (order: { taskId: string; run: number }) => {
       calls.push(`start ${order.taskId} ${order.run}`);
       return Promise.resolve(responses.firstStarts.shift() ?? responses.start);
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -44,8 +44,6 @@
     holderGapMs: z.number().min(0).default(3_000),
     /** Time for which a task of a long-running step must have been at work before it no longer counts as away, in ms. */
     noticeMs: z.number().min(0).default(DEFAULT_NOTICE_MS),
-    /** Time for which a start order is valid if the worker's lease outlasts it, in ms; 0 for the whole lease. */
-    startValidityMs: z.number().min(0).max(3_000).default(0),
     /** Whether API keys are refused once the configuration may be older than `revocationMs`. */
     strictRevocation: z.boolean().default(false),
     /** Time within which a withdrawn API key must be refused, in ms. */
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -112,8 +112,6 @@
   readonly noticeMs: number;
   /** Whether jobs that can't finish in time are rejected; false if omitted. */
   readonly rejectUnattainable?: boolean;
-  /** Time for which a start order is valid if the worker's lease outlasts it, in ms; 0 for the whole lease. */
-  readonly startValidityMs: number;
   /** Asks other entries to take over; the one that does raises the epoch. */
   readonly requestTakeover: (epoch: number) => void;
 }
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -132,7 +132,6 @@
       holderGapMs: settings.bounds.holderGapMs + HOLDER_GAP_MARGIN_MS,
       noticeMs: settings.bounds.noticeMs,
       rejectUnattainable: settings.overload.rejectUnattainable,
-      startValidityMs: settings.bounds.startValidityMs,
     }));
   registerSingleton(TOKENS.frontend, () =>
     createJobFrontend({
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -3,7 +3,6 @@
 import type { Logger } from "../logger.ts";
 import { createNotifier, type Notifier } from "../notifier.ts";
 import type { PollPacing } from "./poll_pacing.ts";
-import { chooseStartDeadlineMs } from "./start_validity.ts";
 import type {
   OrderOutcome,
   StartOrder,
@@ -25,8 +24,6 @@
 const LEASE_MARGIN_MS = 400;
 /** Pause between two checks whether orders may be sent, in ms. */
 const ORDER_CHECK_INTERVAL_MS = 150;
-/** Time for which the answer to a poll may be on its way while start orders have a short validity, in ms. */
-const POLL_RESPONSE_MARGIN_MS = 150;
 /** Longest wait for the journal before the leases are renewed without acknowledging ended runs, in ms. */
 const JOURNAL_WAIT_MS = 700;
 
@@ -44,14 +41,6 @@
   mayOrder(): boolean;
 }
 
-/** Deadline of a start order, which is also the end of a lease. */
-export interface StartDeadline {
-  /** On the worker's clock, in ms; 0 if that clock isn't known. */
-  readonly leaseEndMs: number;
-  /** Whether reports after the deadline may prove that the order wasn't carried out. */
-  readonly isProof: boolean;
-}
-
 /** The owner's connection to one worker instance: it polls the instance, renews its leases and sends orders. */
 export interface WorkerLink {
   readonly registration: WorkerRegistration;
@@ -64,13 +53,7 @@
   readonly lastResponseAtMs: number | undefined;
   /** Whether every lease that may have been granted has expired. */
   leasesExpired(): boolean;
-  /**
-   * Returns the deadline for a start order that is sent now. It proves nothing
-   * about the order if start orders have no short validity or the worker's clock
-   * isn't known.
-   */
-  startDeadline(): StartDeadline;
-  start(order: StartOrder): Promise<OrderOutcome>;
+  start(order: Omit<StartOrder, "leaseEndMs">): Promise<OrderOutcome>;
   stop(taskId: string, run: number): Promise<OrderOutcome>;
   throttle(taskId: string, run: number, percent: number): Promise<OrderOutcome>;
   /** Calls the worker only to learn whether it still responds, beside the poll that may be waiting. */
@@ -97,35 +80,15 @@
   /** Monotonic time until which leases of earlier owners may last, in ms. */
   readonly earlierLeasesEndMs: number;
   readonly pacing: PollPacing;
-  /** Time for which a start order is valid if the worker's lease outlasts it, in ms; 0 for the whole lease. */
-  readonly startValidityMs: number;
-}
-
-/**
- * Returns the longest long-poll time, in ms. With a short validity, the lease of
- * an answered poll is up to two polls old and has to outlast the validity and one
- * more poll; otherwise a start order to an idle worker would often be valid for
- * the whole lease.
- */
-function longestPollWaitMs(startValidityMs: number): number {
-  return startValidityMs === 0
-    ? Infinity
-    : Math.floor((RUN_LEASE_MS - startValidityMs) / 3) -
-      POLL_RESPONSE_MARGIN_MS;
 }
 
 /** Creates the link to one worker instance. */
 export function createWorkerLink(options: WorkerLinkOptions): WorkerLink {
-  const { fence, control, clock, log, events, pacing, startValidityMs } =
-    options;
+  const { fence, control, clock, log, events, pacing } = options;
   let worker = options.registration;
   let processedEndNumber = 0;
   let storedEndNumber = 0;
   let clockOffsetMs: number | undefined;
-  /** End of the latest lease that an answered poll has granted to this process at its present address, on the worker's clock, in ms. */
-  let grantedLeaseEndMs: number | undefined;
-  /** Long-poll time of the latest poll, in ms, after which the next one extends the lease. */
-  let pollCycleMs = 0;
   let hasResponded = false;
   let lastResponseAtMs = clock.monotonicMs();
   let failing = false;
@@ -192,14 +155,11 @@
     const leaseEndMs = failing ? undefined : nextLeaseEndMs();
     if (leaseEndMs !== undefined) extendLeaseBound();
     const times = pacing.next(link);
-    pollCycleMs = Math.min(times.waitMs, longestPollWaitMs(startValidityMs));
-    const waitMs = leaseEndMs === undefined ? 0 : pollCycleMs;
-    const { address } = worker;
     const outcome = yield* until(control.renewAndPoll(worker, {
       fence,
       acknowledged: storedEndNumber,
       leaseEndMs,
-      waitMs,
+      waitMs: leaseEndMs === undefined ? 0 : times.waitMs,
       responseTimeoutMs: times.responseTimeoutMs,
     }));
     if (closed) return;
@@ -225,10 +185,6 @@
       return;
     }
     updateClockOffset(outcome.clockMs);
-    if (
-      leaseEndMs !== undefined && outcome.bornAtMs === worker.bornAtMs &&
-      address === worker.address
-    ) grantedLeaseEndMs = leaseEndMs;
     const newlyEnded = outcome.ended.filter(({ number }) =>
       number > processedEndNumber
     );
@@ -256,8 +212,6 @@
       return worker;
     },
     updateRegistration(next) {
-      // A lease that was granted at another address may be another process's.
-      if (next.address !== worker.address) grantedLeaseEndMs = undefined;
       worker = next;
     },
     get hasResponded() {
@@ -268,25 +222,12 @@
       return hasResponded ? lastResponseAtMs : undefined;
     },
     leasesExpired: () => clock.monotonicMs() > leaseBoundMs,
-    startDeadline() {
-      const leaseEndMs = nextLeaseEndMs();
-      if (clockOffsetMs === undefined || leaseEndMs === undefined) {
-        return { leaseEndMs: 0, isProof: false };
-      }
-      return {
-        leaseEndMs: chooseStartDeadlineMs({
-          nowMs: clock.monotonicMs() + clockOffsetMs,
-          leaseEndMs,
-          grantedLeaseEndMs,
-          pollCycleMs,
-          startValidityMs,
-        }),
-        isProof: startValidityMs > 0,
-      };
-    },
     async start(order) {
       extendLeaseBound();
-      const outcome = await control.start(worker, order);
+      const outcome = await control.start(worker, {
+        ...order,
+        leaseEndMs: nextLeaseEndMs() ?? 0,
+      });
       handleOutcome(outcome);
       return outcome;
     },
--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -62,8 +62,6 @@
     "onFenced" | "afterFlush" | "mayOrder"
   >;
   readonly onChange: () => void;
-  /** Time for which a start order is valid if the worker's lease outlasts it, in ms; 0 for the whole lease. */
-  readonly startValidityMs: number;
 }): WorkerRegistry {
   const { scheduler, records, clock, log, earlierLeasesEndMs } = options;
   const { workers } = scheduler;
@@ -90,9 +88,6 @@
         });
       }
       noteCapacity(existingInstance, registration);
-      if (existingInstance.link.registration.address !== registration.address) {
-        forgetStartDeadlines(existingInstance);
-      }
       existingInstance.registration = registration;
       existingInstance.draining ||= registration.state === "draining";
       existingInstance.missingSinceMs = undefined;
@@ -114,7 +109,6 @@
     );
     const link = createWorkerLink({
       pacing,
-      startValidityMs: options.startValidityMs,
       registration,
       fence: options.fence,
       control: options.control,
@@ -175,15 +169,6 @@
       link.silentMs() > 0 && tasks.size === 0 && tasks.unwantedCount === 0;
   }
 
-  /** Keeps reports from another address from proving anything about the start orders that were sent so far. */
-  function forgetStartDeadlines({ tasks }: WorkerInstance): void {
-    for (const { placement } of tasks) {
-      if (placement?.startDeadlineMs !== undefined) {
-        placement.startDeadlineMs = Infinity;
-      }
-    }
-  }
-
   /** Logs a change of a worker's capacity, after which tasks may fit. */
   function noteCapacity(
     { registration: before, tasks }: WorkerInstance,
--- a/testing/fake_task_workers.ts
+++ b/testing/fake_task_workers.ts
@@ -28,13 +28,7 @@
 export interface WorkerFaults {
   /** Fraction of orders that are executed late and get no response. */
   lateOrderRate: number;
-  /** The same for stop orders; undefined if they are no exception. */
-  lateStopRate: number | undefined;
-  /** The same for polls; undefined if they are no exception. */
-  latePollRate: number | undefined;
-  /** Fixed part of a late order's delay, in ms. */
-  lateMinimumMs: number;
-  /** Upper bound of the random part of a late order's delay, in ms. */
+  /** Upper bound of the random part of a late order's delay, in ms; the fixed part is 200 ms. */
   lateMs: number;
   /** Fraction of orders that workers refuse because they are unhealthy. */
   unhealthyRate: number;
@@ -161,9 +155,6 @@
 export class FakeTaskWorkers {
   readonly faults: WorkerFaults = {
     lateOrderRate: 0,
-    lateStopRate: undefined,
-    latePollRate: undefined,
-    lateMinimumMs: 200,
     lateMs: 2_000,
     unhealthyRate: 0,
     failedRunRate: 0,
@@ -317,7 +308,6 @@
   #execute<T>(
     workerId: string,
     run: (worker: FakeTaskWorker) => OrderOutcome<T>,
-    lateRate = this.faults.lateOrderRate,
   ): Promise<OrderOutcome<T>> {
     const worker = this.workers.get(workerId);
     if (
@@ -327,9 +317,8 @@
       // The caller gives up on an unreachable worker after 50 ms.
       return delay(50, { kind: "unknown" as const });
     }
-    if (this.random.next() < lateRate) {
-      const lateMs = this.faults.lateMinimumMs +
-        this.random.next() * this.faults.lateMs;
+    if (this.random.next() < this.faults.lateOrderRate) {
+      const lateMs = 200 + this.random.next() * this.faults.lateMs;
       setTimeout(() => {
         if (worker.alive) run(worker);
       }, lateMs).unref();
@@ -449,7 +438,7 @@
                 worker.end(taskId, "stopped");
               }
               return { kind: "done", clockMs: worker.clockMs() };
-            }, this.faults.lateStopRate),
+            }),
           )
           : Promise.resolve(noResponse),
       throttle: () => Promise.resolve({ kind: "done", clockMs: 0 }),
@@ -466,7 +455,7 @@
             }
             if (leaseEndMs !== undefined) this.#extendLease(target, leaseEndMs);
             return { kind: "done", ...this.#report(target, acknowledged) };
-          }, this.faults.latePollRate),
+          }),
         );
         if (this.faults.silent.has(workerId)) return delay(50, noResponse);
         if (
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -102,8 +102,6 @@
   holderGapMs = 100;
   /** Time for which a task must have been at work before it no longer counts as away, in ms; scaled down like `holderGapMs`, so that waves take seconds. */
   noticeMs = 500;
-  /** Time for which a start order is valid if the worker's lease outlasts it, in ms; 0 for the whole lease. */
-  startValidityMs = 0;
   /** Time after which a crashed worker starts again as a new process with the same id, in ms; undefined if it stays down. */
   restartCrashedAfterMs: number | undefined;
   /** Returns the platform's response to a maintenance order. */
@@ -282,7 +280,6 @@
       keepEndedMs: 60_000,
       holderGapMs: this.holderGapMs,
       noticeMs: this.noticeMs,
-      startValidityMs: this.startValidityMs,
     });
     const entry: ClusterEntry = {
       id,
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -12,7 +12,6 @@
   PlatformRecordCodec,
   WorkerControl,
   WorkerRegistration,
-  WorkerReport,
 } from "../src/scheduler/ports.ts";
 import { createScheduler, type Scheduler } from "../src/scheduler/scheduler.ts";
 import type { TicketCache } from "../src/scheduler/ticket_cache.ts";
@@ -73,7 +72,6 @@
   const state = {
     mayOrder: true,
     stop: { kind: "done", clockMs: 0 } as OrderOutcome,
-    startDeadline: { leaseEndMs: 0, isProof: false },
     onStart: (_attempt: number): OrderOutcome => ({ kind: "done", clockMs: 0 }),
   };
   const calls: string[] = [];
@@ -94,7 +92,6 @@
   let attempts = 0;
   function addWorker(workerId: string): WorkerInstance {
     const link = {
-      startDeadline: () => state.startDeadline,
       start: (order: { taskId: string; run: number; checkpoint: string }) => {
         checkpoints.push(order.checkpoint);
         calls.push(`start ${workerId} ${order.taskId} ${order.run}`);
@@ -131,13 +128,11 @@
     instance: WorkerInstance,
     ended: EndedRunReport[],
     running: ActiveRunReport[] = [],
-    changes: Partial<WorkerReport> = {},
+    hasMoreEnded = false,
   ) {
-    const { bornAtMs } = instance;
-    const lists = { running, ended, hasMoreEnded: false };
     scheduler.onReport(
       instance,
-      { clockMs: 0, bornAtMs, ...lists, ...changes },
+      { clockMs: 0, bornAtMs: 1, running, ended, hasMoreEnded },
       Infinity,
     );
   }
@@ -149,7 +144,6 @@
   scheduler: Scheduler,
   control: WorkerControl,
   readWorker: () => WorkerRegistration,
-  startValidityMs = 0,
 ) {
   return createWorkerRegistry({
     scheduler,
@@ -169,7 +163,6 @@
       mayOrder: () => true,
     },
     onChange() {},
-    startValidityMs,
   });
 }
 
