--- a/src/jobs/routes_test.ts
+++ b/src/jobs/routes_test.ts
@@ -22,7 +22,7 @@
   readonly key: string;
   readonly missing: readonly unknown[];
   readonly jobs: readonly unknown[];
-  readonly results: readonly unknown[];
+  readonly results: readonly { readonly kind: string }[];
   readonly attempts: number;
   readonly state: { readonly outcome?: { kind: string; reason?: string } };
   readonly error: { readonly kind: string };
@@ -124,6 +124,13 @@
       body: { jobIds },
     });
     assert.is(cancelled.body.results.length, jobIds.length);
+    // A shard that can't be changed in time is reported in the results, and its jobs go on.
+    assert.equal(
+      cancelled.body.results.filter(({ kind }) =>
+        kind !== "stopping" && kind !== "not_run"
+      ),
+      [],
+    );
     await waitFor("the cancelled jobs end", async () => {
       const { body } = await call(b, "?state=ended");
       return body.jobs.length === submits.length + jobIds.length + 1;
