--- /dev/null
+++ b/review/3/case.mjs
@@ -0,0 +1,84 @@
+// The store is slow and forgets its history while the owner removes the
+// records of jobs that ended status_s ago: completed jobs run a second time.
+import { addMinions, newId, runCase, sleep, trouble } from "../lib/deployment.mjs";
+
+const ROUTE = {
+  name: "quote-calc",
+  host: "quoting.example",
+  prefix: "/quote/",
+  service: "quoting",
+  priority: 0,
+  "max-attempts": 3,
+  stretch: 1.6,
+  "target-duration-ms": 1_000,
+};
+/** The pages have 120 s; 75 s lets the case end within its 120 s. */
+const STATUS_S = 75;
+/** The owner removes records of ended jobs every 15 s. */
+const CLEANUP_S = 15;
+const JOBS = 150;
+
+await runCase(
+  import.meta.url,
+  { bounds: { status_s: STATUS_S }, limitMs: 118_000 },
+  async (deployment) => {
+    const { fleet, store } = deployment;
+    deployment.configure({
+      version: 1,
+      routes: [ROUTE],
+      services: [{ name: "quoting", "rejects-overload": false }],
+    });
+    await addMinions(deployment, "quoting", 6);
+    let removedMs;
+    store.onChange = (_, deletes) => {
+      if (deletes.some((key) => key.startsWith("queue/job/"))) {
+        removedMs ??= deployment.nowMs();
+      }
+    };
+    await deployment.start({ count: 3 });
+    await deployment.ready();
+
+    const ids = Array.from({ length: JOBS }, newId);
+    const step = { count: 1, cpu: 1_800, "mem-mb": 500, "estimated-ms": 200 };
+    for (const [index, id] of ids.entries()) {
+      const node = deployment.nodes[index % 3];
+      await deployment.submit(ROUTE, id, { specification: id, steps: [step] }, node);
+      await sleep(15);
+    }
+    await deployment.waitFor(
+      "all jobs are shown as completed",
+      async () => {
+        for (const id of ids.slice(-3)) {
+          if (await deployment.state(ROUTE, id) !== "completed") return false;
+        }
+        return fleet.overs.length === JOBS;
+      },
+    );
+    const endedMs = deployment.nowMs();
+    const startsBefore = fleet.starts.length;
+    deployment.note("all jobs have ended", { endedMs });
+
+    // The removal comes with the first cleanup after status_s.
+    await sleep((STATUS_S - 3) * 1_000 - (deployment.nowMs() - endedMs));
+    if (trouble) {
+      deployment.note("the store gets slow: 60 times its usual 4 ms");
+    }
+    await deployment.waitFor("records are removed", () => {
+      // The slow spell lasts 4.5 s; it begins when the removal does.
+      if (removedMs === undefined) return false;
+      if (trouble) store.answerMs = 240;
+      return true;
+    }, (CLEANUP_S + 5) * 1_000);
+    await sleep(1_200);
+    if (trouble) {
+      deployment.note("the store forgets its history");
+      store.compact();
+    }
+    await sleep(3_300);
+    store.answerMs = 4;
+    await sleep(4_000);
+    const again = fleet.starts.slice(startsBefore);
+    deployment.note("starts after all jobs had ended", { count: again.length });
+    return fleet.violations;
+  },
+);
