review: the slow spell of case 1 begins at a set time

Change: the spell begins 0.7 s before the owner's cleanup; the history is discarded every 1.1 s of it.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -22,7 +22,7 @@
 const STATUS_S = 75;
 /** The owner removes records of ended jobs every 15 s. */
 const CLEANUP_S = 15;
-const JOBS = 150;
+const JOBS = 200;
 
 await runCase(
   import.meta.url,
@@ -35,15 +35,18 @@
       services: [{ name: "quoting", "rejects-overload": false }],
     });
     await addMinions(deployment, "quoting", 6);
-    let removedMs;
-    store.onChange = (_, deletes) => {
-      if (deletes.some((key) => key.startsWith("queue/job/"))) {
-        removedMs ??= deployment.nowMs();
+    let ownerMs;
+    store.onChange = (puts) => {
+      if (puts.some(({ key }) => key === "ctl/owner")) {
+        ownerMs ??= deployment.nowMs();
       }
     };
     await deployment.start({ count: 3 });
     await deployment.ready();
 
+    const countJobRecords = () =>
+      [...store.items.keys()].filter((key) => key.startsWith("queue/job/"))
+        .length;
     const ids = Array.from({ length: JOBS }, newId);
     const step = { count: 1, cpu: 1_800, "mem-mb": 500, "estimated-ms": 200 };
     for (const [index, id] of ids.entries()) {
@@ -70,24 +73,29 @@
     deployment.note("all jobs have ended", { endedMs });
 
     // The removal comes with the first cleanup after status_s.
-    await sleep((STATUS_S - 3) * 1_000 - (deployment.nowMs() - endedMs));
+    const cleanups = Math.ceil(
+      (endedMs + STATUS_S * 1_000 - ownerMs) / (CLEANUP_S * 1_000),
+    );
+    const removalMs = ownerMs + cleanups * CLEANUP_S * 1_000;
+    await sleep(removalMs - 700 - deployment.nowMs());
+    const slowUntilMs = deployment.nowMs() + 4_500;
+    deployment.note("the records of the jobs are about to be removed", {
+      jobRecords: countJobRecords(),
+    });
     if (trouble) {
       deployment.note("the store gets slow: 60 times its usual 4 ms");
+      store.answerMs = 240;
     }
-    await deployment.waitFor("records are removed", () => {
-      // The slow spell lasts 4.5 s; it begins when the removal does.
-      if (removedMs === undefined) return false;
-      if (trouble) store.answerMs = 240;
-      return true;
-    }, (CLEANUP_S + 5) * 1_000);
-    await sleep(1_200);
-    if (trouble) {
-      deployment.note("the store forgets its history");
+    while (deployment.nowMs() < slowUntilMs) {
+      await sleep(1_100);
+      if (!trouble) continue;
+      deployment.note("the store forgets its history", {
+        jobRecords: countJobRecords(),
+      });
       store.compact();
     }
-    await sleep(3_300);
     store.answerMs = 4;
-    await sleep(4_000);
+    await sleep(5_000);
     const again = fleet.starts.slice(startsBefore);
     deployment.note("starts after all jobs had ended", { count: again.length });
     return fleet.violations;
