--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -73,6 +73,7 @@
   nodes = [];
   machines = new Map();
   vmCalls = [];
+  sparePools = new Set();
   closed = false;
 
   /** `folder` is the folder of the case, in which `record.txt` is written. */
@@ -327,13 +328,31 @@
     setTimeout(async () => {
       if (this.closed) return;
       machine.state = "up";
-      if (minion === undefined) return;
-      minion.service = machine.pool;
-      await minion.start();
+      // The machines of a spare pool are off.
+      if (this.sparePools.has(machine.pool)) machine.id = "";
+      else await this.startMinion(machine, minion);
     }, kind === "upkeep" ? 2_000 : 1_500);
     return [200];
   }
 
+  /** Starts the minion of a machine after an operation; a machine that was off gets one. */
+  async startMinion(machine, minion) {
+    if (minion !== undefined) {
+      minion.service = machine.pool;
+      return await minion.start();
+    }
+    machine.id = `minion-of-${machine.machine}`;
+    await this.fleet.add({
+      id: machine.id,
+      machine: machine.machine,
+      service: machine.pool,
+      rack: machine.labels[1],
+      zone: machine.zone,
+      cpu: machine.capacity.cpu,
+      memoryMb: machine.capacity["mem-mb"],
+    });
+  }
+
   /** Ends every process and stand-in that the case has started. */
   async close() {
     this.closed = true;
@@ -461,6 +480,21 @@
   return minions;
 }
 
+/** Adds `count` machines of a spare pool, which are off. */
+export function addSpareMachines(deployment, pool, count) {
+  deployment.sparePools.add(pool);
+  for (let index = 1; index <= count; index++) {
+    deployment.addMachine({
+      machine: `machine-${pool}-${String(index).padStart(2, "0")}`,
+      pool,
+      zone: "khomas-a",
+      labels: ["a", `spare-${Math.floor((index - 1) / 4)}`],
+      capacity: { cpu: 32_000, "mem-mb": 65_536, gpu: 0 },
+      id: "",
+    });
+  }
+}
+
 /** Crashes a minion for a time, after which it starts again under its ID and address. */
 export function crashMinion(deployment, minion, downMs) {
   const machine = deployment.machines.get(minion.machine);
