review: cases end every process that they have started

Cause: a process that was replaced by a restart in the same run wasn't ended at the close; no case restarts one, random trials did. Change: the deployment keeps all its processes and ends those that still run.

--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -71,6 +71,8 @@
 
 export class Deployment {
   nodes = [];
+  /** Every process that was started, also those that have ended. */
+  children = [];
   machines = new Map();
   vmCalls = [];
   sparePools = new Set();
@@ -164,6 +166,7 @@
       { cwd: root, stdio: ["ignore", "pipe", "pipe"] },
     );
     node.child = child;
+    this.children.push(child);
     node.log = node.log ?? "";
     const keep = (bytes) => node.log += bytes;
     child.stdout.on("data", keep);
@@ -356,8 +359,10 @@
   /** Ends every process and stand-in that the case has started. */
   async close() {
     this.closed = true;
+    const isRunning = ({ exitCode, signalCode }) =>
+      exitCode === null && signalCode === null;
     await Promise.all(
-      this.nodes.filter(({ child }) => child).map(({ child }) =>
+      this.children.filter(isRunning).map((child) =>
         new Promise((resolve) => {
           child.once("exit", resolve);
           child.kill("SIGKILL");
