feat(scheduler): log when the queue is read again and when ended jobs are removed

The two events decide whether the owner adds jobs that it has removed; their lines tell this apart from a new owner, a second notification by an entry and a second submission, which have lines of their own.

--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -671,8 +671,10 @@
     },
     save,
     removeEndedBefore(limitMs) {
+      let removedJobs = 0;
       for (const [jobId, { sinceMs }] of endedJobs) {
         if (sinceMs >= limitMs) continue;
+        removedJobs++;
         endedJobs.delete(jobId);
         const jobKey = STORE_KEYS.jobPrefix + jobId;
         const remove = (key: string, after?: string) =>
@@ -682,6 +684,7 @@
         // Without its progress record, the next owner would run the job again.
         remove(STORE_KEYS.progressPrefix + jobId, jobKey);
       }
+      if (removedJobs > 0) log.info("ended jobs removed", { removedJobs });
     },
   };
 }
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -297,6 +297,15 @@
     if (spec !== undefined) acceptJob(spec);
   }
 
+  function readQueueSnapshot(items: readonly StoredItem[]): void {
+    const jobsBefore = scheduler.jobs.size;
+    items.forEach(readQueueItem);
+    log.info("queue read again", {
+      records: items.length,
+      addedJobs: scheduler.jobs.size - jobsBefore,
+    });
+  }
+
   function* renewLeaseLoop(): Operation<void> {
     for (;;) {
       yield* sleep(
@@ -429,7 +438,7 @@
     );
     yield* spawn(() =>
       watchRecords(STORE_KEYS.queuePrefix, () => QUEUE_WATCH_PAUSE_MS, {
-        onSnapshot: (items) => items.forEach(readQueueItem),
+        onSnapshot: readQueueSnapshot,
         onPut: readQueueItem,
         onDelete() {},
       }, loadedJobs.revision)
