fix(scheduler): removed jobs run again when the queue is read during their removal

Callers saw jobs that were shown as completed run a second time, minutes after their end.

Cause: the owner forgot an ended job as soon as the deletion of its records was scheduled. Until the deletion was stored, or as long as an older reading was on its way, the record could still be read, and a job that the owner doesn't know counted as new.

Change: the owner has known every record up to the store revision that it has read, so an unknown job with an earlier revision was removed. queue_reader.ts keeps that revision and skips such records. The same rule covers the other two ways on which a removed job could come back: the notification of an entry, which now carries the revision of the record, and a watch that lags behind, as a job is only removed once its record has been read. A job that is stored under the ID of a removed one has a later revision and is accepted.

--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -83,7 +83,11 @@
   async function storeIfAbsent(
     key: string,
     value: string,
-    workspace?: string,
+    job?: {
+      readonly workspace: string;
+      /** Called with the store revision of the record. */
+      readonly onStored: (revision: number) => void;
+    },
   ): Promise<StoreReply> {
     if (!health.allowsRequest()) return "not_stored";
     try {
@@ -92,11 +96,13 @@
         puts: [{ key, value }],
       });
       health.recordSuccess();
-      return outcome.kind === "committed"
-        ? "stored"
-        : workspace === undefined
+      if (outcome.kind === "committed") {
+        job?.onStored(outcome.revision);
+        return "stored";
+      }
+      return job === undefined
         ? "existing"
-        : describeConflict(outcome, workspace);
+        : describeConflict(outcome, job.workspace);
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
       health.recordFailure();
@@ -116,10 +122,10 @@
       return { kind: "reply", value: owner.admit(spec) };
     },
     configAfter: (revision) => operator.configItemAfter(revision) ?? null,
-    accepted(spec) {
+    accepted(spec, revision) {
       const owner = election.localOwner();
       if (owner === undefined) return { kind: "not_owner" };
-      owner.accept(spec);
+      owner.accept(spec, revision);
       return { kind: "reply", value: true };
     },
     async submit(spec) {
@@ -128,9 +134,11 @@
       const value = await storeIfAbsent(
         STORE_KEYS.jobPrefix + spec.jobId,
         JSON.stringify(spec),
-        spec.workspace,
+        {
+          workspace: spec.workspace,
+          onStored: (revision) => owner.accept(spec, revision),
+        },
       );
-      if (value === "stored") owner.accept(spec);
       return { kind: "reply", value };
     },
     cancelled(jobId) {
--- a/src/scheduler/entry_client.ts
+++ b/src/scheduler/entry_client.ts
@@ -52,7 +52,8 @@
   admit(spec: JobSpec): Promise<AdmissionDecision>;
   /** Asks for the stored configuration if it was changed after a store revision. */
   configAfter(revision: number): Promise<StoredItem | undefined>;
-  accepted(spec: JobSpec): Promise<void>;
+  /** Reports a job that the calling entry has stored at a store revision. */
+  accepted(spec: JobSpec, revision: number): Promise<void>;
   /** Asks the owner to store a job; `not_owner` means that nothing was stored. */
   submit(spec: JobSpec): Promise<StoreReply | "not_owner">;
   cancelled(jobId: string): Promise<void>;
@@ -133,9 +134,11 @@
       await call((signal) =>
         client.configAfter.query({ revision }, { signal })
       ) ?? undefined,
-    accepted: async (spec) =>
+    accepted: async (spec, revision) =>
       void await callOwner((signal) =>
-        client.accepted.mutate(spec, { signal })
+        client.accepted.mutate({ ...spec, storedRevision: revision }, {
+          signal,
+        })
       ),
     submit: (spec) => store((signal) => client.submit.mutate(spec, { signal })),
     cancelled: async (jobId) =>
--- a/src/scheduler/job_frontend.ts
+++ b/src/scheduler/job_frontend.ts
@@ -135,6 +135,20 @@
   readonly onOwnerChanged: () => void;
 }
 
+/** A record to be stored unless its key exists. */
+interface NewRecord {
+  readonly key: string;
+  readonly value: string;
+  /** Asks the owner to store the record. */
+  readonly storeOnOwner: (
+    owner: EntryClient,
+  ) => Promise<StoreReply | "not_owner">;
+  /** Describes the existing record; `existing` if omitted. */
+  readonly describeConflict?: (outcome: ChangeOutcome) => StoreReply;
+  /** Called with the store revision of the record if this entry has stored it. */
+  readonly onStored?: (revision: number) => void;
+}
+
 /** Result of a call to the owner. */
 type OwnerCallResult<T> =
   | { readonly kind: "reply"; readonly value: T }
@@ -199,11 +213,8 @@
 
   /** Stores a record unless its key exists; retries for a short time, directly and through the owner. */
   async function storeRecord(
-    key: string,
-    value: string,
+    { key, value, ...record }: NewRecord,
     context: RequestContext,
-    storeOnOwner: (owner: EntryClient) => Promise<StoreReply | "not_owner">,
-    describeConflict: (outcome: ChangeOutcome) => StoreReply = () => "existing",
   ): Promise<StoreReply> {
     const startedAtMs = clock.monotonicMs();
     let unresolved = false;
@@ -219,9 +230,17 @@
         });
         storeFailedAtMs = -Infinity;
         health.recordSuccess();
-        return outcome.kind === "conflict"
-          ? describeConflict(outcome)
-          : "stored";
+        switch (outcome.kind) {
+          case "committed":
+            record.onStored?.(outcome.revision);
+            return "stored";
+          case "lease_ended":
+            return undefined;
+          case "conflict":
+            return record.describeConflict?.(outcome) ?? "existing";
+          default:
+            return assertNever(outcome);
+        }
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
         storeFailedAtMs = clock.monotonicMs();
@@ -234,7 +253,7 @@
     async function storeThroughOwner(): Promise<StoreReply | undefined> {
       const owner = options.ownerClient();
       if (owner === undefined || owner.isLocal) return undefined;
-      const reply = await callOwner(storeOnOwner);
+      const reply = await callOwner(record.storeOnOwner);
       if (reply.kind === "failed") {
         if (reply.mayBeExecuted) unresolved = true;
         refusedByOwner = false;
@@ -362,11 +381,16 @@
       if (verdict.kind === "refused") return verdict;
       const spec: JobSpec = { ...parsed.data, excess: verdict.excess };
       const outcome = await storeRecord(
-        STORE_KEYS.jobPrefix + spec.jobId,
-        JSON.stringify(spec),
+        {
+          key: STORE_KEYS.jobPrefix + spec.jobId,
+          value: JSON.stringify(spec),
+          storeOnOwner: (owner) => owner.submit(spec),
+          describeConflict: (conflict) =>
+            describeConflict(conflict, spec.workspace),
+          onStored: (revision) =>
+            notifyOwner((owner) => owner.accepted(spec, revision)),
+        },
         context,
-        (owner) => owner.submit(spec),
-        (conflict) => describeConflict(conflict, spec.workspace),
       );
       const fields = {
         request: context.requestId,
@@ -380,7 +404,6 @@
       };
       switch (outcome) {
         case "stored":
-          notifyOwner((owner) => owner.accepted(spec));
           log.info("job accepted", fields);
           return { kind: "accepted" };
         case "existing":
@@ -411,10 +434,12 @@
         return { kind: "unresolved" };
       }
       const outcome = await storeRecord(
-        STORE_KEYS.cancelPrefix + jobId,
-        JSON.stringify({ atMs: clock.wallMs() }),
+        {
+          key: STORE_KEYS.cancelPrefix + jobId,
+          value: JSON.stringify({ atMs: clock.wallMs() }),
+          storeOnOwner: (owner) => owner.cancel(jobId),
+        },
         context,
-        (owner) => owner.cancel(jobId),
       );
       log.info("cancellation", {
         request: context.requestId,
--- a/src/scheduler/local_entry_client.ts
+++ b/src/scheduler/local_entry_client.ts
@@ -19,7 +19,8 @@
     isLocal: true,
     admit: (spec) => callOwner((owner) => owner.admit(spec)),
     configAfter: () => Promise.resolve(undefined),
-    accepted: (spec) => callOwner((owner) => owner.accept(spec)),
+    accepted: (spec, revision) =>
+      callOwner((owner) => owner.accept(spec, revision)),
     submit: refuseToStore,
     cancelled: (jobId) => callOwner((owner) => owner.cancel(jobId)),
     cancel: refuseToStore,
--- a/src/scheduler/peer_router.ts
+++ b/src/scheduler/peer_router.ts
@@ -34,8 +34,8 @@
   admit(spec: JobSpec): OwnerReply<AdmissionDecision>;
   /** Returns the stored configuration if it was changed after a store revision; null if this entry knows no such change. */
   configAfter(revision: number): StoredItem | null;
-  /** Adds a job that the calling entry has stored. */
-  accepted(spec: JobSpec): OwnerReply<true>;
+  /** Adds a job that the calling entry has stored at a store revision. */
+  accepted(spec: JobSpec, revision: number): OwnerReply<true>;
   /** Stores a job for an entry that can't reach the store. */
   submit(spec: JobSpec): Promise<OwnerReply<StoreReply>>;
   /** Cancels a job whose cancellation the calling entry has stored. */
@@ -58,6 +58,10 @@
 }
 
 const trpc = initTRPC.context<{ handlers: PeerHandlers }>().create();
+/** A job with the store revision of its record; an entry of an earlier version sends none, and the watch adds the job. */
+const storedJobSchema = jobSpecSchema.extend({
+  storedRevision: z.number().default(0),
+});
 const jobIdSchema = z.object({ jobId: z.string() });
 
 const schedulerRouter = trpc.router({
@@ -67,9 +71,9 @@
   configAfter: trpc.procedure.input(z.object({ revision: z.number() })).query((
     { input, ctx },
   ) => ctx.handlers.configAfter(input.revision)),
-  accepted: trpc.procedure.input(jobSpecSchema).mutation(({ input, ctx }) =>
-    ctx.handlers.accepted(input)
-  ),
+  accepted: trpc.procedure.input(storedJobSchema).mutation((
+    { input: { storedRevision, ...spec }, ctx },
+  ) => ctx.handlers.accepted(spec, storedRevision)),
   submit: trpc.procedure.input(jobSpecSchema).mutation(({ input, ctx }) =>
     ctx.handlers.submit(input)
   ),
--- a/src/scheduler/peer_router_test.ts
+++ b/src/scheduler/peer_router_test.ts
@@ -69,7 +69,7 @@
       assert.equal(await client.reaches("127.0.0.1:1"), true);
       assert.deepEqual(received, [SPEC, "a/b ?ü", "ü"]);
       await assert.rejects(
-        client.accepted(SPEC),
+        client.accepted(SPEC, 7),
         (error) =>
           error instanceof EntryCallError && error.reason === "not_owner",
       );
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -135,8 +135,14 @@
   ): void;
   /** Stores the job's progress with the next commit. */
   save(job: JobState, onStored?: () => void): void;
-  /** Removes the jobs that ended before `limitMs`, in ms since 1970, and deletes their records. */
-  removeEndedBefore(limitMs: number): void;
+  /**
+   * Removes the jobs that ended before `limitMs`, in ms since 1970, and deletes
+   * their records; a job stays as long as `mayRemove` returns false for its ID.
+   */
+  removeEndedBefore(
+    limitMs: number,
+    mayRemove: (jobId: string) => boolean,
+  ): void;
 }
 
 /** Dependencies of the scheduler. */
@@ -670,10 +676,10 @@
       for (const task of tasks) crashes.giveUpIfCrashing(task);
     },
     save,
-    removeEndedBefore(limitMs) {
+    removeEndedBefore(limitMs, mayRemove) {
       let removedJobs = 0;
       for (const [jobId, { sinceMs }] of endedJobs) {
-        if (sinceMs >= limitMs) continue;
+        if (sinceMs >= limitMs || !mayRemove(jobId)) continue;
         removedJobs++;
         endedJobs.delete(jobId);
         const jobKey = STORE_KEYS.jobPrefix + jobId;
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -18,7 +18,7 @@
 import { createFleetManager, type FleetManager } from "./fleet_manager.ts";
 import { watchPrefix } from "./watch_prefix.ts";
 import { createJournal, type Journal } from "./journal.ts";
-import { loadJobs, parseStoredJob } from "./load_jobs.ts";
+import { loadJobs } from "./load_jobs.ts";
 import { createTrialWorkers } from "./crashes/trial_workers.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
 import {
@@ -27,6 +27,7 @@
 } from "./overload/owner_rejection.ts";
 import { STORE_KEYS, type Tenure } from "./ownership.ts";
 import { createThrottling, runThrottling } from "./throttling.ts";
+import { createQueueReader, type QueueReader } from "./queue_reader.ts";
 import { planPlacements } from "./placement_planner.ts";
 import type {
   PlacementAdvisor,
@@ -80,8 +81,10 @@
 const PLAN_TIMEOUT_MS = 100;
 /** Interval of the checks for unreachable workers and stalled tasks, in ms. */
 const CHECK_INTERVAL_MS = 200;
-/** Interval at which records of ended jobs are removed, in ms. */
+/** Longest interval at which records of ended jobs are removed, in ms. */
 const CLEANUP_INTERVAL_MS = 15_000;
+/** Minimum number of these removals in the time for which ended jobs are kept. */
+const CLEANUPS_PER_RETENTION = 4;
 /** Pause between two long polls for jobs, in ms; entries also notify the owner of new jobs directly. */
 const QUEUE_WATCH_PAUSE_MS = 300;
 /** Pause between two long polls for workers, in ms; batches their heartbeats. */
@@ -119,7 +122,8 @@
 /** API of the owner, available once its records are loaded. */
 export interface OwnerApi {
   readonly epoch: number;
-  accept(spec: JobSpec): void;
+  /** Adds a job that was stored at a store revision. */
+  accept(spec: JobSpec, revision: number): void;
   cancel(jobId: string): void;
   /** Decides whether an entry may store a job. */
   admit(spec: JobSpec): AdmissionDecision;
@@ -161,7 +165,8 @@
   const startedAtWallMs = clock.wallMs();
   let endReason: string | undefined;
   let resigning = false;
-  let loaded = false;
+  /** Undefined until the records are loaded. */
+  let loadedQueue: QueueReader | undefined;
   /** Monotonic time of the first failure since the store's last response, in ms. */
   let failingSinceMs: number | undefined;
 
@@ -271,13 +276,6 @@
     overload,
   });
 
-  /** Adds a stored job unless it was added before: both the accepting entry and the watch report it. */
-  function acceptJob(spec: JobSpec): void {
-    if (scheduler.hasJob(spec.jobId)) return;
-    scheduler.accept(spec);
-    recordDemand(spec, 0);
-  }
-
   function recordDemand(spec: JobSpec, ageMs: number): void {
     const { service } = resolveQueue(options.config(), spec);
     forecast.record(
@@ -287,25 +285,6 @@
     );
   }
 
-  function readQueueItem(item: StoredItem): void {
-    if (item.key.startsWith(STORE_KEYS.cancelPrefix)) {
-      scheduler.cancel(item.key.slice(STORE_KEYS.cancelPrefix.length));
-      return;
-    }
-    if (scheduler.hasJob(item.key.slice(STORE_KEYS.jobPrefix.length))) return;
-    const spec = parseStoredJob(item, log);
-    if (spec !== undefined) acceptJob(spec);
-  }
-
-  function readQueueSnapshot(items: readonly StoredItem[]): void {
-    const jobsBefore = scheduler.jobs.size;
-    items.forEach(readQueueItem);
-    log.info("queue read again", {
-      records: items.length,
-      addedJobs: scheduler.jobs.size - jobsBefore,
-    });
-  }
-
   function* renewLeaseLoop(): Operation<void> {
     for (;;) {
       yield* sleep(
@@ -376,10 +355,18 @@
     }
   }
 
-  function* removeEndedJobs(): Operation<void> {
+  function* removeEndedJobs({ hasRead }: QueueReader): Operation<void> {
     for (;;) {
-      yield* sleep(CLEANUP_INTERVAL_MS);
-      scheduler.removeEndedBefore(clock.wallMs() - options.keepEndedMs);
+      yield* sleep(
+        Math.min(
+          CLEANUP_INTERVAL_MS,
+          options.keepEndedMs / CLEANUPS_PER_RETENTION,
+        ),
+      );
+      scheduler.removeEndedBefore(
+        clock.wallMs() - options.keepEndedMs,
+        hasRead,
+      );
     }
   }
 
@@ -392,9 +379,10 @@
     prefix: string,
     pauseMs: () => number,
     handlers: {
-      onSnapshot: (items: readonly StoredItem[]) => void;
+      onSnapshot: (items: readonly StoredItem[], revision: number) => void;
       onPut: (item: StoredItem) => void;
       onDelete: (key: string) => void;
+      onRevision?: (revision: number) => void;
     },
     fromRevision?: number,
   ): Operation<void> {
@@ -421,6 +409,12 @@
     for (const { spec } of scheduler.jobs.values()) {
       recordDemand(spec, clock.wallMs() - spec.acceptedAtMs);
     }
+    const queue = createQueueReader({
+      scheduler,
+      loadedRevision: loadedJobs.revision,
+      log,
+      onAccepted: (spec) => recordDemand(spec, 0),
+    });
     onStoreResponse();
     log.info("owner started", {
       epoch: tenure.epoch,
@@ -438,14 +432,13 @@
     );
     yield* spawn(() =>
       watchRecords(STORE_KEYS.queuePrefix, () => QUEUE_WATCH_PAUSE_MS, {
-        onSnapshot: readQueueSnapshot,
-        onPut: readQueueItem,
+        ...queue,
         onDelete() {},
       }, loadedJobs.revision)
     );
     yield* spawn(() => planLoop());
     yield* spawn(() => checkLoop());
-    yield* spawn(() => removeEndedJobs());
+    yield* spawn(() => removeEndedJobs(queue));
     yield* spawn(() => fleet.run());
     yield* spawn(() =>
       runThrottling(createThrottling({ scheduler, clock, log }))
@@ -453,7 +446,7 @@
     yield* spawn(() =>
       handOverWhenSlow({ ...options, epoch: tenure.epoch, resign })
     );
-    loaded = true;
+    loadedQueue = queue;
     yield* suspend();
   }
 
@@ -487,7 +480,7 @@
   const api: OwnerApi = {
     epoch: tenure.epoch,
     scheduler,
-    accept: acceptJob,
+    accept: (spec, revision) => loadedQueue?.accept(spec, revision),
     cancel: (jobId) => scheduler.cancel(jobId),
     admit: admission.admit,
     status: (jobId, workspace) => scheduler.status(jobId, workspace),
@@ -521,7 +514,8 @@
   };
 
   return {
-    api: () => loaded && endReason === undefined ? api : undefined,
+    api: () =>
+      loadedQueue !== undefined && endReason === undefined ? api : undefined,
     resign: (reason) => resign(reason),
     addRelay: control.addRelay,
     hasResigned: () => resigning,
--- a/src/scheduler/watch_prefix.ts
+++ b/src/scheduler/watch_prefix.ts
@@ -17,10 +17,15 @@
   readonly waitMs: number;
   /** Pause between two long polls, in ms; batches the events that arrive in the meantime. */
   readonly pauseMs: () => number;
-  /** Called with all items at the start and after the store has compacted its history. */
-  readonly onSnapshot: (items: readonly StoredItem[]) => void;
+  /** Called with all items, read at a store revision, at the start and after the store has compacted its history. */
+  readonly onSnapshot: (
+    items: readonly StoredItem[],
+    revision: number,
+  ) => void;
   readonly onPut: (item: StoredItem) => void;
   readonly onDelete: (key: string) => void;
+  /** Called once all changes up to a store revision have been reported. */
+  readonly onRevision?: (revision: number) => void;
   /** Called after each response of the store. */
   readonly onResponse?: () => void;
   /** Called after each failed call. */
@@ -37,7 +42,7 @@
     if (revision === undefined) {
       const listed = yield* until(store.list(prefix));
       options.onResponse?.();
-      options.onSnapshot(listed.items);
+      options.onSnapshot(listed.items, listed.revision);
       revision = listed.revision;
       return;
     }
@@ -58,6 +63,7 @@
       else options.onDelete(event.key);
     }
     revision = watched.revision;
+    options.onRevision?.(revision);
     const pauseMs = options.pauseMs();
     if (pauseMs > 0 && watched.events.length > 0) yield* sleep(pauseMs);
   }
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -104,6 +104,8 @@
   noticeMs = 500;
   /** Time after which a crashed worker starts again as a new process with the same id, in ms; undefined if it stays down. */
   restartCrashedAfterMs: number | undefined;
+  /** Time for which the status of an ended job is kept, in ms, for entries started from now on. */
+  keepEndedMs = 60_000;
   /** Returns the platform's response to a maintenance order. */
   maintain: (vmId: string) => VmOrderOutcome = () => ({
     kind: "refused",
@@ -229,8 +231,8 @@
       configAfter: async (revision) =>
         await callEntry((handlers) => handlers.configAfter(revision)) ??
           undefined,
-      accepted: async (spec) =>
-        void await callOwner((handlers) => handlers.accepted(spec)),
+      accepted: async (spec, revision) =>
+        void await callOwner((handlers) => handlers.accepted(spec, revision)),
       submit: (spec) => callOwner((handlers) => handlers.submit(spec)),
       cancelled: async (jobId) =>
         void await callOwner((handlers) => handlers.cancelled(jobId)),
@@ -277,7 +279,7 @@
       candidateDelayMs: 0,
       config: () => CONFIG,
       waves: () => this.waves,
-      keepEndedMs: 60_000,
+      keepEndedMs: this.keepEndedMs,
       holderGapMs: this.holderGapMs,
       noticeMs: this.noticeMs,
     });
