fix(scheduler): a jump of the time of day removes ended jobs early

The age of an ended job was measured with the time of day.

The age is measured with the monotonic clock, which every other duration of a tenure uses already. The test in removed_jobs_test.ts fails with the time of day in its place.

--- a/src/scheduler/laned_journal_test.ts
+++ b/src/scheduler/laned_journal_test.ts
@@ -232,7 +232,7 @@
     for (const id of ids) {
       scheduler.addEnded(id, { status: "completed", workspace: "" });
     }
-    scheduler.removeEndedBefore(Infinity, () => true);
+    scheduler.removeEnded(0, () => true);
     await delay(400);
     await kill();
     const hasRecord = (prefix: string) => (id: string) =>
--- a/src/scheduler/queue_reader_test.ts
+++ b/src/scheduler/queue_reader_test.ts
@@ -38,7 +38,7 @@
     async endAndRemove() {
       scheduler.cancel(JOB);
       await flush();
-      scheduler.removeEndedBefore(Infinity, queue.hasRead);
+      scheduler.removeEnded(0, queue.hasRead);
     },
   };
 }
@@ -77,7 +77,7 @@
   queue.onPut(jobItem(11));
   queue.onRevision(11);
   assert.equal(scheduler.status(JOB), "cancelled");
-  scheduler.removeEndedBefore(Infinity, queue.hasRead);
+  scheduler.removeEnded(0, queue.hasRead);
   assert.equal(scheduler.hasJob(JOB), false);
 });
 
--- a/src/scheduler/removed_jobs_test.ts
+++ b/src/scheduler/removed_jobs_test.ts
@@ -2,6 +2,11 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
 import { chooseSeed, createRandom } from "../../testing/random.ts";
+import {
+  createTestScheduler,
+  JOB,
+  spec,
+} from "../../testing/scheduler_helpers.ts";
 import { SchedulerCluster } from "../../testing/scheduler_cluster.ts";
 import { waitFor } from "../../testing/wait.ts";
 import { STORE_KEYS } from "./ownership.ts";
@@ -53,4 +58,26 @@
   }
 });
 
+// Guards against a status that callers no longer get because the time of day jumps on the owner's VM.
+test("a jump of the time of day removes no job", async () => {
+  const nowMs = { monotonic: 5_000, wall: 1_000_000 };
+  const { scheduler, flush } = createTestScheduler({
+    clock: {
+      monotonicMs: () => nowMs.monotonic,
+      wallMs: () => nowMs.wall,
+    },
+  });
+  scheduler.accept(spec());
+  scheduler.cancel(JOB);
+  await flush();
+  const keepMs = 120_000;
+  nowMs.wall += 10 * keepMs;
+  scheduler.removeEnded(keepMs, () => true);
+  assert.equal(scheduler.status(JOB), "cancelled");
+  nowMs.monotonic += keepMs;
+  nowMs.wall -= 20 * keepMs;
+  scheduler.removeEnded(keepMs, () => true);
+  assert.equal(scheduler.status(JOB), undefined);
+});
+
 test.run();
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -69,8 +69,8 @@
 interface EndedJob {
   readonly status: FinalStatus;
   readonly workspace: string;
-  /** Wall clock time of its end, in ms since 1970. */
-  readonly sinceMs: number;
+  /** Monotonic time of its end, or of the start of this tenure if it ended earlier, in ms. */
+  readonly endedAtMs: number;
   /** Steps of the job, as a late start of one of its tasks may still occupy a worker; empty if they weren't loaded. */
   readonly steps: JobSpec["steps"];
 }
@@ -136,13 +136,10 @@
   /** Stores the job's progress with the next commit. */
   save(job: JobState, onStored?: () => void): void;
   /**
-   * Removes the jobs that ended before `limitMs`, in ms since 1970, and deletes
-   * their records; a job stays as long as `mayRemove` returns false for its ID.
+   * Removes the jobs that ended `keepMs` ago or earlier, and deletes their
+   * records; a job stays as long as `mayRemove` returns false for its ID.
    */
-  removeEndedBefore(
-    limitMs: number,
-    mayRemove: (jobId: string) => boolean,
-  ): void;
+  removeEnded(keepMs: number, mayRemove: (jobId: string) => boolean): void;
 }
 
 /** Dependencies of the scheduler. */
@@ -210,7 +207,7 @@
     endedJobs.set(jobId, {
       status,
       workspace: job.spec.workspace,
-      sinceMs: clock.wallMs(),
+      endedAtMs: clock.monotonicMs(),
       steps: job.spec.steps,
     });
   }
@@ -583,7 +580,11 @@
       jobs.set(job.spec.jobId, job);
     },
     addEnded(jobId, ended) {
-      endedJobs.set(jobId, { ...ended, sinceMs: clock.wallMs(), steps: [] });
+      endedJobs.set(jobId, {
+        ...ended,
+        endedAtMs: clock.monotonicMs(),
+        steps: [],
+      });
     },
     hasJob,
     accept(spec) {
@@ -676,10 +677,11 @@
       for (const task of tasks) crashes.giveUpIfCrashing(task);
     },
     save,
-    removeEndedBefore(limitMs, mayRemove) {
+    removeEnded(keepMs, mayRemove) {
+      const nowMs = clock.monotonicMs();
       let removedJobs = 0;
-      for (const [jobId, { sinceMs }] of endedJobs) {
-        if (sinceMs >= limitMs || !mayRemove(jobId)) continue;
+      for (const [jobId, { endedAtMs }] of endedJobs) {
+        if (nowMs - endedAtMs < keepMs || !mayRemove(jobId)) continue;
         removedJobs++;
         endedJobs.delete(jobId);
         const jobKey = STORE_KEYS.jobPrefix + jobId;
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -471,7 +471,7 @@
   assert.equal(scheduler.jobs.size, 0);
   assert.equal(scheduler.hasJob(JOB), true);
   assert.equal(scheduler.status(JOB), "cancelled");
-  scheduler.removeEndedBefore(Date.now() + 1_000, () => true);
+  scheduler.removeEnded(0, () => true);
   assert.equal(scheduler.status(JOB), undefined);
 });
 
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -363,10 +363,7 @@
           options.keepEndedMs / CLEANUPS_PER_RETENTION,
         ),
       );
-      scheduler.removeEndedBefore(
-        clock.wallMs() - options.keepEndedMs,
-        hasRead,
-      );
+      scheduler.removeEnded(options.keepEndedMs, hasRead);
     }
   }
 
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -1,5 +1,5 @@
 import { setTimeout as delay } from "node:timers/promises";
-import { systemClock } from "../src/clock.ts";
+import { type Clock, systemClock } from "../src/clock.ts";
 import { silentLogger } from "../src/logger.ts";
 import { createDueOccurrences } from "../src/scheduler/job_state.ts";
 import type { Journal, JournalRecord } from "../src/scheduler/journal.ts";
@@ -65,7 +65,11 @@
 
 /** Creates a scheduler whose workers the test adds and answers for; a given journal isn't flushed by `flush`. */
 export function createTestScheduler(
-  options: { readonly journal?: Journal; readonly noticeMs?: number } = {},
+  options: {
+    readonly journal?: Journal;
+    readonly noticeMs?: number;
+    readonly clock?: Clock;
+  } = {},
 ) {
   const { journal: testJournal, flush } = createTestJournal();
   const journal = options.journal ?? testJournal;
