fix(scheduler): tasks wait for good though an allowed worker has room

Callers saw lasting tasks of a queue with placement advice that were never started again after one of two allowed workers had crashed and come back.

Cause: the advice service was asked only if no worker had a valid ticket, and then only about workers with an expired one, if there were any.

Change: after each attempt to place a step, tickets are requested for the workers that have room for what still waits, unless they have a valid ticket or may not run the step. A request is no longer sent twice while the first is in progress, and there is no pause before workers are asked about that haven't been.

--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -17,6 +17,7 @@
   type CandidateWorker,
   chooseGangWorkers,
   chooseWorker,
+  fits,
   type PlacementRequest,
   subtractResources,
 } from "./placement.ts";
@@ -108,6 +109,20 @@
   );
 }
 
+/** Creates the request for any task of a step. */
+function createRequest(
+  task: TaskState,
+  allowedWorkers: ReadonlySet<string> | undefined,
+): PlacementRequest {
+  return {
+    stepId: stepId(task),
+    step: getStep(task),
+    avoidedWorkers: new Set(),
+    allowedWorkers,
+    tasksByRack: new Map(),
+  };
+}
+
 /** Returns the run number of a gang's next start, which its members share. */
 function nextGangRun(tasks: readonly TaskState[]): number {
   return Math.max(...tasks.map(({ run }) => run)) + 1;
@@ -226,10 +241,42 @@
     }
   }
 
+  /** Requests tickets of the workers that have room for the waiting tasks of a step; if none has a ticket yet, of all workers. */
+  function requestTickets(
+    request: PlacementRequest,
+    service: ServiceCandidates,
+    workers: readonly CandidateWorker[],
+  ): void {
+    const unrestricted = { ...request, allowedWorkers: undefined };
+    const prefetches = request.allowedWorkers?.size === 0 &&
+      !service.unplaceable.includes(request.step);
+    const suitable = workers.filter((worker) =>
+      prefetches || fits(worker, unrestricted)
+    );
+    tickets.request(request.stepId, suitable.map(({ workerId }) => workerId));
+  }
+
+  /** Places the waiting tasks of a step of a queue with placement advice. */
+  function placeAdvisedStep(
+    tasks: readonly TaskState[],
+    service: ServiceCandidates,
+  ): void {
+    const first = tasks.find(isStartable);
+    if (first === undefined) return;
+    const workers = [...service.candidates, ...service.reserved];
+    const allowedWorkers = tickets.allowedWorkers(
+      stepId(first),
+      workers.map(({ workerId }) => workerId),
+    );
+    placeStep(tasks, service, allowedWorkers);
+    if (isOverQuota || !tasks.some(isStartable)) return;
+    requestTickets(createRequest(first, allowedWorkers), service, workers);
+  }
+
   function placeStep(
     tasks: readonly TaskState[],
     service: ServiceCandidates,
-    needsAdvice: boolean,
+    allowedWorkers?: ReadonlySet<string>,
   ): void {
     const waiting = tasks.filter(isStartable);
     const first = waiting[0];
@@ -245,19 +292,7 @@
       judgeTask(losses) !== "none"
     );
     if (suspects.length === 0 && service.unplaceable.includes(step)) return;
-    const id = stepId(first);
-    const request: PlacementRequest = {
-      stepId: id,
-      step,
-      avoidedWorkers: new Set(),
-      allowedWorkers: needsAdvice
-        ? tickets.allowedWorkers(
-          id,
-          service.candidates.map(({ workerId }) => workerId),
-        )
-        : undefined,
-      tasksByRack: new Map(),
-    };
+    const request = createRequest(first, allowedWorkers);
     if (step.gang) {
       if (waiting.length < tasks.length) return;
       if (suspects.length > 0) {
@@ -379,7 +414,8 @@
       for (const tasks of listRunnableSteps(job, occurrence)) {
         const before = placed;
         isOverQuota = false;
-        placeStep(tasks, service, needsAdvice);
+        if (needsAdvice) placeAdvisedStep(tasks, service);
+        else placeStep(tasks, service);
         logWait(pending, tasks);
         if (placed > before) {
           logPlacement(pending, tasks, placed - before, service);
--- a/src/scheduler/ticket_cache.ts
+++ b/src/scheduler/ticket_cache.ts
@@ -9,13 +9,11 @@
 const EXPIRY_MARGIN_MS = 400;
 /** Delay after a request without a response, in ms. */
 const RETRY_DELAY_MS = 300;
-/** Delay before the next request for a step that may run on none of the workers asked about, in ms. */
-const EMPTY_RESPONSE_DELAY_MS = 2_000;
 
 interface StepTickets {
   /** Tickets by worker ID; `usableUntilMs` is monotonic time. */
   tickets: Map<string, { ticket: string; usableUntilMs: number }>;
-  /** Workers that the service was asked about; whether it allows a worker doesn't change. */
+  /** Workers that the service was asked about; whether it allows a worker doesn't change during the worker's life. */
   askedWorkers: Set<string>;
   /** Monotonic time before which no further request is sent for the step, in ms. */
   nextCallAtMs: number;
@@ -23,11 +21,13 @@
 
 /** Caches the tickets of the placement advice service, by step and worker. */
 export interface TicketCache {
-  /** Returns the workers with a valid ticket for the step; requests more tickets if there are none. */
+  /** Returns the workers with a valid ticket for the step. */
   allowedWorkers(
     stepId: string,
     workerIds: readonly string[],
   ): ReadonlySet<string>;
+  /** Requests tickets for a step, except for workers that have a valid one or may not run it. */
+  request(stepId: string, workerIds: readonly string[]): void;
   /** Returns the latest ticket of a step for a worker, which may have expired; undefined if there is none. */
   find(stepId: string, workerId: string): string | undefined;
   /** Drops a worker's tickets, so that the service is asked about it again. */
@@ -44,30 +44,37 @@
   const { advice, clock, log } = options;
   const steps = new Map<string, StepTickets>();
   const pendingSteps = new Map<string, readonly string[]>();
-  let isCalling = false;
+  /** The request in progress. */
+  let call: {
+    readonly stepId: string;
+    /** Workers that have ended since, so that the response doesn't apply to their next process. */
+    readonly endedWorkers: Set<string>;
+  } | undefined;
 
   async function callPending(): Promise<void> {
-    if (isCalling) return;
-    isCalling = true;
+    if (call !== undefined) return;
     try {
       for (const [stepId, workerIds] of pendingSteps) {
         pendingSteps.delete(stepId);
-        await requestTickets(stepId, workerIds);
+        const endedWorkers = new Set<string>();
+        call = { stepId, endedWorkers };
+        await requestTickets(stepId, workerIds, endedWorkers);
       }
     } catch (error) {
       log.error("placement advice request failed", {
         reason: messageOf(error),
       });
     } finally {
-      isCalling = false;
+      call = undefined;
     }
   }
 
   async function requestTickets(
     stepId: string,
     workerIds: readonly string[],
+    endedWorkers: ReadonlySet<string>,
   ): Promise<void> {
-    const stepTickets = steps.get(stepId)!;
+    const stepTickets = findStep(stepId);
     const asked = workerIds.slice(0, WORKERS_PER_CALL);
     const response = await advice.advise(stepId, asked);
     const now = clock.monotonicMs();
@@ -75,16 +82,16 @@
       stepTickets.nextCallAtMs = now + RETRY_DELAY_MS;
       return;
     }
-    for (const workerId of asked) stepTickets.askedWorkers.add(workerId);
+    for (const workerId of asked) {
+      if (!endedWorkers.has(workerId)) stepTickets.askedWorkers.add(workerId);
+    }
     for (const { workerId, ticket } of response.tickets) {
+      if (endedWorkers.has(workerId)) continue;
       stepTickets.tickets.set(workerId, {
         ticket,
         usableUntilMs: now + response.validityMs - EXPIRY_MARGIN_MS,
       });
     }
-    stepTickets.nextCallAtMs = response.tickets.length > 0
-      ? now
-      : now + EMPTY_RESPONSE_DELAY_MS;
     log.debug("placement advice received", {
       step: stepId,
       asked: asked.length,
@@ -93,40 +100,45 @@
     options.onChange();
   }
 
+  function findStep(stepId: string): StepTickets {
+    let stepTickets = steps.get(stepId);
+    if (stepTickets === undefined) {
+      stepTickets = {
+        tickets: new Map(),
+        askedWorkers: new Set(),
+        nextCallAtMs: 0,
+      };
+      steps.set(stepId, stepTickets);
+    }
+    return stepTickets;
+  }
+
   return {
     allowedWorkers(stepId, workerIds) {
       const now = clock.monotonicMs();
-      let stepTickets = steps.get(stepId);
-      if (stepTickets === undefined) {
-        stepTickets = {
-          tickets: new Map(),
-          askedWorkers: new Set(),
-          nextCallAtMs: 0,
-        };
-        steps.set(stepId, stepTickets);
-      }
-      const validWorkers = new Set(
-        workerIds.filter((id) =>
-          (stepTickets.tickets.get(id)?.usableUntilMs ?? 0) > now
-        ),
+      const { tickets } = findStep(stepId);
+      return new Set(
+        workerIds.filter((id) => (tickets.get(id)?.usableUntilMs ?? 0) > now),
       );
-      if (validWorkers.size === 0 && stepTickets.nextCallAtMs <= now) {
-        // Workers with an expired ticket come first, as the service will grant them one again.
-        const expired = workerIds.filter((id) => stepTickets.tickets.has(id));
-        const notAsked = workerIds.filter((id) =>
-          !stepTickets.askedWorkers.has(id)
-        );
-        const nextWorkers = expired.length > 0 ? expired : notAsked;
-        if (nextWorkers.length > 0) {
-          pendingSteps.set(stepId, nextWorkers);
-          void callPending();
-        }
-      }
-      return validWorkers;
+    },
+    request(stepId, workerIds) {
+      const now = clock.monotonicMs();
+      const { tickets, askedWorkers, nextCallAtMs } = findStep(stepId);
+      if (nextCallAtMs > now || call?.stepId === stepId) return;
+      const expired = workerIds.filter((id) =>
+        (tickets.get(id)?.usableUntilMs ?? Infinity) <= now
+      );
+      const notAsked = workerIds.filter((id) => !askedWorkers.has(id));
+      // Workers with an expired ticket come first, as the service will grant them one again.
+      const next = [...expired, ...notAsked];
+      if (next.length === 0) return;
+      pendingSteps.set(stepId, next);
+      void callPending();
     },
     find: (stepId, workerId) =>
       steps.get(stepId)?.tickets.get(workerId)?.ticket,
     forgetWorker(workerId) {
+      call?.endedWorkers.add(workerId);
       for (const stepTickets of steps.values()) {
         stepTickets.tickets.delete(workerId);
         stepTickets.askedWorkers.delete(workerId);
