fix(scheduler): a refused ticket is used again until it expires

Cause: the owner measures a ticket's validity with its monotonic clock from the response on. If it was suspended, or the response was on its way for long, the worker refuses the start while the ticket still counts as valid here, and the next round sends the same ticket again, up to the whole validity.

Change: a refused ticket is dropped, so that the service is asked again. The test in placement_advice_test.ts fails without the call.

--- a/src/scheduler/placement_advice_test.ts
+++ b/src/scheduler/placement_advice_test.ts
@@ -41,7 +41,9 @@
 
 /** Creates workers, an advice service that allows some of them, and a planner whose clock the test advances. */
 function createFixture(workerCount: number, allowed: readonly string[]) {
-  const context = createTestScheduler();
+  const context = createTestScheduler({
+    onTicketRefused: (stepId, workerId) => tickets.drop(stepId, workerId),
+  });
   const { scheduler } = context;
   const addWorker = (workerId: string) => {
     const instance = context.addWorker(workerId);
@@ -241,6 +243,27 @@
   assert.equal(requests.length, 2);
 });
 
+// Guards against start orders that are rejected again and again, as the owner was suspended and takes a ticket for valid that has expired.
+test("a ticket that a worker has refused is requested again", async () => {
+  const { scheduler, plan, flush, state, requests, calls } = createFixture(1, [
+    "w1",
+  ]);
+  state.onStart = (attempt) =>
+    attempt === 1
+      ? { kind: "refused", reason: "ticket" }
+      : { kind: "done", clockMs: 0 };
+  scheduler.accept(spec());
+  const [task] = openTasks(scheduler);
+  await plan();
+  await flush();
+  assert.equal(task!.phase, "waiting");
+  await plan();
+  await flush();
+  assert.equal(task!.placement?.startState, "running");
+  assert.equal(requests.length, 2);
+  assert.equal(calls.length, 2);
+});
+
 // Guards against requests that use up the advice service, which handles one at a time.
 test("a worker is asked about once as long as its ticket is valid", async () => {
   const { scheduler, plan, planOnce, requests, advance } = createFixture(6, [
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -62,6 +62,8 @@
   /** Called after a change that may allow tasks to be placed. */
   readonly onChange: () => void;
   readonly disruptions: DisruptionGuard;
+  /** Called before a task is placed again whose ticket a worker has refused. */
+  readonly onTicketRefused: (task: TaskState, workerId: string) => void;
   /** Ends the placement of a task, so that it can be placed again. */
   readonly freeTask: (task: TaskState) => void;
 }
@@ -215,8 +217,10 @@
       case "invalid":
         task.notBeforeMs = clock.monotonicMs() + INVALID_START_DELAY_MS;
         return requeueRefusedTask(task, placement, reason);
-      case "expired":
       case "ticket":
+        options.onTicketRefused(task, placement.workerId);
+        return requeueRefusedTask(task, placement, reason);
+      case "expired":
         return requeueRefusedTask(task, placement, reason);
       default:
         assertNever(reason);
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -22,6 +22,7 @@
   listGangTasks,
   type Placement,
   releaseTask,
+  stepId,
   type TaskDemand,
   type TaskState,
   visibleStatus,
@@ -158,6 +159,8 @@
   readonly noticeMs?: number;
   /** Whether an order for the VM may end what runs there. */
   readonly isVmEnding?: (vmId: string) => boolean;
+  /** Called when a worker has refused the ticket of a step. */
+  readonly onTicketRefused?: (stepId: string, workerId: string) => void;
   /** Called after a change that may allow tasks to be placed. */
   readonly onChange: () => void;
 }
@@ -565,6 +568,8 @@
     counters,
     findInstance,
     disruptions,
+    onTicketRefused: (task, workerId) =>
+      options.onTicketRefused?.(stepId(task), workerId),
     freeTask,
   });
 
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -209,6 +209,7 @@
     isOrdered: (instance) => fleet.wasOrdered(instance),
     noticeMs: options.noticeMs,
     isVmEnding: (vmId) => fleet.isVmEnding(vmId),
+    onTicketRefused: tickets.drop,
     onChange: () => planWake.notify(),
   });
   /**
--- a/src/scheduler/ticket_cache.ts
+++ b/src/scheduler/ticket_cache.ts
@@ -30,6 +30,8 @@
   request(stepId: string, workerIds: readonly string[]): void;
   /** Returns the latest ticket of a step for a worker, which may have expired; undefined if there is none. */
   find(stepId: string, workerId: string): string | undefined;
+  /** Drops a ticket that the worker has refused, so that the service is asked again. */
+  drop(stepId: string, workerId: string): void;
   /** Drops a worker's tickets, so that the service is asked about it again. */
   forgetWorker(workerId: string): void;
 }
@@ -137,6 +139,11 @@
     },
     find: (stepId, workerId) =>
       steps.get(stepId)?.tickets.get(workerId)?.ticket,
+    drop(stepId, workerId) {
+      const stepTickets = steps.get(stepId);
+      stepTickets?.tickets.delete(workerId);
+      stepTickets?.askedWorkers.delete(workerId);
+    },
     forgetWorker(workerId) {
       call?.endedWorkers.add(workerId);
       for (const stepTickets of steps.values()) {
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -1,5 +1,5 @@
 import { setTimeout as delay } from "node:timers/promises";
-import { type Clock, systemClock } from "../src/clock.ts";
+import { systemClock } from "../src/clock.ts";
 import { silentLogger } from "../src/logger.ts";
 import { createDueOccurrences } from "../src/scheduler/job_state.ts";
 import type { Journal, JournalRecord } from "../src/scheduler/journal.ts";
@@ -13,7 +13,11 @@
   WorkerControl,
   WorkerRegistration,
 } from "../src/scheduler/ports.ts";
-import { createScheduler, type Scheduler } from "../src/scheduler/scheduler.ts";
+import {
+  createScheduler,
+  type Scheduler,
+  type SchedulerOptions,
+} from "../src/scheduler/scheduler.ts";
 import type { TicketCache } from "../src/scheduler/ticket_cache.ts";
 import type { WorkerLink } from "../src/scheduler/worker_link.ts";
 import { createWorkerRegistry } from "../src/scheduler/worker_registry.ts";
@@ -65,11 +69,9 @@
 
 /** Creates a scheduler whose workers the test adds and answers for; a given journal isn't flushed by `flush`. */
 export function createTestScheduler(
-  options: {
-    readonly journal?: Journal;
-    readonly noticeMs?: number;
-    readonly clock?: Clock;
-  } = {},
+  options: Partial<
+    Pick<SchedulerOptions, "journal" | "noticeMs" | "clock" | "onTicketRefused">
+  > = {},
 ) {
   const { journal: testJournal, flush } = createTestJournal();
   const journal = options.journal ?? testJournal;
