fix(scheduler): tickets of finished steps are kept for the whole tenure

Cause: nothing dropped a step's entry of the ticket cache, so that an owner's memory grew with each step of a queue with placement advice, and forgetting a worker took longer and longer.

Change: an entry is dropped 60 s after the last round in which its step had waiting tasks; the dump shows the number of entries. The new test counted 6 entries instead of 2 without the dropping.

--- a/src/scheduler/placement_advice_test.ts
+++ b/src/scheduler/placement_advice_test.ts
@@ -281,6 +281,21 @@
   assert.deepEqual(requests.slice(1), [["w1"]]);
 });
 
+// Guards against an owner whose memory grows with each step that has ever run.
+test("the tickets of finished steps are dropped", async () => {
+  const { scheduler, plan, tickets, advance } = createFixture(2, ["w1"]);
+  for (let index = 0; index < 5; index++) {
+    scheduler.accept({ ...spec(), jobId: `${index}`.padStart(16, "0") });
+    await plan();
+    advance(10_000);
+  }
+  assert.equal(tickets.size(), 5);
+  advance(45_000);
+  scheduler.accept(spec());
+  await plan();
+  assert.equal(tickets.size(), 2);
+});
+
 // Guards against a step that waits for ever after a failed request, or sends requests without a pause.
 test("a failed request is repeated after a pause", async () => {
   const { scheduler, plan, advisor, requests, advance } = createFixture(2, [
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -490,6 +490,7 @@
       sinceMs: clock.wallMs() - startedAtWallMs,
       storeContactAgeMs: Math.round(storeContact.elapsedMs()),
       pendingRecords: journal.pending(),
+      stepsWithTickets: tickets.size(),
       relays: control.describe(),
       counters: scheduler.counters,
       fleet: fleet.describe(),
--- a/src/scheduler/ticket_cache.ts
+++ b/src/scheduler/ticket_cache.ts
@@ -7,6 +7,8 @@
 const WORKERS_PER_CALL = 30;
 /** A ticket isn't used in the last part of its validity, in ms, as storing the placement and sending the start order take that long. */
 const EXPIRY_MARGIN_MS = 400;
+/** Time after which the tickets of a step that has no waiting tasks are dropped, in ms. */
+const UNUSED_STEP_MS = 60_000;
 /** Delay after a request without a response, in ms. */
 const RETRY_DELAY_MS = 300;
 
@@ -17,10 +19,14 @@
   askedWorkers: Set<string>;
   /** Monotonic time before which no further request is sent for the step, in ms. */
   nextCallAtMs: number;
+  /** Monotonic time of the latest planning round in which the step had waiting tasks, in ms. */
+  usedAtMs: number;
 }
 
 /** Caches the tickets of the placement advice service, by step and worker. */
 export interface TicketCache {
+  /** Number of steps with cached tickets. */
+  readonly size: () => number;
   /** Returns the workers with a valid ticket for the step. */
   allowedWorkers(
     stepId: string,
@@ -84,6 +90,7 @@
       stepTickets.nextCallAtMs = now + RETRY_DELAY_MS;
       return;
     }
+    dropUnusedSteps();
     for (const workerId of asked) {
       if (!endedWorkers.has(workerId)) stepTickets.askedWorkers.add(workerId);
     }
@@ -103,19 +110,29 @@
   }
 
   function findStep(stepId: string): StepTickets {
-    let stepTickets = steps.get(stepId);
-    if (stepTickets === undefined) {
-      stepTickets = {
-        tickets: new Map(),
-        askedWorkers: new Set(),
-        nextCallAtMs: 0,
-      };
-      steps.set(stepId, stepTickets);
-    }
+    const stepTickets = steps.get(stepId) ?? {
+      tickets: new Map(),
+      askedWorkers: new Set(),
+      nextCallAtMs: 0,
+      usedAtMs: 0,
+    };
+    stepTickets.usedAtMs = clock.monotonicMs();
+    // The least recently used step comes first.
+    steps.delete(stepId);
+    steps.set(stepId, stepTickets);
     return stepTickets;
   }
 
+  function dropUnusedSteps(): void {
+    const limitMs = clock.monotonicMs() - UNUSED_STEP_MS;
+    for (const [stepId, { usedAtMs }] of steps) {
+      if (usedAtMs > limitMs) return;
+      steps.delete(stepId);
+    }
+  }
+
   return {
+    size: () => steps.size,
     allowedWorkers(stepId, workerIds) {
       const now = clock.monotonicMs();
       const { tickets } = findStep(stepId);
