fix(scheduler): a gang with more suspects than workers never starts again

Callers saw a job of a gang that was shown as running for good after the only worker of the gang had crashed, with twelve empty workers.

Cause: every member that is lost within 100 ms of its last sign of life becomes a suspect, and a gang with suspects was placed only if each of them got a worker of its own at the same time. Unlike for a single suspect, that wait had no limit, and the losses of a batch task are never cleared. A label or placement advice that leaves fewer workers than members has the same effect.

Change: if its suspects have waited as long as a single one does (0.2 s, or 1.5 s if they are likely to crash their workers), the gang starts on idle workers that they share, or else beside other tasks. Which member crashes its worker doesn't matter, as it fails the whole gang.

--- a/src/scheduler/crashes/trial_workers.ts
+++ b/src/scheduler/crashes/trial_workers.ts
@@ -1,5 +1,6 @@
 import {
   type CandidateWorker,
+  chooseGangWorkers,
   chooseWorker,
   fits,
   type PlacementRequest,
@@ -74,6 +75,43 @@
   };
 }
 
+/** A suspect that is to be placed. */
+export interface SuspectOptions {
+  readonly task: TaskState;
+  /** Whether the task is likely to crash its worker, which is worth a longer wait. */
+  readonly isLikely: boolean;
+  /** Current monotonic time, in ms. */
+  readonly nowMs: number;
+}
+
+/** Whether a suspect has waited so long for an idle worker that it is placed on any other one. */
+export function hasWaitedTooLong(
+  { task, isLikely, nowMs }: SuspectOptions,
+): boolean {
+  const waitLimitMs = isLikely ? MAXIMUM_WAIT_MS : FIRST_WAIT_MS;
+  return nowMs - (task.trialWaitSinceMs ?? nowMs) >= waitLimitMs;
+}
+
+/**
+ * Chooses workers for a gang of which more members are suspects than workers are
+ * idle: idle ones that several members share, or else any. It doesn't matter
+ * which member crashes its worker, as it fails the whole gang.
+ */
+export function chooseSharedTrialWorkers(
+  candidates: readonly CandidateWorker[],
+  request: PlacementRequest,
+  { size, instanceOf }: {
+    readonly size: number;
+    readonly instanceOf: (candidate: CandidateWorker) => WorkerInstance;
+  },
+): CandidateWorker[] | undefined {
+  const idle = candidates.filter((candidate) =>
+    runsOnlySuspects(instanceOf(candidate))
+  );
+  return chooseGangWorkers(idle, request, size) ??
+    chooseGangWorkers(candidates, request, size);
+}
+
 /**
  * Chooses a worker for a suspect: an idle one, or one that runs only suspects
  * which have proven harmless; after a long wait, the one with the fewest tasks.
@@ -81,12 +119,7 @@
 export function chooseTrialWorker(
   candidates: readonly CandidateWorker[],
   request: PlacementRequest,
-  { task, isLikely, nowMs, instanceOf }: {
-    readonly task: TaskState;
-    /** Whether the task is likely to crash its worker, which is worth a longer wait. */
-    readonly isLikely: boolean;
-    /** Current monotonic time, in ms. */
-    readonly nowMs: number;
+  { instanceOf, ...suspect }: SuspectOptions & {
     readonly instanceOf: (candidate: CandidateWorker) => WorkerInstance;
   },
 ): CandidateWorker | undefined {
@@ -95,14 +128,13 @@
   );
   // An idle worker is polled rarely; one that is down without being known would be blamed on the suspect.
   const inContact = suitable.filter((candidate) =>
-    nowMs - (instanceOf(candidate).link?.lastResponseAtMs ?? -Infinity) <
+    suspect.nowMs -
+        (instanceOf(candidate).link?.lastResponseAtMs ?? -Infinity) <
       RECENT_CONTACT_MS
   );
   const chosen = chooseWorker(inContact, request) ??
     chooseWorker(suitable, request);
-  const waitLimitMs = isLikely ? MAXIMUM_WAIT_MS : FIRST_WAIT_MS;
-  const waitedMs = nowMs - (task.trialWaitSinceMs ?? nowMs);
-  if (chosen !== undefined || waitedMs < waitLimitMs) return chosen;
+  if (chosen !== undefined || !hasWaitedTooLong(suspect)) return chosen;
   return candidates
     .filter((candidate) => fits(candidate, request))
     .sort((a, b) => {
--- a/src/scheduler/crashes/trial_workers_test.ts
+++ b/src/scheduler/crashes/trial_workers_test.ts
@@ -175,6 +175,46 @@
   assert.equal(others.has(undefined), false);
 });
 
+// Guards against a gang that never starts again after the crash of its only worker, as it has more suspects than its service has workers.
+test("suspects of a gang share idle workers after a wait", () => {
+  for (const [losses, waitMs] of [[1, 250], [2, 1_600]] as const) {
+    const { scheduler, workers, plan, advance } = createPlanner(3);
+    scheduler.accept({ ...spec([{ taskCount: 2 }]), jobId: OTHER_JOB });
+    openTasks(scheduler, OTHER_JOB).forEach((task) =>
+      scheduler.place(task, workers[0]!, { run: 1, ticket: undefined })
+    );
+    scheduler.accept(spec([{ taskCount: 8, gang: true }]));
+    const gang = openTasks(scheduler);
+    lose(gang, gang.map(() => losses));
+    plan();
+    assert.equal(gang.some(workerOf), false);
+    advance(waitMs);
+    plan();
+    assert.deepEqual(gang.map(({ run }) => run), gang.map(() => 1));
+    assert.equal(gang.every(workerOf), true);
+    assert.equal(workers[0]!.tasks.size, 2, "the busy worker");
+  }
+});
+
+// Guards against a gang with suspects that waits for ever because no worker becomes idle.
+test("a gang of suspects starts beside other tasks if no worker is idle", () => {
+  const { scheduler, workers, plan, advance } = createPlanner(2);
+  scheduler.accept({
+    ...spec([{ taskCount: 2, longRunning: true }]),
+    jobId: OTHER_JOB,
+  });
+  openTasks(scheduler, OTHER_JOB).forEach((task, index) =>
+    scheduler.place(task, workers[index]!, { run: 1, ticket: undefined })
+  );
+  scheduler.accept(spec([{ taskCount: 8, gang: true }]));
+  const gang = openTasks(scheduler);
+  lose(gang, [1, 1, 1]);
+  plan();
+  advance(250);
+  plan();
+  assert.equal(gang.every(workerOf), true);
+});
+
 // Guards against a service that fails and loses all its tasks because one of them was lost beside a task that crashes its workers.
 test("a long-running task that was lost with three workers waits 5 s and starts on a worker of its own", async () => {
   const context = createPlanner(3);
--- a/src/scheduler/placement_advice_test.ts
+++ b/src/scheduler/placement_advice_test.ts
@@ -9,6 +9,7 @@
 } from "../../testing/scheduler_helpers.ts";
 import { type Clock, systemClock } from "../clock.ts";
 import { silentLogger } from "../logger.ts";
+import type { RunLoss } from "./crashes/run_loss.ts";
 import { createTrialWorkers } from "./crashes/trial_workers.ts";
 import type { TaskState } from "./job_state.ts";
 import { planPlacements } from "./placement_planner.ts";
@@ -18,6 +19,17 @@
 
 const test = suite("placement with advice");
 
+/** Loss of a run that had just started. */
+const LOSS: RunLoss = {
+  run: 1,
+  worker: "w0",
+  born: 1,
+  vm: "",
+  young: true,
+  confirmed: false,
+  alone: false,
+  proven: true,
+};
 /** Number of test tasks that a worker has room for. */
 const TASKS_PER_WORKER = 10;
 const VALIDITY_MS = 3_000;
@@ -207,16 +219,7 @@
   const { scheduler, plan, trialWorkers } = createFixture(3, ["w1"]);
   scheduler.accept(spec());
   const [task] = openTasks(scheduler);
-  task!.losses = [1, 2].map((born) => ({
-    run: born,
-    worker: "w0",
-    born,
-    vm: "",
-    young: true,
-    confirmed: false,
-    alone: false,
-    proven: true,
-  }));
+  task!.losses = [LOSS, { ...LOSS, run: 2, born: 2 }];
   trialWorkers.reserve(
     "quoting",
     scheduler.workers.listByWorker("w1"),
@@ -226,6 +229,18 @@
   assert.equal(task!.placement?.workerId, "w1");
 });
 
+// Guards against a gang that never starts again after a crash because fewer workers may run it than it has members.
+test("a gang of suspects shares the only allowed worker", async () => {
+  const { scheduler, plan, advance } = createFixture(3, ["w2"]);
+  scheduler.accept(spec([{ taskCount: 5, gang: true }]));
+  const tasks = openTasks(scheduler);
+  for (const task of tasks) task.losses = [LOSS];
+  await plan();
+  advance(250);
+  await plan();
+  assert.deepEqual(countByWorker(tasks), { w2: 5 });
+});
+
 // Guards against start orders with the ticket of an ended process, which its successor rejects until the ticket expires.
 test("a response that arrives after a worker's end isn't applied to its next process", async () => {
   const { scheduler, plan, planOnce, advisor, tickets, requests } =
--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -29,7 +29,11 @@
   type ServiceCandidates,
 } from "./service_candidates.ts";
 import { judgeTask } from "./crashes/run_loss.ts";
-import { chooseTrialWorker } from "./crashes/trial_workers.ts";
+import {
+  chooseSharedTrialWorkers,
+  chooseTrialWorker,
+  hasWaitedTooLong,
+} from "./crashes/trial_workers.ts";
 import type { TicketCache } from "./ticket_cache.ts";
 import type { FairShare } from "./workspaces/fair_share.ts";
 import { createQuotaCheck, type QuotaCheck } from "./workspaces/quota.ts";
@@ -195,14 +199,56 @@
     request: PlacementRequest,
   ): void {
     placeTask(task, worker, run, service, request);
-    service.busyTrials++;
-    for (const list of [service.candidates, service.reserved]) {
-      const index = list.indexOf(worker);
-      if (index >= 0) list.splice(index, 1);
+    closeTrialWorkers(service, [worker]);
+  }
+
+  /** Closes workers that run a suspect to other tasks. */
+  function closeTrialWorkers(
+    service: ServiceCandidates,
+    workers: Iterable<CandidateWorker>,
+  ): void {
+    for (const worker of new Set(workers)) {
+      service.busyTrials++;
+      for (const list of [service.candidates, service.reserved]) {
+        const index = list.indexOf(worker);
+        if (index >= 0) list.splice(index, 1);
+      }
     }
   }
 
-  /** Places a gang of which each suspect gets a worker of its own; waits until there is room for all. */
+  /** Places a gang on workers that its suspects share, if every suspect has waited too long for a worker of its own; returns whether it did. */
+  function placeSharedGang(
+    tasks: readonly TaskState[],
+    suspects: readonly TaskState[],
+    service: ServiceCandidates,
+    request: PlacementRequest,
+  ): boolean {
+    const mayShare = suspects.every((task) =>
+      hasWaitedTooLong({
+        task,
+        isLikely: scheduler.crashes.isLikelyCause(task),
+        nowMs,
+      })
+    );
+    const workers = mayShare &&
+      chooseSharedTrialWorkers(
+        [...service.reserved, ...service.candidates],
+        request,
+        {
+          size: tasks.length,
+          instanceOf: ({ workerId }) => service.instances.get(workerId)!,
+        },
+      );
+    if (!workers) return false;
+    const run = nextGangRun(tasks);
+    tasks.forEach((task, index) =>
+      placeTask(task, workers[index]!, run, service, request)
+    );
+    closeTrialWorkers(service, workers);
+    return true;
+  }
+
+  /** Places a gang of which each suspect gets a worker of its own, or shares one after a long wait; waits until there is room for all. */
   function placeSuspectGang(
     tasks: readonly TaskState[],
     suspects: readonly TaskState[],
@@ -227,6 +273,7 @@
       others.length,
     );
     if (workers.size < suspects.length || otherWorkers === undefined) {
+      if (placeSharedGang(tasks, suspects, service, request)) return;
       service.waitingSuspects += suspects.filter(
         scheduler.crashes.isLikelyCause,
       ).length;
