fix(scheduler): accepted jobs need no tickets once their queue was removed

Callers saw an accepted job of a queue with placement advice that never ran on after a configuration had removed the queue; its starts were ordered without a ticket some 40 times a second for each task, and all refused.

Cause: for a queue that isn't in the configuration, resolveQueue returns what the job record holds, which was the service and the attempts but not whether the queue needs advice; an owner that has read no configuration yet did the same. A start that was refused for its ticket was placed again without a pause.

Change: the job record holds needsAdvice, like the other two. A start without a ticket that is refused for it is delayed by 2 s, as only a new configuration can change the outcome; callers can't set the field.

--- a/src/scheduler/job_frontend.ts
+++ b/src/scheduler/job_frontend.ts
@@ -365,6 +365,7 @@
         workspace: context.workspace ?? "",
         service: queue.service,
         maximumAttempts: queue.maximumAttempts,
+        needsAdvice: queue.needsAdvice,
         acceptedAtMs: clock.wallMs(),
       });
       const issues = parsed.success ? listJobIssues(parsed.data) : [
--- a/src/scheduler/job_frontend_test.ts
+++ b/src/scheduler/job_frontend_test.ts
@@ -103,6 +103,21 @@
   );
 });
 
+// Guards against an owner that forgets after the removal of a queue how its jobs have to be run.
+test("a stored job holds what its queue requires", async () => {
+  const fixture = createFixture();
+  const queue = { ...QUEUE, service: "cutting", needsAdvice: true };
+  await fixture.frontend.submit(queue, submission, fixture.context());
+  const { value } = fixture.store.items.get(STORE_KEYS.jobPrefix + JOB)!;
+  const { service, maximumAttempts, needsAdvice } = jobSpecSchema.parse(
+    JSON.parse(value),
+  );
+  assert.deepEqual(
+    { service, maximumAttempts, needsAdvice },
+    { service: "cutting", maximumAttempts: 3, needsAdvice: true },
+  );
+});
+
 // Guards against requests that wait until their deadline although the store is known to be unavailable.
 test("while the store is unavailable, requests get their final response at once", async () => {
   const fixture = createFixture();
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -53,6 +53,8 @@
   service: z.string().min(1),
   /** Number of failed runs of a task after which its job fails, as configured when the job was accepted. */
   maximumAttempts: z.number().int().min(1),
+  /** Whether start orders need tickets of the placement advice service, as configured when the job was accepted. */
+  needsAdvice: z.boolean().default(false),
   /** Opaque payload that is passed to the tasks unchanged. */
   specification: z.string().max(4_000),
   steps: z.array(stepSchema).min(1),
@@ -99,6 +101,7 @@
   excess: true,
   service: true,
   maximumAttempts: true,
+  needsAdvice: true,
   acceptedAtMs: true,
 });
 
--- a/src/scheduler/placement_advice_test.ts
+++ b/src/scheduler/placement_advice_test.ts
@@ -3,6 +3,7 @@
 import { suite } from "uvu";
 import {
   createTestScheduler,
+  JOB,
   openTasks,
   registrationOf,
   spec,
@@ -52,7 +53,11 @@
 };
 
 /** Creates workers, an advice service that allows some of them, and a planner whose clock the test advances. */
-function createFixture(workerCount: number, allowed: readonly string[]) {
+function createFixture(
+  workerCount: number,
+  allowed: readonly string[],
+  config: SchedulerConfig | "not read yet" = CONFIG,
+) {
   const context = createTestScheduler({
     onTicketRefused: (stepId, workerId) => tickets.drop(stepId, workerId),
   });
@@ -110,7 +115,7 @@
       isScarce: () => false,
       countArriving: () => new Map(),
       trialWorkers,
-    }, CONFIG);
+    }, config === "not read yet" ? undefined : config);
   return {
     ...context,
     tickets,
@@ -279,6 +284,45 @@
   assert.equal(calls.length, 2);
 });
 
+// Guards against an accepted job that never runs on after its queue was removed, or while its owner has no configuration: each start order without a ticket is refused.
+test("a job needs tickets as configured when it was accepted", async () => {
+  for (const config of [{ ...CONFIG, queues: [] }, "not read yet"] as const) {
+    const { scheduler, plan, flush, requests, tickets } = createFixture(
+      2,
+      ["w2"],
+      config,
+    );
+    scheduler.accept({ ...spec(), needsAdvice: true });
+    const tasks = openTasks(scheduler);
+    await plan();
+    await flush();
+    assert.deepEqual(countByWorker(tasks), { w2: 1 });
+    assert.equal(tickets.find(`${JOB}.0.0`, "w2"), `${JOB}.0.0/w2`);
+    assert.equal(requests.length, 1);
+  }
+});
+
+// Guards against start orders that are repeated without a pause although the next one can only be refused as well.
+test("a start without a ticket that was refused for it is delayed", async () => {
+  const { scheduler, plan, flush, state, calls, advance } = createFixture(
+    1,
+    [],
+    { ...CONFIG, queues: [] },
+  );
+  state.onStart = () => ({ kind: "refused", reason: "ticket" });
+  scheduler.accept(spec());
+  openTasks(scheduler);
+  for (let round = 0; round < 5; round++) {
+    await plan();
+    await flush();
+  }
+  assert.equal(calls.length, 1);
+  advance(2_000);
+  await plan();
+  await flush();
+  assert.equal(calls.length, 2);
+});
+
 // Guards against requests that use up the advice service, which handles one at a time.
 test("a worker is asked about once as long as its ticket is valid", async () => {
   const { scheduler, plan, planOnce, requests, advance } = createFixture(6, [
--- a/src/scheduler/resolve_queue.ts
+++ b/src/scheduler/resolve_queue.ts
@@ -1,10 +1,13 @@
 import type { JobSpec } from "./model.ts";
 import type { QueueConfig, SchedulerConfig } from "./ports.ts";
 
-/** Returns the configuration of a job's queue; if the queue was removed, one with the service and attempts recorded when the job was accepted. */
+/** Returns the configuration of a job's queue; if the queue was removed, one with the service, attempts and need of advice recorded when the job was accepted. */
 export function resolveQueue(
   config: SchedulerConfig | undefined,
-  job: Pick<JobSpec, "queue" | "service" | "maximumAttempts">,
+  job: Pick<
+    JobSpec,
+    "queue" | "service" | "maximumAttempts" | "needsAdvice"
+  >,
 ): QueueConfig {
   return config?.queues.find(({ name }) => name === job.queue) ?? {
     name: job.queue,
@@ -15,6 +18,6 @@
     maximumAttempts: job.maximumAttempts,
     stretch: 2,
     targetDurationMs: 1_000,
-    needsAdvice: false,
+    needsAdvice: job.needsAdvice,
   };
 }
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -161,7 +161,7 @@
         isListed(placement) || hasShrunk(instance)
       ) break;
     }
-    handleStartOutcome(task, placement, outcome);
+    handleStartOutcome(task, placement, { outcome, ticket: fields.ticket });
   }
 
   /** Stops a run whose start order may still be carried out; the task stays placed until a report proves that the run is gone. */
@@ -200,7 +200,10 @@
   function handleStartRefusal(
     task: TaskState,
     placement: Placement,
-    reason: OrderRefusal,
+    { reason, ticket }: {
+      readonly reason: OrderRefusal;
+      readonly ticket: string | undefined;
+    },
   ): void {
     switch (reason) {
       case "fenced":
@@ -218,6 +221,10 @@
         task.notBeforeMs = clock.monotonicMs() + INVALID_START_DELAY_MS;
         return requeueRefusedTask(task, placement, reason);
       case "ticket":
+        if (ticket === undefined) {
+          // The configuration doesn't tell yet, or no longer, that the worker wants tickets.
+          task.notBeforeMs = clock.monotonicMs() + INVALID_START_DELAY_MS;
+        }
         options.onTicketRefused(task, placement.workerId);
         return requeueRefusedTask(task, placement, reason);
       case "expired":
@@ -230,7 +237,10 @@
   function handleStartOutcome(
     task: TaskState,
     placement: Placement,
-    outcome: OrderOutcome,
+    { outcome, ticket }: {
+      readonly outcome: OrderOutcome;
+      readonly ticket: string | undefined;
+    },
   ): void {
     if (placement.startState !== "sending") return;
     if (
@@ -247,7 +257,10 @@
         if (placement.stopReason !== undefined) sendStop(task, placement);
         return;
       case "refused":
-        return handleStartRefusal(task, placement, outcome.reason);
+        return handleStartRefusal(task, placement, {
+          reason: outcome.reason,
+          ticket,
+        });
       case "not_sent":
         health.recordRefusal(placement.workerId);
         requeueRefusedTask(task, placement, outcome.kind);
