fix(scheduler): a healthy job fails after four crashes of its workers

Callers saw a job shown as failed though no run of it had ended failed: four workers had crashed one after the other, each 2 s into a run of the same task.

Cause: judgeTask gave a task up after four proven losses of any kind. A run that had lasted (100 ms or more after its confirmed start) proves that its task doesn't end its worker by being started, so it is no evidence for giving up.

Change: only losses of runs that had just started, or whose start was never confirmed, count towards the four. The task still becomes a suspect and gets a worker of its own after two losses. The limits of two and three young losses are unchanged, and so is the test that bounds the starts of tasks which crash every worker.

--- a/src/scheduler/crashes/run_loss.ts
+++ b/src/scheduler/crashes/run_loss.ts
@@ -31,7 +31,7 @@
 export const YOUNG_RUN_MS = 100;
 /** Time after which a long-running task is cleared of earlier losses, in ms. */
 export const CLEARED_AFTER_MS = 10_000;
-/** Number of losses after which a task is given up whatever their circumstances. */
+/** Number of losses of runs that had just started, or may never have, after which a task is given up whatever their other circumstances. */
 export const MAXIMUM_LOSSES = 4;
 /** Number of losses after a confirmed start, as a young run, after which a task is given up. */
 const MAXIMUM_YOUNG_LOSSES = 3;
@@ -40,18 +40,20 @@
  * Judges a task by its losses. Two crashes suffice if both hit a young run and
  * the latest one hit no other: the runs beside it had been harmless. A start that
  * was never confirmed may have been sent to a worker that was already down, so
- * that it counts only towards the total.
+ * that it counts only towards the total. A run that had lasted proves that its task
+ * can run; without a failed run, such losses are no reason to fail the job.
  */
 export function judgeTask(losses: readonly RunLoss[]): Verdict {
   const latest = losses.at(-1);
   if (latest === undefined) return "none";
   const proven = losses.filter((loss) => loss.proven);
-  const young = proven.filter((loss) => loss.young && loss.confirmed);
+  const blamed = proven.filter((loss) => loss.young || !loss.confirmed);
+  const young = blamed.filter((loss) => loss.confirmed);
   const last = proven.at(-1);
   const isolated = last !== undefined && last.young && last.confirmed &&
     last.alone;
   if (
-    proven.length >= MAXIMUM_LOSSES ||
+    blamed.length >= MAXIMUM_LOSSES ||
     young.length >= MAXIMUM_YOUNG_LOSSES ||
     (isolated && young.length >= 2)
   ) return "give_up";
--- a/src/scheduler/crashes/run_loss_test.ts
+++ b/src/scheduler/crashes/run_loss_test.ts
@@ -58,6 +58,17 @@
   }
 });
 
+// Guards against a healthy job that is shown as failed because its workers crashed one after the other.
+test("a task isn't given up for losses of runs that had lasted", () => {
+  const losses = [1, 2, 3, 4, 5].map((run) => loss(run));
+  assert.equal(judgeTask(losses), "suspect");
+  assert.equal(judgeTask([...losses, loss(6, young)]), "suspect");
+  assert.equal(
+    judgeTask([loss(1, young), ...losses, loss(6, young)]),
+    "suspect",
+  );
+});
+
 // Guards against a BUDGET: whatever the circumstances, a task isn't started three times more after three crashes.
 test("a task is given up after four losses of any kind", () => {
   const losses = [1, 2, 3, 4].map((run) => loss(run, { confirmed: false }));
