--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -132,6 +132,16 @@
   return listStepTasks(task);
 }
 
+/** Counts the failed runs of a task; a run of a gang counts once, however many of its members have failed in it. */
+export function countFailures(task: TaskState): number {
+  if (!getStep(task).gang) return task.failedRuns.size;
+  return new Set(
+    listGangTasks(task).flatMap(({ failedRuns }) => [
+      ...failedRuns,
+    ]),
+  ).size;
+}
+
 /** Creates the state of a job that has just been accepted. */
 export function createJobState(spec: JobSpec): JobState {
   return {
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -13,6 +13,7 @@
 import type { Journal } from "./journal.ts";
 import {
   chooseCheckpoint,
+  countFailures,
   createJobState,
   type FinalStatus,
   finishTask,
@@ -310,13 +311,7 @@
     task.avoidedWorkerId = workerId;
     const step = getStep(task);
     if (step.longRunning) return;
-    const failures = step.gang
-      ? listGangTasks(task).reduce(
-        (sum, member) => sum + member.failedRuns.size,
-        0,
-      )
-      : task.failedRuns.size;
-    if (failures >= maximumAttempts(task.job)) {
+    if (countFailures(task) >= maximumAttempts(task.job)) {
       failJob(task, `task ${task.taskId} has used up its attempts`);
     }
   }
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -364,6 +364,32 @@
   }
 });
 
+// Guards against a job that fails before its attempts are used up, because members of its gang have failed in the same run.
+test("a run of a gang in which several members fail counts once", async () => {
+  const context = createTestScheduler();
+  const { scheduler, instance, report } = context;
+  scheduler.accept(
+    spec({ steps: [{ ...spec().steps[0]!, taskCount: 2, gang: true }] }),
+  );
+  const gang = context.openTask().job.occurrences[0]!.steps[0]!;
+  let number = 0;
+  for (const run of [1, 2]) {
+    for (const task of gang) {
+      scheduler.place(task, instance, { run, ticket: undefined });
+    }
+    await context.flush();
+    assert.equal(scheduler.status(JOB), "running");
+    report(
+      gang.map(({ taskId }) => ({
+        ...endedRun(++number, run, "failed"),
+        taskId,
+      })),
+    );
+    await context.flush();
+  }
+  assert.equal(scheduler.status(JOB), "failed");
+});
+
 // Guards against continuing work for a cancelled job.
 test("a cancellation stops running tasks and sends no pending start order", async () => {
   const context = createTestScheduler();
