--- a/src/scheduler/vm_orders.ts
+++ b/src/scheduler/vm_orders.ts
@@ -12,7 +12,7 @@
 const BUSY_RETRY_DELAY_MS = 1_000;
 /** Time after an order without an answer in which it may still be executed, in ms; platforms have taken up to 12 s. */
 const LATE_ORDER_LIMIT_MS = 12_500;
-/** Maximum age of the stored record when its order is sent, in ms: by then another entry may have become the owner. */
+/** Maximum age of the stored record when its order is sent, in ms: by then another entry may have become the owner, which waits that much longer. */
 const RECORD_VALIDITY_MS = 700;
 
 /** An operation ordered for a VM. */
@@ -31,7 +31,7 @@
   isFree(vmId: string): boolean;
   /** Whether an order sent to the VM since `bornAtMs`, in ms since 1970, may have ended what ran there. */
   mayHaveEnded(vmId: string, bornAtMs: number): boolean;
-  /** Records an order of an earlier owner, sent at the given wall clock time. */
+  /** Records an order of an earlier owner, whose record was made at the given wall clock time. */
   recordEarlierOrder(vmId: string, atWallMs: number): void;
   /** Sends an order for a VM and calls back once its result is certain. */
   send(
@@ -126,14 +126,17 @@
   /** Stores the order before sending it; a successful commit proves that this entry is still the owner. */
   function storeIntent(delivery: Delivery): void {
     const { vmId, order } = delivery;
+    const recordAge = createStopwatch(clock);
     journal.put({
       key: VM_ORDER_PREFIX + vmId,
       urgent: true,
       // The order ends the VM's worker, and with it the list of ended runs that aren't stored yet.
       inOrder: true,
-      encode: () =>
-        JSON.stringify({ ...order, epoch: fence, atMs: clock.wallMs() }),
-      onStored: () => void deliver(delivery, createStopwatch(clock)),
+      encode() {
+        recordAge.restart();
+        return JSON.stringify({ ...order, epoch: fence, atMs: clock.wallMs() });
+      },
+      onStored: () => void deliver(delivery, recordAge),
     });
   }
 
@@ -202,7 +205,8 @@
       const ageMs = Math.max(0, clock.wallMs() - atWallMs);
       freeAtMs.set(
         vmId,
-        clock.monotonicMs() + Math.max(0, options.holderGapMs - ageMs),
+        clock.monotonicMs() +
+          Math.max(0, options.holderGapMs + RECORD_VALIDITY_MS - ageMs),
       );
     },
     send(vmId, order, onResult) {
--- a/src/scheduler/vm_orders_test.ts
+++ b/src/scheduler/vm_orders_test.ts
@@ -7,9 +7,18 @@
 
 const test = suite("VM orders");
 
-/** Orders whose records are stored at once; `pauseMs` is the time that only the wall clock has counted. */
+const HOLDER_GAP_MS = 3_000;
+
+/** Orders whose records are stored at once; `pauseMs` is the time that only the wall clock has counted, `elapsedMs` what both have. */
 function createTestOrders(outcomes: VmOrderOutcome[]) {
-  const state = { pauseMs: 0, mayOrder: true, mayTakeDown: true };
+  const state = {
+    pauseMs: 0,
+    elapsedMs: 0,
+    /** Duration of the next commit, in ms. */
+    commitMs: 0,
+    mayOrder: true,
+    mayTakeDown: true,
+  };
   const events: string[] = [];
   const fleet: VmApi = {
     list: () => Promise.resolve([]),
@@ -22,8 +31,11 @@
   const orders = createVmOrders({
     fleet,
     journal: {
-      put: ({ onStored }) => {
+      put: ({ encode, onStored }) => {
+        encode();
         events.push("record");
+        state.elapsedMs += state.commitMs;
+        state.commitMs = 0;
         onStored?.();
       },
       afterFlush: (callback) => callback(),
@@ -33,12 +45,12 @@
     holder: "entry-1",
     fence: 4,
     clock: {
-      monotonicMs: () => performance.now(),
-      wallMs: () => Date.now() + state.pauseMs,
+      monotonicMs: () => performance.now() + state.elapsedMs,
+      wallMs: () => Date.now() + state.elapsedMs + state.pauseMs,
     },
     log: silentLogger,
     mayOrder: () => state.mayOrder,
-    holderGapMs: 100,
+    holderGapMs: HOLDER_GAP_MS,
     mayTakeDown: () => state.mayTakeDown,
   });
   return { orders, events, state };
@@ -145,4 +157,26 @@
   assert.ok(orders.isFree("vm-1"));
 });
 
+// Guards against two owners that order one VM within the minimum time, as the first one repeats its order until its record is 0.7 s old.
+test("a VM isn't free until the last attempt of an earlier owner's order is old enough", () => {
+  const { orders, state } = createTestOrders([]);
+  orders.recordEarlierOrder("vm-1", Date.now());
+  state.elapsedMs += HOLDER_GAP_MS + 600;
+  assert.equal(orders.isFree("vm-1"), false);
+  state.elapsedMs += 200;
+  assert.equal(orders.isFree("vm-1"), true);
+});
+
+// Guards against an order that is sent although its record, of which the next owner reads the time, took too long to be stored.
+test("an order whose record took long to be stored is recorded again", async () => {
+  const { orders, events, state } = createTestOrders([]);
+  state.commitMs = 800;
+  let result = "";
+  orders.send("vm-1", { kind: "move", pool: "p" }, (outcome) => {
+    result = outcome;
+  });
+  await waitFor("the result", () => result !== "");
+  assert.deepEqual(events, ["record", "record", "move vm-1 p 4"]);
+});
+
 test.run();
