--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -216,7 +216,7 @@
     }
   }
 
-  /** Places a gang on workers that its suspects share, if every suspect has waited too long for a worker of its own; returns whether it did. */
+  /** Places a gang on workers that its suspects share; returns false if they haven't waited long enough for workers of their own, or don't fit. */
   function placeSharedGang(
     tasks: readonly TaskState[],
     suspects: readonly TaskState[],
@@ -230,16 +230,16 @@
         nowMs,
       })
     );
-    const workers = mayShare &&
-      chooseSharedTrialWorkers(
-        [...service.reserved, ...service.candidates],
-        request,
-        {
-          size: tasks.length,
-          instanceOf: ({ workerId }) => service.instances.get(workerId)!,
-        },
-      );
-    if (!workers) return false;
+    if (!mayShare) return false;
+    const workers = chooseSharedTrialWorkers(
+      [...service.reserved, ...service.candidates],
+      request,
+      {
+        size: tasks.length,
+        instanceOf: ({ workerId }) => service.instances.get(workerId)!,
+      },
+    );
+    if (workers === undefined) return false;
     const run = nextGangRun(tasks);
     tasks.forEach((task, index) =>
       placeTask(task, workers[index]!, run, service, request)
@@ -320,6 +320,7 @@
     requestTickets(createRequest(first, allowedWorkers), service, workers);
   }
 
+  /** Places the waiting tasks of a step; `allowedWorkers` are the only ones that may run it if the queue needs advice. */
   function placeStep(
     tasks: readonly TaskState[],
     service: ServiceCandidates,
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -265,7 +265,7 @@
     log.info("job failed", {
       job: job.spec.jobId,
       task: task.taskId,
-      failures: task.failedRuns.size,
+      failures: countFailures(task),
       reason,
     });
     stopAllRuns(job, "the job has failed");
