fix(fleet): a restored older record stays in the store if the controller has nothing to change

Cause: the controller reads the record again only if it follows a newer one than its copy. If it has read the latest record before the store is restored, it keeps that copy, finds nothing to change and never writes. The test restores the store right after the entries have the latest record; under load a planning step (every 1 s) came between the two.

Change: the fleet follower notes which revision the store has shown, and the controller reads the record again if that is lower than its copy's.

--- a/src/fleet/controller.ts
+++ b/src/fleet/controller.ts
@@ -44,6 +44,8 @@
   readonly config: Observable<AppliedConfig | undefined>;
   /** The record that this entry follows; its revision shows when the controller has to read its copy again. */
   readonly fleet: Observable<FleetRecord | undefined>;
+  /** The revision that the store last showed to this entry; undefined before the first one. */
+  readonly storedRevision: Observable<number | undefined>;
   readonly vmList: Observable<VmListSnapshot | undefined>;
   /** Digests of the region's live entries, this one included. */
   readonly entries: Observable<readonly EntryDigest[]>;
@@ -135,9 +137,12 @@
   /** Reads the record only if it has changed: at the fleet size expected in two years, reading it in each step would exceed the traffic limit. */
   async function loadRecord(): Promise<VersionedRecord> {
     const followedRevision = options.fleet.get()?.revision ?? 0;
-    if (cached === undefined || cached.record.revision < followedRevision) {
-      cached = await regionStore.readRecord();
-    }
+    const storedRevision = options.storedRevision.get() ?? Infinity;
+    if (
+      cached === undefined || cached.record.revision < followedRevision ||
+      // The store was restored, or this entry's watch lags behind its last write.
+      storedRevision < cached.record.revision
+    ) cached = await regionStore.readRecord();
     return cached;
   }
 
--- a/src/fleet/controller_test.ts
+++ b/src/fleet/controller_test.ts
@@ -168,6 +168,29 @@
   assert.equal(world.record(), { ...latest, revision: latest.revision + 1 });
 });
 
+// Guards against a restored record that stays in the store because the controller has read the latest one before and has nothing to change.
+test("a controller that has read the latest record notices an older one", async () => {
+  const { store, world, controller } = startSimulation([SPARE, SHOP_NOT_DUE]);
+  await world.runUntil(controller, () => world.record().revision > 0);
+  const history = store.history(fleetKey(REGION));
+  const latest = world.record();
+  const fleet = createObservable<FleetRecord | undefined>(latest);
+  const storedRevision = createObservable<number | undefined>(latest.revision);
+  store.expireLease(`controller/${REGION}`);
+  const successor = world.addController("c2", { fleet, storedRevision });
+  world.tick(1_000);
+  assert.is((await successor.step()).kind, "unchanged");
+  await store.compareAndSwap({
+    key: fleetKey(REGION),
+    expectedVersion: history.at(-1)?.version ?? 0,
+    value: JSON.stringify(createFleetRecord(REGION)),
+  });
+  storedRevision.set(0);
+  world.tick(1_000);
+  assert.is((await successor.step()).kind, "written");
+  assert.equal(world.record(), { ...latest, revision: latest.revision + 1 });
+});
+
 // Guards against an older version of the program that misreads a newer record.
 test("a record with an unknown newer schema version is refused", () => {
   const { world } = startSimulation([SHOP_DUE]);
--- a/src/fleet/follower.ts
+++ b/src/fleet/follower.ts
@@ -31,6 +31,8 @@
   readonly store: Store;
   readonly region: string;
   readonly current: MutableObservable<FleetRecord | undefined>;
+  /** Set to the revision of the stored record, which is lower than that of `current` after the store was restored. */
+  readonly storedRevision: MutableObservable<number | undefined>;
   readonly log: Logger;
   /** Called after each response from the store. */
   readonly onContact?: () => void;
@@ -40,7 +42,7 @@
 export function runFleetFollower(
   options: FleetFollowerOptions,
 ): Operation<void> {
-  const { store, region, current, log, onContact } = options;
+  const { store, region, current, storedRevision, log, onContact } = options;
   return runValueFollower({
     store,
     key: fleetKey(region),
@@ -48,7 +50,9 @@
     onContact,
     onValue(entry) {
       try {
-        setFleetRecordIfNewer(current, parseFleetRecord(entry.value));
+        const record = parseFleetRecord(entry.value);
+        storedRevision.set(record.revision);
+        setFleetRecordIfNewer(current, record);
       } catch (error) {
         log.error("stored fleet record is unreadable", {
           reason: messageOf(error),
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -56,6 +56,9 @@
   config: token<MutableObservable<AppliedConfig | undefined>>("config"),
   storeRevision: token<StoreRevisionTracker>("storeRevision"),
   fleet: token<MutableObservable<FleetRecord | undefined>>("fleet"),
+  storedFleetRevision: token<MutableObservable<number | undefined>>(
+    "storedFleetRevision",
+  ),
   /** Digests of all live entries of the region, including this one. */
   entries: token<MutableObservable<readonly EntryDigest[]>>("entries"),
   contacts: token<ContactTracker>("contacts"),
@@ -112,6 +115,10 @@
     TOKENS.fleet,
     () => createObservable<FleetRecord | undefined>(undefined),
   );
+  registerSingleton(
+    TOKENS.storedFleetRevision,
+    () => createObservable<number | undefined>(undefined),
+  );
   registerSingleton(TOKENS.storeRevision, () => {
     const config = scope.resolve(TOKENS.config);
     const fleet = scope.resolve(TOKENS.fleet);
--- a/testing/fleet_simulation.ts
+++ b/testing/fleet_simulation.ts
@@ -261,6 +261,7 @@
         store,
         config,
         fleet,
+        storedRevision: createObservable<number | undefined>(undefined),
         vmList,
         entries: digests,
         workerAgent,
