refactor(testing): one loss of a run that had just started for the planner tests

Change: scheduler_helpers.ts holds it. The new tests used an unconfirmed start, which plays no part in their verdict (suspect).

--- a/src/scheduler/crashes/trial_workers_test.ts
+++ b/src/scheduler/crashes/trial_workers_test.ts
@@ -5,29 +5,18 @@
   openTasks,
   registrationOf,
   spec,
+  YOUNG_LOSS,
 } from "../../../testing/scheduler_helpers.ts";
 import { type Clock, systemClock } from "../../clock.ts";
 import { silentLogger } from "../../logger.ts";
 import type { TaskState } from "../job_state.ts";
 import { planPlacements } from "../placement_planner.ts";
 import type { TicketCache } from "../ticket_cache.ts";
-import type { RunLoss } from "./run_loss.ts";
 import { createFairShare } from "../workspaces/fair_share.ts";
 import { createTrialWorkers } from "./trial_workers.ts";
 
 const test = suite("trial workers");
 
-const LOSS: RunLoss = {
-  run: 1,
-  worker: "w0",
-  born: 1,
-  vm: "",
-  young: true,
-  confirmed: true,
-  alone: false,
-  proven: true,
-};
-
 /** Creates workers with room for ten tasks each, and a planner whose clock the test advances. */
 function createPlanner(workerCount: number) {
   const context = createTestScheduler();
@@ -67,7 +56,7 @@
 function lose(tasks: readonly TaskState[], counts: readonly number[]): void {
   counts.forEach((count, index) => {
     tasks[index]!.losses = Array.from({ length: count }, (_, number) => ({
-      ...LOSS,
+      ...YOUNG_LOSS,
       born: number + 1,
     }));
   });
--- a/src/scheduler/placement_advice_test.ts
+++ b/src/scheduler/placement_advice_test.ts
@@ -7,10 +7,10 @@
   openTasks,
   registrationOf,
   spec,
+  YOUNG_LOSS,
 } from "../../testing/scheduler_helpers.ts";
 import { type Clock, systemClock } from "../clock.ts";
 import { silentLogger } from "../logger.ts";
-import type { RunLoss } from "./crashes/run_loss.ts";
 import { createTrialWorkers } from "./crashes/trial_workers.ts";
 import type { TaskState } from "./job_state.ts";
 import { planPlacements } from "./placement_planner.ts";
@@ -20,17 +20,6 @@
 
 const test = suite("placement with advice");
 
-/** Loss of a run that had just started. */
-const LOSS: RunLoss = {
-  run: 1,
-  worker: "w0",
-  born: 1,
-  vm: "",
-  young: true,
-  confirmed: false,
-  alone: false,
-  proven: true,
-};
 /** Number of test tasks that a worker has room for. */
 const TASKS_PER_WORKER = 10;
 const VALIDITY_MS = 3_000;
@@ -224,7 +213,7 @@
   const { scheduler, plan, trialWorkers } = createFixture(3, ["w1"]);
   scheduler.accept(spec());
   const [task] = openTasks(scheduler);
-  task!.losses = [LOSS, { ...LOSS, run: 2, born: 2 }];
+  task!.losses = [YOUNG_LOSS, { ...YOUNG_LOSS, run: 2, born: 2 }];
   trialWorkers.reserve(
     "quoting",
     scheduler.workers.listByWorker("w1"),
@@ -239,7 +228,7 @@
   const { scheduler, plan, advance } = createFixture(3, ["w2"]);
   scheduler.accept(spec([{ taskCount: 5, gang: true }]));
   const tasks = openTasks(scheduler);
-  for (const task of tasks) task.losses = [LOSS];
+  for (const task of tasks) task.losses = [YOUNG_LOSS];
   await plan();
   advance(250);
   await plan();
--- a/src/scheduler/workspaces/quota_test.ts
+++ b/src/scheduler/workspaces/quota_test.ts
@@ -5,10 +5,10 @@
   createTestScheduler,
   registrationOf,
   spec,
+  YOUNG_LOSS,
 } from "../../../testing/scheduler_helpers.ts";
 import { systemClock } from "../../clock.ts";
 import { silentLogger } from "../../logger.ts";
-import type { RunLoss } from "../crashes/run_loss.ts";
 import { createTrialWorkers } from "../crashes/trial_workers.ts";
 import { loadJobs } from "../load_jobs.ts";
 import type { JobSpec } from "../model.ts";
@@ -20,17 +20,6 @@
 
 const test = suite("quota");
 
-const LOSS: RunLoss = {
-  run: 1,
-  worker: "w0",
-  born: 1,
-  vm: "",
-  young: true,
-  confirmed: true,
-  alone: false,
-  proven: true,
-};
-
 function createConfig(bounds: Record<string, number>): SchedulerConfig {
   return {
     version: 1,
@@ -115,7 +104,7 @@
     const { accept, plan, used, state } = createPlanner(createConfig({ a: 1 }));
     const tasks = accept(1, "a", step);
     plan();
-    if (step.taskCount === 1) tasks()[0]!.losses = [LOSS];
+    if (step.taskCount === 1) tasks()[0]!.losses = [YOUNG_LOSS];
     state.config = createConfig({ a: bound });
     plan();
     assert.equal(used("a"), expected);
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { systemClock } from "../src/clock.ts";
 import { silentLogger } from "../src/logger.ts";
+import type { RunLoss } from "../src/scheduler/crashes/run_loss.ts";
 import { createDueOccurrences } from "../src/scheduler/job_state.ts";
 import type { Journal, JournalRecord } from "../src/scheduler/journal.ts";
 import { type JobSpec, jobSpecSchema } from "../src/scheduler/model.ts";
@@ -28,6 +29,18 @@
 /** ID of its first task. */
 export const TASK = `${JOB}.0.0.0`;
 
+/** Loss of a run that had just started, beside others that had as well. */
+export const YOUNG_LOSS: RunLoss = {
+  run: 1,
+  worker: "w0",
+  born: 1,
+  vm: "",
+  young: true,
+  confirmed: true,
+  alone: false,
+  proven: true,
+};
+
 /** Creates the test job with the given steps. */
 export function spec(
   steps: Partial<JobSpec["steps"][number]>[] = [{}],
