fix(jobs): reservations are recorded usage, not rounded up

Cause: usage profiles kept cores and memory in histograms with two significant digits, whose percentiles are the end of a bucket. A class that uses 8 cores of 16 reserved 8.03, so that one job instead of two fitted a worker, and a job that uses its team's whole quota was rejected. Evidence: with each decision logged, the shards wait for 'no_capacity' with grants of 16.06 and 24.09 cores once five runs have ended.

Change: UsageDistribution keeps the highest recorded value of each bucket. Percentiles are recorded values. Run times stay rounded (1 %), as they only give estimates.

--- a/src/jobs/profiles.ts
+++ b/src/jobs/profiles.ts
@@ -1,6 +1,7 @@
 import { build, type Histogram } from "hdr-histogram-js";
 import { classKeyOf, type JobSpec, type Size } from "./job.ts";
 import { fits } from "./size.ts";
+import { UsageDistribution } from "./usage_distribution.ts";
 
 /**
  * Number of runs of a class after which its measured usage replaces the
@@ -9,14 +10,14 @@
 const MINIMUM_RUNS = 5;
 /** Percentile of the class's usage that is reserved for a job. */
 const RESERVED_PERCENTILE = 95;
-/** Histogram units per core; histograms record integers only. */
+/** Smallest usage of cores that distributions distinguish, per core. */
 const UNITS_PER_CORE = 100;
 /** Maximum number of classes with a profile; the oldest one is dropped. */
 const MAXIMUM_CLASSES = 2_000;
 
-interface UsageHistograms {
-  readonly coreUnits: Histogram;
-  readonly memoryMb: Histogram;
+interface UsageProfile {
+  readonly cores: UsageDistribution;
+  readonly memoryMb: UsageDistribution;
   readonly runTimeMs: Histogram;
 }
 
@@ -37,13 +38,17 @@
   readonly runTimeMs: number;
 }
 
-function createHistogram(): Histogram {
-  return build({ numberOfSignificantValueDigits: 2, autoResize: true });
+function createProfile(): UsageProfile {
+  return {
+    cores: new UsageDistribution(UNITS_PER_CORE),
+    memoryMb: new UsageDistribution(1),
+    runTimeMs: build({ numberOfSignificantValueDigits: 2, autoResize: true }),
+  };
 }
 
 /** Measured resource usage of each `(team, jobClass)`. */
 export class UsageProfiles {
-  #profiles = new Map<string, UsageHistograms>();
+  #profiles = new Map<string, UsageProfile>();
 
   /** Adds a successful run. */
   add(spec: Pick<JobSpec, "team" | "jobClass">, use: RunUsage): void {
@@ -54,15 +59,11 @@
       if (this.#profiles.size >= MAXIMUM_CLASSES && oldest !== undefined) {
         this.#profiles.delete(oldest);
       }
-      profile = {
-        coreUnits: createHistogram(),
-        memoryMb: createHistogram(),
-        runTimeMs: createHistogram(),
-      };
+      profile = createProfile();
       this.#profiles.set(key, profile);
     }
-    profile.coreUnits.recordValue(Math.ceil(use.cores * UNITS_PER_CORE));
-    profile.memoryMb.recordValue(Math.ceil(use.memoryMb));
+    profile.cores.record(use.cores);
+    profile.memoryMb.record(use.memoryMb);
     profile.runTimeMs.recordValue(Math.max(0, Math.round(use.runTimeMs)));
   }
 
@@ -73,20 +74,18 @@
 
   /** Returns the classes with the most runs. */
   listMostUsed(count: number): ClassProfile[] {
-    const reservedValue = (histogram: Histogram) =>
-      histogram.getValueAtPercentile(RESERVED_PERCENTILE);
     return [...this.#profiles]
-      .sort(([, a], [, b]) => b.memoryMb.totalCount - a.memoryMb.totalCount)
+      .sort(([, a], [, b]) => b.runTimeMs.totalCount - a.runTimeMs.totalCount)
       .slice(0, count)
-      .map(([key, { coreUnits, memoryMb, runTimeMs }]) => {
+      .map(([key, { cores, memoryMb, runTimeMs }]) => {
         const [team = "", jobClass = ""] = key.split("/");
         return {
           team,
           jobClass,
-          runs: memoryMb.totalCount,
-          cores: reservedValue(coreUnits) / UNITS_PER_CORE,
-          memoryMb: reservedValue(memoryMb),
-          runTimeMs: reservedValue(runTimeMs),
+          runs: runTimeMs.totalCount,
+          cores: cores.atPercentile(RESERVED_PERCENTILE),
+          memoryMb: memoryMb.atPercentile(RESERVED_PERCENTILE),
+          runTimeMs: runTimeMs.getValueAtPercentile(RESERVED_PERCENTILE),
         };
       });
   }
@@ -99,19 +98,19 @@
     const { cores, memoryMb, accelerators } = spec;
     const declared = { cores, memoryMb, accelerators };
     const profile = this.#profiles.get(classKeyOf(spec));
-    if (profile === undefined || profile.memoryMb.totalCount < MINIMUM_RUNS) {
+    if (profile === undefined || profile.runTimeMs.totalCount < MINIMUM_RUNS) {
       return declared;
     }
-    const reservedValue = (histogram: Histogram) =>
-      histogram.getValueAtPercentile(RESERVED_PERCENTILE);
+    const measuredCores = profile.cores.atPercentile(RESERVED_PERCENTILE);
+    const measuredMemoryMb = profile.memoryMb.atPercentile(RESERVED_PERCENTILE);
     const measured = {
-      cores: Math.max(1, reservedValue(profile.coreUnits)) / UNITS_PER_CORE,
-      memoryMb: Math.max(1, reservedValue(profile.memoryMb)),
+      cores: Math.max(1 / UNITS_PER_CORE, measuredCores),
+      memoryMb: Math.max(1, measuredMemoryMb),
       accelerators,
     };
     if (workerSizes.some((size) => fits(measured, size))) return measured;
-    // The histogram rounds up. Usage that exceeds a worker by at most 2 % did
-    // fit that worker, so it is capped at the worker's size.
+    // Usage that exceeds a worker by at most 2 % did fit that worker, so it is
+    // capped at the worker's size.
     const sufficient = workerSizes.find((size) =>
       fits({ ...measured, cores: measured.cores * 0.98 }, {
         ...size,
