feat(scheduler): the native job interface tells why a job has failed

Change: GET of a failed job reads failureReason from the job's progress record. Reading statuses from the store moves to stored_status.ts. The platform's format, which states 'state' only, is unchanged and reads nothing more. Without the store the status comes without its reason.

Measured: the new case of native_job_protocol_test and the assertions in job_frontend_test pass; 29 tests in the five files that use these paths passed (job_frontend, native_job_protocol, load_jobs, peer_router, access).

--- a/src/scheduler/job_api.ts
+++ b/src/scheduler/job_api.ts
@@ -43,6 +43,8 @@
   /** Decodes a submitted job; throws an `InvalidJobError` if it is invalid. */
   decodeJob(jobId: string, body: unknown): Submission;
   encodeStatus(status: JobStatus): unknown;
+  /** Encodes the status of a failed job with its reason; without it, the reason isn't read. */
+  encodeFailure?(reason: string): unknown;
   encodeWaiting(jobs: number): unknown;
 }
 
@@ -237,7 +239,7 @@
         return {
           status: 200,
           outcome: result.status,
-          body: protocol.encodeStatus(result.status),
+          body: await encodeStatus(protocol, jobId, result.status),
         };
       case "unknown_job":
         return { status: 410, outcome: "unknown_job" };
@@ -246,6 +248,18 @@
     }
   }
 
+  async function encodeStatus(
+    protocol: JobProtocol,
+    jobId: string,
+    status: JobStatus,
+  ): Promise<unknown> {
+    if (status === "failed" && protocol.encodeFailure !== undefined) {
+      const reason = await frontend.failureReason(jobId);
+      if (reason !== undefined) return protocol.encodeFailure(reason);
+    }
+    return protocol.encodeStatus(status);
+  }
+
   async function cancel(
     jobId: string,
     context: RequestContext,
--- a/src/scheduler/job_frontend.ts
+++ b/src/scheduler/job_frontend.ts
@@ -1,7 +1,6 @@
 import type { Clock } from "../clock.ts";
 import { assertNever, messageOf, StoreError } from "../errors.ts";
 import type { Logger } from "../logger.ts";
-import { readRecordedStatus } from "./progress_record.ts";
 import {
   InvalidJobError,
   type JobSpec,
@@ -21,10 +20,8 @@
 } from "./ports.ts";
 import { createStopwatch, type Stopwatch } from "./stopwatch.ts";
 import type { StoreHealth } from "./store_health.ts";
-import {
-  describeConflict,
-  readStoredWorkspace,
-} from "./workspaces/stored_workspace.ts";
+import { createStoredStatus } from "./stored_status.ts";
+import { describeConflict } from "./workspaces/stored_workspace.ts";
 import {
   createSubmissionCheck,
   type SubmissionVerdict,
@@ -110,6 +107,8 @@
     context: RequestContext,
   ): Promise<SubmitResult>;
   status(jobId: string, context: RequestContext): Promise<StatusResult>;
+  /** Returns why a job has failed; undefined if that isn't known or can't be read now. */
+  failureReason(jobId: string): Promise<string | undefined>;
   cancel(jobId: string, context: RequestContext): Promise<CancelResult>;
   countWaiting(
     queue: string,
@@ -161,6 +160,7 @@
 /** Creates the job frontend of an entry. */
 export function createJobFrontend(options: JobFrontendOptions): JobFrontend {
   const { store, health, clock, log } = options;
+  const storedStatus = createStoredStatus(store, log);
   let storeFailedAtMs = -Infinity;
   const counts = new Map<string, { jobs: number; age: Stopwatch }>();
 
@@ -284,38 +284,6 @@
     return unresolved ? "unresolved" : "not_stored";
   }
 
-  /** Whether a workspace has a stored job with this ID. */
-  async function isStored(jobId: string, workspace: string): Promise<boolean> {
-    const item = await store.get(STORE_KEYS.jobPrefix + jobId);
-    return item !== undefined && readStoredWorkspace(item.value) === workspace;
-  }
-
-  /** Derives a job's status from the store; used if the owner doesn't respond or doesn't know the job. */
-  async function readStoredStatus(
-    jobId: string,
-    workspace: string,
-  ): Promise<StatusResult> {
-    const progress = await store.get(STORE_KEYS.progressPrefix + jobId);
-    if (progress !== undefined) {
-      const recorded = readRecordedStatus(progress.value);
-      if (recorded === undefined) {
-        log.error("invalid progress record in the store", { job: jobId });
-      } else if (recorded.workspace !== workspace) {
-        return { kind: "unknown_job" };
-      } else if (recorded.status !== "active") {
-        return { kind: "status", status: recorded.status };
-      }
-    }
-    if (!await isStored(jobId, workspace)) return { kind: "unknown_job" };
-    if (await store.get(STORE_KEYS.cancelPrefix + jobId) !== undefined) {
-      return { kind: "status", status: "cancelled" };
-    }
-    return {
-      kind: "status",
-      status: progress === undefined ? "queued" : "running",
-    };
-  }
-
   async function status(
     jobId: string,
     context: RequestContext,
@@ -329,7 +297,10 @@
       }
       try {
         // The owner may not know a new job yet.
-        return await readStoredStatus(jobId, workspace);
+        const stored = await storedStatus.read(jobId, workspace);
+        return stored === undefined
+          ? { kind: "unknown_job" }
+          : { kind: "status", status: stored };
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
       }
@@ -427,6 +398,14 @@
       }
     },
     status,
+    async failureReason(jobId) {
+      try {
+        return await storedStatus.failureReason(jobId);
+      } catch (error) {
+        if (!(error instanceof StoreError)) throw error;
+        return undefined;
+      }
+    },
     async cancel(jobId, context) {
       const previous = await status(jobId, context);
       if (previous.kind === "unknown_job") return { kind: "unknown_job" };
--- a/src/scheduler/job_frontend_test.ts
+++ b/src/scheduler/job_frontend_test.ts
@@ -279,7 +279,7 @@
 
 // Guards against reporting a job as unknown because the owner doesn't know it yet, or reporting a made-up
 // status because the owner is unavailable.
-test("the status is read from the owner, otherwise from the store", async () => {
+test("the status is read from the owner, otherwise from the store; the reason of a failure from the store", async () => {
   const unknown = createFixture({ status: () => Promise.resolve(undefined) });
   assert.deepEqual(
     await unknown.frontend.status(JOB, unknown.context()),
@@ -304,9 +304,15 @@
     await fixture.frontend.status(JOB, fixture.context()),
     { kind: "status", status: "completed" },
   );
+  assert.equal(await fixture.frontend.failureReason(JOB), undefined);
+  job.status = "failed";
+  job.failureReason = "the reason";
+  fixture.store.write(STORE_KEYS.progressPrefix + JOB, encodeProgress(job, 0));
+  assert.equal(await fixture.frontend.failureReason(JOB), "the reason");
   fixture.store.faults.down = true;
   const result = await fixture.frontend.status(JOB, fixture.context());
   assert.equal(result.kind, "unavailable");
+  assert.equal(await fixture.frontend.failureReason(JOB), undefined);
 });
 
 // Guards against a cancellation that is acknowledged before it is stored and so may be lost.
--- a/src/scheduler/native_job_protocol.ts
+++ b/src/scheduler/native_job_protocol.ts
@@ -30,5 +30,6 @@
   },
   decodeJob: parseSubmission,
   encodeStatus: (status) => ({ status }),
+  encodeFailure: (failureReason) => ({ status: "failed", failureReason }),
   encodeWaiting: (jobs) => ({ waitingJobs: jobs }),
 };
--- a/src/scheduler/native_job_protocol_test.ts
+++ b/src/scheduler/native_job_protocol_test.ts
@@ -128,4 +128,26 @@
   });
 });
 
+// Guards against callers who can't tell why their job has failed, and against a failed read of the reason
+// that hides the status.
+test("the status of a failed job comes with the reason, if it can be read", async () => {
+  for (
+    const failureReason of ["task 0.0.1 has used up its attempts", undefined]
+  ) {
+    await withServer({
+      status: () => Promise.resolve({ kind: "status", status: "failed" }),
+      failureReason: () => Promise.resolve(failureReason),
+    }, async (send) => {
+      const { status, body } = await send("GET", `${PATH}/${JOB}`);
+      assert.equal(status, 200);
+      assert.deepEqual(
+        body,
+        failureReason === undefined
+          ? { status: "failed" }
+          : { status: "failed", failureReason },
+      );
+    });
+  }
+});
+
 test.run();
--- a/src/scheduler/progress_record.ts
+++ b/src/scheduler/progress_record.ts
@@ -45,6 +45,7 @@
 const recordedStatusSchema = progressSchema.pick({
   status: true,
   workspace: true,
+  failureReason: true,
 }).extend({
   tasks: z.array(z.unknown()),
 });
@@ -104,18 +105,22 @@
   });
 }
 
-/** Reads the status, the workspace and the number of listed tasks from a progress record; undefined if the record is invalid. */
-export function readRecordedStatus(
-  value: string,
-):
-  | { status: JobState["status"]; workspace: string; tasks: number }
-  | undefined {
+/** Summary of a progress record. */
+export interface RecordedStatus {
+  readonly status: JobState["status"];
+  readonly workspace: string;
+  readonly failureReason: string | undefined;
+  /** Number of listed tasks. */
+  readonly tasks: number;
+}
+
+/** Reads the summary of a progress record; undefined if the record is invalid. */
+export function readRecordedStatus(value: string): RecordedStatus | undefined {
   try {
     // A new owner reads thousands of these records, so only the fields in use are validated.
-    const { status, workspace, tasks } = recordedStatusSchema.parse(
-      JSON.parse(value),
-    );
-    return { status, workspace, tasks: tasks.length };
+    const { status, workspace, failureReason, tasks } = recordedStatusSchema
+      .parse(JSON.parse(value));
+    return { status, workspace, failureReason, tasks: tasks.length };
   } catch {
     // The caller logs the invalid record; the status must not be guessed.
     return undefined;
