--- a/testing/faults/raised_budget_test.ts
+++ b/testing/faults/raised_budget_test.ts
@@ -37,8 +37,9 @@
   return checkRecord(record, resolveConfig(text, "raised"));
 }
 
-// Guards against loans and drains that continue in violation of a raised availability budget, and
-// against requests that are aborted when a VM is returned or rebooted.
+// Guards against loans and drains that continue in violation of a raised availability budget, against
+// requests that are aborted when a VM is returned or rebooted, and against healthy instances that are
+// ejected as silent because the service is slow, for which an entry once refused a request.
 test("a budget that is raised during a wave and loans is restored without aborting requests", () =>
   withController(buildConfig(1, 2), {
     entryCount: 2,
@@ -134,6 +135,12 @@
     }
     console.log(`${answered} requests answered, ${failed.length} not answered`);
     assert.equal(failed.slice(0, 5), []);
+    const ejectionsForSilence = entries.flatMap(({ output }) =>
+      output().split("\n").filter((line) =>
+        line.includes("instance ejected") && line.includes('"silent"')
+      )
+    );
+    assert.equal(ejectionsForSilence, [], "all instances respond");
   }));
 
 test.run();
