fix(jobs): a job cancelled before its start was sent ends at once

Callers saw cancelled jobs stay open for 60 s and then end as outcome_unknown, though no worker ever got them. Their share of worker and quota was occupied.

Cause: a cancellation that is written together with the job's assignment keeps the start from being sent, and the run then waits for START_LIMIT_MS for a report that can't come.

Change: TaskCommands remembers planned runs for which it hasn't sent a command; a cancelled one ends at the next step, as not_run unless the job ran before. A new owner knows of none, and keeps the limit.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -312,11 +312,13 @@
       fencingToken: ownership.fencingToken,
       reportsSinceMs: ownership.sinceMs,
       context,
+      isUnsent: (taskId: string) => this.#commands.isUnsent(taskId),
     };
     const claimedAtMs = clock.monotonicMs();
     const allowance = await this.#quotaClient.requestGrants(input);
     const plan = planShard({ ...input, allowance });
     if (clock.monotonicMs() - claimedAtMs >= GRANT_LIFETIME_MS) return "done";
+    this.#commands.recordPlanned(plan);
     if (!await this.#commit(base.jobs, plan)) return "replaced";
     const record = this.writer.record;
     if (record === undefined) return "replaced";
--- a/src/jobs/plan_shard.ts
+++ b/src/jobs/plan_shard.ts
@@ -91,6 +91,8 @@
   readonly reportsSinceMs: number;
   readonly context: SchedulingContext;
   readonly allowance?: Allowance | undefined;
+  /** Returns whether no worker can have got a command for an assigned task. */
+  readonly isUnsent: (taskId: string) => boolean;
 }
 
 function observeRun(input: ShardPlanInput, job: Job, run: Run): RunObservation {
@@ -152,6 +154,7 @@
     const { nowMs } = input.context;
     const after = reconcileJob(job, {
       observation,
+      isUnsent: input.isUnsent(taskIdOf(job, run)),
       nowMs,
       attributeFailure: attribute,
     });
--- a/src/jobs/reconcile.ts
+++ b/src/jobs/reconcile.ts
@@ -51,6 +51,8 @@
 /** Input of `reconcileJob`. */
 export interface ReconcileInput {
   readonly observation: RunObservation;
+  /** Whether no worker can have got a command for the run. */
+  readonly isUnsent: boolean;
   readonly nowMs: number;
   /** Attributes a failure, given the workers on which the job has failed. */
   readonly attributeFailure: (
@@ -172,14 +174,24 @@
   );
 }
 
+/** Ends a cancelled job whose current run was assigned but never sent. */
+function endUnsentRun(job: Job, nowMs: number): Job {
+  const outcome: JobOutcome = job.attempts === 1
+    ? { kind: "not_run", reason: "cancelled" }
+    : { kind: "cancelled" };
+  return endJob(job, outcome, nowMs);
+}
+
 /**
  * Returns the next state of a started job, given the observation of its run.
  */
 export function reconcileJob(job: Job, input: ReconcileInput): Job {
   const { state } = job;
   if (state.kind === "queued" || state.kind === "ended") return job;
-  const { observation, nowMs } = input;
+  const { observation, isUnsent, nowMs } = input;
   const { run } = state;
+  const cancelled = job.cancelRequestedAtMs !== undefined;
+  if (cancelled && isUnsent) return endUnsentRun(job, nowMs);
   switch (observation.kind) {
     case "gone":
       return endLostRun(job, "worker_gone", nowMs);
--- a/src/jobs/reconcile_test.ts
+++ b/src/jobs/reconcile_test.ts
@@ -35,6 +35,7 @@
         checkpointConfirmed: false,
         rebootIntentId,
       },
+      isUnsent: false,
       nowMs,
       attributeFailure: () => ({ kind: "neither", reason: "" }),
     }).state.kind;
@@ -60,6 +61,7 @@
         checkpointConfirmed,
         rebootIntentId: undefined,
       },
+      isUnsent: false,
       nowMs,
       attributeFailure: () => ({ kind: "neither", reason: "" }),
     });
--- a/src/jobs/task_commands.ts
+++ b/src/jobs/task_commands.ts
@@ -47,6 +47,8 @@
   #options: TaskCommandsOptions;
   #runSentAtMs = new Map<string, number>();
   #stopSentAtMs = new Map<string, number>();
+  /** Tasks assigned by this dispatcher for which it hasn't sent any command. */
+  #unsent = new Set<string>();
 
   constructor(options: TaskCommandsOptions) {
     this.#options = options;
@@ -59,6 +61,26 @@
   reset(): void {
     this.#runSentAtMs.clear();
     this.#stopSentAtMs.clear();
+    this.#unsent.clear();
+  }
+
+  /**
+   * Records the tasks that a plan starts for the first time. Must be called
+   * before the plan is written.
+   */
+  recordPlanned(plan: ShardPlan): void {
+    for (const job of plan.changes) {
+      if (job.state.kind !== "assigned" || job.state.run.resumed) continue;
+      this.#unsent.add(taskIdOf(job, job.state.run));
+    }
+  }
+
+  /**
+   * Returns whether no worker can have got a command for an assigned task. False
+   * if another dispatcher may have sent one.
+   */
+  isUnsent(taskId: string): boolean {
+    return this.#unsent.has(taskId);
   }
 
   /** Starts assigned tasks and renews the leases of running ones. */
@@ -95,6 +117,12 @@
     for (const taskId of this.#runSentAtMs.keys()) {
       if (!active.has(taskId)) this.#runSentAtMs.delete(taskId);
     }
+    // During an outage the jobs may lack a plan whose write is unresolved.
+    if (!options.renewOnly) {
+      for (const taskId of this.#unsent) {
+        if (!active.has(taskId)) this.#unsent.delete(taskId);
+      }
+    }
     await Promise.all(calls);
   }
 
@@ -127,6 +155,7 @@
     const taskId = taskIdOf(job, run);
     if (job.state.kind === "assigned" && !hasValidLease()) return;
     this.#runSentAtMs.set(taskId, clock.monotonicMs());
+    this.#unsent.delete(taskId);
     try {
       await agent.runTask(address, {
         taskId,
