test(jobs): routes_test checks its submissions, its largest job has its own class

Cause: beside busy loops the test failed in 2 of 16 runs with 'Timed out waiting until a job that fits no worker ends'. The job of 4,000 cores had the class of the 40 jobs before it.

Change: that job gets a class of its own, so that it must end as fits_no_worker each time. The long jobs must be accepted with 201, which nothing checked.

--- a/src/jobs/routes_test.ts
+++ b/src/jobs/routes_test.ts
@@ -88,7 +88,12 @@
       assert.is(body.attempts, 1);
     }
 
-    const huge = await submit(a, { ...SPEC, cores: 4_000 });
+    // A class of its own: the declared size of a class whose use is known doesn't count.
+    const huge = await submit(a, {
+      ...SPEC,
+      jobClass: "huge",
+      cores: 4_000,
+    });
     await waitFor("a job that fits no worker ends", async () => {
       const { body } = await call(b, `/${huge.key}`);
       return body.state.outcome?.reason === "fits_no_worker";
@@ -100,6 +105,9 @@
         () => submit(b, { ...SPEC, command: "run 60000" }),
       ),
     );
+    for (const { reply } of long) {
+      assert.is(reply.status, 201, JSON.stringify(reply));
+    }
     const jobIds = long.map(({ key }) => key);
     // Guards against an admin server that shows no jobs, or whose response
     // `explain` can't parse.
