--- a/src/scheduler/ports.ts
+++ b/src/scheduler/ports.ts
@@ -122,7 +122,7 @@
   readonly bornAtMs: number | undefined;
   readonly running: readonly ActiveRunReport[];
   readonly ended: readonly EndedRunReport[];
-  /** Whether `ended` may leave out runs that have ended, which the worker lists once these are acknowledged. */
+  /** Whether runs of the worker may be in neither list: ended ones that it lists once these are acknowledged, or ones that can't be read. */
   readonly hasMoreEnded: boolean;
 }
 
@@ -231,13 +231,20 @@
   readonly ticket: string;
 }
 
+/** Tickets for the workers that may run a step. */
+export interface PlacementAdvice {
+  readonly tickets: readonly PlacementTicket[];
+  /** Time for which workers accept the tickets, in ms. */
+  readonly validityMs: number;
+}
+
 /** The platform's placement advice service. */
 export interface PlacementAdvisor {
-  /** Returns tickets for the workers that may run the step; undefined if the service didn't respond. */
+  /** Returns undefined if the service didn't respond. */
   advise(
     stepId: string,
     workerIds: readonly string[],
-  ): Promise<{ tickets: PlacementTicket[]; validityMs: number } | undefined>;
+  ): Promise<PlacementAdvice | undefined>;
 }
 
 /** A maintenance wave requested by operators. */
