test(scheduler): tasks of a worker whose VM is paused

Change: the fake workers can be paused: they do nothing, and execute the orders of that time when they are resumed. The test of silent workers runs for paused ones as well, with 1, 3, 6 and 10 s, and now also checks that a task has one run at the end.

--- a/src/scheduler/ownership_faults_test.ts
+++ b/src/scheduler/ownership_faults_test.ts
@@ -302,37 +302,42 @@
   });
 });
 
-// Guards against runs of a worker that is alive but silent being started again, or given up, before their lease has expired.
-test("tasks of a silent worker keep running, and run elsewhere only once their lease has expired", async () => {
-  await withCluster("silent workers", async (cluster) => {
-    const silenceMs = [1_000, 3_000, 6_000, 10_000];
-    const job = await cluster.submit([
-      { taskCount: 5, maxPerWorker: 1, longRunning: true },
-    ]);
-    const listRuns = () =>
-      [...cluster.workers.workers.values()].flatMap((worker) =>
-        [...worker.running.values()].filter(({ taskId }) =>
-          taskId.startsWith(job)
-        ).map(({ taskId, run }) => ({ worker, taskId, run }))
-      );
-    await waitFor("all tasks run", () => listRuns().length === 5);
-    const before = listRuns();
-    const { silent } = cluster.workers.faults;
-    await Promise.all(silenceMs.map(async (durationMs, index) => {
-      const { worker, taskId } = before[index]!;
-      const { workerId } = worker.registration;
-      silent.add(workerId);
-      await delay(durationMs);
-      silent.delete(workerId);
-      await delay(1_000);
-      const run = listRuns().find((entry) => entry.taskId === taskId);
-      if (durationMs < RUN_LEASE_MS) {
-        assert.equal(run?.worker, worker, `${durationMs} ms`);
-        assert.equal(run?.run, 1, `${durationMs} ms`);
-      } else assert.ok((run?.run ?? 0) > 1, `${durationMs} ms`);
-    }));
+// Guards against runs of a worker that is alive but silent being started again, or given up, before their lease has expired;
+// and against runs that a paused VM goes on with, or starts by an old order, once they run elsewhere.
+for (const fault of ["silent", "paused"] as const) {
+  test(`tasks of a ${fault} worker keep running, and run elsewhere only once their lease has expired`, async () => {
+    await withCluster(`${fault} workers`, async (cluster) => {
+      const outagesMs = [1_000, 3_000, 6_000, 10_000];
+      const job = await cluster.submit([
+        { taskCount: 5, maxPerWorker: 1, longRunning: true },
+      ]);
+      const listRuns = () =>
+        [...cluster.workers.workers.values()].flatMap((worker) =>
+          [...worker.running.values()].filter(({ taskId }) =>
+            taskId.startsWith(job)
+          ).map(({ taskId, run }) => ({ worker, taskId, run }))
+        );
+      await waitFor("all tasks run", () => listRuns().length === 5);
+      const before = listRuns();
+      const affected = cluster.workers.faults[fault];
+      await Promise.all(outagesMs.map(async (durationMs, index) => {
+        const { worker, taskId } = before[index]!;
+        const { workerId } = worker.registration;
+        affected.add(workerId);
+        await delay(durationMs);
+        affected.delete(workerId);
+        await delay(1_000);
+        const runs = listRuns().filter((entry) => entry.taskId === taskId);
+        assert.equal(runs.length, 1, `${durationMs} ms`);
+        const [run] = runs;
+        if (durationMs < RUN_LEASE_MS) {
+          assert.equal(run?.worker, worker, `${durationMs} ms`);
+          assert.equal(run?.run, 1, `${durationMs} ms`);
+        } else assert.ok((run?.run ?? 0) > 1, `${durationMs} ms`);
+      }));
+    });
   });
-});
+}
 
 // Guards against an owner of a large fleet that sends all orders itself because no entry has offered itself as a relay.
 test("each other entry offers itself as a relay to every new owner", async () => {
--- a/testing/fake_task_workers.ts
+++ b/testing/fake_task_workers.ts
@@ -38,6 +38,10 @@
   readonly unreachable: Set<string>;
   /** Ids of workers that execute polls but whose reports get lost. */
   readonly silent: Set<string>;
+  /** Ids of workers whose VM is paused: they do nothing, and execute the orders of that time when it is resumed. */
+  readonly paused: Set<string>;
+  /** Ids of workers whose reports contain a run that can't be read; only the soak's servers apply it. */
+  readonly unreadable: Set<string>;
   /** Ids of tasks that end each worker that starts them. */
   readonly deadlyTasks: Set<string>;
   /** Time from the start of such a task to the end of its worker, in ms. */
@@ -160,6 +164,8 @@
     failedRunRate: 0,
     unreachable: new Set(),
     silent: new Set(),
+    paused: new Set(),
+    unreadable: new Set(),
     deadlyTasks: new Set(),
     deadlyAfterMs: 10,
     capacityGraceMs: CAPACITY_GRACE_MS,
@@ -167,6 +173,8 @@
   /** Called when a worker's process has crashed. */
   onCrash: (worker: FakeTaskWorker) => void = () => {};
   readonly workers = new Map<string, FakeTaskWorker>();
+  /** Orders that have reached a paused VM. */
+  #pausedOrders: { worker: FakeTaskWorker; execute: () => void }[] = [];
   readonly #timer: NodeJS.Timeout;
 
   constructor(readonly random: Random, readonly invariants: InvariantChecker) {
@@ -207,10 +215,23 @@
     }, this.faults.deadlyAfterMs).unref();
   }
 
+  #isPaused({ registration: { workerId } }: FakeTaskWorker): boolean {
+    return this.faults.paused.has(workerId);
+  }
+
+  /** Executes what has reached workers that are no longer paused. */
+  #executePausedOrders(): void {
+    const orders = this.#pausedOrders;
+    this.#pausedOrders = orders.filter(({ worker }) => this.#isPaused(worker));
+    for (const { worker, execute } of orders) {
+      if (worker.alive && !this.#isPaused(worker)) execute();
+    }
+  }
+
   /** Ends the runs that are over, and all runs of workers whose lease has lapsed. */
   #tick(): void {
     for (const worker of this.workers.values()) {
-      if (!worker.alive) continue;
+      if (!worker.alive || this.#isPaused(worker)) continue;
       const lapsed = worker.clockMs() > worker.leaseEndMs;
       for (const run of [...worker.running.values()]) {
         if (lapsed) worker.end(run.taskId, "lapsed");
@@ -229,6 +250,7 @@
         }
       }
     }
+    this.#executePausedOrders();
   }
 
   /** Reports each guarantee that the start of a run violates. */
@@ -244,7 +266,10 @@
       );
     }
     for (const other of this.workers.values()) {
-      if (other.alive && other.running.has(order.taskId)) {
+      // A paused worker ends its runs when it is resumed, if their lease is over.
+      const isOver = this.#isPaused(other) &&
+        other.clockMs() > other.leaseEndMs;
+      if (other.alive && !isOver && other.running.has(order.taskId)) {
         checker.report(
           "DUPLICATE_RUN",
           `${order.taskId} run ${order.run} starts on ${worker.registration.workerId} while it runs on ${other.registration.workerId}`,
@@ -317,6 +342,11 @@
       // The caller gives up on an unreachable worker after 50 ms.
       return delay(50, { kind: "unknown" as const });
     }
+    if (this.#isPaused(worker)) {
+      const execute = () => void run(worker);
+      this.#pausedOrders.push({ worker, execute });
+      return delay(100, { kind: "unknown" as const });
+    }
     if (this.random.next() < this.faults.lateOrderRate) {
       const lateMs = 200 + this.random.next() * this.faults.lateMs;
       setTimeout(() => {
@@ -473,7 +503,7 @@
         });
         if (
           !isUp() || !worker.alive || this.faults.unreachable.has(workerId) ||
-          this.faults.silent.has(workerId)
+          this.faults.silent.has(workerId) || this.#isPaused(worker)
         ) {
           return delay(50, noResponse);
         }
