--- a/testing/soak/fake_fleet.ts
+++ b/testing/soak/fake_fleet.ts
@@ -24,6 +24,8 @@
 
 /** In-memory fleet of VMs. Each move, maintenance or crash of a VM replaces its worker. */
 export class FakeFleet {
+  /** Ids of VMs whose entry in the VM list can't be read. */
+  readonly unreadableVms = new Set<string>();
   readonly vms = new Map<string, FakeVm>();
   /** Shared address of all workers. */
   workerAddress = "";
@@ -166,7 +168,7 @@
     });
   }
 
-  /** Returns the VM list in its wire format. */
+  /** Returns the VM list in its wire format; entries of `unreadableVms` lack their capacity. */
   listVms() {
     return [...this.vms.values()].map((vm) => ({
       machine: vm.vmId,
@@ -174,7 +176,9 @@
       state: vm.state,
       zone: "dc-1",
       labels: ["plain", vm.rack],
-      capacity: { cpu: 8_000, "mem-mb": 16_000 },
+      ...(this.unreadableVms.has(vm.vmId)
+        ? {}
+        : { capacity: { cpu: 8_000, "mem-mb": 16_000 } }),
       id: vm.workerId,
     }));
   }
--- a/testing/soak/fault_kinds.ts
+++ b/testing/soak/fault_kinds.ts
@@ -150,6 +150,24 @@
         }),
       );
     }],
+    ["worker VM is paused", () => {
+      const vms = [...fleet.vms.values()];
+      const { workerId } = vms[random.nextInteger(vms.length)]!;
+      workers.faults.paused.add(workerId);
+      restoreLater(() => void workers.faults.paused.delete(workerId));
+    }],
+    ["unreadable records, VMs and runs", () => {
+      const vms = [...fleet.vms.values()];
+      const { vmId, workerId } = vms[random.nextInteger(vms.length)]!;
+      store.write(`servers/unreadable-${context.faultNumber}`, "{");
+      store.write(`op/wave/${10_000 + context.faultNumber}`, "[]");
+      fleet.unreadableVms.add(vmId);
+      workers.faults.unreadable.add(workerId);
+      restoreLater(() => {
+        fleet.unreadableVms.delete(vmId);
+        workers.faults.unreadable.delete(workerId);
+      });
+    }],
   ];
   return kinds.map(([name, inject]) => ({ name, inject }));
 }
--- a/testing/soak/platform_host.ts
+++ b/testing/soak/platform_host.ts
@@ -159,17 +159,19 @@
   }
 }
 
-function encodeReport(report: WorkerReport) {
+function encodeReport(report: WorkerReport, hasUnreadableRun: boolean) {
   return {
     "clock-ms": report.clockMs,
     born: report.bornAtMs,
-    running: report.running.map((row) => [
-      row.taskId,
-      row.run,
-      row.checkpoint,
-      Math.floor(row.percent),
-      row.loadMetric,
-    ]),
+    running: report.running.map((row, index) =>
+      hasUnreadableRun && index === 0 ? null : [
+        row.taskId,
+        row.run,
+        row.checkpoint,
+        Math.floor(row.percent),
+        row.loadMetric,
+      ]
+    ),
     finished: report.ended.map((row) => [
       row.number,
       row.taskId,
@@ -182,7 +184,10 @@
 
 async function handleWorkerCall(
   control: WorkerControl,
-  workerId: string,
+  { workerId, hasUnreadableRun }: {
+    readonly workerId: string;
+    readonly hasUnreadableRun: boolean;
+  },
   { url, body }: JsonCall,
 ): Promise<JsonReply | undefined> {
   const requestFields = body as RequestFields;
@@ -218,7 +223,7 @@
           leaseEndMs: requestFields["deadline-ms"],
           waitMs: requestFields["wait-ms"] ?? 0,
         }),
-        encodeReport,
+        (report) => encodeReport(report, hasUnreadableRun),
       );
     default:
       return { status: 404 };
@@ -253,7 +258,8 @@
     const workerId = String(call.headers["cowslipferry-expected-instance"]);
     const worker = workers.workers.get(workerId);
     if (worker === undefined) return { status: 421 };
-    return handleWorkerCall(control, workerId, call);
+    const hasUnreadableRun = workers.faults.unreadable.has(workerId);
+    return handleWorkerCall(control, { workerId, hasUnreadableRun }, call);
   }));
 }
 
