--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -48,14 +48,20 @@
   needsAdvice: false,
 };
 
+/** Pool of the VMs that `addSpareVm` adds. */
+const SPARE_POOL = "spare";
+
 const CONFIG: SchedulerConfig = {
   version: 1,
   queues: [QUEUE],
-  sparePools: [],
-  services: ["quoting"],
+  sparePools: [SPARE_POOL],
+  services: ["quoting", SPARE_POOL],
   maximumBodyBytes: 100_000,
 };
 
+/** Resources of each VM. */
+const VM_CAPACITY = { cpuMillis: 8_000, memoryMb: 16_000, gpuCount: 0 };
+
 const recordCodec: PlatformRecordCodec = {
   operatorPrefix: "op/",
   workerPrefix: "servers/",
@@ -125,6 +131,13 @@
     kind: "refused",
     reason: "busy",
   });
+  /** Returns the platform's response to an order to move a VM. */
+  move: (vmId: string) => VmOrderOutcome = () => ({
+    kind: "refused",
+    reason: "busy",
+  });
+  /** VMs without a worker, by ID. */
+  readonly spareVms = new Map<string, VmInfo>();
   /** VMs that the list shows as being maintained. */
   readonly maintainedVms = new Set<string>();
   /** VM orders of all entries, in the order in which the platform got them. */
@@ -153,7 +166,7 @@
       address: "",
       dataCentre: "dc-1",
       state: "ready",
-      capacity: { cpuMillis: 8_000, memoryMb: 16_000, gpuCount: 0 },
+      capacity: VM_CAPACITY,
       labels: [],
       rack: `rack-${index % 3}`,
       bornAtMs,
@@ -166,6 +179,19 @@
     );
   }
 
+  /** Adds a VM without a worker to the spare pool. */
+  addSpareVm(index: number): void {
+    this.spareVms.set(`vm-${index}`, {
+      vmId: `vm-${index}`,
+      pool: SPARE_POOL,
+      state: "up",
+      dataCentre: "dc-1",
+      rack: `rack-${index % 3}`,
+      capacity: VM_CAPACITY,
+      workerId: undefined,
+    });
+  }
+
   /** Changes the CPU capacity of a running worker, in thousandths of a core; its registration says so. */
   setCapacity(index: number, cpuMillis: number): void {
     const worker = this.workers.workers.get(`worker-${index}`)!;
@@ -181,28 +207,27 @@
       list: () =>
         delay(
           this.listDelayMs,
-          [...this.workers.workers.values()].map((
-            { registration, alive },
-          ): VmInfo => ({
-            vmId: registration.vmId,
-            pool: registration.service,
-            state: this.maintainedVms.has(registration.vmId)
-              ? "maintenance"
-              : alive
-              ? "up"
-              : "down",
-            dataCentre: registration.dataCentre,
-            rack: registration.rack,
-            capacity: registration.capacity,
-            workerId: alive ? registration.workerId : undefined,
-          })),
+          [
+            ...this.spareVms.values(),
+            ...[...this.workers.workers.values()].map((
+              { registration, alive },
+            ): VmInfo => ({
+              vmId: registration.vmId,
+              pool: registration.service,
+              state: this.maintainedVms.has(registration.vmId)
+                ? "maintenance"
+                : alive
+                ? "up"
+                : "down",
+              dataCentre: registration.dataCentre,
+              rack: registration.rack,
+              capacity: registration.capacity,
+              workerId: alive ? registration.workerId : undefined,
+            })),
+          ],
         ),
       move: (order) =>
-        this.#receiveVmOrder(
-          "move",
-          order,
-          () => ({ kind: "refused", reason: "busy" }),
-        ),
+        this.#receiveVmOrder("move", order, () => this.move(order.vmId)),
       startMaintenance: (order) =>
         this.#receiveVmOrder(
           "maintain",
