--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -87,7 +87,7 @@
   readonly election: Election;
   readonly frontend: JobFrontend;
   readonly health: StoreHealth;
-  /** Suspends the entry's calls to the store, the workers and the VM service. */
+  /** Suspends the entry's calls to the store, the workers, the VM service and other entries. */
   readonly freezePoint: FreezePoint;
   /** False once the entry has been killed. */
   up: boolean;
@@ -343,7 +343,8 @@
       self: { entryId: id, address: peerAddressOf(id) },
       dataCentre: "dc-1",
       seedPeers: ["entry-1", "entry-2", "entry-3"].map(peerAddressOf),
-      connect: (address) => this.#connect(id, address, isUp),
+      connect: (address) =>
+        freezePoint.wrap("peers", this.#connect(id, address, isUp)),
       probe: (address) => this.#probe(id, address),
       onStoreResponse: () => health.recordSuccess(),
       onStoreFailure: () => health.recordFailure(),
@@ -408,9 +409,11 @@
     );
   }
 
-  /** Submits a job through random entries until one accepts it; returns its id. */
-  async submit(steps: Partial<JobSpec["steps"][number]>[]): Promise<string> {
-    const jobId = (this.#nextJob++).toString(16).padStart(16, "0");
+  /** Creates the specification of a job and registers it for the checks. */
+  createSpec(
+    jobId: string,
+    steps: Partial<JobSpec["steps"][number]>[],
+  ): JobSpec {
     const spec = jobSpecSchema.parse({
       jobId,
       queue: QUEUE.name,
@@ -421,6 +424,13 @@
       acceptedAtMs: Date.now(),
     });
     this.invariants.specs.set(jobId, spec);
+    return spec;
+  }
+
+  /** Submits a job through random entries until one accepts it; returns its id. */
+  async submit(steps: Partial<JobSpec["steps"][number]>[]): Promise<string> {
+    const jobId = (this.#nextJob++).toString(16).padStart(16, "0");
+    const spec = this.createSpec(jobId, steps);
     for (;;) {
       const entry = this.entries[this.random.nextInteger(this.entries.length)];
       if (entry === undefined) {
