--- a/src/jobs/profiles.ts
+++ b/src/jobs/profiles.ts
@@ -10,7 +10,7 @@
 const MINIMUM_RUNS = 5;
 /** Percentile of the class's usage that is reserved for a job. */
 const RESERVED_PERCENTILE = 95;
-/** Smallest usage of cores that distributions distinguish, per core. */
+/** Resolution of the usage of cores, in units per core. */
 const UNITS_PER_CORE = 100;
 /** Maximum number of classes with a profile; the oldest one is dropped. */
 const MAXIMUM_CLASSES = 2_000;
--- a/src/jobs/usage_distribution.ts
+++ b/src/jobs/usage_distribution.ts
@@ -6,6 +6,7 @@
  * tasks that use half of a worker each must fit that worker.
  */
 export class UsageDistribution {
+  /** Counts integers, with two significant digits; it grows with its values. */
   #histogram = new Int32Histogram(1, 2, 2);
   #unitsPerWhole: number;
   /** Highest recorded usage by the lowest value of its bucket. */
