fix(scheduler): a new owner places no task before it has caught up with its load

Cause: the queue is listed and then watched from the list's revision. On a slow link the load took 6.3 s; the cancellation stored in that time, which the entry couldn't report to an owner that wasn't started, was unknown until the watch's first response, and tasks were placed 2.7 s after the load.

Change: placements wait for the first response of the queue's watch, which is requested without a wait.

--- a/src/scheduler/ownership_faults_test.ts
+++ b/src/scheduler/ownership_faults_test.ts
@@ -339,6 +339,56 @@
   });
 }
 
+// Guards against a start of a job whose cancellation was acknowledged while a new owner loaded the queue over a slow link.
+test("a job that is cancelled while a new owner loads the queue isn't started", async () => {
+  await withCluster("cancelled during load", async (cluster) => {
+    for (const { registration } of cluster.workers.workers.values()) {
+      cluster.workers.faults.unreachable.add(registration.workerId);
+    }
+    const cancelled = await cluster.submit(STEPS);
+    const other = await cluster.submit(STEPS);
+    await waitFor("an owner", () => cluster.owner() !== undefined);
+    const owner = cluster.owner()!;
+    const rest = cluster.entries.filter((entry) => entry !== owner);
+    const listsBefore = rest.map(({ freezePoint }) =>
+      freezePoint.countCalls("store.list")
+    );
+    for (const { freezePoint } of rest) {
+      freezePoint.slowDown("store.list", 600);
+      freezePoint.slowDown("store.watch", 3_000);
+    }
+    await cluster.killEntry(owner);
+    // The queue is the second list that a new owner reads.
+    const isLoading = ({ freezePoint }: ClusterEntry, index: number) =>
+      freezePoint.countCalls("store.list") >= listsBefore[index]! + 2;
+    await waitFor("the queue is read", () => rest.some(isLoading));
+    const newOwner = rest.find(isLoading)!;
+    const entry = rest.find((candidate) => candidate !== newOwner)!;
+    const result = await entry.frontend.cancel(cancelled, {
+      requestId: "",
+      deadlineMs: performance.now() + 2_000,
+    });
+    assert.equal(result.kind, "cancelled");
+    assert.equal(newOwner.election.localOwner(), undefined);
+    cluster.workers.faults.unreachable.clear();
+    await waitFor(
+      "the other job is done",
+      () =>
+        [...cluster.invariants.done].filter((taskId) =>
+          taskId.startsWith(other)
+        ).length === 7,
+      { timeoutMs: 30_000 },
+    );
+    const starts = [...cluster.workers.workers.values()].flatMap((
+      { highestRun },
+    ) => [...highestRun.keys()]);
+    assert.deepEqual(
+      starts.filter((taskId) => taskId.startsWith(cancelled)),
+      [],
+    );
+  });
+});
+
 // Guards against an owner of a large fleet that sends all orders itself because no entry has offered itself as a relay.
 test("each other entry offers itself as a relay to every new owner", async () => {
   const cluster = new SchedulerCluster(createRandom(12));
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -93,6 +93,8 @@
 const REGISTRATION_WATCH_PAUSE_MS = 60;
 /** Duration of one long poll, in ms. */
 const WATCH_WAIT_MS = 2_000;
+/** Duration of the first long poll for the queue, in ms: its response is due at once, as it shows what was stored while the queue was loaded. */
+const CATCH_UP_WAIT_MS = 1;
 
 /** Dependencies and settings of a tenure runner. */
 export interface TenureRunnerOptions {
@@ -160,6 +162,8 @@
   const { store, tenure, clock, log, records } = options;
   const ended = createNotifier();
   const planWake = createNotifier();
+  /** Notified once everything has been read that was stored before the queue was loaded completely. */
+  const caughtUp = createNotifier();
   const storeContact = createStopwatch(clock);
   const startedAtMs = clock.monotonicMs();
   const startedAtWallMs = clock.wallMs();
@@ -324,6 +328,8 @@
   }
 
   function* planLoop(): Operation<void> {
+    // Loading may take seconds, in which entries acknowledge cancellations that they can't report to this owner.
+    while (!(yield* caughtUp.wait(PLAN_TIMEOUT_MS)));
     for (;;) {
       yield* planWake.wait(PLAN_TIMEOUT_MS);
       const startedAtMs = clock.monotonicMs();
@@ -382,12 +388,13 @@
       onDelete: (key: string) => void;
       onRevision?: (revision: number) => void;
     },
-    fromRevision?: number,
+    start: { readonly fromRevision?: number; readonly firstWaitMs?: number } =
+      {},
   ): Operation<void> {
     yield* watchPrefix({
       store,
       prefix,
-      fromRevision,
+      ...start,
       log,
       waitMs: WATCH_WAIT_MS,
       pauseMs,
@@ -431,8 +438,19 @@
     yield* spawn(() =>
       watchRecords(STORE_KEYS.queuePrefix, () => QUEUE_WATCH_PAUSE_MS, {
         ...queue,
+        onSnapshot(items, revision) {
+          queue.onSnapshot(items, revision);
+          caughtUp.notify();
+        },
         onDelete() {},
-      }, loadedJobs.revision)
+        onRevision(revision) {
+          queue.onRevision(revision);
+          caughtUp.notify();
+        },
+      }, {
+        fromRevision: loadedJobs.revision,
+        firstWaitMs: CATCH_UP_WAIT_MS,
+      })
     );
     yield* spawn(() => planLoop());
     yield* spawn(() => checkLoop());
--- a/src/scheduler/watch_prefix.ts
+++ b/src/scheduler/watch_prefix.ts
@@ -15,6 +15,8 @@
   readonly log: Logger;
   /** Duration of one long poll, in ms; a dead connection is detected after this time. */
   readonly waitMs: number;
+  /** Duration of the first long poll, in ms; `waitMs` if omitted. */
+  readonly firstWaitMs?: number | undefined;
   /** Pause between two long polls, in ms; batches the events that arrive in the meantime. */
   readonly pauseMs: () => number;
   /** Called with all items, read at a store revision, at the start and after the store has compacted its history. */
@@ -37,6 +39,7 @@
   const { store, prefix, log } = options;
   let failing = false;
   let revision = options.fromRevision;
+  let waitMs = options.firstWaitMs ?? options.waitMs;
 
   function* readNext(): Operation<void> {
     if (revision === undefined) {
@@ -47,8 +50,9 @@
       return;
     }
     const watched = yield* until(
-      store.watch(prefix, { afterRevision: revision, waitMs: options.waitMs }),
+      store.watch(prefix, { afterRevision: revision, waitMs }),
     );
+    waitMs = options.waitMs;
     options.onResponse?.();
     if (watched.kind === "compacted") {
       log.info("the store has compacted its history; reading all items again", {
--- a/testing/freeze_point.ts
+++ b/testing/freeze_point.ts
@@ -1,3 +1,5 @@
+import { setTimeout as delay } from "node:timers/promises";
+
 /** Side of a call on which an entry is frozen: before it is sent, or before its response is handled. */
 export type CallSide = "request" | "response";
 
@@ -9,6 +11,18 @@
   #place: string | undefined;
   #gate: Promise<void> | undefined;
   #openGate = () => {};
+  #delaysMs = new Map<string, number>();
+  #callCounts = new Map<string, number>();
+
+  /** Delays the responses of a method. */
+  slowDown(method: string, delayMs: number): void {
+    this.#delaysMs.set(method, delayMs);
+  }
+
+  /** Returns the number of calls of a method so far. */
+  countCalls(method: string): number {
+    return this.#callCounts.get(method) ?? 0;
+  }
 
   /** Whether the entry is frozen. */
   get isFrozen(): boolean {
@@ -43,11 +57,14 @@
   }
 
   #call(method: string, send: () => unknown): unknown {
+    this.#callCounts.set(method, this.countCalls(method) + 1);
     this.#freezeIfPlaced(method, "request");
     // A call that isn't suspended must be sent in the same turn.
     const result = this.#gate === undefined ? send() : this.#gate.then(send);
     if (!(result instanceof Promise)) return result;
     const pass = async () => {
+      const delayMs = this.#delaysMs.get(method);
+      if (delayMs !== undefined) await delay(delayMs);
       this.#freezeIfPlaced(method, "response");
       while (this.#gate !== undefined) await this.#gate;
     };
