--- a/testing/freeze_point.ts
+++ b/testing/freeze_point.ts
@@ -6,6 +6,7 @@
 /**
  * Suspends the calls of one entry, like a pause of its process: once it has
  * frozen at a call, no call is sent and no response is handled until `resume`.
+ * Can also delay the responses of single methods, like a slow link.
  */
 export class FreezePoint {
   #place: string | undefined;
