review: no owner after machines have left while the store turned one away

Cause: an entry that has seen the owner's key deleted takes the old owner from an entry that the store turns away, and then never campaigns.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
