fix(scheduler): a wave waits for VMs that are newer than the VM list

Cause: the wave runner took a VM that the latest list doesn't hold for one that has left. The list is up to 2.5 s old on an idle deployment, so the request may name VMs that it can't show.

Change: a VM counts as left if it is missing from a list that was requested 1.2 s (the list's longest lag) after this owner read that the wave names it.

The older test for VMs that have left is new, too, and passes before and after.

--- a/src/scheduler/fleet_manager_test.ts
+++ b/src/scheduler/fleet_manager_test.ts
@@ -273,4 +273,57 @@
   });
 });
 
+/** Waits until the owner has requested the VM list once more. */
+async function waitForListRequest(cluster: SchedulerCluster): Promise<void> {
+  const requests = cluster.vmListRequests;
+  await waitFor(
+    "the VM list is requested",
+    () => cluster.vmListRequests > requests,
+    { timeoutMs: 10_000 },
+  );
+}
+
+// Guards against a wave that is reported as completed although VMs added shortly before it were never maintained: the latest VM list is older than they are.
+test("a wave waits for a VM that isn't in the VM list yet", async () => {
+  await withCluster(async (cluster) => {
+    await waitForListRequest(cluster);
+    cluster.addWorker(3);
+    const ordered: string[] = [];
+    cluster.maintain = (vmId) => {
+      ordered.push(vmId);
+      return { kind: "done" };
+    };
+    cluster.waves.set(1, {
+      wave: 1,
+      vmIds: ["vm-3"],
+      deadlineMs: 10_000,
+      maximumDown: 1,
+    });
+    await waitFor(
+      "the wave is completed",
+      () => cluster.store.items.get("status/wave/1")?.value === "completed",
+      { timeoutMs: 10_000 },
+    );
+    assert.deepEqual(ordered, ["vm-3"]);
+  });
+});
+
+// Guards against a wave that never ends because it names a VM that has left.
+test("a wave is completed without a VM that has left", async () => {
+  await withCluster(async (cluster) => {
+    cluster.waves.set(1, {
+      wave: 1,
+      vmIds: ["vm-7"],
+      deadlineMs: 10_000,
+      maximumDown: 1,
+    });
+    await waitFor(
+      "the wave is completed",
+      () => cluster.store.items.get("status/wave/1")?.value === "completed",
+      { timeoutMs: 10_000 },
+    );
+    assert.ok(cluster.vmOrders.every(({ kind }) => kind !== "maintain"));
+  });
+});
+
 test.run();
--- a/src/scheduler/vm_states.ts
+++ b/src/scheduler/vm_states.ts
@@ -42,6 +42,11 @@
 export interface VmStates {
   /** Returns the VMs in the latest VM list, by VM ID; empty until it has been read once. */
   list(): ReadonlyMap<string, VmInfo>;
+  /**
+   * Whether a VM that existed at the monotonic time `knownAtMs` has left: it is
+   * missing from a list that was requested late enough to show it.
+   */
+  hasLeft(vmId: string, knownAtMs: number): boolean;
   readonly orders: VmOrders;
   /** VMs whose order was confirmed, until the VM list shows that they are back. */
   readonly returning: ReadonlyMap<string, ReturningVm>;
@@ -94,6 +99,9 @@
 export function createVmStates(options: VmStatesOptions): VmStates {
   const { orders, scheduler, clock, log } = options;
   let vms: ReadonlyMap<string, VmInfo> = new Map();
+  /** Monotonic time at which `vms` was requested, in ms. */
+  let vmsRequestedAtMs = -Infinity;
+  /** The same, or `-Infinity` to force the next read. */
   let listedAtMs = -Infinity;
   const cordonedForMove = new Map<string, number>();
   const cordonedForMaintenance = new Map<string, number>();
@@ -137,6 +145,7 @@
       const list = yield* until(options.fleet.list());
       vms = new Map(list.map((vm) => [vm.vmId, vm]));
       listedAtMs = askedAtMs;
+      vmsRequestedAtMs = askedAtMs;
     } catch (error) {
       log.warn("failed to read the VM list", { reason: messageOf(error) });
       return;
@@ -209,6 +218,8 @@
 
   return {
     list: () => vms,
+    hasLeft: (vmId, knownAtMs) =>
+      !vms.has(vmId) && vmsRequestedAtMs - knownAtMs >= MAXIMUM_LIST_LAG_MS,
     orders,
     returning,
     cordonedForMove,
--- a/src/scheduler/wave_runner.ts
+++ b/src/scheduler/wave_runner.ts
@@ -48,6 +48,8 @@
 }): WaveRunner {
   const { vmStates, scheduler, journal, records, clock, log } = options;
   const waveRecords = new Map<number, WaveRecord>();
+  /** Monotonic time at which this owner first read that a wave names a VM, in ms, by wave and VM ID. */
+  const requestedAtMs = new Map<number, Map<string, number>>();
   let requestedWaves: ReadonlyMap<number, WaveRequest> = new Map();
 
   function isWithinBudgets(
@@ -107,8 +109,23 @@
     });
   }
 
+  /** Whether a VM of the wave left before its maintenance. A list that is older than the request doesn't show a VM that was added in between. */
+  function hasLeft(wave: number, vmId: string): boolean {
+    const atMs = requestedAtMs.get(wave)?.get(vmId);
+    return atMs !== undefined && vmStates.hasLeft(vmId, atMs);
+  }
+
+  function recordRequest({ wave, vmIds }: WaveRequest): void {
+    const times = requestedAtMs.get(wave) ?? new Map<string, number>();
+    requestedAtMs.set(wave, times);
+    for (const vmId of vmIds) {
+      if (!times.has(vmId)) times.set(vmId, clock.monotonicMs());
+    }
+  }
+
   function advance(request: WaveRequest): void {
     const { wave } = request;
+    recordRequest(request);
     let record = waveRecords.get(wave);
     if (record === undefined) {
       record = { seenAtMs: clock.wallMs(), done: [], completed: false };
@@ -130,8 +147,9 @@
       vmStates.list().get(vmId) ?? []
     );
     if (
-      listedVms.length === 0 &&
-      !pendingVmIds.some((vmId) => vmStates.orders.active.has(vmId))
+      pendingVmIds.every((vmId) =>
+        hasLeft(wave, vmId) && !vmStates.orders.active.has(vmId)
+      )
     ) {
       record.completed = true;
       log.info("maintenance wave completed", {
@@ -206,6 +224,9 @@
     },
     advanceAll(requests) {
       requestedWaves = requests;
+      for (const wave of [...requestedAtMs.keys()]) {
+        if (!requests.has(wave)) requestedAtMs.delete(wave);
+      }
       uncordonWithdrawn();
       for (const request of requests.values()) advance(request);
     },
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -118,6 +118,8 @@
   readonly waves = new Map<number, WaveRequest>();
   /** Delay of the platform's VM list, in ms. */
   listDelayMs = 0;
+  /** Number of times the VM list was requested; a response shows the VMs at its request. */
+  vmListRequests = 0;
   /** Minimum time between the orders of two owners for one VM, in ms, for entries started from now on. */
   holderGapMs = 100;
   /** Time for which a task must have been at work before it no longer counts as away, in ms; scaled down like `holderGapMs`, so that waves take seconds. */
@@ -202,30 +204,33 @@
     );
   }
 
+  #listVms(): VmInfo[] {
+    return [
+      ...this.spareVms.values(),
+      ...[...this.workers.workers.values()].map((
+        { registration, alive },
+      ): VmInfo => ({
+        vmId: registration.vmId,
+        pool: registration.service,
+        state: this.maintainedVms.has(registration.vmId)
+          ? "maintenance"
+          : alive
+          ? "up"
+          : "down",
+        dataCentre: registration.dataCentre,
+        rack: registration.rack,
+        capacity: registration.capacity,
+        workerId: alive ? registration.workerId : undefined,
+      })),
+    ];
+  }
+
   #createVmApi(): VmApi {
     return {
-      list: () =>
-        delay(
-          this.listDelayMs,
-          [
-            ...this.spareVms.values(),
-            ...[...this.workers.workers.values()].map((
-              { registration, alive },
-            ): VmInfo => ({
-              vmId: registration.vmId,
-              pool: registration.service,
-              state: this.maintainedVms.has(registration.vmId)
-                ? "maintenance"
-                : alive
-                ? "up"
-                : "down",
-              dataCentre: registration.dataCentre,
-              rack: registration.rack,
-              capacity: registration.capacity,
-              workerId: alive ? registration.workerId : undefined,
-            })),
-          ],
-        ),
+      list: () => {
+        this.vmListRequests++;
+        return delay(this.listDelayMs, this.#listVms());
+      },
       move: (order) =>
         this.#receiveVmOrder("move", order, () => this.move(order.vmId)),
       startMaintenance: (order) =>
