fix(scheduler): a VM list from before a confirmed order doesn't end the worker

Cause: once a VM order was confirmed, the next response of the VM list decided whether the VM's worker had ended, though it may have been requested before. If it still showed an earlier operation on the VM, the worker that had started since was removed and its tasks were started again beside it.

--- a/src/scheduler/fleet_manager_test.ts
+++ b/src/scheduler/fleet_manager_test.ts
@@ -326,4 +326,31 @@
   });
 });
 
+// Guards against a second run of a task: a VM list that is older than the confirmation may show earlier maintenance, after which the worker has started.
+test("a VM list from before an order was confirmed doesn't end the VM's worker", async () => {
+  await withCluster(async (cluster) => {
+    const job = await cluster.submit([{ taskCount: 1, longRunning: true }]);
+    await waitFor("the task runs", () => findRun(cluster, job) !== undefined);
+    const { vmId } = findRun(cluster, job)!.worker.registration;
+    cluster.maintain = () => ({ kind: "done" });
+    cluster.listDelayMs = 800;
+    cluster.maintainedVms.add(vmId);
+    await waitForListRequest(cluster);
+    cluster.maintainedVms.delete(vmId);
+    cluster.waves.set(1, {
+      wave: 1,
+      vmIds: [vmId],
+      deadlineMs: 10_000,
+      maximumDown: 1,
+    });
+    await waitFor("the order", () => cluster.vmOrders.length > 0);
+    await delay(2_500);
+    assert.equal(findRun(cluster, job)!.run.run, 1);
+    assert.equal(
+      cluster.vmOrders.filter(({ kind }) => kind === "maintain").length,
+      1,
+    );
+  });
+});
+
 test.run();
--- a/src/scheduler/vm_states.ts
+++ b/src/scheduler/vm_states.ts
@@ -153,6 +153,8 @@
     checkSilentInstances(vms, askedAtMs);
     scheduler.crashes.settleByVms(vms);
     for (const [vmId, returningVm] of returning) {
+      // An older list may show an earlier operation on the VM, after which its worker has started.
+      if (askedAtMs < returningVm.confirmedAtMs) continue;
       const vm = vms.get(vmId);
       for (const instance of returningVm.instances) {
         if (vm?.state === "up" && vm.workerId === instance.workerId) continue;
