fix(election): the store decides who campaigns, not what other entries report

Cause: the deletion of the owner's key also dropped the known epoch. A discovery in the delay before the campaign took the old owner from the refused entry, and the watch of a key that doesn't exist corrects nothing. An entry that starts after the deletion has no epoch to remember and gets stuck the same way.

Change: an entry whose watch works and that sees no key campaigns, whoever is reported; the highest deleted epoch is kept and reports up to it are ignored. Weighed: keeping the epoch alone, which leaves the freshly started entry stuck.

--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -132,6 +132,12 @@
   let knownOwnerSinceMs = clock.monotonicMs();
   /** Store revision of the owner's key; 0 if the key doesn't exist. */
   let ownerRevision = 0;
+  /** Epoch in the owner's key when it was last read from the store. */
+  let storedEpoch = 0;
+  /** Highest epoch whose key was deleted; an entry that can't reach the store may still report its owner. */
+  let endedEpoch = 0;
+  /** Whether the latest call of the watch on the owner's key failed. */
+  let watchFailing = false;
   /** Epoch whose owner has failed although its key still exists. */
   let failedEpoch: number | undefined;
   let acquiringOwnership = false;
@@ -171,12 +177,16 @@
     const owner = parseOwner(item);
     if (owner === undefined) log.error("the owner's record is invalid");
     ownerRevision = item.revision;
+    storedEpoch = owner?.epoch ?? storedEpoch;
     setKnownOwner(owner);
   }
 
   function onDelete(): void {
     ownerRevision = 0;
-    setKnownOwner(undefined);
+    endedEpoch = Math.max(endedEpoch, storedEpoch);
+    // A later owner that another entry has reported stays known, so that it can be called.
+    if ((knownOwner?.epoch ?? 0) <= endedEpoch) setKnownOwner(undefined);
+    changed.notify();
   }
 
   /** Lets this entry take over although the owner's key still exists; fencing stops an owner that is still running. */
@@ -206,8 +216,10 @@
     );
   }
 
+  /** Whether this entry should campaign. What the store shows decides: an owner that only other entries report may have ended. */
   const isOwnerMissing = () =>
-    knownOwner === undefined || knownOwner.epoch === failedEpoch;
+    knownOwner === undefined || knownOwner.epoch === failedEpoch ||
+    (ownerRevision === 0 && !watchFailing);
 
   async function confirmOwnerFailed(owner: Owner): Promise<void> {
     if (await options.probe(owner.address)) return;
@@ -233,10 +245,14 @@
       waitMs: WATCH_WAIT_MS,
       pauseMs: () => 0,
       onResponse() {
+        watchFailing = false;
         storeContact.restart();
         options.onStoreResponse();
       },
-      onFailure: options.onStoreFailure,
+      onFailure() {
+        watchFailing = true;
+        options.onStoreFailure();
+      },
       onSnapshot(items) {
         ownerKeyRead = true;
         const item = items.find(({ key }) => key === STORE_KEYS.owner);
@@ -259,7 +275,8 @@
       for (const address of directory.list(DISCOVERY_PEERS)) {
         try {
           const owner = yield* until(directory.client(address).owner());
-          if (owner !== undefined && owner.epoch > (knownOwner?.epoch ?? 0)) {
+          const latestEpoch = Math.max(endedEpoch, knownOwner?.epoch ?? 0);
+          if (owner !== undefined && owner.epoch > latestEpoch) {
             setKnownOwner(owner);
           }
         } catch (error) {
@@ -329,6 +346,8 @@
           replaced: knownOwner?.entryId,
         });
         knownOwner = { ...self, epoch: tenure.epoch };
+        ownerRevision = tenure.headRevision;
+        storedEpoch = tenure.epoch;
         const runner = createTenureRunner({
           ...options,
           tenure,
--- a/src/scheduler/ownership_faults_test.ts
+++ b/src/scheduler/ownership_faults_test.ts
@@ -8,6 +8,7 @@
   SchedulerCluster,
 } from "../../testing/scheduler_cluster.ts";
 import { waitFor } from "../../testing/wait.ts";
+import { STORE_KEYS } from "./ownership.ts";
 import { RUN_LEASE_MS } from "./worker_link.ts";
 
 const test = suite("ownership under faults");
@@ -389,6 +390,48 @@
   });
 });
 
+// Guards against a deployment without an owner: an entry that the store refuses still reports an owner
+// that has left, and the entry that asked it never campaigns.
+for (const started of ["before", "after"] as const) {
+  test(`an entry started ${started} the owner left campaigns although another one reports that owner`, async () => {
+    const cluster = new SchedulerCluster(createRandom(seed));
+    cluster.candidateDelayMs = 300;
+    try {
+      cluster.addWorker(0);
+      const owner = cluster.startEntry();
+      await waitFor("an owner", () => cluster.owner() !== undefined);
+      const refused = cluster.startEntry();
+      await waitFor(
+        "the owner is known",
+        () => refused.election.owner() !== undefined,
+      );
+      const early = started === "before" ? cluster.startEntry() : undefined;
+      cluster.store.faults.refusedClients.add(refused.id);
+      await delay(500);
+      await cluster.stopEntry(owner);
+      if (early === undefined) {
+        await waitFor(
+          "the owner's key is deleted",
+          () => !cluster.store.items.has(STORE_KEYS.owner),
+        );
+      }
+      const { election } = early ?? cluster.startEntry();
+      await waitFor("the entry is the owner", () => {
+        election.discoverOwner();
+        return election.localOwner() !== undefined;
+      }, { timeoutMs: 15_000 });
+      // Its own tenure isn't ended by what the other entry reports.
+      for (let round = 0; round < 10; round++) {
+        election.discoverOwner();
+        await delay(110);
+      }
+      assert.notEqual(election.localOwner(), undefined);
+    } finally {
+      await cluster.close();
+    }
+  });
+}
+
 // Guards against an owner of a large fleet that sends all orders itself because no entry has offered itself as a relay.
 test("each other entry offers itself as a relay to every new owner", async () => {
   const cluster = new SchedulerCluster(createRandom(12));
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -122,6 +122,8 @@
   vmListRequests = 0;
   /** Minimum time between the orders of two owners for one VM, in ms, for entries started from now on. */
   holderGapMs = 100;
+  /** Delay before an entry campaigns, in ms, for entries started from now on. */
+  candidateDelayMs = 0;
   /** Time for which a task must have been at work before it no longer counts as away, in ms; scaled down like `holderGapMs`, so that waves take seconds. */
   noticeMs = 500;
   /** Time after which a crashed worker starts again as a new process with the same id, in ms; undefined if it stays down. */
@@ -356,7 +358,7 @@
       clock: systemClock,
       log: silentLogger,
       random: () => this.random.next(),
-      candidateDelayMs: 0,
+      candidateDelayMs: this.candidateDelayMs,
       config: () => CONFIG,
       waves: () => this.waves,
       keepEndedMs: this.keepEndedMs,
