--- a/src/scheduler/journal.ts
+++ b/src/scheduler/journal.ts
@@ -18,6 +18,12 @@
   readonly encode: () => string | undefined;
   /** Called once the record is stored. */
   readonly onStored?: (() => void) | undefined;
+  /**
+   * Called with the reason instead of `onStored` if the store rejects the record
+   * for good, for instance because it is too large. Callbacks that wait for all
+   * records also wait for one of the same key that is scheduled here.
+   */
+  readonly onRejected?: ((reason: string) => void) | undefined;
   /** Whether an order waits for the record, so that a journal with several lanes stores it before others. */
   readonly urgent?: boolean | undefined;
   /** Whether `onStored` also waits for all records scheduled earlier. */
@@ -65,6 +71,7 @@
 
 interface PendingRecord {
   encode: () => string | undefined;
+  onRejected: ((reason: string) => void) | undefined;
   callbacks: (() => void)[];
 }
 
@@ -94,22 +101,32 @@
   function* flush(): Operation<void> {
     const callbacks = flushCallbacks;
     flushCallbacks = [];
+    let replaced = false;
     // Records scheduled in the meantime wait for the next flush, which limits the rate of commits.
     for (const records of takeBatches()) {
-      yield* lane.commit(
-        records.map(([key, { encode }]) => ({ key, value: encode() })),
+      const rejected = yield* lane.commit(
+        records.map(([key, { encode }]) => ({ key, encode })),
       );
-      for (const [, record] of records) {
-        for (const callback of record.callbacks) callback();
+      for (const [key, record] of records) {
+        const rejection = rejected.find((other) => other.key === key);
+        if (rejection === undefined) {
+          for (const callback of record.callbacks) callback();
+        } else {
+          record.onRejected?.(rejection.reason);
+          replaced ||= pending.has(key);
+        }
       }
     }
-    for (const callback of callbacks) callback();
+    if (replaced) flushCallbacks = [...callbacks, ...flushCallbacks];
+    else for (const callback of callbacks) callback();
   }
 
   return {
-    put({ key, encode, onStored }) {
-      const record = pending.get(key) ?? { encode, callbacks: [] };
+    put({ key, encode, onStored, onRejected }) {
+      const record: PendingRecord = pending.get(key) ??
+        { encode, onRejected, callbacks: [] };
       record.encode = encode;
+      record.onRejected = onRejected ?? record.onRejected;
       if (onStored !== undefined) record.callbacks.push(onStored);
       pending.set(key, record);
       notifier.notify();
--- a/src/scheduler/laned_journal.ts
+++ b/src/scheduler/laned_journal.ts
@@ -14,6 +14,7 @@
 
 interface PendingRecord {
   encode: () => string | undefined;
+  onRejected: ((reason: string) => void) | undefined;
   urgent: boolean;
   after: string | undefined;
   /** Number of the earliest `put` that the record stands for. */
@@ -52,6 +53,8 @@
   const pending = new Map<string, PendingRecord>();
   /** Numbers of the earliest `put` of the records in flight, by key. */
   const inFlight = new Map<string, number>();
+  /** Numbers of rejected records, by key, until the record scheduled in their place is stored or rejected. */
+  const replaced = new Map<string, number>();
   const wake = createNotifier();
   let barriers: Barrier[] = [];
   let latestSequence = 0;
@@ -81,6 +84,7 @@
     const oldest = Math.min(
       firstPending?.sequence ?? Infinity,
       ...inFlight.values(),
+      ...replaced.values(),
     );
     const passed = barriers.filter(({ sequence }) => sequence < oldest);
     barriers = barriers.filter(({ sequence }) => sequence >= oldest);
@@ -109,30 +113,51 @@
     state: LaneState,
     records: readonly { key: string; record: PendingRecord }[],
   ): Operation<void> {
-    yield* state.lane.commit(
-      records.map(({ key, record }) => ({ key, value: record.encode() })),
+    const rejected = yield* state.lane.commit(
+      records.map(({ key, record }) => ({ key, encode: record.encode })),
     );
     state.sentAtMs = undefined;
-    for (const { key } of records) inFlight.delete(key);
-    for (const { record } of records) {
-      barriers.push(...record.orderedCallbacks);
-      for (const callback of record.callbacks) callback();
+    for (const { key } of records) {
+      inFlight.delete(key);
+      replaced.delete(key);
+    }
+    for (const { key, record } of records) {
+      const rejection = rejected.find((other) => other.key === key);
+      if (rejection === undefined) {
+        barriers.push(...record.orderedCallbacks);
+        for (const callback of record.callbacks) callback();
+      } else {
+        record.onRejected?.(rejection.reason);
+        if (pending.has(key)) replaced.set(key, record.sequence);
+      }
     }
     wake.notify();
   }
 
   return {
-    put({ key, encode, onStored, urgent = false, inOrder = false, after }) {
+    put(
+      {
+        key,
+        encode,
+        onStored,
+        onRejected,
+        urgent = false,
+        inOrder = false,
+        after,
+      },
+    ) {
       const sequence = ++latestSequence;
       const record: PendingRecord = pending.get(key) ?? {
         encode,
         urgent,
+        onRejected,
         after,
         sequence,
         callbacks: [],
         orderedCallbacks: [],
       };
       record.encode = encode;
+      record.onRejected = onRejected ?? record.onRejected;
       record.urgent ||= urgent;
       record.after ??= after;
       if (onStored !== undefined) {
--- a/src/scheduler/laned_journal_test.ts
+++ b/src/scheduler/laned_journal_test.ts
@@ -252,4 +252,57 @@
   });
 });
 
+for (const lanes of [1, 3]) {
+  // Guards against one record that the store never accepts and that keeps all later ones from being stored.
+  test(`a record that is too large doesn't hold up others, with ${lanes} lanes`, async () => {
+    await withLanes(lanes, async ({ journal, store }) => {
+      const events: string[] = [];
+      const put = (key: string, value: string) =>
+        journal.put({
+          key,
+          encode: () => value,
+          onStored: () => events.push(`${key} stored`),
+          onRejected() {
+            events.push(`${key} rejected`);
+            put(key, "small");
+          },
+        });
+      for (let index = 0; index < 70; index++) {
+        put(`progress/${index}`, index === 40 ? "x".repeat(1_100_000) : "y");
+      }
+      // An end must not be acknowledged before the record that replaces the rejected one is stored.
+      journal.afterFlush(() => events.push("flushed"));
+      await waitFor("the flush", () => events.includes("flushed"));
+      assert.equal(store.items.get("progress/69")?.value, "y");
+      assert.equal(store.items.get("progress/40")?.value, "small");
+      assert.equal(
+        events.filter((event) => event.endsWith("rejected")).length,
+        1,
+      );
+      assert.equal(events.at(-1), "flushed");
+    });
+  });
+
+  // Guards against blaming records for a store that refuses everything for a while.
+  test(`a store that rejects every commit for a while costs no record, with ${lanes} lanes`, async () => {
+    await withLanes(lanes, async ({ journal, store }) => {
+      store.faults.rejecting = true;
+      let stored = 0;
+      let rejected = 0;
+      for (let index = 0; index < 70; index++) {
+        journal.put({
+          key: `progress/${index}`,
+          encode: () => "y",
+          onStored: () => stored++,
+          onRejected: () => rejected++,
+        });
+      }
+      await delay(600);
+      store.faults.rejecting = false;
+      await waitFor("all records are stored", () => stored === 70);
+      assert.equal(rejected, 0);
+    });
+  });
+}
+
 test.run();
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -246,9 +246,24 @@
         onStored?.();
         archiveIfOver(job);
       },
+      onRejected: (reason) => failUnstorableJob(job, reason),
     });
   }
 
+  /** Fails a job whose progress the store rejects, as no task of it can be started any more. */
+  function failUnstorableJob(job: JobState, reason: string): void {
+    if (job.status !== "active") return;
+    job.status = "failed";
+    job.failureReason = `its progress can't be stored: ${reason}`;
+    log.error("job failed: its progress can't be stored", {
+      job: job.spec.jobId,
+      reason,
+    });
+    stopAllRuns(job, "the job has failed");
+    save(job);
+    options.onChange();
+  }
+
   function maximumAttempts(job: JobState): number {
     return resolveQueue(options.config(), job.spec).maximumAttempts;
   }
--- a/testing/fake_record_store.ts
+++ b/testing/fake_record_store.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import { setTimeout as delay } from "node:timers/promises";
 import { StoreError } from "../src/errors.ts";
 import type {
@@ -28,6 +29,10 @@
   lateMs: number;
   /** Delay of each response, in ms. */
   responseMs: number;
+  /** Rejects every change. */
+  rejecting: boolean;
+  /** Size of a value above which a change is rejected, in bytes. */
+  maximumValueBytes: number;
 }
 
 /** Normal delay of a response, in ms. */
@@ -42,6 +47,8 @@
     lateChangeRate: 0,
     lateMs: 1_000,
     responseMs: RESPONSE_DELAY_MS,
+    rejecting: false,
+    maximumValueBytes: 1_048_576,
   };
   /** Stored records by key. */
   readonly items = new Map<string, Item>();
@@ -205,6 +212,12 @@
           );
         }
         await simulateCall();
+        const isTooLarge = change.puts.some(({ value }) =>
+          Buffer.byteLength(value) > this.faults.maximumValueBytes
+        );
+        if (this.faults.rejecting || isTooLarge) {
+          throw new StoreError("rejected", "The store rejects the change");
+        }
         if (this.random.next() < this.faults.lateChangeRate) {
           setTimeout(() => this.#apply(change), this.faults.lateMs).unref();
           throw new StoreError("unknown_outcome", "The store did not respond");
