fix(scheduler): the progress of a large job is stored in several records

Cause: encodeProgress wrote a row for each task into one value, 97 bytes each once placed, and the store takes 1 MB. Each change of one task encoded all of them. A first trial with parts alone showed the next limit: the planner placed all 12,000 tasks at once, and the owner ran out of its 158 MB of heap (SIGABRT).

Change: the tasks of a job with more than 200 (in all its occurrences) are stored in parts of 200 rows, progress/ID/OCCURRENCE.NUMBER, after the status in progress/ID; a start waits for all records scheduled before. Parts hold all tasks with progress whatever the status, as they aren't stored in one commit with it; a new owner completes a job whose parts show it done. They are deleted once the job has ended and has no runs. Smaller jobs are stored as before.

--- a/src/scheduler/crashes/crash_tracker.ts
+++ b/src/scheduler/crashes/crash_tracker.ts
@@ -55,8 +55,8 @@
   readonly isOrdered: (instance: WorkerInstance) => boolean;
   /** Fails a task's job. */
   readonly failJob: (task: TaskState, reason: string) => void;
-  /** Stores the job's progress. */
-  readonly save: (job: JobState) => void;
+  /** Stores what has changed of a task, and the status of its job. */
+  readonly save: (task: TaskState) => void;
 }
 
 /** Returns the time for which a placed task is known to have run, in ms; undefined if its start was never confirmed. */
@@ -186,7 +186,7 @@
       task,
       `task ${task.taskId} has crashed its workers: ${workers.join(", ")}`,
     );
-    options.save(job);
+    options.save(task);
     clearNeighbours(task);
     givenUpAtMs = clock.monotonicMs();
     return true;
@@ -200,7 +200,7 @@
         keyOf(loss) !== key ? [loss] : ended ? [{ ...loss, proven: true }] : []
       );
       if (task.job.status !== "active") continue;
-      options.save(task.job);
+      options.save(task);
       // A loss that was only a cut is no reason to give up or delay a task.
       if (ended) giveUpIfCrashing(task);
     }
@@ -243,8 +243,8 @@
       }
     },
     restore(job) {
-      for (const { steps } of job.occurrences) {
-        for (const task of steps.flat()) {
+      for (const { tasks } of job.occurrences) {
+        for (const task of tasks) {
           for (const loss of task.losses) index(task, loss);
         }
       }
--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -77,6 +77,8 @@
   readonly dueAtMs: number;
   /** Tasks, by step index. */
   readonly steps: readonly TaskState[][];
+  /** Tasks of all steps, in the order of the steps. */
+  readonly tasks: readonly TaskState[];
   /** Number of unfinished tasks, by step index. */
   readonly remaining: number[];
 }
@@ -101,6 +103,10 @@
   /** Occurrences that have become due; later ones have no state yet. */
   readonly occurrences: Occurrence[];
   finishedOccurrences: number;
+  /** Number of tasks in the steps before each step. */
+  readonly stepOffsets: readonly number[];
+  /** Store keys of the records that hold parts of its progress. */
+  readonly partKeys: Set<string>;
 }
 
 /** The part of a task that tells what it needs; kept for ended jobs, of which a run may still appear. */
@@ -144,6 +150,11 @@
 
 /** Creates the state of a job that has just been accepted. */
 export function createJobState(spec: JobSpec): JobState {
+  let taskCount = 0;
+  const stepOffsets = spec.steps.map((step) => {
+    taskCount += step.taskCount;
+    return taskCount - step.taskCount;
+  });
   return {
     spec,
     status: "active",
@@ -152,6 +163,8 @@
     begun: false,
     occurrences: [],
     finishedOccurrences: 0,
+    stepOffsets,
+    partKeys: new Set(),
   };
 }
 
@@ -182,10 +195,16 @@
       ? spec.acceptedAtMs
       : spec.firstRunMs + number * spec.intervalMs,
     steps,
+    tasks: steps.flat(),
     remaining: spec.steps.map((step) => step.taskCount),
   };
 }
 
+/** Returns the number of tasks in one occurrence of a job. */
+export function countTasks(spec: Pick<JobSpec, "steps">): number {
+  return spec.steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
+}
+
 /** Returns the total number of occurrences of a job. */
 export function countOccurrences(spec: JobSpec): number {
   return Math.max(1, spec.repeatCount);
@@ -278,14 +297,19 @@
   visit: (task: TaskState, placement: Placement) => void,
 ): void {
   for (const occurrence of job.occurrences) {
-    for (const tasks of occurrence.steps) {
-      for (const task of tasks) {
-        if (task.placement !== undefined) visit(task, task.placement);
-      }
+    for (const task of occurrence.tasks) {
+      if (task.placement !== undefined) visit(task, task.placement);
     }
   }
 }
 
+/** Whether a task of a job is placed. */
+export function hasPlacedTask(job: JobState): boolean {
+  return job.occurrences.some(({ tasks }) =>
+    tasks.some(({ placement }) => placement !== undefined)
+  );
+}
+
 /** Returns the job status that is reported to callers. */
 export function visibleStatus(job: JobState): JobStatus {
   if (job.recordedStatus !== "active") return job.recordedStatus;
--- a/src/scheduler/job_state_test.ts
+++ b/src/scheduler/job_state_test.ts
@@ -9,7 +9,14 @@
   type JobState,
   listRunnableSteps,
 } from "./job_state.ts";
-import { encodeProgress, restoreJob } from "./progress_record.ts";
+import {
+  encodePart,
+  encodeProgress,
+  partKey,
+  partOf,
+  restoreJob,
+  TASKS_PER_RECORD,
+} from "./progress_record.ts";
 import { type JobSpec, jobSpecSchema } from "./model.ts";
 
 const test = suite("job state");
@@ -103,6 +110,39 @@
   );
 });
 
+// Guards against losing tasks of a job whose progress takes several records, or losing its end because the owner was killed before it stored the status.
+test("a partitioned job is restored from its parts, and completed if they show so", () => {
+  const large = spec({
+    steps: jobSpecSchema.shape.steps.parse([
+      { taskCount: 150 },
+      { taskCount: 2 * TASKS_PER_RECORD },
+    ]),
+  });
+  const job = createJobState(large);
+  createDueOccurrences(job, 2_000);
+  const { tasks } = job.occurrences[0]!;
+  const status = encodeProgress(job, 0);
+  const encodeParts = () =>
+    [...new Set(tasks.map((task) => partKey(large.jobId, partOf(task))))].map(
+      (key) => {
+        const part = tasks.map(partOf).find((other) =>
+          partKey(large.jobId, other) === key
+        )!;
+        return { key, value: encodePart(part) };
+      },
+    );
+  for (const index of [0, 149, 150, 199, 200, 549]) finishTask(tasks[index]!);
+  tasks[399]!.run = 2;
+  tasks[399]!.failedRuns.add(1);
+  assert.equal(encodeParts().length, 3);
+  const restored = restoreJob(large, status, 0, encodeParts());
+  assert.deepEqual(describe(restored), describe(job));
+  for (const task of tasks) finishTask(task);
+  const completed = restoreJob(large, status, 0, encodeParts());
+  assert.equal(completed.status, "completed");
+  assert.equal(completed.recordedStatus, "active");
+});
+
 // Guards against starting a step before the steps it depends on.
 test("a step is runnable once every step it depends on is done", () => {
   const job = createJobState(spec());
--- a/src/scheduler/load_jobs.ts
+++ b/src/scheduler/load_jobs.ts
@@ -3,7 +3,11 @@
 import type { Logger } from "../logger.ts";
 import type { Clock } from "../clock.ts";
 import { forEachPlacedTask, type JobState } from "./job_state.ts";
-import { readRecordedStatus, restoreJob } from "./progress_record.ts";
+import {
+  parseProgressKey,
+  readRecordedStatus,
+  restoreJob,
+} from "./progress_record.ts";
 import { type JobSpec, jobSpecSchema } from "./model.ts";
 import { STORE_KEYS } from "./ownership.ts";
 import { PlacedTasks } from "./placed_tasks.ts";
@@ -39,15 +43,18 @@
 
 /** Adds one stored job to the scheduler; its placed tasks are assigned to the worker instance that each names, whether it is registered or not. */
 function restoreStoredJob(
-  spec: JobSpec,
-  progress: string | undefined,
+  { spec, progress, parts }: {
+    readonly spec: JobSpec;
+    readonly progress: string | undefined;
+    readonly parts: readonly StoredItem[] | undefined;
+  },
   { scheduler, clock, log, earlierLeasesEndMs }: LoadJobsOptions,
 ): void {
   const { workers } = scheduler;
   const nowMs = clock.monotonicMs();
   let job: JobState;
   try {
-    job = restoreJob(spec, progress, nowMs);
+    job = restoreJob(spec, progress, nowMs, parts);
   } catch (error) {
     log.error("ignoring a job with an invalid progress record", {
       job: spec.jobId,
@@ -78,6 +85,7 @@
     if (job.status !== "active") scheduler.stop(task, "the job has ended");
     else if (task.phase === "done") scheduler.stop(task, "the task is done");
   });
+  if (job.status !== job.recordedStatus) scheduler.save(job);
 }
 
 /** Loads the jobs that earlier owners and other entries have stored; returns the number of records and the store revision at which they were read. */
@@ -93,11 +101,18 @@
     () => store.list(STORE_KEYS.queuePrefix),
     log,
   );
-  const progressByJob = new Map(
-    progressList.items.map((
-      { key, value },
-    ) => [key.slice(STORE_KEYS.progressPrefix.length), value]),
-  );
+  const progressByJob = new Map<string, string>();
+  const partsByJob = new Map<string, StoredItem[]>();
+  for (const item of progressList.items) {
+    const { jobId, isPart } = parseProgressKey(item.key);
+    if (!isPart) {
+      progressByJob.set(jobId, item.value);
+      continue;
+    }
+    const parts = partsByJob.get(jobId);
+    if (parts === undefined) partsByJob.set(jobId, [item]);
+    else parts.push(item);
+  }
   const cancelled: string[] = [];
   for (const item of queueList.items) {
     if (item.key.startsWith(STORE_KEYS.cancelPrefix)) {
@@ -112,14 +127,15 @@
     // For most jobs, only the final status is still needed.
     if (
       recorded !== undefined && recorded.status !== "active" &&
-      recorded.tasks === 0
+      recorded.tasks === 0 && !partsByJob.has(jobId)
     ) {
       const { status, workspace } = recorded;
       scheduler.addEnded(jobId, { status, workspace });
       continue;
     }
     const spec = parseStoredJob(item, log);
-    if (spec !== undefined) restoreStoredJob(spec, progress, options);
+    if (spec === undefined) continue;
+    restoreStoredJob({ spec, progress, parts: partsByJob.get(jobId) }, options);
   }
   for (const jobId of cancelled) scheduler.cancel(jobId);
   return { records: queueList.items.length, revision: queueList.revision };
--- a/src/scheduler/ownership_faults_test.ts
+++ b/src/scheduler/ownership_faults_test.ts
@@ -390,6 +390,35 @@
   });
 });
 
+// Guards against jobs that never run because the progress of one of them doesn't fit into a record of the store, and against
+// a large job that loses tasks, or runs them again, when the owner changes.
+test("a job with more progress than a record can hold runs once, beside others, over a change of owner", async () => {
+  await withCluster("large job", async (cluster) => {
+    cluster.store.faults.maximumValueBytes = 30_000;
+    const large = await cluster.submit([
+      { taskCount: 700, cpuMillis: 10, estimatedMs: 400 },
+      { taskCount: 300, cpuMillis: 10, estimatedMs: 50, after: [0] },
+    ]);
+    await waitFor(
+      "300 tasks are done",
+      () => cluster.invariants.done.size >= 300,
+      { timeoutMs: 30_000 },
+    );
+    const other = await cluster.submit(STEPS);
+    const owner = cluster.owner();
+    if (owner !== undefined) await cluster.killEntry(owner);
+    cluster.startEntry();
+    await cluster.waitForStatus(other, "completed");
+    await cluster.waitForStatus(large, "completed");
+    assert.equal(cluster.invariants.done.size, 1_007);
+    const listParts = () =>
+      [...cluster.store.items.keys()].filter((key) =>
+        key.startsWith(`${STORE_KEYS.progressPrefix}${large}/`)
+      );
+    await waitFor("the parts are deleted", () => listParts().length === 0);
+  });
+});
+
 // Guards against a deployment without an owner: an entry that the store refuses still reports an owner
 // that has left, and the entry that asked it never campaigns.
 for (const started of ["before", "after"] as const) {
--- a/src/scheduler/placement_planner.ts
+++ b/src/scheduler/placement_planner.ts
@@ -28,6 +28,7 @@
   collectCandidates,
   type ServiceCandidates,
 } from "./service_candidates.ts";
+import type { StartLimit } from "./start_limit.ts";
 import { judgeTask } from "./crashes/run_loss.ts";
 import {
   chooseSharedTrialWorkers,
@@ -46,6 +47,8 @@
   readonly log: Logger;
   readonly fairShare: FairShare;
   readonly waitLog: WaitLog;
+  /** Limit of the start orders in progress; none if omitted. */
+  readonly startLimit?: StartLimit;
   /** Whether a service's pool needs more VMs than the fleet has. */
   readonly isScarce: (service: string) => boolean;
   /** Counts the VMs that are on their way into each pool. */
@@ -138,6 +141,7 @@
   config: SchedulerConfig | undefined,
 ): number {
   const { scheduler, tickets, clock, log } = options;
+  options.startLimit?.refresh();
   const pendingOccurrences = collectPendingOccurrences(options, config);
   if (pendingOccurrences.size === 0) return 0;
   const services = collectCandidates(options, pendingOccurrences);
@@ -165,6 +169,7 @@
       run,
       ticket: tickets.find(request.stepId, candidate.workerId),
     });
+    options.startLimit?.add(task);
     placed++;
   }
 
@@ -332,7 +337,8 @@
     const step = getStep(first);
     const allows = (count: number) => {
       isOverQuota = quota?.allows(first.job.spec, step, count) === false;
-      return !isOverQuota;
+      return !isOverQuota &&
+        options.startLimit?.allows(first.job, count) !== false;
     };
     // Not recorded as unplaceable: jobs of other workspaces may start.
     if (!allows(step.gang ? waiting.length : 1)) return;
--- a/src/scheduler/progress_record.ts
+++ b/src/scheduler/progress_record.ts
@@ -1,15 +1,19 @@
 import { z } from "zod";
+import { runLossSchema } from "./crashes/run_loss.ts";
 import {
   countOccurrences,
+  countTasks,
   createJobState,
   createOccurrence,
   finishTask,
   forEachPlacedTask,
   type JobState,
+  type Occurrence,
   type TaskState,
 } from "./job_state.ts";
-import { runLossSchema } from "./crashes/run_loss.ts";
 import type { JobSpec } from "./model.ts";
+import { STORE_KEYS } from "./ownership.ts";
+import type { StoredItem } from "./ports.ts";
 
 const taskRecordSchema = z.object({
   /** Number of the occurrence. */
@@ -50,8 +54,73 @@
   tasks: z.array(z.unknown()),
 });
 
+/** Part of the progress of a job that has too many tasks for one record. */
+const partSchema = z.object({ tasks: z.array(taskRecordSchema) });
+
 type TaskRecord = z.input<typeof taskRecordSchema>;
 
+/**
+ * Maximum number of tasks in one record. A row takes about 100 bytes, and at
+ * most 3 KB with a long checkpoint and the highest number of failures and losses;
+ * the store takes 1 MB. It also limits what is encoded when one task changes.
+ */
+export const TASKS_PER_RECORD = 200;
+
+/** Whether the tasks of a job are stored in records of their own, apart from its status. */
+export function isPartitioned({ steps, repeatCount }: JobSpec): boolean {
+  return countTasks({ steps }) * Math.max(1, repeatCount) > TASKS_PER_RECORD;
+}
+
+/** Identifies the record that holds a task of a partitioned job. */
+export interface ProgressPart {
+  readonly occurrence: Occurrence;
+  /** Number of the record within the occurrence. */
+  readonly number: number;
+}
+
+/** Returns the record that holds a task of a partitioned job. */
+export function partOf(
+  { job, occurrence, stepIndex, index }: TaskState,
+): ProgressPart {
+  const position = job.stepOffsets[stepIndex]! + index;
+  return {
+    occurrence: job.occurrences[occurrence]!,
+    number: Math.floor(position / TASKS_PER_RECORD),
+  };
+}
+
+/** Returns the store key of a part. */
+export function partKey(
+  jobId: string,
+  { occurrence, number }: ProgressPart,
+): string {
+  return `${STORE_KEYS.progressPrefix}${jobId}/${occurrence.number}.${number}`;
+}
+
+/** Returns the ID of the job to which a progress record belongs, and whether it holds a part of the progress. */
+export function parseProgressKey(
+  key: string,
+): { readonly jobId: string; readonly isPart: boolean } {
+  const [jobId = "", ...rest] = key.slice(STORE_KEYS.progressPrefix.length)
+    .split("/");
+  return { jobId, isPart: rest.length > 0 };
+}
+
+/** Encodes the tasks of a part that have run, whatever the job's status: its parts aren't stored together. */
+export function encodePart({ occurrence, number }: ProgressPart): string {
+  const first = number * TASKS_PER_RECORD;
+  return JSON.stringify({
+    tasks: occurrence.tasks.slice(first, first + TASKS_PER_RECORD).filter(
+      hasProgress,
+    ).map(encodeTask),
+  });
+}
+
+/** Whether the next owner has to know more of a task than that it waits for its first run. */
+function hasProgress({ run, phase }: TaskState): boolean {
+  return run > 0 || phase !== "waiting";
+}
+
 function encodeTask(task: TaskState): TaskRecord {
   const { run, failedRuns, checkpoint, losses, placement } = task;
   const base = {
@@ -76,18 +145,14 @@
   };
 }
 
-/** Encodes the state that the next owner needs: ended tasks, failed runs, run numbers and placements. */
+/** Encodes the state that the next owner needs: ended tasks, failed runs, run numbers and placements. The record of a partitioned job lists no tasks. */
 export function encodeProgress(job: JobState, wallMs: number): string {
   const tasks: TaskRecord[] = [];
-  if (job.status === "active") {
+  if (isPartitioned(job.spec)) {
+    // Its tasks are in the parts.
+  } else if (job.status === "active") {
     for (const occurrence of job.occurrences) {
-      for (const step of occurrence.steps) {
-        for (const task of step) {
-          if (task.run > 0 || task.phase !== "waiting") {
-            tasks.push(encodeTask(task));
-          }
-        }
-      }
+      tasks.push(...occurrence.tasks.filter(hasProgress).map(encodeTask));
     }
   } else {
     // Runs of a finished job may still have to be stopped by the next owner.
@@ -127,20 +192,26 @@
   }
 }
 
-/** Rebuilds a job from its stored spec and progress; throws if the progress doesn't match the spec. */
+/** Rebuilds a job from its stored spec, its progress and the parts of it; throws if they don't match the spec. */
 export function restoreJob(
   spec: JobSpec,
   progress: string | undefined,
   nowMs: number,
+  parts: readonly Pick<StoredItem, "key" | "value">[] = [],
 ): JobState {
   const job = createJobState(spec);
+  for (const { key } of parts) job.partKeys.add(key);
   if (progress === undefined) return job;
   const record = progressSchema.parse(JSON.parse(progress));
+  const taskRecords = [
+    ...record.tasks,
+    ...parts.flatMap(({ value }) => partSchema.parse(JSON.parse(value)).tasks),
+  ];
   const opened = Math.min(record.opened, countOccurrences(spec));
   while (job.occurrences.length < opened) {
     job.occurrences.push(createOccurrence(job, job.occurrences.length));
   }
-  for (const taskRecord of record.tasks) {
+  for (const taskRecord of taskRecords) {
     const task = job.occurrences[taskRecord.o]?.steps[taskRecord.s]
       ?.[taskRecord.i];
     if (task === undefined) {
@@ -176,7 +247,8 @@
       loadMetric: 0,
     };
   }
-  job.status = record.status;
+  // The parts may show that all tasks are done although the status wasn't stored any more.
+  if (record.status !== "active") job.status = record.status;
   job.failureReason = record.failureReason;
   job.recordedStatus = record.status;
   return job;
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -19,6 +19,7 @@
   finishTask,
   forEachPlacedTask,
   getStep,
+  hasPlacedTask,
   type JobState,
   listGangTasks,
   type Placement,
@@ -29,7 +30,13 @@
   visibleStatus,
 } from "./job_state.ts";
 import type { JobSpec, JobStatus } from "./model.ts";
-import { encodeProgress } from "./progress_record.ts";
+import {
+  encodePart,
+  encodeProgress,
+  isPartitioned,
+  partKey,
+  partOf,
+} from "./progress_record.ts";
 import { computeObjectiveMs } from "./job_order.ts";
 import { STORE_KEYS } from "./ownership.ts";
 import type {
@@ -135,8 +142,8 @@
     successor: () => WorkerInstance,
     end: InstanceEnd,
   ): void;
-  /** Stores the job's progress with the next commit. */
-  save(job: JobState, onStored?: () => void): void;
+  /** Stores the job's status with the next commit, and its tasks unless it is partitioned. */
+  save(job: JobState): void;
   /**
    * Removes the jobs that ended `keepMs` ago or earlier, and deletes their
    * records; a job stays as long as `mayRemove` returns false for its ID.
@@ -204,9 +211,7 @@
   function archiveIfOver(job: JobState): void {
     const { recordedStatus: status, spec: { jobId } } = job;
     if (status === "active" || jobs.get(jobId) !== job) return;
-    let runs = 0;
-    forEachPlacedTask(job, () => runs++);
-    if (runs > 0) return;
+    if (hasPlacedTask(job)) return;
     jobs.delete(jobId);
     endedJobs.set(jobId, {
       status,
@@ -214,16 +219,18 @@
       endedAtMs: clock.monotonicMs(),
       steps: job.spec.steps,
     });
+    for (const key of job.partKeys) {
+      journal.put({ key, encode: () => undefined });
+    }
   }
 
   function save(
     job: JobState,
-    onStored?: () => void,
-    urgent = false,
+    saveOptions: { onStored?: () => void; urgent?: boolean } = {},
   ): void {
     const status = job.status;
     journal.put({
-      urgent,
+      urgent: saveOptions.urgent,
       key: STORE_KEYS.progressPrefix + job.spec.jobId,
       encode: () => encodeProgress(job, clock.wallMs()),
       onStored() {
@@ -243,13 +250,45 @@
             ),
           });
         }
-        onStored?.();
+        saveOptions.onStored?.();
         archiveIfOver(job);
       },
       onRejected: (reason) => failUnstorableJob(job, reason),
     });
   }
 
+  /** Stores what has changed of some tasks of a job, and its status. */
+  function saveTasks(
+    tasks: readonly TaskState[],
+    saveOptions: { onStored?: () => void; urgent?: boolean } = {},
+  ): void {
+    const [first] = tasks;
+    if (first === undefined) return;
+    const { job } = first;
+    if (!isPartitioned(job.spec)) return save(job, saveOptions);
+    const { jobId } = job.spec;
+    // The parts of a job that has no runs left are deleted.
+    if (jobs.get(jobId) !== job) return;
+    save(job, { urgent: saveOptions.urgent });
+    const parts = new Map(tasks.map((task) => {
+      const part = partOf(task);
+      return [partKey(jobId, part), part];
+    }));
+    for (const [key, part] of parts) {
+      job.partKeys.add(key);
+      journal.put({
+        key,
+        urgent: saveOptions.urgent,
+        after: STORE_KEYS.progressPrefix + jobId,
+        // A start depends on ends that may be in other parts.
+        inOrder: true,
+        encode: () => encodePart(part),
+        onStored: saveOptions.onStored,
+        onRejected: (reason) => failUnstorableJob(job, reason),
+      });
+    }
+  }
+
   /** Fails a job whose progress the store rejects, as no task of it can be started any more. */
   function failUnstorableJob(job: JobState, reason: string): void {
     if (job.status !== "active") return;
@@ -387,7 +426,7 @@
       default:
         assertNever(endedRun.ending);
     }
-    save(job);
+    saveTasks(getStep(task).gang ? listGangTasks(task) : [task]);
     options.onChange();
   }
 
@@ -447,7 +486,7 @@
     if (placement.stopReason !== undefined) sendStop(task, placement);
     // The budget may not have allowed the stop when the job failed.
     else if (task.job.status !== "active") stop(task, "the job has ended");
-    if (crashes.clearIfLasting(task)) save(task.job);
+    if (crashes.clearIfLasting(task)) saveTasks([task]);
     return undefined;
   }
 
@@ -496,7 +535,7 @@
       case "unrecorded":
         // The order hasn't been sent yet; releasing the placement keeps it from being sent.
         giveUpRun(task, placement, "order not sent");
-        save(task.job);
+        saveTasks([task]);
         return true;
       case "inherited":
       case "sending":
@@ -531,7 +570,7 @@
       run: placement.run,
       worker: placement.workerId,
     });
-    save(task.job);
+    saveTasks([task]);
   }
 
   /** Requeues the tasks of an instance that has ended. */
@@ -539,7 +578,7 @@
     for (const task of [...instance.tasks]) {
       counters.lostRuns++;
       freeTask(task);
-      save(task.job);
+      saveTasks([task]);
     }
     workers.remove(instance);
     health.forget(instance.workerId);
@@ -563,7 +602,11 @@
     options.onChange();
   }
 
-  const crashes = createCrashTracker({ ...options, failJob, save });
+  const crashes = createCrashTracker({
+    ...options,
+    failJob,
+    save: (task) => saveTasks([task]),
+  });
   const disruptions = createDisruptionGuard({
     clock,
     log,
@@ -593,6 +636,7 @@
     disruptions,
     addRestored(job) {
       jobs.set(job.spec.jobId, job);
+      archiveIfOver(job);
     },
     addEnded(jobId, ended) {
       endedJobs.set(jobId, {
@@ -649,11 +693,10 @@
       task.placement = placement;
       instance.tasks.add(task);
       const checkpoint = chooseCheckpoint(task);
-      save(
-        task.job,
-        () => void sendStart(task, placement, { checkpoint, ticket }),
-        true,
-      );
+      saveTasks([task], {
+        onStored: () => void sendStart(task, placement, { checkpoint, ticket }),
+        urgent: true,
+      });
     },
     stop,
     onReport(instance, report, sentAtMs) {
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -52,6 +52,7 @@
 import { createFairShare } from "./workspaces/fair_share.ts";
 import { createOwnerAdmission } from "./workspaces/owner_admission.ts";
 import { sumUsage } from "./workspaces/usage.ts";
+import { createStartLimit } from "./start_limit.ts";
 import { createWaitLog } from "./workspaces/wait_log.ts";
 import {
   describeWorkspaces,
@@ -327,6 +328,8 @@
     }
   }
 
+  const startLimit = createStartLimit();
+
   function* planLoop(): Operation<void> {
     // Loading may take seconds, in which entries acknowledge cancellations that they can't report to this owner.
     while (!(yield* caughtUp.wait(PLAN_TIMEOUT_MS)));
@@ -341,6 +344,7 @@
           log,
           fairShare,
           waitLog,
+          startLimit,
           isCordoned: fleet.isCordoned,
           isScarce: fleet.isScarce,
           countArriving: fleet.countArriving,
