fix(scheduler): long-running tasks that end at once are restarted with a delay

Change: failed runs of long-running tasks, which have no limit of attempts, are neither kept nor stored.

--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -52,7 +52,7 @@
   phase: "waiting" | "placed" | "done";
   /** Number of the latest run; 0 before the first. */
   run: number;
-  /** Numbers of the failed runs; a set, because a worker may report an end again, to this owner or the next. */
+  /** Numbers of the failed runs, except of a long-running task, which may fail without limit; a set, because a worker may report an end again, to this owner or the next. */
   readonly failedRuns: Set<number>;
   checkpoint: string;
   placement: Placement | undefined;
@@ -60,6 +60,8 @@
   avoidedWorkerId: string | undefined;
   /** Monotonic time before which the task must not be placed again, in ms. */
   notBeforeMs: number;
+  /** Number of short runs in a row of a long-running task. */
+  shortRuns?: number | undefined;
   /** Number of times the task was stopped because its worker was too slow. */
   relocations: number;
   /** Runs that were lost with their workers, oldest first. */
--- a/src/scheduler/progress_record.ts
+++ b/src/scheduler/progress_record.ts
@@ -7,6 +7,7 @@
   createOccurrence,
   finishTask,
   forEachPlacedTask,
+  getStep,
   type JobState,
   type Occurrence,
   type TaskState,
@@ -221,7 +222,9 @@
     }
     job.started = true;
     task.run = taskRecord.run;
-    for (const run of taskRecord.failedRuns) task.failedRuns.add(run);
+    if (!getStep(task).longRunning) {
+      for (const run of taskRecord.failedRuns) task.failedRuns.add(run);
+    }
     task.checkpoint = taskRecord.checkpoint;
     task.losses = taskRecord.losses;
     if (taskRecord.p === "d" || taskRecord.failedRuns.length > 0) {
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -52,6 +52,7 @@
 } from "./crashes/crash_tracker.ts";
 import type { InstanceEnd } from "./crashes/instance_end.ts";
 import { mayHaveReachedSuccessor } from "./crashes/lost_runs.ts";
+import { computeRestartDelay } from "./restart_delay.ts";
 import { createRunOrders } from "./run_orders.ts";
 import {
   createWorkerTable,
@@ -360,16 +361,28 @@
     run: number,
     workerId: string,
   ): void {
-    if (task.failedRuns.has(run)) return;
-    task.failedRuns.add(run);
     task.avoidedWorkerId = workerId;
-    const step = getStep(task);
-    if (step.longRunning) return;
+    if (getStep(task).longRunning || task.failedRuns.has(run)) return;
+    task.failedRuns.add(run);
     if (countFailures(task) >= maximumAttempts(task.job)) {
       failJob(task, `task ${task.taskId} has used up its attempts`);
     }
   }
 
+  /** Delays the next start of a long-running task whose runs end soon after their start. */
+  function delayRestart(task: TaskState, { confirmedAtMs }: Placement): void {
+    if (!getStep(task).longRunning) return;
+    const nowMs = clock.monotonicMs();
+    const { delayMs, shortRuns } = computeRestartDelay({
+      shortRuns: task.shortRuns ?? 0,
+      durationMs: confirmedAtMs === undefined
+        ? undefined
+        : nowMs - confirmedAtMs,
+    });
+    task.shortRuns = shortRuns;
+    task.notBeforeMs = Math.max(task.notBeforeMs, nowMs + delayMs);
+  }
+
   function handleEndedRun(
     instance: WorkerInstance,
     endedRun: EndedRunReport,
@@ -405,14 +418,19 @@
         failures: task.failedRuns.size,
       },
     );
+    const { placement } = task;
     switch (endedRun.ending) {
       case "done":
         if (getStep(task).longRunning || task.phase === "done") {
           if (isCurrent) freeTask(task);
+          if (isCurrent && placement !== undefined) {
+            delayRestart(task, placement);
+          }
         } else recordSuccess(task, endedRun.run);
         break;
       case "failed":
         if (isCurrent) freeTask(task);
+        if (isCurrent && placement !== undefined) delayRestart(task, placement);
         if (task.phase !== "done") {
           recordFailure(task, endedRun.run, instance.workerId);
         }
