fix(jobs): a job that can't be stored is invalid instead of "come back later"

Callers who sent a job whose record the store doesn't take (thousands of small steps) got 503 with Retry-After, again and again, and the entry counted each try as a failure of the store, so that it refused other callers' jobs meanwhile.

Cause: the front handled each StoreError alike. The limits were on the request's body and on the number of tasks, not on what is stored, where each step has all its fields.

Change: a job takes at most 500,000 bytes when stored, checked on submission; one that the store rejects is answered 400, by the owner's entry as well, and doesn't count as a failure of the store.

--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -64,6 +64,13 @@
   readonly droppedLogLines: () => number;
 }
 
+/** Replies for a record that could not be stored. */
+const STORE_REPLIES = {
+  unavailable: "not_stored",
+  rejected: "rejected",
+  unknown_outcome: "unresolved",
+} as const;
+
 function parseHostAndPort(address: string): { host: string; port: number } {
   const [host, port] = address.split(":");
   return { host: host ?? "", port: Number(port) };
@@ -105,13 +112,13 @@
         : describeConflict(outcome, job.workspace);
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
-      health.recordFailure();
+      if (error.failure !== "rejected") health.recordFailure();
       log.info("a record of another entry could not be stored", {
         key,
         failure: error.failure,
         reason: messageOf(error),
       });
-      return error.failure === "unknown_outcome" ? "unresolved" : "not_stored";
+      return STORE_REPLIES[error.failure];
     }
   }
 
--- a/src/scheduler/job_frontend.ts
+++ b/src/scheduler/job_frontend.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "../clock.ts";
+import { createIssue } from "../validation.ts";
 import { assertNever, messageOf, StoreError } from "../errors.ts";
 import type { Logger } from "../logger.ts";
 import {
@@ -243,6 +244,7 @@
         }
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
+        if (error.failure === "rejected") return "rejected";
         storeFailedAtMs = clock.monotonicMs();
         health.recordFailure();
         if (error.failure === "unknown_outcome") unresolved = true;
@@ -263,7 +265,8 @@
       if (value === "unresolved") unresolved = true;
       if (value === "not_owner") options.onOwnerChanged();
       refusedByOwner = value === "not_stored";
-      return value === "stored" || value === "existing" || value === "foreign"
+      return value === "stored" || value === "existing" ||
+          value === "foreign" || value === "rejected"
         ? value
         : undefined;
     }
@@ -384,6 +387,14 @@
         case "foreign":
           log.info("job refused: another workspace has its ID", fields);
           return { kind: "foreign" };
+        case "rejected":
+          log.warn("job refused: the store rejects its record", fields);
+          return {
+            kind: "invalid",
+            error: new InvalidJobError([
+              createIssue("$", spec.jobId, "a job that the store accepts"),
+            ]),
+          };
         case "not_stored":
           log.warn("job refused: the store is away", fields);
           return {
--- a/src/scheduler/job_frontend_test.ts
+++ b/src/scheduler/job_frontend_test.ts
@@ -58,6 +58,31 @@
   return { store, frontend, context, ownerChanges };
 }
 
+// Guards against callers that send a job again and again because they are told to come back, although the store will never take it; and against refusing other jobs as if the store were away.
+test("a job that can't be stored is invalid, and other jobs are accepted", async () => {
+  const { store, frontend, context } = createFixture();
+  const submit = (jobId: string, steps: unknown[]) =>
+    frontend.submit(
+      QUEUE,
+      { jobId, specification: "", steps } as never,
+      context(),
+    );
+  const manySteps = Array.from({ length: 5_000 }, () => ({ taskCount: 1 }));
+  assert.equal((await submit("00000000000000a1", manySteps)).kind, "invalid");
+  store.faults.maximumValueBytes = 2_000;
+  assert.equal(
+    (await submit("00000000000000a2", manySteps.slice(0, 20))).kind,
+    "invalid",
+  );
+  assert.equal(
+    (await submit("00000000000000a3", manySteps.slice(0, 1))).kind,
+    "accepted",
+  );
+  assert.deepEqual([...store.items.keys()], [
+    `${STORE_KEYS.jobPrefix}00000000000000a3`,
+  ]);
+});
+
 // Guards against telling a caller that its job will never run although it may be stored.
 test("a submission is refused only if it can't be stored; after a timeout it is unresolved", async () => {
   const unavailable = createFixture();
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import { z } from "zod";
 import { createIssue, listSchemaIssues } from "../validation.ts";
 import { TaggedError, type ValidationIssue } from "../errors.ts";
@@ -5,6 +6,9 @@
 /** Maximum number of tasks in one occurrence of a job. */
 const MAXIMUM_TASKS_PER_JOB = 20_000;
 
+/** Maximum size of a stored job in bytes; entries pass it on in one call, which takes 512 KB. */
+const MAXIMUM_JOB_BYTES = 500_000;
+
 const nonNegativeInt = z.number().int().min(0);
 
 /** One step of a job: a number of identical tasks. */
@@ -140,5 +144,15 @@
       createIssue("$.steps", tasks, `at most ${MAXIMUM_TASKS_PER_JOB} tasks`),
     );
   }
+  const bytes = Buffer.byteLength(JSON.stringify(spec));
+  if (bytes > MAXIMUM_JOB_BYTES) {
+    issues.push(
+      createIssue(
+        "$",
+        bytes,
+        `at most ${MAXIMUM_JOB_BYTES} bytes with all fields of all steps`,
+      ),
+    );
+  }
   return issues;
 }
--- a/src/scheduler/peer_router.ts
+++ b/src/scheduler/peer_router.ts
@@ -25,6 +25,8 @@
   | "foreign"
   /** The write was not executed. */
   | "not_stored"
+  /** The store refuses the record for good, for instance because it is too large. */
+  | "rejected"
   /** The write got no response; it may have been executed or may still be executed later. */
   | "unresolved";
 
