fix(scheduler): only occurrences that run or are placed soon have state

Cause: createDueOccurrences created every due occurrence with all its tasks in each planning round (241,920 of them), and finished ones were never dropped, in memory or in the record.

Change: further occurrences are opened while fewer than 500 tasks of the job wait; finished ones without runs are dropped. The record holds the number opened and the numbers of the open ones. A schedule with more than 20,000 long-running tasks in all is invalid. Tasks share an empty list of failed runs (tests that added to the set assign a list now and check the same).

--- a/src/scheduler/crashes/crash_tracker.ts
+++ b/src/scheduler/crashes/crash_tracker.ts
@@ -106,6 +106,7 @@
     for (const [key, tasks] of lostTasks) {
       for (const task of tasks) {
         const isCurrent = task.job.status === "active" &&
+          task.phase !== "done" &&
           task.losses.some((loss) => keyOf(loss) === key);
         if (!isCurrent) tasks.delete(task);
       }
--- a/src/scheduler/disruption_guard.ts
+++ b/src/scheduler/disruption_guard.ts
@@ -3,7 +3,6 @@
 import { decideDisruption, type StepTask } from "./disruption_budget.ts";
 import {
   getStep,
-  listStepTasks,
   type Placement,
   stepId,
   type TaskState,
@@ -123,9 +122,7 @@
           {
             mayMiss: mayMiss!,
             gang,
-            tasks: listStepTasks(first).map((task) =>
-              describeTask(task, nowMs)
-            ),
+            tasks: first.siblings.map((task) => describeTask(task, nowMs)),
           },
           new Set(group.map(({ taskId }) => taskId)),
           { nowMs, noticeMs },
--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -1,5 +1,13 @@
 import type { RunLoss } from "./crashes/run_loss.ts";
-import type { JobSpec, JobStatus, Step } from "./model.ts";
+import {
+  type JobSpec,
+  type JobStatus,
+  MAXIMUM_TASKS_PER_JOB,
+  type Step,
+} from "./model.ts";
+
+/** Number of waiting tasks of a schedule up to which further occurrences get state; a planning round places fewer. */
+const MAXIMUM_WAITING_TASKS = 500;
 
 /** The worker instance that a task was assigned to, and the state of that run. */
 export interface Placement {
@@ -42,6 +50,9 @@
   loadMetric: number;
 }
 
+/** Shared by all tasks that haven't failed, of which an owner may hold a hundred thousand. */
+const NO_RUNS: readonly number[] = [];
+
 /** One task of one occurrence of a job. */
 export interface TaskState {
   readonly job: JobState;
@@ -49,11 +60,13 @@
   readonly occurrence: number;
   readonly stepIndex: number;
   readonly index: number;
+  /** Tasks of the same step and occurrence, this one included. */
+  readonly siblings: readonly TaskState[];
   phase: "waiting" | "placed" | "done";
   /** Number of the latest run; 0 before the first. */
   run: number;
-  /** Numbers of the failed runs, except of a long-running task, which may fail without limit; a set, because a worker may report an end again, to this owner or the next. */
-  readonly failedRuns: Set<number>;
+  /** Numbers of the failed runs, except of a long-running task, which may fail without limit; each once, although a worker may report an end again, to this owner or the next. */
+  failedRuns: readonly number[];
   checkpoint: string;
   placement: Placement | undefined;
   /** Worker on which the task failed last, or that was too slow for it. */
@@ -102,7 +115,9 @@
   failureReason?: string | undefined;
   /** Whether the job was cancelled, even if it had ended before. */
   cancelRequested?: boolean | undefined;
-  /** Occurrences that have become due; later ones have no state yet. */
+  /** Number of occurrences that have got state; later ones haven't yet, although they may be due. */
+  openedOccurrences: number;
+  /** Occurrences with state, by number. A schedule's are dropped once they are finished and have no runs. */
   readonly occurrences: Occurrence[];
   finishedOccurrences: number;
   /** Number of tasks in the steps before each step. */
@@ -130,19 +145,14 @@
   return task.job.spec.steps[task.stepIndex]!;
 }
 
-/** Returns all tasks of the step occurrence that a task belongs to. */
-export function listStepTasks(task: TaskState): TaskState[] {
-  return task.job.occurrences[task.occurrence]!.steps[task.stepIndex]!;
-}
-
 /** Returns all tasks of the gang that a task belongs to. */
-export function listGangTasks(task: TaskState): TaskState[] {
-  return listStepTasks(task);
+export function listGangTasks(task: TaskState): readonly TaskState[] {
+  return task.siblings;
 }
 
 /** Counts the failed runs of a task; a run of a gang counts once, however many of its members have failed in it. */
 export function countFailures(task: TaskState): number {
-  if (!getStep(task).gang) return task.failedRuns.size;
+  if (!getStep(task).gang) return task.failedRuns.length;
   return new Set(
     listGangTasks(task).flatMap(({ failedRuns }) => [
       ...failedRuns,
@@ -163,6 +173,7 @@
     recordedStatus: "active",
     started: false,
     begun: false,
+    openedOccurrences: 0,
     occurrences: [],
     finishedOccurrences: 0,
     stepOffsets,
@@ -173,24 +184,29 @@
 /** Creates the state of one occurrence, of which no task has run. */
 export function createOccurrence(job: JobState, number: number): Occurrence {
   const { spec } = job;
-  const steps = spec.steps.map((step, stepIndex) =>
-    Array.from({ length: step.taskCount }, (_, index): TaskState => ({
-      job,
-      taskId: `${spec.jobId}.${number}.${stepIndex}.${index}`,
-      occurrence: number,
-      stepIndex,
-      index,
-      phase: "waiting",
-      run: 0,
-      failedRuns: new Set(),
-      checkpoint: "",
-      placement: undefined,
-      avoidedWorkerId: undefined,
-      notBeforeMs: 0,
-      relocations: 0,
-      losses: [],
-    }))
-  );
+  const steps = spec.steps.map((step, stepIndex) => {
+    const siblings: TaskState[] = [];
+    for (let index = 0; index < step.taskCount; index++) {
+      siblings.push({
+        job,
+        taskId: `${spec.jobId}.${number}.${stepIndex}.${index}`,
+        occurrence: number,
+        stepIndex,
+        index,
+        siblings,
+        phase: "waiting",
+        run: 0,
+        failedRuns: NO_RUNS,
+        checkpoint: "",
+        placement: undefined,
+        avoidedWorkerId: undefined,
+        notBeforeMs: 0,
+        relocations: 0,
+        losses: [],
+      });
+    }
+    return siblings;
+  });
   return {
     number,
     dueAtMs: spec.repeatCount === 0
@@ -214,28 +230,79 @@
 
 /** Returns the due time of the next occurrence without state, in ms since 1970; 0 for a job without a schedule, undefined if every occurrence has state. */
 export function nextDueAtMs(job: JobState): number | undefined {
-  const { spec } = job;
-  const number = job.occurrences.length;
+  const { spec, openedOccurrences: number } = job;
   if (number >= countOccurrences(spec)) return undefined;
   return spec.repeatCount === 0
     ? 0
     : spec.firstRunMs + number * spec.intervalMs;
 }
 
-/** Creates the state of every occurrence that is due; returns whether any was added. */
+/** Creates the state of the next occurrence and returns it. */
+export function openOccurrence(job: JobState): Occurrence {
+  const occurrence = createOccurrence(job, job.openedOccurrences++);
+  job.occurrences.push(occurrence);
+  return occurrence;
+}
+
+/** Returns an occurrence of a job; undefined if it has no state. */
+export function findOccurrence(
+  { occurrences }: JobState,
+  number: number,
+): Occurrence | undefined {
+  let low = 0;
+  for (let high = occurrences.length; low < high;) {
+    const middle = (low + high) >> 1;
+    if (occurrences[middle]!.number < number) low = middle + 1;
+    else high = middle;
+  }
+  const found = occurrences[low];
+  return found?.number === number ? found : undefined;
+}
+
+/** Whether the state of another occurrence would hold more tasks than can be placed soon. */
+function hasEnoughWaiting({ occurrences, spec }: JobState): boolean {
+  if (occurrences.length === 0) return false;
+  const added = countTasks(spec);
+  let waiting = added;
+  let unfinished = added;
+  for (const { tasks } of occurrences) {
+    for (const { phase } of tasks) {
+      if (phase === "waiting") waiting++;
+      if (phase !== "done") unfinished++;
+    }
+  }
+  return waiting > MAXIMUM_WAITING_TASKS || unfinished > MAXIMUM_TASKS_PER_JOB;
+}
+
+/**
+ * Creates the state of occurrences that are due, as long as few tasks of the job
+ * wait: the others follow once these are placed. Returns whether any was added.
+ */
 export function createDueOccurrences(job: JobState, wallMs: number): boolean {
   let added = false;
   for (
     let dueAtMs = nextDueAtMs(job);
-    dueAtMs !== undefined && dueAtMs <= wallMs;
+    dueAtMs !== undefined && dueAtMs <= wallMs && !hasEnoughWaiting(job);
     dueAtMs = nextDueAtMs(job)
   ) {
-    job.occurrences.push(createOccurrence(job, job.occurrences.length));
+    openOccurrence(job);
     added = true;
   }
   return added;
 }
 
+/** Drops the state of a schedule's occurrence once it is finished and has no runs. */
+function dropIfOver({ job, occurrence: number }: TaskState): void {
+  if (job.spec.repeatCount === 0) return;
+  const occurrence = findOccurrence(job, number);
+  if (
+    occurrence === undefined ||
+    occurrence.remaining.some((count) => count > 0) ||
+    occurrence.tasks.some(({ placement }) => placement !== undefined)
+  ) return;
+  job.occurrences.splice(job.occurrences.indexOf(occurrence), 1);
+}
+
 function isRunnable(
   job: JobState,
   { remaining }: Occurrence,
@@ -275,10 +342,11 @@
   if (task.phase === "done") return;
   task.phase = "done";
   const { job } = task;
-  const occurrence = job.occurrences[task.occurrence]!;
+  const occurrence = findOccurrence(job, task.occurrence)!;
   occurrence.remaining[task.stepIndex]!--;
   if (occurrence.remaining.some((count) => count > 0)) return;
   job.finishedOccurrences++;
+  dropIfOver(task);
   if (
     job.finishedOccurrences === countOccurrences(job.spec) &&
     job.status === "active"
@@ -288,6 +356,7 @@
 /** Ends the placement of a task whose run is proven to be over; an unfinished task waits for its next run. */
 export function releaseTask(task: TaskState): void {
   task.placement = undefined;
+  if (task.phase === "done") dropIfOver(task);
   if (task.phase !== "placed") return;
   task.phase = "waiting";
   task.waitingSinceMs = undefined;
@@ -298,7 +367,8 @@
   job: JobState,
   visit: (task: TaskState, placement: Placement) => void,
 ): void {
-  for (const occurrence of job.occurrences) {
+  // The visitor may end runs, and with them occurrences.
+  for (const occurrence of [...job.occurrences]) {
     for (const task of occurrence.tasks) {
       if (task.placement !== undefined) visit(task, task.placement);
     }
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -3,8 +3,8 @@
 import { createIssue, listSchemaIssues } from "../validation.ts";
 import { TaggedError, type ValidationIssue } from "../errors.ts";
 
-/** Maximum number of tasks in one occurrence of a job. */
-const MAXIMUM_TASKS_PER_JOB = 20_000;
+/** Maximum number of tasks in one occurrence of a job, and of unfinished tasks of a job that are kept in memory. */
+export const MAXIMUM_TASKS_PER_JOB = 20_000;
 
 /** Maximum size of a stored job in bytes; entries pass it on in one call, which takes 512 KB. */
 const MAXIMUM_JOB_BYTES = 500_000;
@@ -144,6 +144,17 @@
       createIssue("$.steps", tasks, `at most ${MAXIMUM_TASKS_PER_JOB} tasks`),
     );
   }
+  const lastingTasks = spec.steps.reduce(
+    (sum, step) => sum + (step.longRunning ? step.taskCount : 0),
+    0,
+  );
+  if (lastingTasks * spec.repeatCount > MAXIMUM_TASKS_PER_JOB) {
+    issues.push(createIssue(
+      "$.repeatCount",
+      spec.repeatCount,
+      `at most ${MAXIMUM_TASKS_PER_JOB} long-running tasks in all occurrences, as none of them ends`,
+    ));
+  }
   const bytes = Buffer.byteLength(JSON.stringify(spec));
   if (bytes > MAXIMUM_JOB_BYTES) {
     issues.push(
--- a/src/scheduler/ownership_faults_test.ts
+++ b/src/scheduler/ownership_faults_test.ts
@@ -419,6 +419,34 @@
   });
 });
 
+// Guards against occurrences of a schedule that run again, or never, because the owner changes while it holds only some of them.
+test("each overdue occurrence of a schedule runs once, over a change of owner", async () => {
+  await withCluster("schedule", async (cluster) => {
+    const job = await cluster.submit(
+      [
+        { taskCount: 8, cpuMillis: 100, estimatedMs: 40 },
+        { taskCount: 2, cpuMillis: 100, estimatedMs: 20, after: [0] },
+      ],
+      { repeatCount: 150, firstRunMs: 1, intervalMs: 1 },
+    );
+    await waitFor(
+      "300 tasks are done",
+      () => cluster.invariants.done.size >= 300,
+      { timeoutMs: 30_000 },
+    );
+    const owner = cluster.owner();
+    if (owner !== undefined) await cluster.killEntry(owner);
+    cluster.startEntry();
+    await cluster.waitForStatus(job, "completed");
+    assert.equal(cluster.invariants.done.size, 1_500);
+    const listParts = () =>
+      [...cluster.store.items.keys()].filter((key) =>
+        key.startsWith(`${STORE_KEYS.progressPrefix}${job}/`)
+      );
+    await waitFor("the parts are deleted", () => listParts().length === 0);
+  });
+});
+
 // Guards against a deployment without an owner: an entry that the store refuses still reports an owner
 // that has left, and the entry that asked it never campaigns.
 for (const started of ["before", "after"] as const) {
--- a/src/scheduler/progress_record.ts
+++ b/src/scheduler/progress_record.ts
@@ -5,11 +5,14 @@
   countTasks,
   createJobState,
   createOccurrence,
+  findOccurrence,
   finishTask,
   forEachPlacedTask,
   getStep,
   type JobState,
   type Occurrence,
+  openOccurrence,
+  type Placement,
   type TaskState,
 } from "./job_state.ts";
 import type { JobSpec } from "./model.ts";
@@ -36,8 +39,10 @@
 
 const progressSchema = z.object({
   status: z.enum(["active", "completed", "failed", "cancelled"]),
-  /** Number of occurrences with state; their tasks that aren't listed wait for their first run. */
+  /** Number of occurrences that have got state; their tasks that aren't listed wait for their first run. */
   opened: z.number().int(),
+  /** Numbers of those that still have state, the others are finished; if omitted, all have. */
+  open: z.array(z.number().int()).optional(),
   tasks: z.array(taskRecordSchema),
   /** When the job reached its final status, in ms since 1970. */
   endedAtMs: z.number().optional(),
@@ -79,13 +84,14 @@
   readonly number: number;
 }
 
-/** Returns the record that holds a task of a partitioned job. */
+/** Returns the record that holds a task of a partitioned job; undefined if the task's occurrence is over. */
 export function partOf(
-  { job, occurrence, stepIndex, index }: TaskState,
-): ProgressPart {
+  { job, occurrence: occurrenceNumber, stepIndex, index }: TaskState,
+): ProgressPart | undefined {
+  const occurrence = findOccurrence(job, occurrenceNumber);
   const position = job.stepOffsets[stepIndex]! + index;
-  return {
-    occurrence: job.occurrences[occurrence]!,
+  return occurrence && {
+    occurrence,
     number: Math.floor(position / TASKS_PER_RECORD),
   };
 }
@@ -98,6 +104,14 @@
   return `${STORE_KEYS.progressPrefix}${jobId}/${occurrence.number}.${number}`;
 }
 
+/** Returns the stored parts of a job's occurrences that are over. */
+export function listObsoleteParts(job: JobState): string[] {
+  return [...job.partKeys].filter((key) => {
+    const name = key.slice(key.lastIndexOf("/") + 1);
+    return findOccurrence(job, Number(name.split(".")[0])) === undefined;
+  });
+}
+
 /** Returns the ID of the job to which a progress record belongs, and whether it holds a part of the progress. */
 export function parseProgressKey(
   key: string,
@@ -140,7 +154,7 @@
     ...base,
     p: placement === undefined ? "w" : "p",
     run,
-    ...(failedRuns.size > 0 ? { failedRuns: [...failedRuns] } : {}),
+    ...(failedRuns.length > 0 ? { failedRuns: [...failedRuns] } : {}),
     ...(checkpoint === "" ? {} : { checkpoint }),
     ...(losses.length > 0 ? { losses: [...losses] } : {}),
   };
@@ -161,7 +175,10 @@
   }
   return JSON.stringify({
     status: job.status,
-    opened: job.occurrences.length,
+    opened: job.openedOccurrences,
+    ...(job.occurrences.length === job.openedOccurrences
+      ? {}
+      : { open: job.occurrences.map(({ number }) => number) }),
     tasks,
     ...(job.status === "active" ? {} : { endedAtMs: wallMs }),
     ...(job.failureReason === undefined
@@ -193,6 +210,29 @@
   }
 }
 
+/** Creates the placement of a run that an earlier owner has recorded. */
+function createInheritedPlacement(
+  { worker = "", born = 0, vm = "", run }: z.output<typeof taskRecordSchema>,
+  nowMs: number,
+): Placement {
+  return {
+    workerId: worker,
+    bornAtMs: born,
+    vmId: vm,
+    run,
+    inherited: true,
+    unansweredAttempts: 0,
+    startState: "inherited",
+    stopReason: undefined,
+    placedAtMs: nowMs,
+    confirmedAtMs: undefined,
+    stopConfirmedAtMs: undefined,
+    percent: 0,
+    reportedAtMs: undefined,
+    loadMetric: 0,
+  };
+}
+
 /** Rebuilds a job from its stored spec, its progress and the parts of it; throws if they don't match the spec. */
 export function restoreJob(
   spec: JobSpec,
@@ -209,12 +249,23 @@
     ...parts.flatMap(({ value }) => partSchema.parse(JSON.parse(value)).tasks),
   ];
   const opened = Math.min(record.opened, countOccurrences(spec));
-  while (job.occurrences.length < opened) {
-    job.occurrences.push(createOccurrence(job, job.occurrences.length));
+  if (record.open === undefined) {
+    while (job.openedOccurrences < opened) openOccurrence(job);
+  } else {
+    job.openedOccurrences = opened;
+    job.finishedOccurrences = opened - record.open.length;
+    for (const number of record.open) {
+      job.occurrences.push(createOccurrence(job, number));
+    }
   }
+  const occurrences = new Map(
+    job.occurrences.map((occurrence) => [occurrence.number, occurrence]),
+  );
   for (const taskRecord of taskRecords) {
-    const task = job.occurrences[taskRecord.o]?.steps[taskRecord.s]
-      ?.[taskRecord.i];
+    const occurrence = occurrences.get(taskRecord.o);
+    // The part of a finished occurrence that wasn't deleted any more.
+    if (occurrence === undefined && taskRecord.o < opened) continue;
+    const task = occurrence?.steps[taskRecord.s]?.[taskRecord.i];
     if (task === undefined) {
       throw new Error(
         `progress record lists unknown task ${taskRecord.o}.${taskRecord.s}.${taskRecord.i}`,
@@ -222,33 +273,19 @@
     }
     job.started = true;
     task.run = taskRecord.run;
-    if (!getStep(task).longRunning) {
-      for (const run of taskRecord.failedRuns) task.failedRuns.add(run);
+    if (!getStep(task).longRunning && taskRecord.failedRuns.length > 0) {
+      task.failedRuns = taskRecord.failedRuns;
     }
     task.checkpoint = taskRecord.checkpoint;
     task.losses = taskRecord.losses;
     if (taskRecord.p === "d" || taskRecord.failedRuns.length > 0) {
       job.begun = true;
     }
+    if (taskRecord.p === "p") task.phase = "placed";
+    if (taskRecord.p === "p" || taskRecord.worker !== undefined) {
+      task.placement = createInheritedPlacement(taskRecord, nowMs);
+    }
     if (taskRecord.p === "d") finishTask(task);
-    else if (taskRecord.p === "p") task.phase = "placed";
-    if (taskRecord.p !== "p" && taskRecord.worker === undefined) continue;
-    task.placement = {
-      workerId: taskRecord.worker ?? "",
-      bornAtMs: taskRecord.born ?? 0,
-      vmId: taskRecord.vm ?? "",
-      run: taskRecord.run,
-      inherited: true,
-      unansweredAttempts: 0,
-      startState: "inherited",
-      stopReason: undefined,
-      placedAtMs: nowMs,
-      confirmedAtMs: undefined,
-      stopConfirmedAtMs: undefined,
-      percent: 0,
-      reportedAtMs: undefined,
-      loadMetric: 0,
-    };
   }
   // The parts may show that all tasks are done although the status wasn't stored any more.
   if (record.status !== "active") job.status = record.status;
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -16,6 +16,7 @@
   countFailures,
   createJobState,
   type FinalStatus,
+  findOccurrence,
   finishTask,
   forEachPlacedTask,
   getStep,
@@ -34,6 +35,7 @@
   encodePart,
   encodeProgress,
   isPartitioned,
+  listObsoleteParts,
   partKey,
   partOf,
 } from "./progress_record.ts";
@@ -220,9 +222,7 @@
       endedAtMs: clock.monotonicMs(),
       steps: job.spec.steps,
     });
-    for (const key of job.partKeys) {
-      journal.put({ key, encode: () => undefined });
-    }
+    deleteParts(job, [...job.partKeys]);
   }
 
   function save(
@@ -258,6 +258,13 @@
     });
   }
 
+  function deleteParts(job: JobState, keys: Iterable<string>): void {
+    for (const key of keys) {
+      if (!job.partKeys.delete(key)) continue;
+      journal.put({ key, encode: () => undefined });
+    }
+  }
+
   /** Stores what has changed of some tasks of a job, and its status. */
   function saveTasks(
     tasks: readonly TaskState[],
@@ -270,10 +277,15 @@
     const { jobId } = job.spec;
     // The parts of a job that has no runs left are deleted.
     if (jobs.get(jobId) !== job) return;
-    save(job, { urgent: saveOptions.urgent });
-    const parts = new Map(tasks.map((task) => {
+    const obsoleteKeys = listObsoleteParts(job);
+    save(job, {
+      urgent: saveOptions.urgent,
+      // Until then, the next owner needs them to know that the occurrences are over.
+      onStored: () => deleteParts(job, obsoleteKeys),
+    });
+    const parts = new Map(tasks.flatMap((task) => {
       const part = partOf(task);
-      return [partKey(jobId, part), part];
+      return part === undefined ? [] : [[partKey(jobId, part), part]];
     }));
     for (const [key, part] of parts) {
       job.partKeys.add(key);
@@ -362,8 +374,8 @@
     workerId: string,
   ): void {
     task.avoidedWorkerId = workerId;
-    if (getStep(task).longRunning || task.failedRuns.has(run)) return;
-    task.failedRuns.add(run);
+    if (getStep(task).longRunning || task.failedRuns.includes(run)) return;
+    task.failedRuns = [...task.failedRuns, run];
     if (countFailures(task) >= maximumAttempts(task.job)) {
       failJob(task, `task ${task.taskId} has used up its attempts`);
     }
@@ -415,7 +427,7 @@
         ending: endedRun.ending,
         worker: instance.workerId,
         current: isCurrent,
-        failures: task.failedRuns.size,
+        failures: task.failedRuns.length,
       },
     );
     const { placement } = task;
@@ -450,14 +462,15 @@
 
   function findTask(taskId: string): TaskState | undefined {
     const [jobId, occurrence, step, index] = taskId.split(".");
-    return jobs.get(jobId ?? "")?.occurrences[Number(occurrence)]
+    const job = jobs.get(jobId ?? "");
+    return job && findOccurrence(job, Number(occurrence))
       ?.steps[Number(step)]?.[Number(index)];
   }
 
-  /** Returns what a task of an ended job needs; undefined if the job is unknown. */
+  /** Returns what a task of an ended job or occurrence needs; undefined if the job is unknown. */
   function findEndedDemand(taskId: string): TaskDemand | undefined {
     const [jobId = "", occurrence, step] = taskId.split(".");
-    const ended = endedJobs.get(jobId);
+    const ended = endedJobs.get(jobId) ?? jobs.get(jobId)?.spec;
     const stepIndex = Number(step);
     if (ended?.steps[stepIndex] === undefined) return undefined;
     const { steps, workspace } = ended;
@@ -654,6 +667,7 @@
     disruptions,
     addRestored(job) {
       jobs.set(job.spec.jobId, job);
+      deleteParts(job, listObsoleteParts(job));
       archiveIfOver(job);
     },
     addEnded(jobId, ended) {
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -181,9 +181,9 @@
   first.scheduler.place(task, first.instance, { run: 1, ticket: undefined });
   await first.flush();
   first.report([endedRun(1, 1, "failed")]);
-  assert.equal(task.failedRuns.size, 1);
+  assert.equal(task.failedRuns.length, 1);
   first.report([endedRun(1, 1, "failed")]);
-  assert.equal(task.failedRuns.size, 1);
+  assert.equal(task.failedRuns.length, 1);
 
   const next = createTestScheduler();
   next.scheduler.addRestored(
@@ -191,7 +191,7 @@
   );
   next.report([endedRun(1, 1, "failed")]);
   const restored = next.openTask();
-  assert.equal(restored.failedRuns.size, 1);
+  assert.equal(restored.failedRuns.length, 1);
   assert.equal(restored.job.status, "active");
   next.report([endedRun(2, 2, "failed")]);
   assert.equal(restored.job.status, "failed");
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -81,6 +81,11 @@
   readonly receivedAtMs: number;
 }
 
+/** Occurrences of a submitted job; one if there are none. */
+type JobSchedule = Partial<
+  Pick<JobSpec, "repeatCount" | "firstRunMs" | "intervalMs">
+>;
+
 /** An entry of the cluster. */
 export interface ClusterEntry {
   readonly id: string;
@@ -420,6 +425,7 @@
   createSpec(
     jobId: string,
     steps: Partial<JobSpec["steps"][number]>[],
+    schedule: JobSchedule = {},
   ): JobSpec {
     const spec = jobSpecSchema.parse({
       jobId,
@@ -428,6 +434,7 @@
       maximumAttempts: QUEUE.maximumAttempts,
       specification: `work of ${jobId}`,
       steps,
+      ...schedule,
       acceptedAtMs: Date.now(),
     });
     this.invariants.specs.set(jobId, spec);
@@ -435,9 +442,12 @@
   }
 
   /** Submits a job through random entries until one accepts it; returns its id. */
-  async submit(steps: Partial<JobSpec["steps"][number]>[]): Promise<string> {
+  async submit(
+    steps: Partial<JobSpec["steps"][number]>[],
+    schedule: JobSchedule = {},
+  ): Promise<string> {
     const jobId = (this.#nextJob++).toString(16).padStart(16, "0");
-    const spec = this.createSpec(jobId, steps);
+    const spec = this.createSpec(jobId, steps, schedule);
     for (;;) {
       const entry = this.entries[this.random.nextInteger(this.entries.length)];
       if (entry === undefined) {
