fix(workers): calls to a worker's earlier process are void for its next one

Reproduced in a test: the poll that waited at the crash is carried out by the next process (a call without an answer may be, and the ID that it names is the same). Its acknowledged number counts the ends of the earlier process; the next one counts from 1 and forgets ends that the owner, cut off, hasn't read.

Ruled out as the cause of that order of events: a start that reaches the next process (the operators' log says "late false", and their first run's end is in no owner's log).

Change: an owner's fencing tokens leave room for 10,000 processes of each worker (epoch * 10,000 + number). Each link uses the next one, so that starts, stops, polls, throttles and lease extensions that were meant for an earlier process are refused from the first call to the next one on. A refusal to a closed link isn't taken for a newer owner. Nothing is stored, and a new owner's tokens lie above. The link logs ends that no report has shown.

--- a/bench/capacity/scheduling.ts
+++ b/bench/capacity/scheduling.ts
@@ -168,7 +168,6 @@
 function measureScheduling(workers: number): SchedulingCost {
   const scheduler = createScheduler({
     journal,
-    fence: 1,
     clock,
     log: silentLogger,
     config: () => CONFIG,
--- a/src/scheduler/given_up_runs_test.ts
+++ b/src/scheduler/given_up_runs_test.ts
@@ -162,7 +162,6 @@
   const { journal, flush } = createTestJournal();
   const scheduler = createScheduler({
     journal,
-    fence: 1,
     clock: systemClock,
     log: silentLogger,
     config: () => undefined,
--- a/src/scheduler/load_jobs_test.ts
+++ b/src/scheduler/load_jobs_test.ts
@@ -31,7 +31,6 @@
   const store = new FakeRecordStore(createRandom(1));
   const scheduler = createScheduler({
     journal,
-    fence: 2,
     clock: systemClock,
     log: silentLogger,
     config: () => undefined,
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -50,8 +50,6 @@
 
 /** Dependencies of the run orders. */
 export interface RunOrdersOptions {
-  /** Fencing token of the owner's orders. */
-  readonly fence: number;
   readonly clock: Clock;
   readonly log: Logger;
   readonly health: WorkerHealth;
@@ -75,8 +73,7 @@
 
 /** Creates the run orders of one tenure. */
 export function createRunOrders(options: RunOrdersOptions): RunOrders {
-  const { fence, clock, log, health, counters, findInstance, freeTask } =
-    options;
+  const { clock, log, health, counters, findInstance, freeTask } = options;
   const lastStopAtMs = new WeakMap<Placement, number>();
 
   function giveUpRun(
@@ -148,7 +145,6 @@
         taskId: task.taskId,
         run: placement.run,
         specification: task.job.spec.specification,
-        fence,
         ...fields,
       });
       // A report may have ended the placement in the meantime.
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -157,8 +157,6 @@
 /** Dependencies of the scheduler. */
 export interface SchedulerOptions {
   readonly journal: Journal;
-  /** Fencing token of the owner's orders, which is its epoch. */
-  readonly fence: number;
   readonly clock: Clock;
   readonly log: Logger;
   readonly config: () => SchedulerConfig | undefined;
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -62,7 +62,6 @@
   };
   const scheduler = createScheduler({
     journal,
-    fence: 1,
     clock: systemClock,
     log,
     config: () => undefined,
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -206,7 +206,6 @@
   });
   const scheduler = createScheduler({
     journal,
-    fence: tenure.epoch,
     clock,
     log,
     config: options.config,
@@ -238,7 +237,7 @@
     control,
     scheduler,
     tickets,
-    fence: tenure.epoch,
+    epoch: tenure.epoch,
     earlierLeasesEndMs,
     events: {
       onFenced: () => endTenure("a worker was fenced by a newer owner"),
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -2,8 +2,10 @@
 import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
 import { createNotifier, type Notifier } from "../notifier.ts";
+import type { WorkerLife } from "./worker_lives.ts";
 import type { PollPacing } from "./poll_pacing.ts";
 import type {
+  EndedRunReport,
   OrderOutcome,
   StartOrder,
   WorkerControl,
@@ -53,7 +55,7 @@
   readonly lastResponseAtMs: number | undefined;
   /** Whether every lease that may have been granted has expired. */
   leasesExpired(): boolean;
-  start(order: Omit<StartOrder, "leaseEndMs">): Promise<OrderOutcome>;
+  start(order: Omit<StartOrder, "leaseEndMs" | "fence">): Promise<OrderOutcome>;
   stop(taskId: string, run: number): Promise<OrderOutcome>;
   throttle(taskId: string, run: number, percent: number): Promise<OrderOutcome>;
   /** Calls the worker only to learn whether it still responds, beside the poll that may be waiting. */
@@ -72,7 +74,7 @@
 /** Dependencies and settings of a worker link. */
 export interface WorkerLinkOptions {
   readonly registration: WorkerRegistration;
-  readonly fence: number;
+  readonly life: WorkerLife;
   readonly control: WorkerControl;
   readonly clock: Clock;
   readonly log: Logger;
@@ -84,7 +86,8 @@
 
 /** Creates the link to one worker instance. */
 export function createWorkerLink(options: WorkerLinkOptions): WorkerLink {
-  const { fence, control, clock, log, events, pacing } = options;
+  const { life: { fence, isSuccessor }, control, clock, log, events, pacing } =
+    options;
   let worker = options.registration;
   let processedEndNumber = 0;
   let storedEndNumber = 0;
@@ -132,7 +135,8 @@
       }
       case "refused":
         lastResponseAtMs = clock.monotonicMs();
-        if (outcome.reason === "fenced") events.onFenced(link);
+        // Once the link is closed, the worker's next process may know a higher token of this owner.
+        if (outcome.reason === "fenced" && !closed) events.onFenced(link);
         return;
       case "other_life":
         endLink();
@@ -149,6 +153,20 @@
     events.onInstanceEnded(link, successorBornAtMs);
   }
 
+  /** Logs ends that no report has shown, without which a task may run again: something has acknowledged them. */
+  function warnOfMissingEnds(ends: readonly EndedRunReport[]): void {
+    // An earlier owner may have got the first ones.
+    if (ends.length === 0 || (processedEndNumber === 0 && !isSuccessor)) return;
+    const firstNumber = Math.min(...ends.map(({ number }) => number));
+    if (firstNumber <= processedEndNumber + 1) return;
+    log.warn("ends of runs are missing from a worker's reports", {
+      worker: worker.workerId,
+      bornAtMs: worker.bornAtMs,
+      from: processedEndNumber + 1,
+      to: firstNumber - 1,
+    });
+  }
+
   function* pollOnce(): Operation<void> {
     const sentAtMs = clock.monotonicMs();
     // An unreachable worker is granted no further lease, so that the upper bound of its leases stays fixed.
@@ -188,6 +206,7 @@
     const newlyEnded = outcome.ended.filter(({ number }) =>
       number > processedEndNumber
     );
+    warnOfMissingEnds(newlyEnded);
     events.onReport(link, { ...outcome, ended: newlyEnded }, sentAtMs);
     const latest = Math.max(
       processedEndNumber,
@@ -226,6 +245,7 @@
       extendLeaseBound();
       const outcome = await control.start(worker, {
         ...order,
+        fence,
         leaseEndMs: nextLeaseEndMs() ?? 0,
       });
       handleOutcome(outcome);
--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -5,6 +5,7 @@
 import { createNotifier } from "../notifier.ts";
 import type { InstanceEnd } from "./crashes/instance_end.ts";
 import { getStep } from "./job_state.ts";
+import { createWorkerLives } from "./worker_lives.ts";
 import { createPollPacing } from "./poll_pacing.ts";
 import { PlacedTasks } from "./placed_tasks.ts";
 import type {
@@ -52,7 +53,8 @@
   readonly tickets: TicketCache;
   readonly control: WorkerControl;
   readonly records: PlatformRecordCodec;
-  readonly fence: number;
+  /** The owner's epoch. */
+  readonly epoch: number;
   readonly clock: Clock;
   readonly log: Logger;
   /** Monotonic time until which leases of earlier owners may last, in ms. */
@@ -67,6 +69,7 @@
   const { workers } = scheduler;
   const newInstances: WorkerInstance[] = [];
   const newInstanceNotifier = createNotifier();
+  const lives = createWorkerLives(options.epoch);
   const pacing = createPollPacing(() => clock.monotonicMs());
 
   function registerWorker(registration: WorkerRegistration): void {
@@ -110,7 +113,7 @@
     const link = createWorkerLink({
       pacing,
       registration,
-      fence: options.fence,
+      life: lives.add(registration.workerId),
       control: options.control,
       clock,
       log,
--- a/testing/fake_task_workers.ts
+++ b/testing/fake_task_workers.ts
@@ -30,6 +30,8 @@
   lateOrderRate: number;
   /** Upper bound of the random part of a late order's delay, in ms; the fixed part is 200 ms. */
   lateMs: number;
+  /** Whether the polls that wait at a worker that crashes are kept for its next process, see `executeHeldPolls`. */
+  holdsPollsOfCrashed: boolean;
   /** Fraction of orders that workers refuse because they are unhealthy. */
   unhealthyRate: number;
   /** Fraction of runs that fail. */
@@ -160,6 +162,7 @@
   readonly faults: WorkerFaults = {
     lateOrderRate: 0,
     lateMs: 2_000,
+    holdsPollsOfCrashed: false,
     unhealthyRate: 0,
     failedRunRate: 0,
     unreachable: new Set(),
@@ -175,6 +178,8 @@
   readonly workers = new Map<string, FakeTaskWorker>();
   /** Orders that have reached a paused VM. */
   #pausedOrders: { worker: FakeTaskWorker; execute: () => void }[] = [];
+  /** Polls that waited at workers that have crashed. */
+  #heldPolls: (() => void)[] = [];
   readonly #timer: NodeJS.Timeout;
 
   constructor(readonly random: Random, readonly invariants: InvariantChecker) {
@@ -205,6 +210,11 @@
     this.onCrash(worker);
   }
 
+  /** Executes each held poll on the process that runs under the worker's ID now, as a platform may that delivers calls late. */
+  executeHeldPolls(): void {
+    for (const poll of this.#heldPolls.splice(0)) poll();
+  }
+
   /** Ends the worker that has started a deadly task. */
   #crashLater(worker: FakeTaskWorker, taskId: string): void {
     setTimeout(() => {
@@ -478,14 +488,15 @@
       ) => {
         if (!isUp()) return delay(100, noResponse);
         const worker = this.workers.get(workerId);
+        const poll = (target: FakeTaskWorker): OrderOutcome<WorkerReport> => {
+          if (this.#rejectsFence(target, fence)) {
+            return { kind: "refused", reason: "fenced" };
+          }
+          if (leaseEndMs !== undefined) this.#extendLease(target, leaseEndMs);
+          return { kind: "done", ...this.#report(target, acknowledged) };
+        };
         const first = await unlessDown(
-          this.#execute<WorkerReport>(workerId, (target) => {
-            if (this.#rejectsFence(target, fence)) {
-              return { kind: "refused", reason: "fenced" };
-            }
-            if (leaseEndMs !== undefined) this.#extendLease(target, leaseEndMs);
-            return { kind: "done", ...this.#report(target, acknowledged) };
-          }),
+          this.#execute<WorkerReport>(workerId, poll),
         );
         if (this.faults.silent.has(workerId)) return delay(50, noResponse);
         if (
@@ -501,6 +512,9 @@
           const timer = setTimeout(done, waitMs);
           worker.waiters.add(done);
         });
+        if (!worker.alive && this.faults.holdsPollsOfCrashed) {
+          this.#heldPolls.push(() => void poll(this.workers.get(workerId)!));
+        }
         if (
           !isUp() || !worker.alive || this.faults.unreachable.has(workerId) ||
           this.faults.silent.has(workerId) || this.#isPaused(worker)
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -98,7 +98,6 @@
   const checkpoints: string[] = [];
   const scheduler = createScheduler({
     journal,
-    fence: 1,
     clock: systemClock,
     log: silentLogger,
     config: () => undefined,
@@ -172,7 +171,7 @@
       workerPrefix: "servers/",
       readWorker,
     } as unknown as PlatformRecordCodec,
-    fence: 1,
+    epoch: 1,
     clock: systemClock,
     log: silentLogger,
     earlierLeasesEndMs: 0,
