fix(scheduler): tasks wait for starts that a worker's next process may execute

Cause: when the VM list showed the VM as down, releaseInstance freed every task of the worker, also those with an unanswered start; only a process that showed itself before the list did kept them.

Change: these tasks stay under the ended instance until the next process has been called, which voids the order or shows the run, or until 12.5 s after the order was sent, or until the VM has left or has another worker. A start isn't repeated to an ended process. Weighed: the same for workers that are silent until their leases expire, and for tasks of an earlier owner.

--- a/src/scheduler/crashes/instance_end.ts
+++ b/src/scheduler/crashes/instance_end.ts
@@ -16,6 +16,28 @@
   /** It isn't registered and has no tasks. */
   | "unused";
 
+/** Whether the worker has ended and may start again under its ID; its next process would execute calls that were meant for this one. */
+export function mayRestart(end: InstanceEnd): boolean {
+  switch (end) {
+    case "vm_down":
+    case "vm_ordered":
+      return true;
+    case "restarted":
+    case "unused":
+      return false;
+    // It is silent, but nothing shows that it has ended.
+    case "leases_expired":
+      return false;
+    // Its address belongs to another worker, which refuses calls that name this one, or to none.
+    case "replaced":
+    case "vm_unlisted":
+    case "vm_reassigned":
+      return false;
+    default:
+      return assertNever(end);
+  }
+}
+
 /** What the end of an instance says about its process. */
 export type ProcessFate =
   /** The process has ended, and no order or drain explains it. */
--- a/src/scheduler/crashes/lost_runs.ts
+++ b/src/scheduler/crashes/lost_runs.ts
@@ -28,6 +28,19 @@
   return `${taskId} run ${run}, ${progress}`;
 }
 
+/** Time after which a call without an answer is no longer executed, in ms; platforms have taken up to 12 s. */
+const LATE_CALL_LIMIT_MS = 12_500;
+
+/** Returns the monotonic time until which a start order without an answer may still be executed, in ms; `-Infinity` if there is none. */
+export function lateStartEndMs(
+  { startState, startSentAtMs, unansweredAttempts }: Placement,
+): number {
+  const isUnanswered = unansweredAttempts > 0 || startState === "sending";
+  return isUnanswered && startSentAtMs !== undefined
+    ? startSentAtMs + LATE_CALL_LIMIT_MS
+    : -Infinity;
+}
+
 /** Whether the next process of a placement's worker may have executed, or may still execute, the start order. */
 export function mayHaveReachedSuccessor(placement: Placement): boolean {
   switch (placement.startState) {
--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -20,6 +20,8 @@
   readonly inherited: boolean;
   /** Number of attempts to send the start order that had no answer and may be executed late. */
   unansweredAttempts: number;
+  /** Monotonic time of the latest attempt to send the start order, in ms. */
+  startSentAtMs?: number | undefined;
   /** Progress of the start order. */
   startState:
     /** The record that must be stored before the order is sent isn't stored yet. */
--- a/src/scheduler/reborn_workers_test.ts
+++ b/src/scheduler/reborn_workers_test.ts
@@ -4,7 +4,13 @@
 import { suite } from "uvu";
 import { chooseSeed, createRandom } from "../../testing/random.ts";
 import { SchedulerCluster } from "../../testing/scheduler_cluster.ts";
-import { ended, registrationOf } from "../../testing/scheduler_helpers.ts";
+import {
+  createTestScheduler,
+  ended,
+  openTasks,
+  registrationOf,
+  spec,
+} from "../../testing/scheduler_helpers.ts";
 import { waitFor } from "../../testing/wait.ts";
 import { systemClock } from "../clock.ts";
 import { silentLogger } from "../logger.ts";
@@ -57,7 +63,7 @@
     // The owner reads none of the ends before the poll is executed.
     faults.unreachable.add("worker-0");
     await waitFor("the tasks end", () => next().running.size === 0);
-    cluster.workers.executeHeldPolls();
+    cluster.workers.executeHeldCalls();
     faults.unreachable.delete("worker-0");
     await cluster.waitForStatus(job, "completed");
     assert.equal(cluster.invariants.starts, 9);
@@ -164,4 +170,73 @@
   ]);
 });
 
+// Guards against a task that runs twice: its worker's VM is down, and a start without an answer reaches the worker's next process.
+test("a task waits for the next process of a worker that a start without an answer may reach", async () => {
+  await withCluster(async (cluster) => {
+    cluster.restartCrashedAfterMs = undefined;
+    const { workers } = cluster;
+    const indexes = [0, 1];
+    for (const index of indexes) {
+      cluster.addWorker(index);
+      workers.faults.holdsStarts.add(`worker-${index}`);
+    }
+    const job = await cluster.submit([{ taskCount: 1, estimatedMs: 6_000 }]);
+    await waitFor("both attempts are sent", () => workers.heldCalls === 2);
+    const task = `${job}.0.0.0`;
+    const owner = cluster.owner()!.election.localOwner()!;
+    const index = [...owner.scheduler.workers.instances.values()].find((
+        { tasks },
+      ) => tasks.size > 0
+      )!.workerId === "worker-0"
+      ? 0
+      : 1;
+    workers.faults.holdsStarts.clear();
+    const victim = currentProcess(cluster, `worker-${index}`);
+    workers.crash(victim);
+    // The owner learns from the list that the VM is down.
+    await delay(3_000);
+    cluster.addWorker(index, 2);
+    workers.executeHeldCalls();
+    assert.ok(currentProcess(cluster, `worker-${index}`).running.has(task));
+    await cluster.waitForStatus(job, "completed");
+  });
+});
+
+// Guards against a task that waits for a worker that can't return, or for an order that can't be executed any more.
+test("a task with a start without an answer is freed once nothing can execute it", async () => {
+  let nowMs = 1_000;
+  const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
+  for (
+    const [end, waitMs, phase] of [
+      ["vm_unlisted", 0, "waiting"],
+      ["vm_reassigned", 0, "waiting"],
+      ["vm_down", 0, "placed"],
+      ["vm_down", 13_000, "waiting"],
+    ] as const
+  ) {
+    const { scheduler, state, addWorker, flush } = createTestScheduler({
+      clock,
+    });
+    state.onStart = () => ({ kind: "unknown" });
+    scheduler.accept(spec([{ taskCount: 2 }]));
+    const [sent, unsent] = openTasks(scheduler);
+    const worker = addWorker("w1");
+    scheduler.place(sent!, worker, { run: 1, ticket: undefined });
+    await flush();
+    scheduler.place(unsent!, worker, { run: 1, ticket: undefined });
+    nowMs += waitMs;
+    scheduler.removeInstance(worker, end);
+    assert.equal(sent!.phase, phase, `${end} after ${waitMs} ms`);
+    assert.equal(unsent!.phase, "waiting", end);
+    if (phase === "waiting") continue;
+    const held = scheduler.workers.find("w1", 1)!;
+    assert.deepEqual([...held.tasks], [sent]);
+    assert.equal(held.link, undefined);
+    nowMs += 13_000;
+    scheduler.removeInstance(held, end);
+    assert.equal(sent!.phase, "waiting");
+    assert.equal(scheduler.workers.find("w1", 1), undefined);
+  }
+});
+
 test.run();
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -141,6 +141,7 @@
     placement.startState = "sending";
     let outcome: OrderOutcome = { kind: "unknown" };
     while (placement.unansweredAttempts < MAXIMUM_START_ATTEMPTS) {
+      placement.startSentAtMs = clock.monotonicMs();
       outcome = await instance.link.start({
         taskId: task.taskId,
         run: placement.run,
@@ -151,8 +152,9 @@
       if (task.placement !== placement) return;
       if (outcome.kind !== "unknown") break;
       placement.unansweredAttempts++;
-      // During an attempt, the tenure may end, and the run be listed or become needless.
+      // During an attempt, the tenure or the worker's process may end, and the run be listed or become needless.
       if (
+        findInstance(placement)?.link !== instance.link ||
         !options.mayOrder() || placement.stopReason !== undefined ||
         isListed(placement) || hasShrunk(instance)
       ) break;
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -52,9 +52,14 @@
   type CrashTracker,
   createCrashTracker,
 } from "./crashes/crash_tracker.ts";
-import type { InstanceEnd } from "./crashes/instance_end.ts";
-import { mayHaveReachedSuccessor } from "./crashes/lost_runs.ts";
+import { type InstanceEnd, mayRestart } from "./crashes/instance_end.ts";
+import {
+  lateStartEndMs,
+  mayHaveReachedSuccessor,
+} from "./crashes/lost_runs.ts";
 import { computeRestartDelay } from "./restart_delay.ts";
+import { MAXIMUM_LEASE_MS } from "./worker_link.ts";
+import { PlacedTasks } from "./placed_tasks.ts";
 import { createRunOrders } from "./run_orders.ts";
 import {
   createWorkerTable,
@@ -133,7 +138,11 @@
     report: WorkerReport,
     sentAtMs: number,
   ): void;
-  /** Removes a worker instance that is proven to have ended, and requeues its tasks. */
+  /**
+   * Removes a worker instance that is proven to have ended, and requeues its tasks.
+   * Those with a start order without an answer stay placed for a while if the
+   * worker may start again under its ID.
+   */
   removeInstance(instance: WorkerInstance, end: InstanceEnd): void;
   /**
    * Removes a worker instance that has ended, like `removeInstance`, but keeps
@@ -613,6 +622,46 @@
     health.forget(instance.workerId);
   }
 
+  /**
+   * Keeps the tasks of an ended instance placed whose start orders may still reach
+   * the worker's next process, until that has been called or the orders can't be
+   * executed any more. They stay in the table under the ended instance.
+   */
+  function holdLateStarts(instance: WorkerInstance, end: InstanceEnd): void {
+    if (!mayRestart(end)) return;
+    const nowMs = clock.monotonicMs();
+    const held = new PlacedTasks();
+    let heldUntilMs = -Infinity;
+    for (const task of [...instance.tasks]) {
+      if (task.placement === undefined) continue;
+      const endMs = lateStartEndMs(task.placement);
+      if (endMs <= nowMs) continue;
+      instance.tasks.delete(task);
+      held.add(task);
+      heldUntilMs = Math.max(heldUntilMs, endMs);
+    }
+    if (held.size === 0) return;
+    log.info("tasks wait for start orders without an answer", {
+      worker: instance.workerId,
+      vm: instance.vmId,
+      tasks: [...held].map(({ taskId }) => taskId),
+      orderEndsMs: Math.round(heldUntilMs - nowMs),
+    });
+    workers.remove(instance);
+    workers.add({
+      ...instance,
+      link: undefined,
+      registration: undefined,
+      missingSinceMs: undefined,
+      draining: false,
+      tasks: held,
+      joinedAtMs: nowMs,
+      // Once the orders have lapsed, a VM list that shows the VM down frees the tasks sooner.
+      earlierLeasesEndMs: heldUntilMs + MAXIMUM_LEASE_MS,
+      heldUntilMs,
+    });
+  }
+
   function cancel(jobId: string): void {
     const job = jobs.get(jobId);
     if (job === undefined) {
@@ -749,6 +798,7 @@
     removeInstance(instance, end) {
       const tasks = [...instance.tasks];
       crashes.recordEnd(instance, end);
+      holdLateStarts(instance, end);
       releaseInstance(instance);
       for (const task of tasks) crashes.giveUpIfCrashing(task);
     },
--- a/src/scheduler/vm_states.ts
+++ b/src/scheduler/vm_states.ts
@@ -129,6 +129,12 @@
       const vm = list.get(instance.vmId);
       const end = resolveListedEnd(vm, instance.workerId);
       if (end === undefined) continue;
+      // That the VM is down now says nothing about the worker's next process.
+      if (
+        end === "vm_down" && askedAtMs < (instance.heldUntilMs ?? -Infinity)
+      ) {
+        continue;
+      }
       log.info("worker instance ended according to the VM list", {
         worker: instance.workerId,
         vm: instance.vmId,
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -20,6 +20,12 @@
  * be placed again in time.
  */
 export const RUN_LEASE_MS = 7_000;
+/**
+ * Longest lease that a worker grants, in ms, with a margin for its clock. The
+ * lease end in an order counts on the clock of the process that it was meant
+ * for, so that a later process may take it for any length.
+ */
+export const MAXIMUM_LEASE_MS = 10_700;
 /** Factor on the lease time in the upper bound of a lease: a worker's clock may run 2% slow, so that its leases last longer than granted. */
 const CLOCK_RATE_FACTOR = 1.03;
 /** Added to the end of a lease before its runs count as ended, in ms. */
--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -17,19 +17,17 @@
 import type { WorkerInstance } from "./worker_table.ts";
 import type { Scheduler } from "./scheduler.ts";
 import type { TicketCache } from "./ticket_cache.ts";
-import { createWorkerLink, type WorkerLinkEvents } from "./worker_link.ts";
+import {
+  createWorkerLink,
+  MAXIMUM_LEASE_MS,
+  type WorkerLinkEvents,
+} from "./worker_link.ts";
 
 /**
  * Time for which a registration must be missing before it is dropped, in ms;
  * registrations may be missing briefly after a store outage.
  */
 const REGISTRATION_GRACE_MS = 2_000;
-/**
- * Longest lease that a worker grants, in ms, with a margin for its clock. The
- * lease end in an order counts on the clock of the process that it was meant
- * for, so that a later process may take it for any length.
- */
-const MAXIMUM_LEASE_MS = 10_700;
 
 /** Follows worker registrations and runs a link to each worker instance. */
 export interface WorkerRegistry {
--- a/src/scheduler/worker_table.ts
+++ b/src/scheduler/worker_table.ts
@@ -23,6 +23,8 @@
   readonly joinedAtMs: number;
   /** Monotonic time until which leases of earlier owners may last, in ms. */
   readonly earlierLeasesEndMs: number;
+  /** Monotonic time until which start orders to this instance, which has ended, may be executed by the worker's next process, in ms; undefined if it hasn't ended. */
+  readonly heldUntilMs?: number;
 }
 
 /** Returns the key that identifies a worker instance. */
--- a/testing/fake_task_workers.ts
+++ b/testing/fake_task_workers.ts
@@ -30,8 +30,10 @@
   lateOrderRate: number;
   /** Upper bound of the random part of a late order's delay, in ms; the fixed part is 200 ms. */
   lateMs: number;
-  /** Whether the polls that wait at a worker that crashes are kept for its next process, see `executeHeldPolls`. */
+  /** Whether the polls that wait at a worker that crashes are kept for its next process, see `executeHeldCalls`. */
   holdsPollsOfCrashed: boolean;
+  /** Ids of workers that leave starts unanswered, which are kept as well. */
+  readonly holdsStarts: Set<string>;
   /** Fraction of orders that workers refuse because they are unhealthy. */
   unhealthyRate: number;
   /** Fraction of runs that fail. */
@@ -163,6 +165,7 @@
     lateOrderRate: 0,
     lateMs: 2_000,
     holdsPollsOfCrashed: false,
+    holdsStarts: new Set(),
     unhealthyRate: 0,
     failedRunRate: 0,
     unreachable: new Set(),
@@ -178,8 +181,8 @@
   readonly workers = new Map<string, FakeTaskWorker>();
   /** Orders that have reached a paused VM. */
   #pausedOrders: { worker: FakeTaskWorker; execute: () => void }[] = [];
-  /** Polls that waited at workers that have crashed. */
-  #heldPolls: (() => void)[] = [];
+  /** Calls that workers have neither executed nor answered yet. */
+  #heldCalls: (() => void)[] = [];
   readonly #timer: NodeJS.Timeout;
 
   constructor(readonly random: Random, readonly invariants: InvariantChecker) {
@@ -210,9 +213,14 @@
     this.onCrash(worker);
   }
 
-  /** Executes each held poll on the process that runs under the worker's ID now, as a platform may that delivers calls late. */
-  executeHeldPolls(): void {
-    for (const poll of this.#heldPolls.splice(0)) poll();
+  /** Number of calls that are kept. */
+  get heldCalls(): number {
+    return this.#heldCalls.length;
+  }
+
+  /** Executes each call that was kept on the process that runs under the worker's ID now, as a platform may that delivers calls late. */
+  executeHeldCalls(): void {
+    for (const call of this.#heldCalls.splice(0)) call();
   }
 
   /** Ends the worker that has started a deadly task. */
@@ -456,12 +464,18 @@
       );
     const noResponse: OrderOutcome<never> = { kind: "unknown" };
     return {
-      start: ({ workerId }, order) =>
-        isUp()
-          ? unlessDown(
-            this.#execute(workerId, (worker) => this.#start(worker, order)),
-          )
-          : Promise.resolve(noResponse),
+      start: ({ workerId }, order) => {
+        if (!isUp()) return Promise.resolve(noResponse);
+        if (this.faults.holdsStarts.has(workerId)) {
+          this.#heldCalls.push(() =>
+            void this.#start(this.workers.get(workerId)!, order)
+          );
+          return delay(100, noResponse);
+        }
+        return unlessDown(
+          this.#execute(workerId, (worker) => this.#start(worker, order)),
+        );
+      },
       stop: ({ workerId }, { taskId, run, fence }) =>
         isUp()
           ? unlessDown(
@@ -513,7 +527,7 @@
           worker.waiters.add(done);
         });
         if (!worker.alive && this.faults.holdsPollsOfCrashed) {
-          this.#heldPolls.push(() => void poll(this.workers.get(workerId)!));
+          this.#heldCalls.push(() => void poll(this.workers.get(workerId)!));
         }
         if (
           !isUp() || !worker.alive || this.faults.unreachable.has(workerId) ||
