fix(election): an owner's key that can't be read is replaced

Operators of similar systems report one odd entry of another writer that stopped all who read it.

Cause: the owner was unknown, and an entry that knows none campaigned on the condition that the key doesn't exist. An address with a port out of range was accepted, and creating a client for it throws.

Change: a campaign is conditional on the key's revision as it was last read. An owner's address has to be one that can be connected to. If the head can't be read, the epoch continues from its revision, which no epoch has reached.

Measured: the four new tests fail before ("Timed out waiting until an owner" three times; "epoch 1") and pass.

--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -175,7 +175,11 @@
   function onPut(item: StoredItem): void {
     if (item.key !== STORE_KEYS.owner) return;
     const owner = parseOwner(item);
-    if (owner === undefined) log.error("the owner's record is invalid");
+    if (owner === undefined) {
+      log.error("the owner's record is invalid and will be replaced", {
+        revision: item.revision,
+      });
+    }
     ownerRevision = item.revision;
     storedEpoch = owner?.epoch ?? storedEpoch;
     setKnownOwner(owner);
@@ -294,7 +298,7 @@
     try {
       const tenure = yield* until(acquireOwnership(store, self, {
         leaseTtlMs: OWNER_LEASE_MS,
-        replacedRevision: knownOwner === undefined ? 0 : ownerRevision,
+        replacedRevision: ownerRevision,
         lanes: options.lanes,
       }));
       if (tenure !== undefined) electedEpochs.add(tenure.epoch);
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { StoreError } from "../errors.ts";
+import { networkAddressSchema } from "./network_address.ts";
 import type { RecordStore, StoreChange, StoredItem } from "./ports.ts";
 
 /** Maximum number of lanes: the change of an election must hold the heads of its own lanes and of an earlier owner's. */
@@ -24,7 +25,7 @@
 
 const ownerSchema = z.object({
   entryId: z.string(),
-  address: z.string(),
+  address: networkAddressSchema,
   epoch: z.number().int(),
 });
 
@@ -48,6 +49,11 @@
   return parseRecord(headSchema, item);
 }
 
+/** Returns the epoch in the first head; if it can't be read, a number that no epoch has reached, as each election has raised the store's revision. */
+function readEpoch(head: StoredItem): number {
+  return parseHead(head)?.epoch ?? head.revision;
+}
+
 /** Decodes a record that an owner has written; returns undefined if it is invalid. */
 export function parseRecord<T extends z.ZodType>(
   schema: T,
@@ -122,7 +128,7 @@
     ? { first: await store.get(STORE_KEYS.head), further: [] }
     : await readHeads(store);
   const ownHeads = Array.from({ length: lanes }, (_, lane) => headKey(lane));
-  const epoch = (head === undefined ? 0 : parseHead(head)?.epoch ?? 0) + 1;
+  const epoch = (head === undefined ? 0 : readEpoch(head)) + 1;
   const lease = await store.grantLease(leaseTtlMs);
   const tenure = (headRevision: number): Tenure => ({
     epoch,
--- a/src/scheduler/ownership_faults_test.ts
+++ b/src/scheduler/ownership_faults_test.ts
@@ -447,6 +447,40 @@
   });
 });
 
+// Guards against a deployment without an owner because another writer has left something else under the owner's key.
+for (
+  const [name, value] of [
+    ["no JSON", "{"],
+    ["a nested list", "[".repeat(50_000) + "]".repeat(50_000)],
+    [
+      "a port out of range",
+      JSON.stringify({ entryId: "x", address: "127.0.0.1:99999", epoch: 9 }),
+    ],
+  ] as const
+) {
+  test(`an owner's key that holds ${name} is replaced`, async () => {
+    const cluster = new SchedulerCluster(createRandom(seed));
+    try {
+      cluster.addWorker(0);
+      cluster.store.write(STORE_KEYS.owner, value);
+      for (let index = 0; index < 2; index++) cluster.startEntry();
+      await waitFor("an owner", () => cluster.owner() !== undefined);
+      // It also replaces an owner that is at work.
+      const { epoch } = cluster.owner()!.election.localOwner()!;
+      cluster.store.write(STORE_KEYS.owner, value);
+      await waitFor(
+        "the next owner",
+        () => (cluster.owner()?.election.localOwner()?.epoch ?? 0) > epoch,
+      );
+      const job = await cluster.submit(STEPS);
+      await cluster.waitForStatus(job, "completed");
+      assert.deepEqual(cluster.invariants.violations, []);
+    } finally {
+      await cluster.close();
+    }
+  });
+}
+
 // Guards against a deployment without an owner: an entry that the store refuses still reports an owner
 // that has left, and the entry that asked it never campaigns.
 for (const started of ["before", "after"] as const) {
--- a/src/scheduler/ownership_test.ts
+++ b/src/scheduler/ownership_test.ts
@@ -49,4 +49,23 @@
   store.close();
 });
 
+// Guards against an owner whose orders every worker refuses, as the epoch started again because the head of the journal can't be read.
+test("the epoch rises although the head of the journal can't be read", async () => {
+  const store = new FakeRecordStore(createRandom(1));
+  try {
+    const acquire = () =>
+      acquireOwnership(store.client(SELF.entryId), SELF, OPTIONS);
+    let last = 0;
+    for (let round = 0; round < 5; round++) {
+      const tenure = await acquire();
+      assert.ok((tenure?.epoch ?? 0) > last, `epoch ${tenure?.epoch}`);
+      last = tenure!.epoch;
+      store.expireAllLeases();
+      if (round === 3) store.write(STORE_KEYS.head, "[[[");
+    }
+  } finally {
+    store.close();
+  }
+});
+
 test.run();
