fix(entry): what isn't an address doesn't end the owner discovery

Cause: the directory of entries took any seed peer with digits and the address of any caller, also of a connection that was reset and has none. Creating a client for it throws, which ends the discovery and the election with it; probing a port out of range rejected instead of answering. A seed peer that is no address at all kept the process from starting.

Change: seeds and callers that aren't addresses with a port are left out, calls of other entries name valid ones, and an address out of range can't be reached. Listening addresses and those of the platform have to be valid, as before.

--- a/src/scheduler/entry_directory.ts
+++ b/src/scheduler/entry_directory.ts
@@ -1,4 +1,5 @@
 import type { EntryClient } from "./entry_client.ts";
+import { isNetworkAddress } from "./network_address.ts";
 
 /** Maximum number of callers' addresses kept; the least recent are dropped first. */
 const MAXIMUM_CALLERS = 32;
@@ -35,6 +36,8 @@
     },
     recordCaller(ip) {
       const address = `${ip.replace(/^::ffff:/, "")}:${port}`;
+      // A connection that was reset has no address any more.
+      if (!isNetworkAddress(address)) return;
       callers.delete(address);
       callers.add(address);
       if (callers.size <= MAXIMUM_CALLERS) return;
--- a/src/scheduler/owner_reachability.ts
+++ b/src/scheduler/owner_reachability.ts
@@ -1,6 +1,7 @@
 import { connect } from "node:net";
 import type { EntryDirectory } from "./entry_directory.ts";
 import { EntryCallError } from "./entry_client.ts";
+import { isNetworkAddress } from "./network_address.ts";
 
 /** Number of entries that are asked to probe the owner. */
 const PROBING_PEERS = 4;
@@ -18,6 +19,7 @@
  * would only move its load.
  */
 export function canConnect(address: string): Promise<boolean> {
+  if (!isNetworkAddress(address)) return Promise.resolve(false);
   const [host, port] = address.split(":");
   return new Promise((resolve) => {
     const socket = connect({ host, port: Number(port) });
--- a/src/scheduler/peer_router.ts
+++ b/src/scheduler/peer_router.ts
@@ -3,6 +3,7 @@
 import { z } from "zod";
 import { serveTrpcCall } from "../trpc_endpoint.ts";
 import { type JobSpec, jobSpecSchema, type JobStatus } from "./model.ts";
+import { networkAddressSchema } from "./network_address.ts";
 import type { Owner } from "./ownership.ts";
 import type { StoredItem } from "./ports.ts";
 import type { RelayOffer } from "./relay/control.ts";
@@ -97,11 +98,12 @@
   replaceOwner: trpc.procedure.input(z.object({ epoch: z.number() })).mutation((
     { input, ctx },
   ) => ctx.handlers.replaceOwner(input.epoch)),
-  reaches: trpc.procedure.input(z.object({ address: z.string() })).query((
-    { input, ctx },
-  ) => ctx.handlers.reaches(input.address)),
+  reaches: trpc.procedure.input(z.object({ address: networkAddressSchema }))
+    .query((
+      { input, ctx },
+    ) => ctx.handlers.reaches(input.address)),
   offerRelay: trpc.procedure.input(
-    z.object({ address: z.string(), dataCentre: z.string() }),
+    z.object({ address: networkAddressSchema, dataCentre: z.string() }),
   ).mutation(({ input, ctx }) => ctx.handlers.offerRelay(input)),
 });
 
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -2,13 +2,12 @@
 import { ValidationError } from "../errors.ts";
 import { listSchemaIssues, parseJson } from "../validation.ts";
 import { DEFAULT_NOTICE_MS } from "./disruption_budget.ts";
+import {
+  isNetworkAddress,
+  networkAddressSchema as address,
+} from "./network_address.ts";
 import { MAXIMUM_LANES } from "./ownership.ts";
 
-const address = z.string().regex(
-  /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/,
-  "an IPv4 address with a port, such as 10.0.0.1:7000",
-);
-
 /** Settings of a scheduler process; unknown fields are ignored, because the platform may add some. */
 export const schedulerSettingsSchema = z.object({
   entryId: z.string().min(1),
@@ -20,8 +19,12 @@
     /** Port for calls from other entries, metrics and the state dump. */
     peers: address,
   }),
-  /** Peer addresses of some entries, which may be outdated. */
-  seedPeers: z.array(address).default([]),
+  /** Peer addresses of some entries, which may be outdated; texts that aren't addresses are left out. */
+  seedPeers: z.array(z.unknown()).default([]).transform((peers) =>
+    peers.filter((peer): peer is string =>
+      typeof peer === "string" && isNetworkAddress(peer)
+    )
+  ),
   platform: z.object({
     storeAddress: address,
     vmApiAddress: address,
