--- a/src/scheduler/fleet_manager_test.ts
+++ b/src/scheduler/fleet_manager_test.ts
@@ -353,4 +353,36 @@
   });
 });
 
+// Guards against a pool that gets no VMs, or loses them, because one registration of another writer distorts the mean capacity of its workers.
+test("a registration without a worker doesn't change how many VMs a pool gets", async () => {
+  await withCluster(async (cluster) => {
+    for (let index = 3; index < 9; index++) cluster.addSpareVm(index);
+    cluster.store.write(
+      "servers/odd",
+      JSON.stringify({
+        ...cluster.workers.workers.get("worker-0")!.registration,
+        workerId: "odd",
+        vmId: "",
+        capacity: {
+          cpuMillis: 1_000_000_000,
+          memoryMb: 1_000_000_000,
+          gpuCount: 0,
+        },
+      }),
+    );
+    await waitFor("the registration is read", () => {
+      const owner = cluster.owner()?.election.localOwner();
+      return owner?.scheduler.workers.findRegistered("odd") !== undefined;
+    });
+    await cluster.submit([
+      { taskCount: 60, cpuMillis: 2_000, estimatedMs: 2_000 },
+    ]);
+    await waitFor(
+      "all spare VMs are ordered",
+      () => new Set(cluster.vmOrders.map(({ vmId }) => vmId)).size === 6,
+      { timeoutMs: 10_000 },
+    );
+  });
+});
+
 test.run();
--- a/src/scheduler/pool_balancer.ts
+++ b/src/scheduler/pool_balancer.ts
@@ -40,12 +40,14 @@
   let scarcePools: readonly string[] = [];
   let surgeSeen = false;
 
-  /** Mean capacity of the pool's workers as they report it; if there are none, of its VMs, or of all VMs. */
+  /** Mean capacity of the pool's workers that have responded, as they report it; if there are none, of its VMs, or of all VMs. */
   function typicalCapacity(pool: string): Resources | undefined {
     const vms = [...vmStates.list().values()];
     const reported = [...scheduler.workers.instances.values()].flatMap(
-      ({ registration }) =>
-        registration?.service === pool ? registration.capacity : [],
+      ({ registration, link }) =>
+        registration?.service === pool && link?.hasResponded
+          ? registration.capacity
+          : [],
     );
     return meanCapacity(reported) ??
       meanCapacity(
