fix(workers): a second link to the same process reports no missing ends

Cause: a worker that was silent until its leases had expired gets a new link when it registers again. The link took the process for one that no other link had called, and would have logged all ends that the first link had acknowledged as missing. Found by reading.

Change: a process counts as a successor only if it started later than the one that was added before. Measured: reborn_workers_test, 6 passed.

--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -111,7 +111,7 @@
     const link = createWorkerLink({
       pacing,
       registration,
-      life: lives.add(registration.workerId),
+      life: lives.add(registration.workerId, registration.bornAtMs),
       control: options.control,
       clock,
       log,
