fix(scheduler): a few hundred stop orders are in progress at a time

The owner sent 12,000 stops at once, took 9.0 s until all runs had ended, and then ran out of heap (SIGABRT). The next owner would have sent them all again.

Change: stops wait in a queue of which 500 are in progress; one run has one place, so that the repetitions that reports ask for don't fill it. Runs that nobody asked for are stopped through the same queue. A waiting stop counts towards the disruption budget from the time it is added.

--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -6,14 +6,22 @@
 import { isListed, type Placement, type TaskState } from "./job_state.ts";
 import { YOUNG_RUN_MS } from "./crashes/run_loss.ts";
 import { settlesEarlierAttempts } from "./order_attempts.ts";
-import type { OrderOutcome, OrderRefusal, StartOrder } from "./ports.ts";
+import { createOrderQueue } from "./order_queue.ts";
+import type {
+  ActiveRunReport,
+  OrderOutcome,
+  OrderRefusal,
+  StartOrder,
+} from "./ports.ts";
 import type { WorkerHealth } from "./worker_health.ts";
-import type { WorkerInstance } from "./worker_table.ts";
+import { instanceKey, type WorkerInstance } from "./worker_table.ts";
 
 /** Number of unanswered attempts to start a run after which it is stopped instead. */
 const MAXIMUM_START_ATTEMPTS = 2;
 /** Minimum time between two stop orders for one run, in ms. */
 const STOP_RETRY_INTERVAL_MS = 300;
+/** Maximum number of stop orders in progress: a cancellation or a new owner may have thousands of runs to stop. */
+const MAXIMUM_STOPS = 500;
 /** Time added to the age at which a suspect's run is no longer young before its worker is probed, in ms. */
 const PROBE_MARGIN_MS = 10;
 /** Delay before a task is placed again after its start order was refused as invalid, in ms. */
@@ -40,6 +48,8 @@
     placement: Placement,
     evidence?: { readonly isListed: boolean },
   ): void;
+  /** Stops a run that a worker reports although nothing asks for it. */
+  stopUnwanted(instance: WorkerInstance, run: ActiveRunReport): void;
   /** Frees a task whose run is over although no report of its end has come. */
   giveUpRun(
     task: TaskState,
@@ -75,6 +85,7 @@
 export function createRunOrders(options: RunOrdersOptions): RunOrders {
   const { clock, log, health, counters, findInstance, freeTask } = options;
   const lastStopAtMs = new WeakMap<Placement, number>();
+  const stops = createOrderQueue<Placement | string>(MAXIMUM_STOPS);
 
   function giveUpRun(
     task: TaskState,
@@ -106,15 +117,42 @@
       return;
     }
     lastStopAtMs.set(placement, now);
-    const link = findInstance(placement)?.link;
-    if (link === undefined || !options.mayOrder()) return;
+    if (findInstance(placement)?.link === undefined || !options.mayOrder()) {
+      return;
+    }
+    // It counts towards the disruption budget while it waits.
     placement.stopSentAtMs = now;
-    void link.stop(task.taskId, placement.run).then((outcome) => {
-      if (outcome.kind !== "done") return;
-      // A later confirmation adds nothing, and would discard the report that is on its way.
-      placement.stopConfirmedAtMs ??= clock.monotonicMs();
-      link.pollNow();
-    });
+    stops.add(placement, () => callStop(task, placement));
+  }
+
+  async function callStop(
+    task: TaskState,
+    placement: Placement,
+  ): Promise<void> {
+    const link = findInstance(placement)?.link;
+    if (
+      link === undefined || task.placement !== placement || !options.mayOrder()
+    ) return;
+    lastStopAtMs.set(placement, clock.monotonicMs());
+    placement.stopSentAtMs = clock.monotonicMs();
+    const outcome = await link.stop(task.taskId, placement.run);
+    if (outcome.kind !== "done") return;
+    // A later confirmation adds nothing, and would discard the report that is on its way.
+    placement.stopConfirmedAtMs ??= clock.monotonicMs();
+    link.pollNow();
+  }
+
+  function stopUnwanted(
+    instance: WorkerInstance,
+    { taskId, run }: ActiveRunReport,
+  ): void {
+    const { workerId, bornAtMs } = instance;
+    stops.add(
+      `${instanceKey(workerId, bornAtMs)} ${taskId} ${run}`,
+      async () => {
+        if (options.mayOrder()) await instance.link?.stop(taskId, run);
+      },
+    );
   }
 
   /** Learns soon whether the worker has survived the start of a suspect, which holds up other tasks. */
@@ -270,5 +308,5 @@
     }
   }
 
-  return { sendStart, sendStop, giveUpRun };
+  return { sendStart, sendStop, stopUnwanted, giveUpRun };
 }
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -506,7 +506,7 @@
         worker: instance.workerId,
         phase: task?.phase ?? "unknown job",
       });
-      void instance.link?.stop(activeRun.taskId, activeRun.run);
+      stopUnwanted(instance, activeRun);
       return task ?? findEndedDemand(activeRun.taskId);
     }
     placement.percent = activeRun.percent;
@@ -693,7 +693,7 @@
     isVmEnding: options.isVmEnding ?? (() => false),
     onRefused: () => counters.budgetRefusals++,
   });
-  const { sendStart, sendStop, giveUpRun } = createRunOrders({
+  const { sendStart, sendStop, stopUnwanted, giveUpRun } = createRunOrders({
     ...options,
     health,
     counters,
