fix(scheduler): large jobs that an earlier version has stored keep their progress

Cause: since the tasks of a job with more than 200 are stored in parts, the record with the status lists none. A job that an earlier version had stored has them all there and no parts: the first change of one task would have dropped the others, and the next owner would have run them again.

Change: such a record goes on listing the tasks until all parts are stored.

--- a/src/scheduler/job_state.ts
+++ b/src/scheduler/job_state.ts
@@ -126,6 +126,8 @@
   readonly stepOffsets: readonly number[];
   /** Store keys of the records that hold parts of its progress. */
   readonly partKeys: Set<string>;
+  /** Whether the record with the status lists the tasks as well, as one that an earlier version has stored does; until all parts are stored. */
+  hasInlineTasks: boolean;
 }
 
 /** The part of a task that tells what it needs; kept for ended jobs, of which a run may still appear. */
@@ -180,6 +182,7 @@
     finishedOccurrences: 0,
     stepOffsets,
     partKeys: new Set(),
+    hasInlineTasks: false,
   };
 }
 
--- a/src/scheduler/load_jobs_test.ts
+++ b/src/scheduler/load_jobs_test.ts
@@ -11,7 +11,7 @@
   finishTask,
   type JobState,
 } from "./job_state.ts";
-import { encodeProgress } from "./progress_record.ts";
+import { encodeProgress, restoreJob } from "./progress_record.ts";
 import type { Journal } from "./journal.ts";
 import { loadJobs } from "./load_jobs.ts";
 import { type JobSpec, jobSpecSchema } from "./model.ts";
@@ -27,10 +27,10 @@
   *run() {},
 };
 
-function createFixture() {
+function createFixture(usedJournal = journal) {
   const store = new FakeRecordStore(createRandom(1));
   const scheduler = createScheduler({
-    journal,
+    journal: usedJournal,
     clock: systemClock,
     log: silentLogger,
     config: () => undefined,
@@ -147,6 +147,62 @@
   assert.equal(task?.placement?.stopReason, "the task is done");
 });
 
+// Guards against tasks that run again after an update: an earlier version stored the tasks of a large job with its status.
+test("the tasks of a large job in one record are moved to parts before the record loses them", async () => {
+  const store = new FakeRecordStore(createRandom(1));
+  const spec = jobSpecSchema.parse({
+    jobId: "00000000000000aa",
+    queue: "quotes",
+    service: "quoting",
+    maximumAttempts: 2,
+    specification: "",
+    steps: [{ taskCount: 500 }],
+    acceptedAtMs: 1,
+  });
+  const before = createJobState(spec);
+  before.hasInlineTasks = true;
+  createDueOccurrences(before, Date.now());
+  for (const task of before.occurrences[0]!.tasks.slice(0, 450)) {
+    finishTask(task);
+  }
+  const jobKey = STORE_KEYS.progressPrefix + spec.jobId;
+  store.write(STORE_KEYS.jobPrefix + spec.jobId, JSON.stringify(spec));
+  store.write(jobKey, encodeProgress(before, 1));
+  const flushes: (() => void)[] = [];
+  const { scheduler } = createFixture({
+    ...journal,
+    put({ key, encode, onStored }) {
+      store.write(key, encode() ?? "");
+      onStored?.();
+      checkProgress();
+    },
+    afterFlush: (callback) => flushes.push(callback),
+  });
+  /** Restores the job from what is stored, as the next owner would at any moment. */
+  function checkProgress(): void {
+    const parts = [...store.items.values()].filter(({ key }) =>
+      key.startsWith(`${jobKey}/`)
+    );
+    const progress = store.items.get(jobKey)!.value;
+    const { remaining } = restoreJob(spec, progress, 0, parts).occurrences[0]!;
+    assert.deepEqual(remaining, [50]);
+  }
+  await run(() =>
+    loadJobs({
+      store: store.client("entry-1"),
+      scheduler,
+      clock: systemClock,
+      log: silentLogger,
+      earlierLeasesEndMs: 0,
+    })
+  );
+  assert.equal(flushes.length, 1);
+  for (const callback of flushes) callback();
+  checkProgress();
+  assert.deepEqual(JSON.parse(store.items.get(jobKey)!.value).tasks, []);
+  store.close();
+});
+
 // Guards against one invalid record that prevents an owner from starting.
 test("an invalid record is ignored", async () => {
   const fixture = createFixture();
--- a/src/scheduler/progress_record.ts
+++ b/src/scheduler/progress_record.ts
@@ -163,7 +163,7 @@
 /** Encodes the state that the next owner needs: ended tasks, failed runs, run numbers and placements. The record of a partitioned job lists no tasks. */
 export function encodeProgress(job: JobState, wallMs: number): string {
   const tasks: TaskRecord[] = [];
-  if (isPartitioned(job.spec)) {
+  if (isPartitioned(job.spec) && !job.hasInlineTasks) {
     // Its tasks are in the parts.
   } else if (job.status === "active") {
     for (const occurrence of job.occurrences) {
@@ -244,6 +244,7 @@
   for (const { key } of parts) job.partKeys.add(key);
   if (progress === undefined) return job;
   const record = progressSchema.parse(JSON.parse(progress));
+  job.hasInlineTasks = isPartitioned(spec) && record.tasks.length > 0;
   const taskRecords = [
     ...record.tasks,
     ...parts.flatMap(({ value }) => partSchema.parse(JSON.parse(value)).tasks),
@@ -272,6 +273,8 @@
       );
     }
     job.started = true;
+    // A part may be older than the list in the record with the status.
+    if (task.phase === "done") continue;
     task.run = taskRecord.run;
     if (!getStep(task).longRunning && taskRecord.failedRuns.length > 0) {
       task.failedRuns = taskRecord.failedRuns;
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -309,6 +309,15 @@
     }
   }
 
+  /** Stores the parts of a job whose tasks an earlier version has stored with its status, and then the status without them. */
+  function moveTasksToParts(job: JobState): void {
+    for (const { tasks } of job.occurrences) saveTasks(tasks);
+    journal.afterFlush(() => {
+      job.hasInlineTasks = false;
+      save(job);
+    });
+  }
+
   /** Fails a job whose progress the store rejects, as no task of it can be started any more. */
   function failUnstorableJob(job: JobState, reason: string): void {
     if (job.status !== "active") return;
@@ -715,6 +724,7 @@
     addRestored(job) {
       jobs.set(job.spec.jobId, job);
       deleteParts(job, listObsoleteParts(job));
+      if (job.hasInlineTasks) moveTasksToParts(job);
       archiveIfOver(job);
     },
     addEnded(jobId, ended) {
