--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -93,7 +93,10 @@
         failed === 0 ? "ok  " : "FAIL"
       } ${file} (${passed} passed, ${seconds} s)`,
     );
-    if (failed > 0) console.log(result.output, result.signal ?? "");
+    // Also printed for a tolerated failure, which is still to be traced.
+    if (failed + tolerated.length > 0) {
+      console.log(result.output, result.signal ?? "");
+    }
   }
 }
 
