--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -9,6 +9,8 @@
 const FILE_TIMEOUT_MS = 300_000;
 // The fixed seed makes randomized tests repeatable; `SEED=new` draws random seeds.
 const DEFAULT_SEED = "1533078834";
+// Tests that fill the memory of a process run alone, so that they don't slow down others.
+const ISOLATED_FOLDER = join("testing", "client_abuse");
 const TEST_FOLDERS = ["src", "platform", "testing", "bench"];
 
 function findTests(folder) {
@@ -73,14 +75,18 @@
 
 const knownFailures = readKnownFailures();
 const pattern = process.argv[2] ?? "";
-const files = TEST_FOLDERS.flatMap(findTests).filter((file) =>
+const matchingFiles = TEST_FOLDERS.flatMap(findTests).filter((file) =>
   file.includes(pattern)
 )
   .sort();
+const isolatedFiles = matchingFiles.filter((file) =>
+  file.startsWith(ISOLATED_FOLDER)
+);
+const files = matchingFiles.filter((file) => !isolatedFiles.includes(file));
 const totals = { passed: 0, failed: 0, tolerated: [] };
 
-async function runQueuedFiles() {
-  for (let file = files.shift(); file !== undefined; file = files.shift()) {
+async function runQueuedFiles(queue) {
+  for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
     const startedAtMs = Date.now();
     const result = await runFile(file);
     const { passed, failed, tolerated } = countResults(result, knownFailures);
@@ -100,7 +106,10 @@
   }
 }
 
-await Promise.all(Array.from({ length: CONCURRENT_FILES }, runQueuedFiles));
+await Promise.all(
+  Array.from({ length: CONCURRENT_FILES }, () => runQueuedFiles(files)),
+);
+await runQueuedFiles(isolatedFiles);
 for (const name of totals.tolerated) console.log(`known red: ${name}`);
 console.log(
   `${totals.passed} passed, ${totals.failed} failed, ${totals.tolerated.length} skipped`,
