fix(requests): callers' connections share a bounded part of the memory

Callers saw an entry that answered nobody (no answer within the deadline) while 100 to 200 connections sent ahead or left bodies unfinished; it grew to 1 to 4 GB.

Cause: nothing counted what connections cost together. Node parsed requests sent ahead as they came, about 8 KB each, and the connection queued them without a bound; each chunk of a body kept its object and its read buffer alive; up to 256 MB of bodies were allowed, more than the machine has, and a declared length reserved memory that hadn't been sent.

Change: a guarded connection between socket and parser. The socket is always read, because received bytes count as memory too; the parser gets one request at a time, the rest is held as bytes, at most one request of the maximum size. Small chunks are copied together. One budget for all connections, a tenth of limits.memoryMb; the costliest connection gives way, a body being received with queue_full and Retry-After. Memory is reserved only for complete bodies.

--- a/src/admin/entry_metrics.ts
+++ b/src/admin/entry_metrics.ts
@@ -1,3 +1,4 @@
+import { readConnectionMetrics } from "../connections/connection_metrics.ts";
 import type { Metric } from "../metrics.ts";
 import { type DumpOptions, readProcessUsage } from "./dump.ts";
 
@@ -58,6 +59,7 @@
   const help = "Duration of requests in ms";
   return [
     gauge("requests_in_flight", "Requests in flight", requestProxy.inFlight()),
+    ...readConnectionMetrics(requestProxy.budget),
     ...requestProxy.metrics().map((summary): Metric => ({
       kind: "summary",
       help,
--- a/src/requests/caller_connections.ts
+++ b/src/requests/caller_connections.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import { createQueue, type Operation, type Queue, type Scope } from "effection";
 import { messageOf } from "../errors.ts";
 import type { Logger } from "../logger.ts";
@@ -63,7 +63,7 @@
 /** Open connections of callers, each served by its own task. */
 export class CallerConnections {
   #options: CallerConnectionsOptions;
-  #connections = new WeakMap<Socket, CallerConnection>();
+  #connections = new WeakMap<Duplex, CallerConnection>();
   #open = 0;
 
   constructor(options: CallerConnectionsOptions) {
@@ -76,7 +76,7 @@
   }
 
   /** Registers a connection whose requests are about to be parsed. */
-  register(socket: Socket, queuedSinceMs?: number): void {
+  register(socket: Duplex, queuedSinceMs?: number): void {
     const connection: CallerConnection = {
       queue: createQueue<IncomingRequest, void>(),
       waiting: [],
@@ -142,7 +142,7 @@
   }
 
   /** Returns the state of a socket's connection; undefined if it wasn't registered. */
-  find(socket: Socket): CallerConnection | undefined {
+  find(socket: Duplex): CallerConnection | undefined {
     return this.#connections.get(socket);
   }
 }
--- a/src/requests/caller_server.ts
+++ b/src/requests/caller_server.ts
@@ -10,6 +10,13 @@
 import { App, type Request, type Response } from "@tinyhttp/app";
 import type { Scope } from "effection";
 import type { Clock } from "../clock.ts";
+import { LINGERING_CLOSE_MS } from "../connections/collect_body.ts";
+import type { ConnectionBudget } from "../connections/connection_budget.ts";
+import type { GuardedConnection } from "../connections/guarded_connection.ts";
+import {
+  findGuardedConnection,
+  guardConnections,
+} from "../connections/guarded_server.ts";
 import { OUTCOME_HEADER, SYSTEM_PATH_PREFIX } from "../constants.ts";
 import type { Logger } from "../logger.ts";
 import type { ResolvedSettings } from "../settings/schema.ts";
@@ -20,13 +27,13 @@
 } from "./caller_connections.ts";
 import { buildErrorResponse, NotRunError } from "./outcome.ts";
 import { writeReply } from "./reply.ts";
-import { LINGERING_CLOSE_MS } from "./request_body.ts";
 import type { RequestHandler } from "./request_handler.ts";
 import { ServingLoop } from "./serving_loop.ts";
 
 /** Dependencies and limits of the callers' HTTP server. */
 export interface CallerServerOptions {
   readonly limits: ResolvedSettings["limits"];
+  readonly budget: ConnectionBudget;
   readonly handler: RequestHandler;
   readonly scope: Scope;
   readonly clock: Clock;
@@ -46,12 +53,15 @@
 /** Margin by which Node's request timeout exceeds the body timeout of the handler, in ms. */
 const NODE_TIMEOUT_MARGIN_MS = 2_000;
 
+/** Memory occupied by a byte of a body while it is received: the buffer grows by copying. */
+const BODY_COST_FACTOR = 2;
+
 /** Shortest wait until the release that counts towards a request's deadline, in ms. */
 const MINIMUM_COUNTED_WAIT_MS = 10;
 
 /** Creates the callers' HTTP server without starting to listen. */
 export function createCallerServer(options: CallerServerOptions): Server {
-  const { limits, handler, scope, clock, log } = options;
+  const { limits, budget, handler, scope, clock, log } = options;
   const connections = new CallerConnections({
     scope,
     serve: (incoming) => handler.serve(incoming),
@@ -62,10 +72,9 @@
     release: ({ socket, arrivedAtMs }) => {
       const waitedMs = clock.monotonicMs() - arrivedAtMs;
       connections.register(
-        socket,
+        parse(socket),
         waitedMs >= MINIMUM_COUNTED_WAIT_MS ? arrivedAtMs : undefined,
       );
-      parse.call(server, socket);
       socket.resume();
     },
     serve: serveOrRefuse,
@@ -79,7 +88,8 @@
       request,
       response: response as unknown as ServerResponse,
       url: request.originalUrl,
-      arrivedAtMs: connection.queuedSinceMs ?? clock.monotonicMs(),
+      arrivedAtMs: connection.queuedSinceMs ??
+        findGuardedConnection(request)!.requestArrivedAtMs,
       connection,
     };
     handler.trackActive(incoming);
@@ -130,8 +140,13 @@
   server.maxHeadersCount = 0;
   server.on("checkExpectation", handle);
   // The HTTP parser of a connection starts when the serving loop releases it.
-  const parse = server.listeners("connection")[0] as (socket: Socket) => void;
-  server.off("connection", parse);
+  const parse = guardConnections(server, {
+    budget,
+    maximumAheadBytes: () =>
+      limits.maximumHeaderBytes + limits.maximumBodyBytes,
+    bodyCostFactor: BODY_COST_FACTOR,
+    clock,
+  });
   // An option of the net server that the HTTP server doesn't take; a paused socket isn't read while it is held.
   Object.assign(server, { pauseOnConnect: true });
   // Node's HTTP server closes only the connections that it parses.
@@ -154,13 +169,20 @@
     );
   });
   server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-    onClientError(error, socket as Socket);
+    onClientError(error, socket as GuardedConnection);
   });
 
-  function onClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+  function onClientError(
+    error: NodeJS.ErrnoException,
+    socket: GuardedConnection,
+  ): void {
     const connection = connections.find(socket);
     const refusal = toParserRefusal(error);
-    if (!socket.writable || refusal === undefined || socket.bytesRead === 0) {
+    // A refusal of bytes sent ahead could be taken for the response to the next request.
+    if (
+      !socket.writable || refusal === undefined || socket.bytesRead === 0 ||
+      socket.isParsingHeldInput
+    ) {
       socket.destroy();
       return;
     }
--- a/src/requests/request_body.ts
+++ b/src/requests/request_body.ts
@@ -1,13 +1,8 @@
 import type { IncomingMessage } from "node:http";
+import { type BodyLimits, collectBody } from "../connections/collect_body.ts";
+import { assertNever } from "../errors.ts";
 import { NotRunError } from "./outcome.ts";
 
-/** Limits for reading a body. */
-export interface BodyLimits {
-  readonly maximumBodyBytes: number;
-  /** Timeout for the whole body, in ms. */
-  readonly timeoutMs: number;
-}
-
 /** A body that is being read. */
 export interface BodyRead {
   /** Resolves with the body, or with undefined if it is empty; rejects with a `NotRunError`. */
@@ -16,43 +11,43 @@
   fail(error: NotRunError): void;
 }
 
+/** Suggested retry delay when the memory for request bodies is used up, in ms. */
+const BODY_MEMORY_RETRY_MS = 500;
+
 /** Starts reading a request's body, up to the limits. */
 export function readBody(
   request: IncomingMessage,
   limits: BodyLimits,
 ): BodyRead {
+  const { result, cancel } = collectBody(request, limits);
   let fail!: (error: NotRunError) => void;
   const body = new Promise<Buffer | undefined>((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
-    const timer = setTimeout(
-      () => fail(new NotRunError("slow_sender", "The body arrives too slowly")),
-      limits.timeoutMs,
-    );
-    const onData = (chunk: Buffer) => {
-      receivedBytes += chunk.length;
-      if (receivedBytes > limits.maximumBodyBytes) {
-        return fail(bodyTooLarge(limits.maximumBodyBytes));
-      }
-      chunks.push(chunk);
-    };
-    const onEnd = () => {
-      cleanUp();
-      resolve(chunks.length === 0 ? undefined : Buffer.concat(chunks));
-    };
-    const onClose = () =>
-      fail(new NotRunError("malformed_request", "The body ended early"));
-    function cleanUp() {
-      clearTimeout(timer);
-      request.off("data", onData).off("end", onEnd).off("close", onClose);
-    }
     fail = (error) => {
-      cleanUp();
+      cancel();
       reject(error);
     };
-    request.on("data", onData).on("end", onEnd).on("close", onClose);
-    // Without an error listener, a connection reset would crash the process.
-    request.on("error", () => {});
+    result.then((collected) => {
+      switch (collected.kind) {
+        case "complete":
+          return resolve(
+            collected.body.length === 0 ? undefined : collected.body,
+          );
+        case "too_large":
+          return reject(bodyTooLarge(limits.maximumBodyBytes));
+        case "too_slow":
+          return reject(
+            new NotRunError("slow_sender", "The body arrives too slowly"),
+          );
+        case "no_memory":
+          return reject(bodyMemoryFull());
+        case "incomplete":
+          return reject(
+            new NotRunError("malformed_request", "The body ended early"),
+          );
+        default:
+          return assertNever(collected);
+      }
+    });
   });
   return { body, fail };
 }
@@ -65,25 +60,11 @@
   );
 }
 
-/**
- * Duration of a lingering close, in ms. Input is still read and discarded
- * during that time, so that the caller isn't reset before it has read the
- * response.
- */
-export const LINGERING_CLOSE_MS = 1_000;
-
-/** Reads and discards the rest of a body; resolves at its end or after `LINGERING_CLOSE_MS`. */
-export function discardBody(request: IncomingMessage): Promise<void> {
-  if (request.complete || request.socket.readableEnded) {
-    return Promise.resolve();
-  }
-  return new Promise((resolve) => {
-    const timer = setTimeout(resolve, LINGERING_CLOSE_MS);
-    const done = () => {
-      clearTimeout(timer);
-      resolve();
-    };
-    request.once("end", done).once("close", done);
-    request.on("error", () => {}).resume();
-  });
+/** Returns the error for a body that the entry has no memory for. */
+export function bodyMemoryFull(): NotRunError {
+  return new NotRunError(
+    "queue_full",
+    "Too many request bodies are held",
+    BODY_MEMORY_RETRY_MS,
+  );
 }
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage } from "node:http";
 import { type Operation, until } from "effection";
 import type { Clock } from "../clock.ts";
+import { discardBody } from "../connections/collect_body.ts";
+import type { ConnectionBudget } from "../connections/connection_budget.ts";
 import type { ServiceConfig } from "../config/schema.ts";
 import {
   FORWARDED_BY_HEADER,
@@ -33,12 +35,13 @@
 } from "./outcome.ts";
 import type { RefusalLog } from "./refusal_log.ts";
 import { outcomeName, writeReply } from "./reply.ts";
-import { bodyTooLarge, discardBody, readBody } from "./request_body.ts";
+import { bodyMemoryFull, bodyTooLarge, readBody } from "./request_body.ts";
 import type { RequestMetrics } from "./request_metrics.ts";
 
 /** Dependencies and limits of the request handler. */
 export interface RequestHandlerOptions {
   readonly limits: ResolvedSettings["limits"];
+  readonly budget: Pick<ConnectionBudget, "reserve">;
   /** Prefix of generated request ids. */
   readonly idPrefix: string;
   readonly findService: (
@@ -78,18 +81,11 @@
 const NOT_CONFIGURED_RETRY_MS = 1_000;
 /** Inactivity timeout for callers that read their response too slowly, in ms. */
 const SLOW_READER_TIMEOUT_MS = 30_000;
-/** Maximum total size of the request bodies in memory, in bytes. */
-const MAXIMUM_BUFFERED_REQUEST_BYTES = 268_435_456;
-/** Memory reserved for a body of unknown length until it has been read, in bytes. */
-const UNKNOWN_LENGTH_BODY_BYTES = 65_536;
-/** Suggested retry delay when the memory for request bodies is used up, in ms. */
-const BODY_MEMORY_RETRY_MS = 500;
 
 /** Handles incoming requests from their arrival to the final response. */
 export class RequestHandler {
   #options: RequestHandlerOptions;
   #active = 0;
-  #bufferedBodyBytes = 0;
   #nextId = 0;
   #idleListeners: (() => void)[] = [];
   /** Set when a drain starts; from then on, connections are closed after their next response. */
@@ -317,10 +313,6 @@
       incoming.request.headers["content-length"] ?? 0,
     );
     if (contentLength > maximumBodyBytes) throw bodyTooLarge(maximumBodyBytes);
-    const reservedBytes = contentLength > 0
-      ? contentLength
-      : UNKNOWN_LENGTH_BODY_BYTES;
-    this.#reserveBodyMemory(incoming, reservedBytes);
     const elapsedMs = this.#options.clock.monotonicMs() - incoming.arrivedAtMs;
     const read = readBody(incoming.request, {
       maximumBodyBytes,
@@ -337,9 +329,7 @@
     if (parserError !== undefined) incoming.connection.abortBody(parserError);
     try {
       const body = yield* until(read.body);
-      if (body !== undefined && body.length > reservedBytes) {
-        this.#reserveBodyMemory(incoming, body.length - reservedBytes);
-      }
+      if (body !== undefined) this.#reserveBodyMemory(incoming, body.length);
       return body;
     } catch (error) {
       // The next bytes on the connection belong to the unread body.
@@ -350,15 +340,9 @@
 
   /** Reserves memory for a body until the response is closed; throws a `NotRunError` when the limit is reached. */
   #reserveBodyMemory(incoming: IncomingRequest, bodyBytes: number): void {
-    if (this.#bufferedBodyBytes + bodyBytes > MAXIMUM_BUFFERED_REQUEST_BYTES) {
-      throw new NotRunError(
-        "queue_full",
-        "Too many request bodies are held",
-        BODY_MEMORY_RETRY_MS,
-      );
-    }
-    this.#bufferedBodyBytes += bodyBytes;
-    incoming.response.once("close", () => this.#bufferedBodyBytes -= bodyBytes);
+    const release = this.#options.budget.reserve(bodyBytes);
+    if (release === undefined) throw bodyMemoryFull();
+    incoming.response.once("close", release);
   }
 
   #toOutcome(
--- a/src/requests/request_proxy.ts
+++ b/src/requests/request_proxy.ts
@@ -13,6 +13,8 @@
 import { createNotifier } from "../notifier.ts";
 import { AdmissionQueues } from "./admission.ts";
 import type { CallerRequest } from "./caller_request.ts";
+import { ConnectionBudget } from "../connections/connection_budget.ts";
+import { resolveConnectionLimits } from "../connections/connection_limits.ts";
 import { createCallerServer } from "./caller_server.ts";
 import { KeyedRequests } from "./keyed_requests.ts";
 import { NotRunError, type Outcome } from "./outcome.ts";
@@ -65,6 +67,8 @@
   dump(): unknown;
   /** Returns request duration summaries by service and outcome. */
   metrics(): MetricSummary[];
+  /** Limits of the callers' connections. */
+  readonly budget: ConnectionBudget;
   /** Refuses new requests from now on; resolves once no request is in flight. */
   drain(): Promise<void>;
   /** Returns the number of requests queued or in flight. */
@@ -146,8 +150,12 @@
     },
     run: (request, service) => runner.run(request, service),
   });
+  const budget = new ConnectionBudget(
+    resolveConnectionLimits(settings.limits),
+  );
   const handler = new RequestHandler({
     limits: settings.limits,
+    budget,
     idPrefix: `${settings.entryId}-${incarnation.slice(0, 8)}`,
     findService: (name) =>
       services.get(name) ??
@@ -168,6 +176,7 @@
   });
   const server = createCallerServer({
     limits: settings.limits,
+    budget,
     handler,
     scope,
     clock,
@@ -271,6 +280,7 @@
       recentRefusals: refusals.list(),
     }),
     metrics: () => metrics.list(),
+    budget,
     async drain() {
       handler.draining = true;
       await handler.whenIdle();
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -3,6 +3,7 @@
 import { messageOf, ValidationError } from "../errors.ts";
 import { findDuplicateKeys } from "../json_keys.ts";
 import { listSchemaIssues, parseJson } from "../validation.ts";
+import { listLimitIssues } from "./limit_rules.ts";
 import { listListenIssues } from "./listen_rules.ts";
 import { type ResolvedSettings, settingsSchema } from "./schema.ts";
 
@@ -50,6 +51,7 @@
     ...findDuplicateKeys(text),
     ...listSchemaIssues(settingsSchema, data),
     ...listListenIssues(data),
+    ...listLimitIssues(data),
   ];
   if (issues.length > 0) throw new ValidationError(source, issues);
   return settingsSchema.parse(data);
--- a/src/settings/load_test.ts
+++ b/src/settings/load_test.ts
@@ -97,4 +97,10 @@
   }
 });
 
+test("guards against a maximum body size that the memory can't hold", () => {
+  const limits = { maximumBodyBytes: 20_000_000 };
+  assert.equal(listIssuePaths({ limits }), ["$.limits.maximumBodyBytes"]);
+  assert.equal(listIssuePaths({ limits: { ...limits, memoryMb: 1_024 } }), []);
+});
+
 test.run();
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { UNREACHABLE_AFTER_MS, WAVE_PAUSE_MS } from "../constants.ts";
+import { vmLimitsSchema } from "../connections/connection_limits.ts";
 import { platformUrl } from "./platform_url.ts";
 
 const ipAddress = z.ipv4("an IPv4 address");
@@ -49,6 +50,7 @@
     requestReadTimeoutMs: z.number().int().min(100).max(600_000).default(
       30_000,
     ),
+    ...vmLimitsSchema.shape,
   }).prefault({}),
   /** Must be the same on all entries of a region, because any of them may become its controller. */
   controller: z.strictObject({
--- a/testing/client_abuse/process_usage.ts
+++ b/testing/client_abuse/process_usage.ts
@@ -4,6 +4,8 @@
 export interface UsagePeak {
   /** Resident memory and the bytes that its connections have received and not read, in bytes. */
   memoryBytes: number;
+  /** The unread bytes alone. */
+  unreadBytes: number;
   descriptors: number;
 }
 
@@ -38,12 +40,14 @@
 export function monitorUsage(
   { processId, port }: { readonly processId: number; readonly port: number },
 ): UsageMonitor {
-  const peak: UsagePeak = { memoryBytes: 0, descriptors: 0 };
+  const peak: UsagePeak = { memoryBytes: 0, unreadBytes: 0, descriptors: 0 };
   function sample(): void {
     try {
+      const unreadBytes = readUnreadBytes(port);
+      peak.unreadBytes = Math.max(peak.unreadBytes, unreadBytes);
       peak.memoryBytes = Math.max(
         peak.memoryBytes,
-        readResidentBytes(processId) + readUnreadBytes(port),
+        readResidentBytes(processId) + unreadBytes,
       );
       peak.descriptors = Math.max(
         peak.descriptors,
