fix(scheduler): clients of the jobs port can't exhaust memory or descriptors

Callers lost an entry and then the owner: 20 to 600 connections that sent ahead without reading, left chunked bodies unfinished or sent no host made a process run out of heap; with heads that never ended all descriptors were used.

Cause: the listener started every request at once, so one connection had any number in flight; bodies were counted one by one, as lists of chunk objects, and a stalled body had only Node's timeout; Node's own 400 for a missing host bypassed the listener; the settings had neither memory nor descriptors.

Change: the guarded connections of the requests' port, with the limits that the platform hands out. One request of a connection is handled at a time; what is sent ahead is parsed in slices of 5 ms that all connections share, because an event loop that never polls made the owner give up its lease. Requests reserve memory until they are handled, even if their connection ends; without memory they get 503 with Retry-After. A body must arrive by the deadline. A new connection replaces the one that has waited for its caller the longest.

--- a/src/connections/collect_body.ts
+++ b/src/connections/collect_body.ts
@@ -87,3 +87,15 @@
     request.on("error", () => {}).on("data", () => {}).resume();
   });
 }
+
+/** Largest unread body that is drained to reuse the connection, in bytes; the connection is closed after a larger one. */
+const MAXIMUM_DRAINED_BODY_BYTES = 65_536;
+
+/** Returns whether the unread body may be too large to drain before the connection is reused. */
+export function hasLargeUnreadBody(request: IncomingMessage): boolean {
+  if (request.complete) return false;
+  const contentLength = request.headers["content-length"];
+  return contentLength === undefined
+    ? request.headers["transfer-encoding"] !== undefined
+    : Number(contentLength) > MAXIMUM_DRAINED_BODY_BYTES;
+}
--- a/src/connections/connection_budget.ts
+++ b/src/connections/connection_budget.ts
@@ -63,17 +63,20 @@
     this.#evictions.set(reason, (this.#evictions.get(reason) ?? 0) + 1);
   }
 
-  /** Adds a new connection, whose caller has to act next. */
+  /** Adds a new connection, which isn't waiting for its caller yet. */
   add(connection: BudgetedConnection): void {
-    if (this.#usages.size >= this.#limits.maximumConnections) {
-      const [longestWaiting] = this.#waiting;
+    if (
+      this.#usages.size >= this.#limits.maximumConnections &&
+      this.#waiting.size === 0
+    ) {
       this.recordEviction("connections");
-      // Without a waiting connection, every other one is being served.
-      (longestWaiting ?? connection).destroy();
-      if (longestWaiting === undefined) return;
+      connection.destroy();
+      return;
     }
     this.#usages.set(connection, { costBytes: 0, isEvicted: false });
-    this.#waiting.add(connection);
+    if (this.#usages.size > this.#limits.maximumConnections) {
+      this.#closeLongestWaiting();
+    }
   }
 
   remove(connection: BudgetedConnection): void {
@@ -85,8 +88,10 @@
   /** Records whether the caller of a connection has to act next. */
   setWaiting(connection: BudgetedConnection, isWaiting: boolean): void {
     this.#waiting.delete(connection);
-    if (isWaiting && this.#usages.has(connection)) {
-      this.#waiting.add(connection);
+    if (!isWaiting || !this.#usages.has(connection)) return;
+    this.#waiting.add(connection);
+    if (this.#waiting.size > this.#limits.maximumWaiting) {
+      this.#closeLongestWaiting();
     }
   }
 
@@ -118,6 +123,12 @@
     };
   }
 
+  #closeLongestWaiting(): void {
+    const [longestWaiting] = this.#waiting;
+    this.recordEviction("connections");
+    longestWaiting?.destroy();
+  }
+
   /** Evicts connections that cost more than `minimumCostBytes` until the usage is small enough. */
   #evictUntil(maximumUsedBytes: number, minimumCostBytes: number): void {
     while (this.#usedBytes > maximumUsedBytes) {
--- a/src/connections/connection_budget_test.ts
+++ b/src/connections/connection_budget_test.ts
@@ -1,3 +1,4 @@
+import type { ConnectionLimits } from "./connection_limits.ts";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import {
@@ -5,10 +6,14 @@
   ConnectionBudget,
 } from "./connection_budget.ts";
 
-const LIMITS = { memoryBytes: 1_000_000, maximumConnections: 3 };
+const LIMITS = {
+  memoryBytes: 1_000_000,
+  maximumConnections: 3,
+  maximumWaiting: 3,
+};
 
-function createBudget() {
-  const budget = new ConnectionBudget(LIMITS);
+function createBudget(limits: Partial<ConnectionLimits> = {}) {
+  const budget = new ConnectionBudget({ ...LIMITS, ...limits });
   const closed: string[] = [];
   function open(name: string): BudgetedConnection {
     const connection: BudgetedConnection = {
@@ -20,6 +25,7 @@
       budget.remove(connection);
     }
     budget.add(connection);
+    budget.setWaiting(connection, true);
     return connection;
   }
   return { budget, closed, open };
@@ -89,4 +95,13 @@
   assert.equal(closed, ["fourth"]);
 });
 
+// Guards against the bytes that the system receives on many connections before they are read.
+test("fewer connections may wait for their caller than may be open", () => {
+  const { budget, closed, open } = createBudget({ maximumWaiting: 1 });
+  budget.setWaiting(open("served"), false);
+  open("idle");
+  open("new");
+  assert.equal(closed, ["idle"]);
+});
+
 test.run();
--- a/src/connections/connection_limits.ts
+++ b/src/connections/connection_limits.ts
@@ -3,9 +3,9 @@
 /** Schema of the limits of the VM that a process runs on. */
 export const vmLimitsSchema = z.object({
   /** Memory that the process may use, in MB. */
-  memoryMb: z.number().int().min(128).default(350),
+  memoryMb: z.number().positive().default(350),
   /** File descriptors that the process may open. */
-  fileDescriptors: z.number().int().min(256).default(4_096),
+  fileDescriptors: z.number().positive().default(4_096),
 });
 
 /** Limits of the VM that a process runs on. */
@@ -16,6 +16,8 @@
   /** Memory for connections, their requests and unread responses, in bytes. */
   readonly memoryBytes: number;
   readonly maximumConnections: number;
+  /** Maximum number of connections whose caller has to send or read something. */
+  readonly maximumWaiting: number;
 }
 
 /** Fraction of the memory that callers' connections may occupy; the rest is the program, its state and garbage. */
@@ -25,12 +27,30 @@
 /** Fraction of the sockets for callers; the rest is for the store, peers, workers and readiness checks. */
 const SOCKET_FRACTION = 0.5;
 
+/** Fraction of the memory that may be bytes which the system has received and the process hasn't read yet. */
+const UNREAD_FRACTION = 0.2;
+/** Bytes that Linux receives on a connection before the process reads any, with the default `tcp_rmem`. */
+const UNREAD_BYTES_PER_CONNECTION = 131_072;
+/** Smallest maximum number of connections. */
+const MINIMUM_CONNECTIONS = 16;
+
 /** Returns the connection limits of a process on a VM. */
 export function resolveConnectionLimits(vm: VmLimits): ConnectionLimits {
+  const vmBytes = vm.memoryMb * 1_048_576;
+  const sockets = vm.fileDescriptors - FILE_DESCRIPTORS_FOR_FILES;
+  const maximumConnections = Math.max(
+    MINIMUM_CONNECTIONS,
+    Math.floor(sockets * SOCKET_FRACTION),
+  );
   return {
-    memoryBytes: Math.floor(vm.memoryMb * 1_048_576 * MEMORY_FRACTION),
-    maximumConnections: Math.floor(
-      (vm.fileDescriptors - FILE_DESCRIPTORS_FOR_FILES) * SOCKET_FRACTION,
+    memoryBytes: Math.floor(vmBytes * MEMORY_FRACTION),
+    maximumConnections,
+    maximumWaiting: Math.min(
+      maximumConnections,
+      Math.max(
+        MINIMUM_CONNECTIONS,
+        Math.floor(vmBytes * UNREAD_FRACTION / UNREAD_BYTES_PER_CONNECTION),
+      ),
     ),
   };
 }
--- a/src/connections/guarded_connection.ts
+++ b/src/connections/guarded_connection.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "../clock.ts";
 import type { ConnectionBudget, EvictionReason } from "./connection_budget.ts";
 import { ByteQueue } from "./byte_queue.ts";
+import type { TurnQueue } from "./turn_queue.ts";
 
 /** Limits of a single connection. */
 export interface GuardedConnectionOptions {
@@ -13,12 +14,15 @@
   /** Memory occupied by a byte of a body while it is received. */
   readonly bodyCostFactor: number;
   readonly clock: Clock;
+  readonly turns: TurnQueue;
 }
 
 /** Memory of an open connection without a request, in bytes. */
 const CONNECTION_COST_BYTES = 10_240;
-/** Memory of a request besides its body, in bytes. */
+/** Memory of a request besides its head and body, in bytes. */
 const REQUEST_COST_BYTES = 8_192;
+/** Memory of a name or value in a parsed head besides its bytes, in bytes. */
+const HEADER_STRING_COST_BYTES = 80;
 /** Memory occupied by a byte of a request head that is being parsed. */
 const HEAD_COST_FACTOR = 8;
 /** Time within which a caller must read more of a response that it hasn't read, in ms. */
@@ -31,6 +35,15 @@
 /** Input of a refused connection that is discarded before the connection is closed, in bytes. */
 const REFUSED_INPUT_BYTES = 65_536;
 const HEAD_END = "\r\n\r\n";
+/** Largest piece of input that is parsed in one turn, in bytes; it may contain thousands of chunks. */
+const MAXIMUM_PIECE_BYTES = 16_384;
+
+/** A request without a complete response. */
+interface OpenRequest {
+  readonly request: IncomingMessage;
+  /** Memory of the request without its body, in bytes. */
+  readonly costBytes: number;
+}
 
 /** Arrival time of the input up to an offset. */
 interface ArrivalMark {
@@ -64,7 +77,7 @@
   #receivedBytes = 0;
   #fedBytes = 0;
   /** Requests without a complete response, in the order of their arrival. */
-  #requests: IncomingMessage[] = [];
+  #requests: OpenRequest[] = [];
   /** Rest of a body of known length. */
   #bodyBytesLeft = 0;
   #headBytes = 0;
@@ -72,7 +85,7 @@
   #unsentBytes = 0;
   #isFeeding = false;
   /** Whether the next step is the caller's. */
-  #isWaiting = true;
+  #isWaiting = false;
   #isDiscarding = false;
   #discardedBytes = 0;
   #parserWantsInput = true;
@@ -88,9 +101,11 @@
     socket.on("error", (error) => this.destroy(error));
     socket.on("close", () => this.destroy());
     socket.on("timeout", () => this.emit("timeout"));
-    this.on("resume", () => this.#feedHeld());
+    this.on("resume", () => this.#requestTurn());
     options.budget.add(this);
     this.#updateCost();
+    // A request that had arrived by now is read before the event loop's second check phase.
+    setImmediate(() => setImmediate(() => this.#updateWaiting()));
   }
 
   /** Number of bytes received. */
@@ -125,7 +140,12 @@
 
   /** Tracks a parsed request until its response is closed. */
   trackRequest(request: IncomingMessage, response: ServerResponse): void {
-    this.#requests.push(request);
+    const openRequest: OpenRequest = {
+      request,
+      costBytes: REQUEST_COST_BYTES + 2 * this.#headBytes +
+        request.rawHeaders.length * HEADER_STRING_COST_BYTES,
+    };
+    this.#requests.push(openRequest);
     this.requestArrivedAtMs = this.#findArrivalMs(this.#fedBytes - 1);
     this.#headBytes = 0;
     this.#bodyBytes = 0;
@@ -133,16 +153,16 @@
       ? Number(request.headers["content-length"] ?? 0) || 0
       : 0;
     // A body is passed on only to its reader, because Node would queue an object for each of its chunks.
-    request.on("resume", () => this.#feedHeld());
+    request.on("resume", () => this.#requestTurn());
     response.once("close", () => {
-      this.#requests.splice(this.#requests.indexOf(request), 1);
+      this.#requests.splice(this.#requests.indexOf(openRequest), 1);
       // Discards the rest of the body chunk by chunk.
       if (!request.complete) request.on("data", () => {});
       // A complete response starts a new wait for the caller.
       this.#isWaiting = false;
       this.releaseBody();
       this.#updateWaiting();
-      this.#feedHeld();
+      this.#requestTurn();
     });
   }
 
@@ -171,7 +191,7 @@
 
   override _read(): void {
     this.#parserWantsInput = true;
-    this.#feedHeld();
+    this.#requestTurn();
   }
 
   override _write(
@@ -216,6 +236,7 @@
   ): void {
     clearTimeout(this.#slowReaderTimer);
     this.#held.clear();
+    this.#options.turns.remove(this.#takeTurn);
     this.#options.budget.remove(this);
     this.#socket.destroy();
     callback(error);
@@ -234,10 +255,11 @@
     if (fedBytes < chunk.length) {
       this.#markArrival();
       this.#held.append(chunk.subarray(fedBytes));
-      if (this.#held.length > this.#options.maximumAheadBytes()) {
+      if (this.#isTooFarAhead()) {
         this.#evict("pipelining");
         return;
       }
+      this.#requestTurn();
     }
     this.#updateCost();
   }
@@ -260,49 +282,64 @@
       this.destroyed
     ) return false;
     const [current, next] = this.#requests;
-    return current === undefined ||
-      (next === undefined && !current.complete &&
-        current.readableFlowing === true && current.listenerCount("data") > 0);
+    if (current === undefined) return true;
+    const { request } = current;
+    return next === undefined && !request.complete &&
+      request.readableFlowing === true && request.listenerCount("data") > 0;
   }
 
-  #feedHeld(): void {
-    if (this.#isFeeding || this.#held.length === 0) return;
-    this.isParsingHeldInput = true;
-    while (this.#held.length > 0 && this.#canFeed()) {
-      this.#held.consume(this.#feed(this.#held.peek()));
+  /** Whether the caller has sent too much ahead; input of the current request is parsed first. */
+  #isTooFarAhead(): boolean {
+    const maximumBytes = this.#options.maximumAheadBytes();
+    while (this.#held.length > maximumBytes && this.#canFeed()) {
+      this.#takeTurn();
     }
+    return this.#held.length > maximumBytes;
+  }
+
+  #requestTurn(): void {
+    if (this.#held.length > 0 && this.#canFeed()) {
+      this.#options.turns.add(this.#takeTurn);
+    }
+  }
+
+  /** Passes the next piece of held input to the parser. */
+  #takeTurn = () => {
+    if (this.#held.length === 0) return;
+    this.isParsingHeldInput = true;
+    this.#held.consume(this.#feed(this.#held.peek()));
     this.isParsingHeldInput = false;
     if (this.#held.length === 0) this.#arrivals = [];
-    if (!this.destroyed) this.#updateCost();
-  }
+    if (this.destroyed) return;
+    this.#updateCost();
+    this.#requestTurn();
+  };
 
-  /** Passes input to the parser, at most one request; returns the number of bytes passed. */
+  /** Passes a piece of input to the parser if it can take one; returns the number of bytes passed. */
   #feed(input: Buffer): number {
-    if (this.#isFeeding) return 0;
+    if (this.#isFeeding || !this.#canFeed()) return 0;
     this.#isFeeding = true;
-    let offset = 0;
-    while (offset < input.length && this.#canFeed()) {
-      const end = this.#findPieceEnd(input, offset);
-      const pieceBytes = end - offset;
-      this.#fedBytes += pieceBytes;
-      if (this.#requests.length === 0) this.#headBytes += pieceBytes;
-      else this.#bodyBytes += pieceBytes;
-      this.#bodyBytesLeft = Math.max(0, this.#bodyBytesLeft - pieceBytes);
-      this.#parserWantsInput = this.push(input.subarray(offset, end));
-      offset = end;
-    }
+    const pieceBytes = this.#findPieceEnd(input);
+    this.#fedBytes += pieceBytes;
+    if (this.#requests.length === 0) this.#headBytes += pieceBytes;
+    else this.#bodyBytes += pieceBytes;
+    this.#bodyBytesLeft = Math.max(0, this.#bodyBytesLeft - pieceBytes);
+    this.#parserWantsInput = this.push(input.subarray(0, pieceBytes));
     this.#isFeeding = false;
     this.#updateWaiting();
-    return offset;
+    return pieceBytes;
   }
 
   /** Returns the end of the next piece, which completes at most one request head. */
-  #findPieceEnd(input: Buffer, offset: number): number {
+  #findPieceEnd(input: Buffer): number {
+    const maximumBytes = Math.min(input.length, MAXIMUM_PIECE_BYTES);
     if (this.#bodyBytesLeft > 0) {
-      return Math.min(input.length, offset + this.#bodyBytesLeft);
+      return Math.min(maximumBytes, this.#bodyBytesLeft);
     }
-    const headEnd = input.indexOf(HEAD_END, offset, "latin1");
-    return headEnd < 0 ? input.length : headEnd + HEAD_END.length;
+    const headEnd = input.indexOf(HEAD_END, 0, "latin1");
+    return headEnd < 0
+      ? maximumBytes
+      : Math.min(maximumBytes, headEnd + HEAD_END.length);
   }
 
   #markArrival(): void {
@@ -325,7 +362,8 @@
   /** Whether the next step is the caller's: to send a request or the rest of one, or to read a response. */
   #isCallersTurn(): boolean {
     const [current] = this.#requests;
-    return current === undefined || !current.complete || this.#unsentBytes > 0;
+    return current === undefined || !current.request.complete ||
+      this.#unsentBytes > 0;
   }
 
   #updateWaiting(): void {
@@ -337,8 +375,10 @@
 
   #updateCost(): void {
     const { budget, bodyCostFactor } = this.#options;
-    const requestBytes = this.#requests.length * REQUEST_COST_BYTES +
-      this.#bodyBytes * bodyCostFactor;
+    const requestBytes = this.#requests.reduce(
+      (sum, { costBytes }) => sum + costBytes,
+      this.#bodyBytes * bodyCostFactor,
+    );
     budget.setCost(
       this,
       CONNECTION_COST_BYTES + requestBytes + this.#held.capacityBytes +
--- a/src/connections/guarded_server.ts
+++ b/src/connections/guarded_server.ts
@@ -4,6 +4,7 @@
   GuardedConnection,
   type GuardedConnectionOptions,
 } from "./guarded_connection.ts";
+import { TurnQueue } from "./turn_queue.ts";
 
 /** Starts to parse the requests of a socket through a guarded connection. */
 export type ParseConnection = (socket: Socket) => GuardedConnection;
@@ -22,8 +23,9 @@
  */
 export function guardConnections(
   server: Server,
-  options: GuardedConnectionOptions,
+  options: Omit<GuardedConnectionOptions, "turns">,
 ): ParseConnection {
+  const turns = new TurnQueue(options.clock);
   // Node documents `connection` events with any duplex stream; this listener handles them.
   const [parse] = server.listeners("connection") as [
     (this: Server, connection: GuardedConnection) => void,
@@ -35,7 +37,7 @@
   server.prependListener("request", track);
   server.prependListener("checkExpectation", track);
   return (socket) => {
-    const connection = new GuardedConnection(socket, options);
+    const connection = new GuardedConnection(socket, { ...options, turns });
     if (!connection.destroyed) parse.call(server, connection);
     return connection;
   };
--- a/src/requests/caller_request.ts
+++ b/src/requests/caller_request.ts
@@ -24,8 +24,6 @@
 
 /** Longest deadline that a caller may set, in ms. */
 const MAXIMUM_DEADLINE_MS = 600_000;
-/** Largest unread body that is drained to reuse the connection, in bytes; the connection is closed after a larger one. */
-const MAXIMUM_DRAINED_BODY_BYTES = 65_536;
 const REQUEST_ID_PATTERN = /^[\x21-\x7e]{1,128}$/;
 const PATH_PATTERN = /^\/[\x21-\x7e]*$/;
 /** Matches a path segment `.` or `..`, also when percent-encoded. */
@@ -112,12 +110,3 @@
   return path !== undefined && url.startsWith(path) &&
     (url.length === path.length || "/?".includes(url[path.length]!));
 }
-
-/** Returns whether the unread body may be too large to drain before the connection is reused. */
-export function hasLargeUnreadBody(request: IncomingMessage): boolean {
-  if (request.complete) return false;
-  const contentLength = request.headers["content-length"];
-  return contentLength === undefined
-    ? request.headers["transfer-encoding"] !== undefined
-    : Number(contentLength) > MAXIMUM_DRAINED_BODY_BYTES;
-}
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -1,7 +1,10 @@
 import type { IncomingMessage } from "node:http";
 import { type Operation, until } from "effection";
 import type { Clock } from "../clock.ts";
-import { discardBody } from "../connections/collect_body.ts";
+import {
+  discardBody,
+  hasLargeUnreadBody,
+} from "../connections/collect_body.ts";
 import type { ConnectionBudget } from "../connections/connection_budget.ts";
 import type { ServiceConfig } from "../config/schema.ts";
 import {
@@ -17,7 +20,6 @@
   type CallerRequest,
   checkHost,
   declaresBody,
-  hasLargeUnreadBody,
   isUnderPath,
   parseDeadlineMs,
   parseRequestId,
--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -9,6 +9,8 @@
 import { App } from "@tinyhttp/app";
 import { ensure, type Operation, race, sleep, spawn, suspend } from "effection";
 import { type Clock } from "../clock.ts";
+import type { ConnectionBudget } from "../connections/connection_budget.ts";
+import { readConnectionMetrics } from "../connections/connection_metrics.ts";
 import { useErrorGuard } from "../error_guard.ts";
 import { closeGracefully, useListeningServer } from "../http_server.ts";
 import { messageOf, StoreError } from "../errors.ts";
@@ -18,6 +20,7 @@
 import type { Component, Supervisor } from "../supervisor.ts";
 import type { Election } from "./election.ts";
 import type { JobFrontend } from "./job_frontend.ts";
+import { createJobServer } from "./job_server.ts";
 import type { OperatorState } from "./operator_state.ts";
 import {
   createPeerHandler,
@@ -57,6 +60,8 @@
   readonly stats: RequestStats;
   readonly supervisor: Supervisor;
   readonly relayServer: RelayServer;
+  /** Limits of the callers' connections. */
+  readonly budget: ConnectionBudget;
   readonly signals: StopSignals;
   /** Creates the listener of the callers' port, which closes connections once `isStopping` returns true. */
   readonly createCallerListener: (isStopping: () => boolean) => RequestListener;
@@ -213,6 +218,7 @@
     return [
       ...stats.metrics(),
       ...ownerMetrics(election),
+      ...readConnectionMetrics(dependencies.budget),
       {
         kind: "counter",
         name: "cowslipferry_log_lines_dropped_total",
@@ -255,10 +261,10 @@
     response.end();
   }
 
-  const callerServer = createServer(
-    dependencies.createCallerListener(() => stopping),
-  );
-  callerServer.keepAliveTimeout = 20_000;
+  const callerServer = createJobServer({
+    ...dependencies,
+    listener: dependencies.createCallerListener(() => stopping),
+  });
 
   function serve(name: string, server: Server, address: string): Component {
     return {
--- a/src/scheduler/job_api.ts
+++ b/src/scheduler/job_api.ts
@@ -4,6 +4,14 @@
   ServerResponse,
 } from "node:http";
 import type { Clock } from "../clock.ts";
+import {
+  type BodyResult,
+  collectBody,
+  discardBody,
+  hasLargeUnreadBody,
+} from "../connections/collect_body.ts";
+import type { ConnectionBudget } from "../connections/connection_budget.ts";
+import { findGuardedConnection } from "../connections/guarded_server.ts";
 import { assertNever, messageOf } from "../errors.ts";
 import type {
   JobFrontend,
@@ -18,6 +26,16 @@
 
 /** Deadline of requests that don't specify one, in ms. */
 const DEFAULT_DEADLINE_MS = 3_000;
+/** Longest time for reading a body, in ms. */
+const MAXIMUM_BODY_TIMEOUT_MS = 60_000;
+/** Memory of a request that is being handled besides its body, in bytes. */
+const REQUEST_COST_BYTES = 8_192;
+/** Memory occupied by a byte of a body while it is parsed and stored: as bytes, text, objects and a record. */
+const BODY_COST_FACTOR = 6;
+/** Retry time returned to callers while the memory for requests is used up, in ms; requests take less than that. */
+const NO_MEMORY_RETRY_MS = 2_000;
+/** Retry time returned to callers whose deadline passed while earlier requests on their connection were handled, in ms. */
+const EXPIRED_RETRY_MS = 1_000;
 /** Retry time returned to callers while this entry has no configuration, in ms. */
 const NO_CONFIG_RETRY_MS = 1_000;
 
@@ -54,6 +72,7 @@
   readonly retryAfterMs?: number;
   /** Outcome label of the request metrics. */
   readonly outcome: string;
+  readonly closesConnection?: boolean;
 }
 
 function unavailable(retryAfterMs: number, reason: string): Reply {
@@ -82,32 +101,53 @@
   return { status: 404, outcome, body: { error: reason } };
 }
 
-async function readBody(
-  request: IncomingMessage,
-  limitBytes: number,
-): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of request) {
-    sizeBytes += (chunk as Buffer).length;
-    if (sizeBytes > limitBytes) return undefined;
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks).toString("utf8");
-}
-
+/** Writes the reply. With an unread body, the connection is closed after the caller could read the reply. */
 function sendReply(
   response: ServerResponse,
   reply: Reply,
   isStopping: boolean,
 ): void {
+  const { req: request } = response;
+  const closesConnection = isStopping || reply.closesConnection === true ||
+    hasLargeUnreadBody(request);
+  const text = JSON.stringify(reply.body ?? {});
   response.statusCode = reply.status;
   if (reply.retryAfterMs !== undefined) {
     response.setHeader("retry-after", Math.ceil(reply.retryAfterMs / 1_000));
   }
-  if (isStopping) response.setHeader("connection", "close");
+  if (closesConnection) response.setHeader("connection", "close");
   response.setHeader("content-type", "application/json");
-  response.end(JSON.stringify(reply.body ?? {}));
+  if (request.complete || !closesConnection) {
+    response.end(text);
+    return;
+  }
+  response.setHeader("content-length", Buffer.byteLength(text));
+  response.write(text);
+  void discardBody(request).then(() => response.end());
+}
+
+/** Describes a body that wasn't read completely; nothing has run. */
+function describeUnread(
+  collected: Exclude<BodyResult, { kind: "complete" }>,
+): Reply {
+  switch (collected.kind) {
+    case "too_large":
+      return { status: 413, outcome: collected.kind };
+    case "too_slow":
+    case "incomplete":
+      return { status: 408, outcome: collected.kind, closesConnection: true };
+    case "no_memory":
+      return { ...noMemory(), closesConnection: true };
+    default:
+      return assertNever(collected);
+  }
+}
+
+function noMemory(): Reply {
+  return {
+    ...unavailable(NO_MEMORY_RETRY_MS, "too many requests at a time"),
+    outcome: "no_memory",
+  };
 }
 
 function describeRefusal(
@@ -133,12 +173,27 @@
   readonly operator: Pick<OperatorState, "config" | "configAgeMs">;
   readonly authenticator: Authenticator;
   readonly stats: RequestStats;
+  readonly budget: Pick<ConnectionBudget, "reserve">;
   readonly clock: Clock;
   readonly isStopping: () => boolean;
 }): RequestListener {
   const { protocols, frontend, operator, authenticator, stats, clock } =
     options;
 
+  /** Handles a request with memory reserved for it, which its connection's end doesn't release. */
+  async function withReservation(
+    bytes: number,
+    handleRequest: () => Promise<Reply>,
+  ): Promise<Reply> {
+    const release = options.budget.reserve(bytes);
+    if (release === undefined) return noMemory();
+    try {
+      return await handleRequest();
+    } finally {
+      release();
+    }
+  }
+
   function find(request: IncomingMessage, config: SchedulerConfig) {
     for (const protocol of protocols) {
       const target = protocol.findTarget(request, config);
@@ -151,7 +206,14 @@
     request: IncomingMessage,
     operation: { name: string },
   ): Promise<Reply> {
-    const arrivedAtMs = clock.monotonicMs();
+    const arrivedAtMs = findGuardedConnection(request)?.requestArrivedAtMs ??
+      clock.monotonicMs();
+    if (request.headers.host === undefined && request.httpVersion === "1.1") {
+      return {
+        ...invalid("the request has no host header"),
+        closesConnection: true,
+      };
+    }
     const config = operator.config();
     if (config === undefined) {
       return unavailable(NO_CONFIG_RETRY_MS, "no configuration yet");
@@ -187,6 +249,12 @@
       deadlineMs: arrivedAtMs +
         (protocol.deadlineMs(request) ?? DEFAULT_DEADLINE_MS),
     };
+    if (context.deadlineMs <= clock.monotonicMs()) {
+      return {
+        ...unavailable(EXPIRED_RETRY_MS, "the deadline has passed"),
+        outcome: "expired",
+      };
+    }
     if (jobId === "") {
       operation.name = "waiting";
       if (request.method !== "GET") return { status: 405, outcome: "method" };
@@ -198,9 +266,23 @@
     switch (request.method) {
       case "POST": {
         operation.name = "submit";
-        const text = await readBody(request, config.maximumBodyBytes);
-        if (text === undefined) return { status: 413, outcome: "too_large" };
-        return await submit({ protocol, queue, jobId }, text, context);
+        const collected = await collectBody(request, {
+          maximumBodyBytes: config.maximumBodyBytes,
+          timeoutMs: Math.min(
+            context.deadlineMs - clock.monotonicMs(),
+            MAXIMUM_BODY_TIMEOUT_MS,
+          ),
+        }).result;
+        if (collected.kind !== "complete") return describeUnread(collected);
+        return await withReservation(
+          collected.body.length * BODY_COST_FACTOR,
+          () =>
+            submit(
+              { protocol, queue, jobId },
+              collected.body.toString("utf8"),
+              context,
+            ),
+        );
       }
       case "GET":
         operation.name = "status";
@@ -310,7 +392,10 @@
   return (request, response) => {
     const startedAtMs = clock.monotonicMs();
     const operation = { name: "other" };
-    handle(request, operation).catch((error): Reply => {
+    withReservation(
+      REQUEST_COST_BYTES,
+      () => handle(request, operation),
+    ).catch((error): Reply => {
       // Also reached if the caller disconnects while it sends its request.
       return {
         status: 500,
--- a/src/scheduler/native_job_protocol_test.ts
+++ b/src/scheduler/native_job_protocol_test.ts
@@ -9,6 +9,11 @@
 import { createJobListener } from "./job_api.ts";
 import type { Submission } from "./model.ts";
 import { nativeJobProtocol } from "./native_job_protocol.ts";
+import { ConnectionBudget } from "../connections/connection_budget.ts";
+import {
+  resolveConnectionLimits,
+  vmLimitsSchema,
+} from "../connections/connection_limits.ts";
 import { createAuthenticator } from "./workspaces/authentication.ts";
 import { createRequestStats } from "./request_stats.ts";
 
@@ -40,6 +45,9 @@
     operator: { config: () => config, configAgeMs: () => 0 },
     authenticator: createAuthenticator({ strict: false, revocationMs: 5_000 }),
     stats: createRequestStats(systemClock),
+    budget: new ConnectionBudget(
+      resolveConnectionLimits(vmLimitsSchema.parse({})),
+    ),
     clock: systemClock,
     isStopping: () => false,
   })));
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { vmLimitsSchema } from "../connections/connection_limits.ts";
 import { ValidationError } from "../errors.ts";
 import { listSchemaIssues, parseJson } from "../validation.ts";
 import { DEFAULT_NOTICE_MS } from "./disruption_budget.ts";
@@ -37,6 +38,7 @@
     cores: z.number().positive().default(1),
     /** Network bandwidth of this VM, in Mbit/s. */
     linkMbps: z.number().positive().default(1_000),
+    ...vmLimitsSchema.shape,
   }).prefault({}),
   bounds: z.object({
     /** Grace period between the stop signal and the kill, in seconds. */
@@ -96,7 +98,9 @@
 
 /** Returns the delay before an entry campaigns, in ms. */
 export function resolveCandidateDelayMs(
-  { limits }: Pick<SchedulerSettings, "limits">,
+  { limits }: {
+    readonly limits: Pick<SchedulerSettings["limits"], "cores" | "linkMbps">;
+  },
 ): number {
   return limits.cores >= PREFERRED_OWNER_CORES &&
       limits.linkMbps >= PREFERRED_OWNER_LINK_MBPS
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -5,6 +5,8 @@
   type InjectionToken,
 } from "tsyringe";
 import { type Clock, systemClock } from "../clock.ts";
+import { ConnectionBudget } from "../connections/connection_budget.ts";
+import { resolveConnectionLimits } from "../connections/connection_limits.ts";
 import { type BufferedLog, createBufferedLog } from "../logger.ts";
 import type { StopSignals } from "../signals.ts";
 import { createSupervisor, type Supervisor } from "../supervisor.ts";
@@ -53,6 +55,8 @@
   health: token<StoreHealth>("health"),
   stats: token<RequestStats>("stats"),
   supervisor: token<Supervisor>("supervisor"),
+  /** Limits of the callers' connections. */
+  budget: token<ConnectionBudget>("budget"),
 };
 
 /** Adapters through which the scheduler uses the platform. */
@@ -106,6 +110,10 @@
           ),
       }),
   );
+  registerSingleton(
+    TOKENS.budget,
+    () => new ConnectionBudget(resolveConnectionLimits(settings.limits)),
+  );
   registerSingleton(
     TOKENS.health,
     () => createStoreHealth(scope.resolve(TOKENS.clock)),
@@ -165,6 +173,7 @@
     frontend: scope.resolve(TOKENS.frontend),
     stats: scope.resolve(TOKENS.stats),
     clock: scope.resolve(TOKENS.clock),
+    budget: scope.resolve(TOKENS.budget),
   };
   return {
     ...resolved,
