fix(scheduler): an owner takes no more jobs than its memory holds

Callers lost the owner, and each owner after it, as the jobs are stored: 60 valid jobs of 20,000 tasks, one request each, exhausted its heap.

Cause: a job was stored whatever the owner held already; nothing counted the memory of unfinished jobs, about 280 bytes a task and 10 KB a job.

An entry asks it before it stores a job of more than 64 KB (about 200 tasks), and about every job after the owner has said that it is full, as it does in its reply to the report of an accepted job; so ordinary jobs cost no further call. The refusal is 503 with Retry-After 5, only if the job is known not to be stored.

--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -137,8 +137,7 @@
     accepted(spec, revision) {
       const owner = election.localOwner();
       if (owner === undefined) return { kind: "not_owner" };
-      owner.accept(spec, revision);
-      return { kind: "reply", value: true };
+      return { kind: "reply", value: owner.accept(spec, revision) };
     },
     async submit(spec) {
       const owner = election.localOwner();
@@ -148,7 +147,7 @@
         JSON.stringify(spec),
         {
           workspace: spec.workspace,
-          onStored: (revision) => owner.accept(spec, revision),
+          onStored: (revision) => void owner.accept(spec, revision),
         },
       );
       return { kind: "reply", value };
--- a/src/scheduler/entry_client.ts
+++ b/src/scheduler/entry_client.ts
@@ -52,8 +52,8 @@
   admit(spec: JobSpec): Promise<AdmissionDecision>;
   /** Asks for the stored configuration if it was changed after a store revision. */
   configAfter(revision: number): Promise<StoredItem | undefined>;
-  /** Reports a job that the calling entry has stored at a store revision. */
-  accepted(spec: JobSpec, revision: number): Promise<void>;
+  /** Reports a job that the calling entry has stored at a store revision; resolves with whether the owner has memory for more jobs. */
+  accepted(spec: JobSpec, revision: number): Promise<boolean>;
   /** Asks the owner to store a job; `not_owner` means that nothing was stored. */
   submit(spec: JobSpec): Promise<StoreReply | "not_owner">;
   cancelled(jobId: string): Promise<void>;
@@ -134,8 +134,8 @@
       await call((signal) =>
         client.configAfter.query({ revision }, { signal })
       ) ?? undefined,
-    accepted: async (spec, revision) =>
-      void await callOwner((signal) =>
+    accepted: (spec, revision) =>
+      callOwner((signal) =>
         client.accepted.mutate({ ...spec, storedRevision: revision }, {
           signal,
         })
--- a/src/scheduler/job_api.ts
+++ b/src/scheduler/job_api.ts
@@ -157,6 +157,7 @@
     case "store":
       return { ...unavailable(retryAfterMs, reason), outcome: "refused" };
     case "overload":
+    case "memory":
       return { ...unavailable(retryAfterMs, reason), outcome: cause };
     case "share":
     case "quota":
--- a/src/scheduler/job_frontend.ts
+++ b/src/scheduler/job_frontend.ts
@@ -363,7 +363,13 @@
           describeConflict: (conflict) =>
             describeConflict(conflict, spec.workspace),
           onStored: (revision) =>
-            notifyOwner((owner) => owner.accepted(spec, revision)),
+            void callOwner((owner) => owner.accepted(spec, revision)).then(
+              (reply) => {
+                if (reply.kind === "reply" && !reply.value) {
+                  submissions.onOwnerFull();
+                }
+              },
+            ),
         },
         context,
       );
--- a/src/scheduler/job_frontend_test.ts
+++ b/src/scheduler/job_frontend_test.ts
@@ -167,7 +167,7 @@
   let current = false;
   const fixture = createFixture({
     submit: () => Promise.resolve(current ? "stored" : "not_owner"),
-    accepted: () => Promise.resolve(),
+    accepted: () => Promise.resolve(true),
   });
   fixture.store.faults.refusedClients.add("entry-1");
   const result = fixture.frontend.submit(
@@ -292,7 +292,7 @@
       submitted.push(spec.jobId);
       return Promise.resolve("stored");
     },
-    accepted: () => Promise.resolve(),
+    accepted: () => Promise.resolve(true),
   });
   fixture.store.faults.refusedClients.add("entry-1");
   assert.deepEqual(
--- a/src/scheduler/peer_router.ts
+++ b/src/scheduler/peer_router.ts
@@ -37,8 +37,8 @@
   admit(spec: JobSpec): OwnerReply<AdmissionDecision>;
   /** Returns the stored configuration if it was changed after a store revision; null if this entry knows no such change. */
   configAfter(revision: number): StoredItem | null;
-  /** Adds a job that the calling entry has stored at a store revision. */
-  accepted(spec: JobSpec, revision: number): OwnerReply<true>;
+  /** Adds a job that the calling entry has stored at a store revision; replies whether there is memory for more jobs. */
+  accepted(spec: JobSpec, revision: number): OwnerReply<boolean>;
   /** Stores a job for an entry that can't reach the store. */
   submit(spec: JobSpec): Promise<OwnerReply<StoreReply>>;
   /** Cancels a job whose cancellation the calling entry has stored. */
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -41,6 +41,7 @@
 } from "./ports.ts";
 import { openRelayChannel } from "./relay/channel.ts";
 import { createRelayedControl, type RelayOffer } from "./relay/control.ts";
+import { createJobMemory } from "./overload/job_memory.ts";
 import { resolveQueue } from "./resolve_queue.ts";
 import { createScheduler, type Scheduler } from "./scheduler.ts";
 import { handOverWhenSlow } from "./slow_handover.ts";
@@ -97,6 +98,9 @@
 /** Duration of the first long poll for the queue, in ms: its response is due at once, as it shows what was stored while the queue was loaded. */
 const CATCH_UP_WAIT_MS = 1;
 
+/** Memory of the VM if it isn't known, in MB. */
+const DEFAULT_MEMORY_MB = 350;
+
 /** Dependencies and settings of a tenure runner. */
 export interface TenureRunnerOptions {
   readonly store: RecordStore;
@@ -118,6 +122,8 @@
   readonly noticeMs: number;
   /** Whether jobs that can't finish in time are rejected; false if omitted. */
   readonly rejectUnattainable?: boolean;
+  /** Memory of the VM, in MB; 350 if omitted. */
+  readonly memoryMb?: number;
   /** Asks other entries to take over; the one that does raises the epoch. */
   readonly requestTakeover: (epoch: number) => void;
 }
@@ -125,8 +131,8 @@
 /** API of the owner, available once its records are loaded. */
 export interface OwnerApi {
   readonly epoch: number;
-  /** Adds a job that was stored at a store revision. */
-  accept(spec: JobSpec, revision: number): void;
+  /** Adds a job that was stored at a store revision; returns whether there is memory for more jobs. */
+  accept(spec: JobSpec, revision: number): boolean;
   cancel(jobId: string): void;
   /** Decides whether an entry may store a job. */
   admit(spec: JobSpec): AdmissionDecision;
@@ -273,8 +279,14 @@
       isVmEnding: fleet.isVmEnding,
     })
     : undefined;
+  const memory = createJobMemory({
+    jobs: scheduler.jobs,
+    memoryMb: options.memoryMb ?? DEFAULT_MEMORY_MB,
+    clock,
+  });
   const admission = createOwnerAdmission({
     scheduler,
+    memory,
     clock,
     config: options.config,
     isScarce: fleet.isScarce,
@@ -499,7 +511,10 @@
   const api: OwnerApi = {
     epoch: tenure.epoch,
     scheduler,
-    accept: (spec, revision) => loadedQueue?.accept(spec, revision),
+    accept(spec, revision) {
+      loadedQueue?.accept(spec, revision);
+      return memory.hasRoomFor(0);
+    },
     cancel: (jobId) => scheduler.cancel(jobId),
     admit: admission.admit,
     status: (jobId, workspace) => scheduler.status(jobId, workspace),
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -140,6 +140,7 @@
       holderGapMs: settings.bounds.holderGapMs + HOLDER_GAP_MARGIN_MS,
       noticeMs: settings.bounds.noticeMs,
       rejectUnattainable: settings.overload.rejectUnattainable,
+      memoryMb: settings.limits.memoryMb,
     }));
   registerSingleton(TOKENS.frontend, () =>
     createJobFrontend({
--- a/src/scheduler/workspaces/admission.ts
+++ b/src/scheduler/workspaces/admission.ts
@@ -10,7 +10,7 @@
   | { readonly kind: "admitted"; readonly excess: boolean }
   | {
     readonly kind: "refused";
-    readonly reason: "share" | "overload";
+    readonly reason: "share" | "overload" | "memory";
     /** Time after which the caller should return, in ms. */
     readonly retryAfterMs: number;
   };
--- a/src/scheduler/workspaces/owner_admission.ts
+++ b/src/scheduler/workspaces/owner_admission.ts
@@ -2,6 +2,7 @@
 import type { JobSpec } from "../model.ts";
 import type { SchedulerConfig } from "../ports.ts";
 import type { OverloadRejection } from "../overload/owner_rejection.ts";
+import { estimateJobBytes, type JobMemory } from "../overload/job_memory.ts";
 import { resolveQueue } from "../resolve_queue.ts";
 import type { Scheduler } from "../scheduler.ts";
 import { type AdmissionDecision, createAdmission } from "./admission.ts";
@@ -15,10 +16,15 @@
   readonly config: () => SchedulerConfig | undefined;
   /** Whether a service's pool needs more VMs than the fleet has. */
   readonly isScarce: (service: string) => boolean;
+  /** Limit on the memory of the owner's jobs. */
+  readonly memory: JobMemory;
   /** Undefined if the settings don't ask for it. */
   readonly overload?: OverloadRejection | undefined;
 }
 
+/** Retry time of a job for which the owner has no memory, in ms: other jobs have to end first. */
+const MEMORY_RETRY_AFTER_MS = 5_000;
+
 /** Number of decisions about the submissions of a workspace. */
 export interface AdmissionCounts {
   admitted: number;
@@ -53,6 +59,16 @@
   return {
     counts,
     admit(spec) {
+      if (
+        !scheduler.hasJob(spec.jobId) &&
+        !options.memory.hasRoomFor(estimateJobBytes(spec))
+      ) {
+        return {
+          kind: "refused",
+          reason: "memory",
+          retryAfterMs: MEMORY_RETRY_AFTER_MS,
+        };
+      }
       const retryAfterMs = options.overload?.check(spec);
       if (retryAfterMs !== undefined) {
         return { kind: "refused", reason: "overload", retryAfterMs };
--- a/src/scheduler/workspaces/owner_admission_test.ts
+++ b/src/scheduler/workspaces/owner_admission_test.ts
@@ -45,6 +45,7 @@
   };
   const admission = createOwnerAdmission({
     scheduler,
+    memory: { hasRoomFor: () => true },
     clock: { monotonicMs: () => 0 },
     config: () => "config" in state ? state.config : config,
     isScarce: (service) => service === state.scarce,
--- a/src/scheduler/workspaces/submission_check.ts
+++ b/src/scheduler/workspaces/submission_check.ts
@@ -1,6 +1,7 @@
 import { StoreError } from "../../errors.ts";
 import type { Logger } from "../../logger.ts";
 import type { JobSpec } from "../model.ts";
+import { isLargeJob } from "../overload/job_memory.ts";
 import { STORE_KEYS } from "../ownership.ts";
 import type { RecordStore, SchedulerConfig } from "../ports.ts";
 import type { AdmissionDecision } from "./admission.ts";
@@ -11,6 +12,7 @@
 const REFUSAL_TEXTS = {
   share: "the workspace sends more than it is owed while the pool is full",
   overload: "the pool can't finish the job in time",
+  memory: "the owner has no memory for the job until others end",
 } as const;
 
 /** Whether a job may be stored; a refusal says that it isn't stored and will never run. */
@@ -18,7 +20,7 @@
   | { readonly kind: "admitted"; readonly excess: boolean }
   | {
     readonly kind: "refused";
-    readonly cause: "share" | "overload" | "quota";
+    readonly cause: "share" | "overload" | "memory" | "quota";
     readonly reason: string;
     /** Time after which the caller should return, in ms. */
     readonly retryAfterMs: number;
@@ -26,6 +28,8 @@
 
 /** Checks jobs before an entry stores them. */
 export interface SubmissionCheck {
+  /** Notes that the owner has no memory for more jobs; until it has, it is asked about each. */
+  onOwnerFull(): void;
   check(spec: JobSpec, requestId: string): Promise<SubmissionVerdict>;
 }
 
@@ -44,6 +48,9 @@
 export function createSubmissionCheck(
   { store, log, config, askOwner, rejectUnattainable }: SubmissionCheckOptions,
 ): SubmissionCheck {
+  /** Whether the owner had no memory for more jobs when it was last asked. */
+  let isOwnerFull = false;
+
   function findOversizedStep(spec: JobSpec): string | undefined {
     const workspace = config()?.workspaces?.find(({ name }) =>
       name === spec.workspace
@@ -85,11 +92,18 @@
   }
 
   return {
+    onOwnerFull() {
+      isOwnerFull = true;
+    },
     async check(spec, requestId) {
-      if (spec.workspace === "" && !rejectUnattainable) {
+      if (
+        spec.workspace === "" && !rejectUnattainable && !isOwnerFull &&
+        !isLargeJob(spec)
+      ) {
         return { kind: "admitted", excess: false };
       }
       const verdict = await decide(spec);
+      isOwnerFull = verdict.kind === "refused" && verdict.cause === "memory";
       if (verdict.kind === "admitted") return verdict;
       if (!await isKnownAbsent(spec)) {
         return { kind: "admitted", excess: false };
--- a/testing/client_abuse/job_port_test.ts
+++ b/testing/client_abuse/job_port_test.ts
@@ -15,6 +15,7 @@
   type VmLimits,
   withSchedulerProcess,
 } from "./scheduler_process.ts";
+import { waitFor } from "../wait.ts";
 
 /** Limits of the VMs that the scheduler is deployed on. */
 const VM_LIMITS: VmLimits = { memoryMb: 350, fileDescriptors: 4_100 };
@@ -132,6 +133,39 @@
     }));
 }
 
+// Guards against valid jobs that together exceed the memory of the owner, and of each owner after it.
+test("the owner survives many jobs of the maximum number of tasks and still answers others", () =>
+  withSchedulerProcess(VM_LIMITS, async ({ child, address, port }) => {
+    const monitor = monitorUsage({ processId: child.child.pid!, port });
+    // No worker has as much CPU, so that the tasks wait.
+    const body = JSON.stringify({
+      specification: "",
+      steps: [{ count: 20_000, cpu: 1_000_000, "estimated-ms": 100 }],
+    });
+    const statuses: number[] = [];
+    for (let index = 0; index < 60; index++) {
+      const { status } = await sendRequest(address, {
+        method: "POST",
+        path: QUEUE.prefix + toJobId(0, index),
+        headers: { host: QUEUE.host, "content-type": "application/json" },
+        bodyParts: [body],
+      });
+      statuses.push(status);
+    }
+    assert.is(statuses[0], 200);
+    assert.equal(statuses.filter((status) => ![200, 503].includes(status)), []);
+    const accepted = statuses.filter((status) => status === 200).length;
+    // The count may be up to two seconds old.
+    await waitFor("all accepted jobs are counted", async () => {
+      const response = await countWaiting(address);
+      assert.is(response.status, 200);
+      return JSON.parse(response.text).waiting === accepted;
+    });
+    monitor.stop();
+    console.log(`large jobs: ${JSON.stringify(monitor.peak)}`);
+    assert.ok(monitor.peak.memoryBytes <= VM_LIMITS.memoryMb * 1_048_576);
+  }));
+
 test("the scheduler accepts a job whose body of the maximum size arrives slowly in small chunks", () =>
   withSchedulerProcess(VM_LIMITS, async ({ address }) => {
     const padding = " ".repeat(MAXIMUM_BODY_BYTES - JOB.length);
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -316,8 +316,8 @@
       configAfter: async (revision) =>
         await callEntry((handlers) => handlers.configAfter(revision)) ??
           undefined,
-      accepted: async (spec, revision) =>
-        void await callOwner((handlers) => handlers.accepted(spec, revision)),
+      accepted: (spec, revision) =>
+        callOwner((handlers) => handlers.accepted(spec, revision)),
       submit: (spec) => callOwner((handlers) => handlers.submit(spec)),
       cancelled: async (jobId) =>
         void await callOwner((handlers) => handlers.cancelled(jobId)),
