fix(scheduler): connections to the other servers can't use up the descriptors

Callers got no answer (their connections were closed) while 600 idle connections were open to the readiness or the peers' port of a process with 256 descriptors.

Cause: neither server had a limit on connections, and Node closes a silent one after 60 s at the earliest, checked each 30 s.

Change: Node's maxConnections, 32 for readiness checks and a quarter of the sockets for other entries, and a head timeout of 5 s, checked each second.

Evidence: both new tests fail on ('socket hang up') and pass in two runs now. A third one, which passes before and after, stops a process while clients hold 30 connections: the request in progress is answered and the process exits.

--- a/src/connections/connection_limits.ts
+++ b/src/connections/connection_limits.ts
@@ -16,6 +16,8 @@
   /** Memory for connections, their requests and unread responses, in bytes. */
   readonly memoryBytes: number;
   readonly maximumConnections: number;
+  /** Maximum number of connections of other entries. */
+  readonly maximumPeerConnections: number;
   /** Maximum number of connections whose caller has to send or read something. */
   readonly maximumWaiting: number;
 }
@@ -27,6 +29,8 @@
 /** Fraction of the sockets for callers; the rest is for the store, peers, workers and readiness checks. */
 const SOCKET_FRACTION = 0.5;
 
+/** Fraction of the sockets for connections of other entries. */
+const PEER_SOCKET_FRACTION = 0.25;
 /** Fraction of the memory that may be bytes which the system has received and the process hasn't read yet. */
 const UNREAD_FRACTION = 0.2;
 /** Bytes that Linux receives on a connection before the process reads any, with the default `tcp_rmem`. */
@@ -45,6 +49,10 @@
   return {
     memoryBytes: Math.floor(vmBytes * MEMORY_FRACTION),
     maximumConnections,
+    maximumPeerConnections: Math.max(
+      MINIMUM_CONNECTIONS,
+      Math.floor(sockets * PEER_SOCKET_FRACTION),
+    ),
     maximumWaiting: Math.min(
       maximumConnections,
       Math.max(
--- a/src/http_server.ts
+++ b/src/http_server.ts
@@ -9,6 +9,19 @@
   readonly port: number;
 }
 
+/** Time in which a request head must arrive, in ms; also the longest time for which a new connection may be silent. */
+const HEAD_TIMEOUT_MS = 5_000;
+
+/** Limits the connections of a server for other parts of the system; further ones are closed at once. */
+export function limitConnections(
+  server: Server,
+  maximumConnections: number,
+): Server {
+  server.maxConnections = maximumConnections;
+  server.headersTimeout = HEAD_TIMEOUT_MS;
+  return server;
+}
+
 /** Runs a server for the lifetime of the current scope; provides its `host:port`. */
 export function useListeningServer(
   server: Server,
--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -10,9 +10,14 @@
 import { ensure, type Operation, race, sleep, spawn, suspend } from "effection";
 import { type Clock } from "../clock.ts";
 import type { ConnectionBudget } from "../connections/connection_budget.ts";
+import { resolveConnectionLimits } from "../connections/connection_limits.ts";
 import { readConnectionMetrics } from "../connections/connection_metrics.ts";
 import { useErrorGuard } from "../error_guard.ts";
-import { closeGracefully, useListeningServer } from "../http_server.ts";
+import {
+  closeGracefully,
+  limitConnections,
+  useListeningServer,
+} from "../http_server.ts";
 import { messageOf, StoreError } from "../errors.ts";
 import type { Logger } from "../logger.ts";
 import { formatPrometheus, type Metric } from "../metrics.ts";
@@ -42,6 +47,8 @@
  * balancer polls readiness once a second and removes an entry after two failures.
  */
 const DRAIN_DELAY_MS = 2_800;
+/** Maximum number of connections to the readiness server; the load balancer needs one at a time. */
+const MAXIMUM_READINESS_CONNECTIONS = 32;
 /** Part of the grace period that is reserved for closing connections, in ms. */
 const CLOSE_MARGIN_MS = 900;
 /** Time without contact to both store and owner after which an entry is not ready, in ms; about two long polls of a watch. */
@@ -291,12 +298,22 @@
   const { listen } = settings;
   yield* supervisor.start({ name: "operator", run: () => operator.run() });
   yield* supervisor.start({ name: "election", run: () => election.run() });
-  const peerServer = createServer(onPeerRequest);
+  const peerServer = limitConnections(
+    createInternalServer(onPeerRequest),
+    resolveConnectionLimits(settings.limits).maximumPeerConnections,
+  );
   peerServer.on("upgrade", relayServer.onUpgrade);
   yield* ensure(() => relayServer.close());
   yield* supervisor.start(serve("peers", peerServer, listen.peers));
   yield* supervisor.start(
-    serve("readiness", createServer(onReadiness), listen.readiness),
+    serve(
+      "readiness",
+      limitConnections(
+        createInternalServer(onReadiness),
+        MAXIMUM_READINESS_CONNECTIONS,
+      ),
+      listen.readiness,
+    ),
   );
   yield* spawn(() => serveUntilHalted(callerServer, listen.callers));
 
@@ -319,6 +336,11 @@
   return 0;
 }
 
+/** Creates a server that closes connections soon after they exceed their timeouts. */
+function createInternalServer(listener: RequestListener): Server {
+  return createServer({ connectionsCheckingInterval: 1_000 }, listener);
+}
+
 function* serveUntilHalted(server: Server, address: string): Operation<void> {
   yield* useListeningServer(server, parseHostAndPort(address));
   yield* suspend();
--- a/testing/client_abuse/job_port_test.ts
+++ b/testing/client_abuse/job_port_test.ts
@@ -166,6 +166,75 @@
     assert.ok(monitor.peak.memoryBytes <= VM_LIMITS.memoryMb * 1_048_576);
   }));
 
+for (const server of ["readinessAddress", "peerAddress"] as const) {
+  // Guards against connections to another server that use up the descriptors of the process.
+  test(`the scheduler survives more idle connections to its ${server} than descriptors and still answers callers`, () =>
+    withSchedulerProcess(SMALL_VM_LIMITS, async (scheduler) => {
+      const { child, address, port } = scheduler;
+      const monitor = monitorUsage({ processId: child.child.pid!, port });
+      const clients = await startAbusiveClients({
+        address: scheduler[server],
+        connections: 600,
+        createInput: () => [],
+      });
+      try {
+        const response = await countWaiting(address);
+        assert.is(response.status, 200);
+      } finally {
+        monitor.stop();
+        clients.close();
+      }
+      assert.ok(
+        monitor.peak.descriptors < SMALL_VM_LIMITS.fileDescriptors,
+        `${monitor.peak.descriptors} descriptors`,
+      );
+    }));
+}
+
+// Guards against clients that hold their connections and thereby keep a process from stopping or cut off others.
+test("a stopping scheduler answers a request in progress and exits although clients hold connections", () =>
+  withSchedulerProcess(VM_LIMITS, async ({ child, address }) => {
+    const inputs: (() => Iterable<string>)[] = [
+      () => createUnfinishedHead(`GET ${QUEUE.prefix} HTTP/1.1`, 3),
+      () =>
+        createUnfinishedBody({
+          head: SUBMISSION_HEAD,
+          chunkBytes: 100,
+          bodyBytes: 20_000,
+        }),
+      () =>
+        createPipeline({
+          count: 100,
+          createRequest: () =>
+            `GET ${QUEUE.prefix} HTTP/1.1\r\nhost: ${QUEUE.host}\r\n\r\n`,
+        }),
+    ];
+    const clients = await startAbusiveClients({
+      address,
+      connections: 30,
+      createInput: (connection) => inputs[connection % inputs.length]!(),
+    });
+    try {
+      const answered = sendRequest(address, {
+        method: "POST",
+        path: QUEUE.prefix + toJobId(0, 2),
+        headers: {
+          host: QUEUE.host,
+          "content-type": "application/json",
+          "cowslipferry-deadline-milliseconds": "30000",
+        },
+        bodyParts: [JOB.slice(0, 20), JOB.slice(20, 40), JOB.slice(40)],
+        partIntervalMs: 200,
+      });
+      setTimeout(() => child.child.kill("SIGTERM"), 100);
+      const response = await answered;
+      assert.is(response.status, 200, response.text);
+      assert.is(await child.exited, 0);
+    } finally {
+      clients.close();
+    }
+  }));
+
 test("the scheduler accepts a job whose body of the maximum size arrives slowly in small chunks", () =>
   withSchedulerProcess(VM_LIMITS, async ({ address }) => {
     const padding = " ".repeat(MAXIMUM_BODY_BYTES - JOB.length);
--- a/testing/client_abuse/scheduler_process.ts
+++ b/testing/client_abuse/scheduler_process.ts
@@ -22,6 +22,9 @@
   /** `host:port` of the server for callers. */
   readonly address: string;
   readonly port: number;
+  /** `host:port` of the other servers. */
+  readonly readinessAddress: string;
+  readonly peerAddress: string;
 }
 
 /** Limits of the VM that the process runs on. */
@@ -154,7 +157,13 @@
       const response = await countWaiting(address).catch(() => undefined);
       return response?.status === 200;
     });
-    await check({ child, address, port: callersPort });
+    await check({
+      child,
+      address,
+      port: callersPort,
+      readinessAddress: `127.0.0.1:${readinessPort}`,
+      peerAddress: `127.0.0.1:${peersPort}`,
+    });
   } catch (error) {
     console.log(`log of the scheduler:\n${child.output().slice(-2_000)}`);
     throw error;
