fix(requests): the key table fits into the memory of the machine

What callers would have seen: an entry that runs out of memory while clients use new keys, and before that one that answers ever more slowly.

Each answer beyond the 64 MB searched all keys for the oldest body.

Change: a tenth of limits.memoryMb for keys at 1.1 KB each (33,363 with 350 MB) and a tenth for bodies; the keys with a body are kept in order.

--- a/src/requests/key_outcomes.ts
+++ b/src/requests/key_outcomes.ts
@@ -8,6 +8,20 @@
   readonly maximumBodyBytes: number;
 }
 
+/** Fraction of the memory that the stored response bodies may occupy; the keys may occupy as much. */
+const MEMORY_FRACTION = 0.1;
+/** Memory of a key besides the body of its response, in bytes. */
+const KEY_COST_BYTES = 1_100;
+
+/** Returns the limits of the key table on a VM with a given memory, in MB. */
+export function resolveKeyLimits(memoryMb: number): KeyOutcomesLimits {
+  const bytes = Math.floor(memoryMb * 1_048_576 * MEMORY_FRACTION);
+  return {
+    maximumKeys: Math.floor(bytes / KEY_COST_BYTES),
+    maximumBodyBytes: bytes,
+  };
+}
+
 /** A key whose request is running or has run. */
 export interface KeyRecord {
   /** Sequence number of the key among those that this entry issued. */
@@ -67,6 +81,8 @@
 export class KeyOutcomes {
   #limits: KeyOutcomesLimits;
   #records = new Map<number, StoredRecord>();
+  /** Sequence numbers of the keys whose response body is stored, the oldest response first. */
+  #withBody = new Set<number>();
   #used = new UsedKeys();
   #bodyBytes = 0;
   #discardedOutcome: Outcome;
@@ -122,6 +138,7 @@
 
   #remove(record: StoredRecord): void {
     this.#records.delete(record.sequence);
+    this.#withBody.delete(record.sequence);
     this.#bodyBytes -= record.bodyBytes;
   }
 
@@ -135,6 +152,7 @@
     if (outcome.kind === "answer") {
       record.bodyBytes = outcome.response.body.length;
       this.#bodyBytes += record.bodyBytes;
+      this.#withBody.add(record.sequence);
       this.#enforceBodyLimit();
       return;
     }
@@ -142,15 +160,15 @@
   }
 
   #enforceBodyLimit(): void {
-    if (this.#bodyBytes <= this.#limits.maximumBodyBytes) return;
-    for (const record of this.#records.values()) {
+    for (const sequence of this.#withBody) {
       if (this.#bodyBytes <= this.#limits.maximumBodyBytes) return;
-      if (record.bodyBytes > 0) this.#discardResponse(record);
+      this.#discardResponse(this.#records.get(sequence)!);
     }
   }
 
   /** Drops the stored response; the key still counts as used. */
   #discardResponse(record: StoredRecord): void {
+    this.#withBody.delete(record.sequence);
     this.#bodyBytes -= record.bodyBytes;
     this.#records.set(record.sequence, {
       ...record,
--- a/src/requests/keyed_requests.ts
+++ b/src/requests/keyed_requests.ts
@@ -21,13 +21,15 @@
   type KeyCheck,
   type KeyIssuer,
 } from "./idempotency_keys.ts";
-import { KeyOutcomes } from "./key_outcomes.ts";
+import { KeyOutcomes, resolveKeyLimits } from "./key_outcomes.ts";
 import { notRun, type Outcome, outcomeUnknown } from "./outcome.ts";
 
 /** Dependencies of keyed requests. */
 export interface KeyedRequestsOptions {
   readonly entryId: string;
   readonly incarnation: string;
+  /** Memory of the VM, in MB. */
+  readonly memoryMb: number;
   readonly entries: Observable<readonly EntryDigest[]>;
   readonly clock: Clock;
   readonly scope: Scope;
@@ -39,8 +41,6 @@
   ) => Operation<Outcome>;
 }
 
-/** Limits of the key table: number of keys, and total size of the stored response bodies in bytes. */
-const LIMITS = { maximumKeys: 200_000, maximumBodyBytes: 67_108_864 };
 /** Suggested retry delay when the key table is full, in ms. */
 const KEY_TABLE_RETRY_MS = 5_000;
 /** Suggested retry delay when a key's outcome isn't known yet, in ms. */
@@ -65,7 +65,7 @@
     this.#options = options;
     this.#issuer = createKeyIssuer(options);
     this.#outcomes = new KeyOutcomes(
-      LIMITS,
+      resolveKeyLimits(options.memoryMb),
       outcomeUnknown(
         "outcome_not_kept",
         "The request has run, but its response isn't kept any more",
--- a/src/requests/keyed_requests_test.ts
+++ b/src/requests/keyed_requests_test.ts
@@ -1,8 +1,10 @@
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { OUTCOME_HEADER } from "../constants.ts";
 import { KEY_LIFETIME_MS } from "./idempotency_keys.ts";
-import { KeyOutcomes } from "./key_outcomes.ts";
+import { KeyOutcomes, resolveKeyLimits } from "./key_outcomes.ts";
 import { type Outcome, outcomeUnknown } from "./outcome.ts";
 import {
   call,
@@ -253,4 +255,40 @@
   assert.is(outcomes.wasUsed(4), false);
 });
 
+// Guards against a key table that exceeds the memory of the VM by itself.
+test("a full key table occupies at most a quarter of the memory", async () => {
+  setFlagsFromString("--expose_gc");
+  const collectGarbage: () => void = runInNewContext("gc");
+  const readUsedBytes = () => {
+    collectGarbage();
+    const { heapUsed, external } = process.memoryUsage();
+    return heapUsed + external;
+  };
+  const memoryMb = 100;
+  const outcomes = new KeyOutcomes(
+    resolveKeyLimits(memoryMb),
+    outcomeUnknown("outcome_not_kept", "dropped"),
+  );
+  const usedBeforeBytes = readUsedBytes();
+  for (let sequence = 0; !outcomes.isFull; sequence++) {
+    const key = {
+      sequence,
+      expiresAtMs: 1_000,
+      fingerprint: Buffer.alloc(32, sequence).toString("base64"),
+    };
+    const outcome: Outcome = {
+      kind: "answer",
+      response: {
+        status: 200,
+        headers: ["content-type", "text/plain", "x-number", String(sequence)],
+        body: Buffer.alloc(2_000),
+      },
+    };
+    await outcomes.start(key, Promise.resolve(outcome)).outcome;
+  }
+  const usedBytes = readUsedBytes() - usedBeforeBytes;
+  assert.ok(outcomes.isFull);
+  assert.ok(usedBytes <= memoryMb * 1_048_576 / 4, `${usedBytes} bytes`);
+});
+
 test.run();
--- a/src/requests/request_proxy.ts
+++ b/src/requests/request_proxy.ts
@@ -134,6 +134,7 @@
       }),
   });
   const keyed = new KeyedRequests({
+    memoryMb: settings.limits.memoryMb,
     entryId: settings.entryId,
     incarnation,
     entries: options.entries,
