fix(requests): a malformed chunk late in a large body gets its typed error

Cause: input that waits for its turn counted as sent ahead of a response, also if it belongs to the request whose body is being read.

Change: only without a pending request is a parser error in held input one of bytes that were sent ahead.

Evidence: the new case of bad_input_test failed without the change (no response) and passes with it.

--- a/src/requests/bad_input_test.ts
+++ b/src/requests/bad_input_test.ts
@@ -110,6 +110,14 @@
     400,
     "malformed_request",
   ],
+  "a malformed chunk after a large one": [
+    [
+      `${REQUEST_HEAD}transfer-encoding: chunked\r\n\r\n`,
+      `${(40_000).toString(16)}\r\n${"x".repeat(40_000)}\r\nzz\r\n`,
+    ],
+    400,
+    "malformed_request",
+  ],
   "bytes that aren't HTTP": [["hello\r\n\r\n"], 400, "malformed_request"],
   "CONNECT": [
     ["CONNECT example:80 HTTP/1.1\r\nhost: x\r\n\r\n"],
--- a/src/requests/caller_server.ts
+++ b/src/requests/caller_server.ts
@@ -53,7 +53,7 @@
 /** Margin by which Node's request timeout exceeds the body timeout of the handler, in ms. */
 const NODE_TIMEOUT_MARGIN_MS = 2_000;
 
-/** Memory occupied by a byte of a body while it is received: the buffer grows by copying. */
+/** Memory occupied by a byte of a body while it is received: in its chunk, and in the buffer that the chunks are joined to. */
 const BODY_COST_FACTOR = 2;
 
 /** Shortest wait until the release that counts towards a request's deadline, in ms. */
@@ -178,15 +178,16 @@
   ): void {
     const connection = connections.find(socket);
     const refusal = toParserRefusal(error);
-    // A refusal of bytes sent ahead could be taken for the response to the next request.
-    if (
-      !socket.writable || refusal === undefined || socket.bytesRead === 0 ||
-      socket.isParsingHeldInput
-    ) {
+    if (!socket.writable || refusal === undefined || socket.bytesRead === 0) {
       socket.destroy();
       return;
     }
     if (connection === undefined || connection.pending === 0) {
+      if (socket.isParsingHeldInput) {
+        // A refusal of bytes sent ahead could be taken for the response to the next request.
+        socket.destroy();
+        return;
+      }
       handler.recordParserRefusal(refusal);
       writeRawError(socket, refusal);
       return;
