feat(scheduler): the log shows runs that outlive their end

The owner concludes that a run is over when its worker is gone, its leases have expired or its stop was confirmed. No line told when such a run went on, so that the log couldn't tell a lease that the owner doesn't count from a wrong VM list or a lost end.

- 'a run that was taken as over went on': a worker lists the run as active or ended; with the reason of the conclusion and its age, and a counter
- 'first report of a worker's next process': its runs and ends, from which missing ends can be seen
- 'every lease of a silent worker has expired': since when it was known and silent
- 'run given up' and 'start order may have reached the worker's next process' name the processes

scheduler_test compares the lines of a run that is given up and ends later; it now expects the new line and the new field as well.

No decision changes.

--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -367,6 +367,11 @@
       "Runs that ended with their worker or without a trace",
       counters.lostRuns,
     ),
+    counter(
+      "cowslipferry_runs_outlived_total",
+      "Runs that went on although they had been taken as over",
+      counters.outlivedRuns,
+    ),
     counter(
       "cowslipferry_task_relocations_total",
       "Tasks taken from slow workers",
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -72,8 +72,8 @@
   readonly disruptions: DisruptionGuard;
   /** Called before a task is placed again whose ticket a worker has refused. */
   readonly onTicketRefused: (task: TaskState, workerId: string) => void;
-  /** Ends the placement of a task, so that it can be placed again. */
-  readonly freeTask: (task: TaskState) => void;
+  /** Ends the placement of a task, so that it can be placed again; `conclusion` tells what its run's end was concluded from. */
+  readonly freeTask: (task: TaskState, conclusion?: string) => void;
 }
 
 /** Whether a worker's capacity has become too small for the tasks that were placed on it. */
@@ -96,9 +96,10 @@
       task: task.taskId,
       run: placement.run,
       worker: placement.workerId,
+      bornAtMs: placement.bornAtMs,
       reason,
     });
-    freeTask(task);
+    freeTask(task, reason);
   }
 
   function sendStop(
@@ -230,7 +231,7 @@
       worker: placement.workerId,
       reason,
     });
-    freeTask(task);
+    freeTask(task, reason);
   }
 
   function handleStartRefusal(
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "../clock.ts";
 import { assertNever } from "../errors.ts";
 import type { Logger } from "../logger.ts";
+import { createConcludedRuns } from "./concluded_runs.ts";
 import {
   createDurationEstimates,
   type DurationEstimates,
@@ -52,7 +53,11 @@
   type CrashTracker,
   createCrashTracker,
 } from "./crashes/crash_tracker.ts";
-import { type InstanceEnd, mayRestart } from "./crashes/instance_end.ts";
+import {
+  describeInstanceEnd,
+  type InstanceEnd,
+  mayRestart,
+} from "./crashes/instance_end.ts";
 import {
   lateStartEndMs,
   mayHaveReachedSuccessor,
@@ -76,6 +81,8 @@
   ends: Record<string, number>;
   /** Runs that ended with their worker or disappeared from it. */
   lostRuns: number;
+  /** Runs that went on although they had been taken as over. */
+  outlivedRuns: number;
   /** Tasks stopped because their worker was too slow. */
   relocations: number;
   /** Orders that a disruption budget didn't allow; repetitions within a second count once. */
@@ -194,6 +201,7 @@
     starts: 0,
     ends: {},
     lostRuns: 0,
+    outlivedRuns: 0,
     relocations: 0,
     budgetRefusals: 0,
   };
@@ -202,15 +210,21 @@
   /** IDs of jobs whose cancellation arrived before the job itself. */
   const earlyCancellations = new Set<string>();
 
+  const concludedRuns = createConcludedRuns(log, () => clock.monotonicMs());
+
   const hasJob = (jobId: string) => jobs.has(jobId) || endedJobs.has(jobId);
 
   function findInstance(placement: Placement): WorkerInstance | undefined {
     return workers.find(placement.workerId, placement.bornAtMs);
   }
 
-  function freeTask(task: TaskState): void {
+  /** Frees a task; `conclusion` tells what its run's end was concluded from if no report has shown it. */
+  function freeTask(task: TaskState, conclusion?: string): void {
     if (task.placement !== undefined) {
       findInstance(task.placement)?.tasks.delete(task);
+      if (conclusion !== undefined) {
+        concludedRuns.add(task.taskId, task.placement.run, conclusion);
+      }
     }
     releaseTask(task);
     archiveIfOver(task.job);
@@ -447,6 +461,9 @@
       },
     );
     const { placement } = task;
+    if (endedRun.ending === "done" || endedRun.ending === "failed") {
+      noteListedRun(instance, { ...endedRun, as: endedRun.ending });
+    }
     switch (endedRun.ending) {
       case "done":
         if (getStep(task).longRunning || task.phase === "done") {
@@ -497,6 +514,16 @@
     };
   }
 
+  /** Counts a listed run if it was taken as over. */
+  function noteListedRun(
+    { workerId, bornAtMs }: WorkerInstance,
+    { taskId, run, as }: { taskId: string; run: number; as: string },
+  ): void {
+    if (concludedRuns.check({ taskId, run, workerId, bornAtMs, as })) {
+      counters.outlivedRuns++;
+    }
+  }
+
   /** Applies the report of a run; returns what it needs if it is unwanted. */
   function handleActiveRun(
     instance: WorkerInstance,
@@ -515,6 +542,7 @@
         worker: instance.workerId,
         phase: task?.phase ?? "unknown job",
       });
+      noteListedRun(instance, { ...activeRun, as: "active" });
       stopUnwanted(instance, activeRun);
       return task ?? findEndedDemand(activeRun.taskId);
     }
@@ -560,7 +588,7 @@
           worker: placement.workerId,
         });
         counters.lostRuns++;
-        freeTask(task);
+        freeTask(task, "disappeared from its worker");
         return;
       case "unresolved":
         if ((placement.stopConfirmedAtMs ?? Infinity) < sentAtMs) {
@@ -616,15 +644,18 @@
       task: task.taskId,
       run: placement.run,
       worker: placement.workerId,
+      fromBornAtMs: placement.bornAtMs,
+      toBornAtMs: successor.bornAtMs,
+      startState: placement.startState,
     });
     saveTasks([task]);
   }
 
   /** Requeues the tasks of an instance that has ended. */
-  function releaseInstance(instance: WorkerInstance): void {
+  function releaseInstance(instance: WorkerInstance, end: InstanceEnd): void {
     for (const task of [...instance.tasks]) {
       counters.lostRuns++;
-      freeTask(task);
+      freeTask(task, describeInstanceEnd(end));
       saveTasks([task]);
     }
     workers.remove(instance);
@@ -809,7 +840,7 @@
       const tasks = [...instance.tasks];
       crashes.recordEnd(instance, end);
       holdLateStarts(instance, end);
-      releaseInstance(instance);
+      releaseInstance(instance, end);
       for (const task of tasks) crashes.giveUpIfCrashing(task);
     },
     replaceInstance(instance, successor, end) {
@@ -821,7 +852,7 @@
           moveToSuccessor(task, placement, successor());
         }
       }
-      releaseInstance(instance);
+      releaseInstance(instance, end);
       for (const task of tasks) crashes.giveUpIfCrashing(task);
     },
     save,
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -313,10 +313,22 @@
     { msg: "start order not answered", unanswered: 1, latest: responses.start },
   ]);
   assert.deepEqual(await listLines(2, () => report([])), [
-    { msg: "run given up", reason: "stopped" },
+    { msg: "run given up", bornAtMs: 1, reason: "stopped" },
   ]);
-  assert.deepEqual(await listLines(2, () => report([endedRun(1, 2, "done")])), [
+  const [ended, wentOn] = await listLines(
+    2,
+    () => report([endedRun(1, 2, "done")]),
+  );
+  const { agoMs, ...outlived } = wentOn!;
+  assert.equal(typeof agoMs, "number");
+  assert.deepEqual([ended, outlived], [
     { msg: "run ended", ending: "done", current: false, failures: 0 },
+    {
+      msg: "a run that was taken as over went on",
+      bornAtMs: 1,
+      as: "done",
+      reason: "stopped",
+    },
   ]);
   const lost = createTestScheduler();
   lost.scheduler.accept(spec());
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -99,6 +99,7 @@
   let storedEndNumber = 0;
   let clockOffsetMs: number | undefined;
   let hasResponded = false;
+  let hasReported = false;
   let lastResponseAtMs = clock.monotonicMs();
   let failing = false;
   let leaseBoundMs = options.earlierLeasesEndMs;
@@ -117,6 +118,21 @@
     lastResponseAtMs = clock.monotonicMs();
   }
 
+  /** Logs the first report of a worker's next process, which shows what it has executed before this owner's first call to it. */
+  function logFirstReport(
+    { running, ended }: Pick<WorkerReport, "running" | "ended">,
+  ): void {
+    log.info("first report of a worker's next process", {
+      worker: worker.workerId,
+      bornAtMs: worker.bornAtMs,
+      fence,
+      running: running.map(({ taskId, run }) => `${taskId} run ${run}`),
+      ended: ended.map(({ number, taskId, run, ending }) =>
+        `${number}: ${taskId} run ${run}, ${ending}`
+      ),
+    });
+  }
+
   /** Returns the lease end that the next call grants, on the worker's clock; undefined while the clock offset is unknown. */
   function nextLeaseEndMs(): number | undefined {
     return clockOffsetMs === undefined
@@ -208,6 +224,10 @@
       endLink(outcome.bornAtMs);
       return;
     }
+    if (!hasReported) {
+      hasReported = true;
+      if (isSuccessor) logFirstReport(outcome);
+    }
     updateClockOffset(outcome.clockMs);
     const newlyEnded = outcome.ended.filter(({ number }) =>
       number > processedEndNumber
--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -274,6 +274,13 @@
       if (
         unreachable && leasesExpired && (instance.tasks.size > 0 || missing)
       ) {
+        log.info("every lease of a silent worker has expired", {
+          worker: instance.workerId,
+          bornAtMs: instance.bornAtMs,
+          hasResponded: instance.link?.hasResponded ?? false,
+          silentMs: instance.link && Math.round(instance.link.silentMs()),
+          knownForMs: Math.round(clock.monotonicMs() - instance.joinedAtMs),
+        });
         removeInstance(instance, "leases_expired");
       } else if (instance.link === undefined && instance.tasks.size === 0) {
         removeInstance(instance, "unused");
