--- a/testing/fake_task_workers.ts
+++ b/testing/fake_task_workers.ts
@@ -182,7 +182,7 @@
   /** Orders that have reached a paused VM. */
   #pausedOrders: { worker: FakeTaskWorker; execute: () => void }[] = [];
   /** Calls that workers have neither executed nor answered yet. */
-  #heldCalls: (() => void)[] = [];
+  #heldCalls: { kind: "start" | "poll"; execute: () => void }[] = [];
   readonly #timer: NodeJS.Timeout;
 
   constructor(readonly random: Random, readonly invariants: InvariantChecker) {
@@ -218,9 +218,14 @@
     return this.#heldCalls.length;
   }
 
-  /** Executes each call that was kept on the process that runs under the worker's ID now, as a platform may that delivers calls late. */
-  executeHeldCalls(): void {
-    for (const call of this.#heldCalls.splice(0)) call();
+  /** Executes the calls that were kept, or those of one kind, on the process that runs under the worker's ID now, as a platform may that delivers calls late. */
+  executeHeldCalls(only?: "start" | "poll"): void {
+    const calls = this.#heldCalls;
+    this.#heldCalls = [];
+    for (const call of calls) {
+      if (only === undefined || call.kind === only) call.execute();
+      else this.#heldCalls.push(call);
+    }
   }
 
   /** Ends the worker that has started a deadly task. */
@@ -467,9 +472,10 @@
       start: ({ workerId }, order) => {
         if (!isUp()) return Promise.resolve(noResponse);
         if (this.faults.holdsStarts.has(workerId)) {
-          this.#heldCalls.push(() =>
-            void this.#start(this.workers.get(workerId)!, order)
-          );
+          this.#heldCalls.push({
+            kind: "start",
+            execute: () => void this.#start(this.workers.get(workerId)!, order),
+          });
           return delay(100, noResponse);
         }
         return unlessDown(
@@ -527,7 +533,10 @@
           worker.waiters.add(done);
         });
         if (!worker.alive && this.faults.holdsPollsOfCrashed) {
-          this.#heldCalls.push(() => void poll(this.workers.get(workerId)!));
+          this.#heldCalls.push({
+            kind: "poll",
+            execute: () => void poll(this.workers.get(workerId)!),
+          });
         }
         if (
           !isUp() || !worker.alive || this.faults.unreachable.has(workerId) ||
