fix(scheduler): a worker's next process forgets no end that the owner hasn't read

What callers saw: a task starts again after it had ended as done and that end had been acknowledged.

Cause: an inference about a process drawn from calls that its successor may have executed. A start without an answer at a worker's crash is executed by the next process, which has seen no fencing token yet and counts its ends from 1. A poll that acknowledges ends of the former process, executed after that, makes it forget the new end. The owner's first call finds neither run nor end, stops the run, gets a confirmation and starts the task elsewhere.

Remains: an acknowledgement after the three seconds that gets no answer itself, and starts of an earlier owner, whose polls the next owner doesn't know.

--- a/src/scheduler/late_calls_test.ts
+++ b/src/scheduler/late_calls_test.ts
@@ -101,10 +101,12 @@
       estimatedMs: 60_000,
     }]);
     await waitFor("the tasks run", () => first.running.size === 3);
+    workers.faults.heldStartTimeoutMs = 5_000;
     const job = await submitUnanswered(cluster, 200);
     for (const taskId of [...first.running.keys()]) first.end(taskId, "done");
     await cluster.waitForStatus(before, "completed");
-    await waitFor("a poll waits", () => first.waiters.size > 0);
+    // The ends are stored, and a poll that acknowledges them would be sent at once.
+    await delay(300);
     const next = await restartCutOff(cluster);
     workers.executeHeldCalls("start");
     await waitFor("the task has ended", () => next.ended.length > 0);
--- a/src/scheduler/reborn_workers_test.ts
+++ b/src/scheduler/reborn_workers_test.ts
@@ -104,7 +104,7 @@
   const outcome = { kind: "refused", reason: "fenced" } as const;
   const link = createWorkerLink({
     registration: registrationOf(1, "w1:1"),
-    life: createWorkerLives(3).add("w1", 1),
+    life: createWorkerLives(3, () => 0).add("w1", 1),
     control: { start: () => Promise.resolve(outcome) } as never,
     clock: systemClock,
     log: silentLogger,
@@ -129,7 +129,7 @@
 // Guards against ends that get lost without a trace in the log.
 test("missing ends of a process that no other owner can have called are logged", async () => {
   const missing: unknown[] = [];
-  const lives = createWorkerLives(3);
+  const lives = createWorkerLives(3, () => 0);
   lives.add("w1", 0);
   const reports = [[1, 2], [3], [6, 7]];
   const link = createWorkerLink({
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -34,6 +34,10 @@
 const ORDER_CHECK_INTERVAL_MS = 150;
 /** Longest wait for the journal before the leases are renewed without acknowledging ended runs, in ms. */
 const JOURNAL_WAIT_MS = 700;
+/** Pause before a poll while ends can't be acknowledged, in ms. */
+const WITHHELD_PAUSE_MS = 200;
+/** Number of attempts to send an order that later ones overtake. */
+const MAXIMUM_OVERTAKEN = 3;
 
 /** Callbacks of a worker link. */
 export interface WorkerLinkEvents {
@@ -92,11 +96,12 @@
 
 /** Creates the link to one worker instance. */
 export function createWorkerLink(options: WorkerLinkOptions): WorkerLink {
-  const { life: { fence, isSuccessor }, control, clock, log, events, pacing } =
-    options;
+  const { life, control, clock, log, events, pacing } = options;
   let worker = options.registration;
   let processedEndNumber = 0;
   let storedEndNumber = 0;
+  /** Number of the latest end of which the process has confirmed the acknowledgement. */
+  let acknowledgedEndNumber = 0;
   let clockOffsetMs: number | undefined;
   let hasResponded = false;
   let hasReported = false;
@@ -125,7 +130,7 @@
     log.info("first report of a worker's next process", {
       worker: worker.workerId,
       bornAtMs: worker.bornAtMs,
-      fence,
+      fence: life.fence,
       running: running.map(({ taskId, run }) => `${taskId} run ${run}`),
       ended: ended.map(({ number, taskId, run, ending }) =>
         `${number}: ${taskId} run ${run}, ${ending}`
@@ -148,7 +153,26 @@
     );
   }
 
-  function handleOutcome<T>(outcome: OrderOutcome<T>): void {
+  /** Whether a call was refused because a later one of this link, with a higher token, was executed first. */
+  function isOvertaken<T>(outcome: OrderOutcome<T>, fence: number): boolean {
+    return outcome.kind === "refused" && outcome.reason === "fenced" &&
+      fence < life.fence;
+  }
+
+  /** Sends an order, again with the latest token if it was overtaken. */
+  async function sendOrder(
+    attempt: () => Promise<{ outcome: OrderOutcome; fence: number }>,
+  ): Promise<OrderOutcome> {
+    for (let attempts = 1; attempts <= MAXIMUM_OVERTAKEN; attempts++) {
+      if (closed) break;
+      const { outcome, fence } = await attempt();
+      handleOutcome(outcome, fence);
+      if (!isOvertaken(outcome, fence)) return outcome;
+    }
+    return { kind: "not_sent" };
+  }
+
+  function handleOutcome<T>(outcome: OrderOutcome<T>, fence: number): void {
     switch (outcome.kind) {
       case "done": {
         const { clockMs } = outcome as { clockMs?: number };
@@ -158,7 +182,9 @@
       case "refused":
         lastResponseAtMs = clock.monotonicMs();
         // Once the link is closed, the worker's next process may know a higher token of this owner.
-        if (outcome.reason === "fenced" && !closed) events.onFenced(link);
+        if (
+          outcome.reason === "fenced" && !closed && !isOvertaken(outcome, fence)
+        ) events.onFenced(link);
         return;
       case "other_life":
         endLink();
@@ -178,7 +204,9 @@
   /** Logs ends that no report has shown, without which a task may run again: something has acknowledged them. */
   function warnOfMissingEnds(ends: readonly EndedRunReport[]): void {
     // An earlier owner may have got the first ones.
-    if (ends.length === 0 || (processedEndNumber === 0 && !isSuccessor)) return;
+    if (
+      ends.length === 0 || (processedEndNumber === 0 && !life.isSuccessor)
+    ) return;
     const firstNumber = Math.min(...ends.map(({ number }) => number));
     if (firstNumber <= processedEndNumber + 1) return;
     log.warn("ends of runs are missing from a worker's reports", {
@@ -195,16 +223,19 @@
     const leaseEndMs = failing ? undefined : nextLeaseEndMs();
     if (leaseEndMs !== undefined) extendLeaseBound();
     const times = pacing.next(link);
+    const { fence } = life;
+    const acknowledged = yield* acknowledgeEnds();
     const outcome = yield* until(control.renewAndPoll(worker, {
       fence,
-      acknowledged: storedEndNumber,
+      acknowledged,
       leaseEndMs,
       waitMs: leaseEndMs === undefined ? 0 : times.waitMs,
       responseTimeoutMs: times.responseTimeoutMs,
     }));
     if (closed) return;
     if (outcome.kind !== "done") {
-      handleOutcome(outcome);
+      handleOutcome(outcome, fence);
+      if (isOvertaken(outcome, fence)) return;
       if (!failing) {
         log.info("worker doesn't respond", {
           worker: worker.workerId,
@@ -226,9 +257,10 @@
     }
     if (!hasReported) {
       hasReported = true;
-      if (isSuccessor) logFirstReport(outcome);
+      if (life.isSuccessor) logFirstReport(outcome);
     }
     updateClockOffset(outcome.clockMs);
+    acknowledgedEndNumber = Math.max(acknowledgedEndNumber, acknowledged);
     const newlyEnded = outcome.ended.filter(({ number }) =>
       number > processedEndNumber
     );
@@ -242,6 +274,18 @@
     if (latest > storedEndNumber) yield* waitForJournal(latest);
   }
 
+  /** Returns the number up to which the next poll acknowledges ends; 0 if nothing is to be acknowledged, or can't be yet. */
+  function* acknowledgeEnds(): Operation<number> {
+    if (failing || storedEndNumber === acknowledgedEndNumber) return 0;
+    if (!life.mayAcknowledge()) {
+      // Ends that aren't acknowledged end a long poll at once.
+      yield* life.startsEnded.wait(WITHHELD_PAUSE_MS);
+      if (!life.mayAcknowledge()) return 0;
+    }
+    life.beginAcknowledgement();
+    return storedEndNumber;
+  }
+
   /** Waits until ended runs are stored and may be acknowledged; the wait is limited so that leases don't expire while the store is unavailable. */
   function* waitForJournal(endNumber: number): Operation<void> {
     const stored = createNotifier();
@@ -267,36 +311,37 @@
       return hasResponded ? lastResponseAtMs : undefined;
     },
     leasesExpired: () => clock.monotonicMs() > leaseBoundMs,
-    async start(order) {
-      extendLeaseBound();
-      const outcome = await control.start(worker, {
-        ...order,
-        fence,
-        leaseEndMs: nextLeaseEndMs() ?? 0,
-      });
-      handleOutcome(outcome);
-      return outcome;
-    },
-    async stop(taskId, run) {
-      const outcome = await control.stop(worker, { taskId, run, fence });
-      handleOutcome(outcome);
-      return outcome;
-    },
-    async throttle(taskId, run, percent) {
-      const outcome = await control.throttle(worker, {
-        taskId,
-        run,
-        percent,
-        fence,
-      });
-      handleOutcome(outcome);
-      return outcome;
-    },
+    start: (order) =>
+      sendOrder(async () => {
+        extendLeaseBound();
+        const { fence, end } = life.beginStart();
+        const outcome = await control.start(worker, {
+          ...order,
+          fence,
+          leaseEndMs: nextLeaseEndMs() ?? 0,
+        });
+        end(outcome.kind !== "unknown");
+        return { outcome, fence };
+      }),
+    stop: (taskId, run) =>
+      sendOrder(async () => {
+        const { fence } = life;
+        return {
+          outcome: await control.stop(worker, { taskId, run, fence }),
+          fence,
+        };
+      }),
+    throttle: (taskId, run, percent) =>
+      sendOrder(async () => {
+        const { fence } = life;
+        const order = { taskId, run, percent, fence };
+        return { outcome: await control.throttle(worker, order), fence };
+      }),
     async probe() {
       if (closed || failing) return;
       const outcome = await control.renewAndPoll(worker, {
-        fence,
-        acknowledged: storedEndNumber,
+        fence: life.fence,
+        acknowledged: 0,
         leaseEndMs: undefined,
         waitMs: 0,
       });
--- a/src/scheduler/worker_lives.ts
+++ b/src/scheduler/worker_lives.ts
@@ -1,12 +1,43 @@
-/** Number of fencing tokens of each epoch. */
-const TOKENS_PER_EPOCH = 10_000;
+import { createNotifier, type Notifier } from "../notifier.ts";
 
-/** What an owner knows of a worker process when it calls it for the first time. */
-export interface WorkerLife {
-  /** Fencing token of the owner's calls to the process. */
+/**
+ * Number of fencing tokens of each epoch. A worker that ends runs all the time
+ * takes a few per second; the token of the last epoch stays a safe integer.
+ */
+const TOKENS_PER_EPOCH = 100_000_000;
+/** Longest time for which ends aren't acknowledged because a start at the worker has no answer, in ms. */
+const MAXIMUM_ACKNOWLEDGEMENT_DELAY_MS = 3_000;
+
+/** An attempt to send a start order. */
+export interface StartAttempt {
   readonly fence: number;
+  /** Records the outcome; a start without an answer may be executed late. */
+  end(isAnswered: boolean): void;
+}
+
+/**
+ * What an owner knows of a worker process when it calls it for the first time,
+ * and the fencing tokens of its calls.
+ *
+ * A call without an answer may be executed late by the worker's next process,
+ * which has seen no token. A start order and an acknowledgement would be harmful
+ * there in that order: the process counts its ends from 1 and would forget the
+ * end of the run unread. So a start has a higher token than each earlier
+ * acknowledgement, and none is sent while a start has no answer.
+ */
+export interface WorkerLife {
   /** Whether the process started while the owner called the worker, so that no other owner can have called it. */
   readonly isSuccessor: boolean;
+  /** Highest fencing token of the calls to the process so far. */
+  readonly fence: number;
+  /** Begins an attempt to send a start order. */
+  beginStart(): StartAttempt;
+  /** Whether the next poll may acknowledge ends. */
+  mayAcknowledge(): boolean;
+  /** Records that a poll that acknowledges ends is about to be sent. */
+  beginAcknowledgement(): void;
+  /** Notified when no start is in progress any more. */
+  readonly startsEnded: Notifier;
 }
 
 /** Numbers the processes of each worker in the order in which one owner gets to know them. */
@@ -20,22 +51,94 @@
   add(workerId: string, bornAtMs: number): WorkerLife;
 }
 
-/** Creates the numbering of the owner with an epoch; its tokens are higher than all of earlier owners. */
-export function createWorkerLives(epoch: number): WorkerLives {
-  /** The process that was added last, by worker ID. */
-  const latest = new Map<string, { life: number; bornAtMs: number }>();
+/** Calls of one owner to a worker, whichever process executes them. */
+interface WorkerCalls {
+  /** Start time of the process that was added last, in ms since 1970. */
+  bornAtMs: number;
+  /** The latest token, counted from the epoch's first. */
+  latestToken: number;
+  /** Token of the latest poll that acknowledged ends; -1 before the first. */
+  acknowledgedWith: number;
+  startsInProgress: number;
+  /** Monotonic time at which the latest start without an answer was given up, in ms. */
+  unansweredStartAtMs: number;
+  /** Monotonic time since which ends couldn't be acknowledged, in ms; undefined if they can. */
+  withheldSinceMs: number | undefined;
+  readonly startsEnded: Notifier;
+}
+
+/** Creates the numbering of the owner with an epoch; its tokens are higher than all of earlier owners. `nowMs` is a monotonic clock. */
+export function createWorkerLives(
+  epoch: number,
+  nowMs: () => number,
+): WorkerLives {
+  const callsByWorker = new Map<string, WorkerCalls>();
+
+  // All calls beyond the last token share it, as the next one belongs to the next owner.
+  const nextToken = (calls: WorkerCalls) =>
+    calls.latestToken = Math.min(calls.latestToken + 1, TOKENS_PER_EPOCH - 1);
+
+  function createLife(calls: WorkerCalls, isSuccessor: boolean): WorkerLife {
+    let token = calls.latestToken;
+    const fenceOf = (number: number) => epoch * TOKENS_PER_EPOCH + number;
+    return {
+      isSuccessor,
+      get fence() {
+        return fenceOf(token);
+      },
+      beginStart() {
+        // The tokens after those of an ended process belong to the next one.
+        if (calls.acknowledgedWith >= token && calls.latestToken === token) {
+          token = nextToken(calls);
+        }
+        calls.startsInProgress++;
+        return {
+          fence: fenceOf(token),
+          end(isAnswered) {
+            calls.startsInProgress--;
+            if (!isAnswered) calls.unansweredStartAtMs = nowMs();
+            if (calls.startsInProgress === 0) calls.startsEnded.notify();
+          },
+        };
+      },
+      mayAcknowledge() {
+        const isSafe = calls.startsInProgress === 0 &&
+          nowMs() - calls.unansweredStartAtMs >
+            MAXIMUM_ACKNOWLEDGEMENT_DELAY_MS;
+        if (isSafe) return true;
+        calls.withheldSinceMs ??= nowMs();
+        // A worker lists only so many ends at a time.
+        return nowMs() - calls.withheldSinceMs >
+          MAXIMUM_ACKNOWLEDGEMENT_DELAY_MS;
+      },
+      beginAcknowledgement() {
+        calls.withheldSinceMs = undefined;
+        calls.acknowledgedWith = token;
+      },
+      startsEnded: calls.startsEnded,
+    };
+  }
+
   return {
     add(workerId, bornAtMs) {
-      const previous = latest.get(workerId);
-      // All processes beyond the last token share it, as the next one belongs to the next owner.
-      const life = previous === undefined
-        ? 0
-        : Math.min(previous.life + 1, TOKENS_PER_EPOCH - 1);
-      latest.set(workerId, { life, bornAtMs });
-      return {
-        fence: epoch * TOKENS_PER_EPOCH + life,
-        isSuccessor: previous !== undefined && previous.bornAtMs < bornAtMs,
-      };
+      const known = callsByWorker.get(workerId);
+      if (known === undefined) {
+        const calls: WorkerCalls = {
+          bornAtMs,
+          latestToken: 0,
+          acknowledgedWith: -1,
+          startsInProgress: 0,
+          unansweredStartAtMs: -Infinity,
+          withheldSinceMs: undefined,
+          startsEnded: createNotifier(),
+        };
+        callsByWorker.set(workerId, calls);
+        return createLife(calls, false);
+      }
+      const isSuccessor = known.bornAtMs < bornAtMs;
+      known.bornAtMs = bornAtMs;
+      nextToken(known);
+      return createLife(known, isSuccessor);
     },
   };
 }
--- /dev/null
+++ b/src/scheduler/worker_lives_test.ts
@@ -0,0 +1,126 @@
+import assert from "node:assert/strict";
+import { run } from "effection";
+import { setTimeout as delay } from "node:timers/promises";
+import { suite } from "uvu";
+import { registrationOf } from "../../testing/scheduler_helpers.ts";
+import { waitFor } from "../../testing/wait.ts";
+import { systemClock } from "../clock.ts";
+import { silentLogger } from "../logger.ts";
+import { createPollPacing } from "./poll_pacing.ts";
+import { createWorkerLink } from "./worker_link.ts";
+import { createWorkerLives } from "./worker_lives.ts";
+
+const test = suite("fencing tokens of a worker's processes");
+
+// Guards against ends that a late acknowledgement makes the next process forget.
+test("a start has a higher token than each earlier acknowledgement", () => {
+  const lives = createWorkerLives(2, () => 0);
+  const life = lives.add("w1", 1);
+  const first = life.beginStart();
+  assert.equal(first.fence, life.fence);
+  first.end(true);
+  const acknowledgedWith = life.fence;
+  life.beginAcknowledgement();
+  assert.equal(life.fence, acknowledgedWith);
+  const second = life.beginStart();
+  assert.ok(second.fence > acknowledgedWith);
+  assert.equal(life.beginStart().fence, second.fence);
+  const next = lives.add("w1", 2);
+  assert.ok(next.fence > second.fence);
+  life.beginAcknowledgement();
+  assert.ok(life.beginStart().fence < next.fence);
+  assert.ok(createWorkerLives(3, () => 0).add("w1", 1).fence > next.fence);
+});
+
+// Guards against the same loss, and against ends that are never acknowledged while starts stay unanswered.
+test("ends aren't acknowledged while a start has no answer, for three seconds at most", () => {
+  let nowMs = 10_000;
+  const lives = createWorkerLives(1, () => nowMs);
+  const life = lives.add("w1", 1);
+  const start = life.beginStart();
+  assert.equal(life.mayAcknowledge(), false);
+  start.end(true);
+  assert.equal(life.mayAcknowledge(), true);
+  life.beginStart().end(false);
+  const next = lives.add("w1", 2);
+  assert.equal(next.mayAcknowledge(), false);
+  nowMs += 2_000;
+  next.beginStart().end(false);
+  nowMs += 1_001;
+  assert.equal(next.mayAcknowledge(), true);
+  next.beginAcknowledgement();
+  assert.equal(next.mayAcknowledge(), false);
+});
+
+// Guards against an owner that gives up, or loses an order, because its own later call was executed first.
+test("a call that a later one overtakes is repeated and isn't taken for a newer owner's work", async () => {
+  let fenced = 0;
+  const stops: number[] = [];
+  const life = createWorkerLives(1, () => 0).add("w1", 1);
+  const refused = { kind: "refused", reason: "fenced" } as const;
+  const acknowledged: number[] = [];
+  const link = createWorkerLink({
+    registration: registrationOf(1, "w1:1"),
+    life,
+    control: {
+      start: () => Promise.resolve({ kind: "done", clockMs: 1 }),
+      async stop(_: unknown, { fence }: { fence: number }) {
+        stops.push(fence);
+        if (stops.length > 1) return { kind: "done", clockMs: 1 };
+        life.beginAcknowledgement();
+        await link.start({
+          taskId: "b",
+          run: 1,
+          specification: "",
+          checkpoint: "",
+          ticket: undefined,
+        });
+        return refused;
+      },
+      renewAndPoll: (_: unknown, order: { acknowledged: number }) => {
+        acknowledged.push(order.acknowledged);
+        if (acknowledged.length === 2) {
+          life.beginStart().end(true);
+          return delay(1, refused);
+        }
+        return delay(1, {
+          kind: "done",
+          clockMs: 1,
+          bornAtMs: 1,
+          running: [],
+          hasMoreEnded: false,
+          ended: [{
+            number: 4,
+            taskId: "a",
+            run: 1,
+            ending: "done",
+            checkpoint: "",
+          }],
+        });
+      },
+    } as never,
+    clock: systemClock,
+    log: silentLogger,
+    events: {
+      onFenced: () => fenced++,
+      onReport() {},
+      afterFlush: (callback: () => void) => callback(),
+      mayOrder: () => true,
+    } as never,
+    earlierLeasesEndMs: 0,
+    pacing: createPollPacing(() => 0),
+  });
+  assert.equal((await link.stop("a", 1)).kind, "done");
+  assert.equal(stops.length, 2);
+  assert.ok(stops[1]! > stops[0]!);
+  const polls = run(() => link.run());
+  await waitFor("the poll is repeated", () => acknowledged.length >= 4);
+  link.close();
+  await polls.halt();
+  // The end is acknowledged again after the refusal, and not once that has an answer.
+  assert.deepEqual(acknowledged.slice(0, 4), [0, 4, 4, 0]);
+  assert.equal(link.silentMs(), 0);
+  assert.equal(fenced, 0);
+});
+
+test.run();
--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -67,7 +67,7 @@
   const { workers } = scheduler;
   const newInstances: WorkerInstance[] = [];
   const newInstanceNotifier = createNotifier();
-  const lives = createWorkerLives(options.epoch);
+  const lives = createWorkerLives(options.epoch, () => clock.monotonicMs());
   const pacing = createPollPacing(() => clock.monotonicMs());
 
   function registerWorker(registration: WorkerRegistration): void {
--- a/testing/fake_task_workers.ts
+++ b/testing/fake_task_workers.ts
@@ -34,6 +34,8 @@
   holdsPollsOfCrashed: boolean;
   /** Ids of workers that leave starts unanswered, which are kept as well. */
   readonly holdsStarts: Set<string>;
+  /** Time after which the caller of such a start gives up, in ms. */
+  heldStartTimeoutMs: number;
   /** Fraction of orders that workers refuse because they are unhealthy. */
   unhealthyRate: number;
   /** Fraction of runs that fail. */
@@ -166,6 +168,7 @@
     lateMs: 2_000,
     holdsPollsOfCrashed: false,
     holdsStarts: new Set(),
+    heldStartTimeoutMs: 100,
     unhealthyRate: 0,
     failedRunRate: 0,
     unreachable: new Set(),
@@ -476,7 +479,7 @@
             kind: "start",
             execute: () => void this.#start(this.workers.get(workerId)!, order),
           });
-          return delay(100, noResponse);
+          return delay(this.faults.heldStartTimeoutMs, noResponse);
         }
         return unlessDown(
           this.#execute(workerId, (worker) => this.#start(worker, order)),
