fix(scheduler): leases that late calls extend count until the process has been called

What callers saw: a task starts while another run of it goes on, on a worker that has restarted under its ID and is cut off.

Cause: of the same class as the lost ends, a conclusion ('its leases are over') from calls that another process may have executed. A start or a poll without an answer is executed by the next process up to 12.5 s after it was sent. Its lease end counts on the former process's clock, so that the next one grants its longest lease, from that moment. The owner counted 10.7 s from the registration, and only if the former instance still had tasks then: after 'its VM is down' it counted only its own leases of 7.6 s.

Change: - until a process has responded, its leases last until the latest call to the worker can't be executed any more, and the longest lease after that - its first response ends this: from then on it refuses the earlier calls, so that 10.7 s from there are enough - a worker whose leases have expired may have restarted unseen: tasks whose start has no answer stay placed until no next process can run them - a start counts as confirmed only if the clock in the response is the process's; a process that restarts begins its clock anew - the same bound for calls of earlier owners

Evidence: late_calls_test, five tests that fail on (DUPLICATE_RUN, 2 starts instead of 1) pass in six runs at once.

--- a/src/scheduler/crashes/instance_end.ts
+++ b/src/scheduler/crashes/instance_end.ts
@@ -16,23 +16,25 @@
   /** It isn't registered and has no tasks. */
   | "unused";
 
-/** Whether the worker has ended and may start again under its ID; its next process would execute calls that were meant for this one. */
-export function mayRestart(end: InstanceEnd): boolean {
+/** Whether a process with the same ID may follow, or has followed unseen, that executes calls that were meant for this one. */
+export type UnseenSuccessor = "may_follow" | "may_have_followed" | "none";
+
+/** Tells whether an instance that has ended like this may have a successor under its ID that the owner doesn't know. */
+export function resolveUnseenSuccessor(end: InstanceEnd): UnseenSuccessor {
   switch (end) {
     case "vm_down":
     case "vm_ordered":
-      return true;
+      return "may_follow";
+    case "leases_expired":
+      return "may_have_followed";
     case "restarted":
     case "unused":
-      return false;
-    // It is silent, but nothing shows that it has ended.
-    case "leases_expired":
-      return false;
+      return "none";
     // Its address belongs to another worker, which refuses calls that name this one, or to none.
     case "replaced":
     case "vm_unlisted":
     case "vm_reassigned":
-      return false;
+      return "none";
     default:
       return assertNever(end);
   }
--- a/src/scheduler/crashes/lost_runs.ts
+++ b/src/scheduler/crashes/lost_runs.ts
@@ -1,6 +1,9 @@
 import { assertNever } from "../../errors.ts";
 import { isListed, type Placement, type TaskState } from "../job_state.ts";
+import { MAXIMUM_LEASE_MS } from "../worker_link.ts";
+import { LATE_CALL_LIMIT_MS } from "../worker_lives.ts";
 import type { WorkerInstance } from "../worker_table.ts";
+import { type InstanceEnd, resolveUnseenSuccessor } from "./instance_end.ts";
 
 /** Returns the time for which a run is known to have run, in ms; undefined if its start was never confirmed. */
 export function provenRunMs(
@@ -28,19 +31,56 @@
   return `${taskId} run ${run}, ${progress}`;
 }
 
-/** Time after which a call without an answer is no longer executed, in ms; platforms have taken up to 12 s. */
-const LATE_CALL_LIMIT_MS = 12_500;
+/** Whether an attempt to send the start order has no answer. */
+function isUnanswered({ startState, unansweredAttempts }: Placement): boolean {
+  return unansweredAttempts > 0 || startState === "sending";
+}
 
 /** Returns the monotonic time until which a start order without an answer may still be executed, in ms; `-Infinity` if there is none. */
-export function lateStartEndMs(
-  { startState, startSentAtMs, unansweredAttempts }: Placement,
-): number {
-  const isUnanswered = unansweredAttempts > 0 || startState === "sending";
-  return isUnanswered && startSentAtMs !== undefined
+export function lateStartEndMs(placement: Placement): number {
+  const { startSentAtMs } = placement;
+  return isUnanswered(placement) && startSentAtMs !== undefined
     ? startSentAtMs + LATE_CALL_LIMIT_MS
     : -Infinity;
 }
 
+/** Returns the monotonic time until which a run may last that the worker's next process executes late, in ms. */
+export function unseenLeasesEndMs(
+  placement: Placement,
+  { link }: WorkerInstance,
+): number {
+  return Math.max(
+    link?.unseenLeasesEndMs() ?? -Infinity,
+    lateStartEndMs(placement) + MAXIMUM_LEASE_MS,
+  );
+}
+
+/**
+ * Returns the monotonic time until which the next process of an instance that has
+ * ended may start, or run, the task of a placement, in ms; `-Infinity` if it can't.
+ */
+export function unseenRunEndMs(
+  placement: Placement,
+  instance: WorkerInstance,
+  end: InstanceEnd,
+): number {
+  const successor = resolveUnseenSuccessor(end);
+  switch (successor) {
+    case "none":
+      return -Infinity;
+    case "may_follow":
+      // What has run until now has ended with the VM.
+      return lateStartEndMs(placement);
+    case "may_have_followed":
+      // What an earlier owner has sent counts for the leases of the instance itself.
+      return !placement.inherited && isUnanswered(placement)
+        ? unseenLeasesEndMs(placement, instance)
+        : -Infinity;
+    default:
+      return assertNever(successor);
+  }
+}
+
 /** Whether the next process of a placement's worker may have executed, or may still execute, the start order. */
 export function mayHaveReachedSuccessor(placement: Placement): boolean {
   switch (placement.startState) {
--- a/src/scheduler/late_calls_test.ts
+++ b/src/scheduler/late_calls_test.ts
@@ -4,7 +4,17 @@
 import type { FakeTaskWorker } from "../../testing/fake_task_workers.ts";
 import { chooseSeed, createRandom } from "../../testing/random.ts";
 import { SchedulerCluster } from "../../testing/scheduler_cluster.ts";
+import {
+  createTestScheduler,
+  openTasks,
+  registrationOf,
+  spec,
+} from "../../testing/scheduler_helpers.ts";
 import { waitFor } from "../../testing/wait.ts";
+import { silentLogger } from "../logger.ts";
+import { createPollPacing } from "./poll_pacing.ts";
+import { createWorkerLink, MAXIMUM_LEASE_MS } from "./worker_link.ts";
+import { createWorkerLives } from "./worker_lives.ts";
 
 const test = suite("late calls that a worker's next process executes");
 const seed = chooseSeed();
@@ -33,25 +43,24 @@
   return workers.workers.get("worker-0")!;
 }
 
-/** Crashes the only worker; returns its next process, whose clock starts anew, so that lease ends in earlier calls lie far ahead. */
-async function restart(cluster: SchedulerCluster): Promise<FakeTaskWorker> {
+/**
+ * Crashes the only worker; returns its next process, which is cut off from its
+ * start. Its clock starts anew, so that lease ends in earlier calls lie far ahead.
+ */
+async function restartCutOff(
+  cluster: SchedulerCluster,
+): Promise<FakeTaskWorker> {
   const { workers } = cluster;
   const process = currentProcess(cluster);
+  workers.clockOffsetMs = process.clockOffsetMs - 100_000;
   workers.crash(process);
+  workers.faults.unreachable.add("worker-0");
   workers.faults.holdsStarts.clear();
   await waitFor(
     "the next process",
     () => currentProcess(cluster) !== process,
   );
-  const next = currentProcess(cluster);
-  Object.assign(next, { clockOffsetMs: process.clockOffsetMs - 100_000 });
-  return next;
-}
-
-/** Like `restart`, but the next process is cut off from its start. */
-function restartCutOff(cluster: SchedulerCluster): Promise<FakeTaskWorker> {
-  cluster.workers.faults.unreachable.add("worker-0");
-  return restart(cluster);
+  return currentProcess(cluster);
 }
 
 /** Submits a job whose only task's start order gets no answer. */
@@ -143,8 +152,10 @@
     cluster.restartCrashedAfterMs = 1_500;
     const first = currentProcess(cluster);
     await waitFor("a poll waits", () => first.waiters.size > 0);
-    const next = await restart(cluster);
+    const next = await restartCutOff(cluster);
     workers.executeHeldCalls("poll");
+    assert.ok(next.leaseEndMs > next.clockMs() + 9_000);
+    workers.faults.unreachable.clear();
     const job = await cluster.submit([{ taskCount: 1, estimatedMs: 60_000 }]);
     await waitFor(
       "the task runs",
@@ -165,4 +176,88 @@
   });
 });
 
+// Guards against two runs at once: a worker that is cut off has restarted unseen, and its next process has executed a start that the owner counts on the earlier one.
+test("a run that an unseen next process may have started outlasts the leases of the earlier one", async () => {
+  let nowMs = 1_000;
+  const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
+  const { scheduler, state, addWorker, flush } = createTestScheduler({
+    clock,
+  });
+  scheduler.accept(spec([{ taskCount: 2 }]));
+  const [confirmed, unanswered] = openTasks(scheduler);
+  const worker = addWorker("w1");
+  scheduler.place(confirmed!, worker, { run: 1, ticket: undefined });
+  await flush();
+  state.onStart = () => ({ kind: "unknown" });
+  scheduler.place(unanswered!, worker, { run: 1, ticket: undefined });
+  await flush();
+  nowMs += 8_000;
+  worker.link!.unseenLeasesEndMs = () => 24_000;
+  scheduler.removeInstance(worker, "leases_expired");
+  assert.equal(confirmed!.phase, "waiting");
+  const held = scheduler.workers.find("w1", 1)!;
+  assert.deepEqual([...held.tasks], [unanswered]);
+  assert.equal(held.earlierLeasesEndMs, 24_000 + 200);
+  nowMs = 24_300;
+  scheduler.removeInstance(held, "leases_expired");
+  assert.equal(unanswered!.phase, "waiting");
+});
+
+// Guards against a start that counts as confirmed by a process that has ended before.
+test("a start that another process has answered counts as unanswered", async () => {
+  let clockMs = 500_000;
+  const clock = { monotonicMs: () => 0, wallMs: () => 0 };
+  const done = () => Promise.resolve({ kind: "done", clockMs });
+  const link = createWorkerLink({
+    registration: registrationOf(1, "w1:1"),
+    life: createWorkerLives(1, () => 0).add("w1", 1),
+    control: { start: done, stop: done } as never,
+    clock,
+    log: silentLogger,
+    events: {} as never,
+    earlierLeasesEndMs: 0,
+    pacing: createPollPacing(() => 0),
+  });
+  const order = {
+    taskId: "a",
+    run: 1,
+    specification: "",
+    checkpoint: "",
+    ticket: undefined,
+  };
+  await link.stop("a", 1);
+  assert.equal((await link.start(order)).kind, "done");
+  clockMs = 499_100;
+  assert.equal((await link.start(order)).kind, "done");
+  clockMs = 600;
+  assert.equal((await link.start(order)).kind, "unknown");
+});
+
+// Guards against tasks that wait for the longest late lease although the process has shown that it executes no late calls any more.
+test("the first response of a process bounds the leases that late calls may have extended", async () => {
+  let nowMs = 0;
+  const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
+  const life = createWorkerLives(1, () => nowMs).add("w1", 1);
+  const link = createWorkerLink({
+    registration: registrationOf(1, "w1:1"),
+    life,
+    control: {
+      stop: () => Promise.resolve({ kind: "done", clockMs: 1 }),
+    } as never,
+    clock,
+    log: silentLogger,
+    events: {} as never,
+    earlierLeasesEndMs: 36_000,
+    pacing: createPollPacing(() => 0),
+  });
+  nowMs = 20_000;
+  assert.equal(link.leasesExpired(), false);
+  nowMs = 1_000;
+  await link.stop("a", 1);
+  nowMs += MAXIMUM_LEASE_MS;
+  assert.equal(link.leasesExpired(), false);
+  nowMs += 1;
+  assert.equal(link.leasesExpired(), true);
+});
+
 test.run();
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -56,14 +56,14 @@
 import {
   describeInstanceEnd,
   type InstanceEnd,
-  mayRestart,
 } from "./crashes/instance_end.ts";
 import {
   lateStartEndMs,
   mayHaveReachedSuccessor,
+  unseenLeasesEndMs,
+  unseenRunEndMs,
 } from "./crashes/lost_runs.ts";
 import { computeRestartDelay } from "./restart_delay.ts";
-import { MAXIMUM_LEASE_MS } from "./worker_link.ts";
 import { PlacedTasks } from "./placed_tasks.ts";
 import { createRunOrders } from "./run_orders.ts";
 import {
@@ -663,29 +663,35 @@
   }
 
   /**
-   * Keeps the tasks of an ended instance placed whose start orders may still reach
-   * the worker's next process, until that has been called or the orders can't be
-   * executed any more. They stay in the table under the ended instance.
+   * Keeps the tasks of an ended instance placed whose start orders the worker's
+   * next process may execute or have executed, until that has been called or no
+   * run of theirs can be left. They stay in the table under the ended instance.
    */
   function holdLateStarts(instance: WorkerInstance, end: InstanceEnd): void {
-    if (!mayRestart(end)) return;
     const nowMs = clock.monotonicMs();
     const held = new PlacedTasks();
     let heldUntilMs = -Infinity;
+    let leasesEndMs = -Infinity;
     for (const task of [...instance.tasks]) {
-      if (task.placement === undefined) continue;
-      const endMs = lateStartEndMs(task.placement);
+      const { placement } = task;
+      if (placement === undefined) continue;
+      const endMs = unseenRunEndMs(placement, instance, end);
       if (endMs <= nowMs) continue;
       instance.tasks.delete(task);
       held.add(task);
-      heldUntilMs = Math.max(heldUntilMs, endMs);
+      heldUntilMs = Math.max(heldUntilMs, lateStartEndMs(placement));
+      leasesEndMs = Math.max(
+        leasesEndMs,
+        unseenLeasesEndMs(placement, instance),
+      );
     }
     if (held.size === 0) return;
     log.info("tasks wait for start orders without an answer", {
       worker: instance.workerId,
       vm: instance.vmId,
       tasks: [...held].map(({ taskId }) => taskId),
-      orderEndsMs: Math.round(heldUntilMs - nowMs),
+      orderEndsMs: Math.round(Math.max(0, heldUntilMs - nowMs)),
+      leasesEndMs: Math.round(leasesEndMs - nowMs),
     });
     workers.remove(instance);
     workers.add({
@@ -697,7 +703,7 @@
       tasks: held,
       joinedAtMs: nowMs,
       // Once the orders have lapsed, a VM list that shows the VM down frees the tasks sooner.
-      earlierLeasesEndMs: heldUntilMs + MAXIMUM_LEASE_MS,
+      earlierLeasesEndMs: leasesEndMs,
       heldUntilMs,
     });
   }
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -47,7 +47,8 @@
 import { handOverWhenSlow } from "./slow_handover.ts";
 import { relocateStragglers } from "./stragglers.ts";
 import { createTicketCache, type TicketCache } from "./ticket_cache.ts";
-import { RUN_LEASE_MS } from "./worker_link.ts";
+import { MAXIMUM_LEASE_MS } from "./worker_link.ts";
+import { LATE_CALL_LIMIT_MS } from "./worker_lives.ts";
 import { createWorkerRegistry } from "./worker_registry.ts";
 import type { AdmissionDecision } from "./workspaces/admission.ts";
 import { createFairShare } from "./workspaces/fair_share.ts";
@@ -224,12 +225,13 @@
   });
   /**
    * An earlier owner may issue orders for `STORE_SILENCE_LIMIT_MS` without contact
-   * to the store, and leases that it granted last for `RUN_LEASE_MS` longer, which
-   * may be 3% more on a worker's slow clock; 500 ms are a margin.
+   * to the store. A worker may have restarted unseen, so that its next process
+   * executes the last one late and grants the longest lease.
    */
   const earlierLeasesEndMs = tenure.epoch === 1
     ? startedAtMs
-    : startedAtMs + STORE_SILENCE_LIMIT_MS + RUN_LEASE_MS * 1.03 + 500;
+    : startedAtMs + STORE_SILENCE_LIMIT_MS + LATE_CALL_LIMIT_MS +
+      MAXIMUM_LEASE_MS;
   const control = createRelayedControl({
     direct: options.control,
     openChannel: (address) =>
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -23,7 +23,8 @@
 /**
  * Longest lease that a worker grants, in ms, with a margin for its clock. The
  * lease end in an order counts on the clock of the process that it was meant
- * for, so that a later process may take it for any length.
+ * for, so that a later process may take it for any length, from the moment at
+ * which it executes the order.
  */
 export const MAXIMUM_LEASE_MS = 10_700;
 /** Factor on the lease time in the upper bound of a lease: a worker's clock may run 2% slow, so that its leases last longer than granted. */
@@ -34,6 +35,8 @@
 const ORDER_CHECK_INTERVAL_MS = 150;
 /** Longest wait for the journal before the leases are renewed without acknowledging ended runs, in ms. */
 const JOURNAL_WAIT_MS = 700;
+/** Time by which a worker's clock may seem to be behind, in ms, as responses take time; a process that restarts begins its clock anew. */
+const CLOCK_TOLERANCE_MS = 1_000;
 /** Pause before a poll while ends can't be acknowledged, in ms. */
 const WITHHELD_PAUSE_MS = 200;
 /** Number of attempts to send an order that later ones overtake. */
@@ -65,6 +68,8 @@
   readonly lastResponseAtMs: number | undefined;
   /** Whether every lease that may have been granted has expired. */
   leasesExpired(): boolean;
+  /** Monotonic time until which the leases of a process that has restarted unseen may last, in ms. */
+  unseenLeasesEndMs(): number;
   start(order: Omit<StartOrder, "leaseEndMs" | "fence">): Promise<OrderOutcome>;
   stop(taskId: string, run: number): Promise<OrderOutcome>;
   throttle(taskId: string, run: number, percent: number): Promise<OrderOutcome>;
@@ -89,7 +94,7 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly events: WorkerLinkEvents;
-  /** Monotonic time until which leases of earlier owners may last, in ms. */
+  /** Monotonic time until which leases may last that calls of earlier owners, or calls to the worker's earlier processes, extend, in ms. */
   readonly earlierLeasesEndMs: number;
   readonly pacing: PollPacing;
 }
@@ -107,7 +112,8 @@
   let hasReported = false;
   let lastResponseAtMs = clock.monotonicMs();
   let failing = false;
-  let leaseBoundMs = options.earlierLeasesEndMs;
+  let { earlierLeasesEndMs } = options;
+  let leaseBoundMs = -Infinity;
   let closed = false;
   const pollWake: Notifier = createNotifier();
 
@@ -119,6 +125,13 @@
       pacing.recordReturn(worker.workerId);
     }
     failing = false;
+    if (!hasResponded) {
+      // From this call on, the process refuses those with lower tokens.
+      earlierLeasesEndMs = Math.min(
+        earlierLeasesEndMs,
+        clock.monotonicMs() + MAXIMUM_LEASE_MS,
+      );
+    }
     hasResponded = true;
     lastResponseAtMs = clock.monotonicMs();
   }
@@ -147,12 +160,26 @@
 
   /** Extends the upper bound of all leases: a call may grant a lease even if its response is lost. */
   function extendLeaseBound(): void {
+    life.beginExtension();
     leaseBoundMs = Math.max(
       leaseBoundMs,
       clock.monotonicMs() + RUN_LEASE_MS * CLOCK_RATE_FACTOR + LEASE_MARGIN_MS,
     );
   }
 
+  /** Replaces the outcome of a start by `unknown` if the clock in the response shows that another process has executed it. */
+  function requireSameProcess(outcome: OrderOutcome): OrderOutcome {
+    if (outcome.kind !== "done" || clockOffsetMs === undefined) return outcome;
+    const behindMs = clock.monotonicMs() + clockOffsetMs - outcome.clockMs;
+    if (behindMs < CLOCK_TOLERANCE_MS) return outcome;
+    log.info("start was answered by another process of its worker", {
+      worker: worker.workerId,
+      bornAtMs: worker.bornAtMs,
+      behindMs: Math.round(behindMs),
+    });
+    return { kind: "unknown" };
+  }
+
   /** Whether a call was refused because a later one of this link, with a higher token, was executed first. */
   function isOvertaken<T>(outcome: OrderOutcome<T>, fence: number): boolean {
     return outcome.kind === "refused" && outcome.reason === "fenced" &&
@@ -310,16 +337,20 @@
     get lastResponseAtMs() {
       return hasResponded ? lastResponseAtMs : undefined;
     },
-    leasesExpired: () => clock.monotonicMs() > leaseBoundMs,
+    leasesExpired: () =>
+      clock.monotonicMs() > Math.max(leaseBoundMs, earlierLeasesEndMs),
+    unseenLeasesEndMs: () => life.extensionsEndMs() + MAXIMUM_LEASE_MS,
     start: (order) =>
       sendOrder(async () => {
         extendLeaseBound();
         const { fence, end } = life.beginStart();
-        const outcome = await control.start(worker, {
-          ...order,
-          fence,
-          leaseEndMs: nextLeaseEndMs() ?? 0,
-        });
+        const outcome = requireSameProcess(
+          await control.start(worker, {
+            ...order,
+            fence,
+            leaseEndMs: nextLeaseEndMs() ?? 0,
+          }),
+        );
         end(outcome.kind !== "unknown");
         return { outcome, fence };
       }),
--- a/src/scheduler/worker_lives.ts
+++ b/src/scheduler/worker_lives.ts
@@ -8,6 +8,9 @@
 /** Longest time for which ends aren't acknowledged because a start at the worker has no answer, in ms. */
 const MAXIMUM_ACKNOWLEDGEMENT_DELAY_MS = 3_000;
 
+/** Time after which a call without an answer is no longer executed, in ms; platforms have taken up to 12 s. */
+export const LATE_CALL_LIMIT_MS = 12_500;
+
 /** An attempt to send a start order. */
 export interface StartAttempt {
   readonly fence: number;
@@ -30,6 +33,10 @@
   readonly isSuccessor: boolean;
   /** Highest fencing token of the calls to the process so far. */
   readonly fence: number;
+  /** Records that a call that extends the lease is about to be sent. */
+  beginExtension(): void;
+  /** Returns the monotonic time until which a call to the worker that extends the lease may still be executed, by whichever process, in ms. */
+  extensionsEndMs(): number;
   /** Begins an attempt to send a start order. */
   beginStart(): StartAttempt;
   /** Whether the next poll may acknowledge ends. */
@@ -49,6 +56,8 @@
    * those: they name the same worker ID and may be executed late.
    */
   add(workerId: string, bornAtMs: number): WorkerLife;
+  /** Returns the same for a worker; `-Infinity` if there was no such call. */
+  extensionsEndMs(workerId: string): number;
 }
 
 /** Calls of one owner to a worker, whichever process executes them. */
@@ -57,6 +66,8 @@
   bornAtMs: number;
   /** The latest token, counted from the epoch's first. */
   latestToken: number;
+  /** Monotonic time of the latest call that extends the lease, in ms. */
+  extendedAtMs: number;
   /** Token of the latest poll that acknowledged ends; -1 before the first. */
   acknowledgedWith: number;
   startsInProgress: number;
@@ -86,6 +97,10 @@
       get fence() {
         return fenceOf(token);
       },
+      beginExtension() {
+        calls.extendedAtMs = nowMs();
+      },
+      extensionsEndMs: () => calls.extendedAtMs + LATE_CALL_LIMIT_MS,
       beginStart() {
         // The tokens after those of an ended process belong to the next one.
         if (calls.acknowledgedWith >= token && calls.latestToken === token) {
@@ -126,6 +141,7 @@
         const calls: WorkerCalls = {
           bornAtMs,
           latestToken: 0,
+          extendedAtMs: -Infinity,
           acknowledgedWith: -1,
           startsInProgress: 0,
           unansweredStartAtMs: -Infinity,
@@ -140,5 +156,8 @@
       nextToken(known);
       return createLife(known, isSuccessor);
     },
+    extensionsEndMs: (workerId) =>
+      (callsByWorker.get(workerId)?.extendedAtMs ?? -Infinity) +
+      LATE_CALL_LIMIT_MS,
   };
 }
--- a/src/scheduler/worker_registry.ts
+++ b/src/scheduler/worker_registry.ts
@@ -70,6 +70,14 @@
   const lives = createWorkerLives(options.epoch, () => clock.monotonicMs());
   const pacing = createPollPacing(() => clock.monotonicMs());
 
+  /** Returns the monotonic time until which calls so far may extend the leases of a worker's next process, in ms. */
+  function lateLeasesEndMs(workerId: string): number {
+    return Math.max(
+      earlierLeasesEndMs,
+      lives.extensionsEndMs(workerId) + MAXIMUM_LEASE_MS,
+    );
+  }
+
   function registerWorker(registration: WorkerRegistration): void {
     scheduler.crashes.settleByProcess(
       registration.workerId,
@@ -102,11 +110,8 @@
     );
     if (mayBeLate) return;
     const leasesEndMs = Math.max(
-      earlierLeasesEndMs,
       existingInstance?.earlierLeasesEndMs ?? 0,
-      others.some(({ tasks }) => tasks.size > 0)
-        ? clock.monotonicMs() + MAXIMUM_LEASE_MS
-        : 0,
+      lateLeasesEndMs(registration.workerId),
     );
     const link = createWorkerLink({
       pacing,
@@ -206,7 +211,7 @@
       draining: false,
       tasks: new PlacedTasks(),
       joinedAtMs: clock.monotonicMs(),
-      earlierLeasesEndMs: clock.monotonicMs() + MAXIMUM_LEASE_MS,
+      earlierLeasesEndMs: lateLeasesEndMs(workerId),
     };
     workers.add(instance);
     return instance;
--- a/testing/fake_task_workers.ts
+++ b/testing/fake_task_workers.ts
@@ -197,11 +197,14 @@
     clearInterval(this.#timer);
   }
 
-  /** Adds a worker whose clock has a random offset. */
+  /** Clock offset of the workers that are added, in ms; undefined for random ones. */
+  clockOffsetMs: number | undefined;
+
+  /** Adds a worker. */
   add(registration: WorkerRegistration): FakeTaskWorker {
     const worker = new FakeTaskWorker(
       registration,
-      Math.floor(this.random.next() * 1e6),
+      this.clockOffsetMs ?? Math.floor(this.random.next() * 1e6),
     );
     this.workers.set(registration.workerId, worker);
     return worker;
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -125,6 +125,7 @@
       silentMs: () => 0,
       hasResponded: true,
       leasesExpired: () => false,
+      unseenLeasesEndMs: () => -Infinity,
       needsFrequentPolls: false,
     } as unknown as WorkerLink;
     const instance: WorkerInstance = {
