fix(jobs): requests wait for the next dispatcher while a shard is handed over

Callers of the job API saw 503 not_owner with Retry-After 1 for submissions when an entry joined or stopped; by reading, reads and cancellations got it too. routes_test once failed for it (one of 40 submissions).

Cause: entries change their view of a shard's owner at once, but the previous owner releases the lease up to 500 ms later, and the next one asks for it every 500 ms. Until then an entry answered at once that the shard has no dispatcher.

Change: JobRoutes runs each request on the shard's owner and waits at most 1.5 s for the next dispatcher, at most until 0.5 s before the caller's deadline. The next owner holds the request until it has taken the shard over. The asked entry follows a changed view, and asks again after 250 ms while an entry answers not_owner. The deadline header now counts for the job API too and is passed on; an invalid one gets 400 invalid_deadline, as for services. After the wait comes the same refusal as before. The wait is part of the 3 s that a change has and of the 5 s of a forwarded call; at least half of both is left.

A dispatcher whose last attempt to take its shard over failed at the store refuses at once. Its refusal is store_unavailable instead of not_owner, with the same status, Retry-After and outcome, so that the asked entry doesn't wait.

Why it takes effect once: a request is repeated only after not_owner, which is given before the change is sent or after its write lost against another owner's, and a repeated submission has the same key, which its shard's record holds.

--- a/src/jobs/dispatcher.ts
+++ b/src/jobs/dispatcher.ts
@@ -14,6 +14,7 @@
   LedgerCall,
   LedgerClient,
 } from "./ledger_client.ts";
+import { JobRefusedError } from "./errors.ts";
 import { NoticeRelay } from "./notices.ts";
 import { QuotaClient } from "./quota_client.ts";
 import {
@@ -85,6 +86,15 @@
   /** The step has ended; its grants may have expired before the write. */
   | "done";
 
+/** Whether a dispatcher can handle requests for its shard. */
+export type DispatcherAvailability =
+  /** It owns the shard. */
+  | "owner"
+  /** It waits for the lease or loads the shard. */
+  | "taking_over"
+  /** Its last attempt to take the shard over failed at the store. */
+  | "store_unavailable";
+
 /** Schedules the jobs of one shard while this entry holds the shard's lease. */
 export class Dispatcher {
   readonly writer: ShardWriter;
@@ -95,6 +105,7 @@
   #peakUsage: PeakUsageTracker;
   #quotaClient: QuotaClient;
   #ledger: { quotas: QuotaLedger; noticeRelay: NoticeRelay } | undefined;
+  #storeFailed = false;
 
   constructor(options: DispatcherOptions) {
     this.#options = options;
@@ -133,6 +144,12 @@
     return this.#ownership === undefined ? undefined : this.writer.record?.jobs;
   }
 
+  /** Whether requests for the shard can be handled now or soon. */
+  get availability(): DispatcherAvailability {
+    if (this.jobs !== undefined) return "owner";
+    return this.#storeFailed ? "store_unavailable" : "taking_over";
+  }
+
   /**
    * Returns whether the shard is owned and all of its jobs have ended, so that
    * steps have nothing to do until the next write.
@@ -175,14 +192,21 @@
     const context = readSchedulingContext(this.#options);
     if (context === undefined) return "not_ready";
     try {
-      if (!await this.#lease.ensure()) return "standby";
+      if (!await this.#lease.ensure()) {
+        this.#storeFailed = false;
+        return "standby";
+      }
       // A claim for quota returns the grants that the record doesn't show in use.
       await this.writer.resolve();
       if (this.writer.record === undefined || this.#ownership === undefined) {
         await this.#takeOver();
       }
       await this.#adoptNewerFencingToken();
+      this.#storeFailed = false;
     } catch (error) {
+      // The previous owner's last write may precede the write of the token.
+      this.#storeFailed =
+        !(error instanceof JobRefusedError && error.kind === "not_owner");
       return await this.#handleStoreOutage(context, error);
     }
     return await this.#dispatch(context);
--- a/src/jobs/forward.ts
+++ b/src/jobs/forward.ts
@@ -1,5 +1,6 @@
 import { Agent, request } from "undici";
 import {
+  DEADLINE_HEADER,
   FORWARDED_BY_HEADER,
   IDEMPOTENCY_KEY_HEADER,
   OUTCOME_HEADER,
@@ -18,7 +19,7 @@
  * Timeout of a forwarded call, in ms. Longer than the owner's own deadline for
  * the store.
  */
-const FORWARD_TIMEOUT_MS = 5_000;
+export const FORWARD_TIMEOUT_MS = 5_000;
 /**
  * Retry hint after the owner could not be reached, in ms; by then, another
  * entry may own the shard.
@@ -27,6 +28,18 @@
 
 const agent = new Agent({ connect: { timeout: 1_000 }, pipelining: 1 });
 
+/** Options of a forwarded call. */
+export interface ForwardOptions {
+  /** `host:port` of the owner's port for callers. */
+  readonly address: string;
+  /** Id of this entry. */
+  readonly entryId: string;
+  /** Time until the owner's answer counts as lost, in ms. */
+  readonly timeoutMs?: number;
+  /** Time left until the caller's deadline, in ms; undefined if it set none. */
+  readonly deadlineMs?: number | undefined;
+}
+
 /**
  * Forwards a call to the shard's owner. Rejects with a `JobRefusedError` if the
  * call is read-only or provably wasn't sent, and with a
@@ -34,18 +47,22 @@
  */
 export async function forwardCall(
   call: JobCall,
-  options: { readonly address: string; readonly entryId: string },
+  options: ForwardOptions,
 ): Promise<JobReply> {
+  const { timeoutMs = FORWARD_TIMEOUT_MS, deadlineMs } = options;
   try {
     const response = await request(`http://${options.address}${call.url}`, {
       dispatcher: agent,
       method: call.method as "GET" | "POST" | "DELETE",
-      signal: AbortSignal.timeout(FORWARD_TIMEOUT_MS),
+      signal: AbortSignal.timeout(timeoutMs),
       headers: {
         [FORWARDED_BY_HEADER]: options.entryId,
         ...(call.key === undefined ? {} : {
           [IDEMPOTENCY_KEY_HEADER]: call.key,
         }),
+        ...(deadlineMs === undefined ? {} : {
+          [DEADLINE_HEADER]: String(Math.max(1, Math.floor(deadlineMs))),
+        }),
         ...(call.body === undefined ? {} : {
           "content-type": "application/json",
         }),
@@ -97,6 +114,7 @@
     body: encodeLedgerMessage(call),
     key: undefined,
     forwardedBy: undefined,
+    deadlineAtMs: undefined,
   }, options);
   if (reply.status !== 200) return undefined;
   return decodeLedgerMessage(reply.body, ledgerAnswerSchema, "ledger answer");
--- a/src/jobs/job_reply.ts
+++ b/src/jobs/job_reply.ts
@@ -20,6 +20,8 @@
    * forwarded again.
    */
   readonly forwardedBy: string | undefined;
+  /** The caller's deadline, in monotonic ms; undefined if it set none. */
+  readonly deadlineAtMs: number | undefined;
 }
 
 /** Response of the job API. */
--- a/src/jobs/paused_dispatcher_test.ts
+++ b/src/jobs/paused_dispatcher_test.ts
@@ -241,6 +241,7 @@
     body: Buffer.from(JSON.stringify(spec)),
     key,
     forwardedBy: undefined,
+    deadlineAtMs: undefined,
   });
   await dispatcher.writer.flush();
   return await reply;
--- a/src/jobs/repeated_submission_test.ts
+++ b/src/jobs/repeated_submission_test.ts
@@ -41,6 +41,7 @@
       body: Buffer.from(JSON.stringify(createJobSpec())),
       key,
       forwardedBy: undefined,
+      deadlineAtMs: undefined,
     });
   store.faults.loseAnswers = 1;
   const compareAndSwap = store.compareAndSwap.bind(store);
--- a/src/jobs/routes.ts
+++ b/src/jobs/routes.ts
@@ -1,13 +1,15 @@
+import { setTimeout as delay } from "node:timers/promises";
 import { z } from "zod";
 import type { Clock } from "../clock.ts";
 import type { AppliedConfig } from "../config/schema.ts";
-import { ValidationError } from "../errors.ts";
+import { assertNever, ValidationError } from "../errors.ts";
 import type { Observable } from "../observable.ts";
 import type { EntryDigest } from "../peers/messages.ts";
 import { parseJson, parseWithSchema } from "../validation.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import { JobOutcomeUnknownError, JobRefusedError } from "./errors.ts";
-import { forwardCall, LEDGER_ROUTE } from "./forward.ts";
+import { FORWARD_TIMEOUT_MS, forwardCall, LEDGER_ROUTE } from "./forward.ts";
+import { HandoverWait } from "./handover_wait.ts";
 import { type Job, type JobSpec, jobSpecSchema } from "./job.ts";
 import {
   issueJobKey,
@@ -34,6 +36,13 @@
 const CHANGE_DEADLINE_MS = 3_000;
 /** Retry hint while a shard moves to another entry, in ms. */
 const NOT_OWNER_RETRY_MS = 1_000;
+/** Time between two checks whether this entry has taken a shard over, in ms. */
+const DISPATCHER_CHECK_INTERVAL_MS = 50;
+/**
+ * Time after which a request is sent again to an entry that doesn't know yet
+ * that it owns the shard, in ms.
+ */
+const FORWARD_RETRY_MS = 250;
 /** Maximum number of jobs in one list response. */
 const MAXIMUM_LISTED_JOBS = 1_000;
 
@@ -41,6 +50,15 @@
   jobIds: z.array(z.string()).min(1).max(5_000),
 });
 
+const refusalSchema = z.object({ error: z.object({ kind: z.string() }) });
+
+/** A shard's dispatcher on this entry, for one request. */
+interface OwnedShard {
+  readonly dispatcher: Dispatcher;
+  /** Deadline for the store to confirm the request's change, in ms. */
+  readonly changeDeadlineMs: number;
+}
+
 /** Options of the job routes. */
 export interface JobRoutesOptions {
   readonly entryId: string;
@@ -120,29 +138,86 @@
     return createJsonReply(201, { key, expiresAtMs });
   }
 
+  /** Returns the address of the shard's owner; undefined if it is this entry. */
+  #addressOfOwner(shard: number): string | undefined {
+    const { entries } = this.#options;
+    return ownerOf(shard, this.#options, entries.get()).callerAddress;
+  }
+
   /**
-   * Forwards a request to the shard's owner. Returns undefined if this entry
-   * has to handle it.
+   * Runs a request on the entry that owns its shard. While the shard is handed
+   * over, the request waits for the next dispatcher. It is only repeated after
+   * an entry refused it as not being the owner, so that it takes effect once.
    */
-  #forward(call: JobCall, shard: number): Promise<JobReply> | undefined {
-    const { entryId, entries } = this.#options;
-    const owner = ownerOf(shard, this.#options, entries.get());
-    if (call.forwardedBy !== undefined || owner.callerAddress === undefined) {
-      return undefined;
+  async #runOnOwner<T>(
+    call: JobCall,
+    shard: number,
+    runHere: (owned: OwnedShard) => Promise<T> | T,
+  ): Promise<JobReply | T> {
+    const { clock, entryId } = this.#options;
+    const wait = new HandoverWait(clock, call.deadlineAtMs);
+    while (true) {
+      const address = this.#addressOfOwner(shard);
+      if (call.forwardedBy === undefined && address !== undefined) {
+        const reply = await forwardCall(call, {
+          address,
+          entryId,
+          timeoutMs: wait.leftOf(FORWARD_TIMEOUT_MS),
+          deadlineMs: call.deadlineAtMs &&
+            call.deadlineAtMs - clock.monotonicMs(),
+        });
+        if (!isNotOwnerReply(reply) || wait.isOver) return reply;
+        await delay(FORWARD_RETRY_MS);
+        continue;
+      }
+      try {
+        const dispatcher = this.#dispatcher(shard);
+        const changeDeadlineMs = wait.leftOf(CHANGE_DEADLINE_MS);
+        return await runHere({ dispatcher, changeDeadlineMs });
+      } catch (error) {
+        if (!isNotOwner(error) || wait.isOver) throw error;
+        const isNextOwner = this.#addressOfOwner(shard) === undefined;
+        // The entry that forwarded the request finds the next owner.
+        if (!isNextOwner && call.forwardedBy !== undefined) throw error;
+        if (isNextOwner) await this.#waitForOwner(shard, wait);
+      }
     }
-    return forwardCall(call, { address: owner.callerAddress, entryId });
+  }
+
+  /**
+   * Waits until this entry has taken the shard over or can't, or until another
+   * entry may own it.
+   */
+  async #waitForOwner(shard: number, wait: HandoverWait): Promise<void> {
+    const { entries, dispatcherOf } = this.#options;
+    const digests = entries.get();
+    await wait.until(() => {
+      const availability = dispatcherOf(shard)?.availability ?? "taking_over";
+      return availability !== "taking_over" || entries.get() !== digests;
+    }, DISPATCHER_CHECK_INTERVAL_MS);
   }
 
   #dispatcher(shard: number): Dispatcher {
     const dispatcher = this.#options.dispatcherOf(shard);
-    if (dispatcher?.jobs === undefined) {
-      throw new JobRefusedError(
-        "not_owner",
-        "The job's shard has no dispatcher at the moment",
-        NOT_OWNER_RETRY_MS,
-      );
+    const availability = dispatcher?.availability ?? "taking_over";
+    switch (availability) {
+      case "owner":
+        return dispatcher!;
+      case "taking_over":
+        throw new JobRefusedError(
+          "not_owner",
+          "The job's shard has no dispatcher at the moment",
+          NOT_OWNER_RETRY_MS,
+        );
+      case "store_unavailable":
+        throw new JobRefusedError(
+          "store_unavailable",
+          "The job's shard can't be loaded from the store at the moment",
+          NOT_OWNER_RETRY_MS,
+        );
+      default:
+        return assertNever(availability);
     }
-    return dispatcher;
   }
 
   #checkSpec(spec: JobSpec): void {
@@ -166,8 +241,11 @@
     const key = requireKey(call.key ?? "");
     const spec = parseWithSchema(jobSpecSchema, parseBody(call), "job");
     try {
-      return await (this.#forward(call, key.shard) ??
-        this.#submitHere(key, spec));
+      return await this.#runOnOwner(
+        call,
+        key.shard,
+        (owned) => this.#submitHere(key, spec, owned),
+      );
     } catch (error) {
       const reply = createErrorReply(error);
       const dispatcher = this.#options.dispatcherOf(key.shard);
@@ -179,30 +257,32 @@
     }
   }
 
-  async #submitHere(key: JobKey, spec: JobSpec): Promise<JobReply> {
-    const { writer } = this.#dispatcher(key.shard);
+  async #submitHere(
+    key: JobKey,
+    spec: JobSpec,
+    { dispatcher: { writer }, changeDeadlineMs }: OwnedShard,
+  ): Promise<JobReply> {
     const alreadyStored = writer.record!.jobs.has(key.key);
     if (!alreadyStored) this.#checkSpec(spec);
     const job = await withDeadline(
       writer.change((draft) => submitJob(draft, key, spec), {
-        deadlineMs: CHANGE_DEADLINE_MS,
+        deadlineMs: changeDeadlineMs,
         jobId: key.key,
         // Finding a job that is already stored takes no write, so it also works
         // during an outage.
         allowDuringOutage: alreadyStored,
       }),
+      changeDeadlineMs,
     );
     return createJsonReply(alreadyStored ? 200 : 201, this.#describe(job));
   }
 
-  #get(call: JobCall, key: JobKey): Promise<JobReply> | JobReply {
-    const forwarded = this.#forward(call, key.shard);
-    if (forwarded !== undefined) return forwarded;
-    const job = this.#dispatcher(key.shard).jobs!.get(key.key);
-    if (job === undefined) {
-      throw new JobRefusedError("unknown_job", "There is no job with this id");
-    }
-    return createJsonReply(200, this.#describe(job));
+  #get(call: JobCall, key: JobKey): Promise<JobReply> {
+    return this.#runOnOwner(call, key.shard, ({ dispatcher }) => {
+      const job = dispatcher.jobs!.get(key.key);
+      if (job === undefined) throw unknownJobError();
+      return createJsonReply(200, this.#describe(job));
+    });
   }
 
   #describe(job: Job): unknown {
@@ -213,23 +293,24 @@
     return { ...job, waitReason };
   }
 
-  async #cancelOne(call: JobCall, key: JobKey): Promise<JobReply> {
-    const forwarded = this.#forward(call, key.shard);
-    if (forwarded !== undefined) return await forwarded;
-    const [result] = await this.#cancelHere(key.shard, [key.key]);
-    if (result?.kind === "unknown_job") {
-      throw new JobRefusedError("unknown_job", "There is no job with this id");
-    }
-    return createJsonReply(200, result);
+  #cancelOne(call: JobCall, key: JobKey): Promise<JobReply> {
+    return this.#runOnOwner(call, key.shard, async (owned) => {
+      const [result] = await this.#cancelHere([key.key], owned);
+      if (result?.kind === "unknown_job") throw unknownJobError();
+      return createJsonReply(200, result);
+    });
   }
 
   /** Cancels jobs of one shard in a single change. */
-  async #cancelHere(shard: number, jobIds: readonly string[]) {
-    const change = this.#dispatcher(shard).writer.change(
+  async #cancelHere(
+    jobIds: readonly string[],
+    { dispatcher: { writer }, changeDeadlineMs }: OwnedShard,
+  ) {
+    const change = writer.change(
       (draft) => jobIds.map((jobId) => ({ jobId, ...cancelJob(draft, jobId) })),
-      { deadlineMs: CHANGE_DEADLINE_MS },
+      { deadlineMs: changeDeadlineMs },
     );
-    return await withDeadline(change);
+    return await withDeadline(change, changeDeadlineMs);
   }
 
   async #cancelMany(call: JobCall): Promise<JobReply> {
@@ -249,9 +330,12 @@
   async #cancelShard(call: JobCall, shard: number, jobIds: string[]) {
     try {
       const body = Buffer.from(JSON.stringify({ jobIds }));
-      const forwarded = this.#forward({ ...call, body }, shard);
-      if (forwarded === undefined) return await this.#cancelHere(shard, jobIds);
-      const reply = await forwarded;
+      const reply = await this.#runOnOwner(
+        { ...call, body },
+        shard,
+        (owned) => this.#cancelHere(jobIds, owned),
+      );
+      if (Array.isArray(reply)) return reply;
       const data = JSON.parse(reply.body.toString());
       if (reply.status === 200) return data.results;
       return jobIds.map((jobId) => ({ jobId, ...data }));
@@ -326,6 +410,21 @@
     (error.kind === "unknown_pool" || error.kind === "unknown_team");
 }
 
+function isNotOwner(error: unknown): boolean {
+  return error instanceof JobRefusedError && error.kind === "not_owner";
+}
+
+/** Whether another entry refused a request because it doesn't own the shard. */
+function isNotOwnerReply({ status, body }: JobReply): boolean {
+  if (status !== 503) return false;
+  const refusal = refusalSchema.safeParse(JSON.parse(body.toString()));
+  return refusal.data?.error.kind === "not_owner";
+}
+
+function unknownJobError(): JobRefusedError {
+  return new JobRefusedError("unknown_job", "There is no job with this id");
+}
+
 function requireKey(text: string): JobKey {
   const key = parseJobKey(text);
   if (key === undefined) {
@@ -347,8 +446,9 @@
  */
 async function withDeadline<T extends object>(
   change: Promise<T>,
+  deadlineMs: number,
 ): Promise<T> {
-  const result = await withTimeout(change, CHANGE_DEADLINE_MS);
+  const result = await withTimeout(change, deadlineMs);
   if (result !== undefined) return result;
   throw new JobOutcomeUnknownError(
     "The store didn't confirm the change in time; ask again with the key",
--- a/src/requests/request_handler.ts
+++ b/src/requests/request_handler.ts
@@ -77,6 +77,8 @@
   readonly key: string | undefined;
   /** Id of the entry that forwarded the request, if any. */
   readonly forwardedBy: string | undefined;
+  /** The caller's deadline, in monotonic ms, if it set one. */
+  readonly deadlineAtMs: number | undefined;
 }
 
 /** Suggested retry delay while a starting entry has no configuration yet, in ms. */
@@ -267,6 +269,7 @@
     const { request } = incoming;
     this.#options.checkAcceptingWork();
     const { requestReadTimeoutMs } = this.#options.limits;
+    const deadlineMs = parseDeadlineMs(request);
     const body = declaresBody(request)
       ? yield* this.#readBody(incoming, requestReadTimeoutMs)
       : undefined;
@@ -276,6 +279,7 @@
       body,
       key: readHeader(request, IDEMPOTENCY_KEY_HEADER),
       forwardedBy: readHeader(request, FORWARDED_BY_HEADER),
+      deadlineAtMs: deadlineMs && incoming.arrivedAtMs + deadlineMs,
     };
   }
 
--- a/testing/request_entry.ts
+++ b/testing/request_entry.ts
@@ -7,6 +7,7 @@
 import { silentLogger } from "../src/logger.ts";
 import { createObservable, type MutableObservable } from "../src/observable.ts";
 import type { EntryDigest } from "../src/peers/messages.ts";
+import type { RequestHandlerOptions } from "../src/requests/request_handler.ts";
 import {
   createRequestProxy,
   type RequestProxy,
@@ -114,6 +115,8 @@
   readonly isolated?: () => boolean;
   /** Called when the first request arrives at an idle proxy. */
   readonly onActive?: () => void;
+  /** API of the system itself; none by default. */
+  readonly systemApi?: RequestHandlerOptions["systemApi"];
 }
 
 /** Starts a request proxy on a free port. */
@@ -129,6 +132,7 @@
     ...options.fleet,
     entries,
     onActive: options.onActive ?? (() => {}),
+    systemApi: options.systemApi,
     contacts: {
       ...createContactTracker(clock),
       isIsolated: options.isolated ?? (() => false),
