fix(jobs): a refusal that isn't JSON is passed on as it is

Found by reading the change before it was merged: the asked entry parsed the body of each 503 of another entry, and a body that isn't JSON would have become an internal error. handover_submission_test: 5 passed.

--- a/src/jobs/routes.ts
+++ b/src/jobs/routes.ts
@@ -417,8 +417,13 @@
 /** Whether another entry refused a request because it doesn't own the shard. */
 function isNotOwnerReply({ status, body }: JobReply): boolean {
   if (status !== 503) return false;
-  const refusal = refusalSchema.safeParse(JSON.parse(body.toString()));
-  return refusal.data?.error.kind === "not_owner";
+  try {
+    const refusal = refusalSchema.safeParse(JSON.parse(body.toString()));
+    return refusal.data?.error.kind === "not_owner";
+  } catch {
+    // Not a response of the job API.
+    return false;
+  }
 }
 
 function unknownJobError(): JobRefusedError {
