fix(scheduler): an order that another process has answered counts as unanswered

Only starts were checked for the process that has answered them: the answer to a stop or a throttle set the link's clock to the next process's, after which that process's answers to starts passed as well. All orders are checked now, against the time at which they were sent, so that a process that was suspended meanwhile doesn't take a late answer for another process's.

Workers that weren't called for ten minutes are forgotten once there are 20,000, as each move of a VM brings a new one.

--- a/src/scheduler/late_calls_test.ts
+++ b/src/scheduler/late_calls_test.ts
@@ -204,7 +204,7 @@
 });
 
 // Guards against a start that counts as confirmed by a process that has ended before.
-test("a start that another process has answered counts as unanswered", async () => {
+test("an order that another process has answered counts as unanswered", async () => {
   let clockMs = 500_000;
   const clock = { monotonicMs: () => 0, wallMs: () => 0 };
   const done = () => Promise.resolve({ kind: "done", clockMs });
@@ -230,6 +230,8 @@
   clockMs = 499_100;
   assert.equal((await link.start(order)).kind, "done");
   clockMs = 600;
+  // The answer to the stop doesn't change what is known of the clock.
+  assert.equal((await link.stop("a", 1)).kind, "unknown");
   assert.equal((await link.start(order)).kind, "unknown");
 });
 
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -2,7 +2,7 @@
 import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
 import { createNotifier, type Notifier } from "../notifier.ts";
-import type { WorkerLife } from "./worker_lives.ts";
+import type { StartAttempt, WorkerLife } from "./worker_lives.ts";
 import type { PollPacing } from "./poll_pacing.ts";
 import type {
   EndedRunReport,
@@ -35,7 +35,7 @@
 const ORDER_CHECK_INTERVAL_MS = 150;
 /** Longest wait for the journal before the leases are renewed without acknowledging ended runs, in ms. */
 const JOURNAL_WAIT_MS = 700;
-/** Time by which a worker's clock may seem to be behind, in ms, as responses take time; a process that restarts begins its clock anew. */
+/** Time by which a worker's clock may seem to be behind, in ms, as it may run slow; a process that restarts begins its clock anew. */
 const CLOCK_TOLERANCE_MS = 1_000;
 /** Pause before a poll while ends can't be acknowledged, in ms. */
 const WITHHELD_PAUSE_MS = 200;
@@ -167,12 +167,15 @@
     );
   }
 
-  /** Replaces the outcome of a start by `unknown` if the clock in the response shows that another process has executed it. */
-  function requireSameProcess(outcome: OrderOutcome): OrderOutcome {
+  /** Replaces the outcome of an order by `unknown` if the clock in the response shows that another process has executed it. */
+  function requireSameProcess(
+    outcome: OrderOutcome,
+    sentAtMs: number,
+  ): OrderOutcome {
     if (outcome.kind !== "done" || clockOffsetMs === undefined) return outcome;
-    const behindMs = clock.monotonicMs() + clockOffsetMs - outcome.clockMs;
+    const behindMs = sentAtMs + clockOffsetMs - outcome.clockMs;
     if (behindMs < CLOCK_TOLERANCE_MS) return outcome;
-    log.info("start was answered by another process of its worker", {
+    log.info("order was answered by another process of its worker", {
       worker: worker.workerId,
       bornAtMs: worker.bornAtMs,
       behindMs: Math.round(behindMs),
@@ -188,11 +191,15 @@
 
   /** Sends an order, again with the latest token if it was overtaken. */
   async function sendOrder(
-    attempt: () => Promise<{ outcome: OrderOutcome; fence: number }>,
+    send: () => { fence: number; response: Promise<OrderOutcome> },
+    onOutcome: (outcome: OrderOutcome) => void = () => {},
   ): Promise<OrderOutcome> {
     for (let attempts = 1; attempts <= MAXIMUM_OVERTAKEN; attempts++) {
       if (closed) break;
-      const { outcome, fence } = await attempt();
+      const sentAtMs = clock.monotonicMs();
+      const { fence, response } = send();
+      const outcome = requireSameProcess(await response, sentAtMs);
+      onOutcome(outcome);
       handleOutcome(outcome, fence);
       if (!isOvertaken(outcome, fence)) return outcome;
     }
@@ -245,13 +252,13 @@
   }
 
   function* pollOnce(): Operation<void> {
+    const acknowledged = yield* acknowledgeEnds();
     const sentAtMs = clock.monotonicMs();
     // An unreachable worker is granted no further lease, so that the upper bound of its leases stays fixed.
     const leaseEndMs = failing ? undefined : nextLeaseEndMs();
     if (leaseEndMs !== undefined) extendLeaseBound();
     const times = pacing.next(link);
     const { fence } = life;
-    const acknowledged = yield* acknowledgeEnds();
     const outcome = yield* until(control.renewAndPoll(worker, {
       fence,
       acknowledged,
@@ -340,33 +347,32 @@
     leasesExpired: () =>
       clock.monotonicMs() > Math.max(leaseBoundMs, earlierLeasesEndMs),
     unseenLeasesEndMs: () => life.extensionsEndMs() + MAXIMUM_LEASE_MS,
-    start: (order) =>
-      sendOrder(async () => {
+    start(order) {
+      let attempt: StartAttempt;
+      return sendOrder(() => {
         extendLeaseBound();
-        const { fence, end } = life.beginStart();
-        const outcome = requireSameProcess(
-          await control.start(worker, {
-            ...order,
-            fence,
-            leaseEndMs: nextLeaseEndMs() ?? 0,
-          }),
-        );
-        end(outcome.kind !== "unknown");
-        return { outcome, fence };
-      }),
+        attempt = life.beginStart();
+        const { fence } = attempt;
+        const leaseEndMs = nextLeaseEndMs() ?? 0;
+        return {
+          fence,
+          response: control.start(worker, { ...order, fence, leaseEndMs }),
+        };
+      }, (outcome) => attempt.end(outcome.kind !== "unknown"));
+    },
     stop: (taskId, run) =>
-      sendOrder(async () => {
+      sendOrder(() => {
         const { fence } = life;
         return {
-          outcome: await control.stop(worker, { taskId, run, fence }),
           fence,
+          response: control.stop(worker, { taskId, run, fence }),
         };
       }),
     throttle: (taskId, run, percent) =>
-      sendOrder(async () => {
+      sendOrder(() => {
         const { fence } = life;
         const order = { taskId, run, percent, fence };
-        return { outcome: await control.throttle(worker, order), fence };
+        return { fence, response: control.throttle(worker, order) };
       }),
     async probe() {
       if (closed || failing) return;
--- a/src/scheduler/worker_lives.ts
+++ b/src/scheduler/worker_lives.ts
@@ -11,6 +11,11 @@
 /** Time after which a call without an answer is no longer executed, in ms; platforms have taken up to 12 s. */
 export const LATE_CALL_LIMIT_MS = 12_500;
 
+/** Number of workers from which on those are forgotten that haven't been called for a long time: each VM gets a new one with each move. */
+const MANY_WORKERS = 20_000;
+/** Time after its last call at which a worker may be forgotten, in ms; one that is registered is called all the time. */
+const FORGET_AFTER_MS = 600_000;
+
 /** An attempt to send a start order. */
 export interface StartAttempt {
   readonly fence: number;
@@ -66,6 +71,8 @@
   bornAtMs: number;
   /** The latest token, counted from the epoch's first. */
   latestToken: number;
+  /** Monotonic time at which the worker became known, in ms. */
+  readonly addedAtMs: number;
   /** Monotonic time of the latest call that extends the lease, in ms. */
   extendedAtMs: number;
   /** Token of the latest poll that acknowledged ends; -1 before the first. */
@@ -134,13 +141,24 @@
     };
   }
 
+  function forgetOldWorkers(): void {
+    const limitMs = nowMs() - FORGET_AFTER_MS;
+    for (const [workerId, { addedAtMs, extendedAtMs }] of callsByWorker) {
+      if (Math.max(addedAtMs, extendedAtMs) < limitMs) {
+        callsByWorker.delete(workerId);
+      }
+    }
+  }
+
   return {
     add(workerId, bornAtMs) {
       const known = callsByWorker.get(workerId);
       if (known === undefined) {
+        if (callsByWorker.size >= MANY_WORKERS) forgetOldWorkers();
         const calls: WorkerCalls = {
           bornAtMs,
           latestToken: 0,
+          addedAtMs: nowMs(),
           extendedAtMs: -Infinity,
           acknowledgedWith: -1,
           startsInProgress: 0,
--- a/src/scheduler/worker_lives_test.ts
+++ b/src/scheduler/worker_lives_test.ts
@@ -52,6 +52,21 @@
   assert.equal(next.mayAcknowledge(), false);
 });
 
+// Guards against a memory that grows with each move of a VM.
+test("workers that weren't called for a long time are forgotten once there are many", () => {
+  let nowMs = 0;
+  const lives = createWorkerLives(1, () => nowMs);
+  lives.add("called", 1);
+  lives.add("gone", 1).beginExtension();
+  nowMs = 600_000;
+  lives.add("called", 2).beginExtension();
+  for (let index = 2; index < 20_000; index++) lives.add(`w${index}`, 1);
+  nowMs++;
+  lives.add("new", 1);
+  assert.equal(lives.extensionsEndMs("gone"), -Infinity);
+  assert.equal(lives.extensionsEndMs("called"), 612_500);
+});
+
 // Guards against an owner that gives up, or loses an order, because its own later call was executed first.
 test("a call that a later one overtakes is repeated and isn't taken for a newer owner's work", async () => {
   let fenced = 0;
