fix(scheduler): the wait for an acknowledgement isn't taken over by the next process

Cause: the time since which ends were withheld belonged to the worker's ID, and only an acknowledgement cleared it. The next process's first ends were then acknowledged at once, although a start at it had no answer. A link that was closed during its wait still sent its poll and set the time again; its old token could replace a higher one that starts have to exceed.

Change: the time belongs to the link and ends with the silence of its worker; a closed link sends nothing; the token of acknowledgements only rises. An acknowledgement that is sent although a start has no answer doesn't wait at the worker, so that it is in progress for milliseconds. A forgotten worker that comes back gets higher tokens than before, as its process may be alive.

It replaces the check of the three seconds in mayAcknowledge, which no longer decides it, by one of the link's polls.

--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -2,7 +2,11 @@
 import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
 import { createNotifier, type Notifier } from "../notifier.ts";
-import type { StartAttempt, WorkerLife } from "./worker_lives.ts";
+import {
+  ACKNOWLEDGEMENT_DELAY_MS,
+  type StartAttempt,
+  type WorkerLife,
+} from "./worker_lives.ts";
 import type { PollPacing } from "./poll_pacing.ts";
 import type {
   EndedRunReport,
@@ -42,6 +46,14 @@
 /** Number of attempts to send an order that later ones overtake. */
 const MAXIMUM_OVERTAKEN = 3;
 
+/** What a poll acknowledges. */
+interface Acknowledgement {
+  /** Number up to which ended runs are acknowledged; 0 for none. */
+  readonly endNumber: number;
+  /** Whether a start has no answer; the poll is to be answered at once, as it must not be left to the worker's next process. */
+  readonly isForced: boolean;
+}
+
 /** Callbacks of a worker link. */
 export interface WorkerLinkEvents {
   /** Called with a report of this worker instance; `sentAtMs` is the monotonic time at which it was requested. */
@@ -107,6 +119,8 @@
   let storedEndNumber = 0;
   /** Number of the latest end of which the process has confirmed the acknowledgement. */
   let acknowledgedEndNumber = 0;
+  /** Monotonic time since which ends wait to be acknowledged, in ms; undefined if they don't. */
+  let withheldSinceMs: number | undefined;
   let clockOffsetMs: number | undefined;
   let hasResponded = false;
   let hasReported = false;
@@ -252,7 +266,8 @@
   }
 
   function* pollOnce(): Operation<void> {
-    const acknowledged = yield* acknowledgeEnds();
+    const { endNumber: acknowledged, isForced } = yield* acknowledgeEnds();
+    if (closed) return;
     const sentAtMs = clock.monotonicMs();
     // An unreachable worker is granted no further lease, so that the upper bound of its leases stays fixed.
     const leaseEndMs = failing ? undefined : nextLeaseEndMs();
@@ -263,7 +278,7 @@
       fence,
       acknowledged,
       leaseEndMs,
-      waitMs: leaseEndMs === undefined ? 0 : times.waitMs,
+      waitMs: leaseEndMs === undefined || isForced ? 0 : times.waitMs,
       responseTimeoutMs: times.responseTimeoutMs,
     }));
     if (closed) return;
@@ -308,16 +323,26 @@
     if (latest > storedEndNumber) yield* waitForJournal(latest);
   }
 
-  /** Returns the number up to which the next poll acknowledges ends; 0 if nothing is to be acknowledged, or can't be yet. */
-  function* acknowledgeEnds(): Operation<number> {
-    if (failing || storedEndNumber === acknowledgedEndNumber) return 0;
+  /** Chooses what the next poll acknowledges; waits a moment if starts at the worker have no answer. */
+  function* acknowledgeEnds(): Operation<Acknowledgement> {
+    if (failing || storedEndNumber === acknowledgedEndNumber) {
+      withheldSinceMs = undefined;
+      return { endNumber: 0, isForced: false };
+    }
+    let isForced = false;
     if (!life.mayAcknowledge()) {
+      withheldSinceMs ??= clock.monotonicMs();
       // Ends that aren't acknowledged end a long poll at once.
       yield* life.startsEnded.wait(WITHHELD_PAUSE_MS);
-      if (!life.mayAcknowledge()) return 0;
+      isForced = !life.mayAcknowledge();
+      const withheldMs = clock.monotonicMs() - withheldSinceMs;
+      if (closed || (isForced && withheldMs <= ACKNOWLEDGEMENT_DELAY_MS)) {
+        return { endNumber: 0, isForced: false };
+      }
     }
+    withheldSinceMs = undefined;
     life.beginAcknowledgement();
-    return storedEndNumber;
+    return { endNumber: storedEndNumber, isForced };
   }
 
   /** Waits until ended runs are stored and may be acknowledged; the wait is limited so that leases don't expire while the store is unavailable. */
--- a/src/scheduler/worker_lives.ts
+++ b/src/scheduler/worker_lives.ts
@@ -5,8 +5,8 @@
  * takes a few per second; the token of the last epoch stays a safe integer.
  */
 const TOKENS_PER_EPOCH = 100_000_000;
-/** Longest time for which ends aren't acknowledged because a start at the worker has no answer, in ms. */
-const MAXIMUM_ACKNOWLEDGEMENT_DELAY_MS = 3_000;
+/** Time for which a start without an answer delays acknowledgements, in ms. */
+export const ACKNOWLEDGEMENT_DELAY_MS = 3_000;
 
 /** Time after which a call without an answer is no longer executed, in ms; platforms have taken up to 12 s. */
 export const LATE_CALL_LIMIT_MS = 12_500;
@@ -31,7 +31,7 @@
  * which has seen no token. A start order and an acknowledgement would be harmful
  * there in that order: the process counts its ends from 1 and would forget the
  * end of the run unread. So a start has a higher token than each earlier
- * acknowledgement, and none is sent while a start has no answer.
+ * acknowledgement, and an acknowledgement waits for the answers of earlier starts.
  */
 export interface WorkerLife {
   /** Whether the process started while the owner called the worker, so that no other owner can have called it. */
@@ -44,7 +44,7 @@
   extensionsEndMs(): number;
   /** Begins an attempt to send a start order. */
   beginStart(): StartAttempt;
-  /** Whether the next poll may acknowledge ends. */
+  /** Whether all starts at the worker were answered or are a while ago, so that a poll may acknowledge ends. */
   mayAcknowledge(): boolean;
   /** Records that a poll that acknowledges ends is about to be sent. */
   beginAcknowledgement(): void;
@@ -80,8 +80,6 @@
   startsInProgress: number;
   /** Monotonic time at which the latest start without an answer was given up, in ms. */
   unansweredStartAtMs: number;
-  /** Monotonic time since which ends couldn't be acknowledged, in ms; undefined if they can. */
-  withheldSinceMs: number | undefined;
   readonly startsEnded: Notifier;
 }
 
@@ -91,6 +89,8 @@
   nowMs: () => number,
 ): WorkerLives {
   const callsByWorker = new Map<string, WorkerCalls>();
+  /** Token of the next unknown worker, which is higher than those of forgotten ones. */
+  let firstToken = 0;
 
   // All calls beyond the last token share it, as the next one belongs to the next owner.
   const nextToken = (calls: WorkerCalls) =>
@@ -123,19 +123,11 @@
           },
         };
       },
-      mayAcknowledge() {
-        const isSafe = calls.startsInProgress === 0 &&
-          nowMs() - calls.unansweredStartAtMs >
-            MAXIMUM_ACKNOWLEDGEMENT_DELAY_MS;
-        if (isSafe) return true;
-        calls.withheldSinceMs ??= nowMs();
-        // A worker lists only so many ends at a time.
-        return nowMs() - calls.withheldSinceMs >
-          MAXIMUM_ACKNOWLEDGEMENT_DELAY_MS;
-      },
+      mayAcknowledge: () =>
+        calls.startsInProgress === 0 &&
+        nowMs() - calls.unansweredStartAtMs > ACKNOWLEDGEMENT_DELAY_MS,
       beginAcknowledgement() {
-        calls.withheldSinceMs = undefined;
-        calls.acknowledgedWith = token;
+        calls.acknowledgedWith = Math.max(calls.acknowledgedWith, token);
       },
       startsEnded: calls.startsEnded,
     };
@@ -143,9 +135,11 @@
 
   function forgetOldWorkers(): void {
     const limitMs = nowMs() - FORGET_AFTER_MS;
-    for (const [workerId, { addedAtMs, extendedAtMs }] of callsByWorker) {
+    for (const [workerId, calls] of callsByWorker) {
+      const { addedAtMs, extendedAtMs, latestToken } = calls;
       if (Math.max(addedAtMs, extendedAtMs) < limitMs) {
         callsByWorker.delete(workerId);
+        firstToken = Math.max(firstToken, latestToken + 1);
       }
     }
   }
@@ -157,13 +151,12 @@
         if (callsByWorker.size >= MANY_WORKERS) forgetOldWorkers();
         const calls: WorkerCalls = {
           bornAtMs,
-          latestToken: 0,
+          latestToken: firstToken,
           addedAtMs: nowMs(),
           extendedAtMs: -Infinity,
           acknowledgedWith: -1,
           startsInProgress: 0,
           unansweredStartAtMs: -Infinity,
-          withheldSinceMs: undefined,
           startsEnded: createNotifier(),
         };
         callsByWorker.set(workerId, calls);
--- a/src/scheduler/worker_lives_test.ts
+++ b/src/scheduler/worker_lives_test.ts
@@ -2,7 +2,7 @@
 import { run } from "effection";
 import { setTimeout as delay } from "node:timers/promises";
 import { suite } from "uvu";
-import { registrationOf } from "../../testing/scheduler_helpers.ts";
+import { ended, registrationOf } from "../../testing/scheduler_helpers.ts";
 import { waitFor } from "../../testing/wait.ts";
 import { systemClock } from "../clock.ts";
 import { silentLogger } from "../logger.ts";
@@ -32,8 +32,19 @@
   assert.ok(createWorkerLives(3, () => 0).add("w1", 1).fence > next.fence);
 });
 
-// Guards against the same loss, and against ends that are never acknowledged while starts stay unanswered.
-test("ends aren't acknowledged while a start has no answer, for three seconds at most", () => {
+// Guards against a start of the next process with the token of its own earlier acknowledgement.
+test("an acknowledgement of a closed link doesn't lower the token that starts must exceed", () => {
+  const lives = createWorkerLives(1, () => 0);
+  const first = lives.add("w1", 1);
+  const next = lives.add("w1", 2);
+  next.beginAcknowledgement();
+  const acknowledgedWith = next.fence;
+  first.beginAcknowledgement();
+  assert.ok(next.beginStart().fence > acknowledgedWith);
+});
+
+// Guards against ends that an acknowledgement makes the next process forget after it has executed an earlier start.
+test("ends aren't acknowledged while a start at any process of the worker has no answer", () => {
   let nowMs = 10_000;
   const lives = createWorkerLives(1, () => nowMs);
   const life = lives.add("w1", 1);
@@ -41,15 +52,64 @@
   assert.equal(life.mayAcknowledge(), false);
   start.end(true);
   assert.equal(life.mayAcknowledge(), true);
-  life.beginStart().end(false);
+  const unanswered = life.beginStart();
   const next = lives.add("w1", 2);
   assert.equal(next.mayAcknowledge(), false);
+  unanswered.end(false);
   nowMs += 2_000;
   next.beginStart().end(false);
-  nowMs += 1_001;
-  assert.equal(next.mayAcknowledge(), true);
-  next.beginAcknowledgement();
+  nowMs += 3_000;
   assert.equal(next.mayAcknowledge(), false);
+  nowMs++;
+  assert.equal(next.mayAcknowledge(), true);
+});
+
+// Guards against ends that are never acknowledged, of which a worker lists only so many.
+test("an acknowledgement waits three seconds for a start, and doesn't wait at the worker after that", async () => {
+  let nowMs = 0;
+  const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
+  const life = createWorkerLives(1, () => nowMs).add("w1", 1);
+  life.beginStart();
+  const polls: { acknowledged: number; waitMs: number; atMs: number }[] = [];
+  const link = createWorkerLink({
+    registration: registrationOf(1, "w1:1"),
+    life,
+    control: {
+      renewAndPoll(
+        _: unknown,
+        order: { acknowledged: number; waitMs: number },
+      ) {
+        polls.push({ ...order, atMs: nowMs });
+        nowMs += 800;
+        return delay(1, {
+          kind: "done",
+          clockMs: nowMs,
+          bornAtMs: 1,
+          running: [],
+          hasMoreEnded: false,
+          ended: [ended(1, 1, "done")],
+        });
+      },
+    } as never,
+    clock,
+    log: silentLogger,
+    events: {
+      onReport() {},
+      afterFlush: (callback: () => void) => callback(),
+      mayOrder: () => true,
+    } as never,
+    earlierLeasesEndMs: 0,
+    pacing: createPollPacing(() => 0),
+  });
+  const task = run(() => link.run());
+  const acknowledging = () => polls.find((poll) => poll.acknowledged === 1);
+  await waitFor("the end is acknowledged", () => acknowledging() !== undefined);
+  link.close();
+  await task.halt();
+  // The end is stored after the first poll, at 800 ms.
+  assert.ok(acknowledging()!.atMs > 3_800);
+  assert.equal(acknowledging()!.waitMs, 0);
+  assert.ok(polls.slice(1, 4).every(({ waitMs }) => waitMs > 0));
 });
 
 // Guards against a memory that grows with each move of a VM.
@@ -57,13 +117,16 @@
   let nowMs = 0;
   const lives = createWorkerLives(1, () => nowMs);
   lives.add("called", 1);
-  lives.add("gone", 1).beginExtension();
+  const { fence } = lives.add("gone", 1);
+  lives.add("gone", 2).beginExtension();
   nowMs = 600_000;
   lives.add("called", 2).beginExtension();
   for (let index = 2; index < 20_000; index++) lives.add(`w${index}`, 1);
   nowMs++;
   lives.add("new", 1);
   assert.equal(lives.extensionsEndMs("gone"), -Infinity);
+  // The process may be alive after all, and has seen the earlier tokens.
+  assert.ok(lives.add("gone", 2).fence > fence + 1);
   assert.equal(lives.extensionsEndMs("called"), 612_500);
 });
 
