fix(scheduler): a start in progress at a restart counts as unanswered from then on

Cause: a start in progress when the next process registers moves to that process without an unanswered attempt. If the VM of that process went down, the task was freed at once, and the third process executed the start while it ran elsewhere.

Change: the attempt in progress is counted. Its time is that at which it was given up, as it may have waited on its way. A run that a report has shown once no attempt could be executed any more isn't held when its leases expire (it was, for 23 s instead of 8). A start that is refused because a later link of the same owner has called the worker is settled by a report instead of waiting for good.

late_calls_test: 10 passed, three of them new; a mutation that counts leases from the registration survived before, which the third one catches.

--- a/src/scheduler/crashes/lost_runs.ts
+++ b/src/scheduler/crashes/lost_runs.ts
@@ -73,7 +73,9 @@
       return lateStartEndMs(placement);
     case "may_have_followed":
       // What an earlier owner has sent counts for the leases of the instance itself.
-      return !placement.inherited && isUnanswered(placement)
+      return !placement.inherited && isUnanswered(placement) &&
+          // A report shows which process has executed the order.
+          (placement.reportedAtMs ?? -Infinity) < lateStartEndMs(placement)
         ? unseenLeasesEndMs(placement, instance)
         : -Infinity;
     default:
--- a/src/scheduler/late_calls_test.ts
+++ b/src/scheduler/late_calls_test.ts
@@ -5,16 +5,19 @@
 import { chooseSeed, createRandom } from "../../testing/random.ts";
 import { SchedulerCluster } from "../../testing/scheduler_cluster.ts";
 import {
+  createTestRegistry,
   createTestScheduler,
   openTasks,
   registrationOf,
   spec,
+  TASK,
 } from "../../testing/scheduler_helpers.ts";
 import { waitFor } from "../../testing/wait.ts";
 import { silentLogger } from "../logger.ts";
+import { PlacedTasks } from "./placed_tasks.ts";
 import { createPollPacing } from "./poll_pacing.ts";
 import { createWorkerLink, MAXIMUM_LEASE_MS } from "./worker_link.ts";
-import { createWorkerLives } from "./worker_lives.ts";
+import { createWorkerLives, LATE_CALL_LIMIT_MS } from "./worker_lives.ts";
 
 const test = suite("late calls that a worker's next process executes");
 const seed = chooseSeed();
@@ -203,6 +206,97 @@
   assert.equal(unanswered!.phase, "waiting");
 });
 
+// Guards against two runs at once: a start in progress reaches neither the process that it was sent to nor the next one, but the one after that.
+test("a start in progress at a restart is counted as unanswered at the next process", async () => {
+  const { scheduler, state, addWorker, flush } = createTestScheduler();
+  state.onStart = () => new Promise(() => {}) as never;
+  scheduler.accept(spec());
+  const [task] = openTasks(scheduler);
+  const first = addWorker("w1");
+  scheduler.place(task!, first, { run: 1, ticket: undefined });
+  await flush();
+  const next = { ...first, bornAtMs: 2, tasks: new PlacedTasks() };
+  scheduler.workers.add(next);
+  scheduler.replaceInstance(first, () => next, "restarted");
+  assert.equal(task!.placement?.bornAtMs, 2);
+  scheduler.removeInstance(next, "vm_down");
+  assert.equal(task!.phase, "placed");
+});
+
+// Guards against tasks that wait as long for a late start that a report has ruled out.
+test("a run that was listed once no start could be executed any more isn't held when its leases expire", async () => {
+  let nowMs = 1_000;
+  const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
+  const { scheduler, state, addWorker, flush, report } = createTestScheduler({
+    clock,
+  });
+  state.onStart = (attempt) =>
+    attempt % 2 === 1 ? { kind: "unknown" } : { kind: "done", clockMs: 0 };
+  scheduler.accept(spec());
+  const [task] = openTasks(scheduler);
+  for (
+    const [reportAfterMs, phase] of [[5_000, "placed"], [
+      13_000,
+      "waiting",
+    ]] as const
+  ) {
+    const worker = addWorker("w1");
+    const run = (task!.run ?? 0) + 1;
+    scheduler.place(task!, worker, { run, ticket: undefined });
+    await flush();
+    nowMs += reportAfterMs;
+    report(worker, [], [{
+      taskId: TASK,
+      run,
+      checkpoint: "",
+      percent: 10,
+      loadMetric: 0,
+    }]);
+    nowMs += 8_000;
+    worker.link!.unseenLeasesEndMs = () => nowMs + 15_000;
+    scheduler.removeInstance(worker, "leases_expired");
+    assert.equal(task!.phase, phase);
+    nowMs += 60_000;
+    const held = scheduler.workers.find("w1", 1);
+    if (held !== undefined) scheduler.removeInstance(held, "leases_expired");
+    assert.equal(task!.phase, "waiting");
+  }
+});
+
+// Guards against leases of a next process that count from its registration and not from the last call that may extend them.
+test("a process that hasn't responded may hold a lease of the latest call to its predecessor", async () => {
+  let nowMs = 1_000;
+  const clock = { monotonicMs: () => nowMs, wallMs: () => nowMs };
+  const { scheduler } = createTestScheduler({ clock });
+  let registration = registrationOf(1, "w1:1");
+  const control = {
+    start: () => Promise.resolve({ kind: "unknown" }),
+    close() {},
+  };
+  const registry = createTestRegistry(
+    scheduler,
+    control as never,
+    () => registration,
+    clock,
+  );
+  registry.syncItem({} as never);
+  const order = {
+    taskId: "a",
+    run: 1,
+    specification: "",
+    checkpoint: "",
+    ticket: undefined,
+  };
+  await scheduler.workers.find("w1", 1)!.link!.start(order);
+  registration = registrationOf(2, "w1:1");
+  registry.syncItem({} as never);
+  const next = scheduler.workers.find("w1", 2)!.link!;
+  nowMs = 1_000 + LATE_CALL_LIMIT_MS + MAXIMUM_LEASE_MS;
+  assert.equal(next.leasesExpired(), false);
+  nowMs++;
+  assert.equal(next.leasesExpired(), true);
+});
+
 // Guards against a start that counts as confirmed by a process that has ended before.
 test("an order that another process has answered counts as unanswered", async () => {
   let clockMs = 500_000;
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -191,6 +191,8 @@
       if (task.placement !== placement) return;
       if (outcome.kind !== "unknown") break;
       placement.unansweredAttempts++;
+      // It may have waited on its way, so that it can be executed until later.
+      placement.startSentAtMs = clock.monotonicMs();
       // During an attempt, the tenure or the worker's process may end, and the run be listed or become needless.
       if (
         findInstance(placement)?.link !== instance.link ||
@@ -244,6 +246,8 @@
   ): void {
     switch (reason) {
       case "fenced":
+        // If this owner remains, a later link to the worker has raised the token.
+        placement.startState = "unresolved";
         return;
       case "superseded":
         // An earlier attempt to send this order was carried out, and the run has ended.
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -630,6 +630,9 @@
     task.placement = {
       ...placement,
       bornAtMs: successor.bornAtMs,
+      // The attempt in progress gets no answer any more.
+      unansweredAttempts: placement.unansweredAttempts +
+        (placement.startState === "sending" ? 1 : 0),
       startState: placement.startState === "inherited"
         ? "inherited"
         : "unresolved",
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -1,5 +1,5 @@
 import { setTimeout as delay } from "node:timers/promises";
-import { systemClock } from "../src/clock.ts";
+import { type Clock, systemClock } from "../src/clock.ts";
 import { silentLogger } from "../src/logger.ts";
 import type { RunLoss } from "../src/scheduler/crashes/run_loss.ts";
 import { createDueOccurrences } from "../src/scheduler/job_state.ts";
@@ -163,6 +163,7 @@
   scheduler: Scheduler,
   control: WorkerControl,
   readWorker: () => WorkerRegistration,
+  clock: Clock = systemClock,
 ) {
   return createWorkerRegistry({
     scheduler,
@@ -173,7 +174,7 @@
       readWorker,
     } as unknown as PlatformRecordCodec,
     epoch: 1,
-    clock: systemClock,
+    clock,
     log: silentLogger,
     earlierLeasesEndMs: 0,
     events: {
