--- a/src/scheduler/relay/control.ts
+++ b/src/scheduler/relay/control.ts
@@ -206,8 +206,12 @@
         return await direct.renewAndPoll(worker, order);
       }
       if (outcome.kind === "lost") {
-        // The failure of a relay says nothing about the worker, and a poll can be repeated.
-        return await direct.renewAndPoll(worker, { ...order, waitMs: 0 });
+        // The failure of a relay says nothing about the worker, and a poll can be repeated, but the time is over until which it may extend the lease.
+        return await direct.renewAndPoll(worker, {
+          ...order,
+          leaseEndMs: undefined,
+          waitMs: 0,
+        });
       }
       return outcome.kind === "done"
         ? { ...outcome, bornAtMs: outcome.bornAtMs }
