test(soak): workers restart under their IDs, cut off, and execute earlier calls late

Guards against tasks that run twice because the next process of a worker, which has seen no fencing token, executes starts, polls and stops that had no answer at the crash: an end that is forgotten unread, and a lease that a late poll renews while the task starts elsewhere. The soak never did this: a crash gave each worker a new ID.

The new kind is the last one. It restarts about 40% of the workers, cuts them off from all entries then or up to 2 s later for 3 to 9 s, or for 10 to 16 s with runs that outlast the cut, and executes the calls at random times within 12 s after they were sent.

Late starts count for the CANCELLED check by the time at which they were sent: no owner can take back an order that is under way when its job is cancelled.

`--kinds` selects kinds of faults.

--- a/testing/fake_task_workers.ts
+++ b/testing/fake_task_workers.ts
@@ -17,6 +17,8 @@
 interface Run {
   readonly taskId: string;
   readonly run: number;
+  /** Monotonic time at which the start order was sent, in ms; only calls that were kept are executed much later. */
+  readonly orderedAtMs: number;
   readonly startedAtMs: number;
   readonly durationMs: number;
   readonly longRunning: boolean;
@@ -34,10 +36,14 @@
   holdsPollsOfCrashed: boolean;
   /** Ids of workers that leave starts unanswered, which are kept as well. */
   readonly holdsStarts: Set<string>;
-  /** Time after which the caller of such a start gives up, in ms. */
+  /** Time after which the caller of a call that is kept gives up, in ms. */
   heldStartTimeoutMs: number;
+  /** Ids of workers that leave all calls unanswered, also those that wait at a crash; the calls are kept. */
+  readonly holdsCalls: Set<string>;
   /** Fraction of orders that workers refuse because they are unhealthy. */
   unhealthyRate: number;
+  /** Ids of workers whose runs don't finish by themselves. */
+  readonly slow: Set<string>;
   /** Fraction of runs that fail. */
   failedRunRate: number;
   /** Ids of workers that receive no orders. */
@@ -62,6 +68,17 @@
 const CAPACITY_GRACE_MS = 4_500;
 /** Maximum time from now until the lease end that a worker accepts, in ms. */
 const MAXIMUM_LEASE_MS = 10_000;
+/** Longest time from a call until it is executed late, in ms. */
+const LATE_CALL_LIMIT_MS = 12_000;
+
+/** A call that a worker has neither executed nor answered yet. */
+interface HeldCall {
+  readonly workerId: string;
+  readonly kind: "start" | "stop" | "poll";
+  /** Monotonic time, in ms. */
+  readonly sentAtMs: number;
+  readonly execute: () => void;
+}
 
 /** A worker of the in-memory fleet. */
 export class FakeTaskWorker {
@@ -169,7 +186,9 @@
     holdsPollsOfCrashed: false,
     holdsStarts: new Set(),
     heldStartTimeoutMs: 100,
+    holdsCalls: new Set(),
     unhealthyRate: 0,
+    slow: new Set(),
     failedRunRate: 0,
     unreachable: new Set(),
     silent: new Set(),
@@ -184,8 +203,7 @@
   readonly workers = new Map<string, FakeTaskWorker>();
   /** Orders that have reached a paused VM. */
   #pausedOrders: { worker: FakeTaskWorker; execute: () => void }[] = [];
-  /** Calls that workers have neither executed nor answered yet. */
-  #heldCalls: { kind: "start" | "poll"; execute: () => void }[] = [];
+  #heldCalls: HeldCall[] = [];
   readonly #timer: NodeJS.Timeout;
 
   constructor(readonly random: Random, readonly invariants: InvariantChecker) {
@@ -201,11 +219,11 @@
   clockOffsetMs: number | undefined;
 
   /** Adds a worker. */
-  add(registration: WorkerRegistration): FakeTaskWorker {
-    const worker = new FakeTaskWorker(
-      registration,
-      this.clockOffsetMs ?? Math.floor(this.random.next() * 1e6),
-    );
+  add(
+    registration: WorkerRegistration,
+    clockOffsetMs = this.clockOffsetMs ?? Math.floor(this.random.next() * 1e6),
+  ): FakeTaskWorker {
+    const worker = new FakeTaskWorker(registration, clockOffsetMs);
     this.workers.set(registration.workerId, worker);
     return worker;
   }
@@ -234,6 +252,33 @@
     }
   }
 
+  /** Executes the calls that were kept for one worker like `executeHeldCalls`, but each at a random time within `spreadMs`. */
+  executeHeldCallsLate(workerId: string, spreadMs: number): void {
+    const calls = this.#heldCalls;
+    this.#heldCalls = calls.filter((call) => call.workerId !== workerId);
+    for (const call of calls) {
+      if (call.workerId !== workerId) continue;
+      const remainingMs = call.sentAtMs + LATE_CALL_LIMIT_MS -
+        performance.now();
+      const withinMs = Math.min(spreadMs, remainingMs);
+      setTimeout(call.execute, this.random.next() * withinMs).unref();
+    }
+  }
+
+  /** Keeps a call for the process that runs under the worker's ID later. */
+  #hold(
+    call: Omit<HeldCall, "execute">,
+    execute: (worker: FakeTaskWorker) => void,
+  ): void {
+    this.#heldCalls.push({
+      ...call,
+      execute: () => {
+        const worker = this.workers.get(call.workerId)!;
+        if (worker.alive && !this.#isPaused(worker)) execute(worker);
+      },
+    });
+  }
+
   /** Ends the worker that has started a deadly task. */
   #crashLater(worker: FakeTaskWorker, taskId: string): void {
     setTimeout(() => {
@@ -266,6 +311,7 @@
         if (lapsed) worker.end(run.taskId, "lapsed");
         else if (
           !run.longRunning &&
+          !this.faults.slow.has(worker.registration.workerId) &&
           performance.now() - run.startedAtMs > run.durationMs
         ) {
           const failed = this.random.next() < this.faults.failedRunRate;
@@ -407,7 +453,11 @@
     );
   }
 
-  #start(worker: FakeTaskWorker, order: StartOrder): OrderOutcome {
+  #start(
+    worker: FakeTaskWorker,
+    order: StartOrder,
+    orderedAtMs = performance.now(),
+  ): OrderOutcome {
     if (this.#rejectsFence(worker, order.fence)) {
       return { kind: "refused", reason: "fenced" };
     }
@@ -426,6 +476,7 @@
     const run: Run = {
       taskId: order.taskId,
       run: order.run,
+      orderedAtMs,
       startedAtMs: performance.now(),
       durationMs: (step?.estimatedMs ?? 50) * (0.5 + this.random.next()),
       longRunning: step?.longRunning ?? false,
@@ -474,45 +525,55 @@
         isUp() ? outcome : { kind: "unknown" }
       );
     const noResponse: OrderOutcome<never> = { kind: "unknown" };
+    const giveUp = () => delay(this.faults.heldStartTimeoutMs, noResponse);
+    const { holdsStarts, holdsCalls } = this.faults;
     return {
       start: ({ workerId }, order) => {
         if (!isUp()) return Promise.resolve(noResponse);
-        if (this.faults.holdsStarts.has(workerId)) {
-          this.#heldCalls.push({
-            kind: "start",
-            execute: () => void this.#start(this.workers.get(workerId)!, order),
-          });
-          return delay(this.faults.heldStartTimeoutMs, noResponse);
+        if (holdsStarts.has(workerId) || holdsCalls.has(workerId)) {
+          const sentAtMs = performance.now();
+          this.#hold(
+            { workerId, kind: "start", sentAtMs },
+            (worker) => void this.#start(worker, order, sentAtMs),
+          );
+          return giveUp();
         }
         return unlessDown(
           this.#execute(workerId, (worker) => this.#start(worker, order)),
         );
       },
-      stop: ({ workerId }, { taskId, run, fence }) =>
-        isUp()
-          ? unlessDown(
-            this.#execute<{ clockMs: number }>(workerId, (worker) => {
-              if (this.#rejectsFence(worker, fence)) {
-                return { kind: "refused", reason: "fenced" };
-              }
-              const existing = worker.running.get(taskId);
-              worker.highestRun.set(
-                taskId,
-                Math.max(worker.highestRun.get(taskId) ?? 0, run),
-              );
-              if (existing !== undefined && existing.run <= run) {
-                worker.end(taskId, "stopped");
-              }
-              return { kind: "done", clockMs: worker.clockMs() };
-            }),
-          )
-          : Promise.resolve(noResponse),
+      stop: ({ workerId }, { taskId, run, fence }) => {
+        if (!isUp()) return Promise.resolve(noResponse);
+        const stop = (
+          worker: FakeTaskWorker,
+        ): OrderOutcome<{ clockMs: number }> => {
+          if (this.#rejectsFence(worker, fence)) {
+            return { kind: "refused", reason: "fenced" };
+          }
+          const existing = worker.running.get(taskId);
+          worker.highestRun.set(
+            taskId,
+            Math.max(worker.highestRun.get(taskId) ?? 0, run),
+          );
+          if (existing !== undefined && existing.run <= run) {
+            worker.end(taskId, "stopped");
+          }
+          return { kind: "done", clockMs: worker.clockMs() };
+        };
+        if (holdsCalls.has(workerId)) {
+          const sentAtMs = performance.now();
+          this.#hold({ workerId, kind: "stop", sentAtMs }, stop);
+          return giveUp();
+        }
+        return unlessDown(this.#execute(workerId, stop));
+      },
       throttle: () => Promise.resolve({ kind: "done", clockMs: 0 }),
       renewAndPoll: async (
         { workerId },
         { fence, acknowledged, leaseEndMs, waitMs },
       ) => {
         if (!isUp()) return delay(100, noResponse);
+        const sentAtMs = performance.now();
         const worker = this.workers.get(workerId);
         const poll = (target: FakeTaskWorker): OrderOutcome<WorkerReport> => {
           if (this.#rejectsFence(target, fence)) {
@@ -521,6 +582,10 @@
           if (leaseEndMs !== undefined) this.#extendLease(target, leaseEndMs);
           return { kind: "done", ...this.#report(target, acknowledged) };
         };
+        if (holdsCalls.has(workerId)) {
+          this.#hold({ workerId, kind: "poll", sentAtMs }, poll);
+          return giveUp();
+        }
         const first = await unlessDown(
           this.#execute<WorkerReport>(workerId, poll),
         );
@@ -538,11 +603,10 @@
           const timer = setTimeout(done, waitMs);
           worker.waiters.add(done);
         });
-        if (!worker.alive && this.faults.holdsPollsOfCrashed) {
-          this.#heldCalls.push({
-            kind: "poll",
-            execute: () => void poll(this.workers.get(workerId)!),
-          });
+        const holdsPolls = this.faults.holdsPollsOfCrashed ||
+          holdsCalls.has(workerId);
+        if (!worker.alive && holdsPolls) {
+          this.#hold({ workerId, kind: "poll", sentAtMs }, poll);
         }
         if (
           !isUp() || !worker.alive || this.faults.unreachable.has(workerId) ||
--- a/testing/soak/fake_fleet.ts
+++ b/testing/soak/fake_fleet.ts
@@ -8,7 +8,8 @@
 /** Pool whose VMs are switched off. */
 export const SPARE_POOL = "spare";
 
-interface FakeVm {
+/** A VM of the fake fleet. */
+export interface FakeVm {
   readonly vmId: string;
   readonly rack: string;
   pool: string;
@@ -22,7 +23,7 @@
 /** Result of an order for a VM; `fence` means that its fencing token is outdated, `busy` that the VM is unknown or not up. */
 export type VmOrderResult = "done" | "fence" | "busy";
 
-/** In-memory fleet of VMs. Each move, maintenance or crash of a VM replaces its worker. */
+/** In-memory fleet of VMs. Each move, maintenance or crash of a VM replaces its worker; only `restartWorker` keeps the worker's ID. */
 export class FakeFleet {
   /** Ids of VMs whose entry in the VM list can't be read. */
   readonly unreadableVms = new Set<string>();
@@ -63,12 +64,12 @@
     this.#closed = true;
   }
 
-  #startWorker(vm: FakeVm): void {
+  #startWorker(vm: FakeVm, earlierId?: string): void {
     if (this.#closed) return;
     vm.state = "up";
     // VMs in the spare pool have no worker.
     if (vm.pool === SPARE_POOL) return;
-    vm.workerId = `worker-${this.#nextWorker++}`;
+    vm.workerId = earlierId ?? `worker-${this.#nextWorker++}`;
     const registration: WorkerRegistration = {
       workerId: vm.workerId,
       vmId: vm.vmId,
@@ -82,7 +83,10 @@
       bornAtMs: Date.now(),
       remainingMs: undefined,
     };
-    this.workers.add(registration);
+    this.workers.add(
+      registration,
+      earlierId === undefined ? undefined : -performance.now(),
+    );
     this.#writeRegistration(registration);
   }
 
@@ -131,6 +135,23 @@
     setTimeout(() => this.#startWorker(vm), downMs).unref();
   }
 
+  /**
+   * Kills the worker of a VM and starts its next process under the same ID after
+   * `downMs`, with a clock that starts at 0. Its registration stays meanwhile.
+   */
+  restartWorker(vm: FakeVm, downMs: number, onStart: () => void): void {
+    const worker = this.workers.workers.get(vm.workerId);
+    if (vm.state !== "up" || worker === undefined) return;
+    const { workerId } = vm;
+    vm.state = "down";
+    vm.workerId = "";
+    this.workers.crash(worker);
+    setTimeout(() => {
+      this.#startWorker(vm, workerId);
+      onStart();
+    }, downMs).unref();
+  }
+
   #order(
     vmId: string,
     fencingToken: number,
--- a/testing/soak/fault_injection.ts
+++ b/testing/soak/fault_injection.ts
@@ -15,12 +15,14 @@
 
 /** Creates the fault injector of a run. */
 export function createFaultInjector(
-  { run, platform, processes, writeConfig }: {
+  { run, platform, processes, writeConfig, kinds }: {
     readonly run: SoakRun;
     readonly platform: SoakPlatform;
     readonly processes: EntryProcesses;
     /** Writes the next version of the configuration. */
     readonly writeConfig: () => void;
+    /** Names of the kinds to inject; undefined for all. */
+    readonly kinds: readonly string[] | undefined;
   },
 ): FaultInjector {
   const { random } = run;
@@ -40,11 +42,11 @@
         entry,
         durationMs,
         faultNumber: faults.length + 1,
-        restoreLater(restore) {
+        restoreLater(restore, afterMs = durationMs) {
           pendingRestores.push(restore);
-          setTimeout(restore, durationMs).unref();
+          setTimeout(restore, afterMs).unref();
         },
-      });
+      }).filter(({ name }) => kinds?.includes(name) ?? true);
       const { name, inject } = faultKinds[
         random.nextInteger(
           faultKinds.length,
--- a/testing/soak/fault_kinds.ts
+++ b/testing/soak/fault_kinds.ts
@@ -3,6 +3,7 @@
   markDisturbed,
   type SoakEntry,
 } from "./entry_processes.ts";
+import type { FakeVm } from "./fake_fleet.ts";
 import type { SoakPlatform } from "./soak_platform.ts";
 import type { SoakRun } from "./soak_run.ts";
 
@@ -19,8 +20,8 @@
   readonly durationMs: number;
   /** Number of the fault in the run, from 1. */
   readonly faultNumber: number;
-  /** Schedules the end of the fault. */
-  readonly restoreLater: (restore: () => void) => void;
+  /** Schedules the end of the fault, after `durationMs` unless another time is given, in ms. */
+  readonly restoreLater: (restore: () => void, afterMs?: number) => void;
 }
 
 /** A named kind of fault. */
@@ -29,6 +30,50 @@
   readonly inject: () => void;
 }
 
+/**
+ * Restarts a worker under its ID and cuts it off from all entries then or soon
+ * after. Calls that had no answer are executed late by its next process. If it
+ * `isSlow`, its runs outlast the cut.
+ */
+function restartAndCutOff(
+  context: FaultContext,
+  vm: FakeVm,
+  isSlow: boolean,
+): void {
+  const { run: { random }, platform: { workers, fleet } } = context;
+  const { holdsCalls, unreachable, slow } = workers.faults;
+  const { workerId } = vm;
+  const crashAfterMs = 100 + random.nextInteger(900);
+  const downMs = 200 + random.nextInteger(700);
+  const cutAfterMs = random.next() < 0.7 ? 0 : random.nextInteger(2_000);
+  // Only long cuts outlast the leases of the earlier process.
+  const cutMs = isSlow
+    ? 10_000 + random.nextInteger(6_000)
+    : 3_000 + random.nextInteger(6_000);
+  let restored = false;
+  const cutOff = () => {
+    if (restored) return;
+    unreachable.add(workerId);
+    if (isSlow) slow.add(workerId);
+  };
+  holdsCalls.add(workerId);
+  setTimeout(() => {
+    if (restored || vm.workerId !== workerId) return;
+    fleet.restartWorker(vm, downMs, () => {
+      if (cutAfterMs === 0) cutOff();
+      else setTimeout(cutOff, cutAfterMs).unref();
+      holdsCalls.delete(workerId);
+      workers.executeHeldCallsLate(workerId, cutMs);
+    });
+  }, crashAfterMs).unref();
+  context.restoreLater(() => {
+    restored = true;
+    holdsCalls.delete(workerId);
+    unreachable.delete(workerId);
+    slow.delete(workerId);
+  }, crashAfterMs + downMs + cutAfterMs + cutMs);
+}
+
 /** Returns all kinds of faults. A seed repeats its faults only while their order stays the same. */
 export function listFaultKinds(context: FaultContext): FaultKind[] {
   const { entry, durationMs, restoreLater, writeConfig } = context;
@@ -168,6 +213,16 @@
         workers.faults.unreadable.delete(workerId);
       });
     }],
+    ["workers restart under their IDs and are cut off", () => {
+      const { holdsCalls, unreachable } = workers.faults;
+      // Tasks that are lost with several workers count as the cause of the crashes.
+      if (holdsCalls.size + unreachable.size > 0) return;
+      const areSlow = random.next() < 0.5;
+      for (const vm of fleet.vms.values()) {
+        if (vm.state !== "up" || vm.workerId === "") continue;
+        if (random.next() < 0.4) restartAndCutOff(context, vm, areSlow);
+      }
+    }],
   ];
   return kinds.map(([name, inject]) => ({ name, inject }));
 }
--- a/testing/soak/main.ts
+++ b/testing/soak/main.ts
@@ -35,6 +35,10 @@
     "duration of fault injection, in seconds",
     "20",
   )
+  .option(
+    "--kinds <names...>",
+    "names of the kinds of faults to inject; all by default",
+  )
   .option(
     "--out <folder>",
     "output folder for logs of failed seeds",
@@ -42,7 +46,7 @@
   );
 program.parse(process.argv);
 const options = program.opts<
-  Record<string, string> & { regressions?: boolean }
+  Record<string, string> & { regressions?: boolean; kinds?: string[] }
 >();
 
 const folder = await mkdtemp(join(tmpdir(), "cowslipferry-soak-"));
@@ -66,6 +70,7 @@
       entries: Number(options.entries),
       vms: Number(options.vms),
       faultsMs: Number(options.faultsS) * 1_000,
+      kinds: options.kinds,
       program: bundle,
       folder,
     });
--- a/testing/soak/soak.ts
+++ b/testing/soak/soak.ts
@@ -20,6 +20,8 @@
   readonly vms: number;
   /** Duration of fault injection, in ms. */
   readonly faultsMs: number;
+  /** Names of the kinds of faults to inject; all if omitted. */
+  readonly kinds?: readonly string[] | undefined;
   /** Bundle of the program. */
   readonly program: string;
   /** Parent of the temporary folder for the processes' settings. */
@@ -93,6 +95,7 @@
     platform,
     processes,
     writeConfig,
+    kinds: options.kinds,
   });
 
   try {
--- a/testing/soak/task_start_monitor.ts
+++ b/testing/soak/task_start_monitor.ts
@@ -20,7 +20,7 @@
     workspaces?.checkUsage();
     for (const worker of workers.workers.values()) {
       if (!worker.alive) continue;
-      for (const { taskId, startedAtMs } of worker.running.values()) {
+      for (const { taskId, orderedAtMs } of worker.running.values()) {
         const jobId = taskId.split(".")[0]!;
         if (refusedJobIds.delete(jobId)) {
           run.reportViolation(
@@ -31,7 +31,7 @@
         const cancelled = cancelledAtMs.get(jobId);
         if (
           cancelled !== undefined &&
-          startedAtMs > cancelled + CANCELLATION_GRACE_MS
+          orderedAtMs > cancelled + CANCELLATION_GRACE_MS
         ) {
           cancelledAtMs.delete(jobId);
           run.reportViolation(
