--- a/testing/soak/fault_injection.ts
+++ b/testing/soak/fault_injection.ts
@@ -47,6 +47,9 @@
           setTimeout(restore, afterMs).unref();
         },
       }).filter(({ name }) => kinds?.includes(name) ?? true);
+      if (faultKinds.length === 0) {
+        throw new Error(`no kind of fault is named ${kinds?.join(" or ")}`);
+      }
       const { name, inject } = faultKinds[
         random.nextInteger(
           faultKinds.length,
