--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -163,6 +163,10 @@
   scheduler: Scheduler,
   control: WorkerControl,
   readWorker: () => WorkerRegistration,
+  options: Pick<
+    Partial<Parameters<typeof createWorkerRegistry>[0]>,
+    "clock" | "events"
+  > = {},
 ) {
   return createWorkerRegistry({
     scheduler,
@@ -182,6 +186,7 @@
       mayOrder: () => true,
     },
     onChange() {},
+    ...options,
   });
 }
 
