--- a/src/scheduler/late_calls_test.ts
+++ b/src/scheduler/late_calls_test.ts
@@ -277,7 +277,7 @@
     scheduler,
     control as never,
     () => registration,
-    clock,
+    { clock },
   );
   registry.syncItem({} as never);
   const order = {
--- a/testing/scheduler_helpers.ts
+++ b/testing/scheduler_helpers.ts
@@ -1,5 +1,5 @@
 import { setTimeout as delay } from "node:timers/promises";
-import { type Clock, systemClock } from "../src/clock.ts";
+import { systemClock } from "../src/clock.ts";
 import { silentLogger } from "../src/logger.ts";
 import type { RunLoss } from "../src/scheduler/crashes/run_loss.ts";
 import { createDueOccurrences } from "../src/scheduler/job_state.ts";
@@ -163,7 +163,10 @@
   scheduler: Scheduler,
   control: WorkerControl,
   readWorker: () => WorkerRegistration,
-  clock: Clock = systemClock,
+  options: Pick<
+    Partial<Parameters<typeof createWorkerRegistry>[0]>,
+    "clock" | "events"
+  > = {},
 ) {
   return createWorkerRegistry({
     scheduler,
@@ -174,7 +177,7 @@
       readWorker,
     } as unknown as PlatformRecordCodec,
     epoch: 1,
-    clock,
+    clock: systemClock,
     log: silentLogger,
     earlierLeasesEndMs: 0,
     events: {
@@ -183,6 +186,7 @@
       mayOrder: () => true,
     },
     onChange() {},
+    ...options,
   });
 }
 
