fix(crashes): the end of a process whose tasks wait for late starts counts once

Cause, from the owner's log: a task ran on a worker beside the one that crashed it and was cleared when that one was given up. As its start had had an attempt without an answer, it stayed placed after the crash; 1.2 s later its VM ran another worker, and the same crash was recorded again, now without what was known of the run: 'just started, no other had'. Together with an earlier crash this gave the task up.

Change: the release of tasks that were held records no further crash.

--- a/src/scheduler/crashes/crash_tracker.ts
+++ b/src/scheduler/crashes/crash_tracker.ts
@@ -232,7 +232,8 @@
         process: fate,
         runs: tasks.map((task) => describeLostRun(task, instance)),
       });
-      if (fate === "planned") return;
+      // The end of a process whose tasks wait for late starts was recorded before.
+      if (fate === "planned" || instance.heldUntilMs !== undefined) return;
       const youngTasks = tasks.filter((task) =>
         task.placement?.startState !== "unrecorded" && isYoung(task, instance)
       );
--- a/src/scheduler/late_calls_test.ts
+++ b/src/scheduler/late_calls_test.ts
@@ -223,6 +223,24 @@
   assert.equal(task!.phase, "placed");
 });
 
+// Guards against healthy tasks that count as the cause of a crash: the end of their process was recorded again, without what was known of their runs, once no late start could be executed.
+test("the end of a process whose tasks wait for late starts counts once", async () => {
+  const { scheduler, state, addWorker, flush } = createTestScheduler();
+  state.onStart = () => ({ kind: "unknown" });
+  scheduler.accept(spec());
+  const [task] = openTasks(scheduler);
+  const worker = addWorker("w1");
+  scheduler.place(task!, worker, { run: 1, ticket: undefined });
+  await flush();
+  scheduler.removeInstance(worker, "vm_down");
+  assert.equal(task!.losses.length, 1);
+  // Another task is found to be the cause.
+  task!.losses = [];
+  scheduler.removeInstance(scheduler.workers.find("w1", 1)!, "vm_reassigned");
+  assert.equal(task!.phase, "waiting");
+  assert.deepEqual(task!.losses, []);
+});
+
 // Guards against tasks that wait as long for a late start that a report has ruled out.
 test("a run that was listed once no start could be executed any more isn't held when its leases expire", async () => {
   let nowMs = 1_000;
