--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -70,7 +70,23 @@
   // A file that exits early or runs no tests counts as one failure.
   const incomplete = total === 0 ||
     (result.code !== 0 && failures.length === 0);
-  return { passed, failed: failed + (incomplete ? 1 : 0), tolerated };
+  return {
+    passed,
+    failed: failed + (incomplete ? 1 : 0),
+    tolerated,
+    failures: failures.filter((name) => !tolerated.includes(name)),
+    incomplete,
+  };
+}
+
+// Returns a line for each failure of a file that isn't tolerated.
+function listFailures(result, { failures, failed, incomplete }) {
+  const lines = failures.map((name) => `failed: ${result.file} :: ${name}`);
+  if (failed > 0 && (incomplete || failures.length === 0)) {
+    const end = result.signal ?? `exit code ${result.code}`;
+    lines.push(`failed: ${result.file} (${end})`);
+  }
+  return lines;
 }
 
 const knownFailures = readKnownFailures();
@@ -83,25 +99,30 @@
   file.startsWith(ISOLATED_FOLDER)
 );
 const files = matchingFiles.filter((file) => !isolatedFiles.includes(file));
-const totals = { passed: 0, failed: 0, tolerated: [] };
+const totals = { passed: 0, failed: 0, tolerated: [], failures: [] };
+const failedOutputs = [];
 
 async function runQueuedFiles(queue) {
   for (let file = queue.shift(); file !== undefined; file = queue.shift()) {
     const startedAtMs = Date.now();
     const result = await runFile(file);
-    const { passed, failed, tolerated } = countResults(result, knownFailures);
+    const results = countResults(result, knownFailures);
+    const { passed, failed, tolerated } = results;
     totals.passed += passed;
     totals.failed += failed;
     totals.tolerated.push(...tolerated.map((name) => `${file} :: ${name}`));
+    totals.failures.push(...listFailures(result, results));
     const seconds = ((Date.now() - startedAtMs) / 1_000).toFixed(1);
     console.log(
       `${
         failed === 0 ? "ok  " : "FAIL"
       } ${file} (${passed} passed, ${seconds} s)`,
     );
-    // Also printed for a tolerated failure, which is still to be traced.
-    if (failed + tolerated.length > 0) {
-      console.log(result.output, result.signal ?? "");
+    if (failed > 0) {
+      failedOutputs.push(`${file}:\n${result.output}${result.signal ?? ""}`);
+    } else if (tolerated.length > 0) {
+      // A tolerated failure is still to be traced.
+      console.log(result.output);
     }
   }
 }
@@ -110,6 +131,9 @@
   Array.from({ length: CONCURRENT_FILES }, () => runQueuedFiles(files)),
 );
 await runQueuedFiles(isolatedFiles);
+// Printed last: a record that keeps only the end of the output then names the failures.
+for (const output of failedOutputs) console.log(output);
+for (const line of totals.failures) console.log(line);
 for (const name of totals.tolerated) console.log(`known red: ${name}`);
 console.log(
   `${totals.passed} passed, ${totals.failed} failed, ${totals.tolerated.length} skipped`,
