fix(connections): what callers send is copied into blocks that are used again

Cause: chunks of 4 KB and more stayed queued as slices of their 64 KB read buffers. Under load they survive two scavenges, and V8 collects old buffers only after 64 MB of external memory: process.memoryUsage() showed up to 86 MB of array buffers with 24 MB of heap, while the connections' budget is 19 MB.

Change: ByteQueue copies all chunks into blocks of 16 KB from a pool of the budget's size, so that read buffers die young. Held input is copied once more before it is parsed, as streams may queue it longer than its block is used.

--- a/src/connections/byte_queue.ts
+++ b/src/connections/byte_queue.ts
@@ -1,8 +1,7 @@
-/** Size of the smallest and the largest block that small chunks are copied into, in bytes. */
+import { BLOCK_BYTES, type BlockPool } from "./block_pool.ts";
+
+/** Size of the smallest block, in bytes. */
 const MINIMUM_BLOCK_BYTES = 512;
-const MAXIMUM_BLOCK_BYTES = 16_384;
-/** Smallest chunk that isn't copied, in bytes. */
-const KEPT_CHUNK_BYTES = 4_096;
 
 interface Block {
   readonly storage: Buffer;
@@ -12,15 +11,20 @@
 }
 
 /**
- * Bytes that are appended at the end and consumed from the start. Small chunks
- * are copied into blocks, because each would keep alive an object and the much
+ * Bytes that are appended at the end and consumed from the start. Chunks are
+ * copied into blocks, because each would keep alive an object and the often much
  * larger buffer that it is a part of.
  */
 export class ByteQueue {
   #blocks: Block[] = [];
+  #pool: BlockPool;
   #length = 0;
   #capacityBytes = 0;
 
+  constructor(pool: BlockPool) {
+    this.#pool = pool;
+  }
+
   /** Number of bytes that aren't consumed. */
   get length(): number {
     return this.#length;
@@ -33,33 +37,18 @@
 
   append(chunk: Buffer): void {
     this.#length += chunk.length;
-    if (chunk.length >= KEPT_CHUNK_BYTES) {
-      this.#addBlock({
-        storage: chunk,
-        startOffset: 0,
-        endOffset: chunk.length,
-      });
-      return;
-    }
-    const last = this.#blocks.at(-1);
-    let copiedBytes = 0;
-    if (last !== undefined) {
-      copiedBytes = chunk.copy(last.storage, last.endOffset);
-      last.endOffset += copiedBytes;
+    for (let offset = 0; offset < chunk.length;) {
+      const last = this.#blocks.at(-1);
+      const copiedBytes = last === undefined
+        ? 0
+        : chunk.copy(last.storage, last.endOffset, offset);
+      if (last !== undefined) last.endOffset += copiedBytes;
+      offset += copiedBytes;
+      if (offset < chunk.length) this.#addBlock();
     }
-    if (copiedBytes === chunk.length) return;
-    const storage = Buffer.allocUnsafeSlow(
-      Math.max(
-        chunk.length,
-        MINIMUM_BLOCK_BYTES,
-        Math.min(MAXIMUM_BLOCK_BYTES, this.#length),
-      ),
-    );
-    const endOffset = chunk.copy(storage, 0, copiedBytes);
-    this.#addBlock({ storage, startOffset: 0, endOffset });
   }
 
-  /** Returns a view of the first block's bytes; empty if the queue is. */
+  /** Returns a view of the first block's bytes, empty if the queue is; it is valid until they are consumed or cleared. */
   peek(): Buffer {
     const [first] = this.#blocks;
     return first === undefined
@@ -75,10 +64,10 @@
     this.#length -= bytes;
     if (first.startOffset < first.endOffset) return;
     this.#blocks.shift();
-    this.#capacityBytes -= first.storage.buffer.byteLength;
+    this.#release(first);
   }
 
-  /** Returns all bytes that aren't consumed as one buffer. */
+  /** Returns a copy of all bytes that aren't consumed as one buffer. */
   concat(): Buffer {
     return Buffer.concat(
       this.#blocks.map(({ storage, startOffset, endOffset }) =>
@@ -89,14 +78,22 @@
   }
 
   clear(): void {
+    for (const block of this.#blocks) this.#release(block);
     this.#blocks = [];
     this.#length = 0;
-    this.#capacityBytes = 0;
   }
 
-  #addBlock(block: Block): void {
-    this.#blocks.push(block);
-    // A chunk keeps the whole buffer alive that it is a part of.
-    this.#capacityBytes += block.storage.buffer.byteLength;
+  /** Adds a block that is as large as what the queue contains. */
+  #addBlock(): void {
+    const storage = this.#length < BLOCK_BYTES
+      ? Buffer.allocUnsafeSlow(Math.max(MINIMUM_BLOCK_BYTES, this.#length))
+      : this.#pool.take();
+    this.#blocks.push({ storage, startOffset: 0, endOffset: 0 });
+    this.#capacityBytes += storage.length;
+  }
+
+  #release({ storage }: Block): void {
+    this.#capacityBytes -= storage.length;
+    if (storage.length === BLOCK_BYTES) this.#pool.release(storage);
   }
 }
--- a/src/connections/collect_body.ts
+++ b/src/connections/collect_body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { BlockPool } from "./block_pool.ts";
 import { ByteQueue } from "./byte_queue.ts";
 import { findGuardedConnection } from "./guarded_server.ts";
 
@@ -32,7 +33,7 @@
   { maximumBodyBytes, timeoutMs }: BodyLimits,
 ): BodyCollection {
   const connection = findGuardedConnection(request);
-  const received = new ByteQueue();
+  const received = new ByteQueue(connection?.blocks ?? new BlockPool(0));
   let cancel!: () => void;
   const result = new Promise<BodyResult>((resolve) => {
     const finish = (value: BodyResult) => {
--- a/src/connections/connection_budget.ts
+++ b/src/connections/connection_budget.ts
@@ -1,3 +1,4 @@
+import { BlockPool } from "./block_pool.ts";
 import type { ConnectionLimits } from "./connection_limits.ts";
 
 /** Why a connection was closed or a request was refused. */
@@ -33,7 +34,9 @@
  * that a new caller is served.
  */
 export class ConnectionBudget {
-  #limits: ConnectionLimits;
+  readonly limits: ConnectionLimits;
+  /** Blocks for what the connections receive. */
+  readonly blocks: BlockPool;
   #usages = new Map<BudgetedConnection, ConnectionUsage>();
   /** Connections whose caller has to act next, the one that waits the longest first. */
   #waiting = new Set<BudgetedConnection>();
@@ -41,7 +44,8 @@
   #evictions = new Map<EvictionReason, number>();
 
   constructor(limits: ConnectionLimits) {
-    this.#limits = limits;
+    this.limits = limits;
+    this.blocks = new BlockPool(limits.memoryBytes);
   }
 
   /** Number of open connections. */
@@ -66,7 +70,7 @@
   /** Adds a new connection, which isn't waiting for its caller yet. */
   add(connection: BudgetedConnection): void {
     if (
-      this.#usages.size >= this.#limits.maximumConnections &&
+      this.#usages.size >= this.limits.maximumConnections &&
       this.#waiting.size === 0
     ) {
       this.recordEviction("connections");
@@ -74,7 +78,7 @@
       return;
     }
     this.#usages.set(connection, { costBytes: 0, isEvicted: false });
-    if (this.#usages.size > this.#limits.maximumConnections) {
+    if (this.#usages.size > this.limits.maximumConnections) {
       this.#closeLongestWaiting();
     }
   }
@@ -90,7 +94,7 @@
     this.#waiting.delete(connection);
     if (!isWaiting || !this.#usages.has(connection)) return;
     this.#waiting.add(connection);
-    if (this.#waiting.size > this.#limits.maximumWaiting) {
+    if (this.#waiting.size > this.limits.maximumWaiting) {
       this.#closeLongestWaiting();
     }
   }
@@ -101,7 +105,7 @@
     if (usage === undefined) return;
     this.#usedBytes += costBytes - usage.costBytes;
     usage.costBytes = costBytes;
-    this.#evictUntil(this.#limits.memoryBytes, 0);
+    this.#evictUntil(this.limits.memoryBytes, 0);
   }
 
   /**
@@ -110,8 +114,8 @@
    * enough.
    */
   reserve(bytes: number): (() => void) | undefined {
-    this.#evictUntil(this.#limits.memoryBytes - bytes, bytes);
-    if (this.#usedBytes + bytes > this.#limits.memoryBytes) {
+    this.#evictUntil(this.limits.memoryBytes - bytes, bytes);
+    if (this.#usedBytes + bytes > this.limits.memoryBytes) {
       this.recordEviction("memory");
       return undefined;
     }
--- a/src/connections/guarded_connection.ts
+++ b/src/connections/guarded_connection.ts
@@ -3,6 +3,7 @@
 import { Duplex } from "node:stream";
 import type { Clock } from "../clock.ts";
 import type { ConnectionBudget, EvictionReason } from "./connection_budget.ts";
+import type { BlockPool } from "./block_pool.ts";
 import { ByteQueue } from "./byte_queue.ts";
 import type { TurnQueue } from "./turn_queue.ts";
 
@@ -71,7 +72,7 @@
   #socket: Socket;
   #options: GuardedConnectionOptions;
   /** Input that the HTTP parser hasn't got yet. */
-  #held = new ByteQueue();
+  #held: ByteQueue;
   #arrivals: ArrivalMark[] = [];
   /** Numbers of bytes received and passed to the parser since the connection was opened. */
   #receivedBytes = 0;
@@ -95,6 +96,7 @@
     super({ allowHalfOpen: true, decodeStrings: false });
     this.#socket = socket;
     this.#options = options;
+    this.#held = new ByteQueue(options.budget.blocks);
     this.requestArrivedAtMs = options.clock.monotonicMs();
     socket.on("data", (chunk) => this.#receive(chunk));
     socket.on("end", () => this.#endInput());
@@ -108,6 +110,11 @@
     setImmediate(() => setImmediate(() => this.#updateWaiting()));
   }
 
+  /** Blocks for the bodies of the connection's requests. */
+  get blocks(): BlockPool {
+    return this.#options.budget.blocks;
+  }
+
   /** Number of bytes received. */
   get bytesRead(): number {
     return this.#socket.bytesRead;
@@ -307,7 +314,10 @@
   #takeTurn = () => {
     if (this.#held.length === 0) return;
     this.isParsingHeldInput = true;
-    this.#held.consume(this.#feed(this.#held.peek()));
+    const held = this.#held.peek();
+    const pieceBytes = this.#findPieceEnd(held);
+    // Copied, because the parser's streams may queue the piece after its block is used again.
+    this.#held.consume(this.#feed(Buffer.from(held.subarray(0, pieceBytes))));
     this.isParsingHeldInput = false;
     if (this.#held.length === 0) this.#arrivals = [];
     if (this.destroyed) return;
