fix(connections): connections that aren't accepted yet have a share of the memory

Cause: Node accepts one connection in each iteration of the event loop. While the accepted connections keep it busy, up to 511 others wait in the listen queue with up to 128 KB of received bytes each. With 600 clients on a VM of 192 MB, 250 of them waited for 0.5 s and held 30 MB, beside the 38 MB that are allowed for unread bytes.

Change: the listen queue of the callers' ports holds a twentieth of the memory at 128 KB a connection, 76 with 192 MB and 140 with 350 MB. Others connect again.

--- a/src/connections/connection_budget_test.ts
+++ b/src/connections/connection_budget_test.ts
@@ -9,6 +9,7 @@
 const LIMITS = {
   memoryBytes: 1_000_000,
   maximumConnections: 3,
+  maximumUnaccepted: 3,
   maximumPeerConnections: 3,
   maximumWaiting: 3,
 };
--- a/src/connections/connection_limits.ts
+++ b/src/connections/connection_limits.ts
@@ -16,6 +16,8 @@
   /** Memory for connections, their requests and unread responses, in bytes. */
   readonly memoryBytes: number;
   readonly maximumConnections: number;
+  /** Maximum number of connections that the process hasn't accepted yet. */
+  readonly maximumUnaccepted: number;
   /** Maximum number of connections of other entries. */
   readonly maximumPeerConnections: number;
   /** Maximum number of connections whose caller has to send or read something. */
@@ -33,11 +35,24 @@
 const PEER_SOCKET_FRACTION = 0.25;
 /** Fraction of the memory that may be bytes which the system has received and the process hasn't read yet. */
 const UNREAD_FRACTION = 0.2;
+/**
+ * Fraction of the memory that may be bytes received on connections that the process
+ * hasn't accepted yet. Node accepts one connection in each iteration of the event loop.
+ */
+const UNACCEPTED_FRACTION = 0.05;
 /** Bytes that Linux receives on a connection before the process reads any, with the default `tcp_rmem`. */
 const UNREAD_BYTES_PER_CONNECTION = 131_072;
 /** Smallest maximum number of connections. */
 const MINIMUM_CONNECTIONS = 16;
 
+/** Returns the number of connections whose unread bytes fit into a part of the memory. */
+function countUnreadConnections(memoryBytes: number): number {
+  return Math.max(
+    MINIMUM_CONNECTIONS,
+    Math.floor(memoryBytes / UNREAD_BYTES_PER_CONNECTION),
+  );
+}
+
 /** Returns the connection limits of a process on a VM. */
 export function resolveConnectionLimits(vm: VmLimits): ConnectionLimits {
   const vmBytes = vm.memoryMb * 1_048_576;
@@ -53,12 +68,10 @@
       MINIMUM_CONNECTIONS,
       Math.floor(sockets * PEER_SOCKET_FRACTION),
     ),
+    maximumUnaccepted: countUnreadConnections(vmBytes * UNACCEPTED_FRACTION),
     maximumWaiting: Math.min(
       maximumConnections,
-      Math.max(
-        MINIMUM_CONNECTIONS,
-        Math.floor(vmBytes * UNREAD_FRACTION / UNREAD_BYTES_PER_CONNECTION),
-      ),
+      countUnreadConnections(vmBytes * UNREAD_FRACTION),
     ),
   };
 }
--- a/src/entry.ts
+++ b/src/entry.ts
@@ -159,10 +159,10 @@
   // Opens the admin and peer ports first, so that the state of an entry is available once it accepts requests.
   yield* sleep(0);
   if (requestProxy !== undefined) {
-    state.callerAddress = yield* useListeningServer(
-      requestProxy.server,
-      settings.listen.callers,
-    );
+    state.callerAddress = yield* useListeningServer(requestProxy.server, {
+      ...settings.listen.callers,
+      maximumUnaccepted: requestProxy.budget.limits.maximumUnaccepted,
+    });
     const address = state.callerAddress;
     scope.resolve(TOKENS.loggers)("requests").info(`listening on ${address}`, {
       address,
--- a/src/http_server.ts
+++ b/src/http_server.ts
@@ -7,6 +7,8 @@
   readonly host: string;
   /** 0 lets the operating system choose a free port. */
   readonly port: number;
+  /** Maximum number of connections that the process hasn't accepted yet. */
+  readonly maximumUnaccepted?: number;
 }
 
 /** Time in which a request head must arrive, in ms; also the longest time for which a new connection may be silent. */
@@ -32,7 +34,8 @@
       new Promise<void>((resolve, reject) => {
         // Stays attached, because an unhandled error while accepting connections would end the process.
         server.on("error", reject);
-        server.listen(options.port, options.host, () => resolve());
+        const { host, port, maximumUnaccepted: backlog } = options;
+        server.listen({ host, port, backlog }, () => resolve());
       }),
     );
     const { address, port } = server.address() as AddressInfo;
--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -10,12 +10,12 @@
 import { ensure, type Operation, race, sleep, spawn, suspend } from "effection";
 import { type Clock } from "../clock.ts";
 import type { ConnectionBudget } from "../connections/connection_budget.ts";
-import { resolveConnectionLimits } from "../connections/connection_limits.ts";
 import { readConnectionMetrics } from "../connections/connection_metrics.ts";
 import { useErrorGuard } from "../error_guard.ts";
 import {
   closeGracefully,
   limitConnections,
+  type ListenOptions,
   useListeningServer,
 } from "../http_server.ts";
 import { messageOf, StoreError } from "../errors.ts";
@@ -296,11 +296,12 @@
     region: settings.region,
   });
   const { listen } = settings;
+  const connectionLimits = dependencies.budget.limits;
   yield* supervisor.start({ name: "operator", run: () => operator.run() });
   yield* supervisor.start({ name: "election", run: () => election.run() });
   const peerServer = limitConnections(
     createInternalServer(onPeerRequest),
-    resolveConnectionLimits(settings.limits).maximumPeerConnections,
+    connectionLimits.maximumPeerConnections,
   );
   peerServer.on("upgrade", relayServer.onUpgrade);
   yield* ensure(() => relayServer.close());
@@ -315,7 +316,12 @@
       listen.readiness,
     ),
   );
-  yield* spawn(() => serveUntilHalted(callerServer, listen.callers));
+  yield* spawn(() =>
+    serveUntilHalted(callerServer, {
+      ...parseHostAndPort(listen.callers),
+      maximumUnaccepted: connectionLimits.maximumUnaccepted,
+    })
+  );
 
   yield* dependencies.signals.next();
   stopping = true;
@@ -341,8 +347,11 @@
   return createServer({ connectionsCheckingInterval: 1_000 }, listener);
 }
 
-function* serveUntilHalted(server: Server, address: string): Operation<void> {
-  yield* useListeningServer(server, parseHostAndPort(address));
+function* serveUntilHalted(
+  server: Server,
+  options: ListenOptions,
+): Operation<void> {
+  yield* useListeningServer(server, options);
   yield* suspend();
 }
 
