fix(scheduler): a slow owner hands over only if another entry responds

Callers saw: 503 for the number of waiting jobs, and jobs that weren't placed, after clients had kept the only entry busy.

Cause: an owner whose event loop lags by 60 ms in the mean ends its lease at once, whether or not an entry is there to take over. The only entry did so, and no owner was left until it had elected itself again.

Change: before it resigns, the owner asks the entries that it knows for the owner. Without a response it stays and measures again.

--- a/src/scheduler/election.ts
+++ b/src/scheduler/election.ts
@@ -54,7 +54,8 @@
 
 /** Dependencies and settings of an entry's part in the election. */
 export interface ElectionOptions
-  extends Omit<TenureRunnerOptions, "tenure" | "requestTakeover"> {
+  extends
+    Omit<TenureRunnerOptions, "tenure" | "requestTakeover" | "hasSuccessor"> {
   readonly store: RecordStore;
   readonly self: { readonly entryId: string; readonly address: string };
   readonly seedPeers: readonly string[];
@@ -325,6 +326,15 @@
     }
   }
 
+  async function hasSuccessor(): Promise<boolean> {
+    const responses = await Promise.allSettled(
+      directory.list(TAKEOVER_PEERS).map((address) =>
+        directory.client(address).owner()
+      ),
+    );
+    return responses.some(({ status }) => status === "fulfilled");
+  }
+
   function* runElections(): Operation<void> {
     for (;;) {
       if (!ownerKeyRead || !isOwnerMissing() || stopping) {
@@ -356,6 +366,7 @@
           ...options,
           tenure,
           requestTakeover,
+          hasSuccessor,
         });
         currentTenure = { runner, epoch: tenure.epoch };
         yield* runner.run();
--- a/src/scheduler/event_loop_lag.ts
+++ b/src/scheduler/event_loop_lag.ts
@@ -8,7 +8,7 @@
 /** Mean lag above which an owner is too slow for its work, in ms. */
 export const MEAN_LAG_LIMIT_MS = 60;
 /** Time at the start of a tenure in which the lag is ignored, in ms, because loading the records and connecting to all workers causes a burst of work. */
-const WARM_UP_MS = 3_000;
+export const WARM_UP_MS = 3_000;
 /** Minimum time between two hand-overs because of the lag, in ms. */
 const HANDOVER_INTERVAL_MS = 30_000;
 
@@ -26,12 +26,11 @@
   return Math.max(WARM_UP_MS, HANDOVER_INTERVAL_MS - sinceHandoverMs);
 }
 
-/** Calls back once when the mean event loop lag after the warm-up exceeds the limit, so that another entry should take over. */
-export function* watchEventLoopLag(
+/** Returns the mean event loop lag in ms once it exceeds the limit after the warm-up, so that another entry should take over. */
+export function* waitForEventLoopLag(
   clock: Clock,
   warmUpMs: number,
-  onLimitExceeded: (meanLagMs: number) => void,
-): Operation<void> {
+): Operation<number> {
   const startedAtMs = clock.monotonicMs();
   let meanMs = 0;
   for (;;) {
@@ -40,9 +39,6 @@
     const now = clock.monotonicMs();
     if (now - startedAtMs < warmUpMs) continue;
     meanMs = updateMeanLag(meanMs, now - beforeMs - SAMPLE_INTERVAL_MS);
-    if (meanMs > MEAN_LAG_LIMIT_MS) {
-      onLimitExceeded(meanMs);
-      return;
-    }
+    if (meanMs > MEAN_LAG_LIMIT_MS) return meanMs;
   }
 }
--- a/src/scheduler/event_loop_lag_test.ts
+++ b/src/scheduler/event_loop_lag_test.ts
@@ -5,7 +5,7 @@
   MEAN_LAG_LIMIT_MS,
   resolveWarmUpMs,
   updateMeanLag,
-  watchEventLoopLag,
+  waitForEventLoopLag,
 } from "./event_loop_lag.ts";
 
 const test = suite("event loop lag");
@@ -33,9 +33,7 @@
   let nowMs = 0;
   // Each sample reads the clock before and after its timer of 50 ms.
   const clock = { wallMs: () => 0, monotonicMs: () => nowMs += 250 };
-  await run(() =>
-    watchEventLoopLag(clock, resolveWarmUpMs(sinceHandoverMs), () => {})
-  );
+  await run(() => waitForEventLoopLag(clock, resolveWarmUpMs(sinceHandoverMs)));
   return nowMs;
 }
 
--- a/src/scheduler/slow_handover.ts
+++ b/src/scheduler/slow_handover.ts
@@ -1,8 +1,12 @@
-import type { Operation } from "effection";
+import { type Operation, until } from "effection";
 import { z } from "zod";
 import type { Clock } from "../clock.ts";
 import type { Logger } from "../logger.ts";
-import { resolveWarmUpMs, watchEventLoopLag } from "./event_loop_lag.ts";
+import {
+  resolveWarmUpMs,
+  waitForEventLoopLag,
+  WARM_UP_MS,
+} from "./event_loop_lag.ts";
 import { parseRecord, STORE_KEYS } from "./ownership.ts";
 import type { RecordStore } from "./ports.ts";
 import { retryStoreRead } from "./retry_store_read.ts";
@@ -18,13 +22,18 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly epoch: number;
+  /** Returns whether another entry responds, which can take over. */
+  readonly hasSuccessor: () => Promise<boolean>;
   /** Gives up ownership once `prepared` has settled. */
   readonly resign: (reason: string, prepared: Promise<unknown>) => void;
 }
 
-/** Hands over when this process lags, unless an earlier owner has done so a short time ago. */
+/**
+ * Hands over when this process lags, unless an earlier owner has done so a short
+ * time ago or no other entry responds: a slow owner is better than none.
+ */
 export function* handOverWhenSlow(
-  { store, clock, log, epoch, resign }: SlowHandoverOptions,
+  { store, clock, log, epoch, hasSuccessor, resign }: SlowHandoverOptions,
 ): Operation<void> {
   const item = yield* retryStoreRead(
     () => store.get(STORE_KEYS.slowHandover),
@@ -32,19 +41,24 @@
   );
   // An unreadable record counts as one of long ago.
   const lastAtMs = item && parseRecord(handoverSchema, item)?.atMs;
-  const warmUpMs = resolveWarmUpMs(clock.wallMs() - (lastAtMs ?? 0));
-  yield* watchEventLoopLag(clock, warmUpMs, (meanLagMs) => {
+  let warmUpMs = resolveWarmUpMs(clock.wallMs() - (lastAtMs ?? 0));
+  for (;;) {
+    const meanLagMs = yield* waitForEventLoopLag(clock, warmUpMs);
+    const canHandOver = yield* until(hasSuccessor());
     log.warn("this entry is too slow to be the owner", {
       epoch,
       meanLagMs: Math.round(meanLagMs),
+      canHandOver,
     });
-    const recorded = store.change({
-      conditions: [],
-      puts: [{
-        key: STORE_KEYS.slowHandover,
-        value: JSON.stringify({ atMs: clock.wallMs() }),
-      }],
-    });
-    resign("this entry is too slow", recorded);
+    if (canHandOver) break;
+    warmUpMs = WARM_UP_MS;
+  }
+  const recorded = store.change({
+    conditions: [],
+    puts: [{
+      key: STORE_KEYS.slowHandover,
+      value: JSON.stringify({ atMs: clock.wallMs() }),
+    }],
   });
+  resign("this entry is too slow", recorded);
 }
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -127,6 +127,8 @@
   readonly memoryMb?: number;
   /** Asks other entries to take over; the one that does raises the epoch. */
   readonly requestTakeover: (epoch: number) => void;
+  /** Returns whether another entry responds, which can take over. */
+  readonly hasSuccessor: () => Promise<boolean>;
 }
 
 /** API of the owner, available once its records are loaded. */
