--- a/src/connections/connection_limits.ts
+++ b/src/connections/connection_limits.ts
@@ -33,8 +33,8 @@
 
 /** Fraction of the sockets for connections of other entries. */
 const PEER_SOCKET_FRACTION = 0.25;
-/** Fraction of the memory that may be bytes which the system has received and the process hasn't read yet. */
-const UNREAD_FRACTION = 0.2;
+/** Fraction of the memory that may be bytes received on accepted connections that the process hasn't read yet. */
+const UNREAD_FRACTION = 0.15;
 /**
  * Fraction of the memory that may be bytes received on connections that the process
  * hasn't accepted yet. Node accepts one connection in each iteration of the event loop.
