fix(connections): an oversized body that arrives at once gets its refusal

Callers saw: a connection reset instead of 413 when head and body of a request over the limit arrived together.

Cause: the rest of a body counted as input sent ahead of the response while its handler hadn't refused the request yet. More than the limit for such input closed the connection.

Input ahead of a complete request is treated as before.

Both new cases of bad_input_test failed before.

--- a/src/connections/guarded_connection.ts
+++ b/src/connections/guarded_connection.ts
@@ -58,8 +58,8 @@
 
 /**
  * A caller's connection between its socket and Node's HTTP server. Its socket is
- * always read, because the bytes that a paused socket has received occupy memory
- * as well. The HTTP parser gets at most one request at a time: what the caller
+ * read ahead, because the bytes that a paused socket has received occupy memory
+ * as well; only the rest of a large body waits for its reader. The HTTP parser gets at most one request at a time: what the caller
  * sends ahead is held as bytes, which occupy far less memory than parsed requests.
  */
 export class GuardedConnection extends Duplex {
@@ -263,8 +263,13 @@
       this.#markArrival();
       this.#held.append(chunk.subarray(fedBytes));
       if (this.#isTooFarAhead()) {
-        this.#evict("pipelining");
-        return;
+        const [current] = this.#requests;
+        if (current === undefined || current.request.complete) {
+          this.#evict("pipelining");
+          return;
+        }
+        // It may be the body of the current request, which isn't read or refused yet.
+        this.#socket.pause();
       }
       this.#requestTurn();
     }
@@ -321,6 +326,9 @@
     this.isParsingHeldInput = false;
     if (this.#held.length === 0) this.#arrivals = [];
     if (this.destroyed) return;
+    if (this.#held.length <= this.#options.maximumAheadBytes()) {
+      this.#socket.resume();
+    }
     this.#updateCost();
     this.#requestTurn();
   };
--- a/src/requests/bad_input_test.ts
+++ b/src/requests/bad_input_test.ts
@@ -69,6 +69,21 @@
     413,
     "body_too_large",
   ],
+  // Guards against a reset without the refusal when more than the largest body arrives before the refusal is sent.
+  "an oversized announced body that arrives at once": [
+    [`${REQUEST_HEAD}content-length: 400000\r\n\r\n${"x".repeat(350_000)}`],
+    413,
+    "body_too_large",
+  ],
+  "an oversized chunked body that arrives at once": [
+    [
+      `${REQUEST_HEAD}transfer-encoding: chunked\r\n\r\n${
+        (400_000).toString(16)
+      }\r\n${"x".repeat(350_000)}`,
+    ],
+    413,
+    "body_too_large",
+  ],
   "an oversized chunked body": [
     [
       `${REQUEST_HEAD}transfer-encoding: chunked\r\n\r\n`,
