fix(entry): connections to the admin and the peers' server have limits

Idle connections to its other ports used up the descriptors.

Change: the admin server accepts 32 connections, the peers' server a quarter of the sockets, as the scheduler's servers do.

--- a/src/entry.ts
+++ b/src/entry.ts
@@ -3,7 +3,7 @@
 import { runConfigFollower } from "./config/follower.ts";
 import { runController } from "./fleet/controller.ts";
 import { runFleetFollower } from "./fleet/follower.ts";
-import { useListeningServer } from "./http_server.ts";
+import { limitConnections, useListeningServer } from "./http_server.ts";
 import { readBusyWorkers } from "./jobs/busy_workers.ts";
 import { runVmListPoller } from "./ports/vm_list_poller.ts";
 import type { ResolvedSettings } from "./settings/schema.ts";
@@ -80,12 +80,18 @@
   };
 }
 
+/** Maximum number of connections to the admin server; its users are operators, metric collectors and the load balancer. */
+const MAXIMUM_ADMIN_CONNECTIONS = 32;
+
 function createAdminComponent(scope: DependencyContainer): Component {
   return {
     name: "admin",
     *run() {
       const address = yield* useListeningServer(
-        scope.resolve(TOKENS.adminServer),
+        limitConnections(
+          scope.resolve(TOKENS.adminServer),
+          MAXIMUM_ADMIN_CONNECTIONS,
+        ),
         scope.resolve(TOKENS.settings).listen.admin,
       );
       scope.resolve(TOKENS.state).adminAddress = address;
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -5,7 +5,11 @@
 import type { ContactTracker } from "../contact_tracker.ts";
 import { parseFleetRecord, setFleetRecordIfNewer } from "../fleet/follower.ts";
 import type { FleetRecord } from "../fleet/record.ts";
-import { type ListenOptions, useListeningServer } from "../http_server.ts";
+import {
+  limitConnections,
+  type ListenOptions,
+  useListeningServer,
+} from "../http_server.ts";
 import type { Logger } from "../logger.ts";
 import { createDurationMetric, type MetricSummary } from "../metrics.ts";
 import type { MutableObservable, Observable } from "../observable.ts";
@@ -39,6 +43,8 @@
     readonly incarnation: string;
   };
   readonly listen: ListenOptions;
+  /** Maximum number of connections of other entries. */
+  readonly maximumConnections: number;
   readonly config: MutableObservable<AppliedConfig | undefined>;
   readonly fleet: MutableObservable<FleetRecord | undefined>;
   readonly vmList: Observable<VmListSnapshot | undefined>;
@@ -240,7 +246,10 @@
   function* run(): Operation<void> {
     links.clear();
     peerAddress = yield* useListeningServer(
-      createPeerServer(handlers, meter),
+      limitConnections(
+        createPeerServer(handlers, meter),
+        options.maximumConnections,
+      ),
       options.listen,
     );
     log.info(`server started at ${peerAddress}`, { address: peerAddress });
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -23,6 +23,7 @@
 import { createLoggerFactory, type LoggerFactory } from "./logger.ts";
 import { createObservable, type MutableObservable } from "./observable.ts";
 import type { EntryDigest } from "./peers/messages.ts";
+import { resolveConnectionLimits } from "./connections/connection_limits.ts";
 import { createPeers, type Peers } from "./peers/peers.ts";
 import { createIncarnation } from "./peers/wire.ts";
 import { createHttpStore } from "./ports/http_store.ts";
@@ -195,7 +196,7 @@
 }
 
 function createEntryPeers(scope: DependencyContainer): Peers {
-  const { entryId, region, listen } = scope.resolve(TOKENS.settings);
+  const { entryId, region, listen, limits } = scope.resolve(TOKENS.settings);
   const state = scope.resolve(TOKENS.state);
   const requestProxy = scope.resolve(TOKENS.requestProxy);
   const log = scope.resolve(TOKENS.loggers)("peers");
@@ -206,6 +207,7 @@
       incarnation: scope.resolve(TOKENS.incarnation),
     },
     listen: listen.peers,
+    maximumConnections: resolveConnectionLimits(limits).maximumPeerConnections,
     config: scope.resolve(TOKENS.config),
     fleet: scope.resolve(TOKENS.fleet),
     vmList: scope.resolve(TOKENS.vmSnapshot),
--- a/testing/client_abuse/caller_port_test.ts
+++ b/testing/client_abuse/caller_port_test.ts
@@ -1,6 +1,7 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import { callEntry } from "../caller.ts";
+import type { UserSettings } from "../../src/settings/schema.ts";
 import type { EntryProcess } from "../deployment.ts";
 import { withDeployment } from "../faults/scenario.ts";
 import {
@@ -66,9 +67,12 @@
   },
 };
 
-function withEntry(check: (entry: EntryProcess) => Promise<void>) {
+function withEntry(
+  check: (entry: EntryProcess) => Promise<void>,
+  settings: Partial<UserSettings> = {},
+) {
   return withDeployment(
-    { entryCount: 1 },
+    { entryCount: 1, settings },
     ({ entries }) => check(entries[0]!),
   );
 }
@@ -106,6 +110,39 @@
     }));
 }
 
+/** A smaller VM, whose descriptors a small number of connections uses up. */
+const FEW_DESCRIPTORS = 256;
+
+for (const server of ["adminAddress", "peerAddress"] as const) {
+  // Guards against connections to another server that use up the descriptors of the process.
+  test(`an entry survives more idle connections to its ${server} than descriptors and still answers others`, () =>
+    withEntry(async (entry) => {
+      const monitor = monitorUsage({
+        processId: entry.process.pid!,
+        port: Number(entry.callerAddress.split(":")[1]),
+      });
+      const clients = await startAbusiveClients({
+        address: entry[server],
+        connections: 600,
+        createInput: () => [],
+      });
+      try {
+        const result = await callEntry(
+          `http://${entry.callerAddress}/quoting/ordinary`,
+          { deadlineMs: 60_000 },
+        );
+        assert.is(result.kind, "answer", JSON.stringify(result));
+      } finally {
+        monitor.stop();
+        clients.close();
+      }
+      assert.ok(
+        monitor.peak.descriptors < FEW_DESCRIPTORS,
+        `${monitor.peak.descriptors} descriptors`,
+      );
+    }, { limits: { fileDescriptors: FEW_DESCRIPTORS } }));
+}
+
 test("an entry serves a request whose body of the maximum size arrives slowly in chunks", () =>
   withEntry(async (entry) => {
     const part = "x".repeat(MAXIMUM_BODY_BYTES / 128);
--- a/testing/peer_nodes.ts
+++ b/testing/peer_nodes.ts
@@ -86,6 +86,7 @@
       incarnation: options.incarnation ?? "1",
     },
     listen: { host: "127.0.0.1", port: options.port ?? 0 },
+    maximumConnections: 100,
     config,
     fleet,
     vmList: options.vmList ?? createObservable<VmListSnapshot | undefined>(
