fix(connections): a large body in small chunks is parsed in slices

Callers saw: 503 for the number of waiting jobs while other clients sent bodies in chunks of one byte, beside other load.

Cause: input beyond the limit for sent-ahead input was parsed until it was within the limit, without returning to the event loop: four pieces of 2,700 chunks for each read of each connection. The owner's lease of 2 s expired meanwhile.

Change: input that the parser can take isn't ahead of anything and waits for its turn; the memory limits of connections apply to it.

--- a/src/connections/guarded_connection.ts
+++ b/src/connections/guarded_connection.ts
@@ -263,8 +263,7 @@
       this.#markArrival();
       this.#held.append(chunk.subarray(fedBytes));
       if (this.#isTooFarAhead()) {
-        const [current] = this.#requests;
-        if (current === undefined || current.request.complete) {
+        if (this.#hasCompleteRequest()) {
           this.#evict("pipelining");
           return;
         }
@@ -300,13 +299,15 @@
       request.readableFlowing === true && request.listenerCount("data") > 0;
   }
 
-  /** Whether the caller has sent too much ahead; input of the current request is parsed first. */
+  /** Whether the caller has sent too much ahead; input that the parser can take isn't ahead. */
   #isTooFarAhead(): boolean {
-    const maximumBytes = this.#options.maximumAheadBytes();
-    while (this.#held.length > maximumBytes && this.#canFeed()) {
-      this.#takeTurn();
-    }
-    return this.#held.length > maximumBytes;
+    return this.#held.length > this.#options.maximumAheadBytes() &&
+      !this.#canFeed();
+  }
+
+  /** Whether the current request has been parsed completely, so that further input belongs to the next one. */
+  #hasCompleteRequest(): boolean {
+    return this.#requests[0]?.request.complete ?? false;
   }
 
   #requestTurn(): void {
@@ -326,8 +327,10 @@
     this.isParsingHeldInput = false;
     if (this.#held.length === 0) this.#arrivals = [];
     if (this.destroyed) return;
-    if (this.#held.length <= this.#options.maximumAheadBytes()) {
-      this.#socket.resume();
+    if (!this.#isTooFarAhead()) this.#socket.resume();
+    else if (this.#hasCompleteRequest()) {
+      this.#evict("pipelining");
+      return;
     }
     this.#updateCost();
     this.#requestTurn();
