--- a/review/lib-3/minions.mjs
+++ b/review/lib-3/minions.mjs
@@ -1,4 +1,4 @@
-import { sleep, startJsonServer } from "./http.mjs";
+import { NO_ANSWER, sleep, startJsonServer } from "./http.mjs";
 
 /** Longest lease that a minion grants (`max-hold-ms`), in ms. */
 const MAXIMUM_HOLD_MS = 10_000;
@@ -29,6 +29,7 @@
   let leaseEndMs = 0;
   let leaseTimer;
   let sequence = 0;
+  let hasCrashed = false;
 
   function closeRun(task, run) {
     overRuns.set(task, Math.max(overRuns.get(task) ?? 0, run));
@@ -142,6 +143,7 @@
     host,
     async ({ path, headers, body }) => {
       await sleep(1);
+      if (hasCrashed) return NO_ANSWER;
       const intended = headers["cowslipferry-expected-instance"];
       if (intended !== undefined && intended !== id) return { status: 421 };
       const token = body["fencing-token"] ?? 0;
@@ -196,6 +198,7 @@
     tasks: () => [...running.keys()],
     /** Ends at once, with all that runs; the entry in the store goes after three intervals of silence. */
     crash() {
+      hasCrashed = true;
       close();
       for (const [task, { run }] of running) {
         note("lost", { minion: id, task, run });
