--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -55,7 +55,7 @@
  * `entries` scheduler processes; `log(line)` records what happens.
  */
 export async function startDeployment(
-  { entries, minions, config, behave, log, storeFaults },
+  { entries, minions, config, behave, log, storeFaults, delayOrder },
 ) {
   const folder = mkdtempSync(join(tmpdir(), "review-"));
   const startedAtMs = performance.now();
@@ -72,9 +72,9 @@
   /** Starts the next minion on a machine. */
   async function startOn(index) {
     const minion = minions[index];
-    const id = `${minion.machine}-life-${lives[index]++}`;
+    const id = `${minion.machine}-life-${lives[index]}`;
     running[index] = await startMinion(
-      { ...minion, id, store, host: "127.0.0.1", behave, note },
+      { ...minion, id, store, host: "127.0.0.1", behave, note, delayOrder },
     );
     if (closed) running[index].close();
   }
@@ -166,13 +166,14 @@
     sinceStartMs,
     minions: running,
     processes,
-    /** Crashes the minion of a machine, which is down for a time. */
-    crashMinion(index, forMs) {
+    /** Crashes the minion of a machine, which is down for a time and comes back under another id or, with `keepsId`, the same. */
+    crashMinion(index, forMs, keepsId = false) {
       const minion = running[index];
       if (minion === undefined) return;
-      note("crash", { minion: minion.id, forMs });
+      note("crash", { minion: minion.id, forMs, keepsId });
       running[index] = undefined;
-      minion.crash();
+      minion.crash(keepsId);
+      if (!keepsId) lives[index]++;
       setTimeout(() => {
         if (!closed) void startOn(index);
       }, forMs);
--- a/review/lib-3/minions.mjs
+++ b/review/lib-3/minions.mjs
@@ -7,14 +7,32 @@
 /** Time that a stop takes, in ms; at most `stop-timeout-ms`. */
 const STOP_MS = 50;
 
+/**
+ * Minions that are up, by id. A call that is carried out late reaches the minion that
+ * has the id by then.
+ */
+const livesById = new Map();
+
 /**
  * Starts a stand-in of a minion, as PROTOCOL.md describes it. `behave(task, run)`
  * returns `{ startupMs, ms, how }`: after `startupMs`, the task is at work (percent
  * 100 if it lasts), and after `ms`, it ends as `how`; without `ms`, it runs until it
- * is stopped. `note(event, fields)` records starts and ends.
+ * is stopped. `note(event, fields)` records starts and ends. `delayOrder(path)` may
+ * return a time in ms: the order gets no answer and is carried out after that time.
  */
 export async function startMinion(
-  { store, host, id, machine, service, capacity, labels, behave, note },
+  {
+    store,
+    host,
+    id,
+    machine,
+    service,
+    capacity,
+    labels,
+    behave,
+    note,
+    delayOrder,
+  },
 ) {
   const born = Date.now();
   const bornAtMs = performance.now();
@@ -114,7 +132,11 @@
   }
 
   async function hold(body) {
-    finished = finished.filter(([number]) => number > (body.acknowledged ?? 0));
+    finished = finished.filter(([number, task, run, how]) => {
+      if (number > (body.acknowledged ?? 0)) return true;
+      note("acknowledged", { minion: id, task, run, how });
+      return false;
+    });
     extendLease(body["deadline-ms"]);
     const waitMs = Math.min(2_000, body["wait-ms"] ?? 0);
     if (finished.length === 0 && waitMs > 0) {
@@ -139,30 +161,37 @@
     };
   }
 
-  const server = await startJsonServer(
-    host,
-    async ({ path, headers, body }) => {
-      await sleep(1);
-      if (hasCrashed) return NO_ANSWER;
-      const intended = headers["cowslipferry-expected-instance"];
-      if (intended !== undefined && intended !== id) return { status: 421 };
-      const token = body["fencing-token"] ?? 0;
-      if (token < fence) return refuse("fence");
-      fence = token;
-      switch (path) {
-        case "/api/run-start":
-          return start(body);
-        case "/api/run-stop":
-          return stop(body);
-        case "/api/hold":
-          return await hold(body);
-        case "/api/pace":
-          return done();
-        default:
-          return { status: 404 };
-      }
-    },
-  );
+  async function carryOut({ path, headers, body }) {
+    if (hasCrashed) return NO_ANSWER;
+    const intended = headers["cowslipferry-expected-instance"];
+    if (intended !== undefined && intended !== id) return { status: 421 };
+    const token = body["fencing-token"] ?? 0;
+    if (token < fence) return refuse("fence");
+    fence = token;
+    switch (path) {
+      case "/api/run-start":
+        return start(body);
+      case "/api/run-stop":
+        return stop(body);
+      case "/api/hold":
+        return await hold(body);
+      case "/api/pace":
+        return done();
+      default:
+        return { status: 404 };
+    }
+  }
+  livesById.set(id, carryOut);
+
+  const server = await startJsonServer(host, async (call) => {
+    await sleep(1);
+    const isOrder = call.path === "/api/run-start" ||
+      call.path === "/api/run-stop";
+    const lateMs = isOrder ? delayOrder?.(call.path) : undefined;
+    if (lateMs === undefined) return await carryOut(call);
+    setTimeout(() => void livesById.get(id)?.(call), lateMs);
+    return NO_ANSWER;
+  });
 
   const report = () =>
     store.write(`servers/${id}`, {
@@ -196,14 +225,19 @@
     service,
     /** Tasks that run now. */
     tasks: () => [...running.keys()],
-    /** Ends at once, with all that runs; the entry in the store goes after three intervals of silence. */
-    crash() {
+    /**
+     * Ends at once, with all that runs. Unless the next minion on the machine keeps
+     * the id, the entry in the store goes after three intervals of silence.
+     */
+    crash(keepsId) {
       hasCrashed = true;
+      livesById.delete(id);
       close();
       for (const [task, { run }] of running) {
         note("lost", { minion: id, task, run });
       }
       running.clear();
+      if (keepsId) return;
       setTimeout(() => store.remove(`servers/${id}`), 3 * HEARTBEAT_MS).unref();
     },
     close,
