--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -5,7 +5,7 @@
 import { tmpdir } from "node:os";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { sleep, startJsonServer } from "./http.mjs";
+import { NO_ANSWER, sleep, startJsonServer } from "./http.mjs";
 import { startMinion } from "./minions.mjs";
 import { startStore } from "./store.mjs";
 
@@ -14,6 +14,9 @@
 /** Bounds of `ksw-sched` that the scripts judge by, in ms. */
 export const BOUNDS = { cancelMs: 3_000, stopTimeoutMs: 400, contactMs: 3_000 };
 
+/** Time that the upkeep of a machine takes (`maintenance-s`), in ms. */
+const UPKEEP_MS = 2_000;
+
 /** Whether the disruption is to be left out. */
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 
@@ -55,7 +58,16 @@
  * `entries` scheduler processes; `log(line)` records what happens.
  */
 export async function startDeployment(
-  { entries, minions, config, behave, log, storeFaults, delayOrder },
+  {
+    entries,
+    minions,
+    config,
+    behave,
+    log,
+    storeFaults,
+    delayOrder,
+    delayUpkeep,
+  },
 ) {
   const folder = mkdtempSync(join(tmpdir(), "review-"));
   const startedAtMs = performance.now();
@@ -79,13 +91,57 @@
     if (closed) running[index].close();
   }
   for (const index of minions.keys()) await startOn(index);
-  const cloud = await startJsonServer("127.0.0.1", ({ method, path }) => {
+  /** Highest fencing token of the orders for each machine. */
+  const fences = minions.map(() => 0);
+  /** Machines whose upkeep is under way, and the waves that each has had. */
+  const inUpkeep = new Set();
+  let holder;
+  const waves = minions.map(() => new Set());
+
+  /** Carries out an order for the upkeep of a machine; the rule LIMIT is judged by the notes. */
+  function carryOutUpkeep({ headers, body }) {
+    const index = minions.findIndex(({ machine }) => machine === body.machine);
+    if (index < 0) return { status: 400 };
+    const fence = Number(headers["cowslipferry-fencing-token"]);
+    if (fence < fences[index]) {
+      return { status: 409, body: { reason: "fence" } };
+    }
+    fences[index] = fence;
+    if (waves[index].has(body.wave)) return { status: 200 };
+    const minion = running[index];
+    if (minion === undefined) return { status: 409, body: { reason: "busy" } };
+    waves[index].add(body.wave);
+    note("upkeep", { ...body, fence, others: [...inUpkeep] });
+    inUpkeep.add(body.machine);
+    running[index] = undefined;
+    minion.crash();
+    lives[index]++;
+    setTimeout(() => {
+      inUpkeep.delete(body.machine);
+      if (!closed) void startOn(index);
+    }, UPKEEP_MS);
+    return { status: 200 };
+  }
+
+  const cloud = await startJsonServer("127.0.0.1", (request) => {
+    const { method, path } = request;
+    if (method === "POST" && path === "/api/machine-upkeep") {
+      holder = request.headers["cowslipferry-duty-holder"];
+      const lateMs = delayUpkeep?.();
+      if (lateMs === undefined) return carryOutUpkeep(request);
+      setTimeout(() => carryOutUpkeep(request), lateMs);
+      return NO_ANSWER;
+    }
     if (method !== "GET" || path !== "/api/machines") return { status: 400 };
     const machines = minions.map(
       ({ machine, labels, capacity, service }, index) => ({
         machine,
         pool: service,
-        state: running[index] === undefined ? "down" : "up",
+        state: inUpkeep.has(machine)
+          ? "upkeep"
+          : running[index] === undefined
+          ? "down"
+          : "up",
         zone: "zone-a",
         labels,
         capacity,
@@ -132,19 +188,24 @@
       }),
     );
     const [program, ...args] = runCommand(file);
-    const child = spawn(program, args, {
-      cwd: ROOT,
-      stdio: ["ignore", "pipe", "pipe"],
-    });
     const entry = {
       host,
-      child,
-      output: "",
       /** The process's own log, for the investigation; nothing is judged by it. */
-      exit: new Promise((resolve) => child.once("close", resolve)),
+      output: "",
+      child: undefined,
+      exit: undefined,
+      start() {
+        const child = spawn(program, args, {
+          cwd: ROOT,
+          stdio: ["ignore", "pipe", "pipe"],
+        });
+        entry.child = child;
+        entry.exit = new Promise((resolve) => child.once("close", resolve));
+        child.stdout.on("data", (chunk) => entry.output += chunk);
+        child.stderr.on("data", (chunk) => entry.output += chunk);
+      },
     };
-    child.stdout.on("data", (chunk) => entry.output += chunk);
-    child.stderr.on("data", (chunk) => entry.output += chunk);
+    entry.start();
     return entry;
   });
 
@@ -164,6 +225,20 @@
   return {
     note,
     sinceStartMs,
+    /** Writes a value to the store as the operator does. */
+    write: store.write,
+    /** Returns the number of the process that ordered an upkeep last. */
+    lastHolder: () =>
+      hosts.findIndex((_, index) => `front-${index}` === holder),
+    /** Kills a process and starts it again after a time. */
+    async killEntry(index, forMs) {
+      const entry = processes[index];
+      note("kill", { entry: entry.host });
+      entry.child.kill("SIGKILL");
+      await entry.exit;
+      await sleep(forMs);
+      if (!closed) entry.start();
+    },
     minions: running,
     processes,
     /** Crashes the minion of a machine, which is down for a time and comes back under another id or, with `keepsId`, the same. */
