--- a/review/lib-3/deployment.mjs
+++ b/review/lib-3/deployment.mjs
@@ -93,8 +93,8 @@
   for (const index of minions.keys()) await startOn(index);
   /** Highest fencing token of the orders for each machine. */
   const fences = minions.map(() => 0);
-  /** Machines whose upkeep is under way, and the waves that each has had. */
-  const inUpkeep = new Set();
+  /** Wave of each machine whose upkeep is under way, and the waves that each has had. */
+  const inUpkeep = new Map();
   let holder;
   const waves = minions.map(() => new Set());
 
@@ -111,8 +111,10 @@
     const minion = running[index];
     if (minion === undefined) return { status: 409, body: { reason: "busy" } };
     waves[index].add(body.wave);
-    note("upkeep", { ...body, fence, others: [...inUpkeep] });
-    inUpkeep.add(body.machine);
+    const others = [...inUpkeep].filter(([, wave]) => wave === body.wave)
+      .map(([machine]) => machine);
+    note("upkeep", { ...body, fence, others });
+    inUpkeep.set(body.machine, body.wave);
     running[index] = undefined;
     minion.crash();
     lives[index]++;
