fix(frontend): a job that was cancelled while unknown is never stored

Callers saw: a submission got 504, its cancellation at another entry 410, and the job ran later, for good if it lasts.

Cause: a job that isn't stored was taken for one that never will be. Its submission may be in a suspended entry, in a write without an answer or in the owner's hands, and the writes of a job and of its cancellation didn't exclude each other. Ruled out as the only cause: late writes of the store. With entries suspended before a write, cancellation_random_test breaks the rule on the code before too.

Change: the cancellation of an unknown job stores a withdrawal on the condition that the job doesn't exist, and a job is stored on the condition that its workspace's withdrawal doesn't. Withdrawals share changes, are limited for each entry, and the owner deletes old ones. A submission that was suspended beyond its deadline isn't stored.

One test submitted the ID that it had cancelled as unknown and expected it to be accepted; that is the fault, so it now cancels another ID. The others are as strict as before.

--- a/src/scheduler/entry.ts
+++ b/src/scheduler/entry.ts
@@ -26,6 +26,7 @@
 import type { Election } from "./election.ts";
 import type { JobFrontend } from "./job_frontend.ts";
 import { createJobServer } from "./job_server.ts";
+import { storeAbsentRecord, storeJobRecord } from "./new_records.ts";
 import type { OperatorState } from "./operator_state.ts";
 import {
   createPeerHandler,
@@ -37,7 +38,7 @@
 import type { RecordStore } from "./ports.ts";
 import type { RelayServer } from "./relay/server.ts";
 import type { RequestStats } from "./request_stats.ts";
-import { describeConflict } from "./workspaces/stored_workspace.ts";
+import type { Withdrawals } from "./withdrawals.ts";
 import { workspaceMetrics } from "./workspaces/workspace_state.ts";
 import type { SchedulerSettings } from "./settings.ts";
 import type { StoreHealth } from "./store_health.ts";
@@ -60,6 +61,7 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly store: RecordStore;
+  readonly withdrawals: Withdrawals;
   readonly health: StoreHealth;
   readonly operator: OperatorState;
   readonly election: Election;
@@ -93,40 +95,27 @@
   dependencies:
     & Pick<
       SchedulerEntryDependencies,
-      "election" | "store" | "health" | "log"
+      "election" | "store" | "withdrawals" | "health" | "log"
     >
     & { readonly operator: Pick<OperatorState, "configItemAfter"> },
 ): PeerHandlers {
-  const { election, store, health, log, operator } = dependencies;
+  const { election, store, withdrawals, health, log, operator } = dependencies;
 
-  async function storeIfAbsent(
-    key: string,
-    value: string,
-    job?: {
-      readonly workspace: string;
-      /** Called with the store revision of the record. */
-      readonly onStored: (revision: number) => void;
-    },
+  /** Stores a record of a job for another entry. */
+  async function storeRecord(
+    jobId: string,
+    send: () => Promise<StoreReply>,
   ): Promise<StoreReply> {
     if (!health.allowsRequest()) return "not_stored";
     try {
-      const outcome = await store.change({
-        conditions: [{ key, revision: 0 }],
-        puts: [{ key, value }],
-      });
+      const reply = await send();
       health.recordSuccess();
-      if (outcome.kind === "committed") {
-        job?.onStored(outcome.revision);
-        return "stored";
-      }
-      return job === undefined
-        ? "existing"
-        : describeConflict(outcome, job.workspace);
+      return reply;
     } catch (error) {
       if (!(error instanceof StoreError)) throw error;
       if (error.failure !== "rejected") health.recordFailure();
       log.info("a record of another entry could not be stored", {
-        key,
+        job: jobId,
         failure: error.failure,
         reason: messageOf(error),
       });
@@ -149,14 +138,11 @@
     async submit(spec) {
       const owner = election.localOwner();
       if (owner === undefined) return { kind: "not_owner" };
-      const value = await storeIfAbsent(
-        STORE_KEYS.jobPrefix + spec.jobId,
-        JSON.stringify(spec),
-        {
-          workspace: spec.workspace,
-          onStored: (revision) => void owner.accept(spec, revision),
-        },
-      );
+      const value = await storeRecord(spec.jobId, async () => {
+        const stored = await storeJobRecord(store, spec);
+        if (stored.kind === "stored") owner.accept(spec, stored.revision);
+        return stored.kind;
+      });
       return { kind: "reply", value };
     },
     cancelled(jobId) {
@@ -168,10 +154,25 @@
     async cancel(jobId) {
       const owner = election.localOwner();
       if (owner === undefined) return { kind: "not_owner" };
-      const value = await storeIfAbsent(STORE_KEYS.cancelPrefix + jobId, "{}");
+      const value = await storeRecord(
+        jobId,
+        () =>
+          storeAbsentRecord(store, {
+            key: STORE_KEYS.cancelPrefix + jobId,
+            value: "{}",
+          }),
+      );
       if (value === "stored" || value === "existing") owner.cancel(jobId);
       return { kind: "reply", value };
     },
+    async withdraw(withdrawal) {
+      if (election.localOwner() === undefined) return { kind: "not_owner" };
+      const value = await storeRecord(
+        withdrawal.jobId,
+        () => withdrawals.store(withdrawal),
+      );
+      return { kind: "reply", value };
+    },
     status(jobId, workspace) {
       const owner = election.localOwner();
       if (owner === undefined) return { kind: "not_owner" };
--- a/src/scheduler/entry_client.ts
+++ b/src/scheduler/entry_client.ts
@@ -8,6 +8,7 @@
 import type { Owner } from "./ownership.ts";
 import type { StoredItem } from "./ports.ts";
 import type { RelayOffer } from "./relay/control.ts";
+import type { Withdrawal } from "./withdrawals.ts";
 import type { AdmissionDecision } from "./workspaces/admission.ts";
 import type { OwnerReply, SchedulerRouter, StoreReply } from "./peer_router.ts";
 
@@ -59,6 +60,8 @@
   cancelled(jobId: string): Promise<void>;
   /** Asks the owner to store a cancellation; `not_owner` means that nothing was stored. */
   cancel(jobId: string): Promise<StoreReply | "not_owner">;
+  /** Asks the owner to keep a job from being stored; `not_owner` means that nothing was stored. */
+  withdraw(withdrawal: Withdrawal): Promise<StoreReply | "not_owner">;
   status(jobId: string, workspace: string): Promise<JobStatus | undefined>;
   waitingJobs(queue: string): Promise<number>;
   owner(): Promise<Owner | undefined>;
@@ -147,6 +150,8 @@
       ),
     cancel: (jobId) =>
       store((signal) => client.cancel.mutate({ jobId }, { signal })),
+    withdraw: (withdrawal) =>
+      store((signal) => client.withdraw.mutate(withdrawal, { signal })),
     status: async (jobId, workspace) =>
       await callOwner((signal) =>
         client.status.query({ jobId, workspace }, { signal })
--- a/src/scheduler/job_api.ts
+++ b/src/scheduler/job_api.ts
@@ -353,6 +353,14 @@
         return { status: 200, outcome: result.kind };
       case "unknown_job":
         return { status: 410, outcome: result.kind };
+      case "refused":
+        return {
+          ...unavailable(
+            result.retryAfterMs,
+            "too many cancellations of unknown jobs",
+          ),
+          outcome: result.kind,
+        };
       case "unresolved":
         return { status: 504, outcome: result.kind };
     }
@@ -383,6 +391,12 @@
           outcome: result.kind,
           body: { error: "another workspace has a job with this ID" },
         };
+      case "withdrawn":
+        return {
+          status: 409,
+          outcome: result.kind,
+          body: { error: "the job was cancelled before it was stored" },
+        };
       case "refused":
         return describeRefusal(result);
       case "unresolved":
--- a/src/scheduler/job_frontend.ts
+++ b/src/scheduler/job_frontend.ts
@@ -13,16 +13,12 @@
 import { EntryCallError, type EntryClient } from "./entry_client.ts";
 import { STORE_KEYS } from "./ownership.ts";
 import type { StoreReply } from "./peer_router.ts";
-import type {
-  ChangeOutcome,
-  QueueConfig,
-  RecordStore,
-  SchedulerConfig,
-} from "./ports.ts";
+import type { QueueConfig, RecordStore, SchedulerConfig } from "./ports.ts";
+import { storeAbsentRecord, storeJobRecord } from "./new_records.ts";
 import { createStopwatch, type Stopwatch } from "./stopwatch.ts";
 import type { StoreHealth } from "./store_health.ts";
 import { createStoredStatus } from "./stored_status.ts";
-import { describeConflict } from "./workspaces/stored_workspace.ts";
+import { createWithdrawalBudget, type Withdrawals } from "./withdrawals.ts";
 import {
   createSubmissionCheck,
   type SubmissionVerdict,
@@ -70,6 +66,8 @@
   | Extract<SubmissionVerdict, { kind: "refused" }>
   /** Another workspace has a job with this ID. */
   | { readonly kind: "foreign" }
+  /** The caller has cancelled the job before it was stored; it will never run. */
+  | { readonly kind: "withdrawn" }
   | { readonly kind: "invalid"; readonly error: InvalidJobError }
   /** It is unknown whether the job is stored. */
   | { readonly kind: "unresolved" };
@@ -83,7 +81,10 @@
 /** Result of a cancellation. */
 export type CancelResult =
   | { readonly kind: "cancelled" }
+  /** The job isn't stored and never will be. */
   | { readonly kind: "unknown_job" }
+  /** Nothing is cancelled, as this entry has cancelled too many unknown jobs. */
+  | { readonly kind: "refused"; readonly retryAfterMs: number }
   | { readonly kind: "unresolved" };
 
 /** Result of a query for the number of waiting jobs. */
@@ -120,6 +121,7 @@
 /** Dependencies of the job frontend. */
 export interface JobFrontendOptions {
   readonly store: RecordStore;
+  readonly withdrawals: Withdrawals;
   readonly health: StoreHealth;
   readonly clock: Clock;
   readonly log: Logger;
@@ -135,18 +137,14 @@
   readonly onOwnerChanged: () => void;
 }
 
-/** A record to be stored unless its key exists. */
+/** The two ways of storing a record. */
 interface NewRecord {
-  readonly key: string;
-  readonly value: string;
+  /** Stores the record; rejects with a `StoreError`. */
+  readonly store: () => Promise<StoreReply>;
   /** Asks the owner to store the record. */
   readonly storeOnOwner: (
     owner: EntryClient,
   ) => Promise<StoreReply | "not_owner">;
-  /** Describes the existing record; `existing` if omitted. */
-  readonly describeConflict?: (outcome: ChangeOutcome) => StoreReply;
-  /** Called with the store revision of the record if this entry has stored it. */
-  readonly onStored?: (revision: number) => void;
 }
 
 /** Result of a call to the owner. */
@@ -162,6 +160,7 @@
 export function createJobFrontend(options: JobFrontendOptions): JobFrontend {
   const { store, health, clock, log } = options;
   const storedStatus = createStoredStatus(store, log);
+  const withdrawalBudget = createWithdrawalBudget({ clock });
   let storeFailedAtMs = -Infinity;
   const counts = new Map<string, { jobs: number; age: Stopwatch }>();
 
@@ -212,12 +211,14 @@
     void callOwner(send);
   }
 
-  /** Stores a record unless its key exists; retries for a short time, directly and through the owner. */
+  /** Stores a record; retries for a short time, directly and through the owner. */
   async function storeRecord(
-    { key, value, ...record }: NewRecord,
+    record: NewRecord,
     context: RequestContext,
   ): Promise<StoreReply> {
     const startedAtMs = clock.monotonicMs();
+    const age = createStopwatch(clock);
+    const deadlineAfterMs = context.deadlineMs - startedAtMs;
     let unresolved = false;
     /** Whether the owner, which has its own connections to the store, failed as well. */
     let refusedByOwner = false;
@@ -225,23 +226,10 @@
     async function storeDirectly(): Promise<StoreReply | undefined> {
       if (!health.allowsRequest()) return undefined;
       try {
-        const outcome = await store.change({
-          conditions: [{ key, revision: 0 }],
-          puts: [{ key, value }],
-        });
+        const reply = await record.store();
         storeFailedAtMs = -Infinity;
         health.recordSuccess();
-        switch (outcome.kind) {
-          case "committed":
-            record.onStored?.(outcome.revision);
-            return "stored";
-          case "lease_ended":
-            return undefined;
-          case "conflict":
-            return record.describeConflict?.(outcome) ?? "existing";
-          default:
-            return assertNever(outcome);
-        }
+        return reply;
       } catch (error) {
         if (!(error instanceof StoreError)) throw error;
         if (error.failure === "rejected") return "rejected";
@@ -265,13 +253,24 @@
       if (value === "unresolved") unresolved = true;
       if (value === "not_owner") options.onOwnerChanged();
       refusedByOwner = value === "not_stored";
-      return value === "stored" || value === "existing" ||
-          value === "foreign" || value === "rejected"
-        ? value
-        : undefined;
+      switch (value) {
+        case "stored":
+        case "existing":
+        case "foreign":
+        case "withdrawn":
+        case "rejected":
+          return value;
+        case "not_stored":
+        case "unresolved":
+        case "not_owner":
+          return undefined;
+        default:
+          return assertNever(value);
+      }
     }
 
-    for (;;) {
+    // The process may have been suspended for longer than the caller waits.
+    while (age.elapsedMs() < deadlineAfterMs) {
       const storeSuspected =
         clock.monotonicMs() - storeFailedAtMs < STORE_SUSPICION_MS;
       const outcome = storeSuspected
@@ -331,6 +330,61 @@
     },
   });
 
+  /** Tells the owner of a job that this entry has stored at a store revision. */
+  function notifyOfJob(spec: JobSpec, revision: number): void {
+    void callOwner((owner) => owner.accepted(spec, revision)).then((reply) => {
+      if (reply.kind === "reply" && !reply.value) submissions.onOwnerFull();
+    });
+  }
+
+  /**
+   * Keeps a job that isn't known from being stored: a submission may be on its
+   * way to the store or through another entry. Returns undefined if the job is
+   * stored, so that it has to be cancelled.
+   */
+  async function withdraw(
+    jobId: string,
+    context: RequestContext,
+  ): Promise<CancelResult | undefined> {
+    const retryAfterMs = withdrawalBudget.take();
+    if (retryAfterMs > 0) {
+      log.warn("cancellation refused: too many of unknown jobs", {
+        request: context.requestId,
+        job: jobId,
+        retryAfterMs,
+      });
+      return { kind: "refused", retryAfterMs };
+    }
+    const { workspace = "" } = context;
+    const withdrawal = { jobId, workspace };
+    const outcome = await storeRecord(
+      {
+        store: () => options.withdrawals.store(withdrawal),
+        storeOnOwner: (owner) => owner.withdraw(withdrawal),
+      },
+      context,
+    );
+    log.info("cancellation of an unknown job", {
+      request: context.requestId,
+      job: jobId,
+      outcome,
+    });
+    switch (outcome) {
+      case "existing":
+        return undefined;
+      case "stored":
+      case "foreign":
+        return { kind: "unknown_job" };
+      case "withdrawn":
+      case "not_stored":
+      case "unresolved":
+      case "rejected":
+        return { kind: "unresolved" };
+      default:
+        return assertNever(outcome);
+    }
+  }
+
   return {
     async submit(queue, submission, context) {
       const parsed = jobSpecSchema.safeParse({
@@ -357,19 +411,12 @@
       const spec: JobSpec = { ...parsed.data, excess: verdict.excess };
       const outcome = await storeRecord(
         {
-          key: STORE_KEYS.jobPrefix + spec.jobId,
-          value: JSON.stringify(spec),
+          async store() {
+            const stored = await storeJobRecord(store, spec);
+            if (stored.kind === "stored") notifyOfJob(spec, stored.revision);
+            return stored.kind;
+          },
           storeOnOwner: (owner) => owner.submit(spec),
-          describeConflict: (conflict) =>
-            describeConflict(conflict, spec.workspace),
-          onStored: (revision) =>
-            void callOwner((owner) => owner.accepted(spec, revision)).then(
-              (reply) => {
-                if (reply.kind === "reply" && !reply.value) {
-                  submissions.onOwnerFull();
-                }
-              },
-            ),
         },
         context,
       );
@@ -393,6 +440,9 @@
         case "foreign":
           log.info("job refused: another workspace has its ID", fields);
           return { kind: "foreign" };
+        case "withdrawn":
+          log.info("job refused: it was cancelled before", fields);
+          return { kind: "withdrawn" };
         case "rejected":
           log.warn("job refused: the store rejects its record", fields);
           return {
@@ -425,15 +475,17 @@
     },
     async cancel(jobId, context) {
       const previous = await status(jobId, context);
-      if (previous.kind === "unknown_job") return { kind: "unknown_job" };
-      // The job may be another workspace's.
-      if (previous.kind === "unavailable" && (context.workspace ?? "") !== "") {
-        return { kind: "unresolved" };
+      if (previous.kind !== "status") {
+        const result = await withdraw(jobId, context);
+        if (result !== undefined) return result;
       }
       const outcome = await storeRecord(
         {
-          key: STORE_KEYS.cancelPrefix + jobId,
-          value: JSON.stringify({ atMs: clock.wallMs() }),
+          store: () =>
+            storeAbsentRecord(store, {
+              key: STORE_KEYS.cancelPrefix + jobId,
+              value: JSON.stringify({ atMs: clock.wallMs() }),
+            }),
           storeOnOwner: (owner) => owner.cancel(jobId),
         },
         context,
--- a/src/scheduler/job_frontend_test.ts
+++ b/src/scheduler/job_frontend_test.ts
@@ -13,6 +13,7 @@
 import { jobSpecSchema } from "./model.ts";
 import { EntryCallError, type EntryClient } from "./entry_client.ts";
 import { STORE_KEYS } from "./ownership.ts";
+import { createWithdrawals } from "./withdrawals.ts";
 import { createStoreHealth } from "./store_health.ts";
 
 const test = suite("job frontend");
@@ -40,8 +41,10 @@
     close() {},
     ...owner,
   } as EntryClient;
+  const storeClient = store.client("entry-1");
   const frontend = createJobFrontend({
-    store: store.client("entry-1"),
+    store: storeClient,
+    withdrawals: createWithdrawals({ store: storeClient }),
     health: createStoreHealth(systemClock),
     clock: systemClock,
     log: silentLogger,
@@ -344,7 +347,7 @@
 test("a cancellation is acknowledged once it is stored; an unknown job can't be cancelled", async () => {
   const fixture = createFixture();
   assert.deepEqual(
-    await fixture.frontend.cancel(JOB, fixture.context()),
+    await fixture.frontend.cancel("00000000000000c1", fixture.context()),
     { kind: "unknown_job" },
   );
   await fixture.frontend.submit(QUEUE, submission, fixture.context());
@@ -359,6 +362,103 @@
   );
 });
 
+// Guards against a job that runs although its caller was told that it doesn't exist: its write was still on its way to the store.
+test("a job whose cancellation found it unknown is never stored by a late write", async () => {
+  const fixture = createFixture();
+  fixture.store.faults.lateChangeRate = 1;
+  fixture.store.faults.lateMs = 1_500;
+  const submitted = await fixture.frontend.submit(
+    QUEUE,
+    submission,
+    fixture.context(),
+  );
+  assert.deepEqual(submitted, { kind: "unresolved" });
+  fixture.store.faults.lateChangeRate = 0;
+  assert.equal(
+    fixture.store.items.has(STORE_KEYS.jobPrefix + JOB),
+    false,
+    "the late write comes after the cancellation",
+  );
+  assert.deepEqual(
+    await fixture.frontend.cancel(JOB, fixture.context()),
+    { kind: "unknown_job" },
+  );
+  await delay(1_500);
+  assert.equal(fixture.store.items.has(STORE_KEYS.jobPrefix + JOB), false);
+});
+
+// Guards against the same for a submission that another entry sends after the cancellation, as it was suspended or its connection was slow.
+test("a job that was cancelled before it is submitted is refused, and stays unknown", async () => {
+  const fixture = createFixture();
+  const { frontend, context, store } = fixture;
+  assert.deepEqual(await frontend.cancel(JOB, context()), {
+    kind: "unknown_job",
+  });
+  assert.deepEqual(await frontend.submit(QUEUE, submission, context()), {
+    kind: "withdrawn",
+  });
+  assert.deepEqual(await frontend.status(JOB, context()), {
+    kind: "unknown_job",
+  });
+  assert.deepEqual(await frontend.cancel(JOB, context()), {
+    kind: "unknown_job",
+  });
+  assert.equal(store.items.has(STORE_KEYS.jobPrefix + JOB), false);
+});
+
+// Guards against a caller that keeps another workspace's job from running, or learns that it exists.
+test("the cancellation of an unknown job has no effect on another workspace's job", async () => {
+  const { frontend, context } = createFixture();
+  const as = (workspace: string) => ({ ...context(), workspace });
+  assert.deepEqual(await frontend.cancel(JOB, as("a")), {
+    kind: "unknown_job",
+  });
+  assert.deepEqual(await frontend.submit(QUEUE, submission, as("b")), {
+    kind: "accepted",
+  });
+  assert.deepEqual(await frontend.cancel(JOB, as("a")), {
+    kind: "unknown_job",
+  });
+  assert.deepEqual(await frontend.status(JOB, as("b")), {
+    kind: "status",
+    status: "queued",
+  });
+});
+
+// Guards against a job that stays because it was stored between the reading of its status and its cancellation.
+test("a job that turns out to be stored when it is withdrawn is cancelled", async () => {
+  const calls: string[] = [];
+  const { frontend, context, store } = createFixture({
+    status: () => Promise.resolve(undefined),
+    withdraw: ({ jobId }) => {
+      calls.push(`withdraw ${jobId}`);
+      return Promise.resolve("existing");
+    },
+    cancel: (jobId) => {
+      calls.push(`cancel ${jobId}`);
+      return Promise.resolve("stored");
+    },
+  });
+  store.faults.refusedClients.add("entry-1");
+  assert.deepEqual(await frontend.cancel(JOB, context(2_000)), {
+    kind: "cancelled",
+  });
+  assert.deepEqual(calls, [`withdraw ${JOB}`, `cancel ${JOB}`]);
+});
+
+// Guards against answering that a job will never run while the store may still take it.
+test("the cancellation of an unknown job is unresolved while it can't be stored", async () => {
+  const { frontend, context, store } = createFixture({
+    status: () => Promise.resolve(undefined),
+    withdraw: () => Promise.resolve("not_stored"),
+  });
+  store.faults.lateChangeRate = 1;
+  store.faults.lateMs = 60_000;
+  assert.deepEqual(await frontend.cancel(JOB, context()), {
+    kind: "unresolved",
+  });
+});
+
 // Guards against an invalid job that is written to the store.
 test("an invalid job is refused and not stored", async () => {
   const fixture = createFixture();
--- a/src/scheduler/local_entry_client.ts
+++ b/src/scheduler/local_entry_client.ts
@@ -24,6 +24,7 @@
     submit: refuseToStore,
     cancelled: (jobId) => callOwner((owner) => owner.cancel(jobId)),
     cancel: refuseToStore,
+    withdraw: refuseToStore,
     status: (jobId, workspace) =>
       callOwner((owner) => owner.status(jobId, workspace)),
     waitingJobs: (queue) => callOwner((owner) => owner.waitingJobs(queue)),
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -19,6 +19,8 @@
   queuePrefix: "queue/",
   jobPrefix: "queue/job/",
   cancelPrefix: "queue/cancel/",
+  /** Jobs that were cancelled before they were stored; written by any entry. */
+  withdrawnPrefix: "withdrawn/",
   progressPrefix: "progress/",
   wavePrefix: "fleet/wave/",
 } as const;
--- a/src/scheduler/peer_router.ts
+++ b/src/scheduler/peer_router.ts
@@ -7,6 +7,7 @@
 import type { Owner } from "./ownership.ts";
 import type { StoredItem } from "./ports.ts";
 import type { RelayOffer } from "./relay/control.ts";
+import type { Withdrawal } from "./withdrawals.ts";
 import type { AdmissionDecision } from "./workspaces/admission.ts";
 
 /** Maximum size of a request body between entries, in bytes; a job has at most 256 KB. */
@@ -24,6 +25,8 @@
   | "existing"
   /** The key already exists, with a job of another workspace. */
   | "foreign"
+  /** The job was cancelled before it was stored. */
+  | "withdrawn"
   /** The write was not executed. */
   | "not_stored"
   /** The store refuses the record for good, for instance because it is too large. */
@@ -45,6 +48,8 @@
   cancelled(jobId: string): OwnerReply<true>;
   /** Stores a cancellation for an entry that can't reach the store. */
   cancel(jobId: string): Promise<OwnerReply<StoreReply>>;
+  /** Keeps a job from being stored, for an entry that can't reach the store; `existing` if it is stored. */
+  withdraw(withdrawal: Withdrawal): Promise<OwnerReply<StoreReply>>;
   /** Returns the status of a job; null if the owner doesn't know it or it is another workspace's. */
   status(jobId: string, workspace: string): OwnerReply<JobStatus | null>;
   waitingJobs(queue: string): OwnerReply<number>;
@@ -86,6 +91,8 @@
   cancel: trpc.procedure.input(jobIdSchema).mutation(({ input, ctx }) =>
     ctx.handlers.cancel(input.jobId)
   ),
+  withdraw: trpc.procedure.input(jobIdSchema.extend({ workspace: z.string() }))
+    .mutation(({ input, ctx }) => ctx.handlers.withdraw(input)),
   status: trpc.procedure.input(
     jobIdSchema.extend({ workspace: z.string().default("") }),
   ).query(({ input, ctx }) =>
--- a/src/scheduler/peer_router_test.ts
+++ b/src/scheduler/peer_router_test.ts
@@ -31,6 +31,7 @@
     submit: () => Promise.resolve(notOwner()),
     cancelled: notOwner,
     cancel: () => Promise.resolve(notOwner()),
+    withdraw: () => Promise.resolve(notOwner()),
     status: notOwner,
     waitingJobs: notOwner,
     owner: () => null,
--- a/src/scheduler/tenure_runner.ts
+++ b/src/scheduler/tenure_runner.ts
@@ -47,6 +47,7 @@
 import { handOverWhenSlow } from "./slow_handover.ts";
 import { relocateStragglers } from "./stragglers.ts";
 import { createTicketCache, type TicketCache } from "./ticket_cache.ts";
+import { removeOldWithdrawals } from "./withdrawal_cleanup.ts";
 import { MAXIMUM_LEASE_MS } from "./worker_link.ts";
 import { LATE_CALL_LIMIT_MS } from "./worker_lives.ts";
 import { createWorkerRegistry } from "./worker_registry.ts";
@@ -381,14 +382,14 @@
     }
   }
 
+  const cleanupIntervalMs = Math.min(
+    CLEANUP_INTERVAL_MS,
+    options.keepEndedMs / CLEANUPS_PER_RETENTION,
+  );
+
   function* removeEndedJobs({ hasRead }: QueueReader): Operation<void> {
     for (;;) {
-      yield* sleep(
-        Math.min(
-          CLEANUP_INTERVAL_MS,
-          options.keepEndedMs / CLEANUPS_PER_RETENTION,
-        ),
-      );
+      yield* sleep(cleanupIntervalMs);
       scheduler.removeEnded(options.keepEndedMs, hasRead);
     }
   }
@@ -474,6 +475,14 @@
     yield* spawn(() => planLoop());
     yield* spawn(() => checkLoop());
     yield* spawn(() => removeEndedJobs(queue));
+    yield* spawn(() =>
+      removeOldWithdrawals({
+        ...options,
+        journal,
+        keepMs: options.keepEndedMs,
+        intervalMs: cleanupIntervalMs,
+      })
+    );
     yield* spawn(() => fleet.run());
     yield* spawn(() =>
       runThrottling(createThrottling({ scheduler, clock, log }))
--- a/src/scheduler/wiring.ts
+++ b/src/scheduler/wiring.ts
@@ -34,6 +34,7 @@
   type SchedulerSettings,
 } from "./settings.ts";
 import { createStoreHealth, type StoreHealth } from "./store_health.ts";
+import { createWithdrawals, type Withdrawals } from "./withdrawals.ts";
 import { createAuthenticator } from "./workspaces/authentication.ts";
 
 function token<T>(name: string): InjectionToken<T> {
@@ -53,6 +54,7 @@
   election: token<Election>("election"),
   frontend: token<JobFrontend>("front"),
   health: token<StoreHealth>("health"),
+  withdrawals: token<Withdrawals>("withdrawals"),
   stats: token<RequestStats>("stats"),
   supervisor: token<Supervisor>("supervisor"),
   /** Limits of the callers' connections. */
@@ -118,6 +120,10 @@
     TOKENS.health,
     () => createStoreHealth(scope.resolve(TOKENS.clock)),
   );
+  registerSingleton(
+    TOKENS.withdrawals,
+    () => createWithdrawals({ store: adapters.store }),
+  );
   registerSingleton(TOKENS.election, () =>
     createElection({
       ...adapters,
@@ -145,6 +151,7 @@
   registerSingleton(TOKENS.frontend, () =>
     createJobFrontend({
       store: adapters.store,
+      withdrawals: scope.resolve(TOKENS.withdrawals),
       health: scope.resolve(TOKENS.health),
       clock: scope.resolve(TOKENS.clock),
       log: loggers("front"),
@@ -181,6 +188,7 @@
     settings,
     log: log.loggers("entry"),
     store: adapters.store,
+    withdrawals: scope.resolve(TOKENS.withdrawals),
     health: scope.resolve(TOKENS.health),
     election: scope.resolve(TOKENS.election),
     supervisor: scope.resolve(TOKENS.supervisor),
--- a/src/scheduler/workspaces/access_test.ts
+++ b/src/scheduler/workspaces/access_test.ts
@@ -13,6 +13,7 @@
 import { createOperatorState } from "../operator_state.ts";
 import { STORE_KEYS } from "../ownership.ts";
 import type { SchedulerConfig } from "../ports.ts";
+import { createWithdrawals } from "../withdrawals.ts";
 import { createStoreHealth } from "../store_health.ts";
 
 const test = suite("access by workspace");
@@ -42,8 +43,10 @@
       upperBound: { cpuMillis, memoryMb: 0, gpuCount: 0 },
     }],
   };
+  const storeClient = store.client("entry-1");
   const frontend = createJobFrontend({
-    store: store.client("entry-1"),
+    store: storeClient,
+    withdrawals: createWithdrawals({ store: storeClient }),
     health: createStoreHealth(systemClock),
     clock: systemClock,
     log: silentLogger,
--- a/src/scheduler/workspaces/stored_workspace.ts
+++ b/src/scheduler/workspaces/stored_workspace.ts
@@ -1,5 +1,5 @@
 import { jobSpecSchema } from "../model.ts";
-import type { ChangeOutcome } from "../ports.ts";
+import type { StoredItem } from "../ports.ts";
 
 const workspaceSchema = jobSpecSchema.pick({ workspace: true });
 
@@ -13,14 +13,10 @@
   }
 }
 
-/** Describes why a job wasn't stored: it was stored before, by its own workspace or by another one. */
-export function describeConflict(
-  outcome: ChangeOutcome,
+/** Describes a stored job: its own workspace has it, or another one. */
+export function describeStoredJob(
+  { value }: StoredItem,
   workspace: string,
 ): "existing" | "foreign" {
-  const stored = outcome.kind === "conflict" ? outcome.items[0] : undefined;
-  return stored === undefined ||
-      readStoredWorkspace(stored.value) === workspace
-    ? "existing"
-    : "foreign";
+  return readStoredWorkspace(value) === workspace ? "existing" : "foreign";
 }
--- a/testing/scheduler_cluster.ts
+++ b/testing/scheduler_cluster.ts
@@ -29,6 +29,10 @@
   createStoreHealth,
   type StoreHealth,
 } from "../src/scheduler/store_health.ts";
+import {
+  createWithdrawals,
+  type Withdrawals,
+} from "../src/scheduler/withdrawals.ts";
 import { FakeRecordStore } from "./fake_record_store.ts";
 import { FakeTaskWorkers, InvariantChecker } from "./fake_task_workers.ts";
 import { FreezePoint } from "./freeze_point.ts";
@@ -92,6 +96,7 @@
   readonly election: Election;
   readonly frontend: JobFrontend;
   readonly health: StoreHealth;
+  readonly withdrawals: Withdrawals;
   /** Suspends the entry's calls to the store, the workers, the VM service and other entries. */
   readonly freezePoint: FreezePoint;
   /** False once the entry has been killed. */
@@ -296,6 +301,7 @@
       return await call(createPeerHandlers({
         election: entry.election,
         store: this.store.client(entry.id),
+        withdrawals: entry.withdrawals,
         health: entry.health,
         log: silentLogger,
         operator: { configItemAfter: () => undefined },
@@ -322,6 +328,8 @@
       cancelled: async (jobId) =>
         void await callOwner((handlers) => handlers.cancelled(jobId)),
       cancel: (jobId) => callOwner((handlers) => handlers.cancel(jobId)),
+      withdraw: (withdrawal) =>
+        callOwner((handlers) => handlers.withdraw(withdrawal)),
       status: async (jobId, workspace) =>
         await callOwner((handlers) => handlers.status(jobId, workspace)) ??
           undefined,
@@ -345,6 +353,7 @@
     const freezePoint = new FreezePoint();
     const store = freezePoint.wrap("store", this.store.client(id));
     const health = createStoreHealth(systemClock);
+    const withdrawals = createWithdrawals({ store });
     const election = createElection({
       store,
       records: recordCodec,
@@ -374,9 +383,11 @@
       id,
       election,
       health,
+      withdrawals,
       freezePoint,
       frontend: createJobFrontend({
         store,
+        withdrawals,
         health,
         clock: systemClock,
         log: silentLogger,
