test(soak): callers cancel jobs whose submission had no answer

Change: a quarter of the submissions without an answer are cancelled until the cancellation is final; the monitor checks that none of their tasks start later.

--- a/testing/soak/callers.ts
+++ b/testing/soak/callers.ts
@@ -10,6 +10,9 @@
 /** Fraction of jobs with a task that ends its workers. */
 const DEADLY_JOB_RATE = 0.02;
 
+/** Fraction of submissions without an answer that are cancelled rather than sent again. */
+const GIVE_UP_RATE = 0.25;
+
 /** Callers that submit, cancel and read jobs and check the replies. */
 export interface Callers {
   /** Submits and reads jobs until the run is stopping. */
@@ -105,6 +108,19 @@
         );
       }
       outcomeUnknown = true;
+      if (random.next() < GIVE_UP_RATE) return await giveUp(jobId, target);
+      await delay(200);
+    }
+  }
+
+  /** Cancels a job whose submission had no answer, until the cancellation gets a final one. */
+  async function giveUp(jobId: string, target: Target): Promise<void> {
+    for (let attempt = 0; attempt < 5 && !run.stopping; attempt++) {
+      const reply = await sendRequest(processes.choose(), "DELETE", target);
+      if (reply?.status === 200 || reply?.status === 410) {
+        outcomes.cancelledAtMs.set(jobId, performance.now());
+        return;
+      }
       await delay(200);
     }
   }
