fix(scheduler): failures of tasks that were at work for long don't quarantine workers

Cause: two consecutive failures of different jobs quarantine a worker, and only an end as done clears the count; long-running tasks never end as done. Change: a failure after 5 s at work clears the count.

--- a/src/scheduler/restart_delay.ts
+++ b/src/scheduler/restart_delay.ts
@@ -1,5 +1,5 @@
-/** Duration of a run after which the next one starts without a delay, in ms. */
-const LASTING_RUN_MS = 5_000;
+/** Duration from which on the end of a long-running task's run doesn't count against its task or its worker, in ms. */
+export const LASTING_RUN_MS = 5_000;
 /** Delay after the second of several short runs in a row, in ms; it doubles with each further one. */
 const FIRST_DELAY_MS = 100;
 /** Longest delay, in ms: a task that is away for 6 s counts as lost. */
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -63,7 +63,7 @@
   unseenLeasesEndMs,
   unseenRunEndMs,
 } from "./crashes/lost_runs.ts";
-import { computeRestartDelay } from "./restart_delay.ts";
+import { computeRestartDelay, LASTING_RUN_MS } from "./restart_delay.ts";
 import { PlacedTasks } from "./placed_tasks.ts";
 import { createLateStarts, type LateStarts } from "./late_starts.ts";
 import { createRunOrders } from "./run_orders.ts";
@@ -433,6 +433,14 @@
     task.notBeforeMs = Math.max(task.notBeforeMs, nowMs + delayMs);
   }
 
+  /** Whether the current run of a long-running task has been at work for long. */
+  function hasLasted(task: TaskState, run: number): boolean {
+    const { placement } = task;
+    return getStep(task).longRunning && placement?.run === run &&
+      placement.confirmedAtMs !== undefined &&
+      clock.monotonicMs() - placement.confirmedAtMs >= LASTING_RUN_MS;
+  }
+
   function handleEndedRun(
     instance: WorkerInstance,
     endedRun: EndedRunReport,
@@ -446,6 +454,7 @@
       health.recordEnd(instance.workerId, {
         ending: endedRun.ending,
         jobId: job.spec.jobId,
+        hasLasted: hasLasted(task, endedRun.run),
       })
     ) {
       log.warn("worker fails tasks of different jobs and gets no new ones", {
--- a/src/scheduler/worker_health.ts
+++ b/src/scheduler/worker_health.ts
@@ -29,7 +29,12 @@
   /** Records how a run ended; returns true if the worker is quarantined because of it. */
   recordEnd(
     workerId: string,
-    end: { ending: RunEnding; jobId: string },
+    end: {
+      ending: RunEnding;
+      jobId: string;
+      /** Whether a long-running task was at work for so long that the worker isn't at fault. */
+      hasLasted?: boolean;
+    },
   ): boolean;
   /** Records the ratio of a task's actual or projected duration to the expected one. */
   recordSlowness(workerId: string, ratio: number): void;
@@ -69,9 +74,9 @@
   }
 
   return {
-    recordEnd(workerId, { ending, jobId }) {
+    recordEnd(workerId, { ending, jobId, hasLasted = false }) {
       const record = getRecord(workerId);
-      if (ending === "done") {
+      if (ending === "done" || hasLasted) {
         record.failuresInRow = 0;
         record.failedJobs.clear();
         record.quarantines = 0;
--- a/src/scheduler/worker_health_test.ts
+++ b/src/scheduler/worker_health_test.ts
@@ -42,6 +42,20 @@
   assert.equal(health.isAvailable("w1"), true);
 });
 
+// Guards against long-running tasks that aren't restarted (LOST): they never end as done, so that each failure would close their workers for longer.
+test("failures of tasks that were at work for long don't quarantine a worker", () => {
+  const { health } = createHealth();
+  for (let index = 0; index < 20; index++) {
+    const quarantined = health.recordEnd("w1", {
+      ending: "failed",
+      jobId: `job-${index}`,
+      hasLasted: true,
+    });
+    assert.equal(quarantined, false);
+  }
+  assert.equal(health.isAvailable("w1"), true);
+});
+
 // Guards against ignoring that a worker is slow, and against treating it as slow forever.
 test("slowness follows the latest tasks and decays", () => {
   const { time, health } = createHealth();
