perf(scheduler): ends that wait to be acknowledged are read sooner

Cause: ends that can't be acknowledged end a long poll at once, so that the owner pauses 200 ms between polls. Since these ends wait for 12.5 s rather than 3 s, jobs of more workers end up to 200 ms late. Change: the pause is 80 ms, and longer if more than 53 workers wait.

--- a/src/scheduler/poll_pacing.ts
+++ b/src/scheduler/poll_pacing.ts
@@ -20,6 +20,13 @@
 /** Pause after a poll without a response while responses are lost, in ms. */
 const LOSSY_PAUSE_MS = 10;
 
+/** Shortest pause before a poll of a worker whose ends can't be acknowledged yet, in ms; they end a long poll at once. */
+const WITHHELD_PAUSE_MS = 80;
+/** Pause for each such worker, in ms, so that many of them don't use up the owner's processor. */
+const WITHHELD_PAUSE_PER_WORKER_MS = 1.5;
+/** Time after its latest poll for which such a worker counts, in ms. */
+const WITHHELD_WINDOW_MS = 1_000;
+
 /** What the owner knows of a worker that it is about to poll. */
 export interface PolledWorker {
   readonly mayHaveRuns: boolean;
@@ -43,6 +50,8 @@
   next(worker: PolledWorker): PollTimes;
   /** Returns the pause after a poll without a response, in ms. */
   failedPollPauseMs(): number;
+  /** Returns the pause before a poll of a worker whose ends can't be acknowledged yet, in ms. */
+  withheldPauseMs(workerId: string): number;
 }
 
 /**
@@ -58,6 +67,9 @@
   /** Time of the latest lost response of each worker, in ms. */
   const lostAtMs = new Map<string, number>();
 
+  /** Time of the latest poll of each worker whose ends couldn't be acknowledged, in ms. */
+  const withheldAtMs = new Map<string, number>();
+
   function isLossy(): boolean {
     const limitMs = nowMs() - LOSS_WINDOW_MS;
     for (const [workerId, timeMs] of lostAtMs) {
@@ -87,6 +99,17 @@
         responseTimeoutMs: LOSSY_RESPONSE_TIMEOUT_MS,
       };
     },
+    withheldPauseMs(workerId) {
+      withheldAtMs.set(workerId, nowMs());
+      const limitMs = nowMs() - WITHHELD_WINDOW_MS;
+      for (const [id, timeMs] of withheldAtMs) {
+        if (timeMs < limitMs) withheldAtMs.delete(id);
+      }
+      return Math.max(
+        WITHHELD_PAUSE_MS,
+        withheldAtMs.size * WITHHELD_PAUSE_PER_WORKER_MS,
+      );
+    },
     failedPollPauseMs: () => isLossy() ? LOSSY_PAUSE_MS : FAILED_POLL_PAUSE_MS,
   };
 }
--- a/src/scheduler/poll_pacing_test.ts
+++ b/src/scheduler/poll_pacing_test.ts
@@ -78,4 +78,15 @@
   assert.equal(pacing.next(BUSY).waitMs, 900);
 });
 
+// Guards against jobs that end late because the ends of one worker wait, and against an owner without processor time when those of all do.
+test("a worker whose ends wait is polled often, and less often if there are many", () => {
+  let nowMs = 0;
+  const pacing = createPollPacing(() => nowMs);
+  assert.equal(pacing.withheldPauseMs("w0"), 80);
+  for (let index = 0; index < 400; index++) pacing.withheldPauseMs(`w${index}`);
+  assert.equal(pacing.withheldPauseMs("w0"), 600);
+  nowMs += 2_000;
+  assert.equal(pacing.withheldPauseMs("w0"), 80);
+});
+
 test.run();
--- a/src/scheduler/worker_link.ts
+++ b/src/scheduler/worker_link.ts
@@ -37,8 +37,6 @@
 const JOURNAL_WAIT_MS = 700;
 /** Time by which a worker's clock may seem to be behind, in ms, as it may run slow; a process that restarts begins its clock anew. */
 const CLOCK_TOLERANCE_MS = 1_000;
-/** Pause before a poll while ends can't be acknowledged, in ms. */
-const WITHHELD_PAUSE_MS = 200;
 /** Number of ends that may wait to be acknowledged; a worker lists 500 at a time, and further ones only once these are acknowledged. */
 const MAXIMUM_WITHHELD_ENDS = 300;
 /** Number of attempts to send an order that later ones overtake. */
@@ -329,7 +327,7 @@
     let isForced = false;
     if (!life.mayAcknowledge()) {
       // Ends that aren't acknowledged end a long poll at once.
-      yield* life.startsEnded.wait(WITHHELD_PAUSE_MS);
+      yield* life.startsEnded.wait(pacing.withheldPauseMs(worker.workerId));
       isForced = !life.mayAcknowledge();
       const withheldEnds = storedEndNumber - acknowledgedEndNumber;
       if (closed || (isForced && withheldEnds < MAXIMUM_WITHHELD_ENDS)) {
