perf(scheduler): a start to a silent worker is sent twice at most

Cause: four attempts to a worker that has crashed take 2 s, and each moves the time on until which the task may be started late. Change: after two attempts, further ones are sent only while the worker answers polls.

--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -19,6 +19,8 @@
 
 /** Number of unanswered attempts to start a run after which it is stopped instead. */
 const MAXIMUM_START_ATTEMPTS = 4;
+/** The same if the worker doesn't respond to polls either. */
+const MAXIMUM_ATTEMPTS_IN_SILENCE = 2;
 /** Minimum time between two stop orders for one run, in ms. */
 const STOP_RETRY_INTERVAL_MS = 300;
 /** Maximum number of stop orders in progress: a cancellation or a new owner may have thousands of runs to stop. */
@@ -202,7 +204,9 @@
       if (
         findInstance(placement)?.link !== instance.link ||
         !options.mayOrder() || placement.stopReason !== undefined ||
-        isListed(placement) || hasShrunk(instance)
+        isListed(placement) || hasShrunk(instance) ||
+        (placement.unansweredAttempts >= MAXIMUM_ATTEMPTS_IN_SILENCE &&
+          instance.link.silentMs() > 0)
       ) break;
     }
     handleStartOutcome(task, placement, { outcome, ticket: fields.ticket });
--- a/src/scheduler/scheduler_test.ts
+++ b/src/scheduler/scheduler_test.ts
@@ -79,6 +79,7 @@
       return Promise.resolve({ kind: "done", clockMs: 0 });
     },
     pollNow() {},
+    silentMs: () => 0,
     probe: () => Promise.resolve(),
     lastResponseAtMs: undefined,
   } as unknown as WorkerLink;
