test(scheduler): the store of a quota test has no record of late starts

Cause: its store returned no list for prefixes that the test doesn't fill, which the store's interface doesn't allow. Change: it returns an empty list, as a store does.

--- a/src/scheduler/workspaces/quota_test.ts
+++ b/src/scheduler/workspaces/quota_test.ts
@@ -156,7 +156,7 @@
     loadJobs({
       store: {
         list: (prefix: keyof typeof items) =>
-          Promise.resolve({ items: items[prefix], revision: 1 }),
+          Promise.resolve({ items: items[prefix] ?? [], revision: 1 }),
       } as unknown as RecordStore,
       scheduler,
       clock: systemClock,
