fix(waves): a maintenance that an earlier owner has ordered counts until it can't be carried out

Cause: a VM that an earlier owner has ordered was held for the 4 s between the orders of two owners, but an order without an answer may be carried out for 12.5 s. Change: such a maintenance counts towards its wave's limit for that time unless it is known to be done, and the new owner orders the same VM again first. The new test of fleet_manager_test fails on the code before (11 passed, 1 failed) and passes (12 of 12).

--- a/src/scheduler/fleet_manager.ts
+++ b/src/scheduler/fleet_manager.ts
@@ -28,6 +28,11 @@
 /** Interval between decisions until the VM list has been read once, in ms. */
 const FIRST_DECISION_INTERVAL_MS = 40;
 
+const earlierOrderSchema = z.object({
+  atMs: z.number(),
+  wave: z.number().optional(),
+});
+
 /** Dependencies of the fleet manager. */
 export interface FleetManagerOptions {
   readonly store: RecordStore;
@@ -97,14 +102,14 @@
     );
     for (const item of storedOrders.items) {
       const { key } = item;
-      const order = parseRecord(z.object({ atMs: z.number() }), item);
+      const order = parseRecord(earlierOrderSchema, item);
       if (order === undefined) {
         options.log.error("invalid stored VM order record ignored", { key });
       }
       orders.recordEarlierOrder(
         key.slice(VM_ORDER_PREFIX.length),
         // An order at an unknown time may have been sent just now.
-        order?.atMs ?? options.clock.wallMs(),
+        order ?? { atMs: options.clock.wallMs() },
       );
     }
   }
--- a/src/scheduler/fleet_manager_test.ts
+++ b/src/scheduler/fleet_manager_test.ts
@@ -211,6 +211,40 @@
   }
 });
 
+// Guards against more VMs down for a wave than allowed: an earlier owner's order without an answer may be carried out long after the time between the orders of two owners.
+test("a maintenance that an earlier owner has ordered is ordered again before others", async () => {
+  const cluster = new SchedulerCluster(createRandom(12));
+  try {
+    for (let index = 0; index < 3; index++) cluster.addWorker(index);
+    cluster.holderGapMs = 200;
+    cluster.store.write(
+      `${VM_ORDER_PREFIX}vm-2`,
+      JSON.stringify({
+        kind: "maintain",
+        wave: 1,
+        epoch: 1,
+        atMs: Date.now() - 5_000,
+      }),
+    );
+    const orders: string[] = [];
+    cluster.maintain = (vmId) => {
+      orders.push(vmId);
+      return { kind: "done" };
+    };
+    cluster.waves.set(1, {
+      wave: 1,
+      vmIds: ["vm-0", "vm-1", "vm-2"],
+      deadlineMs: 10_000,
+      maximumDown: 1,
+    });
+    cluster.startEntry();
+    await waitFor("an order", () => orders.length > 0, { timeoutMs: 10_000 });
+    assert.equal(orders[0], "vm-2");
+  } finally {
+    await cluster.close();
+  }
+});
+
 // Guards against VMs that get no tasks for good because they were cordoned for a wave that was withdrawn.
 test("the VMs of a withdrawn wave get tasks again", async () => {
   await withCluster(async (cluster) => {
--- a/src/scheduler/vm_orders.ts
+++ b/src/scheduler/vm_orders.ts
@@ -31,8 +31,17 @@
   isFree(vmId: string): boolean;
   /** Whether an order sent to the VM since `bornAtMs`, in ms since 1970, may have ended what ran there. */
   mayHaveEnded(vmId: string, bornAtMs: number): boolean;
-  /** Records an order of an earlier owner, whose record was made at the given wall clock time. */
-  recordEarlierOrder(vmId: string, atWallMs: number): void;
+  /** Records an order of an earlier owner; `wave` is that of a maintenance. */
+  recordEarlierOrder(
+    vmId: string,
+    order: {
+      /** Wall clock time of its record, in ms since 1970. */
+      readonly atMs: number;
+      readonly wave?: number | undefined;
+    },
+  ): void;
+  /** Returns the wave of a maintenance that an earlier owner has ordered and that may still be carried out; undefined once this owner has ordered the VM. */
+  earlierMaintenance(vmId: string): number | undefined;
   /** Sends an order for a VM and calls back once its result is certain. */
   send(
     vmId: string,
@@ -106,6 +115,11 @@
   const { fleet, journal, holder, fence, clock, log } = options;
   const active = new Map<string, VmOrder>();
   const freeAtMs = new Map<string, number>();
+  /** Maintenances that earlier owners have ordered, and the monotonic times until which they may be carried out, in ms, by VM ID. */
+  const earlierMaintenances = new Map<
+    string,
+    { readonly wave: number; readonly endMs: number }
+  >();
   /** Wall clock time of the latest order for each VM, in ms since 1970; refused orders are removed. */
   const orderedAtMs = new Map<string, number>();
 
@@ -200,16 +214,30 @@
       return sentAtMs !== undefined && sentAtMs > bornAtMs &&
         clock.wallMs() - sentAtMs < LATE_ORDER_LIMIT_MS;
     },
-    recordEarlierOrder(vmId, atWallMs) {
-      orderedAtMs.set(vmId, atWallMs);
-      const ageMs = Math.max(0, clock.wallMs() - atWallMs);
+    recordEarlierOrder(vmId, { atMs, wave }) {
+      orderedAtMs.set(vmId, atMs);
+      const ageMs = Math.max(0, clock.wallMs() - atMs);
+      if (wave !== undefined) {
+        earlierMaintenances.set(vmId, {
+          wave,
+          endMs: clock.monotonicMs() + LATE_ORDER_LIMIT_MS +
+            RECORD_VALIDITY_MS - ageMs,
+        });
+      }
       freeAtMs.set(
         vmId,
         clock.monotonicMs() +
           Math.max(0, options.holderGapMs + RECORD_VALIDITY_MS - ageMs),
       );
     },
+    earlierMaintenance(vmId) {
+      const earlier = earlierMaintenances.get(vmId);
+      return earlier !== undefined && earlier.endMs > clock.monotonicMs()
+        ? earlier.wave
+        : undefined;
+    },
     send(vmId, order, onResult) {
+      earlierMaintenances.delete(vmId);
       active.set(vmId, order);
       storeIntent({ vmId, order, onResult, mayBeExecutedUntilMs: -Infinity });
     },
--- a/src/scheduler/vm_orders_test.ts
+++ b/src/scheduler/vm_orders_test.ts
@@ -160,7 +160,7 @@
 // Guards against two owners that order one VM within the minimum time, as the first one repeats its order until its record is 0.7 s old.
 test("a VM isn't free until the last attempt of an earlier owner's order is old enough", () => {
   const { orders, state } = createTestOrders([]);
-  orders.recordEarlierOrder("vm-1", Date.now());
+  orders.recordEarlierOrder("vm-1", { atMs: Date.now() });
   state.elapsedMs += HOLDER_GAP_MS + 600;
   assert.equal(orders.isFree("vm-1"), false);
   state.elapsedMs += 200;
--- a/src/scheduler/wave_runner.ts
+++ b/src/scheduler/wave_runner.ts
@@ -159,13 +159,16 @@
       saveWave(wave, record);
       return;
     }
-    const down =
-      request.vmIds.filter((vmId) =>
-        vmStates.orders.active.get(vmId)?.kind === "maintain" ||
-        vmStates.returning.get(vmId)?.wave !== undefined ||
-        vmStates.hasEarlierOrder(vmId) ||
-        vmStates.list().get(vmId)?.state === "maintenance"
-      ).length;
+    const isOrderedEarlier = (vmId: string) =>
+      !record.done.includes(vmId) &&
+      vmStates.orders.earlierMaintenance(vmId) === wave;
+    const down = request.vmIds.filter((vmId) =>
+      isOrderedEarlier(vmId) ||
+      vmStates.orders.active.get(vmId)?.kind === "maintain" ||
+      vmStates.returning.get(vmId)?.wave !== undefined ||
+      vmStates.hasEarlierOrder(vmId) ||
+      vmStates.list().get(vmId)?.state === "maintenance"
+    ).length;
     const waveVms = listedVms.map((vm) => describeWaveVm(vm, nowMs));
     const actions = planWave(waveVms, {
       down,
@@ -183,7 +186,11 @@
       if (!vm.cordoned || vm.withinBudgets || vm.batchTasks > 0) continue;
       relocateSiblingTask(vmStates.listTasks(vm.vmId));
     }
-    for (const vmId of actions.maintain) {
+    // An order of an earlier owner may be carried out at any time; this owner's order for the same VM replaces it.
+    const takenOver = waveVms.filter(({ vmId, orderable }) =>
+      orderable && isOrderedEarlier(vmId)
+    ).map(({ vmId }) => vmId);
+    for (const vmId of new Set([...takenOver, ...actions.maintain])) {
       // The orders sent earlier in this round already count towards the budgets.
       if (!isWithinBudgets(vmId, vmStates.listTasks(vmId))) continue;
       vmStates.cordonedForMaintenance.set(
